Planned stop in phases; second readings of a prompt cost budget; long prompts are not read by decode engines

Streams paused past their target where decode engines read long prompts in pieces.

Change: connections at rest are closed once callers come no more, late requests are told at once to go elsewhere; every further prefill takes a place in the budget; reading beyond some 600 tokens at a decode engine counts fourfold.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -26,6 +26,10 @@
 const HOME_MISS_SHARE: f64 = 0.3;
 /// Reading at a decode engine holds up what it generates; each millisecond counts as so many.
 const DECODE_READ_WEIGHT: f64 = 1.3;
+/// Tokens that a decode engine reads without holding its streams up noticeably.
+const UNNOTICED_TOKENS: f64 = 600.0;
+/// Each millisecond of reading beyond those counts as so many: every stream there pauses meanwhile.
+const PAUSE_WEIGHT: f64 = 4.0;
 /// Expected time of a plain request that nothing is known of, in milliseconds.
 const PLAIN_DEFAULT_MS: f64 = 20.0;
 /// Random part of each cost, so that daemons with the same picture do not all choose the same.
@@ -218,7 +222,8 @@
     ) -> f64 {
         let per_token = DECODE_READ_WEIGHT / self.speed.decode_tokens_per_ms();
         let tokens = self.tokens_to_read(back_end, rivals, prompt, now);
-        self.waiting_ms(back_end, per_token) + tokens * per_token
+        let pausing = (tokens - UNNOTICED_TOKENS).max(0.0);
+        self.waiting_ms(back_end, per_token) + (tokens + PAUSE_WEIGHT * pausing) * per_token
     }
 
     fn prefill_ms(
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,9 +1,10 @@
 //! Server for HTTP/1.1 and HTTP/2 that stops gracefully.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use futures::future::BoxFuture;
@@ -12,8 +13,8 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::GracefulShutdown;
-use ponddrift_runtime::{BoxedListener, BoxedStream, HyperExecutor, Runtime};
+use hyper_util::server::graceful::{GracefulConnection, GracefulShutdown};
+use ponddrift_runtime::{BoxedListener, BoxedStream, HyperExecutor, Runtime, Spawner};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -78,6 +79,37 @@
     address: SocketAddr,
     stop: CancellationToken,
     stopped: CancellationToken,
+    connections: Arc<Connections>,
+    spawner: Arc<dyn Spawner>,
+}
+
+/// Open connections, told to close together.
+#[derive(Default)]
+struct Connections(Mutex<GracefulShutdown>);
+
+impl Connections {
+    fn watch<C: GracefulConnection>(
+        &self,
+        connection: C,
+    ) -> impl Future<Output = C::Output> + use<C> {
+        self.lock().watch(connection)
+    }
+
+    fn count(&self) -> usize {
+        self.lock().count()
+    }
+
+    /// Tells all that are open now to close after their request in progress, and waits until they have.
+    fn close_open(&self) -> impl Future<Output = ()> + Send + 'static {
+        let open = std::mem::take(&mut *self.lock());
+        open.shutdown()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, GracefulShutdown> {
+        self.0
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
 }
 
 impl Server {
@@ -96,13 +128,15 @@
             address: listener.local_address()?,
             stop: CancellationToken::new(),
             stopped: CancellationToken::new(),
+            connections: Arc::default(),
+            spawner: Arc::clone(&runtime.spawner),
         };
         let accept_loop = AcceptLoop {
             runtime: runtime.clone(),
             settings,
             handler,
             stop: server.stop.clone(),
-            connections: GracefulShutdown::new(),
+            connections: Arc::clone(&server.connections),
         };
         let stopped = server.stopped.clone();
         runtime.spawner.spawn(Box::pin(async move {
@@ -118,6 +152,12 @@
         self.address
     }
 
+    /// Closes every connection that is open now, after its request in progress if it has one. New connections are
+    /// still taken: their callers come when others have gone away.
+    pub fn close_connections(&self) {
+        self.spawner.spawn(Box::pin(self.connections.close_open()));
+    }
+
     /// Takes no new connection, lets every request in progress end, and returns when all have. For
     /// [`ServerSettings::close_notice`] requests are still taken on open connections, each answered with `Connection: close`: a request that is on its way on an
     /// open connection when that is closed is lost to its caller, who cannot know whether it ran.
@@ -132,7 +172,7 @@
     settings: ServerSettings,
     handler: Arc<dyn Handler>,
     stop: CancellationToken,
-    connections: GracefulShutdown,
+    connections: Arc<Connections>,
 }
 
 impl AcceptLoop {
@@ -140,7 +180,7 @@
         self.accept(&listener).await;
         drop(listener);
         self.give_notice().await;
-        self.connections.shutdown().await;
+        self.connections.close_open().await;
     }
 
     /// Accepts until stopped, and then whatever waits already: it may have sent its request.
--- /dev/null
+++ b/crates/serve/src/daemon.rs
@@ -0,0 +1,155 @@
+//! One running daemon.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::{Context, Result};
+use ponddrift_http::Server;
+use ponddrift_platform_adapter::{PlatformDialect, PlatformStore};
+use ponddrift_runtime::Runtime;
+use ponddrift_serving::fleet_state::FleetState;
+use ponddrift_serving::metrics::Metrics;
+use ponddrift_serving::peers::PeerSettings;
+use ponddrift_serving::pipeline::{Pipeline, PipelineSettings};
+use ponddrift_serving::store::{DaemonRecord, FleetStore};
+use ponddrift_serving::{follow, front, peers};
+use tokio::time::Instant;
+
+use crate::settings::Settings;
+
+/// Time between two looks at what is still in progress while stopping.
+const STOP_LOOK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time at the end of a planned stop in which connections close.
+const CLOSE_LIMIT: Duration = Duration::from_millis(500);
+
+/// A running daemon.
+pub struct Daemon {
+    settings: Settings,
+    pipeline: Arc<Pipeline>,
+    state: Arc<FleetState>,
+    metrics: Arc<Metrics>,
+    callers: Server,
+    _status: Server,
+}
+
+impl Daemon {
+    /// Binds every address, and begins to follow the store.
+    ///
+    /// # Errors
+    /// When an address cannot be bound.
+    pub async fn start(runtime: &Runtime, settings: Settings) -> Result<Self> {
+        let store: Arc<dyn FleetStore> = Arc::new(PlatformStore::new(runtime, settings.store));
+        let state = Arc::new(FleetState::new(Arc::clone(&store)));
+        let metrics = Arc::new(Metrics::default());
+        let pipeline_settings = PipelineSettings {
+            zone: Arc::clone(&settings.zone),
+            budget: settings.budget,
+        };
+        let pipeline = Pipeline::new(
+            runtime,
+            Arc::new(PlatformDialect),
+            Arc::clone(&state),
+            Arc::clone(&metrics),
+            &pipeline_settings,
+        );
+        let status = front::serve_status(runtime, settings.readiness, &pipeline, &metrics)
+            .await
+            .wrap_err("listen.readiness cannot be bound: is another process there?")?;
+        let callers = front::serve_callers(runtime, settings.callers, &pipeline)
+            .await
+            .wrap_err("listen.callers cannot be bound: is another process there?")?;
+        let record = DaemonRecord {
+            name: Arc::clone(&settings.name),
+            peer_address: settings.peers,
+        };
+        follow::start(runtime, &store, &state, record);
+        let peer_settings = PeerSettings {
+            name: Arc::clone(&settings.name),
+            address: settings.peers,
+            seeds: settings.seeds.clone(),
+        };
+        peers::start(runtime, peer_settings, &state, &pipeline)
+            .await
+            .wrap_err("listen.peers cannot be bound: is another process there?")?;
+        tracing::info!(
+            daemon = &*settings.name,
+            zone = &*settings.zone,
+            version = env!("CARGO_PKG_VERSION"),
+            callers = %settings.callers,
+            store = %settings.store,
+            "started"
+        );
+        Ok(Self {
+            settings,
+            pipeline,
+            state,
+            metrics,
+            callers,
+            _status: status,
+        })
+    }
+
+    /// Its settings.
+    #[must_use]
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    /// Whether it says that it is ready.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.pipeline.is_ready()
+    }
+
+    /// Forgets what is long past, and brings the figures up to date.
+    pub fn tidy(&self, dropped_log_lines: usize) {
+        self.pipeline.tidy();
+        let version = self
+            .state
+            .in_force()
+            .map_or(0, |in_force| in_force.configuration.version);
+        let metrics = &self.metrics;
+        metrics.configuration_version.set(signed(version));
+        metrics.daemons.set(signed(self.state.daemons().len()));
+        metrics.in_progress.set(signed(self.pipeline.in_progress()));
+        metrics.log_lines_dropped.set(signed(dropped_log_lines));
+    }
+
+    /// A planned stop.
+    ///
+    /// 1. Not ready at once; each answer closes its connection.
+    /// 2. After `stop.notice`, callers come no more: connections at rest are closed.
+    /// 3. After `stop.accept`, whoever comes all the same is told at once to go elsewhere.
+    /// 4. The end comes with the last request, and before `stop.limit` in any case.
+    pub async fn stop(&self) {
+        let stop = &self.settings.stop;
+        let begun = Instant::now();
+        tracing::info!(in_progress = self.pipeline.in_progress(), "stop_begins");
+        self.pipeline.begin_stop();
+        tokio::time::sleep_until(begun + stop.notice).await;
+        self.callers.close_connections();
+        tokio::time::sleep_until(begun + stop.accept).await;
+        self.pipeline.refuse_new();
+        self.await_last_request(begun + stop.limit).await;
+        let closing = tokio::time::timeout(CLOSE_LIMIT, self.callers.stop());
+        if closing.await.is_err() {
+            let in_progress = self.pipeline.in_progress();
+            tracing::warn!(in_progress, "stop_cut_requests");
+        }
+        tracing::info!(
+            in_progress = self.pipeline.in_progress(),
+            took_ms = u64::try_from(begun.elapsed().as_millis()).unwrap_or(u64::MAX),
+            "stopped"
+        );
+    }
+
+    async fn await_last_request(&self, end: Instant) {
+        while self.pipeline.in_progress() > 0 && Instant::now() < end {
+            tokio::time::sleep(STOP_LOOK_INTERVAL).await;
+        }
+    }
+}
+
+fn signed(number: impl TryInto<i64>) -> i64 {
+    number.try_into().unwrap_or(i64::MAX)
+}
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -36,14 +36,23 @@
     pub seeds: Vec<SocketAddr>,
     /// Bounds of repeats.
     pub budget: BudgetSettings,
-    /// Time in a planned stop in which callers may still come.
-    pub stop_notice: Duration,
-    /// Longest time of a planned stop.
-    pub stop_limit: Duration,
+    /// A planned stop.
+    pub stop: StopSettings,
     /// Filter of the log.
     pub log_filter: String,
 }
 
+/// Times of a planned stop, from its beginning.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StopSettings {
+    /// Until then callers may be sent here, since not all know of the stop.
+    pub notice: Duration,
+    /// Until then requests are taken that come all the same.
+    pub accept: Duration,
+    /// Then the process ends, whatever is in progress.
+    pub limit: Duration,
+}
+
 /// Reads and checks the file at `path`.
 ///
 /// # Errors
@@ -83,9 +92,7 @@
         ratio: reader.fraction("retry.budget_ratio", 0.2, 0.0..=10.0),
         slack: reader.fraction("retry.budget_slack", 10.0, 0.0..=100_000.0),
     };
-    let stop_notice = reader.milliseconds("stop.notice_ms", 3_000, 0..=HOUR_MS);
-    let grace = reader.fraction("stop.grace_s", 30.0, 1.0..=3_600.0);
-    let stop_limit = Duration::from_secs_f64(grace).saturating_sub(GRACE_MARGIN);
+    let stop = stop_settings(&mut reader);
     let log_filter = reader
         .parsed(
             "log.filter",
@@ -93,10 +100,6 @@
             "a filter such as info",
         )
         .unwrap_or_default();
-    if stop_notice > stop_limit {
-        let remedy = String::from("is longer than stop.grace_s allows: set less");
-        reader.clash("stop.notice_ms", remedy);
-    }
     reader.finish()?;
     Ok(Settings {
         name: Arc::from(name),
@@ -107,8 +110,7 @@
         store,
         seeds,
         budget,
-        stop_notice,
-        stop_limit,
+        stop,
         log_filter,
     })
 }
@@ -120,3 +122,23 @@
 fn address(reader: &mut Reader, key: &str) -> Option<SocketAddr> {
     reader.parsed(key, None, "an IP number and a port")
 }
+
+fn stop_settings(reader: &mut Reader) -> StopSettings {
+    let notice = reader.milliseconds("stop.notice_ms", 2_300, 0..=HOUR_MS);
+    let accept = reader.milliseconds("stop.accept_ms", 3_000, 0..=HOUR_MS);
+    let grace = reader.fraction("stop.grace_s", 30.0, 1.0..=3_600.0);
+    let limit = Duration::from_secs_f64(grace).saturating_sub(GRACE_MARGIN);
+    if notice > accept {
+        let remedy = String::from("is longer than stop.accept_ms: set less");
+        reader.clash("stop.notice_ms", remedy);
+    }
+    if accept > limit {
+        let remedy = String::from("is longer than stop.grace_s allows: set less");
+        reader.clash("stop.accept_ms", remedy);
+    }
+    StopSettings {
+        notice,
+        accept,
+        limit,
+    }
+}
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -55,6 +55,7 @@
     split: Mutex<SplitDealer>,
     random: Mutex<Pcg64Mcg>,
     stopping: AtomicBool,
+    refusing: AtomicBool,
     daemons: AtomicUsize,
     in_progress: AtomicUsize,
 }
@@ -80,6 +81,7 @@
             split: Mutex::default(),
             random: Mutex::new(Pcg64Mcg::seed_from_u64(runtime.seed)),
             stopping: AtomicBool::new(false),
+            refusing: AtomicBool::new(false),
             daemons: AtomicUsize::new(1),
             in_progress: AtomicUsize::new(0),
         })
@@ -90,6 +92,15 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// From now on requests are sent elsewhere: what began now would not end in time.
+    pub fn refuse_new(&self) {
+        self.refusing.store(true, Ordering::Relaxed);
+    }
+
+    fn is_refusing(&self) -> bool {
+        self.refusing.load(Ordering::Relaxed)
+    }
+
     /// Whether a planned stop has begun.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/serving/src/pipeline/answers.rs
+++ b/crates/serving/src/pipeline/answers.rs
@@ -16,6 +16,8 @@
 pub(super) enum Failure {
     /// No configuration is known.
     NotReady,
+    /// This daemon stops; others serve.
+    Stopping,
     /// No route fits.
     NoRoute,
     /// The head lacks what every request must bear.
@@ -35,7 +37,7 @@
 impl Failure {
     pub(super) const fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::Stopping | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -48,6 +50,7 @@
     pub(super) const fn reason(self) -> &'static str {
         match self {
             Self::NotReady => "no configuration is known yet: come back later",
+            Self::Stopping => "this daemon stops: ask again, another will serve",
             Self::NoRoute => "no route fits host and path: check them against the configuration",
             Self::BadRequest => "the request names no identity: set it",
             Self::TooLarge => "the body is larger than the configuration allows: send less",
@@ -58,7 +61,7 @@
 
     /// Whether the caller may come back and ask again.
     const fn invites_return(self) -> bool {
-        matches!(self, Self::NotReady | Self::NotRun(_))
+        matches!(self, Self::NotReady | Self::Stopping | Self::NotRun(_))
     }
 }
 
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -105,7 +105,7 @@
             HeadEnd::NotSent(_) => {}
             HeadEnd::NotRun(_) => job.arrivals += 1,
             // The reading of a prompt is no run, and its first taking up no arrival that counts.
-            HeadEnd::Answered(_) | HeadEnd::Unsure(_) if is_prefill => {}
+            HeadEnd::Answered(_) | HeadEnd::Unsure(_) if is_prefill => job.prefills += 1,
             HeadEnd::Answered(_) | HeadEnd::Unsure(_) => {
                 job.arrivals += 1;
                 job.runs += 1;
--- a/crates/serving/src/pipeline/budgeting.rs
+++ b/crates/serving/src/pipeline/budgeting.rs
@@ -7,14 +7,33 @@
 /// Most sends of one request, whatever the budget holds.
 const MAXIMUM_SENDS: u32 = 4;
 
+/// Prefill calls of one request, at most.
+const MAXIMUM_PREFILLS: u32 = 2;
+
 impl Pipeline {
+    /// Asks for the next reading of a prompt apart. The first that an engine takes up is free; any further one
+    /// counts as a repeat, whether or not the first was of use.
+    pub(super) fn may_prefill(&self, job: &mut Job) -> bool {
+        if job.prefills == 0 {
+            return true;
+        }
+        if job.prefills >= MAXIMUM_PREFILLS {
+            return false;
+        }
+        self.take_repeat(job, "prompt_read_again")
+    }
+
     /// Asks for the next send of a request. The first is free; any further one needs a place in the budget.
     pub(super) fn may_send(&self, job: &mut Job, reason: &'static str) -> bool {
         if job.arrivals == 0 {
             return true;
         }
+        job.arrivals < MAXIMUM_SENDS && self.take_repeat(job, reason)
+    }
+
+    fn take_repeat(&self, job: &mut Job, reason: &'static str) -> bool {
         let mut budget = self.budget();
-        let granted = job.arrivals < MAXIMUM_SENDS && budget.take(&job.service.name);
+        let granted = budget.take(&job.service.name);
         let budget_left = budget.left(&job.service.name);
         drop(budget);
         self.metrics.repeat(granted);
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -25,9 +25,6 @@
 use crate::follow::now;
 use crate::trail::{Step, milliseconds};
 
-/// Prefill calls of one request, at most.
-const MAXIMUM_PREFILLS: u32 = 2;
-
 /// A stream whose first event has come.
 pub(super) struct OpenStream {
     pub(super) back_end: Arc<BackEnd>,
@@ -91,14 +88,12 @@
     ) -> Result<OpenStream, NotOpened> {
         let mut failure = Failure::NotRun("no_back_end_ready");
         let mut error_answer = None;
-        let mut prefills = 0;
         while job.time_left() > LEAST_TIME_FOR_A_SEND && job.may_run_again() {
             let Some(plan) = self.plan(job) else {
                 break;
             };
             let handle = match &plan.prefill {
-                Some(engine) if prefills < MAXIMUM_PREFILLS => {
-                    prefills += 1;
+                Some(engine) if self.may_prefill(job) => {
                     let handle = self.prefill(job, engine, plan.tokens_to_read).await;
                     if handle.is_none() {
                         job.note_tried(&engine.id);
@@ -287,6 +282,7 @@
             Ok(stream) => {
                 let waited = now().saturating_duration_since(job.arrived);
                 self.metrics.first_event(waited);
+                job.first_event.get_or_insert_with(now);
                 self.learn_decode(job, plan, decode, took);
                 FirstEvent::Came(stream)
             }
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -70,6 +70,9 @@
         facts: RequestFacts,
         arrived: std::time::Instant,
     ) -> Result<Job, Failure> {
+        if self.is_refusing() {
+            return Err(Failure::Stopping);
+        }
         let in_force = self.state.in_force().ok_or(Failure::NotReady)?;
         let route = find_route(&in_force, &head).ok_or(Failure::NoRoute)?;
         let id = facts.id.clone().ok_or(Failure::BadRequest)?;
@@ -104,6 +107,8 @@
             end,
             trail: Trail::new(arrived),
             arrivals: 0,
+            prefills: 0,
+            first_event: None,
             runs: 0,
             tried: Vec::new(),
         })
@@ -112,7 +117,9 @@
     /// Writes the end of a request: one line where it was served in time, all its decisions elsewhere.
     pub(super) fn close(&self, job: &Job, status: u16, outcome: &'static str) {
         let took = now().saturating_duration_since(job.arrived);
-        let in_time = took <= job.route.target_latency;
+        let waited = job.first_event.unwrap_or_else(now);
+        let waited = waited.saturating_duration_since(job.arrived);
+        let in_time = waited <= job.route.target_latency;
         self.metrics
             .ended(job.route.kind.as_str(), outcome, took, in_time);
         if outcome != "served" || !in_time {
@@ -128,6 +135,7 @@
             status,
             outcome,
             in_time,
+            waited_ms = milliseconds(waited),
             took_ms = milliseconds(took),
             limit_ms = milliseconds(job.end.saturating_duration_since(job.arrived)),
             prompt_tokens = job.facts.prompt.as_ref().map(|prompt| prompt.input_tokens),
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -29,6 +29,10 @@
     pub(super) trail: Trail,
     /// Sends that arrived, or may have, at a back end of the service.
     pub(super) arrivals: u32,
+    /// Readings of the prompt apart that an engine took up, or may have.
+    pub(super) prefills: u32,
+    /// When the first event came.
+    pub(super) first_event: Option<Instant>,
     /// Back ends that ran the request, or may have.
     pub(super) runs: u32,
     /// Back ends that are not tried again.
