--- /dev/null
+++ b/crates/serve/tests/requests.rs
@@ -0,0 +1,233 @@
+//! Requests through a daemon, over a simulated platform: what runs, how often, and what callers are told.
+
+mod support;
+
+use std::time::Duration;
+
+use http::StatusCode;
+use ponddrift_platform_stand_ins::{Behaviour, ClientRequest, EngineStandIn, RunEnd};
+use support::{Fleet, Size, routes};
+
+fn total_runs(engines: &[EngineStandIn]) -> usize {
+    engines.iter().map(|engine| engine.runs().len()).sum()
+}
+
+fn ask(fleet: &mut Fleet, request: &ClientRequest) -> ponddrift_platform_stand_ins::Answer {
+    let client = fleet.client.clone();
+    let target = fleet.daemons[0].callers;
+    fleet
+        .run(async move { client.ask(target, request).await })
+        .expect("never a bare close")
+}
+
+#[test]
+fn a_daemon_without_a_configuration_is_not_ready_and_promises_that_nothing_ran() {
+    let mut fleet = Fleet::without_configuration(Size::default());
+    let (client, daemon) = (fleet.client.clone(), fleet.daemons[0].clone());
+    let ready = fleet.run(async move { client.status(daemon.readiness, "/readiness").await });
+    assert_eq!(ready, Some(StatusCode::SERVICE_UNAVAILABLE));
+    let answer = ask(&mut fleet, &ClientRequest::plain("1", "post"));
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(answer.retry_after_s().is_some(), "says when to come back");
+    assert_eq!(total_runs(&fleet.records), 0);
+}
+
+#[test]
+fn plain_answers_come_back_unchanged() {
+    let mut fleet = Fleet::new(Size::default());
+    let (client, daemon) = (fleet.client.clone(), fleet.daemons[0].clone());
+    let ready = fleet.run(async move { client.status(daemon.readiness, "/readiness").await });
+    assert_eq!(ready, Some(StatusCode::OK));
+    let answer = ask(&mut fleet, &ClientRequest::plain("1", "post"));
+    assert_eq!(answer.status, StatusCode::OK);
+    let engine = answer.signed_by().expect("signed");
+    assert_eq!(answer.text(), format!("answer of {engine} to 1"));
+    assert_eq!(total_runs(&fleet.records), 1);
+}
+
+#[test]
+fn a_host_or_path_without_a_route_is_told_so() {
+    let mut fleet = Fleet::new(Size::default());
+    let answer = ask(&mut fleet, &ClientRequest::plain("1", "nowhere"));
+    assert_eq!(answer.status, StatusCode::NOT_FOUND);
+}
+
+#[test]
+fn what_may_not_be_repeated_runs_once_whatever_becomes_of_its_answer() {
+    for behaviour in [
+        Behaviour::LoseAnswer,
+        Behaviour::BreakOff,
+        Behaviour::AnswerAnother,
+    ] {
+        let mut fleet = Fleet::new(Size::default());
+        for engine in &fleet.records {
+            engine.behave_always(behaviour);
+        }
+        let answer = ask(&mut fleet, &ClientRequest::plain("1", "post"));
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{behaviour:?}");
+        assert_eq!(total_runs(&fleet.records), 1, "{behaviour:?}");
+    }
+}
+
+#[test]
+fn a_hanging_run_that_may_not_be_repeated_is_unsure_at_its_deadline() {
+    let mut fleet = Fleet::new(Size::default());
+    for engine in &fleet.records {
+        engine.behave_always(Behaviour::Hang);
+    }
+    let answer = ask(&mut fleet, &ClientRequest::plain("1", "post"));
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT);
+    assert_eq!(total_runs(&fleet.records), 1);
+}
+
+#[test]
+fn a_rejected_request_goes_to_another_back_end_and_runs_once() {
+    let mut fleet = Fleet::new(Size::default());
+    warm_budget(&mut fleet, "fetch", 12);
+    let before = total_runs(&fleet.records);
+    fleet.records[0].behave_next(&[Behaviour::Refuse]);
+    fleet.records[1].behave_next(&[Behaviour::Refuse]);
+    let answer = ask(&mut fleet, &ClientRequest::plain("1", "post"));
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(total_runs(&fleet.records), before);
+    fleet.records[0].behave_next(&[Behaviour::Refuse]);
+    let answers = [
+        ask(&mut fleet, &ClientRequest::plain("2", "post")),
+        ask(&mut fleet, &ClientRequest::plain("3", "post")),
+    ];
+    assert!(answers.iter().all(|answer| answer.status == StatusCode::OK));
+    assert_eq!(total_runs(&fleet.records), before + 2);
+}
+
+/// Requests that earn places in the retry budget.
+fn warm_budget(fleet: &mut Fleet, route: &'static str, requests: usize) {
+    for number in 0..requests {
+        let answer = ask(
+            fleet,
+            &ClientRequest::plain(&format!("warm-{number}"), route),
+        );
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
+
+#[test]
+fn a_failed_run_is_repeated_elsewhere_only_where_the_route_allows() {
+    let mut fleet = Fleet::new(Size::default());
+    warm_budget(&mut fleet, "fetch", 12);
+    fleet.records[0].behave_always(Behaviour::Fail);
+    for number in 0..6 {
+        let answer = ask(
+            &mut fleet,
+            &ClientRequest::plain(&format!("safe-{number}"), "fetch"),
+        );
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    fleet.records[1].behave_always(Behaviour::Fail);
+    let before = total_runs(&fleet.records);
+    let answer = ask(&mut fleet, &ClientRequest::plain("once", "post"));
+    assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert!(answer.signed_by().is_some(), "the back end's own answer");
+    assert_eq!(total_runs(&fleet.records), before + 1);
+}
+
+#[test]
+fn repeats_stay_within_the_budget_while_every_back_end_fails() {
+    let mut fleet = Fleet::new(Size::default());
+    for engine in &fleet.records {
+        engine.behave_always(Behaviour::Fail);
+    }
+    const REQUESTS: usize = 60;
+    for number in 0..REQUESTS {
+        ask(
+            &mut fleet,
+            &ClientRequest::plain(&number.to_string(), "fetch"),
+        );
+    }
+    let repeats = total_runs(&fleet.records) - REQUESTS;
+    assert!(repeats <= REQUESTS / 5, "{repeats} repeats");
+    assert!(repeats > 0, "the budget is used");
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_work_at_its_back_end() {
+    let mut fleet = Fleet::new(Size::default());
+    let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers);
+    for engine in fleet.records.iter().chain(&fleet.decode) {
+        engine.behave_always(Behaviour::Hang);
+    }
+    fleet.run(async move {
+        let plain = ClientRequest::plain("1", "post");
+        let patience = Duration::from_millis(100);
+        client.ask_and_leave(target, &plain, patience).await;
+        let stream = ClientRequest::prompt("2", "tag", 40, 200);
+        client.ask_and_leave(target, &stream, patience).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    });
+    for engines in [&fleet.records, &fleet.decode] {
+        let runs: Vec<_> = engines.iter().flat_map(EngineStandIn::runs).collect();
+        assert_eq!(runs.len(), 1);
+        assert_eq!(runs[0].end, RunEnd::Cancelled);
+    }
+}
+
+#[test]
+fn a_caller_that_leaves_in_mid_stream_ends_the_work_at_its_engine() {
+    let mut fleet = Fleet::new(Size::default());
+    let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers);
+    for engine in &fleet.decode {
+        engine.behave_always(Behaviour::Stream {
+            events: 50,
+            gap_ms: 40,
+        });
+    }
+    fleet.run(async move {
+        let stream = ClientRequest::prompt("2", "verdict", 40, 200);
+        let patience = Duration::from_millis(300);
+        client.ask_and_leave(target, &stream, patience).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    });
+    let runs: Vec<_> = fleet.decode.iter().flat_map(EngineStandIn::runs).collect();
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].end, RunEnd::Cancelled);
+}
+
+#[test]
+fn deadlines_passed_on_are_never_longer_than_what_is_left() {
+    let mut fleet = Fleet::new(Size::default());
+    let mut request = ClientRequest::plain("1", "post");
+    request.deadline_ms = 700;
+    ask(&mut fleet, &request);
+    request.id = String::from("2");
+    request.deadline_ms = 60_000;
+    ask(&mut fleet, &request);
+    let mut runs: Vec<_> = fleet.records.iter().flat_map(EngineStandIn::runs).collect();
+    runs.sort_by(|left, right| left.request.cmp(&right.request));
+    assert!(runs[0].deadline_ms.expect("set") <= 700);
+    let timeout = routes()[0].timeout_ms;
+    assert!(runs[1].deadline_ms.expect("set") <= timeout);
+}
+
+#[test]
+fn a_split_route_gives_each_service_its_share() {
+    let mut fleet = Fleet::new(Size::default());
+    let (other, _host) = fleet.add_engine("others", None);
+    let mut split = routes();
+    split[1].split = vec![("records", 75), ("others", 25)];
+    let text = support::configuration(2, &split);
+    let mut value: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    let mut service = value["services"][0].clone();
+    service["name"] = serde_json::json!("others");
+    let services = value["services"].as_array_mut().expect("a list");
+    services.push(service);
+    fleet.store.put("op/config", value.to_string());
+    fleet.wait(Duration::from_millis(100));
+    for number in 0..40 {
+        let answer = ask(
+            &mut fleet,
+            &ClientRequest::plain(&number.to_string(), "fetch"),
+        );
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(other.runs().len(), 10);
+    assert_eq!(total_runs(&fleet.records), 30);
+}
--- /dev/null
+++ b/crates/serve/tests/support/mod.rs
@@ -0,0 +1,281 @@
+//! A simulated platform: a store, engines, daemons and a client on a virtual network.
+
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ponddrift_core::{RegionName, ZoneName};
+use ponddrift_platform_stand_ins::{
+    ClientStandIn, EngineSettings, EngineStandIn, EngineTraitsText, RouteText, ServiceText,
+    StoreStandIn, config,
+};
+use ponddrift_serve::{Daemon, Settings, settings};
+use ponddrift_simulation::{HostId, HostSpec, Simulation, SimulationSettings};
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+/// Service of plain servers.
+pub const RECORDS: &str = "records";
+/// Service of model engines.
+pub const MODELS: &str = "models";
+
+/// Which engines a fleet has.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    pub daemons: u8,
+    pub records: u8,
+    pub prefill: u8,
+    pub decode: u8,
+}
+
+impl Default for Size {
+    fn default() -> Self {
+        Self {
+            daemons: 1,
+            records: 2,
+            prefill: 1,
+            decode: 2,
+        }
+    }
+}
+
+/// One daemon of the fleet.
+#[derive(Clone)]
+pub struct DaemonHost {
+    pub host: HostId,
+    pub callers: SocketAddr,
+    pub readiness: SocketAddr,
+    pub machine: IpAddr,
+    stop: Arc<Notify>,
+    stopped: Rc<RefCell<bool>>,
+}
+
+impl DaemonHost {
+    /// A planned stop, as by a signal.
+    pub fn terminate(&self) {
+        self.stop.notify_one();
+    }
+
+    pub fn has_stopped(&self) -> bool {
+        *self.stopped.borrow()
+    }
+}
+
+/// A simulated platform.
+pub struct Fleet {
+    pub simulation: Simulation,
+    pub store: StoreStandIn,
+    pub store_host: HostId,
+    pub records: Vec<EngineStandIn>,
+    pub prefill: Vec<EngineStandIn>,
+    pub decode: Vec<EngineStandIn>,
+    pub decode_hosts: Vec<HostId>,
+    pub daemons: Vec<DaemonHost>,
+    pub client: ClientStandIn,
+    next_engine: u8,
+}
+
+const STORE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1)), 7000);
+
+impl Fleet {
+    /// A fleet whose configuration and engines are in the store, with daemons that are ready.
+    pub fn new(size: Size) -> Self {
+        let mut fleet = Self::without_configuration(size);
+        fleet.store.put("op/config", configuration(1, &routes()));
+        fleet.wait(Duration::from_millis(500));
+        fleet
+    }
+
+    /// A fleet before the operator's first configuration.
+    pub fn without_configuration(size: Size) -> Self {
+        let mut simulation = Simulation::new(SimulationSettings::with_seed(7));
+        let store = StoreStandIn::default();
+        let store_host = add_store(&mut simulation, &store);
+        let (_host, runtime) = simulation.add_client(spec("client", [10, 0, 3, 1]));
+        let mut fleet = Self {
+            simulation,
+            store,
+            store_host,
+            records: Vec::new(),
+            prefill: Vec::new(),
+            decode: Vec::new(),
+            decode_hosts: Vec::new(),
+            daemons: Vec::new(),
+            client: ClientStandIn::new(runtime),
+            next_engine: 0,
+        };
+        for _ in 0..size.records {
+            let (engine, _host) = fleet.add_engine(RECORDS, None);
+            fleet.records.push(engine);
+        }
+        for _ in 0..size.prefill {
+            let (engine, _host) = fleet.add_engine(MODELS, Some("prefill"));
+            fleet.prefill.push(engine);
+        }
+        for _ in 0..size.decode {
+            let (engine, host) = fleet.add_engine(MODELS, Some("decode"));
+            fleet.decode.push(engine);
+            fleet.decode_hosts.push(host);
+        }
+        for number in 0..size.daemons {
+            fleet.add_daemon(number + 1);
+        }
+        fleet.wait(Duration::from_millis(200));
+        fleet
+    }
+
+    /// Adds an engine that records itself as ready.
+    pub fn add_engine(
+        &mut self,
+        service: &str,
+        stage: Option<&'static str>,
+    ) -> (EngineStandIn, HostId) {
+        self.next_engine += 1;
+        let ip = [10, 0, 1, self.next_engine];
+        let engine = EngineStandIn::new(EngineSettings {
+            id: format!("i-{}", self.next_engine),
+            service: service.to_owned(),
+            address: SocketAddr::from((ip, 8080)),
+            zone: String::from("a"),
+            stage,
+            run_time: Duration::from_millis(20),
+        });
+        engine.record(&self.store, "ready");
+        let served = engine.clone();
+        let name = format!("engine-{}", self.next_engine);
+        let host = self.simulation.add_host(spec(&name, ip), move |runtime| {
+            let served = served.clone();
+            async move {
+                let _server = served.serve(&runtime).await.expect("binds");
+                std::future::pending().await
+            }
+        });
+        (engine, host)
+    }
+
+    fn add_daemon(&mut self, number: u8) {
+        let ip = [10, 0, 2, number];
+        let stop = Arc::new(Notify::new());
+        let stopped = Rc::new(RefCell::new(false));
+        let settings = daemon_settings(number);
+        let daemon = DaemonHost {
+            host: HostId(0),
+            callers: settings.callers,
+            readiness: settings.readiness,
+            machine: IpAddr::from(ip),
+            stop: Arc::clone(&stop),
+            stopped: Rc::clone(&stopped),
+        };
+        let name = format!("daemon-{number}");
+        let host = self.simulation.add_host(spec(&name, ip), move |runtime| {
+            let settings = settings.clone();
+            let stop = Arc::clone(&stop);
+            let stopped = Rc::clone(&stopped);
+            async move {
+                let daemon = Daemon::start(&runtime, settings).await.expect("starts");
+                stop.notified().await;
+                daemon.stop().await;
+                *stopped.borrow_mut() = true;
+                std::future::pending().await
+            }
+        });
+        self.daemons.push(DaemonHost { host, ..daemon });
+    }
+
+    /// Lets virtual time pass.
+    pub fn wait(&mut self, time: Duration) {
+        self.simulation.run_for(time);
+    }
+
+    /// Runs a driver outside of the hosts.
+    pub fn run<D: Future>(&mut self, driver: D) -> D::Output {
+        self.simulation.block_on(driver)
+    }
+
+    /// Writes a newer configuration.
+    pub fn configure(&self, version: u64, routes: &[RouteText]) {
+        self.store.put("op/config", configuration(version, routes));
+    }
+}
+
+fn add_store(simulation: &mut Simulation, store: &StoreStandIn) -> HostId {
+    let served = store.clone();
+    simulation.add_host(spec("store", [10, 0, 0, 1]), move |runtime| {
+        let served = served.clone();
+        async move {
+            let _server = served.serve(&runtime, STORE).await.expect("binds");
+            std::future::pending().await
+        }
+    })
+}
+
+fn daemon_settings(number: u8) -> Settings {
+    let text = format!(
+        "[daemon]\nname = \"daemon-{number}\"\nzone = \"a\"\n\
+         [listen]\ncallers = \"10.0.2.{number}:8144\"\nreadiness = \"10.0.2.{number}:8140\"\n\
+         peers = \"10.0.2.{number}:7660\"\n[store]\naddress = \"{STORE}\"\n\
+         [peers]\nseeds = [\"10.0.2.1:1\", \"10.0.2.2:1\"]\n\
+         [retry]\nbudget_ratio = 0.2\nbudget_slack = 20\n[stop]\ngrace_s = 8\n"
+    );
+    settings::check(&text).expect("in order")
+}
+
+fn spec(name: &str, ip: [u8; 4]) -> HostSpec {
+    HostSpec {
+        name: name.to_owned(),
+        ip: IpAddr::from(ip),
+        zone: ZoneName::new("a").expect("a name"),
+        region: RegionName::new("central").expect("a name"),
+    }
+}
+
+/// The usual routes.
+pub fn routes() -> Vec<RouteText> {
+    vec![
+        RouteText {
+            attempts: 1,
+            ..RouteText::new("post", "unsafe", RECORDS)
+        },
+        RouteText::new("fetch", "safe", RECORDS),
+        RouteText {
+            attempts: 1,
+            timeout_ms: 5_000,
+            ..RouteText::new("verdict", "streaming", MODELS)
+        },
+        RouteText {
+            resumable: true,
+            ..RouteText::new("tag", "streaming", MODELS)
+        },
+    ]
+}
+
+/// The usual services.
+pub fn configuration(version: u64, routes: &[RouteText]) -> String {
+    let services = [
+        ServiceText {
+            name: RECORDS,
+            engine: None,
+        },
+        ServiceText {
+            name: MODELS,
+            engine: Some(EngineTraitsText { slots: 8 }),
+        },
+    ];
+    config(version, routes, &services)
+}
+
+/// Waits in virtual time until `condition` holds.
+pub async fn until(mut condition: impl FnMut() -> bool) {
+    for _ in 0..20_000 {
+        if condition() {
+            return;
+        }
+        sleep(Duration::from_millis(1)).await;
+    }
+    panic!("the condition did not come true within 20 s of virtual time");
+}
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -21,6 +21,11 @@
 /// An own answer leaves this long before the caller's time is over, so that it arrives.
 const ANSWER_MARGIN: Duration = Duration::from_millis(25);
 
+/// Body of a refused request that is read before the answer, at most.
+const READ_AWAY_BYTES: usize = 1 << 20;
+/// Time for that.
+const READ_AWAY_TIME: Duration = Duration::from_millis(300);
+
 /// A served request, for its end.
 pub(super) struct Served {
     pub(super) response: Response<Body>,
@@ -35,10 +40,12 @@
         let (head, body) = request.into_parts();
         let facts = self.dialect.read_request(&head.headers);
         let id = facts.id.clone();
-        let job = match self.take_in(head, body, facts, arrived).await {
+        let mut body = body;
+        let job = match self.take_in(head, &mut body, facts, arrived).await {
             Ok(job) => job,
             Err(failure) => {
                 self.refused_at_intake(failure, id.as_deref());
+                read_away(body).await;
                 return self.failure_answer(failure, id.as_deref());
             }
         };
@@ -66,7 +73,7 @@
     async fn take_in(
         &self,
         head: request::Parts,
-        body: Incoming,
+        body: &mut Incoming,
         facts: RequestFacts,
         arrived: std::time::Instant,
     ) -> Result<Job, Failure> {
@@ -168,8 +175,16 @@
     in_force.routes.find(host, head.uri.path()).cloned()
 }
 
+/// Reads what is left of a refused request's body: closing a connection with unread bytes resets it, and the
+/// answer on its way is lost.
+async fn read_away(body: Incoming) {
+    let reading = body::read_all(body, READ_AWAY_BYTES, READ_AWAY_TIME);
+    // Whatever comes of it, the answer follows.
+    drop(reading.await);
+}
+
 async fn read_body(
-    body: Incoming,
+    body: &mut Incoming,
     in_force: &InForce,
     end: std::time::Instant,
 ) -> Result<Bytes, Failure> {
