Prompt heads are told among daemons and fetched; heavy work is told at once

Change: daemons tell each other which heads their requests had read; a reader that lacks a head fetches it from an engine that keeps it; unknown heads meet at one home; work of 1,000 tokens and more is told at once; slowness is learned only from engines that had nothing else to do.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -15,15 +15,22 @@
 use crate::prompt::Prompt;
 
 pub use load::{LoadTable, Outstanding, PeerRow};
-pub use prefixes::PrefixMemory;
+pub use prefixes::{HeadUse, PrefixMemory};
 pub use speed::SpeedTable;
 
 /// What a hand-over costs beside the move itself, in milliseconds: two more messages, and its price.
 const HAND_OVER_MS: f64 = 40.0;
 /// Cost of a way into another zone, in milliseconds.
 const OTHER_ZONE_MS: f64 = 2.0;
-/// Share of prompts whose head is taken as kept at its home though nothing is known.
-const HOME_MISS_SHARE: f64 = 0.3;
+/// Tokens of an unknown head that its home is taken to read: a little less than others, since another daemon may
+/// have sent it there just now.
+const HOME_READ_SHARE: f64 = 0.85;
+/// What a fetch costs beside the move itself, in milliseconds: its start, and its price.
+const FETCH_MS: f64 = 15.0;
+/// A head of fewer tokens is not worth a fetch.
+const LEAST_FETCHED_TOKENS: u32 = 1000;
+/// Moves between zones take this many times as long.
+const OTHER_ZONE_MOVE_FACTOR: f64 = 2.0;
 /// Reading at a decode engine holds up what it generates; each millisecond counts as so many.
 const DECODE_READ_WEIGHT: f64 = 1.3;
 /// Tokens that a decode engine reads without holding its streams up noticeably.
@@ -42,6 +49,8 @@
     pub prefill: Option<Arc<BackEnd>>,
     /// Generates.
     pub decode: Arc<BackEnd>,
+    /// Keeps the prompt's head, which the reader fetches instead of reading it.
+    pub fetch_from: Option<Arc<BackEnd>>,
     /// Expected time to the first event, in milliseconds.
     pub expected_ms: f64,
     /// Tokens that are expected to be read.
@@ -107,46 +116,50 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<PromptPlan> {
+        let keepers = self.keepers(ready, prompt, now);
         let decoders = self.usable(ready, tried, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
-        let direct = self.cheapest(&decoders, random, |back_end| {
-            self.direct_ms(back_end, &decoders, prompt, now)
-        });
+        let reading = Reading {
+            placement: self,
+            traits,
+            prompt,
+            keepers: &keepers,
+        };
+        let (direct, direct_ms) = self.cheapest(&decoders, random, |back_end| {
+            reading.direct_ms(back_end, &decoders)
+        })?;
         let prefills = self.usable(ready, tried, |back_end| {
             back_end.stage == Some(Stage::Prefill)
         });
         let handed_over = self.cheapest(&prefills, random, |back_end| {
-            self.prefill_ms(back_end, &prefills, prompt, now) + move_ms(traits, prompt)
+            reading.prefill_ms(back_end, &prefills) + move_ms(traits, prompt.input_tokens)
         });
-        let (decode, direct_ms) = direct?;
-        let direct_tokens = self.tokens_to_read(&decode, &decoders, prompt, now);
-        let direct_plan = PromptPlan {
-            prefill: None,
-            decode,
-            expected_ms: direct_ms,
-            tokens_to_read: direct_tokens,
-        };
         let Some((prefill, prefill_ms)) = handed_over else {
-            return Some(direct_plan);
+            return Some(reading.plan(None, direct, &decoders, direct_ms));
         };
+        let weight = self.decode_weight();
         let (decode, decode_ms) = self.cheapest(&decoders, random, |back_end| {
-            self.waiting_ms(
-                back_end,
-                DECODE_READ_WEIGHT / self.speed.decode_tokens_per_ms(),
-            )
+            self.waiting_ms(back_end, weight)
         })?;
         let handed_over_ms = prefill_ms + decode_ms + HAND_OVER_MS;
         if handed_over_ms >= direct_ms {
-            return Some(direct_plan);
+            return Some(reading.plan(None, direct, &decoders, direct_ms));
         }
-        let tokens_to_read = self.tokens_to_read(&prefill, &prefills, prompt, now);
-        Some(PromptPlan {
-            prefill: Some(prefill),
-            decode,
-            expected_ms: handed_over_ms,
-            tokens_to_read,
-        })
+        Some(reading.plan(Some(prefill), decode, &prefills, handed_over_ms))
+    }
+
+    /// Engines that are believed to keep the prompt's head.
+    fn keepers(&self, ready: &[Arc<BackEnd>], prompt: &Prompt, now: Instant) -> Vec<Arc<BackEnd>> {
+        let Some(head) = prompt.shared_head() else {
+            return Vec::new();
+        };
+        ready
+            .iter()
+            .filter(|engine| self.prefixes.is_kept(&engine.id, head, now))
+            .filter(|engine| !self.health.is_ejected(&engine.id))
+            .cloned()
+            .collect()
     }
 
     /// Chooses the engine that goes on from a handle.
@@ -213,29 +226,8 @@
         }
     }
 
-    fn direct_ms(
-        &self,
-        back_end: &BackEnd,
-        rivals: &[Arc<BackEnd>],
-        prompt: &Prompt,
-        now: Instant,
-    ) -> f64 {
-        let per_token = DECODE_READ_WEIGHT / self.speed.decode_tokens_per_ms();
-        let tokens = self.tokens_to_read(back_end, rivals, prompt, now);
-        let pausing = (tokens - UNNOTICED_TOKENS).max(0.0);
-        self.waiting_ms(back_end, per_token) + (tokens + PAUSE_WEIGHT * pausing) * per_token
-    }
-
-    fn prefill_ms(
-        &self,
-        back_end: &BackEnd,
-        rivals: &[Arc<BackEnd>],
-        prompt: &Prompt,
-        now: Instant,
-    ) -> f64 {
-        let per_token = 1.0 / self.speed.prefill_tokens_per_ms();
-        let tokens = self.tokens_to_read(back_end, rivals, prompt, now);
-        self.waiting_ms(back_end, per_token) + tokens * per_token
+    fn decode_weight(&self) -> f64 {
+        DECODE_READ_WEIGHT / self.speed.decode_tokens_per_ms()
     }
 
     /// Time until what waits at the engine is read, and what running requests add to each step.
@@ -245,27 +237,96 @@
         let base = 5.0 * (1.0 + crowding);
         outstanding.prompt_tokens * ms_per_token + base + queue_ms(crowding)
     }
+}
 
-    /// Tokens of `prompt` that the engine would read, by what is known of its cache.
-    fn tokens_to_read(
-        &self,
-        back_end: &BackEnd,
-        rivals: &[Arc<BackEnd>],
-        prompt: &Prompt,
-        now: Instant,
-    ) -> f64 {
-        let own = f64::from(prompt.own_tokens());
-        let shared = f64::from(prompt.shared_tokens());
-        let Some(head) = prompt.shared_head() else {
-            return f64::from(prompt.input_tokens);
+/// How one prompt could be read.
+struct Reading<'a> {
+    placement: &'a Placement,
+    traits: &'a EngineTraits,
+    prompt: &'a Prompt,
+    keepers: &'a [Arc<BackEnd>],
+}
+
+/// What an engine would have to do before a prompt is read.
+struct Work {
+    tokens: f64,
+    fetch_ms: f64,
+    fetch_from: Option<Arc<BackEnd>>,
+}
+
+impl Reading<'_> {
+    fn direct_ms(&self, back_end: &BackEnd, rivals: &[Arc<BackEnd>]) -> f64 {
+        let per_token = self.placement.decode_weight();
+        let work = self.work(back_end, rivals);
+        let pausing = (work.tokens - UNNOTICED_TOKENS).max(0.0);
+        let reading = (work.tokens + PAUSE_WEIGHT * pausing) * per_token;
+        self.placement.waiting_ms(back_end, per_token) + work.fetch_ms + reading
+    }
+
+    fn prefill_ms(&self, back_end: &BackEnd, rivals: &[Arc<BackEnd>]) -> f64 {
+        let per_token = 1.0 / self.placement.speed.prefill_tokens_per_ms();
+        let work = self.work(back_end, rivals);
+        self.placement.waiting_ms(back_end, per_token) + work.fetch_ms + work.tokens * per_token
+    }
+
+    /// What the engine would do, by what is known of caches.
+    fn work(&self, back_end: &BackEnd, rivals: &[Arc<BackEnd>]) -> Work {
+        let own = f64::from(self.prompt.own_tokens());
+        let shared = f64::from(self.prompt.shared_tokens());
+        let read = |tokens| Work {
+            tokens,
+            fetch_ms: 0.0,
+            fetch_from: None,
+        };
+        let Some(head) = self.prompt.shared_head() else {
+            return read(f64::from(self.prompt.input_tokens));
         };
-        if self.prefixes.is_kept(&back_end.id, head, now) {
-            return own;
+        if self.keepers.iter().any(|keeper| keeper.id == back_end.id) {
+            return read(own);
+        }
+        if let Some(keeper) = self.nearest_keeper(back_end)
+            && self.prompt.shared_tokens() >= LEAST_FETCHED_TOKENS
+        {
+            let far = if keeper.zone == back_end.zone {
+                1.0
+            } else {
+                OTHER_ZONE_MOVE_FACTOR
+            };
+            let moving = move_ms(self.traits, self.prompt.shared_tokens()) * far;
+            return Work {
+                tokens: own,
+                fetch_ms: moving + FETCH_MS,
+                fetch_from: Some(Arc::clone(keeper)),
+            };
         }
         if prefixes::home(rivals, head).is_some_and(|home| home.id == back_end.id) {
-            return own + shared * HOME_MISS_SHARE;
+            return read(own + shared * HOME_READ_SHARE);
+        }
+        read(own + shared)
+    }
+
+    fn nearest_keeper(&self, back_end: &BackEnd) -> Option<&Arc<BackEnd>> {
+        self.keepers
+            .iter()
+            .min_by_key(|keeper| keeper.zone != back_end.zone)
+    }
+
+    fn plan(
+        &self,
+        prefill: Option<Arc<BackEnd>>,
+        decode: Arc<BackEnd>,
+        rivals: &[Arc<BackEnd>],
+        expected_ms: f64,
+    ) -> PromptPlan {
+        let reader = prefill.as_ref().unwrap_or(&decode);
+        let work = self.work(reader, rivals);
+        PromptPlan {
+            fetch_from: work.fetch_from,
+            tokens_to_read: work.tokens,
+            prefill,
+            decode,
+            expected_ms,
         }
-        own + shared
     }
 }
 
@@ -274,7 +335,8 @@
     (crowding - 1.0).max(0.0) * 200.0
 }
 
-fn move_ms(traits: &EngineTraits, prompt: &Prompt) -> f64 {
+/// Time to move the KV cache of so many tokens between two engines of a zone.
+fn move_ms(traits: &EngineTraits, tokens: u32) -> f64 {
     const BITS: f64 = 8.0;
     const KILOBITS_IN_MEGABIT: f64 = 1000.0;
     #[expect(clippy::cast_precision_loss, reason = "bytes of one token's cache")]
@@ -283,5 +345,5 @@
     if bits_per_ms <= 0.0 {
         return 0.0;
     }
-    f64::from(prompt.input_tokens) * token_bits / bits_per_ms
+    f64::from(tokens) * token_bits / bits_per_ms
 }
--- /dev/null
+++ b/crates/fleet/tests/decisions.rs
@@ -0,0 +1,167 @@
+//! Directory, health, budget and events.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ponddrift_fleet::budget::{BudgetSettings, RetryBudget};
+use ponddrift_fleet::directory::{BackEnd, DOUBT_GRACE, Directory, Lifecycle};
+use ponddrift_fleet::events::{EventError, EventSplitter, MAXIMUM_EVENT_BYTES};
+use ponddrift_fleet::health::{FIRST_EJECTION, Health, LONGEST_EJECTION, Outcome};
+
+fn back_end(id: &str, lifecycle: Lifecycle) -> BackEnd {
+    BackEnd {
+        id: Arc::from(id),
+        service: Arc::from("s"),
+        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        zone: Arc::from("a"),
+        slots: 1,
+        lifecycle,
+        stage: None,
+        sequence: 0,
+    }
+}
+
+fn ready_ids(directory: &Directory, now: Instant) -> Vec<String> {
+    let ready = directory.ready("s", now);
+    ready.iter().map(|entry| entry.id.to_string()).collect()
+}
+
+#[test]
+fn older_news_of_a_back_end_changes_nothing() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    assert!(directory.put(back_end("a", Lifecycle::Draining), 5));
+    assert!(!directory.put(back_end("a", Lifecycle::Ready), 4));
+    assert!(!directory.put(back_end("a", Lifecycle::Ready), 5));
+    assert!(ready_ids(&directory, now).is_empty());
+    assert!(directory.remove("a", 6, now, false));
+    assert!(
+        !directory.put(back_end("a", Lifecycle::Ready), 5),
+        "a tombstone stays"
+    );
+}
+
+#[test]
+fn entries_that_vanish_in_doubt_serve_on_for_a_while_if_they_are_the_greater_part() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    for (id, revision) in [("a", 1), ("b", 2), ("c", 3)] {
+        directory.put(back_end(id, Lifecycle::Ready), revision);
+    }
+    directory.remove("a", 4, now, true);
+    assert_eq!(ready_ids(&directory, now), ["b", "c"], "one alone has left");
+    directory.remove("b", 5, now, true);
+    directory.remove("c", 6, now, true);
+    assert_eq!(ready_ids(&directory, now).len(), 3);
+    assert!(ready_ids(&directory, now + DOUBT_GRACE).is_empty());
+}
+
+#[test]
+fn entries_that_vanish_while_the_store_is_well_are_gone() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.put(back_end("a", Lifecycle::Ready), 1);
+    directory.remove("a", 2, now, false);
+    assert!(ready_ids(&directory, now).is_empty());
+}
+
+#[test]
+fn one_failed_connection_ejects_and_pauses_grow() {
+    let id: Arc<str> = Arc::from("a");
+    let mut now = Instant::now();
+    let mut health = Health::default();
+    let first = health.record(&id, Outcome::Unreachable, now);
+    assert_eq!(first, Some(FIRST_EJECTION));
+    assert!(health.is_ejected(&id));
+    assert_eq!(health.record(&id, Outcome::Unreachable, now), None, "once");
+    let mut last = FIRST_EJECTION;
+    for _ in 0..8 {
+        now += last;
+        let next = health.check_failed(&id).expect("known");
+        assert!(next >= last && next <= LONGEST_EJECTION);
+        last = next;
+    }
+    health.reinstate(&id);
+    assert!(!health.is_ejected(&id));
+}
+
+#[test]
+fn answers_that_tell_of_failures_cost_but_never_eject() {
+    let id: Arc<str> = Arc::from("a");
+    let mut health = Health::default();
+    for _ in 0..50 {
+        assert_eq!(health.record(&id, Outcome::Error, Instant::now()), None);
+    }
+    assert!(!health.is_ejected(&id));
+    assert!(health.cost_factor(&id) > 5.0);
+    assert!((health.cost_factor("unknown") - 1.0).abs() < f64::EPSILON);
+}
+
+fn budget(daemons: usize) -> RetryBudget {
+    let mut budget = RetryBudget::new(BudgetSettings {
+        ratio: 0.2,
+        slack: 50.0,
+    });
+    budget.set_daemons(daemons);
+    budget
+}
+
+#[test]
+fn a_new_life_has_nothing_saved() {
+    let service = Arc::from("s");
+    let mut budget = budget(5);
+    assert!(!budget.take(&service));
+}
+
+#[test]
+fn repeats_of_all_daemons_stay_within_ratio_and_slack() {
+    const DAEMONS: usize = 7;
+    const REQUESTS: usize = 200;
+    let service = Arc::from("s");
+    let mut repeats = 0;
+    for _ in 0..DAEMONS {
+        let mut budget = budget(DAEMONS);
+        for _ in 0..1_000 {
+            budget.earn(&service);
+        }
+        for _ in 0..REQUESTS {
+            budget.earn(&service);
+            while budget.take(&service) {
+                repeats += 1;
+            }
+        }
+    }
+    let requests = DAEMONS * REQUESTS;
+    assert!(repeats <= requests / 5 + 50, "{repeats}");
+}
+
+#[test]
+fn events_are_whole_whatever_pieces_they_come_in() {
+    let text = b"id: 4\nweights: 2\ndata: x\n\nid:5\r\ndata: y\r\n\r\ndata: z\n\nid: 6\nda";
+    for size in 1..text.len() {
+        let mut splitter = EventSplitter::default();
+        let mut events = Vec::new();
+        for piece in text.chunks(size) {
+            splitter.push(piece);
+            while let Some(event) = splitter.next_event().expect("short") {
+                events.push(event);
+            }
+        }
+        let ids: Vec<Option<u64>> = events.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [Some(4), Some(5), None], "pieces of {size}");
+        let bytes: Vec<u8> = events
+            .iter()
+            .flat_map(|event| event.bytes.to_vec())
+            .collect();
+        assert_eq!(bytes, text[..text.len() - "id: 6\nda".len()]);
+        assert!(splitter.has_rest());
+    }
+}
+
+#[test]
+fn an_endless_event_is_refused() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(&vec![b'x'; MAXIMUM_EVENT_BYTES + 1]);
+    assert_eq!(splitter.next_event(), Err(EventError::TooLong));
+}
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -33,6 +33,8 @@
     pub step: SendStep<'a>,
     /// The stream goes on after this event.
     pub resume_after: Option<u64>,
+    /// An engine that keeps the prompt's head, to be fetched from there.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// What a back end is asked to do with a request.
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -11,7 +11,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ponddrift_fleet::placement::{Outstanding, PeerRow};
+use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::placement::{HeadUse, Outstanding, PeerRow};
 use ponddrift_runtime::{BoxedDatagram, Runtime};
 use rand::seq::SliceRandom;
 use rand::{RngExt as _, SeedableRng};
@@ -21,10 +22,12 @@
 use crate::fleet_state::FleetState;
 use crate::follow::now;
 use crate::pipeline::Pipeline;
-use message::{Digest, MAXIMUM_DATAGRAM, WorkRow};
+use message::{Digest, HeadRow, MAXIMUM_DATAGRAM, WorkRow};
 
 /// Time between two datagrams to peers.
 const TELL_INTERVAL: Duration = Duration::from_millis(500);
+/// Changes within this time are told together.
+const GATHERING_TIME: Duration = Duration::from_millis(8);
 /// Peers that are told each time, at most.
 const TOLD_AT_ONCE: usize = 8;
 /// How long the store gets to bring what a peer already has.
@@ -80,8 +83,11 @@
         const SEED_PART: u64 = 0x7065_6572;
         let mut random = Pcg64Mcg::seed_from_u64(self.runtime.seed ^ SEED_PART);
         loop {
-            let jitter = random.random_range(0.9..1.1);
-            tokio::time::sleep(TELL_INTERVAL.mul_f64(jitter)).await;
+            let interval = TELL_INTERVAL.mul_f64(random.random_range(0.9..1.1));
+            // Work that weighs is told at once: what a peer does not know of, it adds to.
+            let woken = self.pipeline.heavy_work_changed().notified();
+            drop(tokio::time::timeout(interval, woken).await);
+            tokio::time::sleep(GATHERING_TIME).await;
             let mut targets = self.targets();
             self.pipeline.set_daemons(targets.len() + 1);
             let Some(bytes) = self.digest().encode() else {
@@ -116,11 +122,15 @@
     }
 
     fn digest(&self) -> Digest {
-        let rows = self.pipeline.placement().load.own_rows();
+        let mut placement = self.pipeline.placement();
+        let rows = placement.load.own_rows();
+        let heads = placement.prefixes.take_untold();
+        drop(placement);
         Digest {
             daemon: self.settings.name.to_string(),
             newest_revision: self.state.newest_revision(),
             rows: rows.iter().map(to_wire).collect(),
+            heads: heads.iter().map(head_to_wire).collect(),
         }
     }
 
@@ -140,9 +150,16 @@
     }
 
     fn take(self: &Arc<Self>, digest: Digest, from: SocketAddr) {
-        let rows = self.rows_of(&digest);
+        let known = Known(self.state.back_ends());
+        let rows = digest.rows.iter().filter_map(|row| known.work(row));
+        let rows = rows.collect();
         let peer: Arc<str> = Arc::from(digest.daemon);
-        self.pipeline.placement().load.hear(&peer, rows, now());
+        let mut placement = self.pipeline.placement();
+        placement.load.hear(&peer, rows, now());
+        for usage in digest.heads.iter().filter_map(|row| known.head(row)) {
+            placement.prefixes.used_by_peer(&usage, now());
+        }
+        drop(placement);
         if digest.newest_revision > self.state.newest_revision() {
             let peers = Arc::clone(self);
             let revision = digest.newest_revision;
@@ -167,25 +184,42 @@
             Err(error) => tracing::debug!(%peer, %error, "catch_up_failed"),
         }
     }
+}
+
+/// Back ends that this daemon knows, to be found by the hash of their identity.
+struct Known(Vec<Arc<BackEnd>>);
 
-    fn rows_of(&self, digest: &Digest) -> Vec<PeerRow> {
-        let back_ends = self.state.back_ends();
-        digest
-            .rows
+impl Known {
+    fn find(&self, hash: u64) -> Option<&Arc<BackEnd>> {
+        self.0
             .iter()
-            .filter_map(|row| {
-                let back_end = back_ends
-                    .iter()
-                    .find(|back_end| xxh3_64(back_end.id.as_bytes()) == row.back_end)?;
-                Some(PeerRow {
-                    id: Arc::clone(&back_end.id),
-                    outstanding: Outstanding {
-                        requests: f64::from(row.requests),
-                        prompt_tokens: f64::from(row.prompt_tokens),
-                    },
-                })
-            })
-            .collect()
+            .find(|back_end| xxh3_64(back_end.id.as_bytes()) == hash)
+    }
+
+    fn work(&self, row: &WorkRow) -> Option<PeerRow> {
+        Some(PeerRow {
+            id: Arc::clone(&self.find(row.back_end)?.id),
+            outstanding: Outstanding {
+                requests: f64::from(row.requests),
+                prompt_tokens: f64::from(row.prompt_tokens),
+            },
+        })
+    }
+
+    fn head(&self, row: &HeadRow) -> Option<HeadUse> {
+        Some(HeadUse {
+            engine: Arc::clone(&self.find(row.engine)?.id),
+            head: row.head,
+            tokens: row.tokens,
+        })
+    }
+}
+
+fn head_to_wire(usage: &HeadUse) -> HeadRow {
+    HeadRow {
+        engine: xxh3_64(usage.engine.as_bytes()),
+        head: usage.head,
+        tokens: usage.tokens,
     }
 }
 
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -5,7 +5,9 @@
 /// Longest datagram in bytes; stays within one packet.
 pub(super) const MAXIMUM_DATAGRAM: usize = 1400;
 /// Rows that surely fit.
-const MAXIMUM_ROWS: usize = 90;
+const MAXIMUM_ROWS: usize = 45;
+/// Heads that surely fit beside them.
+const MAXIMUM_HEADS: usize = 30;
 /// Version of the message; daemons of other versions are not heard.
 const VERSION: u8 = 1;
 
@@ -18,6 +20,19 @@
     pub(super) newest_revision: u64,
     /// Its work.
     pub(super) rows: Vec<WorkRow>,
+    /// Prompt heads that its requests had read since it last told.
+    pub(super) heads: Vec<HeadRow>,
+}
+
+/// A prompt's head at an engine.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct HeadRow {
+    /// Hash of the engine's identity.
+    pub(super) engine: u64,
+    /// The head.
+    pub(super) head: u64,
+    /// Its tokens.
+    pub(super) tokens: u32,
 }
 
 /// Work at one back end.
@@ -35,6 +50,7 @@
     /// The datagram; none if it does not fit.
     pub(super) fn encode(mut self) -> Option<Vec<u8>> {
         self.rows.truncate(MAXIMUM_ROWS);
+        self.heads.truncate(MAXIMUM_HEADS);
         let bytes = borsh::to_vec(&(VERSION, self)).ok()?;
         (bytes.len() <= MAXIMUM_DATAGRAM).then_some(bytes)
     }
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -28,6 +28,7 @@
 use ponddrift_runtime::Runtime;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use tokio::sync::Notify;
 
 use crate::connections::Connections;
 use crate::dialect::Dialect;
@@ -58,6 +59,7 @@
     refusing: AtomicBool,
     daemons: AtomicUsize,
     in_progress: AtomicUsize,
+    heavy_work_changed: Notify,
 }
 
 impl Pipeline {
@@ -84,6 +86,7 @@
             refusing: AtomicBool::new(false),
             daemons: AtomicUsize::new(1),
             in_progress: AtomicUsize::new(0),
+            heavy_work_changed: Notify::new(),
         })
     }
 
@@ -113,6 +116,12 @@
         !self.is_stopping() && self.state.in_force().is_some()
     }
 
+    /// Wakes whoever waits when work began or ended that weighs enough to be told to peers at once.
+    #[must_use]
+    pub fn heavy_work_changed(&self) -> &Notify {
+        &self.heavy_work_changed
+    }
+
     /// Requests in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -1,5 +1,6 @@
 //! One send to one back end, up to the answer's head.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -27,6 +28,15 @@
     Unsure(&'static str),
 }
 
+/// What only some sends bear.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct SendExtra {
+    /// The stream goes on after this event.
+    pub(super) resume_after: Option<u64>,
+    /// Engine from which the prompt's head is fetched.
+    pub(super) fetch_from: Option<SocketAddr>,
+}
+
 impl Pipeline {
     /// Sends the request and waits for the head of its answer until `patience`.
     pub(super) async fn send(
@@ -34,7 +44,7 @@
         job: &mut Job,
         back_end: &Arc<BackEnd>,
         step: SendStep<'_>,
-        resume_after: Option<u64>,
+        extra: SendExtra,
         patience: Instant,
     ) -> HeadEnd {
         let facts = SendFacts {
@@ -42,7 +52,8 @@
             time_left: job.time_left(),
             priority: job.route.priority,
             step,
-            resume_after,
+            resume_after: extra.resume_after,
+            fetch_from: extra.fetch_from,
         };
         let Some(request) = self.build(job, &facts) else {
             return HeadEnd::NotSent("request_not_writable");
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -9,16 +9,17 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::placement::PromptPlan;
+use ponddrift_fleet::placement::{HeadUse, PromptPlan};
 use ponddrift_http::body::{self, Body};
 
 use super::Pipeline;
 use super::answers::Failure;
-use super::attempt::{HeadEnd, patience_until};
+use super::attempt::{HeadEnd, SendExtra, patience_until};
 use super::guards::{HeldHandle, InProgress, LoadGuard};
 use super::intake::{Served, end_to_end};
 use super::job::Job;
 use super::plain::LEAST_TIME_FOR_A_SEND;
+use super::prefill::fetch_of;
 use super::relay::Relay;
 use crate::connections::{Connection, Reply};
 use crate::dialect::SendStep;
@@ -94,7 +95,7 @@
             };
             let handle = match &plan.prefill {
                 Some(engine) if self.may_prefill(job) => {
-                    let handle = self.prefill(job, engine, plan.tokens_to_read).await;
+                    let handle = self.prefill(job, engine, &plan).await;
                     if handle.is_none() {
                         job.note_tried(&engine.id);
                         continue;
@@ -124,10 +125,11 @@
     fn plan(&self, job: &mut Job) -> Option<PromptPlan> {
         let now = now();
         let ready = self.state.ready(&job.service.name, now);
-        let placement = self.placement();
+        let mut placement = self.placement();
         let mut random = self.random();
         let plan = match (&job.facts.prompt, &job.service.engine) {
             (Some(prompt), Some(traits)) => {
+                placement.prefixes.set_capacity(traits.cache_tokens);
                 placement.plan_prompt(&ready, &job.tried, traits, prompt, now, &mut *random)
             }
             _ => placement
@@ -135,6 +137,7 @@
                 .map(|decode| PromptPlan {
                     prefill: None,
                     decode,
+                    fetch_from: None,
                     expected_ms: 0.0,
                     tokens_to_read: 0.0,
                 }),
@@ -178,7 +181,15 @@
             None => SendStep::Serve,
         };
         let begun = now();
-        let end = self.send(job, &decode, step, resume_after, until).await;
+        let extra = SendExtra {
+            resume_after,
+            ..if handle.is_some() {
+                SendExtra::default()
+            } else {
+                fetch_of(plan)
+            }
+        };
+        let end = self.send(job, &decode, step, extra, until).await;
         job.note_tried(&decode.id);
         let reply = match end {
             HeadEnd::Answered(reply) => reply,
@@ -311,7 +322,12 @@
         };
         let mut placement = self.placement();
         if let Some(head) = prompt.shared_head() {
-            placement.prefixes.used(&decode.id, head, now());
+            let usage = HeadUse {
+                engine: Arc::clone(&decode.id),
+                head,
+                tokens: prompt.shared_tokens(),
+            };
+            placement.prefixes.used(usage, now());
         }
         if plan.prefill.is_none() {
             placement
--- a/crates/serving/src/pipeline/guards.rs
+++ b/crates/serving/src/pipeline/guards.rs
@@ -14,6 +14,9 @@
 /// Time for a small call to a back end.
 const SMALL_CALL_LIMIT: Duration = Duration::from_millis(500);
 
+/// Reading so many tokens takes long enough that peers should know of it at once.
+const HEAVY_TOKENS: f64 = 1000.0;
+
 /// Counts a request while it is in progress.
 pub(super) struct InProgress(Arc<Pipeline>);
 
@@ -40,6 +43,9 @@
 impl LoadGuard {
     pub(super) fn new(pipeline: &Arc<Pipeline>, back_end: &BackEnd, prompt_tokens: f64) -> Self {
         pipeline.placement().load.begin(&back_end.id, prompt_tokens);
+        if prompt_tokens >= HEAVY_TOKENS {
+            pipeline.heavy_work_changed.notify_one();
+        }
         Self {
             pipeline: Arc::clone(pipeline),
             id: Arc::clone(&back_end.id),
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -11,7 +11,7 @@
 
 use super::Pipeline;
 use super::answers::Failure;
-use super::attempt::{HeadEnd, patience_until};
+use super::attempt::{HeadEnd, SendExtra, patience_until};
 use super::guards::LoadGuard;
 use super::intake::{Served, end_to_end};
 use super::job::Job;
@@ -123,7 +123,13 @@
         let begun = now();
         let patience = self.plain_patience(job);
         let end = self
-            .send(job, back_end, SendStep::Serve, None, patience)
+            .send(
+                job,
+                back_end,
+                SendStep::Serve,
+                SendExtra::default(),
+                patience,
+            )
             .await;
         let reply = match end {
             HeadEnd::Answered(reply) => reply,
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -6,9 +6,10 @@
 use http::StatusCode;
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
+use ponddrift_fleet::placement::{HeadUse, PromptPlan};
 
 use super::Pipeline;
-use super::attempt::{HeadEnd, patience_until};
+use super::attempt::{HeadEnd, SendExtra, patience_until};
 use super::guards::{HeldHandle, LoadGuard};
 use super::job::Job;
 use crate::dialect::SendStep;
@@ -16,9 +17,9 @@
 use crate::trail::{Step, milliseconds};
 
 /// A prefill engine gets this many times the expected time,
-const PATIENCE_FACTOR: f64 = 3.0;
+const PATIENCE_FACTOR: f64 = 4.0;
 /// and this much more.
-const PATIENCE_MORE: Duration = Duration::from_millis(250);
+const PATIENCE_MORE: Duration = Duration::from_millis(600);
 
 impl Pipeline {
     /// Has the prompt read; none if that fails, after which nothing has run.
@@ -26,15 +27,18 @@
         self: &Arc<Self>,
         job: &mut Job,
         engine: &Arc<BackEnd>,
-        tokens_to_read: f64,
+        plan: &PromptPlan,
     ) -> Option<HeldHandle> {
+        let tokens_to_read = plan.tokens_to_read;
         let expected_ms = self.expected_prefill_ms(engine, tokens_to_read);
         let was_alone = self.placement().load.requests(&engine.id) < 0.5;
         let _load = LoadGuard::new(self, engine, tokens_to_read);
         let patience = Duration::from_secs_f64(expected_ms * PATIENCE_FACTOR / 1000.0);
         let until = patience_until(job, Some(patience + PATIENCE_MORE));
         let begun = now();
-        let end = self.send(job, engine, SendStep::Prefill, None, until).await;
+        let end = self
+            .send(job, engine, SendStep::Prefill, fetch_of(plan), until)
+            .await;
         let HeadEnd::Answered(reply) = end else {
             return None;
         };
@@ -74,7 +78,7 @@
     fn learn_prefill(
         &self,
         job: &Job,
-        engine: &BackEnd,
+        engine: &Arc<BackEnd>,
         expected_ms: f64,
         took_ms: f64,
         was_alone: bool,
@@ -90,10 +94,25 @@
                 let own = f64::from(prompt.own_tokens());
                 placement.speed.prompt_read(own, took_ms);
             }
-            placement.prefixes.used(&engine.id, head, now);
+            let usage = HeadUse {
+                engine: Arc::clone(&engine.id),
+                head,
+                tokens: prompt.shared_tokens(),
+            };
+            placement.prefixes.used(usage, now);
+        }
+        if was_alone {
+            placement
+                .speed
+                .engine_answered(&engine.id, expected_ms, took_ms);
         }
-        placement
-            .speed
-            .engine_answered(&engine.id, expected_ms, took_ms);
+    }
+}
+
+/// The fetch that a plan's reader makes.
+pub(super) fn fetch_of(plan: &PromptPlan) -> SendExtra {
+    SendExtra {
+        fetch_from: plan.fetch_from.as_ref().map(|keeper| keeper.address),
+        ..SendExtra::default()
     }
 }
