Health is asked for beside long waits; unwell back ends are told to peers

Change: a wait that lasts longer than it should has the engine's health asked for; one that does not answer is given up and ejected, and told to peers, which check it before a request finds out. Test: a dark prefill engine.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -13,6 +13,8 @@
 pub const LONGEST_EJECTION: Duration = Duration::from_secs(4);
 /// A back end that did well for this long begins anew.
 const FORGIVEN_AFTER: Duration = Duration::from_secs(15);
+/// A back end is checked for hints of peers no more often than this.
+const HINT_PAUSE: Duration = Duration::from_secs(2);
 /// Weight of the newest result in the failure rate.
 const NEWEST_WEIGHT: f64 = 0.1;
 /// Cost of a back end that fails always, as a multiple of one that never does.
@@ -51,6 +53,7 @@
     ejected: bool,
     ejections: u32,
     last_failure: Option<Instant>,
+    last_hint: Option<Instant>,
     failure_rate: f64,
 }
 
@@ -96,6 +99,27 @@
         }
     }
 
+    /// A peer has ejected this back end. Returns whether it should be checked here too: not if it is ejected
+    /// already, or was checked for such a hint a moment ago.
+    pub fn take_hint(&mut self, id: &Arc<str>, now: Instant) -> bool {
+        let record = self.records.entry(Arc::clone(id)).or_default();
+        let is_fresh = record
+            .last_hint
+            .is_some_and(|last| now.saturating_duration_since(last) < HINT_PAUSE);
+        if record.ejected || is_fresh {
+            return false;
+        }
+        record.last_hint = Some(now);
+        true
+    }
+
+    /// Back ends that are ejected, for telling peers.
+    #[must_use]
+    pub fn ejected(&self) -> Vec<Arc<str>> {
+        let ejected = self.records.iter().filter(|(_id, record)| record.ejected);
+        ejected.map(|(id, _record)| Arc::clone(id)).collect()
+    }
+
     /// Whether the back end gets no requests.
     #[must_use]
     pub fn is_ejected(&self, id: &str) -> bool {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Pure: everything takes the time as an argument, nothing does I/O. [`configuration`] is what the
 //! operators want, [`directory`] what back ends say of themselves, [`health`] what requests found out,
-//! [`placement`] chooses, [`budget`] bounds repeats, [`events`] cuts streams into whole events.
+//! [`placement`] chooses, [`budget`] bounds repeats, [`events`] cuts streams into whole events,
+//! [`stages`] plans which engines read prompts.
 
 pub mod budget;
 pub mod configuration;
@@ -12,6 +13,7 @@
 pub mod placement;
 pub mod prompt;
 pub mod routes;
+pub mod stages;
 
 /// Why something did not happen, for logs; a short stable text.
 pub type Reason = &'static str;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -3,9 +3,11 @@
 mod load;
 mod prefixes;
 mod speed;
+mod work;
 
+use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::{Rng, RngExt};
 
@@ -13,10 +15,12 @@
 use crate::directory::BackEnd;
 use crate::health::Health;
 use crate::prompt::Prompt;
+use crate::stages::StageWork;
 
 pub use load::{LoadTable, Outstanding, PeerRow};
 pub use prefixes::{HeadUse, PrefixMemory};
 pub use speed::SpeedTable;
+pub use work::WorkMeter;
 
 /// What a hand-over costs beside the move itself, in milliseconds: two more messages, and its price.
 const HAND_OVER_MS: f64 = 40.0;
@@ -70,6 +74,10 @@
     pub speed: SpeedTable,
     /// Prompt heads that engines are believed to keep.
     pub prefixes: PrefixMemory,
+    /// Work that own requests bring.
+    pub work: WorkMeter,
+    /// Engines that are about to change, and until when they get nothing new.
+    away: HashMap<Arc<str>, Instant>,
 }
 
 impl Placement {
@@ -82,17 +90,35 @@
             health: Health::default(),
             speed: SpeedTable::default(),
             prefixes: PrefixMemory::default(),
+            work: WorkMeter::default(),
+            away: HashMap::new(),
         }
     }
 
+    /// An engine is about to change: it gets nothing new for so long.
+    pub fn set_away(&mut self, id: &Arc<str>, time: Duration, now: Instant) {
+        self.away.retain(|_id, until| *until > now);
+        self.away.insert(Arc::clone(id), now + time);
+    }
+
+    /// An engine that was about to change takes requests again.
+    pub fn set_back(&mut self, id: &str) {
+        self.away.remove(id);
+    }
+
+    fn is_away(&self, id: &str, now: Instant) -> bool {
+        self.away.get(id).is_some_and(|until| *until > now)
+    }
+
     /// Chooses a plain back end, or an engine for a request that tells nothing of its prompt.
     pub fn choose_plain(
         &self,
         ready: &[Arc<BackEnd>],
         tried: &[Arc<str>],
+        now: Instant,
         random: &mut impl Rng,
     ) -> Option<Arc<BackEnd>> {
-        let candidates = self.usable(ready, tried, |back_end| {
+        let candidates = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
         self.cheapest(&candidates, random, |back_end| {
@@ -117,7 +143,7 @@
         random: &mut impl Rng,
     ) -> Option<PromptPlan> {
         let keepers = self.keepers(ready, prompt, now);
-        let decoders = self.usable(ready, tried, |back_end| {
+        let decoders = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
         let reading = Reading {
@@ -129,7 +155,7 @@
         let (direct, direct_ms) = self.cheapest(&decoders, random, |back_end| {
             reading.direct_ms(back_end, &decoders)
         })?;
-        let prefills = self.usable(ready, tried, |back_end| {
+        let prefills = self.usable(ready, tried, now, |back_end| {
             back_end.stage == Some(Stage::Prefill)
         });
         let handed_over = self.cheapest(&prefills, random, |back_end| {
@@ -149,6 +175,34 @@
         Some(reading.plan(Some(prefill), decode, &prefills, handed_over_ms))
     }
 
+    /// Adds the reading that a plan brings to the work of its service.
+    pub fn meter(&mut self, service: &Arc<str>, plan: &PromptPlan, now: Instant) {
+        const MS_PER_S: f64 = 1000.0;
+        let prefill_s = plan.tokens_to_read / self.speed.prefill_tokens_per_ms() / MS_PER_S;
+        let decode_s = plan.tokens_to_read / self.speed.decode_tokens_per_ms() / MS_PER_S;
+        let work = if plan.prefill.is_some() {
+            StageWork {
+                prefill: prefill_s,
+                decode: 0.0,
+            }
+        } else {
+            StageWork {
+                prefill: 0.0,
+                decode: decode_s,
+            }
+        };
+        self.work.add(service, work, now);
+    }
+
+    /// Adds a stream's time to the work of its service: it held one of the engine's slots.
+    pub fn meter_stream(&mut self, service: &Arc<str>, slots: u32, time: Duration, now: Instant) {
+        let work = StageWork {
+            prefill: 0.0,
+            decode: time.as_secs_f64() / f64::from(slots.max(1)),
+        };
+        self.work.add(service, work, now);
+    }
+
     /// Engines that are believed to keep the prompt's head.
     fn keepers(&self, ready: &[Arc<BackEnd>], prompt: &Prompt, now: Instant) -> Vec<Arc<BackEnd>> {
         let Some(head) = prompt.shared_head() else {
@@ -167,9 +221,10 @@
         &self,
         ready: &[Arc<BackEnd>],
         tried: &[Arc<str>],
+        now: Instant,
         random: &mut impl Rng,
     ) -> Option<Arc<BackEnd>> {
-        let decoders = self.usable(ready, tried, |back_end| {
+        let decoders = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
         let weight = DECODE_READ_WEIGHT / self.speed.decode_tokens_per_ms();
@@ -179,11 +234,12 @@
         .map(|(back_end, _cost)| back_end)
     }
 
-    /// Those that fit, were not tried and are not ejected; where all are ejected, they all count.
+    /// Those that fit, were not tried, and are neither ejected nor away; where none is left, they all count.
     fn usable(
         &self,
         ready: &[Arc<BackEnd>],
         tried: &[Arc<str>],
+        now: Instant,
         fits: impl Fn(&BackEnd) -> bool,
     ) -> Vec<Arc<BackEnd>> {
         let fitting: Vec<Arc<BackEnd>> = ready
@@ -194,6 +250,7 @@
         let well: Vec<Arc<BackEnd>> = fitting
             .iter()
             .filter(|back_end| !self.health.is_ejected(&back_end.id))
+            .filter(|back_end| !self.is_away(&back_end.id, now))
             .cloned()
             .collect();
         if well.is_empty() { fitting } else { well }
--- /dev/null
+++ b/crates/fleet/src/stages.rs
@@ -0,0 +1,159 @@
+//! How many engines of a service read prompts for others, and how many generate.
+//!
+//! Work comes in engine-seconds a second. With `u` the share of time that the engines of a stage are busy, waiting
+//! grows as `u / (1 - u)`. The planner moves one engine where that lowers the waiting of both stages together by
+//! more, over a horizon, than the engine's time away costs.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::configuration::Stage;
+use crate::directory::BackEnd;
+
+/// Waiting before a prompt is read weighs more than waiting at a decode engine: reading takes a good part of the
+/// time in target already.
+const PREFILL_WEIGHT: f64 = 2.0;
+/// Time over which a change must pay off, in seconds.
+const HORIZON_S: f64 = 8.0;
+/// What a change costs beside the engine's time away, in engine-seconds.
+const CHANGE_COST: f64 = 1.5;
+/// Busy share from which waiting is taken to grow no further but steeply.
+const NEARLY_FULL: f64 = 0.95;
+/// Weight of the newest measurement of work.
+const NEWEST_WEIGHT: f64 = 0.4;
+/// Shortest time between two changes.
+const PAUSE: Duration = Duration::from_millis(900);
+/// Shortest time until an engine changes back.
+const DWELL: Duration = Duration::from_secs(5);
+/// Each stage keeps this many engines.
+const FEWEST: usize = 1;
+
+/// Work of one service, in engine-seconds a second.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct StageWork {
+    /// Reading prompts apart.
+    pub prefill: f64,
+    /// Generating, and reading short prompts.
+    pub decode: f64,
+}
+
+/// One engine is to change.
+#[derive(Debug, Clone)]
+pub struct StageChange {
+    /// The engine.
+    pub engine: Arc<BackEnd>,
+    /// Its stage from then on.
+    pub stage: Stage,
+    /// Work on which the decision rests.
+    pub work: StageWork,
+    /// Engines in each stage before.
+    pub prefill_engines: usize,
+    /// Engines in each stage before.
+    pub decode_engines: usize,
+    /// Waiting that it saves, in engine-seconds a second.
+    pub gain: f64,
+}
+
+/// Plans the stages of one service's engines.
+#[derive(Debug, Default)]
+pub struct StagePlanner {
+    work: Option<StageWork>,
+    last_change: Option<Instant>,
+    changed: Vec<(Arc<str>, Instant)>,
+}
+
+impl StagePlanner {
+    /// Takes the work measured last, and decides. `busyness` tells the requests at an engine; engines that it does
+    /// not know are left alone.
+    pub fn plan(
+        &mut self,
+        engines: &[Arc<BackEnd>],
+        measured: StageWork,
+        busyness: impl Fn(&BackEnd) -> Option<f64>,
+        now: Instant,
+    ) -> Option<StageChange> {
+        let work = self.smooth(measured);
+        let is_too_soon = self
+            .last_change
+            .is_some_and(|last| now.saturating_duration_since(last) < PAUSE);
+        if is_too_soon {
+            return None;
+        }
+        let prefill = count(engines, Stage::Prefill);
+        let decode = count(engines, Stage::Decode);
+        let (stage, gain) = better(work, prefill, decode)?;
+        let from = match stage {
+            Stage::Prefill => Stage::Decode,
+            Stage::Decode => Stage::Prefill,
+        };
+        let engine = engines
+            .iter()
+            .filter(|engine| engine.stage == Some(from))
+            .filter(|engine| !self.dwells(&engine.id, now))
+            .filter_map(|engine| Some((engine, busyness(engine)?)))
+            .min_by(|left, right| left.1.total_cmp(&right.1))
+            .map(|(engine, _requests)| Arc::clone(engine))?;
+        Some(StageChange {
+            engine,
+            stage,
+            work,
+            prefill_engines: prefill,
+            decode_engines: decode,
+            gain,
+        })
+    }
+
+    /// A change was ordered.
+    pub fn ordered(&mut self, engine: &Arc<str>, now: Instant) {
+        self.last_change = Some(now);
+        self.changed
+            .retain(|(_id, at)| now.saturating_duration_since(*at) < DWELL);
+        self.changed.push((Arc::clone(engine), now));
+    }
+
+    fn smooth(&mut self, measured: StageWork) -> StageWork {
+        let work = self.work.get_or_insert(measured);
+        work.prefill += NEWEST_WEIGHT * (measured.prefill - work.prefill);
+        work.decode += NEWEST_WEIGHT * (measured.decode - work.decode);
+        *work
+    }
+
+    fn dwells(&self, id: &str, now: Instant) -> bool {
+        self.changed
+            .iter()
+            .any(|(known, at)| &**known == id && now.saturating_duration_since(*at) < DWELL)
+    }
+}
+
+fn count(engines: &[Arc<BackEnd>], stage: Stage) -> usize {
+    let of_stage = engines.iter().filter(|engine| engine.stage == Some(stage));
+    of_stage.count()
+}
+
+/// The stage that should have one engine more, if that pays, and what it saves.
+fn better(work: StageWork, prefill: usize, decode: usize) -> Option<(Stage, f64)> {
+    let now = waiting(work, prefill, decode);
+    let to_prefill = (decode > FEWEST).then(|| now - waiting(work, prefill + 1, decode - 1));
+    let to_decode = (prefill > FEWEST).then(|| now - waiting(work, prefill - 1, decode + 1));
+    let choices = [(Stage::Prefill, to_prefill), (Stage::Decode, to_decode)];
+    choices
+        .into_iter()
+        .filter_map(|(stage, gain)| Some((stage, gain?)))
+        .filter(|(_stage, gain)| gain * HORIZON_S > CHANGE_COST)
+        .max_by(|left, right| left.1.total_cmp(&right.1))
+}
+
+fn waiting(work: StageWork, prefill: usize, decode: usize) -> f64 {
+    PREFILL_WEIGHT * waiting_of(work.prefill, prefill) + waiting_of(work.decode, decode)
+}
+
+/// Engine-seconds a second that work waits at so many engines.
+fn waiting_of(work: f64, engines: usize) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "a few hundred engines")]
+    let busy = work / engines.max(1) as f64;
+    if busy < NEARLY_FULL {
+        return work * busy / (1.0 - busy);
+    }
+    let at_the_edge = NEARLY_FULL / (1.0 - NEARLY_FULL);
+    work * at_the_edge * (busy / NEARLY_FULL)
+}
--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -177,3 +177,32 @@
     let runs: usize = fleet.decode.iter().map(|engine| engine.runs().len()).sum();
     assert_eq!(runs, 1);
 }
+
+#[test]
+fn a_prefill_engine_that_falls_dark_is_left_before_the_caller_leaves() {
+    let mut fleet = Fleet::new(Size {
+        prefill: 2,
+        ..Size::default()
+    });
+    earn(&mut fleet);
+    let prompts = |from: u32| -> Vec<ClientRequest> {
+        (from..from + 8)
+            .map(|number| ClientRequest::prompt(&format!("p{number}"), "verdict", LONG, 900))
+            .collect()
+    };
+    for request in prompts(0) {
+        assert_eq!(ask(&mut fleet, &request).status, StatusCode::OK);
+    }
+    // Connections to both are open: nothing tells that one of them is dark.
+    let used = usize::from(fleet.prefill[0].runs().is_empty());
+    fleet
+        .simulation
+        .handle()
+        .power_off(fleet.prefill_hosts[used]);
+    for request in prompts(100) {
+        let before = fleet.simulation.handle().elapsed();
+        assert_eq!(ask(&mut fleet, &request).status, StatusCode::OK);
+        let took = fleet.simulation.handle().elapsed() - before;
+        assert!(took < Duration::from_millis(1_500), "{took:?}");
+    }
+}
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -73,6 +73,7 @@
     pub store_host: HostId,
     pub records: Vec<EngineStandIn>,
     pub prefill: Vec<EngineStandIn>,
+    pub prefill_hosts: Vec<HostId>,
     pub decode: Vec<EngineStandIn>,
     pub decode_hosts: Vec<HostId>,
     pub daemons: Vec<DaemonHost>,
@@ -103,6 +104,7 @@
             store_host,
             records: Vec::new(),
             prefill: Vec::new(),
+            prefill_hosts: Vec::new(),
             decode: Vec::new(),
             decode_hosts: Vec::new(),
             daemons: Vec::new(),
@@ -114,8 +116,9 @@
             fleet.records.push(engine);
         }
         for _ in 0..size.prefill {
-            let (engine, _host) = fleet.add_engine(MODELS, Some("prefill"));
+            let (engine, host) = fleet.add_engine(MODELS, Some("prefill"));
             fleet.prefill.push(engine);
+            fleet.prefill_hosts.push(host);
         }
         for _ in 0..size.decode {
             let (engine, host) = fleet.add_engine(MODELS, Some("decode"));
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -125,12 +125,14 @@
         let mut placement = self.pipeline.placement();
         let rows = placement.load.own_rows();
         let heads = placement.prefixes.take_untold();
+        let unwell = placement.health.ejected();
         drop(placement);
         Digest {
             daemon: self.settings.name.to_string(),
             newest_revision: self.state.newest_revision(),
             rows: rows.iter().map(to_wire).collect(),
             heads: heads.iter().map(head_to_wire).collect(),
+            unwell: unwell.iter().map(|id| xxh3_64(id.as_bytes())).collect(),
         }
     }
 
@@ -160,6 +162,9 @@
             placement.prefixes.used_by_peer(&usage, now());
         }
         drop(placement);
+        for back_end in digest.unwell.iter().filter_map(|hash| known.find(*hash)) {
+            self.pipeline.check_on_hint(back_end);
+        }
         if digest.newest_revision > self.state.newest_revision() {
             let peers = Arc::clone(self);
             let revision = digest.newest_revision;
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -7,7 +7,9 @@
 /// Rows that surely fit.
 const MAXIMUM_ROWS: usize = 45;
 /// Heads that surely fit beside them.
-const MAXIMUM_HEADS: usize = 30;
+const MAXIMUM_HEADS: usize = 20;
+/// Unwell back ends that surely fit beside them.
+const MAXIMUM_UNWELL: usize = 30;
 /// Version of the message; daemons of other versions are not heard.
 const VERSION: u8 = 1;
 
@@ -22,6 +24,8 @@
     pub(super) rows: Vec<WorkRow>,
     /// Prompt heads that its requests had read since it last told.
     pub(super) heads: Vec<HeadRow>,
+    /// Hashes of back ends that it found unwell.
+    pub(super) unwell: Vec<u64>,
 }
 
 /// A prompt's head at an engine.
@@ -51,6 +55,7 @@
     pub(super) fn encode(mut self) -> Option<Vec<u8>> {
         self.rows.truncate(MAXIMUM_ROWS);
         self.heads.truncate(MAXIMUM_HEADS);
+        self.unwell.truncate(MAXIMUM_UNWELL);
         let bytes = borsh::to_vec(&(VERSION, self)).ok()?;
         (bytes.len() <= MAXIMUM_DATAGRAM).then_some(bytes)
     }
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -10,6 +10,7 @@
 mod guards;
 mod intake;
 mod job;
+mod patience;
 mod plain;
 mod prefill;
 mod probe;
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
 
 use http::Request;
 use ponddrift_fleet::directory::BackEnd;
@@ -11,6 +10,7 @@
 
 use super::Pipeline;
 use super::job::Job;
+use super::patience::Patience;
 use crate::connections::{ExchangeError, NotSent, Reply};
 use crate::dialect::{SendFacts, SendStep};
 use crate::follow::now;
@@ -28,32 +28,62 @@
     Unsure(&'static str),
 }
 
-/// What only some sends bear.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct SendExtra {
+/// One send, and how long it may take.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SendOrder<'a> {
+    /// What is to be done.
+    pub(super) step: SendStep<'a>,
     /// The stream goes on after this event.
     pub(super) resume_after: Option<u64>,
     /// Engine from which the prompt's head is fetched.
     pub(super) fetch_from: Option<SocketAddr>,
+    /// When it is given up.
+    pub(super) patience: Patience,
+}
+
+impl<'a> SendOrder<'a> {
+    pub(super) const fn new(step: SendStep<'a>, patience: Patience) -> Self {
+        Self {
+            step,
+            resume_after: None,
+            fetch_from: None,
+            patience,
+        }
+    }
+}
+
+/// An answer's head as it was judged.
+struct Judged {
+    end: HeadEnd,
+    outcome: Option<Outcome>,
+    status: Option<u16>,
+}
+
+impl Judged {
+    const fn new(end: HeadEnd, outcome: Option<Outcome>) -> Self {
+        Self {
+            end,
+            outcome,
+            status: None,
+        }
+    }
 }
 
 impl Pipeline {
-    /// Sends the request and waits for the head of its answer until `patience`.
+    /// Sends the request and waits for the head of its answer.
     pub(super) async fn send(
         self: &Arc<Self>,
         job: &mut Job,
         back_end: &Arc<BackEnd>,
-        step: SendStep<'_>,
-        extra: SendExtra,
-        patience: Instant,
+        order: SendOrder<'_>,
     ) -> HeadEnd {
         let facts = SendFacts {
             back_end: &back_end.id,
             time_left: job.time_left(),
             priority: job.route.priority,
-            step,
-            resume_after: extra.resume_after,
-            fetch_from: extra.fetch_from,
+            step: order.step,
+            resume_after: order.resume_after,
+            fetch_from: order.fetch_from,
         };
         let Some(request) = self.build(job, &facts) else {
             return HeadEnd::NotSent("request_not_writable");
@@ -61,52 +91,31 @@
         let most = self.connection_share(job.service.maximum_connections);
         let begun = now();
         let exchange = self.connections.exchange(back_end.address, most, request);
-        let wait = patience.saturating_duration_since(begun);
-        let answer = tokio::time::timeout(wait, exchange).await;
-        let (end, outcome, status) = match answer {
-            Err(_elapsed) => (
-                HeadEnd::Unsure("no_answer_in_time"),
-                Some(Outcome::Silent),
-                None,
-            ),
-            Ok(Err(ExchangeError::NotSent(NotSent::Unreachable))) => (
-                HeadEnd::NotSent("unreachable"),
-                Some(Outcome::Unreachable),
-                None,
-            ),
-            Ok(Err(ExchangeError::NotSent(NotSent::Exhausted))) => {
-                (HeadEnd::NotSent("connections_in_use"), None, None)
-            }
-            Ok(Err(ExchangeError::Broken(_error))) => (
-                HeadEnd::Unsure("connection_broke"),
-                Some(Outcome::Broken),
-                None,
-            ),
-            Ok(Ok(reply)) => {
-                let status = reply.response.status().as_u16();
-                let (end, outcome) = self.judge(job, step, reply);
-                (end, outcome, Some(status))
+        let answer = self
+            .wait_for(exchange, back_end, &job.service.health_path, order.patience)
+            .await;
+        let judged = match answer {
+            Err(given_up) => {
+                Judged::new(HeadEnd::Unsure(given_up.name()), Some(given_up.outcome()))
             }
+            Ok(Err(error)) => judge_error(&error),
+            Ok(Ok(reply)) => self.judge(job, order.step, reply),
         };
-        let purpose = purpose(step);
-        if let Some(outcome) = outcome {
+        if let Some(outcome) = judged.outcome {
             self.note_outcome(back_end, &job.service.health_path, outcome);
         }
-        if !matches!(end, HeadEnd::Answered(_)) {
-            let name = match &end {
-                HeadEnd::Answered(_) => "answered",
-                HeadEnd::NotSent(name) | HeadEnd::NotRun(name) | HeadEnd::Unsure(name) => name,
-            };
+        if let HeadEnd::NotSent(name) | HeadEnd::NotRun(name) | HeadEnd::Unsure(name) = &judged.end
+        {
             job.trail.add(Step::Ended {
-                purpose,
+                purpose: purpose(order.step),
                 back_end: Arc::clone(&back_end.id),
                 outcome: name,
-                status,
+                status: judged.status,
                 took: now().saturating_duration_since(begun),
             });
         }
-        self.count(job, &end, step);
-        end
+        self.count(job, &judged.end, order.step);
+        judged.end
     }
 
     /// Counts what arrived and what may have run.
@@ -124,30 +133,34 @@
         }
     }
 
-    fn judge(&self, job: &Job, step: SendStep<'_>, reply: Reply) -> (HeadEnd, Option<Outcome>) {
+    fn judge(&self, job: &Job, step: SendStep<'_>, reply: Reply) -> Judged {
         let (head, body) = reply.response.into_parts();
         let facts = self.dialect.read_answer(&head, &job.id);
-        if !facts.belongs {
-            let end = HeadEnd::Unsure("answer_to_another_request");
-            return (end, Some(Outcome::Broken));
-        }
-        if facts.not_run {
-            return (HeadEnd::NotRun("back_end_refused"), None);
-        }
-        if head.headers.contains_key(http::header::CONTENT_ENCODING) {
-            let end = HeadEnd::Unsure("answer_encoded");
-            return (end, Some(Outcome::Broken));
-        }
+        let status = Some(head.status.as_u16());
         let is_for_caller = !matches!(step, SendStep::Prefill);
-        if is_for_caller && head.status.is_success() && !facts.signed {
-            let end = HeadEnd::Unsure("answer_unsigned");
-            return (end, Some(Outcome::Broken));
-        }
-        let reply = Reply {
-            response: http::Response::from_parts(head, body),
-            connection: reply.connection,
+        let is_success = head.status.is_success();
+        let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
+        let (end, outcome) = if !facts.belongs {
+            let end = HeadEnd::Unsure("answer_to_another_request");
+            (end, Some(Outcome::Broken))
+        } else if facts.not_run {
+            (HeadEnd::NotRun("back_end_refused"), None)
+        } else if is_encoded {
+            (HeadEnd::Unsure("answer_encoded"), Some(Outcome::Broken))
+        } else if is_for_caller && is_success && !facts.signed {
+            (HeadEnd::Unsure("answer_unsigned"), Some(Outcome::Broken))
+        } else {
+            let reply = Reply {
+                response: http::Response::from_parts(head, body),
+                connection: reply.connection,
+            };
+            (HeadEnd::Answered(reply), None)
         };
-        (HeadEnd::Answered(reply), None)
+        Judged {
+            end,
+            outcome,
+            status,
+        }
     }
 
     fn build(&self, job: &Job, facts: &SendFacts<'_>) -> Option<Request<body::Body>> {
@@ -194,7 +207,16 @@
     }
 }
 
-/// When a send that may be repeated is given up for another: `share` of what is left, at least `least`.
-pub(super) fn patience_until(job: &Job, patience: Option<Duration>) -> Instant {
-    patience.map_or(job.end, |patience| (now() + patience).min(job.end))
+fn judge_error(error: &ExchangeError) -> Judged {
+    match error {
+        ExchangeError::NotSent(NotSent::Unreachable) => {
+            Judged::new(HeadEnd::NotSent("unreachable"), Some(Outcome::Unreachable))
+        }
+        ExchangeError::NotSent(NotSent::Exhausted) => {
+            Judged::new(HeadEnd::NotSent("connections_in_use"), None)
+        }
+        ExchangeError::Broken(_error) => {
+            Judged::new(HeadEnd::Unsure("connection_broke"), Some(Outcome::Broken))
+        }
+    }
 }
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -14,12 +14,12 @@
 
 use super::Pipeline;
 use super::answers::Failure;
-use super::attempt::{HeadEnd, SendExtra, patience_until};
+use super::attempt::{HeadEnd, SendOrder};
 use super::guards::{HeldHandle, InProgress, LoadGuard};
 use super::intake::{Served, end_to_end};
 use super::job::Job;
+use super::patience::{GivenUp, Patience};
 use super::plain::LEAST_TIME_FOR_A_SEND;
-use super::prefill::fetch_of;
 use super::relay::Relay;
 use crate::connections::{Connection, Reply};
 use crate::dialect::SendStep;
@@ -133,7 +133,7 @@
                 placement.plan_prompt(&ready, &job.tried, traits, prompt, now, &mut *random)
             }
             _ => placement
-                .choose_plain(&ready, &job.tried, &mut *random)
+                .choose_plain(&ready, &job.tried, now, &mut *random)
                 .map(|decode| PromptPlan {
                     prefill: None,
                     decode,
@@ -142,6 +142,7 @@
                     tokens_to_read: 0.0,
                 }),
         }?;
+        placement.meter(&job.service.name, &plan, now);
         let reader = plan.prefill.as_ref().unwrap_or(&plan.decode);
         job.trail.add(Step::Placed {
             purpose: if plan.prefill.is_some() {
@@ -172,7 +173,7 @@
             plan.tokens_to_read
         };
         let load = LoadGuard::new(self, &decode, tokens);
-        let until = self.first_event_patience(job, plan);
+        let patience = self.first_event_patience(job, plan);
         let step = match &handle {
             Some(held) => SendStep::Continue {
                 source: held.source,
@@ -181,15 +182,13 @@
             None => SendStep::Serve,
         };
         let begun = now();
-        let extra = SendExtra {
+        let keeper = plan.fetch_from.as_ref().filter(|_| handle.is_none());
+        let order = SendOrder {
             resume_after,
-            ..if handle.is_some() {
-                SendExtra::default()
-            } else {
-                fetch_of(plan)
-            }
+            fetch_from: keeper.map(|keeper| keeper.address),
+            ..SendOrder::new(step, patience)
         };
-        let end = self.send(job, &decode, step, extra, until).await;
+        let end = self.send(job, &decode, order).await;
         job.note_tried(&decode.id);
         let reply = match end {
             HeadEnd::Answered(reply) => reply,
@@ -202,9 +201,12 @@
             held.mark_taken();
         }
         if !reply.response.status().is_success() {
-            return self.error_answer(job, &decode, reply, until).await;
+            return self.error_answer(job, &decode, reply, patience.until).await;
         }
-        let opened = self.first_event(&decode, reply, load, begun, until).await;
+        let path = Arc::clone(&job.service.health_path);
+        let opened = self
+            .first_event(&decode, &path, reply, load, begun, patience)
+            .await;
         self.note_first_event(job, plan, &decode, opened, begun)
     }
 
@@ -216,7 +218,7 @@
         let ready = self.state.ready(&job.service.name, now());
         let placement = self.placement();
         let chosen = placement
-            .choose_decode(&ready, &job.tried, &mut *self.random())
+            .choose_decode(&ready, &job.tried, now(), &mut *self.random())
             .unwrap_or_else(|| Arc::clone(&plan.decode));
         job.trail.add(Step::Placed {
             purpose: "decode",
@@ -254,18 +256,19 @@
     async fn first_event(
         self: &Arc<Self>,
         back_end: &Arc<BackEnd>,
+        health_path: &str,
         reply: Reply,
         mut load: LoadGuard,
         begun: Instant,
-        until: Instant,
+        patience: Patience,
     ) -> Result<Box<OpenStream>, &'static str> {
         let (head, mut body) = reply.response.into_parts();
         let mut splitter = EventSplitter::default();
-        let wait = until.saturating_duration_since(now());
         let reading = read_first_event(&mut body, &mut splitter);
-        let (first, ended) = tokio::time::timeout(wait, reading)
+        let (first, ended) = self
+            .wait_for(reading, back_end, health_path, patience)
             .await
-            .map_err(|_elapsed| "no_event_in_time")??;
+            .map_err(GivenUp::name)??;
         load.prompt_read();
         Ok(Box::new(OpenStream {
             back_end: Arc::clone(back_end),
@@ -298,10 +301,10 @@
                 FirstEvent::Came(stream)
             }
             Err(reason) => {
-                let outcome = if reason == "no_event_in_time" {
-                    Outcome::Silent
-                } else {
-                    Outcome::Broken
+                let outcome = match reason {
+                    reason if reason == GivenUp::Silent.name() => Outcome::Silent,
+                    reason if reason == GivenUp::Unresponsive.name() => Outcome::Unreachable,
+                    _ => Outcome::Broken,
                 };
                 self.note_outcome(decode, &job.service.health_path, outcome);
                 job.trail.add(Step::Ended {
@@ -337,14 +340,18 @@
     }
 
     /// A stream that may be opened elsewhere is given up when its time in target is over.
-    fn first_event_patience(&self, job: &Job, plan: &PromptPlan) -> Instant {
+    fn first_event_patience(&self, job: &Job, plan: &PromptPlan) -> Patience {
         const EXPECTATION_FACTOR: f64 = 2.0;
+        const SUSPICION_MORE: Duration = Duration::from_millis(100);
         let has_another = job.route.kind.is_repeatable()
             && job.runs + 1 < job.route.maximum_attempts
             && self.budget().left(&job.service.name) >= 1.0;
+        if !has_another {
+            return Patience::new(job, None, None);
+        }
         let expected = Duration::from_secs_f64(plan.expected_ms * EXPECTATION_FACTOR / 1000.0);
-        let patience = job.route.target_latency.max(expected);
-        patience_until(job, has_another.then_some(patience))
+        let limit = job.route.target_latency.max(expected);
+        Patience::new(job, Some(limit), Some(expected + SUSPICION_MORE))
     }
 }
 
--- /dev/null
+++ b/crates/serving/src/pipeline/patience.rs
@@ -0,0 +1,105 @@
+//! How long a back end is waited for.
+//!
+//! An engine that takes long may be at work, or dead without a word: no connection tells. After the time that the
+//! answer should take, its health check is asked beside the wait; one that does not answer it is given up.
+
+use std::future::Future;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::health::Outcome;
+
+use super::Pipeline;
+use super::job::Job;
+use crate::follow::now;
+
+/// Time between two health checks of an engine that is waited for.
+const SUSPICION_REPEAT: Duration = Duration::from_millis(500);
+
+/// How long a back end is waited for.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Patience {
+    /// When the wait ends in any case.
+    pub(super) until: Instant,
+    /// When its health is asked for; none where giving up early would not help.
+    pub(super) suspicious_at: Option<Instant>,
+}
+
+/// Why a wait ended without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum GivenUp {
+    /// Its time was over.
+    Silent,
+    /// The back end did not answer its health check either.
+    Unresponsive,
+}
+
+impl GivenUp {
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Silent => "no_answer_in_time",
+            Self::Unresponsive => "back_end_unresponsive",
+        }
+    }
+
+    pub(super) const fn outcome(self) -> Outcome {
+        match self {
+            Self::Silent => Outcome::Silent,
+            Self::Unresponsive => Outcome::Unreachable,
+        }
+    }
+}
+
+impl Patience {
+    /// Waits until the request's end, or for `limit` where another back end could be asked then.
+    pub(super) fn new(
+        job: &Job,
+        limit: Option<Duration>,
+        suspicious_after: Option<Duration>,
+    ) -> Self {
+        let begun = now();
+        Self {
+            until: limit.map_or(job.end, |limit| (begun + limit).min(job.end)),
+            suspicious_at: suspicious_after.map(|after| begun + after),
+        }
+    }
+}
+
+impl Pipeline {
+    /// Waits for `answer` as long as `patience` says.
+    pub(super) async fn wait_for<T>(
+        self: &Arc<Self>,
+        answer: impl Future<Output = T>,
+        back_end: &Arc<BackEnd>,
+        health_path: &str,
+        patience: Patience,
+    ) -> Result<T, GivenUp> {
+        let mut answer = pin!(answer);
+        let mut suspicious_at = patience.suspicious_at;
+        loop {
+            let asks = suspicious_at.is_some_and(|at| at < patience.until);
+            let next = suspicious_at.filter(|_| asks).unwrap_or(patience.until);
+            let sleep = tokio::time::sleep_until(next.into());
+            tokio::select! {
+                biased;
+                answer = &mut answer => return Ok(answer),
+                () = sleep => {}
+            }
+            if !asks {
+                return Err(GivenUp::Silent);
+            }
+            tokio::select! {
+                biased;
+                answer = &mut answer => return Ok(answer),
+                is_well = self.is_well(back_end, health_path) => {
+                    if !is_well {
+                        return Err(GivenUp::Unresponsive);
+                    }
+                }
+            }
+            suspicious_at = Some(now() + SUSPICION_REPEAT);
+        }
+    }
+}
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -11,10 +11,11 @@
 
 use super::Pipeline;
 use super::answers::Failure;
-use super::attempt::{HeadEnd, SendExtra, patience_until};
+use super::attempt::{HeadEnd, SendOrder};
 use super::guards::LoadGuard;
 use super::intake::{Served, end_to_end};
 use super::job::Job;
+use super::patience::Patience;
 use crate::connections::Reply;
 use crate::dialect::SendStep;
 use crate::follow::now;
@@ -106,7 +107,7 @@
     fn place_plain(&self, job: &mut Job) -> Option<Arc<BackEnd>> {
         let ready = self.state.ready(&job.service.name, now());
         let placement = self.placement();
-        let chosen = placement.choose_plain(&ready, &job.tried, &mut *self.random())?;
+        let chosen = placement.choose_plain(&ready, &job.tried, now(), &mut *self.random())?;
         job.trail.add(Step::Placed {
             purpose: "serve",
             back_end: Arc::clone(&chosen.id),
@@ -122,21 +123,14 @@
         let _load = LoadGuard::new(self, back_end, 0.0);
         let begun = now();
         let patience = self.plain_patience(job);
-        let end = self
-            .send(
-                job,
-                back_end,
-                SendStep::Serve,
-                SendExtra::default(),
-                patience,
-            )
-            .await;
+        let order = SendOrder::new(SendStep::Serve, patience);
+        let end = self.send(job, back_end, order).await;
         let reply = match end {
             HeadEnd::Answered(reply) => reply,
             HeadEnd::NotSent(reason) | HeadEnd::NotRun(reason) => return PlainEnd::NotRun(reason),
             HeadEnd::Unsure(reason) => return PlainEnd::Unsure(reason),
         };
-        let end = self.read_whole(reply, patience).await;
+        let end = self.read_whole(reply, patience.until).await;
         let took = now().saturating_duration_since(begun);
         let (outcome, name, status) = match &end {
             Some(answer) if answer.head.status.is_server_error() => {
@@ -162,11 +156,11 @@
     }
 
     /// A request that may run once more is given up for another back end when its time in target is over.
-    fn plain_patience(&self, job: &Job) -> std::time::Instant {
+    fn plain_patience(&self, job: &Job) -> Patience {
         let has_another = job.route.kind.is_repeatable()
             && job.runs + 1 < job.route.maximum_attempts
             && self.budget().left(&job.service.name) >= 1.0;
-        patience_until(job, has_another.then_some(job.route.target_latency))
+        Patience::new(job, has_another.then_some(job.route.target_latency), None)
     }
 
     /// Reads an answer to its end; none if it breaks off.
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -9,17 +9,18 @@
 use ponddrift_fleet::placement::{HeadUse, PromptPlan};
 
 use super::Pipeline;
-use super::attempt::{HeadEnd, SendExtra, patience_until};
+use super::attempt::{HeadEnd, SendOrder};
 use super::guards::{HeldHandle, LoadGuard};
 use super::job::Job;
+use super::patience::Patience;
 use crate::dialect::SendStep;
 use crate::follow::now;
 use crate::trail::{Step, milliseconds};
 
-/// A prefill engine gets this many times the expected time,
-const PATIENCE_FACTOR: f64 = 4.0;
+/// A prefill engine's health is asked for after this many times the expected time,
+const SUSPICION_FACTOR: f64 = 1.5;
 /// and this much more.
-const PATIENCE_MORE: Duration = Duration::from_millis(600);
+const SUSPICION_MORE: Duration = Duration::from_millis(150);
 
 impl Pipeline {
     /// Has the prompt read; none if that fails, after which nothing has run.
@@ -33,16 +34,19 @@
         let expected_ms = self.expected_prefill_ms(engine, tokens_to_read);
         let was_alone = self.placement().load.requests(&engine.id) < 0.5;
         let _load = LoadGuard::new(self, engine, tokens_to_read);
-        let patience = Duration::from_secs_f64(expected_ms * PATIENCE_FACTOR / 1000.0);
-        let until = patience_until(job, Some(patience + PATIENCE_MORE));
+        let expected = Duration::from_secs_f64(expected_ms / 1000.0);
+        let suspicious_after = expected.mul_f64(SUSPICION_FACTOR) + SUSPICION_MORE;
+        let patience = Patience::new(job, None, Some(suspicious_after));
         let begun = now();
-        let end = self
-            .send(job, engine, SendStep::Prefill, fetch_of(plan), until)
-            .await;
+        let order = SendOrder {
+            fetch_from: plan.fetch_from.as_ref().map(|keeper| keeper.address),
+            ..SendOrder::new(SendStep::Prefill, patience)
+        };
+        let end = self.send(job, engine, order).await;
         let HeadEnd::Answered(reply) = end else {
             return None;
         };
-        let answer = self.read_whole(reply, until).await;
+        let answer = self.read_whole(reply, patience.until).await;
         let took = now().saturating_duration_since(begun);
         let status = answer.as_ref().map(|answer| answer.head.status);
         let result = answer
@@ -108,11 +112,3 @@
         }
     }
 }
-
-/// The fetch that a plan's reader makes.
-pub(super) fn fetch_of(plan: &PromptPlan) -> SendExtra {
-    SendExtra {
-        fetch_from: plan.fetch_from.as_ref().map(|keeper| keeper.address),
-        ..SendExtra::default()
-    }
-}
--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -5,10 +5,12 @@
 
 use http::{Request, StatusCode, header};
 use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::health::Outcome;
 use ponddrift_http::body;
 
 use super::Pipeline;
 use crate::connections::Reply;
+use crate::follow::now;
 
 /// Time for a health check.
 const CHECK_LIMIT: Duration = Duration::from_millis(400);
@@ -48,7 +50,31 @@
         }));
     }
 
-    async fn is_well(self: &Arc<Self>, back_end: &BackEnd, path: &str) -> bool {
+    /// A peer found a back end unwell: it is checked here before a request finds out.
+    pub fn check_on_hint(self: &Arc<Self>, back_end: &Arc<BackEnd>) {
+        let Some(path) = self.health_path(back_end) else {
+            return;
+        };
+        if !self.placement().health.take_hint(&back_end.id, now()) {
+            return;
+        }
+        let pipeline = Arc::clone(self);
+        let back_end = Arc::clone(back_end);
+        self.runtime.spawner.spawn(Box::pin(async move {
+            if !pipeline.is_well(&back_end, &path).await {
+                pipeline.note_outcome(&back_end, &path, Outcome::Unreachable);
+            }
+        }));
+    }
+
+    fn health_path(&self, back_end: &BackEnd) -> Option<Arc<str>> {
+        let in_force = self.state.in_force()?;
+        let service = in_force.configuration.service(&back_end.service)?;
+        Some(Arc::clone(&service.health_path))
+    }
+
+    /// Whether a back end answers its health check in time, as itself.
+    pub(super) async fn is_well(self: &Arc<Self>, back_end: &BackEnd, path: &str) -> bool {
         let request = Request::builder()
             .uri(path)
             .header(header::HOST, back_end.address.to_string())
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -152,10 +152,14 @@
     }
 
     fn complete(&mut self, stream: OpenStream) {
-        let back_end = Arc::clone(&stream.back_end);
         self.note_end(&stream, "answered", Outcome::Success);
+        let time = now().saturating_duration_since(stream.begun);
+        let slots = stream.back_end.slots;
+        let service = &self.job.service.name;
+        self.pipeline
+            .placement()
+            .meter_stream(service, slots, time, now());
         stream.connection.give_back(&stream.head.headers);
-        drop(back_end);
         self.close(200, "served");
     }
 
