Stages planned from the work that all daemons tell; the holder of a lease orders engines

Change: daemons tell the work that their requests bring; the holder of a lease in the store plans and orders (fencing token: its key's revision; expected sequence from the engine's report; engines let run dry first; a new holder waits two leases). Tests: planner, authority under cut, freeze and silent store, orders without answer.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -41,8 +41,6 @@
     pub lifecycle: Lifecycle,
     /// What a model engine does; none for a plain back end.
     pub stage: Option<Stage>,
-    /// Orders it has taken.
-    pub sequence: u64,
 }
 
 #[derive(Debug)]
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -20,7 +20,7 @@
 pub use load::{LoadTable, Outstanding, PeerRow};
 pub use prefixes::{HeadUse, PrefixMemory};
 pub use speed::SpeedTable;
-pub use work::WorkMeter;
+pub use work::{PeerWork, WorkMeter};
 
 /// What a hand-over costs beside the move itself, in milliseconds: two more messages, and its price.
 const HAND_OVER_MS: f64 = 40.0;
@@ -61,6 +61,13 @@
     pub tokens_to_read: f64,
 }
 
+/// An engine that is about to change.
+#[derive(Debug, Clone, Copy)]
+struct Away {
+    until: Instant,
+    own: bool,
+}
+
 /// What choices are based on.
 #[derive(Debug)]
 pub struct Placement {
@@ -76,8 +83,10 @@
     pub prefixes: PrefixMemory,
     /// Work that own requests bring.
     pub work: WorkMeter,
+    /// Work that peers' requests bring.
+    pub peer_work: PeerWork,
     /// Engines that are about to change, and until when they get nothing new.
-    away: HashMap<Arc<str>, Instant>,
+    away: HashMap<Arc<str>, Away>,
 }
 
 impl Placement {
@@ -91,14 +100,16 @@
             speed: SpeedTable::default(),
             prefixes: PrefixMemory::default(),
             work: WorkMeter::default(),
+            peer_work: PeerWork::default(),
             away: HashMap::new(),
         }
     }
 
-    /// An engine is about to change: it gets nothing new for so long.
-    pub fn set_away(&mut self, id: &Arc<str>, time: Duration, now: Instant) {
-        self.away.retain(|_id, until| *until > now);
-        self.away.insert(Arc::clone(id), now + time);
+    /// An engine is about to change: it gets nothing new for so long. `own`: this daemon changes it, and tells peers.
+    pub fn set_away(&mut self, id: &Arc<str>, time: Duration, own: bool, now: Instant) {
+        self.away.retain(|_id, away| away.until > now);
+        let until = now + time;
+        self.away.insert(Arc::clone(id), Away { until, own });
     }
 
     /// An engine that was about to change takes requests again.
@@ -106,8 +117,18 @@
         self.away.remove(id);
     }
 
+    /// Engines that this daemon is about to change, with the time that is left, for telling peers.
+    #[must_use]
+    pub fn away(&self, now: Instant) -> Vec<(Arc<str>, Duration)> {
+        self.away
+            .iter()
+            .filter(|(_id, away)| away.own && away.until > now)
+            .map(|(id, away)| (Arc::clone(id), away.until - now))
+            .collect()
+    }
+
     fn is_away(&self, id: &str, now: Instant) -> bool {
-        self.away.get(id).is_some_and(|until| *until > now)
+        self.away.get(id).is_some_and(|away| away.until > now)
     }
 
     /// Chooses a plain back end, or an engine for a request that tells nothing of its prompt.
--- a/crates/fleet/src/placement/work.rs
+++ b/crates/fleet/src/placement/work.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::stages::StageWork;
 
@@ -11,6 +11,9 @@
 /// Work below which a service is forgotten, in engine-seconds a second.
 const NEGLIGIBLE: f64 = 1e-4;
 
+/// What a peer told is forgotten after this long.
+const TOLD_LIFE: Duration = Duration::from_secs(3);
+
 #[derive(Debug)]
 struct Average {
     work: StageWork,
@@ -52,6 +55,59 @@
     }
 }
 
+/// What peers told of the work that their requests bring.
+#[derive(Debug, Default)]
+pub struct PeerWork {
+    by_peer: HashMap<Arc<str>, Told>,
+}
+
+#[derive(Debug)]
+struct Told {
+    heard: Instant,
+    rates: Vec<(Arc<str>, StageWork)>,
+}
+
+impl PeerWork {
+    /// Takes what a peer tells.
+    pub fn hear(&mut self, peer: &Arc<str>, rates: Vec<(Arc<str>, StageWork)>, now: Instant) {
+        let told = Told { heard: now, rates };
+        self.by_peer.insert(Arc::clone(peer), told);
+    }
+
+    /// Own work and that of all peers. Those that were not heard are taken to bring as much as the others.
+    pub fn with_own(
+        &mut self,
+        own: &[(Arc<str>, StageWork)],
+        daemons: usize,
+        now: Instant,
+    ) -> Vec<(Arc<str>, StageWork)> {
+        self.by_peer
+            .retain(|_peer, told| now.saturating_duration_since(told.heard) < TOLD_LIFE);
+        let heard = self.by_peer.len() + 1;
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred daemons")]
+        let scale = daemons.max(heard) as f64 / heard as f64;
+        let mut sums: Vec<(Arc<str>, StageWork)> = Vec::new();
+        let told = self.by_peer.values().flat_map(|told| &told.rates);
+        for (service, work) in own.iter().chain(told) {
+            let known = sums.iter_mut().find(|(known, _sum)| known == service);
+            match known {
+                Some((_service, sum)) => add(sum, *work),
+                None => sums.push((Arc::clone(service), *work)),
+            }
+        }
+        for (_service, sum) in &mut sums {
+            sum.prefill *= scale;
+            sum.decode *= scale;
+        }
+        sums
+    }
+}
+
+fn add(sum: &mut StageWork, work: StageWork) {
+    sum.prefill += work.prefill;
+    sum.decode += work.decode;
+}
+
 impl Average {
     fn decay(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -18,7 +18,6 @@
         slots: 1,
         lifecycle,
         stage: None,
-        sequence: 0,
     }
 }
 
--- /dev/null
+++ b/crates/fleet/tests/stages.rs
@@ -0,0 +1,128 @@
+//! The stage planner: what it moves, and what it leaves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ponddrift_fleet::configuration::Stage;
+use ponddrift_fleet::directory::{BackEnd, Lifecycle};
+use ponddrift_fleet::stages::{StageChange, StagePlanner, StageWork};
+
+const LOOK: Duration = Duration::from_millis(500);
+
+struct Scene {
+    planner: StagePlanner,
+    engines: Vec<Arc<BackEnd>>,
+    now: Instant,
+    changes: usize,
+}
+
+impl Scene {
+    fn new(prefill: u8, decode: u8) -> Self {
+        let stages = std::iter::repeat_n(Stage::Prefill, usize::from(prefill))
+            .chain(std::iter::repeat_n(Stage::Decode, usize::from(decode)));
+        Self {
+            planner: StagePlanner::default(),
+            engines: stages
+                .zip(1..)
+                .map(|(stage, id)| engine(id, stage))
+                .collect(),
+            now: Instant::now(),
+            changes: 0,
+        }
+    }
+
+    /// Looks for `time` at this work; changes are carried out at once.
+    fn look(&mut self, time: Duration, work: StageWork) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += LOOK;
+            let change = self
+                .planner
+                .plan(&self.engines, work, |_| Some(0.0), self.now);
+            if let Some(change) = change {
+                self.carry_out(&change);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, change: &StageChange) {
+        self.planner.ordered(&change.engine.id, self.now);
+        self.changes += 1;
+        for engine in &mut self.engines {
+            if engine.id == change.engine.id {
+                let mut changed = BackEnd::clone(engine);
+                changed.stage = Some(change.stage);
+                *engine = Arc::new(changed);
+            }
+        }
+    }
+
+    fn prefill(&self) -> usize {
+        let prefill = self
+            .engines
+            .iter()
+            .filter(|engine| engine.stage == Some(Stage::Prefill));
+        prefill.count()
+    }
+}
+
+fn engine(number: u8, stage: Stage) -> Arc<BackEnd> {
+    Arc::new(BackEnd {
+        id: Arc::from(format!("i-{number}")),
+        service: Arc::from("models"),
+        address: SocketAddr::from(([10, 0, 0, number], 8080)),
+        zone: Arc::from("a"),
+        slots: 32,
+        lifecycle: Lifecycle::Ready,
+        stage: Some(stage),
+    })
+}
+
+const fn work(prefill: f64, decode: f64) -> StageWork {
+    StageWork { prefill, decode }
+}
+
+#[test]
+fn balanced_work_changes_nothing() {
+    let mut scene = Scene::new(7, 11);
+    scene.look(Duration::from_secs(60), work(1.5, 1.5));
+    assert_eq!(scene.changes, 0);
+}
+
+#[test]
+fn much_reading_draws_engines_that_have_little_to_do() {
+    let mut scene = Scene::new(7, 11);
+    scene.look(Duration::from_secs(20), work(5.0, 1.0));
+    assert!(scene.prefill() > 7, "{}", scene.prefill());
+    let settled = scene.changes;
+    scene.look(Duration::from_secs(60), work(5.0, 1.0));
+    assert_eq!(scene.changes, settled, "it settles");
+}
+
+#[test]
+fn a_stage_keeps_its_least_share_whatever_the_work() {
+    let mut scene = Scene::new(6, 6);
+    scene.look(Duration::from_secs(120), work(9.0, 0.01));
+    assert!(scene.prefill() <= 6, "half stay with decode");
+    scene.look(Duration::from_secs(120), work(0.01, 9.0));
+    assert!(scene.prefill() >= 3, "a quarter stays with prefill");
+}
+
+#[test]
+fn a_busy_stage_gives_nothing_away() {
+    let mut scene = Scene::new(7, 11);
+    scene.look(Duration::from_secs(60), work(6.0, 6.0));
+    assert_eq!(scene.changes, 0);
+}
+
+#[test]
+fn a_spike_shorter_than_two_looks_changes_nothing() {
+    let mut scene = Scene::new(7, 11);
+    scene.look(Duration::from_secs(10), work(1.0, 1.0));
+    for _ in 0..20 {
+        scene.look(LOOK, work(9.0, 1.0));
+        scene.look(Duration::from_secs(3), work(0.2, 1.0));
+    }
+    assert_eq!(scene.changes, 0);
+}
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -7,12 +7,14 @@
 use ponddrift_http::Server;
 use ponddrift_platform_adapter::{PlatformDialect, PlatformStore};
 use ponddrift_runtime::Runtime;
+use ponddrift_serving::dialect::Dialect;
 use ponddrift_serving::fleet_state::FleetState;
 use ponddrift_serving::metrics::Metrics;
+use ponddrift_serving::orders::OrderSettings;
 use ponddrift_serving::peers::PeerSettings;
 use ponddrift_serving::pipeline::{Pipeline, PipelineSettings};
 use ponddrift_serving::store::{DaemonRecord, FleetStore};
-use ponddrift_serving::{follow, front, peers};
+use ponddrift_serving::{follow, front, orders, peers};
 use tokio::time::Instant;
 
 use crate::settings::Settings;
@@ -45,9 +47,10 @@
             zone: Arc::clone(&settings.zone),
             budget: settings.budget,
         };
+        let dialect: Arc<dyn Dialect> = Arc::new(PlatformDialect);
         let pipeline = Pipeline::new(
             runtime,
-            Arc::new(PlatformDialect),
+            Arc::clone(&dialect),
             Arc::clone(&state),
             Arc::clone(&metrics),
             &pipeline_settings,
@@ -71,6 +74,18 @@
         peers::start(runtime, peer_settings, &state, &pipeline)
             .await
             .wrap_err("listen.peers cannot be bound: is another process there?")?;
+        let order_settings = OrderSettings {
+            holder: Arc::clone(&settings.name),
+            lease: settings.order_lease,
+        };
+        orders::start(
+            runtime,
+            &order_settings,
+            &store,
+            &dialect,
+            &state,
+            &pipeline,
+        );
         tracing::info!(
             daemon = &*settings.name,
             zone = &*settings.zone,
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -36,6 +36,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Bounds of repeats.
     pub budget: BudgetSettings,
+    /// Life of the lease under which one daemon orders engines.
+    pub order_lease: Duration,
     /// A planned stop.
     pub stop: StopSettings,
     /// Filter of the log.
@@ -92,6 +94,7 @@
         ratio: reader.fraction("retry.budget_ratio", 0.2, 0.0..=10.0),
         slack: reader.fraction("retry.budget_slack", 10.0, 0.0..=100_000.0),
     };
+    let order_lease = reader.milliseconds("orders.lease_ms", 3_000, 1_000..=HOUR_MS);
     let stop = stop_settings(&mut reader);
     let log_filter = reader
         .parsed(
@@ -110,6 +113,7 @@
         store,
         seeds,
         budget,
+        order_lease,
         stop,
         log_filter,
     })
--- /dev/null
+++ b/crates/serve/tests/orders.rs
@@ -0,0 +1,123 @@
+//! Orders to engines: one holder at a time, and none that a holder without authority gives.
+
+mod support;
+
+use std::time::Duration;
+
+use ponddrift_platform_stand_ins::{ClientRequest, OrderNote, StoreMode};
+use support::{Fleet, Size};
+use tokio::time::sleep;
+
+/// As in the daemons' settings.
+const LEASE: Duration = Duration::from_secs(3);
+
+const SIZE: Size = Size {
+    daemons: 3,
+    records: 1,
+    prefill: 2,
+    decode: 6,
+};
+
+/// Long prompts for `time`: prefill engines have much to do, decode engines little.
+fn read_much(fleet: &mut Fleet, time: Duration) {
+    let client = fleet.client.clone();
+    let daemons: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.callers).collect();
+    fleet.run(async move {
+        let end = tokio::time::Instant::now() + time;
+        let mut number = 0_u32;
+        while tokio::time::Instant::now() < end {
+            for target in &daemons {
+                number += 1;
+                let mut request =
+                    ClientRequest::prompt(&format!("r{number}"), "verdict", 0, 20_000);
+                request.deadline_ms = 4_000;
+                let (client, target) = (client.clone(), *target);
+                tokio::task::spawn_local(async move { client.ask(target, &request).await });
+            }
+            sleep(Duration::from_millis(1_300)).await;
+        }
+    });
+}
+
+fn orders(fleet: &Fleet) -> Vec<OrderNote> {
+    let engines = fleet.prefill.iter().chain(&fleet.decode);
+    let mut orders: Vec<OrderNote> = engines.flat_map(|engine| engine.orders()).collect();
+    orders.sort_by_key(|order| order.at);
+    orders
+}
+
+fn assert_one_at_a_time(orders: &[OrderNote]) {
+    for pair in orders.windows(2) {
+        if pair[0].holder != pair[1].holder {
+            assert!(pair[1].fence > pair[0].fence, "{pair:?}");
+            assert!(pair[1].at - pair[0].at > LEASE, "they take turns: {pair:?}");
+        }
+    }
+}
+
+#[test]
+fn much_reading_moves_engines_and_one_holder_orders_it() {
+    let mut fleet = Fleet::new(SIZE);
+    read_much(&mut fleet, Duration::from_secs(20));
+    let orders = orders(&fleet);
+    assert!(orders.iter().any(|order| order.taken), "{orders:?}");
+    let holders: std::collections::BTreeSet<_> = orders.iter().map(|order| &order.holder).collect();
+    assert_eq!(holders.len(), 1);
+    assert_one_at_a_time(&orders);
+}
+
+#[test]
+fn a_holder_that_is_cut_from_the_store_stops_and_another_waits_its_turn() {
+    let mut fleet = Fleet::new(SIZE);
+    read_much(&mut fleet, Duration::from_secs(12));
+    let first = orders(&fleet).last().expect("an order").holder.clone();
+    let number = usize::from(first.as_bytes().last().expect("a digit") - b'1');
+    let handle = fleet.simulation.handle();
+    handle.cut(fleet.daemons[number].host, fleet.store_host);
+    read_much(&mut fleet, Duration::from_secs(5));
+    handle.heal_all();
+    read_much(&mut fleet, Duration::from_secs(15));
+    assert_one_at_a_time(&orders(&fleet));
+}
+
+#[test]
+fn a_holder_frozen_past_its_lease_orders_nothing_when_it_wakes() {
+    let mut fleet = Fleet::new(SIZE);
+    read_much(&mut fleet, Duration::from_secs(12));
+    let first = orders(&fleet).last().expect("an order").clone();
+    let number = usize::from(first.holder.as_bytes().last().expect("a digit") - b'1');
+    let handle = fleet.simulation.handle();
+    handle.freeze(fleet.daemons[number].host);
+    fleet.wait(Duration::from_secs(8));
+    let before = orders(&fleet).len();
+    handle.thaw(fleet.daemons[number].host);
+    fleet.wait(Duration::from_secs(2));
+    let since: Vec<_> = orders(&fleet).split_off(before);
+    assert!(
+        since.iter().all(|order| order.fence != first.fence),
+        "{since:?}"
+    );
+    assert_one_at_a_time(&orders(&fleet));
+}
+
+#[test]
+fn no_order_leaves_while_the_store_is_away() {
+    let mut fleet = Fleet::new(SIZE);
+    fleet.wait(Duration::from_secs(8));
+    fleet.store.set_mode(StoreMode::Silent);
+    fleet.wait(LEASE);
+    read_much(&mut fleet, Duration::from_secs(15));
+    assert!(orders(&fleet).is_empty());
+}
+
+#[test]
+fn an_order_without_an_answer_is_not_given_again_for_long() {
+    let mut fleet = Fleet::new(SIZE);
+    for engine in &fleet.decode {
+        engine.lose_order_answers();
+    }
+    read_much(&mut fleet, Duration::from_secs(14));
+    for engine in &fleet.decode {
+        assert!(engine.orders().len() <= 1, "{:?}", engine.orders());
+    }
+}
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{HeaderMap, Method, response};
+use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::prompt::Prompt;
 
 /// What a caller's request head tells.
@@ -82,6 +84,45 @@
     pub path: String,
 }
 
+/// What an engine says of its state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineReport {
+    /// Its stage.
+    pub stage: Option<Stage>,
+    /// Whether an order is under way.
+    pub is_changing: bool,
+    /// Orders that it has taken.
+    pub sequence: u64,
+}
+
+/// An order to an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct OrderFacts<'a> {
+    /// The life that must take it.
+    pub back_end: &'a str,
+    /// The stage that it is to have.
+    pub stage: Stage,
+    /// Who orders.
+    pub holder: &'a str,
+    /// Fencing token.
+    pub fence: u64,
+    /// Orders that it has taken so far; with another count it does not take this one.
+    pub expected_sequence: u64,
+}
+
+/// A call with a body.
+#[derive(Debug, Clone)]
+pub struct BodyCall {
+    /// Method.
+    pub method: Method,
+    /// Path.
+    pub path: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
 /// The words of callers and back ends.
 pub trait Dialect: Send + Sync + 'static {
     /// Reads the head of a caller's request.
@@ -96,6 +137,12 @@
     fn read_prefill(&self, body: &[u8]) -> Option<PrefillResult>;
     /// The call that frees a handle.
     fn release_handle(&self, handle: &str) -> SmallCall;
+    /// The call that asks an engine for its state.
+    fn report(&self) -> SmallCall;
+    /// Reads the answer to it.
+    fn read_report(&self, body: &[u8]) -> Option<EngineReport>;
+    /// The call that orders an engine.
+    fn order(&self, facts: &OrderFacts<'_>) -> BodyCall;
     /// Identity that a health check's answer names.
     fn health_identity<'a>(&self, headers: &'a HeaderMap) -> Option<&'a str>;
     /// Adds to an answer of our own whose request it answers.
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -55,6 +55,7 @@
     in_force: Option<Arc<InForce>>,
     directory: Directory,
     daemons: HashMap<Arc<str>, SocketAddr>,
+    order_holder: Option<Arc<str>>,
     items: IndexMap<String, Item>,
     newest: u64,
     last_store_failure: Option<Instant>,
@@ -108,6 +109,12 @@
             .collect()
     }
 
+    /// The daemon that holds the right to order engines, as far as is known.
+    #[must_use]
+    pub fn order_holder(&self) -> Option<Arc<str>> {
+        self.lock().order_holder.clone()
+    }
+
     /// Newest revision of any item.
     #[must_use]
     pub fn newest_revision(&self) -> u64 {
@@ -233,6 +240,14 @@
                 tracing::info!(daemon = %name, "daemon_left");
                 self.daemons.remove(&name);
             }
+            Decoded::OrderHolder(holder) => {
+                tracing::info!(%holder, revision, source = source.as_str(), "order_holder");
+                self.order_holder = Some(holder);
+            }
+            Decoded::OrderHolderGone => {
+                tracing::info!(revision, source = source.as_str(), "order_holder_gone");
+                self.order_holder = None;
+            }
             Decoded::Other => {}
         }
     }
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -13,6 +13,7 @@
 
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::placement::{HeadUse, Outstanding, PeerRow};
+use ponddrift_fleet::stages::StageWork;
 use ponddrift_runtime::{BoxedDatagram, Runtime};
 use rand::seq::SliceRandom;
 use rand::{RngExt as _, SeedableRng};
@@ -22,7 +23,7 @@
 use crate::fleet_state::FleetState;
 use crate::follow::now;
 use crate::pipeline::Pipeline;
-use message::{Digest, HeadRow, MAXIMUM_DATAGRAM, WorkRow};
+use message::{AwayRow, Digest, HeadRow, MAXIMUM_DATAGRAM, ServiceWorkRow, WorkRow};
 
 /// Time between two datagrams to peers.
 const TELL_INTERVAL: Duration = Duration::from_millis(500);
@@ -126,6 +127,8 @@
         let rows = placement.load.own_rows();
         let heads = placement.prefixes.take_untold();
         let unwell = placement.health.ejected();
+        let away = placement.away(now());
+        let work = placement.work.rates(now());
         drop(placement);
         Digest {
             daemon: self.settings.name.to_string(),
@@ -133,6 +136,8 @@
             rows: rows.iter().map(to_wire).collect(),
             heads: heads.iter().map(head_to_wire).collect(),
             unwell: unwell.iter().map(|id| xxh3_64(id.as_bytes())).collect(),
+            away: away.iter().map(away_to_wire).collect(),
+            work: work.iter().map(work_to_wire).collect(),
         }
     }
 
@@ -161,6 +166,14 @@
         for usage in digest.heads.iter().filter_map(|row| known.head(row)) {
             placement.prefixes.used_by_peer(&usage, now());
         }
+        for row in &digest.away {
+            if let Some(engine) = known.find(row.engine) {
+                let time = Duration::from_millis(u64::from(row.time_ms));
+                placement.set_away(&engine.id, time, false, now());
+            }
+        }
+        let work = digest.work.iter().map(work_from_wire).collect();
+        placement.peer_work.hear(&peer, work, now());
         drop(placement);
         for back_end in digest.unwell.iter().filter_map(|hash| known.find(*hash)) {
             self.pipeline.check_on_hint(back_end);
@@ -240,3 +253,34 @@
         prompt_tokens: row.outstanding.prompt_tokens as u32,
     }
 }
+
+fn away_to_wire((id, time): &(Arc<str>, Duration)) -> AwayRow {
+    AwayRow {
+        engine: xxh3_64(id.as_bytes()),
+        time_ms: u16::try_from(time.as_millis()).unwrap_or(u16::MAX),
+    }
+}
+
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1000.0;
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "rates are small and not negative"
+)]
+fn work_to_wire((service, work): &(Arc<str>, StageWork)) -> ServiceWorkRow {
+    ServiceWorkRow {
+        service: service.to_string(),
+        prefill: (work.prefill * MS_PER_S) as u32,
+        decode: (work.decode * MS_PER_S) as u32,
+    }
+}
+
+fn work_from_wire(row: &ServiceWorkRow) -> (Arc<str>, StageWork) {
+    let work = StageWork {
+        prefill: f64::from(row.prefill) / MS_PER_S,
+        decode: f64::from(row.decode) / MS_PER_S,
+    };
+    (Arc::from(row.service.as_str()), work)
+}
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -5,11 +5,15 @@
 /// Longest datagram in bytes; stays within one packet.
 pub(super) const MAXIMUM_DATAGRAM: usize = 1400;
 /// Rows that surely fit.
-const MAXIMUM_ROWS: usize = 45;
+const MAXIMUM_ROWS: usize = 40;
 /// Heads that surely fit beside them.
-const MAXIMUM_HEADS: usize = 20;
+const MAXIMUM_HEADS: usize = 15;
 /// Unwell back ends that surely fit beside them.
-const MAXIMUM_UNWELL: usize = 30;
+const MAXIMUM_UNWELL: usize = 16;
+/// Engines about to change that surely fit beside them.
+const MAXIMUM_AWAY: usize = 8;
+/// Services that surely fit beside them.
+const MAXIMUM_SERVICES: usize = 4;
 /// Version of the message; daemons of other versions are not heard.
 const VERSION: u8 = 1;
 
@@ -26,6 +30,30 @@
     pub(super) heads: Vec<HeadRow>,
     /// Hashes of back ends that it found unwell.
     pub(super) unwell: Vec<u64>,
+    /// Engines that are about to change.
+    pub(super) away: Vec<AwayRow>,
+    /// Work that its requests bring.
+    pub(super) work: Vec<ServiceWorkRow>,
+}
+
+/// An engine that gets nothing new for a while.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct AwayRow {
+    /// Hash of the engine's identity.
+    pub(super) engine: u64,
+    /// How long, in milliseconds.
+    pub(super) time_ms: u16,
+}
+
+/// Work of one service, in engine-milliseconds a second.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct ServiceWorkRow {
+    /// Service.
+    pub(super) service: String,
+    /// Reading prompts apart.
+    pub(super) prefill: u32,
+    /// Generating, and reading short prompts.
+    pub(super) decode: u32,
 }
 
 /// A prompt's head at an engine.
@@ -56,6 +84,8 @@
         self.rows.truncate(MAXIMUM_ROWS);
         self.heads.truncate(MAXIMUM_HEADS);
         self.unwell.truncate(MAXIMUM_UNWELL);
+        self.away.truncate(MAXIMUM_AWAY);
+        self.work.truncate(MAXIMUM_SERVICES);
         let bytes = borsh::to_vec(&(VERSION, self)).ok()?;
         (bytes.len() <= MAXIMUM_DATAGRAM).then_some(bytes)
     }
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -18,6 +18,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use futures::future::BoxFuture;
 use http::{HeaderValue, Request, Response, header};
@@ -25,6 +26,7 @@
 use ponddrift_fleet::budget::{BudgetSettings, RetryBudget};
 use ponddrift_fleet::placement::Placement;
 use ponddrift_fleet::routes::SplitDealer;
+use ponddrift_fleet::stages::StageWork;
 use ponddrift_http::Body;
 use ponddrift_runtime::Runtime;
 use rand::SeedableRng;
@@ -34,6 +36,7 @@
 use crate::connections::Connections;
 use crate::dialect::Dialect;
 use crate::fleet_state::FleetState;
+use crate::follow::now;
 use crate::metrics::Metrics;
 
 /// Settings of the pipeline.
@@ -142,6 +145,27 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    /// An engine is about to change: it gets nothing new for so long, here and at peers.
+    pub fn engine_away(&self, id: &Arc<str>, time: Duration) {
+        self.placement().set_away(id, time, true, now());
+        self.heavy_work_changed.notify_one();
+    }
+
+    /// An engine that was about to change takes requests again.
+    pub fn engine_back(&self, id: &str) {
+        self.placement().set_back(id);
+    }
+
+    /// Work of every service, of all daemons.
+    #[must_use]
+    pub fn work_of_all(&self) -> Vec<(Arc<str>, StageWork)> {
+        let now = now();
+        let mut placement = self.placement();
+        let own = placement.work.rates(now);
+        let daemons = self.daemons.load(Ordering::Relaxed);
+        placement.peer_work.with_own(&own, daemons, now)
+    }
+
     /// Forgets back ends that are gone, and closes idle connections.
     pub fn tidy(&self) {
         let present: std::collections::HashSet<Arc<str>> = self
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -52,6 +52,10 @@
     Daemon(DaemonRecord),
     /// A daemon whose lease ended.
     DaemonGone(Arc<str>),
+    /// The daemon that holds the right to order engines.
+    OrderHolder(Arc<str>),
+    /// Nobody holds it.
+    OrderHolderGone,
     /// Something that does not concern us.
     Other,
 }
@@ -129,6 +133,8 @@
         daemon: &DaemonRecord,
         lease: Lease,
     ) -> BoxFuture<'_, Result<(), StoreError>>;
+    /// Writes the holder of the right to order engines under its lease, where there is none. Returns the revision.
+    fn take_orders(&self, holder: &str, lease: Lease) -> BoxFuture<'_, Result<u64, StoreError>>;
     /// What an item means.
     ///
     /// # Errors
