--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use ponddrift_fleet::budget::{BudgetSettings, RetryBudget};
 use ponddrift_fleet::directory::{BackEnd, DOUBT_GRACE, Directory, Lifecycle};
