Fault soak: real daemons, faults from outside, a fresh seed each time

ponddrift-soak starts real daemons around stand-ins of the platform, drives load, strikes with kills, freezes, planned stops, store and engine troubles drawn from a seed, and checks what must hold.

--- /dev/null
+++ b/crates/soak/src/checks.rs
@@ -0,0 +1,167 @@
+//! What must always hold, looked at after a run.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use http::StatusCode;
+use ponddrift_platform_stand_ins::{OrderNote, Run};
+use tokio::time::Instant;
+
+use crate::load::Asked;
+use crate::platform::Member;
+
+/// An engine gets nothing new this long after it left, as the platform's bound says, and a little for the runs that
+/// were on their way.
+const DRAIN_BOUND: Duration = Duration::from_millis(2_200);
+/// Life of the lease under which engines are ordered.
+const ORDER_LEASE: Duration = Duration::from_secs(3);
+/// Events of a whole stream.
+const EVENTS: [&str; 4] = ["1", "2", "3", "4"];
+
+/// One thing that did not hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Violation {
+    /// Which rule.
+    pub rule: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+/// Times in which the store was in trouble, or every daemon was disturbed.
+#[derive(Debug, Default, Clone)]
+pub struct Troubles(pub Vec<(Instant, Instant)>);
+
+impl Troubles {
+    /// Whether any of them touches the time between `from` and `to`.
+    #[must_use]
+    pub fn touch(&self, from: Instant, to: Instant) -> bool {
+        self.0
+            .iter()
+            .any(|(begin, end)| *begin <= to && *end >= from)
+    }
+}
+
+/// Checks all that was asked against all that ran.
+#[must_use]
+pub fn check(asked: &[Asked], members: &[Member], troubles: &Troubles) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let mut runs: HashMap<String, Vec<(String, Run)>> = HashMap::new();
+    for member in members {
+        for run in member.engine.runs() {
+            let of_request = runs.entry(run.request.clone()).or_default();
+            of_request.push((member.engine.id().to_owned(), run));
+        }
+    }
+    for one in asked {
+        let none = Vec::new();
+        let of_request = runs.get(&one.request.id).unwrap_or(&none);
+        check_request(one, of_request, &mut violations);
+    }
+    check_drains(members, troubles, &mut violations);
+    check_orders(members, &mut violations);
+    violations
+}
+
+fn check_request(asked: &Asked, runs: &[(String, Run)], violations: &mut Vec<Violation>) {
+    let id = &asked.request.id;
+    let whole_runs = runs.iter().filter(|(_engine, run)| !run.is_prefill).count();
+    let is_repeatable = matches!(asked.request.route, "fetch" | "tag");
+    if !is_repeatable && whole_runs > 1 {
+        violations.push(Violation {
+            rule: "at most once",
+            seen: format!("{id} ran {whole_runs} times"),
+        });
+    }
+    let Some(answer) = &asked.answer else {
+        return;
+    };
+    let promises = matches!(
+        answer.status,
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+    );
+    if promises && !is_repeatable && whole_runs > 0 {
+        violations.push(Violation {
+            rule: "a refusal did not run",
+            seen: format!("{id} got {} and ran", answer.status),
+        });
+    }
+    if !answer.status.is_success() {
+        return;
+    }
+    let ran_there = answer.signed_by().is_some_and(|engine| {
+        let mut engines = runs.iter().map(|(engine, _run)| engine);
+        engines.any(|ran| ran == engine)
+    });
+    if !ran_there {
+        violations.push(Violation {
+            rule: "an answer is its engine's",
+            seen: format!("{id} signed by {:?}", answer.signed_by()),
+        });
+    }
+    check_body(asked, violations);
+}
+
+fn check_body(asked: &Asked, violations: &mut Vec<Violation>) {
+    let (Some(answer), id) = (&asked.answer, &asked.request.id) else {
+        return;
+    };
+    let text = answer.text();
+    let is_right = if asked.request.prompt.is_some() {
+        let ids: Vec<&str> = text
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: "))
+            .collect();
+        EVENTS.starts_with(&ids) && (!answer.is_whole || ids == EVENTS)
+    } else {
+        !answer.is_whole || text.ends_with(&format!(" to {id}"))
+    };
+    if !is_right {
+        violations.push(Violation {
+            rule: "an answer is whole and its own",
+            seen: format!("{id} got {text:?}, whole: {}", answer.is_whole),
+        });
+    }
+}
+
+fn check_drains(members: &[Member], troubles: &Troubles, violations: &mut Vec<Violation>) {
+    for member in members {
+        let Some(left) = member.left else {
+            continue;
+        };
+        let late = member
+            .engine
+            .runs()
+            .into_iter()
+            .filter(|run| run.begun > left + DRAIN_BOUND)
+            .filter(|run| !troubles.touch(left, run.begun));
+        for run in late {
+            violations.push(Violation {
+                rule: "an engine that leaves gets nothing new",
+                seen: format!(
+                    "{} at {} {:?} after it left",
+                    run.request,
+                    member.engine.id(),
+                    run.begun - left
+                ),
+            });
+        }
+    }
+}
+
+fn check_orders(members: &[Member], violations: &mut Vec<Violation>) {
+    let mut orders: Vec<OrderNote> = members
+        .iter()
+        .flat_map(|member| member.engine.orders())
+        .collect();
+    orders.sort_by_key(|order| order.at);
+    for pair in orders.windows(2) {
+        let changes = pair[0].holder != pair[1].holder;
+        let too_soon = pair[1].at - pair[0].at <= ORDER_LEASE;
+        if changes && (too_soon || pair[1].fence <= pair[0].fence) {
+            violations.push(Violation {
+                rule: "one holder orders at a time",
+                seen: format!("{pair:?}"),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/load.rs
@@ -0,0 +1,100 @@
+//! Callers: they ask all the while, and note what they were told.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ponddrift_platform_stand_ins::{Answer, ClientRequest, ClientStandIn};
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::time::{Instant, sleep, timeout};
+
+/// What a caller waits beyond its deadline before it says that there was no answer.
+const BEYOND_DEADLINE: Duration = Duration::from_millis(1_500);
+/// Pause between two requests of one caller.
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// What became of one request.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    /// The request.
+    pub request: ClientRequest,
+    /// Which daemon was asked.
+    pub daemon: SocketAddr,
+    /// When.
+    pub at: Instant,
+    /// When it ended.
+    pub ended: Instant,
+    /// The answer; none if the connection ended, or nothing came.
+    pub answer: Option<Answer>,
+    /// Whether the caller left early.
+    pub left: bool,
+}
+
+/// Daemons that callers are sent to, and all that was asked.
+#[derive(Default)]
+pub struct LoadState {
+    /// Daemons that are in.
+    pub targets: Mutex<Vec<SocketAddr>>,
+    /// What became of every request.
+    pub asked: Mutex<Vec<Asked>>,
+}
+
+impl LoadState {
+    fn target(&self, random: &mut Pcg64Mcg) -> Option<SocketAddr> {
+        let targets = self.targets.lock().expect("no holder panics");
+        targets.choose(random).copied()
+    }
+
+    fn note(&self, asked: Asked) {
+        self.asked.lock().expect("no holder panics").push(asked);
+    }
+}
+
+/// One caller, until `end`.
+pub async fn call(
+    client: ClientStandIn,
+    state: Arc<LoadState>,
+    number: u64,
+    seed: u64,
+    end: Instant,
+) {
+    let mut random = Pcg64Mcg::seed_from_u64(seed ^ (number + 1));
+    let mut count = 0_u64;
+    while Instant::now() < end {
+        sleep(PAUSE).await;
+        let Some(daemon) = state.target(&mut random) else {
+            continue;
+        };
+        count += 1;
+        let request = draw(&mut random, &format!("c{number}-{count}"));
+        let leaves = random.random_bool(0.05);
+        let patience = if leaves {
+            Duration::from_millis(random.random_range(1..120))
+        } else {
+            Duration::from_millis(request.deadline_ms) + BEYOND_DEADLINE
+        };
+        let at = Instant::now();
+        let answer = timeout(patience, client.ask(daemon, &request)).await;
+        let left = leaves && answer.is_err();
+        state.note(Asked {
+            request,
+            daemon,
+            at,
+            ended: Instant::now(),
+            answer: answer.ok().flatten(),
+            left,
+        });
+    }
+}
+
+fn draw(random: &mut Pcg64Mcg, id: &str) -> ClientRequest {
+    match random.random_range(0..5) {
+        0 => ClientRequest::plain(id, "post"),
+        1 => ClientRequest::plain(id, "fetch"),
+        2 => ClientRequest::prompt(id, "tag", 40, 200),
+        3 => ClientRequest::prompt(id, "verdict", 40, 200),
+        _ => ClientRequest::prompt(id, "verdict", 5_000, 900),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/platform.rs
@@ -0,0 +1,139 @@
+//! The stand-ins around the daemons.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use eyre::Result;
+use ponddrift_platform_stand_ins::{
+    EngineSettings, EngineStandIn, EngineTraitsText, RouteText, ServiceText, StoreStandIn, config,
+};
+use ponddrift_runtime::Runtime;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+/// Service of plain servers.
+pub const RECORDS: &str = "records";
+/// Service of model engines.
+pub const MODELS: &str = "models";
+/// The route that configurations add and remove.
+pub const CHANGING: &str = "changing";
+/// Time of a plain run.
+const RUN_TIME: Duration = Duration::from_millis(15);
+
+/// An engine with what the run did to it.
+pub struct Member {
+    /// The engine.
+    pub engine: EngineStandIn,
+    /// When it said that it drains, or vanished.
+    pub left: Option<Instant>,
+}
+
+/// Store and engines.
+pub struct Platform {
+    /// Surroundings of the stand-ins.
+    pub runtime: Runtime,
+    /// The store.
+    pub store: StoreStandIn,
+    /// Every engine that was ever there.
+    pub members: Vec<Member>,
+    /// Version of the newest configuration.
+    pub version: u64,
+    /// Whether the changing route is in it.
+    pub has_changing: bool,
+}
+
+impl Platform {
+    /// A platform with engines and a first configuration.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub async fn start(seed: u64) -> Result<Self> {
+        let mut platform = Self {
+            runtime: Runtime::system(seed),
+            store: StoreStandIn::default(),
+            members: Vec::new(),
+            version: 0,
+            has_changing: false,
+        };
+        for _ in 0..3 {
+            platform.add_engine(RECORDS, None).await?;
+        }
+        for _ in 0..2 {
+            platform.add_engine(MODELS, Some("prefill")).await?;
+        }
+        for _ in 0..4 {
+            platform.add_engine(MODELS, Some("decode")).await?;
+        }
+        platform.configure(false);
+        Ok(platform)
+    }
+
+    /// Adds an engine that is ready.
+    ///
+    /// # Errors
+    /// When no port is free.
+    pub async fn add_engine(&mut self, service: &str, stage: Option<&'static str>) -> Result<()> {
+        let engine = EngineStandIn::new(EngineSettings {
+            id: format!("i-{}", self.members.len() + 1),
+            service: service.to_owned(),
+            address: free_address().await?,
+            zone: String::from("a"),
+            stage,
+            run_time: RUN_TIME,
+        });
+        // The server lives as long as the process.
+        std::mem::forget(engine.serve(&self.runtime).await?);
+        engine.record(&self.store, "ready");
+        self.members.push(Member { engine, left: None });
+        Ok(())
+    }
+
+    /// Writes the next configuration, with or without the changing route.
+    pub fn configure(&mut self, has_changing: bool) {
+        self.version += 3;
+        self.has_changing = has_changing;
+        self.store
+            .put("op/config", configuration(self.version, has_changing));
+    }
+}
+
+fn configuration(version: u64, has_changing: bool) -> String {
+    let mut routes = vec![
+        RouteText {
+            attempts: 1,
+            ..RouteText::new("post", "unsafe", RECORDS)
+        },
+        RouteText::new("fetch", "safe", RECORDS),
+        RouteText {
+            attempts: 1,
+            ..RouteText::new("verdict", "streaming", MODELS)
+        },
+        RouteText {
+            resumable: true,
+            ..RouteText::new("tag", "streaming", MODELS)
+        },
+    ];
+    if has_changing {
+        routes.push(RouteText::new(CHANGING, "safe", RECORDS));
+    }
+    let services = [
+        ServiceText {
+            name: RECORDS,
+            engine: None,
+        },
+        ServiceText {
+            name: MODELS,
+            engine: Some(EngineTraitsText { slots: 16 }),
+        },
+    ];
+    config(version, &routes, &services)
+}
+
+/// An address on loopback that was free a moment ago.
+///
+/// # Errors
+/// When no port is free.
+pub async fn free_address() -> Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    Ok(listener.local_addr()?)
+}
