--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -26,9 +26,13 @@
 const HAND_OVER_MS: f64 = 40.0;
 /// Cost of a way into another zone, in milliseconds.
 const OTHER_ZONE_MS: f64 = 2.0;
-/// Tokens of an unknown head that its home is taken to read: a little less than others, since another daemon may
-/// have sent it there just now.
+/// Share of an unknown head that its home is taken to read, where all peers tell this daemon what they send: a little
+/// less than others, since one may have sent it there just now.
 const HOME_READ_SHARE: f64 = 0.85;
+/// The same where no peer tells it: most heads have been asked for before, by one daemon or another.
+const HOME_READ_SHARE_UNTOLD: f64 = 0.3;
+/// Other engines fetch from the home what it may keep; that they gain so is counted at this share.
+const HOME_FETCH_TRUST: f64 = 0.5;
 /// What a fetch costs beside the move itself, in milliseconds: its start, and its price.
 const FETCH_MS: f64 = 15.0;
 /// A head of fewer tokens is not worth a fetch.
@@ -81,6 +85,8 @@
     pub speed: SpeedTable,
     /// Prompt heads that engines are believed to keep.
     pub prefixes: PrefixMemory,
+    /// Share of the peers' sends that this daemon hears of.
+    pub told_share: f64,
     /// Work that own requests bring.
     pub work: WorkMeter,
     /// Work that peers' requests bring.
@@ -99,6 +105,7 @@
             health: Health::default(),
             speed: SpeedTable::default(),
             prefixes: PrefixMemory::default(),
+            told_share: 1.0,
             work: WorkMeter::default(),
             peer_work: PeerWork::default(),
             away: HashMap::new(),
@@ -304,6 +311,12 @@
         }
     }
 
+    /// Share of an unknown head that its home is taken to read, by how many of the peers tell what they send.
+    fn home_read_share(&self) -> f64 {
+        let untold = 1.0 - self.told_share;
+        HOME_READ_SHARE - untold * (HOME_READ_SHARE - HOME_READ_SHARE_UNTOLD)
+    }
+
     fn decode_weight(&self) -> f64 {
         DECODE_READ_WEIGHT / self.speed.decode_tokens_per_ms()
     }
@@ -377,10 +390,19 @@
                 fetch_from: Some(Arc::clone(keeper)),
             };
         }
-        if prefixes::home(rivals, head).is_some_and(|home| home.id == back_end.id) {
-            return read(own + shared * HOME_READ_SHARE);
+        let Some(home) = prefixes::home(rivals, head) else {
+            return read(own + shared);
+        };
+        let home_reads = self.placement.home_read_share();
+        if home.id == back_end.id {
+            return read(own + shared * home_reads);
+        }
+        let saved = (HOME_READ_SHARE - home_reads) * HOME_FETCH_TRUST;
+        Work {
+            tokens: own + shared * (1.0 - saved),
+            fetch_ms: 0.0,
+            fetch_from: Some(Arc::clone(home)),
         }
-        read(own + shared)
     }
 
     fn nearest_keeper(&self, back_end: &BackEnd) -> Option<&Arc<BackEnd>> {
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -65,7 +65,13 @@
             name: Arc::clone(&settings.name),
             peer_address: settings.peers,
         };
-        follow::start(runtime, &store, &state, record);
+        follow::start(
+            runtime,
+            &store,
+            &state,
+            record,
+            settings.store_reads_per_second,
+        );
         let peer_settings = PeerSettings {
             name: Arc::clone(&settings.name),
             address: settings.peers,
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -32,6 +32,8 @@
     pub peers: SocketAddr,
     /// The store.
     pub store: SocketAddr,
+    /// Reads that the store takes in a second from all daemons together.
+    pub store_reads_per_second: f64,
     /// Peers to begin with; the port is that of `listen.peers`.
     pub seeds: Vec<SocketAddr>,
     /// Bounds of repeats.
@@ -89,6 +91,7 @@
     let readiness = address(&mut reader, "listen.readiness").unwrap_or(nowhere);
     let peers = address(&mut reader, "listen.peers").unwrap_or(nowhere);
     let store = address(&mut reader, "store.address").unwrap_or(nowhere);
+    let store_reads_per_second = reader.fraction("store.reads_per_s", 2_000.0, 1.0..=1e9);
     let seeds = reader.addresses("peers.seeds", false);
     let budget = BudgetSettings {
         ratio: reader.fraction("retry.budget_ratio", 0.2, 0.0..=10.0),
@@ -111,6 +114,7 @@
         readiness,
         peers,
         store,
+        store_reads_per_second,
         seeds,
         budget,
         order_lease,
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -91,6 +91,7 @@
             tokio::time::sleep(GATHERING_TIME).await;
             let mut targets = self.targets();
             self.pipeline.set_daemons(targets.len() + 1);
+            self.pipeline.placement().told_share = told_share(targets.len());
             let Some(bytes) = self.digest().encode() else {
                 continue;
             };
@@ -241,6 +242,12 @@
     }
 }
 
+/// Share of the peers' sends that a daemon hears of, where each tells some of them.
+#[expect(clippy::cast_precision_loss, reason = "a few hundred daemons")]
+fn told_share(peers: usize) -> f64 {
+    (TOLD_AT_ONCE as f64 / peers.max(1) as f64).min(1.0)
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -117,8 +117,8 @@
 
 /// The store.
 pub trait FleetStore: Send + Sync + 'static {
-    /// Reads everything of interest.
-    fn read_all(&self) -> BoxFuture<'_, Result<Snapshot, StoreError>>;
+    /// Reads everything of interest, as it is (`linearizable`), or for less as it was lately.
+    fn read_all(&self, linearizable: bool) -> BoxFuture<'_, Result<Snapshot, StoreError>>;
     /// Waits for changes after a revision, at most `wait`.
     fn changes(&self, after: u64, wait: Duration) -> BoxFuture<'_, Result<Changes, StoreError>>;
     /// Takes a lease.
