Silence in mid-stream: health is asked for, and the engine left only with a place in the budget; figures for what the issue asks

Early repeats (one target) added runs while all engines were overloaded.

Change: patience in mid-stream and before the first event asks the engine's health, and ends only where another may go on; repeats after three targets. A request whose caller leaves before the head is told in the log too. Metrics by route, attempt, order, store call, prompt tokens, gaps, standing values; on a place of their own too.

--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -9,7 +9,7 @@
 use ponddrift_runtime::Runtime;
 use ponddrift_serving::dialect::Dialect;
 use ponddrift_serving::fleet_state::FleetState;
-use ponddrift_serving::metrics::Metrics;
+use ponddrift_serving::metrics::{Metrics, Standing};
 use ponddrift_serving::orders::OrderSettings;
 use ponddrift_serving::peers::PeerSettings;
 use ponddrift_serving::pipeline::{Pipeline, PipelineSettings};
@@ -17,6 +17,7 @@
 use ponddrift_serving::{follow, front, orders, peers};
 use tokio::time::Instant;
 
+use crate::process;
 use crate::settings::Settings;
 
 /// Time between two looks at what is still in progress while stopping.
@@ -28,10 +29,9 @@
 pub struct Daemon {
     settings: Settings,
     pipeline: Arc<Pipeline>,
-    state: Arc<FleetState>,
-    metrics: Arc<Metrics>,
     callers: Server,
     _status: Server,
+    _metrics: Option<Server>,
 }
 
 impl Daemon {
@@ -58,6 +58,14 @@
         let status = front::serve_status(runtime, settings.readiness, &pipeline, &metrics)
             .await
             .wrap_err("listen.readiness cannot be bound: is another process there?")?;
+        let metrics_server = match settings.metrics {
+            Some(address) => Some(
+                front::serve_status(runtime, address, &pipeline, &metrics)
+                    .await
+                    .wrap_err("listen.metrics cannot be bound: is another process there?")?,
+            ),
+            None => None,
+        };
         let callers = front::serve_callers(runtime, settings.callers, &pipeline)
             .await
             .wrap_err("listen.callers cannot be bound: is another process there?")?;
@@ -71,6 +79,7 @@
             &state,
             record,
             settings.store_reads_per_second,
+            &metrics,
         );
         let peer_settings = PeerSettings {
             name: Arc::clone(&settings.name),
@@ -103,10 +112,9 @@
         Ok(Self {
             settings,
             pipeline,
-            state,
-            metrics,
             callers,
             _status: status,
+            _metrics: metrics_server,
         })
     }
 
@@ -125,15 +133,13 @@
     /// Forgets what is long past, and brings the figures up to date.
     pub fn tidy(&self, dropped_log_lines: usize) {
         self.pipeline.tidy();
-        let version = self
-            .state
-            .in_force()
-            .map_or(0, |in_force| in_force.configuration.version);
-        let metrics = &self.metrics;
-        metrics.configuration_version.set(signed(version));
-        metrics.daemons.set(signed(self.state.daemons().len()));
-        metrics.in_progress.set(signed(self.pipeline.in_progress()));
-        metrics.log_lines_dropped.set(signed(dropped_log_lines));
+        let standing = Standing {
+            log_lines_dropped: dropped_log_lines,
+            memory_bytes: process::memory_bytes(),
+            descriptors: process::descriptors(),
+            ..self.pipeline.standing()
+        };
+        self.pipeline.metrics().set_standing(&standing);
     }
 
     /// A planned stop.
@@ -170,7 +176,3 @@
         }
     }
 }
-
-fn signed(number: impl TryInto<i64>) -> i64 {
-    number.try_into().unwrap_or(i64::MAX)
-}
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod daemon;
 pub mod logging;
+mod process;
 pub mod settings;
 
 pub use daemon::Daemon;
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -26,8 +26,10 @@
     pub zone: Arc<str>,
     /// Where callers connect.
     pub callers: SocketAddr,
-    /// Where readiness and figures are asked for.
+    /// Where readiness is asked for, and figures.
     pub readiness: SocketAddr,
+    /// Where figures are asked for beside that; none if there is no such place.
+    pub metrics: Option<SocketAddr>,
     /// Where peers are heard (UDP and TCP).
     pub peers: SocketAddr,
     /// The store.
@@ -90,6 +92,10 @@
     let callers = address(&mut reader, "listen.callers").unwrap_or(nowhere);
     let readiness = address(&mut reader, "listen.readiness").unwrap_or(nowhere);
     let peers = address(&mut reader, "listen.peers").unwrap_or(nowhere);
+    let metrics = reader
+        .has("listen.metrics")
+        .then(|| address(&mut reader, "listen.metrics"))
+        .flatten();
     let store = address(&mut reader, "store.address").unwrap_or(nowhere);
     let store_reads_per_second = reader.fraction("store.reads_per_s", 2_000.0, 1.0..=1e9);
     let seeds = reader.addresses("peers.seeds", false);
@@ -112,6 +118,7 @@
         zone: Arc::from(zone),
         callers,
         readiness,
+        metrics,
         peers,
         store,
         store_reads_per_second,
--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -206,3 +206,55 @@
         assert!(took < Duration::from_millis(1_500), "{took:?}");
     }
 }
+
+#[test]
+fn a_slow_stream_is_not_broken_off_where_the_budget_has_no_place_for_another() {
+    let mut fleet = Fleet::new(Size::default());
+    for engine in &fleet.decode {
+        engine.behave_always(Behaviour::Stream {
+            events: 4,
+            gap_ms: 700,
+        });
+    }
+    let mut request = ClientRequest::prompt("1", "tag", 40, 200);
+    request.deadline_ms = 5_000;
+    let answer = ask(&mut fleet, &request);
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(
+        answer.is_whole,
+        "nothing was saved for a repeat: {:?}",
+        events(&answer)
+    );
+    assert_eq!(events(&answer), ["1", "2", "3", "4"]);
+}
+
+#[test]
+fn an_engine_that_falls_dark_in_mid_stream_is_left_for_another() {
+    let mut fleet = Fleet::new(Size {
+        decode: 1,
+        ..Size::default()
+    });
+    earn(&mut fleet);
+    fleet.decode[0].behave_always(Behaviour::Stream {
+        events: 4,
+        gap_ms: 200,
+    });
+    let (second, _host) = fleet.add_engine(support::MODELS, Some("decode"));
+    second.behave_always(Behaviour::Refuse);
+    fleet.wait(Duration::from_millis(100));
+    let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers);
+    let handle = fleet.simulation.handle();
+    let dark = fleet.decode_hosts[0];
+    let answer = fleet.run(async move {
+        let request = ClientRequest::prompt("1", "tag", 40, 200);
+        let strike = async {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            second.behave_well();
+            handle.power_off(dark);
+        };
+        tokio::join!(client.ask(target, &request), strike).0
+    });
+    let answer = answer.expect("never a bare close");
+    assert!(answer.is_whole);
+    assert_eq!(events(&answer), ["1", "2", "3", "4"]);
+}
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::fleet_state::{FleetState, Source};
+use crate::metrics::Metrics;
 use crate::store::{DaemonRecord, FleetStore, Lease, StoreError};
 
 /// How long one call waits for changes. A connection that fell silent is noticed little later.
@@ -31,11 +32,13 @@
     state: &Arc<FleetState>,
     daemon: DaemonRecord,
     reads_per_second: f64,
+    metrics: &Arc<Metrics>,
 ) {
     let follower = Follower {
         store: Arc::clone(store),
         state: Arc::clone(state),
         reads_per_second,
+        metrics: Arc::clone(metrics),
         random: Pcg64Mcg::seed_from_u64(runtime.seed.rotate_left(31)),
     };
     runtime.spawner.spawn(Box::pin(follower.run()));
@@ -50,6 +53,7 @@
     store: Arc<dyn FleetStore>,
     state: Arc<FleetState>,
     reads_per_second: f64,
+    metrics: Arc<Metrics>,
     random: Pcg64Mcg,
 }
 
@@ -59,7 +63,9 @@
         let mut history_was_gone = false;
         let mut pause = FIRST_PAUSE;
         loop {
-            match self.step(position, history_was_gone).await {
+            let ended = self.step(position, history_was_gone).await;
+            self.metrics.store_call(result_name(&ended));
+            match ended {
                 Ok(at) => {
                     self.state.store_answered(at);
                     history_was_gone &= position.is_none();
@@ -107,6 +113,16 @@
     }
 }
 
+const fn result_name(ended: &Result<u64, StoreError>) -> &'static str {
+    match ended {
+        Ok(_) => "answered",
+        Err(StoreError::Silent(_)) => "silent",
+        Err(StoreError::Refused(_)) => "refused",
+        Err(StoreError::HistoryGone) => "history_gone",
+        Err(_) => "unusable",
+    }
+}
+
 /// Keeps the daemon's own key in the store, so that others find it.
 struct Announcer {
     store: Arc<dyn FleetStore>,
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -9,13 +9,14 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
-use prometheus_client::registry::Registry;
+use prometheus_client::registry::{Metric, Registry};
 
 /// Bounds of the latency histograms in seconds.
 const LATENCY_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct EndLabels {
+    route: String,
     kind: &'static str,
     outcome: &'static str,
     in_time: &'static str,
@@ -31,84 +32,146 @@
     granted: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AttemptLabels {
+    purpose: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ResultLabels {
+    result: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WayLabels {
+    way: &'static str,
+}
+
+/// Values that are looked up now and then.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Standing {
+    /// Version of the configuration in force.
+    pub configuration_version: u64,
+    /// Newest revision of the store that was seen.
+    pub newest_revision: u64,
+    /// Daemons known, this one among them.
+    pub daemons: usize,
+    /// Back ends that take requests.
+    pub back_ends: usize,
+    /// Back ends that are ejected.
+    pub ejected: usize,
+    /// Connections open to back ends.
+    pub connections: u32,
+    /// Requests in progress.
+    pub in_progress: usize,
+    /// Log lines that were dropped because the reader was slow.
+    pub log_lines_dropped: usize,
+    /// Memory of the process in bytes.
+    pub memory_bytes: u64,
+    /// Descriptors of the process.
+    pub descriptors: usize,
+}
+
+struct StandingGauges {
+    configuration_version: Gauge,
+    newest_revision: Gauge,
+    daemons: Gauge,
+    back_ends: Gauge,
+    ejected: Gauge,
+    connections: Gauge,
+    in_progress: Gauge,
+    log_lines_dropped: Gauge,
+    memory_bytes: Gauge,
+    descriptors: Gauge,
+}
+
 /// All figures.
 pub struct Metrics {
     registry: Mutex<Registry>,
     requests: Family<EndLabels, Counter>,
     refused: Family<StatusLabels, Counter>,
+    attempts: Family<AttemptLabels, Counter>,
     repeats: Family<RepeatLabels, Counter>,
+    orders: Family<ResultLabels, Counter>,
+    store_calls: Family<ResultLabels, Counter>,
+    prompt_tokens: Family<WayLabels, Counter<f64, std::sync::atomic::AtomicU64>>,
+    fetches: Counter,
     resumed: Counter,
+    ejections: Counter,
     latency: Histogram,
     first_event: Histogram,
-    /// Version of the configuration in force.
-    pub configuration_version: Gauge,
-    /// Daemons known.
-    pub daemons: Gauge,
-    /// Connections open to back ends.
-    pub back_end_connections: Gauge,
-    /// Requests in progress.
-    pub in_progress: Gauge,
-    /// Log lines that were dropped because the reader was slow.
-    pub log_lines_dropped: Gauge,
+    gaps: Histogram,
+    standing: StandingGauges,
+}
+
+/// Registers what is made by `Default`.
+fn made<M: Metric + Clone + Default>(registry: &mut Registry, name: &str, help: &str) -> M {
+    let metric = M::default();
+    registry.register(name, help, metric.clone());
+    metric
+}
+
+fn histogram(registry: &mut Registry, name: &str, help: &str) -> Histogram {
+    let histogram = Histogram::new(LATENCY_BOUNDS);
+    registry.register(name, help, histogram.clone());
+    histogram
 }
 
 impl Default for Metrics {
     fn default() -> Self {
         let mut registry = Registry::with_prefix("ponddrift");
-        let requests = Family::default();
-        registry.register("requests", "Requests by kind and end", requests.clone());
-        let refused = Family::default();
-        registry.register(
-            "refused",
-            "Requests refused before a back end was chosen",
-            refused.clone(),
-        );
-        let repeats = Family::default();
-        registry.register(
-            "repeats",
-            "Sends beyond the first, granted or not",
-            repeats.clone(),
-        );
-        let resumed = Counter::default();
-        registry.register(
-            "streams_resumed",
-            "Streams that went on elsewhere",
-            resumed.clone(),
-        );
-        let latency = Histogram::new(LATENCY_BOUNDS);
-        registry.register("request_seconds", "Time of a request", latency.clone());
-        let first_event = Histogram::new(LATENCY_BOUNDS);
-        registry.register(
-            "first_event_seconds",
-            "Time to a stream's first event",
-            first_event.clone(),
-        );
-        let mut gauge = |name: &str, help: &str| {
-            let gauge = Gauge::default();
-            registry.register(name, help, gauge.clone());
-            gauge
-        };
-        let configuration_version = gauge(
-            "configuration_version",
-            "Version of the configuration in force",
-        );
-        let daemons = gauge("daemons", "Daemons known, this one among them");
-        let back_end_connections = gauge("back_end_connections", "Connections open to back ends");
-        let in_progress = gauge("requests_in_progress", "Requests in progress");
-        let log_lines_dropped = gauge("log_lines_dropped", "Log lines dropped");
+        let r = &mut registry;
+        let standing = StandingGauges::new(r);
         Self {
+            requests: made(r, "requests", "Requests by route, kind and end"),
+            refused: made(
+                r,
+                "refused",
+                "Requests refused before a back end was chosen",
+            ),
+            attempts: made(r, "attempts", "Sends to back ends by purpose and end"),
+            repeats: made(r, "repeats", "Sends beyond the first, granted or not"),
+            orders: made(r, "orders", "Orders to engines by result"),
+            store_calls: made(r, "store_calls", "Calls that follow the store, by result"),
+            prompt_tokens: made(
+                r,
+                "prompt_tokens",
+                "Prompt tokens expected to be read or kept",
+            ),
+            fetches: made(r, "head_fetches", "Prompts whose head was to be fetched"),
+            resumed: made(r, "streams_resumed", "Streams that went on elsewhere"),
+            ejections: made(r, "ejections", "Back ends found unwell"),
+            latency: histogram(r, "request_seconds", "Time of a request"),
+            first_event: histogram(r, "first_event_seconds", "Time to a stream's first event"),
+            gaps: histogram(
+                r,
+                "event_gap_seconds",
+                "Time between two events of a stream",
+            ),
+            standing,
             registry: Mutex::new(registry),
-            requests,
-            refused,
-            repeats,
-            resumed,
-            latency,
-            first_event,
-            configuration_version,
-            daemons,
-            back_end_connections,
-            in_progress,
-            log_lines_dropped,
+        }
+    }
+}
+
+impl StandingGauges {
+    fn new(r: &mut Registry) -> Self {
+        Self {
+            configuration_version: made(r, "configuration_version", "Configuration in force"),
+            newest_revision: made(r, "store_revision", "Newest revision of the store seen"),
+            daemons: made(r, "daemons", "Daemons known, this one among them"),
+            back_ends: made(r, "back_ends", "Back ends that the directory names"),
+            ejected: made(
+                r,
+                "back_ends_ejected",
+                "Back ends found unwell that get nothing",
+            ),
+            connections: made(r, "back_end_connections", "Connections open to back ends"),
+            in_progress: made(r, "requests_in_progress", "Requests in progress"),
+            log_lines_dropped: made(r, "log_lines_dropped", "Log lines that found no room"),
+            memory_bytes: made(r, "memory_bytes", "Resident memory of the process"),
+            descriptors: made(r, "descriptors", "Open descriptors of the process"),
         }
     }
 }
@@ -116,12 +179,14 @@
 impl Metrics {
     pub(crate) fn ended(
         &self,
+        route: &str,
         kind: &'static str,
         outcome: &'static str,
         took: Duration,
         in_time: bool,
     ) {
         let labels = EndLabels {
+            route: route.to_owned(),
             kind,
             outcome,
             in_time: yes_or_no(in_time),
@@ -134,19 +199,74 @@
         self.refused.get_or_create(&StatusLabels { status }).inc();
     }
 
+    pub(crate) fn attempt(&self, purpose: &'static str, outcome: &'static str) {
+        let labels = AttemptLabels { purpose, outcome };
+        self.attempts.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn repeat(&self, granted: bool) {
         let granted = yes_or_no(granted);
         self.repeats.get_or_create(&RepeatLabels { granted }).inc();
     }
 
+    pub(crate) fn order(&self, result: &'static str) {
+        self.orders.get_or_create(&ResultLabels { result }).inc();
+    }
+
+    /// A call that follows the store ended.
+    pub(crate) fn store_call(&self, result: &'static str) {
+        self.store_calls
+            .get_or_create(&ResultLabels { result })
+            .inc();
+    }
+
+    pub(crate) fn prompt(&self, tokens: f64, to_read: f64, is_fetched: bool) {
+        let ways = [("read", to_read), ("kept", (tokens - to_read).max(0.0))];
+        for (way, tokens) in ways {
+            self.prompt_tokens
+                .get_or_create(&WayLabels { way })
+                .inc_by(tokens);
+        }
+        if is_fetched {
+            self.fetches.inc();
+        }
+    }
+
     pub(crate) fn resumed(&self) {
         self.resumed.inc();
     }
 
+    pub(crate) fn ejected(&self) {
+        self.ejections.inc();
+    }
+
     pub(crate) fn first_event(&self, waited: Duration) {
         self.first_event.observe(waited.as_secs_f64());
     }
 
+    pub(crate) fn gap(&self, gap: Duration) {
+        self.gaps.observe(gap.as_secs_f64());
+    }
+
+    /// Takes values that are looked up now and then.
+    pub fn set_standing(&self, standing: &Standing) {
+        let gauges = &self.standing;
+        gauges
+            .configuration_version
+            .set(signed(standing.configuration_version));
+        gauges.newest_revision.set(signed(standing.newest_revision));
+        gauges.daemons.set(signed(standing.daemons));
+        gauges.back_ends.set(signed(standing.back_ends));
+        gauges.ejected.set(signed(standing.ejected));
+        gauges.connections.set(signed(standing.connections));
+        gauges.in_progress.set(signed(standing.in_progress));
+        gauges
+            .log_lines_dropped
+            .set(signed(standing.log_lines_dropped));
+        gauges.memory_bytes.set(signed(standing.memory_bytes));
+        gauges.descriptors.set(signed(standing.descriptors));
+    }
+
     /// The figures as text.
     #[must_use]
     pub fn text(&self) -> String {
@@ -162,6 +282,10 @@
     }
 }
 
+fn signed(number: impl TryInto<i64>) -> i64 {
+    number.try_into().unwrap_or(i64::MAX)
+}
+
 const fn yes_or_no(value: bool) -> &'static str {
     if value { "yes" } else { "no" }
 }
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -100,6 +100,17 @@
     NotSent,
 }
 
+impl OrderEnd {
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Taken => "taken",
+            Self::Refused(_) => "refused",
+            Self::Unanswered => "unanswered",
+            Self::NotSent => "not_sent",
+        }
+    }
+}
+
 impl OrderDesk {
     async fn run(mut self) {
         let mut authority = None;
@@ -223,6 +234,7 @@
             outcome = ?end,
             "stage_ordered"
         );
+        self.pipeline.metrics().order(end.name());
         let left_alone = match end {
             OrderEnd::Taken => return,
             OrderEnd::Unanswered => UNSETTLED,
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -37,7 +37,7 @@
 use crate::dialect::Dialect;
 use crate::fleet_state::FleetState;
 use crate::follow::now;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, Standing};
 
 /// Settings of the pipeline.
 #[derive(Debug, Clone)]
@@ -185,6 +185,28 @@
         self.connections.close_idle();
     }
 
+    /// What it looks like now, for the figures.
+    #[must_use]
+    pub fn standing(&self) -> Standing {
+        let in_force = self.state.in_force();
+        Standing {
+            configuration_version: in_force.map_or(0, |known| known.configuration.version),
+            newest_revision: self.state.newest_revision(),
+            daemons: self.daemons.load(Ordering::Relaxed),
+            back_ends: self.state.back_ends().len(),
+            ejected: self.placement().health.ejected().len(),
+            connections: self.connections.open_count(),
+            in_progress: self.in_progress(),
+            ..Standing::default()
+        }
+    }
+
+    /// The figures.
+    #[must_use]
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
     fn budget(&self) -> MutexGuard<'_, RetryBudget> {
         self.budget
             .lock()
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -106,18 +106,32 @@
         }
         if let HeadEnd::NotSent(name) | HeadEnd::NotRun(name) | HeadEnd::Unsure(name) = &judged.end
         {
-            job.trail.add(Step::Ended {
-                purpose: purpose(order.step),
-                back_end: Arc::clone(&back_end.id),
-                outcome: name,
-                status: judged.status,
-                took: now().saturating_duration_since(begun),
-            });
+            self.attempt_ended(
+                job,
+                Step::Ended {
+                    purpose: purpose(order.step),
+                    back_end: Arc::clone(&back_end.id),
+                    outcome: name,
+                    status: judged.status,
+                    took: now().saturating_duration_since(begun),
+                },
+            );
         }
         self.count(job, &judged.end, order.step);
         judged.end
     }
 
+    /// Notes the end of a send.
+    pub(super) fn attempt_ended(&self, job: &mut Job, step: Step) {
+        if let Step::Ended {
+            purpose, outcome, ..
+        } = &step
+        {
+            self.metrics.attempt(purpose, outcome);
+        }
+        job.trail.add(step);
+    }
+
     /// Counts what arrived and what may have run.
     fn count(&self, job: &mut Job, end: &HeadEnd, step: SendStep<'_>) {
         let is_prefill = matches!(step, SendStep::Prefill);
@@ -188,6 +202,7 @@
     ) {
         let pause = self.placement().health.record(&back_end.id, outcome, now());
         if let Some(pause) = pause {
+            self.metrics.ejected();
             tracing::warn!(
                 back_end = &*back_end.id,
                 outcome = ?outcome,
--- a/crates/serving/src/pipeline/budgeting.rs
+++ b/crates/serving/src/pipeline/budgeting.rs
@@ -31,6 +31,11 @@
         job.arrivals < MAXIMUM_SENDS && self.take_repeat(job, reason)
     }
 
+    /// Whether the budget has a place for another send of this request.
+    pub(super) fn has_repeat(&self, job: &Job) -> bool {
+        job.arrivals < MAXIMUM_SENDS && self.budget().left(&job.service.name) >= 1.0
+    }
+
     fn take_repeat(&self, job: &mut Job, reason: &'static str) -> bool {
         let mut budget = self.budget();
         let granted = budget.take(&job.service.name);
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -19,7 +19,7 @@
 use super::intake::{Served, end_to_end};
 use super::job::Job;
 use super::patience::{GivenUp, Patience};
-use super::plain::LEAST_TIME_FOR_A_SEND;
+use super::plain::{LEAST_TIME_FOR_A_SEND, TARGETS_WAITED};
 use super::relay::Relay;
 use crate::connections::{Connection, Reply};
 use crate::dialect::SendStep;
@@ -35,6 +35,8 @@
     pub(super) splitter: EventSplitter,
     pub(super) first: Option<Event>,
     pub(super) ended: bool,
+    /// Whether its first event has been passed on.
+    pub(super) first_passed: bool,
     pub(super) begun: Instant,
     pub(super) _load: LoadGuard,
 }
@@ -70,12 +72,12 @@
                 response.map(|()| body::streamed(relay.into_pieces()))
             }
             Err(NotOpened::Answer(served)) => {
-                self.close(&job, served.response.status().as_u16(), served.outcome);
+                self.close(&mut job, served.response.status().as_u16(), served.outcome);
                 served.response
             }
             Err(NotOpened::Failure(failure)) => {
                 let served = self.give_up(&job, failure);
-                self.close(&job, served.response.status().as_u16(), served.outcome);
+                self.close(&mut job, served.response.status().as_u16(), served.outcome);
                 served.response
             }
         }
@@ -143,6 +145,11 @@
                 }),
         }?;
         placement.meter(&job.service.name, &plan, now);
+        if let Some(prompt) = &job.facts.prompt {
+            let total = f64::from(prompt.input_tokens);
+            self.metrics
+                .prompt(total, plan.tokens_to_read, plan.fetch_from.is_some());
+        }
         let reader = plan.prefill.as_ref().unwrap_or(&plan.decode);
         job.trail.add(Step::Placed {
             purpose: if plan.prefill.is_some() {
@@ -240,13 +247,16 @@
     ) -> FirstEvent {
         let answer = self.read_whole(reply, until).await;
         self.note_outcome(back_end, &job.service.health_path, Outcome::Error);
-        job.trail.add(Step::Ended {
-            purpose: "serve",
-            back_end: Arc::clone(&back_end.id),
-            outcome: "back_end_error",
-            status: answer.as_ref().map(|answer| answer.head.status.as_u16()),
-            took: now().saturating_duration_since(job.arrived),
-        });
+        self.attempt_ended(
+            job,
+            Step::Ended {
+                purpose: "serve",
+                back_end: Arc::clone(&back_end.id),
+                outcome: "back_end_error",
+                status: answer.as_ref().map(|answer| answer.head.status.as_u16()),
+                took: now().saturating_duration_since(job.arrived),
+            },
+        );
         match answer {
             Some(answer) => FirstEvent::Answer(answer.into_served()),
             None => FirstEvent::Unsure("answer_broke_off"),
@@ -278,6 +288,7 @@
             splitter,
             first,
             ended,
+            first_passed: false,
             begun,
             _load: load,
         }))
@@ -307,13 +318,16 @@
                     _ => Outcome::Broken,
                 };
                 self.note_outcome(decode, &job.service.health_path, outcome);
-                job.trail.add(Step::Ended {
-                    purpose: "serve",
-                    back_end: Arc::clone(&decode.id),
-                    outcome: reason,
-                    status: None,
-                    took,
-                });
+                self.attempt_ended(
+                    job,
+                    Step::Ended {
+                        purpose: "serve",
+                        back_end: Arc::clone(&decode.id),
+                        outcome: reason,
+                        status: None,
+                        took,
+                    },
+                );
                 FirstEvent::Unsure(reason)
             }
         }
@@ -339,18 +353,19 @@
         }
     }
 
-    /// A stream that may be opened elsewhere is given up when its time in target is over.
+    /// A stream that may be opened elsewhere is given up long after its time in target, or when its engine does not
+    /// answer its health check either.
     fn first_event_patience(&self, job: &Job, plan: &PromptPlan) -> Patience {
         const EXPECTATION_FACTOR: f64 = 2.0;
         const SUSPICION_MORE: Duration = Duration::from_millis(100);
         let has_another = job.route.kind.is_repeatable()
             && job.runs + 1 < job.route.maximum_attempts
-            && self.budget().left(&job.service.name) >= 1.0;
+            && self.has_repeat(job);
         if !has_another {
             return Patience::new(job, None, None);
         }
         let expected = Duration::from_secs_f64(plan.expected_ms * EXPECTATION_FACTOR / 1000.0);
-        let limit = job.route.target_latency.max(expected);
+        let limit = (job.route.target_latency * TARGETS_WAITED).max(expected);
         Patience::new(job, Some(limit), Some(expected + SUSPICION_MORE))
     }
 }
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -71,7 +71,7 @@
     }
 
     async fn take_in(
-        &self,
+        self: &Arc<Self>,
         head: request::Parts,
         body: &mut Incoming,
         facts: RequestFacts,
@@ -118,17 +118,25 @@
             first_event: None,
             runs: 0,
             tried: Vec::new(),
+            is_closed: false,
+            pipeline: Arc::clone(self),
         })
     }
 
     /// Writes the end of a request: one line where it was served in time, all its decisions elsewhere.
-    pub(super) fn close(&self, job: &Job, status: u16, outcome: &'static str) {
+    pub(super) fn close(&self, job: &mut Job, status: u16, outcome: &'static str) {
+        job.is_closed = true;
         let took = now().saturating_duration_since(job.arrived);
         let waited = job.first_event.unwrap_or_else(now);
         let waited = waited.saturating_duration_since(job.arrived);
         let in_time = waited <= job.route.target_latency;
-        self.metrics
-            .ended(job.route.kind.as_str(), outcome, took, in_time);
+        self.metrics.ended(
+            &job.route.name,
+            job.route.kind.as_str(),
+            outcome,
+            took,
+            in_time,
+        );
         if outcome != "served" || !in_time {
             job.trail.write(&job.id);
         }
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -7,10 +7,14 @@
 use http::{HeaderMap, Method, Uri};
 use ponddrift_fleet::configuration::{Route, Service};
 
+use super::Pipeline;
 use crate::dialect::RequestFacts;
 use crate::follow::now;
 use crate::trail::Trail;
 
+/// Status in the log of a request whose caller left; none was sent.
+const CALLER_LEFT_STATUS: u16 = 0;
+
 /// One request with all that was decided of it.
 pub(super) struct Job {
     pub(super) id: Arc<str>,
@@ -37,6 +41,19 @@
     pub(super) runs: u32,
     /// Back ends that are not tried again.
     pub(super) tried: Vec<Arc<str>>,
+    /// Whether its end has been told.
+    pub(super) is_closed: bool,
+    pub(super) pipeline: Arc<Pipeline>,
+}
+
+impl Drop for Job {
+    /// The caller went away before the end: the future that held the request was dropped.
+    fn drop(&mut self) {
+        if !self.is_closed {
+            let pipeline = Arc::clone(&self.pipeline);
+            pipeline.close(self, CALLER_LEFT_STATUS, "caller_left");
+        }
+    }
 }
 
 impl Job {
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -23,6 +23,9 @@
 
 /// Largest answer that is held whole.
 const LARGEST_ANSWER_BYTES: usize = 16 << 20;
+/// A request that may run once more is given up after so many times its target. Once it is late, waiting on costs
+/// less than another run, as long as the back end may only be slow.
+pub(super) const TARGETS_WAITED: u32 = 3;
 /// Less time than this is not worth another send.
 pub(super) const LEAST_TIME_FOR_A_SEND: Duration = Duration::from_millis(5);
 
@@ -62,7 +65,7 @@
 impl Pipeline {
     pub(super) async fn serve_plain(self: &Arc<Self>, mut job: Job) -> Response<Body> {
         let served = self.plain(&mut job).await;
-        self.close(&job, served.response.status().as_u16(), served.outcome);
+        self.close(&mut job, served.response.status().as_u16(), served.outcome);
         served.response
     }
 
@@ -145,22 +148,26 @@
                 .speed
                 .plain_answered(&back_end.id, milliseconds(took));
         }
-        job.trail.add(Step::Ended {
-            purpose: "serve",
-            back_end: Arc::clone(&back_end.id),
-            outcome: name,
-            status: status.as_ref().map(StatusCode::as_u16),
-            took,
-        });
+        self.attempt_ended(
+            job,
+            Step::Ended {
+                purpose: "serve",
+                back_end: Arc::clone(&back_end.id),
+                outcome: name,
+                status: status.as_ref().map(StatusCode::as_u16),
+                took,
+            },
+        );
         end.map_or(PlainEnd::Unsure("answer_broke_off"), PlainEnd::Whole)
     }
 
-    /// A request that may run once more is given up for another back end when its time in target is over.
+    /// A request that may run once more is given up for another back end long after its time in target.
     fn plain_patience(&self, job: &Job) -> Patience {
         let has_another = job.route.kind.is_repeatable()
             && job.runs + 1 < job.route.maximum_attempts
-            && self.budget().left(&job.service.name) >= 1.0;
-        Patience::new(job, has_another.then_some(job.route.target_latency), None)
+            && self.has_repeat(job);
+        let limit = job.route.target_latency * TARGETS_WAITED;
+        Patience::new(job, has_another.then_some(limit), None)
     }
 
     /// Reads an answer to its end; none if it breaks off.
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -52,17 +52,20 @@
         let result = answer
             .filter(|answer| answer.head.status == StatusCode::OK)
             .and_then(|answer| self.dialect.read_prefill(&answer.body));
-        job.trail.add(Step::Ended {
-            purpose: "prefill",
-            back_end: Arc::clone(&engine.id),
-            outcome: if result.is_some() {
-                "prompt_read"
-            } else {
-                "answer_unusable"
+        self.attempt_ended(
+            job,
+            Step::Ended {
+                purpose: "prefill",
+                back_end: Arc::clone(&engine.id),
+                outcome: if result.is_some() {
+                    "prompt_read"
+                } else {
+                    "answer_unusable"
+                },
+                status: status.map(|status| status.as_u16()),
+                took,
             },
-            status: status.map(|status| status.as_u16()),
-            took,
-        });
+        );
         let Some(result) = result else {
             self.note_outcome(engine, &job.service.health_path, Outcome::Broken);
             return None;
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -18,13 +18,16 @@
 use super::generate::OpenStream;
 use super::guards::InProgress;
 use super::job::Job;
+use super::patience::{GivenUp, Patience};
 use crate::follow::now;
 use crate::trail::Step;
 
-/// A resumable stream whose next event is this many target gaps late goes on elsewhere,
-const GAP_FACTOR: u32 = 4;
+/// The health of an engine whose next event is this many target gaps late is asked for,
+const GAP_FACTOR: u32 = 3;
 /// but not sooner than this.
-const LEAST_GAP_PATIENCE: Duration = Duration::from_millis(500);
+const LEAST_GAP_PATIENCE: Duration = Duration::from_millis(300);
+/// A resumable stream without an event for this long goes on elsewhere; callers leave after two seconds.
+const LONGEST_GAP: Duration = Duration::from_millis(1_300);
 
 /// A stream on its way to its caller.
 pub(super) struct Relay {
@@ -32,6 +35,7 @@
     job: Job,
     stream: Option<OpenStream>,
     last_id: Option<u64>,
+    last_event: Option<Instant>,
     is_closed: bool,
     _in_progress: InProgress,
 }
@@ -45,7 +49,7 @@
     Event(Event),
     End,
     Broken(&'static str),
-    Silent,
+    GivenUp(GivenUp),
 }
 
 impl Relay {
@@ -61,6 +65,7 @@
             job,
             stream: Some(stream),
             last_id,
+            last_event: None,
             is_closed: false,
             _in_progress: in_progress,
         }
@@ -79,6 +84,8 @@
             let mut stream = self.stream.take()?;
             match self.next_of(&mut stream).await {
                 Next::Event(event) => {
+                    self.note_gap(stream.first_passed);
+                    stream.first_passed = true;
                     self.stream = Some(stream);
                     if self.is_repeated(&event) {
                         continue;
@@ -93,10 +100,9 @@
                         return Some(Err(error));
                     }
                 }
-                Next::Silent => {
-                    let reason = "no_event_in_time";
-                    if let Err(error) = self.go_on_elsewhere(stream, reason, Outcome::Silent).await
-                    {
+                Next::GivenUp(given_up) => {
+                    let (reason, outcome) = (given_up.name(), given_up.outcome());
+                    if let Err(error) = self.go_on_elsewhere(stream, reason, outcome).await {
                         return Some(Err(error));
                     }
                 }
@@ -105,6 +111,16 @@
         None
     }
 
+    /// Notes the pause since the event before, if there was one.
+    fn note_gap(&mut self, has_passed: bool) {
+        let now = now();
+        if has_passed && let Some(before) = self.last_event {
+            let gap = now.saturating_duration_since(before);
+            self.pipeline.metrics.gap(gap);
+        }
+        self.last_event = Some(now);
+    }
+
     /// Whether the caller has this event already.
     fn is_repeated(&self, event: &Event) -> bool {
         matches!((event.id, self.last_id), (Some(id), Some(last)) if id <= last)
@@ -114,7 +130,7 @@
         if let Some(event) = stream.first.take() {
             return Next::Event(event);
         }
-        let until = self.patience();
+        let patience = self.patience();
         loop {
             match stream.splitter.next_event() {
                 Ok(Some(event)) => return Next::Event(event),
@@ -122,9 +138,17 @@
                 Ok(None) => {}
                 Err(_fault) => return Next::Broken("event_too_long"),
             }
-            let wait = until.saturating_duration_since(now());
-            match tokio::time::timeout(wait, stream.body.frame()).await {
-                Err(_elapsed) => return Next::Silent,
+            let waited = self
+                .pipeline
+                .wait_for(
+                    stream.body.frame(),
+                    &stream.back_end,
+                    &self.job.service.health_path,
+                    patience,
+                )
+                .await;
+            match waited {
+                Err(given_up) => return Next::GivenUp(given_up),
                 Ok(None) if stream.splitter.has_rest() => {
                     return Next::Broken("broke_off_in_an_event");
                 }
@@ -139,16 +163,22 @@
         }
     }
 
-    fn patience(&self) -> Instant {
-        let end = self.job.end;
-        let gap = self.job.route.target_gap;
-        match gap {
-            Some(gap) if self.job.may_run_again() => {
-                let patience = (gap * GAP_FACTOR).max(LEAST_GAP_PATIENCE);
-                (now() + patience).min(end)
-            }
-            _ => end,
+    /// An engine that is silent in mid-stream is left only where another may go on in its place, and the budget has a
+    /// place for that; its health is asked for first.
+    fn patience(&self) -> Patience {
+        let job = &self.job;
+        let Some(gap) = job.route.target_gap else {
+            return Patience::new(job, None, None);
+        };
+        if !job.may_run_again() || !self.pipeline.has_repeat(job) {
+            return Patience::new(job, None, None);
         }
+        let suspicious_after = (gap * GAP_FACTOR).max(LEAST_GAP_PATIENCE);
+        Patience::new(
+            job,
+            Some(LONGEST_GAP.max(suspicious_after)),
+            Some(suspicious_after),
+        )
     }
 
     fn complete(&mut self, stream: OpenStream) {
@@ -190,13 +220,16 @@
     fn note_end(&mut self, stream: &OpenStream, name: &'static str, outcome: Outcome) {
         self.pipeline
             .note_outcome(&stream.back_end, &self.job.service.health_path, outcome);
-        self.job.trail.add(Step::Ended {
-            purpose: "stream",
-            back_end: Arc::clone(&stream.back_end.id),
-            outcome: name,
-            status: Some(stream.head.status.as_u16()),
-            took: now().saturating_duration_since(stream.begun),
-        });
+        self.pipeline.attempt_ended(
+            &mut self.job,
+            Step::Ended {
+                purpose: "stream",
+                back_end: Arc::clone(&stream.back_end.id),
+                outcome: name,
+                status: Some(stream.head.status.as_u16()),
+                took: now().saturating_duration_since(stream.begun),
+            },
+        );
     }
 
     fn break_off(&mut self, reason: &'static str) -> BodyError {
@@ -206,15 +239,6 @@
 
     fn close(&mut self, status: u16, outcome: &'static str) {
         self.is_closed = true;
-        self.pipeline.close(&self.job, status, outcome);
-    }
-}
-
-impl Drop for Relay {
-    /// The caller left before the end.
-    fn drop(&mut self) {
-        if !self.is_closed {
-            self.close(200, "caller_left");
-        }
+        self.pipeline.close(&mut self.job, status, outcome);
     }
 }
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -29,6 +29,12 @@
         }
     }
 
+    /// Whether the key is there.
+    #[must_use]
+    pub fn has(&self, key: &str) -> bool {
+        self.find(key).is_some()
+    }
+
     /// Reports a fault that involves more than one key.
     pub fn clash(&mut self, key: &str, remedy: String) {
         let value = self.find(key).map(Value::to_string);
