--- a/crates/soak/src/daemons.rs
+++ b/crates/soak/src/daemons.rs
@@ -122,7 +122,11 @@
     }
 }
 
-fn binary() -> Result<PathBuf> {
+/// Path of the daemon's binary, which stands beside this program.
+///
+/// # Errors
+/// When it is not there: build the workspace's binaries first.
+pub fn binary() -> Result<PathBuf> {
     let this = std::env::current_exe()?;
     let mut folder = this.parent().wrap_err("no folder")?.to_path_buf();
     // A test's binary lies one folder deeper.
