--- a/crates/soak/tests/logs.rs
+++ b/crates/soak/tests/logs.rs
@@ -100,12 +100,11 @@
 
 /// The engine and the outcome of the last try that did not end well.
 fn culprit(lines: &[Value]) -> Option<(String, String)> {
-    let tries = lines
+    let mut tries = lines
         .iter()
         .filter(|line| line["message"] == "attempt_ended");
     let last = tries
-        .filter(|line| !matches!(line["outcome"].as_str(), Some("answered" | "prompt_read")))
-        .next_back()?;
+        .rfind(|line| !matches!(line["outcome"].as_str(), Some("answered" | "prompt_read")))?;
     let text = |key: &str| last[key].as_str().map(str::to_owned);
     Some((text("back_end")?, text("outcome")?))
 }
