--- a/crates/core/src/drain/view.rs
+++ b/crates/core/src/drain/view.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::membership::Contact;
-use crate::{CellName, FencingToken, Timestamp};
+use crate::{CellName, FencingToken, MachineId, Timestamp};
 
 /// Times of views.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +41,27 @@
     pub number: u64,
 }
 
+/// Whom a daemon asks for a cell's marks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ViewSource {
+    /// The controller that it knows.
+    Controller(MachineId),
+    /// Itself and some peers. A daemon that was frozen past its lease still takes itself for the controller: asked
+    /// alone, it would never hear of its successor, nor would the successor get its acknowledgements.
+    Peers,
+}
+
+impl ViewSource {
+    /// Whom the daemon `own` asks that knows `controller`, if any.
+    #[must_use]
+    pub fn new(controller: Option<MachineId>, own: MachineId) -> Self {
+        match controller {
+            Some(controller) if controller != own => Self::Controller(controller),
+            _ => Self::Peers,
+        }
+    }
+}
+
 /// How far a daemon's view of a cell is to be trusted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ViewStanding {
--- a/crates/core/tests/drain.rs
+++ b/crates/core/tests/drain.rs
@@ -5,7 +5,7 @@
 use ponddrift_core::drain::{
     DrainAck, DrainAction, DrainMark, DrainProgress, DrainReason, DrainSource, DrainState,
     DrainTable, DrainTracker, DrainTrackerSettings, DrainVersion, KnownDaemon, ViewLeaseSettings,
-    ViewLeases, ViewStanding,
+    ViewLeases, ViewSource, ViewStanding,
 };
 use ponddrift_core::machine::{Machine, MachineKind, MachineList, MachineState};
 use ponddrift_core::membership::{Contact, MemberState};
@@ -315,3 +315,14 @@
     model.step(5);
     assert!(model.table.draining(ENGINE).is_some());
 }
+
+#[test]
+fn a_daemon_that_takes_itself_for_the_controller_asks_its_peers_as_well() {
+    let other = MachineId(2);
+    assert_eq!(
+        ViewSource::new(Some(other), DAEMON),
+        ViewSource::Controller(other)
+    );
+    assert_eq!(ViewSource::new(Some(DAEMON), DAEMON), ViewSource::Peers);
+    assert_eq!(ViewSource::new(None, DAEMON), ViewSource::Peers);
+}
--- a/crates/daemon/src/actors/peer/drains.rs
+++ b/crates/daemon/src/actors/peer/drains.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ponddrift_core::drain::{DrainAction, DrainMark, DrainVersion, ViewStanding};
+use ponddrift_core::drain::{DrainAction, DrainMark, DrainVersion, ViewSource, ViewStanding};
 use ponddrift_core::machine::{Machine, MachineKind, MachineList};
 use ponddrift_core::membership::{Contact, MembershipEvent, Seed};
 use ponddrift_core::routing::RoutingEvent;
@@ -128,7 +128,7 @@
     fn ask_for_views(&mut self, now: Timestamp) {
         let contact = self.membership.contact(now);
         for request in self.views.tick(now, contact) {
-            let controller = self.controller_address(&request.cell);
+            let controller = self.view_source(&request.cell);
             let part = Part::ViewRequest {
                 cell: request.cell,
                 number: request.number,
@@ -140,6 +140,16 @@
         }
     }
 
+    /// Where a cell's view is asked for; none where peers are to be asked.
+    fn view_source(&self, cell: &CellName) -> Option<std::net::SocketAddr> {
+        let known = self.links.controllers.borrow().get(cell).copied();
+        let known = known.map(|known| known.machine);
+        match ViewSource::new(known, self.links.identity.machine) {
+            ViewSource::Controller(_) => self.controller_address(cell),
+            ViewSource::Peers => None,
+        }
+    }
+
     /// Without a known controller, peers are asked: they point to it.
     fn ask_anyone(&mut self, part: Part) {
         let own_address = self.membership.own().peer_address;
--- /dev/null
+++ b/crates/serve/tests/settings.rs
@@ -0,0 +1,75 @@
+//! Settings: the platform's template filled, and every fault at once.
+
+use ponddrift_serve::settings::check;
+
+const TEMPLATE: &str = include_str!("../../../deploy/serve.toml.template");
+
+/// The template as the platform fills it.
+fn filled() -> String {
+    let seeds = "seeds = [{{#seeds}}{{.|json}}{{,}}{{/seeds}}]";
+    assert!(TEMPLATE.contains(seeds));
+    [
+        (seeds, "seeds = [\"10.1.0.35:8146\",\"10.2.0.28:8146\"]"),
+        ("{{node|json}}", "\"frontend-a-1\""),
+        ("{{zone|json}}", "\"a\""),
+        ("{{listen.frontend|json}}", "\"10.1.0.35:8144\""),
+        ("{{listen.readiness|json}}", "\"10.1.0.35:8140\""),
+        ("{{ip}}", "10.1.0.35"),
+        ("{{internalPorts.0}}", "7660"),
+        ("{{platform.address|json}}", "\"10.200.1.7:8142\""),
+        ("{{platform.reads_per_s}}", "2000"),
+        ("{{bounds.retryBudgetRatio}}", "0.2"),
+        ("{{bounds.budgetSlack}}", "54"),
+        ("{{bounds.leaseMs}}", "3000"),
+        ("{{bounds.graceS}}", "8"),
+    ]
+    .iter()
+    .fold(TEMPLATE.to_owned(), |text, (gap, value)| {
+        text.replace(gap, value)
+    })
+}
+
+#[test]
+fn the_filled_template_is_accepted_and_says_what_the_platform_bounds() {
+    let text = filled();
+    assert!(!text.contains("{{"), "a gap is left: {text}");
+    let settings = check(&text).expect("in order");
+    assert_eq!(&*settings.name, "frontend-a-1");
+    assert_eq!(settings.peers.to_string(), "10.1.0.35:7660");
+    assert_eq!(settings.seeds.len(), 2);
+    assert!((settings.budget.slack - 54.0).abs() < f64::EPSILON);
+    assert!(settings.stop.accept < settings.stop.limit);
+    assert!(settings.stop.limit.as_secs_f64() < 8.0, "inside the grace");
+}
+
+#[test]
+fn every_fault_is_told_at_once_with_its_remedy() {
+    let text = "[daemon]\nzone = 3\n[listen]\ncallers = \"localhost:1\"\n[stop]\ngrace_s = 0\n[retry]\nratio = 1\n";
+    let faults = check(text).expect_err("faulty");
+    let keys: Vec<&str> = faults.0.iter().map(|fault| fault.key.as_str()).collect();
+    for key in [
+        "daemon.name",
+        "daemon.zone",
+        "listen.callers",
+        "listen.readiness",
+        "listen.peers",
+        "store.address",
+        "stop.grace_s",
+        "retry.ratio",
+    ] {
+        assert!(keys.contains(&key), "no fault for {key} in {keys:?}");
+    }
+    assert!(faults.0.iter().all(|fault| !fault.remedy.is_empty()));
+}
+
+#[test]
+fn a_stop_longer_than_the_grace_is_a_fault() {
+    let text = filled().replace("grace_s = 8", "grace_s = 2");
+    let faults = check(&text).expect_err("faulty");
+    assert!(faults.0.iter().any(|fault| fault.key == "stop.accept_ms"));
+}
+
+#[test]
+fn what_is_no_toml_is_told_so() {
+    assert_eq!(check("= 3").expect_err("faulty").0.len(), 1);
+}
