--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -46,6 +46,7 @@
         let pipeline_settings = PipelineSettings {
             zone: Arc::clone(&settings.zone),
             budget: settings.budget,
+            bounds: settings.bounds,
         };
         let dialect: Arc<dyn Dialect> = Arc::new(PlatformDialect);
         let pipeline = Pipeline::new(
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -7,6 +7,7 @@
 
 use eyre::{Context, Result};
 use ponddrift_fleet::budget::BudgetSettings;
+use ponddrift_serving::pipeline::IntakeBounds;
 use ponddrift_settings::{Fault, Faults, Reader};
 use toml::Table;
 
@@ -40,6 +41,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Bounds of repeats.
     pub budget: BudgetSettings,
+    /// Bounds of what is taken in at a time.
+    pub bounds: IntakeBounds,
     /// Life of the lease under which one daemon orders engines.
     pub order_lease: Duration,
     /// A planned stop.
@@ -103,6 +106,10 @@
         ratio: reader.fraction("retry.budget_ratio", 0.2, 0.0..=10.0),
         slack: reader.fraction("retry.budget_slack", 10.0, 0.0..=100_000.0),
     };
+    let bounds = IntakeBounds {
+        requests: count(reader.number("limits.requests_in_progress", 2_000, 1..=1_000_000)),
+        body_bytes: count(reader.number("limits.held_body_bytes", 64 << 20, 1 << 16..=1 << 40)),
+    };
     let order_lease = reader.milliseconds("orders.lease_ms", 3_000, 1_000..=HOUR_MS);
     let stop = stop_settings(&mut reader);
     let log_filter = reader
@@ -124,12 +131,17 @@
         store_reads_per_second,
         seeds,
         budget,
+        bounds,
         order_lease,
         stop,
         log_filter,
     })
 }
 
+fn count(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
+
 fn text_of(reader: &mut Reader, key: &str, what: &str) -> String {
     reader.parsed(key, None, what).unwrap_or_default()
 }
--- a/crates/serve/tests/requests.rs
+++ b/crates/serve/tests/requests.rs
@@ -231,3 +231,28 @@
     assert_eq!(other.runs().len(), 10);
     assert_eq!(total_runs(&fleet.records), 30);
 }
+
+#[test]
+fn beyond_its_bounds_a_daemon_refuses_at_once_and_nothing_runs() {
+    let mut fleet = Fleet::new(Size::default());
+    for engine in &fleet.records {
+        engine.behave_always(Behaviour::Hang);
+    }
+    let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers);
+    let refused = fleet.run(async move {
+        for number in 0..support::MOST_IN_PROGRESS {
+            let client = client.clone();
+            let request = ClientRequest::plain(&format!("held-{number}"), "post");
+            tokio::task::spawn_local(async move { client.ask(target, &request).await });
+        }
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        client
+            .ask(target, &ClientRequest::plain("late", "post"))
+            .await
+    });
+    let refused = refused.expect("never a bare close");
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(refused.retry_after_s().is_some());
+    let runs = fleet.records.iter().flat_map(EngineStandIn::runs);
+    assert!(runs.into_iter().all(|run| run.request != "late"));
+}
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -19,6 +19,8 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+/// Requests that a daemon of these tests has in progress, at most.
+pub const MOST_IN_PROGRESS: usize = 60;
 /// Service of plain servers.
 pub const RECORDS: &str = "records";
 /// Service of model engines.
@@ -223,7 +225,8 @@
          [listen]\ncallers = \"10.0.2.{number}:8144\"\nreadiness = \"10.0.2.{number}:8140\"\n\
          peers = \"10.0.2.{number}:7660\"\n[store]\naddress = \"{STORE}\"\n\
          [peers]\nseeds = [\"10.0.2.1:1\", \"10.0.2.2:1\"]\n\
-         [retry]\nbudget_ratio = 0.2\nbudget_slack = 20\n[stop]\ngrace_s = 8\n"
+         [retry]\nbudget_ratio = 0.2\nbudget_slack = 20\n[stop]\ngrace_s = 8\n\
+         [limits]\nrequests_in_progress = {MOST_IN_PROGRESS}\n"
     );
     settings::check(&text).expect("in order")
 }
--- a/crates/serving/src/front.rs
+++ b/crates/serving/src/front.rs
@@ -15,7 +15,7 @@
 use crate::pipeline::{CallerHandler, Pipeline};
 
 /// A caller's connection is not closed for resting: a request on its way at that moment would be lost.
-const REST_LIMIT: Duration = Duration::from_secs(600);
+const REST_LIMIT: Duration = Duration::from_secs(120);
 /// Time callers of a stopping daemon have to close their connections.
 const CLOSE_NOTICE: Duration = Duration::from_millis(800);
 /// Path of the figures.
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -46,6 +46,17 @@
     pub zone: Arc<str>,
     /// Bounds of repeats.
     pub budget: BudgetSettings,
+    /// Bounds of what is taken in at a time.
+    pub bounds: IntakeBounds,
+}
+
+/// What is taken in at a time; beyond it requests are refused before anything is done with them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct IntakeBounds {
+    /// Requests in progress.
+    pub requests: usize,
+    /// Bytes of requests' bodies.
+    pub body_bytes: usize,
 }
 
 /// Serves requests.
@@ -64,6 +75,8 @@
     daemons: AtomicUsize,
     in_progress: AtomicUsize,
     heavy_work_changed: Notify,
+    held_bytes: AtomicUsize,
+    bounds: IntakeBounds,
 }
 
 impl Pipeline {
@@ -91,6 +104,8 @@
             daemons: AtomicUsize::new(1),
             in_progress: AtomicUsize::new(0),
             heavy_work_changed: Notify::new(),
+            held_bytes: AtomicUsize::new(0),
+            bounds: settings.bounds,
         })
     }
 
--- a/crates/serving/src/pipeline/guards.rs
+++ b/crates/serving/src/pipeline/guards.rs
@@ -33,6 +33,30 @@
     }
 }
 
+/// Bytes of a request's body that are held in memory.
+pub(super) struct HeldBytes {
+    pipeline: Arc<Pipeline>,
+    bytes: usize,
+}
+
+impl HeldBytes {
+    pub(super) fn new(pipeline: &Arc<Pipeline>, bytes: usize) -> Self {
+        pipeline.held_bytes.fetch_add(bytes, Ordering::Relaxed);
+        Self {
+            pipeline: Arc::clone(pipeline),
+            bytes,
+        }
+    }
+}
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.pipeline
+            .held_bytes
+            .fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// Work at one back end.
 pub(super) struct LoadGuard {
     pipeline: Arc<Pipeline>,
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -1,6 +1,7 @@
 //! Takes a request in: configuration, route, head, body, service.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,7 +12,7 @@
 
 use super::Pipeline;
 use super::answers::Failure;
-use super::guards::InProgress;
+use super::guards::{HeldBytes, InProgress};
 use super::job::Job;
 use crate::dialect::RequestFacts;
 use crate::fleet_state::InForce;
@@ -80,6 +81,13 @@
         if self.is_refusing() {
             return Err(Failure::Stopping);
         }
+        let has_room = self.in_progress() <= self.bounds.requests
+            && self.held_bytes.load(Ordering::Relaxed) < self.bounds.body_bytes;
+        if !has_room {
+            return Err(Failure::NotRun(
+                "this daemon has as much in progress as it can hold: come back later",
+            ));
+        }
         let in_force = self.state.in_force().ok_or(Failure::NotReady)?;
         let route = find_route(&in_force, &head).ok_or(Failure::NoRoute)?;
         let id = facts.id.clone().ok_or(Failure::BadRequest)?;
@@ -105,6 +113,7 @@
             method: head.method,
             uri: head.uri,
             headers,
+            _held_bytes: HeldBytes::new(self, body.len()),
             body,
             facts,
             route,
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -8,6 +8,7 @@
 use ponddrift_fleet::configuration::{Route, Service};
 
 use super::Pipeline;
+use super::guards::HeldBytes;
 use crate::dialect::RequestFacts;
 use crate::follow::now;
 use crate::trail::Trail;
@@ -23,6 +24,8 @@
     /// Headers of the caller that are passed on.
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
+    /// Counts the body while it is held.
+    pub(super) _held_bytes: HeldBytes,
     pub(super) facts: RequestFacts,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<Service>,
