A daemon that starts asks engines which prompt heads they keep

Change: once after a start, up to 32 model engines are asked what they lately took up; heads are known by their last part.

--- a/crates/fleet/src/prompt.rs
+++ b/crates/fleet/src/prompt.rs
@@ -23,19 +23,11 @@
 }
 
 impl Prompt {
-    /// Identity of the prompt's shared head: all its parts but the last.
+    /// Identity of the prompt's shared head, all its parts but the last: that of the last among them. Engines keep a
+    /// part for use only with all parts before it.
     #[must_use]
     pub fn shared_head(&self) -> Option<u64> {
-        let shared = self.shared_parts();
-        if shared.is_empty() {
-            return None;
-        }
-        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
-        for part in shared {
-            hasher.update(part.id.as_bytes());
-            hasher.update(b"/");
-        }
-        Some(hasher.digest())
+        self.shared_parts().last().map(|part| head_of(&part.id))
     }
 
     /// Tokens of the shared head.
@@ -54,3 +46,9 @@
         self.parts.split_last().map_or(&[], |(_own, shared)| shared)
     }
 }
+
+/// Identity of the head that ends with this part.
+#[must_use]
+pub fn head_of(part: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(part.as_bytes())
+}
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -90,6 +90,8 @@
         peers::start(runtime, peer_settings, &state, &pipeline)
             .await
             .wrap_err("listen.peers cannot be bound: is another process there?")?;
+        let recalling = Arc::clone(&pipeline).recall_caches();
+        runtime.spawner.spawn(Box::pin(recalling));
         let order_settings = OrderSettings {
             holder: Arc::clone(&settings.name),
             lease: settings.order_lease,
--- a/crates/serve/tests/fleet_changes.rs
+++ b/crates/serve/tests/fleet_changes.rs
@@ -214,3 +214,50 @@
         assert!(asked.expect("an answer").is_whole);
     });
 }
+
+#[test]
+fn a_daemon_that_starts_anew_finds_out_which_engine_keeps_a_prompt() {
+    let mut fleet = Fleet::new(Size {
+        prefill: 6,
+        ..Size::default()
+    });
+    let prompt = |id: &str| ClientRequest::prompt(id, "verdict", 6_000, 900);
+    let reader = |fleet: &Fleet, id: &str| {
+        let read = |engine: &&ponddrift_platform_stand_ins::EngineStandIn| {
+            engine.runs().iter().any(|run| run.request == id)
+        };
+        fleet
+            .prefill
+            .iter()
+            .find(read)
+            .expect("read")
+            .id()
+            .to_owned()
+    };
+    let home = {
+        ask(&mut fleet, &prompt("1"));
+        reader(&fleet, "1")
+    };
+    // The home leaves, and another engine reads and keeps the head from then on.
+    let leaver = fleet.prefill.iter().find(|engine| engine.id() == home);
+    leaver.expect("there").record(&fleet.store, "draining");
+    fleet.wait(Duration::from_millis(100));
+    ask(&mut fleet, &prompt("2"));
+    let keeper = reader(&fleet, "2");
+    assert_ne!(keeper, home);
+    let back = fleet.prefill.iter().find(|engine| engine.id() == home);
+    back.expect("there").record(&fleet.store, "ready");
+    let handle = fleet.simulation.handle();
+    handle.power_off(fleet.daemons[0].host);
+    fleet.wait(Duration::from_millis(200));
+    handle.restart(fleet.daemons[0].host);
+    fleet.wait(Duration::from_millis(600));
+    ask(&mut fleet, &prompt("3"));
+    let reads = |engine: &str| {
+        let mut engines = fleet.prefill.iter();
+        let engine = engines.find(|known| known.id() == engine).expect("there");
+        engine.runs().iter().any(|run| run.request == "3")
+    };
+    // Both have read it once; either is right, any third would read it all.
+    assert!(reads(&keeper) || reads(&home));
+}
--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -28,8 +28,9 @@
         .collect()
 }
 
+/// Requests that earn places in the retry budget.
 fn earn(fleet: &mut Fleet) {
-    for number in 0..12 {
+    for number in 0..30 {
         let request = ClientRequest::prompt(&format!("earn-{number}"), "tag", 40, 200);
         assert_eq!(ask(fleet, &request).status, StatusCode::OK);
     }
@@ -151,7 +152,7 @@
     fleet.decode[0].behave_always(Behaviour::BreakOff);
     fleet.wait(Duration::from_millis(100));
     let mut resumed = 0;
-    for number in 0..6 {
+    for number in 0..20 {
         let request = ClientRequest::prompt(&number.to_string(), "tag", 40, 200);
         let answer = ask(&mut fleet, &request);
         assert!(answer.is_whole);
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -95,6 +95,15 @@
     pub sequence: u64,
 }
 
+/// A part of a prompt that an engine took up or gave up, as it tells afterwards.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CacheEvent {
+    /// Identity of the part.
+    pub part: String,
+    /// Tokens of it that are kept now; 0 where it gave way.
+    pub tokens: u32,
+}
+
 /// An order to an engine.
 #[derive(Debug, Clone, Copy)]
 pub struct OrderFacts<'a> {
@@ -137,6 +146,10 @@
     fn read_prefill(&self, body: &[u8]) -> Option<PrefillResult>;
     /// The call that frees a handle.
     fn release_handle(&self, handle: &str) -> SmallCall;
+    /// The call that asks an engine for what it lately took up and gave up.
+    fn cache_events(&self) -> SmallCall;
+    /// Reads the answer to it, oldest first.
+    fn read_cache_events(&self, body: &[u8]) -> Option<Vec<CacheEvent>>;
     /// The call that asks an engine for its state.
     fn report(&self) -> SmallCall;
     /// Reads the answer to it.
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -14,6 +14,7 @@
 mod plain;
 mod prefill;
 mod probe;
+mod recall;
 mod relay;
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
--- /dev/null
+++ b/crates/serving/src/pipeline/recall.rs
@@ -0,0 +1,121 @@
+//! Finds out after a start which prompt heads engines keep.
+//!
+//! What daemons know of caches is lost with them, while the engines still keep it: without this, every long prompt is read
+//! anew after a loss of all machines, just when all callers come back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::{StreamExt, stream};
+use http::{Request, StatusCode, header};
+use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::placement::HeadUse;
+use ponddrift_fleet::prompt::head_of;
+use ponddrift_http::body;
+use rand::seq::SliceRandom;
+
+use super::Pipeline;
+use crate::dialect::CacheEvent;
+use crate::follow::now;
+
+/// Looks for the first model engine after a start.
+const LOOKS: u32 = 100;
+/// Pause between two of them.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// Engines that are asked; with more, a part of them: peers ask others.
+const MOST_ASKED: usize = 32;
+/// Engines that are asked at a time.
+const ASKED_AT_ONCE: usize = 8;
+/// Time for an engine's answer.
+const ANSWER_LIMIT: Duration = Duration::from_millis(400);
+/// Largest answer in bytes.
+const LARGEST_ANSWER: usize = 4 << 20;
+/// A part of fewer tokens is not worth remembering.
+const LEAST_TOKENS: u32 = 500;
+
+impl Pipeline {
+    /// Asks engines what they keep, once after a start.
+    pub async fn recall_caches(self: Arc<Self>) {
+        let Some(engines) = self.first_engines().await else {
+            return;
+        };
+        let asked = engines.len();
+        let answers: Vec<Option<usize>> = stream::iter(engines)
+            .map(|engine| self.recall(engine))
+            .buffer_unordered(ASKED_AT_ONCE)
+            .collect()
+            .await;
+        let heads: usize = answers.iter().flatten().sum();
+        let answered = answers.iter().flatten().count();
+        tracing::info!(asked, answered, heads, "caches_recalled");
+    }
+
+    /// Model engines, once there are any.
+    async fn first_engines(&self) -> Option<Vec<Arc<BackEnd>>> {
+        for _ in 0..LOOKS {
+            let mut engines = self.state.back_ends();
+            engines.retain(|engine| engine.stage.is_some());
+            if !engines.is_empty() {
+                engines.shuffle(&mut *self.random());
+                engines.truncate(MOST_ASKED);
+                return Some(engines);
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        None
+    }
+
+    /// Asks one engine. Returns the heads that it keeps; none without an answer.
+    async fn recall(self: &Arc<Self>, engine: Arc<BackEnd>) -> Option<usize> {
+        let call = self.dialect.cache_events();
+        let request = Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .header(header::HOST, engine.address.to_string())
+            .body(body::empty())
+            .ok()?;
+        let exchange = async {
+            let exchange = self.connections.exchange(engine.address, 2, request);
+            let reply = exchange.await.ok()?;
+            let (head, body) = reply.response.into_parts();
+            let bytes = body::read_all(body, LARGEST_ANSWER, ANSWER_LIMIT)
+                .await
+                .ok()?;
+            reply.connection.give_back(&head.headers);
+            (head.status == StatusCode::OK).then_some(bytes)
+        };
+        let bytes = tokio::time::timeout(ANSWER_LIMIT, exchange).await.ok()??;
+        let events = self.dialect.read_cache_events(&bytes)?;
+        Some(self.remember(&engine, &events))
+    }
+
+    fn remember(&self, engine: &Arc<BackEnd>, events: &[CacheEvent]) -> usize {
+        let capacity = self.cache_tokens(engine);
+        let mut placement = self.placement();
+        if let Some(tokens) = capacity {
+            placement.prefixes.set_capacity(tokens);
+        }
+        let mut heads = 0;
+        for event in events {
+            let head = head_of(&event.part);
+            if event.tokens < LEAST_TOKENS {
+                placement.prefixes.was_missing(&engine.id, head);
+                continue;
+            }
+            heads += 1;
+            let usage = HeadUse {
+                engine: Arc::clone(&engine.id),
+                head,
+                tokens: event.tokens,
+            };
+            placement.prefixes.used_by_peer(&usage, now());
+        }
+        heads
+    }
+
+    fn cache_tokens(&self, engine: &BackEnd) -> Option<u64> {
+        let in_force = self.state.in_force()?;
+        let service = in_force.configuration.service(&engine.service)?;
+        service.engine.as_ref().map(|traits| traits.cache_tokens)
+    }
+}
