Short prompts are read apart while decode engines read much of their time

Prefill engines idled.

Change: the share of time that decode engines read, as all daemons tell it, counts in the cost of reading there.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -45,6 +45,13 @@
 const UNNOTICED_TOKENS: f64 = 600.0;
 /// Each millisecond of reading beyond those counts as so many: every stream there pauses meanwhile.
 const PAUSE_WEIGHT: f64 = 4.0;
+/// Busy share of decode engines from which further reading there shows in the gaps of their streams,
+const BUSY_DECODE: f64 = 0.35;
+/// and what each share beyond that counts as, in milliseconds. Measured (chladnica-hq, scale-2): with two thirds of
+/// their time spent reading short prompts, most streams there paused beyond their target, while prefill engines idled.
+const BUSY_DECODE_MS: f64 = 500.0;
+/// Work of all daemons is added up this often.
+const WORK_PERIOD: Duration = Duration::from_millis(100);
 /// Expected time of a plain request that nothing is known of, in milliseconds.
 const PLAIN_DEFAULT_MS: f64 = 20.0;
 /// Random part of each cost, so that daemons with the same picture do not all choose the same.
@@ -85,6 +92,11 @@
     pub speed: SpeedTable,
     /// Prompt heads that engines are believed to keep.
     pub prefixes: PrefixMemory,
+    /// Daemons that serve, this one among them.
+    pub daemons: usize,
+    /// Work of all daemons by service, as it was added up last.
+    work_of_all: Vec<(Arc<str>, StageWork)>,
+    work_added_up: Option<Instant>,
     /// Share of the peers' sends that this daemon hears of.
     pub told_share: f64,
     /// Work that own requests bring.
@@ -105,6 +117,9 @@
             health: Health::default(),
             speed: SpeedTable::default(),
             prefixes: PrefixMemory::default(),
+            daemons: 1,
+            work_of_all: Vec::new(),
+            work_added_up: None,
             told_share: 1.0,
             work: WorkMeter::default(),
             peer_work: PeerWork::default(),
@@ -179,6 +194,7 @@
             traits,
             prompt,
             keepers: &keepers,
+            busy_decode_ms: self.busy_decode_ms(&decoders),
         };
         let (direct, direct_ms) = self.cheapest(&decoders, random, |back_end| {
             reading.direct_ms(back_end, &decoders)
@@ -203,6 +219,34 @@
         Some(reading.plan(Some(prefill), decode, &prefills, handed_over_ms))
     }
 
+    /// Work of every service, of all daemons; added up anew where that is some time ago.
+    pub fn work_of_all(&mut self, now: Instant) -> &[(Arc<str>, StageWork)] {
+        let is_due = self
+            .work_added_up
+            .is_none_or(|last| now.saturating_duration_since(last) >= WORK_PERIOD);
+        if is_due {
+            let own = self.work.rates(now);
+            self.work_of_all = self.peer_work.with_own(&own, self.daemons, now);
+            self.work_added_up = Some(now);
+        }
+        &self.work_of_all
+    }
+
+    /// What further reading at the service's decode engines costs the streams there, in milliseconds.
+    fn busy_decode_ms(&self, decoders: &[Arc<BackEnd>]) -> f64 {
+        let Some(first) = decoders.first() else {
+            return 0.0;
+        };
+        let known = self
+            .work_of_all
+            .iter()
+            .find(|(service, _work)| *service == first.service);
+        let work = known.map_or(0.0, |(_service, work)| work.decode);
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred engines")]
+        let busy = work / decoders.len() as f64;
+        (busy - BUSY_DECODE).max(0.0) * BUSY_DECODE_MS
+    }
+
     /// Adds the reading that a plan brings to the work of its service.
     pub fn meter(&mut self, service: &Arc<str>, plan: &PromptPlan, now: Instant) {
         const MS_PER_S: f64 = 1000.0;
@@ -336,6 +380,7 @@
     traits: &'a EngineTraits,
     prompt: &'a Prompt,
     keepers: &'a [Arc<BackEnd>],
+    busy_decode_ms: f64,
 }
 
 /// What an engine would have to do before a prompt is read.
@@ -351,7 +396,10 @@
         let work = self.work(back_end, rivals);
         let pausing = (work.tokens - UNNOTICED_TOKENS).max(0.0);
         let reading = (work.tokens + PAUSE_WEIGHT * pausing) * per_token;
-        self.placement.waiting_ms(back_end, per_token) + work.fetch_ms + reading
+        self.placement.waiting_ms(back_end, per_token)
+            + work.fetch_ms
+            + reading
+            + self.busy_decode_ms
     }
 
     fn prefill_ms(&self, back_end: &BackEnd, rivals: &[Arc<BackEnd>]) -> f64 {
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -9,6 +9,7 @@
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{HeadUse, Outstanding, PeerRow, Placement, PromptPlan};
 use ponddrift_fleet::prompt::{Prompt, PromptPart};
+use ponddrift_fleet::stages::StageWork;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
@@ -215,3 +216,20 @@
     }
     scene.plan(&prompt("h", 60, 250));
 }
+
+#[test]
+fn short_prompts_are_read_apart_while_decode_engines_read_most_of_their_time() {
+    let mut scene = Scene::new(3, 3);
+    let short = prompt("h", 60, 250);
+    assert!(scene.plan(&short).prefill.is_none());
+    let busy = StageWork {
+        prefill: 0.1,
+        decode: 2.4,
+    };
+    let service = Arc::from("models");
+    let told = vec![(service, busy)];
+    let peer = Arc::from("peer");
+    scene.placement.peer_work.hear(&peer, told, scene.now);
+    scene.placement.work_of_all(scene.now);
+    assert!(scene.plan(&short).prefill.is_some());
+}
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -152,6 +152,7 @@
     pub fn set_daemons(&self, daemons: usize) {
         self.daemons.store(daemons.max(1), Ordering::Relaxed);
         self.budget().set_daemons(daemons);
+        self.placement().daemons = daemons;
     }
 
     /// What choices are based on.
@@ -175,11 +176,7 @@
     /// Work of every service, of all daemons.
     #[must_use]
     pub fn work_of_all(&self) -> Vec<(Arc<str>, StageWork)> {
-        let now = now();
-        let mut placement = self.placement();
-        let own = placement.work.rates(now);
-        let daemons = self.daemons.load(Ordering::Relaxed);
-        placement.peer_work.with_own(&own, daemons, now)
+        self.placement().work_of_all(now()).to_vec()
     }
 
     /// Forgets back ends that are gone, and closes idle connections.
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -132,6 +132,7 @@
         let plan = match (&job.facts.prompt, &job.service.engine) {
             (Some(prompt), Some(traits)) => {
                 placement.prefixes.set_capacity(traits.cache_tokens);
+                placement.work_of_all(now);
                 placement.plan_prompt(&ready, &job.tried, traits, prompt, now, &mut *random)
             }
             _ => placement
