--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -6,11 +6,12 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use ponddrift_http::Body;
+use ponddrift_http::body::{self, Body};
 use ponddrift_runtime::Runtime;
 
 use crate::follow::now;
@@ -24,6 +25,9 @@
 /// How long an idle connection is used whose server does not tell how long it keeps it.
 const IDLE_UNTOLD: Duration = Duration::from_millis(600);
 
+/// Largest answer to a small call in bytes.
+const LARGEST_CALL_ANSWER: usize = 4 << 20;
+
 /// Why a request did not leave.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NotSent {
@@ -130,6 +134,26 @@
         }
     }
 
+    /// One small exchange, with its whole answer; none without one in time.
+    pub async fn call(
+        self: &Arc<Self>,
+        address: SocketAddr,
+        most: u32,
+        request: Request<Body>,
+        limit: Duration,
+    ) -> Option<Response<Bytes>> {
+        let exchange = async {
+            let reply = self.exchange(address, most, request).await.ok()?;
+            let (head, incoming) = reply.response.into_parts();
+            let bytes = body::read_all(incoming, LARGEST_CALL_ANSWER, limit)
+                .await
+                .ok()?;
+            reply.connection.give_back(&head.headers);
+            Some(Response::from_parts(head, bytes))
+        };
+        tokio::time::timeout(limit, exchange).await.ok()?
+    }
+
     fn take_idle(self: &Arc<Self>, address: SocketAddr) -> Option<Connection> {
         let now = now();
         let mut pools = self.lock();
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, response};
+use http::{HeaderMap, Method, Request, header, response};
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::prompt::Prompt;
+use ponddrift_http::body::{self, Body};
 
 /// What a caller's request head tells.
 #[derive(Debug, Clone, Default)]
@@ -84,6 +85,19 @@
     pub path: String,
 }
 
+impl SmallCall {
+    /// The request to the back end at `address`; none if the path is none.
+    #[must_use]
+    pub fn request(self, address: SocketAddr) -> Option<Request<Body>> {
+        Request::builder()
+            .method(self.method)
+            .uri(self.path)
+            .header(header::HOST, address.to_string())
+            .body(body::empty())
+            .ok()
+    }
+}
+
 /// What an engine says of its state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EngineReport {
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{Request, StatusCode, header};
+use http::{Request, Response, StatusCode, header};
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::stages::{StageChange, StagePlanner, StageWork};
@@ -248,16 +248,10 @@
     }
 
     async fn report(&self, engine: &BackEnd) -> Option<EngineReport> {
-        let call = self.dialect.report();
-        let request = Request::builder()
-            .method(call.method)
-            .uri(call.path)
-            .header(header::HOST, engine.address.to_string())
-            .body(body::empty())
-            .ok()?;
-        let (status, bytes) = self.exchange(engine, request).await?;
-        (status == StatusCode::OK)
-            .then(|| self.dialect.read_report(&bytes))
+        let request = self.dialect.report().request(engine.address)?;
+        let answer = self.exchange(engine, request).await?;
+        (answer.status() == StatusCode::OK)
+            .then(|| self.dialect.read_report(answer.body()))
             .flatten()
     }
 
@@ -282,9 +276,10 @@
         if !authority.covers_an_order(now()) {
             return OrderEnd::NotSent;
         }
-        match self.exchange(engine, request).await {
-            Some((StatusCode::OK | StatusCode::ACCEPTED, _body)) => OrderEnd::Taken,
-            Some((status, _body)) => OrderEnd::Refused(status.as_u16()),
+        let answer = self.exchange(engine, request).await;
+        match answer.map(|answer| answer.status()) {
+            Some(StatusCode::OK | StatusCode::ACCEPTED) => OrderEnd::Taken,
+            Some(status) => OrderEnd::Refused(status.as_u16()),
             None => OrderEnd::Unanswered,
         }
     }
@@ -294,18 +289,12 @@
         &self,
         engine: &BackEnd,
         request: Request<body::Body>,
-    ) -> Option<(StatusCode, Bytes)> {
-        /// Largest answer in bytes.
-        const LARGEST: usize = 1 << 20;
-        let exchange = async {
-            let exchange = self.connections.exchange(engine.address, 2, request);
-            let reply = exchange.await.ok()?;
-            let (head, body) = reply.response.into_parts();
-            let bytes = body::read_all(body, LARGEST, ORDER_LIMIT).await.ok()?;
-            reply.connection.give_back(&head.headers);
-            Some((head.status, bytes))
-        };
-        tokio::time::timeout(ORDER_LIMIT, exchange).await.ok()?
+    ) -> Option<Response<Bytes>> {
+        /// An order, and a report beside it.
+        const CONNECTIONS: u32 = 2;
+        self.connections
+            .call(engine.address, CONNECTIONS, request, ORDER_LIMIT)
+            .await
     }
 
     fn build(&self, engine: &BackEnd, facts: &OrderFacts<'_>) -> Option<Request<body::Body>> {
--- a/crates/serving/src/pipeline/guards.rs
+++ b/crates/serving/src/pipeline/guards.rs
@@ -5,9 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use http::Request;
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_http::body;
 
 use super::Pipeline;
 
@@ -133,22 +131,14 @@
         let most = self.most_connections;
         let spawner = Arc::clone(&pipeline.runtime.spawner);
         spawner.spawn(Box::pin(async move {
-            let request = Request::builder()
-                .method(call.method)
-                .uri(call.path)
-                .header(http::header::HOST, source.to_string())
-                .body(body::empty());
-            let Ok(request) = request else {
-                return;
-            };
-            let exchange = pipeline.connections.exchange(source, most, request);
-            let answer = tokio::time::timeout(SMALL_CALL_LIMIT, exchange).await;
-            if let Ok(Ok(reply)) = answer {
-                let (head, body) = reply.response.into_parts();
-                let whole = body::read_all(body, 1 << 16, SMALL_CALL_LIMIT).await;
-                if whole.is_ok() {
-                    reply.connection.give_back(&head.headers);
-                }
+            if let Some(request) = call.request(source) {
+                let connections = &pipeline.connections;
+                // What is not freed lapses by itself.
+                drop(
+                    connections
+                        .call(source, most, request, SMALL_CALL_LIMIT)
+                        .await,
+                );
             }
         }));
     }
--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -3,13 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http::{Request, StatusCode, header};
+use http::{Method, StatusCode};
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
-use ponddrift_http::body;
 
 use super::Pipeline;
-use crate::connections::Reply;
+use crate::dialect::SmallCall;
 use crate::follow::now;
 
 /// Time for a health check.
@@ -75,30 +74,20 @@
 
     /// Whether a back end answers its health check in time, as itself.
     pub(super) async fn is_well(self: &Arc<Self>, back_end: &BackEnd, path: &str) -> bool {
-        let request = Request::builder()
-            .uri(path)
-            .header(header::HOST, back_end.address.to_string())
-            .body(body::empty());
-        let Ok(request) = request else {
+        let call = SmallCall {
+            method: Method::GET,
+            path: path.to_owned(),
+        };
+        let Some(request) = call.request(back_end.address) else {
             return false;
         };
-        let exchange = self
+        let call = self
             .connections
-            .exchange(back_end.address, CHECK_CONNECTIONS, request);
-        let answer = tokio::time::timeout(CHECK_LIMIT, exchange).await;
-        match answer {
-            Ok(Ok(reply)) => self.names_itself_well(reply, &back_end.id).await,
-            _ => false,
-        }
-    }
-
-    async fn names_itself_well(&self, reply: Reply, id: &str) -> bool {
-        let (head, body) = reply.response.into_parts();
-        let is_itself = self.dialect.health_identity(&head.headers) == Some(id);
-        let whole = body::read_all(body, 1 << 16, CHECK_LIMIT).await;
-        if whole.is_ok() {
-            reply.connection.give_back(&head.headers);
-        }
-        head.status == StatusCode::OK && is_itself
+            .call(back_end.address, CHECK_CONNECTIONS, request, CHECK_LIMIT);
+        let Some(answer) = call.await else {
+            return false;
+        };
+        let is_itself = self.dialect.health_identity(answer.headers()) == Some(&*back_end.id);
+        answer.status() == StatusCode::OK && is_itself
     }
 }
--- a/crates/serving/src/pipeline/recall.rs
+++ b/crates/serving/src/pipeline/recall.rs
@@ -7,11 +7,10 @@
 use std::time::Duration;
 
 use futures::{StreamExt, stream};
-use http::{Request, StatusCode, header};
+use http::StatusCode;
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::placement::HeadUse;
 use ponddrift_fleet::prompt::head_of;
-use ponddrift_http::body;
 use rand::seq::SliceRandom;
 
 use super::Pipeline;
@@ -28,8 +27,6 @@
 const ASKED_AT_ONCE: usize = 8;
 /// Time for an engine's answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(400);
-/// Largest answer in bytes.
-const LARGEST_ANSWER: usize = 4 << 20;
 /// A part of fewer tokens is not worth remembering.
 const LEAST_TOKENS: u32 = 500;
 
@@ -67,25 +64,15 @@
 
     /// Asks one engine. Returns the heads that it keeps; none without an answer.
     async fn recall(self: &Arc<Self>, engine: Arc<BackEnd>) -> Option<usize> {
-        let call = self.dialect.cache_events();
-        let request = Request::builder()
-            .method(call.method)
-            .uri(call.path)
-            .header(header::HOST, engine.address.to_string())
-            .body(body::empty())
-            .ok()?;
-        let exchange = async {
-            let exchange = self.connections.exchange(engine.address, 2, request);
-            let reply = exchange.await.ok()?;
-            let (head, body) = reply.response.into_parts();
-            let bytes = body::read_all(body, LARGEST_ANSWER, ANSWER_LIMIT)
-                .await
-                .ok()?;
-            reply.connection.give_back(&head.headers);
-            (head.status == StatusCode::OK).then_some(bytes)
-        };
-        let bytes = tokio::time::timeout(ANSWER_LIMIT, exchange).await.ok()??;
-        let events = self.dialect.read_cache_events(&bytes)?;
+        let request = self.dialect.cache_events().request(engine.address)?;
+        let call = self
+            .connections
+            .call(engine.address, 2, request, ANSWER_LIMIT);
+        let answer = call.await?;
+        if answer.status() != StatusCode::OK {
+            return None;
+        }
+        let events = self.dialect.read_cache_events(answer.body())?;
         Some(self.remember(&engine, &events))
     }
 
