--- /dev/null
+++ b/crates/serve/tests/hostile_peers.rs
@@ -0,0 +1,123 @@
+//! Bytes that nobody asked for: surplus answers of a back end, nonsense from a peer.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::StatusCode;
+use ponddrift_platform_stand_ins::ClientRequest;
+use ponddrift_runtime::{BoxedStream, Runtime};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use support::{Fleet, Size, spec};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+const RAW_IP: [u8; 4] = [10, 0, 1, 200];
+
+/// A server that sends each answer, and then another that belongs to nobody, at once or a little later.
+async fn answer_twice(runtime: Runtime, pause: Duration) {
+    let address = SocketAddr::from((RAW_IP, 8080));
+    let listener = runtime.network.listen(address).await.expect("binds");
+    loop {
+        let (stream, _peer) = listener.accept().await.expect("accepts");
+        runtime.spawner.spawn(Box::pin(serve_twice(stream, pause)));
+    }
+}
+
+async fn serve_twice(mut stream: BoxedStream, pause: Duration) {
+    let mut seen = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        let Ok(read @ 1..) = stream.read(&mut buffer).await else {
+            return;
+        };
+        seen.extend_from_slice(&buffer[..read]);
+        let text = String::from_utf8_lossy(&seen).into_owned();
+        // The body of the tests' requests ends so.
+        if !text.ends_with("question") {
+            continue;
+        }
+        seen.clear();
+        let id = text
+            .lines()
+            .find_map(|line| line.strip_prefix("ponddrift-request-id: "))
+            .unwrap_or_default()
+            .to_owned();
+        let answer = |id: &str, body: &str| {
+            format!(
+                "HTTP/1.1 200 OK\r\nponddrift-request-id: {id}\r\n\
+                 ponddrift-response-signature: signed-by-raw\r\ncontent-length: {}\r\n\r\n{body}",
+                body.len()
+            )
+        };
+        let whole = answer(&id, &format!("answer to {id}"));
+        if stream.write_all(whole.as_bytes()).await.is_err() {
+            return;
+        }
+        tokio::time::sleep(pause).await;
+        let surplus = answer("nobody", "surplus");
+        if stream.write_all(surplus.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+#[test]
+fn an_answer_behind_the_answer_reaches_no_caller() {
+    for pause_ms in [0, 1, 5, 40] {
+        let mut fleet = Fleet::without_configuration(Size {
+            records: 0,
+            ..Size::default()
+        });
+        fleet
+            .simulation
+            .add_host(spec("raw", RAW_IP), move |runtime| {
+                answer_twice(runtime, Duration::from_millis(pause_ms))
+            });
+        let entry = r#"{"service":"records","address":"10.0.1.200:8080","zone":"a","slots":8,"state":"ready"}"#;
+        fleet.store.put("servers/raw", entry);
+        fleet.configure(1, &support::routes());
+        fleet.wait(Duration::from_millis(300));
+        let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers);
+        fleet.run(async move {
+            for number in 0..20 {
+                let request = ClientRequest::plain(&format!("r{number}"), "post");
+                let answer = client.ask(target, &request).await.expect("an answer");
+                // What crosses a surplus answer may be unsure, but is never another's.
+                let own = format!("answer to r{number}");
+                let is_own = answer.status == StatusCode::OK && answer.text() == own;
+                let is_unsure = answer.status == StatusCode::BAD_GATEWAY;
+                assert!(is_own || is_unsure, "{:?} {}", answer.status, answer.text());
+            }
+        });
+    }
+}
+
+#[test]
+fn nonsense_from_a_peer_changes_nothing() {
+    let mut fleet = Fleet::new(Size::default());
+    let (_host, runtime) = fleet.simulation.add_client(spec("stranger", [10, 0, 3, 9]));
+    let peers = SocketAddr::from(([10, 0, 2, 1], 7660));
+    let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers);
+    fleet.run(async move {
+        let own = SocketAddr::from(([10, 0, 3, 9], 5000));
+        let socket = runtime.network.bind_datagram(own).await.expect("binds");
+        let mut random = Pcg64Mcg::seed_from_u64(11);
+        for length in 0..600 {
+            let mut bytes = vec![0; length];
+            random.fill_bytes(&mut bytes);
+            // Every other one claims to be of the version that is spoken.
+            if let Some(first) = bytes.first_mut().filter(|_| length % 2 == 0) {
+                *first = 1;
+            }
+            drop(socket.send_to(&bytes, peers).await);
+        }
+        let mut stream = runtime.network.connect(peers).await.expect("connects");
+        drop(stream.write_all(&[7; 3]).await);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let request = ClientRequest::plain("after", "post");
+        let answer = client.ask(target, &request).await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK);
+    });
+}
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -231,7 +231,8 @@
     settings::check(&text).expect("in order")
 }
 
-fn spec(name: &str, ip: [u8; 4]) -> HostSpec {
+/// A machine of zone a.
+pub fn spec(name: &str, ip: [u8; 4]) -> HostSpec {
     HostSpec {
         name: name.to_owned(),
         ip: IpAddr::from(ip),
