Planner: work counts for the stage that it is wanted of

Change: reading of long prompts is work for prefill engines wherever it was done, short reading and streams for decode engines; a held slot counts a third; what decode engines really read is told apart, for placement.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -40,6 +40,8 @@
 /// and what each share beyond that counts as, in milliseconds. Measured (chladnica-hq, scale-2): with two thirds of
 /// their time spent reading short prompts, most streams there paused beyond their target, while prefill engines idled.
 const BUSY_DECODE_MS: f64 = 500.0;
+/// A stream that holds a slot takes this share of what the slot could do: streams of a batch share each step.
+const SLOT_WEIGHT: f64 = 0.3;
 /// Work of all daemons is added up this often.
 const WORK_PERIOD: Duration = Duration::from_millis(100);
 /// Expected time of a plain request that nothing is known of, in milliseconds.
@@ -231,7 +233,7 @@
             .work_of_all
             .iter()
             .find(|(service, _work)| *service == first.service);
-        let work = known.map_or(0.0, |(_service, work)| work.decode);
+        let work = known.map_or(0.0, |(_service, work)| work.decode_reading);
         #[expect(clippy::cast_precision_loss, reason = "a few hundred engines")]
         let busy = work / decoders.len() as f64;
         (busy - BUSY_DECODE).max(0.0) * BUSY_DECODE_MS
@@ -242,25 +244,29 @@
         const MS_PER_S: f64 = 1000.0;
         let prefill_s = plan.tokens_to_read / self.speed.prefill_tokens_per_ms() / MS_PER_S;
         let decode_s = plan.tokens_to_read / self.speed.decode_tokens_per_ms() / MS_PER_S;
-        let work = if plan.prefill.is_some() {
+        let mut work = if plan.tokens_to_read > reading::UNNOTICED_TOKENS {
             StageWork {
                 prefill: prefill_s,
-                decode: 0.0,
+                ..StageWork::default()
             }
         } else {
             StageWork {
-                prefill: 0.0,
                 decode: decode_s,
+                ..StageWork::default()
             }
         };
+        if plan.prefill.is_none() {
+            work.decode_reading = decode_s;
+        }
         self.work.add(service, work, now);
     }
 
     /// Adds a stream's time to the work of its service: it held one of the engine's slots.
     pub fn meter_stream(&mut self, service: &Arc<str>, slots: u32, time: Duration, now: Instant) {
+        let held = time.as_secs_f64() / f64::from(slots.max(1));
         let work = StageWork {
-            prefill: 0.0,
-            decode: time.as_secs_f64() / f64::from(slots.max(1)),
+            decode: held * SLOT_WEIGHT,
+            ..StageWork::default()
         };
         self.work.add(service, work, now);
     }
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -16,7 +16,7 @@
 /// Moves between zones take this many times as long.
 const OTHER_ZONE_MOVE_FACTOR: f64 = 2.0;
 /// Tokens that a decode engine reads without holding its streams up noticeably.
-const UNNOTICED_TOKENS: f64 = 600.0;
+pub(super) const UNNOTICED_TOKENS: f64 = 600.0;
 /// Each millisecond of reading beyond those counts as so many: every stream there pauses meanwhile.
 const PAUSE_WEIGHT: f64 = 4.0;
 
--- a/crates/fleet/src/placement/work.rs
+++ b/crates/fleet/src/placement/work.rs
@@ -37,8 +37,7 @@
                 at: now,
             });
         average.decay(now);
-        average.work.prefill += work.prefill / AVERAGED_S;
-        average.work.decode += work.decode / AVERAGED_S;
+        average.work.add(work.times(1.0 / AVERAGED_S));
     }
 
     /// Work of each service in engine-seconds a second.
@@ -91,29 +90,22 @@
         for (service, work) in own.iter().chain(told) {
             let known = sums.iter_mut().find(|(known, _sum)| known == service);
             match known {
-                Some((_service, sum)) => add(sum, *work),
+                Some((_service, sum)) => sum.add(*work),
                 None => sums.push((Arc::clone(service), *work)),
             }
         }
         for (_service, sum) in &mut sums {
-            sum.prefill *= scale;
-            sum.decode *= scale;
+            *sum = sum.times(scale);
         }
         sums
     }
 }
 
-fn add(sum: &mut StageWork, work: StageWork) {
-    sum.prefill += work.prefill;
-    sum.decode += work.decode;
-}
-
 impl Average {
     fn decay(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
         let kept = (-elapsed / AVERAGED_S).exp();
-        self.work.prefill *= kept;
-        self.work.decode *= kept;
+        self.work = self.work.times(kept);
         self.at = now;
     }
 }
--- a/crates/fleet/src/stages.rs
+++ b/crates/fleet/src/stages.rs
@@ -36,7 +36,7 @@
 const LEAST_DECODE_SHARE: f64 = 0.5;
 /// A stage gives an engine away only if the rest is then busy for no more than this share, at its recent peak.
 /// Measured: an engine taken from decode engines that a burst is about to fill is missed for seconds.
-const BUSY_AFTER_GIVING: f64 = 0.25;
+const BUSY_AFTER_GIVING: f64 = 0.33;
 /// Time over which the peak counts.
 const PEAK_TIME: Duration = Duration::from_secs(3);
 /// Work must have been seen for this long before the first change: while everything is read for the first time,
@@ -45,13 +45,35 @@
 /// Looks in a row that must find the same change better.
 const LOOKS: u32 = 2;
 
-/// Work of one service, in engine-seconds a second.
+/// Work of one service, in engine-seconds a second. What each stage is wanted for counts there, wherever it was done: a
+/// full stage spills into the other, which must not look as if that were its own work.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct StageWork {
-    /// Reading prompts apart.
+    /// Reading long prompts.
     pub prefill: f64,
     /// Generating, and reading short prompts.
     pub decode: f64,
+    /// Reading that decode engines really do.
+    pub decode_reading: f64,
+}
+
+impl StageWork {
+    /// Adds other work.
+    pub fn add(&mut self, other: Self) {
+        self.prefill += other.prefill;
+        self.decode += other.decode;
+        self.decode_reading += other.decode_reading;
+    }
+
+    /// This work, so many times.
+    #[must_use]
+    pub fn times(self, factor: f64) -> Self {
+        Self {
+            prefill: self.prefill * factor,
+            decode: self.decode * factor,
+            decode_reading: self.decode_reading * factor,
+        }
+    }
 }
 
 /// One engine is to change.
@@ -159,6 +181,7 @@
         StageWork {
             prefill: highest(|work| work.prefill),
             decode: highest(|work| work.decode),
+            ..StageWork::default()
         }
     }
 
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -223,8 +223,8 @@
     let short = prompt("h", 60, 250);
     assert!(scene.plan(&short).prefill.is_none());
     let busy = StageWork {
-        prefill: 0.1,
-        decode: 2.4,
+        decode_reading: 2.4,
+        ..StageWork::default()
     };
     let service = Arc::from("models");
     let told = vec![(service, busy)];
@@ -233,3 +233,16 @@
     scene.placement.work_of_all(scene.now);
     assert!(scene.plan(&short).prefill.is_some());
 }
+
+#[test]
+fn long_prompts_that_spill_to_decode_engines_count_as_work_for_prefill_engines() {
+    let mut scene = Scene::new(0, 2);
+    let service = Arc::from("models");
+    let plan = scene.plan(&prompt("h", 10_000, 4_000));
+    assert!(plan.prefill.is_none());
+    scene.placement.meter(&service, &plan, scene.now);
+    let rates = scene.placement.work.rates(scene.now);
+    let work = rates[0].1;
+    assert!(work.prefill > 0.1 && work.decode_reading > work.prefill);
+    assert!(work.decode < 0.01, "{work:?}");
+}
--- a/crates/fleet/tests/stages.rs
+++ b/crates/fleet/tests/stages.rs
@@ -80,7 +80,11 @@
 }
 
 const fn work(prefill: f64, decode: f64) -> StageWork {
-    StageWork { prefill, decode }
+    StageWork {
+        prefill,
+        decode,
+        decode_reading: 0.0,
+    }
 }
 
 #[test]
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -281,6 +281,7 @@
         service: service.to_string(),
         prefill: (work.prefill * MS_PER_S) as u32,
         decode: (work.decode * MS_PER_S) as u32,
+        decode_reading: (work.decode_reading * MS_PER_S) as u32,
     }
 }
 
@@ -288,6 +289,7 @@
     let work = StageWork {
         prefill: f64::from(row.prefill) / MS_PER_S,
         decode: f64::from(row.decode) / MS_PER_S,
+        decode_reading: f64::from(row.decode_reading) / MS_PER_S,
     };
     (Arc::from(row.service.as_str()), work)
 }
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -50,10 +50,12 @@
 pub(super) struct ServiceWorkRow {
     /// Service.
     pub(super) service: String,
-    /// Reading prompts apart.
+    /// Reading long prompts.
     pub(super) prefill: u32,
     /// Generating, and reading short prompts.
     pub(super) decode: u32,
+    /// Reading that decode engines really do.
+    pub(super) decode_reading: u32,
 }
 
 /// A prompt's head at an engine.
