--- a/crates/serve/tests/requests.rs
+++ b/crates/serve/tests/requests.rs
@@ -256,3 +256,23 @@
     let runs = fleet.records.iter().flat_map(EngineStandIn::runs);
     assert!(runs.into_iter().all(|run| run.request != "late"));
 }
+
+#[test]
+fn heads_and_bodies_beyond_the_configurations_limits_are_told_so() {
+    let mut fleet = Fleet::new(Size::default());
+    let long_head = ClientRequest {
+        padding: 20_000,
+        ..ClientRequest::plain("1", "post")
+    };
+    let answer = ask(&mut fleet, &long_head);
+    assert_eq!(answer.status, StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    let long_body = ClientRequest {
+        body: "x".repeat(70_000),
+        ..ClientRequest::plain("2", "post")
+    };
+    assert_eq!(
+        ask(&mut fleet, &long_body).status,
+        StatusCode::PAYLOAD_TOO_LARGE
+    );
+    assert_eq!(total_runs(&fleet.records), 0);
+}
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -31,6 +31,10 @@
 const GATHERING_TIME: Duration = Duration::from_millis(8);
 /// Peers that are told each time, at most.
 const TOLD_AT_ONCE: usize = 8;
+/// With more peers than this, work that weighs is told at once only to
+const MANY_PEERS: usize = 16;
+/// so many of them: a datagram to a few of hundreds changes little there, and costs as much.
+const TOLD_OF_WORK: usize = 3;
 /// How long the store gets to bring what a peer already has.
 const STORE_HEADSTART: Duration = Duration::from_millis(250);
 
@@ -87,7 +91,7 @@
             let interval = TELL_INTERVAL.mul_f64(random.random_range(0.9..1.1));
             // Work that weighs is told at once: what a peer does not know of, it adds to.
             let woken = self.pipeline.heavy_work_changed().notified();
-            drop(tokio::time::timeout(interval, woken).await);
+            let is_woken = tokio::time::timeout(interval, woken).await.is_ok();
             tokio::time::sleep(GATHERING_TIME).await;
             let mut targets = self.targets();
             self.pipeline.set_daemons(targets.len() + 1);
@@ -96,7 +100,7 @@
                 continue;
             };
             targets.shuffle(&mut random);
-            for target in targets.iter().take(TOLD_AT_ONCE) {
+            for target in targets.iter().take(told(targets.len(), is_woken)) {
                 // A datagram that cannot be sent is as good as a lost one.
                 drop(self.socket.send_to(&bytes, *target).await);
             }
@@ -242,6 +246,15 @@
     }
 }
 
+/// Peers that are told this time.
+const fn told(peers: usize, is_woken: bool) -> usize {
+    if is_woken && peers > MANY_PEERS {
+        TOLD_OF_WORK
+    } else {
+        TOLD_AT_ONCE
+    }
+}
+
 /// Share of the peers' sends that a daemon hears of, where each tells some of them.
 #[expect(clippy::cast_precision_loss, reason = "a few hundred daemons")]
 fn told_share(peers: usize) -> f64 {
--- a/crates/serving/src/pipeline/answers.rs
+++ b/crates/serving/src/pipeline/answers.rs
@@ -22,6 +22,8 @@
     NoRoute,
     /// The head lacks what every request must bear.
     BadRequest,
+    /// The head is larger than the configuration allows.
+    HeadTooLarge,
     /// The body is too large.
     TooLarge,
     /// The body did not come in time.
@@ -40,6 +42,7 @@
             Self::NotReady | Self::Stopping | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::Unsure(_) => StatusCode::BAD_GATEWAY,
@@ -53,6 +56,7 @@
             Self::Stopping => "this daemon stops: ask again, another will serve",
             Self::NoRoute => "no route fits host and path: check them against the configuration",
             Self::BadRequest => "the request names no identity: set it",
+            Self::HeadTooLarge => "the head is larger than the configuration allows: send less",
             Self::TooLarge => "the body is larger than the configuration allows: send less",
             Self::BodyTooSlow => "the body did not come in time: send it faster",
             Self::NotRun(reason) | Self::Unsure(reason) | Self::TimeOver(reason) => reason,
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -90,6 +90,9 @@
         }
         let in_force = self.state.in_force().ok_or(Failure::NotReady)?;
         let route = find_route(&in_force, &head).ok_or(Failure::NoRoute)?;
+        if head_bytes(&head) > in_force.configuration.limits.head_bytes {
+            return Err(Failure::HeadTooLarge);
+        }
         let id = facts.id.clone().ok_or(Failure::BadRequest)?;
         let limit = facts
             .time_limit
@@ -183,6 +186,17 @@
     }
 }
 
+/// Bytes of a request's head, about as they came.
+fn head_bytes(head: &request::Parts) -> usize {
+    /// Colon, blank and line end of a header line.
+    const LINE: usize = 4;
+    let lines = head
+        .headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + LINE);
+    lines.sum::<usize>() + head.uri.to_string().len()
+}
+
 fn find_route(in_force: &InForce, head: &request::Parts) -> Option<Arc<Route>> {
     let host = head
         .headers
