--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -59,13 +59,6 @@
         true
     }
 
-    /// Puts back a repeat that was not sent after all.
-    pub fn put_back(&mut self, service: &Arc<str>) {
-        let most = self.most();
-        let saved = self.saved.entry(Arc::clone(service)).or_default();
-        *saved = (*saved + 1.0).min(most);
-    }
-
     /// Repeats left for `service`.
     #[must_use]
     pub fn left(&self, service: &str) -> f64 {
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -117,8 +117,6 @@
     pub token_bytes: u64,
     /// Speed at which KV cache moves, in megabits a second.
     pub link_megabits: f64,
-    /// How long a handle to KV cache is kept.
-    pub handle_life: Duration,
     /// How long a change of stage takes the engine away.
     pub stage_change: Duration,
 }
@@ -130,10 +128,6 @@
     pub head_bytes: usize,
     /// Longest request body in bytes.
     pub body_bytes: usize,
-    /// Time for a request's head.
-    pub head_time: Duration,
-    /// Time a connection may rest between requests.
-    pub idle_time: Duration,
 }
 
 impl Default for CallerLimits {
@@ -141,8 +135,6 @@
         Self {
             head_bytes: 64 * 1024,
             body_bytes: 4 << 20,
-            head_time: Duration::from_secs(5),
-            idle_time: Duration::from_secs(30),
         }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,3 @@
 pub mod prompt;
 pub mod routes;
 pub mod stages;
-
-/// Why something did not happen, for logs; a short stable text.
-pub type Reason = &'static str;
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -88,7 +88,6 @@
         cache_tokens: 400_000,
         token_bytes: 163_840,
         link_megabits: 1_400_000.0,
-        handle_life: Duration::from_secs(5),
         stage_change: Duration::from_secs(1),
     }
 }
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -65,8 +65,6 @@
     pub signed: bool,
     /// The back end says that it did not run the request.
     pub not_run: bool,
-    /// When to come back.
-    pub retry_after: Option<Duration>,
 }
 
 /// What a prefill engine answers.
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -30,8 +30,9 @@
 const CANDIDACY_SPREAD: Duration = Duration::from_millis(1_500);
 /// Peers have this long to hear that an engine is about to change.
 const NOTICE: Duration = Duration::from_millis(60);
-/// An engine gets nothing new for this long around its change.
-const AWAY: Duration = Duration::from_millis(2_500);
+/// An engine gets nothing new for this long beyond the time that its change takes: what it runs ends first, and its entry
+/// tells the new stage a heartbeat later.
+const AWAY_MORE: Duration = Duration::from_millis(1_500);
 /// An engine whose order was not answered is left alone for this long: the order may still be carried out.
 const UNSETTLED: Duration = Duration::from_secs(15);
 
@@ -211,7 +212,8 @@
     /// Lets the engine run dry of new requests, reads its state, then orders the change.
     async fn change(&mut self, change: &StageChange, authority: &Authority) {
         let engine = &change.engine;
-        self.pipeline.engine_away(&engine.id, AWAY);
+        self.pipeline
+            .engine_away(&engine.id, self.change_time(engine) + AWAY_MORE);
         tokio::time::sleep(NOTICE).await;
         let report = self.report(engine).await;
         let end = match report {
@@ -247,6 +249,16 @@
             .insert(Arc::clone(&engine.id), now() + left_alone);
     }
 
+    /// How long a change takes an engine away, as the configuration says.
+    fn change_time(&self, engine: &BackEnd) -> Duration {
+        let in_force = self.state.in_force();
+        let traits = in_force.as_ref().and_then(|in_force| {
+            let service = in_force.configuration.service(&engine.service)?;
+            service.engine.as_ref()
+        });
+        traits.map_or(Duration::ZERO, |traits| traits.stage_change)
+    }
+
     async fn report(&self, engine: &BackEnd) -> Option<EngineReport> {
         let request = self.dialect.report().request(engine.address)?;
         let answer = self.exchange(engine, request).await?;
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use borsh::{BorshDeserialize, BorshSerialize};
-use bytes::Bytes;
 use futures::future::BoxFuture;
 use ponddrift_fleet::configuration::Configuration;
 use ponddrift_fleet::directory::BackEnd;
@@ -141,12 +140,3 @@
     /// [`Unreadable`].
     fn decode(&self, item: &Item) -> Result<Decoded, Unreadable>;
 }
-
-/// Bytes of an item's value.
-impl Item {
-    /// The value as bytes; empty where the key was removed.
-    #[must_use]
-    pub fn bytes(&self) -> Bytes {
-        self.value.clone().map(Bytes::from).unwrap_or_default()
-    }
-}
