--- a/crates/serve/src/logging.rs
+++ b/crates/serve/src/logging.rs
@@ -5,9 +5,6 @@
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
-/// Lines that wait for the reader, at most.
-const LINES_WAITING: usize = 8192;
-
 /// The running log; lines that wait are written when it is dropped.
 pub struct Log {
     _guard: WorkerGuard,
@@ -21,14 +18,14 @@
     }
 }
 
-/// Starts the log.
+/// Starts the log. `lines_waiting`: lines that wait for a slow reader, at most.
 ///
 /// # Errors
 /// When the filter cannot be read.
-pub fn start(filter: &str) -> eyre::Result<Log> {
+pub fn start(filter: &str, lines_waiting: usize) -> eyre::Result<Log> {
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
-        .buffered_lines_limit(LINES_WAITING)
+        .buffered_lines_limit(lines_waiting)
         .finish(std::io::stdout());
     let dropped = writer.error_counter();
     let layer = tracing_subscriber::fmt::layer()
--- a/crates/serve/src/main.rs
+++ b/crates/serve/src/main.rs
@@ -61,7 +61,7 @@
         println!("the settings are in order");
         return Ok(ExitCode::SUCCESS);
     }
-    let log = logging::start(&settings.log_filter)?;
+    let log = logging::start(&settings.log_filter, settings.log_lines_waiting)?;
     // One thread: a machine has a part of one core, and another thread would only add wake-ups.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -49,6 +49,8 @@
     pub stop: StopSettings,
     /// Filter of the log.
     pub log_filter: String,
+    /// Lines of the log that wait for a slow reader, at most.
+    pub log_lines_waiting: usize,
 }
 
 /// Times of a planned stop, from its beginning.
@@ -119,6 +121,7 @@
             "a filter such as info",
         )
         .unwrap_or_default();
+    let log_lines_waiting = count(reader.number("log.lines_waiting", 8_192, 16..=1_000_000));
     reader.finish()?;
     Ok(Settings {
         name: Arc::from(name),
@@ -135,6 +138,7 @@
         order_lease,
         stop,
         log_filter,
+        log_lines_waiting,
     })
 }
 
