Callers that leave a back end no time do not make it unwell

Change: less than 400 ms says nothing of a back end. The test fails before (ejections) and passes after.

--- a/crates/serve/tests/requests.rs
+++ b/crates/serve/tests/requests.rs
@@ -276,3 +276,20 @@
     );
     assert_eq!(total_runs(&fleet.records), 0);
 }
+
+#[test]
+fn callers_that_leave_a_back_end_no_time_do_not_make_it_unwell() {
+    let mut fleet = Fleet::new(Size::default());
+    for number in 0..20 {
+        let mut request = ClientRequest::plain(&number.to_string(), "post");
+        request.deadline_ms = 35;
+        ask(&mut fleet, &request);
+        let mut request = ClientRequest::prompt(&format!("p{number}"), "verdict", 40, 200);
+        request.deadline_ms = 35;
+        ask(&mut fleet, &request);
+    }
+    let (client, daemon) = (fleet.client.clone(), fleet.daemons[0].clone());
+    let figures = fleet.run(async move { client.text(daemon.readiness, "/metrics").await });
+    let figures = figures.expect("figures");
+    assert!(figures.contains("ponddrift_ejections_total 0"), "{figures}");
+}
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -95,9 +95,7 @@
             .wait_for(exchange, back_end, &job.service.health_path, order.patience)
             .await;
         let judged = match answer {
-            Err(given_up) => {
-                Judged::new(HeadEnd::Unsure(given_up.name()), Some(given_up.outcome()))
-            }
+            Err(given_up) => Judged::new(HeadEnd::Unsure(given_up.name()), given_up.outcome()),
             Ok(Err(error)) => judge_error(&error),
             Ok(Ok(reply)) => self.judge(job, order.step, reply),
         };
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -49,6 +49,28 @@
     Failure(Failure),
 }
 
+/// Why no first event came.
+enum NoEvent {
+    GivenUp(GivenUp),
+    Broken(&'static str),
+}
+
+impl NoEvent {
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::GivenUp(given_up) => given_up.name(),
+            Self::Broken(name) => name,
+        }
+    }
+
+    const fn outcome(&self) -> Option<Outcome> {
+        match self {
+            Self::GivenUp(given_up) => given_up.outcome(),
+            Self::Broken(_) => Some(Outcome::Broken),
+        }
+    }
+}
+
 enum FirstEvent {
     Came(Box<OpenStream>),
     Answer(Served),
@@ -272,14 +294,15 @@
         mut load: LoadGuard,
         begun: Instant,
         patience: Patience,
-    ) -> Result<Box<OpenStream>, &'static str> {
+    ) -> Result<Box<OpenStream>, NoEvent> {
         let (head, mut body) = reply.response.into_parts();
         let mut splitter = EventSplitter::default();
         let reading = read_first_event(&mut body, &mut splitter);
         let (first, ended) = self
             .wait_for(reading, back_end, health_path, patience)
             .await
-            .map_err(GivenUp::name)??;
+            .map_err(NoEvent::GivenUp)?
+            .map_err(NoEvent::Broken)?;
         load.prompt_read();
         Ok(Box::new(OpenStream {
             back_end: Arc::clone(back_end),
@@ -300,7 +323,7 @@
         job: &mut Job,
         plan: &PromptPlan,
         decode: &Arc<BackEnd>,
-        opened: Result<Box<OpenStream>, &'static str>,
+        opened: Result<Box<OpenStream>, NoEvent>,
         begun: Instant,
     ) -> FirstEvent {
         let took = now().saturating_duration_since(begun);
@@ -312,13 +335,11 @@
                 self.learn_decode(job, plan, decode, took);
                 FirstEvent::Came(stream)
             }
-            Err(reason) => {
-                let outcome = match reason {
-                    reason if reason == GivenUp::Silent.name() => Outcome::Silent,
-                    reason if reason == GivenUp::Unresponsive.name() => Outcome::Unreachable,
-                    _ => Outcome::Broken,
-                };
-                self.note_outcome(decode, &job.service.health_path, outcome);
+            Err(no_event) => {
+                if let Some(outcome) = no_event.outcome() {
+                    self.note_outcome(decode, &job.service.health_path, outcome);
+                }
+                let reason = no_event.name();
                 self.attempt_ended(
                     job,
                     Step::Ended {
--- a/crates/serving/src/pipeline/patience.rs
+++ b/crates/serving/src/pipeline/patience.rs
@@ -18,6 +18,9 @@
 /// Time between two health checks of an engine that is waited for.
 const SUSPICION_REPEAT: Duration = Duration::from_millis(500);
 
+/// A back end that was given less time than this was not silent: callers come back with what is left of their time.
+const LEAST_SILENCE: Duration = Duration::from_millis(400);
+
 /// How long a back end is waited for.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Patience {
@@ -30,6 +33,8 @@
 /// Why a wait ended without an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum GivenUp {
+    /// The request had so little time that its end says nothing of the back end.
+    OutOfTime,
     /// Its time was over.
     Silent,
     /// The back end did not answer its health check either.
@@ -39,15 +44,18 @@
 impl GivenUp {
     pub(super) const fn name(self) -> &'static str {
         match self {
+            Self::OutOfTime => "out_of_time",
             Self::Silent => "no_answer_in_time",
             Self::Unresponsive => "back_end_unresponsive",
         }
     }
 
-    pub(super) const fn outcome(self) -> Outcome {
+    /// What it says of the back end.
+    pub(super) const fn outcome(self) -> Option<Outcome> {
         match self {
-            Self::Silent => Outcome::Silent,
-            Self::Unresponsive => Outcome::Unreachable,
+            Self::OutOfTime => None,
+            Self::Silent => Some(Outcome::Silent),
+            Self::Unresponsive => Some(Outcome::Unreachable),
         }
     }
 }
@@ -77,6 +85,7 @@
         patience: Patience,
     ) -> Result<T, GivenUp> {
         let mut answer = pin!(answer);
+        let time = patience.until.saturating_duration_since(now());
         let mut suspicious_at = patience.suspicious_at;
         loop {
             let asks = suspicious_at.is_some_and(|at| at < patience.until);
@@ -88,7 +97,11 @@
                 () = sleep => {}
             }
             if !asks {
-                return Err(GivenUp::Silent);
+                return Err(if time < LEAST_SILENCE {
+                    GivenUp::OutOfTime
+                } else {
+                    GivenUp::Silent
+                });
             }
             tokio::select! {
                 biased;
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -95,7 +95,9 @@
                 }
                 Next::End => self.complete(stream),
                 Next::Broken(reason) => {
-                    if let Err(error) = self.go_on_elsewhere(stream, reason, Outcome::Broken).await
+                    if let Err(error) = self
+                        .go_on_elsewhere(stream, reason, Some(Outcome::Broken))
+                        .await
                     {
                         return Some(Err(error));
                     }
@@ -182,7 +184,7 @@
     }
 
     fn complete(&mut self, stream: OpenStream) {
-        self.note_end(&stream, "answered", Outcome::Success);
+        self.note_end(&stream, "answered", Some(Outcome::Success));
         let time = now().saturating_duration_since(stream.begun);
         let slots = stream.back_end.slots;
         let service = &self.job.service.name;
@@ -198,7 +200,7 @@
         &mut self,
         stream: OpenStream,
         reason: &'static str,
-        outcome: Outcome,
+        outcome: Option<Outcome>,
     ) -> Result<(), BodyError> {
         self.note_end(&stream, reason, outcome);
         drop(stream);
@@ -217,9 +219,11 @@
         }
     }
 
-    fn note_end(&mut self, stream: &OpenStream, name: &'static str, outcome: Outcome) {
-        self.pipeline
-            .note_outcome(&stream.back_end, &self.job.service.health_path, outcome);
+    fn note_end(&mut self, stream: &OpenStream, name: &'static str, outcome: Option<Outcome>) {
+        if let Some(outcome) = outcome {
+            self.pipeline
+                .note_outcome(&stream.back_end, &self.job.service.health_path, outcome);
+        }
         self.pipeline.attempt_ended(
             &mut self.job,
             Step::Ended {
