--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -24,6 +24,8 @@
     pub routes: RouteTable,
     /// Revision of its key.
     pub revision: u64,
+    /// Since when it has been in force here.
+    pub since: Instant,
 }
 
 /// Where news came from.
@@ -228,7 +230,7 @@
     fn apply(&mut self, decoded: Decoded, revision: u64, source: Source, now: Instant) {
         match decoded {
             Decoded::Configuration(configuration) => {
-                self.apply_configuration(*configuration, revision, source);
+                self.apply_configuration(*configuration, revision, source, now);
             }
             Decoded::BackEnd(back_end) => self.apply_back_end(back_end, revision, source),
             Decoded::BackEndGone(id) => self.remove_back_end(&id, revision, source, now),
@@ -252,7 +254,13 @@
         }
     }
 
-    fn apply_configuration(&mut self, configuration: Configuration, revision: u64, source: Source) {
+    fn apply_configuration(
+        &mut self,
+        configuration: Configuration,
+        revision: u64,
+        source: Source,
+        now: Instant,
+    ) {
         let known = self
             .in_force
             .as_ref()
@@ -273,6 +281,7 @@
             configuration,
             routes,
             revision,
+            since: now,
         }));
     }
 
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -44,6 +44,7 @@
     runtime.spawner.spawn(Box::pin(follower.run()));
     let announcer = Announcer {
         store: Arc::clone(store),
+        metrics: Arc::clone(metrics),
         daemon,
     };
     runtime.spawner.spawn(Box::pin(announcer.run()));
@@ -126,6 +127,7 @@
 /// Keeps the daemon's own key in the store, so that others find it.
 struct Announcer {
     store: Arc<dyn FleetStore>,
+    metrics: Arc<Metrics>,
     daemon: DaemonRecord,
 }
 
@@ -147,7 +149,10 @@
 
     async fn step(&self, lease: Option<Lease>) -> Result<Lease, StoreError> {
         if let Some(lease) = lease {
+            let begun = now();
             self.store.renew(lease).await?;
+            let took = now().saturating_duration_since(begun);
+            self.metrics.store_answered(took);
             return Ok(lease);
         }
         let lease = self.store.grant(DAEMON_LEASE).await?;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -53,8 +53,14 @@
 pub struct Standing {
     /// Version of the configuration in force.
     pub configuration_version: u64,
+    /// How long it has been in force here, in seconds.
+    pub configuration_age_s: u64,
     /// Newest revision of the store that was seen.
     pub newest_revision: u64,
+    /// Slots of all model engines.
+    pub engine_slots: u64,
+    /// Requests known to be at model engines, of all daemons.
+    pub engine_requests: u64,
     /// Daemons known, this one among them.
     pub daemons: usize,
     /// Back ends that take requests.
@@ -75,7 +81,10 @@
 
 struct StandingGauges {
     configuration_version: Gauge,
+    configuration_age_s: Gauge,
     newest_revision: Gauge,
+    engine_slots: Gauge,
+    engine_requests: Gauge,
     daemons: Gauge,
     back_ends: Gauge,
     ejected: Gauge,
@@ -102,6 +111,7 @@
     latency: Histogram,
     first_event: Histogram,
     gaps: Histogram,
+    store_seconds: Histogram,
     standing: StandingGauges,
 }
 
@@ -149,6 +159,7 @@
                 "event_gap_seconds",
                 "Time between two events of a stream",
             ),
+            store_seconds: histogram(r, "store_call_seconds", "Time of a lease's renewal"),
             standing,
             registry: Mutex::new(registry),
         }
@@ -159,6 +170,13 @@
     fn new(r: &mut Registry) -> Self {
         Self {
             configuration_version: made(r, "configuration_version", "Configuration in force"),
+            configuration_age_s: made(
+                r,
+                "configuration_age_seconds",
+                "Time that the configuration has been in force",
+            ),
+            engine_slots: made(r, "engine_slots", "Slots of all model engines"),
+            engine_requests: made(r, "engine_requests", "Requests known at model engines"),
             newest_revision: made(r, "store_revision", "Newest revision of the store seen"),
             daemons: made(r, "daemons", "Daemons known, this one among them"),
             back_ends: made(r, "back_ends", "Back ends that the directory names"),
@@ -220,6 +238,11 @@
             .inc();
     }
 
+    /// The store answered a small call.
+    pub(crate) fn store_answered(&self, took: Duration) {
+        self.store_seconds.observe(took.as_secs_f64());
+    }
+
     pub(crate) fn prompt(&self, tokens: f64, to_read: f64, is_fetched: bool) {
         let ways = [("read", to_read), ("kept", (tokens - to_read).max(0.0))];
         for (way, tokens) in ways {
@@ -254,7 +277,12 @@
         gauges
             .configuration_version
             .set(signed(standing.configuration_version));
+        gauges
+            .configuration_age_s
+            .set(signed(standing.configuration_age_s));
         gauges.newest_revision.set(signed(standing.newest_revision));
+        gauges.engine_slots.set(signed(standing.engine_slots));
+        gauges.engine_requests.set(signed(standing.engine_requests));
         gauges.daemons.set(signed(standing.daemons));
         gauges.back_ends.set(signed(standing.back_ends));
         gauges.ejected.set(signed(standing.ejected));
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -202,12 +202,31 @@
     #[must_use]
     pub fn standing(&self) -> Standing {
         let in_force = self.state.in_force();
+        let back_ends = self.state.back_ends();
+        let engines = || back_ends.iter().filter(|known| known.stage.is_some());
+        let placement = self.placement();
+        let requests = engines().map(|engine| placement.load.requests(&engine.id));
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a count"
+        )]
+        let engine_requests = requests.sum::<f64>() as u64;
+        let ejected = placement.health.ejected().len();
+        drop(placement);
         Standing {
-            configuration_version: in_force.map_or(0, |known| known.configuration.version),
+            configuration_version: in_force
+                .as_ref()
+                .map_or(0, |known| known.configuration.version),
+            configuration_age_s: in_force.map_or(0, |known| {
+                now().saturating_duration_since(known.since).as_secs()
+            }),
             newest_revision: self.state.newest_revision(),
+            engine_slots: engines().map(|engine| u64::from(engine.slots)).sum(),
+            engine_requests,
             daemons: self.daemons.load(Ordering::Relaxed),
-            back_ends: self.state.back_ends().len(),
-            ejected: self.placement().health.ejected().len(),
+            back_ends: back_ends.len(),
+            ejected,
             connections: self.connections.open_count(),
             in_progress: self.in_progress(),
             ..Standing::default()
