The template stands without what a deployment may lack; a taken metrics address is told, and the daemon serves

Cause: found by reading: a gap without a value left 'key = ' in the settings, which ends the start; and the fixed metrics port might be among those that a deployment draws.

--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -1,5 +1,6 @@
 //! One running daemon.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -60,11 +61,7 @@
             .await
             .wrap_err("listen.readiness cannot be bound: is another process there?")?;
         let metrics_server = match settings.metrics {
-            Some(address) => Some(
-                front::serve_status(runtime, address, &pipeline, &metrics)
-                    .await
-                    .wrap_err("listen.metrics cannot be bound: is another process there?")?,
-            ),
+            Some(address) => serve_metrics(runtime, address, &pipeline, &metrics).await,
             None => None,
         };
         let callers = front::serve_callers(runtime, settings.callers, &pipeline)
@@ -110,6 +107,11 @@
             version = env!("CARGO_PKG_VERSION"),
             callers = %settings.callers,
             store = %settings.store,
+            store_reads_per_second = settings.store_reads_per_second,
+            budget_ratio = settings.budget.ratio,
+            budget_slack = settings.budget.slack,
+            order_lease_ms = u64::try_from(settings.order_lease.as_millis()).unwrap_or(u64::MAX),
+            stop_limit_ms = u64::try_from(settings.stop.limit.as_millis()).unwrap_or(u64::MAX),
             "started"
         );
         Ok(Self {
@@ -179,3 +181,20 @@
         }
     }
 }
+
+/// Figures at a place of their own. They are at the readiness address too, so that a place that is taken is no reason
+/// not to serve.
+async fn serve_metrics(
+    runtime: &Runtime,
+    address: SocketAddr,
+    pipeline: &Arc<Pipeline>,
+    metrics: &Arc<Metrics>,
+) -> Option<Server> {
+    match front::serve_status(runtime, address, pipeline, metrics).await {
+        Ok(server) => Some(server),
+        Err(error) => {
+            tracing::warn!(%address, %error, "metrics_address_taken");
+            None
+        }
+    }
+}
--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -4,8 +4,37 @@
 
 const TEMPLATE: &str = include_str!("../../../deploy/serve.toml.template");
 
+/// A section that stands only where the value is given.
+fn section(text: &str, name: &str, is_given: bool) -> String {
+    let (open, close) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
+    let begin = text.find(&open).expect("its begin");
+    let end = text.find(&close).expect("its end");
+    let inner = &text[begin + open.len()..end];
+    let kept = if is_given { inner } else { "" };
+    format!("{}{kept}{}", &text[..begin], &text[end + close.len()..])
+}
+
+/// What a deployment may lack.
+const OPTIONAL: [&str; 5] = [
+    "platform.reads_per_s",
+    "bounds.retryBudgetRatio",
+    "bounds.budgetSlack",
+    "bounds.leaseMs",
+    "bounds.graceS",
+];
+
 /// The template as the platform fills it.
 fn filled() -> String {
+    filled_with(true)
+}
+
+fn sections(optional: bool) -> String {
+    OPTIONAL.iter().fold(TEMPLATE.to_owned(), |text, name| {
+        section(&text, name, optional)
+    })
+}
+
+fn filled_with(optional: bool) -> String {
     let seeds = "seeds = [{{#seeds}}{{.|json}}{{,}}{{/seeds}}]";
     assert!(TEMPLATE.contains(seeds));
     [
@@ -24,7 +53,7 @@
         ("{{bounds.graceS}}", "8"),
     ]
     .iter()
-    .fold(TEMPLATE.to_owned(), |text, (gap, value)| {
+    .fold(sections(optional), |text, (gap, value)| {
         text.replace(gap, value)
     })
 }
@@ -73,3 +102,11 @@
 fn what_is_no_toml_is_told_so() {
     assert_eq!(check("= 3").expect_err("faulty").0.len(), 1);
 }
+
+#[test]
+fn a_deployment_without_the_optional_values_gets_the_defaults() {
+    let text = filled_with(false);
+    assert!(!text.contains("{{"), "a gap is left: {text}");
+    let settings = check(&text).expect("in order");
+    assert!((settings.budget.slack - 10.0).abs() < f64::EPSILON);
+}
