--- a/crates/serve/tests/fleet_changes.rs
+++ b/crates/serve/tests/fleet_changes.rs
@@ -261,3 +261,53 @@
     // Both have read it once; either is right, any third would read it all.
     assert!(reads(&keeper) || reads(&home));
 }
+
+#[test]
+fn an_address_that_another_service_took_over_runs_nothing() {
+    let mut fleet = Fleet::new(Size {
+        records: 1,
+        ..Size::default()
+    });
+    // An entry that is out of date: its address belongs to an engine of another service now.
+    let old =
+        r#"{"service":"records","address":"10.0.1.3:8080","zone":"a","slots":8,"state":"ready"}"#;
+    fleet.store.put("servers/i-old", old);
+    fleet.wait(Duration::from_millis(50));
+    let taken_over = fleet.decode[0].clone();
+    for number in 0..12 {
+        let request = ClientRequest::plain(&number.to_string(), "post");
+        let answer = ask(&mut fleet, &request);
+        let is_served = answer.status == StatusCode::OK;
+        let is_refused = answer.status == StatusCode::SERVICE_UNAVAILABLE;
+        assert!(is_served || is_refused, "{}", answer.status);
+    }
+    assert!(taken_over.rejected() > 0, "it was asked, and knew itself");
+    assert!(taken_over.runs().is_empty());
+}
+
+#[test]
+fn a_configuration_of_hundreds_of_routes_reaches_a_refused_daemon_too() {
+    let mut fleet = Fleet::new(Size {
+        daemons: 3,
+        ..Size::default()
+    });
+    fleet.wait(Duration::from_secs(1));
+    fleet.store.refuse(fleet.daemons[1].machine);
+    let text = support::configuration(2, &routes());
+    let mut value: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    let all = value["routes"].as_array_mut().expect("a list");
+    let model = all[1].clone();
+    for number in 0..400 {
+        let mut route = model.clone();
+        route["name"] = serde_json::json!(format!("more-{number}"));
+        route["pathPrefix"] = serde_json::json!(format!("/more-{number}/"));
+        all.push(route);
+    }
+    fleet.store.put("op/config", value.to_string());
+    fleet.wait(Duration::from_millis(1_900));
+    let request = ClientRequest::plain("1", "more-399");
+    for daemon in 0..3 {
+        let answer = ask_at(&mut fleet, daemon, &request).expect("an answer");
+        assert_eq!(answer.status, StatusCode::OK, "daemon {daemon}");
+    }
+}
--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -259,3 +259,21 @@
     assert!(answer.is_whole);
     assert_eq!(events(&answer), ["1", "2", "3", "4"]);
 }
+
+#[test]
+fn a_caller_that_leaves_while_its_prompt_is_read_ends_the_reading() {
+    let mut fleet = Fleet::new(Size::default());
+    fleet.prefill[0].behave_always(Behaviour::Hang);
+    let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers);
+    fleet.run(async move {
+        let request = ClientRequest::prompt("1", "verdict", LONG, 900);
+        let patience = Duration::from_millis(100);
+        client.ask_and_leave(target, &request, patience).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    });
+    let runs = fleet.prefill[0].runs();
+    assert_eq!(runs.len(), 1);
+    assert_eq!(runs[0].end, ponddrift_platform_stand_ins::RunEnd::Cancelled);
+    let decoded: usize = fleet.decode.iter().map(|engine| engine.runs().len()).sum();
+    assert_eq!(decoded, 0);
+}
