One home for each list of candidates, one map for each datagram; twin conditions made one

The condition for giving a send up for another back end stood in `plain.rs` and `generate.rs`, the building of a `HeadUse` in `prefill.rs` and `generate.rs`, `decode_weight` twice.

Choices, bounds and messages are as before.

Ruled out: moving `forget_old` into the tidying, and `HeadUse` in `recall.rs` (its head comes from the engine, not from a prompt).

Processor time was not measured apart.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -188,17 +188,19 @@
             keepers: &keepers,
             busy_decode_ms: self.busy_decode_ms(&decoders),
         };
+        let decoders_home = reading.home(&decoders);
         let (direct, direct_ms) = self.cheapest(&decoders, random, |back_end| {
-            reading.direct_ms(back_end, &decoders)
+            reading.direct_ms(back_end, decoders_home)
         })?;
         let prefills = self.usable(ready, tried, now, |back_end| {
             back_end.stage == Some(Stage::Prefill)
         });
+        let prefills_home = reading.home(&prefills);
         let handed_over = self.cheapest(&prefills, random, |back_end| {
-            reading.prefill_ms(back_end, &prefills) + move_ms(traits, prompt.input_tokens)
+            reading.prefill_ms(back_end, prefills_home) + move_ms(traits, prompt.input_tokens)
         });
         let Some((prefill, prefill_ms)) = handed_over else {
-            return Some(reading.plan(None, direct, &decoders, direct_ms));
+            return Some(reading.plan(None, direct, decoders_home, direct_ms));
         };
         let weight = self.decode_weight();
         let (decode, decode_ms) = self.cheapest(&decoders, random, |back_end| {
@@ -206,9 +208,9 @@
         })?;
         let handed_over_ms = prefill_ms + decode_ms + HAND_OVER_MS;
         if handed_over_ms >= direct_ms {
-            return Some(reading.plan(None, direct, &decoders, direct_ms));
+            return Some(reading.plan(None, direct, decoders_home, direct_ms));
         }
-        Some(reading.plan(Some(prefill), decode, &prefills, handed_over_ms))
+        Some(reading.plan(Some(prefill), decode, prefills_home, handed_over_ms))
     }
 
     /// Work of every service, of all daemons; added up anew where that is some time ago.
@@ -295,7 +297,7 @@
         let decoders = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
-        let weight = DECODE_READ_WEIGHT / self.speed.decode_tokens_per_ms();
+        let weight = self.decode_weight();
         self.cheapest(&decoders, random, |back_end| {
             self.waiting_ms(back_end, weight)
         })
--- a/crates/fleet/src/placement/prefixes.rs
+++ b/crates/fleet/src/placement/prefixes.rs
@@ -11,6 +11,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::directory::BackEnd;
+use crate::prompt::Prompt;
 
 /// A head that was used within this time is taken as kept.
 const BELIEVED_FOR: Duration = Duration::from_secs(30);
@@ -30,6 +31,18 @@
     pub tokens: u32,
 }
 
+impl HeadUse {
+    /// The use that a prompt makes of an engine's cache; none where it shares no head.
+    #[must_use]
+    pub fn of(prompt: &Prompt, engine: &BackEnd) -> Option<Self> {
+        Some(Self {
+            engine: Arc::clone(&engine.id),
+            head: prompt.shared_head()?,
+            tokens: prompt.shared_tokens(),
+        })
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Kept {
     last_used: Instant,
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -38,9 +38,9 @@
 
 impl Reading<'_> {
     /// Time to the first event where a decode engine reads the prompt itself.
-    pub(super) fn direct_ms(&self, back_end: &BackEnd, rivals: &[Arc<BackEnd>]) -> f64 {
+    pub(super) fn direct_ms(&self, back_end: &BackEnd, home: Option<&Arc<BackEnd>>) -> f64 {
         let per_token = self.placement.decode_weight();
-        let work = self.work(back_end, rivals);
+        let work = self.work(back_end, home);
         let pausing = (work.tokens - UNNOTICED_TOKENS).max(0.0);
         let reading = (work.tokens + PAUSE_WEIGHT * pausing) * per_token;
         self.placement.waiting_ms(back_end, per_token)
@@ -50,14 +50,14 @@
     }
 
     /// Time until a prefill engine has read the prompt.
-    pub(super) fn prefill_ms(&self, back_end: &BackEnd, rivals: &[Arc<BackEnd>]) -> f64 {
+    pub(super) fn prefill_ms(&self, back_end: &BackEnd, home: Option<&Arc<BackEnd>>) -> f64 {
         let per_token = 1.0 / self.placement.speed.prefill_tokens_per_ms();
-        let work = self.work(back_end, rivals);
+        let work = self.work(back_end, home);
         self.placement.waiting_ms(back_end, per_token) + work.fetch_ms + work.tokens * per_token
     }
 
     /// What the engine would do, by what is known of caches.
-    fn work(&self, back_end: &BackEnd, rivals: &[Arc<BackEnd>]) -> Work {
+    fn work(&self, back_end: &BackEnd, home: Option<&Arc<BackEnd>>) -> Work {
         let own = f64::from(self.prompt.own_tokens());
         let shared = f64::from(self.prompt.shared_tokens());
         let read = |tokens| Work {
@@ -65,14 +65,14 @@
             fetch_ms: 0.0,
             fetch_from: None,
         };
-        let Some(head) = self.prompt.shared_head() else {
+        if self.prompt.shared_head().is_none() {
             return read(f64::from(self.prompt.input_tokens));
-        };
+        }
         if self.keepers.iter().any(|keeper| keeper.id == back_end.id) {
             return read(own);
         }
-        if let Some(keeper) = self.nearest_keeper(back_end)
-            && self.prompt.shared_tokens() >= LEAST_FETCHED_TOKENS
+        if self.is_worth_a_fetch()
+            && let Some(keeper) = self.nearest_keeper(back_end)
         {
             let far = if keeper.zone == back_end.zone {
                 1.0
@@ -86,7 +86,7 @@
                 fetch_from: Some(Arc::clone(keeper)),
             };
         }
-        let Some(home) = prefixes::home(rivals, head) else {
+        let Some(home) = home else {
             return read(own + shared);
         };
         let home_reads = self.placement.home_read_share();
@@ -101,6 +101,19 @@
         }
     }
 
+    /// Where the prompt's head is at home among `rivals`; none where it is fetched from a keeper anyway.
+    pub(super) fn home<'b>(&self, rivals: &'b [Arc<BackEnd>]) -> Option<&'b Arc<BackEnd>> {
+        let head = self.prompt.shared_head()?;
+        if self.is_worth_a_fetch() && !self.keepers.is_empty() {
+            return None;
+        }
+        prefixes::home(rivals, head)
+    }
+
+    fn is_worth_a_fetch(&self) -> bool {
+        self.prompt.shared_tokens() >= LEAST_FETCHED_TOKENS
+    }
+
     fn nearest_keeper(&self, back_end: &BackEnd) -> Option<&Arc<BackEnd>> {
         self.keepers
             .iter()
@@ -112,11 +125,11 @@
         &self,
         prefill: Option<Arc<BackEnd>>,
         decode: Arc<BackEnd>,
-        rivals: &[Arc<BackEnd>],
+        home: Option<&Arc<BackEnd>>,
         expected_ms: f64,
     ) -> PromptPlan {
         let reader = prefill.as_ref().unwrap_or(&decode);
-        let work = self.work(reader, rivals);
+        let work = self.work(reader, home);
         PromptPlan {
             fetch_from: work.fetch_from,
             tokens_to_read: work.tokens,
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -1,6 +1,6 @@
 //! What this daemon believes of the fleet: the newest configuration, directory and daemons it has seen.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -142,12 +142,13 @@
     }
 
     fn missing_from(&self, snapshot: &Snapshot) -> Vec<Item> {
+        let held: HashSet<&str> = snapshot.items.iter().map(|item| &*item.key).collect();
         let inner = self.lock();
         inner
             .items
             .values()
             .filter(|item| item.value.is_some() && item.revision <= snapshot.at)
-            .filter(|item| !snapshot.items.iter().any(|held| held.key == item.key))
+            .filter(|item| !held.contains(&*item.key))
             .map(|item| Item {
                 key: item.key.clone(),
                 revision: snapshot.at,
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -7,6 +7,7 @@
 mod message;
 mod relay;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -162,7 +163,7 @@
     }
 
     fn take(self: &Arc<Self>, digest: Digest, from: SocketAddr) {
-        let known = Known(self.state.back_ends());
+        let known = Known::new(self.state.back_ends());
         let rows = digest.rows.iter().filter_map(|row| known.work(row));
         let rows = rows.collect();
         let peer: Arc<str> = Arc::from(digest.daemon);
@@ -210,13 +211,18 @@
 }
 
 /// Back ends that this daemon knows, to be found by the hash of their identity.
-struct Known(Vec<Arc<BackEnd>>);
+struct Known(HashMap<u64, Arc<BackEnd>>);
 
 impl Known {
+    fn new(back_ends: Vec<Arc<BackEnd>>) -> Self {
+        let by_hash = back_ends
+            .into_iter()
+            .map(|back_end| (xxh3_64(back_end.id.as_bytes()), back_end));
+        Self(by_hash.collect())
+    }
+
     fn find(&self, hash: u64) -> Option<&Arc<BackEnd>> {
-        self.0
-            .iter()
-            .find(|back_end| xxh3_64(back_end.id.as_bytes()) == hash)
+        self.0.get(&hash)
     }
 
     fn work(&self, row: &WorkRow) -> Option<PeerRow> {
--- a/crates/serving/src/pipeline/budgeting.rs
+++ b/crates/serving/src/pipeline/budgeting.rs
@@ -36,6 +36,13 @@
         job.arrivals < MAXIMUM_SENDS && self.budget().left(&job.service.name) >= 1.0
     }
 
+    /// Whether a send that is given up may be followed by another: one that runs the request anew.
+    pub(super) fn may_be_sent_elsewhere(&self, job: &Job) -> bool {
+        job.route.kind.is_repeatable()
+            && job.runs + 1 < job.route.maximum_attempts
+            && self.has_repeat(job)
+    }
+
     fn take_repeat(&self, job: &mut Job, reason: &'static str) -> bool {
         let mut budget = self.budget();
         let granted = budget.take(&job.service.name);
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -360,12 +360,7 @@
             return;
         };
         let mut placement = self.placement();
-        if let Some(head) = prompt.shared_head() {
-            let usage = HeadUse {
-                engine: Arc::clone(&decode.id),
-                head,
-                tokens: prompt.shared_tokens(),
-            };
+        if let Some(usage) = HeadUse::of(prompt, decode) {
             placement.prefixes.used(usage, now());
         }
         if plan.prefill.is_none() {
@@ -380,10 +375,7 @@
     fn first_event_patience(&self, job: &Job, plan: &PromptPlan) -> Patience {
         const EXPECTATION_FACTOR: f64 = 2.0;
         const SUSPICION_MORE: Duration = Duration::from_millis(100);
-        let has_another = job.route.kind.is_repeatable()
-            && job.runs + 1 < job.route.maximum_attempts
-            && self.has_repeat(job);
-        if !has_another {
+        if !self.may_be_sent_elsewhere(job) {
             return Patience::new(job, None, None);
         }
         let expected = Duration::from_secs_f64(plan.expected_ms * EXPECTATION_FACTOR / 1000.0);
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -163,9 +163,7 @@
 
     /// A request that may run once more is given up for another back end long after its time in target.
     fn plain_patience(&self, job: &Job) -> Patience {
-        let has_another = job.route.kind.is_repeatable()
-            && job.runs + 1 < job.route.maximum_attempts
-            && self.has_repeat(job);
+        let has_another = self.may_be_sent_elsewhere(job);
         let limit = job.route.target_latency * TARGETS_WAITED;
         Patience::new(job, has_another.then_some(limit), None)
     }
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -95,17 +95,12 @@
         };
         let mut placement = self.placement();
         let now = now();
-        if let Some(head) = prompt.shared_head() {
-            let was_kept = placement.prefixes.is_kept(&engine.id, head, now);
+        if let Some(usage) = HeadUse::of(prompt, engine) {
+            let was_kept = placement.prefixes.is_kept(&engine.id, usage.head, now);
             if was_kept && was_alone {
                 let own = f64::from(prompt.own_tokens());
                 placement.speed.prompt_read(own, took_ms);
             }
-            let usage = HeadUse {
-                engine: Arc::clone(&engine.id),
-                head,
-                tokens: prompt.shared_tokens(),
-            };
             placement.prefixes.used(usage, now);
         }
         if was_alone {
