--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -59,6 +59,13 @@
         true
     }
 
+    /// Gives back a repeat that was taken and not made.
+    pub fn give_back(&mut self, service: &Arc<str>) {
+        let most = self.most();
+        let saved = self.saved.entry(Arc::clone(service)).or_default();
+        *saved = (*saved + 1.0).min(most);
+    }
+
     /// Repeats left for `service`.
     #[must_use]
     pub fn left(&self, service: &str) -> f64 {
--- /dev/null
+++ b/crates/fleet/src/followers.rs
@@ -0,0 +1,45 @@
+//! Whether neighbours follow the store for this daemon.
+//!
+//! A daemon that is told what changes need not ask the store itself, as long as a neighbour says that it lately heard
+//! from the store. Silence of all such neighbours, or of the store towards them, sends it to the store in time to learn
+//! of a change within the bounds of the rules.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+/// Time between two words of a daemon that follows the store.
+pub const WORD_INTERVAL: Duration = Duration::from_millis(250);
+/// A neighbour that was not heard for this long is not relied on: three of its words are lost.
+const WORD_LIFE: Duration = Duration::from_millis(800);
+/// How long one call of a follower waits for changes: the store's answer is no older than this, where all is well.
+pub const FOLLOWER_WAIT: Duration = Duration::from_secs(1);
+/// A neighbour that has not heard from the store for longer is not relied on.
+const LONGEST_STORE_SILENCE: Duration = Duration::from_millis(1_400);
+
+/// Neighbours that said that they follow the store.
+#[derive(Debug, Default)]
+pub struct FollowerTable {
+    relied_on_until: HashMap<SocketAddr, Instant>,
+}
+
+impl FollowerTable {
+    /// A neighbour heard from the store so long ago.
+    pub fn hear(&mut self, peer: SocketAddr, store_silence: Duration, now: Instant) {
+        let by_store = LONGEST_STORE_SILENCE.saturating_sub(store_silence);
+        let until = now + WORD_LIFE.min(by_store);
+        self.relied_on_until.insert(peer, until);
+    }
+
+    /// A neighbour did not hand on what it has.
+    pub fn distrust(&mut self, peer: SocketAddr) {
+        self.relied_on_until.remove(&peer);
+    }
+
+    /// Until when some neighbour is relied on; none if there is none.
+    #[must_use]
+    pub fn relied_on_until(&self, now: Instant) -> Option<Instant> {
+        let latest = self.relied_on_until.values().max().copied();
+        latest.filter(|until| *until > now)
+    }
+}
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -16,32 +16,37 @@
 use crate::directory::BackEnd;
 use crate::health::Health;
 use crate::prompt::Prompt;
-use crate::stages::StageWork;
+use crate::stages::{DECODE_READING_SHARE, StageWork};
 
-pub use load::{LoadTable, Outstanding, PeerRow};
-pub use prefixes::{HeadUse, PrefixMemory};
+pub use load::{LoadTable, Outstanding, WorkReport, WorkRow};
+pub use prefixes::{HeadState, HeadUse, LEAST_HEAD_TOKENS, PrefixMemory};
 use reading::{Reading, move_ms};
-pub use speed::SpeedTable;
+pub use speed::{PromptReading, SpeedTable};
 pub use work::{PeerWork, WorkMeter};
 
 /// What a hand-over costs beside the move itself, in milliseconds: two more messages, and its price.
-const HAND_OVER_MS: f64 = 40.0;
+const HAND_OVER_MS: f64 = 20.0;
 /// Cost of a way into another zone, in milliseconds.
 const OTHER_ZONE_MS: f64 = 2.0;
-/// Share of an unknown head that its home is taken to read, where all peers tell this daemon what they send: a little
-/// less than others, since one may have sent it there just now.
+/// Share of an unknown head that its home is taken to read: a little less than others, since another daemon may have
+/// sent it there just now.
 const HOME_READ_SHARE: f64 = 0.85;
-/// The same where no peer tells it: most heads have been asked for before, by one daemon or another.
-const HOME_READ_SHARE_UNTOLD: f64 = 0.3;
 /// Reading at a decode engine holds up what it generates; each millisecond counts as so many.
 const DECODE_READ_WEIGHT: f64 = 1.3;
-/// Busy share of decode engines from which further reading there shows in the gaps of their streams,
-const BUSY_DECODE: f64 = 0.35;
-/// and what each share beyond that counts as, in milliseconds. Measured (chladnica-hq, scale-2): with two thirds of
+/// What each busy share of decode engines beyond [`DECODE_READING_SHARE`] counts as, in milliseconds. Measured (chladnica-hq, scale-2): with two thirds of
 /// their time spent reading short prompts, most streams there paused beyond their target, while prefill engines idled.
 const BUSY_DECODE_MS: f64 = 500.0;
+/// What it is worth that a decode engine keeps the prompt's head already, in milliseconds: what is handed over then
+/// pushes no other head out of its memory, and a head that is kept nowhere is read again.
+const KEPT_AT_DECODE_MS: f64 = 100.0;
+/// The same for the engine where all daemons would begin to keep it.
+const HOME_AT_DECODE_MS: f64 = 60.0;
 /// A stream that holds a slot takes this share of what the slot could do: streams of a batch share each step.
 const SLOT_WEIGHT: f64 = 0.3;
+/// Share of an engine's slots from which it counts as nearly full,
+const NEARLY_FULL: f64 = 0.7;
+/// and what each share beyond that counts as, in milliseconds.
+const FULL_MS: f64 = 300.0;
 /// Work of all daemons is added up this often.
 const WORK_PERIOD: Duration = Duration::from_millis(100);
 /// Expected time of a plain request that nothing is known of, in milliseconds.
@@ -60,6 +65,8 @@
     pub fetch_from: Option<Arc<BackEnd>>,
     /// Expected time to the first event, in milliseconds.
     pub expected_ms: f64,
+    /// Expected time that the head takes to be fetched, in milliseconds.
+    pub fetch_ms: f64,
     /// Tokens that are expected to be read.
     pub tokens_to_read: f64,
 }
@@ -89,8 +96,6 @@
     /// Work of all daemons by service, as it was added up last.
     work_of_all: Vec<(Arc<str>, StageWork)>,
     work_added_up: Option<Instant>,
-    /// Share of the peers' sends that this daemon hears of.
-    pub told_share: f64,
     /// Work that own requests bring.
     pub work: WorkMeter,
     /// Work that peers' requests bring.
@@ -112,7 +117,6 @@
             daemons: 1,
             work_of_all: Vec::new(),
             work_added_up: None,
-            told_share: 1.0,
             work: WorkMeter::default(),
             peer_work: PeerWork::default(),
             away: HashMap::new(),
@@ -123,7 +127,10 @@
     pub fn set_away(&mut self, id: &Arc<str>, time: Duration, own: bool, now: Instant) {
         self.away.retain(|_id, away| away.until > now);
         let until = now + time;
-        self.away.insert(Arc::clone(id), Away { until, own });
+        let is_known = self.away.get(id).is_some_and(|away| away.until >= until);
+        if !is_known {
+            self.away.insert(Arc::clone(id), Away { until, own });
+        }
     }
 
     /// An engine that was about to change takes requests again.
@@ -202,10 +209,7 @@
         let Some((prefill, prefill_ms)) = handed_over else {
             return Some(reading.plan(None, direct, decoders_home, direct_ms));
         };
-        let weight = self.decode_weight();
-        let (decode, decode_ms) = self.cheapest(&decoders, random, |back_end| {
-            self.waiting_ms(back_end, weight)
-        })?;
+        let (decode, decode_ms) = self.cheapest_decoder(&decoders, Some(prompt), now, random)?;
         let handed_over_ms = prefill_ms + decode_ms + HAND_OVER_MS;
         if handed_over_ms >= direct_ms {
             return Some(reading.plan(None, direct, decoders_home, direct_ms));
@@ -238,7 +242,7 @@
         let work = known.map_or(0.0, |(_service, work)| work.decode_reading);
         #[expect(clippy::cast_precision_loss, reason = "a few hundred engines")]
         let busy = work / decoders.len() as f64;
-        (busy - BUSY_DECODE).max(0.0) * BUSY_DECODE_MS
+        (busy - DECODE_READING_SHARE).max(0.0) * BUSY_DECODE_MS
     }
 
     /// Adds the reading that a plan brings to the work of its service.
@@ -246,17 +250,12 @@
         const MS_PER_S: f64 = 1000.0;
         let prefill_s = plan.tokens_to_read / self.speed.prefill_tokens_per_ms() / MS_PER_S;
         let decode_s = plan.tokens_to_read / self.speed.decode_tokens_per_ms() / MS_PER_S;
-        let mut work = if plan.tokens_to_read > reading::UNNOTICED_TOKENS {
-            StageWork {
-                prefill: prefill_s,
-                ..StageWork::default()
-            }
+        let mut work = StageWork::default();
+        if plan.tokens_to_read > reading::UNNOTICED_TOKENS {
+            work.prefill = prefill_s;
         } else {
-            StageWork {
-                decode: decode_s,
-                ..StageWork::default()
-            }
-        };
+            work.short_reading = prefill_s;
+        }
         if plan.prefill.is_none() {
             work.decode_reading = decode_s;
         }
@@ -280,28 +279,74 @@
         };
         ready
             .iter()
-            .filter(|engine| self.prefixes.is_kept(&engine.id, head, now))
+            .filter(|engine| self.prefixes.state(&engine.id, head, now) == Some(HeadState::Kept))
             .filter(|engine| !self.health.is_ejected(&engine.id))
             .cloned()
             .collect()
     }
 
+    /// Whether the prompt's head is being read for another request, and kept nowhere yet: an engine that reads two
+    /// prompts with one head at a time reads it twice.
+    #[must_use]
+    pub fn is_head_coming(&self, ready: &[Arc<BackEnd>], prompt: &Prompt, now: Instant) -> bool {
+        let Some(head) = prompt.shared_head() else {
+            return false;
+        };
+        let states = ready
+            .iter()
+            .filter(|engine| !self.health.is_ejected(&engine.id))
+            .filter_map(|engine| self.prefixes.state(&engine.id, head, now));
+        let mut is_coming = false;
+        for state in states {
+            match state {
+                HeadState::Kept => return false,
+                HeadState::Coming => is_coming = true,
+            }
+        }
+        is_coming
+    }
+
     /// Chooses the engine that goes on from a handle.
     pub fn choose_decode(
         &self,
         ready: &[Arc<BackEnd>],
         tried: &[Arc<str>],
+        prompt: Option<&Prompt>,
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Arc<BackEnd>> {
         let decoders = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
+        self.cheapest_decoder(&decoders, prompt, now, random)
+            .map(|(back_end, _cost)| back_end)
+    }
+
+    fn cheapest_decoder(
+        &self,
+        decoders: &[Arc<BackEnd>],
+        prompt: Option<&Prompt>,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<(Arc<BackEnd>, f64)> {
         let weight = self.decode_weight();
-        self.cheapest(&decoders, random, |back_end| {
-            self.waiting_ms(back_end, weight)
+        let head = prompt
+            .filter(|prompt| prompt.shared_tokens() >= LEAST_HEAD_TOKENS)
+            .and_then(Prompt::shared_head);
+        let home = head.and_then(|head| prefixes::home(decoders, head));
+        self.cheapest(decoders, random, |back_end| {
+            let waiting = self.waiting_ms(back_end, weight);
+            let Some(head) = head else {
+                return waiting;
+            };
+            if self.prefixes.state(&back_end.id, head, now).is_some() {
+                waiting
+            } else if home.is_some_and(|home| home.id == back_end.id) {
+                waiting + KEPT_AT_DECODE_MS - HOME_AT_DECODE_MS
+            } else {
+                waiting + KEPT_AT_DECODE_MS
+            }
         })
-        .map(|(back_end, _cost)| back_end)
     }
 
     /// Those that fit, were not tried, and are neither ejected nor away; where none is left, they all count.
@@ -353,12 +398,6 @@
         }
     }
 
-    /// Share of an unknown head that its home is taken to read, by how many of the peers tell what they send.
-    fn home_read_share(&self) -> f64 {
-        let untold = 1.0 - self.told_share;
-        HOME_READ_SHARE - untold * (HOME_READ_SHARE - HOME_READ_SHARE_UNTOLD)
-    }
-
     fn decode_weight(&self) -> f64 {
         DECODE_READ_WEIGHT / self.speed.decode_tokens_per_ms()
     }
@@ -372,7 +411,7 @@
     }
 }
 
-/// A full engine lets newcomers wait for a slot.
+/// A full engine lets newcomers wait for a slot; one that is nearly full may be, by the time they come.
 fn queue_ms(crowding: f64) -> f64 {
-    (crowding - 1.0).max(0.0) * 200.0
+    (crowding - NEARLY_FULL).max(0.0) * FULL_MS
 }
--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -6,6 +6,8 @@
 
 /// What a peer told is forgotten after this long.
 const PEER_ROW_LIFE: Duration = Duration::from_secs(3);
+/// Time between two looks for what is to be forgotten.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Work that waits or runs at one back end.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
@@ -16,27 +18,52 @@
     pub prompt_tokens: f64,
 }
 
-/// One peer's work at one back end.
+impl Outstanding {
+    fn add(&mut self, other: Self) {
+        self.requests += other.requests;
+        self.prompt_tokens += other.prompt_tokens;
+    }
+
+    fn take(&mut self, other: Self) {
+        self.requests = (self.requests - other.requests).max(0.0);
+        self.prompt_tokens = (self.prompt_tokens - other.prompt_tokens).max(0.0);
+    }
+}
+
+/// One daemon's work at one back end.
 #[derive(Debug, Clone, PartialEq)]
-pub struct PeerRow {
+pub struct WorkRow {
     /// Back end.
     pub id: Arc<str>,
     /// Work.
     pub outstanding: Outstanding,
 }
 
+/// All work of one daemon, as it told it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct WorkReport {
+    /// Which daemon: a hash of its name and of this life of it.
+    pub origin: u64,
+    /// Counts its reports; one that comes late, by another way, changes nothing.
+    pub sequence: u32,
+    /// Its work.
+    pub rows: Vec<WorkRow>,
+}
+
 /// Work at every back end.
 #[derive(Debug, Default)]
 pub struct LoadTable {
     own: HashMap<Arc<str>, Outstanding>,
-    peers: HashMap<Arc<str>, PeerLoad>,
+    peers: HashMap<u64, PeerLoad>,
     sum: HashMap<Arc<str>, Outstanding>,
+    expired: Option<Instant>,
 }
 
 #[derive(Debug)]
 struct PeerLoad {
     heard: Instant,
-    rows: Vec<PeerRow>,
+    sequence: u32,
+    rows: Vec<WorkRow>,
 }
 
 impl LoadTable {
@@ -65,30 +92,55 @@
         }
     }
 
-    /// Takes what a peer tells of its work.
-    pub fn hear(&mut self, peer: &Arc<str>, rows: Vec<PeerRow>, now: Instant) {
-        let heard = PeerLoad { heard: now, rows };
-        self.peers.insert(Arc::clone(peer), heard);
-        self.add_up(now);
+    /// Takes what a daemon tells of its work. Returns whether it was news.
+    pub fn hear(&mut self, report: WorkReport, now: Instant) -> bool {
+        self.expire(now);
+        if let Some(known) = self.peers.get_mut(&report.origin) {
+            if known.sequence >= report.sequence {
+                return false;
+            }
+            let before = std::mem::take(&mut known.rows);
+            take_away(&mut self.sum, &before);
+        }
+        for row in &report.rows {
+            let sum = self.sum.entry(Arc::clone(&row.id)).or_default();
+            sum.add(row.outstanding);
+        }
+        let heard = PeerLoad {
+            heard: now,
+            sequence: report.sequence,
+            rows: report.rows,
+        };
+        self.peers.insert(report.origin, heard);
+        true
     }
 
-    fn add_up(&mut self, now: Instant) {
-        self.peers
-            .retain(|_peer, load| now.saturating_duration_since(load.heard) < PEER_ROW_LIFE);
-        self.sum.clear();
-        for row in self.peers.values().flat_map(|load| &load.rows) {
-            let sum = self.sum.entry(Arc::clone(&row.id)).or_default();
-            sum.requests += row.outstanding.requests;
-            sum.prompt_tokens += row.outstanding.prompt_tokens;
+    /// Forgets what was told too long ago.
+    pub fn expire(&mut self, now: Instant) {
+        let is_due = self
+            .expired
+            .is_none_or(|last| now.saturating_duration_since(last) >= EXPIRY_INTERVAL);
+        if !is_due {
+            return;
         }
+        self.expired = Some(now);
+        let sum = &mut self.sum;
+        self.peers.retain(|_origin, load| {
+            let is_fresh = now.saturating_duration_since(load.heard) < PEER_ROW_LIFE;
+            if !is_fresh {
+                take_away(sum, &load.rows);
+            }
+            is_fresh
+        });
+        sum.retain(|_id, work| work.requests > 0.0 || work.prompt_tokens > 0.0);
     }
 
     /// Own work, for telling peers.
     #[must_use]
-    pub fn own_rows(&self) -> Vec<PeerRow> {
+    pub fn own_rows(&self) -> Vec<WorkRow> {
         self.own
             .iter()
-            .map(|(id, outstanding)| PeerRow {
+            .map(|(id, outstanding)| WorkRow {
                 id: Arc::clone(id),
                 outstanding: *outstanding,
             })
@@ -104,11 +156,16 @@
     /// Work of all daemons at one back end.
     #[must_use]
     pub fn outstanding(&self, id: &str) -> Outstanding {
-        let own = self.own.get(id).copied().unwrap_or_default();
-        let peers = self.sum.get(id).copied().unwrap_or_default();
-        Outstanding {
-            requests: own.requests + peers.requests,
-            prompt_tokens: own.prompt_tokens + peers.prompt_tokens,
+        let mut work = self.own.get(id).copied().unwrap_or_default();
+        work.add(self.sum.get(id).copied().unwrap_or_default());
+        work
+    }
+}
+
+fn take_away(sum: &mut HashMap<Arc<str>, Outstanding>, rows: &[WorkRow]) {
+    for row in rows {
+        if let Some(work) = sum.get_mut(&row.id) {
+            work.take(row.outstanding);
         }
     }
 }
--- a/crates/fleet/src/placement/prefixes.rs
+++ b/crates/fleet/src/placement/prefixes.rs
@@ -1,24 +1,40 @@
 //! Which prompt heads engines are believed to keep.
 //!
-//! Every daemon notes its own sends and hears of its peers'. A head that nobody has seen goes to its home, which
-//! every daemon computes alike (rendezvous hashing), so that even heads that come to two daemons at once meet.
+//! Every daemon notes its own sends and hears of its peers'. What an engine reads or fetches pushes out what it used the
+//! longest ago, so a head is believed to be kept until as much has come in since its last use as the engine's memory
+//! holds. A head that nobody has seen goes to its home, which every daemon computes alike (rendezvous hashing), so that
+//! even heads that come to two daemons at once meet.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::directory::BackEnd;
 use crate::prompt::Prompt;
 
 /// A head that was used within this time is taken as kept.
-const BELIEVED_FOR: Duration = Duration::from_secs(30);
-/// Share of an engine's memory that is believed to keep heads; the rest goes to what runs.
-const MEMORY_SHARE: f64 = 0.6;
+const BELIEVED_FOR: Duration = Duration::from_secs(60);
+/// A prompt that was sent is read within this time, or lost.
+const COMING_FOR: Duration = Duration::from_secs(4);
+/// Share of an engine's memory that is believed to keep what was read; what runs takes the rest.
+const MEMORY_SHARE: f64 = 0.8;
 /// Uses that peers have not been told of, at most.
 const MAXIMUM_UNTOLD: usize = 256;
+/// A head of fewer tokens is read anew in a few milliseconds: it is neither remembered nor told.
+pub const LEAST_HEAD_TOKENS: u32 = 500;
+/// Heads that are remembered of one engine before the forgotten ones are dropped.
+const TIDIED_ABOVE: usize = 256;
+
+/// How far an engine is with a head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HeadState {
+    /// A prompt with it is on its way there: whatever comes behind it finds it kept.
+    Coming,
+    /// It is kept, and others can fetch it.
+    Kept,
+}
 
 /// One use of a head at an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,33 +45,58 @@
     pub head: u64,
     /// Its tokens.
     pub tokens: u32,
+    /// Tokens of the prompt that follow it; they take memory too.
+    pub own_tokens: u32,
+    /// How far the engine is with it.
+    pub state: HeadState,
 }
 
 impl HeadUse {
-    /// The use that a prompt makes of an engine's cache; none where it shares no head.
+    /// The use that a prompt makes of an engine's cache; none where it shares no head worth remembering.
     #[must_use]
-    pub fn of(prompt: &Prompt, engine: &BackEnd) -> Option<Self> {
+    pub fn of(prompt: &Prompt, engine: &BackEnd, state: HeadState) -> Option<Self> {
+        let tokens = prompt.shared_tokens();
+        if tokens < LEAST_HEAD_TOKENS {
+            return None;
+        }
         Some(Self {
             engine: Arc::clone(&engine.id),
             head: prompt.shared_head()?,
-            tokens: prompt.shared_tokens(),
+            tokens,
+            own_tokens: prompt.own_tokens(),
+            state,
         })
     }
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Kept {
+    state: HeadState,
     last_used: Instant,
-    tokens: u32,
+    /// What had come in until then, in tokens.
+    came_in: u64,
 }
 
 #[derive(Debug, Default)]
 struct Heads {
-    by_use: IndexMap<u64, Kept>,
-    tokens: u64,
+    kept: HashMap<u64, Kept>,
+    /// All that has come into the engine's memory, in tokens.
+    came_in: u64,
+}
+
+impl Heads {
+    fn holds(&self, kept: &Kept, capacity_tokens: u64, now: Instant) -> bool {
+        let since = self.came_in - kept.came_in;
+        let age = now.saturating_duration_since(kept.last_used);
+        let life = match kept.state {
+            HeadState::Coming => COMING_FOR,
+            HeadState::Kept => BELIEVED_FOR,
+        };
+        since <= capacity_tokens && age < life
+    }
 }
 
-/// Heads by engine, in the order of their last use.
+/// Heads by engine.
 #[derive(Debug, Default)]
 pub struct PrefixMemory {
     by_engine: HashMap<Arc<str>, Heads>,
@@ -84,51 +125,63 @@
         }
     }
 
-    /// A peer's request had this head read.
-    pub fn used_by_peer(&mut self, usage: &HeadUse, now: Instant) {
-        self.note(usage, now);
-    }
-
     /// Own uses since the last call, for telling peers.
     pub fn take_untold(&mut self) -> Vec<HeadUse> {
         std::mem::take(&mut self.untold)
     }
 
-    fn note(&mut self, usage: &HeadUse, now: Instant) {
+    /// An engine has read a prompt with this head, sent by another daemon or seen in the engine's own words.
+    pub fn note(&mut self, usage: &HeadUse, now: Instant) {
+        let capacity = self.capacity_tokens;
         let heads = self.by_engine.entry(Arc::clone(&usage.engine)).or_default();
+        let before = heads.kept.get(&usage.head).copied();
+        let before = before.filter(|kept| heads.holds(kept, capacity, now));
+        let came_in = match (before.map(|kept| kept.state), usage.state) {
+            (Some(HeadState::Kept), HeadState::Kept) => usage.own_tokens,
+            (_, HeadState::Kept) => usage.tokens + usage.own_tokens,
+            (_, HeadState::Coming) => 0,
+        };
+        let was_read = before.is_some_and(|kept| kept.state == HeadState::Kept);
+        heads.came_in += u64::from(came_in);
         let kept = Kept {
+            state: if was_read {
+                HeadState::Kept
+            } else {
+                usage.state
+            },
             last_used: now,
-            tokens: usage.tokens,
+            came_in: heads.came_in,
         };
-        if let Some(before) = heads.by_use.shift_remove(&usage.head) {
-            heads.tokens -= u64::from(before.tokens);
+        heads.kept.insert(usage.head, kept);
+        if heads.kept.len() > TIDIED_ABOVE {
+            let came_in = heads.came_in;
+            heads
+                .kept
+                .retain(|_head, kept| came_in - kept.came_in <= capacity);
         }
-        heads.by_use.insert(usage.head, kept);
-        heads.tokens += u64::from(kept.tokens);
-        while heads.tokens > self.capacity_tokens && heads.by_use.len() > 1 {
-            let Some((_head, oldest)) = heads.by_use.shift_remove_index(0) else {
-                break;
-            };
-            heads.tokens -= u64::from(oldest.tokens);
+    }
+
+    /// Prompts without a head worth remembering came into an engine's memory: so many tokens, of all daemons together.
+    pub fn came_in(&mut self, engine: &str, tokens: u64) {
+        if let Some(heads) = self.by_engine.get_mut(engine) {
+            heads.came_in += tokens;
         }
     }
 
-    /// Whether the engine is believed to keep this head.
+    /// How far the engine is believed to be with this head; none where it does not keep it.
     #[must_use]
-    pub fn is_kept(&self, engine: &str, head: u64, now: Instant) -> bool {
-        self.by_engine
-            .get(engine)
-            .and_then(|heads| heads.by_use.get(&head))
-            .is_some_and(|kept| now.saturating_duration_since(kept.last_used) < BELIEVED_FOR)
+    pub fn state(&self, engine: &str, head: u64, now: Instant) -> Option<HeadState> {
+        let heads = self.by_engine.get(engine)?;
+        let kept = heads.kept.get(&head)?;
+        heads
+            .holds(kept, self.capacity_tokens, now)
+            .then_some(kept.state)
     }
 
     /// An engine did not keep what it was believed to keep.
     pub fn was_missing(&mut self, engine: &str, head: u64) {
-        let Some(heads) = self.by_engine.get_mut(engine) else {
-            return;
-        };
-        if let Some(kept) = heads.by_use.shift_remove(&head) {
-            heads.tokens -= u64::from(kept.tokens);
+        if let Some(heads) = self.by_engine.get_mut(engine) {
+            heads.kept.remove(&head);
         }
     }
 
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -7,10 +7,9 @@
 use crate::directory::BackEnd;
 use crate::prompt::Prompt;
 
-/// Other engines fetch from the home what it may keep; that they gain so is counted at this share.
-const HOME_FETCH_TRUST: f64 = 0.5;
-/// What a fetch costs beside the move itself, in milliseconds: its start, and its price.
-const FETCH_MS: f64 = 15.0;
+/// What a fetch costs beside the move itself, in milliseconds: its start, its price, and the head that it pushes out of
+/// the engine's memory.
+const FETCH_MS: f64 = 40.0;
 /// A head of fewer tokens is not worth a fetch.
 const LEAST_FETCHED_TOKENS: u32 = 1000;
 /// Moves between zones take this many times as long.
@@ -89,13 +88,11 @@
         let Some(home) = home else {
             return read(own + shared);
         };
-        let home_reads = self.placement.home_read_share();
         if home.id == back_end.id {
-            return read(own + shared * home_reads);
+            return read(own + shared * HOME_READ_SHARE);
         }
-        let saved = (HOME_READ_SHARE - home_reads) * HOME_FETCH_TRUST;
         Work {
-            tokens: own + shared * (1.0 - saved),
+            tokens: own + shared,
             fetch_ms: 0.0,
             fetch_from: Some(Arc::clone(home)),
         }
@@ -132,6 +129,7 @@
         let work = self.work(reader, home);
         PromptPlan {
             fetch_from: work.fetch_from,
+            fetch_ms: work.fetch_ms,
             tokens_to_read: work.tokens,
             prefill,
             decode,
--- a/crates/fleet/src/placement/speed.rs
+++ b/crates/fleet/src/placement/speed.rs
@@ -3,21 +3,90 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// Prompt tokens that a prefill engine is taken to read in a millisecond until one has been seen.
+/// Prompt tokens that a prefill engine is taken to read in a millisecond until some readings have been seen.
 const DEFAULT_PREFILL_TOKENS_PER_MS: f64 = 30.0;
+/// Readings from which a rate is worked out.
+const LEAST_READINGS: f64 = 6.0;
+/// Part that older readings keep of their weight with each new one.
+const OLDER_KEEP: f64 = 0.99;
+/// Readings that differ less, in tokens (standard deviation), tell messages from reading too badly.
+const LEAST_SPREAD_TOKENS: f64 = 1_000.0;
+/// Weight of a reading that took longer than the line says: an engine that was thought idle may have been at work for
+/// others, but none reads faster than it can.
+const SLOWER_WEIGHT: f64 = 0.2;
+/// Bounds of the rate.
+const RATE_BOUNDS: (f64, f64) = (1.0, 1_000.0);
+/// Readings that peers have not been told of, at most.
+const MOST_UNTOLD: usize = 16;
 /// A decode engine reads prompts at this share of a prefill engine's pace.
 const DECODE_READ_SHARE: f64 = 0.5;
 /// Weight of the newest sample.
 const NEWEST_WEIGHT: f64 = 0.15;
 /// Bounds of an engine's slowness.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.7, 10.0);
-/// Fewest tokens from which a rate is learned; below, messages take most of the time.
-const LEAST_TOKENS: f64 = 1500.0;
+
+/// How long a prefill engine that had nothing else to do took for a prompt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PromptReading {
+    /// Tokens that it read.
+    pub tokens: f64,
+    /// Time in milliseconds, messages and all.
+    pub took_ms: f64,
+}
+
+/// Readings added up, newer ones with more weight, for a line through them (least squares): its slope is the time for
+/// a token, whatever a message takes.
+#[derive(Debug, Default)]
+struct ReadingLine {
+    weight: f64,
+    tokens: f64,
+    time: f64,
+    tokens_squared: f64,
+    tokens_by_time: f64,
+}
+
+impl ReadingLine {
+    fn add(&mut self, reading: PromptReading) {
+        let PromptReading { tokens, took_ms } = reading;
+        let is_slower = self
+            .fit()
+            .is_some_and(|(at_nothing, per_token)| took_ms > at_nothing + per_token * tokens);
+        let weight = if is_slower { SLOWER_WEIGHT } else { 1.0 };
+        self.weight = self.weight * OLDER_KEEP + weight;
+        self.tokens = self.tokens * OLDER_KEEP + weight * tokens;
+        self.time = self.time * OLDER_KEEP + weight * took_ms;
+        self.tokens_squared = self.tokens_squared * OLDER_KEEP + weight * tokens * tokens;
+        self.tokens_by_time = self.tokens_by_time * OLDER_KEEP + weight * tokens * took_ms;
+    }
+
+    /// Time for a prompt of no tokens, and for each token, in milliseconds.
+    fn fit(&self) -> Option<(f64, f64)> {
+        if self.weight < LEAST_READINGS {
+            return None;
+        }
+        let mean = self.tokens / self.weight;
+        let variance = self.tokens_squared / self.weight - mean * mean;
+        if variance < LEAST_SPREAD_TOKENS * LEAST_SPREAD_TOKENS {
+            return None;
+        }
+        let mean_time = self.time / self.weight;
+        let covariance = self.tokens_by_time / self.weight - mean * mean_time;
+        let per_token = covariance / variance;
+        (per_token > 0.0).then_some((mean_time - per_token * mean, per_token))
+    }
+
+    fn tokens_per_ms(&self) -> Option<f64> {
+        let (least, most) = RATE_BOUNDS;
+        let (_at_nothing, per_token) = self.fit()?;
+        Some((1.0 / per_token).clamp(least, most))
+    }
+}
 
 /// Learned rates.
 #[derive(Debug, Default)]
 pub struct SpeedTable {
-    prefill_tokens_per_ms: Option<f64>,
+    readings: ReadingLine,
+    untold: Vec<PromptReading>,
     plain_ms: HashMap<Arc<str>, f64>,
     slowness: HashMap<Arc<str>, f64>,
 }
@@ -40,20 +109,29 @@
         *entry += NEWEST_WEIGHT * (sample - *entry);
     }
 
-    /// A prefill engine that had nothing else to do read `tokens` in `elapsed_ms`.
-    pub fn prompt_read(&mut self, tokens: f64, elapsed_ms: f64) {
-        if tokens < LEAST_TOKENS || elapsed_ms <= 0.0 {
-            return;
+    /// A prefill engine that had nothing else to do read a prompt that this daemon sent.
+    pub fn prompt_read(&mut self, reading: PromptReading) {
+        self.readings.add(reading);
+        if self.untold.len() < MOST_UNTOLD {
+            self.untold.push(reading);
         }
-        let sample = tokens / elapsed_ms;
-        let entry = self.prefill_tokens_per_ms.get_or_insert(sample);
-        *entry += NEWEST_WEIGHT * (sample - *entry);
+    }
+
+    /// The same for a prompt that a peer sent.
+    pub fn hear(&mut self, reading: PromptReading) {
+        self.readings.add(reading);
+    }
+
+    /// Own readings since the last call, for telling peers.
+    pub fn take_untold(&mut self) -> Vec<PromptReading> {
+        std::mem::take(&mut self.untold)
     }
 
     /// Prompt tokens that a prefill engine reads in a millisecond.
     #[must_use]
     pub fn prefill_tokens_per_ms(&self) -> f64 {
-        self.prefill_tokens_per_ms
+        self.readings
+            .tokens_per_ms()
             .unwrap_or(DEFAULT_PREFILL_TOKENS_PER_MS)
     }
 
--- a/crates/fleet/src/placement/work.rs
+++ b/crates/fleet/src/placement/work.rs
@@ -46,7 +46,7 @@
             average.decay(now);
         }
         self.by_service
-            .retain(|_service, average| average.work.prefill + average.work.decode > NEGLIGIBLE);
+            .retain(|_service, average| average.work.total() > NEGLIGIBLE);
         self.by_service
             .iter()
             .map(|(service, average)| (Arc::clone(service), average.work))
@@ -57,7 +57,7 @@
 /// What peers told of the work that their requests bring.
 #[derive(Debug, Default)]
 pub struct PeerWork {
-    by_peer: HashMap<Arc<str>, Told>,
+    by_peer: HashMap<u64, Told>,
 }
 
 #[derive(Debug)]
@@ -67,10 +67,10 @@
 }
 
 impl PeerWork {
-    /// Takes what a peer tells.
-    pub fn hear(&mut self, peer: &Arc<str>, rates: Vec<(Arc<str>, StageWork)>, now: Instant) {
+    /// Takes what a peer tells; `origin` is a hash that tells it from others.
+    pub fn hear(&mut self, origin: u64, rates: Vec<(Arc<str>, StageWork)>, now: Instant) {
         let told = Told { heard: now, rates };
-        self.by_peer.insert(Arc::clone(peer), told);
+        self.by_peer.insert(origin, told);
     }
 
     /// Own work and that of all peers. Those that were not heard are taken to bring as much as the others.
--- a/crates/fleet/src/stages.rs
+++ b/crates/fleet/src/stages.rs
@@ -33,7 +33,7 @@
 /// gone to 9 of 12 cost more than all that it had brought.
 const LEAST_PREFILL_SHARE: f64 = 0.25;
 /// See [`LEAST_PREFILL_SHARE`].
-const LEAST_DECODE_SHARE: f64 = 0.5;
+const LEAST_DECODE_SHARE: f64 = 0.3;
 /// A stage gives an engine away only if the rest is then busy for no more than this share, at its recent peak.
 /// Measured: an engine taken from decode engines that a burst is about to fill is missed for seconds.
 const BUSY_AFTER_GIVING: f64 = 0.33;
@@ -44,6 +44,13 @@
 const LEARNING: Duration = Duration::from_secs(4);
 /// Looks in a row that must find the same change better.
 const LOOKS: u32 = 2;
+/// Of so many engines one may change at a time.
+const ENGINES_PER_CHANGE: usize = 12;
+/// Decode engines read short prompts themselves for up to this share of their time; beyond it the pauses show in their
+/// streams, and prefill engines read the rest.
+pub const DECODE_READING_SHARE: f64 = 0.1;
+/// A decode engine reads at this share of a prefill engine's pace.
+const DECODE_READ_PACE: f64 = 0.5;
 
 /// Work of one service, in engine-seconds a second. What each stage is wanted for counts there, wherever it was done: a
 /// full stage spills into the other, which must not look as if that were its own work.
@@ -51,7 +58,9 @@
 pub struct StageWork {
     /// Reading long prompts.
     pub prefill: f64,
-    /// Generating, and reading short prompts.
+    /// Reading short prompts, at the pace of prefill engines.
+    pub short_reading: f64,
+    /// Generating.
     pub decode: f64,
     /// Reading that decode engines really do.
     pub decode_reading: f64,
@@ -61,6 +70,7 @@
     /// Adds other work.
     pub fn add(&mut self, other: Self) {
         self.prefill += other.prefill;
+        self.short_reading += other.short_reading;
         self.decode += other.decode;
         self.decode_reading += other.decode_reading;
     }
@@ -70,10 +80,27 @@
     pub fn times(self, factor: f64) -> Self {
         Self {
             prefill: self.prefill * factor,
+            short_reading: self.short_reading * factor,
             decode: self.decode * factor,
             decode_reading: self.decode_reading * factor,
         }
     }
+
+    /// All work.
+    #[must_use]
+    pub fn total(self) -> f64 {
+        self.prefill + self.short_reading + self.decode
+    }
+
+    /// Work of each stage where so many engines decode: prefill engines read the short prompts that these have no time
+    /// for.
+    fn by_stage(self, decode_engines: usize) -> (f64, f64) {
+        #[expect(clippy::cast_precision_loss, reason = "a few hundred engines")]
+        let time_for_reading = DECODE_READING_SHARE * decode_engines as f64;
+        let read_there = (self.short_reading / DECODE_READ_PACE).min(time_for_reading);
+        let read_apart = self.short_reading - read_there * DECODE_READ_PACE;
+        (self.prefill + read_apart, self.decode + read_there)
+    }
 }
 
 /// One engine is to change.
@@ -106,49 +133,87 @@
 }
 
 impl StagePlanner {
-    /// Takes the work measured last, and decides. `busyness` tells the requests at an engine; engines that it does
-    /// not know are left alone.
+    /// Takes the work measured last. Daemons that do not order observe too, so that whoever comes to has learned.
+    pub fn observe(&mut self, measured: StageWork, now: Instant) {
+        self.smooth(measured);
+        self.recent.push_back((now, measured));
+        while let Some((at, _work)) = self.recent.front()
+            && now.saturating_duration_since(*at) > PEAK_TIME
+        {
+            self.recent.pop_front();
+        }
+        if measured.total() > 0.0 {
+            self.first_work.get_or_insert(now);
+        }
+    }
+
+    /// Decides by what was observed. `busyness` tells the requests at an engine; engines that it does not know are left
+    /// alone. Of large fleets several engines change at a time.
     pub fn plan(
         &mut self,
         engines: &[Arc<BackEnd>],
-        measured: StageWork,
         busyness: impl Fn(&BackEnd) -> Option<f64>,
         now: Instant,
-    ) -> Option<StageChange> {
-        let work = self.smooth(measured);
+    ) -> Vec<StageChange> {
         let is_too_soon = self
             .last_change
             .is_some_and(|last| now.saturating_duration_since(last) < PAUSE);
-        if is_too_soon {
-            return None;
-        }
-        let prefill = count(engines, Stage::Prefill);
-        let decode = count(engines, Stage::Decode);
-        let peak = self.peak(measured, now);
-        if !self.has_learned(measured, now) {
-            return None;
+        let Some(work) = self.work else {
+            return Vec::new();
+        };
+        if is_too_soon || !self.has_learned(now) {
+            return Vec::new();
         }
+        let mut prefill = count(engines, Stage::Prefill);
+        let mut decode = count(engines, Stage::Decode);
+        let most = ((prefill + decode) / ENGINES_PER_CHANGE).max(1);
+        let peak = self.peak();
         let wanted = better(work, peak, prefill, decode);
-        let (stage, gain) = self.confirmed(wanted)?;
-        let from = match stage {
-            Stage::Prefill => Stage::Decode,
-            Stage::Decode => Stage::Prefill,
+        let Some((stage, _gain)) = self.confirmed(wanted) else {
+            return Vec::new();
         };
-        let engine = engines
+        let mut candidates = self.candidates(engines, stage, busyness, now);
+        let mut changes = Vec::new();
+        while changes.len() < most
+            && let Some((wanted, gain)) = better(work, peak, prefill, decode)
+            && wanted == stage
+            && let Some(engine) = candidates.pop()
+        {
+            changes.push(StageChange {
+                engine,
+                stage,
+                work,
+                prefill_engines: prefill,
+                decode_engines: decode,
+                gain,
+            });
+            match stage {
+                Stage::Prefill => (prefill, decode) = (prefill + 1, decode - 1),
+                Stage::Decode => (prefill, decode) = (prefill - 1, decode + 1),
+            }
+        }
+        changes
+    }
+
+    /// Engines that may change to `stage`, the least busy last.
+    fn candidates(
+        &self,
+        engines: &[Arc<BackEnd>],
+        stage: Stage,
+        busyness: impl Fn(&BackEnd) -> Option<f64>,
+        now: Instant,
+    ) -> Vec<Arc<BackEnd>> {
+        let mut candidates: Vec<(&Arc<BackEnd>, f64)> = engines
             .iter()
-            .filter(|engine| engine.stage == Some(from))
+            .filter(|engine| engine.stage.is_some_and(|from| from != stage))
             .filter(|engine| !self.dwells(&engine.id, now))
             .filter_map(|engine| Some((engine, busyness(engine)?)))
-            .min_by(|left, right| left.1.total_cmp(&right.1))
-            .map(|(engine, _requests)| Arc::clone(engine))?;
-        Some(StageChange {
-            engine,
-            stage,
-            work,
-            prefill_engines: prefill,
-            decode_engines: decode,
-            gain,
-        })
+            .collect();
+        candidates.sort_by(|left, right| right.1.total_cmp(&left.1));
+        let engines = candidates.into_iter();
+        engines
+            .map(|(engine, _requests)| Arc::clone(engine))
+            .collect()
     }
 
     /// A change was ordered.
@@ -159,38 +224,30 @@
         self.changed.push((Arc::clone(engine), now));
     }
 
-    fn smooth(&mut self, measured: StageWork) -> StageWork {
+    fn smooth(&mut self, measured: StageWork) {
         let work = self.work.get_or_insert(measured);
-        work.prefill += NEWEST_WEIGHT * (measured.prefill - work.prefill);
-        work.decode += NEWEST_WEIGHT * (measured.decode - work.decode);
-        *work
+        let kept = work.times(1.0 - NEWEST_WEIGHT);
+        *work = measured.times(NEWEST_WEIGHT);
+        work.add(kept);
     }
 
-    /// The highest work of each stage lately.
-    fn peak(&mut self, measured: StageWork, now: Instant) -> StageWork {
-        self.recent.push_back((now, measured));
-        while let Some((at, _work)) = self.recent.front()
-            && now.saturating_duration_since(*at) > PEAK_TIME
-        {
-            self.recent.pop_front();
-        }
+    /// The highest work of each kind lately.
+    fn peak(&self) -> StageWork {
         let highest = |of: fn(&StageWork) -> f64| {
             let values = self.recent.iter().map(|(_at, work)| of(work));
             values.fold(0.0, f64::max)
         };
         StageWork {
             prefill: highest(|work| work.prefill),
+            short_reading: highest(|work| work.short_reading),
             decode: highest(|work| work.decode),
             ..StageWork::default()
         }
     }
 
-    fn has_learned(&mut self, measured: StageWork, now: Instant) -> bool {
-        if measured.prefill + measured.decode <= 0.0 {
-            return false;
-        }
-        let first = *self.first_work.get_or_insert(now);
-        now.saturating_duration_since(first) >= LEARNING
+    fn has_learned(&self, now: Instant) -> bool {
+        self.first_work
+            .is_some_and(|first| now.saturating_duration_since(first) >= LEARNING)
     }
 
     fn confirmed(&mut self, wanted: Option<(Stage, f64)>) -> Option<(Stage, f64)> {
@@ -221,9 +278,9 @@
     let all = prefill + decode;
     let now = waiting(work, prefill, decode);
     let decode_gives = decode > least(all, LEAST_DECODE_SHARE)
-        && busy(peak.decode, decode - 1) <= BUSY_AFTER_GIVING;
+        && busy(peak.by_stage(decode - 1).1, decode - 1) <= BUSY_AFTER_GIVING;
     let prefill_gives = prefill > least(all, LEAST_PREFILL_SHARE)
-        && busy(peak.prefill, prefill - 1) <= BUSY_AFTER_GIVING;
+        && busy(peak.by_stage(decode + 1).0, prefill - 1) <= BUSY_AFTER_GIVING;
     let to_prefill = decode_gives.then(|| now - waiting(work, prefill + 1, decode - 1));
     let to_decode = prefill_gives.then(|| now - waiting(work, prefill - 1, decode + 1));
     let choices = [(Stage::Prefill, to_prefill), (Stage::Decode, to_decode)];
@@ -247,8 +304,8 @@
 }
 
 fn waiting(work: StageWork, prefill: usize, decode: usize) -> f64 {
-    PREFILL_WEIGHT * waiting_of(work.prefill, prefill)
-        + DECODE_WEIGHT * waiting_of(work.decode, decode)
+    let (reading, generating) = work.by_stage(decode);
+    PREFILL_WEIGHT * waiting_of(reading, prefill) + DECODE_WEIGHT * waiting_of(generating, decode)
 }
 
 /// Engine-seconds a second that work waits at so many engines.
--- /dev/null
+++ b/crates/fleet/src/topology.rs
@@ -0,0 +1,105 @@
+//! Which peers a daemon talks to, and which daemons follow the store for the others.
+//!
+//! A small fleet is one neighbourhood. In a larger one the daemons of a zone are: neighbours tell each other
+//! everything at once, and a few of every other zone hear it and pass it on to their own. Every call to the store
+//! costs, so only a few of each neighbourhood follow it and pass on what changes; all compute alike which.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// A fleet of no more daemons is one neighbourhood.
+pub const SMALL_FLEET: usize = 24;
+/// Daemons of each neighbourhood that follow the store: one may fail without a gap in the news.
+pub const FOLLOWERS: usize = 2;
+/// Daemons of each other zone that are told.
+const TOLD_PER_ZONE: usize = 2;
+
+/// A daemon as it announces itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Name.
+    pub name: Arc<str>,
+    /// Zone; empty where it is not known.
+    pub zone: Arc<str>,
+    /// Where it hears its peers.
+    pub peer_address: SocketAddr,
+    /// Speed of its machine's link in megabits a second; 0 where it is not known.
+    pub link_megabits: u32,
+}
+
+/// A daemon's place among its peers.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Topology {
+    /// Peers that are told everything.
+    pub neighbours: Vec<SocketAddr>,
+    /// Peers of other zones, which pass on what they hear.
+    pub far: Vec<SocketAddr>,
+    /// Whether this daemon follows the store for its neighbours.
+    pub follows_store: bool,
+    /// Daemons of the fleet, this one among them.
+    pub daemons: usize,
+    /// Daemons of all neighbourhoods that follow the store, about.
+    pub followers: usize,
+}
+
+impl Topology {
+    /// The place of `own` among `others`, which may contain it.
+    #[must_use]
+    pub fn of(own: &Member, others: &[Member]) -> Self {
+        let peers: Vec<&Member> = others
+            .iter()
+            .filter(|other| other.name != own.name)
+            .collect();
+        let is_small = peers.len() < SMALL_FLEET;
+        let is_near = |other: &Member| is_small || other.zone == own.zone;
+        let near: Vec<&Member> = peers.iter().copied().filter(|peer| is_near(peer)).collect();
+        let zones = if is_small { 1 } else { zones_of(own, &peers) };
+        Self {
+            neighbours: near.iter().map(|peer| peer.peer_address).collect(),
+            far: far_of(own, &peers, is_near),
+            follows_store: is_follower(own, &near),
+            daemons: peers.len() + 1,
+            followers: zones * FOLLOWERS,
+        }
+    }
+}
+
+fn zones_of(own: &Member, peers: &[&Member]) -> usize {
+    let mut zones: Vec<&str> = peers.iter().map(|peer| &*peer.zone).collect();
+    zones.push(&own.zone);
+    zones.sort_unstable();
+    zones.dedup();
+    zones.len()
+}
+
+/// A few daemons of each other zone. Which ones differs from daemon to daemon, so that the work is spread.
+fn far_of(own: &Member, peers: &[&Member], is_near: impl Fn(&Member) -> bool) -> Vec<SocketAddr> {
+    let seed = xxh3_64(own.name.as_bytes());
+    let mut others: Vec<(&str, u64, SocketAddr)> = peers
+        .iter()
+        .filter(|peer| !is_near(peer))
+        .map(|peer| {
+            let rank = xxh3_64_with_seed(peer.name.as_bytes(), seed);
+            (&*peer.zone, rank, peer.peer_address)
+        })
+        .collect();
+    others.sort_unstable();
+    others
+        .chunk_by(|left, right| left.0 == right.0)
+        .flat_map(|of_zone| of_zone.iter().take(TOLD_PER_ZONE))
+        .map(|(_zone, _rank, address)| *address)
+        .collect()
+}
+
+/// Those with the fastest links follow the store: they pass whole configurations on.
+fn is_follower(own: &Member, neighbours: &[&Member]) -> bool {
+    let rank = |member: &Member| {
+        let order = xxh3_64(member.name.as_bytes());
+        (std::cmp::Reverse(member.link_megabits), order)
+    };
+    let own_rank = rank(own);
+    let before = neighbours.iter().filter(|peer| rank(peer) < own_rank);
+    before.count() < FOLLOWERS
+}
--- /dev/null
+++ b/crates/fleet/tests/speed.rs
@@ -0,0 +1,56 @@
+//! Rates that are learned from readings.
+
+use ponddrift_fleet::placement::{PromptReading, SpeedTable};
+
+/// What an engine takes that reads 60 tokens in a millisecond, after 20 ms of messages.
+fn reading(tokens: f64, waited_ms: f64) -> PromptReading {
+    PromptReading {
+        tokens,
+        took_ms: 20.0 + tokens / 60.0 + waited_ms,
+    }
+}
+
+#[test]
+fn the_pace_is_learned_apart_from_what_messages_take() {
+    let mut speed = SpeedTable::default();
+    for number in 1..=20 {
+        speed.prompt_read(reading(f64::from(number) * 700.0, 0.0));
+    }
+    let rate = speed.prefill_tokens_per_ms();
+    assert!((55.0..65.0).contains(&rate), "{rate}");
+}
+
+#[test]
+fn readings_that_waited_behind_others_change_the_pace_little() {
+    let mut speed = SpeedTable::default();
+    for number in 1..=200_u32 {
+        let waited = if number % 4 == 0 { 400.0 } else { 0.0 };
+        speed.prompt_read(reading(f64::from(number % 23) * 700.0, waited));
+    }
+    let rate = speed.prefill_tokens_per_ms();
+    assert!((40.0..80.0).contains(&rate), "{rate}");
+}
+
+#[test]
+fn readings_of_peers_count_and_are_not_told_again() {
+    let mut speed = SpeedTable::default();
+    for number in 1..=20 {
+        speed.hear(reading(f64::from(number) * 700.0, 0.0));
+    }
+    assert!(speed.prefill_tokens_per_ms() > 50.0);
+    assert!(speed.take_untold().is_empty());
+    speed.prompt_read(reading(5_000.0, 0.0));
+    assert_eq!(speed.take_untold().len(), 1);
+    assert!(speed.take_untold().is_empty());
+}
+
+#[test]
+fn a_few_readings_of_like_prompts_tell_no_pace() {
+    let mut speed = SpeedTable::default();
+    let before = speed.prefill_tokens_per_ms();
+    for _ in 0..20 {
+        speed.prompt_read(reading(4_000.0, 0.0));
+    }
+    let after = speed.prefill_tokens_per_ms();
+    assert!((before - after).abs() < 1e-9, "{before} to {after}");
+}
--- /dev/null
+++ b/crates/fleet/tests/topology.rs
@@ -0,0 +1,159 @@
+//! Who talks to whom, who follows the store, and for how long that is relied on.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ponddrift_fleet::followers::{FollowerTable, WORD_INTERVAL};
+use ponddrift_fleet::topology::{FOLLOWERS, Member, SMALL_FLEET, Topology};
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+fn member(number: usize, zone: &str, link_megabits: u32) -> Member {
+    let last = u8::try_from(number).expect("a small fleet");
+    Member {
+        name: Arc::from(format!("d-{number}")),
+        zone: Arc::from(zone),
+        peer_address: SocketAddr::from(([10, 0, 0, last], 7660)),
+        link_megabits,
+    }
+}
+
+/// Daemons in three zones.
+fn fleet(daemons: usize) -> Vec<Member> {
+    (0..daemons)
+        .map(|number| member(number, ZONES[number % ZONES.len()], 10))
+        .collect()
+}
+
+fn followers_of(fleet: &[Member]) -> Vec<&Member> {
+    fleet
+        .iter()
+        .filter(|own| Topology::of(own, fleet).follows_store)
+        .collect()
+}
+
+#[test]
+fn a_small_fleet_is_one_neighbourhood() {
+    let fleet = fleet(SMALL_FLEET);
+    for own in &fleet {
+        let topology = Topology::of(own, &fleet);
+        assert_eq!(topology.neighbours.len(), SMALL_FLEET - 1);
+        assert!(topology.far.is_empty());
+        assert!(!topology.neighbours.contains(&own.peer_address));
+    }
+    assert_eq!(followers_of(&fleet).len(), FOLLOWERS);
+}
+
+#[test]
+fn in_a_larger_fleet_the_daemons_of_a_zone_are_neighbours_and_some_of_each_other_zone_are_told() {
+    let fleet = fleet(90);
+    let own = &fleet[0];
+    let topology = Topology::of(own, &fleet);
+    assert_eq!(topology.neighbours.len(), 29);
+    assert_eq!(topology.far.len(), 4, "two of each other zone");
+    let zone_of = |address: &SocketAddr| {
+        let of = fleet.iter().find(|member| member.peer_address == *address);
+        Arc::clone(&of.expect("known").zone)
+    };
+    assert!(
+        topology
+            .neighbours
+            .iter()
+            .all(|peer| &*zone_of(peer) == "a")
+    );
+    assert!(topology.far.iter().all(|peer| &*zone_of(peer) != "a"));
+}
+
+#[test]
+fn every_daemon_finds_the_same_followers_in_each_zone() {
+    let fleet = fleet(90);
+    let followers = followers_of(&fleet);
+    assert_eq!(followers.len(), ZONES.len() * FOLLOWERS);
+    for zone in ZONES {
+        let of_zone = followers.iter().filter(|member| &*member.zone == zone);
+        assert_eq!(of_zone.count(), FOLLOWERS, "zone {zone}");
+    }
+}
+
+#[test]
+fn those_with_the_fastest_links_follow() {
+    let mut fleet = fleet(30);
+    fleet[4] = member(4, "b", 200);
+    fleet[7] = member(7, "b", 200);
+    let followers = followers_of(&fleet);
+    let in_b: Vec<&str> = followers
+        .iter()
+        .filter(|follower| &*follower.zone == "b")
+        .map(|follower| &*follower.name)
+        .collect();
+    assert_eq!(in_b, ["d-4", "d-7"]);
+}
+
+#[test]
+fn a_follower_that_leaves_is_replaced() {
+    let fleet = fleet(30);
+    let followers = followers_of(&fleet);
+    let gone = Arc::clone(&followers[0].name);
+    let rest: Vec<Member> = fleet
+        .iter()
+        .filter(|member| member.name != gone)
+        .cloned()
+        .collect();
+    assert_eq!(followers_of(&rest).len(), followers.len());
+}
+
+#[test]
+fn what_far_daemons_are_told_is_spread_over_them() {
+    let fleet = fleet(90);
+    let mut told = std::collections::HashSet::new();
+    for own in fleet.iter().filter(|own| &*own.zone == "a") {
+        told.extend(Topology::of(own, &fleet).far);
+    }
+    assert!(told.len() > 30, "{} of 60 daemons are told", told.len());
+}
+
+fn peer() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7660))
+}
+
+#[test]
+fn a_follower_is_relied_on_while_it_is_heard() {
+    let mut table = FollowerTable::default();
+    let mut now = Instant::now();
+    assert!(table.relied_on_until(now).is_none());
+    for _ in 0..20 {
+        table.hear(peer(), Duration::from_millis(900), now);
+        now += WORD_INTERVAL;
+        assert!(table.relied_on_until(now).is_some());
+    }
+    now += Duration::from_secs(1);
+    assert!(table.relied_on_until(now).is_none());
+}
+
+#[test]
+fn a_follower_that_has_not_heard_from_the_store_is_not_relied_on() {
+    let mut table = FollowerTable::default();
+    let now = Instant::now();
+    table.hear(peer(), Duration::from_secs(3), now);
+    assert!(table.relied_on_until(now).is_none());
+}
+
+#[test]
+fn a_follower_that_does_not_hand_on_what_it_has_is_not_relied_on() {
+    let mut table = FollowerTable::default();
+    let now = Instant::now();
+    table.hear(peer(), Duration::ZERO, now);
+    table.distrust(peer());
+    assert!(table.relied_on_until(now).is_none());
+}
+
+#[test]
+fn the_end_of_relying_comes_in_time_for_the_bounds_of_the_rules() {
+    let mut table = FollowerTable::default();
+    let now = Instant::now();
+    // All followers die right after they said that the store had just answered.
+    table.hear(peer(), Duration::ZERO, now);
+    let until = table.relied_on_until(now).expect("relied on");
+    assert!(until - now < Duration::from_secs(1));
+}
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -5,16 +5,18 @@
 use std::time::Duration;
 
 use eyre::{Context, Result};
+use ponddrift_fleet::topology::Member;
 use ponddrift_http::Server;
 use ponddrift_platform_adapter::{PlatformDialect, PlatformStore};
 use ponddrift_runtime::Runtime;
 use ponddrift_serving::dialect::Dialect;
 use ponddrift_serving::fleet_state::FleetState;
+use ponddrift_serving::follow::Following;
 use ponddrift_serving::metrics::{Metrics, Standing};
 use ponddrift_serving::orders::OrderSettings;
 use ponddrift_serving::peers::PeerSettings;
 use ponddrift_serving::pipeline::{Pipeline, PipelineSettings};
-use ponddrift_serving::store::{DaemonRecord, FleetStore};
+use ponddrift_serving::store::FleetStore;
 use ponddrift_serving::{follow, front, orders, peers};
 use tokio::time::Instant;
 
@@ -42,7 +44,13 @@
     /// When an address cannot be bound.
     pub async fn start(runtime: &Runtime, settings: Settings) -> Result<Self> {
         let store: Arc<dyn FleetStore> = Arc::new(PlatformStore::new(runtime, settings.store));
-        let state = Arc::new(FleetState::new(Arc::clone(&store)));
+        let own = Member {
+            name: Arc::clone(&settings.name),
+            zone: Arc::clone(&settings.zone),
+            peer_address: settings.peers,
+            link_megabits: settings.link_megabits,
+        };
+        let state = Arc::new(FleetState::new(Arc::clone(&store), own));
         let metrics = Arc::new(Metrics::default());
         let pipeline_settings = PipelineSettings {
             zone: Arc::clone(&settings.zone),
@@ -67,26 +75,28 @@
         let callers = front::serve_callers(runtime, settings.callers, &pipeline)
             .await
             .wrap_err("listen.callers cannot be bound: is another process there?")?;
-        let record = DaemonRecord {
-            name: Arc::clone(&settings.name),
-            peer_address: settings.peers,
-        };
+        let (following, untold) = Following::new();
         follow::start(
             runtime,
             &store,
             &state,
-            record,
+            &following,
             settings.store_reads_per_second,
             &metrics,
         );
         let peer_settings = PeerSettings {
-            name: Arc::clone(&settings.name),
-            address: settings.peers,
             seeds: settings.seeds.clone(),
         };
-        peers::start(runtime, peer_settings, &state, &pipeline)
-            .await
-            .wrap_err("listen.peers cannot be bound: is another process there?")?;
+        peers::start(
+            runtime,
+            peer_settings,
+            &state,
+            &pipeline,
+            &following,
+            untold,
+        )
+        .await
+        .wrap_err("listen.peers cannot be bound: is another process there?")?;
         let recalling = Arc::clone(&pipeline).recall_caches();
         runtime.spawner.spawn(Box::pin(recalling));
         let order_settings = OrderSettings {
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -37,6 +37,8 @@
     pub store: SocketAddr,
     /// Reads that the store takes in a second from all daemons together.
     pub store_reads_per_second: f64,
+    /// Speed of the machine's link in megabits a second; 0 where it is not known.
+    pub link_megabits: u32,
     /// Peers to begin with; the port is that of `listen.peers`.
     pub seeds: Vec<SocketAddr>,
     /// Bounds of repeats.
@@ -103,6 +105,7 @@
         .flatten();
     let store = address(&mut reader, "store.address").unwrap_or(nowhere);
     let store_reads_per_second = reader.fraction("store.reads_per_s", 2_000.0, 1.0..=1e9);
+    let link = reader.fraction("peers.link_mbps", 0.0, 0.0..=10_000_000.0);
     let seeds = reader.addresses("peers.seeds", false);
     let budget = BudgetSettings {
         ratio: reader.fraction("retry.budget_ratio", 0.2, 0.0..=10.0),
@@ -132,6 +135,7 @@
         peers,
         store,
         store_reads_per_second,
+        link_megabits: whole(link),
         seeds,
         budget,
         bounds,
@@ -146,6 +150,15 @@
     usize::try_from(number).unwrap_or(usize::MAX)
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "checked before: not negative, and far below the largest"
+)]
+const fn whole(number: f64) -> u32 {
+    number as u32
+}
+
 fn text_of(reader: &mut Reader, key: &str, what: &str) -> String {
     reader.parsed(key, None, what).unwrap_or_default()
 }
--- a/crates/serve/tests/orders.rs
+++ b/crates/serve/tests/orders.rs
@@ -16,6 +16,7 @@
     records: 1,
     prefill: 2,
     decode: 6,
+    zones: 1,
 };
 
 /// Long prompts for `time`: prefill engines have much to do, decode engines little.
--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -277,3 +277,29 @@
     let decoded: usize = fleet.decode.iter().map(|engine| engine.runs().len()).sum();
     assert_eq!(decoded, 0);
 }
+
+/// Found on a drawn day (fresh-746a of the larger deployment): engines that change reject the reading of prompts, and
+/// only the call that followed was counted.
+#[test]
+fn readings_that_engines_reject_stay_within_the_budget() {
+    const REQUESTS: usize = 60;
+    let mut fleet = Fleet::new(Size {
+        prefill: 6,
+        ..Size::default()
+    });
+    for engine in &fleet.prefill {
+        engine.behave_always(Behaviour::Refuse);
+    }
+    for number in 0..REQUESTS {
+        let request = ClientRequest::prompt(&number.to_string(), "tag", 3_000, 900);
+        ask(&mut fleet, &request);
+        fleet.wait(Duration::from_millis(20));
+    }
+    let engines = fleet.prefill.iter().chain(&fleet.decode);
+    let arrivals: usize = engines
+        .map(|engine| engine.rejected() + engine.runs().len())
+        .sum();
+    // Ratio and slack as in the daemons' settings.
+    let most = REQUESTS + REQUESTS / 5 + 20;
+    assert!(arrivals <= most, "{arrivals} arrivals, {most} at most");
+}
--- a/crates/serving/src/authority.rs
+++ b/crates/serving/src/authority.rs
@@ -14,8 +14,9 @@
 const SAFETY_MARGIN: Duration = Duration::from_millis(400);
 /// Time within which an order arrives or is given up.
 pub const ORDER_LIMIT: Duration = Duration::from_millis(600);
-/// A new holder waits this many lease times before its first order.
-const TAKE_OVER_LEASES: u32 = 2;
+/// A new holder waits this many lease times before its first order: the one before stopped before its lease lapsed, and
+/// its last order arrived at most [`ORDER_LIMIT`] later.
+const TAKE_OVER_LEASES: f64 = 1.3;
 
 /// The right to give orders, as this daemon holds it.
 #[derive(Debug, Clone, Copy)]
@@ -70,7 +71,7 @@
             Ok(fence) => Ok(Authority {
                 lease,
                 fence,
-                begins: now() + self.life * TAKE_OVER_LEASES,
+                begins: now() + self.life.mul_f64(TAKE_OVER_LEASES),
                 ends: begun + lease.life.saturating_sub(SAFETY_MARGIN),
             }),
             Err(error) => {
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -1,16 +1,18 @@
 //! What this daemon believes of the fleet: the newest configuration, directory and daemons it has seen.
 
 use std::collections::{HashMap, HashSet};
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use borsh::{BorshDeserialize, BorshSerialize};
 use indexmap::IndexMap;
 use ponddrift_fleet::configuration::Configuration;
 use ponddrift_fleet::directory::{BackEnd, Directory, Lifecycle};
 use ponddrift_fleet::routes::RouteTable;
+use ponddrift_fleet::topology::{Member, Topology};
 
-use crate::store::{Decoded, FleetStore, Item, Snapshot};
+use crate::back_end_index::BackEndIndex;
+use crate::store::{Changes, Decoded, FleetStore, Item, Snapshot};
 
 /// The store is in doubt for this long after a call to it failed: entries that vanish then may have lapsed.
 const DOUBT_AFTER_FAILURE: Duration = Duration::from_secs(5);
@@ -46,9 +48,19 @@
     }
 }
 
+/// What a peer is told that asks for everything after a revision.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub enum News {
+    /// What changed since then.
+    Changes(Changes),
+    /// Everything: what was removed since then is no longer known here.
+    Whole(Snapshot),
+}
+
 /// What this daemon believes, shared by its tasks.
 pub struct FleetState {
     store: Arc<dyn FleetStore>,
+    own: Member,
     inner: Mutex<Inner>,
 }
 
@@ -56,24 +68,41 @@
 struct Inner {
     in_force: Option<Arc<InForce>>,
     directory: Directory,
-    daemons: HashMap<Arc<str>, SocketAddr>,
+    index: Option<Arc<BackEndIndex>>,
+    daemons: HashMap<Arc<str>, Member>,
+    topology: Arc<Topology>,
     order_holder: Option<Arc<str>>,
     items: IndexMap<String, Item>,
     newest: u64,
+    /// Everything up to this revision is known; none before the first reading.
+    position: Option<u64>,
+    /// Removals are known from this revision on.
+    removals_since: u64,
     last_store_failure: Option<Instant>,
     store_reached: bool,
 }
 
 impl FleetState {
-    /// Nothing known yet.
+    /// Nothing known yet. `own` is this daemon.
     #[must_use]
-    pub fn new(store: Arc<dyn FleetStore>) -> Self {
+    pub fn new(store: Arc<dyn FleetStore>, own: Member) -> Self {
+        let inner = Inner {
+            topology: Arc::new(Topology::of(&own, &[])),
+            ..Inner::default()
+        };
         Self {
             store,
-            inner: Mutex::default(),
+            own,
+            inner: Mutex::new(inner),
         }
     }
 
+    /// This daemon.
+    #[must_use]
+    pub const fn own(&self) -> &Member {
+        &self.own
+    }
+
     /// The configuration in force; none before the first was seen.
     #[must_use]
     pub fn in_force(&self) -> Option<Arc<InForce>> {
@@ -101,14 +130,22 @@
         self.lock().directory.present().cloned().collect()
     }
 
-    /// Daemons that have a key, by name.
+    /// Every back end that has an entry, to be found by hash.
     #[must_use]
-    pub fn daemons(&self) -> Vec<(Arc<str>, SocketAddr)> {
-        self.lock()
-            .daemons
-            .iter()
-            .map(|(name, address)| (Arc::clone(name), *address))
-            .collect()
+    pub fn back_end_index(&self) -> Arc<BackEndIndex> {
+        let mut inner = self.lock();
+        if let Some(index) = &inner.index {
+            return Arc::clone(index);
+        }
+        let index = Arc::new(BackEndIndex::new(inner.directory.present()));
+        inner.index = Some(Arc::clone(&index));
+        index
+    }
+
+    /// This daemon's place among those that have a key.
+    #[must_use]
+    pub fn topology(&self) -> Arc<Topology> {
+        Arc::clone(&self.lock().topology)
     }
 
     /// The daemon that holds the right to order engines, as far as is known.
@@ -123,22 +160,69 @@
         self.lock().newest
     }
 
-    /// Items newer than `after`, for a peer.
+    /// Revision up to which everything is known; none before the first reading.
     #[must_use]
-    pub fn items_after(&self, after: u64) -> Vec<Item> {
-        self.lock()
-            .items
-            .values()
-            .filter(|item| item.revision > after)
-            .cloned()
-            .collect()
+    pub fn position(&self) -> Option<u64> {
+        self.lock().position
+    }
+
+    /// What a peer lacks that knows everything up to `after`.
+    #[must_use]
+    pub fn news_after(&self, after: u64) -> News {
+        let inner = self.lock();
+        let at = inner.position.unwrap_or_default();
+        if after < inner.removals_since {
+            let present = inner.items.values().filter(|item| item.value.is_some());
+            return News::Whole(Snapshot {
+                items: present.cloned().collect(),
+                at,
+            });
+        }
+        let newer = inner.items.values().filter(|item| item.revision > after);
+        News::Changes(Changes {
+            after,
+            items: newer.cloned().collect(),
+            at,
+        })
+    }
+
+    /// Takes what a peer knows.
+    pub fn take_news(&self, news: News, now: Instant) {
+        match news {
+            News::Whole(snapshot) => self.take_snapshot(snapshot, Source::Peer, now),
+            // Where they leave a gap, the peer is asked once more.
+            News::Changes(changes) => {
+                self.take_changes(changes, Source::Peer, now);
+            }
+        }
     }
 
     /// Takes everything the store holds; what is missing was removed.
-    pub fn take_snapshot(&self, snapshot: Snapshot, now: Instant) {
+    pub fn take_snapshot(&self, snapshot: Snapshot, source: Source, now: Instant) {
         let removed = self.missing_from(&snapshot);
-        self.take_items(snapshot.items, Source::Store, now);
-        self.take_items(removed, Source::Store, now);
+        let at = snapshot.at;
+        self.take_items(snapshot.items, source, now);
+        self.take_items(removed, source, now);
+        let mut inner = self.lock();
+        if inner.position.is_none_or(|position| position < at) {
+            inner.position = Some(at);
+            inner.removals_since = at;
+        }
+    }
+
+    /// Takes changes that follow on what is known. Returns false where something may lie between; nothing is taken
+    /// then.
+    pub fn take_changes(&self, changes: Changes, source: Source, now: Instant) -> bool {
+        let follow_on = self
+            .position()
+            .is_some_and(|position| changes.after <= position);
+        if !follow_on {
+            return false;
+        }
+        self.take_items(changes.items, source, now);
+        let mut inner = self.lock();
+        inner.position = inner.position.max(Some(changes.at));
+        true
     }
 
     fn missing_from(&self, snapshot: &Snapshot) -> Vec<Item> {
@@ -157,8 +241,8 @@
             .collect()
     }
 
-    /// Takes changed items, each only if it is newer than what is known of its key.
-    pub fn take_items(&self, items: Vec<Item>, source: Source, now: Instant) {
+    /// Takes items, each only if it is newer than what is known of its key.
+    fn take_items(&self, items: Vec<Item>, source: Source, now: Instant) {
         for item in items {
             self.take_item(item, source, now);
         }
@@ -169,7 +253,15 @@
             return;
         }
         match self.store.decode(&item) {
-            Ok(decoded) => self.lock().apply(decoded, item.revision, source, now),
+            Ok(decoded) => {
+                let mut inner = self.lock();
+                let changes_daemons =
+                    matches!(&decoded, Decoded::Daemon(_) | Decoded::DaemonGone(_));
+                inner.apply(decoded, item.revision, source, now);
+                if changes_daemons {
+                    inner.place(&self.own);
+                }
+            }
             Err(unreadable) => tracing::warn!(
                 key = unreadable.key,
                 revision = unreadable.revision,
@@ -199,6 +291,17 @@
         }
     }
 
+    /// Whether entries that vanish now may have lapsed because the store was away.
+    #[must_use]
+    pub fn is_in_doubt(&self, now: Instant) -> bool {
+        self.lock().is_in_doubt(now)
+    }
+
+    /// A peer that follows the store is in doubt.
+    pub fn note_doubt(&self, now: Instant) {
+        self.lock().last_store_failure = Some(now);
+    }
+
     /// A call to the store succeeded.
     pub fn store_answered(&self, at: u64) {
         let mut inner = self.lock();
@@ -218,6 +321,9 @@
         inner
             .items
             .retain(|_key, item| item.value.is_some() || item.revision + REMOVED_KEPT > newest);
+        inner.removals_since = inner
+            .removals_since
+            .max(newest.saturating_sub(REMOVED_KEPT));
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
@@ -228,6 +334,26 @@
 }
 
 impl Inner {
+    /// Works out the daemon's place among its peers anew.
+    fn place(&mut self, own: &Member) {
+        let members: Vec<Member> = self.daemons.values().cloned().collect();
+        let topology = Topology::of(own, &members);
+        if topology.follows_store != self.topology.follows_store {
+            tracing::info!(
+                follows = topology.follows_store,
+                daemons = topology.daemons,
+                neighbours = topology.neighbours.len(),
+                "store_follower_chosen"
+            );
+        }
+        self.topology = Arc::new(topology);
+    }
+
+    fn is_in_doubt(&self, now: Instant) -> bool {
+        self.last_store_failure
+            .is_some_and(|last| now.saturating_duration_since(last) < DOUBT_AFTER_FAILURE)
+    }
+
     fn apply(&mut self, decoded: Decoded, revision: u64, source: Source, now: Instant) {
         match decoded {
             Decoded::Configuration(configuration) => {
@@ -236,8 +362,13 @@
             Decoded::BackEnd(back_end) => self.apply_back_end(back_end, revision, source),
             Decoded::BackEndGone(id) => self.remove_back_end(&id, revision, source, now),
             Decoded::Daemon(daemon) => {
-                tracing::info!(daemon = %daemon.name, address = %daemon.peer_address, "daemon_joined");
-                self.daemons.insert(daemon.name, daemon.peer_address);
+                tracing::info!(
+                    daemon = %daemon.name,
+                    zone = %daemon.zone,
+                    address = %daemon.peer_address,
+                    "daemon_joined"
+                );
+                self.daemons.insert(Arc::clone(&daemon.name), daemon);
             }
             Decoded::DaemonGone(name) => {
                 tracing::info!(daemon = %name, "daemon_left");
@@ -304,12 +435,11 @@
             );
         }
         self.directory.put(back_end, revision);
+        self.index = None;
     }
 
     fn remove_back_end(&mut self, id: &str, revision: u64, source: Source, now: Instant) {
-        let in_doubt = self
-            .last_store_failure
-            .is_some_and(|last| now.saturating_duration_since(last) < DOUBT_AFTER_FAILURE);
+        let in_doubt = self.is_in_doubt(now);
         tracing::info!(
             back_end = id,
             revision,
@@ -318,5 +448,6 @@
             "back_end_gone"
         );
         self.directory.remove(id, revision, now, in_doubt);
+        self.index = None;
     }
 }
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -1,21 +1,25 @@
-//! Keeps the state new by following the store, and this daemon's key alive.
+//! Keeps the state new: a few daemons of each neighbourhood follow the store and tell the others.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use ponddrift_fleet::followers::{FOLLOWER_WAIT, FollowerTable};
 use ponddrift_runtime::Runtime;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
 use crate::fleet_state::{FleetState, Source};
 use crate::metrics::Metrics;
-use crate::store::{DaemonRecord, FleetStore, Lease, StoreError};
+use crate::store::{Changes, FleetStore, Lease, StoreError};
 
-/// How long one call waits for changes. A connection that fell silent is noticed little later.
-const WATCH_WAIT: Duration = Duration::from_secs(2);
-/// Share of the reads that the store takes in a second which all daemons together use to follow it.
+/// How long one call of a daemon waits for changes that follows the store only for itself.
+const OWN_WAIT: Duration = Duration::from_secs(2);
+/// Share of the reads that the store takes in a second which all followers together use.
 const SHARE_OF_READS: f64 = 0.4;
+/// A daemon that follows only for itself, though it need not for long, gathers changes for this long at least.
+const OWN_GATHERING: Duration = Duration::from_millis(150);
 /// Pauses after a failed call grow from here,
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// to here.
@@ -24,28 +28,95 @@
 const DAEMON_LEASE: Duration = Duration::from_secs(10);
 /// Time between two renewals.
 const RENEWAL: Duration = Duration::from_secs(3);
+/// Changes that wait to be told to neighbours, at most; what does not fit they fetch.
+const UNTOLD_CHANGES: usize = 64;
+
+/// What is shared between following the store and telling peers.
+pub struct Following {
+    followers: Mutex<FollowerTable>,
+    last_answer: Mutex<Option<Instant>>,
+    /// Wakes a daemon that relies on its neighbours when it no longer can.
+    disappointed: Notify,
+    untold: mpsc::Sender<Changes>,
+}
+
+impl Following {
+    /// Nobody heard yet. The receiver gets what neighbours are to be told.
+    #[must_use]
+    pub fn new() -> (Arc<Self>, mpsc::Receiver<Changes>) {
+        let (untold, told) = mpsc::channel(UNTOLD_CHANGES);
+        let following = Self {
+            followers: Mutex::default(),
+            last_answer: Mutex::default(),
+            disappointed: Notify::new(),
+            untold,
+        };
+        (Arc::new(following), told)
+    }
+
+    /// A neighbour says how long ago the store answered it.
+    pub fn heard(&self, peer: std::net::SocketAddr, store_silence: Duration) {
+        lock(&self.followers).hear(peer, store_silence, now());
+    }
+
+    /// A neighbour did not hand on what it has.
+    pub fn distrust(&self, peer: std::net::SocketAddr) {
+        lock(&self.followers).distrust(peer);
+        self.disappointed.notify_one();
+    }
+
+    /// How long ago the store answered this daemon; none where its last call failed, or it does not follow.
+    #[must_use]
+    pub fn store_silence(&self) -> Option<Duration> {
+        let last = *lock(&self.last_answer);
+        last.map(|last| last.elapsed())
+    }
+
+    /// Whether this daemon asks the store itself.
+    #[must_use]
+    pub fn is_following(&self) -> bool {
+        lock(&self.last_answer).is_some()
+    }
+
+    fn relied_on_until(&self) -> Option<std::time::Instant> {
+        lock(&self.followers).relied_on_until(now())
+    }
+
+    fn note_answer(&self, answer: Option<Instant>) {
+        *lock(&self.last_answer) = answer;
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+}
 
 /// Starts following the store.
 pub fn start(
     runtime: &Runtime,
     store: &Arc<dyn FleetStore>,
     state: &Arc<FleetState>,
-    daemon: DaemonRecord,
+    following: &Arc<Following>,
     reads_per_second: f64,
     metrics: &Arc<Metrics>,
 ) {
     let follower = Follower {
         store: Arc::clone(store),
         state: Arc::clone(state),
+        following: Arc::clone(following),
         reads_per_second,
         metrics: Arc::clone(metrics),
         random: Pcg64Mcg::seed_from_u64(runtime.seed.rotate_left(31)),
+        pause: FIRST_PAUSE,
+        history_was_gone: false,
     };
     runtime.spawner.spawn(Box::pin(follower.run()));
     let announcer = Announcer {
         store: Arc::clone(store),
+        state: Arc::clone(state),
         metrics: Arc::clone(metrics),
-        daemon,
     };
     runtime.spawner.spawn(Box::pin(announcer.run()));
 }
@@ -53,64 +124,100 @@
 struct Follower {
     store: Arc<dyn FleetStore>,
     state: Arc<FleetState>,
+    following: Arc<Following>,
     reads_per_second: f64,
     metrics: Arc<Metrics>,
     random: Pcg64Mcg,
+    pause: Duration,
+    /// The store forgot what followed on the position; everything is read as it is now.
+    history_was_gone: bool,
 }
 
 impl Follower {
     async fn run(mut self) {
-        let mut position = None;
-        let mut history_was_gone = false;
-        let mut pause = FIRST_PAUSE;
         loop {
-            let ended = self.step(position, history_was_gone).await;
+            if let Some(until) = self.may_rely_on_neighbours() {
+                self.following.note_answer(None);
+                let disappointed = self.following.disappointed.notified();
+                // Either way it is looked at anew.
+                drop(tokio::time::timeout_at(until.into(), disappointed).await);
+                continue;
+            }
+            let ended = self.step().await;
             self.metrics.store_call(result_name(&ended));
             match ended {
                 Ok(at) => {
+                    self.following.note_answer(Some(Instant::now()));
                     self.state.store_answered(at);
-                    history_was_gone &= position.is_none();
-                    position = Some(at);
-                    pause = FIRST_PAUSE;
+                    self.pause = FIRST_PAUSE;
                 }
                 Err(StoreError::HistoryGone) => {
-                    tracing::info!(position, "store_history_gone");
-                    position = None;
-                    history_was_gone = true;
+                    tracing::info!(position = self.state.position(), "store_history_gone");
+                    self.history_was_gone = true;
                 }
                 Err(error) => {
+                    self.following.note_answer(None);
                     self.state.store_failed(&error, now());
                     let spread = self.random.random_range(0.6..1.4);
-                    tokio::time::sleep(pause.mul_f64(spread)).await;
-                    pause = (pause * 2).min(LONGEST_PAUSE);
+                    tokio::time::sleep(self.pause.mul_f64(spread)).await;
+                    self.pause = (self.pause * 2).min(LONGEST_PAUSE);
                 }
             }
-            self.state.forget_old(now());
         }
     }
 
+    /// Until when neighbours follow the store for this daemon; none where it has to itself.
+    fn may_rely_on_neighbours(&self) -> Option<std::time::Instant> {
+        if self.state.topology().follows_store || self.state.position().is_none() {
+            return None;
+        }
+        self.following.relied_on_until()
+    }
+
     /// Reads everything, or waits for what changed. Returns the position from which to go on.
-    async fn step(&self, position: Option<u64>, history_was_gone: bool) -> Result<u64, StoreError> {
-        let Some(after) = position else {
-            let snapshot = self.store.read_all(history_was_gone).await?;
+    async fn step(&mut self) -> Result<u64, StoreError> {
+        let position = self.state.position();
+        let Some(after) = position.filter(|_| !self.history_was_gone) else {
+            let snapshot = self.store.read_all(self.history_was_gone).await?;
+            self.history_was_gone = false;
             let at = snapshot.at;
-            self.state.take_snapshot(snapshot, now());
+            self.state.take_snapshot(snapshot, Source::Store, now());
             return Ok(at);
         };
-        let changes = self.store.changes(after, WATCH_WAIT).await?;
-        let has_changes = !changes.items.is_empty();
-        self.state.take_items(changes.items, Source::Store, now());
-        if has_changes {
-            tokio::time::sleep(self.pace()).await;
+        let follows_for_others = self.state.topology().follows_store;
+        let wait = if follows_for_others {
+            FOLLOWER_WAIT
+        } else {
+            OWN_WAIT
+        };
+        let changes = self.store.changes(after, wait).await?;
+        let at = changes.at.max(after);
+        if changes.items.is_empty() {
+            self.state.take_changes(changes, Source::Store, now());
+            return Ok(at);
         }
-        Ok(changes.at.max(after))
+        if follows_for_others {
+            // Where too many wait already, neighbours fetch them.
+            drop(self.following.untold.try_send(changes.clone()));
+        }
+        // They follow on the position, which never goes back.
+        self.state.take_changes(changes, Source::Store, now());
+        self.following.note_answer(Some(Instant::now()));
+        tokio::time::sleep(self.gathering(follows_for_others)).await;
+        Ok(at)
     }
 
-    /// Every change wakes every daemon: the more there are, the longer each gathers changes before it asks again.
-    fn pace(&self) -> Duration {
+    /// Every change wakes every follower: the more there are, the longer each gathers changes before it asks again.
+    fn gathering(&self, follows_for_others: bool) -> Duration {
+        let topology = self.state.topology();
+        let (followers, least) = if follows_for_others {
+            (topology.followers, Duration::ZERO)
+        } else {
+            (topology.daemons, OWN_GATHERING)
+        };
         #[expect(clippy::cast_precision_loss, reason = "a few hundred daemons")]
-        let daemons = self.state.daemons().len() as f64;
-        Duration::from_secs_f64(daemons / (self.reads_per_second * SHARE_OF_READS))
+        let seconds = followers as f64 / (self.reads_per_second * SHARE_OF_READS);
+        Duration::from_secs_f64(seconds).max(least)
     }
 }
 
@@ -127,8 +234,8 @@
 /// Keeps the daemon's own key in the store, so that others find it.
 struct Announcer {
     store: Arc<dyn FleetStore>,
+    state: Arc<FleetState>,
     metrics: Arc<Metrics>,
-    daemon: DaemonRecord,
 }
 
 impl Announcer {
@@ -156,7 +263,7 @@
             return Ok(lease);
         }
         let lease = self.store.grant(DAEMON_LEASE).await?;
-        self.store.announce(&self.daemon, lease).await?;
+        self.store.announce(self.state.own(), lease).await?;
         Ok(lease)
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 //! adapter through [`dialect`] and [`store`].
 
 pub mod authority;
+pub mod back_end_index;
 pub mod connections;
 pub mod dialect;
 pub mod fleet_state;
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use futures::future::join_all;
 use http::{Request, Response, StatusCode, header};
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::stages::{StageChange, StagePlanner, StageWork};
+use ponddrift_fleet::stages::{StageChange, StagePlanner};
 use ponddrift_http::body;
 use ponddrift_runtime::Runtime;
 use rand::{RngExt, SeedableRng};
@@ -29,7 +30,7 @@
 /// Daemons that see no holder try after a random time up to this, so that few ask at once.
 const CANDIDACY_SPREAD: Duration = Duration::from_millis(1_500);
 /// Peers have this long to hear that an engine is about to change.
-const NOTICE: Duration = Duration::from_millis(60);
+const NOTICE: Duration = Duration::from_millis(100);
 /// An engine gets nothing new for this long beyond the time that its change takes: what it runs ends first, and its entry
 /// tells the new stage a heartbeat later.
 const AWAY_MORE: Duration = Duration::from_millis(1_500);
@@ -133,6 +134,7 @@
     async fn seek(&mut self) -> Option<Authority> {
         let pause = CANDIDACY_SPREAD.mul_f64(self.random.random_range(0.3..1.0));
         tokio::time::sleep(pause).await;
+        self.observe();
         if self.state.order_holder().is_some() || !self.has_engines() {
             return None;
         }
@@ -177,21 +179,27 @@
     }
 
     async fn plan_all(&mut self, authority: &Authority) {
-        let work = self.pipeline.work_of_all();
-        for (service, measured) in work {
+        for service in self.observe() {
             let engines = self.state.ready(&service, now());
-            if let Some(change) = self.plan(&service, measured, &engines) {
-                self.change(&change, authority).await;
+            let changes = self.plan(&service, &engines);
+            let ended = join_all(changes.iter().map(|change| self.change(change, authority))).await;
+            for (change, end) in changes.iter().zip(ended) {
+                self.settle(&change.engine, end);
             }
         }
     }
 
-    fn plan(
-        &mut self,
-        service: &Arc<str>,
-        measured: StageWork,
-        engines: &[Arc<BackEnd>],
-    ) -> Option<StageChange> {
+    /// Takes the work of every service. Returns the services.
+    fn observe(&mut self) -> Vec<Arc<str>> {
+        let work = self.pipeline.work_of_all();
+        for (service, measured) in &work {
+            let planner = self.planners.entry(Arc::clone(service)).or_default();
+            planner.observe(*measured, now());
+        }
+        work.into_iter().map(|(service, _work)| service).collect()
+    }
+
+    fn plan(&mut self, service: &Arc<str>, engines: &[Arc<BackEnd>]) -> Vec<StageChange> {
         let planner = self.planners.entry(Arc::clone(service)).or_default();
         let placement = self.pipeline.placement();
         let unsettled = &self.unsettled;
@@ -204,13 +212,15 @@
             let busyness = outstanding.requests + outstanding.prompt_tokens;
             (!is_unsettled && !is_unwell).then_some(busyness)
         };
-        let change = planner.plan(engines, measured, busyness, now())?;
-        planner.ordered(&change.engine.id, now());
-        Some(change)
+        let changes = planner.plan(engines, busyness, now());
+        for change in &changes {
+            planner.ordered(&change.engine.id, now());
+        }
+        changes
     }
 
     /// Lets the engine run dry of new requests, reads its state, then orders the change.
-    async fn change(&mut self, change: &StageChange, authority: &Authority) {
+    async fn change(&self, change: &StageChange, authority: &Authority) -> OrderEnd {
         let engine = &change.engine;
         self.pipeline
             .engine_away(&engine.id, self.change_time(engine) + AWAY_MORE);
@@ -229,6 +239,7 @@
             fence = authority.fence,
             sequence = report.map(|report| report.sequence),
             prefill_work = change.work.prefill,
+            short_reading = change.work.short_reading,
             decode_work = change.work.decode,
             prefill_engines = change.prefill_engines,
             decode_engines = change.decode_engines,
@@ -237,6 +248,11 @@
             "stage_ordered"
         );
         self.pipeline.metrics().order(end.name());
+        end
+    }
+
+    /// An engine whose order was not taken is left alone for a while.
+    fn settle(&mut self, engine: &BackEnd, end: OrderEnd) {
         let left_alone = match end {
             OrderEnd::Taken => return,
             OrderEnd::Unanswered => UNSETTLED,
--- /dev/null
+++ b/crates/serving/src/peers/hear.rs
@@ -0,0 +1,151 @@
+//! Hears peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::message::{self, Digest, MAXIMUM_DATAGRAM, Message};
+use super::translate::{head_from_wire, reading_from_wire, report_from_wire, work_from_wire};
+use super::{Peers, relay};
+use crate::back_end_index::BackEndIndex;
+use crate::fleet_state::Source;
+use crate::follow::now;
+use crate::store::Changes;
+
+/// Pause after the socket failed.
+const FAILURE_PAUSE: Duration = Duration::from_millis(500);
+/// How long the store gets to bring what a peer already has, where this daemon follows it.
+const STORE_HEADSTART: Duration = Duration::from_millis(250);
+/// Heads of other zones that wait to be passed on, at most.
+const MOST_HEADS_PASSED_ON: usize = 64;
+
+impl Peers {
+    pub(super) async fn hear(self: Arc<Self>) {
+        let mut buffer = vec![0; MAXIMUM_DATAGRAM];
+        loop {
+            let received = self.socket.receive_from(&mut buffer).await;
+            let Ok((length, from)) = received else {
+                tokio::time::sleep(FAILURE_PAUSE).await;
+                continue;
+            };
+            match message::decode(&buffer[..length]) {
+                Some(Message::Digest(digest)) => self.take(*digest, from),
+                Some(Message::Changes { changes, in_doubt }) => {
+                    self.take_changes(changes, in_doubt, from);
+                }
+                None => tracing::warn!(%from, length, "peer_message_unreadable"),
+            }
+        }
+    }
+
+    fn take(self: &Arc<Self>, digest: Digest, from: SocketAddr) {
+        let known = self.state.back_end_index();
+        let is_neighbour = self.is_neighbour(from);
+        self.take_work(&digest, &known);
+        for back_end in digest.unwell.iter().filter_map(|hash| known.find(*hash)) {
+            self.pipeline.check_on_hint(back_end);
+        }
+        if is_neighbour && let Some(silence_ms) = digest.store_silence_ms {
+            let silence = Duration::from_millis(u64::from(silence_ms));
+            self.following.heard(from, silence);
+        }
+        self.notice(digest.position, from);
+        if !is_neighbour {
+            self.pass_on(digest);
+        }
+    }
+
+    fn take_work(&self, digest: &Digest, known: &BackEndIndex) {
+        let mut placement = self.pipeline.placement();
+        for report in &digest.reports {
+            let report = report_from_wire(report, known);
+            placement.load.hear(report, now());
+        }
+        let heads = digest.heads.iter();
+        for usage in heads.filter_map(|row| head_from_wire(row, known)) {
+            placement.prefixes.note(&usage, now());
+        }
+        for row in &digest.readings {
+            placement.speed.hear(reading_from_wire(row));
+        }
+        for row in &digest.away {
+            if let Some(engine) = known.find(row.engine) {
+                let time = Duration::from_millis(u64::from(row.time_ms));
+                placement.set_away(&engine.id, time, false, now());
+            }
+        }
+        if let Some(own) = digest.reports.first() {
+            let work = digest.work.iter().map(work_from_wire).collect();
+            placement.peer_work.hear(own.origin, work, now());
+        }
+        drop(placement);
+        if !digest.heads.is_empty() {
+            self.pipeline.heads_have_changed();
+        }
+    }
+
+    /// What a daemon of another zone told goes to the neighbours, with the next word.
+    fn pass_on(&self, digest: Digest) {
+        let mut waiting = self.to_pass_on();
+        let has_news = !digest.heads.is_empty() || !digest.away.is_empty();
+        for report in digest.reports {
+            waiting
+                .reports
+                .retain(|known| known.origin != report.origin);
+            waiting.reports.push(report);
+        }
+        waiting.heads.extend(digest.heads);
+        waiting.heads.truncate(MOST_HEADS_PASSED_ON);
+        waiting.away.extend(digest.away);
+        drop(waiting);
+        if has_news {
+            self.has_to_pass_on.notify_one();
+        }
+    }
+
+    /// A neighbour that follows the store tells what changed.
+    fn take_changes(self: &Arc<Self>, changes: Changes, in_doubt: bool, from: SocketAddr) {
+        let at = changes.at;
+        if in_doubt {
+            self.state.note_doubt(now());
+        }
+        if !self.state.take_changes(changes, Source::Peer, now()) {
+            self.notice(at, from);
+        }
+    }
+
+    /// A peer knows everything up to `position`: what is missing here is fetched from it.
+    fn notice(self: &Arc<Self>, position: u64, from: SocketAddr) {
+        let is_known = self.state.position().is_some_and(|own| own >= position);
+        if is_known || self.is_catching_up.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        let peers = Arc::clone(self);
+        self.runtime.spawner.spawn(Box::pin(async move {
+            peers.catch_up(from, position).await;
+            peers.is_catching_up.store(false, Ordering::Relaxed);
+        }));
+    }
+
+    async fn catch_up(&self, peer: SocketAddr, position: u64) {
+        if self.following.is_following() {
+            tokio::time::sleep(STORE_HEADSTART).await;
+        }
+        let Some(known) = self.state.position().filter(|known| *known < position) else {
+            // Nothing is missing any more, or nothing was read yet: the store brings it all.
+            return;
+        };
+        match relay::fetch(&self.runtime, peer, known).await {
+            Ok(news) => {
+                self.state.take_news(news, now());
+                let position = self.state.position();
+                tracing::info!(%peer, known, position, "caught_up_from_peer");
+            }
+            Err(error) => {
+                tracing::info!(%peer, %error, "catch_up_failed");
+                self.following.distrust(peer);
+            }
+        }
+    }
+}
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -1,46 +1,88 @@
-//! The datagram between daemons (borsh).
+//! The datagrams between daemons (borsh).
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
+use crate::store::Changes;
+
 /// Longest datagram in bytes; stays within one packet.
 pub(super) const MAXIMUM_DATAGRAM: usize = 1400;
-/// Rows that surely fit.
-const MAXIMUM_ROWS: usize = 40;
+/// Rows of work that surely fit, of all reports together.
+const MAXIMUM_ROWS: usize = 50;
 /// Heads that surely fit beside them.
-const MAXIMUM_HEADS: usize = 15;
+const MAXIMUM_HEADS: usize = 16;
+/// Readings that surely fit beside them.
+const MAXIMUM_READINGS: usize = 8;
 /// Unwell back ends that surely fit beside them.
 const MAXIMUM_UNWELL: usize = 16;
 /// Engines about to change that surely fit beside them.
 const MAXIMUM_AWAY: usize = 8;
 /// Services that surely fit beside them.
 const MAXIMUM_SERVICES: usize = 4;
-/// Version of the message; daemons of other versions are not heard.
-const VERSION: u8 = 1;
+/// Version of the messages; daemons of other versions are not heard.
+const VERSION: u8 = 2;
 
-/// What a daemon tells.
+/// What a datagram tells.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) enum Message {
+    /// How things stand.
+    Digest(Box<Digest>),
+    /// What changed in the store.
+    Changes {
+        /// The changes.
+        changes: Changes,
+        /// Entries that vanished may have lapsed because the store was away.
+        in_doubt: bool,
+    },
+}
+
+/// How things stand at a daemon.
+#[derive(Debug, Clone, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub(super) struct Digest {
-    /// Who tells.
-    pub(super) daemon: String,
-    /// Newest revision it has seen.
-    pub(super) newest_revision: u64,
-    /// Its work.
-    pub(super) rows: Vec<WorkRow>,
-    /// Prompt heads that its requests had read since it last told.
+    /// Everything up to this revision is known.
+    pub(super) position: u64,
+    /// How long ago the store answered, in milliseconds; none where the daemon does not follow it.
+    pub(super) store_silence_ms: Option<u16>,
+    /// Work: the daemon's own first, then what daemons of other zones told it.
+    pub(super) reports: Vec<ReportRow>,
+    /// Prompt heads that were read since it last told.
     pub(super) heads: Vec<HeadRow>,
-    /// Hashes of back ends that it found unwell.
-    pub(super) unwell: Vec<u64>,
+    /// Prompts that engines read since then, with nothing else to do.
+    pub(super) readings: Vec<ReadingRow>,
+    /// Back ends that it found unwell.
+    pub(super) unwell: Vec<u32>,
     /// Engines that are about to change.
     pub(super) away: Vec<AwayRow>,
     /// Work that its requests bring.
     pub(super) work: Vec<ServiceWorkRow>,
 }
 
+/// All work of one daemon.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct ReportRow {
+    /// Which daemon, and which life of it.
+    pub(super) origin: u64,
+    /// Counts its reports.
+    pub(super) sequence: u32,
+    /// Its work.
+    pub(super) rows: Vec<BackEndRow>,
+}
+
+/// Work at one back end.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct BackEndRow {
+    /// Hash of its identity.
+    pub(super) back_end: u32,
+    /// Requests in progress.
+    pub(super) requests: u16,
+    /// Prompt tokens still to read.
+    pub(super) prompt_tokens: u32,
+}
+
 /// An engine that gets nothing new for a while.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub(super) struct AwayRow {
     /// Hash of the engine's identity.
-    pub(super) engine: u64,
+    pub(super) engine: u32,
     /// How long, in milliseconds.
     pub(super) time_ms: u16,
 }
@@ -52,7 +94,9 @@
     pub(super) service: String,
     /// Reading long prompts.
     pub(super) prefill: u32,
-    /// Generating, and reading short prompts.
+    /// Reading short prompts.
+    pub(super) short_reading: u32,
+    /// Generating.
     pub(super) decode: u32,
     /// Reading that decode engines really do.
     pub(super) decode_reading: u32,
@@ -62,39 +106,66 @@
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub(super) struct HeadRow {
     /// Hash of the engine's identity.
-    pub(super) engine: u64,
+    pub(super) engine: u32,
     /// The head.
     pub(super) head: u64,
     /// Its tokens.
     pub(super) tokens: u32,
+    /// Tokens of the prompt that follow it.
+    pub(super) own_tokens: u32,
+    /// Whether it is kept; else it is on its way there.
+    pub(super) is_kept: bool,
 }
 
-/// Work at one back end.
+/// How long a prefill engine took for a prompt.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub(super) struct WorkRow {
-    /// Hash of its identity.
-    pub(super) back_end: u64,
-    /// Requests in progress.
-    pub(super) requests: u16,
-    /// Prompt tokens still to read.
-    pub(super) prompt_tokens: u32,
+pub(super) struct ReadingRow {
+    /// Tokens that it read.
+    pub(super) tokens: u32,
+    /// Time in milliseconds.
+    pub(super) took_ms: u16,
 }
 
 impl Digest {
     /// The datagram; none if it does not fit.
     pub(super) fn encode(mut self) -> Option<Vec<u8>> {
-        self.rows.truncate(MAXIMUM_ROWS);
+        self.bound_rows();
         self.heads.truncate(MAXIMUM_HEADS);
+        self.readings.truncate(MAXIMUM_READINGS);
         self.unwell.truncate(MAXIMUM_UNWELL);
         self.away.truncate(MAXIMUM_AWAY);
         self.work.truncate(MAXIMUM_SERVICES);
-        let bytes = borsh::to_vec(&(VERSION, self)).ok()?;
-        (bytes.len() <= MAXIMUM_DATAGRAM).then_some(bytes)
+        encode(&Message::Digest(Box::new(self)))
     }
 
-    /// Reads a datagram; none if it is not one.
-    pub(super) fn decode(bytes: &[u8]) -> Option<Self> {
-        let (version, digest): (u8, Self) = borsh::from_slice(bytes).ok()?;
-        (version == VERSION).then_some(digest)
+    /// Whole reports, as many as fit; the own one in any case, cut where it is too long.
+    fn bound_rows(&mut self) {
+        let mut left = MAXIMUM_ROWS;
+        let mut is_own = true;
+        self.reports.retain_mut(|report| {
+            if is_own {
+                report.rows.truncate(MAXIMUM_ROWS);
+            }
+            let fits = report.rows.len() < left;
+            let is_kept = fits || is_own;
+            is_own = false;
+            if is_kept {
+                // Each report weighs as much as a row beside its rows.
+                left = left.saturating_sub(report.rows.len() + 1);
+            }
+            is_kept
+        });
     }
 }
+
+/// The datagram with this message; none if it does not fit.
+pub(super) fn encode(message: &Message) -> Option<Vec<u8>> {
+    let bytes = borsh::to_vec(&(VERSION, message)).ok()?;
+    (bytes.len() <= MAXIMUM_DATAGRAM).then_some(bytes)
+}
+
+/// Reads a datagram; none if it is not one.
+pub(super) fn decode(bytes: &[u8]) -> Option<Message> {
+    let (version, message): (u8, Message) = borsh::from_slice(bytes).ok()?;
+    (version == VERSION).then_some(message)
+}
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -1,5 +1,5 @@
-//! Hands newer items of the store on to a peer, over TCP: a request is the newest revision the peer knows, the
-//! answer its length and the items (borsh).
+//! Hands what the store holds on to a peer, over TCP: a request is the revision up to which the peer knows
+//! everything, the answer its length and the news (borsh).
 
 use std::io;
 use std::net::SocketAddr;
@@ -9,8 +9,7 @@
 use ponddrift_runtime::{BoxedListener, BoxedStream, Runtime};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-use crate::fleet_state::FleetState;
-use crate::store::Item;
+use crate::fleet_state::{FleetState, News};
 
 /// Time for a whole exchange.
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(1);
@@ -58,19 +57,15 @@
 
 async fn answer(mut stream: BoxedStream, state: &FleetState) -> io::Result<()> {
     let after = stream.read_u64().await?;
-    let bytes = borsh::to_vec(&state.items_after(after))?;
+    let bytes = borsh::to_vec(&state.news_after(after))?;
     let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
     stream.write_u32(length).await?;
     stream.write_all(&bytes).await?;
     stream.flush().await
 }
 
-/// Asks a peer for items newer than `after`.
-pub(super) async fn fetch(
-    runtime: &Runtime,
-    peer: SocketAddr,
-    after: u64,
-) -> io::Result<Vec<Item>> {
+/// Asks a peer for what it knows beyond `after`.
+pub(super) async fn fetch(runtime: &Runtime, peer: SocketAddr, after: u64) -> io::Result<News> {
     let exchange = async {
         let mut stream = runtime.network.connect(peer).await?;
         stream.write_u64(after).await?;
--- /dev/null
+++ b/crates/serving/src/peers/tell.rs
@@ -0,0 +1,167 @@
+//! Tells peers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ponddrift_fleet::followers::WORD_INTERVAL;
+use ponddrift_fleet::topology::Topology;
+use rand::{RngExt as _, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::message::{self, Digest, Message, ReportRow};
+use super::translate::{away_to_wire, head_to_wire, reading_to_wire, row_to_wire, work_to_wire};
+use super::{PassedOn, Peers};
+use crate::back_end_index::hash;
+use crate::follow::now;
+use crate::store::Changes;
+
+/// Time between two words to peers, where nothing happens.
+const TELL_INTERVAL: Duration = Duration::from_millis(500);
+/// Changes within this time are told together.
+const GATHERING_TIME: Duration = Duration::from_millis(8);
+/// What other zones told is gathered for longer before it is passed on.
+const PASSING_TIME: Duration = Duration::from_millis(40);
+/// Time that each neighbour adds to the shortest time between two words: all of them together are heard no more often.
+const TIME_PER_NEIGHBOUR: Duration = Duration::from_millis(1);
+
+/// Why peers are told now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reason {
+    /// It is time.
+    Interval,
+    /// Own work that weighs began or ended.
+    OwnWork,
+    /// Other zones told something.
+    PassedOn,
+}
+
+impl Peers {
+    pub(super) async fn tell(self: Arc<Self>) {
+        /// Makes this seed differ from the pipeline's.
+        const SEED_PART: u64 = 0x7065_6572;
+        let mut random = Pcg64Mcg::seed_from_u64(self.runtime.seed ^ SEED_PART);
+        let mut sequence = 0;
+        let mut last_interval = Instant::now();
+        loop {
+            let begun = Instant::now();
+            let spread = random.random_range(0.9..1.1);
+            let reason = self.next_reason(last_interval, spread).await;
+            if reason == Reason::Interval {
+                last_interval = Instant::now();
+            }
+            let topology = self.state.topology();
+            let neighbours = u32::try_from(topology.neighbours.len()).unwrap_or(u32::MAX);
+            tokio::time::sleep_until(begun + TIME_PER_NEIGHBOUR * neighbours).await;
+            sequence += 1;
+            self.tell_all(&topology, sequence, reason).await;
+        }
+    }
+
+    /// Waits until there is a reason to tell, and a little longer for what comes with it.
+    async fn next_reason(&self, last_interval: Instant, spread: f64) -> Reason {
+        let interval = if self.state.topology().follows_store {
+            WORD_INTERVAL
+        } else {
+            TELL_INTERVAL
+        };
+        let due = last_interval + interval.mul_f64(spread);
+        let reason = tokio::select! {
+            biased;
+            () = self.pipeline.heavy_work_changed().notified() => Reason::OwnWork,
+            () = self.has_to_pass_on.notified() => Reason::PassedOn,
+            () = tokio::time::sleep_until(due) => Reason::Interval,
+        };
+        match reason {
+            Reason::Interval => {}
+            Reason::OwnWork => tokio::time::sleep(GATHERING_TIME).await,
+            Reason::PassedOn => {
+                let own_work = self.pipeline.heavy_work_changed().notified();
+                // Own work is told sooner, and takes the rest along.
+                if tokio::time::timeout(PASSING_TIME, own_work).await.is_ok() {
+                    tokio::time::sleep(GATHERING_TIME).await;
+                    return Reason::OwnWork;
+                }
+            }
+        }
+        reason
+    }
+
+    async fn tell_all(&self, topology: &Topology, sequence: u32, reason: Reason) {
+        self.pipeline.set_daemons(topology.daemons);
+        let passed_on = std::mem::take(&mut *self.to_pass_on());
+        let own = self.digest(sequence);
+        let has_news = !own.heads.is_empty() || !own.away.is_empty();
+        if has_news || reason != Reason::PassedOn {
+            self.send(own.clone().encode(), &topology.far).await;
+        }
+        let for_neighbours = with_passed_on(own, passed_on);
+        self.send(for_neighbours.encode(), &self.neighbours()).await;
+    }
+
+    async fn send(&self, bytes: Option<Vec<u8>>, targets: &[SocketAddr]) {
+        let Some(bytes) = bytes else {
+            return;
+        };
+        for target in targets {
+            // A datagram that cannot be sent is as good as a lost one.
+            drop(self.socket.send_to(&bytes, *target).await);
+        }
+    }
+
+    fn digest(&self, sequence: u32) -> Digest {
+        let mut placement = self.pipeline.placement();
+        placement.load.expire(now());
+        let rows = placement.load.own_rows();
+        let heads = placement.prefixes.take_untold();
+        let readings = placement.speed.take_untold();
+        let unwell = placement.health.ejected();
+        let away = placement.away(now());
+        let work = placement.work.rates(now());
+        drop(placement);
+        let store_silence = self.following.store_silence();
+        Digest {
+            position: self.state.position().unwrap_or_default(),
+            store_silence_ms: store_silence
+                .map(|silence| u16::try_from(silence.as_millis()).unwrap_or(u16::MAX)),
+            reports: vec![ReportRow {
+                origin: self.origin,
+                sequence,
+                rows: rows.iter().map(row_to_wire).collect(),
+            }],
+            heads: heads.iter().map(head_to_wire).collect(),
+            readings: readings.iter().map(reading_to_wire).collect(),
+            unwell: unwell.iter().map(|id| hash(id)).collect(),
+            away: away.iter().map(away_to_wire).collect(),
+            work: work.iter().map(work_to_wire).collect(),
+        }
+    }
+
+    /// Tells neighbours what changed in the store. What does not fit into a datagram they fetch, since the next word
+    /// tells that there is more.
+    pub(super) async fn tell_changes(self: Arc<Self>, mut untold: mpsc::Receiver<Changes>) {
+        while let Some(changes) = untold.recv().await {
+            let at = changes.at;
+            let in_doubt = self.state.is_in_doubt(now());
+            let whole = message::encode(&Message::Changes { changes, in_doubt });
+            let bytes = whole.or_else(|| {
+                let notice = Digest {
+                    position: at,
+                    ..Digest::default()
+                };
+                notice.encode()
+            });
+            self.send(bytes, &self.neighbours()).await;
+        }
+    }
+}
+
+fn with_passed_on(own: Digest, passed_on: PassedOn) -> Digest {
+    let mut digest = own;
+    digest.reports.extend(passed_on.reports);
+    digest.heads.extend(passed_on.heads);
+    digest.away.extend(passed_on.away);
+    digest
+}
--- /dev/null
+++ b/crates/serving/src/peers/translate.rs
@@ -0,0 +1,120 @@
+//! Between what daemons decide with and what they tell each other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ponddrift_fleet::placement::{
+    HeadState, HeadUse, Outstanding, PromptReading, WorkReport, WorkRow,
+};
+use ponddrift_fleet::stages::StageWork;
+
+use super::message::{AwayRow, BackEndRow, HeadRow, ReadingRow, ReportRow, ServiceWorkRow};
+use crate::back_end_index::{BackEndIndex, hash};
+
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1000.0;
+
+pub(super) fn head_to_wire(usage: &HeadUse) -> HeadRow {
+    HeadRow {
+        engine: hash(&usage.engine),
+        head: usage.head,
+        tokens: usage.tokens,
+        own_tokens: usage.own_tokens,
+        is_kept: usage.state == HeadState::Kept,
+    }
+}
+
+pub(super) fn head_from_wire(row: &HeadRow, known: &BackEndIndex) -> Option<HeadUse> {
+    Some(HeadUse {
+        engine: Arc::clone(&known.find(row.engine)?.id),
+        head: row.head,
+        tokens: row.tokens,
+        own_tokens: row.own_tokens,
+        state: if row.is_kept {
+            HeadState::Kept
+        } else {
+            HeadState::Coming
+        },
+    })
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "casts saturate"
+)]
+pub(super) fn reading_to_wire(reading: &PromptReading) -> ReadingRow {
+    ReadingRow {
+        tokens: reading.tokens as u32,
+        took_ms: reading.took_ms as u16,
+    }
+}
+
+pub(super) fn reading_from_wire(row: &ReadingRow) -> PromptReading {
+    PromptReading {
+        tokens: f64::from(row.tokens),
+        took_ms: f64::from(row.took_ms),
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "counts are small and not negative"
+)]
+pub(super) fn row_to_wire(row: &WorkRow) -> BackEndRow {
+    BackEndRow {
+        back_end: hash(&row.id),
+        requests: row.outstanding.requests as u16,
+        prompt_tokens: row.outstanding.prompt_tokens as u32,
+    }
+}
+
+pub(super) fn report_from_wire(report: &ReportRow, known: &BackEndIndex) -> WorkReport {
+    let rows = report.rows.iter().filter_map(|row| {
+        Some(WorkRow {
+            id: Arc::clone(&known.find(row.back_end)?.id),
+            outstanding: Outstanding {
+                requests: f64::from(row.requests),
+                prompt_tokens: f64::from(row.prompt_tokens),
+            },
+        })
+    });
+    WorkReport {
+        origin: report.origin,
+        sequence: report.sequence,
+        rows: rows.collect(),
+    }
+}
+
+pub(super) fn away_to_wire((id, time): &(Arc<str>, Duration)) -> AwayRow {
+    AwayRow {
+        engine: hash(id),
+        time_ms: u16::try_from(time.as_millis()).unwrap_or(u16::MAX),
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "rates are small and not negative"
+)]
+pub(super) fn work_to_wire((service, work): &(Arc<str>, StageWork)) -> ServiceWorkRow {
+    ServiceWorkRow {
+        service: service.to_string(),
+        prefill: (work.prefill * MS_PER_S) as u32,
+        short_reading: (work.short_reading * MS_PER_S) as u32,
+        decode: (work.decode * MS_PER_S) as u32,
+        decode_reading: (work.decode_reading * MS_PER_S) as u32,
+    }
+}
+
+pub(super) fn work_from_wire(row: &ServiceWorkRow) -> (Arc<str>, StageWork) {
+    let work = StageWork {
+        prefill: f64::from(row.prefill) / MS_PER_S,
+        short_reading: f64::from(row.short_reading) / MS_PER_S,
+        decode: f64::from(row.decode) / MS_PER_S,
+        decode_reading: f64::from(row.decode_reading) / MS_PER_S,
+    };
+    (Arc::from(row.service.as_str()), work)
+}
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -76,6 +76,7 @@
     daemons: AtomicUsize,
     in_progress: AtomicUsize,
     heavy_work_changed: Notify,
+    heads_changed: Notify,
     held_bytes: AtomicUsize,
     bounds: IntakeBounds,
 }
@@ -105,6 +106,7 @@
             daemons: AtomicUsize::new(1),
             in_progress: AtomicUsize::new(0),
             heavy_work_changed: Notify::new(),
+            heads_changed: Notify::new(),
             held_bytes: AtomicUsize::new(0),
             bounds: settings.bounds,
         })
@@ -142,6 +144,11 @@
         &self.heavy_work_changed
     }
 
+    /// Something became known of the heads that engines keep.
+    pub fn heads_have_changed(&self) {
+        self.heads_changed.notify_waiters();
+    }
+
     /// Requests in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
@@ -192,6 +199,7 @@
         placement.speed.keep_only(|id| present.contains(id));
         placement.prefixes.keep_only(|id| present.contains(id));
         drop(placement);
+        self.state.forget_old(now());
         if let Some(in_force) = self.state.in_force() {
             self.split().keep_only(&in_force.configuration);
         }
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -2,8 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use http::Request;
+use http::{Request, StatusCode};
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
 use ponddrift_http::body;
@@ -16,6 +17,13 @@
 use crate::follow::now;
 use crate::trail::Step;
 
+/// Rank of everything that generates.
+const GENERATING_RANK: u8 = 0;
+/// A back end that refused a request gets nothing new for this long, while others can be asked.
+const REFUSED_PAUSE: Duration = Duration::from_millis(200);
+/// The same for one that is another than the directory says, or has another stage: the directory lags.
+const ANOTHER_PAUSE: Duration = Duration::from_millis(800);
+
 /// How a send ended, as far as the head.
 pub(super) enum HeadEnd {
     /// The head of the answer to this request, from a back end that ran it.
@@ -80,7 +88,7 @@
         let facts = SendFacts {
             back_end: &back_end.id,
             time_left: job.time_left(),
-            priority: job.route.priority,
+            priority: rank_at(order.step, job.route.priority),
             step: order.step,
             resume_after: order.resume_after,
             fetch_from: order.fetch_from,
@@ -99,6 +107,9 @@
             Ok(Err(error)) => judge_error(&error),
             Ok(Ok(reply)) => self.judge(job, order.step, reply),
         };
+        if let HeadEnd::NotRun(_) = &judged.end {
+            self.leave_alone(&back_end.id, judged.status);
+        }
         if let Some(outcome) = judged.outcome {
             self.note_outcome(back_end, &job.service.health_path, outcome);
         }
@@ -175,6 +186,17 @@
         }
     }
 
+    /// A back end that refuses is full, changes, or is not what it was taken for: others are asked for a moment.
+    fn leave_alone(&self, id: &Arc<str>, status: Option<u16>) {
+        let is_another = status == Some(StatusCode::MISDIRECTED_REQUEST.as_u16());
+        let time = if is_another {
+            ANOTHER_PAUSE
+        } else {
+            REFUSED_PAUSE
+        };
+        self.placement().set_away(id, time, false, now());
+    }
+
     fn build(&self, job: &Job, facts: &SendFacts<'_>) -> Option<Request<body::Body>> {
         let path = job.uri.path_and_query().map_or("/", |path| path.as_str());
         let mut request = Request::builder()
@@ -211,6 +233,15 @@
     }
 }
 
+/// Rank of a request at its engine. Where it generates, all have the same: one that a more urgent one displaces there
+/// is read anew, in the time of everybody on that engine.
+const fn rank_at(step: SendStep<'_>, route_priority: u8) -> u8 {
+    match step {
+        SendStep::Prefill => route_priority,
+        SendStep::Serve | SendStep::Continue { .. } => GENERATING_RANK,
+    }
+}
+
 /// The step's name in logs.
 pub(super) const fn purpose(step: SendStep<'_>) -> &'static str {
     match step {
--- a/crates/serving/src/pipeline/budgeting.rs
+++ b/crates/serving/src/pipeline/budgeting.rs
@@ -10,17 +10,44 @@
 /// Prefill calls of one request, at most.
 const MAXIMUM_PREFILLS: u32 = 2;
 
+/// Whether a prompt may be read apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum PrefillPermit {
+    /// It is the first call of the request.
+    Free,
+    /// With a repeat from the budget.
+    Repeat,
+    /// It is not.
+    Denied,
+}
+
 impl Pipeline {
-    /// Asks for the next reading of a prompt apart. The first that an engine takes up is free; any further one
-    /// counts as a repeat, whether or not the first was of use.
-    pub(super) fn may_prefill(&self, job: &mut Job) -> bool {
-        if job.prefills == 0 {
-            return true;
+    /// Asks for the next reading of a prompt apart. The first that an engine takes up is free; any further one counts as
+    /// a repeat, whether or not the first was of use, and so does each that an engine rejects, beyond the first.
+    pub(super) fn may_prefill(&self, job: &mut Job) -> PrefillPermit {
+        if job.prefills >= MAXIMUM_PREFILLS || job.arrivals >= MAXIMUM_SENDS {
+            return PrefillPermit::Denied;
+        }
+        if job.prefills == 0 && job.arrivals == 0 {
+            return PrefillPermit::Free;
         }
-        if job.prefills >= MAXIMUM_PREFILLS {
-            return false;
+        if self.take_repeat(job, "prompt_read_again") {
+            PrefillPermit::Repeat
+        } else {
+            PrefillPermit::Denied
+        }
+    }
+
+    /// A reading apart ended: where the repeat that was taken for it does not count after all, it is given back.
+    pub(super) fn settle_prefill(
+        &self,
+        job: &Job,
+        permit: PrefillPermit,
+        was_first_taken_up: bool,
+    ) {
+        if permit == PrefillPermit::Repeat && was_first_taken_up {
+            self.budget().give_back(&job.service.name);
         }
-        self.take_repeat(job, "prompt_read_again")
     }
 
     /// Asks for the next send of a request. The first is free; any further one needs a place in the budget.
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -9,12 +9,13 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::placement::{HeadUse, PromptPlan};
+use ponddrift_fleet::placement::{HeadState, PromptPlan};
 use ponddrift_http::body::{self, Body};
 
 use super::Pipeline;
 use super::answers::Failure;
 use super::attempt::{HeadEnd, SendOrder};
+use super::budgeting::PrefillPermit;
 use super::guards::{HeldHandle, InProgress, LoadGuard};
 use super::intake::{Served, end_to_end};
 use super::job::Job;
@@ -71,6 +72,16 @@
     }
 }
 
+/// What came of a reading apart.
+enum ReadApart {
+    /// The prompt was read.
+    Read(HeldHandle),
+    /// It failed; nothing has run.
+    Failed,
+    /// It was not tried.
+    Not,
+}
+
 enum FirstEvent {
     Came(Box<OpenStream>),
     Answer(Served),
@@ -114,19 +125,14 @@
         let mut failure = Failure::NotRun("no_back_end_ready");
         let mut error_answer = None;
         while job.time_left() > LEAST_TIME_FOR_A_SEND && job.may_run_again() {
+            self.await_head(job).await;
             let Some(plan) = self.plan(job) else {
                 break;
             };
-            let handle = match &plan.prefill {
-                Some(engine) if self.may_prefill(job) => {
-                    let handle = self.prefill(job, engine, &plan).await;
-                    if handle.is_none() {
-                        job.note_tried(&engine.id);
-                        continue;
-                    }
-                    handle
-                }
-                _ => None,
+            let handle = match self.read_apart(job, &plan).await {
+                ReadApart::Read(handle) => Some(handle),
+                ReadApart::Failed => continue,
+                ReadApart::Not => None,
             };
             if !self.may_send(job, failure.reason()) {
                 break;
@@ -146,6 +152,28 @@
         Err(error_answer.map_or(NotOpened::Failure(failure), NotOpened::Answer))
     }
 
+    /// Has the prompt read by the plan's prefill engine, where it names one and the budget allows.
+    async fn read_apart(self: &Arc<Self>, job: &mut Job, plan: &PromptPlan) -> ReadApart {
+        let Some(engine) = &plan.prefill else {
+            return ReadApart::Not;
+        };
+        let permit = self.may_prefill(job);
+        if permit == PrefillPermit::Denied {
+            return ReadApart::Not;
+        }
+        let taken_up_before = job.prefills;
+        let handle = self.prefill(job, engine, plan).await;
+        let was_first_taken_up = taken_up_before == 0 && job.prefills == 1;
+        self.settle_prefill(job, permit, was_first_taken_up);
+        match handle {
+            Some(handle) => ReadApart::Read(handle),
+            None => {
+                job.note_tried(&engine.id);
+                ReadApart::Failed
+            }
+        }
+    }
+
     fn plan(&self, job: &mut Job) -> Option<PromptPlan> {
         let now = now();
         let ready = self.state.ready(&job.service.name, now);
@@ -163,6 +191,7 @@
                     prefill: None,
                     decode,
                     fetch_from: None,
+                    fetch_ms: 0.0,
                     expected_ms: 0.0,
                     tokens_to_read: 0.0,
                 }),
@@ -248,7 +277,13 @@
         let ready = self.state.ready(&job.service.name, now());
         let placement = self.placement();
         let chosen = placement
-            .choose_decode(&ready, &job.tried, now(), &mut *self.random())
+            .choose_decode(
+                &ready,
+                &job.tried,
+                job.facts.prompt.as_ref(),
+                now(),
+                &mut *self.random(),
+            )
             .unwrap_or_else(|| Arc::clone(&plan.decode));
         job.trail.add(Step::Placed {
             purpose: "decode",
@@ -356,17 +391,13 @@
     }
 
     fn learn_decode(&self, job: &Job, plan: &PromptPlan, decode: &Arc<BackEnd>, took: Duration) {
-        let Some(prompt) = &job.facts.prompt else {
-            return;
-        };
-        let mut placement = self.placement();
-        if let Some(usage) = HeadUse::of(prompt, decode) {
-            placement.prefixes.used(usage, now());
-        }
-        if plan.prefill.is_none() {
-            placement
-                .speed
-                .engine_answered(&decode.id, plan.expected_ms, milliseconds(took));
+        self.note_head(job, decode, HeadState::Kept);
+        if job.facts.prompt.is_some() && plan.prefill.is_none() {
+            self.placement().speed.engine_answered(
+                &decode.id,
+                plan.expected_ms,
+                milliseconds(took),
+            );
         }
     }
 
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -6,7 +6,8 @@
 use http::StatusCode;
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::placement::{HeadUse, PromptPlan};
+use ponddrift_fleet::placement::{HeadState, HeadUse, PromptPlan, PromptReading};
+use ponddrift_fleet::prompt::Prompt;
 
 use super::Pipeline;
 use super::attempt::{HeadEnd, SendOrder};
@@ -22,6 +23,9 @@
 /// and this much more.
 const SUSPICION_MORE: Duration = Duration::from_millis(150);
 
+/// Share of a request's target for which it waits until its prompt's head has been read for another.
+const HEAD_WAIT_SHARE: f64 = 0.6;
+
 impl Pipeline {
     /// Has the prompt read; none if that fails, after which nothing has run.
     pub(super) async fn prefill(
@@ -33,6 +37,7 @@
         let tokens_to_read = plan.tokens_to_read;
         let expected_ms = self.expected_prefill_ms(engine, tokens_to_read);
         let was_alone = self.placement().load.requests(&engine.id) < 0.5;
+        self.note_head(job, engine, HeadState::Coming);
         let _load = LoadGuard::new(self, engine, tokens_to_read);
         let expected = Duration::from_secs_f64(expected_ms / 1000.0);
         let suspicious_after = expected.mul_f64(SUSPICION_FACTOR) + SUSPICION_MORE;
@@ -44,6 +49,7 @@
         };
         let end = self.send(job, engine, order).await;
         let HeadEnd::Answered(reply) = end else {
+            self.head_lost(job, engine);
             return None;
         };
         let answer = self.read_whole(reply, patience.until).await;
@@ -68,10 +74,21 @@
         );
         let Some(result) = result else {
             self.note_outcome(engine, &job.service.health_path, Outcome::Broken);
+            self.head_lost(job, engine);
             return None;
         };
         self.note_outcome(engine, &job.service.health_path, Outcome::Success);
-        self.learn_prefill(job, engine, expected_ms, milliseconds(took), was_alone);
+        let took_ms = milliseconds(took);
+        let read = was_alone.then_some(PromptReading {
+            tokens: tokens_to_read,
+            took_ms: (took_ms - plan.fetch_ms).max(0.0),
+        });
+        self.note_head(job, engine, HeadState::Kept);
+        if let Some(reading) = read {
+            let speed = &mut self.placement().speed;
+            speed.prompt_read(reading);
+            speed.engine_answered(&engine.id, expected_ms + plan.fetch_ms, took_ms);
+        }
         let most = self.connection_share(job.service.maximum_connections);
         Some(HeldHandle::new(self, engine.address, result.handle, most))
     }
@@ -82,31 +99,48 @@
         (waiting + tokens) / placement.speed.prefill_tokens_per_ms()
     }
 
-    fn learn_prefill(
-        &self,
-        job: &Job,
-        engine: &Arc<BackEnd>,
-        expected_ms: f64,
-        took_ms: f64,
-        was_alone: bool,
-    ) {
+    /// Waits while the prompt's head is read for another request, as long as that may help this one.
+    pub(super) async fn await_head(&self, job: &Job) {
         let Some(prompt) = &job.facts.prompt else {
             return;
         };
-        let mut placement = self.placement();
-        let now = now();
-        if let Some(usage) = HeadUse::of(prompt, engine) {
-            let was_kept = placement.prefixes.is_kept(&engine.id, usage.head, now);
-            if was_kept && was_alone {
-                let own = f64::from(prompt.own_tokens());
-                placement.speed.prompt_read(own, took_ms);
+        let until = job.arrived + job.route.target_latency.mul_f64(HEAD_WAIT_SHARE);
+        loop {
+            let changed = self.heads_changed.notified();
+            let ready = self.state.ready(&job.service.name, now());
+            if now() >= until || !self.placement().is_head_coming(&ready, prompt, now()) {
+                return;
             }
-            placement.prefixes.used(usage, now);
+            // Either way it is looked at anew.
+            drop(tokio::time::timeout_at(until.into(), changed).await);
         }
-        if was_alone {
-            placement
-                .speed
-                .engine_answered(&engine.id, expected_ms, took_ms);
+    }
+
+    /// The engine reads, or has read, the prompt: its head is kept there.
+    pub(super) fn note_head(&self, job: &Job, engine: &BackEnd, state: HeadState) {
+        let Some(prompt) = &job.facts.prompt else {
+            return;
+        };
+        if let Some(usage) = HeadUse::of(prompt, engine, state) {
+            self.placement().prefixes.used(usage, now());
+            self.heads_have_changed();
+            // Peers should know of it at once: what they do not know of they have read again.
+            self.heavy_work_changed.notify_one();
+        } else if state == HeadState::Kept {
+            // Peers do not tell of these: they send as many, each.
+            let mut placement = self.placement();
+            let daemons = u64::try_from(placement.daemons).unwrap_or(1);
+            let tokens = u64::from(prompt.input_tokens) * daemons;
+            placement.prefixes.came_in(&engine.id, tokens);
+        }
+    }
+
+    /// The reading failed: nobody knows what the engine keeps of it.
+    fn head_lost(&self, job: &Job, engine: &BackEnd) {
+        let head = job.facts.prompt.as_ref().and_then(Prompt::shared_head);
+        if let Some(head) = head {
+            self.placement().prefixes.was_missing(&engine.id, head);
+            self.heads_have_changed();
         }
     }
 }
--- a/crates/serving/src/pipeline/recall.rs
+++ b/crates/serving/src/pipeline/recall.rs
@@ -9,7 +9,7 @@
 use futures::{StreamExt, stream};
 use http::StatusCode;
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::placement::HeadUse;
+use ponddrift_fleet::placement::{HeadState, HeadUse, LEAST_HEAD_TOKENS};
 use ponddrift_fleet::prompt::head_of;
 use rand::seq::SliceRandom;
 
@@ -27,8 +27,6 @@
 const ASKED_AT_ONCE: usize = 8;
 /// Time for an engine's answer.
 const ANSWER_LIMIT: Duration = Duration::from_millis(400);
-/// A part of fewer tokens is not worth remembering.
-const LEAST_TOKENS: u32 = 500;
 
 impl Pipeline {
     /// Asks engines what they keep, once after a start.
@@ -85,7 +83,7 @@
         let mut heads = 0;
         for event in events {
             let head = head_of(&event.part);
-            if event.tokens < LEAST_TOKENS {
+            if event.tokens < LEAST_HEAD_TOKENS {
                 placement.prefixes.was_missing(&engine.id, head);
                 continue;
             }
@@ -94,8 +92,10 @@
                 engine: Arc::clone(&engine.id),
                 head,
                 tokens: event.tokens,
+                own_tokens: 0,
+                state: HeadState::Kept,
             };
-            placement.prefixes.used_by_peer(&usage, now());
+            placement.prefixes.note(&usage, now());
         }
         heads
     }
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -1,6 +1,5 @@
 //! What an adapter brings from the store.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,6 +7,7 @@
 use futures::future::BoxFuture;
 use ponddrift_fleet::configuration::Configuration;
 use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::topology::Member;
 
 /// One key of the store at one revision, as raw as it lies there: daemons hand it on to each other so.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -21,7 +21,7 @@
 }
 
 /// Everything of interest, at one time.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Snapshot {
     /// Keys that are there.
     pub items: Vec<Item>,
@@ -30,8 +30,10 @@
 }
 
 /// What changed after a revision.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Changes {
+    /// Revision after which these changes are all.
+    pub after: u64,
     /// In the order of their revisions.
     pub items: Vec<Item>,
     /// Revision up to which this tells everything.
@@ -48,7 +50,7 @@
     /// A back end whose entry was removed.
     BackEndGone(Arc<str>),
     /// A daemon.
-    Daemon(DaemonRecord),
+    Daemon(Member),
     /// A daemon whose lease ended.
     DaemonGone(Arc<str>),
     /// The daemon that holds the right to order engines.
@@ -59,15 +61,6 @@
     Other,
 }
 
-/// A daemon as its key names it.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct DaemonRecord {
-    /// Name.
-    pub name: Arc<str>,
-    /// Where it hears its peers.
-    pub peer_address: SocketAddr,
-}
-
 /// A value that cannot be read.
 #[derive(Debug, Clone, thiserror::Error)]
 #[error(
@@ -127,11 +120,7 @@
     /// Ends a lease with its keys.
     fn end(&self, lease: Lease) -> BoxFuture<'_, Result<(), StoreError>>;
     /// Writes the daemon's key under its lease.
-    fn announce(
-        &self,
-        daemon: &DaemonRecord,
-        lease: Lease,
-    ) -> BoxFuture<'_, Result<(), StoreError>>;
+    fn announce(&self, daemon: &Member, lease: Lease) -> BoxFuture<'_, Result<(), StoreError>>;
     /// Writes the holder of the right to order engines under its lease, where there is none. Returns the revision.
     fn take_orders(&self, holder: &str, lease: Lease) -> BoxFuture<'_, Result<u64, StoreError>>;
     /// What an item means.
