Daemons of a zone tell each other how requests ended; back ends come back on trial

Change: results of requests go with every word to the daemons of the same zone (other zones may fare differently with the same engine). A good health check brings an engine back on trial: one request at a time, the first failure ejects it for longer, and failures that others have put the check off.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -366,11 +366,17 @@
             .iter()
             .filter(|back_end| !self.health.is_ejected(&back_end.id))
             .filter(|back_end| !self.is_away(&back_end.id, now))
+            .filter(|back_end| !self.is_being_tried(&back_end.id))
             .cloned()
             .collect();
         if well.is_empty() { fitting } else { well }
     }
 
+    /// A back end on trial has one of this daemon's requests already.
+    fn is_being_tried(&self, id: &str) -> bool {
+        self.health.is_on_trial(id) && self.load.own_requests(id) > 0.0
+    }
+
     fn cheapest(
         &self,
         candidates: &[Arc<BackEnd>],
--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -147,6 +147,12 @@
             .collect()
     }
 
+    /// Own requests at one back end.
+    #[must_use]
+    pub fn own_requests(&self, id: &str) -> f64 {
+        self.own.get(id).map_or(0.0, |own| own.requests)
+    }
+
     /// Requests of all daemons at one back end.
     #[must_use]
     pub fn requests(&self, id: &str) -> f64 {
--- a/crates/fleet/src/topology.rs
+++ b/crates/fleet/src/topology.rs
@@ -34,6 +34,8 @@
 pub struct Topology {
     /// Peers that are told everything.
     pub neighbours: Vec<SocketAddr>,
+    /// Those of them in the daemon's own zone.
+    pub of_zone: Vec<SocketAddr>,
     /// Peers of other zones, which pass on what they hear.
     pub far: Vec<SocketAddr>,
     /// Whether this daemon follows the store for its neighbours.
@@ -57,7 +59,8 @@
         let near: Vec<&Member> = peers.iter().copied().filter(|peer| is_near(peer)).collect();
         let zones = if is_small { 1 } else { zones_of(own, &peers) };
         Self {
-            neighbours: near.iter().map(|peer| peer.peer_address).collect(),
+            neighbours: addresses(near.iter().copied()),
+            of_zone: addresses(near.iter().copied().filter(|peer| peer.zone == own.zone)),
             far: far_of(own, &peers, is_near),
             follows_store: is_follower(own, &near),
             daemons: peers.len() + 1,
@@ -66,6 +69,10 @@
     }
 }
 
+fn addresses<'a>(members: impl Iterator<Item = &'a Member>) -> Vec<SocketAddr> {
+    members.map(|member| member.peer_address).collect()
+}
+
 fn zones_of(own: &Member, peers: &[&Member]) -> usize {
     let mut zones: Vec<&str> = peers.iter().map(|peer| &*peer.zone).collect();
     zones.push(&own.zone);
--- a/crates/serving/src/peers/hear.rs
+++ b/crates/serving/src/peers/hear.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use super::message::{self, Digest, MAXIMUM_DATAGRAM, Message};
-use super::translate::{head_from_wire, reading_from_wire, report_from_wire, work_from_wire};
+use super::translate::{
+    head_from_wire, reading_from_wire, report_from_wire, results_from_wire, work_from_wire,
+};
 use super::{Peers, relay};
 use crate::back_end_index::BackEndIndex;
 use crate::fleet_state::Source;
@@ -43,6 +45,13 @@
         let known = self.state.back_end_index();
         let is_neighbour = self.is_neighbour(from);
         self.take_work(&digest, &known);
+        if self.state.topology().of_zone.contains(&from) {
+            for row in &digest.results {
+                if let Some(back_end) = known.find(row.back_end) {
+                    self.pipeline.hear_results(back_end, results_from_wire(row));
+                }
+            }
+        }
         for back_end in digest.unwell.iter().filter_map(|hash| known.find(*hash)) {
             self.pipeline.check_on_hint(back_end);
         }
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -7,11 +7,13 @@
 /// Longest datagram in bytes; stays within one packet.
 pub(super) const MAXIMUM_DATAGRAM: usize = 1400;
 /// Rows of work that surely fit, of all reports together.
-const MAXIMUM_ROWS: usize = 50;
+const MAXIMUM_ROWS: usize = 40;
 /// Heads that surely fit beside them.
 const MAXIMUM_HEADS: usize = 16;
 /// Readings that surely fit beside them.
 const MAXIMUM_READINGS: usize = 8;
+/// Results that surely fit beside them.
+const MAXIMUM_RESULTS: usize = 16;
 /// Unwell back ends that surely fit beside them.
 const MAXIMUM_UNWELL: usize = 16;
 /// Engines about to change that surely fit beside them.
@@ -48,6 +50,8 @@
     pub(super) heads: Vec<HeadRow>,
     /// Prompts that engines read since then, with nothing else to do.
     pub(super) readings: Vec<ReadingRow>,
+    /// How its requests ended since then.
+    pub(super) results: Vec<ResultRow>,
     /// Back ends that it found unwell.
     pub(super) unwell: Vec<u32>,
     /// Engines that are about to change.
@@ -117,6 +121,19 @@
     pub(super) is_kept: bool,
 }
 
+/// How requests at one back end ended.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct ResultRow {
+    /// Hash of its identity.
+    pub(super) back_end: u32,
+    /// Whole answers.
+    pub(super) successes: u8,
+    /// Answers that tell of a failure.
+    pub(super) errors: u8,
+    /// Broken off, silent or not reached.
+    pub(super) breaks: u8,
+}
+
 /// How long a prefill engine took for a prompt.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub(super) struct ReadingRow {
@@ -132,6 +149,7 @@
         self.bound_rows();
         self.heads.truncate(MAXIMUM_HEADS);
         self.readings.truncate(MAXIMUM_READINGS);
+        self.results.truncate(MAXIMUM_RESULTS);
         self.unwell.truncate(MAXIMUM_UNWELL);
         self.away.truncate(MAXIMUM_AWAY);
         self.work.truncate(MAXIMUM_SERVICES);
--- a/crates/serving/src/peers/tell.rs
+++ b/crates/serving/src/peers/tell.rs
@@ -12,7 +12,9 @@
 use tokio::time::Instant;
 
 use super::message::{self, Digest, Message, ReportRow};
-use super::translate::{away_to_wire, head_to_wire, reading_to_wire, row_to_wire, work_to_wire};
+use super::translate::{
+    away_to_wire, head_to_wire, reading_to_wire, result_to_wire, row_to_wire, work_to_wire,
+};
 use super::{PassedOn, Peers};
 use crate::back_end_index::hash;
 use crate::follow::now;
@@ -117,6 +119,7 @@
         let rows = placement.load.own_rows();
         let heads = placement.prefixes.take_untold();
         let readings = placement.speed.take_untold();
+        let results = placement.health.take_untold();
         let unwell = placement.health.ejected();
         let away = placement.away(now());
         let work = placement.work.rates(now());
@@ -133,6 +136,7 @@
             }],
             heads: heads.iter().map(head_to_wire).collect(),
             readings: readings.iter().map(reading_to_wire).collect(),
+            results: results.iter().map(result_to_wire).collect(),
             unwell: unwell.iter().map(|id| hash(id)).collect(),
             away: away.iter().map(away_to_wire).collect(),
             work: work.iter().map(work_to_wire).collect(),
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ponddrift_fleet::health::Results;
 use ponddrift_fleet::placement::{
     HeadState, HeadUse, Outstanding, PromptReading, WorkReport, WorkRow,
 };
 use ponddrift_fleet::stages::StageWork;
 
-use super::message::{AwayRow, BackEndRow, HeadRow, ReadingRow, ReportRow, ServiceWorkRow};
+use super::message::{
+    AwayRow, BackEndRow, HeadRow, ReadingRow, ReportRow, ResultRow, ServiceWorkRow,
+};
 use crate::back_end_index::{BackEndIndex, hash};
 
 /// Milliseconds in a second.
@@ -87,6 +90,23 @@
     }
 }
 
+pub(super) fn result_to_wire((id, results): &(Arc<str>, Results)) -> ResultRow {
+    ResultRow {
+        back_end: hash(id),
+        successes: results.successes,
+        errors: results.errors,
+        breaks: results.breaks,
+    }
+}
+
+pub(super) const fn results_from_wire(row: &ResultRow) -> Results {
+    Results {
+        successes: row.successes,
+        errors: row.errors,
+        breaks: row.breaks,
+    }
+}
+
 pub(super) fn away_to_wire((id, time): &(Arc<str>, Duration)) -> AwayRow {
     AwayRow {
         engine: hash(id),
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -6,7 +6,7 @@
 
 use http::{Request, StatusCode};
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::health::Outcome;
+use ponddrift_fleet::health::{Outcome, Results};
 use ponddrift_http::body;
 
 use super::Pipeline;
@@ -15,7 +15,7 @@
 use crate::connections::{ExchangeError, NotSent, Reply};
 use crate::dialect::{SendFacts, SendStep};
 use crate::follow::now;
-use crate::trail::Step;
+use crate::trail::{Step, milliseconds};
 
 /// Rank of everything that generates.
 const GENERATING_RANK: u8 = 0;
@@ -222,15 +222,36 @@
     ) {
         let pause = self.placement().health.record(&back_end.id, outcome, now());
         if let Some(pause) = pause {
-            self.metrics.ejected();
-            tracing::warn!(
-                back_end = &*back_end.id,
-                outcome = ?outcome,
-                "back_end_ejected"
-            );
-            self.check_until_well(back_end, health_path, pause);
+            self.ejected(back_end, health_path, pause, "own_requests");
+        }
+    }
+
+    /// Results of another daemon of the zone.
+    pub fn hear_results(self: &Arc<Self>, back_end: &Arc<BackEnd>, results: Results) {
+        let pause = self.placement().health.hear(&back_end.id, results, now());
+        if let Some(pause) = pause
+            && let Some(health_path) = self.health_path(back_end)
+        {
+            self.ejected(back_end, &health_path, pause, "requests_of_the_zone");
         }
     }
+
+    fn ejected(
+        self: &Arc<Self>,
+        back_end: &Arc<BackEnd>,
+        health_path: &Arc<str>,
+        pause: Duration,
+        evidence: &'static str,
+    ) {
+        self.metrics.ejected();
+        tracing::warn!(
+            back_end = &*back_end.id,
+            evidence,
+            pause_ms = milliseconds(pause),
+            "back_end_ejected"
+        );
+        self.check_until_well(back_end, health_path, pause);
+    }
 }
 
 /// Rank of a request at its engine. Where it generates, all have the same: one that a more urgent one displaces there
--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -6,6 +6,7 @@
 use http::{Method, StatusCode};
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
+use rand::RngExt;
 
 use super::Pipeline;
 use crate::dialect::SmallCall;
@@ -29,26 +30,39 @@
         let path = Arc::clone(health_path);
         let spawner = Arc::clone(&self.runtime.spawner);
         spawner.spawn(Box::pin(async move {
-            let mut pause = first_pause;
+            let mut pause = pipeline.spread(first_pause);
             loop {
                 tokio::time::sleep(pause).await;
                 if !pipeline.state.is_ready(&back_end.id) {
                     pipeline.placement().health.reinstate(&back_end.id);
                     return;
                 }
+                let may_check = pipeline
+                    .placement()
+                    .health
+                    .may_check(&back_end.id, pause, now());
+                if let Err(next) = may_check {
+                    pause = pipeline.spread(next);
+                    continue;
+                }
                 if pipeline.is_well(&back_end, &path).await {
                     tracing::info!(back_end = &*back_end.id, "back_end_reinstated");
                     pipeline.placement().health.reinstate(&back_end.id);
                     return;
                 }
                 match pipeline.placement().health.check_failed(&back_end.id) {
-                    Some(next) => pause = next,
+                    Some(next) => pause = pipeline.spread(next),
                     None => return,
                 }
             }
         }));
     }
 
+    /// Daemons that found the same at the same time do not all try at the same time again: the first tells the others.
+    fn spread(&self, pause: Duration) -> Duration {
+        pause.mul_f64(self.random().random_range(0.6..1.4))
+    }
+
     /// A peer found a back end unwell: it is checked here before a request finds out.
     pub fn check_on_hint(self: &Arc<Self>, back_end: &Arc<BackEnd>) {
         let Some(path) = self.health_path(back_end) else {
@@ -66,7 +80,7 @@
         }));
     }
 
-    fn health_path(&self, back_end: &BackEnd) -> Option<Arc<str>> {
+    pub(super) fn health_path(&self, back_end: &BackEnd) -> Option<Arc<str>> {
         let in_force = self.state.in_force()?;
         let service = in_force.configuration.service(&back_end.service)?;
         Some(Arc::clone(&service.health_path))
