The simulator of whole fleets of ponddriftd and its scale runs are gone

Kept: the virtual network (crates/simulation), on which crates/serve/tests run real daemons of ponddrift-serve; the process tests of ponddriftd; the experiments on role planning.

--- a/crates/emulator/src/command.rs
+++ b/crates/emulator/src/command.rs
@@ -9,8 +9,6 @@
 pub mod overhead;
 pub mod platform;
 pub mod records;
-pub mod scale;
-pub mod simulate;
 
 use std::io::Write as _;
 
@@ -36,8 +34,6 @@
         .subcommand(fault_proxy::command())
         .subcommand(load::command())
         .subcommand(experiment::command())
-        .subcommand(scale::command())
-        .subcommand(simulate::command())
         .subcommand(overhead::command())
 }
 
@@ -54,8 +50,6 @@
         Some(("load", chosen)) => load::run(chosen).await,
         Some(("overhead", chosen)) => overhead::run(chosen).await,
         Some(("experiment", chosen)) => experiment::run(chosen),
-        Some(("scale", chosen)) => scale::run(chosen).await,
-        Some(("simulate", chosen)) => simulate::run(chosen),
         Some(("records", chosen)) => records::run(chosen).await,
         _ => eyre::bail!("choose a subcommand: see `ponddrift-emulator --help`"),
     }
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -14,6 +14,4 @@
 pub mod platform;
 pub mod records;
 pub mod run_log;
-pub mod scale;
 pub mod server;
-pub mod simulate;
