A stopping daemon waits until its peers know the map of claim groups without it

Ruled out: a change of the HTTP server's stop, since the request goes to another daemon. Change: it asks its serving peers for their map until none of those that answer names it, within the same limit of 20 s.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -9,12 +9,14 @@
 mod standing;
 mod start_error;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use ponddrift_core::claims::GROUP_SIZE;
 use ponddrift_core::membership::Readiness;
 use ponddrift_http::Server;
+use ponddrift_protocol::{Request, Response};
 use ponddrift_runtime::watch;
 use tokio::sync::{mpsc, oneshot};
 use xtra::Address;
@@ -31,6 +33,8 @@
 
 /// Longest wait of a planned stop for other daemons to take its claims over.
 const HANDOVER_LIMIT: Duration = Duration::from_secs(20);
+/// Time between two looks at whether all peers know.
+const HANDOVER_LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// A running daemon.
 pub struct Daemon {
@@ -74,6 +78,7 @@
                     return;
                 }
             }
+            self.await_peers_with_the_map().await;
         };
         if tokio::time::timeout(HANDOVER_LIMIT, handed_over)
             .await
@@ -83,6 +88,31 @@
         }
     }
 
+    /// Waits until no serving peer that answers knows a map any more that names this daemon. A peer with the older map
+    /// would ask this daemon for keys after its end, and refuse them.
+    async fn await_peers_with_the_map(&self) {
+        let claims = &self.context.claims;
+        loop {
+            let peers: Vec<SocketAddr> = claims
+                .members
+                .borrow()
+                .serving()
+                .map(|record| record.peer_address)
+                .collect();
+            let mut is_behind = false;
+            for peer in peers {
+                let answer = claims.client.ask(peer, Request::PullShardMap).await;
+                if let Ok(Response::ShardMap(map)) = answer {
+                    is_behind |= map.involves(claims.own);
+                }
+            }
+            if !is_behind {
+                return;
+            }
+            tokio::time::sleep(HANDOVER_LOOK_INTERVAL).await;
+        }
+    }
+
     /// A planned stop: takes nothing new, lets every request in progress end, then leaves its peers.
     pub async fn stop(&self) {
         self.context.begin_stop();
