Logs: lines of requests served in time go first; a request late by its pauses is told as late

Lines of requests that were served in time now wait apart from all others (half of log.lines_waiting each), chosen by the line's target, so that however many they are they push out none of the others. Weighed: one buffer that evicts (no such library), a filter by the fill of the buffer (not told by the library). The line of a request's end tells its longest pause between events, and in_time counts it: streams late by a pause were told as in time and left no trail. Test: lines_of_served_requests_go_first (real process, nobody reads; with one way for all lines it found no line within its limit and fails). soak's free_address asked the system for a free port and closed it; a process started in that moment kept the socket a while longer and the bind failed (twice in four runs of the file, once the new test ran beside): addresses are now of an IP of the process's own on loopback, no port is asked for.

--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -17,7 +17,7 @@
 use crate::dialect::RequestFacts;
 use crate::fleet_state::InForce;
 use crate::follow::now;
-use crate::trail::{Trail, milliseconds};
+use crate::trail::{SERVED_TARGET, Trail, milliseconds};
 
 /// An own answer leaves this long before the caller's time is over, so that it arrives.
 const ANSWER_MARGIN: Duration = Duration::from_millis(25);
@@ -27,6 +27,42 @@
 /// Time for that.
 const READ_AWAY_TIME: Duration = Duration::from_millis(300);
 
+/// How a request ended, for its line.
+struct RequestEnd {
+    status: u16,
+    outcome: &'static str,
+    in_time: bool,
+    waited: Duration,
+    took: Duration,
+}
+
+/// Writes the line of a request's end; the target of a line has to be known when it is compiled.
+macro_rules! write_end {
+    ($target:expr, $job:expr, $end:expr) => {
+        tracing::info!(
+            target: $target,
+            request = &*$job.id,
+            route = &*$job.route.name,
+            service = &*$job.service.name,
+            revision = $job.revision,
+            kind = $job.route.kind.as_str(),
+            priority = $job.route.priority,
+            status = $end.status,
+            outcome = $end.outcome,
+            in_time = $end.in_time,
+            waited_ms = milliseconds($end.waited),
+            longest_gap_ms = milliseconds($job.longest_gap),
+            took_ms = milliseconds($end.took),
+            limit_ms = milliseconds($job.end.saturating_duration_since($job.arrived)),
+            prompt_tokens = $job.facts.prompt.as_ref().map(|prompt| prompt.input_tokens),
+            back_ends = $job.trail.back_ends(),
+            sends = $job.arrivals,
+            runs = $job.runs,
+            "request_ended"
+        )
+    };
+}
+
 /// A served request, for its end.
 pub(super) struct Served {
     pub(super) response: Response<Body>,
@@ -128,6 +164,7 @@
             arrivals: 0,
             prefills: 0,
             first_event: None,
+            longest_gap: Duration::ZERO,
             runs: 0,
             tried: Vec::new(),
             is_closed: false,
@@ -141,7 +178,11 @@
         let took = now().saturating_duration_since(job.arrived);
         let waited = job.first_event.unwrap_or_else(now);
         let waited = waited.saturating_duration_since(job.arrived);
-        let in_time = waited <= job.route.target_latency;
+        let gap_in_time = job
+            .route
+            .target_gap
+            .is_none_or(|target| job.longest_gap <= target);
+        let in_time = waited <= job.route.target_latency && gap_in_time;
         self.metrics.ended(
             &job.route.name,
             job.route.kind.as_str(),
@@ -149,28 +190,19 @@
             took,
             in_time,
         );
-        if outcome != "served" || !in_time {
-            job.trail.write(&job.id);
-        }
-        tracing::info!(
-            request = &*job.id,
-            route = &*job.route.name,
-            service = &*job.service.name,
-            revision = job.revision,
-            kind = job.route.kind.as_str(),
-            priority = job.route.priority,
+        let end = RequestEnd {
             status,
             outcome,
             in_time,
-            waited_ms = milliseconds(waited),
-            took_ms = milliseconds(took),
-            limit_ms = milliseconds(job.end.saturating_duration_since(job.arrived)),
-            prompt_tokens = job.facts.prompt.as_ref().map(|prompt| prompt.input_tokens),
-            back_ends = job.trail.back_ends(),
-            sends = job.arrivals,
-            runs = job.runs,
-            "request_ended"
-        );
+            waited,
+            took,
+        };
+        if outcome == "served" && in_time {
+            write_end!(SERVED_TARGET, job, end);
+        } else {
+            job.trail.write(&job.id);
+            write_end!(module_path!(), job, end);
+        }
     }
 
     /// Gives a request up: its final answer at once.
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -40,6 +40,8 @@
     pub(super) prefills: u32,
     /// When the first event came.
     pub(super) first_event: Option<Instant>,
+    /// Longest pause between two events.
+    pub(super) longest_gap: Duration,
     /// Back ends that ran the request, or may have.
     pub(super) runs: u32,
     /// Back ends that are not tried again.
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -119,6 +119,7 @@
         if has_passed && let Some(before) = self.last_event {
             let gap = now.saturating_duration_since(before);
             self.pipeline.metrics.gap(gap);
+            self.job.longest_gap = self.job.longest_gap.max(gap);
         }
         self.last_event = Some(now);
     }
--- a/crates/soak/src/daemons.rs
+++ b/crates/soak/src/daemons.rs
@@ -10,7 +10,7 @@
 use tokio::process::{Child, Command};
 use tokio::time::Instant;
 
-use crate::platform::{Platform, free_address};
+use crate::platform::{Platform, own_address};
 
 /// Name of the binary, which stands beside this one.
 const BINARY: &str = "ponddrift-serve";
@@ -42,10 +42,10 @@
     /// When it cannot be started.
     pub async fn start(number: usize, platform: &Platform, folder: &Path) -> Result<Self> {
         let name = format!("daemon-{number}");
-        let callers = free_address().await?;
-        let readiness = free_address().await?;
-        let peers = free_address().await?;
-        let store = free_address().await?;
+        let callers = own_address();
+        let readiness = own_address();
+        let peers = own_address();
+        let store = own_address();
         let (server, door) = platform.store.serve_door(&platform.runtime, store).await?;
         // The server lives as long as the process.
         std::mem::forget(server);
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -1,6 +1,7 @@
 //! The stand-ins around the daemons.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use eyre::Result;
@@ -8,7 +9,6 @@
     EngineSettings, EngineStandIn, EngineTraitsText, RouteText, ServiceText, StoreStandIn, config,
 };
 use ponddrift_runtime::Runtime;
-use tokio::net::TcpListener;
 use tokio::time::Instant;
 
 /// Service of plain servers.
@@ -76,7 +76,7 @@
         let engine = EngineStandIn::new(EngineSettings {
             id: format!("i-{}", self.members.len() + 1),
             service: service.to_owned(),
-            address: free_address().await?,
+            address: own_address(),
             zone: String::from("a"),
             stage,
             run_time: RUN_TIME,
@@ -129,11 +129,19 @@
     config(version, &routes, &services)
 }
 
-/// An address on loopback that was free a moment ago.
+/// An address on loopback that nobody else uses: its IP belongs to this process, its last part and port to this call.
 ///
-/// # Errors
-/// When no port is free.
-pub async fn free_address() -> Result<SocketAddr> {
-    let listener = TcpListener::bind("127.0.0.1:0").await?;
-    Ok(listener.local_addr()?)
+/// Asking the system for a free port does not do: a process that is started in that moment holds the socket for a while
+/// longer, and binding it again fails (seen twice with many tests at a time).
+#[must_use]
+pub fn own_address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    const FIRST_PORT: u16 = 20_000;
+    const PART: u32 = 250;
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let part = |value: u32| u8::try_from(value % PART + 1).unwrap_or(1);
+    let ip = Ipv4Addr::new(127, part(process), part(process / PART), part(number));
+    let port = FIRST_PORT + u16::try_from(number / PART).unwrap_or_default();
+    SocketAddr::from((ip, port))
 }
--- a/crates/soak/tests/logs.rs
+++ b/crates/soak/tests/logs.rs
@@ -4,13 +4,14 @@
 use std::process::Stdio;
 use std::time::Duration;
 
-use eyre::{ContextCompat, Result};
+use eyre::{Context as _, ContextCompat, Result};
 use http::StatusCode;
 use ponddrift_platform_stand_ins::{Behaviour, ClientRequest, ClientStandIn};
 use ponddrift_soak::daemons::{DaemonProcess, binary};
-use ponddrift_soak::platform::{MODELS, Platform, free_address};
+use ponddrift_soak::platform::{MODELS, Platform, own_address};
 use serde_json::Value;
-use tokio::process::Command;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{ChildStdout, Command};
 use tokio::time::sleep;
 
 /// Looks for an event before it counts as missing; generous, since only a broken daemon uses it up.
@@ -188,12 +189,8 @@
     platform: &Platform,
     folder: &Path,
 ) -> Result<(PathBuf, [std::net::SocketAddr; 2])> {
-    let [callers, readiness, peers, store] = [
-        free_address().await?,
-        free_address().await?,
-        free_address().await?,
-        free_address().await?,
-    ];
+    let [callers, readiness, peers, store] =
+        [own_address(), own_address(), own_address(), own_address()];
     std::mem::forget(platform.store.serve(&platform.runtime, store).await?);
     let text = format!(
         "[daemon]\nname = \"d\"\nzone = \"a\"\n[listen]\ncallers = \"{callers}\"\n\
@@ -209,7 +206,6 @@
 async fn a_reader_that_does_not_read_holds_no_request_up_and_costs_only_lines() -> Result<()> {
     /// Each leaves a line; more than the pipe and the waiting lines hold together.
     const REQUESTS: usize = 1_600;
-    const CALLERS: usize = 16;
     let platform = Platform::start(2).await?;
     let folder = std::env::temp_dir().join(format!("ponddrift-flood-{}", std::process::id()));
     let (path, [callers, readiness]) = settings_file(&platform, &folder).await?;
@@ -223,17 +219,63 @@
     let _unread = child.stdout.take().wrap_err("its output")?;
     let client = ClientStandIn::new(platform.runtime.clone());
     await_ready(&client, readiness).await?;
-    let tasks: Vec<_> = (0..CALLERS)
+    flood(&client, callers, "nowhere", REQUESTS, StatusCode::NOT_FOUND).await?;
+    let dropped = dropped_lines_after_tidying(&client, readiness).await?;
+    assert!(dropped > 0.0, "lines that found no room are counted");
+    drop(std::fs::remove_dir_all(&folder));
+    Ok(())
+}
+
+/// Whatever the reader missed of served requests, the line of one that failed is there.
+#[tokio::test]
+async fn lines_of_served_requests_go_first() -> Result<()> {
+    /// Each leaves a line; more than the pipe and the waiting lines hold together.
+    const SERVED: usize = 1_200;
+    let platform = Platform::start(4).await?;
+    let folder = std::env::temp_dir().join(format!("ponddrift-worth-{}", std::process::id()));
+    let (path, [callers, readiness]) = settings_file(&platform, &folder).await?;
+    let mut child = Command::new(binary()?)
+        .arg("--config")
+        .arg(&path)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .kill_on_drop(true)
+        .spawn()?;
+    let output = child.stdout.take().wrap_err("its output")?;
+    let client = ClientStandIn::new(platform.runtime.clone());
+    await_ready(&client, readiness).await?;
+    flood(&client, callers, "post", SERVED, StatusCode::OK).await?;
+    assert!(dropped_lines_after_tidying(&client, readiness).await? > 0.0);
+    let failing = ClientRequest::plain("failing", "nowhere");
+    let answer = client.ask(callers, &failing).await;
+    assert_eq!(
+        answer.map(|answer| answer.status),
+        Some(StatusCode::NOT_FOUND)
+    );
+    let found = tokio::time::timeout(LOOK_PAUSE * LOOKS, line_of(output, "failing")).await;
+    let line = found.wrap_err("the failed request left no line")??;
+    assert_eq!(line["status"], 404);
+    drop(std::fs::remove_dir_all(&folder));
+    Ok(())
+}
+
+/// Many requests of one route, some at a time, all with the same answer.
+async fn flood(
+    client: &ClientStandIn,
+    callers: std::net::SocketAddr,
+    route: &'static str,
+    requests: usize,
+    expected: StatusCode,
+) -> Result<()> {
+    const AT_A_TIME: usize = 16;
+    let tasks: Vec<_> = (0..AT_A_TIME)
         .map(|caller| {
             let client = client.clone();
             tokio::spawn(async move {
-                for number in 0..REQUESTS / CALLERS {
-                    let request = ClientRequest::plain(&format!("{caller}-{number}"), "nowhere");
+                for number in 0..requests / AT_A_TIME {
+                    let request = ClientRequest::plain(&format!("{caller}-{number}"), route);
                     let answer = client.ask(callers, &request).await;
-                    assert_eq!(
-                        answer.map(|answer| answer.status),
-                        Some(StatusCode::NOT_FOUND)
-                    );
+                    assert_eq!(answer.map(|answer| answer.status), Some(expected));
                 }
             })
         })
@@ -241,17 +283,19 @@
     for task in tasks {
         task.await?;
     }
-    let mut dropped = 0.0;
-    for _ in 0..LOOKS {
-        dropped = dropped_lines(&client, readiness).await?;
-        if dropped > 0.0 {
-            break;
+    Ok(())
+}
+
+/// The first line of a request.
+async fn line_of(output: ChildStdout, request: &str) -> Result<Value> {
+    let mut lines = BufReader::new(output).lines();
+    while let Some(line) = lines.next_line().await? {
+        let line: Value = serde_json::from_str(&line)?;
+        if line["request"] == request {
+            return Ok(line);
         }
-        sleep(LOOK_PAUSE).await;
     }
-    assert!(dropped > 0.0, "lines that found no room are counted");
-    drop(std::fs::remove_dir_all(&folder));
-    Ok(())
+    eyre::bail!("the failed request left no line")
 }
 
 #[tokio::test]
@@ -292,6 +336,22 @@
     eyre::bail!("the daemon was never ready")
 }
 
+/// Figures are brought up to date now and then.
+async fn dropped_lines_after_tidying(
+    client: &ClientStandIn,
+    readiness: std::net::SocketAddr,
+) -> Result<f64> {
+    let mut dropped = 0.0;
+    for _ in 0..LOOKS {
+        dropped = dropped_lines(client, readiness).await?;
+        if dropped > 0.0 {
+            break;
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+    Ok(dropped)
+}
+
 async fn dropped_lines(client: &ClientStandIn, readiness: std::net::SocketAddr) -> Result<f64> {
     let text = client
         .text(readiness, "/metrics")
