--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -111,6 +111,7 @@
         random: Pcg64Mcg::seed_from_u64(runtime.seed.rotate_left(31)),
         pause: FIRST_PAUSE,
         history_was_gone: false,
+        relies_on_neighbours: false,
     };
     runtime.spawner.spawn(Box::pin(follower.run()));
     let announcer = Announcer {
@@ -131,12 +132,15 @@
     pause: Duration,
     /// The store forgot what followed on the position; everything is read as it is now.
     history_was_gone: bool,
+    relies_on_neighbours: bool,
 }
 
 impl Follower {
     async fn run(mut self) {
         loop {
-            if let Some(until) = self.may_rely_on_neighbours() {
+            let relied_on_until = self.may_rely_on_neighbours();
+            self.note_way(relied_on_until.is_some());
+            if let Some(until) = relied_on_until {
                 self.following.note_answer(None);
                 let disappointed = self.following.disappointed.notified();
                 // Either way it is looked at anew.
@@ -166,6 +170,21 @@
         }
     }
 
+    /// Tells when this daemon begins or ends to rely on its neighbours.
+    fn note_way(&mut self, relies_on_neighbours: bool) {
+        if self.relies_on_neighbours == relies_on_neighbours {
+            return;
+        }
+        self.relies_on_neighbours = relies_on_neighbours;
+        let position = self.state.position();
+        if relies_on_neighbours {
+            tracing::info!(position, "store_left_to_neighbours");
+        } else {
+            let follows_for_others = self.state.topology().follows_store;
+            tracing::info!(position, follows_for_others, "store_followed");
+        }
+    }
+
     /// Until when neighbours follow the store for this daemon; none where it has to itself.
     fn may_rely_on_neighbours(&self) -> Option<std::time::Instant> {
         if self.state.topology().follows_store || self.state.position().is_none() {
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -48,6 +48,11 @@
     way: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StageLabels {
+    stage: &'static str,
+}
+
 /// Values that are looked up now and then.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Standing {
@@ -57,6 +62,10 @@
     pub configuration_age_s: u64,
     /// Newest revision of the store that was seen.
     pub newest_revision: u64,
+    /// Model engines that read prompts for others.
+    pub prefill_engines: usize,
+    /// Model engines that generate.
+    pub decode_engines: usize,
     /// Slots of all model engines.
     pub engine_slots: u64,
     /// Requests known to be at model engines, of all daemons.
@@ -83,6 +92,7 @@
     configuration_version: Gauge,
     configuration_age_s: Gauge,
     newest_revision: Gauge,
+    engines: Family<StageLabels, Gauge>,
     engine_slots: Gauge,
     engine_requests: Gauge,
     daemons: Gauge,
@@ -111,6 +121,7 @@
     latency: Histogram,
     first_event: Histogram,
     gaps: Histogram,
+    head_waits: Histogram,
     store_seconds: Histogram,
     standing: StandingGauges,
 }
@@ -159,6 +170,11 @@
                 "event_gap_seconds",
                 "Time between two events of a stream",
             ),
+            head_waits: histogram(
+                r,
+                "head_wait_seconds",
+                "Time that requests waited while their prompt's head was read for another",
+            ),
             store_seconds: histogram(r, "store_call_seconds", "Time of a lease's renewal"),
             standing,
             registry: Mutex::new(registry),
@@ -175,6 +191,7 @@
                 "configuration_age_seconds",
                 "Time that the configuration has been in force",
             ),
+            engines: made(r, "engines", "Model engines by stage"),
             engine_slots: made(r, "engine_slots", "Slots of all model engines"),
             engine_requests: made(r, "engine_requests", "Requests known at model engines"),
             newest_revision: made(r, "store_revision", "Newest revision of the store seen"),
@@ -267,6 +284,10 @@
         self.first_event.observe(waited.as_secs_f64());
     }
 
+    pub(crate) fn head_wait(&self, waited: Duration) {
+        self.head_waits.observe(waited.as_secs_f64());
+    }
+
     pub(crate) fn gap(&self, gap: Duration) {
         self.gaps.observe(gap.as_secs_f64());
     }
@@ -281,6 +302,14 @@
             .configuration_age_s
             .set(signed(standing.configuration_age_s));
         gauges.newest_revision.set(signed(standing.newest_revision));
+        let by_stage = [
+            ("prefill", standing.prefill_engines),
+            ("decode", standing.decode_engines),
+        ];
+        for (stage, engines) in by_stage {
+            let gauge = gauges.engines.get_or_create(&StageLabels { stage });
+            gauge.set(signed(engines));
+        }
         gauges.engine_slots.set(signed(standing.engine_slots));
         gauges.engine_requests.set(signed(standing.engine_requests));
         gauges.daemons.set(signed(standing.daemons));
--- a/crates/serving/src/peers/tell.rs
+++ b/crates/serving/src/peers/tell.rs
@@ -29,6 +29,9 @@
 /// Time that each neighbour adds to the shortest time between two words: all of them together are heard no more often.
 const TIME_PER_NEIGHBOUR: Duration = Duration::from_millis(1);
 
+/// Neighbours that are told each time where nothing weighs.
+const TOLD_IN_TURN: usize = 24;
+
 /// Why peers are told now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Reason {
@@ -100,7 +103,15 @@
             self.send(own.clone().encode(), &topology.far).await;
         }
         let for_neighbours = with_passed_on(own, passed_on);
-        self.send(for_neighbours.encode(), &self.neighbours()).await;
+        let neighbours = self.neighbours();
+        // Neighbours rely on hearing a follower.
+        let all = reason != Reason::Interval || has_news || topology.follows_store;
+        let told = if all {
+            neighbours
+        } else {
+            in_turn(&neighbours, sequence)
+        };
+        self.send(for_neighbours.encode(), &told).await;
     }
 
     async fn send(&self, bytes: Option<Vec<u8>>, targets: &[SocketAddr]) {
@@ -162,6 +173,17 @@
     }
 }
 
+/// Where nothing weighs, a part of many neighbours is told each time: all within the life of what they were told.
+fn in_turn(neighbours: &[SocketAddr], sequence: u32) -> Vec<SocketAddr> {
+    if neighbours.len() <= TOLD_IN_TURN {
+        return neighbours.to_vec();
+    }
+    let rounds = usize::try_from(sequence).unwrap_or_default();
+    let begin = rounds.wrapping_mul(TOLD_IN_TURN) % neighbours.len();
+    let from_there = neighbours.iter().cycle().skip(begin);
+    from_there.take(TOLD_IN_TURN).copied().collect()
+}
+
 fn with_passed_on(own: Digest, passed_on: PassedOn) -> Digest {
     let mut digest = own;
     digest.reports.extend(passed_on.reports);
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -25,6 +25,7 @@
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
 use ponddrift_fleet::budget::{BudgetSettings, RetryBudget};
+use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::placement::Placement;
 use ponddrift_fleet::routes::SplitDealer;
 use ponddrift_fleet::stages::StageWork;
@@ -230,6 +231,12 @@
                 now().saturating_duration_since(known.since).as_secs()
             }),
             newest_revision: self.state.newest_revision(),
+            prefill_engines: engines()
+                .filter(|known| known.stage == Some(Stage::Prefill))
+                .count(),
+            decode_engines: engines()
+                .filter(|known| known.stage == Some(Stage::Decode))
+                .count(),
             engine_slots: engines().map(|engine| u64::from(engine.slots)).sum(),
             engine_requests,
             daemons: self.daemons.load(Ordering::Relaxed),
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -100,7 +100,17 @@
     }
 
     /// Waits while the prompt's head is read for another request, as long as that may help this one.
-    pub(super) async fn await_head(&self, job: &Job) {
+    pub(super) async fn await_head(&self, job: &mut Job) {
+        let begun = now();
+        self.head_has_come(job).await;
+        let waited = now().saturating_duration_since(begun);
+        if !waited.is_zero() {
+            self.metrics.head_wait(waited);
+            job.trail.add(Step::HeadAwaited { waited });
+        }
+    }
+
+    async fn head_has_come(&self, job: &Job) {
         let Some(prompt) = &job.facts.prompt else {
             return;
         };
--- a/crates/serving/src/trail.rs
+++ b/crates/serving/src/trail.rs
@@ -53,6 +53,11 @@
         /// Repeats left to this daemon.
         budget_left: f64,
     },
+    /// It waited until its prompt's head had been read for another request.
+    HeadAwaited {
+        /// How long.
+        waited: Duration,
+    },
     /// A stream went on elsewhere.
     Resumed {
         /// After this event.
@@ -164,6 +169,14 @@
             budget_left = rounded(*budget_left),
             "repeat_decided"
         ),
+        Step::HeadAwaited { waited } => {
+            tracing::info!(
+                request,
+                at_ms,
+                waited_ms = milliseconds(*waited),
+                "head_awaited"
+            );
+        }
         Step::Resumed { after, reason } => {
             tracing::info!(request, at_ms, after, reason, "stream_resumed");
         }
