--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -1,6 +1,8 @@
 //! Chooses back ends by the time they are expected to take.
 
+mod costs;
 mod load;
+mod metering;
 mod prefixes;
 mod reading;
 mod speed;
@@ -10,13 +12,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 
 use crate::configuration::{EngineTraits, Stage};
 use crate::directory::BackEnd;
 use crate::health::Health;
 use crate::prompt::Prompt;
-use crate::stages::{DECODE_READING_SHARE, StageWork};
+use crate::stages::StageWork;
 
 pub use load::{LoadTable, Outstanding, WorkReport, WorkRow};
 pub use prefixes::{HeadState, HeadUse, LEAST_HEAD_TOKENS, PrefixMemory};
@@ -26,33 +28,16 @@
 
 /// What a hand-over costs beside the move itself, in milliseconds: two more messages, and its price.
 const HAND_OVER_MS: f64 = 20.0;
-/// Cost of a way into another zone, in milliseconds.
-const OTHER_ZONE_MS: f64 = 2.0;
 /// Share of an unknown head that its home is taken to read: a little less than others, since another daemon may have
 /// sent it there just now.
 const HOME_READ_SHARE: f64 = 0.85;
-/// Reading at a decode engine holds up what it generates; each millisecond counts as so many.
-const DECODE_READ_WEIGHT: f64 = 1.3;
-/// What each busy share of decode engines beyond [`DECODE_READING_SHARE`] counts as, in milliseconds. Measured (chladnica-hq, scale-2): with two thirds of
-/// their time spent reading short prompts, most streams there paused beyond their target, while prefill engines idled.
-const BUSY_DECODE_MS: f64 = 500.0;
 /// What it is worth that a decode engine keeps the prompt's head already, in milliseconds: what is handed over then
 /// pushes no other head out of its memory, and a head that is kept nowhere is read again.
 const KEPT_AT_DECODE_MS: f64 = 100.0;
 /// The same for the engine where all daemons would begin to keep it.
 const HOME_AT_DECODE_MS: f64 = 60.0;
-/// A stream that holds a slot takes this share of what the slot could do: streams of a batch share each step.
-const SLOT_WEIGHT: f64 = 0.3;
-/// Share of an engine's slots from which it counts as nearly full,
-const NEARLY_FULL: f64 = 0.7;
-/// and what each share beyond that counts as, in milliseconds.
-const FULL_MS: f64 = 300.0;
-/// Work of all daemons is added up this often.
-const WORK_PERIOD: Duration = Duration::from_millis(100);
 /// Expected time of a plain request that nothing is known of, in milliseconds.
 const PLAIN_DEFAULT_MS: f64 = 20.0;
-/// Random part of each cost, so that daemons with the same picture do not all choose the same.
-const JITTER_SHARE: f64 = 0.1;
 
 /// Which engines serve a prompt.
 #[derive(Debug, Clone)]
@@ -217,61 +202,6 @@
         Some(reading.plan(Some(prefill), decode, prefills_home, handed_over_ms))
     }
 
-    /// Work of every service, of all daemons; added up anew where that is some time ago.
-    pub fn work_of_all(&mut self, now: Instant) -> &[(Arc<str>, StageWork)] {
-        let is_due = self
-            .work_added_up
-            .is_none_or(|last| now.saturating_duration_since(last) >= WORK_PERIOD);
-        if is_due {
-            let own = self.work.rates(now);
-            self.work_of_all = self.peer_work.with_own(&own, self.daemons, now);
-            self.work_added_up = Some(now);
-        }
-        &self.work_of_all
-    }
-
-    /// What further reading at the service's decode engines costs the streams there, in milliseconds.
-    fn busy_decode_ms(&self, decoders: &[Arc<BackEnd>]) -> f64 {
-        let Some(first) = decoders.first() else {
-            return 0.0;
-        };
-        let known = self
-            .work_of_all
-            .iter()
-            .find(|(service, _work)| *service == first.service);
-        let work = known.map_or(0.0, |(_service, work)| work.decode_reading);
-        #[expect(clippy::cast_precision_loss, reason = "a few hundred engines")]
-        let busy = work / decoders.len() as f64;
-        (busy - DECODE_READING_SHARE).max(0.0) * BUSY_DECODE_MS
-    }
-
-    /// Adds the reading that a plan brings to the work of its service.
-    pub fn meter(&mut self, service: &Arc<str>, plan: &PromptPlan, now: Instant) {
-        const MS_PER_S: f64 = 1000.0;
-        let prefill_s = plan.tokens_to_read / self.speed.prefill_tokens_per_ms() / MS_PER_S;
-        let decode_s = plan.tokens_to_read / self.speed.decode_tokens_per_ms() / MS_PER_S;
-        let mut work = StageWork::default();
-        if plan.tokens_to_read > reading::UNNOTICED_TOKENS {
-            work.prefill = prefill_s;
-        } else {
-            work.short_reading = prefill_s;
-        }
-        if plan.prefill.is_none() {
-            work.decode_reading = decode_s;
-        }
-        self.work.add(service, work, now);
-    }
-
-    /// Adds a stream's time to the work of its service: it held one of the engine's slots.
-    pub fn meter_stream(&mut self, service: &Arc<str>, slots: u32, time: Duration, now: Instant) {
-        let held = time.as_secs_f64() / f64::from(slots.max(1));
-        let work = StageWork {
-            decode: held * SLOT_WEIGHT,
-            ..StageWork::default()
-        };
-        self.work.add(service, work, now);
-    }
-
     /// Engines that are believed to keep the prompt's head.
     fn keepers(&self, ready: &[Arc<BackEnd>], prompt: &Prompt, now: Instant) -> Vec<Arc<BackEnd>> {
         let Some(head) = prompt.shared_head() else {
@@ -348,76 +278,4 @@
             }
         })
     }
-
-    /// Those that fit, were not tried, and are neither ejected nor away; where none is left, they all count.
-    fn usable(
-        &self,
-        ready: &[Arc<BackEnd>],
-        tried: &[Arc<str>],
-        now: Instant,
-        fits: impl Fn(&BackEnd) -> bool,
-    ) -> Vec<Arc<BackEnd>> {
-        let fitting: Vec<Arc<BackEnd>> = ready
-            .iter()
-            .filter(|back_end| fits(back_end) && !tried.contains(&back_end.id))
-            .cloned()
-            .collect();
-        let well: Vec<Arc<BackEnd>> = fitting
-            .iter()
-            .filter(|back_end| !self.health.is_ejected(&back_end.id))
-            .filter(|back_end| !self.is_away(&back_end.id, now))
-            .filter(|back_end| !self.is_being_tried(&back_end.id))
-            .cloned()
-            .collect();
-        if well.is_empty() { fitting } else { well }
-    }
-
-    /// A back end on trial has one of this daemon's requests already.
-    fn is_being_tried(&self, id: &str) -> bool {
-        self.health.is_on_trial(id) && self.load.own_requests(id) > 0.0
-    }
-
-    fn cheapest(
-        &self,
-        candidates: &[Arc<BackEnd>],
-        random: &mut impl Rng,
-        cost_ms: impl Fn(&BackEnd) -> f64,
-    ) -> Option<(Arc<BackEnd>, f64)> {
-        candidates
-            .iter()
-            .map(|back_end| {
-                let own = cost_ms(back_end) * self.speed.slowness(&back_end.id);
-                let failing = own * self.health.cost_factor(&back_end.id);
-                let cost = failing + self.zone_ms(back_end);
-                let jitter: f64 = random.random();
-                (back_end, cost * (1.0 + JITTER_SHARE * jitter))
-            })
-            .min_by(|left, right| left.1.total_cmp(&right.1))
-            .map(|(back_end, cost)| (Arc::clone(back_end), cost))
-    }
-
-    fn zone_ms(&self, back_end: &BackEnd) -> f64 {
-        if back_end.zone == self.zone {
-            0.0
-        } else {
-            OTHER_ZONE_MS
-        }
-    }
-
-    fn decode_weight(&self) -> f64 {
-        DECODE_READ_WEIGHT / self.speed.decode_tokens_per_ms()
-    }
-
-    /// Time until what waits at the engine is read, and what running requests add to each step.
-    fn waiting_ms(&self, back_end: &BackEnd, ms_per_token: f64) -> f64 {
-        let outstanding = self.load.outstanding(&back_end.id);
-        let crowding = outstanding.requests / f64::from(back_end.slots.max(1));
-        let base = 5.0 * (1.0 + crowding);
-        outstanding.prompt_tokens * ms_per_token + base + queue_ms(crowding)
-    }
-}
-
-/// A full engine lets newcomers wait for a slot; one that is nearly full may be, by the time they come.
-fn queue_ms(crowding: f64) -> f64 {
-    (crowding - NEARLY_FULL).max(0.0) * FULL_MS
 }
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -1,22 +1,22 @@
 //! What this daemon believes of the fleet: the newest configuration, directory and daemons it has seen.
 
-use std::collections::{HashMap, HashSet};
+mod beliefs;
+
+use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use borsh::{BorshDeserialize, BorshSerialize};
-use indexmap::IndexMap;
 use ponddrift_fleet::configuration::Configuration;
-use ponddrift_fleet::directory::{BackEnd, Directory, Lifecycle};
+use ponddrift_fleet::directory::{BackEnd, Lifecycle};
 use ponddrift_fleet::routes::RouteTable;
 use ponddrift_fleet::topology::{Member, Topology};
 
+use beliefs::Beliefs;
+
 use crate::back_end_index::BackEndIndex;
 use crate::store::{Changes, Decoded, FleetStore, Item, Snapshot};
 
-/// The store is in doubt for this long after a call to it failed: entries that vanish then may have lapsed.
-const DOUBT_AFTER_FAILURE: Duration = Duration::from_secs(5);
-
 /// A configuration in force.
 #[derive(Debug)]
 pub struct InForce {
@@ -61,34 +61,16 @@
 pub struct FleetState {
     store: Arc<dyn FleetStore>,
     own: Member,
-    inner: Mutex<Inner>,
-}
-
-#[derive(Default)]
-struct Inner {
-    in_force: Option<Arc<InForce>>,
-    directory: Directory,
-    index: Option<Arc<BackEndIndex>>,
-    daemons: HashMap<Arc<str>, Member>,
-    topology: Arc<Topology>,
-    order_holder: Option<Arc<str>>,
-    items: IndexMap<String, Item>,
-    newest: u64,
-    /// Everything up to this revision is known; none before the first reading.
-    position: Option<u64>,
-    /// Removals are known from this revision on.
-    removals_since: u64,
-    last_store_failure: Option<Instant>,
-    store_reached: bool,
+    inner: Mutex<Beliefs>,
 }
 
 impl FleetState {
     /// Nothing known yet. `own` is this daemon.
     #[must_use]
     pub fn new(store: Arc<dyn FleetStore>, own: Member) -> Self {
-        let inner = Inner {
+        let inner = Beliefs {
             topology: Arc::new(Topology::of(&own, &[])),
-            ..Inner::default()
+            ..Beliefs::default()
         };
         Self {
             store,
@@ -326,128 +308,9 @@
             .max(newest.saturating_sub(REMOVED_KEPT));
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    fn lock(&self) -> MutexGuard<'_, Beliefs> {
         self.inner
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
-
-impl Inner {
-    /// Works out the daemon's place among its peers anew.
-    fn place(&mut self, own: &Member) {
-        let members: Vec<Member> = self.daemons.values().cloned().collect();
-        let topology = Topology::of(own, &members);
-        if topology.follows_store != self.topology.follows_store {
-            tracing::info!(
-                follows = topology.follows_store,
-                daemons = topology.daemons,
-                neighbours = topology.neighbours.len(),
-                "store_follower_chosen"
-            );
-        }
-        self.topology = Arc::new(topology);
-    }
-
-    fn is_in_doubt(&self, now: Instant) -> bool {
-        self.last_store_failure
-            .is_some_and(|last| now.saturating_duration_since(last) < DOUBT_AFTER_FAILURE)
-    }
-
-    fn apply(&mut self, decoded: Decoded, revision: u64, source: Source, now: Instant) {
-        match decoded {
-            Decoded::Configuration(configuration) => {
-                self.apply_configuration(*configuration, revision, source, now);
-            }
-            Decoded::BackEnd(back_end) => self.apply_back_end(back_end, revision, source),
-            Decoded::BackEndGone(id) => self.remove_back_end(&id, revision, source, now),
-            Decoded::Daemon(daemon) => {
-                tracing::info!(
-                    daemon = %daemon.name,
-                    zone = %daemon.zone,
-                    address = %daemon.peer_address,
-                    "daemon_joined"
-                );
-                self.daemons.insert(Arc::clone(&daemon.name), daemon);
-            }
-            Decoded::DaemonGone(name) => {
-                tracing::info!(daemon = %name, "daemon_left");
-                self.daemons.remove(&name);
-            }
-            Decoded::OrderHolder(holder) => {
-                tracing::info!(%holder, revision, source = source.as_str(), "order_holder");
-                self.order_holder = Some(holder);
-            }
-            Decoded::OrderHolderGone => {
-                tracing::info!(revision, source = source.as_str(), "order_holder_gone");
-                self.order_holder = None;
-            }
-            Decoded::Other => {}
-        }
-    }
-
-    fn apply_configuration(
-        &mut self,
-        configuration: Configuration,
-        revision: u64,
-        source: Source,
-        now: Instant,
-    ) {
-        let known = self
-            .in_force
-            .as_ref()
-            .map_or(0, |in_force| in_force.configuration.version);
-        if configuration.version <= known {
-            return;
-        }
-        tracing::info!(
-            version = configuration.version,
-            before = known,
-            revision,
-            routes = configuration.routes.len(),
-            source = source.as_str(),
-            "configuration_in_force"
-        );
-        let routes = RouteTable::new(&configuration);
-        self.in_force = Some(Arc::new(InForce {
-            configuration,
-            routes,
-            revision,
-            since: now,
-        }));
-    }
-
-    fn apply_back_end(&mut self, back_end: BackEnd, revision: u64, source: Source) {
-        let changed = self.directory.get(&back_end.id).is_none_or(|known| {
-            known.lifecycle != back_end.lifecycle || known.stage != back_end.stage
-        });
-        if changed {
-            tracing::info!(
-                back_end = %back_end.id,
-                service = %back_end.service,
-                address = %back_end.address,
-                zone = %back_end.zone,
-                ready = back_end.lifecycle == Lifecycle::Ready,
-                stage = back_end.stage.map(ponddrift_fleet::configuration::Stage::as_str),
-                revision,
-                source = source.as_str(),
-                "back_end_changed"
-            );
-        }
-        self.directory.put(back_end, revision);
-        self.index = None;
-    }
-
-    fn remove_back_end(&mut self, id: &str, revision: u64, source: Source, now: Instant) {
-        let in_doubt = self.is_in_doubt(now);
-        tracing::info!(
-            back_end = id,
-            revision,
-            in_doubt,
-            source = source.as_str(),
-            "back_end_gone"
-        );
-        self.directory.remove(id, revision, now, in_doubt);
-        self.index = None;
-    }
-}
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod attempt;
 mod budgeting;
+mod first_event;
 mod generate;
 mod guards;
 mod intake;
--- /dev/null
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -0,0 +1,145 @@
+//! Waits for the first event of a stream, and notes what it tells.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::events::{Event, EventSplitter};
+use ponddrift_fleet::health::Outcome;
+use ponddrift_fleet::placement::{HeadState, PromptPlan};
+
+use super::Pipeline;
+use super::generate::{FirstEvent, OpenStream};
+use super::guards::LoadGuard;
+use super::job::Job;
+use super::patience::{GivenUp, Patience};
+use crate::connections::Reply;
+use crate::follow::now;
+use crate::trail::{Step, milliseconds};
+
+/// Why no first event came.
+pub(super) enum NoEvent {
+    GivenUp(GivenUp),
+    Broken(&'static str),
+}
+
+impl NoEvent {
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::GivenUp(given_up) => given_up.name(),
+            Self::Broken(name) => name,
+        }
+    }
+
+    const fn outcome(&self) -> Option<Outcome> {
+        match self {
+            Self::GivenUp(given_up) => given_up.outcome(),
+            Self::Broken(_) => Some(Outcome::Broken),
+        }
+    }
+}
+
+impl Pipeline {
+    pub(super) async fn first_event(
+        self: &Arc<Self>,
+        back_end: &Arc<BackEnd>,
+        health_path: &str,
+        reply: Reply,
+        mut load: LoadGuard,
+        begun: Instant,
+        patience: Patience,
+    ) -> Result<Box<OpenStream>, NoEvent> {
+        let (head, mut body) = reply.response.into_parts();
+        let mut splitter = EventSplitter::default();
+        let reading = read_first_event(&mut body, &mut splitter);
+        let (first, ended) = self
+            .wait_for(reading, back_end, health_path, patience)
+            .await
+            .map_err(NoEvent::GivenUp)?
+            .map_err(NoEvent::Broken)?;
+        load.prompt_read();
+        Ok(Box::new(OpenStream {
+            back_end: Arc::clone(back_end),
+            head,
+            body,
+            connection: reply.connection,
+            splitter,
+            first,
+            ended,
+            first_passed: false,
+            begun,
+            _load: load,
+        }))
+    }
+
+    pub(super) fn note_first_event(
+        self: &Arc<Self>,
+        job: &mut Job,
+        plan: &PromptPlan,
+        decode: &Arc<BackEnd>,
+        opened: Result<Box<OpenStream>, NoEvent>,
+        begun: Instant,
+    ) -> FirstEvent {
+        let took = now().saturating_duration_since(begun);
+        match opened {
+            Ok(stream) => {
+                let waited = now().saturating_duration_since(job.arrived);
+                self.metrics.first_event(waited);
+                job.first_event.get_or_insert_with(now);
+                self.learn_decode(job, plan, decode, took);
+                FirstEvent::Came(stream)
+            }
+            Err(no_event) => {
+                if let Some(outcome) = no_event.outcome() {
+                    self.note_outcome(decode, &job.service.health_path, outcome);
+                }
+                let reason = no_event.name();
+                self.attempt_ended(
+                    job,
+                    Step::Ended {
+                        purpose: "serve",
+                        back_end: Arc::clone(&decode.id),
+                        outcome: reason,
+                        status: None,
+                        took,
+                    },
+                );
+                FirstEvent::Unsure(reason)
+            }
+        }
+    }
+
+    fn learn_decode(&self, job: &Job, plan: &PromptPlan, decode: &Arc<BackEnd>, took: Duration) {
+        self.note_head(job, decode, HeadState::Kept);
+        if job.facts.prompt.is_some() && plan.prefill.is_none() {
+            self.placement().speed.engine_answered(
+                &decode.id,
+                plan.expected_ms,
+                milliseconds(took),
+            );
+        }
+    }
+}
+
+async fn read_first_event(
+    body: &mut Incoming,
+    splitter: &mut EventSplitter,
+) -> Result<(Option<Event>, bool), &'static str> {
+    loop {
+        if let Some(event) = splitter.next_event().map_err(|_fault| "event_too_long")? {
+            return Ok((Some(event), false));
+        }
+        match body.frame().await {
+            None if splitter.has_rest() => return Err("broke_off_in_an_event"),
+            None => return Ok((None, true)),
+            Some(Err(_error)) => return Err("broke_off_before_first_event"),
+            Some(Ok(frame)) => {
+                if let Some(data) = frame.data_ref() {
+                    splitter.push(data);
+                }
+            }
+        }
+    }
+}
