--- a/crates/daemon/src/actors/peer.rs
+++ b/crates/daemon/src/actors/peer.rs
@@ -37,7 +37,7 @@
 use crate::peer::{PeerIdentity, socket};
 use crate::polling::EngineObservation;
 
-pub(crate) use answers::{AllFacts, AllMarks, IsDraining};
+pub(crate) use answers::{AllFacts, AllMarks};
 
 /// Time between two ticks.
 pub(crate) const TICK: Duration = Duration::from_millis(100);
--- a/crates/daemon/src/actors/peer/answers.rs
+++ b/crates/daemon/src/actors/peer/answers.rs
@@ -1,6 +1,5 @@
 //! What other parts of the daemon ask the peer actor.
 
-use ponddrift_core::MachineId;
 use ponddrift_core::drain::DrainMark;
 use ponddrift_core::engine_facts::EngineFacts;
 use ponddrift_core::load::KnownLoad;
@@ -11,9 +10,6 @@
 /// Asks for all drain marks.
 pub(crate) struct AllMarks;
 
-/// Asks whether nothing new is routed to a back end.
-pub(crate) struct IsDraining(pub(crate) MachineId);
-
 /// Asks for the facts of all engines.
 pub(crate) struct AllFacts;
 
@@ -28,14 +24,6 @@
     }
 }
 
-impl Handler<IsDraining> for PeerActor {
-    type Return = bool;
-
-    async fn handle(&mut self, message: IsDraining, _context: &mut Context<Self>) -> bool {
-        self.drains.draining(message.0).is_some()
-    }
-}
-
 impl Handler<AllFacts> for PeerActor {
     type Return = Vec<EngineFacts>;
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -6,7 +6,6 @@
 mod controllers;
 mod duties;
 mod limits;
-mod standing;
 mod start_error;
 
 use std::net::SocketAddr;
@@ -17,19 +16,16 @@
 use ponddrift_core::membership::Readiness;
 use ponddrift_http::Server;
 use ponddrift_protocol::{Request, Response};
-use ponddrift_runtime::watch;
 use tokio::sync::{mpsc, oneshot};
 use xtra::Address;
 
 pub use addresses::DaemonAddresses;
 pub(crate) use claim_groups::peer_address;
-pub use standing::LiveDaemon;
 pub use start_error::StartError;
 
 use crate::actors::ask;
 use crate::actors::peer::{LeavePeers, PeerActor, SetReadiness};
 use crate::gateway::GatewayContext;
-use crate::peer::view::MembersView;
 
 /// Longest wait of a planned stop for other daemons to take its claims over.
 const HANDOVER_LIMIT: Duration = Duration::from_secs(20);
@@ -42,7 +38,6 @@
     operator: Server,
     context: Arc<GatewayContext>,
     peers: Address<PeerActor>,
-    members: watch::Receiver<Arc<MembersView>>,
     stop_controllers: mpsc::Sender<oneshot::Sender<()>>,
     addresses: DaemonAddresses,
 }
--- a/crates/daemon/src/daemon/assemble.rs
+++ b/crates/daemon/src/daemon/assemble.rs
@@ -102,7 +102,6 @@
             operator,
             context,
             peers,
-            members: shared.members.clone(),
             stop_controllers,
             addresses,
         })
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,4 +17,4 @@
 mod requests;
 pub mod settings;
 
-pub use daemon::{Daemon, DaemonAddresses, LiveDaemon, StartError};
+pub use daemon::{Daemon, DaemonAddresses, StartError};
--- a/crates/emulator/src/platform/machine_list.rs
+++ b/crates/emulator/src/platform/machine_list.rs
@@ -1,14 +1,13 @@
 //! Machine list that lags: readers see the list as it was some time ago.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use futures::future::BoxFuture;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
-use ponddrift_core::MachineId;
-use ponddrift_core::machine::{MachineList, MachineState};
+use ponddrift_core::machine::MachineList;
 use ponddrift_http::{Body, body};
 use ponddrift_platform::machines::MACHINES_PATH;
 use serde::{Deserialize, Serialize};
@@ -35,24 +34,6 @@
     settings: MachineListSettings,
     /// Lists with the time at which each became current, oldest first; never empty.
     versions: VecDeque<(Instant, MachineList)>,
-    /// Machines that were served as leaving in the last answer, each with the first such answer.
-    served_leaving: BTreeMap<MachineId, Instant>,
-}
-
-impl Inner {
-    fn note_served(&mut self, list: &MachineList) {
-        let is_leaving = |id: &MachineId| {
-            let mut machines = list.machines.iter();
-            machines.any(|machine| machine.id == *id && machine.state == MachineState::Leaving)
-        };
-        self.served_leaving.retain(|id, _since| is_leaving(id));
-        let now = Instant::now();
-        for machine in &list.machines {
-            if machine.state == MachineState::Leaving {
-                self.served_leaving.entry(machine.id).or_insert(now);
-            }
-        }
-    }
 }
 
 impl MachineListService {
@@ -62,7 +43,6 @@
         let inner = Inner {
             settings,
             versions: VecDeque::from([(Instant::now(), first)]),
-            served_leaving: BTreeMap::new(),
         };
         Self {
             inner: Mutex::new(inner),
@@ -116,12 +96,6 @@
             .unwrap_or_default()
     }
 
-    /// When readers were first told that a machine is leaving; `None` unless they still are.
-    #[must_use]
-    pub fn served_leaving_since(&self, machine: MachineId) -> Option<Instant> {
-        self.lock().served_leaving.get(&machine).copied()
-    }
-
     /// The settings.
     #[must_use]
     pub fn settings(&self) -> MachineListSettings {
@@ -138,7 +112,6 @@
     /// The list as readers see it, or 304 to one who shows the tag of the same list.
     fn answer(&self, headers: &HeaderMap) -> Response<Body> {
         let list = self.shown();
-        self.lock().note_served(&list);
         let tag = HeaderValue::from_str(&format!("\"{}\"", list.revision))
             .expect("a quoted number is a header's value");
         let is_known = headers.get(header::IF_NONE_MATCH) == Some(&tag);
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -207,7 +207,7 @@
 
     /// Engines that are believed to keep the prompt's head.
     fn keepers(&self, ready: &[Arc<BackEnd>], prompt: &Prompt, now: Instant) -> Vec<Arc<BackEnd>> {
-        let Some(head) = prompt.shared_head() else {
+        let Some(head) = prefixes::remembered_head(prompt) else {
             return Vec::new();
         };
         ready
@@ -222,7 +222,7 @@
     /// prompts with one head at a time reads it twice.
     #[must_use]
     pub fn is_head_coming(&self, ready: &[Arc<BackEnd>], prompt: &Prompt, now: Instant) -> bool {
-        let Some(head) = prompt.shared_head() else {
+        let Some(head) = prefixes::remembered_head(prompt) else {
             return false;
         };
         let states = ready
@@ -263,9 +263,7 @@
         random: &mut impl Rng,
     ) -> Option<(Arc<BackEnd>, f64)> {
         let weight = self.decode_weight();
-        let head = prompt
-            .filter(|prompt| prompt.shared_tokens() >= LEAST_HEAD_TOKENS)
-            .and_then(Prompt::shared_head);
+        let head = prompt.and_then(prefixes::remembered_head);
         let home = head.and_then(|head| prefixes::home(decoders, head));
         self.cheapest(decoders, random, |back_end| {
             let waiting = self.waiting_ms(back_end, weight);
--- a/crates/fleet/src/placement/prefixes.rs
+++ b/crates/fleet/src/placement/prefixes.rs
@@ -55,14 +55,10 @@
     /// The use that a prompt makes of an engine's cache; none where it shares no head worth remembering.
     #[must_use]
     pub fn of(prompt: &Prompt, engine: &BackEnd, state: HeadState) -> Option<Self> {
-        let tokens = prompt.shared_tokens();
-        if tokens < LEAST_HEAD_TOKENS {
-            return None;
-        }
         Some(Self {
             engine: Arc::clone(&engine.id),
-            head: prompt.shared_head()?,
-            tokens,
+            head: remembered_head(prompt)?,
+            tokens: prompt.shared_tokens(),
             own_tokens: prompt.own_tokens(),
             state,
         })
@@ -191,6 +187,12 @@
     }
 }
 
+/// The prompt's shared head, if it is worth remembering.
+pub(super) fn remembered_head(prompt: &Prompt) -> Option<u64> {
+    let is_long = prompt.shared_tokens() >= LEAST_HEAD_TOKENS;
+    prompt.shared_head().filter(|_head| is_long)
+}
+
 /// The engine where prompts with this head meet: the one with the highest hash of both.
 pub(super) fn home(engines: &[Arc<BackEnd>], head: u64) -> Option<&Arc<BackEnd>> {
     engines
--- a/crates/fleet/src/placement/speed.rs
+++ b/crates/fleet/src/placement/speed.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use crate::stages::DECODE_READ_PACE;
+
 /// Prompt tokens that a prefill engine is taken to read in a millisecond until some readings have been seen.
 const DEFAULT_PREFILL_TOKENS_PER_MS: f64 = 30.0;
 /// Readings from which a rate is worked out.
@@ -18,8 +20,6 @@
 const RATE_BOUNDS: (f64, f64) = (1.0, 1_000.0);
 /// Readings that peers have not been told of, at most.
 const MOST_UNTOLD: usize = 16;
-/// A decode engine reads prompts at this share of a prefill engine's pace.
-const DECODE_READ_SHARE: f64 = 0.5;
 /// Weight of the newest sample.
 const NEWEST_WEIGHT: f64 = 0.15;
 /// Bounds of an engine's slowness.
@@ -138,7 +138,7 @@
     /// Prompt tokens that a decode engine reads in a millisecond.
     #[must_use]
     pub fn decode_tokens_per_ms(&self) -> f64 {
-        self.prefill_tokens_per_ms() * DECODE_READ_SHARE
+        self.prefill_tokens_per_ms() * DECODE_READ_PACE
     }
 
     /// Usual time of a plain answer in milliseconds.
--- a/crates/fleet/src/stages.rs
+++ b/crates/fleet/src/stages.rs
@@ -49,8 +49,8 @@
 /// Decode engines read short prompts themselves for up to this share of their time; beyond it the pauses show in their
 /// streams, and prefill engines read the rest.
 pub const DECODE_READING_SHARE: f64 = 0.1;
-/// A decode engine reads at this share of a prefill engine's pace.
-const DECODE_READ_PACE: f64 = 0.5;
+/// A decode engine reads prompts at this share of a prefill engine's pace.
+pub(crate) const DECODE_READ_PACE: f64 = 0.5;
 
 /// Work of one service, in engine-seconds a second. What each stage is wanted for counts there, wherever it was done: a
 /// full stage spills into the other, which must not look as if that were its own work.
@@ -168,8 +168,8 @@
         let mut decode = count(engines, Stage::Decode);
         let most = ((prefill + decode) / ENGINES_PER_CHANGE).max(1);
         let peak = self.peak();
-        let wanted = better(work, peak, prefill, decode);
-        let Some((stage, _gain)) = self.confirmed(wanted) else {
+        let wanted = better(work, peak, prefill, decode).map(|(stage, _gain)| stage);
+        let Some(stage) = self.confirmed(wanted) else {
             return Vec::new();
         };
         let mut candidates = self.candidates(engines, stage, busyness, now);
@@ -250,12 +250,12 @@
             .is_some_and(|first| now.saturating_duration_since(first) >= LEARNING)
     }
 
-    fn confirmed(&mut self, wanted: Option<(Stage, f64)>) -> Option<(Stage, f64)> {
-        let stage = wanted.map(|(stage, _gain)| stage);
-        if stage == self.wanted {
+    /// The wanted stage, once some looks in a row have found the same.
+    fn confirmed(&mut self, wanted: Option<Stage>) -> Option<Stage> {
+        if wanted == self.wanted {
             self.looks += 1;
         } else {
-            self.wanted = stage;
+            self.wanted = wanted;
             self.looks = 1;
         }
         wanted.filter(|_| self.looks >= LOOKS)
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -1,11 +1,12 @@
 //! Which engines a prompt goes to.
 
-use std::net::SocketAddr;
+mod support;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use ponddrift_fleet::configuration::{EngineTraits, Stage};
-use ponddrift_fleet::directory::{BackEnd, Lifecycle};
+use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{
     HeadState, HeadUse, Outstanding, Placement, PromptPlan, WorkReport, WorkRow,
@@ -14,6 +15,7 @@
 use ponddrift_fleet::stages::StageWork;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
+use support::engines;
 
 struct Scene {
     placement: Placement,
@@ -24,14 +26,11 @@
 
 impl Scene {
     fn new(prefill: u8, decode: u8) -> Self {
-        let stages = std::iter::repeat_n(Stage::Prefill, usize::from(prefill))
-            .chain(std::iter::repeat_n(Stage::Decode, usize::from(decode)));
-        let engines = stages.zip(1..).map(|(stage, number)| engine(number, stage));
         let mut placement = Placement::new(Arc::from("a"));
         placement.prefixes.set_capacity(400_000);
         Self {
             placement,
-            engines: engines.collect(),
+            engines: engines(prefill, decode),
             now: Instant::now(),
             random: Pcg64Mcg::seed_from_u64(3),
         }
@@ -99,18 +98,6 @@
     }
 }
 
-fn engine(number: u8, stage: Stage) -> Arc<BackEnd> {
-    Arc::new(BackEnd {
-        id: Arc::from(format!("i-{number}")),
-        service: Arc::from("models"),
-        address: SocketAddr::from(([10, 0, 0, number], 8080)),
-        zone: Arc::from("a"),
-        slots: 32,
-        lifecycle: Lifecycle::Ready,
-        stage: Some(stage),
-    })
-}
-
 fn traits() -> EngineTraits {
     EngineTraits {
         slots: 32,
--- a/crates/fleet/tests/stages.rs
+++ b/crates/fleet/tests/stages.rs
@@ -1,12 +1,14 @@
 //! The stage planner: what it moves, and what it leaves.
 
-use std::net::SocketAddr;
+mod support;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use ponddrift_fleet::configuration::Stage;
-use ponddrift_fleet::directory::{BackEnd, Lifecycle};
+use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::stages::{StageChange, StagePlanner, StageWork};
+use support::engines;
 
 const LOOK: Duration = Duration::from_millis(500);
 
@@ -19,14 +21,9 @@
 
 impl Scene {
     fn new(prefill: u8, decode: u8) -> Self {
-        let stages = std::iter::repeat_n(Stage::Prefill, usize::from(prefill))
-            .chain(std::iter::repeat_n(Stage::Decode, usize::from(decode)));
         Self {
             planner: StagePlanner::default(),
-            engines: stages
-                .zip(1..)
-                .map(|(stage, id)| engine(id, stage))
-                .collect(),
+            engines: engines(prefill, decode),
             now: Instant::now(),
             changes: 0,
         }
@@ -65,18 +62,6 @@
     }
 }
 
-fn engine(number: u8, stage: Stage) -> Arc<BackEnd> {
-    Arc::new(BackEnd {
-        id: Arc::from(format!("i-{number}")),
-        service: Arc::from("models"),
-        address: SocketAddr::from(([10, 0, 0, number], 8080)),
-        zone: Arc::from("a"),
-        slots: 32,
-        lifecycle: Lifecycle::Ready,
-        stage: Some(stage),
-    })
-}
-
 const fn work(prefill: f64, decode: f64) -> StageWork {
     StageWork {
         prefill,
--- /dev/null
+++ b/crates/fleet/tests/support/mod.rs
@@ -0,0 +1,29 @@
+//! Engines of one service, for tests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use ponddrift_fleet::configuration::Stage;
+use ponddrift_fleet::directory::{BackEnd, Lifecycle};
+
+/// Engines `i-1` and on, those that read prompts first.
+pub fn engines(prefill: u8, decode: u8) -> Vec<Arc<BackEnd>> {
+    let stages = std::iter::repeat_n(Stage::Prefill, usize::from(prefill))
+        .chain(std::iter::repeat_n(Stage::Decode, usize::from(decode)));
+    stages
+        .zip(1..)
+        .map(|(stage, number)| engine(number, stage))
+        .collect()
+}
+
+fn engine(number: u8, stage: Stage) -> Arc<BackEnd> {
+    Arc::new(BackEnd {
+        id: Arc::from(format!("i-{number}")),
+        service: Arc::from("models"),
+        address: SocketAddr::from(([10, 0, 0, number], 8080)),
+        zone: Arc::from("a"),
+        slots: 32,
+        lifecycle: Lifecycle::Ready,
+        stage: Some(stage),
+    })
+}
--- a/crates/serve/tests/fleet_changes.rs
+++ b/crates/serve/tests/fleet_changes.rs
@@ -293,17 +293,9 @@
     });
     fleet.wait(Duration::from_secs(1));
     fleet.store.refuse(fleet.daemons[1].machine);
-    let text = support::configuration(2, &routes());
-    let mut value: serde_json::Value = serde_json::from_str(&text).expect("JSON");
-    let all = value["routes"].as_array_mut().expect("a list");
-    let model = all[1].clone();
-    for number in 0..400 {
-        let mut route = model.clone();
-        route["name"] = serde_json::json!(format!("more-{number}"));
-        route["pathPrefix"] = serde_json::json!(format!("/more-{number}/"));
-        all.push(route);
-    }
-    fleet.store.put("op/config", value.to_string());
+    fleet
+        .store
+        .put("op/config", support::configuration_of_hundreds_of_routes(2));
     fleet.wait(Duration::from_millis(1_900));
     let request = ClientRequest::plain("1", "more-399");
     for daemon in 0..3 {
--- a/crates/serve/tests/neighbours.rs
+++ b/crates/serve/tests/neighbours.rs
@@ -67,17 +67,9 @@
 #[test]
 fn a_configuration_that_fills_no_datagram_reaches_them_too() {
     let mut fleet = of_daemons(8, 2);
-    let text = support::configuration(2, &routes());
-    let mut value: serde_json::Value = serde_json::from_str(&text).expect("JSON");
-    let all = value["routes"].as_array_mut().expect("a list");
-    let model = all[1].clone();
-    for number in 0..400 {
-        let mut route = model.clone();
-        route["name"] = serde_json::json!(format!("more-{number}"));
-        route["pathPrefix"] = serde_json::json!(format!("/more-{number}/"));
-        all.push(route);
-    }
-    fleet.store.put("op/config", value.to_string());
+    fleet
+        .store
+        .put("op/config", support::configuration_of_hundreds_of_routes(2));
     fleet.wait(Duration::from_millis(500));
     let request = ClientRequest::plain("1", "more-399");
     let client = fleet.client.clone();
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -280,6 +280,21 @@
     config(version, routes, &services)
 }
 
+/// The usual routes, and 400 more like `fetch`, `more-0` to `more-399`.
+pub fn configuration_of_hundreds_of_routes(version: u64) -> String {
+    let text = configuration(version, &routes());
+    let mut value: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    let all = value["routes"].as_array_mut().expect("a list");
+    let model = all[1].clone();
+    for number in 0..400 {
+        let mut route = model.clone();
+        route["name"] = serde_json::json!(format!("more-{number}"));
+        route["pathPrefix"] = serde_json::json!(format!("/more-{number}/"));
+        all.push(route);
+    }
+    value.to_string()
+}
+
 /// Waits in virtual time until `condition` holds.
 pub async fn until(mut condition: impl FnMut() -> bool) {
     for _ in 0..20_000 {
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -15,7 +15,7 @@
 use beliefs::Beliefs;
 
 use crate::back_end_index::BackEndIndex;
-use crate::store::{Changes, Decoded, FleetStore, Item, Snapshot};
+use crate::store::{Changes, FleetStore, Item, Snapshot};
 
 /// A configuration in force.
 #[derive(Debug)]
@@ -68,15 +68,8 @@
     /// Nothing known yet. `own` is this daemon.
     #[must_use]
     pub fn new(store: Arc<dyn FleetStore>, own: Member) -> Self {
-        let inner = Beliefs {
-            topology: Arc::new(Topology::of(&own, &[])),
-            ..Beliefs::default()
-        };
-        Self {
-            store,
-            own,
-            inner: Mutex::new(inner),
-        }
+        let inner = Mutex::new(Beliefs::of(&own));
+        Self { store, own, inner }
     }
 
     /// This daemon.
@@ -228,6 +221,8 @@
         for item in items {
             self.take_item(item, source, now);
         }
+        // Once for all of them: a reading of everything names every daemon.
+        self.lock().place_where_daemons_changed(&self.own);
     }
 
     fn take_item(&self, item: Item, source: Source, now: Instant) {
@@ -235,15 +230,7 @@
             return;
         }
         match self.store.decode(&item) {
-            Ok(decoded) => {
-                let mut inner = self.lock();
-                let changes_daemons =
-                    matches!(&decoded, Decoded::Daemon(_) | Decoded::DaemonGone(_));
-                inner.apply(decoded, item.revision, source, now);
-                if changes_daemons {
-                    inner.place(&self.own);
-                }
-            }
+            Ok(decoded) => self.lock().apply(decoded, item.revision, source, now),
             Err(unreadable) => tracing::warn!(
                 key = unreadable.key,
                 revision = unreadable.revision,
--- a/crates/serving/src/fleet_state/beliefs.rs
+++ b/crates/serving/src/fleet_state/beliefs.rs
@@ -24,6 +24,8 @@
     pub(super) index: Option<Arc<BackEndIndex>>,
     pub(super) daemons: HashMap<Arc<str>, Member>,
     pub(super) topology: Arc<Topology>,
+    /// Daemons have come or gone since the topology was worked out.
+    daemons_changed: bool,
     pub(super) order_holder: Option<Arc<str>>,
     pub(super) items: IndexMap<String, Item>,
     pub(super) newest: u64,
@@ -36,8 +38,19 @@
 }
 
 impl Beliefs {
-    /// Works out the daemon's place among its peers anew.
-    pub(super) fn place(&mut self, own: &Member) {
+    /// Nothing known yet but this daemon.
+    pub(super) fn of(own: &Member) -> Self {
+        Self {
+            topology: Arc::new(Topology::of(own, &[])),
+            ..Self::default()
+        }
+    }
+
+    /// Works out the daemon's place among its peers anew, where they are others than before.
+    pub(super) fn place_where_daemons_changed(&mut self, own: &Member) {
+        if !std::mem::take(&mut self.daemons_changed) {
+            return;
+        }
         let members: Vec<Member> = self.daemons.values().cloned().collect();
         let topology = Topology::of(own, &members);
         if topology.follows_store != self.topology.follows_store {
@@ -71,10 +84,12 @@
                     "daemon_joined"
                 );
                 self.daemons.insert(Arc::clone(&daemon.name), daemon);
+                self.daemons_changed = true;
             }
             Decoded::DaemonGone(name) => {
                 tracing::info!(daemon = %name, "daemon_left");
                 self.daemons.remove(&name);
+                self.daemons_changed = true;
             }
             Decoded::OrderHolder(holder) => {
                 tracing::info!(%holder, revision, source = source.as_str(), "order_holder");
@@ -88,7 +103,7 @@
         }
     }
 
-    pub(super) fn apply_configuration(
+    fn apply_configuration(
         &mut self,
         configuration: Configuration,
         revision: u64,
@@ -119,7 +134,7 @@
         }));
     }
 
-    pub(super) fn apply_back_end(&mut self, back_end: BackEnd, revision: u64, source: Source) {
+    fn apply_back_end(&mut self, back_end: BackEnd, revision: u64, source: Source) {
         let changed = self.directory.get(&back_end.id).is_none_or(|known| {
             known.lifecycle != back_end.lifecycle || known.stage != back_end.stage
         });
@@ -140,13 +155,7 @@
         self.index = None;
     }
 
-    pub(super) fn remove_back_end(
-        &mut self,
-        id: &str,
-        revision: u64,
-        source: Source,
-        now: Instant,
-    ) {
+    fn remove_back_end(&mut self, id: &str, revision: u64, source: Source, now: Instant) {
         let in_doubt = self.is_in_doubt(now);
         tracing::info!(
             back_end = id,
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -211,18 +211,17 @@
         };
         let changes = self.store.changes(after, wait).await?;
         let at = changes.at.max(after);
-        if changes.items.is_empty() {
-            self.state.take_changes(changes, Source::Store, now());
-            return Ok(at);
-        }
-        if follows_for_others {
+        let has_news = !changes.items.is_empty();
+        if has_news && follows_for_others {
             // Where too many wait already, neighbours fetch them.
             drop(self.following.untold.try_send(changes.clone()));
         }
         // They follow on the position, which never goes back.
         self.state.take_changes(changes, Source::Store, now());
-        self.following.note_answer(Some(Instant::now()));
-        tokio::time::sleep(self.gathering(follows_for_others)).await;
+        if has_news {
+            self.following.note_answer(Some(Instant::now()));
+            tokio::time::sleep(self.gathering(follows_for_others)).await;
+        }
         Ok(at)
     }
 
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -154,13 +154,16 @@
         self.unwell.truncate(MAXIMUM_UNWELL);
         self.away.truncate(MAXIMUM_AWAY);
         self.work.truncate(MAXIMUM_SERVICES);
-        let own_reports_only = Self {
-            reports: self.reports.iter().take(1).cloned().collect(),
-            ..self.clone()
-        };
-        // Names of services may be long.
-        encode(&Message::Digest(Box::new(self)))
-            .or_else(|| encode(&Message::Digest(Box::new(own_reports_only))))
+        let mut message = Message::Digest(Box::new(self));
+        let whole = encode(&message);
+        if whole.is_none()
+            && let Message::Digest(digest) = &mut message
+        {
+            // Names of services may be long: what other daemons told is left out.
+            digest.reports.truncate(1);
+            return encode(&message);
+        }
+        whole
     }
 
     /// Whole reports, as many as fit; the own one in any case, cut where it is too long.
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Frame, Incoming};
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
@@ -131,15 +132,35 @@
         if let Some(event) = splitter.next_event().map_err(|_fault| "event_too_long")? {
             return Ok((Some(event), false));
         }
-        match body.frame().await {
-            None if splitter.has_rest() => return Err("broke_off_in_an_event"),
-            None => return Ok((None, true)),
-            Some(Err(_error)) => return Err("broke_off_before_first_event"),
-            Some(Ok(frame)) => {
-                if let Some(data) = frame.data_ref() {
-                    splitter.push(data);
-                }
+        let frame = body.frame().await;
+        match take_frame(splitter, frame, "broke_off_before_first_event")? {
+            Flow::GoesOn => {}
+            Flow::Ended => return Ok((None, true)),
+        }
+    }
+}
+
+/// Whether a body goes on after a frame.
+pub(super) enum Flow {
+    GoesOn,
+    Ended,
+}
+
+/// Takes what came of a body; a fault is named `broke_off`, or says that it came inside an event.
+pub(super) fn take_frame(
+    splitter: &mut EventSplitter,
+    frame: Option<hyper::Result<Frame<Bytes>>>,
+    broke_off: &'static str,
+) -> Result<Flow, &'static str> {
+    match frame {
+        None if splitter.has_rest() => Err("broke_off_in_an_event"),
+        None => Ok(Flow::Ended),
+        Some(Err(_error)) => Err(broke_off),
+        Some(Ok(frame)) => {
+            if let Some(data) = frame.data_ref() {
+                splitter.push(data);
             }
+            Ok(Flow::GoesOn)
         }
     }
 }
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -15,6 +15,7 @@
 use ponddrift_http::body::BodyError;
 
 use super::Pipeline;
+use super::first_event::{Flow, take_frame};
 use super::generate::OpenStream;
 use super::guards::InProgress;
 use super::job::Job;
@@ -152,16 +153,11 @@
                 .await;
             match waited {
                 Err(given_up) => return Next::GivenUp(given_up),
-                Ok(None) if stream.splitter.has_rest() => {
-                    return Next::Broken("broke_off_in_an_event");
-                }
-                Ok(None) => return Next::End,
-                Ok(Some(Err(_error))) => return Next::Broken("broke_off"),
-                Ok(Some(Ok(frame))) => {
-                    if let Some(data) = frame.data_ref() {
-                        stream.splitter.push(data);
-                    }
-                }
+                Ok(frame) => match take_frame(&mut stream.splitter, frame, "broke_off") {
+                    Ok(Flow::GoesOn) => {}
+                    Ok(Flow::Ended) => return Next::End,
+                    Err(reason) => return Next::Broken(reason),
+                },
             }
         }
     }
--- a/crates/soak/tests/logs.rs
+++ b/crates/soak/tests/logs.rs
@@ -1,5 +1,6 @@
 //! A real daemon's log: a small reader finds each failure's cause, and no reader is waited for.
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::time::Duration;
@@ -11,7 +12,7 @@
 use ponddrift_soak::platform::{MODELS, Platform, own_address};
 use serde_json::Value;
 use tokio::io::{AsyncBufReadExt, BufReader};
-use tokio::process::{ChildStdout, Command};
+use tokio::process::{Child, ChildStdout, Command};
 use tokio::time::sleep;
 
 /// Looks for an event before it counts as missing; generous, since only a broken daemon uses it up.
@@ -184,45 +185,117 @@
     Ok(())
 }
 
-/// Settings of a daemon whose standard output is not a file.
-async fn settings_file(
-    platform: &Platform,
-    folder: &Path,
-) -> Result<(PathBuf, [std::net::SocketAddr; 2])> {
-    let [callers, readiness, peers, store] =
-        [own_address(), own_address(), own_address(), own_address()];
-    std::mem::forget(platform.store.serve(&platform.runtime, store).await?);
-    let text = format!(
-        "[daemon]\nname = \"d\"\nzone = \"a\"\n[listen]\ncallers = \"{callers}\"\n\
-         readiness = \"{readiness}\"\npeers = \"{peers}\"\n[store]\naddress = \"{store}\"\n[log]\nlines_waiting = 50\n"
-    );
-    std::fs::create_dir_all(folder)?;
-    let path = folder.join("d.toml");
-    std::fs::write(&path, text)?;
-    Ok((path, [callers, readiness]))
+/// A daemon whose standard output is a pipe.
+struct PipedDaemon {
+    child: Child,
+    output: Option<ChildStdout>,
+    client: ClientStandIn,
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    folder: PathBuf,
+    _platform: Platform,
 }
 
+impl PipedDaemon {
+    /// Starts one in a folder of its own; nobody reads its output yet.
+    async fn start(name: &str, number: u64) -> Result<Self> {
+        let platform = Platform::start(number).await?;
+        let folder = std::env::temp_dir().join(format!("ponddrift-{name}-{}", std::process::id()));
+        let [callers, readiness, peers, store] =
+            [own_address(), own_address(), own_address(), own_address()];
+        std::mem::forget(platform.store.serve(&platform.runtime, store).await?);
+        let text = format!(
+            "[daemon]\nname = \"d\"\nzone = \"a\"\n[listen]\ncallers = \"{callers}\"\n\
+             readiness = \"{readiness}\"\npeers = \"{peers}\"\n[store]\naddress = \"{store}\"\n[log]\nlines_waiting = 50\n"
+        );
+        std::fs::create_dir_all(&folder)?;
+        let path = folder.join("d.toml");
+        std::fs::write(&path, text)?;
+        let mut child = Command::new(binary()?)
+            .arg("--config")
+            .arg(&path)
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .kill_on_drop(true)
+            .spawn()?;
+        let output = child.stdout.take();
+        let client = ClientStandIn::new(platform.runtime.clone());
+        Ok(Self {
+            child,
+            output,
+            client,
+            callers,
+            readiness,
+            folder,
+            _platform: platform,
+        })
+    }
+
+    async fn await_ready(&self) -> Result<()> {
+        await_ready(&self.client, self.readiness).await
+    }
+
+    /// Some requests of one route, `at_a_time` at a time, all with the same answer.
+    async fn flood(
+        &self,
+        route: &'static str,
+        requests: usize,
+        at_a_time: usize,
+        expected: StatusCode,
+    ) -> Result<()> {
+        let callers = self.callers;
+        let tasks: Vec<_> = (0..at_a_time)
+            .map(|caller| {
+                let client = self.client.clone();
+                tokio::spawn(async move {
+                    for number in 0..requests / at_a_time {
+                        let id = format!("{caller}-{number}");
+                        let answer = client.ask(callers, &ClientRequest::plain(&id, route)).await;
+                        assert_eq!(answer.map(|answer| answer.status), Some(expected));
+                    }
+                })
+            })
+            .collect();
+        for task in tasks {
+            task.await?;
+        }
+        Ok(())
+    }
+
+    /// Lines that were dropped; figures are brought up to date now and then.
+    async fn dropped_lines(&self) -> Result<f64> {
+        let mut dropped = 0.0;
+        for _ in 0..LOOKS {
+            dropped = dropped_lines(&self.client, self.readiness).await?;
+            if dropped > 0.0 {
+                break;
+            }
+            sleep(LOOK_PAUSE).await;
+        }
+        Ok(dropped)
+    }
+}
+
+impl Drop for PipedDaemon {
+    fn drop(&mut self) {
+        drop(std::fs::remove_dir_all(&self.folder));
+    }
+}
+
+/// Requests that are asked at a time to fill the log.
+const AT_A_TIME: usize = 16;
+
 #[tokio::test]
 async fn a_reader_that_does_not_read_holds_no_request_up_and_costs_only_lines() -> Result<()> {
     /// Each leaves a line; more than the pipe and the waiting lines hold together.
     const REQUESTS: usize = 1_600;
-    let platform = Platform::start(2).await?;
-    let folder = std::env::temp_dir().join(format!("ponddrift-flood-{}", std::process::id()));
-    let (path, [callers, readiness]) = settings_file(&platform, &folder).await?;
-    let mut child = Command::new(binary()?)
-        .arg("--config")
-        .arg(&path)
-        .stdout(Stdio::piped())
-        .stderr(Stdio::null())
-        .kill_on_drop(true)
-        .spawn()?;
-    let _unread = child.stdout.take().wrap_err("its output")?;
-    let client = ClientStandIn::new(platform.runtime.clone());
-    await_ready(&client, readiness).await?;
-    flood(&client, callers, "nowhere", REQUESTS, StatusCode::NOT_FOUND).await?;
-    let dropped = dropped_lines_after_tidying(&client, readiness).await?;
+    let daemon = PipedDaemon::start("flood", 2).await?;
+    daemon.await_ready().await?;
+    daemon
+        .flood("nowhere", REQUESTS, AT_A_TIME, StatusCode::NOT_FOUND)
+        .await?;
+    let dropped = daemon.dropped_lines().await?;
     assert!(dropped > 0.0, "lines that found no room are counted");
-    drop(std::fs::remove_dir_all(&folder));
     Ok(())
 }
 
@@ -231,58 +304,23 @@
 async fn lines_of_served_requests_go_first() -> Result<()> {
     /// Each leaves a line; more than the pipe and the waiting lines hold together.
     const SERVED: usize = 1_200;
-    let platform = Platform::start(4).await?;
-    let folder = std::env::temp_dir().join(format!("ponddrift-worth-{}", std::process::id()));
-    let (path, [callers, readiness]) = settings_file(&platform, &folder).await?;
-    let mut child = Command::new(binary()?)
-        .arg("--config")
-        .arg(&path)
-        .stdout(Stdio::piped())
-        .stderr(Stdio::null())
-        .kill_on_drop(true)
-        .spawn()?;
-    let output = child.stdout.take().wrap_err("its output")?;
-    let client = ClientStandIn::new(platform.runtime.clone());
-    await_ready(&client, readiness).await?;
-    flood(&client, callers, "post", SERVED, StatusCode::OK).await?;
-    assert!(dropped_lines_after_tidying(&client, readiness).await? > 0.0);
+    let mut daemon = PipedDaemon::start("worth", 4).await?;
+    daemon.await_ready().await?;
+    daemon
+        .flood("post", SERVED, AT_A_TIME, StatusCode::OK)
+        .await?;
+    assert!(daemon.dropped_lines().await? > 0.0);
     let failing = ClientRequest::plain("failing", "nowhere");
-    let answer = client.ask(callers, &failing).await;
+    let answer = daemon.client.ask(daemon.callers, &failing).await;
     assert_eq!(
         answer.map(|answer| answer.status),
         Some(StatusCode::NOT_FOUND)
     );
-    let found = tokio::time::timeout(LOOK_PAUSE * LOOKS, line_of(output, "failing")).await;
+    let output = daemon.output.take().wrap_err("its output")?;
+    let reading = line_of(output, "failing");
+    let found = tokio::time::timeout(LOOK_PAUSE * LOOKS, reading).await;
     let line = found.wrap_err("the failed request left no line")??;
     assert_eq!(line["status"], 404);
-    drop(std::fs::remove_dir_all(&folder));
-    Ok(())
-}
-
-/// Many requests of one route, some at a time, all with the same answer.
-async fn flood(
-    client: &ClientStandIn,
-    callers: std::net::SocketAddr,
-    route: &'static str,
-    requests: usize,
-    expected: StatusCode,
-) -> Result<()> {
-    const AT_A_TIME: usize = 16;
-    let tasks: Vec<_> = (0..AT_A_TIME)
-        .map(|caller| {
-            let client = client.clone();
-            tokio::spawn(async move {
-                for number in 0..requests / AT_A_TIME {
-                    let request = ClientRequest::plain(&format!("{caller}-{number}"), route);
-                    let answer = client.ask(callers, &request).await;
-                    assert_eq!(answer.map(|answer| answer.status), Some(expected));
-                }
-            })
-        })
-        .collect();
-    for task in tasks {
-        task.await?;
-    }
     Ok(())
 }
 
@@ -300,33 +338,18 @@
 
 #[tokio::test]
 async fn a_closed_standard_output_holds_no_request_up() -> Result<()> {
-    let platform = Platform::start(3).await?;
-    let folder = std::env::temp_dir().join(format!("ponddrift-closed-{}", std::process::id()));
-    let (path, [callers, readiness]) = settings_file(&platform, &folder).await?;
-    let mut child = Command::new(binary()?)
-        .arg("--config")
-        .arg(&path)
-        .stdout(Stdio::piped())
-        .stderr(Stdio::null())
-        .kill_on_drop(true)
-        .spawn()?;
-    drop(child.stdout.take());
-    let client = ClientStandIn::new(platform.runtime.clone());
-    await_ready(&client, readiness).await?;
-    for number in 0..200 {
-        let request = ClientRequest::plain(&number.to_string(), "nowhere");
-        let answer = client.ask(callers, &request).await;
-        assert_eq!(
-            answer.map(|answer| answer.status),
-            Some(StatusCode::NOT_FOUND)
-        );
-    }
-    assert!(child.try_wait()?.is_none(), "it runs on");
-    drop(std::fs::remove_dir_all(&folder));
+    const REQUESTS: usize = 200;
+    let mut daemon = PipedDaemon::start("closed", 3).await?;
+    drop(daemon.output.take());
+    daemon.await_ready().await?;
+    daemon
+        .flood("nowhere", REQUESTS, 1, StatusCode::NOT_FOUND)
+        .await?;
+    assert!(daemon.child.try_wait()?.is_none(), "it runs on");
     Ok(())
 }
 
-async fn await_ready(client: &ClientStandIn, readiness: std::net::SocketAddr) -> Result<()> {
+async fn await_ready(client: &ClientStandIn, readiness: SocketAddr) -> Result<()> {
     for _ in 0..LOOKS {
         if client.status(readiness, "/readiness").await == Some(StatusCode::OK) {
             return Ok(());
@@ -336,23 +359,7 @@
     eyre::bail!("the daemon was never ready")
 }
 
-/// Figures are brought up to date now and then.
-async fn dropped_lines_after_tidying(
-    client: &ClientStandIn,
-    readiness: std::net::SocketAddr,
-) -> Result<f64> {
-    let mut dropped = 0.0;
-    for _ in 0..LOOKS {
-        dropped = dropped_lines(client, readiness).await?;
-        if dropped > 0.0 {
-            break;
-        }
-        sleep(LOOK_PAUSE).await;
-    }
-    Ok(dropped)
-}
-
-async fn dropped_lines(client: &ClientStandIn, readiness: std::net::SocketAddr) -> Result<f64> {
+async fn dropped_lines(client: &ClientStandIn, readiness: SocketAddr) -> Result<f64> {
     let text = client
         .text(readiness, "/metrics")
         .await
