Stage planner: a change counts as neither stage, and must pay for its time away

Its price was a constant of engines whose streams take 0.1 s. Ruled out: wrong work figures (prefill_work 3.0 of 4 engines is what was read then). Change: changes under way count as where they lead; the time away is measured (longest streams lately + the configured change); a change must save, over as long again as it has been wanted, more than its engine is missed for; the newest measurement must confirm the average; an engine told as away is back as soon as the directory shows its new stage.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -6,6 +6,7 @@
 mod prefixes;
 mod reading;
 mod speed;
+mod stream_times;
 mod work;
 
 use std::collections::HashMap;
@@ -24,6 +25,7 @@
 pub use prefixes::{HeadState, HeadUse, LEAST_HEAD_TOKENS, PrefixMemory};
 use reading::{Reading, move_ms};
 pub use speed::{PromptReading, SpeedTable};
+pub use stream_times::StreamTimes;
 pub use work::{PeerWork, WorkMeter};
 
 /// What a hand-over costs beside the move itself, in milliseconds: two more messages, and its price.
@@ -61,6 +63,8 @@
 struct Away {
     until: Instant,
     own: bool,
+    /// Its stage then; with another it has changed, and is back.
+    stage: Option<Stage>,
 }
 
 /// What choices are based on.
@@ -74,6 +78,8 @@
     pub health: Health,
     /// Rates learned from answers.
     pub speed: SpeedTable,
+    /// How long streams run.
+    pub streams: StreamTimes,
     /// Prompt heads that engines are believed to keep.
     pub prefixes: PrefixMemory,
     /// Daemons that serve, this one among them.
@@ -98,6 +104,7 @@
             load: LoadTable::default(),
             health: Health::default(),
             speed: SpeedTable::default(),
+            streams: StreamTimes::default(),
             prefixes: PrefixMemory::default(),
             daemons: 1,
             work_of_all: Vec::new(),
@@ -109,12 +116,17 @@
     }
 
     /// An engine is about to change: it gets nothing new for so long. `own`: this daemon changes it, and tells peers.
-    pub fn set_away(&mut self, id: &Arc<str>, time: Duration, own: bool, now: Instant) {
+    pub fn set_away(&mut self, engine: &BackEnd, time: Duration, own: bool, now: Instant) {
         self.away.retain(|_id, away| away.until > now);
         let until = now + time;
-        let is_known = self.away.get(id).is_some_and(|away| away.until >= until);
+        let is_known = self
+            .away
+            .get(&engine.id)
+            .is_some_and(|away| away.until >= until && away.stage == engine.stage);
         if !is_known {
-            self.away.insert(Arc::clone(id), Away { until, own });
+            let stage = engine.stage;
+            let away = Away { until, own, stage };
+            self.away.insert(Arc::clone(&engine.id), away);
         }
     }
 
@@ -136,8 +148,10 @@
         away
     }
 
-    fn is_away(&self, id: &str, now: Instant) -> bool {
-        self.away.get(id).is_some_and(|away| away.until > now)
+    fn is_away(&self, engine: &BackEnd, now: Instant) -> bool {
+        self.away
+            .get(&engine.id)
+            .is_some_and(|away| away.until > now && away.stage == engine.stage)
     }
 
     /// Chooses a plain back end, or an engine for a request that tells nothing of its prompt.
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -36,7 +36,7 @@
         let well: Vec<Arc<BackEnd>> = fitting
             .iter()
             .filter(|back_end| !self.health.is_ejected(&back_end.id))
-            .filter(|back_end| !self.is_away(&back_end.id, now))
+            .filter(|back_end| !self.is_away(back_end, now))
             .filter(|back_end| !self.is_being_tried(&back_end.id))
             .cloned()
             .collect();
--- a/crates/fleet/src/placement/metering.rs
+++ b/crates/fleet/src/placement/metering.rs
@@ -63,6 +63,7 @@
 
     /// Adds a stream's time to the work of its service: it held one of the engine's slots.
     pub fn meter_stream(&mut self, service: &Arc<str>, slots: u32, time: Duration, now: Instant) {
+        self.streams.ran(service, time, now);
         let held = time.as_secs_f64() / f64::from(slots.max(1));
         let work = StageWork {
             decode: held * SLOT_WEIGHT,
--- a/crates/fleet/src/stages.rs
+++ b/crates/fleet/src/stages.rs
@@ -1,8 +1,11 @@
 //! How many engines of a service read prompts for others, and how many generate.
 //!
 //! Work comes in engine-seconds a second. With `u` the share of time that the engines of a stage are busy, waiting
-//! grows as `u / (1 - u)`. The planner moves one engine where that lowers the waiting of both stages together by
-//! more, over a horizon, than the engine's time away costs.
+//! grows as `u / (1 - u)`. A change takes an engine away from both stages until the streams that it runs have ended and
+//! it has changed. The planner moves one engine where what that saves from then on is more than what is lost until then.
+//! How long a mix will last nobody knows; it is expected to last as long again as it has lasted so far, so that a change
+//! is wanted for longer than it takes before it is ordered. A change under way counts as neither stage: not where the
+//! engine was, and where it will be only for later changes.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -16,10 +19,13 @@
 const PREFILL_WEIGHT: f64 = 2.0;
 /// Waiting at a decode engine shows twice: before the first event, and in the gaps of all streams there.
 const DECODE_WEIGHT: f64 = 2.0;
-/// Time over which a change must pay off, in seconds.
-const HORIZON_S: f64 = 8.0;
-/// What a change costs beside the engine's time away, in engine-seconds.
-const CHANGE_COST: f64 = 5.0;
+/// What a change costs beside the waiting while the engine is away, as a multiple of that time: the engine itself.
+const ENGINE_AWAY_COST: f64 = 1.0;
+/// Waiting that a change saves at the least, in engine-seconds a second: what saves less than the better part of an
+/// engine is within what work swings by anyway.
+const LEAST_GAIN: f64 = 0.6;
+/// A change that the directory does not show after so many times the expected time has failed, or was undone.
+const OVERDUE_FACTOR: f64 = 3.0;
 /// Busy share from which waiting is taken to grow no further but steeply.
 const NEARLY_FULL: f64 = 0.95;
 /// Weight of the newest measurement of work.
@@ -42,8 +48,6 @@
 /// Work must have been seen for this long before the first change: while everything is read for the first time,
 /// and the first streams have not ended, it says little.
 const LEARNING: Duration = Duration::from_secs(4);
-/// Looks in a row that must find the same change better.
-const LOOKS: u32 = 2;
 /// Of so many engines one may change at a time.
 const ENGINES_PER_CHANGE: usize = 12;
 /// Decode engines read short prompts themselves for up to this share of their time; beyond it the pauses show in their
@@ -116,8 +120,75 @@
     pub prefill_engines: usize,
     /// Engines in each stage before.
     pub decode_engines: usize,
-    /// Waiting that it saves, in engine-seconds a second.
+    /// Waiting that it saves once the engine has changed, in engine-seconds a second.
     pub gain: f64,
+    /// Time until then, in seconds.
+    pub away_s: f64,
+    /// What it is expected to save after all, in engine-seconds.
+    pub net_gain: f64,
+}
+
+/// Engines of each stage.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Engines {
+    prefill: usize,
+    decode: usize,
+}
+
+impl Engines {
+    const fn all(self) -> usize {
+        self.prefill + self.decode
+    }
+
+    /// With one engine less in the stage that gives.
+    const fn without_giver(self, to: Stage) -> Self {
+        match to {
+            Stage::Prefill => Self {
+                decode: self.decode - 1,
+                ..self
+            },
+            Stage::Decode => Self {
+                prefill: self.prefill - 1,
+                ..self
+            },
+        }
+    }
+
+    /// With one engine more in `stage`.
+    const fn with_one_more(self, stage: Stage) -> Self {
+        match stage {
+            Stage::Prefill => Self {
+                prefill: self.prefill + 1,
+                ..self
+            },
+            Stage::Decode => Self {
+                decode: self.decode + 1,
+                ..self
+            },
+        }
+    }
+
+    const fn moved(self, to: Stage) -> Self {
+        self.without_giver(to).with_one_more(to)
+    }
+}
+
+/// A change that was ordered, and may not have ended.
+#[derive(Debug)]
+struct Ordered {
+    engine: Arc<str>,
+    stage: Stage,
+    at: Instant,
+    away_s: f64,
+}
+
+impl Ordered {
+    fn is_under_way(&self, engine: &BackEnd, now: Instant) -> bool {
+        let limit = Duration::from_secs_f64(self.away_s * OVERDUE_FACTOR);
+        self.engine == engine.id
+            && engine.stage != Some(self.stage)
+            && now.saturating_duration_since(self.at) < limit
+    }
 }
 
 /// Plans the stages of one service's engines.
@@ -125,16 +196,23 @@
 pub struct StagePlanner {
     work: Option<StageWork>,
     last_change: Option<Instant>,
-    changed: Vec<(Arc<str>, Instant)>,
-    wanted: Option<Stage>,
-    looks: u32,
+    changed: Vec<Ordered>,
+    wanted: Option<Wanted>,
     first_work: Option<Instant>,
     recent: VecDeque<(Instant, StageWork)>,
 }
 
+/// The stage that should have more engines, and since when without a break.
+#[derive(Debug, Clone, Copy)]
+struct Wanted {
+    stage: Stage,
+    since: Instant,
+}
+
 impl StagePlanner {
-    /// Takes the work measured last. Daemons that do not order observe too, so that whoever comes to has learned.
-    pub fn observe(&mut self, measured: StageWork, now: Instant) {
+    /// Takes the work measured last, with the engines that do it. Daemons that do not order observe too, so that whoever
+    /// comes to has learned.
+    pub fn observe(&mut self, measured: StageWork, engines: &[Arc<BackEnd>], now: Instant) {
         self.smooth(measured);
         self.recent.push_back((now, measured));
         while let Some((at, _work)) = self.recent.front()
@@ -145,56 +223,81 @@
         if measured.total() > 0.0 {
             self.first_work.get_or_insert(now);
         }
+        self.note_wanted(measured, engines, now);
     }
 
     /// Decides by what was observed. `busyness` tells the requests at an engine; engines that it does not know are left
-    /// alone. Of large fleets several engines change at a time.
+    /// alone. `away`: how long a change takes an engine away, its streams' time among it. Of large fleets several engines
+    /// change at a time.
     pub fn plan(
         &mut self,
         engines: &[Arc<BackEnd>],
         busyness: impl Fn(&BackEnd) -> Option<f64>,
+        away: Duration,
         now: Instant,
     ) -> Vec<StageChange> {
-        let is_too_soon = self
-            .last_change
-            .is_some_and(|last| now.saturating_duration_since(last) < PAUSE);
         let Some(work) = self.work else {
             return Vec::new();
         };
-        if is_too_soon || !self.has_learned(now) {
-            return Vec::new();
-        }
-        let mut prefill = count(engines, Stage::Prefill);
-        let mut decode = count(engines, Stage::Decode);
-        let most = ((prefill + decode) / ENGINES_PER_CHANGE).max(1);
+        let mut counts = self.expected_engines(engines, now);
         let peak = self.peak();
-        let wanted = better(work, peak, prefill, decode).map(|(stage, _gain)| stage);
-        let Some(stage) = self.confirmed(wanted) else {
+        let Some(wanted) = self.wanted else {
             return Vec::new();
         };
+        let is_too_soon = self
+            .last_change
+            .is_some_and(|last| now.saturating_duration_since(last) < PAUSE);
+        if is_too_soon || !self.has_learned(now) {
+            return Vec::new();
+        }
+        let stage = wanted.stage;
+        let away_s = away.as_secs_f64();
+        let horizon_s = now.saturating_duration_since(wanted.since).as_secs_f64();
+        let most = (counts.all() / ENGINES_PER_CHANGE).max(1);
         let mut candidates = self.candidates(engines, stage, busyness, now);
         let mut changes = Vec::new();
         while changes.len() < most
-            && let Some((wanted, gain)) = better(work, peak, prefill, decode)
-            && wanted == stage
+            && let Some((better_stage, gain)) = better(work, peak, counts)
+            && better_stage == stage
+            && let net_gain = net_gain(work, counts, stage, away_s, horizon_s)
+            && net_gain > 0.0
             && let Some(engine) = candidates.pop()
         {
             changes.push(StageChange {
                 engine,
                 stage,
                 work,
-                prefill_engines: prefill,
-                decode_engines: decode,
+                prefill_engines: counts.prefill,
+                decode_engines: counts.decode,
                 gain,
+                away_s,
+                net_gain,
             });
-            match stage {
-                Stage::Prefill => (prefill, decode) = (prefill + 1, decode - 1),
-                Stage::Decode => (prefill, decode) = (prefill - 1, decode + 1),
-            }
+            counts = counts.moved(stage);
         }
         changes
     }
 
+    /// Engines of each stage once all changes under way have ended.
+    fn expected_engines(&self, engines: &[Arc<BackEnd>], now: Instant) -> Engines {
+        let mut counts = Engines {
+            prefill: 0,
+            decode: 0,
+        };
+        for engine in engines {
+            let ordered = self
+                .changed
+                .iter()
+                .rev()
+                .find(|ordered| ordered.is_under_way(engine, now));
+            let stage = ordered.map(|ordered| ordered.stage).or(engine.stage);
+            if let Some(stage) = stage {
+                counts = counts.with_one_more(stage);
+            }
+        }
+        counts
+    }
+
     /// Engines that may change to `stage`, the least busy last.
     fn candidates(
         &self,
@@ -206,7 +309,7 @@
         let mut candidates: Vec<(&Arc<BackEnd>, f64)> = engines
             .iter()
             .filter(|engine| engine.stage.is_some_and(|from| from != stage))
-            .filter(|engine| !self.dwells(&engine.id, now))
+            .filter(|engine| !self.dwells(engine, now))
             .filter_map(|engine| Some((engine, busyness(engine)?)))
             .collect();
         candidates.sort_by(|left, right| right.1.total_cmp(&left.1));
@@ -217,11 +320,23 @@
     }
 
     /// A change was ordered.
-    pub fn ordered(&mut self, engine: &Arc<str>, now: Instant) {
+    pub fn ordered(&mut self, change: &StageChange, now: Instant) {
         self.last_change = Some(now);
-        self.changed
-            .retain(|(_id, at)| now.saturating_duration_since(*at) < DWELL);
-        self.changed.push((Arc::clone(engine), now));
+        self.changed.retain(|ordered| {
+            let kept = DWELL.max(Duration::from_secs_f64(ordered.away_s * OVERDUE_FACTOR));
+            now.saturating_duration_since(ordered.at) < kept
+        });
+        self.changed.push(Ordered {
+            engine: Arc::clone(&change.engine.id),
+            stage: change.stage,
+            at: now,
+            away_s: change.away_s,
+        });
+    }
+
+    /// An order was not taken: its engine stays as it was.
+    pub fn not_taken(&mut self, engine: &str) {
+        self.changed.retain(|ordered| &*ordered.engine != engine);
     }
 
     fn smooth(&mut self, measured: StageWork) {
@@ -250,47 +365,59 @@
             .is_some_and(|first| now.saturating_duration_since(first) >= LEARNING)
     }
 
-    /// The wanted stage, once some looks in a row have found the same.
-    fn confirmed(&mut self, wanted: Option<Stage>) -> Option<Stage> {
-        if wanted == self.wanted {
-            self.looks += 1;
-        } else {
-            self.wanted = wanted;
-            self.looks = 1;
-        }
-        wanted.filter(|_| self.looks >= LOOKS)
+    /// Notes which stage should have more engines; as long as it stays the same, the time counts on.
+    fn note_wanted(&mut self, measured: StageWork, engines: &[Arc<BackEnd>], now: Instant) {
+        let Some(work) = self.work else {
+            return;
+        };
+        let counts = self.expected_engines(engines, now);
+        let peak = self.peak();
+        let wanted_by = |work| better(work, peak, counts).map(|(stage, _gain)| stage);
+        // A short spike stays in the average for a while; what was measured last does not confirm it.
+        let wanted = wanted_by(work).filter(|stage| wanted_by(measured) == Some(*stage));
+        let before = self.wanted.filter(|before| Some(before.stage) == wanted);
+        self.wanted = before.or_else(|| wanted.map(|stage| Wanted { stage, since: now }));
     }
 
-    fn dwells(&self, id: &str, now: Instant) -> bool {
-        self.changed
-            .iter()
-            .any(|(known, at)| &**known == id && now.saturating_duration_since(*at) < DWELL)
+    fn dwells(&self, engine: &BackEnd, now: Instant) -> bool {
+        self.changed.iter().any(|ordered| {
+            let is_recent = now.saturating_duration_since(ordered.at) < DWELL;
+            ordered.is_under_way(engine, now) || (ordered.engine == engine.id && is_recent)
+        })
     }
 }
 
-fn count(engines: &[Arc<BackEnd>], stage: Stage) -> usize {
-    let of_stage = engines.iter().filter(|engine| engine.stage == Some(stage));
-    of_stage.count()
-}
-
-/// The stage that should have one engine more, if that pays, and what it saves.
-fn better(work: StageWork, peak: StageWork, prefill: usize, decode: usize) -> Option<(Stage, f64)> {
-    let all = prefill + decode;
-    let now = waiting(work, prefill, decode);
-    let decode_gives = decode > least(all, LEAST_DECODE_SHARE)
+/// The stage that should have one engine more, and the waiting that this saves in the end, a second.
+fn better(work: StageWork, peak: StageWork, engines: Engines) -> Option<(Stage, f64)> {
+    let Engines { prefill, decode } = engines;
+    let decode_gives = decode > least(engines.all(), LEAST_DECODE_SHARE)
         && busy(peak.by_stage(decode - 1).1, decode - 1) <= BUSY_AFTER_GIVING;
-    let prefill_gives = prefill > least(all, LEAST_PREFILL_SHARE)
+    let prefill_gives = prefill > least(engines.all(), LEAST_PREFILL_SHARE)
         && busy(peak.by_stage(decode + 1).0, prefill - 1) <= BUSY_AFTER_GIVING;
-    let to_prefill = decode_gives.then(|| now - waiting(work, prefill + 1, decode - 1));
-    let to_decode = prefill_gives.then(|| now - waiting(work, prefill - 1, decode + 1));
-    let choices = [(Stage::Prefill, to_prefill), (Stage::Decode, to_decode)];
+    let choices = [
+        (Stage::Prefill, decode_gives),
+        (Stage::Decode, prefill_gives),
+    ];
     choices
         .into_iter()
-        .filter_map(|(stage, gain)| Some((stage, gain?)))
-        .filter(|(_stage, gain)| gain * HORIZON_S > CHANGE_COST)
+        .filter(|(_stage, is_given)| *is_given)
+        .map(|(stage, _is_given)| {
+            let gain = waiting(work, engines) - waiting(work, engines.moved(stage));
+            (stage, gain)
+        })
+        .filter(|(_stage, gain)| *gain > LEAST_GAIN)
         .max_by(|left, right| left.1.total_cmp(&right.1))
 }
 
+/// What one engine more in `stage` saves within the horizon, in engine-seconds: the gain while it lasts, less what is
+/// lost while the engine is away.
+fn net_gain(work: StageWork, engines: Engines, stage: Stage, away_s: f64, horizon_s: f64) -> f64 {
+    let now = waiting(work, engines);
+    let loss = waiting(work, engines.without_giver(stage)) - now;
+    let gain = now - waiting(work, engines.moved(stage));
+    gain * (horizon_s - away_s) - (loss + ENGINE_AWAY_COST) * away_s
+}
+
 /// Engines that a stage keeps; one at least.
 fn least(all: usize, share: f64) -> usize {
     #[expect(
@@ -303,7 +430,8 @@
     least.max(1)
 }
 
-fn waiting(work: StageWork, prefill: usize, decode: usize) -> f64 {
+fn waiting(work: StageWork, engines: Engines) -> f64 {
+    let Engines { prefill, decode } = engines;
     let (reading, generating) = work.by_stage(decode);
     PREFILL_WEIGHT * waiting_of(reading, prefill) + DECODE_WEIGHT * waiting_of(generating, decode)
 }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -312,14 +312,14 @@
 #[test]
 fn an_engine_stays_away_for_the_longest_time_that_was_told() {
     let mut scene = Scene::new(0, 2);
-    let id = Arc::clone(&scene.engines[0].id);
+    let engine = Arc::clone(&scene.engines[0]);
     let other = Arc::clone(&scene.engines[1].id);
     scene
         .placement
-        .set_away(&id, Duration::from_secs(2), false, scene.now);
+        .set_away(&engine, Duration::from_secs(2), false, scene.now);
     scene
         .placement
-        .set_away(&id, Duration::from_millis(200), false, scene.now);
+        .set_away(&engine, Duration::from_millis(200), false, scene.now);
     scene.now += Duration::from_secs(1);
     for _ in 0..10 {
         assert_eq!(scene.plan(&prompt("h", 60, 250)).decode.id, other);
@@ -391,7 +391,7 @@
     for engine in scene.engines.clone() {
         scene
             .placement
-            .set_away(&engine.id, Duration::from_secs(2), true, scene.now);
+            .set_away(&engine, Duration::from_secs(2), true, scene.now);
         scene.now += Duration::from_millis(50);
     }
     let told = scene.placement.away(scene.now);
--- a/crates/fleet/tests/stages.rs
+++ b/crates/fleet/tests/stages.rs
@@ -17,6 +17,8 @@
     engines: Vec<Arc<BackEnd>>,
     now: Instant,
     changes: usize,
+    /// How long a change takes an engine away.
+    away: Duration,
 }
 
 impl Scene {
@@ -26,6 +28,7 @@
             engines: engines(prefill, decode),
             now: Instant::now(),
             changes: 0,
+            away: Duration::from_secs(1),
         }
     }
 
@@ -34,15 +37,18 @@
         let end = self.now + time;
         while self.now < end {
             self.now += LOOK;
-            self.planner.observe(work, self.now);
-            for change in self.planner.plan(&self.engines, |_| Some(0.0), self.now) {
+            self.planner.observe(work, &self.engines, self.now);
+            for change in self
+                .planner
+                .plan(&self.engines, |_| Some(0.0), self.away, self.now)
+            {
                 self.carry_out(&change);
             }
         }
     }
 
     fn carry_out(&mut self, change: &StageChange) {
-        self.planner.ordered(&change.engine.id, self.now);
+        self.planner.ordered(change, self.now);
         self.changes += 1;
         for engine in &mut self.engines {
             if engine.id == change.engine.id {
@@ -131,11 +137,17 @@
 fn of_a_large_fleet_several_engines_change_at_a_time() {
     let mut scene = Scene::new(20, 40);
     scene.look(Duration::from_secs(4), work(18.0, 1.0));
-    scene.planner.observe(work(18.0, 1.0), scene.now);
+    scene
+        .planner
+        .observe(work(18.0, 1.0), &scene.engines, scene.now);
     let changes = loop {
         scene.now += LOOK;
-        scene.planner.observe(work(18.0, 1.0), scene.now);
-        let changes = scene.planner.plan(&scene.engines, |_| Some(0.0), scene.now);
+        scene
+            .planner
+            .observe(work(18.0, 1.0), &scene.engines, scene.now);
+        let changes = scene
+            .planner
+            .plan(&scene.engines, |_| Some(0.0), scene.away, scene.now);
         if !changes.is_empty() {
             break changes;
         }
@@ -149,7 +161,7 @@
     let reading = work(5.0, 1.0);
     for _ in 0..10 {
         scene.now += LOOK;
-        scene.planner.observe(reading, scene.now);
+        scene.planner.observe(reading, &scene.engines, scene.now);
     }
     let begun = scene.now;
     while scene.changes == 0 {
@@ -157,3 +169,75 @@
     }
     assert!(scene.now - begun <= LOOK * 3, "{:?}", scene.now - begun);
 }
+
+#[test]
+fn changes_under_way_count_where_their_engines_will_be() {
+    let mut scene = Scene::new(4, 8);
+    scene.away = Duration::from_secs(3);
+    let reading = work(3.0, 0.2);
+    let mut ordered = 0;
+    // The directory shows none of the changes: all are under way.
+    for _ in 0..16 {
+        scene.now += LOOK;
+        scene.planner.observe(reading, &scene.engines, scene.now);
+        let changes = scene
+            .planner
+            .plan(&scene.engines, |_| Some(0.0), scene.away, scene.now);
+        for change in &changes {
+            assert_eq!(
+                change.prefill_engines,
+                4 + ordered,
+                "each counts those before"
+            );
+            scene.planner.ordered(change, scene.now);
+            ordered += 1;
+        }
+    }
+    assert!((1..=4).contains(&ordered), "{ordered}");
+}
+
+#[test]
+fn a_shift_that_is_shorter_than_a_change_takes_changes_nothing() {
+    let mut scene = Scene::new(4, 8);
+    scene.away = Duration::from_secs(10);
+    for _ in 0..6 {
+        scene.look(Duration::from_secs(7), work(3.6, 0.2));
+        scene.look(Duration::from_secs(7), work(0.5, 0.5));
+    }
+    assert_eq!(scene.changes, 0);
+    scene.look(Duration::from_secs(60), work(3.6, 0.2));
+    assert!(scene.changes > 0, "one that stays is followed");
+}
+
+#[test]
+fn an_order_that_was_not_taken_leaves_its_engine_where_it_was() {
+    let mut scene = Scene::new(4, 8);
+    scene.look(Duration::from_secs(2), work(1.0, 1.0));
+    let change = loop {
+        scene.now += LOOK;
+        scene
+            .planner
+            .observe(work(3.6, 0.2), &scene.engines, scene.now);
+        let changes = scene
+            .planner
+            .plan(&scene.engines, |_| Some(0.0), scene.away, scene.now);
+        if let Some(change) = changes.into_iter().next() {
+            break change;
+        }
+    };
+    scene.planner.ordered(&change, scene.now);
+    scene.planner.not_taken(&change.engine.id);
+    loop {
+        scene.now += LOOK;
+        scene
+            .planner
+            .observe(work(3.6, 0.2), &scene.engines, scene.now);
+        let changes = scene
+            .planner
+            .plan(&scene.engines, |_| Some(0.0), scene.away, scene.now);
+        if let Some(change) = changes.into_iter().next() {
+            assert_eq!(change.prefill_engines, 4);
+            break;
+        }
+    }
+}
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -31,8 +31,7 @@
 const CANDIDACY_SPREAD: Duration = Duration::from_millis(1_500);
 /// Peers have this long to hear that an engine is about to change.
 const NOTICE: Duration = Duration::from_millis(100);
-/// An engine gets nothing new for this long beyond the time that its change takes: what it runs ends first, and its entry
-/// tells the new stage a heartbeat later.
+/// An engine's entry tells its new stage up to a heartbeat after the change.
 const AWAY_MORE: Duration = Duration::from_millis(1_500);
 /// An engine whose order was not answered is left alone for this long: the order may still be carried out.
 const UNSETTLED: Duration = Duration::from_secs(15);
@@ -194,12 +193,14 @@
         let work = self.pipeline.work_of_all();
         for (service, measured) in &work {
             let planner = self.planners.entry(Arc::clone(service)).or_default();
-            planner.observe(*measured, now());
+            let engines = self.state.ready(service, now());
+            planner.observe(*measured, &engines, now());
         }
         work.into_iter().map(|(service, _work)| service).collect()
     }
 
     fn plan(&mut self, service: &Arc<str>, engines: &[Arc<BackEnd>]) -> Vec<StageChange> {
+        let away = self.away_time(service);
         let planner = self.planners.entry(Arc::clone(service)).or_default();
         let placement = self.pipeline.placement();
         let unsettled = &self.unsettled;
@@ -212,9 +213,9 @@
             let busyness = outstanding.requests + outstanding.prompt_tokens;
             (!is_unsettled && !is_unwell).then_some(busyness)
         };
-        let changes = planner.plan(engines, busyness, now());
+        let changes = planner.plan(engines, busyness, away, now());
         for change in &changes {
-            planner.ordered(&change.engine.id, now());
+            planner.ordered(change, now());
         }
         changes
     }
@@ -223,7 +224,7 @@
     async fn change(&self, change: &StageChange, authority: &Authority) -> OrderEnd {
         let engine = &change.engine;
         self.pipeline
-            .engine_away(&engine.id, self.change_time(engine) + AWAY_MORE);
+            .engine_away(engine, Duration::from_secs_f64(change.away_s));
         tokio::time::sleep(NOTICE).await;
         let report = self.report(engine).await;
         let end = match report {
@@ -244,6 +245,8 @@
             prefill_engines = change.prefill_engines,
             decode_engines = change.decode_engines,
             gain = change.gain,
+            away_s = change.away_s,
+            net_gain = change.net_gain,
             outcome = ?end,
             "stage_ordered"
         );
@@ -258,6 +261,9 @@
             OrderEnd::Unanswered => UNSETTLED,
             OrderEnd::Refused(_) | OrderEnd::NotSent => {
                 self.pipeline.engine_back(&engine.id);
+                if let Some(planner) = self.planners.get_mut(&engine.service) {
+                    planner.not_taken(&engine.id);
+                }
                 REFUSED_PAUSE
             }
         };
@@ -265,14 +271,17 @@
             .insert(Arc::clone(&engine.id), now() + left_alone);
     }
 
-    /// How long a change takes an engine away, as the configuration says.
-    fn change_time(&self, engine: &BackEnd) -> Duration {
+    /// How long a change takes an engine of the service away: its streams end first, then it changes, then its entry tells
+    /// the new stage.
+    fn away_time(&self, service: &str) -> Duration {
         let in_force = self.state.in_force();
         let traits = in_force.as_ref().and_then(|in_force| {
-            let service = in_force.configuration.service(&engine.service)?;
+            let service = in_force.configuration.service(service)?;
             service.engine.as_ref()
         });
-        traits.map_or(Duration::ZERO, |traits| traits.stage_change)
+        let change = traits.map_or(Duration::ZERO, |traits| traits.stage_change);
+        let streams = self.pipeline.placement().streams.longest(service, now());
+        streams + change + AWAY_MORE
     }
 
     async fn report(&self, engine: &BackEnd) -> Option<EngineReport> {
--- a/crates/serving/src/peers/hear.rs
+++ b/crates/serving/src/peers/hear.rs
@@ -81,7 +81,7 @@
         for row in &digest.away {
             if let Some(engine) = known.find(row.engine) {
                 let time = Duration::from_millis(u64::from(row.time_ms));
-                placement.set_away(&engine.id, time, false, now());
+                placement.set_away(engine, time, false, now());
             }
         }
         if let Some(own) = digest.reports.first() {
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -27,6 +27,7 @@
 use hyper::body::Incoming;
 use ponddrift_fleet::budget::{BudgetSettings, RetryBudget};
 use ponddrift_fleet::configuration::Stage;
+use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::placement::Placement;
 use ponddrift_fleet::routes::SplitDealer;
 use ponddrift_fleet::stages::StageWork;
@@ -172,8 +173,8 @@
     }
 
     /// An engine is about to change: it gets nothing new for so long, here and at peers.
-    pub fn engine_away(&self, id: &Arc<str>, time: Duration) {
-        self.placement().set_away(id, time, true, now());
+    pub fn engine_away(&self, engine: &BackEnd, time: Duration) {
+        self.placement().set_away(engine, time, true, now());
         self.heavy_work_changed.notify_one();
     }
 
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -108,7 +108,7 @@
             Ok(Ok(reply)) => self.judge(job, order.step, reply),
         };
         if let HeadEnd::NotRun(_) = &judged.end {
-            self.leave_alone(&back_end.id, judged.status);
+            self.leave_alone(back_end, judged.status);
         }
         if let Some(outcome) = judged.outcome {
             self.note_outcome(back_end, &job.service.health_path, outcome);
@@ -187,14 +187,14 @@
     }
 
     /// A back end that refuses is full, changes, or is not what it was taken for: others are asked for a moment.
-    fn leave_alone(&self, id: &Arc<str>, status: Option<u16>) {
+    fn leave_alone(&self, back_end: &BackEnd, status: Option<u16>) {
         let is_another = status == Some(StatusCode::MISDIRECTED_REQUEST.as_u16());
         let time = if is_another {
             ANOTHER_PAUSE
         } else {
             REFUSED_PAUSE
         };
-        self.placement().set_away(id, time, false, now());
+        self.placement().set_away(back_end, time, false, now());
     }
 
     fn build(&self, job: &Job, facts: &SendFacts<'_>) -> Option<Request<body::Body>> {
