Placement: expected times apart from what they cost others, all measured

Ruled out: a wrong pace of prefill engines (it was learned within 5%). Change: an estimate has a time (waiting for a slot, prompts ahead, move, reading, messages: each learned) and a burden (streams there whose pauses would pass their target; a head pushed out, as a part of its reading time). The pace of decode engines is learned, not taken as half.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -21,26 +21,55 @@
 use crate::prompt::Prompt;
 use crate::stages::StageWork;
 
+use costs::{Choice, Estimate};
 pub use load::{LoadTable, Outstanding, WorkReport, WorkRow};
 pub use prefixes::{HeadState, HeadUse, LEAST_HEAD_TOKENS, PrefixMemory};
-use reading::{Reading, move_ms};
+use reading::Reading;
 pub use speed::{PromptReading, SpeedTable};
 pub use stream_times::StreamTimes;
 pub use work::{PeerWork, WorkMeter};
 
-/// What a hand-over costs beside the move itself, in milliseconds: two more messages, and its price.
-const HAND_OVER_MS: f64 = 20.0;
 /// Share of an unknown head that its home is taken to read: a little less than others, since another daemon may have
 /// sent it there just now.
 const HOME_READ_SHARE: f64 = 0.85;
-/// What it is worth that a decode engine keeps the prompt's head already, in milliseconds: what is handed over then
-/// pushes no other head out of its memory, and a head that is kept nowhere is read again.
-const KEPT_AT_DECODE_MS: f64 = 100.0;
+/// What it is worth that a decode engine keeps the prompt's head already, as a part of the time that the head's reading
+/// takes: what is handed over then pushes no other head out of its memory, and a head that is kept nowhere is read again.
+const KEPT_AT_DECODE: f64 = 0.45;
 /// The same for the engine where all daemons would begin to keep it.
-const HOME_AT_DECODE_MS: f64 = 60.0;
+const HOME_AT_DECODE: f64 = 0.27;
+/// Part of an engine's reading that a stream which goes on there meets before its first event.
+const MET_BACKLOG: f64 = 0.25;
+/// Milliseconds in a second.
+const MS_PER_S: f64 = 1000.0;
 /// Expected time of a plain request that nothing is known of, in milliseconds.
 const PLAIN_DEFAULT_MS: f64 = 20.0;
 
+/// What a request asks of its answer.
+#[derive(Debug, Clone, Copy)]
+pub struct Aims {
+    /// Time to the first event in which the answer is worth all.
+    pub latency: Duration,
+    /// Longest pause between two events that is in time.
+    pub gap: Option<Duration>,
+}
+
+impl Aims {
+    fn latency_ms(self) -> f64 {
+        self.latency.as_secs_f64() * MS_PER_S
+    }
+}
+
+/// A prompt that engines are chosen for.
+#[derive(Debug, Clone, Copy)]
+pub struct PromptRequest<'a> {
+    /// The prompt.
+    pub prompt: &'a Prompt,
+    /// What is asked of its answer.
+    pub aims: Aims,
+    /// What the engines of its service can do.
+    pub traits: &'a EngineTraits,
+}
+
 /// Which engines serve a prompt.
 #[derive(Debug, Clone)]
 pub struct PromptPlan {
@@ -171,9 +200,12 @@
                 .speed
                 .plain_ms(&back_end.id)
                 .unwrap_or(PLAIN_DEFAULT_MS);
-            expected * (1.0 + ahead / f64::from(back_end.slots.max(1)))
+            Estimate {
+                time_ms: expected * (1.0 + ahead / f64::from(back_end.slots.max(1))),
+                burden_ms: 0.0,
+            }
         })
-        .map(|(back_end, _cost)| back_end)
+        .map(|choice| choice.back_end)
     }
 
     /// Chooses the engines for a prompt.
@@ -181,42 +213,42 @@
         &self,
         ready: &[Arc<BackEnd>],
         tried: &[Arc<str>],
-        traits: &EngineTraits,
-        prompt: &Prompt,
+        request: &PromptRequest<'_>,
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<PromptPlan> {
+        let prompt = request.prompt;
         let keepers = self.keepers(ready, prompt, now);
         let decoders = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
         let reading = Reading {
             placement: self,
-            traits,
-            prompt,
+            request,
             keepers: &keepers,
-            busy_decode_ms: self.busy_decode_ms(&decoders),
+            excess_reading: self.excess_reading(&decoders, request.aims),
         };
         let decoders_home = reading.home(&decoders);
-        let (direct, direct_ms) = self.cheapest(&decoders, random, |back_end| {
-            reading.direct_ms(back_end, decoders_home)
+        let direct = self.cheapest(&decoders, random, |back_end| {
+            reading.direct(back_end, decoders_home)
         })?;
         let prefills = self.usable(ready, tried, now, |back_end| {
             back_end.stage == Some(Stage::Prefill)
         });
         let prefills_home = reading.home(&prefills);
-        let handed_over = self.cheapest(&prefills, random, |back_end| {
-            reading.prefill_ms(back_end, prefills_home) + move_ms(traits, prompt.input_tokens)
+        let reader = self.cheapest(&prefills, random, |back_end| {
+            reading.apart(back_end, prefills_home)
         });
-        let Some((prefill, prefill_ms)) = handed_over else {
-            return Some(reading.plan(None, direct, decoders_home, direct_ms));
+        let Some(reader) = reader else {
+            return Some(reading.plan(None, direct.back_end, decoders_home, direct.time_ms));
         };
-        let (decode, decode_ms) = self.cheapest_decoder(&decoders, Some(prompt), now, random)?;
-        let handed_over_ms = prefill_ms + decode_ms + HAND_OVER_MS;
-        if handed_over_ms >= direct_ms {
-            return Some(reading.plan(None, direct, decoders_home, direct_ms));
+        let decoder = self.cheapest_decoder(&decoders, Some(prompt), now, random)?;
+        if reader.cost_ms + decoder.cost_ms >= direct.cost_ms {
+            return Some(reading.plan(None, direct.back_end, decoders_home, direct.time_ms));
         }
-        Some(reading.plan(Some(prefill), decode, prefills_home, handed_over_ms))
+        let time_ms = reader.time_ms + decoder.time_ms;
+        let prefill = Some(reader.back_end);
+        Some(reading.plan(prefill, decoder.back_end, prefills_home, time_ms))
     }
 
     /// Engines that are believed to keep the prompt's head.
@@ -266,7 +298,7 @@
             back_end.stage != Some(Stage::Prefill)
         });
         self.cheapest_decoder(&decoders, prompt, now, random)
-            .map(|(back_end, _cost)| back_end)
+            .map(|choice| choice.back_end)
     }
 
     fn cheapest_decoder(
@@ -275,22 +307,32 @@
         prompt: Option<&Prompt>,
         now: Instant,
         random: &mut impl Rng,
-    ) -> Option<(Arc<BackEnd>, f64)> {
-        let weight = self.decode_weight();
+    ) -> Option<Choice> {
+        let rate = self.speed.decode_tokens_per_ms();
         let head = prompt.and_then(prefixes::remembered_head);
         let home = head.and_then(|head| prefixes::home(decoders, head));
+        let head_ms = prompt.map_or(0.0, |prompt| self.head_reading_ms(prompt));
         self.cheapest(decoders, random, |back_end| {
-            let waiting = self.waiting_ms(back_end, weight);
-            let Some(head) = head else {
-                return waiting;
+            let time_ms = self.slot_wait_ms(back_end)
+                + self.speed.message_ms()
+                + self.backlog_ms(back_end, rate) * MET_BACKLOG;
+            let missing = match head {
+                None => 0.0,
+                Some(head) if self.prefixes.state(&back_end.id, head, now).is_some() => 0.0,
+                Some(_) if home.is_some_and(|home| home.id == back_end.id) => {
+                    KEPT_AT_DECODE - HOME_AT_DECODE
+                }
+                Some(_) => KEPT_AT_DECODE,
             };
-            if self.prefixes.state(&back_end.id, head, now).is_some() {
-                waiting
-            } else if home.is_some_and(|home| home.id == back_end.id) {
-                waiting + KEPT_AT_DECODE_MS - HOME_AT_DECODE_MS
-            } else {
-                waiting + KEPT_AT_DECODE_MS
+            Estimate {
+                time_ms,
+                burden_ms: missing * head_ms,
             }
         })
     }
+
+    /// Time that a prefill engine takes to read the prompt's shared head.
+    fn head_reading_ms(&self, prompt: &Prompt) -> f64 {
+        f64::from(prompt.shared_tokens()) / self.speed.prefill_tokens_per_ms()
+    }
 }
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -10,15 +10,30 @@
 
 /// Cost of a way into another zone, in milliseconds.
 const OTHER_ZONE_MS: f64 = 2.0;
-/// Reading at a decode engine holds up what it generates; each millisecond counts as so many.
-const DECODE_READ_WEIGHT: f64 = 1.3;
-/// Share of an engine's slots from which it counts as nearly full,
+/// Share of an engine's slots from which a newcomer may have to wait for one: what peers send is known a little late.
 const NEARLY_FULL: f64 = 0.7;
-/// and what each share beyond that counts as, in milliseconds.
-const FULL_MS: f64 = 300.0;
 /// Random part of each cost, so that daemons with the same picture do not all choose the same.
 const JITTER_SHARE: f64 = 0.1;
 
+/// What one way to serve a request takes, in milliseconds.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Estimate {
+    /// Expected time to the first event.
+    pub(super) time_ms: f64,
+    /// What it costs others, as so much time.
+    pub(super) burden_ms: f64,
+}
+
+/// A back end that was chosen.
+#[derive(Debug, Clone)]
+pub(super) struct Choice {
+    pub(super) back_end: Arc<BackEnd>,
+    /// Expected time to the first event, in milliseconds.
+    pub(super) time_ms: f64,
+    /// The same with what it costs others.
+    pub(super) cost_ms: f64,
+}
+
 impl Placement {
     /// Those that fit, were not tried, and are neither ejected nor away; where none is left, they all count.
     pub(super) fn usable(
@@ -48,23 +63,28 @@
         self.health.is_on_trial(id) && self.load.own_requests(id) > 0.0
     }
 
+    /// The one with the least cost, its time weighed by what is known of its speed and its failures.
     pub(super) fn cheapest(
         &self,
         candidates: &[Arc<BackEnd>],
         random: &mut impl Rng,
-        cost_ms: impl Fn(&BackEnd) -> f64,
-    ) -> Option<(Arc<BackEnd>, f64)> {
+        estimate: impl Fn(&BackEnd) -> Estimate,
+    ) -> Option<Choice> {
         candidates
             .iter()
             .map(|back_end| {
-                let own = cost_ms(back_end) * self.speed.slowness(&back_end.id);
-                let failing = own * self.health.cost_factor(&back_end.id);
-                let cost = failing + self.zone_ms(back_end);
+                let estimate = estimate(back_end);
+                let time_ms = estimate.time_ms * self.speed.slowness(&back_end.id);
+                let failing = time_ms * self.health.cost_factor(&back_end.id);
+                let cost_ms = failing + estimate.burden_ms + self.zone_ms(back_end);
                 let jitter: f64 = random.random();
-                (back_end, cost * (1.0 + JITTER_SHARE * jitter))
+                Choice {
+                    back_end: Arc::clone(back_end),
+                    time_ms,
+                    cost_ms: cost_ms * (1.0 + JITTER_SHARE * jitter),
+                }
             })
-            .min_by(|left, right| left.1.total_cmp(&right.1))
-            .map(|(back_end, cost)| (Arc::clone(back_end), cost))
+            .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
     }
 
     pub(super) fn zone_ms(&self, back_end: &BackEnd) -> f64 {
@@ -75,20 +95,16 @@
         }
     }
 
-    pub(super) fn decode_weight(&self) -> f64 {
-        DECODE_READ_WEIGHT / self.speed.decode_tokens_per_ms()
+    /// Time until a newcomer has a slot. One that is nearly full may be full by the time it comes; a slot is free as soon
+    /// as any of the streams there ends.
+    pub(super) fn slot_wait_ms(&self, back_end: &BackEnd) -> f64 {
+        let requests = self.load.requests(&back_end.id);
+        let crowding = requests / f64::from(back_end.slots.max(1));
+        (crowding - NEARLY_FULL).max(0.0) * self.streams.usual_ms(&back_end.service)
     }
 
-    /// Time until what waits at the engine is read, and what running requests add to each step.
-    pub(super) fn waiting_ms(&self, back_end: &BackEnd, ms_per_token: f64) -> f64 {
-        let outstanding = self.load.outstanding(&back_end.id);
-        let crowding = outstanding.requests / f64::from(back_end.slots.max(1));
-        let base = 5.0 * (1.0 + crowding);
-        outstanding.prompt_tokens * ms_per_token + base + queue_ms(crowding)
+    /// Time until the prompts that wait at the engine are read.
+    pub(super) fn backlog_ms(&self, back_end: &BackEnd, tokens_per_ms: f64) -> f64 {
+        self.load.outstanding(&back_end.id).prompt_tokens / tokens_per_ms
     }
 }
-
-/// A full engine lets newcomers wait for a slot; one that is nearly full may be, by the time they come.
-fn queue_ms(crowding: f64) -> f64 {
-    (crowding - NEARLY_FULL).max(0.0) * FULL_MS
-}
--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -14,6 +14,8 @@
 pub struct Outstanding {
     /// Requests.
     pub requests: f64,
+    /// Requests among them that generate: their first event has come.
+    pub generating: f64,
     /// Prompt tokens still to read.
     pub prompt_tokens: f64,
 }
@@ -21,11 +23,13 @@
 impl Outstanding {
     fn add(&mut self, other: Self) {
         self.requests += other.requests;
+        self.generating += other.generating;
         self.prompt_tokens += other.prompt_tokens;
     }
 
     fn take(&mut self, other: Self) {
         self.requests = (self.requests - other.requests).max(0.0);
+        self.generating = (self.generating - other.generating).max(0.0);
         self.prompt_tokens = (self.prompt_tokens - other.prompt_tokens).max(0.0);
     }
 }
@@ -81,12 +85,22 @@
         }
     }
 
-    /// A request ends.
-    pub fn end(&mut self, id: &str) {
+    /// A request's first event has come.
+    pub fn generates(&mut self, id: &str) {
+        if let Some(own) = self.own.get_mut(id) {
+            own.generating += 1.0;
+        }
+    }
+
+    /// A request ends; `generated`: its first event had come.
+    pub fn end(&mut self, id: &str, generated: bool) {
         let Some(own) = self.own.get_mut(id) else {
             return;
         };
         own.requests -= 1.0;
+        if generated {
+            own.generating = (own.generating - 1.0).max(0.0);
+        }
         if own.requests <= 0.0 {
             self.own.remove(id);
         }
--- a/crates/fleet/src/placement/metering.rs
+++ b/crates/fleet/src/placement/metering.rs
@@ -3,13 +3,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::{Placement, PromptPlan, reading};
+use super::{Aims, MS_PER_S, Placement, PromptPlan};
 use crate::directory::BackEnd;
 use crate::stages::{DECODE_READING_SHARE, StageWork};
 
-/// What each busy share of decode engines beyond [`DECODE_READING_SHARE`] counts as, in milliseconds. Measured (chladnica-hq, scale-2): with two thirds of
-/// their time spent reading short prompts, most streams there paused beyond their target, while prefill engines idled.
-const BUSY_DECODE_MS: f64 = 500.0;
+/// Tokens that a decode engine reads in this part of the target gap hold its streams up little.
+const UNNOTICED_GAP_SHARE: f64 = 0.13;
+/// Part of what the target gap leaves beside the usual pause that reading may take of decode engines' time.
+const READING_OF_HEADROOM: f64 = 0.5;
 /// A stream that holds a slot takes this share of what the slot could do: streams of a batch share each step.
 const SLOT_WEIGHT: f64 = 0.3;
 /// Work of all daemons is added up this often.
@@ -29,8 +30,10 @@
         &self.work_of_all
     }
 
-    /// What further reading at the service's decode engines costs the streams there, in milliseconds.
-    pub(super) fn busy_decode_ms(&self, decoders: &[Arc<BackEnd>]) -> f64 {
+    /// Share of their time that the service's decode engines read beyond what the pauses of their streams bear.
+    /// Measured (chladnica-hq, scale-2): with two thirds of their time spent reading short prompts, most streams there
+    /// paused beyond their target, while prefill engines idled.
+    pub(super) fn excess_reading(&self, decoders: &[Arc<BackEnd>], aims: Aims) -> f64 {
         let Some(first) = decoders.first() else {
             return 0.0;
         };
@@ -41,16 +44,33 @@
         let work = known.map_or(0.0, |(_service, work)| work.decode_reading);
         #[expect(clippy::cast_precision_loss, reason = "a few hundred engines")]
         let busy = work / decoders.len() as f64;
-        (busy - DECODE_READING_SHARE).max(0.0) * BUSY_DECODE_MS
+        (busy - self.bearable_reading(&first.service, aims)).max(0.0)
+    }
+
+    /// Share of their time that decode engines may read.
+    fn bearable_reading(&self, service: &str, aims: Aims) -> f64 {
+        let quiet_ms = self.streams.quiet_gap_ms(service);
+        let Some(target) = aims.gap.filter(|_| quiet_ms > 0.0) else {
+            return DECODE_READING_SHARE;
+        };
+        let target_ms = target.as_secs_f64() * MS_PER_S;
+        let headroom = (1.0 - quiet_ms / target_ms).max(0.0);
+        (headroom * READING_OF_HEADROOM).max(DECODE_READING_SHARE)
+    }
+
+    /// Tokens that a decode engine reads without holding its streams up noticeably.
+    fn unnoticed_tokens(&self, aims: Aims) -> f64 {
+        let target = aims.gap.unwrap_or(aims.latency);
+        let time_ms = target.as_secs_f64() * MS_PER_S * UNNOTICED_GAP_SHARE;
+        time_ms * self.speed.decode_tokens_per_ms()
     }
 
     /// Adds the reading that a plan brings to the work of its service.
-    pub fn meter(&mut self, service: &Arc<str>, plan: &PromptPlan, now: Instant) {
-        const MS_PER_S: f64 = 1000.0;
+    pub fn meter(&mut self, service: &Arc<str>, plan: &PromptPlan, aims: Aims, now: Instant) {
         let prefill_s = plan.tokens_to_read / self.speed.prefill_tokens_per_ms() / MS_PER_S;
         let decode_s = plan.tokens_to_read / self.speed.decode_tokens_per_ms() / MS_PER_S;
         let mut work = StageWork::default();
-        if plan.tokens_to_read > reading::UNNOTICED_TOKENS {
+        if plan.tokens_to_read > self.unnoticed_tokens(aims) {
             work.prefill = prefill_s;
         } else {
             work.short_reading = prefill_s;
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -2,70 +2,103 @@
 
 use std::sync::Arc;
 
-use super::{HOME_READ_SHARE, Placement, PromptPlan, prefixes};
+use super::costs::Estimate;
+use super::{HOME_READ_SHARE, MS_PER_S, Placement, PromptPlan, PromptRequest, prefixes};
 use crate::configuration::EngineTraits;
 use crate::directory::BackEnd;
-use crate::prompt::Prompt;
 
-/// What a fetch costs beside the move itself, in milliseconds: its start, its price, and the head that it pushes out of
-/// the engine's memory.
-const FETCH_MS: f64 = 40.0;
+/// What a fetched head costs others, as a part of the time that its reading takes: it pushes another head out of the
+/// engine's memory, which may have to be read again.
+const FETCH_BURDEN: f64 = 0.18;
 /// A head of fewer tokens is not worth a fetch.
 const LEAST_FETCHED_TOKENS: u32 = 1000;
 /// Moves between zones take this many times as long.
 const OTHER_ZONE_MOVE_FACTOR: f64 = 2.0;
-/// Tokens that a decode engine reads without holding its streams up noticeably.
-pub(super) const UNNOTICED_TOKENS: f64 = 600.0;
-/// Each millisecond of reading beyond those counts as so many: every stream there pauses meanwhile.
-const PAUSE_WEIGHT: f64 = 4.0;
+/// Part of the target gap up to which reading may stretch the pauses of the streams at an engine.
+const GAP_IN_USE: f64 = 0.9;
 
 /// How one prompt could be read.
 pub(super) struct Reading<'a> {
     pub(super) placement: &'a Placement,
-    pub(super) traits: &'a EngineTraits,
-    pub(super) prompt: &'a Prompt,
+    pub(super) request: &'a PromptRequest<'a>,
     pub(super) keepers: &'a [Arc<BackEnd>],
-    pub(super) busy_decode_ms: f64,
+    /// Share of their time that the service's decode engines read, beyond what their streams bear.
+    pub(super) excess_reading: f64,
 }
 
 /// What an engine would have to do before a prompt is read.
 struct Work {
     tokens: f64,
-    fetch_ms: f64,
+    move_ms: f64,
     fetch_from: Option<Arc<BackEnd>>,
 }
 
 impl Reading<'_> {
-    /// Time to the first event where a decode engine reads the prompt itself.
-    pub(super) fn direct_ms(&self, back_end: &BackEnd, home: Option<&Arc<BackEnd>>) -> f64 {
-        let per_token = self.placement.decode_weight();
+    /// Where a decode engine reads the prompt itself.
+    pub(super) fn direct(&self, back_end: &BackEnd, home: Option<&Arc<BackEnd>>) -> Estimate {
+        let placement = self.placement;
+        let rate = placement.speed.decode_tokens_per_ms();
         let work = self.work(back_end, home);
-        let pausing = (work.tokens - UNNOTICED_TOKENS).max(0.0);
-        let reading = (work.tokens + PAUSE_WEIGHT * pausing) * per_token;
-        self.placement.waiting_ms(back_end, per_token)
-            + work.fetch_ms
-            + reading
-            + self.busy_decode_ms
+        let reading_ms = placement.backlog_ms(back_end, rate) + work.tokens / rate;
+        let late_streams = self.late_streams(back_end, reading_ms) + self.excess_reading;
+        Estimate {
+            time_ms: placement.slot_wait_ms(back_end)
+                + placement.speed.message_ms()
+                + work.move_ms
+                + reading_ms,
+            burden_ms: self.fetch_burden_ms(&work) + late_streams * self.request.aims.latency_ms(),
+        }
     }
 
-    /// Time until a prefill engine has read the prompt.
-    pub(super) fn prefill_ms(&self, back_end: &BackEnd, home: Option<&Arc<BackEnd>>) -> f64 {
-        let per_token = 1.0 / self.placement.speed.prefill_tokens_per_ms();
+    /// Until a prefill engine has read the prompt, and it has been moved.
+    pub(super) fn apart(&self, back_end: &BackEnd, home: Option<&Arc<BackEnd>>) -> Estimate {
+        let placement = self.placement;
+        let rate = placement.speed.prefill_tokens_per_ms();
         let work = self.work(back_end, home);
-        self.placement.waiting_ms(back_end, per_token) + work.fetch_ms + work.tokens * per_token
+        Estimate {
+            time_ms: placement.slot_wait_ms(back_end)
+                + placement.speed.message_ms()
+                + work.move_ms
+                + placement.backlog_ms(back_end, rate)
+                + work.tokens / rate
+                + move_ms(self.request.traits, self.request.prompt.input_tokens),
+            burden_ms: self.fetch_burden_ms(&work),
+        }
+    }
+
+    fn fetch_burden_ms(&self, work: &Work) -> f64 {
+        if work.move_ms > 0.0 {
+            FETCH_BURDEN * self.placement.head_reading_ms(self.request.prompt)
+        } else {
+            0.0
+        }
+    }
+
+    /// Streams at the engine whose pauses would pass their target where it reads for so long. Between two of its pieces
+    /// every stream gets on, so that what counts is the reading that falls into one pause.
+    fn late_streams(&self, back_end: &BackEnd, reading_ms: f64) -> f64 {
+        let Some(target) = self.request.aims.gap else {
+            return 0.0;
+        };
+        let target_ms = target.as_secs_f64() * MS_PER_S;
+        let quiet_ms = self.placement.streams.quiet_gap_ms(&back_end.service);
+        let gap_ms = quiet_ms + reading_ms.min(target_ms);
+        let passed = (gap_ms / (target_ms * GAP_IN_USE) - 1.0).clamp(0.0, 1.0);
+        let generating = self.placement.load.outstanding(&back_end.id).generating;
+        passed * generating
     }
 
     /// What the engine would do, by what is known of caches.
     fn work(&self, back_end: &BackEnd, home: Option<&Arc<BackEnd>>) -> Work {
-        let own = f64::from(self.prompt.own_tokens());
-        let shared = f64::from(self.prompt.shared_tokens());
+        let own = f64::from(self.request.prompt.own_tokens());
+        let shared = f64::from(self.request.prompt.shared_tokens());
         let read = |tokens| Work {
             tokens,
-            fetch_ms: 0.0,
+            move_ms: 0.0,
             fetch_from: None,
         };
-        if self.prompt.shared_head().is_none() {
-            return read(f64::from(self.prompt.input_tokens));
+        if self.request.prompt.shared_head().is_none() {
+            return read(f64::from(self.request.prompt.input_tokens));
         }
         if self.keepers.iter().any(|keeper| keeper.id == back_end.id) {
             return read(own);
@@ -78,10 +111,10 @@
             } else {
                 OTHER_ZONE_MOVE_FACTOR
             };
-            let moving = move_ms(self.traits, self.prompt.shared_tokens()) * far;
+            let moving = move_ms(self.request.traits, self.request.prompt.shared_tokens()) * far;
             return Work {
                 tokens: own,
-                fetch_ms: moving + FETCH_MS,
+                move_ms: moving,
                 fetch_from: Some(Arc::clone(keeper)),
             };
         }
@@ -93,14 +126,14 @@
         }
         Work {
             tokens: own + shared,
-            fetch_ms: 0.0,
+            move_ms: 0.0,
             fetch_from: Some(Arc::clone(home)),
         }
     }
 
     /// Where the prompt's head is at home among `rivals`; none where it is fetched from a keeper anyway.
     pub(super) fn home<'b>(&self, rivals: &'b [Arc<BackEnd>]) -> Option<&'b Arc<BackEnd>> {
-        let head = self.prompt.shared_head()?;
+        let head = self.request.prompt.shared_head()?;
         if self.is_worth_a_fetch() && !self.keepers.is_empty() {
             return None;
         }
@@ -108,7 +141,7 @@
     }
 
     fn is_worth_a_fetch(&self) -> bool {
-        self.prompt.shared_tokens() >= LEAST_FETCHED_TOKENS
+        self.request.prompt.shared_tokens() >= LEAST_FETCHED_TOKENS
     }
 
     fn nearest_keeper(&self, back_end: &BackEnd) -> Option<&Arc<BackEnd>> {
@@ -129,7 +162,7 @@
         let work = self.work(reader, home);
         PromptPlan {
             fetch_from: work.fetch_from,
-            fetch_ms: work.fetch_ms,
+            fetch_ms: work.move_ms,
             tokens_to_read: work.tokens,
             prefill,
             decode,
--- a/crates/fleet/src/placement/speed.rs
+++ b/crates/fleet/src/placement/speed.rs
@@ -5,14 +5,16 @@
 
 use crate::stages::DECODE_READ_PACE;
 
-/// Prompt tokens that a prefill engine is taken to read in a millisecond until some readings have been seen.
+/// Prompt tokens that a prefill engine is taken to read in a millisecond until the first reading has been seen.
 const DEFAULT_PREFILL_TOKENS_PER_MS: f64 = 30.0;
+/// What messages are taken to need of a reading's time until a line through readings tells, in milliseconds.
+const DEFAULT_MESSAGE_MS: f64 = 10.0;
 /// Readings from which a rate is worked out.
 const LEAST_READINGS: f64 = 6.0;
 /// Part that older readings keep of their weight with each new one.
 const OLDER_KEEP: f64 = 0.99;
-/// Readings that differ less, in tokens (standard deviation), tell messages from reading too badly.
-const LEAST_SPREAD_TOKENS: f64 = 1_000.0;
+/// Readings that differ less (standard deviation as a part of the mean) tell messages from reading too badly.
+const LEAST_SPREAD: f64 = 0.25;
 /// Weight of a reading that took longer than the line says: an engine that was thought idle may have been at work for
 /// others, but none reads faster than it can.
 const SLOWER_WEIGHT: f64 = 0.2;
@@ -66,7 +68,7 @@
         }
         let mean = self.tokens / self.weight;
         let variance = self.tokens_squared / self.weight - mean * mean;
-        if variance < LEAST_SPREAD_TOKENS * LEAST_SPREAD_TOKENS {
+        if variance < (LEAST_SPREAD * mean).powi(2) {
             return None;
         }
         let mean_time = self.time / self.weight;
@@ -80,12 +82,19 @@
         let (_at_nothing, per_token) = self.fit()?;
         Some((1.0 / per_token).clamp(least, most))
     }
+
+    /// What messages need of a reading's time, in milliseconds.
+    fn message_ms(&self) -> Option<f64> {
+        let (at_nothing, _per_token) = self.fit()?;
+        Some(at_nothing.max(0.0))
+    }
 }
 
 /// Learned rates.
 #[derive(Debug, Default)]
 pub struct SpeedTable {
     readings: ReadingLine,
+    decode_readings: ReadingLine,
     untold: Vec<PromptReading>,
     plain_ms: HashMap<Arc<str>, f64>,
     slowness: HashMap<Arc<str>, f64>,
@@ -122,6 +131,11 @@
         self.readings.add(reading);
     }
 
+    /// A decode engine that read nothing else read a prompt that this daemon sent.
+    pub fn prompt_read_at_decode(&mut self, reading: PromptReading) {
+        self.decode_readings.add(reading);
+    }
+
     /// Own readings since the last call, for telling peers.
     pub fn take_untold(&mut self) -> Vec<PromptReading> {
         std::mem::take(&mut self.untold)
@@ -138,7 +152,16 @@
     /// Prompt tokens that a decode engine reads in a millisecond.
     #[must_use]
     pub fn decode_tokens_per_ms(&self) -> f64 {
-        self.prefill_tokens_per_ms() * DECODE_READ_PACE
+        let at_most = self.prefill_tokens_per_ms();
+        self.decode_readings
+            .tokens_per_ms()
+            .map_or(at_most * DECODE_READ_PACE, |rate| rate.min(at_most))
+    }
+
+    /// What messages need of the time that a reading takes, in milliseconds.
+    #[must_use]
+    pub fn message_ms(&self) -> f64 {
+        self.readings.message_ms().unwrap_or(DEFAULT_MESSAGE_MS)
     }
 
     /// Usual time of a plain answer in milliseconds.
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -9,7 +9,8 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{
-    HeadState, HeadUse, Outstanding, Placement, PromptPlan, WorkReport, WorkRow,
+    Aims, HeadState, HeadUse, Outstanding, Placement, PromptPlan, PromptRequest, WorkReport,
+    WorkRow,
 };
 use ponddrift_fleet::prompt::{Prompt, PromptPart};
 use ponddrift_fleet::stages::StageWork;
@@ -17,6 +18,11 @@
 use rand_pcg::Pcg64Mcg;
 use support::engines;
 
+const AIMS: Aims = Aims {
+    latency: Duration::from_millis(500),
+    gap: Some(Duration::from_millis(150)),
+};
+
 struct Scene {
     placement: Placement,
     engines: Vec<Arc<BackEnd>>,
@@ -41,8 +47,11 @@
             .plan_prompt(
                 &self.engines,
                 &[],
-                &traits(),
-                prompt,
+                &PromptRequest {
+                    prompt,
+                    aims: AIMS,
+                    traits: &traits(),
+                },
                 self.now,
                 &mut self.random,
             )
@@ -92,6 +101,7 @@
         let outstanding = Outstanding {
             requests: 1.0,
             prompt_tokens,
+            ..Outstanding::default()
         };
         let report = self.peer_report(engine, 1, outstanding);
         assert!(self.placement.load.hear(report, self.now));
@@ -286,7 +296,7 @@
     scene.keep(5, &asked);
     let full = Outstanding {
         requests: f64::from(scene.engines[5].slots) * 1.2,
-        prompt_tokens: 0.0,
+        ..Outstanding::default()
     };
     let report = scene.peer_report(5, 1, full);
     scene.placement.load.hear(report, scene.now);
@@ -299,7 +309,7 @@
     let mut scene = Scene::new(2, 1);
     let work = |requests| Outstanding {
         requests,
-        prompt_tokens: 0.0,
+        ..Outstanding::default()
     };
     let newer = scene.peer_report(0, 5, work(2.0));
     let older = scene.peer_report(0, 4, work(9.0));
@@ -378,7 +388,7 @@
     let service = Arc::from("models");
     let plan = scene.plan(&prompt("h", 10_000, 4_000));
     assert!(plan.prefill.is_none());
-    scene.placement.meter(&service, &plan, scene.now);
+    scene.placement.meter(&service, &plan, AIMS, scene.now);
     let rates = scene.placement.work.rates(scene.now);
     let work = rates[0].1;
     assert!(work.prefill > 0.1 && work.decode_reading > work.prefill);
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -22,7 +22,7 @@
 /// Services that surely fit beside them.
 const MAXIMUM_SERVICES: usize = 4;
 /// Version of the messages; daemons of other versions are not heard.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// What a datagram tells.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -79,6 +79,8 @@
     pub(super) back_end: u32,
     /// Requests in progress.
     pub(super) requests: u16,
+    /// Requests among them that generate.
+    pub(super) generating: u16,
     /// Prompt tokens still to read.
     pub(super) prompt_tokens: u32,
 }
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -69,6 +69,7 @@
     BackEndRow {
         back_end: hash(&row.id),
         requests: row.outstanding.requests as u16,
+        generating: row.outstanding.generating as u16,
         prompt_tokens: row.outstanding.prompt_tokens as u32,
     }
 }
@@ -79,6 +80,7 @@
             id: Arc::clone(&known.find(row.back_end)?.id),
             outstanding: Outstanding {
                 requests: f64::from(row.requests),
+                generating: f64::from(row.generating),
                 prompt_tokens: f64::from(row.prompt_tokens),
             },
         })
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -9,10 +9,10 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::placement::{HeadState, PromptPlan};
+use ponddrift_fleet::placement::{HeadState, PromptPlan, PromptReading};
 
 use super::Pipeline;
-use super::generate::{FirstEvent, OpenStream};
+use super::generate::{FirstEvent, OpenStream, Sent};
 use super::guards::LoadGuard;
 use super::job::Job;
 use super::patience::{GivenUp, Patience};
@@ -60,7 +60,7 @@
             .await
             .map_err(NoEvent::GivenUp)?
             .map_err(NoEvent::Broken)?;
-        load.prompt_read();
+        load.generates();
         Ok(Box::new(OpenStream {
             back_end: Arc::clone(back_end),
             head,
@@ -81,15 +81,15 @@
         plan: &PromptPlan,
         decode: &Arc<BackEnd>,
         opened: Result<Box<OpenStream>, NoEvent>,
-        begun: Instant,
+        sent: Sent,
     ) -> FirstEvent {
-        let took = now().saturating_duration_since(begun);
+        let took = now().saturating_duration_since(sent.begun);
         match opened {
             Ok(stream) => {
                 let waited = now().saturating_duration_since(job.arrived);
                 self.metrics.first_event(waited);
                 job.first_event.get_or_insert_with(now);
-                self.learn_decode(job, plan, decode, took);
+                self.learn_decode(job, plan, decode, sent.reads_alone.then_some(took));
                 FirstEvent::Came(stream)
             }
             Err(no_event) => {
@@ -112,14 +112,26 @@
         }
     }
 
-    fn learn_decode(&self, job: &Job, plan: &PromptPlan, decode: &Arc<BackEnd>, took: Duration) {
+    /// Learns from an answer; `took`: its time, where the engine had nothing else to read.
+    fn learn_decode(
+        &self,
+        job: &Job,
+        plan: &PromptPlan,
+        decode: &Arc<BackEnd>,
+        took: Option<Duration>,
+    ) {
         self.note_head(job, decode, HeadState::Kept);
-        if job.facts.prompt.is_some() && plan.prefill.is_none() {
-            self.placement().speed.engine_answered(
-                &decode.id,
-                plan.expected_ms,
-                milliseconds(took),
-            );
+        if job.facts.prompt.is_none() || plan.prefill.is_some() {
+            return;
+        }
+        if let Some(took) = took {
+            let took_ms = milliseconds(took);
+            let speed = &mut self.placement().speed;
+            speed.engine_answered(&decode.id, plan.expected_ms, took_ms);
+            speed.prompt_read_at_decode(PromptReading {
+                tokens: plan.tokens_to_read,
+                took_ms: (took_ms - plan.fetch_ms).max(0.0),
+            });
         }
     }
 }
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -8,7 +8,7 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::placement::PromptPlan;
+use ponddrift_fleet::placement::{PromptPlan, PromptRequest};
 use ponddrift_http::body::{self, Body};
 
 use super::Pipeline;
@@ -49,6 +49,14 @@
     Failure(Failure),
 }
 
+/// A send that a first event is awaited of.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Sent {
+    pub(super) begun: Instant,
+    /// Whether the engine had nothing else to read.
+    pub(super) reads_alone: bool,
+}
+
 /// What came of a reading apart.
 enum ReadApart {
     /// The prompt was read.
@@ -160,7 +168,12 @@
             (Some(prompt), Some(traits)) => {
                 placement.prefixes.set_capacity(traits.cache_tokens);
                 placement.work_of_all(now);
-                placement.plan_prompt(&ready, &job.tried, traits, prompt, now, &mut *random)
+                let request = PromptRequest {
+                    prompt,
+                    aims: job.aims(),
+                    traits,
+                };
+                placement.plan_prompt(&ready, &job.tried, &request, now, &mut *random)
             }
             _ => placement
                 .choose_plain(&ready, &job.tried, now, &mut *random)
@@ -173,7 +186,7 @@
                     tokens_to_read: 0.0,
                 }),
         }?;
-        placement.meter(&job.service.name, &plan, now);
+        placement.meter(&job.service.name, &plan, job.aims(), now);
         if let Some(prompt) = &job.facts.prompt {
             let total = f64::from(prompt.input_tokens);
             self.metrics
@@ -208,6 +221,8 @@
         } else {
             plan.tokens_to_read
         };
+        let outstanding = self.placement().load.outstanding(&decode.id);
+        let reads_alone = handle.is_none() && outstanding.prompt_tokens < 1.0;
         let load = LoadGuard::new(self, &decode, tokens);
         let patience = self.first_event_patience(job, plan);
         let step = match &handle {
@@ -243,7 +258,7 @@
         let opened = self
             .first_event(&decode, &path, reply, load, begun, patience)
             .await;
-        self.note_first_event(job, plan, &decode, opened, begun)
+        self.note_first_event(job, plan, &decode, opened, Sent { begun, reads_alone })
     }
 
     /// The engine that generates; chosen anew after a prompt was read, which takes a while.
--- a/crates/serving/src/pipeline/guards.rs
+++ b/crates/serving/src/pipeline/guards.rs
@@ -60,6 +60,7 @@
     pipeline: Arc<Pipeline>,
     id: Arc<str>,
     unread_tokens: f64,
+    generates: bool,
 }
 
 impl LoadGuard {
@@ -72,6 +73,7 @@
             pipeline: Arc::clone(pipeline),
             id: Arc::clone(&back_end.id),
             unread_tokens: prompt_tokens,
+            generates: false,
         }
     }
 
@@ -80,12 +82,20 @@
         let tokens = std::mem::take(&mut self.unread_tokens);
         self.pipeline.placement().load.prompt_read(&self.id, tokens);
     }
+
+    /// The first event has come.
+    pub(super) fn generates(&mut self) {
+        self.prompt_read();
+        self.generates = true;
+        self.pipeline.placement().load.generates(&self.id);
+    }
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         self.prompt_read();
-        self.pipeline.placement().load.end(&self.id);
+        let load = &mut self.pipeline.placement().load;
+        load.end(&self.id, self.generates);
     }
 }
 
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use ponddrift_fleet::configuration::{Route, Service};
+use ponddrift_fleet::placement::Aims;
 
 use super::Pipeline;
 use super::guards::HeldBytes;
@@ -67,6 +68,14 @@
         self.end.saturating_duration_since(now())
     }
 
+    /// What the request asks of its answer.
+    pub(super) fn aims(&self) -> Aims {
+        Aims {
+            latency: self.route.target_latency,
+            gap: self.route.target_gap,
+        }
+    }
+
     /// Whether one more back end may run the request.
     pub(super) fn may_run_again(&self) -> bool {
         self.runs == 0
