Requests that cannot be in time take the time that others leave

Hypothesis: engines take the more urgent first, so a request that will be late anyway should stand behind those that can be in time. Change: a request whose expected time passes its target goes at a lower rank; daemons tell each other its tokens apart, and a newcomer that can be in time does not count them. Nothing is held back or refused for it.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -22,7 +22,7 @@
 use crate::stages::StageWork;
 
 use costs::{Choice, Estimate};
-pub use load::{LoadTable, Outstanding, WorkReport, WorkRow};
+pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
 pub use prefixes::{HeadState, HeadUse, LEAST_HEAD_TOKENS, PrefixMemory};
 use reading::Reading;
 pub use speed::{PromptReading, SpeedTable};
@@ -68,6 +68,8 @@
     pub aims: Aims,
     /// What the engines of its service can do.
     pub traits: &'a EngineTraits,
+    /// Behind what it waits.
+    pub urgency: Urgency,
 }
 
 /// Which engines serve a prompt.
@@ -87,6 +89,21 @@
     pub tokens_to_read: f64,
 }
 
+impl PromptPlan {
+    /// A request that tells nothing of its prompt goes to this engine.
+    #[must_use]
+    pub const fn unknown(decode: Arc<BackEnd>) -> Self {
+        Self {
+            prefill: None,
+            decode,
+            fetch_from: None,
+            expected_ms: 0.0,
+            fetch_ms: 0.0,
+            tokens_to_read: 0.0,
+        }
+    }
+}
+
 /// An engine that is about to change.
 #[derive(Debug, Clone, Copy)]
 struct Away {
@@ -315,7 +332,7 @@
         self.cheapest(decoders, random, |back_end| {
             let time_ms = self.slot_wait_ms(back_end)
                 + self.speed.message_ms()
-                + self.backlog_ms(back_end, rate) * MET_BACKLOG;
+                + self.backlog_ms(back_end, rate, Urgency::InTime) * MET_BACKLOG;
             let missing = match head {
                 None => 0.0,
                 Some(head) if self.prefixes.state(&back_end.id, head, now).is_some() => 0.0,
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -5,7 +5,7 @@
 
 use rand::{Rng, RngExt};
 
-use super::Placement;
+use super::{Placement, Urgency};
 use crate::directory::BackEnd;
 
 /// Cost of a way into another zone, in milliseconds.
@@ -104,7 +104,13 @@
     }
 
     /// Time until the prompts that wait at the engine are read.
-    pub(super) fn backlog_ms(&self, back_end: &BackEnd, tokens_per_ms: f64) -> f64 {
-        self.load.outstanding(&back_end.id).prompt_tokens / tokens_per_ms
+    pub(super) fn backlog_ms(
+        &self,
+        back_end: &BackEnd,
+        tokens_per_ms: f64,
+        urgency: Urgency,
+    ) -> f64 {
+        let outstanding = self.load.outstanding(&back_end.id);
+        outstanding.tokens_ahead(urgency) / tokens_per_ms
     }
 }
--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -16,21 +16,62 @@
     pub requests: f64,
     /// Requests among them that generate: their first event has come.
     pub generating: f64,
-    /// Prompt tokens still to read.
+    /// Prompt tokens still to read, of requests that can be in time.
     pub prompt_tokens: f64,
+    /// Prompt tokens still to read, of requests that will be late: engines read them when nothing else waits.
+    pub late_tokens: f64,
+}
+
+/// Whether a request can be answered in its time in target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Urgency {
+    /// It can: it goes first.
+    #[default]
+    InTime,
+    /// It cannot: it takes what time the others leave.
+    Late,
+}
+
+impl Urgency {
+    /// Name for logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::InTime => "in_time",
+            Self::Late => "late",
+        }
+    }
 }
 
 impl Outstanding {
+    /// Prompt tokens that are read before those of a newcomer.
+    #[must_use]
+    pub fn tokens_ahead(&self, urgency: Urgency) -> f64 {
+        match urgency {
+            Urgency::InTime => self.prompt_tokens,
+            Urgency::Late => self.prompt_tokens + self.late_tokens,
+        }
+    }
+
+    fn tokens_of(&mut self, urgency: Urgency) -> &mut f64 {
+        match urgency {
+            Urgency::InTime => &mut self.prompt_tokens,
+            Urgency::Late => &mut self.late_tokens,
+        }
+    }
+
     fn add(&mut self, other: Self) {
         self.requests += other.requests;
         self.generating += other.generating;
         self.prompt_tokens += other.prompt_tokens;
+        self.late_tokens += other.late_tokens;
     }
 
     fn take(&mut self, other: Self) {
         self.requests = (self.requests - other.requests).max(0.0);
         self.generating = (self.generating - other.generating).max(0.0);
         self.prompt_tokens = (self.prompt_tokens - other.prompt_tokens).max(0.0);
+        self.late_tokens = (self.late_tokens - other.late_tokens).max(0.0);
     }
 }
 
@@ -72,16 +113,17 @@
 
 impl LoadTable {
     /// A request begins at a back end.
-    pub fn begin(&mut self, id: &Arc<str>, prompt_tokens: f64) {
+    pub fn begin(&mut self, id: &Arc<str>, prompt_tokens: f64, urgency: Urgency) {
         let own = self.own.entry(Arc::clone(id)).or_default();
         own.requests += 1.0;
-        own.prompt_tokens += prompt_tokens;
+        *own.tokens_of(urgency) += prompt_tokens;
     }
 
     /// A request's prompt has been read.
-    pub fn prompt_read(&mut self, id: &str, prompt_tokens: f64) {
+    pub fn prompt_read(&mut self, id: &str, prompt_tokens: f64, urgency: Urgency) {
         if let Some(own) = self.own.get_mut(id) {
-            own.prompt_tokens = (own.prompt_tokens - prompt_tokens).max(0.0);
+            let tokens = own.tokens_of(urgency);
+            *tokens = (*tokens - prompt_tokens).max(0.0);
         }
     }
 
@@ -146,7 +188,7 @@
             }
             is_fresh
         });
-        sum.retain(|_id, work| work.requests > 0.0 || work.prompt_tokens > 0.0);
+        sum.retain(|_id, work| work.requests > 0.0 || work.tokens_ahead(Urgency::Late) > 0.0);
     }
 
     /// Own work, for telling peers.
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -39,7 +39,8 @@
         let placement = self.placement;
         let rate = placement.speed.decode_tokens_per_ms();
         let work = self.work(back_end, home);
-        let reading_ms = placement.backlog_ms(back_end, rate) + work.tokens / rate;
+        let reading_ms =
+            placement.backlog_ms(back_end, rate, self.request.urgency) + work.tokens / rate;
         let late_streams = self.late_streams(back_end, reading_ms) + self.excess_reading;
         Estimate {
             time_ms: placement.slot_wait_ms(back_end)
@@ -59,7 +60,7 @@
             time_ms: placement.slot_wait_ms(back_end)
                 + placement.speed.message_ms()
                 + work.move_ms
-                + placement.backlog_ms(back_end, rate)
+                + placement.backlog_ms(back_end, rate, self.request.urgency)
                 + work.tokens / rate
                 + move_ms(self.request.traits, self.request.prompt.input_tokens),
             burden_ms: self.fetch_burden_ms(&work),
--- a/crates/fleet/src/placement/stream_times.rs
+++ b/crates/fleet/src/placement/stream_times.rs
@@ -22,6 +22,8 @@
     }
 }
 
+/// How long a stream is taken to hold its slot until the first has ended, in milliseconds.
+const DEFAULT_STREAM_MS: f64 = 300.0;
 /// Weight of the newest sample in an average.
 const NEWEST_WEIGHT: f64 = 0.05;
 
@@ -77,11 +79,13 @@
         Duration::from_secs_f64(longest.map_or(0.0, |longest| longest.now(now)))
     }
 
-    /// How long a stream usually holds its slot, in milliseconds; nothing before the first has ended.
+    /// How long a stream usually holds its slot, in milliseconds.
     #[must_use]
     pub fn usual_ms(&self, service: &str) -> f64 {
         let times = self.by_service.get(service);
-        times.and_then(|times| times.usual_ms.0).unwrap_or_default()
+        times
+            .and_then(|times| times.usual_ms.0)
+            .unwrap_or(DEFAULT_STREAM_MS)
     }
 
     /// The usual pause between two events where the engine reads nothing, in milliseconds.
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -9,8 +9,8 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{
-    Aims, HeadState, HeadUse, Outstanding, Placement, PromptPlan, PromptRequest, WorkReport,
-    WorkRow,
+    Aims, HeadState, HeadUse, Outstanding, Placement, PromptPlan, PromptRequest, Urgency,
+    WorkReport, WorkRow,
 };
 use ponddrift_fleet::prompt::{Prompt, PromptPart};
 use ponddrift_fleet::stages::StageWork;
@@ -51,6 +51,7 @@
                     prompt,
                     aims: AIMS,
                     traits: &traits(),
+                    urgency: Urgency::InTime,
                 },
                 self.now,
                 &mut self.random,
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -81,8 +81,10 @@
     pub(super) requests: u16,
     /// Requests among them that generate.
     pub(super) generating: u16,
-    /// Prompt tokens still to read.
+    /// Prompt tokens still to read, of requests that can be in time.
     pub(super) prompt_tokens: u32,
+    /// The same of requests that will be late.
+    pub(super) late_tokens: u32,
 }
 
 /// An engine that gets nothing new for a while.
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -71,6 +71,7 @@
         requests: row.outstanding.requests as u16,
         generating: row.outstanding.generating as u16,
         prompt_tokens: row.outstanding.prompt_tokens as u32,
+        late_tokens: row.outstanding.late_tokens as u32,
     }
 }
 
@@ -82,6 +83,7 @@
                 requests: f64::from(row.requests),
                 generating: f64::from(row.generating),
                 prompt_tokens: f64::from(row.prompt_tokens),
+                late_tokens: f64::from(row.late_tokens),
             },
         })
     });
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -7,6 +7,7 @@
 use http::{Request, StatusCode};
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::{Outcome, Results};
+use ponddrift_fleet::placement::Urgency;
 use ponddrift_http::body;
 
 use super::Pipeline;
@@ -19,6 +20,8 @@
 
 /// Rank of everything that generates.
 const GENERATING_RANK: u8 = 0;
+/// Ranks by which a request that will be late stands behind those that can be in time.
+const LATE_RANKS: u8 = 5;
 /// A back end that refused a request gets nothing new for this long, while others can be asked.
 const REFUSED_PAUSE: Duration = Duration::from_millis(200);
 /// The same for one that is another than the directory says, or has another stage: the directory lags.
@@ -88,7 +91,7 @@
         let facts = SendFacts {
             back_end: &back_end.id,
             time_left: job.time_left(),
-            priority: rank_at(order.step, job.route.priority),
+            priority: rank_at(order.step, job.route.priority, job.urgency),
             step: order.step,
             resume_after: order.resume_after,
             fetch_from: order.fetch_from,
@@ -256,10 +259,15 @@
 
 /// Rank of a request at its engine. Where it generates, all have the same: one that a more urgent one displaces there
 /// is read anew, in the time of everybody on that engine.
-const fn rank_at(step: SendStep<'_>, route_priority: u8) -> u8 {
+fn rank_at(step: SendStep<'_>, route_priority: u8, urgency: Urgency) -> u8 {
+    let behind = match urgency {
+        Urgency::InTime => 0,
+        Urgency::Late => LATE_RANKS,
+    };
     match step {
-        SendStep::Prefill => route_priority,
-        SendStep::Serve | SendStep::Continue { .. } => GENERATING_RANK,
+        SendStep::Prefill => route_priority.saturating_add(behind),
+        SendStep::Serve => GENERATING_RANK + behind,
+        SendStep::Continue { .. } => GENERATING_RANK,
     }
 }
 
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -8,7 +8,7 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::placement::{PromptPlan, PromptRequest};
+use ponddrift_fleet::placement::{Placement, PromptPlan, PromptRequest, Urgency};
 use ponddrift_http::body::{self, Body};
 
 use super::Pipeline;
@@ -163,29 +163,8 @@
         let now = now();
         let ready = self.state.ready(&job.service.name, now);
         let mut placement = self.placement();
-        let mut random = self.random();
-        let plan = match (&job.facts.prompt, &job.service.engine) {
-            (Some(prompt), Some(traits)) => {
-                placement.prefixes.set_capacity(traits.cache_tokens);
-                placement.work_of_all(now);
-                let request = PromptRequest {
-                    prompt,
-                    aims: job.aims(),
-                    traits,
-                };
-                placement.plan_prompt(&ready, &job.tried, &request, now, &mut *random)
-            }
-            _ => placement
-                .choose_plain(&ready, &job.tried, now, &mut *random)
-                .map(|decode| PromptPlan {
-                    prefill: None,
-                    decode,
-                    fetch_from: None,
-                    fetch_ms: 0.0,
-                    expected_ms: 0.0,
-                    tokens_to_read: 0.0,
-                }),
-        }?;
+        let plan = self.plan_in(&mut placement, job, &ready, now)?;
+        job.expected_ms.get_or_insert(plan.expected_ms);
         placement.meter(&job.service.name, &plan, job.aims(), now);
         if let Some(prompt) = &job.facts.prompt {
             let total = f64::from(prompt.input_tokens);
@@ -208,6 +187,39 @@
         Some(plan)
     }
 
+    /// The plan with which the request is in time, else the one with which it takes the time that others leave.
+    fn plan_in(
+        &self,
+        placement: &mut Placement,
+        job: &mut Job,
+        ready: &[Arc<BackEnd>],
+        now: Instant,
+    ) -> Option<PromptPlan> {
+        let mut random = self.random();
+        let (Some(prompt), Some(traits)) = (&job.facts.prompt, &job.service.engine) else {
+            return placement
+                .choose_plain(ready, &job.tried, now, &mut *random)
+                .map(PromptPlan::unknown);
+        };
+        placement.prefixes.set_capacity(traits.cache_tokens);
+        placement.work_of_all(now);
+        let mut request = PromptRequest {
+            prompt,
+            aims: job.aims(),
+            traits,
+            urgency: Urgency::InTime,
+        };
+        let plan = placement.plan_prompt(ready, &job.tried, &request, now, &mut *random)?;
+        let expected = Duration::from_secs_f64(plan.expected_ms / 1000.0);
+        if now + expected <= job.arrived + job.route.target_latency {
+            job.urgency = Urgency::InTime;
+            return Some(plan);
+        }
+        request.urgency = Urgency::Late;
+        job.urgency = Urgency::Late;
+        placement.plan_prompt(ready, &job.tried, &request, now, &mut *random)
+    }
+
     async fn stream_attempt(
         self: &Arc<Self>,
         job: &mut Job,
@@ -223,7 +235,7 @@
         };
         let outstanding = self.placement().load.outstanding(&decode.id);
         let reads_alone = handle.is_none() && outstanding.prompt_tokens < 1.0;
-        let load = LoadGuard::new(self, &decode, tokens);
+        let load = LoadGuard::new(self, &decode, tokens, job.urgency);
         let patience = self.first_event_patience(job, plan);
         let step = match &handle {
             Some(held) => SendStep::Continue {
--- a/crates/serving/src/pipeline/guards.rs
+++ b/crates/serving/src/pipeline/guards.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::placement::Urgency;
 
 use super::Pipeline;
 
@@ -60,12 +61,19 @@
     pipeline: Arc<Pipeline>,
     id: Arc<str>,
     unread_tokens: f64,
+    urgency: Urgency,
     generates: bool,
 }
 
 impl LoadGuard {
-    pub(super) fn new(pipeline: &Arc<Pipeline>, back_end: &BackEnd, prompt_tokens: f64) -> Self {
-        pipeline.placement().load.begin(&back_end.id, prompt_tokens);
+    pub(super) fn new(
+        pipeline: &Arc<Pipeline>,
+        back_end: &BackEnd,
+        prompt_tokens: f64,
+        urgency: Urgency,
+    ) -> Self {
+        let load = &mut pipeline.placement().load;
+        load.begin(&back_end.id, prompt_tokens, urgency);
         if prompt_tokens >= HEAVY_TOKENS {
             pipeline.heavy_work_changed.notify_one();
         }
@@ -73,6 +81,7 @@
             pipeline: Arc::clone(pipeline),
             id: Arc::clone(&back_end.id),
             unread_tokens: prompt_tokens,
+            urgency,
             generates: false,
         }
     }
@@ -80,7 +89,8 @@
     /// The prompt has been read.
     pub(super) fn prompt_read(&mut self) {
         let tokens = std::mem::take(&mut self.unread_tokens);
-        self.pipeline.placement().load.prompt_read(&self.id, tokens);
+        let load = &mut self.pipeline.placement().load;
+        load.prompt_read(&self.id, tokens, self.urgency);
     }
 
     /// The first event has come.
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, HeaderName, Request, Response, header, request};
 use hyper::body::Incoming;
 use ponddrift_fleet::configuration::{RequestKind, Route};
+use ponddrift_fleet::placement::Urgency;
 use ponddrift_http::body::{self, Body, ReadError};
 
 use super::Pipeline;
@@ -51,6 +52,8 @@
             outcome = $end.outcome,
             in_time = $end.in_time,
             waited_ms = milliseconds($end.waited),
+            expected_ms = $job.expected_ms,
+            urgency = $job.urgency.as_str(),
             longest_gap_ms = milliseconds($job.longest_gap),
             took_ms = milliseconds($end.took),
             limit_ms = milliseconds($job.end.saturating_duration_since($job.arrived)),
@@ -163,6 +166,8 @@
             trail: Trail::new(arrived),
             arrivals: 0,
             prefills: 0,
+            urgency: Urgency::InTime,
+            expected_ms: None,
             first_event: None,
             longest_gap: Duration::ZERO,
             runs: 0,
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use ponddrift_fleet::configuration::{Route, Service};
-use ponddrift_fleet::placement::Aims;
+use ponddrift_fleet::placement::{Aims, Urgency};
 
 use super::Pipeline;
 use super::guards::HeldBytes;
@@ -39,6 +39,10 @@
     pub(super) arrivals: u32,
     /// Readings of the prompt apart that an engine took up, or may have.
     pub(super) prefills: u32,
+    /// Whether it can be answered in its time in target, as far as the last plan tells.
+    pub(super) urgency: Urgency,
+    /// Time to the first event that the first plan expected, in milliseconds.
+    pub(super) expected_ms: Option<f64>,
     /// When the first event came.
     pub(super) first_event: Option<Instant>,
     /// Longest pause between two events.
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -123,7 +123,7 @@
     }
 
     async fn plain_attempt(self: &Arc<Self>, job: &mut Job, back_end: &Arc<BackEnd>) -> PlainEnd {
-        let _load = LoadGuard::new(self, back_end, 0.0);
+        let _load = LoadGuard::new(self, back_end, 0.0, job.urgency);
         let begun = now();
         let patience = self.plain_patience(job);
         let order = SendOrder::new(SendStep::Serve, patience);
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -38,7 +38,7 @@
         let expected_ms = self.expected_prefill_ms(engine, tokens_to_read);
         let was_alone = self.placement().load.requests(&engine.id) < 0.5;
         self.note_head(job, engine, HeadState::Coming);
-        let _load = LoadGuard::new(self, engine, tokens_to_read);
+        let _load = LoadGuard::new(self, engine, tokens_to_read, job.urgency);
         let expected = Duration::from_secs_f64(expected_ms / 1000.0);
         let suspicious_after = expected.mul_f64(SUSPICION_FACTOR) + SUSPICION_MORE;
         let patience = Patience::new(job, None, Some(suspicious_after));
