--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -330,7 +330,7 @@
         let home = head.and_then(|head| prefixes::home(decoders, head));
         let head_ms = prompt.map_or(0.0, |prompt| self.head_reading_ms(prompt));
         self.cheapest(decoders, random, |back_end| {
-            let time_ms = self.slot_wait_ms(back_end)
+            let time_ms = self.slot_wait_ms(back_end, Urgency::InTime)
                 + self.speed.message_ms()
                 + self.backlog_ms(back_end, rate, Urgency::InTime) * MET_BACKLOG;
             let missing = match head {
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -97,9 +97,9 @@
 
     /// Time until a newcomer has a slot. One that is nearly full may be full by the time it comes; a slot is free as soon
     /// as any of the streams there ends.
-    pub(super) fn slot_wait_ms(&self, back_end: &BackEnd) -> f64 {
-        let requests = self.load.requests(&back_end.id);
-        let crowding = requests / f64::from(back_end.slots.max(1));
+    pub(super) fn slot_wait_ms(&self, back_end: &BackEnd, urgency: Urgency) -> f64 {
+        let ahead = self.load.outstanding(&back_end.id).requests_ahead(urgency);
+        let crowding = ahead / f64::from(back_end.slots.max(1));
         (crowding - NEARLY_FULL).max(0.0) * self.streams.usual_ms(&back_end.service)
     }
 
--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -16,6 +16,8 @@
     pub requests: f64,
     /// Requests among them that generate: their first event has come.
     pub generating: f64,
+    /// Requests among them that will be late and have not begun: more urgent ones get their places first.
+    pub late_waiting: f64,
     /// Prompt tokens still to read, of requests that can be in time.
     pub prompt_tokens: f64,
     /// Prompt tokens still to read, of requests that will be late: engines read them when nothing else waits.
@@ -53,6 +55,21 @@
         }
     }
 
+    /// Requests that a newcomer finds in its way to a slot.
+    #[must_use]
+    pub fn requests_ahead(&self, urgency: Urgency) -> f64 {
+        match urgency {
+            Urgency::InTime => (self.requests - self.late_waiting).max(0.0),
+            Urgency::Late => self.requests,
+        }
+    }
+
+    fn late_no_longer_waits(&mut self, urgency: Urgency) {
+        if urgency == Urgency::Late {
+            self.late_waiting = (self.late_waiting - 1.0).max(0.0);
+        }
+    }
+
     fn tokens_of(&mut self, urgency: Urgency) -> &mut f64 {
         match urgency {
             Urgency::InTime => &mut self.prompt_tokens,
@@ -63,6 +80,7 @@
     fn add(&mut self, other: Self) {
         self.requests += other.requests;
         self.generating += other.generating;
+        self.late_waiting += other.late_waiting;
         self.prompt_tokens += other.prompt_tokens;
         self.late_tokens += other.late_tokens;
     }
@@ -70,6 +88,7 @@
     fn take(&mut self, other: Self) {
         self.requests = (self.requests - other.requests).max(0.0);
         self.generating = (self.generating - other.generating).max(0.0);
+        self.late_waiting = (self.late_waiting - other.late_waiting).max(0.0);
         self.prompt_tokens = (self.prompt_tokens - other.prompt_tokens).max(0.0);
         self.late_tokens = (self.late_tokens - other.late_tokens).max(0.0);
     }
@@ -116,6 +135,9 @@
     pub fn begin(&mut self, id: &Arc<str>, prompt_tokens: f64, urgency: Urgency) {
         let own = self.own.entry(Arc::clone(id)).or_default();
         own.requests += 1.0;
+        if urgency == Urgency::Late {
+            own.late_waiting += 1.0;
+        }
         *own.tokens_of(urgency) += prompt_tokens;
     }
 
@@ -128,20 +150,23 @@
     }
 
     /// A request's first event has come.
-    pub fn generates(&mut self, id: &str) {
+    pub fn generates(&mut self, id: &str, urgency: Urgency) {
         if let Some(own) = self.own.get_mut(id) {
             own.generating += 1.0;
+            own.late_no_longer_waits(urgency);
         }
     }
 
     /// A request ends; `generated`: its first event had come.
-    pub fn end(&mut self, id: &str, generated: bool) {
+    pub fn end(&mut self, id: &str, urgency: Urgency, generated: bool) {
         let Some(own) = self.own.get_mut(id) else {
             return;
         };
         own.requests -= 1.0;
         if generated {
             own.generating = (own.generating - 1.0).max(0.0);
+        } else {
+            own.late_no_longer_waits(urgency);
         }
         if own.requests <= 0.0 {
             self.own.remove(id);
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -43,7 +43,7 @@
             placement.backlog_ms(back_end, rate, self.request.urgency) + work.tokens / rate;
         let late_streams = self.late_streams(back_end, reading_ms) + self.excess_reading;
         Estimate {
-            time_ms: placement.slot_wait_ms(back_end)
+            time_ms: placement.slot_wait_ms(back_end, self.request.urgency)
                 + placement.speed.message_ms()
                 + work.move_ms
                 + reading_ms,
@@ -57,7 +57,7 @@
         let rate = placement.speed.prefill_tokens_per_ms();
         let work = self.work(back_end, home);
         Estimate {
-            time_ms: placement.slot_wait_ms(back_end)
+            time_ms: placement.slot_wait_ms(back_end, self.request.urgency)
                 + placement.speed.message_ms()
                 + work.move_ms
                 + placement.backlog_ms(back_end, rate, self.request.urgency)
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -81,6 +81,8 @@
     pub(super) requests: u16,
     /// Requests among them that generate.
     pub(super) generating: u16,
+    /// Requests among them that will be late and have not begun.
+    pub(super) late_waiting: u16,
     /// Prompt tokens still to read, of requests that can be in time.
     pub(super) prompt_tokens: u32,
     /// The same of requests that will be late.
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -70,6 +70,7 @@
         back_end: hash(&row.id),
         requests: row.outstanding.requests as u16,
         generating: row.outstanding.generating as u16,
+        late_waiting: row.outstanding.late_waiting as u16,
         prompt_tokens: row.outstanding.prompt_tokens as u32,
         late_tokens: row.outstanding.late_tokens as u32,
     }
@@ -82,6 +83,7 @@
             outstanding: Outstanding {
                 requests: f64::from(row.requests),
                 generating: f64::from(row.generating),
+                late_waiting: f64::from(row.late_waiting),
                 prompt_tokens: f64::from(row.prompt_tokens),
                 late_tokens: f64::from(row.late_tokens),
             },
--- a/crates/serving/src/pipeline/guards.rs
+++ b/crates/serving/src/pipeline/guards.rs
@@ -97,7 +97,8 @@
     pub(super) fn generates(&mut self) {
         self.prompt_read();
         self.generates = true;
-        self.pipeline.placement().load.generates(&self.id);
+        let load = &mut self.pipeline.placement().load;
+        load.generates(&self.id, self.urgency);
     }
 }
 
@@ -105,7 +106,7 @@
     fn drop(&mut self) {
         self.prompt_read();
         let load = &mut self.pipeline.placement().load;
-        load.end(&self.id, self.generates);
+        load.end(&self.id, self.urgency, self.generates);
     }
 }
 
