--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::directory::BackEnd;
+
 /// What a peer told is forgotten after this long.
 const PEER_ROW_LIFE: Duration = Duration::from_secs(3);
 /// Time between two looks for what is to be forgotten.
@@ -240,6 +242,16 @@
         self.outstanding(id).requests
     }
 
+    /// Slots of these engines that streams of all daemons hold, in engines.
+    #[must_use]
+    pub fn slots_held(&self, engines: &[Arc<BackEnd>]) -> f64 {
+        let held = engines.iter().map(|engine| {
+            let generating = self.outstanding(&engine.id).generating;
+            generating / f64::from(engine.slots.max(1))
+        });
+        held.sum()
+    }
+
     /// Work of all daemons at one back end.
     #[must_use]
     pub fn outstanding(&self, id: &str) -> Outstanding {
--- a/crates/fleet/src/stages.rs
+++ b/crates/fleet/src/stages.rs
@@ -43,8 +43,10 @@
 /// A stage gives an engine away only if the rest is then busy for no more than this share, at its recent peak.
 /// Measured: an engine taken from decode engines that a burst is about to fill is missed for seconds.
 const BUSY_AFTER_GIVING: f64 = 0.33;
-/// Time over which the peak counts.
-const PEAK_TIME: Duration = Duration::from_secs(3);
+/// The same for the slots of the decode engines: a stream that finds none waits until another ends.
+const SLOTS_HELD_AFTER_GIVING: f64 = 0.5;
+/// Time over which the peak counts. A mix that was there so lately may be back before a change has ended.
+const PEAK_TIME: Duration = Duration::from_secs(15);
 /// Work must have been seen for this long before the first change: while everything is read for the first time,
 /// and the first streams have not ended, it says little.
 const LEARNING: Duration = Duration::from_secs(4);
@@ -68,6 +70,8 @@
     pub decode: f64,
     /// Reading that decode engines really do.
     pub decode_reading: f64,
+    /// Slots that streams hold, in engines.
+    pub slots: f64,
 }
 
 impl StageWork {
@@ -77,6 +81,7 @@
         self.short_reading += other.short_reading;
         self.decode += other.decode;
         self.decode_reading += other.decode_reading;
+        self.slots += other.slots;
     }
 
     /// This work, so many times.
@@ -87,6 +92,7 @@
             short_reading: self.short_reading * factor,
             decode: self.decode * factor,
             decode_reading: self.decode_reading * factor,
+            slots: self.slots * factor,
         }
     }
 
@@ -227,13 +233,13 @@
     }
 
     /// Decides by what was observed. `busyness` tells the requests at an engine; engines that it does not know are left
-    /// alone. `away`: how long a change takes an engine away, its streams' time among it. Of large fleets several engines
+    /// alone. `away`: how long a change to a stage takes an engine away, its streams' time among it. Of large fleets several engines
     /// change at a time.
     pub fn plan(
         &mut self,
         engines: &[Arc<BackEnd>],
         busyness: impl Fn(&BackEnd) -> Option<f64>,
-        away: Duration,
+        away: impl Fn(Stage) -> Duration,
         now: Instant,
     ) -> Vec<StageChange> {
         let Some(work) = self.work else {
@@ -251,7 +257,7 @@
             return Vec::new();
         }
         let stage = wanted.stage;
-        let away_s = away.as_secs_f64();
+        let away_s = away(stage).as_secs_f64();
         let horizon_s = now.saturating_duration_since(wanted.since).as_secs_f64();
         let most = (counts.all() / ENGINES_PER_CHANGE).max(1);
         let mut candidates = self.candidates(engines, stage, busyness, now);
@@ -356,6 +362,7 @@
             prefill: highest(|work| work.prefill),
             short_reading: highest(|work| work.short_reading),
             decode: highest(|work| work.decode),
+            slots: highest(|work| work.slots),
             ..StageWork::default()
         }
     }
@@ -391,7 +398,8 @@
 fn better(work: StageWork, peak: StageWork, engines: Engines) -> Option<(Stage, f64)> {
     let Engines { prefill, decode } = engines;
     let decode_gives = decode > least(engines.all(), LEAST_DECODE_SHARE)
-        && busy(peak.by_stage(decode - 1).1, decode - 1) <= BUSY_AFTER_GIVING;
+        && busy(peak.by_stage(decode - 1).1, decode - 1) <= BUSY_AFTER_GIVING
+        && busy(peak.slots, decode - 1) <= SLOTS_HELD_AFTER_GIVING;
     let prefill_gives = prefill > least(engines.all(), LEAST_PREFILL_SHARE)
         && busy(peak.by_stage(decode + 1).0, prefill - 1) <= BUSY_AFTER_GIVING;
     let choices = [
@@ -433,7 +441,8 @@
 fn waiting(work: StageWork, engines: Engines) -> f64 {
     let Engines { prefill, decode } = engines;
     let (reading, generating) = work.by_stage(decode);
-    PREFILL_WEIGHT * waiting_of(reading, prefill) + DECODE_WEIGHT * waiting_of(generating, decode)
+    let at_decode = waiting_of(generating, decode).max(waiting_of(work.slots, decode));
+    PREFILL_WEIGHT * waiting_of(reading, prefill) + DECODE_WEIGHT * at_decode
 }
 
 /// Engine-seconds a second that work waits at so many engines.
--- a/crates/fleet/tests/stages.rs
+++ b/crates/fleet/tests/stages.rs
@@ -40,7 +40,7 @@
             self.planner.observe(work, &self.engines, self.now);
             for change in self
                 .planner
-                .plan(&self.engines, |_| Some(0.0), self.away, self.now)
+                .plan(&self.engines, |_| Some(0.0), |_| self.away, self.now)
             {
                 self.carry_out(&change);
             }
@@ -74,6 +74,7 @@
         short_reading: 0.0,
         decode,
         decode_reading: 0.0,
+        slots: 0.0,
     }
 }
 
@@ -147,7 +148,7 @@
             .observe(work(18.0, 1.0), &scene.engines, scene.now);
         let changes = scene
             .planner
-            .plan(&scene.engines, |_| Some(0.0), scene.away, scene.now);
+            .plan(&scene.engines, |_| Some(0.0), |_| scene.away, scene.now);
         if !changes.is_empty() {
             break changes;
         }
@@ -182,7 +183,7 @@
         scene.planner.observe(reading, &scene.engines, scene.now);
         let changes = scene
             .planner
-            .plan(&scene.engines, |_| Some(0.0), scene.away, scene.now);
+            .plan(&scene.engines, |_| Some(0.0), |_| scene.away, scene.now);
         for change in &changes {
             assert_eq!(
                 change.prefill_engines,
@@ -220,7 +221,7 @@
             .observe(work(3.6, 0.2), &scene.engines, scene.now);
         let changes = scene
             .planner
-            .plan(&scene.engines, |_| Some(0.0), scene.away, scene.now);
+            .plan(&scene.engines, |_| Some(0.0), |_| scene.away, scene.now);
         if let Some(change) = changes.into_iter().next() {
             break change;
         }
@@ -234,7 +235,7 @@
             .observe(work(3.6, 0.2), &scene.engines, scene.now);
         let changes = scene
             .planner
-            .plan(&scene.engines, |_| Some(0.0), scene.away, scene.now);
+            .plan(&scene.engines, |_| Some(0.0), |_| scene.away, scene.now);
         if let Some(change) = changes.into_iter().next() {
             assert_eq!(change.prefill_engines, 4);
             break;
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -9,7 +9,7 @@
 use http::{Request, Response, StatusCode, header};
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::stages::{StageChange, StagePlanner};
+use ponddrift_fleet::stages::{StageChange, StagePlanner, StageWork};
 use ponddrift_http::body;
 use ponddrift_runtime::Runtime;
 use rand::{RngExt, SeedableRng};
@@ -194,13 +194,20 @@
         for (service, measured) in &work {
             let planner = self.planners.entry(Arc::clone(service)).or_default();
             let engines = self.state.ready(service, now());
-            planner.observe(*measured, &engines, now());
+            let slots = self.pipeline.placement().load.slots_held(&engines);
+            let measured = StageWork { slots, ..*measured };
+            planner.observe(measured, &engines, now());
         }
         work.into_iter().map(|(service, _work)| service).collect()
     }
 
     fn plan(&mut self, service: &Arc<str>, engines: &[Arc<BackEnd>]) -> Vec<StageChange> {
-        let away = self.away_time(service);
+        let away_time = |stage| self.away_time(service, stage);
+        let times = [Stage::Prefill, Stage::Decode].map(|stage| (stage, away_time(stage)));
+        let away = |wanted| {
+            let time = times.iter().find(|(stage, _time)| *stage == wanted);
+            time.map_or(Duration::ZERO, |(_stage, time)| *time)
+        };
         let planner = self.planners.entry(Arc::clone(service)).or_default();
         let placement = self.pipeline.placement();
         let unsettled = &self.unsettled;
@@ -242,6 +249,7 @@
             prefill_work = change.work.prefill,
             short_reading = change.work.short_reading,
             decode_work = change.work.decode,
+            slots_held = change.work.slots,
             prefill_engines = change.prefill_engines,
             decode_engines = change.decode_engines,
             gain = change.gain,
@@ -271,16 +279,19 @@
             .insert(Arc::clone(&engine.id), now() + left_alone);
     }
 
-    /// How long a change takes an engine of the service away: its streams end first, then it changes, then its entry tells
-    /// the new stage.
-    fn away_time(&self, service: &str) -> Duration {
+    /// How long a change takes an engine of the service away: its streams end first, where it has any, then it changes,
+    /// then its entry tells the new stage.
+    fn away_time(&self, service: &str, to: Stage) -> Duration {
         let in_force = self.state.in_force();
         let traits = in_force.as_ref().and_then(|in_force| {
             let service = in_force.configuration.service(service)?;
             service.engine.as_ref()
         });
         let change = traits.map_or(Duration::ZERO, |traits| traits.stage_change);
-        let streams = self.pipeline.placement().streams.longest(service, now());
+        let streams = match to {
+            Stage::Prefill => self.pipeline.placement().streams.longest(service, now()),
+            Stage::Decode => Duration::ZERO,
+        };
         streams + change + AWAY_MORE
     }
 
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -141,6 +141,7 @@
         short_reading: f64::from(row.short_reading) / MS_PER_S,
         decode: f64::from(row.decode) / MS_PER_S,
         decode_reading: f64::from(row.decode_reading) / MS_PER_S,
+        ..StageWork::default()
     };
     (Arc::from(row.service.as_str()), work)
 }
