A full engine is no failed engine; confidence in expected times is learned

Late requests that were not reached in their time counted as silence, and the health check of a full engine waits for a slot as requests do, past its limit. Change: whatever an engine sends is a sign of life; with one, waiting is no failure and no health check is sent. The share of the target that an expected time may fill moves with what comes of it.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -89,6 +89,7 @@
     on_trial: u32,
     ejections: u32,
     last_failure: Option<Instant>,
+    last_sign: Option<Instant>,
     last_hint: Option<Instant>,
     failure_rate: f64,
     untold: Results,
@@ -106,6 +107,7 @@
         let record = self.records.entry(Arc::clone(id)).or_default();
         record.untold.count(outcome);
         if outcome == Outcome::Success {
+            record.last_sign = Some(now);
             record.failures_in_a_row = 0;
             record.succeeded();
             return None;
@@ -117,6 +119,23 @@
         record.eject_where(record.failures_in_a_row >= limit)
     }
 
+    /// The back end sent something that belongs to a request: it lives, however long it lets others wait.
+    pub fn sign_of_life(&mut self, id: &Arc<str>, now: Instant) {
+        if let Some(record) = self.records.get_mut(id) {
+            record.last_sign = Some(now);
+            return;
+        }
+        let record = self.records.entry(Arc::clone(id)).or_default();
+        record.last_sign = Some(now);
+    }
+
+    /// Whether the back end has shown that it lives since then.
+    #[must_use]
+    pub fn lives_since(&self, id: &str, since: Instant) -> bool {
+        let record = self.records.get(id);
+        record.is_some_and(|record| record.last_sign.is_some_and(|sign| sign >= since))
+    }
+
     /// Takes results that another daemon of the zone had. Returns the pause before a health check where they eject the
     /// back end.
     pub fn hear(&mut self, id: &Arc<str>, results: Results, now: Instant) -> Option<Duration> {
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -1,5 +1,6 @@
 //! Chooses back ends by the time they are expected to take.
 
+mod confidence;
 mod costs;
 mod load;
 mod metering;
@@ -21,6 +22,7 @@
 use crate::prompt::Prompt;
 use crate::stages::StageWork;
 
+pub use confidence::Confidence;
 use costs::{Choice, Estimate};
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
 pub use prefixes::{HeadState, HeadUse, LEAST_HEAD_TOKENS, PrefixMemory};
@@ -126,6 +128,8 @@
     pub speed: SpeedTable,
     /// How long streams run.
     pub streams: StreamTimes,
+    /// How far expected times can be relied on.
+    pub confidence: Confidence,
     /// Prompt heads that engines are believed to keep.
     pub prefixes: PrefixMemory,
     /// Daemons that serve, this one among them.
@@ -151,6 +155,7 @@
             health: Health::default(),
             speed: SpeedTable::default(),
             streams: StreamTimes::default(),
+            confidence: Confidence::default(),
             prefixes: PrefixMemory::default(),
             daemons: 1,
             work_of_all: Vec::new(),
--- a/crates/fleet/src/placement/speed.rs
+++ b/crates/fleet/src/placement/speed.rs
@@ -83,6 +83,11 @@
         Some((1.0 / per_token).clamp(least, most))
     }
 
+    /// What the readings show at the least, messages counted as reading; none before the first.
+    fn at_least_tokens_per_ms(&self) -> Option<f64> {
+        (self.time > 0.0).then(|| self.tokens / self.time)
+    }
+
     /// What messages need of a reading's time, in milliseconds.
     fn message_ms(&self) -> Option<f64> {
         let (at_nothing, _per_token) = self.fit()?;
@@ -144,9 +149,10 @@
     /// Prompt tokens that a prefill engine reads in a millisecond.
     #[must_use]
     pub fn prefill_tokens_per_ms(&self) -> f64 {
-        self.readings
-            .tokens_per_ms()
-            .unwrap_or(DEFAULT_PREFILL_TOKENS_PER_MS)
+        self.readings.tokens_per_ms().unwrap_or_else(|| {
+            let shown = self.readings.at_least_tokens_per_ms();
+            shown.unwrap_or_default().max(DEFAULT_PREFILL_TOKENS_PER_MS)
+        })
     }
 
     /// Prompt tokens that a decode engine reads in a millisecond.
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -9,7 +9,7 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::placement::{HeadState, PromptPlan, PromptReading};
+use ponddrift_fleet::placement::{HeadState, PromptPlan, PromptReading, Urgency};
 
 use super::Pipeline;
 use super::generate::{FirstEvent, OpenStream, Sent};
@@ -89,6 +89,7 @@
                 let waited = now().saturating_duration_since(job.arrived);
                 self.metrics.first_event(waited);
                 job.first_event.get_or_insert_with(now);
+                self.learn_first_event(job, decode, waited);
                 self.learn_decode(job, plan, decode, sent.reads_alone.then_some(took));
                 FirstEvent::Came(stream)
             }
@@ -112,6 +113,16 @@
         }
     }
 
+    fn learn_first_event(&self, job: &Job, decode: &Arc<BackEnd>, waited: Duration) {
+        let mut placement = self.placement();
+        placement.health.sign_of_life(&decode.id, now());
+        if job.urgency == Urgency::InTime && job.facts.prompt.is_some() {
+            let in_time = waited <= job.route.target_latency;
+            let service = &job.service.name;
+            placement.confidence.was_in_time(service, in_time);
+        }
+    }
+
     /// Learns from an answer; `took`: its time, where the engine had nothing else to read.
     fn learn_decode(
         &self,
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -210,8 +210,9 @@
             urgency: Urgency::InTime,
         };
         let plan = placement.plan_prompt(ready, &job.tried, &request, now, &mut *random)?;
+        let share = placement.confidence.share(&job.service.name);
         let expected = Duration::from_secs_f64(plan.expected_ms / 1000.0);
-        if now + expected <= job.arrived + job.route.target_latency {
+        if now + expected <= job.arrived + job.route.target_latency.mul_f64(share) {
             job.urgency = Urgency::InTime;
             return Some(plan);
         }
--- a/crates/serving/src/pipeline/patience.rs
+++ b/crates/serving/src/pipeline/patience.rs
@@ -10,11 +10,14 @@
 
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
+use ponddrift_fleet::placement::Urgency;
 
 use super::Pipeline;
 use super::job::Job;
 use crate::follow::now;
 
+/// A back end that has sent something within this time is not asked for its health.
+const SIGN_OF_LIFE_LASTS: Duration = Duration::from_millis(250);
 /// Time between two health checks of an engine that is waited for.
 const SUSPICION_REPEAT: Duration = Duration::from_millis(500);
 
@@ -28,6 +31,8 @@
     pub(super) until: Instant,
     /// When its health is asked for; none where giving up early would not help.
     pub(super) suspicious_at: Option<Instant>,
+    /// Whether the request stands behind others at the back end, which may never come to it.
+    pub(super) is_behind: bool,
 }
 
 /// Why a wait ended without an answer.
@@ -35,6 +40,8 @@
 pub(super) enum GivenUp {
     /// The request had so little time that its end says nothing of the back end.
     OutOfTime,
+    /// The back end was at work for others all its time.
+    NotReached,
     /// Its time was over.
     Silent,
     /// The back end did not answer its health check either.
@@ -45,6 +52,7 @@
     pub(super) const fn name(self) -> &'static str {
         match self {
             Self::OutOfTime => "out_of_time",
+            Self::NotReached => "not_reached_in_time",
             Self::Silent => "no_answer_in_time",
             Self::Unresponsive => "back_end_unresponsive",
         }
@@ -53,7 +61,7 @@
     /// What it says of the back end.
     pub(super) const fn outcome(self) -> Option<Outcome> {
         match self {
-            Self::OutOfTime => None,
+            Self::OutOfTime | Self::NotReached => None,
             Self::Silent => Some(Outcome::Silent),
             Self::Unresponsive => Some(Outcome::Unreachable),
         }
@@ -71,11 +79,16 @@
         Self {
             until: limit.map_or(job.end, |limit| (begun + limit).min(job.end)),
             suspicious_at: suspicious_after.map(|after| begun + after),
+            is_behind: job.urgency == Urgency::Late,
         }
     }
 }
 
 impl Pipeline {
+    fn lives_since(&self, back_end: &BackEnd, since: Instant) -> bool {
+        self.placement().health.lives_since(&back_end.id, since)
+    }
+
     /// Waits for `answer` as long as `patience` says.
     pub(super) async fn wait_for<T>(
         self: &Arc<Self>,
@@ -85,6 +98,7 @@
         patience: Patience,
     ) -> Result<T, GivenUp> {
         let mut answer = pin!(answer);
+        let begun = now();
         let time = patience.until.saturating_duration_since(now());
         let mut suspicious_at = patience.suspicious_at;
         loop {
@@ -97,12 +111,18 @@
                 () = sleep => {}
             }
             if !asks {
-                return Err(if time < LEAST_SILENCE {
-                    GivenUp::OutOfTime
-                } else {
-                    GivenUp::Silent
+                let is_behind = patience.is_behind && self.lives_since(back_end, begun);
+                return Err(match () {
+                    () if time < LEAST_SILENCE => GivenUp::OutOfTime,
+                    () if is_behind => GivenUp::NotReached,
+                    () => GivenUp::Silent,
                 });
             }
+            // A full back end lets its health check wait, as it does requests.
+            if self.lives_since(back_end, now() - SIGN_OF_LIFE_LASTS) {
+                suspicious_at = Some(now() + SIGN_OF_LIFE_LASTS);
+                continue;
+            }
             tokio::select! {
                 biased;
                 answer = &mut answer => return Ok(answer),
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -117,6 +117,8 @@
     /// Notes the pause since the event before, if there was one.
     fn note_gap(&mut self, stream: &OpenStream) {
         let now = now();
+        let id = &stream.back_end.id;
+        self.pipeline.placement().health.sign_of_life(id, now);
         if stream.first_passed
             && let Some(before) = self.last_event
         {
