A begun prompt is read to its end: it counts for newcomers, and its delay of others is a cost

Change: one late prompt counts as ahead of a newcomer; a reading costs half of its time for each prompt that comes to its engine meanwhile.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -1,5 +1,6 @@
 //! Chooses back ends by the time they are expected to take.
 
+mod arrivals;
 mod confidence;
 mod costs;
 mod load;
@@ -22,6 +23,7 @@
 use crate::prompt::Prompt;
 use crate::stages::StageWork;
 
+pub use arrivals::Arrivals;
 pub use confidence::Confidence;
 use costs::{Choice, Estimate};
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
@@ -130,6 +132,8 @@
     pub streams: StreamTimes,
     /// How far expected times can be relied on.
     pub confidence: Confidence,
+    /// How often prompts come.
+    pub arrivals: Arrivals,
     /// Prompt heads that engines are believed to keep.
     pub prefixes: PrefixMemory,
     /// Daemons that serve, this one among them.
@@ -156,6 +160,7 @@
             speed: SpeedTable::default(),
             streams: StreamTimes::default(),
             confidence: Confidence::default(),
+            arrivals: Arrivals::default(),
             prefixes: PrefixMemory::default(),
             daemons: 1,
             work_of_all: Vec::new(),
@@ -244,19 +249,21 @@
         let decoders = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
+        let prefills = self.usable(ready, tried, now, |back_end| {
+            back_end.stage == Some(Stage::Prefill)
+        });
         let reading = Reading {
             placement: self,
             request,
             keepers: &keepers,
             excess_reading: self.excess_reading(&decoders, request.aims),
+            direct_per_ms: self.reads_per_ms(&decoders, Stage::Decode),
+            apart_per_ms: self.reads_per_ms(&prefills, Stage::Prefill),
         };
         let decoders_home = reading.home(&decoders);
         let direct = self.cheapest(&decoders, random, |back_end| {
             reading.direct(back_end, decoders_home)
         })?;
-        let prefills = self.usable(ready, tried, now, |back_end| {
-            back_end.stage == Some(Stage::Prefill)
-        });
         let prefills_home = reading.home(&prefills);
         let reader = self.cheapest(&prefills, random, |back_end| {
             reading.apart(back_end, prefills_home)
@@ -353,6 +360,16 @@
         })
     }
 
+    /// Prompts that come to each of these engines to be read, in a millisecond. Peers send about as many each.
+    #[expect(clippy::cast_precision_loss, reason = "a few hundred")]
+    fn reads_per_ms(&self, engines: &[Arc<BackEnd>], stage: Stage) -> f64 {
+        let Some(first) = engines.first() else {
+            return 0.0;
+        };
+        let of_all = self.arrivals.per_ms(&first.service, stage) * self.daemons as f64;
+        of_all / engines.len() as f64
+    }
+
     /// Time that a prefill engine takes to read the prompt's shared head.
     fn head_reading_ms(&self, prompt: &Prompt) -> f64 {
         f64::from(prompt.shared_tokens()) / self.speed.prefill_tokens_per_ms()
--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -48,11 +48,12 @@
 }
 
 impl Outstanding {
-    /// Prompt tokens that are read before those of a newcomer.
+    /// Prompt tokens that are read before those of a newcomer. An engine takes the more urgent prompt next, but reads the
+    /// one that it has begun to its end.
     #[must_use]
     pub fn tokens_ahead(&self, urgency: Urgency) -> f64 {
         match urgency {
-            Urgency::InTime => self.prompt_tokens,
+            Urgency::InTime => self.prompt_tokens + self.late_tokens / self.late_waiting.max(1.0),
             Urgency::Late => self.prompt_tokens + self.late_tokens,
         }
     }
--- a/crates/fleet/src/placement/metering.rs
+++ b/crates/fleet/src/placement/metering.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Aims, MS_PER_S, Placement, PromptPlan};
+use crate::configuration::Stage;
 use crate::directory::BackEnd;
 use crate::stages::{DECODE_READING_SHARE, StageWork};
 
@@ -79,6 +80,11 @@
             work.decode_reading = decode_s;
         }
         self.work.add(service, work, now);
+        let reader = match plan.prefill {
+            Some(_) => Stage::Prefill,
+            None => Stage::Decode,
+        };
+        self.arrivals.add(service, reader, now);
     }
 
     /// Adds a stream's time to the work of its service: it held one of the engine's slots.
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -24,6 +24,10 @@
     pub(super) keepers: &'a [Arc<BackEnd>],
     /// Share of their time that the service's decode engines read, beyond what their streams bear.
     pub(super) excess_reading: f64,
+    /// Prompts that come to each decode engine to be read there, in a millisecond.
+    pub(super) direct_per_ms: f64,
+    /// The same for each prefill engine.
+    pub(super) apart_per_ms: f64,
 }
 
 /// What an engine would have to do before a prompt is read.
@@ -39,15 +43,17 @@
         let placement = self.placement;
         let rate = placement.speed.decode_tokens_per_ms();
         let work = self.work(back_end, home);
-        let reading_ms =
-            placement.backlog_ms(back_end, rate, self.request.urgency) + work.tokens / rate;
+        let own_ms = work.tokens / rate;
+        let reading_ms = placement.backlog_ms(back_end, rate, self.request.urgency) + own_ms;
         let late_streams = self.late_streams(back_end, reading_ms) + self.excess_reading;
         Estimate {
             time_ms: placement.slot_wait_ms(back_end, self.request.urgency)
                 + placement.speed.message_ms()
                 + work.move_ms
                 + reading_ms,
-            burden_ms: self.fetch_burden_ms(&work) + late_streams * self.request.aims.latency_ms(),
+            burden_ms: self.fetch_burden_ms(&work)
+                + late_streams * self.request.aims.latency_ms()
+                + delay_of_others_ms(self.direct_per_ms, own_ms),
         }
     }
 
@@ -56,14 +62,15 @@
         let placement = self.placement;
         let rate = placement.speed.prefill_tokens_per_ms();
         let work = self.work(back_end, home);
+        let own_ms = work.tokens / rate;
         Estimate {
             time_ms: placement.slot_wait_ms(back_end, self.request.urgency)
                 + placement.speed.message_ms()
                 + work.move_ms
                 + placement.backlog_ms(back_end, rate, self.request.urgency)
-                + work.tokens / rate
+                + own_ms
                 + move_ms(self.request.traits, self.request.prompt.input_tokens),
-            burden_ms: self.fetch_burden_ms(&work),
+            burden_ms: self.fetch_burden_ms(&work) + delay_of_others_ms(self.apart_per_ms, own_ms),
         }
     }
 
@@ -172,6 +179,11 @@
     }
 }
 
+/// What a reading delays those that come to its engine meanwhile, all together: on average each waits for half of it.
+fn delay_of_others_ms(per_ms: f64, reading_ms: f64) -> f64 {
+    per_ms * reading_ms * reading_ms / 2.0
+}
+
 /// Time to move the KV cache of so many tokens between two engines of a zone.
 pub(super) fn move_ms(traits: &EngineTraits, tokens: u32) -> f64 {
     const BITS: f64 = 8.0;
