Stage planner: an engine saves no more than its own time; mixes last twice as long again

Change: a mix is expected to last for twice the time that it has lasted (before: as long again); gain and loss of one engine are bounded by what an engine can end; slots make nobody wait until seven tenths are held.

--- a/crates/fleet/src/stages.rs
+++ b/crates/fleet/src/stages.rs
@@ -3,8 +3,8 @@
 //! Work comes in engine-seconds a second. With `u` the share of time that the engines of a stage are busy, waiting
 //! grows as `u / (1 - u)`. A change takes an engine away from both stages until the streams that it runs have ended and
 //! it has changed. The planner moves one engine where what that saves from then on is more than what is lost until then.
-//! How long a mix will last nobody knows; it is expected to last as long again as it has lasted so far, so that a change
-//! is wanted for longer than it takes before it is ordered. A change under way counts as neither stage: not where the
+//! How long a mix will last nobody knows; it is expected to last for a multiple of the time that it has lasted so far, so
+//! that a change which takes long is wanted for long before it is ordered. A change under way counts as neither stage: not where the
 //! engine was, and where it will be only for later changes.
 
 use std::collections::VecDeque;
@@ -19,11 +19,17 @@
 const PREFILL_WEIGHT: f64 = 2.0;
 /// Waiting at a decode engine shows twice: before the first event, and in the gaps of all streams there.
 const DECODE_WEIGHT: f64 = 2.0;
+/// A mix is expected to go on for so many times as long as it has lasted: of durations without a scale of their own
+/// (Pareto, with shape 1.5) this is the mean of what is left.
+const LASTS_AGAIN: f64 = 2.0;
 /// What a change costs beside the waiting while the engine is away, as a multiple of that time: the engine itself.
 const ENGINE_AWAY_COST: f64 = 1.0;
 /// Waiting that a change saves at the least, in engine-seconds a second: what saves less than the better part of an
 /// engine is within what work swings by anyway.
 const LEAST_GAIN: f64 = 0.6;
+/// The most that one engine more saves, or one less costs, in engine-seconds a second. Waiting grows without bound in an
+/// overload; what an engine ends does not.
+const MOST_OF_AN_ENGINE: f64 = 2.0;
 /// A change that the directory does not show after so many times the expected time has failed, or was undone.
 const OVERDUE_FACTOR: f64 = 3.0;
 /// Busy share from which waiting is taken to grow no further but steeply.
@@ -45,8 +51,15 @@
 const BUSY_AFTER_GIVING: f64 = 0.33;
 /// The same for the slots of the decode engines: a stream that finds none waits until another ends.
 const SLOTS_HELD_AFTER_GIVING: f64 = 0.5;
-/// Time over which the peak counts. A mix that was there so lately may be back before a change has ended.
-const PEAK_TIME: Duration = Duration::from_secs(15);
+/// Share of held slots up to which no stream waits for one,
+const SLOTS_FREE_OF_WAITING: f64 = 0.7;
+/// and the waiting for each where all are held, as a multiple of their time.
+const WAITING_AT_FULL_SLOTS: f64 = 3.0;
+/// Time over which the peak of work counts.
+const PEAK_TIME: Duration = Duration::from_secs(3);
+/// Time over which the peak of held slots counts: streams hold them long, and a mix that brought them so lately may be back
+/// before a change has ended.
+const SLOTS_PEAK_TIME: Duration = Duration::from_secs(15);
 /// Work must have been seen for this long before the first change: while everything is read for the first time,
 /// and the first streams have not ended, it says little.
 const LEARNING: Duration = Duration::from_secs(4);
@@ -222,7 +235,7 @@
         self.smooth(measured);
         self.recent.push_back((now, measured));
         while let Some((at, _work)) = self.recent.front()
-            && now.saturating_duration_since(*at) > PEAK_TIME
+            && now.saturating_duration_since(*at) > SLOTS_PEAK_TIME
         {
             self.recent.pop_front();
         }
@@ -246,7 +259,7 @@
             return Vec::new();
         };
         let mut counts = self.expected_engines(engines, now);
-        let peak = self.peak();
+        let peak = self.peak(now);
         let Some(wanted) = self.wanted else {
             return Vec::new();
         };
@@ -258,7 +271,8 @@
         }
         let stage = wanted.stage;
         let away_s = away(stage).as_secs_f64();
-        let horizon_s = now.saturating_duration_since(wanted.since).as_secs_f64();
+        let held_s = now.saturating_duration_since(wanted.since).as_secs_f64();
+        let horizon_s = held_s * LASTS_AGAIN;
         let most = (counts.all() / ENGINES_PER_CHANGE).max(1);
         let mut candidates = self.candidates(engines, stage, busyness, now);
         let mut changes = Vec::new();
@@ -353,15 +367,21 @@
     }
 
     /// The highest work of each kind lately.
-    fn peak(&self) -> StageWork {
+    fn peak(&self, now: Instant) -> StageWork {
         let highest = |of: fn(&StageWork) -> f64| {
             let values = self.recent.iter().map(|(_at, work)| of(work));
             values.fold(0.0, f64::max)
         };
+        let since = now.checked_sub(PEAK_TIME);
+        let is_late = |at: Instant| since.is_none_or(|since| at >= since);
+        let highest_lately = |of: fn(&StageWork) -> f64| {
+            let lately = self.recent.iter().filter(|(at, _work)| is_late(*at));
+            lately.map(|(_at, work)| of(work)).fold(0.0, f64::max)
+        };
         StageWork {
-            prefill: highest(|work| work.prefill),
-            short_reading: highest(|work| work.short_reading),
-            decode: highest(|work| work.decode),
+            prefill: highest_lately(|work| work.prefill),
+            short_reading: highest_lately(|work| work.short_reading),
+            decode: highest_lately(|work| work.decode),
             slots: highest(|work| work.slots),
             ..StageWork::default()
         }
@@ -378,7 +398,7 @@
             return;
         };
         let counts = self.expected_engines(engines, now);
-        let peak = self.peak();
+        let peak = self.peak(now);
         let wanted_by = |work| better(work, peak, counts).map(|(stage, _gain)| stage);
         // A short spike stays in the average for a while; what was measured last does not confirm it.
         let wanted = wanted_by(work).filter(|stage| wanted_by(measured) == Some(*stage));
@@ -421,8 +441,8 @@
 /// lost while the engine is away.
 fn net_gain(work: StageWork, engines: Engines, stage: Stage, away_s: f64, horizon_s: f64) -> f64 {
     let now = waiting(work, engines);
-    let loss = waiting(work, engines.without_giver(stage)) - now;
-    let gain = now - waiting(work, engines.moved(stage));
+    let loss = (waiting(work, engines.without_giver(stage)) - now).min(MOST_OF_AN_ENGINE);
+    let gain = (now - waiting(work, engines.moved(stage))).min(MOST_OF_AN_ENGINE);
     gain * (horizon_s - away_s) - (loss + ENGINE_AWAY_COST) * away_s
 }
 
@@ -441,7 +461,7 @@
 fn waiting(work: StageWork, engines: Engines) -> f64 {
     let Engines { prefill, decode } = engines;
     let (reading, generating) = work.by_stage(decode);
-    let at_decode = waiting_of(generating, decode).max(waiting_of(work.slots, decode));
+    let at_decode = waiting_of(generating, decode).max(waiting_for_slots(work.slots, decode));
     PREFILL_WEIGHT * waiting_of(reading, prefill) + DECODE_WEIGHT * at_decode
 }
 
@@ -455,6 +475,13 @@
     work * at_the_edge * (busy / NEARLY_FULL)
 }
 
+/// Engine-seconds a second that streams wait for slots. An engine's slots serve all its streams: nobody waits until
+/// nearly all are held.
+fn waiting_for_slots(slots: f64, engines: usize) -> f64 {
+    let crowded = (busy(slots, engines) - SLOTS_FREE_OF_WAITING).max(0.0);
+    slots * WAITING_AT_FULL_SLOTS * (crowded / (1.0 - SLOTS_FREE_OF_WAITING)).powi(2)
+}
+
 /// Share of time that so many engines are busy with this work.
 #[expect(clippy::cast_precision_loss, reason = "a few hundred engines")]
 fn busy(work: f64, engines: usize) -> f64 {
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -32,7 +32,7 @@
 /// Peers have this long to hear that an engine is about to change.
 const NOTICE: Duration = Duration::from_millis(100);
 /// An engine's entry tells its new stage up to a heartbeat after the change.
-const AWAY_MORE: Duration = Duration::from_millis(1_500);
+const AWAY_MORE: Duration = Duration::from_millis(1_000);
 /// An engine whose order was not answered is left alone for this long: the order may still be carried out.
 const UNSETTLED: Duration = Duration::from_secs(15);
 
