Confidence may pass one; pauses are held harder; slots are spared for the next mix

Change: the share of the target that an expected time may fill goes up to two where requests near its end are in time; half of a begun late prompt counts; a pause over its target costs in full from the target on; a decode engine is given away only if the rest then holds a fifth of its slots.

--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -8,6 +8,8 @@
 
 /// What a peer told is forgotten after this long.
 const PEER_ROW_LIFE: Duration = Duration::from_secs(3);
+/// Part of a prompt that is left on average when another comes.
+const LEFT_OF_BEGUN: f64 = 0.5;
 /// Time between two looks for what is to be forgotten.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -53,7 +55,10 @@
     #[must_use]
     pub fn tokens_ahead(&self, urgency: Urgency) -> f64 {
         match urgency {
-            Urgency::InTime => self.prompt_tokens + self.late_tokens / self.late_waiting.max(1.0),
+            Urgency::InTime => {
+                let one_late = self.late_tokens / self.late_waiting.max(1.0);
+                self.prompt_tokens + one_late * LEFT_OF_BEGUN
+            }
             Urgency::Late => self.prompt_tokens + self.late_tokens,
         }
     }
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -91,7 +91,8 @@
         let target_ms = target.as_secs_f64() * MS_PER_S;
         let quiet_ms = self.placement.streams.quiet_gap_ms(&back_end.service);
         let gap_ms = quiet_ms + reading_ms.min(target_ms);
-        let passed = (gap_ms / (target_ms * GAP_IN_USE) - 1.0).clamp(0.0, 1.0);
+        let beyond = gap_ms / target_ms - GAP_IN_USE;
+        let passed = (beyond / (1.0 - GAP_IN_USE)).clamp(0.0, 1.0);
         let generating = self.placement.load.outstanding(&back_end.id).generating;
         passed * generating
     }
--- a/crates/fleet/src/stages.rs
+++ b/crates/fleet/src/stages.rs
@@ -49,8 +49,11 @@
 /// A stage gives an engine away only if the rest is then busy for no more than this share, at its recent peak.
 /// Measured: an engine taken from decode engines that a burst is about to fill is missed for seconds.
 const BUSY_AFTER_GIVING: f64 = 0.33;
-/// The same for the slots of the decode engines: a stream that finds none waits until another ends.
-const SLOTS_HELD_AFTER_GIVING: f64 = 0.5;
+/// The same where the other stage has no free slots left: its streams wait already.
+const BUSY_AFTER_GIVING_TO_FULL: f64 = 0.66;
+/// Share of the slots of the remaining decode engines that may be held at the recent peak after one is given away: a
+/// stream that finds none waits until another ends, and a shift brings several times as many streams.
+const SLOTS_HELD_AFTER_GIVING: f64 = 0.2;
 /// Share of held slots up to which no stream waits for one,
 const SLOTS_FREE_OF_WAITING: f64 = 0.7;
 /// and the waiting for each where all are held, as a multiple of their time.
@@ -420,8 +423,14 @@
     let decode_gives = decode > least(engines.all(), LEAST_DECODE_SHARE)
         && busy(peak.by_stage(decode - 1).1, decode - 1) <= BUSY_AFTER_GIVING
         && busy(peak.slots, decode - 1) <= SLOTS_HELD_AFTER_GIVING;
+    let is_full = busy(work.slots, decode) > SLOTS_FREE_OF_WAITING;
+    let busy_after_giving = if is_full {
+        BUSY_AFTER_GIVING_TO_FULL
+    } else {
+        BUSY_AFTER_GIVING
+    };
     let prefill_gives = prefill > least(engines.all(), LEAST_PREFILL_SHARE)
-        && busy(peak.by_stage(decode + 1).0, prefill - 1) <= BUSY_AFTER_GIVING;
+        && busy(peak.by_stage(decode + 1).0, prefill - 1) <= busy_after_giving;
     let choices = [
         (Stage::Prefill, decode_gives),
         (Stage::Decode, prefill_gives),
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -119,7 +119,9 @@
         if job.urgency == Urgency::InTime && job.facts.prompt.is_some() {
             let in_time = waited <= job.route.target_latency;
             let service = &job.service.name;
-            placement.confidence.was_in_time(service, in_time);
+            let target_ms = milliseconds(job.route.target_latency);
+            let share = job.expected_ms.unwrap_or_default() / target_ms.max(1.0);
+            placement.confidence.was_in_time(service, share, in_time);
         }
     }
 
