Expected times count this daemon's own link; a full link refuses at once

Sixty of the 66 machines have links of 10 Mbit/s; at the peak some took 50 prompts a second of 18 kB each, which leave twice where they are handed over: 1.8 of 1.25 MB a second. A request took 300 ms from the caller to the first engine. Ruled out: processor time (0.019 of 0.12 cores on average).

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -3,6 +3,7 @@
 mod arrivals;
 mod confidence;
 mod costs;
+mod link;
 mod load;
 mod metering;
 mod prefixes;
@@ -26,6 +27,7 @@
 pub use arrivals::Arrivals;
 pub use confidence::Confidence;
 use costs::{Choice, Estimate};
+pub use link::OwnLink;
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
 pub use prefixes::{HeadState, HeadUse, LEAST_HEAD_TOKENS, PrefixMemory};
 use reading::Reading;
@@ -74,6 +76,8 @@
     pub traits: &'a EngineTraits,
     /// Behind what it waits.
     pub urgency: Urgency,
+    /// Bytes of its body, which leave once for each engine that it is sent to.
+    pub body_bytes: usize,
 }
 
 /// Which engines serve a prompt.
@@ -134,6 +138,8 @@
     pub confidence: Confidence,
     /// How often prompts come.
     pub arrivals: Arrivals,
+    /// What this daemon's link takes.
+    pub link: OwnLink,
     /// Prompt heads that engines are believed to keep.
     pub prefixes: PrefixMemory,
     /// Daemons that serve, this one among them.
@@ -161,6 +167,7 @@
             streams: StreamTimes::default(),
             confidence: Confidence::default(),
             arrivals: Arrivals::default(),
+            link: OwnLink::default(),
             prefixes: PrefixMemory::default(),
             daemons: 1,
             work_of_all: Vec::new(),
@@ -257,6 +264,7 @@
             request,
             keepers: &keepers,
             excess_reading: self.excess_reading(&decoders, request.aims),
+            link_wait_ms: self.link.wait_ms(now),
             direct_per_ms: self.reads_per_ms(&decoders, Stage::Decode),
             apart_per_ms: self.reads_per_ms(&prefills, Stage::Prefill),
         };
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -24,6 +24,8 @@
     pub(super) keepers: &'a [Arc<BackEnd>],
     /// Share of their time that the service's decode engines read, beyond what their streams bear.
     pub(super) excess_reading: f64,
+    /// Time until this daemon's link is free.
+    pub(super) link_wait_ms: f64,
     /// Prompts that come to each decode engine to be read there, in a millisecond.
     pub(super) direct_per_ms: f64,
     /// The same for each prefill engine.
@@ -49,6 +51,7 @@
         Estimate {
             time_ms: placement.slot_wait_ms(back_end, self.request.urgency)
                 + placement.speed.message_ms()
+                + self.leaving_ms(1.0)
                 + work.move_ms
                 + reading_ms,
             burden_ms: self.fetch_burden_ms(&work)
@@ -66,6 +69,7 @@
         Estimate {
             time_ms: placement.slot_wait_ms(back_end, self.request.urgency)
                 + placement.speed.message_ms()
+                + self.leaving_ms(2.0)
                 + work.move_ms
                 + placement.backlog_ms(back_end, rate, self.request.urgency)
                 + own_ms
@@ -74,6 +78,11 @@
         }
     }
 
+    /// Time until the request has left this daemon, for so many engines.
+    fn leaving_ms(&self, sends: f64) -> f64 {
+        self.link_wait_ms + sends * self.placement.link.own_ms(self.request.body_bytes)
+    }
+
     fn fetch_burden_ms(&self, work: &Work) -> f64 {
         if work.move_ms > 0.0 {
             FETCH_BURDEN * self.placement.head_reading_ms(self.request.prompt)
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -52,6 +52,7 @@
                     aims: AIMS,
                     traits: &traits(),
                     urgency: Urgency::InTime,
+                    body_bytes: 20_000,
                 },
                 self.now,
                 &mut self.random,
@@ -409,3 +410,32 @@
     assert_eq!(told.len(), 20);
     assert_eq!(told[0].0, scene.engines[19].id);
 }
+
+#[test]
+fn on_a_full_link_a_body_leaves_once() {
+    let mut scene = Scene::new(2, 3);
+    let long = prompt("h", 13_000, 3_700);
+    assert!(scene.plan(&long).prefill.is_some());
+    scene.placement.link.set_megabits(Some(1));
+    let slow = prompt("h", 0, 1_500);
+    let plan = scene.plan(&slow);
+    assert!(plan.prefill.is_none(), "a second body takes 166 ms");
+    assert!(plan.expected_ms > 160.0, "{}", plan.expected_ms);
+}
+
+#[test]
+fn what_waits_at_the_own_link_leaves_at_its_pace() {
+    let mut scene = Scene::new(1, 1);
+    let link = &mut scene.placement.link;
+    link.sends(1_000_000, scene.now);
+    assert!(
+        link.wait_ms(scene.now) < 1e-9,
+        "a link of unknown speed is free"
+    );
+    link.set_megabits(Some(8));
+    let full = link.wait_ms(scene.now);
+    assert!((1_000.0..1_001.0).contains(&full), "{full}");
+    let later = link.wait_ms(scene.now + Duration::from_millis(600));
+    assert!((400.0..401.0).contains(&later), "{later}");
+    assert!(link.wait_ms(scene.now + Duration::from_secs(2)) < 1e-9);
+}
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -94,13 +94,15 @@
         metrics: Arc<Metrics>,
         settings: &PipelineSettings,
     ) -> Arc<Self> {
+        let mut placement = Placement::new(Arc::clone(&settings.zone));
+        placement.link.set_megabits(Some(state.own().link_megabits));
         Arc::new(Self {
             runtime: runtime.clone(),
             dialect,
             state,
             connections: Connections::new(runtime.clone()),
             metrics,
-            placement: Mutex::new(Placement::new(Arc::clone(&settings.zone))),
+            placement: Mutex::new(placement),
             budget: Mutex::new(RetryBudget::new(settings.budget)),
             split: Mutex::default(),
             random: Mutex::new(Pcg64Mcg::seed_from_u64(runtime.seed)),
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -101,6 +101,7 @@
         };
         let most = self.connection_share(job.service.maximum_connections);
         let begun = now();
+        self.placement().link.sends(job.body.len(), begun);
         let exchange = self.connections.exchange(back_end.address, most, request);
         let answer = self
             .wait_for(exchange, back_end, &job.service.health_path, order.patience)
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -24,7 +24,7 @@
 use crate::connections::{Connection, Reply};
 use crate::dialect::SendStep;
 use crate::follow::now;
-use crate::trail::Step;
+use crate::trail::{Step, milliseconds};
 
 /// A stream whose first event has come.
 pub(super) struct OpenStream {
@@ -49,6 +49,9 @@
     Failure(Failure),
 }
 
+/// Part of a request's target that may pass before it leaves this daemon.
+const LINK_SHARE: f64 = 0.5;
+
 /// A send that a first event is awaited of.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Sent {
@@ -110,6 +113,9 @@
         let mut failure = Failure::NotRun("no_back_end_ready");
         let mut error_answer = None;
         while job.time_left() > LEAST_TIME_FOR_A_SEND && job.may_run_again() {
+            if self.link_is_full(job) {
+                return Err(NotOpened::Failure(self.link_full(job, failure)));
+            }
             self.await_head(job).await;
             let Some(plan) = self.plan(job) else {
                 break;
@@ -137,6 +143,20 @@
         Err(error_answer.map_or(NotOpened::Failure(failure), NotOpened::Answer))
     }
 
+    /// Whether this daemon's link alone makes the request late: what waits there has no ranks. Another daemon may have
+    /// room, and the caller comes to another when it comes back.
+    fn link_is_full(&self, job: &Job) -> bool {
+        let wait_ms = self.placement().link.wait_ms(now());
+        wait_ms > milliseconds(job.route.target_latency) * LINK_SHARE
+    }
+
+    fn link_full(&self, job: &Job, before: Failure) -> Failure {
+        if job.runs > 0 {
+            return before;
+        }
+        Failure::NotRun("this daemon's link is full: come back, another may have room")
+    }
+
     /// Has the prompt read by the plan's prefill engine, where it names one and the budget allows.
     async fn read_apart(self: &Arc<Self>, job: &mut Job, plan: &PromptPlan) -> ReadApart {
         let Some(engine) = &plan.prefill else {
@@ -208,6 +228,7 @@
             aims: job.aims(),
             traits,
             urgency: Urgency::InTime,
+            body_bytes: job.body.len(),
         };
         let plan = placement.plan_prompt(ready, &job.tried, &request, now, &mut *random)?;
         let share = placement.confidence.share(&job.service.name);
