A stream that goes on elsewhere asks those again that refused it when it began

Cause: an_engine_that_falls_dark_in_mid_stream_is_left_for_another failed once placement chose the refusing engine first: an engine that refused a request for a moment stayed excluded for its whole life, seconds later too, and the stream broke off though that engine was free. Ruled out: signs of life (the dark engine is found out as before). Change: only the engine that failed is left out when a stream goes on.

--- a/crates/serve/tests/fleet_changes.rs
+++ b/crates/serve/tests/fleet_changes.rs
@@ -221,7 +221,7 @@
         prefill: 6,
         ..Size::default()
     });
-    let prompt = |id: &str| ClientRequest::prompt(id, "verdict", 6_000, 900);
+    let prompt = |id: &str| ClientRequest::prompt(id, "verdict", 24_000, 900);
     let reader = |fleet: &Fleet, id: &str| {
         let read = |engine: &&ponddrift_platform_stand_ins::EngineStandIn| {
             engine.runs().iter().any(|run| run.request == id)
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -214,6 +214,8 @@
         outcome: Option<Outcome>,
     ) -> Result<(), BodyError> {
         self.note_end(&stream, reason, outcome);
+        // Those that refused it when it began may have room by now.
+        self.job.tried = vec![Arc::clone(&stream.back_end.id)];
         drop(stream);
         if !self.job.may_run_again() {
             return Err(self.break_off(reason));
