ponddrift losses: which requests were not in time, why, and when, from daemons' logs

Adds up request_ended lines by route, outcome and the last attempt's end, and by windows of two seconds; lines now carry the target. What a loss is worth stays with the platform's account: the product does not know credits.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -57,6 +57,7 @@
         .subcommand(apply())
         .subcommand(Command::new("status").about("Shows a daemon's own state"))
         .subcommand(check_config())
+        .subcommand(losses())
         .subcommand(completions())
 }
 
@@ -136,6 +137,29 @@
         )
 }
 
+fn losses() -> Command {
+    Command::new("losses")
+        .about("Adds up from daemons' logs which requests were not in time, why, and when")
+        .after_help(
+            "Examples:\n  \
+             ponddrift losses daemon-*.log\n  \
+             tail -n 100000 daemon.log | ponddrift losses",
+        )
+        .arg(
+            Arg::new("logs")
+                .value_name("FILE")
+                .num_args(0..)
+                .value_parser(value_parser!(PathBuf))
+                .help("Logs of daemons; without any, standard input is read"),
+        )
+}
+
+/// The logs that were named.
+pub(crate) fn logs(matches: &ArgMatches) -> Vec<PathBuf> {
+    let logs = matches.get_many::<PathBuf>("logs");
+    logs.into_iter().flatten().cloned().collect()
+}
+
 fn check_config() -> Command {
     Command::new("check-config")
         .about("Checks a daemon's settings file without starting it")
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -4,6 +4,7 @@
 mod client;
 mod error;
 mod interactive;
+mod losses;
 mod output;
 mod run;
 
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,6 +1,7 @@
 //! Running the chosen command.
 
-use std::io::{self, IsTerminal, Read};
+use std::fs::File;
+use std::io::{self, BufReader, IsTerminal, Read};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -13,6 +14,7 @@
 use crate::client::{Change, DaemonClient};
 use crate::error::CliError;
 use crate::interactive::Terminal;
+use crate::losses::Losses;
 use crate::output;
 
 /// Who an interactive change is by, unless the environment says.
@@ -26,6 +28,7 @@
 pub(crate) fn run(matches: &ArgMatches) -> Result<(), CliError> {
     match matches.subcommand() {
         Some(("check-config", chosen)) => check_config(chosen),
+        Some(("losses", chosen)) => add_up_losses(chosen),
         Some(("completions", chosen)) => {
             completions(chosen);
             Ok(())
@@ -40,6 +43,18 @@
     }
 }
 
+fn add_up_losses(matches: &ArgMatches) -> Result<(), CliError> {
+    let mut losses = Losses::default();
+    let logs = arguments::logs(matches);
+    if logs.is_empty() {
+        losses.read(io::stdin().lock())?;
+    }
+    for log in logs {
+        losses.read(BufReader::new(File::open(log)?))?;
+    }
+    losses.write(&mut io::stdout().lock())
+}
+
 async fn talk(name: &str, matches: &ArgMatches) -> Result<(), CliError> {
     let client = DaemonClient::new(arguments::daemons(matches));
     let form = arguments::output_form(matches);
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -52,6 +52,7 @@
             outcome = $end.outcome,
             in_time = $end.in_time,
             waited_ms = milliseconds($end.waited),
+            target_ms = milliseconds($job.route.target_latency),
             expected_ms = $job.expected_ms,
             urgency = $job.urgency.as_str(),
             longest_gap_ms = milliseconds($job.longest_gap),
