--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -9,7 +9,8 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{
-    HeadState, HeadUse, Outstanding, Placement, PromptPlan, WorkReport, WorkRow,
+    Aims, HeadState, HeadUse, Outstanding, Placement, PromptPlan, PromptRequest, Urgency,
+    WorkReport, WorkRow,
 };
 use ponddrift_fleet::prompt::{Prompt, PromptPart};
 use ponddrift_fleet::stages::StageWork;
@@ -17,6 +18,11 @@
 use rand_pcg::Pcg64Mcg;
 use support::engines;
 
+const AIMS: Aims = Aims {
+    latency: Duration::from_millis(500),
+    gap: Some(Duration::from_millis(150)),
+};
+
 struct Scene {
     placement: Placement,
     engines: Vec<Arc<BackEnd>>,
@@ -41,8 +47,13 @@
             .plan_prompt(
                 &self.engines,
                 &[],
-                &traits(),
-                prompt,
+                &PromptRequest {
+                    prompt,
+                    aims: AIMS,
+                    traits: &traits(),
+                    urgency: Urgency::InTime,
+                    body_bytes: 20_000,
+                },
                 self.now,
                 &mut self.random,
             )
@@ -92,6 +103,7 @@
         let outstanding = Outstanding {
             requests: 1.0,
             prompt_tokens,
+            ..Outstanding::default()
         };
         let report = self.peer_report(engine, 1, outstanding);
         assert!(self.placement.load.hear(report, self.now));
@@ -286,7 +298,7 @@
     scene.keep(5, &asked);
     let full = Outstanding {
         requests: f64::from(scene.engines[5].slots) * 1.2,
-        prompt_tokens: 0.0,
+        ..Outstanding::default()
     };
     let report = scene.peer_report(5, 1, full);
     scene.placement.load.hear(report, scene.now);
@@ -299,7 +311,7 @@
     let mut scene = Scene::new(2, 1);
     let work = |requests| Outstanding {
         requests,
-        prompt_tokens: 0.0,
+        ..Outstanding::default()
     };
     let newer = scene.peer_report(0, 5, work(2.0));
     let older = scene.peer_report(0, 4, work(9.0));
@@ -312,14 +324,14 @@
 #[test]
 fn an_engine_stays_away_for_the_longest_time_that_was_told() {
     let mut scene = Scene::new(0, 2);
-    let id = Arc::clone(&scene.engines[0].id);
+    let engine = Arc::clone(&scene.engines[0]);
     let other = Arc::clone(&scene.engines[1].id);
     scene
         .placement
-        .set_away(&id, Duration::from_secs(2), false, scene.now);
+        .set_away(&engine, Duration::from_secs(2), false, scene.now);
     scene
         .placement
-        .set_away(&id, Duration::from_millis(200), false, scene.now);
+        .set_away(&engine, Duration::from_millis(200), false, scene.now);
     scene.now += Duration::from_secs(1);
     for _ in 0..10 {
         assert_eq!(scene.plan(&prompt("h", 60, 250)).decode.id, other);
@@ -378,7 +390,7 @@
     let service = Arc::from("models");
     let plan = scene.plan(&prompt("h", 10_000, 4_000));
     assert!(plan.prefill.is_none());
-    scene.placement.meter(&service, &plan, scene.now);
+    scene.placement.meter(&service, &plan, AIMS, scene.now);
     let rates = scene.placement.work.rates(scene.now);
     let work = rates[0].1;
     assert!(work.prefill > 0.1 && work.decode_reading > work.prefill);
@@ -391,10 +403,39 @@
     for engine in scene.engines.clone() {
         scene
             .placement
-            .set_away(&engine.id, Duration::from_secs(2), true, scene.now);
+            .set_away(&engine, Duration::from_secs(2), true, scene.now);
         scene.now += Duration::from_millis(50);
     }
     let told = scene.placement.away(scene.now);
     assert_eq!(told.len(), 20);
     assert_eq!(told[0].0, scene.engines[19].id);
 }
+
+#[test]
+fn on_a_full_link_a_body_leaves_once() {
+    let mut scene = Scene::new(2, 3);
+    let long = prompt("h", 13_000, 3_700);
+    assert!(scene.plan(&long).prefill.is_some());
+    scene.placement.link.set_megabits(Some(1));
+    let slow = prompt("h", 0, 1_500);
+    let plan = scene.plan(&slow);
+    assert!(plan.prefill.is_none(), "a second body takes 166 ms");
+    assert!(plan.expected_ms > 160.0, "{}", plan.expected_ms);
+}
+
+#[test]
+fn what_waits_at_the_own_link_leaves_at_its_pace() {
+    let mut scene = Scene::new(1, 1);
+    let link = &mut scene.placement.link;
+    link.sends(1_000_000, scene.now);
+    assert!(
+        link.wait_ms(scene.now) < 1e-9,
+        "a link of unknown speed is free"
+    );
+    link.set_megabits(Some(8));
+    let full = link.wait_ms(scene.now);
+    assert!((1_000.0..1_001.0).contains(&full), "{full}");
+    let later = link.wait_ms(scene.now + Duration::from_millis(600));
+    assert!((400.0..401.0).contains(&later), "{later}");
+    assert!(link.wait_ms(scene.now + Duration::from_secs(2)) < 1e-9);
+}
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -22,7 +22,7 @@
 /// Services that surely fit beside them.
 const MAXIMUM_SERVICES: usize = 4;
 /// Version of the messages; daemons of other versions are not heard.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// What a datagram tells.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -79,8 +79,14 @@
     pub(super) back_end: u32,
     /// Requests in progress.
     pub(super) requests: u16,
-    /// Prompt tokens still to read.
+    /// Requests among them that generate.
+    pub(super) generating: u16,
+    /// Requests among them that will be late and have not begun.
+    pub(super) late_waiting: u16,
+    /// Prompt tokens still to read, of requests that can be in time.
     pub(super) prompt_tokens: u32,
+    /// The same of requests that will be late.
+    pub(super) late_tokens: u32,
 }
 
 /// An engine that gets nothing new for a while.
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -69,7 +69,10 @@
     BackEndRow {
         back_end: hash(&row.id),
         requests: row.outstanding.requests as u16,
+        generating: row.outstanding.generating as u16,
+        late_waiting: row.outstanding.late_waiting as u16,
         prompt_tokens: row.outstanding.prompt_tokens as u32,
+        late_tokens: row.outstanding.late_tokens as u32,
     }
 }
 
@@ -79,7 +82,10 @@
             id: Arc::clone(&known.find(row.back_end)?.id),
             outstanding: Outstanding {
                 requests: f64::from(row.requests),
+                generating: f64::from(row.generating),
+                late_waiting: f64::from(row.late_waiting),
                 prompt_tokens: f64::from(row.prompt_tokens),
+                late_tokens: f64::from(row.late_tokens),
             },
         })
     });
@@ -135,6 +141,7 @@
         short_reading: f64::from(row.short_reading) / MS_PER_S,
         decode: f64::from(row.decode) / MS_PER_S,
         decode_reading: f64::from(row.decode_reading) / MS_PER_S,
+        ..StageWork::default()
     };
     (Arc::from(row.service.as_str()), work)
 }
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -27,6 +27,7 @@
 use hyper::body::Incoming;
 use ponddrift_fleet::budget::{BudgetSettings, RetryBudget};
 use ponddrift_fleet::configuration::Stage;
+use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::placement::Placement;
 use ponddrift_fleet::routes::SplitDealer;
 use ponddrift_fleet::stages::StageWork;
@@ -93,13 +94,15 @@
         metrics: Arc<Metrics>,
         settings: &PipelineSettings,
     ) -> Arc<Self> {
+        let mut placement = Placement::new(Arc::clone(&settings.zone));
+        placement.link.set_megabits(Some(state.own().link_megabits));
         Arc::new(Self {
             runtime: runtime.clone(),
             dialect,
             state,
             connections: Connections::new(runtime.clone()),
             metrics,
-            placement: Mutex::new(Placement::new(Arc::clone(&settings.zone))),
+            placement: Mutex::new(placement),
             budget: Mutex::new(RetryBudget::new(settings.budget)),
             split: Mutex::default(),
             random: Mutex::new(Pcg64Mcg::seed_from_u64(runtime.seed)),
@@ -172,8 +175,8 @@
     }
 
     /// An engine is about to change: it gets nothing new for so long, here and at peers.
-    pub fn engine_away(&self, id: &Arc<str>, time: Duration) {
-        self.placement().set_away(id, time, true, now());
+    pub fn engine_away(&self, engine: &BackEnd, time: Duration) {
+        self.placement().set_away(engine, time, true, now());
         self.heavy_work_changed.notify_one();
     }
 
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -7,6 +7,7 @@
 use http::{Request, StatusCode};
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::{Outcome, Results};
+use ponddrift_fleet::placement::Urgency;
 use ponddrift_http::body;
 
 use super::Pipeline;
@@ -19,6 +20,8 @@
 
 /// Rank of everything that generates.
 const GENERATING_RANK: u8 = 0;
+/// Ranks by which a request that will be late stands behind those that can be in time.
+const LATE_RANKS: u8 = 5;
 /// A back end that refused a request gets nothing new for this long, while others can be asked.
 const REFUSED_PAUSE: Duration = Duration::from_millis(200);
 /// The same for one that is another than the directory says, or has another stage: the directory lags.
@@ -88,7 +91,7 @@
         let facts = SendFacts {
             back_end: &back_end.id,
             time_left: job.time_left(),
-            priority: rank_at(order.step, job.route.priority),
+            priority: rank_at(order.step, job.route.priority, job.urgency),
             step: order.step,
             resume_after: order.resume_after,
             fetch_from: order.fetch_from,
@@ -98,6 +101,7 @@
         };
         let most = self.connection_share(job.service.maximum_connections);
         let begun = now();
+        self.placement().link.sends(job.body.len(), begun);
         let exchange = self.connections.exchange(back_end.address, most, request);
         let answer = self
             .wait_for(exchange, back_end, &job.service.health_path, order.patience)
@@ -108,7 +112,7 @@
             Ok(Ok(reply)) => self.judge(job, order.step, reply),
         };
         if let HeadEnd::NotRun(_) = &judged.end {
-            self.leave_alone(&back_end.id, judged.status);
+            self.leave_alone(back_end, judged.status);
         }
         if let Some(outcome) = judged.outcome {
             self.note_outcome(back_end, &job.service.health_path, outcome);
@@ -187,14 +191,14 @@
     }
 
     /// A back end that refuses is full, changes, or is not what it was taken for: others are asked for a moment.
-    fn leave_alone(&self, id: &Arc<str>, status: Option<u16>) {
+    fn leave_alone(&self, back_end: &BackEnd, status: Option<u16>) {
         let is_another = status == Some(StatusCode::MISDIRECTED_REQUEST.as_u16());
         let time = if is_another {
             ANOTHER_PAUSE
         } else {
             REFUSED_PAUSE
         };
-        self.placement().set_away(id, time, false, now());
+        self.placement().set_away(back_end, time, false, now());
     }
 
     fn build(&self, job: &Job, facts: &SendFacts<'_>) -> Option<Request<body::Body>> {
@@ -256,10 +260,15 @@
 
 /// Rank of a request at its engine. Where it generates, all have the same: one that a more urgent one displaces there
 /// is read anew, in the time of everybody on that engine.
-const fn rank_at(step: SendStep<'_>, route_priority: u8) -> u8 {
+fn rank_at(step: SendStep<'_>, route_priority: u8, urgency: Urgency) -> u8 {
+    let behind = match urgency {
+        Urgency::InTime => 0,
+        Urgency::Late => LATE_RANKS,
+    };
     match step {
-        SendStep::Prefill => route_priority,
-        SendStep::Serve | SendStep::Continue { .. } => GENERATING_RANK,
+        SendStep::Prefill => route_priority.saturating_add(behind),
+        SendStep::Serve => GENERATING_RANK + behind,
+        SendStep::Continue { .. } => GENERATING_RANK,
     }
 }
 
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -8,7 +8,7 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::placement::PromptPlan;
+use ponddrift_fleet::placement::{Placement, PromptPlan, PromptRequest, Urgency};
 use ponddrift_http::body::{self, Body};
 
 use super::Pipeline;
@@ -24,7 +24,7 @@
 use crate::connections::{Connection, Reply};
 use crate::dialect::SendStep;
 use crate::follow::now;
-use crate::trail::Step;
+use crate::trail::{Step, milliseconds};
 
 /// A stream whose first event has come.
 pub(super) struct OpenStream {
@@ -49,6 +49,17 @@
     Failure(Failure),
 }
 
+/// Part of a request's target that may pass before it leaves this daemon.
+const LINK_SHARE: f64 = 0.5;
+
+/// A send that a first event is awaited of.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Sent {
+    pub(super) begun: Instant,
+    /// Whether the engine had nothing else to read.
+    pub(super) reads_alone: bool,
+}
+
 /// What came of a reading apart.
 enum ReadApart {
     /// The prompt was read.
@@ -102,6 +113,9 @@
         let mut failure = Failure::NotRun("no_back_end_ready");
         let mut error_answer = None;
         while job.time_left() > LEAST_TIME_FOR_A_SEND && job.may_run_again() {
+            if self.link_is_full(job) {
+                return Err(NotOpened::Failure(self.link_full(job, failure)));
+            }
             self.await_head(job).await;
             let Some(plan) = self.plan(job) else {
                 break;
@@ -129,6 +143,20 @@
         Err(error_answer.map_or(NotOpened::Failure(failure), NotOpened::Answer))
     }
 
+    /// Whether this daemon's link alone makes the request late: what waits there has no ranks. Another daemon may have
+    /// room, and the caller comes to another when it comes back.
+    fn link_is_full(&self, job: &Job) -> bool {
+        let wait_ms = self.placement().link.wait_ms(now());
+        wait_ms > milliseconds(job.route.target_latency) * LINK_SHARE
+    }
+
+    fn link_full(&self, job: &Job, before: Failure) -> Failure {
+        if job.runs > 0 {
+            return before;
+        }
+        Failure::NotRun("this daemon's link is full: come back, another may have room")
+    }
+
     /// Has the prompt read by the plan's prefill engine, where it names one and the budget allows.
     async fn read_apart(self: &Arc<Self>, job: &mut Job, plan: &PromptPlan) -> ReadApart {
         let Some(engine) = &plan.prefill else {
@@ -155,25 +183,9 @@
         let now = now();
         let ready = self.state.ready(&job.service.name, now);
         let mut placement = self.placement();
-        let mut random = self.random();
-        let plan = match (&job.facts.prompt, &job.service.engine) {
-            (Some(prompt), Some(traits)) => {
-                placement.prefixes.set_capacity(traits.cache_tokens);
-                placement.work_of_all(now);
-                placement.plan_prompt(&ready, &job.tried, traits, prompt, now, &mut *random)
-            }
-            _ => placement
-                .choose_plain(&ready, &job.tried, now, &mut *random)
-                .map(|decode| PromptPlan {
-                    prefill: None,
-                    decode,
-                    fetch_from: None,
-                    fetch_ms: 0.0,
-                    expected_ms: 0.0,
-                    tokens_to_read: 0.0,
-                }),
-        }?;
-        placement.meter(&job.service.name, &plan, now);
+        let plan = self.plan_in(&mut placement, job, &ready, now)?;
+        job.expected_ms.get_or_insert(plan.expected_ms);
+        placement.meter(&job.service.name, &plan, job.aims(), now);
         if let Some(prompt) = &job.facts.prompt {
             let total = f64::from(prompt.input_tokens);
             self.metrics
@@ -195,6 +207,41 @@
         Some(plan)
     }
 
+    /// The plan with which the request is in time, else the one with which it takes the time that others leave.
+    fn plan_in(
+        &self,
+        placement: &mut Placement,
+        job: &mut Job,
+        ready: &[Arc<BackEnd>],
+        now: Instant,
+    ) -> Option<PromptPlan> {
+        let mut random = self.random();
+        let (Some(prompt), Some(traits)) = (&job.facts.prompt, &job.service.engine) else {
+            return placement
+                .choose_plain(ready, &job.tried, now, &mut *random)
+                .map(PromptPlan::unknown);
+        };
+        placement.prefixes.set_capacity(traits.cache_tokens);
+        placement.work_of_all(now);
+        let mut request = PromptRequest {
+            prompt,
+            aims: job.aims(),
+            traits,
+            urgency: Urgency::InTime,
+            body_bytes: job.body.len(),
+        };
+        let plan = placement.plan_prompt(ready, &job.tried, &request, now, &mut *random)?;
+        let share = placement.confidence.share(&job.service.name);
+        let expected = Duration::from_secs_f64(plan.expected_ms / 1000.0);
+        if now + expected <= job.arrived + job.route.target_latency.mul_f64(share) {
+            job.urgency = Urgency::InTime;
+            return Some(plan);
+        }
+        request.urgency = Urgency::Late;
+        job.urgency = Urgency::Late;
+        placement.plan_prompt(ready, &job.tried, &request, now, &mut *random)
+    }
+
     async fn stream_attempt(
         self: &Arc<Self>,
         job: &mut Job,
@@ -208,7 +255,9 @@
         } else {
             plan.tokens_to_read
         };
-        let load = LoadGuard::new(self, &decode, tokens);
+        let outstanding = self.placement().load.outstanding(&decode.id);
+        let reads_alone = handle.is_none() && outstanding.prompt_tokens < 1.0;
+        let load = LoadGuard::new(self, &decode, tokens, job.urgency);
         let patience = self.first_event_patience(job, plan);
         let step = match &handle {
             Some(held) => SendStep::Continue {
@@ -243,7 +292,7 @@
         let opened = self
             .first_event(&decode, &path, reply, load, begun, patience)
             .await;
-        self.note_first_event(job, plan, &decode, opened, begun)
+        self.note_first_event(job, plan, &decode, opened, Sent { begun, reads_alone })
     }
 
     /// The engine that generates; chosen anew after a prompt was read, which takes a while.
