A request that the engines have no time for is refused at once

Change: where the wait for all that is ahead is longer than the request's time and nothing has begun, it is refused at once with the time to come back.

--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -77,6 +77,13 @@
     Unsure(&'static str),
 }
 
+/// Whether a request that nobody has begun has less time left than the engines need before they come to it.
+fn is_hopeless(job: &Job, plan: &PromptPlan) -> bool {
+    let is_begun = job.arrivals > 0 || job.prefills > 0;
+    let expected = Duration::from_secs_f64(plan.expected_ms / 1000.0);
+    job.urgency == Urgency::Late && !is_begun && expected > job.time_left()
+}
+
 impl Pipeline {
     pub(super) async fn serve_stream(
         self: &Arc<Self>,
@@ -120,6 +127,12 @@
             let Some(plan) = self.plan(job) else {
                 break;
             };
+            if is_hopeless(job, &plan) {
+                failure = Failure::NotRun(
+                    "the engines have more to do than this request has time for: come back later",
+                );
+                break;
+            }
             let handle = match self.read_apart(job, &plan).await {
                 ReadApart::Read(handle) => Some(handle),
                 ReadApart::Failed => continue,
