--- a/crates/serving/src/pipeline/answers.rs
+++ b/crates/serving/src/pipeline/answers.rs
@@ -8,8 +8,11 @@
 
 use super::Pipeline;
 
-/// Bounds of the time after which a refused caller is told to come back, in milliseconds.
-const RETRY_AFTER_MS: (u64, u64) = (150, 500);
+/// Bounds of the time after which a refused caller is told to come back, as a part of the time that it has left: late enough
+/// for a peak to pass, early enough for another try.
+const RETRY_AFTER_SHARE: (f64, f64) = (0.1, 0.33);
+/// Time that a caller is taken to have left where it is not known.
+const TIME_LEFT_UNKNOWN: Duration = Duration::from_millis(1_500);
 
 /// Why a request got no answer from a back end.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,7 +74,12 @@
 
 impl Pipeline {
     /// The answer that tells of a failure.
-    pub(super) fn failure_answer(&self, failure: Failure, id: Option<&str>) -> Response<Body> {
+    pub(super) fn failure_answer(
+        &self,
+        failure: Failure,
+        id: Option<&str>,
+        time_left: Option<Duration>,
+    ) -> Response<Body> {
         let mut response = Response::new(body::full(failure.reason()));
         *response.status_mut() = failure.status();
         let headers = response.headers_mut();
@@ -81,7 +89,7 @@
             self.dialect.mark_own_answer(headers, id);
         }
         if failure.invites_return() {
-            let pause = self.return_pause();
+            let pause = self.return_pause(time_left);
             if let Ok(value) = HeaderValue::from_str(&format!("{:.2}", pause.as_secs_f64())) {
                 headers.insert(header::RETRY_AFTER, value);
             }
@@ -89,9 +97,11 @@
         response
     }
 
-    /// A spread of times, so that those refused together do not come back together.
-    fn return_pause(&self) -> Duration {
-        let (least, most) = RETRY_AFTER_MS;
-        Duration::from_millis(self.random().random_range(least..=most))
+    /// A spread of times, so that those refused together do not come back together: a part of what the caller has left,
+    /// where that is known.
+    fn return_pause(&self, time_left: Option<Duration>) -> Duration {
+        let (least, most) = RETRY_AFTER_SHARE;
+        let left = time_left.unwrap_or(TIME_LEFT_UNKNOWN);
+        left.mul_f64(self.random().random_range(least..=most))
     }
 }
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -87,7 +87,7 @@
             Err(failure) => {
                 self.refused_at_intake(failure, id.as_deref());
                 read_away(body).await;
-                return self.failure_answer(failure, id.as_deref());
+                return self.failure_answer(failure, id.as_deref(), None);
             }
         };
         self.budget().earn(&job.service.name);
@@ -214,7 +214,7 @@
     /// Gives a request up: its final answer at once.
     pub(super) fn give_up(&self, job: &Job, failure: Failure) -> Served {
         Served {
-            response: self.failure_answer(failure, Some(&job.id)),
+            response: self.failure_answer(failure, Some(&job.id), Some(job.time_left())),
             outcome: match failure {
                 Failure::NotRun(_) => "refused",
                 Failure::TimeOver(_) => "time_over",
