--- /dev/null
+++ b/crates/fleet/tests/learned_times.rs
@@ -0,0 +1,91 @@
+//! What is learned of streams, of expected times and of arrivals.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ponddrift_fleet::configuration::Stage;
+use ponddrift_fleet::placement::{Arrivals, Confidence, StreamTimes};
+
+fn service() -> Arc<str> {
+    Arc::from("models")
+}
+
+#[test]
+fn the_longest_stream_counts_less_with_time() {
+    let (mut streams, now) = (StreamTimes::default(), Instant::now());
+    assert_eq!(streams.longest("models", now), Duration::ZERO);
+    streams.ran(&service(), Duration::from_secs(10), now);
+    streams.ran(&service(), Duration::from_secs(1), now);
+    let longest = streams.longest("models", now).as_secs_f64();
+    assert!((longest - 10.0).abs() < 1e-6, "{longest}");
+    let later = now + Duration::from_secs(20);
+    let longest = streams.longest("models", later).as_secs_f64();
+    assert!(
+        (longest - 5.0).abs() < 1e-6,
+        "half after a half-life: {longest}"
+    );
+    streams.ran(&service(), Duration::from_secs(6), later);
+    let longest = streams.longest("models", later).as_secs_f64();
+    assert!((longest - 6.0).abs() < 1e-6, "{longest}");
+}
+
+#[test]
+fn usual_times_are_averages_of_what_was_seen() {
+    let (mut streams, now) = (StreamTimes::default(), Instant::now());
+    assert!(streams.quiet_gap_ms("models") < 1e-9, "nothing seen yet");
+    for _ in 0..200 {
+        streams.ran(&service(), Duration::from_millis(80), now);
+        streams.paused_quietly(&service(), Duration::from_millis(40));
+    }
+    assert!((streams.usual_ms("models") - 80.0).abs() < 1.0);
+    assert!((streams.quiet_gap_ms("models") - 40.0).abs() < 1.0);
+}
+
+#[test]
+fn confidence_falls_with_late_ones_and_settles_where_one_in_twelve_is_late() {
+    let mut confidence = Confidence::default();
+    assert!((confidence.share("models") - 1.0).abs() < 1e-9);
+    for _ in 0..100 {
+        confidence.was_in_time(&service(), 1.0, false);
+    }
+    let lowest = confidence.share("models");
+    assert!((0.4..0.6).contains(&lowest), "bounded: {lowest}");
+    for number in 0..1_300 {
+        confidence.was_in_time(&service(), 2.0, number % 13 != 0);
+    }
+    let settled = confidence.share("models");
+    assert!((settled - lowest).abs() < 0.05, "{lowest} to {settled}");
+}
+
+#[test]
+fn requests_far_from_the_end_of_the_share_tell_nothing_when_in_time() {
+    let mut confidence = Confidence::default();
+    for _ in 0..1_000 {
+        confidence.was_in_time(&service(), 0.1, true);
+    }
+    assert!((confidence.share("models") - 1.0).abs() < 1e-9);
+    for _ in 0..10_000 {
+        confidence.was_in_time(&service(), 5.0, true);
+    }
+    let highest = confidence.share("models");
+    assert!((highest - 2.0).abs() < 1e-9, "bounded: {highest}");
+}
+
+#[test]
+fn arrivals_are_a_rate_by_stage() {
+    let (mut arrivals, mut now) = (Arrivals::default(), Instant::now());
+    for number in 0..2_000 {
+        let stage = if number % 4 == 0 {
+            Stage::Decode
+        } else {
+            Stage::Prefill
+        };
+        arrivals.add(&service(), stage, now);
+        now += Duration::from_millis(10);
+    }
+    let apart = arrivals.per_ms("models", Stage::Prefill);
+    let direct = arrivals.per_ms("models", Stage::Decode);
+    assert!((0.07..0.08).contains(&apart), "{apart}");
+    assert!((0.02..0.03).contains(&direct), "{direct}");
+    assert!(arrivals.per_ms("another", Stage::Decode) < 1e-9);
+}
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -28,6 +28,7 @@
     engines: Vec<Arc<BackEnd>>,
     now: Instant,
     random: Pcg64Mcg,
+    urgency: Urgency,
 }
 
 impl Scene {
@@ -39,6 +40,7 @@
             engines: engines(prefill, decode),
             now: Instant::now(),
             random: Pcg64Mcg::seed_from_u64(3),
+            urgency: Urgency::InTime,
         }
     }
 
@@ -51,7 +53,7 @@
                     prompt,
                     aims: AIMS,
                     traits: &traits(),
-                    urgency: Urgency::InTime,
+                    urgency: self.urgency,
                     body_bytes: 20_000,
                 },
                 self.now,
@@ -100,12 +102,17 @@
     }
 
     fn peer_works_at(&mut self, engine: usize, prompt_tokens: f64) {
+        self.peer_works_at_as(7, engine, prompt_tokens);
+    }
+
+    fn peer_works_at_as(&mut self, origin: u64, engine: usize, prompt_tokens: f64) {
         let outstanding = Outstanding {
             requests: 1.0,
             prompt_tokens,
             ..Outstanding::default()
         };
-        let report = self.peer_report(engine, 1, outstanding);
+        let mut report = self.peer_report(engine, 1, outstanding);
+        report.origin = origin;
         assert!(self.placement.load.hear(report, self.now));
     }
 }
@@ -439,3 +446,96 @@
     assert!((400.0..401.0).contains(&later), "{later}");
     assert!(link.wait_ms(scene.now + Duration::from_secs(2)) < 1e-9);
 }
+
+/// A service whose streams pause 50 ms where nothing is read, and 100 streams of other daemons at every decode engine.
+fn with_streams(decode: u8) -> Scene {
+    let mut scene = Scene::new(1, decode);
+    let service = Arc::from("models");
+    for _ in 0..200 {
+        scene
+            .placement
+            .streams
+            .paused_quietly(&service, Duration::from_millis(50));
+    }
+    let rows = scene.engines[1..].iter().map(|engine| WorkRow {
+        id: Arc::clone(&engine.id),
+        outstanding: Outstanding {
+            requests: 10.0,
+            generating: 10.0,
+            ..Outstanding::default()
+        },
+    });
+    let report = WorkReport {
+        origin: 7,
+        sequence: 1,
+        rows: rows.collect(),
+    };
+    scene.placement.load.hear(report, scene.now);
+    scene
+}
+
+#[test]
+fn a_reading_that_would_make_streams_late_is_done_apart_though_that_takes_longer() {
+    let mut scene = with_streams(2);
+    // The only prefill engine is busy for 200 ms; a decode engine would have read it after 130.
+    scene.peer_works_at_as(9, 0, 6_000.0);
+    let plan = scene.plan(&prompt("h", 0, 2_000));
+    assert!(
+        plan.prefill.is_some(),
+        "20 streams would pause 180 ms of 150"
+    );
+    let mut alone = Scene::new(1, 2);
+    alone.peer_works_at_as(9, 0, 6_000.0);
+    let plan = alone.plan(&prompt("h", 0, 2_000));
+    assert!(plan.prefill.is_none(), "nobody is late by it there");
+}
+
+#[test]
+fn a_short_reading_holds_no_stream_up() {
+    let mut scene = with_streams(2);
+    let plan = scene.plan(&prompt("h", 0, 300));
+    assert!(plan.prefill.is_none());
+}
+
+#[test]
+fn a_reading_costs_what_it_delays_those_that_come_meanwhile() {
+    let mut scene = Scene::new(1, 2);
+    let long = prompt("h", 0, 2_000);
+    scene.peer_works_at_as(9, 0, 6_000.0);
+    assert!(scene.plan(&long).prefill.is_none());
+    let service = Arc::from("models");
+    for _ in 0..400 {
+        scene
+            .placement
+            .arrivals
+            .add(&service, Stage::Decode, scene.now);
+        scene.now += Duration::from_millis(5);
+    }
+    scene.peer_works_at_as(10, 0, 6_000.0);
+    assert!(
+        scene.plan(&long).prefill.is_some(),
+        "100 short prompts a second come to each decode engine"
+    );
+}
+
+#[test]
+fn a_request_that_can_be_in_time_passes_by_those_that_cannot() {
+    let mut scene = Scene::new(1, 1);
+    let late = Outstanding {
+        requests: 40.0,
+        late_waiting: 40.0,
+        late_tokens: 200_000.0,
+        ..Outstanding::default()
+    };
+    for (origin, engine) in [(7, 0), (8, 1)] {
+        let mut report = scene.peer_report(engine, 1, late);
+        report.origin = origin;
+        scene.placement.load.hear(report, scene.now);
+    }
+    let asked = prompt("h", 0, 1_000);
+    let in_time = scene.plan(&asked).expected_ms;
+    scene.urgency = Urgency::Late;
+    let behind = scene.plan(&asked).expected_ms;
+    assert!(in_time < 300.0, "{in_time}");
+    assert!(behind > 5_000.0, "{behind}");
+}
