Words between daemons: a row of work takes 12 bytes again

Cause: with what will be late told apart a row had grown from 10 to 18 bytes; 40 rows, 14 heads and 32 engines about to change no longer fit into one datagram, and a digest that does not fit with one report is not sent at all. Change: counts in one byte, tokens in units of 32 (rounded up), both saturating.

--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -21,6 +21,8 @@
 const MAXIMUM_AWAY: usize = 32;
 /// Services that surely fit beside them.
 const MAXIMUM_SERVICES: usize = 4;
+/// Tokens are told in so many, rounded up: far less than any reading that a decision depends on.
+pub(super) const TOKENS_IN_UNIT: f64 = 32.0;
 /// Version of the messages; daemons of other versions are not heard.
 const VERSION: u8 = 3;
 
@@ -79,14 +81,14 @@
     pub(super) back_end: u32,
     /// Requests in progress.
     pub(super) requests: u16,
-    /// Requests among them that generate.
-    pub(super) generating: u16,
-    /// Requests among them that will be late and have not begun.
-    pub(super) late_waiting: u16,
-    /// Prompt tokens still to read, of requests that can be in time.
-    pub(super) prompt_tokens: u32,
+    /// Requests among them that generate; 255 stands for more.
+    pub(super) generating: u8,
+    /// Requests among them that will be late and have not begun; 255 stands for more.
+    pub(super) late_waiting: u8,
+    /// Prompt tokens still to read, of requests that can be in time, in units of [`TOKENS_IN_UNIT`].
+    pub(super) prompt_tokens: u16,
     /// The same of requests that will be late.
-    pub(super) late_tokens: u32,
+    pub(super) late_tokens: u16,
 }
 
 /// An engine that gets nothing new for a while.
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -10,7 +10,7 @@
 use ponddrift_fleet::stages::StageWork;
 
 use super::message::{
-    AwayRow, BackEndRow, HeadRow, ReadingRow, ReportRow, ResultRow, ServiceWorkRow,
+    AwayRow, BackEndRow, HeadRow, ReadingRow, ReportRow, ResultRow, ServiceWorkRow, TOKENS_IN_UNIT,
 };
 use crate::back_end_index::{BackEndIndex, hash};
 
@@ -63,19 +63,28 @@
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
-    reason = "counts are small and not negative"
+    reason = "casts saturate, and no count is negative"
 )]
 pub(super) fn row_to_wire(row: &WorkRow) -> BackEndRow {
     BackEndRow {
         back_end: hash(&row.id),
         requests: row.outstanding.requests as u16,
-        generating: row.outstanding.generating as u16,
-        late_waiting: row.outstanding.late_waiting as u16,
-        prompt_tokens: row.outstanding.prompt_tokens as u32,
-        late_tokens: row.outstanding.late_tokens as u32,
+        generating: row.outstanding.generating as u8,
+        late_waiting: row.outstanding.late_waiting as u8,
+        prompt_tokens: units_of(row.outstanding.prompt_tokens),
+        late_tokens: units_of(row.outstanding.late_tokens),
     }
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "casts saturate, and no count is negative"
+)]
+fn units_of(tokens: f64) -> u16 {
+    (tokens / TOKENS_IN_UNIT).ceil() as u16
+}
+
 pub(super) fn report_from_wire(report: &ReportRow, known: &BackEndIndex) -> WorkReport {
     let rows = report.rows.iter().filter_map(|row| {
         Some(WorkRow {
@@ -84,8 +93,8 @@
                 requests: f64::from(row.requests),
                 generating: f64::from(row.generating),
                 late_waiting: f64::from(row.late_waiting),
-                prompt_tokens: f64::from(row.prompt_tokens),
-                late_tokens: f64::from(row.late_tokens),
+                prompt_tokens: f64::from(row.prompt_tokens) * TOKENS_IN_UNIT,
+                late_tokens: f64::from(row.late_tokens) * TOKENS_IN_UNIT,
             },
         })
     });
