A full link of our own breaks off no stream that goes on elsewhere

Found on reading: the look at the link stood before the resume of a stream too, which would have been given up in its middle. Now it is for requests that no engine has run.

--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -121,7 +121,9 @@
         let mut error_answer = None;
         while job.time_left() > LEAST_TIME_FOR_A_SEND && job.may_run_again() {
             if self.link_is_full(job) {
-                return Err(NotOpened::Failure(self.link_full(job, failure)));
+                failure =
+                    Failure::NotRun("this daemon's link is full: come back, another may have room");
+                break;
             }
             self.await_head(job).await;
             let Some(plan) = self.plan(job) else {
@@ -156,18 +158,11 @@
         Err(error_answer.map_or(NotOpened::Failure(failure), NotOpened::Answer))
     }
 
-    /// Whether this daemon's link alone makes the request late: what waits there has no ranks. Another daemon may have
-    /// room, and the caller comes to another when it comes back.
+    /// Whether this daemon's link alone makes a request late that no engine has run: what waits there has no ranks. Another
+    /// daemon may have room, and the caller comes to another when it comes back.
     fn link_is_full(&self, job: &Job) -> bool {
         let wait_ms = self.placement().link.wait_ms(now());
-        wait_ms > milliseconds(job.route.target_latency) * LINK_SHARE
-    }
-
-    fn link_full(&self, job: &Job, before: Failure) -> Failure {
-        if job.runs > 0 {
-            return before;
-        }
-        Failure::NotRun("this daemon's link is full: come back, another may have room")
+        job.runs == 0 && wait_ms > milliseconds(job.route.target_latency) * LINK_SHARE
     }
 
     /// Has the prompt read by the plan's prefill engine, where it names one and the budget allows.
