Second reading: one averaging, one lock for each event, winners cloned alone

Cause: read as a whole, the change had written the averaging of work over again for arrivals, three copies of a unit, the time of a plan in four places, and two locks of the placement for each event of a stream; choosing among engines cloned the identity of every candidate. Change, behaviour as before: arrivals use the average of work; PromptPlan::expected; one lock for an event's sign of life and pause; the cheapest is cloned alone; plain conditions in wait_for and in the planner's times; derives and a clamp that nothing needed are gone; the planner's tests share one look, no assertion changed. A log that ponddrift losses cannot open is named, by the error that check-config has.

--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -50,7 +50,8 @@
         losses.read(io::stdin().lock())?;
     }
     for log in logs {
-        losses.read(BufReader::new(File::open(log)?))?;
+        let file = File::open(&log).map_err(|source| CliError::File { path: log, source })?;
+        losses.read(BufReader::new(file))?;
     }
     losses.write(&mut io::stdout().lock())
 }
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -121,10 +121,6 @@
 
     /// The back end sent something that belongs to a request: it lives, however long it lets others wait.
     pub fn sign_of_life(&mut self, id: &Arc<str>, now: Instant) {
-        if let Some(record) = self.records.get_mut(id) {
-            record.last_sign = Some(now);
-            return;
-        }
         let record = self.records.entry(Arc::clone(id)).or_default();
         record.last_sign = Some(now);
     }
@@ -132,8 +128,8 @@
     /// Whether the back end has shown that it lives since then.
     #[must_use]
     pub fn lives_since(&self, id: &str, since: Instant) -> bool {
-        let record = self.records.get(id);
-        record.is_some_and(|record| record.last_sign.is_some_and(|sign| sign >= since))
+        let last_sign = self.records.get(id).and_then(|record| record.last_sign);
+        last_sign.is_some_and(|sign| sign >= since)
     }
 
     /// Takes results that another daemon of the zone had. Returns the pause before a health check where they eject the
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -110,6 +110,12 @@
             tokens_to_read: 0.0,
         }
     }
+
+    /// Expected time to the first event.
+    #[must_use]
+    pub fn expected(&self) -> Duration {
+        Duration::from_secs_f64(self.expected_ms / MS_PER_S)
+    }
 }
 
 /// An engine that is about to change.
--- a/crates/fleet/src/placement/arrivals.rs
+++ b/crates/fleet/src/placement/arrivals.rs
@@ -4,13 +4,10 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use super::MS_PER_S;
+use super::work::{AVERAGED_S, kept_since};
 use crate::configuration::Stage;
 
-/// Time over which arrivals are averaged, in seconds.
-const AVERAGED_S: f64 = 1.5;
-/// Milliseconds in a second.
-const MS_PER_S: f64 = 1000.0;
-
 #[derive(Debug)]
 struct Rates {
     /// Prompts a second that prefill engines read.
@@ -22,8 +19,7 @@
 
 impl Rates {
     fn decay(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
-        let kept = (-elapsed / AVERAGED_S).exp();
+        let kept = kept_since(self.at, now);
         self.prefill *= kept;
         self.decode *= kept;
         self.at = now;
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -16,7 +16,7 @@
 const JITTER_SHARE: f64 = 0.1;
 
 /// What one way to serve a request takes, in milliseconds.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct Estimate {
     /// Expected time to the first event.
     pub(super) time_ms: f64,
@@ -78,13 +78,14 @@
                 let failing = time_ms * self.health.cost_factor(&back_end.id);
                 let cost_ms = failing + estimate.burden_ms + self.zone_ms(back_end);
                 let jitter: f64 = random.random();
-                Choice {
-                    back_end: Arc::clone(back_end),
-                    time_ms,
-                    cost_ms: cost_ms * (1.0 + JITTER_SHARE * jitter),
-                }
+                (back_end, time_ms, cost_ms * (1.0 + JITTER_SHARE * jitter))
+            })
+            .min_by(|left, right| left.2.total_cmp(&right.2))
+            .map(|(back_end, time_ms, cost_ms)| Choice {
+                back_end: Arc::clone(back_end),
+                time_ms,
+                cost_ms,
             })
-            .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
     }
 
     pub(super) fn zone_ms(&self, back_end: &BackEnd) -> f64 {
--- a/crates/fleet/src/placement/link.rs
+++ b/crates/fleet/src/placement/link.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use super::MS_PER_S;
+
 /// Kilobits in a megabit, and bits in a byte.
 const KILOBITS_IN_MEGABIT: f64 = 1000.0;
 const BITS: f64 = 8.0;
@@ -17,10 +19,10 @@
 }
 
 impl OwnLink {
-    /// Tells the link's speed; none where it is not known, and then it is taken to be free.
-    pub fn set_megabits(&mut self, megabits: Option<u32>) {
-        let megabits = megabits.filter(|megabits| *megabits > 0);
-        self.bytes_per_ms = megabits.map(|known| f64::from(known) * KILOBITS_IN_MEGABIT / BITS);
+    /// Tells the link's speed; 0 where it is not known, and then it is taken to be free.
+    pub fn set_megabits(&mut self, megabits: u32) {
+        let bytes_per_ms = f64::from(megabits) * KILOBITS_IN_MEGABIT / BITS;
+        self.bytes_per_ms = (megabits > 0).then_some(bytes_per_ms);
     }
 
     /// A request with a body of so many bytes leaves.
@@ -32,10 +34,7 @@
     /// Time until what is sent now begins to leave, in milliseconds.
     #[must_use]
     pub fn wait_ms(&self, now: Instant) -> f64 {
-        let Some(rate) = self.bytes_per_ms else {
-            return 0.0;
-        };
-        (self.left(now) / rate).max(0.0)
+        self.bytes_per_ms.map_or(0.0, |rate| self.left(now) / rate)
     }
 
     /// Time that a request with such a body takes to leave, in milliseconds.
@@ -54,7 +53,7 @@
         let (Some(rate), Some(at)) = (self.bytes_per_ms, self.at) else {
             return self.queued_bytes;
         };
-        let elapsed_ms = now.saturating_duration_since(at).as_secs_f64() * super::MS_PER_S;
+        let elapsed_ms = now.saturating_duration_since(at).as_secs_f64() * MS_PER_S;
         (self.queued_bytes - elapsed_ms * rate).max(0.0)
     }
 }
--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -29,10 +29,9 @@
 }
 
 /// Whether a request can be answered in its time in target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Urgency {
     /// It can: it goes first.
-    #[default]
     InTime,
     /// It cannot: it takes what time the others leave.
     Late,
--- a/crates/fleet/src/placement/stream_times.rs
+++ b/crates/fleet/src/placement/stream_times.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::MS_PER_S;
+
 /// Time in which the longest stream seen counts for half, in seconds: the mix shifts.
 const HALF_LIFE_S: f64 = 20.0;
-/// Milliseconds in a second.
-const MS_PER_S: f64 = 1000.0;
 
 #[derive(Debug, Clone, Copy)]
 struct Longest {
--- a/crates/fleet/src/placement/work.rs
+++ b/crates/fleet/src/placement/work.rs
@@ -6,8 +6,8 @@
 
 use crate::stages::StageWork;
 
-/// Time over which work is averaged, in seconds.
-const AVERAGED_S: f64 = 1.5;
+/// Time over which work and arrivals are averaged, in seconds.
+pub(super) const AVERAGED_S: f64 = 1.5;
 /// Work below which a service is forgotten, in engine-seconds a second.
 const NEGLIGIBLE: f64 = 1e-4;
 
@@ -103,9 +103,13 @@
 
 impl Average {
     fn decay(&mut self, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
-        let kept = (-elapsed / AVERAGED_S).exp();
-        self.work = self.work.times(kept);
+        self.work = self.work.times(kept_since(self.at, now));
         self.at = now;
     }
 }
+
+/// Part of an average over [`AVERAGED_S`] that is left of what it was at `since`.
+pub(super) fn kept_since(since: Instant, now: Instant) -> f64 {
+    let elapsed = now.saturating_duration_since(since).as_secs_f64();
+    (-elapsed / AVERAGED_S).exp()
+}
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -423,7 +423,7 @@
     let mut scene = Scene::new(2, 3);
     let long = prompt("h", 13_000, 3_700);
     assert!(scene.plan(&long).prefill.is_some());
-    scene.placement.link.set_megabits(Some(1));
+    scene.placement.link.set_megabits(1);
     let slow = prompt("h", 0, 1_500);
     let plan = scene.plan(&slow);
     assert!(plan.prefill.is_none(), "a second body takes 166 ms");
@@ -439,7 +439,7 @@
         link.wait_ms(scene.now) < 1e-9,
         "a link of unknown speed is free"
     );
-    link.set_megabits(Some(8));
+    link.set_megabits(8);
     let full = link.wait_ms(scene.now);
     assert!((1_000.0..1_001.0).contains(&full), "{full}");
     let later = link.wait_ms(scene.now + Duration::from_millis(600));
--- a/crates/fleet/tests/stages.rs
+++ b/crates/fleet/tests/stages.rs
@@ -32,16 +32,29 @@
         }
     }
 
+    /// One look at this work, and the changes that it brings; none is carried out.
+    fn look_once(&mut self, work: StageWork) -> Vec<StageChange> {
+        self.now += LOOK;
+        self.planner.observe(work, &self.engines, self.now);
+        self.planner
+            .plan(&self.engines, |_| Some(0.0), |_| self.away, self.now)
+    }
+
+    /// Looks at this work until that brings changes.
+    fn look_until_changes(&mut self, work: StageWork) -> Vec<StageChange> {
+        loop {
+            let changes = self.look_once(work);
+            if !changes.is_empty() {
+                return changes;
+            }
+        }
+    }
+
     /// Looks for `time` at this work; changes are carried out at once.
     fn look(&mut self, time: Duration, work: StageWork) {
         let end = self.now + time;
         while self.now < end {
-            self.now += LOOK;
-            self.planner.observe(work, &self.engines, self.now);
-            for change in self
-                .planner
-                .plan(&self.engines, |_| Some(0.0), |_| self.away, self.now)
-            {
+            for change in self.look_once(work) {
                 self.carry_out(&change);
             }
         }
@@ -141,18 +154,7 @@
     scene
         .planner
         .observe(work(18.0, 1.0), &scene.engines, scene.now);
-    let changes = loop {
-        scene.now += LOOK;
-        scene
-            .planner
-            .observe(work(18.0, 1.0), &scene.engines, scene.now);
-        let changes = scene
-            .planner
-            .plan(&scene.engines, |_| Some(0.0), |_| scene.away, scene.now);
-        if !changes.is_empty() {
-            break changes;
-        }
-    };
+    let changes = scene.look_until_changes(work(18.0, 1.0));
     assert!(changes.len() > 1 && changes.len() <= 5, "{}", changes.len());
 }
 
@@ -179,12 +181,7 @@
     let mut ordered = 0;
     // The directory shows none of the changes: all are under way.
     for _ in 0..16 {
-        scene.now += LOOK;
-        scene.planner.observe(reading, &scene.engines, scene.now);
-        let changes = scene
-            .planner
-            .plan(&scene.engines, |_| Some(0.0), |_| scene.away, scene.now);
-        for change in &changes {
+        for change in &scene.look_once(reading) {
             assert_eq!(
                 change.prefill_engines,
                 4 + ordered,
@@ -214,33 +211,12 @@
 fn an_order_that_was_not_taken_leaves_its_engine_where_it_was() {
     let mut scene = Scene::new(4, 8);
     scene.look(Duration::from_secs(2), work(1.0, 1.0));
-    let change = loop {
-        scene.now += LOOK;
-        scene
-            .planner
-            .observe(work(3.6, 0.2), &scene.engines, scene.now);
-        let changes = scene
-            .planner
-            .plan(&scene.engines, |_| Some(0.0), |_| scene.away, scene.now);
-        if let Some(change) = changes.into_iter().next() {
-            break change;
-        }
-    };
+    let reading = work(3.6, 0.2);
+    let change = scene.look_until_changes(reading).remove(0);
     scene.planner.ordered(&change, scene.now);
     scene.planner.not_taken(&change.engine.id);
-    loop {
-        scene.now += LOOK;
-        scene
-            .planner
-            .observe(work(3.6, 0.2), &scene.engines, scene.now);
-        let changes = scene
-            .planner
-            .plan(&scene.engines, |_| Some(0.0), |_| scene.away, scene.now);
-        if let Some(change) = changes.into_iter().next() {
-            assert_eq!(change.prefill_engines, 4);
-            break;
-        }
-    }
+    let again = scene.look_until_changes(reading);
+    assert_eq!(again[0].prefill_engines, 4);
 }
 
 #[test]
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -202,11 +202,11 @@
     }
 
     fn plan(&mut self, service: &Arc<str>, engines: &[Arc<BackEnd>]) -> Vec<StageChange> {
-        let away_time = |stage| self.away_time(service, stage);
-        let times = [Stage::Prefill, Stage::Decode].map(|stage| (stage, away_time(stage)));
-        let away = |wanted| {
-            let time = times.iter().find(|(stage, _time)| *stage == wanted);
-            time.map_or(Duration::ZERO, |(_stage, time)| *time)
+        let to_prefill = self.away_time(service, Stage::Prefill);
+        let to_decode = self.away_time(service, Stage::Decode);
+        let away = |stage| match stage {
+            Stage::Prefill => to_prefill,
+            Stage::Decode => to_decode,
         };
         let planner = self.planners.entry(Arc::clone(service)).or_default();
         let placement = self.pipeline.placement();
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -95,7 +95,7 @@
         settings: &PipelineSettings,
     ) -> Arc<Self> {
         let mut placement = Placement::new(Arc::clone(&settings.zone));
-        placement.link.set_megabits(Some(state.own().link_megabits));
+        placement.link.set_megabits(state.own().link_megabits);
         Arc::new(Self {
             runtime: runtime.clone(),
             dialect,
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -80,8 +80,7 @@
 /// Whether a request that nobody has begun has less time left than the engines need before they come to it.
 fn is_hopeless(job: &Job, plan: &PromptPlan) -> bool {
     let is_begun = job.arrivals > 0 || job.prefills > 0;
-    let expected = Duration::from_secs_f64(plan.expected_ms / 1000.0);
-    job.urgency == Urgency::Late && !is_begun && expected > job.time_left()
+    job.urgency == Urgency::Late && !is_begun && plan.expected() > job.time_left()
 }
 
 impl Pipeline {
@@ -240,8 +239,7 @@
         };
         let plan = placement.plan_prompt(ready, &job.tried, &request, now, &mut *random)?;
         let share = placement.confidence.share(&job.service.name);
-        let expected = Duration::from_secs_f64(plan.expected_ms / 1000.0);
-        if now + expected <= job.arrived + job.route.target_latency.mul_f64(share) {
+        if now + plan.expected() <= job.arrived + job.route.target_latency.mul_f64(share) {
             job.urgency = Urgency::InTime;
             return Some(plan);
         }
@@ -363,7 +361,7 @@
         if !self.may_be_sent_elsewhere(job) {
             return Patience::new(job, None, None);
         }
-        let expected = Duration::from_secs_f64(plan.expected_ms * EXPECTATION_FACTOR / 1000.0);
+        let expected = plan.expected().mul_f64(EXPECTATION_FACTOR);
         let limit = (job.route.target_latency * TARGETS_WAITED).max(expected);
         Patience::new(job, Some(limit), Some(expected + SUSPICION_MORE))
     }
--- a/crates/serving/src/pipeline/patience.rs
+++ b/crates/serving/src/pipeline/patience.rs
@@ -99,7 +99,7 @@
     ) -> Result<T, GivenUp> {
         let mut answer = pin!(answer);
         let begun = now();
-        let time = patience.until.saturating_duration_since(now());
+        let time = patience.until.saturating_duration_since(begun);
         let mut suspicious_at = patience.suspicious_at;
         loop {
             let asks = suspicious_at.is_some_and(|at| at < patience.until);
@@ -111,11 +111,12 @@
                 () = sleep => {}
             }
             if !asks {
-                let is_behind = patience.is_behind && self.lives_since(back_end, begun);
-                return Err(match () {
-                    () if time < LEAST_SILENCE => GivenUp::OutOfTime,
-                    () if is_behind => GivenUp::NotReached,
-                    () => GivenUp::Silent,
+                return Err(if time < LEAST_SILENCE {
+                    GivenUp::OutOfTime
+                } else if patience.is_behind && self.lives_since(back_end, begun) {
+                    GivenUp::NotReached
+                } else {
+                    GivenUp::Silent
                 });
             }
             // A full back end lets its health check wait, as it does requests.
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -117,28 +117,24 @@
     /// Notes the pause since the event before, if there was one.
     fn note_gap(&mut self, stream: &OpenStream) {
         let now = now();
-        let id = &stream.back_end.id;
-        self.pipeline.placement().health.sign_of_life(id, now);
+        let engine = &stream.back_end.id;
+        let mut placement = self.pipeline.placement();
+        placement.health.sign_of_life(engine, now);
         if stream.first_passed
             && let Some(before) = self.last_event
         {
             let gap = now.saturating_duration_since(before);
             self.pipeline.metrics.gap(gap);
-            self.note_quiet_gap(&stream.back_end.id, gap);
+            // Where the engine was not known to read, the pause is what its streams alone bring about.
+            if placement.load.outstanding(engine).prompt_tokens < 1.0 {
+                let service = &self.job.service.name;
+                placement.streams.paused_quietly(service, gap);
+            }
             self.job.longest_gap = self.job.longest_gap.max(gap);
         }
         self.last_event = Some(now);
     }
 
-    /// Where the engine was not known to read, the pause is what its streams alone bring about.
-    fn note_quiet_gap(&self, engine: &str, gap: Duration) {
-        let mut placement = self.pipeline.placement();
-        if placement.load.outstanding(engine).prompt_tokens < 1.0 {
-            let service = &self.job.service.name;
-            placement.streams.paused_quietly(service, gap);
-        }
-    }
-
     /// Whether the caller has this event already.
     fn is_repeated(&self, event: &Event) -> bool {
         matches!((event.id, self.last_id), (Some(id), Some(last)) if id <= last)
