Each page of the first reading takes effect as it comes; a failed page is read again, not all of them

Cause: after a loss of all daemons each read the whole store before it used any of it. At 297 daemons and 3,000 engines that is 1.3 MB each over the store's link of 1 Gbit/s, shared evenly: nobody knew a configuration for 3.0 s, and one failed page began everything anew. Ruled out: parsing and logging (50 ms), the election of store watchers, connections to engines.

Change: FleetStore reads one page at a time and the adapter no longer decides about retries; WholeRead (serving) applies each page, keeps its place over failures, and settles what was removed after the last page.

--- /dev/null
+++ b/crates/serve/tests/recovery.rs
@@ -0,0 +1,88 @@
+//! Daemons that come back when all were lost: they serve long before they know everything.
+
+mod support;
+
+use std::time::Duration;
+
+use http::StatusCode;
+use ponddrift_platform_stand_ins::{ClientRequest, StoreMode};
+use support::{Fleet, Size};
+
+/// Time for each answer of a store that is busy with all daemons.
+const SLOW_ANSWER: Duration = Duration::from_millis(400);
+/// Entries beside those of the fleet's engines: several pages.
+const MORE_ENTRIES: usize = 230;
+
+/// A fleet with one daemon, and a store that holds several pages. The fleet's own engines are on the first one.
+fn with_many_entries() -> Fleet {
+    let fleet = Fleet::new(Size::default());
+    for number in 0..MORE_ENTRIES {
+        let entry = format!(
+            r#"{{"service":"others","address":"10.9.0.{}:80","zone":"a","slots":1,"state":"ready","sequence":1}}"#,
+            number % 250
+        );
+        fleet.store.put(&format!("servers/j-{number:03}"), entry);
+    }
+    fleet
+}
+
+fn lose_the_daemon(fleet: &mut Fleet) {
+    let handle = fleet.simulation.handle();
+    handle.kill(fleet.daemons[0].host);
+    fleet.wait(Duration::from_millis(100));
+    handle.restart(fleet.daemons[0].host);
+}
+
+fn status_of(fleet: &mut Fleet, request: &str) -> Option<StatusCode> {
+    let client = fleet.client.clone();
+    let target = fleet.daemons[0].callers;
+    let request = ClientRequest::plain(request, "fetch");
+    let answer = fleet.run(async move { client.ask(target, &request).await });
+    answer.map(|answer| answer.status)
+}
+
+#[test]
+fn a_daemon_serves_from_the_first_page_of_what_the_store_holds() {
+    let mut fleet = with_many_entries();
+    fleet.store.set_mode(StoreMode::Slow(SLOW_ANSWER));
+    lose_the_daemon(&mut fleet);
+    // One answer of the store, and not two.
+    fleet.wait(SLOW_ANSWER * 3 / 2);
+    assert_eq!(status_of(&mut fleet, "1"), Some(StatusCode::OK));
+}
+
+#[test]
+fn a_page_that_fails_is_read_again_and_none_before_it() {
+    let mut fleet = with_many_entries();
+    fleet.store.set_mode(StoreMode::Slow(SLOW_ANSWER));
+    let before = fleet.store.pages_read().len();
+    lose_the_daemon(&mut fleet);
+    fleet.wait(SLOW_ANSWER * 5 / 2);
+    fleet.store.set_mode(StoreMode::Busy);
+    fleet.wait(Duration::from_secs(2));
+    fleet.store.set_mode(StoreMode::Up);
+    fleet.wait(Duration::from_secs(2));
+    let pages = fleet.store.pages_read().split_off(before);
+    let mut distinct = pages.clone();
+    distinct.dedup();
+    assert!(pages.len() > 3, "{pages:?}");
+    assert_eq!(pages, distinct, "a page was read twice");
+    assert!(pages.is_sorted(), "{pages:?}");
+}
+
+/// What went while pages were read, and what went before and is missing from them, is gone.
+#[test]
+fn an_entry_that_goes_while_pages_are_read_is_not_kept() {
+    let mut fleet = with_many_entries();
+    fleet.store.set_mode(StoreMode::Slow(SLOW_ANSWER));
+    lose_the_daemon(&mut fleet);
+    fleet.wait(SLOW_ANSWER * 3 / 2);
+    for engine in &fleet.records {
+        engine.vanish(&fleet.store);
+    }
+    fleet.wait(SLOW_ANSWER * 8);
+    assert_eq!(
+        status_of(&mut fleet, "1"),
+        Some(StatusCode::SERVICE_UNAVAILABLE)
+    );
+}
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -172,11 +172,22 @@
         }
     }
 
-    /// Takes everything the store holds; what is missing was removed.
-    pub fn take_snapshot(&self, snapshot: Snapshot, source: Source, now: Instant) {
-        let removed = self.missing_from(&snapshot);
-        let at = snapshot.at;
+    /// Takes everything that a peer holds; what is missing was removed.
+    fn take_snapshot(&self, snapshot: Snapshot, source: Source, now: Instant) {
+        let keys = snapshot.items.iter().map(|item| item.key.clone()).collect();
         self.take_items(snapshot.items, source, now);
+        self.whole_is_known(&keys, snapshot.at, source, now);
+    }
+
+    /// Takes a part of everything. What is missing from it says nothing until [`Self::whole_is_known`].
+    pub fn take_page(&self, items: Vec<Item>, source: Source, now: Instant) {
+        self.take_items(items, source, now);
+    }
+
+    /// All keys that were there at a revision have been taken: what is missing from them was removed, and changes follow
+    /// on that revision.
+    pub fn whole_is_known(&self, keys: &HashSet<String>, at: u64, source: Source, now: Instant) {
+        let removed = self.missing_from(keys, at);
         self.take_items(removed, source, now);
         let mut inner = self.lock();
         if inner.position.is_none_or(|position| position < at) {
@@ -200,17 +211,17 @@
         true
     }
 
-    fn missing_from(&self, snapshot: &Snapshot) -> Vec<Item> {
-        let held: HashSet<&str> = snapshot.items.iter().map(|item| &*item.key).collect();
+    /// What is held as present, is no newer than `at`, and is not among `keys`.
+    fn missing_from(&self, keys: &HashSet<String>, at: u64) -> Vec<Item> {
         let inner = self.lock();
         inner
             .items
             .values()
-            .filter(|item| item.value.is_some() && item.revision <= snapshot.at)
-            .filter(|item| !held.contains(&*item.key))
+            .filter(|item| item.value.is_some() && item.revision <= at)
+            .filter(|item| !keys.contains(&item.key))
             .map(|item| Item {
                 key: item.key.clone(),
-                revision: snapshot.at,
+                revision: at,
                 value: None,
             })
             .collect()
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -1,5 +1,7 @@
 //! Keeps the state new: a few daemons of each neighbourhood follow the store and tell the others.
 
+mod whole_read;
+
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -12,7 +14,8 @@
 
 use crate::fleet_state::{FleetState, Source};
 use crate::metrics::Metrics;
-use crate::store::{Changes, FleetStore, Lease, StoreError};
+use crate::store::{Changes, Consistency, FleetStore, Lease, StoreError};
+use whole_read::WholeRead;
 
 /// How long one call of a daemon waits for changes that follows the store only for itself.
 const OWN_WAIT: Duration = Duration::from_secs(2);
@@ -111,6 +114,7 @@
         random: Pcg64Mcg::seed_from_u64(runtime.seed.rotate_left(31)),
         pause: FIRST_PAUSE,
         history_was_gone: false,
+        whole_read: None,
         relies_on_neighbours: false,
     };
     runtime.spawner.spawn(Box::pin(follower.run()));
@@ -132,6 +136,8 @@
     pause: Duration,
     /// The store forgot what followed on the position; everything is read as it is now.
     history_was_gone: bool,
+    /// A reading of everything that a failed page interrupted.
+    whole_read: Option<WholeRead>,
     relies_on_neighbours: bool,
 }
 
@@ -197,11 +203,7 @@
     async fn step(&mut self) -> Result<u64, StoreError> {
         let position = self.state.position();
         let Some(after) = position.filter(|_| !self.history_was_gone) else {
-            let snapshot = self.store.read_all(self.history_was_gone).await?;
-            self.history_was_gone = false;
-            let at = snapshot.at;
-            self.state.take_snapshot(snapshot, Source::Store, now());
-            return Ok(at);
+            return self.read_everything().await;
         };
         let follows_for_others = self.state.topology().follows_store;
         let wait = if follows_for_others {
@@ -225,6 +227,26 @@
         Ok(at)
     }
 
+    /// Reads everything, or goes on where a page failed. A read that may be old is enough, since changes are followed
+    /// from its own revision on; not where the store has forgotten what follows on that.
+    async fn read_everything(&mut self) -> Result<u64, StoreError> {
+        let consistency = if self.history_was_gone {
+            Consistency::Linearizable
+        } else {
+            Consistency::Stale
+        };
+        let mut reading = self
+            .whole_read
+            .take()
+            .unwrap_or_else(|| WholeRead::new(consistency));
+        let ended = reading.finish(&*self.store, &self.state).await;
+        match ended {
+            Ok(_) => self.history_was_gone = false,
+            Err(_) => self.whole_read = Some(reading),
+        }
+        ended
+    }
+
     /// Every change wakes every follower: the more there are, the longer each gathers changes before it asks again.
     fn gathering(&self, follows_for_others: bool) -> Duration {
         let topology = self.state.topology();
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -29,6 +29,26 @@
     pub at: u64,
 }
 
+/// How new an answer of the store has to be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Consistency {
+    /// As the store holds it now.
+    Linearizable,
+    /// It may be some seconds old; cheaper, and not throttled.
+    Stale,
+}
+
+/// One page of everything of interest, in the order of keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// Keys that are there.
+    pub items: Vec<Item>,
+    /// Revision of the store when it answered; later pages may be newer.
+    pub at: u64,
+    /// Last key of this page, after which the next one begins; none where this is the last.
+    pub next_after: Option<String>,
+}
+
 /// What changed after a revision.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Changes {
@@ -109,8 +129,12 @@
 
 /// The store.
 pub trait FleetStore: Send + Sync + 'static {
-    /// Reads everything of interest, as it is (`linearizable`), or for less as it was lately.
-    fn read_all(&self, linearizable: bool) -> BoxFuture<'_, Result<Snapshot, StoreError>>;
+    /// Reads one page of everything of interest: the first, or the one that follows the key `after`.
+    fn read_page(
+        &self,
+        after: Option<&str>,
+        consistency: Consistency,
+    ) -> BoxFuture<'_, Result<Page, StoreError>>;
     /// Waits for changes after a revision, at most `wait`.
     fn changes(&self, after: u64, wait: Duration) -> BoxFuture<'_, Result<Changes, StoreError>>;
     /// Takes a lease.
