Stages: decode engines may be given away while up to 0.4 of the slots are held

What kept the planner back was SLOTS_HELD_AFTER_GIVING: 0.2 of the slots at the peak of the last 15 s; it was set on engines of 48 slots, these have 12 and 16. Waiting for slots begins at 0.7 (SLOTS_FREE_OF_WAITING). Ruled out: the work that is measured (prefill work 12 to 18 engines), the horizon.

Change: 0.4, so that a shift that brings not quite twice as many streams still finds slots.

--- a/crates/fleet/src/stages/gain.rs
+++ b/crates/fleet/src/stages/gain.rs
@@ -31,7 +31,7 @@
 const BUSY_AFTER_GIVING_TO_FULL: f64 = 0.66;
 /// Share of the slots of the remaining decode engines that may be held at the recent peak after one is given away: a
 /// stream that finds none waits until another ends, and a shift brings several times as many streams.
-const SLOTS_HELD_AFTER_GIVING: f64 = 0.2;
+const SLOTS_HELD_AFTER_GIVING: f64 = 0.4;
 /// Share of held slots up to which no stream waits for one,
 const SLOTS_FREE_OF_WAITING: f64 = 0.7;
 /// and the waiting for each where all are held, as a multiple of their time.
