A prompt whose caller will have left before its first event is refused at once

Cause: callers abandon a stream that brings no event for the longest of 2 s, four targets and eight gaps; whether the engines have time for a prompt was judged by its deadline of 6 s. Engines read for nobody, and the caller was not told when to come back. Ruled out: expectations that are too high on the whole (below 1.6 s nine of ten are right or too low).

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -76,6 +76,8 @@
     pub target_latency: Duration,
     /// Longest pause between two events of a stream that is in time.
     pub target_gap: Option<Duration>,
+    /// Callers abandon a stream that brings no event for this long; none where they wait for their whole time.
+    pub caller_stall_timeout: Option<Duration>,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// Services and their shares.
--- a/crates/fleet/tests/routes.rs
+++ b/crates/fleet/tests/routes.rs
@@ -15,6 +15,7 @@
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_millis(100),
         target_gap: None,
+        caller_stall_timeout: None,
         priority: 0,
         split: split
             .iter()
--- a/crates/serve/tests/overload.rs
+++ b/crates/serve/tests/overload.rs
@@ -14,6 +14,16 @@
 
 /// Prompts without a shared head that come to one daemon, each a little after the one before, and how they ended.
 fn overload(fleet: &mut Fleet, prompts: u32, tokens: u32) -> Vec<(Answer, Duration)> {
+    overload_of(fleet, prompts, tokens, None)
+}
+
+/// The same of callers with another deadline than usual.
+fn overload_of(
+    fleet: &mut Fleet,
+    prompts: u32,
+    tokens: u32,
+    deadline_ms: Option<u64>,
+) -> Vec<(Answer, Duration)> {
     let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers);
     fleet.run(async move {
         let asked = (0..prompts).map(|number| {
@@ -21,7 +31,8 @@
             async move {
                 tokio::time::sleep(Duration::from_millis(u64::from(number))).await;
                 let begun = tokio::time::Instant::now();
-                let request = ClientRequest::prompt(&number.to_string(), "verdict", 0, tokens);
+                let mut request = ClientRequest::prompt(&number.to_string(), "verdict", 0, tokens);
+                request.deadline_ms = deadline_ms.unwrap_or(request.deadline_ms);
                 let answer = client.ask(target, &request).await;
                 (answer.expect("never a bare close"), begun.elapsed())
             }
@@ -94,3 +105,15 @@
     let answer = fleet.run(async move { client.ask(target, &request).await });
     assert_eq!(answer.expect("an answer").status, StatusCode::OK);
 }
+
+/// Callers abandon a stream that brings nothing for two seconds, whatever time they have: the engines would read for nobody.
+#[test]
+fn a_prompt_whose_caller_will_have_left_is_refused_at_once() {
+    let mut fleet = hanging();
+    let ended = overload_of(&mut fleet, 60, 4_000, Some(20_000));
+    let refused = ended.iter().filter(|(answer, took)| {
+        answer.status == StatusCode::SERVICE_UNAVAILABLE && *took < Duration::from_millis(50)
+    });
+    let refused = refused.count();
+    assert!(refused > 20, "{refused} of {}", ended.len());
+}
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -77,10 +77,10 @@
     Unsure(&'static str),
 }
 
-/// Whether a request that nobody has begun has less time left than the engines need before they come to it.
+/// Whether the caller of a request that no engine has begun will have left before the engines come to it.
 fn is_hopeless(job: &Job, plan: &PromptPlan) -> bool {
     let is_begun = job.arrivals > 0 || job.prefills > 0;
-    job.urgency == Urgency::Late && !is_begun && plan.expected() > job.time_left()
+    job.urgency == Urgency::Late && !is_begun && plan.expected() > job.first_event_time_left()
 }
 
 impl Pipeline {
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -72,6 +72,13 @@
         self.end.saturating_duration_since(now())
     }
 
+    /// Time left until the caller abandons a request that has brought no event.
+    pub(super) fn first_event_time_left(&self) -> Duration {
+        let stall = self.route.caller_stall_timeout;
+        let abandoned = stall.map_or(self.end, |timeout| self.arrived + timeout);
+        abandoned.min(self.end).saturating_duration_since(now())
+    }
+
     /// What the request asks of its answer.
     pub(super) fn aims(&self) -> Aims {
         Aims {
