--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -8,9 +8,10 @@
 
 use crate::configuration::Stage;
 
-/// How long a back end whose entry vanished while the store was in doubt may still be used: back ends
-/// that are well write their entries anew within a heartbeat or two of the store's return.
-pub const DOUBT_GRACE: Duration = Duration::from_secs(4);
+/// How long a back end whose entry vanished while the store was in doubt may still be used. Back ends that are well write
+/// their entries anew within about two seconds of the store's return (the platform's promise); half a second more until
+/// that is known here. One that is still missing then is gone.
+pub const DOUBT_GRACE: Duration = Duration::from_millis(2_500);
 
 /// How long the removal of an entry is remembered, so that no older news brings it back.
 pub const TOMBSTONE_LIFE: Duration = Duration::from_secs(60);
@@ -24,6 +25,47 @@
     Draining,
 }
 
+/// What a back end's entry says of its slow start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Warmth {
+    /// It is as fast as it will be.
+    Warm,
+    /// It was slow for so much longer when the entry was written.
+    ColdFor(Duration),
+    /// The entry holds no usable time; the back end is taken as warm.
+    Unusable,
+}
+
+/// A slow start that is under way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdStart {
+    /// The longest time that the back end was seen to have left.
+    whole: Duration,
+    warm_at: Instant,
+}
+
+impl ColdStart {
+    /// A back end was seen to be slow for so much longer; `before` is what was known of this life's start.
+    #[must_use]
+    pub fn seen(left: Duration, before: Option<Self>, now: Instant) -> Self {
+        let whole = before.map_or(left, |before| before.whole.max(left));
+        Self {
+            whole,
+            warm_at: now + left,
+        }
+    }
+
+    /// Part of the slow start that is left: 1 at its beginning, 0 from its end on.
+    #[must_use]
+    pub fn share_left(self, now: Instant) -> f64 {
+        let left = self.warm_at.saturating_duration_since(now);
+        if self.whole.is_zero() {
+            return 0.0;
+        }
+        left.as_secs_f64() / self.whole.as_secs_f64()
+    }
+}
+
 /// One life of a back end.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BackEnd {
@@ -41,6 +83,8 @@
     pub lifecycle: Lifecycle,
     /// What a model engine does; none for a plain back end.
     pub stage: Option<Stage>,
+    /// Its slow start; none where it is warm.
+    pub cold_start: Option<ColdStart>,
 }
 
 #[derive(Debug)]
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -234,7 +234,7 @@
         let candidates = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
-        self.cheapest(&candidates, random, |back_end| {
+        self.cheapest(&candidates, now, random, |back_end| {
             let ahead = self.load.requests(&back_end.id);
             let expected = self
                 .speed
@@ -275,11 +275,11 @@
             apart_per_ms: self.reads_per_ms(&prefills, Stage::Prefill),
         };
         let decoders_home = reading.home(&decoders);
-        let direct = self.cheapest(&decoders, random, |back_end| {
+        let direct = self.cheapest(&decoders, now, random, |back_end| {
             reading.direct(back_end, decoders_home)
         })?;
         let prefills_home = reading.home(&prefills);
-        let reader = self.cheapest(&prefills, random, |back_end| {
+        let reader = self.cheapest(&prefills, now, random, |back_end| {
             reading.apart(back_end, prefills_home)
         });
         let Some(reader) = reader else {
@@ -355,7 +355,7 @@
         let head = prompt.and_then(prefixes::remembered_head);
         let home = head.and_then(|head| prefixes::home(decoders, head));
         let head_ms = prompt.map_or(0.0, |prompt| self.head_reading_ms(prompt));
-        self.cheapest(decoders, random, |back_end| {
+        self.cheapest(decoders, now, random, |back_end| {
             let time_ms = self.slot_wait_ms(back_end, Urgency::InTime)
                 + self.speed.message_ms()
                 + self.backlog_ms(back_end, rate, Urgency::InTime) * MET_BACKLOG;
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -12,6 +12,9 @@
 const OTHER_ZONE_MS: f64 = 2.0;
 /// Share of an engine's slots from which a newcomer may have to wait for one: what peers send is known a little late.
 const NEARLY_FULL: f64 = 0.7;
+/// How many times longer than a warm one a back end is taken to need at the beginning of its slow start, until its own
+/// answers tell more. How slow they are the platform does not say; 1.6 was seen.
+const COLD_SLOWNESS: f64 = 2.0;
 /// Random part of each cost, so that daemons with the same picture do not all choose the same.
 const JITTER_SHARE: f64 = 0.1;
 
@@ -67,6 +70,7 @@
     pub(super) fn cheapest(
         &self,
         candidates: &[Arc<BackEnd>],
+        now: Instant,
         random: &mut impl Rng,
         estimate: impl Fn(&BackEnd) -> Estimate,
     ) -> Option<Choice> {
@@ -74,7 +78,7 @@
             .iter()
             .map(|back_end| {
                 let estimate = estimate(back_end);
-                let time_ms = estimate.time_ms * self.speed.slowness(&back_end.id);
+                let time_ms = estimate.time_ms * self.slowness(back_end, now);
                 let failing = time_ms * self.health.cost_factor(&back_end.id);
                 let cost_ms = failing + estimate.burden_ms + self.zone_ms(back_end);
                 let jitter: f64 = random.random();
@@ -88,6 +92,15 @@
             })
     }
 
+    /// How many times longer than expected the back end takes: by its answers, or by what it says of its slow start.
+    fn slowness(&self, back_end: &BackEnd, now: Instant) -> f64 {
+        let cold_share = back_end
+            .cold_start
+            .map_or(0.0, |start| start.share_left(now));
+        let by_start = 1.0 + (COLD_SLOWNESS - 1.0) * cold_share;
+        self.speed.slowness(&back_end.id, now).max(by_start)
+    }
+
     pub(super) fn zone_ms(&self, back_end: &BackEnd) -> f64 {
         if back_end.zone == self.zone {
             0.0
--- a/crates/fleet/src/placement/speed.rs
+++ b/crates/fleet/src/placement/speed.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use crate::stages::DECODE_READ_PACE;
 
@@ -26,6 +27,9 @@
 const NEWEST_WEIGHT: f64 = 0.15;
 /// Bounds of an engine's slowness.
 const SLOWNESS_BOUNDS: (f64, f64) = (0.7, 10.0);
+/// Time in which what an engine's answers told of its slowness counts for half. A slow engine is avoided, so no answer
+/// tells when it has recovered: it must come back by itself. Slow phases seen on the platform last some six seconds.
+const SLOWNESS_HALF_LIFE: Duration = Duration::from_secs(5);
 
 /// How long a prefill engine that had nothing else to do took for a prompt.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -95,6 +99,21 @@
     }
 }
 
+/// How many times longer than expected an engine took, by its answers until a time.
+#[derive(Debug, Clone, Copy)]
+struct Slowness {
+    ratio: f64,
+    at: Instant,
+}
+
+impl Slowness {
+    fn now(self, now: Instant) -> f64 {
+        let age = now.saturating_duration_since(self.at).as_secs_f64();
+        let kept = (-age / SLOWNESS_HALF_LIFE.as_secs_f64()).exp2();
+        1.0 + (self.ratio - 1.0) * kept
+    }
+}
+
 /// Learned rates.
 #[derive(Debug, Default)]
 pub struct SpeedTable {
@@ -102,7 +121,7 @@
     decode_readings: ReadingLine,
     untold: Vec<PromptReading>,
     plain_ms: HashMap<Arc<str>, f64>,
-    slowness: HashMap<Arc<str>, f64>,
+    slowness: HashMap<Arc<str>, Slowness>,
 }
 
 impl SpeedTable {
@@ -113,14 +132,22 @@
     }
 
     /// An engine was expected to need `expected_ms` and needed `elapsed_ms`.
-    pub fn engine_answered(&mut self, id: &Arc<str>, expected_ms: f64, elapsed_ms: f64) {
+    pub fn engine_answered(
+        &mut self,
+        id: &Arc<str>,
+        expected_ms: f64,
+        elapsed_ms: f64,
+        now: Instant,
+    ) {
         /// Part of each time that does not depend on the engine's speed.
         const FLOOR_MS: f64 = 20.0;
         let ratio = (elapsed_ms + FLOOR_MS) / (expected_ms + FLOOR_MS);
         let (least, most) = SLOWNESS_BOUNDS;
         let sample = ratio.clamp(least, most);
-        let entry = self.slowness.entry(Arc::clone(id)).or_insert(1.0);
-        *entry += NEWEST_WEIGHT * (sample - *entry);
+        let before = self.slowness(id, now);
+        let ratio = before + NEWEST_WEIGHT * (sample - before);
+        let learned = Slowness { ratio, at: now };
+        self.slowness.insert(Arc::clone(id), learned);
     }
 
     /// A prefill engine that had nothing else to do read a prompt that this daemon sent.
@@ -178,8 +205,10 @@
 
     /// How many times longer than expected an engine takes.
     #[must_use]
-    pub fn slowness(&self, id: &str) -> f64 {
-        self.slowness.get(id).copied().unwrap_or(1.0)
+    pub fn slowness(&self, id: &str, now: Instant) -> f64 {
+        self.slowness
+            .get(id)
+            .map_or(1.0, |learned| learned.now(now))
     }
 
     /// Forgets back ends for which `keep` is false.
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -2,10 +2,10 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ponddrift_fleet::budget::{BudgetSettings, RetryBudget};
-use ponddrift_fleet::directory::{BackEnd, DOUBT_GRACE, Directory, Lifecycle};
+use ponddrift_fleet::directory::{BackEnd, ColdStart, DOUBT_GRACE, Directory, Lifecycle};
 use ponddrift_fleet::events::{EventError, EventSplitter, MAXIMUM_EVENT_BYTES};
 use ponddrift_fleet::health::{FIRST_EJECTION, Health, LONGEST_EJECTION, Outcome};
 
@@ -18,6 +18,7 @@
         slots: 1,
         lifecycle,
         stage: None,
+        cold_start: None,
     }
 }
 
@@ -56,6 +57,33 @@
     assert!(ready_ids(&directory, now + DOUBT_GRACE).is_empty());
 }
 
+/// The platform promises that whoever lives is back about two seconds after the store.
+#[test]
+fn an_entry_that_is_still_missing_three_seconds_after_the_stores_return_is_gone() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    for (id, revision) in [("a", 1), ("b", 2)] {
+        directory.put(back_end(id, Lifecycle::Ready), revision);
+        directory.remove(id, revision + 10, now, true);
+    }
+    directory.put(back_end("a", Lifecycle::Ready), 20);
+    let later = now + Duration::from_secs(3);
+    assert_eq!(ready_ids(&directory, later), ["a"]);
+}
+
+#[test]
+fn a_slow_start_is_over_when_its_own_figure_says_so() {
+    let now = Instant::now();
+    let seconds = Duration::from_secs;
+    let begun = ColdStart::seen(seconds(8), None, now);
+    assert!((begun.share_left(now) - 1.0).abs() < 1e-9);
+    let later = now + seconds(4);
+    let halfway = ColdStart::seen(seconds(4), Some(begun), later);
+    assert!((halfway.share_left(later) - 0.5).abs() < 1e-9);
+    assert!((begun.share_left(later) - 0.5).abs() < 1e-9);
+    assert!(begun.share_left(now + seconds(9)) < 1e-9);
+}
+
 #[test]
 fn entries_that_vanish_while_the_store_is_well_are_gone() {
     let now = Instant::now();
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use ponddrift_fleet::configuration::{EngineTraits, Stage};
-use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::directory::{BackEnd, ColdStart};
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{
     Aims, HeadState, HeadUse, Outstanding, Placement, PromptPlan, PromptRequest, Urgency,
@@ -539,3 +539,22 @@
     assert!(in_time < 300.0, "{in_time}");
     assert!(behind > 5_000.0, "{behind}");
 }
+
+#[test]
+fn a_back_end_in_its_slow_start_gets_less_until_it_is_warm() {
+    let mut scene = Scene::new(0, 4);
+    let left = Duration::from_secs(6);
+    let mut cold = (*scene.engines[0]).clone();
+    cold.cold_start = Some(ColdStart::seen(left, None, scene.now));
+    scene.engines[0] = Arc::new(cold);
+    let times_chosen = |scene: &mut Scene| {
+        let chosen = (0..200).filter_map(|_| {
+            let placement = &scene.placement;
+            placement.choose_plain(&scene.engines, &[], scene.now, &mut scene.random)
+        });
+        chosen.filter(|chosen| &*chosen.id == "i-1").count()
+    };
+    assert_eq!(times_chosen(&mut scene), 0, "warm ones are free");
+    scene.now += left;
+    assert!(times_chosen(&mut scene) > 25);
+}
--- a/crates/fleet/tests/speed.rs
+++ b/crates/fleet/tests/speed.rs
@@ -1,5 +1,8 @@
 //! Rates that are learned from readings.
 
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
 use ponddrift_fleet::placement::{PromptReading, SpeedTable};
 
 /// What an engine takes that reads 60 tokens in a millisecond, after 20 ms of messages.
@@ -63,3 +66,23 @@
         "one that waited tells nothing: {rate}"
     );
 }
+
+/// Nothing is sent to an engine that is known to be slow, so no answer tells when it is well again.
+#[test]
+fn an_engine_that_was_slow_is_tried_again_after_a_while() {
+    let mut speed = SpeedTable::default();
+    let engine: Arc<str> = Arc::from("i-1");
+    let mut now = Instant::now();
+    for _ in 0..20 {
+        speed.engine_answered(&engine, 100.0, 500.0, now);
+        now += Duration::from_millis(50);
+    }
+    assert!(speed.slowness(&engine, now) > 3.0);
+    now += Duration::from_secs(20);
+    assert!(speed.slowness(&engine, now) < 1.3);
+    speed.engine_answered(&engine, 100.0, 500.0, now);
+    assert!(
+        speed.slowness(&engine, now) > 1.3,
+        "still slow: it loses its share again"
+    );
+}
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -25,5 +25,6 @@
         slots: 32,
         lifecycle: Lifecycle::Ready,
         stage: Some(stage),
+        cold_start: None,
     })
 }
--- a/crates/serve/tests/fleet_changes.rs
+++ b/crates/serve/tests/fleet_changes.rs
@@ -295,3 +295,41 @@
         assert_eq!(answer.status, StatusCode::OK, "daemon {daemon}");
     }
 }
+
+/// An engine that never said that it drains serves on as long as one that did: its entry going is no failure.
+#[test]
+fn a_stream_goes_on_at_an_engine_whose_entry_goes_in_calm() {
+    let mut fleet = Fleet::new(Size {
+        decode: 1,
+        ..Size::default()
+    });
+    let engine = fleet.decode[0].clone();
+    engine.behave_always(Behaviour::Stream {
+        events: 20,
+        gap_ms: 100,
+    });
+    let (daemon, client) = (fleet.daemons[0].clone(), fleet.client.clone());
+    let store = fleet.store.clone();
+    let answer = fleet.run(async move {
+        let request = patient(ClientRequest::prompt("1", "verdict", 40, 200));
+        let (answer, ()) = tokio::join!(client.ask(daemon.callers, &request), async {
+            sleep(Duration::from_millis(500)).await;
+            engine.vanish(&store);
+        });
+        answer.expect("an answer")
+    });
+    assert_eq!(answer.status, StatusCode::OK);
+    assert!(answer.is_whole, "the stream was cut");
+    assert_eq!(fleet.decode[0].runs().len(), 1);
+}
+
+#[test]
+fn an_engine_with_a_nonsensical_slow_start_serves_all_the_same() {
+    let mut fleet = Fleet::new(Size::default());
+    for engine in &fleet.records {
+        engine.record_with_cold_time(&fleet.store, serde_json::json!("soon"));
+    }
+    fleet.wait(Duration::from_millis(50));
+    let answer = ask(&mut fleet, &ClientRequest::plain("1", "fetch"));
+    assert_eq!(answer.status, StatusCode::OK);
+}
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -261,6 +261,12 @@
             .is_some_and(|known| known.revision >= item.revision)
     }
 
+    /// Back ends whose entries held no usable time of their slow start, so far.
+    #[must_use]
+    pub fn unusable_cold_times(&self) -> u64 {
+        self.lock().unusable_cold_times
+    }
+
     /// A call to the store failed.
     pub fn store_failed(&self, error: &dyn std::fmt::Display, now: Instant) {
         let mut inner = self.lock();
--- a/crates/serving/src/fleet_state/beliefs.rs
+++ b/crates/serving/src/fleet_state/beliefs.rs
@@ -6,7 +6,7 @@
 
 use indexmap::IndexMap;
 use ponddrift_fleet::configuration::{Configuration, Stage};
-use ponddrift_fleet::directory::{BackEnd, Directory, Lifecycle};
+use ponddrift_fleet::directory::{BackEnd, ColdStart, Directory, Lifecycle, Warmth};
 use ponddrift_fleet::routes::RouteTable;
 use ponddrift_fleet::topology::{Member, Topology};
 
@@ -33,6 +33,8 @@
     pub(super) position: Option<u64>,
     /// Removals are known from this revision on.
     pub(super) removals_since: u64,
+    /// Back ends whose entries held no usable time of their slow start.
+    pub(super) unusable_cold_times: u64,
     pub(super) last_store_failure: Option<Instant>,
     pub(super) store_reached: bool,
 }
@@ -74,7 +76,10 @@
             Decoded::Configuration(configuration) => {
                 self.apply_configuration(*configuration, revision, source, now);
             }
-            Decoded::BackEnd(back_end) => self.apply_back_end(back_end, revision, source),
+            Decoded::BackEnd(mut back_end, warmth) => {
+                back_end.cold_start = self.cold_start(&back_end, warmth, revision, now);
+                self.apply_back_end(back_end, revision, source);
+            }
             Decoded::BackEndGone(id) => self.remove_back_end(&id, revision, source, now),
             Decoded::Daemon(daemon) => {
                 tracing::info!(
@@ -134,6 +139,35 @@
         }));
     }
 
+    /// The slow start of a back end, counted from now: entries are written about once a heartbeat.
+    fn cold_start(
+        &mut self,
+        back_end: &BackEnd,
+        warmth: Warmth,
+        revision: u64,
+        now: Instant,
+    ) -> Option<ColdStart> {
+        let known = self.directory.get(&back_end.id);
+        match warmth {
+            Warmth::Warm => None,
+            Warmth::ColdFor(left) => {
+                let before = known.and_then(|known| known.cold_start);
+                Some(ColdStart::seen(left, before, now))
+            }
+            Warmth::Unusable => {
+                if known.is_none() {
+                    self.unusable_cold_times += 1;
+                    tracing::warn!(
+                        back_end = %back_end.id,
+                        revision,
+                        "cold_time_unusable: the back end is taken as warm; check what it writes"
+                    );
+                }
+                None
+            }
+        }
+    }
+
     fn apply_back_end(&mut self, back_end: BackEnd, revision: u64, source: Source) {
         let changed = self.directory.get(&back_end.id).is_none_or(|known| {
             known.lifecycle != back_end.lifecycle || known.stage != back_end.stage
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -76,6 +76,8 @@
     pub back_ends: usize,
     /// Back ends that are ejected.
     pub ejected: usize,
+    /// Back ends whose entries held no usable time of their slow start.
+    pub unusable_cold_times: u64,
     /// Connections open to back ends.
     pub connections: u32,
     /// Requests in progress.
@@ -98,6 +100,7 @@
     daemons: Gauge,
     back_ends: Gauge,
     ejected: Gauge,
+    unusable_cold_times: Gauge,
     connections: Gauge,
     in_progress: Gauge,
     log_lines_dropped: Gauge,
@@ -202,6 +205,11 @@
                 "back_ends_ejected",
                 "Back ends found unwell that get nothing",
             ),
+            unusable_cold_times: made(
+                r,
+                "unusable_cold_times",
+                "Back ends whose entries held no usable time of their slow start",
+            ),
             connections: made(r, "back_end_connections", "Connections open to back ends"),
             in_progress: made(r, "requests_in_progress", "Requests in progress"),
             log_lines_dropped: made(r, "log_lines_dropped", "Log lines that found no room"),
@@ -315,6 +323,9 @@
         gauges.daemons.set(signed(standing.daemons));
         gauges.back_ends.set(signed(standing.back_ends));
         gauges.ejected.set(signed(standing.ejected));
+        gauges
+            .unusable_cold_times
+            .set(signed(standing.unusable_cold_times));
         gauges.connections.set(signed(standing.connections));
         gauges.in_progress.set(signed(standing.in_progress));
         gauges
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -246,6 +246,7 @@
             daemons: self.daemons.load(Ordering::Relaxed),
             back_ends: back_ends.len(),
             ejected,
+            unusable_cold_times: self.state.unusable_cold_times(),
             connections: self.connections.open_count(),
             in_progress: self.in_progress(),
             ..Standing::default()
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -140,7 +140,7 @@
         if let Some(took) = took {
             let took_ms = milliseconds(took);
             let speed = &mut self.placement().speed;
-            speed.engine_answered(&decode.id, plan.expected_ms, took_ms);
+            speed.engine_answered(&decode.id, plan.expected_ms, took_ms, now());
             speed.prompt_read_at_decode(PromptReading {
                 tokens: plan.tokens_to_read,
                 took_ms: (took_ms - plan.fetch_ms).max(0.0),
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -87,7 +87,7 @@
         if let Some(reading) = read {
             let speed = &mut self.placement().speed;
             speed.prompt_read(reading);
-            speed.engine_answered(&engine.id, expected_ms + plan.fetch_ms, took_ms);
+            speed.engine_answered(&engine.id, expected_ms + plan.fetch_ms, took_ms, now());
         }
         let most = self.connection_share(job.service.maximum_connections);
         Some(HeldHandle::new(self, engine.address, result.handle, most))
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -6,7 +6,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use futures::future::BoxFuture;
 use ponddrift_fleet::configuration::Configuration;
-use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::directory::{BackEnd, Warmth};
 use ponddrift_fleet::topology::Member;
 
 /// One key of the store at one revision, as raw as it lies there: daemons hand it on to each other so.
@@ -65,8 +65,8 @@
 pub enum Decoded {
     /// The operators' configuration.
     Configuration(Box<Configuration>),
-    /// A back end.
-    BackEnd(BackEnd),
+    /// A back end, and what it says of its slow start.
+    BackEnd(BackEnd, Warmth),
     /// A back end whose entry was removed.
     BackEndGone(Arc<str>),
     /// A daemon.
