Field's terms in serving: fleet view, request trace, wait policy, cache probe, gauges

Renamed with their types and variables; the opening sentences of these modules are plain English. Checked: clippy, tests of serve, serving, soak and the adapter.

--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -12,7 +12,7 @@
 use ponddrift_serving::dialect::Dialect;
 use ponddrift_serving::fleet_state::FleetState;
 use ponddrift_serving::follow::Following;
-use ponddrift_serving::metrics::{Metrics, Standing};
+use ponddrift_serving::metrics::{GaugeValues, Metrics};
 use ponddrift_serving::orders::OrderSettings;
 use ponddrift_serving::peers::PeerSettings;
 use ponddrift_serving::pipeline::{Pipeline, PipelineSettings};
@@ -97,8 +97,8 @@
         )
         .await
         .wrap_err("listen.peers cannot be bound: is another process there?")?;
-        let recalling = Arc::clone(&pipeline).recall_caches();
-        runtime.spawner.spawn(Box::pin(recalling));
+        let probing = Arc::clone(&pipeline).probe_caches();
+        runtime.spawner.spawn(Box::pin(probing));
         let order_settings = OrderSettings {
             holder: Arc::clone(&settings.name),
             lease: settings.order_lease,
@@ -148,13 +148,13 @@
     /// Forgets what is long past, and brings the figures up to date.
     pub fn tidy(&self, dropped_log_lines: usize) {
         self.pipeline.tidy();
-        let standing = Standing {
+        let values = GaugeValues {
             log_lines_dropped: dropped_log_lines,
             memory_bytes: process::memory_bytes(),
             descriptors: process::descriptors(),
-            ..self.pipeline.standing()
+            ..self.pipeline.gauge_values()
         };
-        self.pipeline.metrics().set_standing(&standing);
+        self.pipeline.metrics().set_gauges(&values);
     }
 
     /// A planned stop.
--- a/crates/serve/src/logging.rs
+++ b/crates/serve/src/logging.rs
@@ -3,7 +3,7 @@
 
 use std::io;
 
-use ponddrift_serving::trail::SERVED_TARGET;
+use ponddrift_serving::request_trace::SERVED_TARGET;
 use tracing::Metadata;
 use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
--- a/crates/serve/tests/requests.rs
+++ b/crates/serve/tests/requests.rs
@@ -157,10 +157,10 @@
     }
     fleet.run(async move {
         let plain = ClientRequest::plain("1", "post");
-        let patience = Duration::from_millis(100);
-        client.ask_and_leave(target, &plain, patience).await;
+        let wait_policy = Duration::from_millis(100);
+        client.ask_and_leave(target, &plain, wait_policy).await;
         let stream = ClientRequest::prompt("2", "tag", 40, 200);
-        client.ask_and_leave(target, &stream, patience).await;
+        client.ask_and_leave(target, &stream, wait_policy).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
     });
     for engines in [&fleet.records, &fleet.decode] {
@@ -182,8 +182,8 @@
     }
     fleet.run(async move {
         let stream = ClientRequest::prompt("2", "verdict", 40, 200);
-        let patience = Duration::from_millis(300);
-        client.ask_and_leave(target, &stream, patience).await;
+        let wait_policy = Duration::from_millis(300);
+        client.ask_and_leave(target, &stream, wait_policy).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
     });
     let runs: Vec<_> = fleet.decode.iter().flat_map(EngineStandIn::runs).collect();
--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -102,8 +102,8 @@
     let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers);
     fleet.run(async move {
         let request = ClientRequest::prompt("1", "verdict", LONG, 900);
-        let patience = Duration::from_millis(300);
-        client.ask_and_leave(target, &request, patience).await;
+        let wait_policy = Duration::from_millis(300);
+        client.ask_and_leave(target, &request, wait_policy).await;
         tokio::time::sleep(Duration::from_millis(200)).await;
     });
     assert_eq!(fleet.prefill[0].freed_handles(), ["h-1"]);
@@ -267,8 +267,8 @@
     let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers);
     fleet.run(async move {
         let request = ClientRequest::prompt("1", "verdict", LONG, 900);
-        let patience = Duration::from_millis(100);
-        client.ask_and_leave(target, &request, patience).await;
+        let wait_policy = Duration::from_millis(100);
+        client.ask_and_leave(target, &request, wait_policy).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
     });
     let runs = fleet.prefill[0].runs();
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -1,6 +1,6 @@
-//! What this daemon believes of the fleet: the newest configuration, directory and daemons it has seen.
+//! The newest configuration, directory and daemons that this daemon has seen.
 
-mod beliefs;
+mod fleet_view;
 
 use std::collections::HashSet;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -12,7 +12,7 @@
 use ponddrift_fleet::routes::RouteTable;
 use ponddrift_fleet::topology::{Member, Topology};
 
-use beliefs::Beliefs;
+use fleet_view::FleetView;
 
 use crate::back_end_index::BackEndIndex;
 use crate::store::{Changes, FleetStore, Item, Snapshot};
@@ -57,18 +57,18 @@
     Whole(Snapshot),
 }
 
-/// What this daemon believes, shared by its tasks.
+/// This daemon's view of the fleet, shared by its tasks.
 pub struct FleetState {
     store: Arc<dyn FleetStore>,
     own: Member,
-    inner: Mutex<Beliefs>,
+    inner: Mutex<FleetView>,
 }
 
 impl FleetState {
     /// Nothing known yet. `own` is this daemon.
     #[must_use]
     pub fn new(store: Arc<dyn FleetStore>, own: Member) -> Self {
-        let inner = Mutex::new(Beliefs::of(&own));
+        let inner = Mutex::new(FleetView::of(&own));
         Self { store, own, inner }
     }
 
@@ -312,7 +312,7 @@
             .max(newest.saturating_sub(REMOVED_KEPT));
     }
 
-    fn lock(&self) -> MutexGuard<'_, Beliefs> {
+    fn lock(&self) -> MutexGuard<'_, FleetView> {
         self.inner
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner)
--- a/crates/serving/src/fleet_state/beliefs.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -1,4 +1,4 @@
-//! What this daemon believes, and how news change it; each change that matters is told in the log.
+//! This daemon's view of the fleet and how updates change it. Each change that matters is logged.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -14,11 +14,11 @@
 use crate::back_end_index::BackEndIndex;
 use crate::store::{Decoded, Item};
 
-/// The store is in doubt for this long after a call to it failed: entries that vanish then may have lapsed.
+/// For this long after a failed call to the store, an entry that vanishes may have lapsed because the store was away.
 const DOUBT_AFTER_FAILURE: Duration = Duration::from_secs(5);
 
 #[derive(Default)]
-pub(super) struct Beliefs {
+pub(super) struct FleetView {
     pub(super) in_force: Option<Arc<InForce>>,
     pub(super) directory: Directory,
     pub(super) index: Option<Arc<BackEndIndex>>,
@@ -39,7 +39,7 @@
     pub(super) store_reached: bool,
 }
 
-impl Beliefs {
+impl FleetView {
     /// Nothing known yet but this daemon.
     pub(super) fn of(own: &Member) -> Self {
         Self {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,5 +16,5 @@
 pub mod orders;
 pub mod peers;
 pub mod pipeline;
+pub mod request_trace;
 pub mod store;
-pub mod trail;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -55,7 +55,7 @@
 
 /// Values that are looked up now and then.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Standing {
+pub struct GaugeValues {
     /// Version of the configuration in force.
     pub configuration_version: u64,
     /// How long it has been in force here, in seconds.
@@ -90,7 +90,7 @@
     pub descriptors: usize,
 }
 
-struct StandingGauges {
+struct Gauges {
     configuration_version: Gauge,
     configuration_age_s: Gauge,
     newest_revision: Gauge,
@@ -126,7 +126,7 @@
     gaps: Histogram,
     head_waits: Histogram,
     store_seconds: Histogram,
-    standing: StandingGauges,
+    gauges: Gauges,
 }
 
 /// Registers what is made by `Default`.
@@ -146,7 +146,7 @@
     fn default() -> Self {
         let mut registry = Registry::with_prefix("ponddrift");
         let r = &mut registry;
-        let standing = StandingGauges::new(r);
+        let gauges = Gauges::new(r);
         Self {
             requests: made(r, "requests", "Requests by route, kind and end"),
             refused: made(
@@ -179,13 +179,13 @@
                 "Time that requests waited while their prompt's head was read for another",
             ),
             store_seconds: histogram(r, "store_call_seconds", "Time of a lease's renewal"),
-            standing,
+            gauges,
             registry: Mutex::new(registry),
         }
     }
 }
 
-impl StandingGauges {
+impl Gauges {
     fn new(r: &mut Registry) -> Self {
         Self {
             configuration_version: made(r, "configuration_version", "Configuration in force"),
@@ -301,38 +301,38 @@
     }
 
     /// Takes values that are looked up now and then.
-    pub fn set_standing(&self, standing: &Standing) {
-        let gauges = &self.standing;
+    pub fn set_gauges(&self, values: &GaugeValues) {
+        let gauges = &self.gauges;
         gauges
             .configuration_version
-            .set(signed(standing.configuration_version));
+            .set(signed(values.configuration_version));
         gauges
             .configuration_age_s
-            .set(signed(standing.configuration_age_s));
-        gauges.newest_revision.set(signed(standing.newest_revision));
+            .set(signed(values.configuration_age_s));
+        gauges.newest_revision.set(signed(values.newest_revision));
         let by_stage = [
-            ("prefill", standing.prefill_engines),
-            ("decode", standing.decode_engines),
+            ("prefill", values.prefill_engines),
+            ("decode", values.decode_engines),
         ];
         for (stage, engines) in by_stage {
             let gauge = gauges.engines.get_or_create(&StageLabels { stage });
             gauge.set(signed(engines));
         }
-        gauges.engine_slots.set(signed(standing.engine_slots));
-        gauges.engine_requests.set(signed(standing.engine_requests));
-        gauges.daemons.set(signed(standing.daemons));
-        gauges.back_ends.set(signed(standing.back_ends));
-        gauges.ejected.set(signed(standing.ejected));
+        gauges.engine_slots.set(signed(values.engine_slots));
+        gauges.engine_requests.set(signed(values.engine_requests));
+        gauges.daemons.set(signed(values.daemons));
+        gauges.back_ends.set(signed(values.back_ends));
+        gauges.ejected.set(signed(values.ejected));
         gauges
             .unusable_cold_times
-            .set(signed(standing.unusable_cold_times));
-        gauges.connections.set(signed(standing.connections));
-        gauges.in_progress.set(signed(standing.in_progress));
+            .set(signed(values.unusable_cold_times));
+        gauges.connections.set(signed(values.connections));
+        gauges.in_progress.set(signed(values.in_progress));
         gauges
             .log_lines_dropped
-            .set(signed(standing.log_lines_dropped));
-        gauges.memory_bytes.set(signed(standing.memory_bytes));
-        gauges.descriptors.set(signed(standing.descriptors));
+            .set(signed(values.log_lines_dropped));
+        gauges.memory_bytes.set(signed(values.memory_bytes));
+        gauges.descriptors.set(signed(values.descriptors));
     }
 
     /// The figures as text.
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -6,17 +6,17 @@
 mod answers;
 mod attempt;
 mod budgeting;
+mod cache_probe;
 mod first_event;
 mod generate;
 mod guards;
 mod intake;
 mod job;
-mod patience;
 mod plain;
 mod prefill;
 mod probe;
-mod recall;
 mod relay;
+mod wait_policy;
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -41,7 +41,7 @@
 use crate::dialect::Dialect;
 use crate::fleet_state::FleetState;
 use crate::follow::now;
-use crate::metrics::{Metrics, Standing};
+use crate::metrics::{GaugeValues, Metrics};
 
 /// Settings of the pipeline.
 #[derive(Debug, Clone)]
@@ -213,7 +213,7 @@
 
     /// What it looks like now, for the figures.
     #[must_use]
-    pub fn standing(&self) -> Standing {
+    pub fn gauge_values(&self) -> GaugeValues {
         let in_force = self.state.in_force();
         let back_ends = self.state.back_ends();
         let engines = || back_ends.iter().filter(|known| known.stage.is_some());
@@ -227,7 +227,7 @@
         let engine_requests = requests.sum::<f64>() as u64;
         let ejected = placement.health.ejected().len();
         drop(placement);
-        Standing {
+        GaugeValues {
             configuration_version: in_force
                 .as_ref()
                 .map_or(0, |known| known.configuration.version),
@@ -249,7 +249,7 @@
             unusable_cold_times: self.state.unusable_cold_times(),
             connections: self.connections.open_count(),
             in_progress: self.in_progress(),
-            ..Standing::default()
+            ..GaugeValues::default()
         }
     }
 
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -12,11 +12,11 @@
 
 use super::Pipeline;
 use super::job::Job;
-use super::patience::Patience;
+use super::wait_policy::WaitPolicy;
 use crate::connections::{ExchangeError, NotSent, Reply};
 use crate::dialect::{SendFacts, SendStep};
 use crate::follow::now;
-use crate::trail::{Step, milliseconds};
+use crate::request_trace::{Step, milliseconds};
 
 /// Rank of everything that generates.
 const GENERATING_RANK: u8 = 0;
@@ -49,16 +49,16 @@
     /// Engine from which the prompt's head is fetched.
     pub(super) fetch_from: Option<SocketAddr>,
     /// When it is given up.
-    pub(super) patience: Patience,
+    pub(super) wait_policy: WaitPolicy,
 }
 
 impl<'a> SendOrder<'a> {
-    pub(super) const fn new(step: SendStep<'a>, patience: Patience) -> Self {
+    pub(super) const fn new(step: SendStep<'a>, wait_policy: WaitPolicy) -> Self {
         Self {
             step,
             resume_after: None,
             fetch_from: None,
-            patience,
+            wait_policy,
         }
     }
 }
@@ -104,10 +104,15 @@
         self.placement().link.sends(job.body.len(), begun);
         let exchange = self.connections.exchange(back_end.address, most, request);
         let answer = self
-            .wait_for(exchange, back_end, &job.service.health_path, order.patience)
+            .wait_for(
+                exchange,
+                back_end,
+                &job.service.health_path,
+                order.wait_policy,
+            )
             .await;
         let judged = match answer {
-            Err(given_up) => Judged::new(HeadEnd::Unsure(given_up.name()), given_up.outcome()),
+            Err(wait_end) => Judged::new(HeadEnd::Unsure(wait_end.name()), wait_end.outcome()),
             Ok(Err(error)) => judge_error(&error),
             Ok(Ok(reply)) => self.judge(job, order.step, reply),
         };
@@ -142,7 +147,7 @@
         {
             self.metrics.attempt(purpose, outcome);
         }
-        job.trail.add(step);
+        job.trace.add(step);
     }
 
     /// Counts what arrived and what may have run.
--- a/crates/serving/src/pipeline/budgeting.rs
+++ b/crates/serving/src/pipeline/budgeting.rs
@@ -2,7 +2,7 @@
 
 use super::Pipeline;
 use super::job::Job;
-use crate::trail::Step;
+use crate::request_trace::Step;
 
 /// Most sends of one request, whatever the budget holds.
 const MAXIMUM_SENDS: u32 = 4;
@@ -76,7 +76,7 @@
         let budget_left = budget.left(&job.service.name);
         drop(budget);
         self.metrics.repeat(granted);
-        job.trail.add(Step::Repeat {
+        job.trace.add(Step::Repeat {
             granted,
             reason,
             budget_left,
--- a/crates/serving/src/pipeline/recall.rs
+++ b/crates/serving/src/pipeline/cache_probe.rs
@@ -1,7 +1,7 @@
-//! Finds out after a start which prompt heads engines keep.
+//! Queries engines after a start for the shared prefixes in their caches.
 //!
-//! What daemons know of caches is lost with them, while the engines still keep it: without this, every long prompt is read
-//! anew after a loss of all machines, just when all callers come back.
+//! A daemon's knowledge of caches is lost with the daemon, while the engines still hold the prefixes. Without this probe
+//! every long prompt would be read again after a loss of all daemons, just when all callers come back.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,19 +30,19 @@
 
 impl Pipeline {
     /// Asks engines what they keep, once after a start.
-    pub async fn recall_caches(self: Arc<Self>) {
+    pub async fn probe_caches(self: Arc<Self>) {
         let Some(engines) = self.first_engines().await else {
             return;
         };
         let asked = engines.len();
         let answers: Vec<Option<usize>> = stream::iter(engines)
-            .map(|engine| self.recall(engine))
+            .map(|engine| self.probe_cache(engine))
             .buffer_unordered(ASKED_AT_ONCE)
             .collect()
             .await;
         let heads: usize = answers.iter().flatten().sum();
         let answered = answers.iter().flatten().count();
-        tracing::info!(asked, answered, heads, "caches_recalled");
+        tracing::info!(asked, answered, heads, "caches_probed");
     }
 
     /// Model engines, once there are any.
@@ -61,7 +61,7 @@
     }
 
     /// Asks one engine. Returns the heads that it keeps; none without an answer.
-    async fn recall(self: &Arc<Self>, engine: Arc<BackEnd>) -> Option<usize> {
+    async fn probe_cache(self: &Arc<Self>, engine: Arc<BackEnd>) -> Option<usize> {
         let request = self.dialect.cache_events().request(engine.address)?;
         let call = self
             .connections
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -15,28 +15,28 @@
 use super::generate::{FirstEvent, OpenStream, Sent};
 use super::guards::LoadGuard;
 use super::job::Job;
-use super::patience::{GivenUp, Patience};
+use super::wait_policy::{WaitEnd, WaitPolicy};
 use crate::connections::Reply;
 use crate::follow::now;
-use crate::trail::{Step, milliseconds};
+use crate::request_trace::{Step, milliseconds};
 
 /// Why no first event came.
 pub(super) enum NoEvent {
-    GivenUp(GivenUp),
+    WaitEnd(WaitEnd),
     Broken(&'static str),
 }
 
 impl NoEvent {
     const fn name(&self) -> &'static str {
         match self {
-            Self::GivenUp(given_up) => given_up.name(),
+            Self::WaitEnd(wait_end) => wait_end.name(),
             Self::Broken(name) => name,
         }
     }
 
     const fn outcome(&self) -> Option<Outcome> {
         match self {
-            Self::GivenUp(given_up) => given_up.outcome(),
+            Self::WaitEnd(wait_end) => wait_end.outcome(),
             Self::Broken(_) => Some(Outcome::Broken),
         }
     }
@@ -50,15 +50,15 @@
         reply: Reply,
         mut load: LoadGuard,
         begun: Instant,
-        patience: Patience,
+        wait_policy: WaitPolicy,
     ) -> Result<Box<OpenStream>, NoEvent> {
         let (head, mut body) = reply.response.into_parts();
         let mut splitter = EventSplitter::default();
         let reading = read_first_event(&mut body, &mut splitter);
         let (first, ended) = self
-            .wait_for(reading, back_end, health_path, patience)
+            .wait_for(reading, back_end, health_path, wait_policy)
             .await
-            .map_err(NoEvent::GivenUp)?
+            .map_err(NoEvent::WaitEnd)?
             .map_err(NoEvent::Broken)?;
         load.generates();
         Ok(Box::new(OpenStream {
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -18,13 +18,13 @@
 use super::guards::{HeldHandle, InProgress, LoadGuard};
 use super::intake::{Served, end_to_end};
 use super::job::Job;
-use super::patience::Patience;
 use super::plain::{LEAST_TIME_FOR_A_SEND, TARGETS_WAITED};
 use super::relay::Relay;
+use super::wait_policy::WaitPolicy;
 use crate::connections::{Connection, Reply};
 use crate::dialect::SendStep;
 use crate::follow::now;
-use crate::trail::{Step, milliseconds};
+use crate::request_trace::{Step, milliseconds};
 
 /// A stream whose first event has come.
 pub(super) struct OpenStream {
@@ -103,7 +103,7 @@
                 served.response
             }
             Err(NotOpened::Failure(failure)) => {
-                let served = self.give_up(&job, failure);
+                let served = self.abandon(&job, failure);
                 self.close(&mut job, served.response.status().as_u16(), served.outcome);
                 served.response
             }
@@ -199,7 +199,7 @@
                 .prompt(total, plan.tokens_to_read, plan.fetch_from.is_some());
         }
         let reader = plan.prefill.as_ref().unwrap_or(&plan.decode);
-        job.trail.add(Step::Placed {
+        job.trace.add(Step::Placed {
             purpose: if plan.prefill.is_some() {
                 "prefill"
             } else {
@@ -264,7 +264,7 @@
         let outstanding = self.placement().load.outstanding(&decode.id);
         let reads_alone = handle.is_none() && outstanding.prompt_tokens < 1.0;
         let load = LoadGuard::new(self, &decode, tokens, job.urgency);
-        let patience = self.first_event_patience(job, plan);
+        let wait_policy = self.first_event_wait_policy(job, plan);
         let step = match &handle {
             Some(held) => SendStep::Continue {
                 source: held.source,
@@ -277,7 +277,7 @@
         let order = SendOrder {
             resume_after,
             fetch_from: keeper.map(|keeper| keeper.address),
-            ..SendOrder::new(step, patience)
+            ..SendOrder::new(step, wait_policy)
         };
         let end = self.send(job, &decode, order).await;
         job.note_tried(&decode.id);
@@ -292,11 +292,13 @@
             held.mark_taken();
         }
         if !reply.response.status().is_success() {
-            return self.error_answer(job, &decode, reply, patience.until).await;
+            return self
+                .error_answer(job, &decode, reply, wait_policy.until)
+                .await;
         }
         let path = Arc::clone(&job.service.health_path);
         let opened = self
-            .first_event(&decode, &path, reply, load, begun, patience)
+            .first_event(&decode, &path, reply, load, begun, wait_policy)
             .await;
         self.note_first_event(job, plan, &decode, opened, Sent { begun, reads_alone })
     }
@@ -317,7 +319,7 @@
                 &mut *self.random(),
             )
             .unwrap_or_else(|| Arc::clone(&plan.decode));
-        job.trail.add(Step::Placed {
+        job.trace.add(Step::Placed {
             purpose: "decode",
             back_end: Arc::clone(&chosen.id),
             expected_ms: plan.expected_ms,
@@ -355,14 +357,14 @@
 
     /// A stream that may be opened elsewhere is given up long after its time in target, or when its engine does not
     /// answer its health check either.
-    fn first_event_patience(&self, job: &Job, plan: &PromptPlan) -> Patience {
+    fn first_event_wait_policy(&self, job: &Job, plan: &PromptPlan) -> WaitPolicy {
         const EXPECTATION_FACTOR: f64 = 2.0;
         const SUSPICION_MORE: Duration = Duration::from_millis(100);
         if !self.may_be_sent_elsewhere(job) {
-            return Patience::new(job, None, None);
+            return WaitPolicy::new(job, None, None);
         }
         let expected = plan.expected().mul_f64(EXPECTATION_FACTOR);
         let limit = (job.route.target_latency * TARGETS_WAITED).max(expected);
-        Patience::new(job, Some(limit), Some(expected + SUSPICION_MORE))
+        WaitPolicy::new(job, Some(limit), Some(expected + SUSPICION_MORE))
     }
 }
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -18,7 +18,7 @@
 use crate::dialect::RequestFacts;
 use crate::fleet_state::InForce;
 use crate::follow::now;
-use crate::trail::{SERVED_TARGET, Trail, milliseconds};
+use crate::request_trace::{RequestTrace, SERVED_TARGET, milliseconds};
 
 /// An own answer leaves this long before the caller's time is over, so that it arrives.
 const ANSWER_MARGIN: Duration = Duration::from_millis(25);
@@ -59,7 +59,7 @@
             took_ms = milliseconds($end.took),
             limit_ms = milliseconds($job.end.saturating_duration_since($job.arrived)),
             prompt_tokens = $job.facts.prompt.as_ref().map(|prompt| prompt.input_tokens),
-            back_ends = $job.trail.back_ends(),
+            back_ends = $job.trace.back_ends(),
             sends = $job.arrivals,
             runs = $job.runs,
             "request_ended"
@@ -164,7 +164,7 @@
             revision: in_force.revision,
             arrived,
             end,
-            trail: Trail::new(arrived),
+            trace: RequestTrace::new(arrived),
             arrivals: 0,
             prefills: 0,
             urgency: Urgency::InTime,
@@ -206,13 +206,13 @@
         if outcome == "served" && in_time {
             write_end!(SERVED_TARGET, job, end);
         } else {
-            job.trail.write(&job.id);
+            job.trace.write(&job.id);
             write_end!(module_path!(), job, end);
         }
     }
 
     /// Gives a request up: its final answer at once.
-    pub(super) fn give_up(&self, job: &Job, failure: Failure) -> Served {
+    pub(super) fn abandon(&self, job: &Job, failure: Failure) -> Served {
         Served {
             response: self.failure_answer(failure, Some(&job.id), Some(job.time_left())),
             outcome: match failure {
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -12,7 +12,7 @@
 use super::guards::HeldBytes;
 use crate::dialect::RequestFacts;
 use crate::follow::now;
-use crate::trail::Trail;
+use crate::request_trace::RequestTrace;
 
 /// Status in the log of a request whose caller left; none was sent.
 const CALLER_LEFT_STATUS: u16 = 0;
@@ -34,7 +34,7 @@
     pub(super) arrived: Instant,
     /// When the caller, or the route's time limit, ends it.
     pub(super) end: Instant,
-    pub(super) trail: Trail,
+    pub(super) trace: RequestTrace,
     /// Sends that arrived, or may have, at a back end of the service.
     pub(super) arrivals: u32,
     /// Readings of the prompt apart that an engine took up, or may have.
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -15,11 +15,11 @@
 use super::guards::LoadGuard;
 use super::intake::{Served, end_to_end};
 use super::job::Job;
-use super::patience::Patience;
+use super::wait_policy::WaitPolicy;
 use crate::connections::Reply;
 use crate::dialect::SendStep;
 use crate::follow::now;
-use crate::trail::{Step, milliseconds};
+use crate::request_trace::{Step, milliseconds};
 
 /// Largest answer that is held whole.
 const LARGEST_ANSWER_BYTES: usize = 16 << 20;
@@ -94,7 +94,7 @@
         }
         match error_answer {
             Some(answer) => answer.into_served(),
-            None => self.give_up(job, failure),
+            None => self.abandon(job, failure),
         }
     }
 
@@ -111,7 +111,7 @@
         let ready = self.state.ready(&job.service.name, now());
         let placement = self.placement();
         let chosen = placement.choose_plain(&ready, &job.tried, now(), &mut *self.random())?;
-        job.trail.add(Step::Placed {
+        job.trace.add(Step::Placed {
             purpose: "serve",
             back_end: Arc::clone(&chosen.id),
             expected_ms: placement.speed.plain_ms(&chosen.id).unwrap_or_default(),
@@ -125,15 +125,15 @@
     async fn plain_attempt(self: &Arc<Self>, job: &mut Job, back_end: &Arc<BackEnd>) -> PlainEnd {
         let _load = LoadGuard::new(self, back_end, 0.0, job.urgency);
         let begun = now();
-        let patience = self.plain_patience(job);
-        let order = SendOrder::new(SendStep::Serve, patience);
+        let wait_policy = self.plain_wait_policy(job);
+        let order = SendOrder::new(SendStep::Serve, wait_policy);
         let end = self.send(job, back_end, order).await;
         let reply = match end {
             HeadEnd::Answered(reply) => reply,
             HeadEnd::NotSent(reason) | HeadEnd::NotRun(reason) => return PlainEnd::NotRun(reason),
             HeadEnd::Unsure(reason) => return PlainEnd::Unsure(reason),
         };
-        let end = self.read_whole(reply, patience.until).await;
+        let end = self.read_whole(reply, wait_policy.until).await;
         let took = now().saturating_duration_since(begun);
         let (outcome, name, status) = match &end {
             Some(answer) if answer.head.status.is_server_error() => {
@@ -162,10 +162,10 @@
     }
 
     /// A request that may run once more is given up for another back end long after its time in target.
-    fn plain_patience(&self, job: &Job) -> Patience {
+    fn plain_wait_policy(&self, job: &Job) -> WaitPolicy {
         let has_another = self.may_be_sent_elsewhere(job);
         let limit = job.route.target_latency * TARGETS_WAITED;
-        Patience::new(job, has_another.then_some(limit), None)
+        WaitPolicy::new(job, has_another.then_some(limit), None)
     }
 
     /// Reads an answer to its end; none if it breaks off.
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -13,10 +13,10 @@
 use super::attempt::{HeadEnd, SendOrder};
 use super::guards::{HeldHandle, LoadGuard};
 use super::job::Job;
-use super::patience::Patience;
+use super::wait_policy::WaitPolicy;
 use crate::dialect::SendStep;
 use crate::follow::now;
-use crate::trail::{Step, milliseconds};
+use crate::request_trace::{Step, milliseconds};
 
 /// A prefill engine's health is asked for after this many times the expected time,
 const SUSPICION_FACTOR: f64 = 1.5;
@@ -41,18 +41,18 @@
         let _load = LoadGuard::new(self, engine, tokens_to_read, job.urgency);
         let expected = Duration::from_secs_f64(expected_ms / 1000.0);
         let suspicious_after = expected.mul_f64(SUSPICION_FACTOR) + SUSPICION_MORE;
-        let patience = Patience::new(job, None, Some(suspicious_after));
+        let wait_policy = WaitPolicy::new(job, None, Some(suspicious_after));
         let begun = now();
         let order = SendOrder {
             fetch_from: plan.fetch_from.as_ref().map(|keeper| keeper.address),
-            ..SendOrder::new(SendStep::Prefill, patience)
+            ..SendOrder::new(SendStep::Prefill, wait_policy)
         };
         let end = self.send(job, engine, order).await;
         let HeadEnd::Answered(reply) = end else {
             self.head_lost(job, engine);
             return None;
         };
-        let answer = self.read_whole(reply, patience.until).await;
+        let answer = self.read_whole(reply, wait_policy.until).await;
         let took = now().saturating_duration_since(begun);
         let status = answer.as_ref().map(|answer| answer.head.status);
         let result = answer
@@ -106,7 +106,7 @@
         let waited = now().saturating_duration_since(begun);
         if !waited.is_zero() {
             self.metrics.head_wait(waited);
-            job.trail.add(Step::HeadAwaited { waited });
+            job.trace.add(Step::HeadAwaited { waited });
         }
     }
 
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -19,14 +19,14 @@
 use super::generate::OpenStream;
 use super::guards::InProgress;
 use super::job::Job;
-use super::patience::{GivenUp, Patience};
+use super::wait_policy::{WaitEnd, WaitPolicy};
 use crate::follow::now;
-use crate::trail::Step;
+use crate::request_trace::Step;
 
 /// The health of an engine whose next event is this many target gaps late is asked for,
 const GAP_FACTOR: u32 = 3;
 /// but not sooner than this.
-const LEAST_GAP_PATIENCE: Duration = Duration::from_millis(300);
+const LEAST_GAP_WAIT: Duration = Duration::from_millis(300);
 /// A resumable stream without an event for this long goes on elsewhere; callers leave after two seconds.
 const LONGEST_GAP: Duration = Duration::from_millis(1_300);
 
@@ -50,7 +50,7 @@
     Event(Event),
     End,
     Broken(&'static str),
-    GivenUp(GivenUp),
+    WaitEnd(WaitEnd),
 }
 
 impl Relay {
@@ -103,8 +103,8 @@
                         return Some(Err(error));
                     }
                 }
-                Next::GivenUp(given_up) => {
-                    let (reason, outcome) = (given_up.name(), given_up.outcome());
+                Next::WaitEnd(wait_end) => {
+                    let (reason, outcome) = (wait_end.name(), wait_end.outcome());
                     if let Err(error) = self.go_on_elsewhere(stream, reason, outcome).await {
                         return Some(Err(error));
                     }
@@ -144,7 +144,7 @@
         if let Some(event) = stream.first.take() {
             return Next::Event(event);
         }
-        let patience = self.patience();
+        let wait_policy = self.wait_policy();
         loop {
             match stream.splitter.next_event() {
                 Ok(Some(event)) => return Next::Event(event),
@@ -158,11 +158,11 @@
                     stream.body.frame(),
                     &stream.back_end,
                     &self.job.service.health_path,
-                    patience,
+                    wait_policy,
                 )
                 .await;
             match waited {
-                Err(given_up) => return Next::GivenUp(given_up),
+                Err(wait_end) => return Next::WaitEnd(wait_end),
                 Ok(frame) => match take_frame(&mut stream.splitter, frame, "broke_off") {
                     Ok(Flow::GoesOn) => {}
                     Ok(Flow::Ended) => return Next::End,
@@ -174,16 +174,16 @@
 
     /// An engine that is silent in mid-stream is left only where another may go on in its place, and the budget has a
     /// place for that; its health is asked for first.
-    fn patience(&self) -> Patience {
+    fn wait_policy(&self) -> WaitPolicy {
         let job = &self.job;
         let Some(gap) = job.route.target_gap else {
-            return Patience::new(job, None, None);
+            return WaitPolicy::new(job, None, None);
         };
         if !job.may_run_again() || !self.pipeline.has_repeat(job) {
-            return Patience::new(job, None, None);
+            return WaitPolicy::new(job, None, None);
         }
-        let suspicious_after = (gap * GAP_FACTOR).max(LEAST_GAP_PATIENCE);
-        Patience::new(
+        let suspicious_after = (gap * GAP_FACTOR).max(LEAST_GAP_WAIT);
+        WaitPolicy::new(
             job,
             Some(LONGEST_GAP.max(suspicious_after)),
             Some(suspicious_after),
@@ -217,7 +217,7 @@
             return Err(self.break_off(reason));
         }
         let after = self.last_id;
-        self.job.trail.add(Step::Resumed { after, reason });
+        self.job.trace.add(Step::Resumed { after, reason });
         self.pipeline.metrics.resumed();
         match self.pipeline.open_stream(&mut self.job, after).await {
             Ok(stream) => {
--- a/crates/serving/src/pipeline/patience.rs
+++ b/crates/serving/src/pipeline/wait_policy.rs
@@ -1,7 +1,8 @@
-//! How long a back end is waited for.
+//! How long a request waits for a back end.
 //!
-//! An engine that takes long may be at work, or dead without a word: no connection tells. After the time that the
-//! answer should take, its health check is asked beside the wait; one that does not answer it is given up.
+//! An engine that takes long may be at work, or it may have died silently: the connection does not show which. Once the
+//! answer is overdue, the engine's health endpoint is queried while the request waits on. An engine that does not answer
+//! that either is abandoned.
 
 use std::future::Future;
 use std::pin::pin;
@@ -16,28 +17,29 @@
 use super::job::Job;
 use crate::follow::now;
 
-/// A back end that has sent something within this time is not asked for its health.
+/// A back end that has sent something within this time is alive: its health endpoint is not queried.
 const SIGN_OF_LIFE_LASTS: Duration = Duration::from_millis(250);
 /// Time between two health checks of an engine that is waited for.
 const SUSPICION_REPEAT: Duration = Duration::from_millis(500);
 
-/// A back end that was given less time than this was not silent: callers come back with what is left of their time.
+/// A wait shorter than this says nothing of the back end when it ends: callers that retry bring only what is left of
+/// their deadline.
 const LEAST_SILENCE: Duration = Duration::from_millis(400);
 
-/// How long a back end is waited for.
+/// Limits of one wait.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Patience {
+pub(super) struct WaitPolicy {
     /// When the wait ends in any case.
     pub(super) until: Instant,
-    /// When its health is asked for; none where giving up early would not help.
+    /// When the health endpoint is queried; none where an early end would not help the request.
     pub(super) suspicious_at: Option<Instant>,
-    /// Whether the request stands behind others at the back end, which may never come to it.
+    /// Whether the request has a lower rank than others at the back end, which may then never reach it.
     pub(super) is_behind: bool,
 }
 
 /// Why a wait ended without an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum GivenUp {
+pub(super) enum WaitEnd {
     /// The request had so little time that its end says nothing of the back end.
     OutOfTime,
     /// The back end was at work for others all its time.
@@ -48,7 +50,7 @@
     Unresponsive,
 }
 
-impl GivenUp {
+impl WaitEnd {
     pub(super) const fn name(self) -> &'static str {
         match self {
             Self::OutOfTime => "out_of_time",
@@ -68,7 +70,7 @@
     }
 }
 
-impl Patience {
+impl WaitPolicy {
     /// Waits until the request's end, or for `limit` where another back end could be asked then.
     pub(super) fn new(
         job: &Job,
@@ -89,21 +91,21 @@
         self.placement().health.lives_since(&back_end.id, since)
     }
 
-    /// Waits for `answer` as long as `patience` says.
+    /// Waits for `answer` as long as `wait_policy` says.
     pub(super) async fn wait_for<T>(
         self: &Arc<Self>,
         answer: impl Future<Output = T>,
         back_end: &Arc<BackEnd>,
         health_path: &str,
-        patience: Patience,
-    ) -> Result<T, GivenUp> {
+        wait_policy: WaitPolicy,
+    ) -> Result<T, WaitEnd> {
         let mut answer = pin!(answer);
         let begun = now();
-        let time = patience.until.saturating_duration_since(begun);
-        let mut suspicious_at = patience.suspicious_at;
+        let time = wait_policy.until.saturating_duration_since(begun);
+        let mut suspicious_at = wait_policy.suspicious_at;
         loop {
-            let asks = suspicious_at.is_some_and(|at| at < patience.until);
-            let next = suspicious_at.filter(|_| asks).unwrap_or(patience.until);
+            let asks = suspicious_at.is_some_and(|at| at < wait_policy.until);
+            let next = suspicious_at.filter(|_| asks).unwrap_or(wait_policy.until);
             let sleep = tokio::time::sleep_until(next.into());
             tokio::select! {
                 biased;
@@ -112,11 +114,11 @@
             }
             if !asks {
                 return Err(if time < LEAST_SILENCE {
-                    GivenUp::OutOfTime
-                } else if patience.is_behind && self.lives_since(back_end, begun) {
-                    GivenUp::NotReached
+                    WaitEnd::OutOfTime
+                } else if wait_policy.is_behind && self.lives_since(back_end, begun) {
+                    WaitEnd::NotReached
                 } else {
-                    GivenUp::Silent
+                    WaitEnd::Silent
                 });
             }
             // A full back end lets its health check wait, as it does requests.
@@ -129,7 +131,7 @@
                 answer = &mut answer => return Ok(answer),
                 is_well = self.is_well(back_end, health_path) => {
                     if !is_well {
-                        return Err(GivenUp::Unresponsive);
+                        return Err(WaitEnd::Unresponsive);
                     }
                 }
             }
--- a/crates/serving/src/trail.rs
+++ b/crates/serving/src/request_trace.rs
@@ -1,7 +1,7 @@
-//! The decisions that touched one request, told when it has ended.
+//! Records the decisions taken for one request and logs them when the request ends.
 //!
-//! A request that was served in time leaves one line that sums them up; any other leaves a line for each
-//! decision, in order, and the last with its end.
+//! A request that was served in time leaves a single summary line. Any other leaves one line for each decision, in order,
+//! before its summary line.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -69,14 +69,14 @@
 
 /// The decisions of one request.
 #[derive(Debug)]
-pub struct Trail {
+pub struct RequestTrace {
     begun: Instant,
     steps: Vec<(Duration, Step)>,
     dropped: u32,
 }
 
-impl Trail {
-    /// A trail that begins at `begun`.
+impl RequestTrace {
+    /// A trace that begins at `begun`.
     #[must_use]
     pub fn new(begun: Instant) -> Self {
         Self {
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -70,13 +70,13 @@
         count += 1;
         let request = draw(&mut random, &format!("c{number}-{count}"));
         let leaves = random.random_bool(0.05);
-        let patience = if leaves {
+        let wait_policy = if leaves {
             Duration::from_millis(random.random_range(1..120))
         } else {
             Duration::from_millis(request.deadline_ms) + BEYOND_DEADLINE
         };
         let at = Instant::now();
-        let answer = timeout(patience, client.ask(daemon, &request)).await;
+        let answer = timeout(wait_policy, client.ask(daemon, &request)).await;
         let left = leaves && answer.is_err();
         state.note(Asked {
             request,
