Changes are followed from the oldest page of a whole read, not from the first

Change: the lowest revision of all pages counts; what is replayed twice is ignored by its revision. Test: recovery an_entry_that_an_older_page_lacks… (fails with the first page's revision).

--- a/crates/serve/tests/recovery.rs
+++ b/crates/serve/tests/recovery.rs
@@ -15,13 +15,20 @@
 
 /// A fleet with one daemon, and a store that holds several pages. The fleet's own engines are on the first one.
 fn with_many_entries() -> Fleet {
+    with_entries_named("j")
+}
+
+/// The same with entries whose names begin so; those of the fleet's engines begin with `i`.
+fn with_entries_named(prefix: &str) -> Fleet {
     let fleet = Fleet::new(Size::default());
     for number in 0..MORE_ENTRIES {
         let entry = format!(
             r#"{{"service":"others","address":"10.9.0.{}:80","zone":"a","slots":1,"state":"ready","sequence":1}}"#,
             number % 250
         );
-        fleet.store.put(&format!("servers/j-{number:03}"), entry);
+        fleet
+            .store
+            .put(&format!("servers/{prefix}-{number:03}"), entry);
     }
     fleet
 }
@@ -86,3 +93,16 @@
         Some(StatusCode::SERVICE_UNAVAILABLE)
     );
 }
+
+/// Pages are no snapshot: a later one may be older than the first, and lack what was written between the two.
+#[test]
+fn an_entry_that_an_older_page_lacks_is_known_all_the_same() {
+    let mut fleet = with_entries_named("a");
+    for engine in &fleet.records {
+        engine.record(&fleet.store, "ready");
+    }
+    fleet.store.set_page_lag(10);
+    lose_the_daemon(&mut fleet);
+    fleet.wait(Duration::from_secs(2));
+    assert_eq!(status_of(&mut fleet, "1"), Some(StatusCode::OK));
+}
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -160,7 +160,8 @@
                     tracing::warn!(
                         back_end = %back_end.id,
                         revision,
-                        "cold_time_unusable: the back end is taken as warm; check what it writes"
+                        problem = "no time, negative or too long: taken as warm",
+                        "cold_time_unusable"
                     );
                 }
                 None
--- a/crates/serving/src/follow/whole_read.rs
+++ b/crates/serving/src/follow/whole_read.rs
@@ -19,8 +19,9 @@
     begun: Instant,
     pages: usize,
     keys: HashSet<String>,
-    /// Revision of the first page: what changed since then may be missing from later ones, or not.
-    first_at: Option<u64>,
+    /// Lowest revision of any page. Pages are no snapshot, and one that may be old can be older than those before it:
+    /// what changed since then may be missing from some of them.
+    oldest_at: Option<u64>,
     next_after: Option<String>,
 }
 
@@ -32,7 +33,7 @@
             begun: now(),
             pages: 0,
             keys: HashSet::new(),
-            first_at: None,
+            oldest_at: None,
             next_after: None,
         }
     }
@@ -49,7 +50,8 @@
         loop {
             let after = self.next_after.as_deref();
             let page = store.read_page(after, self.consistency).await?;
-            let at = *self.first_at.get_or_insert(page.at);
+            let at = self.oldest_at.map_or(page.at, |oldest| oldest.min(page.at));
+            self.oldest_at = Some(at);
             if self.take(page, state) {
                 continue;
             }
