--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -74,9 +74,12 @@
 
     /// Time left until the caller abandons a request that has brought no event.
     pub(super) fn first_event_time_left(&self) -> Duration {
-        let stall = self.route.caller_stall_timeout;
-        let abandoned = stall.map_or(self.end, |timeout| self.arrived + timeout);
-        abandoned.min(self.end).saturating_duration_since(now())
+        let waited = now().saturating_duration_since(self.arrived);
+        let until_stalled = self
+            .route
+            .caller_stall_timeout
+            .map_or(Duration::MAX, |timeout| timeout.saturating_sub(waited));
+        until_stalled.min(self.time_left())
     }
 
     /// What the request asks of its answer.
