--- a/crates/fleet/src/placement/speed.rs
+++ b/crates/fleet/src/placement/speed.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::work::halved_since;
 use crate::stages::DECODE_READ_PACE;
 
 /// Prompt tokens that a prefill engine is taken to read in a millisecond until the first reading has been seen.
@@ -108,9 +109,7 @@
 
 impl Slowness {
     fn now(self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.at).as_secs_f64();
-        let kept = (-age / SLOWNESS_HALF_LIFE.as_secs_f64()).exp2();
-        1.0 + (self.ratio - 1.0) * kept
+        1.0 + (self.ratio - 1.0) * halved_since(self.at, now, SLOWNESS_HALF_LIFE)
     }
 }
 
--- a/crates/fleet/src/placement/stream_times.rs
+++ b/crates/fleet/src/placement/stream_times.rs
@@ -5,9 +5,10 @@
 use std::time::{Duration, Instant};
 
 use super::MS_PER_S;
+use super::work::halved_since;
 
-/// Time in which the longest stream seen counts for half, in seconds: the mix shifts.
-const HALF_LIFE_S: f64 = 20.0;
+/// Time in which the longest stream seen counts for half: the mix shifts.
+const HALF_LIFE: Duration = Duration::from_secs(20);
 
 #[derive(Debug, Clone, Copy)]
 struct Longest {
@@ -17,8 +18,7 @@
 
 impl Longest {
     fn now(self, now: Instant) -> f64 {
-        let age = now.saturating_duration_since(self.at).as_secs_f64();
-        self.seconds * (-age / HALF_LIFE_S).exp2()
+        self.seconds * halved_since(self.at, now, HALF_LIFE)
     }
 }
 
--- a/crates/fleet/src/placement/work.rs
+++ b/crates/fleet/src/placement/work.rs
@@ -108,6 +108,12 @@
     }
 }
 
+/// Part that is left of something that halves in each half-life.
+pub(super) fn halved_since(since: Instant, now: Instant, half_life: Duration) -> f64 {
+    let age = now.saturating_duration_since(since).as_secs_f64();
+    (-age / half_life.as_secs_f64()).exp2()
+}
+
 /// Part of an average over [`AVERAGED_S`] that is left of what it was at `since`.
 pub(super) fn kept_since(since: Instant, now: Instant) -> f64 {
     let elapsed = now.saturating_duration_since(since).as_secs_f64();
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -164,7 +164,7 @@
     /// Takes what a peer knows.
     pub fn take_news(&self, news: News, now: Instant) {
         match news {
-            News::Whole(snapshot) => self.take_snapshot(snapshot, Source::Peer, now),
+            News::Whole(snapshot) => self.take_snapshot(snapshot, now),
             // Where they leave a gap, the peer is asked once more.
             News::Changes(changes) => {
                 self.take_changes(changes, Source::Peer, now);
@@ -173,15 +173,10 @@
     }
 
     /// Takes everything that a peer holds; what is missing was removed.
-    fn take_snapshot(&self, snapshot: Snapshot, source: Source, now: Instant) {
+    fn take_snapshot(&self, snapshot: Snapshot, now: Instant) {
         let keys = snapshot.items.iter().map(|item| item.key.clone()).collect();
-        self.take_items(snapshot.items, source, now);
-        self.whole_is_known(&keys, snapshot.at, source, now);
-    }
-
-    /// Takes a part of everything. What is missing from it says nothing until [`Self::whole_is_known`].
-    pub fn take_page(&self, items: Vec<Item>, source: Source, now: Instant) {
-        self.take_items(items, source, now);
+        self.take_items(snapshot.items, Source::Peer, now);
+        self.whole_is_known(&keys, snapshot.at, Source::Peer, now);
     }
 
     /// All keys that were there at a revision have been taken: what is missing from them was removed, and changes follow
@@ -227,8 +222,9 @@
             .collect()
     }
 
-    /// Takes items, each only if it is newer than what is known of its key.
-    fn take_items(&self, items: Vec<Item>, source: Source, now: Instant) {
+    /// Takes items, each only if it is newer than what is known of its key. What is missing from them says nothing; of
+    /// everything see [`Self::whole_is_known`].
+    pub fn take_items(&self, items: Vec<Item>, source: Source, now: Instant) {
         for item in items {
             self.take_item(item, source, now);
         }
--- a/crates/serving/src/follow/whole_read.rs
+++ b/crates/serving/src/follow/whole_read.rs
@@ -72,7 +72,7 @@
         self.pages += 1;
         self.keys
             .extend(page.items.iter().map(|item| item.key.clone()));
-        state.take_page(page.items, Source::Store, now());
+        state.take_items(page.items, Source::Store, now());
         self.next_after = page.next_after;
         self.next_after.is_some()
     }
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -43,7 +43,7 @@
 pub struct Page {
     /// Keys that are there.
     pub items: Vec<Item>,
-    /// Revision of the store when it answered; later pages may be newer.
+    /// Revision of the store that this page shows; pages are no snapshot, so later ones may be newer or older.
     pub at: u64,
     /// Last key of this page, after which the next one begins; none where this is the last.
     pub next_after: Option<String>,
