Requests carry a tenant: API keys are resolved at intake and go no further

Ruled out: checking the key per connection (a revocation must hold on kept connections), passing an unknown key on. Change: fleet::tenants resolves a typed credential in one hash look-up, whatever the number of keys; 401 tells nothing of why; a key of two tenants authenticates neither, one of a public route is counted if it is valid. The dialect strips the key and a forged tenant header, and names the tenant in every send, prefill calls among them.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -1,10 +1,12 @@
-//! What the operators want: routes, services and limits, as one whole version.
+//! What the operators want: routes, services, tenants and limits, as one whole version.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
+use crate::tenants::Tenant;
+
 /// One whole configuration. Versions rise; a process never goes back to an older one.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Configuration {
@@ -14,6 +16,8 @@
     pub routes: Vec<Arc<Route>>,
     /// Every service.
     pub services: Vec<Arc<Service>>,
+    /// Every tenant; none where requests are not authenticated.
+    pub tenants: Option<Vec<Arc<Tenant>>>,
     /// Limits towards callers.
     pub limits: CallerLimits,
 }
@@ -80,6 +84,8 @@
     pub caller_stall_timeout: Option<Duration>,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
+    /// Whether requests need no API key.
+    pub is_public: bool,
     /// Services and their shares.
     pub split: Vec<SplitPart>,
     /// Most back ends that one request may run on.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,7 +3,8 @@
 //! Pure: everything takes the time as an argument, nothing does I/O. [`configuration`] is what the
 //! operators want, [`directory`] what back ends say of themselves, [`health`] what requests found out,
 //! [`placement`] chooses, [`budget`] bounds repeats, [`events`] cuts streams into whole events,
-//! [`stages`] plans which engines read prompts, [`topology`] tells which daemons talk to each other.
+//! [`stages`] plans which engines read prompts, [`tenants`] tells whose request it is, [`topology`] which daemons talk to
+//! each other.
 
 pub mod budget;
 pub mod configuration;
@@ -15,4 +16,5 @@
 pub mod prompt;
 pub mod routes;
 pub mod stages;
+pub mod tenants;
 pub mod topology;
--- a/crates/fleet/tests/routes.rs
+++ b/crates/fleet/tests/routes.rs
@@ -17,6 +17,7 @@
         target_gap: None,
         caller_stall_timeout: None,
         priority: 0,
+        is_public: false,
         split: split
             .iter()
             .map(|(service, weight)| SplitPart {
--- /dev/null
+++ b/crates/serve/tests/tenants.rs
@@ -0,0 +1,207 @@
+//! Keys and tenants through a daemon, over a simulated platform.
+
+mod support;
+
+use std::time::Duration;
+
+use http::StatusCode;
+use ponddrift_platform_stand_ins::{
+    Answer, ClientRequest, RouteText, Run, StoreMode, TenantText, with_tenants,
+};
+use support::{Fleet, RECORDS, Size, configuration, routes};
+
+const ALICE: TenantText = TenantText {
+    name: "alice",
+    api_keys: &["key-of-alice", "second-of-alice"],
+    priority: None,
+};
+const BOB: TenantText = TenantText {
+    name: "bob",
+    api_keys: &["key-of-bob"],
+    priority: Some(0),
+};
+
+fn with_public_route() -> Vec<RouteText> {
+    let open = RouteText {
+        public: true,
+        ..RouteText::new("open", "safe", RECORDS)
+    };
+    routes().into_iter().chain([open]).collect()
+}
+
+fn configure(fleet: &mut Fleet, version: u64, tenants: &[TenantText]) {
+    let text = configuration(version, &with_public_route());
+    fleet.store.put("op/config", with_tenants(&text, tenants));
+    fleet.wait(Duration::from_millis(600));
+}
+
+fn fleet_of(size: Size, tenants: &[TenantText]) -> Fleet {
+    let mut fleet = Fleet::new(size);
+    configure(&mut fleet, 2, tenants);
+    fleet
+}
+
+fn ask(fleet: &mut Fleet, request: &ClientRequest) -> Answer {
+    ask_at(fleet, 0, request)
+}
+
+fn ask_at(fleet: &mut Fleet, daemon: usize, request: &ClientRequest) -> Answer {
+    let client = fleet.client.clone();
+    let target = fleet.daemons[daemon].callers;
+    fleet
+        .run(async move { client.ask(target, request).await })
+        .expect("never a bare close")
+}
+
+fn runs(fleet: &Fleet) -> Vec<Run> {
+    let engines = fleet
+        .records
+        .iter()
+        .chain(&fleet.prefill)
+        .chain(&fleet.decode);
+    engines.flat_map(|engine| engine.runs()).collect()
+}
+
+#[test]
+fn engines_learn_the_tenant_and_never_the_key() {
+    let mut fleet = fleet_of(Size::default(), &[ALICE, BOB]);
+    let requests = [
+        ClientRequest::plain("1", "post").with_key("second-of-alice"),
+        ClientRequest::plain("2", "fetch").with_key("key-of-bob"),
+        ClientRequest::prompt("3", "verdict", 4_000, 800).with_key("key-of-alice"),
+        ClientRequest::prompt("4", "tag", 0, 30).with_key("key-of-bob"),
+    ];
+    for request in &requests {
+        let mut request = request.clone();
+        request.headers.push(("ponddrift-tenant-id", "forged"));
+        assert_eq!(ask(&mut fleet, &request).status, StatusCode::OK);
+    }
+    let runs = runs(&fleet);
+    assert!(runs.iter().any(|run| run.is_prefill), "one is read apart");
+    for run in runs {
+        let expected = if matches!(&*run.request, "1" | "3") {
+            "alice"
+        } else {
+            "bob"
+        };
+        assert_eq!(run.tenant.as_deref(), Some(expected), "{run:?}");
+        assert!(!run.saw_key, "{run:?}");
+    }
+}
+
+#[test]
+fn whatever_is_no_valid_key_gets_the_same_refusal_and_nothing_runs() {
+    let mut fleet = fleet_of(Size::default(), &[ALICE, BOB]);
+    let plain = |id: &str| ClientRequest::plain(id, "fetch");
+    let doubled = plain("2").with_key("key-of-alice").with_key("key-of-alice");
+    let requests = [
+        plain("1"),
+        doubled,
+        plain("3").with_key(""),
+        plain("4").with_key("key-of-nobody"),
+        plain("5").with_key("key-of-alice,key-of-bob"),
+        plain("6").with_key("Bearer key-of-alice"),
+    ];
+    let answers: Vec<Answer> = requests
+        .iter()
+        .map(|request| ask(&mut fleet, request))
+        .collect();
+    for answer in &answers {
+        assert_eq!(answer.status, StatusCode::UNAUTHORIZED);
+        assert_eq!(answer.text(), answers[0].text(), "tells nothing of why");
+        assert_eq!(answer.retry_after_s(), None, "coming back does not help");
+    }
+    assert!(runs(&fleet).is_empty());
+}
+
+#[test]
+fn a_public_route_needs_no_key_and_counts_a_valid_one() {
+    let mut fleet = fleet_of(Size::default(), &[ALICE]);
+    let requests = [
+        (ClientRequest::plain("1", "open"), None),
+        (ClientRequest::plain("2", "open").with_key("nobody's"), None),
+        (
+            ClientRequest::plain("3", "open").with_key("key-of-alice"),
+            Some("alice"),
+        ),
+    ];
+    for (request, tenant) in requests {
+        assert_eq!(ask(&mut fleet, &request).status, StatusCode::OK);
+        let run = runs(&fleet)
+            .into_iter()
+            .find(|run| run.request == request.id);
+        let run = run.expect("it ran");
+        assert_eq!(run.tenant.as_deref(), tenant);
+        assert!(!run.saw_key);
+    }
+}
+
+#[test]
+fn a_key_that_moves_to_another_tenant_in_one_revision_counts_there() {
+    let mut fleet = fleet_of(Size::default(), &[ALICE, BOB]);
+    let moved = TenantText {
+        api_keys: &["key-of-bob", "key-of-alice"],
+        ..BOB
+    };
+    let left = TenantText {
+        api_keys: &["second-of-alice"],
+        ..ALICE
+    };
+    configure(&mut fleet, 3, &[left, moved]);
+    let request = ClientRequest::plain("1", "fetch").with_key("key-of-alice");
+    assert_eq!(ask(&mut fleet, &request).status, StatusCode::OK);
+    assert_eq!(runs(&fleet)[0].tenant.as_deref(), Some("bob"));
+}
+
+#[test]
+fn a_revoked_key_is_refused_and_the_tenants_other_key_goes_on() {
+    let mut fleet = fleet_of(Size::default(), &[ALICE]);
+    let request = ClientRequest::plain("1", "fetch").with_key("key-of-alice");
+    assert_eq!(ask(&mut fleet, &request).status, StatusCode::OK);
+    let left = TenantText {
+        api_keys: &["second-of-alice"],
+        ..ALICE
+    };
+    configure(&mut fleet, 3, &[left]);
+    let request = ClientRequest::plain("2", "fetch").with_key("key-of-alice");
+    assert_eq!(ask(&mut fleet, &request).status, StatusCode::UNAUTHORIZED);
+    let request = ClientRequest::plain("3", "fetch").with_key("second-of-alice");
+    assert_eq!(ask(&mut fleet, &request).status, StatusCode::OK);
+}
+
+/// Its peers pass the revocation on.
+#[test]
+fn a_daemon_cut_off_from_the_store_refuses_a_revoked_key() {
+    let size = Size {
+        daemons: 4,
+        ..Size::default()
+    };
+    let mut fleet = fleet_of(size, &[ALICE, BOB]);
+    let handle = fleet.simulation.handle();
+    let cut_off = [0, 1];
+    for daemon in cut_off {
+        handle.cut(fleet.daemons[daemon].host, fleet.store_host);
+    }
+    fleet.wait(Duration::from_secs(3));
+    configure(&mut fleet, 3, &[ALICE]);
+    fleet.wait(Duration::from_secs(2));
+    for daemon in cut_off {
+        let request = ClientRequest::plain("1", "fetch").with_key("key-of-bob");
+        let answer = ask_at(&mut fleet, daemon, &request);
+        assert_eq!(answer.status, StatusCode::UNAUTHORIZED, "daemon {daemon}");
+    }
+}
+
+/// Nothing is kept, so a daemon that starts while the store is away must not take requests for a key that may be revoked.
+#[test]
+fn a_daemon_without_a_configuration_promises_that_nothing_ran() {
+    let mut fleet = fleet_of(Size::default(), &[ALICE]);
+    fleet.store.set_mode(StoreMode::Silent);
+    let handle = fleet.simulation.handle();
+    handle.restart(fleet.daemons[0].host);
+    fleet.wait(Duration::from_secs(2));
+    let request = ClientRequest::plain("1", "fetch").with_key("key-of-alice");
+    let answer = ask(&mut fleet, &request);
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(runs(&fleet).is_empty());
+}
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, Method, Request, header, response};
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::prompt::Prompt;
+use ponddrift_fleet::tenants::Credential;
 use ponddrift_http::body::{self, Body};
 
 /// What a caller's request head tells.
@@ -21,6 +22,8 @@
     pub prompt: Option<Prompt>,
     /// The stream goes on after this event.
     pub resume_after: Option<u64>,
+    /// Who sends it.
+    pub credential: Credential,
 }
 
 /// What one send to a back end says beside the caller's own headers.
@@ -30,6 +33,8 @@
     pub back_end: &'a str,
     /// How long the answer is of use.
     pub time_left: Duration,
+    /// Name of the tenant whose request it is; none where it has none.
+    pub tenant: Option<&'a str>,
     /// Rank; 0 is the most urgent.
     pub priority: u8,
     /// What is to be done.
@@ -148,7 +153,7 @@
 pub trait Dialect: Send + Sync + 'static {
     /// Reads the head of a caller's request.
     fn read_request(&self, headers: &HeaderMap) -> RequestFacts;
-    /// Removes headers that only this system may set.
+    /// Removes what is not passed on: the caller's credential, and headers that only this system may set.
     fn strip_reserved(&self, headers: &mut HeaderMap);
     /// Writes the headers of one send.
     fn write_send(&self, headers: &mut HeaderMap, facts: &SendFacts<'_>);
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -10,6 +10,7 @@
 use ponddrift_fleet::configuration::Configuration;
 use ponddrift_fleet::directory::{BackEnd, Lifecycle};
 use ponddrift_fleet::routes::RouteTable;
+use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
 
 use fleet_view::FleetView;
@@ -24,6 +25,8 @@
     pub configuration: Configuration,
     /// Its routes.
     pub routes: RouteTable,
+    /// Its tenants by key; none where requests are not authenticated.
+    pub tenants: Option<TenantTable>,
     /// Revision of its key.
     pub revision: u64,
     /// Since when it has been in force here.
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -8,6 +8,7 @@
 use ponddrift_fleet::configuration::{Configuration, Stage};
 use ponddrift_fleet::directory::{BackEnd, ColdStart, Directory, Lifecycle, Warmth};
 use ponddrift_fleet::routes::RouteTable;
+use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
 
 use super::{InForce, Source};
@@ -122,11 +123,15 @@
         if configuration.version <= known {
             return;
         }
+        let tenants = configuration.tenants.as_deref().map(TenantTable::new);
+        let ambiguous_keys = tenants.as_ref().map_or(0, TenantTable::ambiguous_keys);
         tracing::info!(
             version = configuration.version,
             before = known,
             revision,
             routes = configuration.routes.len(),
+            tenants = configuration.tenants.as_ref().map(Vec::len),
+            ambiguous_keys,
             source = source.as_str(),
             "configuration_in_force"
         );
@@ -134,6 +139,7 @@
         self.in_force = Some(Arc::new(InForce {
             configuration,
             routes,
+            tenants,
             revision,
             since: now,
         }));
--- a/crates/serving/src/pipeline/answers.rs
+++ b/crates/serving/src/pipeline/answers.rs
@@ -23,6 +23,8 @@
     Stopping,
     /// No route fits.
     NoRoute,
+    /// The request's key names no tenant.
+    Unauthenticated,
     /// The head lacks what every request must bear.
     BadRequest,
     /// The head is larger than the configuration allows.
@@ -44,6 +46,7 @@
         match self {
             Self::NotReady | Self::Stopping | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Unauthenticated => StatusCode::UNAUTHORIZED,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -58,6 +61,7 @@
             Self::NotReady => "no configuration is known yet: come back later",
             Self::Stopping => "this daemon stops: ask again, another will serve",
             Self::NoRoute => "no route fits host and path: check them against the configuration",
+            Self::Unauthenticated => "the API key is missing or not valid: send a valid one",
             Self::BadRequest => "the request names no identity: set it",
             Self::HeadTooLarge => "the head is larger than the configuration allows: send less",
             Self::TooLarge => "the body is larger than the configuration allows: send less",
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -91,6 +91,7 @@
         let facts = SendFacts {
             back_end: &back_end.id,
             time_left: job.time_left(),
+            tenant: job.tenant.as_ref().map(|tenant| &*tenant.name),
             priority: rank_at(order.step, job.route.priority, job.urgency),
             step: order.step,
             resume_after: order.resume_after,
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use ponddrift_fleet::configuration::{RequestKind, Route};
 use ponddrift_fleet::placement::Urgency;
+use ponddrift_fleet::tenants::{Credential, Tenant};
 use ponddrift_http::body::{self, Body, ReadError};
 
 use super::Pipeline;
@@ -45,6 +46,7 @@
             request = &*$job.id,
             route = &*$job.route.name,
             service = &*$job.service.name,
+            tenant = $job.tenant.as_ref().map(|tenant| &*tenant.name),
             revision = $job.revision,
             kind = $job.route.kind.as_str(),
             priority = $job.route.priority,
@@ -115,7 +117,7 @@
         self: &Arc<Self>,
         head: request::Parts,
         body: &mut Incoming,
-        facts: RequestFacts,
+        mut facts: RequestFacts,
         arrived: std::time::Instant,
     ) -> Result<Job, Failure> {
         if self.is_refusing() {
@@ -133,6 +135,8 @@
         if head_bytes(&head) > in_force.configuration.limits.head_bytes {
             return Err(Failure::HeadTooLarge);
         }
+        let credential = std::mem::take(&mut facts.credential);
+        let tenant = authenticate(&in_force, &route, &credential)?;
         let id = facts.id.clone().ok_or(Failure::BadRequest)?;
         let limit = facts
             .time_limit
@@ -161,6 +165,7 @@
             facts,
             route,
             service,
+            tenant,
             revision: in_force.revision,
             arrived,
             end,
@@ -224,6 +229,22 @@
     }
 }
 
+/// Whose request it is. A route that needs no key still counts a valid one for its tenant.
+fn authenticate(
+    in_force: &InForce,
+    route: &Route,
+    credential: &Credential,
+) -> Result<Option<Arc<Tenant>>, Failure> {
+    let Some(tenants) = &in_force.tenants else {
+        return Ok(None);
+    };
+    match tenants.authenticate(credential) {
+        Ok(tenant) => Ok(Some(Arc::clone(tenant))),
+        Err(_unauthenticated) if route.is_public => Ok(None),
+        Err(_unauthenticated) => Err(Failure::Unauthenticated),
+    }
+}
+
 /// Bytes of a request's head, about as they came.
 fn head_bytes(head: &request::Parts) -> usize {
     /// Colon, blank and line end of a header line.
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -7,6 +7,7 @@
 use http::{HeaderMap, Method, Uri};
 use ponddrift_fleet::configuration::{Route, Service};
 use ponddrift_fleet::placement::{Aims, Urgency};
+use ponddrift_fleet::tenants::Tenant;
 
 use super::Pipeline;
 use super::guards::HeldBytes;
@@ -30,6 +31,8 @@
     pub(super) facts: RequestFacts,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<Service>,
+    /// Whose request it is; none on routes that need no key.
+    pub(super) tenant: Option<Arc<Tenant>>,
     pub(super) revision: u64,
     pub(super) arrived: Instant,
     /// When the caller, or the route's time limit, ends it.
