--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,8 +3,9 @@
 //! Pure: everything takes the time as an argument, nothing does I/O. [`configuration`] is what the
 //! operators want, [`directory`] what back ends say of themselves, [`health`] what requests found out,
 //! [`placement`] chooses, [`budget`] bounds repeats, [`events`] cuts streams into whole events,
-//! [`stages`] plans which engines read prompts, [`tenants`] tells whose request it is, [`topology`] which daemons talk to
-//! each other.
+//! [`stages`] plans which engines read prompts, [`tenants`] tells whose request it is, [`usage`] counts them,
+//! [`leadership`] tells when the leader may act, [`true_time`] what time it is, [`topology`] which daemons talk to each
+//! other.
 
 pub mod budget;
 pub mod configuration;
@@ -12,9 +13,12 @@
 pub mod events;
 pub mod followers;
 pub mod health;
+pub mod leadership;
 pub mod placement;
 pub mod prompt;
 pub mod routes;
 pub mod stages;
 pub mod tenants;
 pub mod topology;
+pub mod true_time;
+pub mod usage;
--- a/crates/fleet/src/topology.rs
+++ b/crates/fleet/src/topology.rs
@@ -13,6 +13,9 @@
 pub const SMALL_FLEET: usize = 24;
 /// Daemons of each neighbourhood that follow the store: one may fail without a gap in the news.
 pub const FOLLOWERS: usize = 2;
+/// Daemons of each neighbourhood that keep copies of what their neighbours counted: with half of all daemons killed at
+/// once, one count in eight has no copy left, and the killed ones' newest are lost in any case.
+pub const USAGE_REPLICAS: usize = 3;
 /// Daemons of each other zone that are told.
 const TOLD_PER_ZONE: usize = 2;
 
@@ -44,6 +47,10 @@
     pub daemons: usize,
     /// Daemons of all neighbourhoods that follow the store, about.
     pub followers: usize,
+    /// Neighbours that keep copies of what this daemon counts.
+    pub usage_replicas: Vec<SocketAddr>,
+    /// All daemons that keep such copies, of all neighbourhoods, without this one.
+    pub usage_keepers: Vec<SocketAddr>,
 }
 
 impl Topology {
@@ -65,6 +72,11 @@
             follows_store: is_follower(own, &near),
             daemons: peers.len() + 1,
             followers: zones * FOLLOWERS,
+            usage_replicas: usage_keepers(own, near.iter().copied().chain([own])),
+            usage_keepers: neighbourhoods(own, &peers, is_small)
+                .iter()
+                .flat_map(|daemons| usage_keepers(own, daemons.iter().copied()))
+                .collect(),
         }
     }
 }
@@ -100,12 +112,38 @@
         .collect()
 }
 
+/// Every neighbourhood, the daemon's own among them.
+fn neighbourhoods<'a>(
+    own: &'a Member,
+    peers: &[&'a Member],
+    is_small: bool,
+) -> Vec<Vec<&'a Member>> {
+    let mut all: Vec<&Member> = peers.iter().copied().chain([own]).collect();
+    if is_small {
+        return vec![all];
+    }
+    all.sort_unstable_by(|left, right| left.zone.cmp(&right.zone));
+    all.chunk_by(|left, right| left.zone == right.zone)
+        .map(<[&Member]>::to_vec)
+        .collect()
+}
+
+/// Those of a neighbourhood that keep copies of what its daemons counted, without this daemon.
+fn usage_keepers<'a>(own: &Member, daemons: impl Iterator<Item = &'a Member>) -> Vec<SocketAddr> {
+    let mut ranked: Vec<&Member> = daemons.collect();
+    ranked.sort_unstable_by_key(|member| rank(member));
+    let keepers = ranked.into_iter().take(USAGE_REPLICAS);
+    addresses(keepers.filter(|keeper| keeper.name != own.name))
+}
+
+/// Daemons with faster links come first.
+fn rank(member: &Member) -> (std::cmp::Reverse<u32>, u64) {
+    let order = xxh3_64(member.name.as_bytes());
+    (std::cmp::Reverse(member.link_megabits), order)
+}
+
 /// Those with the fastest links follow the store: they pass whole configurations on.
 fn is_follower(own: &Member, neighbours: &[&Member]) -> bool {
-    let rank = |member: &Member| {
-        let order = xxh3_64(member.name.as_bytes());
-        (std::cmp::Reverse(member.link_megabits), order)
-    };
     let own_rank = rank(own);
     let before = neighbours.iter().filter(|peer| rank(peer) < own_rank);
     before.count() < FOLLOWERS
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -6,18 +6,21 @@
 
 use eyre::{Context, Result};
 use ponddrift_fleet::topology::Member;
+use ponddrift_fleet::usage::Life;
 use ponddrift_http::Server;
-use ponddrift_platform_adapter::{PlatformDialect, PlatformStore};
+use ponddrift_platform_adapter::{PlatformDialect, PlatformProvider, PlatformStore};
 use ponddrift_runtime::Runtime;
 use ponddrift_serving::dialect::Dialect;
-use ponddrift_serving::fleet_state::FleetState;
+use ponddrift_serving::fleet_state::{FleetState, daemon_identity};
 use ponddrift_serving::follow::Following;
+use ponddrift_serving::leader::LeaderSettings;
 use ponddrift_serving::metrics::{GaugeValues, Metrics};
-use ponddrift_serving::orders::OrderSettings;
 use ponddrift_serving::peers::PeerSettings;
 use ponddrift_serving::pipeline::{Pipeline, PipelineSettings};
 use ponddrift_serving::store::FleetStore;
-use ponddrift_serving::{follow, front, orders, peers};
+use ponddrift_serving::usage::UsageRecorder;
+use ponddrift_serving::usage::report::{self, ReportSettings, Reporting};
+use ponddrift_serving::{follow, front, leader, orders, peers};
 use tokio::time::Instant;
 
 use crate::process;
@@ -52,10 +55,18 @@
         };
         let state = Arc::new(FleetState::new(Arc::clone(&store), own));
         let metrics = Arc::new(Metrics::default());
+        let recorder = settings.usage.map(|usage| {
+            let life = Life {
+                daemon: daemon_identity(&settings.name),
+                start: runtime.seed,
+            };
+            UsageRecorder::new(Arc::clone(&runtime.clock), life, usage.window)
+        });
         let pipeline_settings = PipelineSettings {
             zone: Arc::clone(&settings.zone),
             budget: settings.budget,
             bounds: settings.bounds,
+            usage: recorder.clone(),
         };
         let dialect: Arc<dyn Dialect> = Arc::new(PlatformDialect);
         let pipeline = Pipeline::new(
@@ -99,18 +110,36 @@
         .wrap_err("listen.peers cannot be bound: is another process there?")?;
         let probing = Arc::clone(&pipeline).probe_caches();
         runtime.spawner.spawn(Box::pin(probing));
-        let order_settings = OrderSettings {
+        let leader_settings = LeaderSettings {
             holder: Arc::clone(&settings.name),
-            lease: settings.order_lease,
+            lease: settings.leader_lease,
+            fencing: settings.fencing,
+            leads_without_engines: settings.usage.is_some(),
         };
+        let leadership = leader::start(runtime, leader_settings, &store, &state, &pipeline);
         orders::start(
             runtime,
-            &order_settings,
-            &store,
+            Arc::clone(&settings.name),
+            leadership.clone(),
             &dialect,
             &state,
             &pipeline,
         );
+        if let (Some(usage), Some(recorder)) = (settings.usage, recorder) {
+            let report_settings = ReportSettings {
+                holder: Arc::clone(&settings.name),
+                due: usage.due,
+            };
+            let reporting = Reporting {
+                recorder,
+                store,
+                state,
+                provider: Arc::new(PlatformProvider::new(runtime, usage.provider)),
+                leadership,
+                metrics,
+            };
+            report::start(runtime, report_settings, reporting);
+        }
         tracing::info!(
             daemon = &*settings.name,
             zone = &*settings.zone,
@@ -120,7 +149,9 @@
             store_reads_per_second = settings.store_reads_per_second,
             budget_ratio = settings.budget.ratio,
             budget_slack = settings.budget.slack,
-            order_lease_ms = u64::try_from(settings.order_lease.as_millis()).unwrap_or(u64::MAX),
+            leader_lease_ms = u64::try_from(settings.leader_lease.as_millis()).unwrap_or(u64::MAX),
+            fencing = ?settings.fencing,
+            usage = ?settings.usage,
             stop_limit_ms = u64::try_from(settings.stop.limit.as_millis()).unwrap_or(u64::MAX),
             "started"
         );
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -7,6 +7,7 @@
 
 use eyre::{Context, Result};
 use ponddrift_fleet::budget::BudgetSettings;
+use ponddrift_fleet::leadership::Fencing;
 use ponddrift_serving::pipeline::IntakeBounds;
 use ponddrift_settings::{Fault, Faults, Reader};
 use toml::Table;
@@ -45,8 +46,12 @@
     pub budget: BudgetSettings,
     /// Bounds of what is taken in at a time.
     pub bounds: IntakeBounds,
-    /// Life of the lease under which one daemon orders engines.
-    pub order_lease: Duration,
+    /// Life of the lease under which one daemon leads.
+    pub leader_lease: Duration,
+    /// Whether receivers of the leader's calls check fencing tokens.
+    pub fencing: Fencing,
+    /// Who takes usage reports; none where nobody does.
+    pub usage: Option<UsageSettings>,
     /// A planned stop.
     pub stop: StopSettings,
     /// Filter of the log.
@@ -55,6 +60,17 @@
     pub log_lines_waiting: usize,
 }
 
+/// Usage reports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UsageSettings {
+    /// The provider's API.
+    pub provider: SocketAddr,
+    /// Length of a reporting window.
+    pub window: Duration,
+    /// A report is due so long after its window ends.
+    pub due: Duration,
+}
+
 /// Times of a planned stop, from its beginning.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StopSettings {
@@ -115,7 +131,9 @@
         requests: count(reader.number("limits.requests_in_progress", 2_000, 1..=1_000_000)),
         body_bytes: count(reader.number("limits.held_body_bytes", 64 << 20, 1 << 16..=1 << 40)),
     };
-    let order_lease = reader.milliseconds("orders.lease_ms", 3_000, 1_000..=HOUR_MS);
+    let leader_lease = reader.milliseconds("leader.lease_ms", 3_000, 1_000..=HOUR_MS);
+    let fencing = fencing(&mut reader);
+    let usage = usage_settings(&mut reader);
     let stop = stop_settings(&mut reader);
     let log_filter = reader
         .parsed(
@@ -139,7 +157,9 @@
         seeds,
         budget,
         bounds,
-        order_lease,
+        leader_lease,
+        fencing,
+        usage,
         stop,
         log_filter,
         log_lines_waiting,
@@ -167,6 +187,38 @@
     reader.parsed(key, None, "an IP number and a port")
 }
 
+fn fencing(reader: &mut Reader) -> Fencing {
+    if reader.flag("leader.fencing_checked", true) {
+        Fencing::Checked
+    } else {
+        Fencing::Ignored
+    }
+}
+
+/// Usage is reported where the provider asks for it, among the calls that it takes.
+fn usage_settings(reader: &mut Reader) -> Option<UsageSettings> {
+    /// Among the provider's calls, usage reports.
+    const USAGE_REPORT: &str = "usage_report";
+    let window = reader.fraction("usage.window_s", 60.0, 1.0..=86_400.0);
+    let due = reader.fraction("usage.due_s", 60.0, 1.0..=86_400.0);
+    if !reader.has("provider.address") {
+        return None;
+    }
+    let provider = address(reader, "provider.address")?;
+    let calls = reader.parsed(
+        "provider.calls",
+        Some(String::new()),
+        "names, parted by commas",
+    );
+    let takes_usage =
+        calls.is_some_and(|calls| calls.split(',').any(|call| call.trim() == USAGE_REPORT));
+    takes_usage.then(|| UsageSettings {
+        provider,
+        window: Duration::from_secs_f64(window),
+        due: Duration::from_secs_f64(due),
+    })
+}
+
 fn stop_settings(reader: &mut Reader) -> StopSettings {
     let notice = reader.milliseconds("stop.notice_ms", 2_300, 0..=HOUR_MS);
     let accept = reader.milliseconds("stop.accept_ms", 3_000, 0..=HOUR_MS);
--- a/crates/serve/tests/orders.rs
+++ b/crates/serve/tests/orders.rs
@@ -17,6 +17,7 @@
     prefill: 2,
     decode: 6,
     zones: 1,
+    reports_usage: false,
 };
 
 /// Long prompts for `time`: prefill engines have much to do, decode engines little.
--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Settings: the platform's template filled, and every fault at once.
 
+use ponddrift_fleet::leadership::Fencing;
 use ponddrift_serve::settings::check;
 
 const TEMPLATE: &str = include_str!("../../../deploy/serve.toml.template");
@@ -15,13 +16,17 @@
 }
 
 /// What a deployment may lack.
-const OPTIONAL: [&str; 6] = [
+const OPTIONAL: [&str; 10] = [
     "limits.linkMbps",
     "platform.reads_per_s",
     "bounds.retryBudgetRatio",
     "bounds.budgetSlack",
     "bounds.leaseMs",
     "bounds.graceS",
+    "bounds.fencingRequired",
+    "cloud.address",
+    "bounds.reportWindowS",
+    "bounds.usageLateS",
 ];
 
 /// The template as the platform fills it.
@@ -30,9 +35,13 @@
 }
 
 fn sections(optional: bool) -> String {
-    OPTIONAL.iter().fold(TEMPLATE.to_owned(), |text, name| {
-        section(&text, name, optional)
-    })
+    let without = "{{^bounds.fencingRequired}}false{{/bounds.fencingRequired}}";
+    assert!(TEMPLATE.contains(without));
+    let otherwise = if optional { "" } else { "false" };
+    let text = TEMPLATE.replace(without, otherwise);
+    OPTIONAL
+        .iter()
+        .fold(text, |text, name| section(&text, name, optional))
 }
 
 fn filled_with(optional: bool) -> String {
@@ -53,6 +62,10 @@
         ("{{bounds.budgetSlack}}", "54"),
         ("{{bounds.leaseMs}}", "3000"),
         ("{{bounds.graceS}}", "8"),
+        ("{{cloud.address|json}}", "\"10.200.0.175:8763\""),
+        ("{{cloud.duties}}", "usage_report,autoscale"),
+        ("{{bounds.reportWindowS}}", "5"),
+        ("{{bounds.usageLateS}}", "10"),
     ]
     .iter()
     .fold(sections(optional), |text, (gap, value)| {
@@ -72,6 +85,21 @@
     assert!((settings.budget.slack - 54.0).abs() < f64::EPSILON);
     assert!(settings.stop.accept < settings.stop.limit);
     assert!(settings.stop.limit.as_secs_f64() < 8.0, "inside the grace");
+    assert_eq!(settings.fencing, Fencing::Checked);
+    let usage = settings.usage.expect("usage is reported");
+    assert_eq!(usage.provider.to_string(), "10.200.0.175:8763");
+    assert_eq!((usage.window.as_secs(), usage.due.as_secs()), (5, 10));
+}
+
+#[test]
+fn usage_is_reported_only_where_the_provider_takes_it() {
+    let text = filled().replace("usage_report,autoscale", "autoscale");
+    assert_eq!(check(&text).expect("in order").usage, None);
+    let text = filled().replace("usage_report,autoscale", "autoscale, usage_report");
+    assert!(check(&text).expect("in order").usage.is_some());
+    let text = filled().replace("fencing_checked = true", "fencing_checked = \"yes\"");
+    let faults = check(&text).expect_err("faulty");
+    assert_eq!(faults.0[0].key, "leader.fencing_checked");
 }
 
 #[test]
@@ -112,4 +140,6 @@
     assert!(!text.contains("{{"), "a gap is left: {text}");
     let settings = check(&text).expect("in order");
     assert!((settings.budget.slack - 10.0).abs() < f64::EPSILON);
+    assert_eq!(settings.fencing, Fencing::Ignored, "the platform says so");
+    assert_eq!(settings.usage, None);
 }
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -11,8 +11,8 @@
 
 use ponddrift_core::{RegionName, ZoneName};
 use ponddrift_platform_stand_ins::{
-    ClientStandIn, EngineSettings, EngineStandIn, EngineTraitsText, RouteText, ServiceText,
-    StoreStandIn, config,
+    ClientStandIn, EngineSettings, EngineStandIn, EngineTraitsText, ProviderStandIn, RouteText,
+    ServiceText, StoreStandIn, config,
 };
 use ponddrift_serve::{Daemon, Settings, settings};
 use ponddrift_simulation::{HostId, HostSpec, Simulation, SimulationSettings};
@@ -35,6 +35,8 @@
     pub decode: u8,
     /// Zones over which the daemons are spread.
     pub zones: u8,
+    /// Whether usage is reported.
+    pub reports_usage: bool,
 }
 
 impl Default for Size {
@@ -45,6 +47,7 @@
             prefill: 1,
             decode: 2,
             zones: 1,
+            reports_usage: false,
         }
     }
 }
@@ -83,9 +86,12 @@
     pub decode_hosts: Vec<HostId>,
     pub daemons: Vec<DaemonHost>,
     pub client: ClientStandIn,
+    pub provider: ProviderStandIn,
+    pub provider_host: HostId,
     next_engine: u8,
 }
 
+const PROVIDER: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, 2)), 7000);
 const STORE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1)), 7000);
 
 impl Fleet {
@@ -102,6 +108,8 @@
         let mut simulation = Simulation::new(SimulationSettings::with_seed(7));
         let store = StoreStandIn::default();
         let store_host = add_store(&mut simulation, &store);
+        let provider = ProviderStandIn::default();
+        let provider_host = add_provider(&mut simulation, &provider);
         let (_host, runtime) = simulation.add_client(spec("client", [10, 0, 3, 1]));
         let mut fleet = Self {
             simulation,
@@ -114,6 +122,8 @@
             decode_hosts: Vec::new(),
             daemons: Vec::new(),
             client: ClientStandIn::new(runtime),
+            provider,
+            provider_host,
             next_engine: 0,
         };
         for _ in 0..size.records {
@@ -132,7 +142,8 @@
         }
         for number in 0..size.daemons {
             let zone = char::from(b'a' + number % size.zones);
-            fleet.add_daemon(number + 1, zone);
+            let settings = daemon_settings(number + 1, zone, size.reports_usage);
+            fleet.add_daemon(number + 1, settings);
         }
         fleet.wait(Duration::from_millis(200));
         fleet
@@ -167,11 +178,10 @@
         (engine, host)
     }
 
-    fn add_daemon(&mut self, number: u8, zone: char) {
+    fn add_daemon(&mut self, number: u8, settings: Settings) {
         let ip = [10, 0, 2, number];
         let stop = Arc::new(Notify::new());
         let stopped = Rc::new(RefCell::new(false));
-        let settings = daemon_settings(number, zone);
         let daemon = DaemonHost {
             host: HostId(0),
             callers: settings.callers,
@@ -223,8 +233,19 @@
     })
 }
 
-fn daemon_settings(number: u8, zone: char) -> Settings {
-    let text = format!(
+fn add_provider(simulation: &mut Simulation, provider: &ProviderStandIn) -> HostId {
+    let served = provider.clone();
+    simulation.add_host(spec("provider", [10, 0, 0, 2]), move |runtime| {
+        let served = served.clone();
+        async move {
+            let _server = served.serve(&runtime, PROVIDER).await.expect("binds");
+            std::future::pending().await
+        }
+    })
+}
+
+fn daemon_settings(number: u8, zone: char, reports_usage: bool) -> Settings {
+    let mut text = format!(
         "[daemon]\nname = \"daemon-{number}\"\nzone = \"{zone}\"\n\
          [listen]\ncallers = \"10.0.2.{number}:8144\"\nreadiness = \"10.0.2.{number}:8140\"\n\
          peers = \"10.0.2.{number}:7660\"\n[store]\naddress = \"{STORE}\"\n\
@@ -232,6 +253,12 @@
          [retry]\nbudget_ratio = 0.2\nbudget_slack = 20\n[stop]\ngrace_s = 8\n\
          [limits]\nrequests_in_progress = {MOST_IN_PROGRESS}\n"
     );
+    if reports_usage {
+        text += &format!(
+            "[provider]\naddress = \"{PROVIDER}\"\ncalls = \"usage_report\"\n\
+             [usage]\nwindow_s = 5\ndue_s = 10\n"
+        );
+    }
     settings::check(&text).expect("in order")
 }
 
--- /dev/null
+++ b/crates/serve/tests/usage.rs
@@ -0,0 +1,292 @@
+//! Usage reports: each window once, the same figure whoever reports it, and what killed daemons had counted among it.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ponddrift_platform_stand_ins::{
+    ClientRequest, ProviderMode, StoreMode, TenantText, UsageNote, with_tenants,
+};
+use support::{Fleet, Size, configuration, routes};
+use tokio::time::sleep;
+
+const TENANTS: [TenantText; 2] = [
+    TenantText {
+        name: "alice",
+        api_keys: &["key-of-alice"],
+        priority: None,
+    },
+    TenantText {
+        name: "bob",
+        api_keys: &["key-of-bob"],
+        priority: None,
+    },
+];
+const WINDOW: Duration = Duration::from_secs(5);
+const DUE: Duration = Duration::from_secs(10);
+/// Start of the first whole window of a simulation, in windows since 1970.
+const FIRST_WINDOW: u64 = 353_445_120;
+
+fn fleet(daemons: u8) -> Fleet {
+    let mut fleet = Fleet::new(Size {
+        daemons,
+        reports_usage: true,
+        ..Size::default()
+    });
+    let text = configuration(2, &routes());
+    fleet.store.put("op/config", with_tenants(&text, &TENANTS));
+    fleet.wait(Duration::from_secs(4));
+    fleet
+}
+
+/// Asks each daemon for `time`, some ten times a second for alice and half as often for bob; returns what was served.
+fn ask_for(fleet: &mut Fleet, daemons: &[usize], time: Duration) -> BTreeMap<String, u64> {
+    let client = fleet.client.clone();
+    let targets: Vec<_> = daemons
+        .iter()
+        .map(|daemon| fleet.daemons[*daemon].callers)
+        .collect();
+    fleet.run(async move {
+        let end = tokio::time::Instant::now() + time;
+        let mut served = BTreeMap::new();
+        let mut number = 0_u32;
+        while tokio::time::Instant::now() < end {
+            number += 1;
+            let (tenant, key) = if number.is_multiple_of(3) {
+                ("bob", "key-of-bob")
+            } else {
+                ("alice", "key-of-alice")
+            };
+            let target = targets[number as usize % targets.len()];
+            let id = format!("r{number}");
+            let request = if number.is_multiple_of(2) {
+                ClientRequest::plain(&id, "fetch").with_key(key)
+            } else {
+                ClientRequest::prompt(&id, "tag", 0, 30).with_key(key)
+            };
+            let answer = client.ask(target, &request).await;
+            if answer.is_some_and(|answer| answer.is_whole && answer.status.is_success()) {
+                *served.entry(tenant.to_owned()).or_default() += 1;
+            }
+            sleep(Duration::from_millis(40)).await;
+        }
+        served
+    })
+}
+
+/// Reports that were taken; each window has one figure.
+fn reported(fleet: &Fleet) -> BTreeMap<u64, BTreeMap<String, u64>> {
+    let mut windows: BTreeMap<u64, BTreeMap<String, u64>> = BTreeMap::new();
+    for note in fleet.provider.usage().into_iter().filter(|note| note.taken) {
+        if let Some(before) = windows.insert(note.window, note.counts.clone()) {
+            assert_eq!(before, note.counts, "two figures of one window");
+        }
+    }
+    windows
+}
+
+fn sum(windows: &BTreeMap<u64, BTreeMap<String, u64>>) -> BTreeMap<String, u64> {
+    let mut all: BTreeMap<String, u64> = BTreeMap::new();
+    for (tenant, count) in windows.values().flatten() {
+        *all.entry(tenant.clone()).or_default() += count;
+    }
+    all
+}
+
+/// Within the bound of five in a hundred that reports are held to.
+fn assert_close(reported: &BTreeMap<String, u64>, served: &BTreeMap<String, u64>) {
+    for (tenant, count) in served {
+        let told = reported.get(tenant).copied().unwrap_or_default();
+        let off = told.abs_diff(*count);
+        assert!(off * 20 <= *count, "{tenant}: {told} of {count}");
+    }
+}
+
+/// Each holder has a token of its own, and tokens only rise.
+fn assert_one_at_a_time(notes: &[UsageNote]) {
+    for pair in notes.windows(2) {
+        let same_holder = pair[0].holder == pair[1].holder;
+        assert_eq!(same_holder, pair[0].fence == pair[1].fence, "{pair:?}");
+        assert!(pair[1].fence >= pair[0].fence, "{pair:?}");
+    }
+}
+
+fn leader(fleet: &Fleet) -> usize {
+    let notes = fleet.provider.usage();
+    let holder = &notes.last().expect("a report").holder;
+    usize::from(holder.as_bytes().last().expect("a digit") - b'1')
+}
+
+#[test]
+fn what_each_tenant_ran_is_reported_in_time_by_one_daemon() {
+    let mut fleet = fleet(4);
+    let served = ask_for(&mut fleet, &[0, 1, 2, 3], Duration::from_secs(20));
+    fleet.wait(DUE);
+    let windows = reported(&fleet);
+    assert_eq!(sum(&windows), served);
+    let notes = fleet.provider.usage();
+    assert_one_at_a_time(&notes);
+    assert_eq!(notes.len(), windows.len(), "no report is sent twice");
+    let started = fleet.simulation.handle().elapsed();
+    for (position, note) in notes.iter().enumerate() {
+        assert!(note.window >= FIRST_WINDOW, "{note:?}");
+        let expected = notes[0].window + u64::try_from(position).expect("few");
+        assert_eq!(note.window, expected, "none is left out, in order");
+    }
+    assert!(started > DUE);
+}
+
+#[test]
+fn a_leader_killed_at_any_time_of_a_window_leaves_no_window_out_and_none_with_two_figures() {
+    for moment_ms in [100, 700, 1_200, 1_400, 1_700, 2_500, 4_000] {
+        let mut fleet = fleet(4);
+        ask_for(&mut fleet, &[0, 1, 2, 3], Duration::from_secs(9));
+        let first = leader(&fleet);
+        let into_window = fleet.simulation.handle().elapsed().as_millis() % WINDOW.as_millis();
+        let until = (WINDOW.as_millis() - into_window + moment_ms) % WINDOW.as_millis();
+        let others: Vec<usize> = (0..4).filter(|daemon| *daemon != first).collect();
+        let wait = Duration::from_millis(u64::try_from(until).expect("short"));
+        ask_for(&mut fleet, &others, wait);
+        fleet.simulation.handle().kill(fleet.daemons[first].host);
+        ask_for(&mut fleet, &others, Duration::from_secs(12));
+        fleet.wait(DUE);
+        let windows = reported(&fleet);
+        let (oldest, newest) = (
+            *windows.keys().min().expect("some"),
+            *windows.keys().max().expect("some"),
+        );
+        assert_eq!(
+            windows.len() as u64,
+            newest - oldest + 1,
+            "killed {moment_ms} ms into a window: {:?}",
+            windows.keys()
+        );
+        assert_one_at_a_time(&fleet.provider.usage());
+    }
+}
+
+#[test]
+fn counts_of_daemons_that_are_killed_are_reported_from_their_copies() {
+    let mut fleet = fleet(6);
+    // Whoever leads is not killed.
+    ask_for(&mut fleet, &[0], Duration::from_secs(8));
+    let leading = leader(&fleet);
+    let killed: Vec<usize> = (0..6).filter(|daemon| *daemon != leading).take(3).collect();
+    let before = sum(&reported(&fleet));
+    fleet.wait(DUE);
+    let earlier = sum(&reported(&fleet));
+    drop(before);
+    let served = ask_for(&mut fleet, &killed, Duration::from_secs(3));
+    fleet.wait(Duration::from_millis(400));
+    for daemon in &killed {
+        fleet.simulation.handle().kill(fleet.daemons[*daemon].host);
+    }
+    fleet.wait(DUE + WINDOW);
+    let all = sum(&reported(&fleet));
+    for (tenant, count) in &served {
+        let told = all[tenant] - earlier.get(tenant).copied().unwrap_or_default();
+        assert_eq!(told, *count, "{tenant}");
+    }
+}
+
+#[test]
+fn clocks_that_are_seconds_off_shift_no_requests_between_windows() {
+    let mut fleet = fleet(5);
+    let handle = fleet.simulation.handle();
+    handle.step_clock(fleet.daemons[0].host, 2_000);
+    handle.step_clock(fleet.daemons[1].host, -2_000);
+    let served = ask_for(&mut fleet, &[0, 1, 2, 3, 4], Duration::from_secs(20));
+    handle.step_clock(fleet.daemons[0].host, 0);
+    handle.step_clock(fleet.daemons[1].host, 0);
+    fleet.wait(DUE + WINDOW);
+    let windows = reported(&fleet);
+    assert_close(&sum(&windows), &served);
+    // A whole window holds some 80 requests; one shifted by two seconds would lose or gain two in five of a daemon's.
+    let whole: Vec<u64> = windows
+        .values()
+        .map(|counts| counts.values().sum())
+        .filter(|requests| *requests > 0)
+        .collect();
+    let inner = &whole[1..whole.len() - 1];
+    let (least, most) = (
+        inner.iter().min().expect("some"),
+        inner.iter().max().expect("some"),
+    );
+    assert!(most - least <= most / 10, "{whole:?}");
+}
+
+#[test]
+fn answers_lost_by_the_provider_bring_the_same_report_again() {
+    let mut fleet = fleet(3);
+    fleet.provider.set_mode(ProviderMode::LosesAnswers);
+    let served = ask_for(&mut fleet, &[0, 1, 2], Duration::from_secs(8));
+    fleet.wait(Duration::from_secs(4));
+    fleet.provider.set_mode(ProviderMode::Up);
+    fleet.wait(DUE);
+    assert!(fleet.provider.usage().len() > reported(&fleet).len());
+    assert_eq!(sum(&reported(&fleet)), served);
+}
+
+#[test]
+fn a_provider_that_is_away_gets_all_windows_when_it_is_back_and_few_calls_until_then() {
+    let mut fleet = fleet(3);
+    for mode in [ProviderMode::Silent, ProviderMode::Busy] {
+        fleet.provider.set_mode(mode);
+        let before = fleet.provider.calls();
+        ask_for(&mut fleet, &[0, 1, 2], Duration::from_secs(6));
+        fleet.wait(Duration::from_secs(6));
+        let calls = fleet.provider.calls() - before;
+        assert!(calls <= 40, "{calls} calls in 12 s of {mode:?}");
+        fleet.provider.set_mode(ProviderMode::Up);
+        fleet.wait(DUE);
+    }
+    let windows = reported(&fleet);
+    let (oldest, newest) = (
+        *windows.keys().min().expect("some"),
+        *windows.keys().max().expect("some"),
+    );
+    assert_eq!(windows.len() as u64, newest - oldest + 1);
+}
+
+#[test]
+fn without_the_store_no_figure_is_reported_that_another_could_contradict() {
+    let mut fleet = fleet(3);
+    ask_for(&mut fleet, &[0, 1, 2], Duration::from_secs(6));
+    fleet.wait(Duration::from_secs(2));
+    fleet.store.set_mode(StoreMode::Silent);
+    fleet.wait(Duration::from_secs(1));
+    let before = fleet.provider.usage().len();
+    ask_for(&mut fleet, &[0, 1, 2], Duration::from_secs(9));
+    assert_eq!(fleet.provider.usage().len(), before);
+    fleet.store.set_mode(StoreMode::Up);
+    fleet.wait(DUE + WINDOW);
+    let windows = reported(&fleet);
+    let (oldest, newest) = (
+        *windows.keys().min().expect("some"),
+        *windows.keys().max().expect("some"),
+    );
+    assert_eq!(windows.len() as u64, newest - oldest + 1);
+}
+
+#[test]
+fn a_leader_cut_from_the_store_and_one_frozen_past_its_lease_report_nothing_of_their_own() {
+    let mut fleet = fleet(4);
+    ask_for(&mut fleet, &[0, 1, 2, 3], Duration::from_secs(8));
+    let first = leader(&fleet);
+    let handle = fleet.simulation.handle();
+    handle.cut(fleet.daemons[first].host, fleet.store_host);
+    let others: Vec<usize> = (0..4).filter(|daemon| *daemon != first).collect();
+    ask_for(&mut fleet, &others, Duration::from_secs(12));
+    handle.heal_all();
+    let second = leader(&fleet);
+    assert_ne!(first, second);
+    handle.freeze(fleet.daemons[second].host);
+    let others: Vec<usize> = (0..4).filter(|daemon| *daemon != second).collect();
+    ask_for(&mut fleet, &others, Duration::from_secs(12));
+    handle.thaw(fleet.daemons[second].host);
+    fleet.wait(DUE);
+    let notes = fleet.provider.usage();
+    assert_one_at_a_time(&notes);
+    let _each_window_has_one_figure = reported(&fleet);
+}
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -13,6 +13,8 @@
 use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use fleet_view::FleetView;
 
 use crate::back_end_index::BackEndIndex;
@@ -33,6 +35,12 @@
     pub since: Instant,
 }
 
+/// A daemon's identity in messages, the same in all its lives.
+#[must_use]
+pub fn daemon_identity(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
 /// Where news came from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -126,10 +134,21 @@
         Arc::clone(&self.lock().topology)
     }
 
-    /// The daemon that holds the right to order engines, as far as is known.
+    /// The daemon that leads, as far as is known.
     #[must_use]
-    pub fn order_holder(&self) -> Option<Arc<str>> {
-        self.lock().order_holder.clone()
+    pub fn leader(&self) -> Option<Arc<str>> {
+        self.lock().leader.clone()
+    }
+
+    /// Identities of all daemons that have a key.
+    #[must_use]
+    pub fn daemon_identities(&self) -> Vec<u64> {
+        let inner = self.lock();
+        inner
+            .daemons
+            .keys()
+            .map(|name| daemon_identity(name))
+            .collect()
     }
 
     /// Newest revision of any item.
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -27,7 +27,7 @@
     pub(super) topology: Arc<Topology>,
     /// Daemons have come or gone since the topology was worked out.
     daemons_changed: bool,
-    pub(super) order_holder: Option<Arc<str>>,
+    pub(super) leader: Option<Arc<str>>,
     pub(super) items: IndexMap<String, Item>,
     pub(super) newest: u64,
     /// Everything up to this revision is known; none before the first reading.
@@ -97,13 +97,13 @@
                 self.daemons.remove(&name);
                 self.daemons_changed = true;
             }
-            Decoded::OrderHolder(holder) => {
-                tracing::info!(%holder, revision, source = source.as_str(), "order_holder");
-                self.order_holder = Some(holder);
+            Decoded::Leader(leader) => {
+                tracing::info!(%leader, revision, source = source.as_str(), "leader");
+                self.leader = Some(leader);
             }
-            Decoded::OrderHolderGone => {
-                tracing::info!(revision, source = source.as_str(), "order_holder_gone");
-                self.order_holder = None;
+            Decoded::LeaderGone => {
+                tracing::info!(revision, source = source.as_str(), "leader_gone");
+                self.leader = None;
             }
             Decoded::Other => {}
         }
--- a/crates/serving/src/leader.rs
+++ b/crates/serving/src/leader.rs
@@ -1,101 +1,247 @@
-//! Who may order engines: the holder of a lease in the store.
+//! Leader election: one daemon at a time does what is done once for all, under a lease in the store.
 //!
-//! The revision of the holder's key is the fencing token of its orders. A holder counts its lease from before each
-//! call, by its own clock, and stops ordering before the lease can lapse. A new holder waits until orders of the one
-//! before can no longer arrive, and until nobody could say that the two took turns.
+//! The revision of the leader's key is the fencing token of its calls. What the leader does runs as tasks of their own, each
+//! of which asks its [`Leadership`] before every call; see [`ponddrift_fleet::leadership`] for when a call may leave.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use ponddrift_fleet::leadership::{CALL_LIMIT, Fencing, Grant, Tenure};
+use ponddrift_runtime::Runtime;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::sync::{Notify, watch};
+
+use crate::fleet_state::FleetState;
 use crate::follow::now;
+use crate::pipeline::Pipeline;
 use crate::store::{FleetStore, Lease, StoreError};
 
-/// A holder's lease counts as over this long before it is.
-const SAFETY_MARGIN: Duration = Duration::from_millis(400);
-/// Time within which an order arrives or is given up.
-pub const ORDER_LIMIT: Duration = Duration::from_millis(600);
-/// A new holder waits this many lease times before its first order: the one before stopped before its lease lapsed, and
-/// its last order arrived at most [`ORDER_LIMIT`] later.
-const TAKE_OVER_LEASES: f64 = 1.3;
-
-/// The right to give orders, as this daemon holds it.
-#[derive(Debug, Clone, Copy)]
-pub struct Authority {
-    lease: Lease,
-    /// Fencing token of its orders.
-    pub fence: u64,
-    begins: Instant,
-    ends: Instant,
+/// Renewals in the life of a lease: two may be lost.
+const RENEWALS_IN_A_LIFE: u32 = 3;
+/// Daemons that see no leader try after a random time up to this, so that few ask at once.
+const CANDIDACY_SPREAD: Duration = Duration::from_millis(1_500);
+/// Least part of that time.
+const LEAST_SPREAD: f64 = 0.3;
+/// Daemons that do not follow the store themselves try this much later: those that do see first that the leader is gone, and
+/// have the faster links.
+const CANDIDACY_DELAY: Duration = Duration::from_secs(2);
+/// Time between two looks at whether a planned stop has begun.
+const STOP_LOOK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Settings of the election.
+#[derive(Debug, Clone)]
+pub struct LeaderSettings {
+    /// Name of this daemon.
+    pub holder: Arc<str>,
+    /// Life of the leader's lease.
+    pub lease: Duration,
+    /// Whether receivers of the leader's calls check fencing tokens.
+    pub fencing: Fencing,
+    /// Whether there is anything to lead where no model engines are.
+    pub leads_without_engines: bool,
+}
+
+/// What the leader's tasks see of the election.
+#[derive(Clone)]
+pub struct Leadership {
+    shared: Arc<Shared>,
+    tenure: watch::Receiver<Option<Tenure>>,
+}
+
+struct Shared {
+    last_call: Mutex<Instant>,
+    fenced_off: Notify,
+}
+
+impl Shared {
+    fn last_call(&self) -> MutexGuard<'_, Instant> {
+        self.last_call
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
 }
 
-impl Authority {
-    /// Whether an order that is sent now arrives while the lease surely holds.
+impl Leadership {
+    /// Whether a call may leave now.
     #[must_use]
-    pub fn covers_an_order(&self, now: Instant) -> bool {
-        now >= self.begins && now + ORDER_LIMIT < self.ends
+    pub fn may_call(&self) -> bool {
+        self.tenure
+            .borrow()
+            .is_some_and(|tenure| tenure.covers_a_call(now()))
     }
 
-    /// Whether the lease may be over.
+    /// The fencing token of a call that leaves now; none where this daemon may not make one. To be asked right before each
+    /// call: time has passed since the last look.
     #[must_use]
-    pub fn may_be_over(&self, now: Instant) -> bool {
-        now >= self.ends
+    pub fn begin_call(&self) -> Option<u64> {
+        let tenure = (*self.tenure.borrow())?;
+        let now = now();
+        if !tenure.covers_a_call(now) {
+            return None;
+        }
+        *self.shared.last_call() = now;
+        Some(tenure.fencing_token)
+    }
+
+    /// A receiver has seen a higher token than `fencing_token`: another daemon leads.
+    pub fn was_fenced_off(&self, fencing_token: u64) {
+        let tenure = *self.tenure.borrow();
+        if tenure.is_some_and(|tenure| tenure.fencing_token == fencing_token) {
+            self.shared.fenced_off.notify_one();
+        }
     }
 }
 
-/// Takes and keeps the right to give orders.
-pub struct AuthorityKeeper {
+/// Starts to take part in the election.
+#[must_use]
+pub fn start(
+    runtime: &Runtime,
+    settings: LeaderSettings,
+    store: &Arc<dyn FleetStore>,
+    state: &Arc<FleetState>,
+    pipeline: &Arc<Pipeline>,
+) -> Leadership {
+    let (published, tenure) = watch::channel(None);
+    let shared = Arc::new(Shared {
+        last_call: Mutex::new(now()),
+        fenced_off: Notify::new(),
+    });
+    let candidate = Candidate {
+        settings,
+        store: Arc::clone(store),
+        state: Arc::clone(state),
+        pipeline: Arc::clone(pipeline),
+        shared: Arc::clone(&shared),
+        published,
+        random: Pcg64Mcg::seed_from_u64(runtime.seed.rotate_left(17)),
+    };
+    runtime.spawner.spawn(Box::pin(candidate.run()));
+    Leadership { shared, tenure }
+}
+
+struct Candidate {
+    settings: LeaderSettings,
     store: Arc<dyn FleetStore>,
-    holder: Arc<str>,
-    life: Duration,
+    state: Arc<FleetState>,
+    pipeline: Arc<Pipeline>,
+    shared: Arc<Shared>,
+    published: watch::Sender<Option<Tenure>>,
+    random: Pcg64Mcg,
 }
 
-impl AuthorityKeeper {
-    /// A keeper for the daemon named `holder`, with leases of this life.
-    #[must_use]
-    pub fn new(store: Arc<dyn FleetStore>, holder: Arc<str>, life: Duration) -> Self {
-        Self {
-            store,
-            holder,
-            life,
+impl Candidate {
+    async fn run(mut self) {
+        while !self.pipeline.is_stopping() {
+            if !self.is_wanted().await {
+                continue;
+            }
+            match self.take().await {
+                Ok((lease, tenure)) => self.lead(lease, tenure).await,
+                Err(error) => tracing::debug!(%error, "leader_lease_not_taken"),
+            }
         }
     }
 
-    /// Tries to become the holder.
-    ///
-    /// # Errors
-    /// [`StoreError::Conflict`] where another is; others where the store is in trouble.
-    pub async fn take(&self) -> Result<Authority, StoreError> {
-        let begun = now();
-        let lease = self.store.grant(self.life).await?;
-        match self.store.take_orders(&self.holder, lease).await {
-            Ok(fence) => Ok(Authority {
-                lease,
-                fence,
-                begins: now() + self.life.mul_f64(TAKE_OVER_LEASES),
-                ends: begun + lease.life.saturating_sub(SAFETY_MARGIN),
-            }),
+    /// Waits a while. Returns whether this daemon should try to lead then.
+    async fn is_wanted(&mut self) -> bool {
+        let spread = CANDIDACY_SPREAD.mul_f64(self.random.random_range(LEAST_SPREAD..1.0));
+        tokio::time::sleep(spread).await;
+        if !self.has_no_leader() {
+            return false;
+        }
+        if !self.state.topology().follows_store {
+            tokio::time::sleep(CANDIDACY_DELAY).await;
+        }
+        self.has_no_leader()
+    }
+
+    fn has_no_leader(&self) -> bool {
+        self.state.leader().is_none() && (self.settings.leads_without_engines || self.has_engines())
+    }
+
+    fn has_engines(&self) -> bool {
+        let back_ends = self.state.back_ends();
+        back_ends.iter().any(|back_end| back_end.stage.is_some())
+    }
+
+    async fn take(&self) -> Result<(Lease, Tenure), StoreError> {
+        let asked = now();
+        let lease = self.store.grant(self.settings.lease).await?;
+        let taken = self.store.take_lead(&self.settings.holder, lease).await;
+        let fencing_token = match taken {
+            Ok(fencing_token) => fencing_token,
             Err(error) => {
-                // Left alone, the lease ends by itself.
-                drop(self.store.end(lease).await);
-                Err(error)
+                self.end(lease).await;
+                return Err(error);
+            }
+        };
+        let grant = Grant {
+            fencing_token,
+            life: lease.life,
+            asked,
+            answered: now(),
+            last_call: *self.shared.last_call(),
+        };
+        Ok((lease, Tenure::new(&grant, self.settings.fencing)))
+    }
+
+    /// Renews the lease for as long as it can, then ends it.
+    async fn lead(&mut self, lease: Lease, tenure: Tenure) {
+        let fence = tenure.fencing_token;
+        tracing::info!(fence, "leader_lease_taken");
+        self.published.send_replace(Some(tenure));
+        let reason = self.renew_until_over(lease, tenure).await;
+        self.published.send_replace(None);
+        tracing::info!(fence, reason, "leader_lease_over");
+        // Calls on their way arrive before another daemon can lead.
+        tokio::time::sleep(CALL_LIMIT).await;
+        self.end(lease).await;
+    }
+
+    /// Returns why the time as the leader is over.
+    async fn renew_until_over(&self, lease: Lease, mut tenure: Tenure) -> &'static str {
+        loop {
+            if let Some(reason) = self.await_renewal(lease).await {
+                return reason;
+            }
+            let asked = now();
+            match self.store.renew(lease).await {
+                Ok(()) => {
+                    tenure = tenure.renewed(asked);
+                    self.published.send_replace(Some(tenure));
+                }
+                Err(StoreError::LeaseOver) => return "lapsed",
+                Err(_trouble) if !tenure.may_be_over(now()) => {}
+                Err(error) => {
+                    tracing::warn!(%error, "leader_lease_not_renewed");
+                    return "may_have_lapsed";
+                }
             }
         }
     }
 
-    /// Renews the holder's lease.
-    ///
-    /// # Errors
-    /// When the lease is over, or the store is in trouble; what was granted before still counts.
-    pub async fn keep(&self, authority: &mut Authority) -> Result<(), StoreError> {
-        let begun = now();
-        self.store.renew(authority.lease).await?;
-        authority.ends = begun + authority.lease.life.saturating_sub(SAFETY_MARGIN);
-        Ok(())
+    /// Waits until the lease is to be renewed; returns why it is not.
+    async fn await_renewal(&self, lease: Lease) -> Option<&'static str> {
+        let renew_at = now() + lease.life / RENEWALS_IN_A_LIFE;
+        while now() < renew_at {
+            if self.pipeline.is_stopping() {
+                return Some("stopping");
+            }
+            let look = renew_at.min(now() + STOP_LOOK_INTERVAL);
+            tokio::select! {
+                biased;
+                () = self.shared.fenced_off.notified() => return Some("fenced_off"),
+                () = tokio::time::sleep_until(look.into()) => {}
+            }
+        }
+        None
     }
 
-    /// Gives the right back.
-    pub async fn give_back(&self, authority: Authority) {
-        // Left alone, the lease ends by itself.
-        drop(self.store.end(authority.lease).await);
+    async fn end(&self, lease: Lease) {
+        if let Err(error) = self.store.end(lease).await {
+            // Left alone, it lapses.
+            tracing::debug!(%error, "lease_not_ended");
+        }
     }
 }
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -116,6 +116,7 @@
     attempts: Family<AttemptLabels, Counter>,
     repeats: Family<RepeatLabels, Counter>,
     orders: Family<ResultLabels, Counter>,
+    usage_reports: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
     prompt_tokens: Family<WayLabels, Counter<f64, std::sync::atomic::AtomicU64>>,
     fetches: Counter,
@@ -157,6 +158,7 @@
             attempts: made(r, "attempts", "Sends to back ends by purpose and end"),
             repeats: made(r, "repeats", "Sends beyond the first, granted or not"),
             orders: made(r, "orders", "Orders to engines by result"),
+            usage_reports: made(r, "usage_reports", "Reports of a window's usage by result"),
             store_calls: made(r, "store_calls", "Calls that follow the store, by result"),
             prompt_tokens: made(
                 r,
@@ -256,6 +258,12 @@
         self.orders.get_or_create(&ResultLabels { result }).inc();
     }
 
+    pub(crate) fn usage_report(&self, result: &'static str) {
+        self.usage_reports
+            .get_or_create(&ResultLabels { result })
+            .inc();
+    }
+
     /// A call that follows the store ended.
     pub(crate) fn store_call(&self, result: &'static str) {
         self.store_calls
--- /dev/null
+++ b/crates/serving/src/orders/engine_calls.rs
@@ -0,0 +1,86 @@
+//! The two calls that a change of stage takes: what the engine's state is, and the order.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::leadership::CALL_LIMIT;
+use ponddrift_http::body::{self, Body};
+
+use crate::connections::Connections;
+use crate::dialect::{Dialect, EngineReport, OrderFacts};
+
+/// Connections to one engine, at most: for an order, and a report beside it.
+const CONNECTIONS: u32 = 2;
+
+/// How an order ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum OrderEnd {
+    /// The engine carries it out.
+    Taken,
+    /// The engine does not.
+    Refused(u16),
+    /// Nobody knows.
+    Unanswered,
+    /// It was not sent: this daemon no longer leads, or the engine is not as expected.
+    NotSent,
+}
+
+impl OrderEnd {
+    pub(super) const fn name(self) -> &'static str {
+        match self {
+            Self::Taken => "taken",
+            Self::Refused(_) => "refused",
+            Self::Unanswered => "unanswered",
+            Self::NotSent => "not_sent",
+        }
+    }
+}
+
+/// Calls to engines.
+pub(super) struct EngineCalls {
+    pub(super) connections: Arc<Connections>,
+    pub(super) dialect: Arc<dyn Dialect>,
+}
+
+impl EngineCalls {
+    /// Asks an engine for its state; none without a whole answer in time.
+    pub(super) async fn report(&self, engine: &BackEnd) -> Option<EngineReport> {
+        let request = self.dialect.report().request(engine.address)?;
+        let answer = self.exchange(engine, request).await?;
+        (answer.status() == StatusCode::OK)
+            .then(|| self.dialect.read_report(answer.body()))
+            .flatten()
+    }
+
+    pub(super) async fn order(&self, engine: &BackEnd, facts: &OrderFacts<'_>) -> OrderEnd {
+        let Some(request) = self.build(engine, facts) else {
+            return OrderEnd::NotSent;
+        };
+        let answer = self.exchange(engine, request).await;
+        match answer.map(|answer| answer.status()) {
+            Some(StatusCode::OK | StatusCode::ACCEPTED) => OrderEnd::Taken,
+            Some(status) => OrderEnd::Refused(status.as_u16()),
+            None => OrderEnd::Unanswered,
+        }
+    }
+
+    async fn exchange(&self, engine: &BackEnd, request: Request<Body>) -> Option<Response<Bytes>> {
+        self.connections
+            .call(engine.address, CONNECTIONS, request, CALL_LIMIT)
+            .await
+    }
+
+    fn build(&self, engine: &BackEnd, facts: &OrderFacts<'_>) -> Option<Request<Body>> {
+        let call = self.dialect.order(facts);
+        let mut request = Request::builder()
+            .method(call.method)
+            .uri(call.path)
+            .header(header::HOST, engine.address.to_string())
+            .body(body::full(call.body))
+            .ok()?;
+        request.headers_mut().extend(call.headers);
+        Some(request)
+    }
+}
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -23,6 +23,8 @@
 use crate::store::Changes;
 use message::{AwayRow, HeadRow, ReportRow};
 
+pub use relay::fetch_tallies;
+
 /// What a daemon knows of its peers before it has read the store.
 #[derive(Debug, Clone)]
 pub struct PeerSettings {
@@ -45,7 +47,8 @@
     let own = state.own();
     let address = own.peer_address;
     let socket: Arc<BoxedDatagram> = Arc::new(runtime.network.bind_datagram(address).await?);
-    relay::serve(runtime, address, state).await?;
+    let usage = pipeline.usage().cloned();
+    relay::serve(runtime, address, state, usage.as_ref()).await?;
     let peers = Arc::new(Peers {
         origin: xxh3_64_with_seed(own.name.as_bytes(), runtime.seed),
         runtime: runtime.clone(),
@@ -61,6 +64,9 @@
     let spawner = &runtime.spawner;
     spawner.spawn(Box::pin(Arc::clone(&peers).tell()));
     spawner.spawn(Box::pin(Arc::clone(&peers).tell_changes(untold)));
+    if let Some(recorder) = usage {
+        spawner.spawn(Box::pin(Arc::clone(&peers).replicate_usage(recorder)));
+    }
     spawner.spawn(Box::pin(peers.hear()));
     Ok(())
 }
--- a/crates/serving/src/peers/hear.rs
+++ b/crates/serving/src/peers/hear.rs
@@ -36,6 +36,11 @@
                 Some(Message::Changes { changes, in_doubt }) => {
                     self.take_changes(changes, in_doubt, from);
                 }
+                Some(Message::Usage(copy)) => {
+                    if let Some(recorder) = self.pipeline.usage() {
+                        recorder.merge(&copy);
+                    }
+                }
                 None => tracing::warn!(%from, length, "peer_message_unreadable"),
             }
         }
@@ -44,6 +49,11 @@
     fn take(self: &Arc<Self>, digest: Digest, from: SocketAddr) {
         let known = self.state.back_end_index();
         let is_neighbour = self.is_neighbour(from);
+        if let Some(recorder) = self.pipeline.usage()
+            && let Some(own) = digest.reports.first()
+        {
+            recorder.hear_time(own.origin, Duration::from_millis(digest.time_of_day_ms));
+        }
         self.take_work(&digest, &known);
         if self.state.topology().of_zone.contains(&from) {
             for row in &digest.results {
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -1,11 +1,19 @@
 //! The datagrams between daemons (borsh).
 
+use std::sync::Arc;
+
 use borsh::{BorshDeserialize, BorshSerialize};
 
+use ponddrift_fleet::usage::{Tally, TallyOf};
+
 use crate::store::Changes;
 
 /// Longest datagram in bytes; stays within one packet.
 pub(super) const MAXIMUM_DATAGRAM: usize = 1400;
+/// Bytes of tenants' counts in one datagram; the rest of it takes less than what is left.
+const USAGE_BYTES: usize = 1_200;
+/// Bytes of one count beside its tenant's name.
+const COUNT_BYTES: usize = 8;
 /// Rows of work that surely fit, of all reports together.
 const MAXIMUM_ROWS: usize = 40;
 /// Heads that surely fit beside them.
@@ -24,7 +32,7 @@
 /// Tokens are told in so many, rounded up: far less than any reading that a decision depends on.
 pub(super) const TOKENS_IN_UNIT: f64 = 32.0;
 /// Version of the messages; daemons of other versions are not heard.
-const VERSION: u8 = 3;
+const VERSION: u8 = 4;
 
 /// What a datagram tells.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -38,11 +46,15 @@
         /// Entries that vanished may have lapsed because the store was away.
         in_doubt: bool,
     },
+    /// What the sender counted of its tenants' requests, or a part of it.
+    Usage(TallyOf),
 }
 
 /// How things stand at a daemon.
 #[derive(Debug, Clone, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub(super) struct Digest {
+    /// Time of day by the sender's own clock, in milliseconds since the start of 1970.
+    pub(super) time_of_day_ms: u64,
     /// Everything up to this revision is known.
     pub(super) position: u64,
     /// How long ago the store answered, in milliseconds; none where the daemon does not follow it.
@@ -194,6 +206,32 @@
     }
 }
 
+/// The datagrams that together tell a tally. Parts can be merged in any order.
+pub(super) fn encode_usage(whole: &TallyOf) -> Vec<Vec<u8>> {
+    let mut parts = vec![Tally::default()];
+    let mut bytes = 0;
+    for (tenant, count) in &whole.tally.counts {
+        bytes += tenant.len() + COUNT_BYTES;
+        if bytes > USAGE_BYTES {
+            parts.push(Tally::default());
+            bytes = tenant.len() + COUNT_BYTES;
+        }
+        if let Some(part) = parts.last_mut() {
+            part.counts.insert(Arc::clone(tenant), *count);
+        }
+    }
+    let messages = parts.into_iter().map(|part| {
+        Message::Usage(TallyOf {
+            tally: Tally {
+                closed_with: whole.tally.closed_with,
+                ..part
+            },
+            ..whole.clone()
+        })
+    });
+    messages.filter_map(|message| encode(&message)).collect()
+}
+
 /// The datagram with this message; none if it does not fit.
 pub(super) fn encode(message: &Message) -> Option<Vec<u8>> {
     let bytes = borsh::to_vec(&(VERSION, message)).ok()?;
--- a/crates/serving/src/peers/tell.rs
+++ b/crates/serving/src/peers/tell.rs
@@ -19,6 +19,7 @@
 use crate::back_end_index::hash;
 use crate::follow::now;
 use crate::store::Changes;
+use crate::usage::UsageRecorder;
 
 /// Time between two words to peers, where nothing happens.
 const TELL_INTERVAL: Duration = Duration::from_millis(500);
@@ -29,6 +30,8 @@
 /// Time that each neighbour adds to the shortest time between two words: all of them together are heard no more often.
 const TIME_PER_NEIGHBOUR: Duration = Duration::from_millis(1);
 
+/// Time between two copies of what was counted: what a killed daemon counted since then is lost.
+const USAGE_INTERVAL: Duration = Duration::from_millis(250);
 /// Neighbours that are told each time where nothing weighs.
 const TOLD_IN_TURN: usize = 24;
 
@@ -136,7 +139,9 @@
         let work = placement.work.rates(now());
         drop(placement);
         let store_silence = self.following.store_silence();
+        let time_of_day = self.runtime.clock.time_of_day();
         Digest {
+            time_of_day_ms: u64::try_from(time_of_day.as_millis()).unwrap_or(u64::MAX),
             position: self.state.position().unwrap_or_default(),
             store_silence_ms: store_silence
                 .map(|silence| u16::try_from(silence.as_millis()).unwrap_or(u16::MAX)),
@@ -154,6 +159,23 @@
         }
     }
 
+    /// Sends copies of what this daemon counted to the neighbours that keep them.
+    pub(super) async fn replicate_usage(self: Arc<Self>, recorder: Arc<UsageRecorder>) {
+        let mut replicas = Vec::new();
+        loop {
+            tokio::time::sleep(USAGE_INTERVAL).await;
+            let topology = self.state.topology();
+            if topology.usage_replicas != replicas {
+                replicas.clone_from(&topology.usage_replicas);
+                recorder.tell_again();
+            }
+            let untold = recorder.take_untold();
+            for bytes in untold.iter().flat_map(message::encode_usage) {
+                self.send(Some(bytes), &replicas).await;
+            }
+        }
+    }
+
     /// Tells neighbours what changed in the store. What does not fit into a datagram they fetch, since the next word
     /// tells that there is more.
     pub(super) async fn tell_changes(self: Arc<Self>, mut untold: mpsc::Receiver<Changes>) {
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -42,9 +42,10 @@
 use crate::fleet_state::FleetState;
 use crate::follow::now;
 use crate::metrics::{GaugeValues, Metrics};
+use crate::usage::UsageRecorder;
 
 /// Settings of the pipeline.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 pub struct PipelineSettings {
     /// Zone of this daemon.
     pub zone: Arc<str>,
@@ -52,6 +53,8 @@
     pub budget: BudgetSettings,
     /// Bounds of what is taken in at a time.
     pub bounds: IntakeBounds,
+    /// Counts what tenants use; none where nobody is told.
+    pub usage: Option<Arc<UsageRecorder>>,
 }
 
 /// What is taken in at a time; beyond it requests are refused before anything is done with them.
@@ -82,6 +85,7 @@
     heads_changed: Notify,
     held_bytes: AtomicUsize,
     bounds: IntakeBounds,
+    usage: Option<Arc<UsageRecorder>>,
 }
 
 impl Pipeline {
@@ -114,6 +118,7 @@
             heads_changed: Notify::new(),
             held_bytes: AtomicUsize::new(0),
             bounds: settings.bounds,
+            usage: settings.usage.clone(),
         })
     }
 
@@ -154,6 +159,12 @@
         self.heads_changed.notify_waiters();
     }
 
+    /// Counts what tenants use; none where nobody is told.
+    #[must_use]
+    pub const fn usage(&self) -> Option<&Arc<UsageRecorder>> {
+        self.usage.as_ref()
+    }
+
     /// Requests in progress.
     #[must_use]
     pub fn in_progress(&self) -> usize {
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -68,6 +68,8 @@
     end: HeadEnd,
     outcome: Option<Outcome>,
     status: Option<u16>,
+    /// Whether the back end most likely ran the request, though its answer is of no use.
+    has_run: bool,
 }
 
 impl Judged {
@@ -76,6 +78,7 @@
             end,
             outcome,
             status: None,
+            has_run: false,
         }
     }
 }
@@ -137,6 +140,9 @@
             );
         }
         self.count(job, &judged.end, order.step);
+        if judged.has_run && !matches!(order.step, SendStep::Prefill) {
+            self.note_run(job);
+        }
         judged.end
     }
 
@@ -190,12 +196,20 @@
             (HeadEnd::Answered(reply), None)
         };
         Judged {
+            has_run: matches!(end, HeadEnd::Unsure(_)),
             end,
             outcome,
             status,
         }
     }
 
+    /// Counts a request that began to run for its tenant.
+    pub(super) fn note_run(&self, job: &Job) {
+        if let (Some(usage), Some(tenant)) = (&self.usage, &job.tenant) {
+            usage.began(&tenant.name);
+        }
+    }
+
     /// A back end that refuses is full, changes, or is not what it was taken for: others are asked for a moment.
     fn leave_alone(&self, back_end: &BackEnd, status: Option<u16>) {
         let is_another = status == Some(StatusCode::MISDIRECTED_REQUEST.as_u16());
@@ -295,8 +309,9 @@
         ExchangeError::NotSent(NotSent::Exhausted) => {
             Judged::new(HeadEnd::NotSent("connections_in_use"), None)
         }
-        ExchangeError::Broken(_error) => {
-            Judged::new(HeadEnd::Unsure("connection_broke"), Some(Outcome::Broken))
-        }
+        ExchangeError::Broken(_error) => Judged {
+            has_run: true,
+            ..Judged::new(HeadEnd::Unsure("connection_broke"), Some(Outcome::Broken))
+        },
     }
 }
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -88,6 +88,7 @@
             Ok(stream) => {
                 let waited = now().saturating_duration_since(job.arrived);
                 self.metrics.first_event(waited);
+                self.note_run(job);
                 job.first_event.get_or_insert_with(now);
                 self.learn_first_event(job, decode, waited);
                 self.learn_decode(job, plan, decode, sent.reads_alone.then_some(took));
@@ -97,6 +98,9 @@
                 if let Some(outcome) = no_event.outcome() {
                     self.note_outcome(decode, &job.service.health_path, outcome);
                 }
+                if matches!(no_event, NoEvent::Broken(_)) {
+                    self.note_run(job);
+                }
                 let reason = no_event.name();
                 self.attempt_ended(
                     job,
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use http::{Response, response};
+use http::{Response, StatusCode, response};
 use hyper::body::Incoming;
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::events::{Event, EventSplitter};
@@ -337,6 +337,10 @@
         reply: Reply,
         until: Instant,
     ) -> FirstEvent {
+        // An engine answers so too where a request's time was over before it began.
+        if reply.response.status() != StatusCode::GATEWAY_TIMEOUT {
+            self.note_run(job);
+        }
         let answer = self.read_whole(reply, until).await;
         self.note_outcome(back_end, &job.service.health_path, Outcome::Error);
         self.attempt_ended(
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -133,6 +133,7 @@
             HeadEnd::NotSent(reason) | HeadEnd::NotRun(reason) => return PlainEnd::NotRun(reason),
             HeadEnd::Unsure(reason) => return PlainEnd::Unsure(reason),
         };
+        self.note_run(job);
         let end = self.read_whole(reply, wait_policy.until).await;
         let took = now().saturating_duration_since(begun);
         let (outcome, name, status) = match &end {
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -8,6 +8,7 @@
 use ponddrift_fleet::configuration::Configuration;
 use ponddrift_fleet::directory::{BackEnd, Warmth};
 use ponddrift_fleet::topology::Member;
+use ponddrift_fleet::usage::{TenantCounts, WindowNumber};
 
 /// One key of the store at one revision, as raw as it lies there: daemons hand it on to each other so.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -73,10 +74,10 @@
     Daemon(Member),
     /// A daemon whose lease ended.
     DaemonGone(Arc<str>),
-    /// The daemon that holds the right to order engines.
-    OrderHolder(Arc<str>),
-    /// Nobody holds it.
-    OrderHolderGone,
+    /// The daemon that leads.
+    Leader(Arc<str>),
+    /// Nobody leads.
+    LeaderGone,
     /// Something that does not concern us.
     Other,
 }
@@ -145,8 +146,15 @@
     fn end(&self, lease: Lease) -> BoxFuture<'_, Result<(), StoreError>>;
     /// Writes the daemon's key under its lease.
     fn announce(&self, daemon: &Member, lease: Lease) -> BoxFuture<'_, Result<(), StoreError>>;
-    /// Writes the holder of the right to order engines under its lease, where there is none. Returns the revision.
-    fn take_orders(&self, holder: &str, lease: Lease) -> BoxFuture<'_, Result<u64, StoreError>>;
+    /// Writes the leader under its lease, where there is none. Returns the revision, which rises with each leader.
+    fn take_lead(&self, holder: &str, lease: Lease) -> BoxFuture<'_, Result<u64, StoreError>>;
+    /// Writes what is to be reported of a window, once: where figures of it stand already, these are returned and stay.
+    /// [`StoreError::Conflict`] where the window is so old that a later one has taken its place.
+    fn settle_usage<'a>(
+        &'a self,
+        window: WindowNumber,
+        counts: &'a TenantCounts,
+    ) -> BoxFuture<'a, Result<TenantCounts, StoreError>>;
     /// What an item means.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/serving/src/usage.rs
@@ -0,0 +1,239 @@
+//! Counts the requests of each tenant that begin to run, and reports them.
+//!
+//! Every daemon counts what it sees and sends copies to some of its neighbours ([`crate::peers`]); the leader gathers the
+//! copies of a window that has ended and reports their sum ([`report`]).
+
+pub mod report;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use ponddrift_fleet::true_time::TrueTime;
+use ponddrift_fleet::usage::{
+    Life, Tally, TallyOf, TenantCounts, UsageLedger, WindowNumber, window_at,
+};
+use ponddrift_runtime::Clock;
+
+use crate::follow::now;
+
+/// Windows that are kept: by then the provider takes no more reports.
+const WINDOWS_KEPT: u64 = 12;
+/// A tally of a later window than this many ahead comes from a clock that is badly wrong.
+const WINDOWS_AHEAD: u64 = 2;
+/// The tally of a window that has ended is sent so often: a datagram may be lost.
+const CLOSING_SENDS: u32 = 3;
+
+/// Counts usage, and holds the copies that other daemons sent.
+pub struct UsageRecorder {
+    clock: Arc<dyn Clock>,
+    life: Life,
+    window_length: Duration,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    time: TrueTime,
+    ledger: UsageLedger,
+    /// The window that is counted in; never goes back, so that a window once closed stays as it is.
+    current: Option<WindowNumber>,
+    /// What replicas do not know yet.
+    untold: BTreeSet<(WindowNumber, Arc<str>)>,
+    closings: VecDeque<Closing>,
+}
+
+/// A window that has ended, and how often replicas are still to be told so.
+struct Closing {
+    window: WindowNumber,
+    sends_left: u32,
+}
+
+impl UsageRecorder {
+    /// Nothing counted yet.
+    #[must_use]
+    pub fn new(clock: Arc<dyn Clock>, life: Life, window_length: Duration) -> Arc<Self> {
+        Arc::new(Self {
+            clock,
+            life,
+            window_length,
+            inner: Mutex::default(),
+        })
+    }
+
+    /// Length of a reporting window.
+    #[must_use]
+    pub const fn window_length(&self) -> Duration {
+        self.window_length
+    }
+
+    /// What this machine's clock shows, since the start of 1970.
+    #[must_use]
+    pub fn own_time(&self) -> Duration {
+        self.clock.time_of_day()
+    }
+
+    /// What another daemon's clock shows.
+    pub fn hear_time(&self, source: u64, shown: Duration) {
+        self.lock().time.hear(source, shown, now());
+    }
+
+    /// The time of day that most daemons agree on.
+    #[must_use]
+    pub fn true_time(&self) -> Duration {
+        self.lock().time.now(self.own_time(), now())
+    }
+
+    /// A request of `tenant` began to run at a back end.
+    pub fn began(&self, tenant: &Arc<str>) {
+        let mut inner = self.lock();
+        let window = self.roll(&mut inner);
+        inner.ledger.count(self.life, window, tenant);
+        inner.untold.insert((window, Arc::clone(tenant)));
+    }
+
+    /// Takes a copy, or a part of one, that another daemon sent. Copies of windows long past or far ahead are dropped.
+    pub fn merge(&self, copy: &TallyOf) {
+        let mut inner = self.lock();
+        let current = self.roll(&mut inner);
+        let is_near = copy.window.saturating_add(WINDOWS_KEPT) >= current
+            && copy.window <= current.saturating_add(WINDOWS_AHEAD);
+        if is_near && copy.life != self.life {
+            inner.ledger.merge(copy);
+        }
+    }
+
+    /// Every copy of a window.
+    #[must_use]
+    pub fn tallies(&self, window: WindowNumber) -> Vec<TallyOf> {
+        let mut inner = self.lock();
+        self.roll(&mut inner);
+        inner.ledger.tallies(window)
+    }
+
+    /// Whether anything is known of a window.
+    #[must_use]
+    pub fn knows(&self, window: WindowNumber) -> bool {
+        self.lock().ledger.knows(window)
+    }
+
+    /// Those of `daemons` whose counts of a window are not known to be complete.
+    #[must_use]
+    pub fn missing(&self, window: WindowNumber, daemons: &[u64]) -> usize {
+        let inner = self.lock();
+        let missing = daemons
+            .iter()
+            .filter(|daemon| !inner.ledger.is_final(window, **daemon));
+        missing.count()
+    }
+
+    /// What all daemons counted in a window, as far as is known here.
+    #[must_use]
+    pub fn totals(&self, window: WindowNumber) -> TenantCounts {
+        self.lock().ledger.totals(window)
+    }
+
+    /// What replicas are to be told now.
+    #[must_use]
+    pub fn take_untold(&self) -> Vec<TallyOf> {
+        let mut inner = self.lock();
+        let current = self.roll(&mut inner);
+        inner.time.forget_old(now());
+        inner
+            .ledger
+            .forget_before(current.saturating_sub(WINDOWS_KEPT));
+        let closed = inner.take_closings(self.life);
+        let changed = inner.take_changed(self.life);
+        closed.into_iter().chain(changed).collect()
+    }
+
+    /// Replicas are others than before: they are told everything that is still kept.
+    pub fn tell_again(&self) {
+        let mut inner = self.lock();
+        let current = self.roll(&mut inner);
+        let own: Vec<TallyOf> = (current.saturating_sub(WINDOWS_KEPT)..=current)
+            .flat_map(|window| inner.ledger.tallies(window))
+            .filter(|known| known.life == self.life)
+            .collect();
+        for known in own {
+            if known.tally.closed_with.is_some() {
+                inner.note_closing(known.window, 1);
+                continue;
+            }
+            let tenants = known.tally.counts.into_keys();
+            let rows = tenants.map(|tenant| (known.window, tenant));
+            inner.untold.extend(rows);
+        }
+    }
+
+    /// Closes the windows that have ended. Returns the one that is counted in now.
+    fn roll(&self, inner: &mut Inner) -> WindowNumber {
+        let time = inner.time.now(self.own_time(), now());
+        let window = window_at(time, self.window_length);
+        let before = inner.current.unwrap_or(window);
+        let current = window.max(before);
+        let ended = before.max(current.saturating_sub(WINDOWS_KEPT))..current;
+        for window in ended {
+            let tally = inner.ledger.close(self.life, window);
+            tracing::debug!(window, requests = tally.closed_with, "usage_window_closed");
+            inner.note_closing(window, CLOSING_SENDS);
+        }
+        inner.current = Some(current);
+        current
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    fn note_closing(&mut self, window: WindowNumber, sends: u32) {
+        let known = self
+            .closings
+            .iter_mut()
+            .find(|known| known.window == window);
+        match known {
+            Some(closing) => closing.sends_left = closing.sends_left.max(sends),
+            None => self.closings.push_back(Closing {
+                window,
+                sends_left: sends,
+            }),
+        }
+    }
+
+    /// Whole tallies of windows that have ended.
+    fn take_closings(&mut self, life: Life) -> Vec<TallyOf> {
+        let mut closed = Vec::new();
+        for closing in &mut self.closings {
+            closing.sends_left = closing.sends_left.saturating_sub(1);
+            let tallies = self.ledger.tallies(closing.window).into_iter();
+            closed.extend(tallies.filter(|known| known.life == life));
+            self.untold
+                .retain(|(window, _tenant)| *window != closing.window);
+        }
+        self.closings.retain(|closing| closing.sends_left > 0);
+        closed
+    }
+
+    /// Counts that have grown since replicas were told.
+    fn take_changed(&mut self, life: Life) -> Vec<TallyOf> {
+        let mut by_window: BTreeMap<WindowNumber, TenantCounts> = BTreeMap::new();
+        for (window, tenant) in std::mem::take(&mut self.untold) {
+            if let Some(count) = self.ledger.count_of(life, window, &tenant) {
+                by_window.entry(window).or_default().insert(tenant, count);
+            }
+        }
+        let changed = by_window.into_iter().map(|(window, counts)| TallyOf {
+            life,
+            window,
+            tally: Tally {
+                counts,
+                closed_with: None,
+            },
+        });
+        changed.collect()
+    }
+}
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -181,6 +181,18 @@
         default
     }
 
+    /// `true` or `false`.
+    pub fn flag(&mut self, key: &str, default: bool) -> bool {
+        let Some(value) = self.take(key) else {
+            return default;
+        };
+        let flag = value.as_bool();
+        if flag.is_none() {
+            self.fault(key, Some(&value), "set true or false, without quotes");
+        }
+        flag.unwrap_or(default)
+    }
+
     /// Text that parses as `T`; `None` (with a fault, if required) when there is none.
     pub fn parsed<T>(&mut self, key: &str, default: Option<T>, what: &str) -> Option<T>
     where
--- a/crates/simulation/src/handle.rs
+++ b/crates/simulation/src/handle.rs
@@ -46,6 +46,11 @@
         self.world.with(|world| world.set_frozen(host, false));
     }
 
+    /// Sets a host's time of day so many milliseconds ahead of the true one; behind it where negative.
+    pub fn step_clock(&self, host: HostId, ahead_ms: i64) {
+        self.world.with(|world| world.step_clock(host, ahead_ms));
+    }
+
     /// Cuts the link between two hosts in both directions.
     pub fn cut(&self, first: HostId, second: HostId) {
         self.cut_one_way(first, second);
--- a/crates/simulation/src/host.rs
+++ b/crates/simulation/src/host.rs
@@ -108,7 +108,7 @@
         Runtime {
             network: Arc::new(SimulatedNetwork::new(self.world.clone(), self.id, life)),
             spawner: Arc::new(SimulatedSpawner(queue)),
-            clock: Arc::new(SimulatedClock::start(self.world.clone())),
+            clock: Arc::new(SimulatedClock::start(self.world.clone(), self.id)),
             seed: self.world.with(|world| world.host_seed(self.id, life)),
         }
     }
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -77,6 +77,8 @@
     pub(crate) held: BTreeMap<Link, VecDeque<Packet>>,
     hosts: Vec<Host>,
     by_address: BTreeMap<IpAddr, HostId>,
+    /// How far the time of day of a host is ahead of the true one, in milliseconds.
+    clock_steps_ms: BTreeMap<HostId, i64>,
     cut: BTreeSet<Link>,
     events: BTreeMap<(Instant, u64), Event>,
     next_event: u64,
@@ -98,6 +100,7 @@
             held: BTreeMap::new(),
             hosts: Vec::new(),
             by_address: BTreeMap::new(),
+            clock_steps_ms: BTreeMap::new(),
             cut: BTreeSet::new(),
             events: BTreeMap::new(),
             next_event: 0,
@@ -111,6 +114,14 @@
         self.start.elapsed()
     }
 
+    pub(crate) fn clock_step_ms(&self, host: HostId) -> i64 {
+        self.clock_steps_ms.get(&host).copied().unwrap_or_default()
+    }
+
+    pub(crate) fn step_clock(&mut self, host: HostId, ahead_ms: i64) {
+        self.clock_steps_ms.insert(host, ahead_ms);
+    }
+
     pub(crate) fn record(&mut self, event: TraceEvent) {
         let at = self.elapsed();
         self.trace.record(at, event);
