Silent connections: one request finds out, the rest open new ones

Cause: open connections may carry nothing for good, without a reset, while new ones work. An idle connection whose server keeps it for long was tried request after request, each waiting for its whole time; a retry could meet the next silent one. Ruled out: TCP_USER_TIMEOUT (an engine that reads a long body late would be cut; every wait has a limit already), dropping all idle connections at every timeout (handshakes are priced). Change: an answer left out closes the other idle connections to that back end or to the store, and the request's next send opens a new connection. The simulation learns to silence connections.

--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -80,6 +80,7 @@
     pub store: StoreStandIn,
     pub store_host: HostId,
     pub records: Vec<EngineStandIn>,
+    pub records_hosts: Vec<HostId>,
     pub prefill: Vec<EngineStandIn>,
     pub prefill_hosts: Vec<HostId>,
     pub decode: Vec<EngineStandIn>,
@@ -116,6 +117,7 @@
             store,
             store_host,
             records: Vec::new(),
+            records_hosts: Vec::new(),
             prefill: Vec::new(),
             prefill_hosts: Vec::new(),
             decode: Vec::new(),
@@ -127,8 +129,9 @@
             next_engine: 0,
         };
         for _ in 0..size.records {
-            let (engine, _host) = fleet.add_engine(RECORDS, None);
+            let (engine, host) = fleet.add_engine(RECORDS, None);
             fleet.records.push(engine);
+            fleet.records_hosts.push(host);
         }
         for _ in 0..size.prefill {
             let (engine, host) = fleet.add_engine(MODELS, Some("prefill"));
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -37,6 +37,15 @@
     Exhausted,
 }
 
+/// Which connection an exchange takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// An idle one, if there is any.
+    Idle,
+    /// A new one: an answer was left out on one that had been idle.
+    Never,
+}
+
 /// How an exchange failed.
 #[derive(Debug)]
 pub enum ExchangeError {
@@ -97,8 +106,12 @@
         self: &Arc<Self>,
         address: SocketAddr,
         most: u32,
+        reuse: Reuse,
         request: Request<Body>,
     ) -> Result<Reply, ExchangeError> {
+        if reuse == Reuse::Never {
+            self.distrust_idle(address);
+        }
         let mut request = request;
         loop {
             let reused = self.take_idle(address);
@@ -143,7 +156,10 @@
         limit: Duration,
     ) -> Option<Response<Bytes>> {
         let exchange = async {
-            let reply = self.exchange(address, most, request).await.ok()?;
+            let reply = self
+                .exchange(address, most, Reuse::Idle, request)
+                .await
+                .ok()?;
             let (head, incoming) = reply.response.into_parts();
             let bytes = body::read_all(incoming, LARGEST_CALL_ANSWER, limit)
                 .await
@@ -151,7 +167,11 @@
             reply.connection.give_back(&head.headers);
             Some(Response::from_parts(head, bytes))
         };
-        tokio::time::timeout(limit, exchange).await.ok()?
+        let answer = tokio::time::timeout(limit, exchange).await;
+        if answer.is_err() {
+            self.distrust_idle(address);
+        }
+        answer.ok()?
     }
 
     fn take_idle(self: &Arc<Self>, address: SocketAddr) -> Option<Connection> {
@@ -223,6 +243,16 @@
         });
     }
 
+    /// Closes the idle connections to a back end that left an answer out. Connections may have gone silent for good without
+    /// a reset, all at once, while new ones work: each one tried would cost a request its time.
+    pub fn distrust_idle(&self, address: SocketAddr) {
+        if let Some(pool) = self.lock().get_mut(&address) {
+            let closed = u32::try_from(pool.idle.len()).unwrap_or(u32::MAX);
+            pool.idle.clear();
+            pool.open = pool.open.saturating_sub(closed);
+        }
+    }
+
     /// Connections that are open, idle ones among them.
     #[must_use]
     pub fn open_count(&self) -> u32 {
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -13,7 +13,7 @@
 use super::Pipeline;
 use super::job::Job;
 use super::wait_policy::WaitPolicy;
-use crate::connections::{ExchangeError, NotSent, Reply};
+use crate::connections::{ExchangeError, NotSent, Reply, Reuse};
 use crate::dialect::{SendFacts, SendStep};
 use crate::follow::now;
 use crate::request_trace::{Step, milliseconds};
@@ -106,7 +106,14 @@
         let most = self.connection_share(job.service.maximum_connections);
         let begun = now();
         self.placement().link.sends(job.body.len(), begun);
-        let exchange = self.connections.exchange(back_end.address, most, request);
+        let reuse = if job.met_silence {
+            Reuse::Never
+        } else {
+            Reuse::Idle
+        };
+        let exchange = self
+            .connections
+            .exchange(back_end.address, most, reuse, request);
         let answer = self
             .wait_for(
                 exchange,
@@ -116,7 +123,10 @@
             )
             .await;
         let judged = match answer {
-            Err(wait_end) => Judged::new(HeadEnd::Unsure(wait_end.name()), wait_end.outcome()),
+            Err(wait_end) => {
+                job.met_silence = true;
+                Judged::new(HeadEnd::Unsure(wait_end.name()), wait_end.outcome())
+            }
             Ok(Err(error)) => judge_error(&error),
             Ok(Ok(reply)) => self.judge(job, order.step, reply),
         };
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -178,6 +178,7 @@
             longest_gap: Duration::ZERO,
             runs: 0,
             tried: Vec::new(),
+            met_silence: false,
             is_closed: false,
             pipeline: Arc::clone(self),
         })
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -54,6 +54,8 @@
     pub(super) runs: u32,
     /// Back ends that are not tried again.
     pub(super) tried: Vec<Arc<str>>,
+    /// Whether a back end left an answer out, maybe since the connection is silent.
+    pub(super) met_silence: bool,
     /// Whether its end has been told.
     pub(super) is_closed: bool,
     pub(super) pipeline: Arc<Pipeline>,
--- a/crates/serving/src/pipeline/wait_policy.rs
+++ b/crates/serving/src/pipeline/wait_policy.rs
@@ -113,6 +113,7 @@
                 () = sleep => {}
             }
             if !asks {
+                self.connections.distrust_idle(back_end.address);
                 return Err(if time < LEAST_SILENCE {
                     WaitEnd::OutOfTime
                 } else if wait_policy.is_behind && self.lives_since(back_end, begun) {
@@ -131,6 +132,7 @@
                 answer = &mut answer => return Ok(answer),
                 is_well = self.is_well(back_end, health_path) => {
                     if !is_well {
+                        self.connections.distrust_idle(back_end.address);
                         return Err(WaitEnd::Unresponsive);
                     }
                 }
--- a/crates/simulation/src/network/connection.rs
+++ b/crates/simulation/src/network/connection.rs
@@ -80,6 +80,8 @@
     pub(super) end_sent: bool,
     /// Why the connection is unusable.
     pub(super) failure: Option<io::ErrorKind>,
+    /// Nothing arrives any more, and nobody is told.
+    pub(super) is_silent: bool,
     /// Bytes sent and not yet read by the other side.
     pub(super) outstanding: usize,
     /// Acknowledgements that a cut link holds back.
@@ -112,6 +114,7 @@
             end_received: false,
             end_sent: false,
             failure: None,
+            is_silent: false,
             outstanding: 0,
             held_credit: 0,
             stall: None,
--- a/crates/simulation/src/network/delivery.rs
+++ b/crates/simulation/src/network/delivery.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 
+use crate::host::HostId;
 use crate::network::Event;
 use crate::network::connection::{Endpoint, EndpointId, Packet, Payload, Phase, Receiver};
 use crate::trace::TraceEvent;
@@ -33,12 +34,31 @@
             // The bytes arrive, their acknowledgement does not.
             self.stall_sender(packet.sender);
         }
+        if self.is_silent(packet.receiver) {
+            return;
+        }
         match packet.receiver {
             Receiver::Listener { from, to } => self.open_arrives(&packet, from, to),
             Receiver::Endpoint(receiver) => self.endpoint_receives(receiver, packet),
         }
     }
 
+    /// Open connections between two hosts carry nothing from now on, without a reset; new ones work.
+    pub(crate) fn silence_connections(&mut self, first: HostId, second: HostId) {
+        for endpoint in self.connections.endpoints.values_mut() {
+            let ends = (endpoint.host, endpoint.remote_host);
+            endpoint.is_silent |= ends == (first, second) || ends == (second, first);
+        }
+    }
+
+    fn is_silent(&self, receiver: Receiver) -> bool {
+        let Receiver::Endpoint(id) = receiver else {
+            return false;
+        };
+        let endpoint = self.connections.endpoints.get(&id);
+        endpoint.is_some_and(|endpoint| endpoint.is_silent)
+    }
+
     fn open_arrives(&mut self, packet: &Packet, from: SocketAddr, to: SocketAddr) {
         let has_room = |backlog: usize| backlog < ACCEPT_BACKLOG;
         let listener = self.connections.listeners.get(&to);
