Capacity: engines are ordered by load, kind and zone; spot engines with a zone to spare

Two ways: as it stood (71 on-demand), and planned: spot engines such that what is left without those of any one zone carries the load, where that costs less than on-demand ones. Change: fleet::capacity plans a desired state from the highest load of 15 boot times (or from the operators' fleet, half as many again, before any load), raised at once, lowered after long; next_step keeps the bounds of a zone and what carries the load while kinds are replaced. serving::capacity orders what the directory does not show, as a task of the leader. Settings capacity.planned, .busy_share, .on_demand_share.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -1,5 +1,6 @@
 //! What the operators want: routes, services, tenants and limits, as one whole version.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -112,6 +113,23 @@
     pub maximum_connections: u32,
     /// What its engines can do; none for a plain service.
     pub engine: Option<EngineTraits>,
+    /// How many engines may be ordered; none where their number is fixed.
+    pub autoscaling: Option<Autoscaling>,
+}
+
+/// Bounds and prices of the engines of a service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Autoscaling {
+    /// Fewest engines of a zone, of all contracts together.
+    pub minimum: u32,
+    /// Most engines of a zone, of all contracts together.
+    pub maximum: u32,
+    /// Time from the order of an engine until it serves.
+    pub boot: Duration,
+    /// Price of a spot engine as a part of an on-demand one's; none where there are none.
+    pub spot_price: Option<f64>,
+    /// Relative prices of the zones in which the service may run.
+    pub zone_prices: BTreeMap<Arc<str>, f64>,
 }
 
 /// What the model engines of a service can do.
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -6,6 +6,7 @@
 
 use indexmap::IndexMap;
 
+use crate::capacity::Contract;
 use crate::configuration::Stage;
 
 /// How long a back end whose entry vanished while the store was in doubt may still be used. Back ends that are well write
@@ -85,6 +86,8 @@
     pub stage: Option<Stage>,
     /// Its slow start; none where it is warm.
     pub cold_start: Option<ColdStart>,
+    /// How long it stays.
+    pub contract: Contract,
 }
 
 #[derive(Debug)]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,10 +4,11 @@
 //! operators want, [`directory`] what back ends say of themselves, [`health`] what requests found out,
 //! [`placement`] chooses, [`budget`] bounds repeats, [`events`] cuts streams into whole events,
 //! [`stages`] plans which engines read prompts, [`tenants`] tells whose request it is, [`usage`] counts them,
-//! [`leadership`] tells when the leader may act, [`true_time`] what time it is, [`topology`] which daemons talk to each
+//! [`capacity`] plans how many engines there are, [`leadership`] tells when the leader may act, [`true_time`] what time it is, [`topology`] which daemons talk to each
 //! other.
 
 pub mod budget;
+pub mod capacity;
 pub mod configuration;
 pub mod directory;
 pub mod events;
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use ponddrift_fleet::budget::{BudgetSettings, RetryBudget};
+use ponddrift_fleet::capacity::Contract;
 use ponddrift_fleet::directory::{BackEnd, ColdStart, DOUBT_GRACE, Directory, Lifecycle};
 use ponddrift_fleet::events::{EventError, EventSplitter, MAXIMUM_EVENT_BYTES};
 use ponddrift_fleet::health::{FIRST_EJECTION, Health, LONGEST_EJECTION, Outcome};
@@ -19,6 +20,7 @@
         lifecycle,
         stage: None,
         cold_start: None,
+        contract: Contract::OnDemand,
     }
 }
 
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use ponddrift_fleet::capacity::Contract;
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::{BackEnd, Lifecycle};
 
@@ -26,5 +27,6 @@
         lifecycle: Lifecycle::Ready,
         stage: Some(stage),
         cold_start: None,
+        contract: Contract::OnDemand,
     })
 }
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -10,17 +10,19 @@
 use ponddrift_http::Server;
 use ponddrift_platform_adapter::{PlatformDialect, PlatformProvider, PlatformStore};
 use ponddrift_runtime::Runtime;
+use ponddrift_serving::capacity::CapacityParts;
 use ponddrift_serving::dialect::Dialect;
 use ponddrift_serving::fleet_state::{FleetState, daemon_identity};
 use ponddrift_serving::follow::Following;
-use ponddrift_serving::leader::LeaderSettings;
+use ponddrift_serving::leader::{LeaderSettings, Leadership};
 use ponddrift_serving::metrics::{GaugeValues, Metrics};
 use ponddrift_serving::peers::PeerSettings;
 use ponddrift_serving::pipeline::{Pipeline, PipelineSettings};
+use ponddrift_serving::provider::Provider;
 use ponddrift_serving::store::FleetStore;
 use ponddrift_serving::usage::UsageRecorder;
 use ponddrift_serving::usage::report::{self, ReportSettings, Reporting};
-use ponddrift_serving::{follow, front, leader, orders, peers};
+use ponddrift_serving::{capacity, follow, front, leader, orders, peers};
 use tokio::time::Instant;
 
 use crate::process;
@@ -114,7 +116,7 @@
             holder: Arc::clone(&settings.name),
             lease: settings.leader_lease,
             fencing: settings.fencing,
-            leads_without_engines: settings.usage.is_some(),
+            leads_without_engines: settings.usage.is_some() || settings.capacity.is_some(),
         };
         let leadership = leader::start(runtime, leader_settings, &store, &state, &pipeline);
         orders::start(
@@ -125,20 +127,18 @@
             &state,
             &pipeline,
         );
-        if let (Some(usage), Some(recorder)) = (settings.usage, recorder) {
-            let report_settings = ReportSettings {
-                holder: Arc::clone(&settings.name),
-                due: usage.due,
-            };
-            let reporting = Reporting {
-                recorder,
+        if let Some(provider) = settings.provider {
+            let provider = PlatformProvider::new(runtime, provider);
+            let parts = Parts {
                 store,
                 state,
-                provider: Arc::new(PlatformProvider::new(runtime, usage.provider)),
-                leadership,
+                pipeline: Arc::clone(&pipeline),
                 metrics,
+                recorder,
+                leadership,
+                provider: Arc::new(provider),
             };
-            report::start(runtime, report_settings, reporting);
+            start_provider_tasks(runtime, &settings, &parts);
         }
         tracing::info!(
             daemon = &*settings.name,
@@ -152,6 +152,7 @@
             leader_lease_ms = u64::try_from(settings.leader_lease.as_millis()).unwrap_or(u64::MAX),
             fencing = ?settings.fencing,
             usage = ?settings.usage,
+            capacity = ?settings.capacity,
             stop_limit_ms = u64::try_from(settings.stop.limit.as_millis()).unwrap_or(u64::MAX),
             "started"
         );
@@ -223,6 +224,46 @@
     }
 }
 
+/// What the tasks are made of that speak with the provider.
+struct Parts {
+    store: Arc<dyn FleetStore>,
+    state: Arc<FleetState>,
+    pipeline: Arc<Pipeline>,
+    metrics: Arc<Metrics>,
+    recorder: Option<Arc<UsageRecorder>>,
+    leadership: Leadership,
+    provider: Arc<dyn Provider>,
+}
+
+fn start_provider_tasks(runtime: &Runtime, settings: &Settings, parts: &Parts) {
+    if let (Some(usage), Some(recorder)) = (settings.usage, &parts.recorder) {
+        let report_settings = ReportSettings {
+            holder: Arc::clone(&settings.name),
+            due: usage.due,
+        };
+        let reporting = Reporting {
+            recorder: Arc::clone(recorder),
+            store: Arc::clone(&parts.store),
+            state: Arc::clone(&parts.state),
+            provider: Arc::clone(&parts.provider),
+            leadership: parts.leadership.clone(),
+            metrics: Arc::clone(&parts.metrics),
+        };
+        report::start(runtime, report_settings, reporting);
+    }
+    if let Some(capacity_settings) = settings.capacity {
+        let capacity_parts = CapacityParts {
+            holder: Arc::clone(&settings.name),
+            settings: capacity_settings,
+            state: Arc::clone(&parts.state),
+            pipeline: Arc::clone(&parts.pipeline),
+            provider: Arc::clone(&parts.provider),
+            leadership: parts.leadership.clone(),
+        };
+        capacity::start(runtime, capacity_parts);
+    }
+}
+
 /// Figures at a place of their own. They are at the readiness address too, so that a place that is taken is no reason
 /// not to serve.
 async fn serve_metrics(
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -7,6 +7,7 @@
 
 use eyre::{Context, Result};
 use ponddrift_fleet::budget::BudgetSettings;
+use ponddrift_fleet::capacity::CapacitySettings;
 use ponddrift_fleet::leadership::Fencing;
 use ponddrift_serving::pipeline::IntakeBounds;
 use ponddrift_settings::{Fault, Faults, Reader};
@@ -15,6 +16,10 @@
 /// Environment variable that names the settings file.
 pub const PATH_VARIABLE: &str = "PONDDRIFT_NODE_FILE";
 
+/// Among the provider's calls, usage reports.
+const USAGE_REPORT: &str = "usage_report";
+/// Among the provider's calls, orders of engines.
+const AUTOSCALE: &str = "autoscale";
 const HOUR_MS: u64 = 3_600_000;
 /// A planned stop ends this long before whoever asked for it ends the process.
 const GRACE_MARGIN: Duration = Duration::from_millis(700);
@@ -50,8 +55,12 @@
     pub leader_lease: Duration,
     /// Whether receivers of the leader's calls check fencing tokens.
     pub fencing: Fencing,
-    /// Who takes usage reports; none where nobody does.
+    /// The provider's API; none where there is none.
+    pub provider: Option<SocketAddr>,
+    /// Usage reports; none where nobody takes them.
     pub usage: Option<UsageSettings>,
+    /// How the number of engines is planned; none where nobody takes orders, or operators do it themselves.
+    pub capacity: Option<CapacitySettings>,
     /// A planned stop.
     pub stop: StopSettings,
     /// Filter of the log.
@@ -63,8 +72,6 @@
 /// Usage reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct UsageSettings {
-    /// The provider's API.
-    pub provider: SocketAddr,
     /// Length of a reporting window.
     pub window: Duration,
     /// A report is due so long after its window ends.
@@ -133,7 +140,20 @@
     };
     let leader_lease = reader.milliseconds("leader.lease_ms", 3_000, 1_000..=HOUR_MS);
     let fencing = fencing(&mut reader);
-    let usage = usage_settings(&mut reader);
+    let provider = reader
+        .has("provider.address")
+        .then(|| address(&mut reader, "provider.address"))
+        .flatten();
+    let calls = reader
+        .parsed(
+            "provider.calls",
+            Some(String::new()),
+            "names, parted by commas",
+        )
+        .unwrap_or_default();
+    let takes = |call| provider.is_some() && calls.split(',').any(|name| name.trim() == call);
+    let usage = usage_settings(&mut reader, takes(USAGE_REPORT));
+    let capacity = capacity_settings(&mut reader, takes(AUTOSCALE));
     let stop = stop_settings(&mut reader);
     let log_filter = reader
         .parsed(
@@ -159,7 +179,9 @@
         bounds,
         leader_lease,
         fencing,
+        provider,
         usage,
+        capacity,
         stop,
         log_filter,
         log_lines_waiting,
@@ -195,30 +217,25 @@
     }
 }
 
-/// Usage is reported where the provider asks for it, among the calls that it takes.
-fn usage_settings(reader: &mut Reader) -> Option<UsageSettings> {
-    /// Among the provider's calls, usage reports.
-    const USAGE_REPORT: &str = "usage_report";
+fn usage_settings(reader: &mut Reader, is_taken: bool) -> Option<UsageSettings> {
     let window = reader.fraction("usage.window_s", 60.0, 1.0..=86_400.0);
     let due = reader.fraction("usage.due_s", 60.0, 1.0..=86_400.0);
-    if !reader.has("provider.address") {
-        return None;
-    }
-    let provider = address(reader, "provider.address")?;
-    let calls = reader.parsed(
-        "provider.calls",
-        Some(String::new()),
-        "names, parted by commas",
-    );
-    let takes_usage =
-        calls.is_some_and(|calls| calls.split(',').any(|call| call.trim() == USAGE_REPORT));
-    takes_usage.then(|| UsageSettings {
-        provider,
+    is_taken.then(|| UsageSettings {
         window: Duration::from_secs_f64(window),
         due: Duration::from_secs_f64(due),
     })
 }
 
+fn capacity_settings(reader: &mut Reader, is_taken: bool) -> Option<CapacitySettings> {
+    let is_planned = reader.flag("capacity.planned", true);
+    let busy_share = reader.fraction("capacity.busy_share", 0.35, 0.05..=0.95);
+    let on_demand_share = reader.fraction("capacity.on_demand_share", 0.0, 0.0..=1.0);
+    (is_taken && is_planned).then_some(CapacitySettings {
+        busy_share,
+        on_demand_share,
+    })
+}
+
 fn stop_settings(reader: &mut Reader) -> StopSettings {
     let notice = reader.milliseconds("stop.notice_ms", 2_300, 0..=HOUR_MS);
     let accept = reader.milliseconds("stop.accept_ms", 3_000, 0..=HOUR_MS);
--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -87,7 +87,9 @@
     assert!(settings.stop.limit.as_secs_f64() < 8.0, "inside the grace");
     assert_eq!(settings.fencing, Fencing::Checked);
     let usage = settings.usage.expect("usage is reported");
-    assert_eq!(usage.provider.to_string(), "10.200.0.175:8763");
+    let provider = settings.provider.expect("an address");
+    assert_eq!(provider.to_string(), "10.200.0.175:8763");
+    assert!(settings.capacity.is_some(), "engines are ordered");
     assert_eq!((usage.window.as_secs(), usage.due.as_secs()), (5, 10));
 }
 
@@ -95,6 +97,10 @@
 fn usage_is_reported_only_where_the_provider_takes_it() {
     let text = filled().replace("usage_report,autoscale", "autoscale");
     assert_eq!(check(&text).expect("in order").usage, None);
+    let text = filled().replace("usage_report,autoscale", "usage_report");
+    assert_eq!(check(&text).expect("in order").capacity, None);
+    let text = filled() + "\n[capacity]\nplanned = false\n";
+    assert_eq!(check(&text).expect("in order").capacity, None);
     let text = filled().replace("usage_report,autoscale", "autoscale, usage_report");
     assert!(check(&text).expect("in order").usage.is_some());
     let text = filled().replace("fencing_checked = true", "fencing_checked = \"yes\"");
@@ -141,5 +147,5 @@
     let settings = check(&text).expect("in order");
     assert!((settings.budget.slack - 10.0).abs() < f64::EPSILON);
     assert_eq!(settings.fencing, Fencing::Ignored, "the platform says so");
-    assert_eq!(settings.usage, None);
+    assert_eq!((settings.usage, settings.capacity), (None, None));
 }
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -117,6 +117,7 @@
     repeats: Family<RepeatLabels, Counter>,
     orders: Family<ResultLabels, Counter>,
     usage_reports: Family<ResultLabels, Counter>,
+    engines_ordered: Family<ResultLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
     prompt_tokens: Family<WayLabels, Counter<f64, std::sync::atomic::AtomicU64>>,
     fetches: Counter,
@@ -158,6 +159,7 @@
             attempts: made(r, "attempts", "Sends to back ends by purpose and end"),
             repeats: made(r, "repeats", "Sends beyond the first, granted or not"),
             orders: made(r, "orders", "Orders to engines by result"),
+            engines_ordered: made(r, "engines_ordered", "Orders of engines by result"),
             usage_reports: made(r, "usage_reports", "Reports of a window's usage by result"),
             store_calls: made(r, "store_calls", "Calls that follow the store, by result"),
             prompt_tokens: made(
@@ -258,6 +260,12 @@
         self.orders.get_or_create(&ResultLabels { result }).inc();
     }
 
+    pub(crate) fn engines_ordered(&self, result: &'static str) {
+        self.engines_ordered
+            .get_or_create(&ResultLabels { result })
+            .inc();
+    }
+
     pub(crate) fn usage_report(&self, result: &'static str) {
         self.usage_reports
             .get_or_create(&ResultLabels { result })
--- a/crates/serving/src/usage/report.rs
+++ b/crates/serving/src/usage/report.rs
@@ -20,7 +20,7 @@
 use crate::leader::Leadership;
 use crate::metrics::Metrics;
 use crate::peers;
-use crate::provider::{Caller, Provider, ProviderError};
+use crate::provider::{Caller, Provider, ProviderError, result_name};
 use crate::store::{FleetStore, StoreError};
 
 /// Time between two looks at what is to be done.
@@ -281,12 +281,7 @@
             error,
             "usage_reported"
         );
-        self.reporting.metrics.usage_report(match &ended {
-            Ok(()) => "taken",
-            Err(ProviderError::Fenced) => "fenced",
-            Err(ProviderError::Refused(_)) => "refused",
-            Err(ProviderError::Silent(_)) => "silent",
-        });
+        self.reporting.metrics.usage_report(result_name(&ended));
         match ended {
             Ok(()) => return StepEnd::Reported,
             Err(ProviderError::Fenced) => self.reporting.leadership.was_fenced_off(fencing_token),
