A fleet's first leader acts at once

Cause: a new leader waits a lease time since its process started, since another process of its machine may have led; on the very first start of a fleet none can have. On the shifted deployment 71 on-demand engines were paid for 3.6 s longer. Change: daemon.first_start, filled from the platform's bootstrap; the guard stays for every later start.

--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -116,6 +116,7 @@
             holder: Arc::clone(&settings.name),
             lease: settings.leader_lease,
             fencing: settings.fencing,
+            is_first_start: settings.is_first_start,
             leads_without_engines: settings.usage.is_some() || settings.capacity.is_some(),
         };
         let leadership = leader::start(runtime, leader_settings, &store, &state, &pipeline);
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -31,6 +31,8 @@
     pub name: Arc<str>,
     /// Zone.
     pub zone: Arc<str>,
+    /// Whether no daemon of this fleet has run before.
+    pub is_first_start: bool,
     /// Where callers connect.
     pub callers: SocketAddr,
     /// Where readiness is asked for, and figures.
@@ -119,6 +121,7 @@
         "a name that no other daemon has",
     );
     let zone = text_of(&mut reader, "daemon.zone", "the zone's name");
+    let is_first_start = reader.flag("daemon.first_start", false);
     let callers = address(&mut reader, "listen.callers").unwrap_or(nowhere);
     let readiness = address(&mut reader, "listen.readiness").unwrap_or(nowhere);
     let peers = address(&mut reader, "listen.peers").unwrap_or(nowhere);
@@ -167,6 +170,7 @@
     Ok(Settings {
         name: Arc::from(name),
         zone: Arc::from(zone),
+        is_first_start,
         callers,
         readiness,
         metrics,
--- a/crates/serving/src/leader.rs
+++ b/crates/serving/src/leader.rs
@@ -38,6 +38,8 @@
     pub lease: Duration,
     /// Whether receivers of the leader's calls check fencing tokens.
     pub fencing: Fencing,
+    /// Whether no daemon of this fleet has run before, so that none can have led.
+    pub is_first_start: bool,
     /// Whether there is anything to lead where no model engines are.
     pub leads_without_engines: bool,
 }
@@ -104,7 +106,7 @@
 ) -> Leadership {
     let (published, tenure) = watch::channel(None);
     let shared = Arc::new(Shared {
-        last_call: Mutex::new(now()),
+        last_call: Mutex::new(earliest_last_call(&settings)),
         fenced_off: Notify::new(),
     });
     let candidate = Candidate {
@@ -120,6 +122,17 @@
     Leadership { shared, tenure }
 }
 
+/// When another process of this machine may have made a call as the leader.
+fn earliest_last_call(settings: &LeaderSettings) -> Instant {
+    let now = now();
+    if !settings.is_first_start {
+        return now;
+    }
+    let lease_ago = now.checked_sub(settings.lease + CALL_LIMIT);
+    // A machine that has not been up for that long has not led either.
+    lease_ago.unwrap_or(now)
+}
+
 struct Candidate {
     settings: LeaderSettings,
     store: Arc<dyn FleetStore>,
