--- a/crates/serve/tests/orders.rs
+++ b/crates/serve/tests/orders.rs
@@ -18,6 +18,7 @@
     decode: 6,
     zones: 1,
     reports_usage: false,
+    orders_engines: false,
 };
 
 /// Long prompts for `time`: prefill engines have much to do, decode engines little.
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -37,6 +37,8 @@
     pub zones: u8,
     /// Whether usage is reported.
     pub reports_usage: bool,
+    /// Whether engines are ordered.
+    pub orders_engines: bool,
 }
 
 impl Default for Size {
@@ -48,6 +50,7 @@
             decode: 2,
             zones: 1,
             reports_usage: false,
+            orders_engines: false,
         }
     }
 }
@@ -145,7 +148,7 @@
         }
         for number in 0..size.daemons {
             let zone = char::from(b'a' + number % size.zones);
-            let settings = daemon_settings(number + 1, zone, size.reports_usage);
+            let settings = daemon_settings(number + 1, zone, size);
             fleet.add_daemon(number + 1, settings);
         }
         fleet.wait(Duration::from_millis(200));
@@ -157,6 +160,17 @@
         &mut self,
         service: &str,
         stage: Option<&'static str>,
+    ) -> (EngineStandIn, HostId) {
+        self.add_engine_in("a", service, stage, false)
+    }
+
+    /// The same in another zone, or one that may be taken away.
+    pub fn add_engine_in(
+        &mut self,
+        zone: &str,
+        service: &str,
+        stage: Option<&'static str>,
+        spot: bool,
     ) -> (EngineStandIn, HostId) {
         self.next_engine += 1;
         let ip = [10, 0, 1, self.next_engine];
@@ -164,9 +178,10 @@
             id: format!("i-{}", self.next_engine),
             service: service.to_owned(),
             address: SocketAddr::from((ip, 8080)),
-            zone: String::from("a"),
+            zone: zone.to_owned(),
             stage,
             run_time: Duration::from_millis(20),
+            spot,
         });
         engine.record(&self.store, "ready");
         let served = engine.clone();
@@ -247,7 +262,7 @@
     })
 }
 
-fn daemon_settings(number: u8, zone: char, reports_usage: bool) -> Settings {
+fn daemon_settings(number: u8, zone: char, size: Size) -> Settings {
     let mut text = format!(
         "[daemon]\nname = \"daemon-{number}\"\nzone = \"{zone}\"\n\
          [listen]\ncallers = \"10.0.2.{number}:8144\"\nreadiness = \"10.0.2.{number}:8140\"\n\
@@ -256,9 +271,17 @@
          [retry]\nbudget_ratio = 0.2\nbudget_slack = 20\n[stop]\ngrace_s = 8\n\
          [limits]\nrequests_in_progress = {MOST_IN_PROGRESS}\n"
     );
-    if reports_usage {
+    let calls: Vec<&str> = [
+        (size.reports_usage, "usage_report"),
+        (size.orders_engines, "autoscale"),
+    ]
+    .into_iter()
+    .filter_map(|(is_made, call)| is_made.then_some(call))
+    .collect();
+    if !calls.is_empty() {
+        let calls = calls.join(",");
         text += &format!(
-            "[provider]\naddress = \"{PROVIDER}\"\ncalls = \"usage_report\"\n\
+            "[provider]\naddress = \"{PROVIDER}\"\ncalls = \"{calls}\"\n\
              [usage]\nwindow_s = 5\ndue_s = 10\n"
         );
     }
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -80,6 +80,7 @@
             zone: String::from("a"),
             stage,
             run_time: RUN_TIME,
+            spot: false,
         });
         // The server lives as long as the process.
         std::mem::forget(engine.serve(&self.runtime).await?);
