Tenants share engines max-min fairly while not all can be in time

Cause: in an overload each request took its chance, so a tenant at ten times its share took ten times as much from the rest. Two ways: as it stood (whoever comes first), and max-min shares of the work that can be in time. Pure max-min was a third: a test of 74 skewed tenants left the large ones under a quarter of the rate of all, which the users' rules forbid. Ruled out on the way: measuring what fits without regard to who yields (it fits once the large ones yield, so they stop and it swings), refusing instead of standing behind (an idle fleet refuses no one). Change: fleet::placement::fairness; a request beyond its tenant's share is placed as a late one is, behind the others at its engine; half of the average is left to every tenant.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -3,6 +3,7 @@
 mod arrivals;
 mod confidence;
 mod costs;
+mod fairness;
 mod link;
 mod load;
 mod metering;
@@ -27,6 +28,7 @@
 pub use arrivals::Arrivals;
 pub use confidence::Confidence;
 use costs::{Choice, Estimate};
+pub use fairness::{FairShares, Offer};
 pub use link::OwnLink;
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
 pub use prefixes::{HeadState, HeadUse, LEAST_HEAD_TOKENS, PrefixMemory};
@@ -142,6 +144,8 @@
     pub streams: StreamTimes,
     /// How far expected times can be relied on.
     pub confidence: Confidence,
+    /// What tenants ask for.
+    pub fairness: FairShares,
     /// How often prompts come.
     pub arrivals: Arrivals,
     /// What this daemon's link takes.
@@ -172,6 +176,7 @@
             speed: SpeedTable::default(),
             streams: StreamTimes::default(),
             confidence: Confidence::default(),
+            fairness: FairShares::default(),
             arrivals: Arrivals::default(),
             link: OwnLink::default(),
             prefixes: PrefixMemory::default(),
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -8,8 +8,9 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::placement::{Placement, PromptPlan, PromptRequest, Urgency};
+use ponddrift_fleet::placement::{Offer, Placement, PromptPlan, PromptRequest, Urgency};
 use ponddrift_http::body::{self, Body};
+use rand::RngExt;
 
 use super::Pipeline;
 use super::answers::Failure;
@@ -222,10 +223,9 @@
         ready: &[Arc<BackEnd>],
         now: Instant,
     ) -> Option<PromptPlan> {
-        let mut random = self.random();
         let (Some(prompt), Some(traits)) = (&job.facts.prompt, &job.service.engine) else {
             return placement
-                .choose_plain(ready, &job.tried, now, &mut *random)
+                .choose_plain(ready, &job.tried, now, &mut *self.random())
                 .map(PromptPlan::unknown);
         };
         placement.prefixes.set_capacity(traits.cache_tokens);
@@ -237,15 +237,44 @@
             urgency: Urgency::InTime,
             body_bytes: job.body.len(),
         };
-        let plan = placement.plan_prompt(ready, &job.tried, &request, now, &mut *random)?;
+        let plan = placement.plan_prompt(ready, &job.tried, &request, now, &mut *self.random())?;
         let share = placement.confidence.share(&job.service.name);
-        if now + plan.expected() <= job.arrived + job.route.target_latency.mul_f64(share) {
+        let can_be_in_time =
+            now + plan.expected() <= job.arrived + job.route.target_latency.mul_f64(share);
+        job.yields = self.yields_to_other_tenants(placement, job, &plan, can_be_in_time, now);
+        if can_be_in_time && !job.yields {
             job.urgency = Urgency::InTime;
             return Some(plan);
         }
         request.urgency = Urgency::Late;
         job.urgency = Urgency::Late;
-        placement.plan_prompt(ready, &job.tried, &request, now, &mut *random)
+        placement.plan_prompt(ready, &job.tried, &request, now, &mut *self.random())
+    }
+
+    /// Whether the request is beyond its tenant's fair share, while not all can be served in time.
+    fn yields_to_other_tenants(
+        &self,
+        placement: &mut Placement,
+        job: &Job,
+        plan: &PromptPlan,
+        can_be_in_time: bool,
+        now: Instant,
+    ) -> bool {
+        let Some(tenant) = &job.tenant else {
+            return false;
+        };
+        let is_first_plan = job.expected_ms.is_none();
+        if !is_first_plan {
+            return job.yields;
+        }
+        let offer = Offer {
+            service: &job.service.name,
+            tenant: &tenant.name,
+            work: plan.tokens_to_read,
+            can_be_in_time,
+        };
+        let draw = self.random().random_range(0.0..1.0);
+        placement.fairness.yields(offer, draw, now)
     }
 
     async fn stream_attempt(
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -44,6 +44,8 @@
     pub(super) prefills: u32,
     /// Whether it can be answered in its time in target, as far as the last plan tells.
     pub(super) urgency: Urgency,
+    /// Whether it stands behind other tenants' requests, since its own tenant asks for more than its fair share.
+    pub(super) yields: bool,
     /// Time to the first event that the first plan expected, in milliseconds.
     pub(super) expected_ms: Option<f64>,
     /// When the first event came.
