A tenant's own rank goes before its route's

Cause: tenants bear a priority, which goes before the route's; prefill engines ranked by the route alone. Change: Job::priority, used for the rank at the engine and in the request's line. Tests: serve tenants (1 new), all passed.

--- a/crates/serve/tests/tenants.rs
+++ b/crates/serve/tests/tenants.rs
@@ -205,3 +205,20 @@
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(runs(&fleet).is_empty());
 }
+
+/// The prompt's reader ranks requests; a tenant's own rank goes before its route's.
+#[test]
+fn a_tenants_rank_goes_before_that_of_the_route() {
+    let mut fleet = fleet_of(Size::default(), &[ALICE, BOB]);
+    for (id, key) in [("1", "key-of-alice"), ("2", "key-of-bob")] {
+        let request = ClientRequest::prompt(id, "verdict", 4_000, 800).with_key(key);
+        assert_eq!(ask(&mut fleet, &request).status, StatusCode::OK);
+    }
+    let rank = |request: &str| {
+        let runs = runs(&fleet).into_iter();
+        let mut reads = runs.filter(|run| run.is_prefill && run.request == request);
+        reads.next().expect("read apart").priority
+    };
+    assert_eq!(rank("1"), Some(1), "of the route");
+    assert_eq!(rank("2"), Some(0), "of the tenant");
+}
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -95,7 +95,7 @@
             back_end: &back_end.id,
             time_left: job.time_left(),
             tenant: job.tenant.as_ref().map(|tenant| &*tenant.name),
-            priority: rank_at(order.step, job.route.priority, job.urgency),
+            priority: rank_at(order.step, job.priority(), job.urgency),
             step: order.step,
             resume_after: order.resume_after,
             fetch_from: order.fetch_from,
@@ -290,13 +290,13 @@
 
 /// Rank of a request at its engine. Where it generates, all have the same: one that a more urgent one displaces there
 /// is read anew, in the time of everybody on that engine.
-fn rank_at(step: SendStep<'_>, route_priority: u8, urgency: Urgency) -> u8 {
+fn rank_at(step: SendStep<'_>, priority: u8, urgency: Urgency) -> u8 {
     let behind = match urgency {
         Urgency::InTime => 0,
         Urgency::Late => LATE_RANKS,
     };
     match step {
-        SendStep::Prefill => route_priority.saturating_add(behind),
+        SendStep::Prefill => priority.saturating_add(behind),
         SendStep::Serve => GENERATING_RANK + behind,
         SendStep::Continue { .. } => GENERATING_RANK,
     }
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -49,7 +49,7 @@
             tenant = $job.tenant.as_ref().map(|tenant| &*tenant.name),
             revision = $job.revision,
             kind = $job.route.kind.as_str(),
-            priority = $job.route.priority,
+            priority = $job.priority(),
             status = $end.status,
             outcome = $end.outcome,
             in_time = $end.in_time,
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -89,6 +89,12 @@
         until_stalled.min(self.time_left())
     }
 
+    /// Rank of the request; 0 is the most urgent. A tenant's own rank goes before that of the route.
+    pub(super) fn priority(&self) -> u8 {
+        let of_tenant = self.tenant.as_ref().and_then(|tenant| tenant.priority);
+        of_tenant.unwrap_or(self.route.priority)
+    }
+
     /// What the request asks of its answer.
     pub(super) fn aims(&self) -> Aims {
         Aims {
