A store that is away is asked less by daemons whose neighbours follow it

Cause: calls are paid for while the store is away too; every daemon asked each 0.8 s, though two of each neighbourhood would tell the others within a quarter of a second of its return. Ruled out: 2.5 s between calls (with its spread 3.5 s: beyond the 2 s in which small deployments want a change in force). Change: 1.4 s for those that do not follow for others; hearing a follower that the store answered ends the pause.

--- a/crates/serve/tests/neighbours.rs
+++ b/crates/serve/tests/neighbours.rs
@@ -53,6 +53,23 @@
     assert!(calls <= most, "{calls} calls in 30 s, {most} at most");
 }
 
+#[test]
+fn a_store_that_is_away_is_asked_seldom_by_those_whose_neighbours_follow_it() {
+    let mut fleet = of_daemons(8, 2);
+    fleet.store.set_mode(StoreMode::Busy);
+    fleet.wait(Duration::from_secs(5));
+    let before = fleet.store.calls();
+    fleet.wait(Duration::from_secs(20));
+    let calls = fleet.store.calls() - before;
+    // Two followers ask each 0.8 s, six others each 1.4 s; all try to renew their leases every three seconds.
+    let most = 2 * 26 + 6 * 15 + 8 * 7 + 30;
+    assert!(calls <= most, "{calls} calls in 20 s, {most} at most");
+    fleet.store.set_mode(StoreMode::Up);
+    drop_the_route(&mut fleet);
+    fleet.wait(Duration::from_millis(2_500));
+    assert!(has_route(&mut fleet, "1").iter().all(|has| !has));
+}
+
 #[test]
 fn a_change_reaches_those_that_do_not_follow_the_store_at_once() {
     for (daemons, zones) in [(8, 2), (MANY, 3)] {
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -25,8 +25,11 @@
 const OWN_GATHERING: Duration = Duration::from_millis(150);
 /// Pauses after a failed call grow from here,
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
-/// to here.
+/// to here,
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// and to here where neighbours follow the store: they tell when it answers again, and calls to a store that is away are
+/// paid for too.
+const LONGEST_PAUSE_BEHIND_FOLLOWERS: Duration = Duration::from_millis(1_400);
 /// Life of the lease under which a daemon's key stands.
 const DAEMON_LEASE: Duration = Duration::from_secs(10);
 /// Time between two renewals.
@@ -40,6 +43,8 @@
     last_answer: Mutex<Option<Instant>>,
     /// Wakes a daemon that relies on its neighbours when it no longer can.
     disappointed: Notify,
+    /// Wakes a daemon that waits to ask the store again when a neighbour has heard from it.
+    relieved: Notify,
     untold: mpsc::Sender<Changes>,
 }
 
@@ -52,6 +57,7 @@
             followers: Mutex::default(),
             last_answer: Mutex::default(),
             disappointed: Notify::new(),
+            relieved: Notify::new(),
             untold,
         };
         (Arc::new(following), told)
@@ -59,7 +65,11 @@
 
     /// A neighbour says how long ago the store answered it.
     pub fn heard(&self, peer: std::net::SocketAddr, store_silence: Duration) {
-        lock(&self.followers).hear(peer, store_silence, now());
+        let mut followers = lock(&self.followers);
+        followers.hear(peer, store_silence, now());
+        if followers.relied_on_until(now()).is_some() {
+            self.relieved.notify_waiters();
+        }
     }
 
     /// A neighbour did not hand on what it has.
@@ -168,14 +178,26 @@
                 Err(error) => {
                     self.following.note_answer(None);
                     self.state.store_failed(&error, now());
-                    let spread = self.random.random_range(0.6..1.4);
-                    tokio::time::sleep(self.pause.mul_f64(spread)).await;
-                    self.pause = (self.pause * 2).min(LONGEST_PAUSE);
+                    self.pause_after_failure().await;
                 }
             }
         }
     }
 
+    /// Waits, longer after each failure, or until neighbours can be relied on.
+    async fn pause_after_failure(&mut self) {
+        let spread = self.random.random_range(0.6..1.4);
+        let pause = self.pause.mul_f64(spread);
+        let longest = if self.state.topology().follows_store {
+            LONGEST_PAUSE
+        } else {
+            LONGEST_PAUSE_BEHIND_FOLLOWERS
+        };
+        self.pause = (self.pause * 2).min(longest);
+        // Either way it is looked at anew.
+        drop(tokio::time::timeout(pause, self.following.relieved.notified()).await);
+    }
+
     /// Tells when this daemon begins or ends to rely on its neighbours.
     fn note_way(&mut self, relies_on_neighbours: bool) {
         if self.relies_on_neighbours == relies_on_neighbours {
