--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -3,9 +3,9 @@
 //! Pure: everything takes the time as an argument, nothing does I/O. [`configuration`] is what the
 //! operators want, [`directory`] what back ends say of themselves, [`health`] what requests found out,
 //! [`placement`] chooses, [`budget`] bounds repeats, [`events`] cuts streams into whole events,
-//! [`stages`] plans which engines read prompts, [`tenants`] tells whose request it is, [`usage`] counts them,
-//! [`capacity`] plans how many engines there are, [`leadership`] tells when the leader may act, [`true_time`] what time it is, [`topology`] which daemons talk to each
-//! other.
+//! [`stages`] plans which engines read prompts, [`capacity`] how many engines there are, [`tenants`] resolves
+//! whose request it is, [`usage`] counts them, [`leadership`] decides when the leader may act, [`true_time`]
+//! agrees on the time of day, [`topology`] decides which daemons talk to each other.
 
 pub mod budget;
 pub mod capacity;
--- a/crates/fleet/src/tenants.rs
+++ b/crates/fleet/src/tenants.rs
@@ -62,7 +62,7 @@
 /// The tenants of one configuration, by key. A look-up costs the same for any number of keys.
 #[derive(Debug, Default)]
 pub struct TenantTable {
-    /// None for a key that several tenants claim: nobody can tell whose request it would be.
+    /// None for a key that several tenants claim: it cannot be decided whose request it would be.
     by_key: HashMap<ApiKey, Option<Arc<Tenant>>>,
 }
 
@@ -101,7 +101,7 @@
     /// The tenant that `credential` authenticates.
     ///
     /// # Errors
-    /// [`Unauthenticated`], the same for whatever is wrong, so that an answer tells nothing of which keys exist.
+    /// [`Unauthenticated`], the same for whatever is wrong, so that an answer does not reveal which keys exist.
     pub fn authenticate(&self, credential: &Credential) -> Result<&Arc<Tenant>, Unauthenticated> {
         let Credential::Key(key) = credential else {
             return Err(Unauthenticated);
--- a/crates/fleet/src/usage.rs
+++ b/crates/fleet/src/usage.rs
@@ -127,7 +127,7 @@
         self.windows.contains_key(&window)
     }
 
-    /// Whether some life of this daemon has told all that it counted in a window that has ended.
+    /// Whether the counts of some life of this daemon are complete: the window has ended there, and all of them are here.
     #[must_use]
     pub fn is_final(&self, window: WindowNumber, daemon: u64) -> bool {
         let mut lives = self.windows.get(&window).into_iter().flatten();
--- a/crates/fleet/tests/usage.rs
+++ b/crates/fleet/tests/usage.rs
@@ -132,9 +132,9 @@
     let noon = Duration::from_secs(1_767_225_600);
     let ahead = noon + Duration::from_secs(2);
     let mut time = TrueTime::default();
-    assert_eq!(time.now(ahead, start), ahead, "nobody else was heard");
+    assert_eq!(time.now(ahead, start), ahead, "there is no sample");
     for (source, shown) in [(1, noon), (2, noon), (3, ahead), (4, noon)] {
-        time.hear(source, shown, start);
+        time.observe(source, shown, start);
     }
     let later = start + Duration::from_millis(400);
     let expected = noon + Duration::from_millis(400);
@@ -148,8 +148,8 @@
 fn absurd_times_are_no_panic() {
     let mut time = TrueTime::default();
     let start = Instant::now();
-    time.hear(1, Duration::from_millis(u64::MAX), start);
-    time.hear(2, Duration::ZERO, start);
+    time.observe(1, Duration::from_millis(u64::MAX), start);
+    time.observe(2, Duration::ZERO, start);
     let shown = time.now(Duration::from_secs(5), start);
     assert_eq!(window_at(shown, LENGTH), 1);
     assert_eq!(
--- a/crates/runtime/src/clock.rs
+++ b/crates/runtime/src/clock.rs
@@ -5,7 +5,7 @@
 use ponddrift_core::Timestamp;
 use tokio::time::Instant;
 
-/// Tells the time since the process started, and the time of day.
+/// The time since the process started, and the time of day.
 pub trait Clock: Send + Sync + 'static {
     /// Time since the start. Never goes back.
     fn now(&self) -> Timestamp;
--- a/crates/serving/src/capacity.rs
+++ b/crates/serving/src/capacity.rs
@@ -23,7 +23,7 @@
 
 /// Time between two looks at the load.
 const STEP: Duration = Duration::from_millis(500);
-/// An order that the directory does not show so long after the boot time is given again: an engine's entry tells of a change
+/// An order that the directory does not show so long after the boot time is given again: an engine's entry shows a change
 /// up to a heartbeat later, and a drain takes a while.
 const OVERDUE: Duration = Duration::from_secs(4);
 /// An order that was refused or not answered is given again after this long.
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -27,8 +27,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// to here,
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
-/// and to here where neighbours follow the store: they tell when it answers again, and calls to a store that is away are
-/// paid for too.
+/// and to here where neighbours follow the store: they publish when it answers again, and calls to a store that is
+/// away are paid for too.
 const LONGEST_PAUSE_BEHIND_FOLLOWERS: Duration = Duration::from_millis(1_400);
 /// Life of the lease under which a daemon's key stands.
 const DAEMON_LEASE: Duration = Duration::from_secs(10);
@@ -43,7 +43,7 @@
     last_answer: Mutex<Option<Instant>>,
     /// Wakes a daemon that relies on its neighbours when it no longer can.
     disappointed: Notify,
-    /// Wakes a daemon that waits to ask the store again when a neighbour has heard from it.
+    /// Wakes a daemon that waits to ask the store again when a neighbour reports an answer of the store.
     relieved: Notify,
     untold: mpsc::Sender<Changes>,
 }
--- a/crates/serving/src/peers/hear.rs
+++ b/crates/serving/src/peers/hear.rs
@@ -52,7 +52,7 @@
         if let Some(recorder) = self.pipeline.usage()
             && let Some(own) = digest.reports.first()
         {
-            recorder.hear_time(own.origin, Duration::from_millis(digest.time_of_day_ms));
+            recorder.observe_time(own.origin, Duration::from_millis(digest.time_of_day_ms));
         }
         self.take_work(&digest, &known);
         if self.state.topology().of_zone.contains(&from) {
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -206,7 +206,7 @@
     }
 }
 
-/// The datagrams that together tell a tally. Parts can be merged in any order.
+/// A tally as datagrams. Parts can be merged in any order.
 pub(super) fn encode_usage(whole: &TallyOf) -> Vec<Vec<u8>> {
     let mut parts = vec![Tally::default()];
     let mut bytes = 0;
--- a/crates/serving/src/peers/tell.rs
+++ b/crates/serving/src/peers/tell.rs
@@ -167,10 +167,10 @@
             let topology = self.state.topology();
             if topology.usage_replicas != replicas {
                 replicas.clone_from(&topology.usage_replicas);
-                recorder.tell_again();
+                recorder.send_all_again();
             }
-            let untold = recorder.take_untold();
-            for bytes in untold.iter().flat_map(message::encode_usage) {
+            let unsent = recorder.take_unsent();
+            for bytes in unsent.iter().flat_map(message::encode_usage) {
                 self.send(Some(bytes), &replicas).await;
             }
         }
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -53,7 +53,7 @@
     pub budget: BudgetSettings,
     /// Bounds of what is taken in at a time.
     pub bounds: IntakeBounds,
-    /// Counts what tenants use; none where nobody is told.
+    /// Counts what tenants use; none where usage is not reported.
     pub usage: Option<Arc<UsageRecorder>>,
 }
 
@@ -159,7 +159,7 @@
         self.heads_changed.notify_waiters();
     }
 
-    /// Counts what tenants use; none where nobody is told.
+    /// Counts what tenants use; none where usage is not reported.
     #[must_use]
     pub const fn usage(&self) -> Option<&Arc<UsageRecorder>> {
         self.usage.as_ref()
--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -38,12 +38,12 @@
     ledger: UsageLedger,
     /// The window that is counted in; never goes back, so that a window once closed stays as it is.
     current: Option<WindowNumber>,
-    /// What replicas do not know yet.
-    untold: BTreeSet<(WindowNumber, Arc<str>)>,
+    /// What has not been sent to replicas yet.
+    unsent: BTreeSet<(WindowNumber, Arc<str>)>,
     closings: VecDeque<Closing>,
 }
 
-/// A window that has ended, and how often replicas are still to be told so.
+/// A window that has ended, and how often its tally is still to be sent to replicas.
 struct Closing {
     window: WindowNumber,
     sends_left: u32,
@@ -74,8 +74,8 @@
     }
 
     /// What another daemon's clock shows.
-    pub fn hear_time(&self, source: u64, shown: Duration) {
-        self.lock().time.hear(source, shown, now());
+    pub fn observe_time(&self, source: u64, shown: Duration) {
+        self.lock().time.observe(source, shown, now());
     }
 
     /// The time of day that most daemons agree on.
@@ -89,7 +89,7 @@
         let mut inner = self.lock();
         let window = self.roll(&mut inner);
         inner.ledger.count(self.life, window, tenant);
-        inner.untold.insert((window, Arc::clone(tenant)));
+        inner.unsent.insert((window, Arc::clone(tenant)));
     }
 
     /// Takes a copy, or a part of one, that another daemon sent. Copies of windows long past or far ahead are dropped.
@@ -133,9 +133,9 @@
         self.lock().ledger.totals(window)
     }
 
-    /// What replicas are to be told now.
+    /// What is to be sent to replicas now.
     #[must_use]
-    pub fn take_untold(&self) -> Vec<TallyOf> {
+    pub fn take_unsent(&self) -> Vec<TallyOf> {
         let mut inner = self.lock();
         let current = self.roll(&mut inner);
         inner.time.forget_old(now());
@@ -147,8 +147,8 @@
         closed.into_iter().chain(changed).collect()
     }
 
-    /// Replicas are others than before: they are told everything that is still kept.
-    pub fn tell_again(&self) {
+    /// The set of replicas has changed: everything that is still kept is sent once more.
+    pub fn send_all_again(&self) {
         let mut inner = self.lock();
         let current = self.roll(&mut inner);
         let own: Vec<TallyOf> = (current.saturating_sub(WINDOWS_KEPT)..=current)
@@ -162,7 +162,7 @@
             }
             let tenants = known.tally.counts.into_keys();
             let rows = tenants.map(|tenant| (known.window, tenant));
-            inner.untold.extend(rows);
+            inner.unsent.extend(rows);
         }
     }
 
@@ -211,17 +211,17 @@
             closing.sends_left = closing.sends_left.saturating_sub(1);
             let tallies = self.ledger.tallies(closing.window).into_iter();
             closed.extend(tallies.filter(|known| known.life == life));
-            self.untold
+            self.unsent
                 .retain(|(window, _tenant)| *window != closing.window);
         }
         self.closings.retain(|closing| closing.sends_left > 0);
         closed
     }
 
-    /// Counts that have grown since replicas were told.
+    /// Counts that have grown since they were sent to replicas.
     fn take_changed(&mut self, life: Life) -> Vec<TallyOf> {
         let mut by_window: BTreeMap<WindowNumber, TenantCounts> = BTreeMap::new();
-        for (window, tenant) in std::mem::take(&mut self.untold) {
+        for (window, tenant) in std::mem::take(&mut self.unsent) {
             if let Some(count) = self.ledger.count_of(life, window, &tenant) {
                 by_window.entry(window).or_default().insert(tenant, count);
             }
--- a/crates/serving/src/usage/report.rs
+++ b/crates/serving/src/usage/report.rs
@@ -25,7 +25,7 @@
 
 /// Time between two looks at what is to be done.
 const STEP: Duration = Duration::from_millis(200);
-/// Copies of a window are gathered so long after its end: by then each daemon has told twice that it has closed it.
+/// Copies of a window are gathered so long after its end: by then each daemon has sent its closed tally twice.
 const FIRST_GATHERING: Duration = Duration::from_millis(1_100);
 /// Time from the first to the second gathering, where something is missing; it doubles from one to the next.
 const GATHERING_PAUSE: Duration = Duration::from_millis(900);
@@ -231,7 +231,7 @@
                 Ok(copies) => copies
                     .iter()
                     .for_each(|copy| self.reporting.recorder.merge(copy)),
-                // Others keep the same copies; what nobody tells counts as missing.
+                // Others keep the same copies; what none of them has counts as missing.
                 Err(error) => tracing::info!(%keeper, window, %error, "usage_copies_not_fetched"),
             }
         }
--- a/crates/simulation/src/network/connection.rs
+++ b/crates/simulation/src/network/connection.rs
@@ -80,7 +80,7 @@
     pub(super) end_sent: bool,
     /// Why the connection is unusable.
     pub(super) failure: Option<io::ErrorKind>,
-    /// Nothing arrives any more, and nobody is told.
+    /// Nothing arrives any more, without a reset.
     pub(super) is_silent: bool,
     /// Bytes sent and not yet read by the other side.
     pub(super) outstanding: usize,
