A yielding request is placed like any other and ranks behind at its engine; a new leader gives nothing back at first

Cause, capacity: a daemon that had just started and led would plan from the part of the load that it had seen; found by reading, a test fails without. Change: its first observation counts at least what a fleet without one zone holds. Tests: fleet capacity (1 new), all of fleet and serve passed.

--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -117,9 +117,14 @@
         now: Instant,
     ) {
         let measured = work.filter(|work| work.total() > 0.0);
+        let is_first = self.recent.is_empty();
         let needed = match measured {
+            // A daemon that has just started knows a part of the load, and would give back what carries the rest.
+            Some(work) if is_first => {
+                needed_by(work, settings).max(left_without_a_zone(present, autoscaling))
+            }
             Some(work) => needed_by(work, settings),
-            None => needed_unknown(present, autoscaling, !self.recent.is_empty()),
+            None => needed_unknown(present, autoscaling, is_first),
         };
         self.recent.push_back((now, needed));
         let kept = autoscaling.boot * LOWER_AFTER_BOOTS;
@@ -160,24 +165,30 @@
 }
 
 /// Engines that a fleet of unknown load is taken to need. Once it holds spot engines it was planned before: what it keeps
-/// after the loss of a zone is what was needed then. A planner that ordered them itself (`was_estimated`) knows better.
-fn needed_unknown(present: &EngineCounts, autoscaling: &Autoscaling, was_estimated: bool) -> f64 {
-    let of = |contract| {
-        let counts = present
-            .iter()
-            .filter(|((_zone, kind), _count)| *kind == contract);
-        counts.map(|(_key, count)| f64::from(*count)).sum::<f64>()
-    };
-    let (on_demand, spot) = (of(Contract::OnDemand), of(Contract::Spot));
-    if spot < 1.0 {
-        return on_demand * PEAK_ROOM;
+/// after the loss of a zone is what was needed then. A planner that has estimated it before may have ordered them itself.
+fn needed_unknown(present: &EngineCounts, autoscaling: &Autoscaling, is_first: bool) -> f64 {
+    if total(present, Contract::Spot) < 1.0 {
+        return total(present, Contract::OnDemand) * PEAK_ROOM;
     }
-    if was_estimated {
-        return 0.0;
+    if is_first {
+        left_without_a_zone(present, autoscaling)
+    } else {
+        0.0
     }
-    let zones = count(zones(present, autoscaling).len());
-    let left = spot * (zones - 1.0) / zones + zones * f64::from(autoscaling.minimum);
-    left.max(on_demand)
+}
+
+/// Engines that are left without the spot engines of one zone.
+fn left_without_a_zone(present: &EngineCounts, autoscaling: &Autoscaling) -> f64 {
+    let zones = count(zones(present, autoscaling).len().max(1));
+    let spot = total(present, Contract::Spot);
+    total(present, Contract::OnDemand) + spot * (zones - 1.0) / zones
+}
+
+fn total(counts: &EngineCounts, contract: Contract) -> f64 {
+    let of_contract = counts
+        .iter()
+        .filter(|((_zone, kind), _count)| *kind == contract);
+    of_contract.map(|(_key, count)| f64::from(*count)).sum()
 }
 
 /// Zones in which the service may run.
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -154,6 +154,22 @@
     assert_eq!(again.desired, first.desired);
 }
 
+/// It knows a part of the load yet.
+#[test]
+fn a_daemon_that_has_just_started_gives_nothing_back_that_was_planned_before() {
+    let zones = ["a", "b", "c", "d"];
+    let autoscaling = autoscaling(&zones, Some(0.22));
+    let initial: Vec<_> = zones
+        .iter()
+        .map(|zone| (*zone, Contract::OnDemand, 10))
+        .collect();
+    let fleet = planned(None, &engines(&initial), &autoscaling).desired;
+    let after_restart = planned(reading(0.5), &fleet, &autoscaling);
+    assert_eq!(after_restart.desired, fleet);
+    let untouched = planned(reading(0.5), &engines(&initial), &autoscaling);
+    assert!(left(&untouched) >= 40, "{untouched:?}");
+}
+
 #[test]
 fn more_is_wanted_at_once_and_less_only_after_long() {
     let zones = ["a", "b", "c", "d"];
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -22,6 +22,9 @@
 const GENERATING_RANK: u8 = 0;
 /// Ranks by which a request that will be late stands behind those that can be in time.
 const LATE_RANKS: u8 = 5;
+/// Ranks by which a request beyond its tenant's fair share stands behind those of other tenants. It is placed as any other:
+/// where nobody else waits, it loses nothing.
+const YIELDING_RANKS: u8 = 3;
 /// A back end that refused a request gets nothing new for this long, while others can be asked.
 const REFUSED_PAUSE: Duration = Duration::from_millis(200);
 /// The same for one that is another than the directory says, or has another stage: the directory lags.
@@ -95,7 +98,7 @@
             back_end: &back_end.id,
             time_left: job.time_left(),
             tenant: job.tenant.as_ref().map(|tenant| &*tenant.name),
-            priority: rank_at(order.step, job.priority(), job.urgency),
+            priority: rank_at(order.step, job.priority(), ranks_behind(job)),
             step: order.step,
             resume_after: order.resume_after,
             fetch_from: order.fetch_from,
@@ -290,11 +293,7 @@
 
 /// Rank of a request at its engine. Where it generates, all have the same: one that a more urgent one displaces there
 /// is read anew, in the time of everybody on that engine.
-fn rank_at(step: SendStep<'_>, priority: u8, urgency: Urgency) -> u8 {
-    let behind = match urgency {
-        Urgency::InTime => 0,
-        Urgency::Late => LATE_RANKS,
-    };
+fn rank_at(step: SendStep<'_>, priority: u8, behind: u8) -> u8 {
     match step {
         SendStep::Prefill => priority.saturating_add(behind),
         SendStep::Serve => GENERATING_RANK + behind,
@@ -302,6 +301,15 @@
     }
 }
 
+/// Ranks by which a request stands behind others at its engine.
+fn ranks_behind(job: &Job) -> u8 {
+    match job.urgency {
+        Urgency::Late => LATE_RANKS,
+        Urgency::InTime if job.yields => YIELDING_RANKS,
+        Urgency::InTime => 0,
+    }
+}
+
 /// The step's name in logs.
 pub(super) const fn purpose(step: SendStep<'_>) -> &'static str {
     match step {
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -242,7 +242,7 @@
         let can_be_in_time =
             now + plan.expected() <= job.arrived + job.route.target_latency.mul_f64(share);
         job.yields = self.yields_to_other_tenants(placement, job, &plan, can_be_in_time, now);
-        if can_be_in_time && !job.yields {
+        if can_be_in_time {
             job.urgency = Urgency::InTime;
             return Some(plan);
         }
