A fencing of an earlier lease ends no later one

Cause: found by reading: a notice that a receiver had seen a higher token, left over from an earlier lease, ended the next one at once. Change: it is dropped when a lease is taken.

--- a/crates/serving/src/leader.rs
+++ b/crates/serving/src/leader.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use futures::FutureExt;
 use ponddrift_fleet::leadership::{CALL_LIMIT, Fencing, Grant, Tenure};
 use ponddrift_runtime::Runtime;
 use rand::{RngExt, SeedableRng};
@@ -203,6 +204,11 @@
     async fn lead(&mut self, lease: Lease, tenure: Tenure) {
         let fence = tenure.fencing_token;
         tracing::info!(fence, "leader_lease_taken");
+        // What a receiver said of an earlier lease does not end this one.
+        let is_of_earlier_lease = self.shared.fenced_off.notified().now_or_never().is_some();
+        if is_of_earlier_lease {
+            tracing::debug!(fence, "fencing_of_earlier_lease_ignored");
+        }
         self.published.send_replace(Some(tenure));
         let reason = self.renew_until_over(lease, tenure).await;
         self.published.send_replace(None);
