Counts outlive their keepers: missing daemons are asked themselves, a stopping one hands its copies over

Ruled out: more replicas (each costs all daemons bytes; all of a zone's may still go). Change: the leader asks daemons whose counts are missing directly; a daemon that stops sends all copies that it keeps on. Tests: serve usage (2 new): without the first 0 of 23 requests reported, without the second 0 of 12; both passed with.

--- a/crates/serve/tests/usage.rs
+++ b/crates/serve/tests/usage.rs
@@ -3,8 +3,12 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use ponddrift_fleet::topology::{Member, Topology, USAGE_REPLICAS};
+
 use ponddrift_platform_stand_ins::{
     ClientRequest, ProviderMode, StoreMode, TenantText, UsageNote, with_tenants,
 };
@@ -115,7 +119,8 @@
 fn leader(fleet: &Fleet) -> usize {
     let notes = fleet.provider.usage();
     let holder = &notes.last().expect("a report").holder;
-    usize::from(holder.as_bytes().last().expect("a digit") - b'1')
+    let number = holder.trim_start_matches("daemon-");
+    number.parse::<usize>().expect("a number") - 1
 }
 
 #[test]
@@ -290,3 +295,107 @@
     assert_one_at_a_time(&notes);
     let _each_window_has_one_figure = reported(&fleet);
 }
+
+/// Daemons of a fleet of two zones, each a neighbourhood of its own.
+const MANY: u8 = 26;
+
+fn fleet_of_two_zones() -> Fleet {
+    let mut fleet = Fleet::new(Size {
+        daemons: MANY,
+        zones: 2,
+        reports_usage: true,
+        ..Size::default()
+    });
+    let text = configuration(2, &routes());
+    fleet.store.put("op/config", with_tenants(&text, &TENANTS));
+    fleet.wait(Duration::from_secs(4));
+    fleet
+}
+
+/// Numbers of the daemons in the zone where the leader is not: those that keep copies, and the others.
+fn of_the_other_zone(fleet: &Fleet, leading: usize) -> (Vec<usize>, Vec<usize>) {
+    let members: Vec<Member> = fleet
+        .daemons
+        .iter()
+        .enumerate()
+        .map(|(number, daemon)| Member {
+            name: Arc::from(format!("daemon-{}", number + 1)),
+            zone: Arc::from((number % 2).to_string()),
+            peer_address: SocketAddr::new(daemon.machine, 7660),
+            link_megabits: 0,
+        })
+        .collect();
+    let topology = Topology::of(&members[leading], &members);
+    let in_zone = (0..fleet.daemons.len()).filter(|number| number % 2 != leading % 2);
+    in_zone.partition(|number| {
+        let address = members[*number].peer_address;
+        topology.usage_keepers.contains(&address)
+    })
+}
+
+fn wait_into_next_window(fleet: &mut Fleet, time: Duration) {
+    let into_window = fleet.simulation.handle().elapsed().as_millis() % WINDOW.as_millis();
+    let rest = WINDOW.as_millis() - into_window;
+    fleet.wait(Duration::from_millis(u64::try_from(rest).expect("short")) + time);
+}
+
+/// What was reported beyond `earlier` is what was served.
+fn assert_all_reported(
+    fleet: &Fleet,
+    earlier: &BTreeMap<String, u64>,
+    served: &BTreeMap<String, u64>,
+) {
+    let all = sum(&reported(fleet));
+    for (tenant, count) in served {
+        let told = all[tenant] - earlier.get(tenant).copied().unwrap_or_default();
+        assert_eq!(told, *count, "{tenant}");
+    }
+}
+
+/// All that keep copies of a zone lose them just before the leader asks; those that counted are still there.
+#[test]
+fn copies_lost_with_their_keepers_are_replaced_by_the_daemons_that_counted() {
+    let mut fleet = fleet_of_two_zones();
+    ask_for(&mut fleet, &[0], Duration::from_secs(8));
+    let (keepers, others) = of_the_other_zone(&fleet, leader(&fleet));
+    assert_eq!(keepers.len(), USAGE_REPLICAS);
+    fleet.wait(DUE);
+    let earlier = sum(&reported(&fleet));
+    wait_into_next_window(&mut fleet, Duration::from_millis(500));
+    let served = ask_for(&mut fleet, &others, Duration::from_secs(3));
+    // A whole window ends 1.5 s later; copies are asked for 1.1 s after that.
+    fleet.wait(Duration::from_millis(2_450));
+    for keeper in keepers {
+        fleet
+            .simulation
+            .handle()
+            .restart(fleet.daemons[keeper].host);
+    }
+    fleet.wait(DUE + WINDOW);
+    assert_all_reported(&fleet, &earlier, &served);
+}
+
+/// Stopped one after the other, those that keep copies last, within one window.
+#[test]
+fn counts_outlive_a_rolling_restart_of_a_zone() {
+    let mut fleet = fleet_of_two_zones();
+    ask_for(&mut fleet, &[0], Duration::from_secs(8));
+    let (keepers, others) = of_the_other_zone(&fleet, leader(&fleet));
+    fleet.wait(DUE);
+    let earlier = sum(&reported(&fleet));
+    wait_into_next_window(&mut fleet, Duration::from_millis(200));
+    let counting = &others[..3];
+    let served = ask_for(&mut fleet, counting, Duration::from_millis(1_500));
+    fleet.wait(Duration::from_millis(300));
+    for daemon in counting.iter().chain(&keepers) {
+        fleet.daemons[*daemon].terminate();
+        fleet.wait(Duration::from_millis(350));
+        fleet
+            .simulation
+            .handle()
+            .restart(fleet.daemons[*daemon].host);
+        fleet.wait(Duration::from_millis(100));
+    }
+    fleet.wait(DUE + WINDOW);
+    assert_all_reported(&fleet, &earlier, &served);
+}
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -2,7 +2,8 @@
 
 mod fleet_view;
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
@@ -140,14 +141,13 @@
         self.lock().leader.clone()
     }
 
-    /// Identities of all daemons that have a key.
+    /// All daemons that have a key, by identity.
     #[must_use]
-    pub fn daemon_identities(&self) -> Vec<u64> {
+    pub fn daemon_addresses(&self) -> BTreeMap<u64, SocketAddr> {
         let inner = self.lock();
-        inner
-            .daemons
-            .keys()
-            .map(|name| daemon_identity(name))
+        let daemons = inner.daemons.iter();
+        daemons
+            .map(|(name, member)| (daemon_identity(name), member.peer_address))
             .collect()
     }
 
--- a/crates/serving/src/peers/tell.rs
+++ b/crates/serving/src/peers/tell.rs
@@ -6,6 +6,7 @@
 
 use ponddrift_fleet::followers::WORD_INTERVAL;
 use ponddrift_fleet::topology::Topology;
+use ponddrift_fleet::usage::TallyOf;
 use rand::{RngExt as _, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::mpsc;
@@ -162,6 +163,7 @@
     /// Sends copies of what this daemon counted to the neighbours that keep them.
     pub(super) async fn replicate_usage(self: Arc<Self>, recorder: Arc<UsageRecorder>) {
         let mut replicas = Vec::new();
+        let mut is_handed_over = false;
         loop {
             tokio::time::sleep(USAGE_INTERVAL).await;
             let topology = self.state.topology();
@@ -169,13 +171,21 @@
                 replicas.clone_from(&topology.usage_replicas);
                 recorder.send_all_again();
             }
-            let unsent = recorder.take_unsent();
-            for bytes in unsent.iter().flat_map(message::encode_usage) {
-                self.send(Some(bytes), &replicas).await;
+            self.send_usage(&recorder.take_unsent(), &replicas).await;
+            if self.pipeline.is_stopping() && !is_handed_over {
+                // Daemons that stopped before may have left their counts to this one.
+                self.send_usage(&recorder.all_kept(), &replicas).await;
+                is_handed_over = true;
             }
         }
     }
 
+    async fn send_usage(&self, copies: &[TallyOf], replicas: &[SocketAddr]) {
+        for bytes in copies.iter().flat_map(message::encode_usage) {
+            self.send(Some(bytes), replicas).await;
+        }
+    }
+
     /// Tells neighbours what changed in the store. What does not fit into a datagram they fetch, since the next word
     /// tells that there is more.
     pub(super) async fn tell_changes(self: Arc<Self>, mut untold: mpsc::Receiver<Changes>) {
--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -117,14 +117,20 @@
         self.lock().ledger.knows(window)
     }
 
-    /// Those of `daemons` whose counts of a window are not known to be complete.
+    /// Whether the counts of a daemon in a window are known to be complete.
     #[must_use]
-    pub fn missing(&self, window: WindowNumber, daemons: &[u64]) -> usize {
-        let inner = self.lock();
-        let missing = daemons
-            .iter()
-            .filter(|daemon| !inner.ledger.is_final(window, **daemon));
-        missing.count()
+    pub fn is_final(&self, window: WindowNumber, daemon: u64) -> bool {
+        self.lock().ledger.is_final(window, daemon)
+    }
+
+    /// Every copy that is kept, of all windows and daemons.
+    #[must_use]
+    pub fn all_kept(&self) -> Vec<TallyOf> {
+        let mut inner = self.lock();
+        let current = self.roll(&mut inner);
+        (current.saturating_sub(WINDOWS_KEPT)..=current)
+            .flat_map(|window| inner.ledger.tallies(window))
+            .collect()
     }
 
     /// What all daemons counted in a window, as far as is known here.
--- a/crates/serving/src/usage/report.rs
+++ b/crates/serving/src/usage/report.rs
@@ -6,6 +6,7 @@
 //! 3. Report, again and again until the provider has taken it.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -200,10 +201,10 @@
         if since_end < FIRST_GATHERING {
             return false;
         }
-        self.gather(window).await;
+        let daemons = self.reporting.state.daemon_addresses();
+        self.gather(window, &daemons).await;
         progress.gatherings += 1;
-        let daemons = self.reporting.state.daemon_identities();
-        let missing = recorder.missing(window, &daemons);
+        let missing = self.missing(window, &daemons).len();
         let is_last = since_end >= self.settings.due.mul_f64(GATHERING_SHARE);
         tracing::info!(
             window,
@@ -222,17 +223,39 @@
         false
     }
 
-    async fn gather(&self, window: WindowNumber) {
+    /// Asks those that keep copies, then the daemons themselves whose counts are still missing: a keeper may have been
+    /// started anew.
+    async fn gather(&self, window: WindowNumber, daemons: &BTreeMap<u64, SocketAddr>) {
         let topology = self.reporting.state.topology();
-        let keepers = topology.usage_keepers.iter();
-        let asked = keepers.map(|keeper| peers::fetch_tallies(&self.runtime, *keeper, window));
-        for (keeper, answer) in topology.usage_keepers.iter().zip(join_all(asked).await) {
+        self.fetch(window, &topology.usage_keepers).await;
+        let missing = self.missing(window, daemons);
+        self.fetch(window, &missing).await;
+    }
+
+    /// Daemons whose counts of a window are not known to be complete.
+    fn missing(
+        &self,
+        window: WindowNumber,
+        daemons: &BTreeMap<u64, SocketAddr>,
+    ) -> Vec<SocketAddr> {
+        let recorder = &self.reporting.recorder;
+        let missing = daemons
+            .iter()
+            .filter(|(daemon, _address)| !recorder.is_final(window, **daemon));
+        missing.map(|(_daemon, address)| *address).collect()
+    }
+
+    async fn fetch(&self, window: WindowNumber, peers: &[SocketAddr]) {
+        let asked = peers
+            .iter()
+            .map(|peer| peers::fetch_tallies(&self.runtime, *peer, window));
+        for (peer, answer) in peers.iter().zip(join_all(asked).await) {
             match answer {
                 Ok(copies) => copies
                     .iter()
                     .for_each(|copy| self.reporting.recorder.merge(copy)),
-                // Others keep the same copies; what none of them has counts as missing.
-                Err(error) => tracing::info!(%keeper, window, %error, "usage_copies_not_fetched"),
+                // Others may keep the same copies; what none of them has counts as missing.
+                Err(error) => tracing::info!(%peer, window, %error, "usage_copies_not_fetched"),
             }
         }
     }
