Gossip in the field's terms: publish, receive, forward, digest, fan-out

Change: modules publish and receive, functions, constants and sentences; behaviour as before. Tests: all of serve, serving and fleet passed; clippy clean.

--- a/crates/fleet/src/followers.rs
+++ b/crates/fleet/src/followers.rs
@@ -1,20 +1,20 @@
 //! Whether neighbours follow the store for this daemon.
 //!
-//! A daemon that is told what changes need not ask the store itself, as long as a neighbour says that it lately heard
-//! from the store. Silence of all such neighbours, or of the store towards them, sends it to the store in time to learn
+//! A daemon that gets changes from a neighbour need not ask the store itself, as long as that neighbour reports a recent
+//! answer of the store. Silence of all such neighbours, or of the store towards them, sends it to the store in time to learn
 //! of a change within the bounds of the rules.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// Time between two words of a daemon that follows the store.
-pub const WORD_INTERVAL: Duration = Duration::from_millis(250);
-/// A neighbour that was not heard for this long is not relied on: three of its words are lost.
-const WORD_LIFE: Duration = Duration::from_millis(800);
+/// Time between two digests of a daemon that follows the store.
+pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(250);
+/// A neighbour is not relied on after this long without a digest: three of them are lost.
+const GOSSIP_LIFE: Duration = Duration::from_millis(800);
 /// How long one call of a follower waits for changes: the store's answer is no older than this, where all is well.
 pub const FOLLOWER_WAIT: Duration = Duration::from_secs(1);
-/// A neighbour that has not heard from the store for longer is not relied on.
+/// A neighbour whose last answer from the store is older is not relied on.
 const LONGEST_STORE_SILENCE: Duration = Duration::from_millis(1_400);
 
 /// Neighbours that said that they follow the store.
@@ -24,10 +24,10 @@
 }
 
 impl FollowerTable {
-    /// A neighbour heard from the store so long ago.
-    pub fn hear(&mut self, peer: SocketAddr, store_silence: Duration, now: Instant) {
+    /// A neighbour reports how long ago the store answered it.
+    pub fn receive(&mut self, peer: SocketAddr, store_silence: Duration, now: Instant) {
         let by_store = LONGEST_STORE_SILENCE.saturating_sub(store_silence);
-        let until = now + WORD_LIFE.min(by_store);
+        let until = now + GOSSIP_LIFE.min(by_store);
         self.relied_on_until.insert(peer, until);
     }
 
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -92,7 +92,7 @@
     last_sign: Option<Instant>,
     last_hint: Option<Instant>,
     failure_rate: f64,
-    untold: Results,
+    unpublished: Results,
 }
 
 /// Health of all back ends, by identity.
@@ -105,7 +105,7 @@
     /// Takes a result. Returns the pause before a health check where it ejects the back end.
     pub fn record(&mut self, id: &Arc<str>, outcome: Outcome, now: Instant) -> Option<Duration> {
         let record = self.records.entry(Arc::clone(id)).or_default();
-        record.untold.count(outcome);
+        record.unpublished.count(outcome);
         if outcome == Outcome::Success {
             record.last_sign = Some(now);
             record.failures_in_a_row = 0;
@@ -134,7 +134,7 @@
 
     /// Takes results that another daemon of the zone had. Returns the pause before a health check where they eject the
     /// back end.
-    pub fn hear(&mut self, id: &Arc<str>, results: Results, now: Instant) -> Option<Duration> {
+    pub fn receive(&mut self, id: &Arc<str>, results: Results, now: Instant) -> Option<Duration> {
         let record = self.records.entry(Arc::clone(id)).or_default();
         for _ in 0..results.errors.min(MOST_HEARD) {
             record.failed(now);
@@ -154,13 +154,13 @@
     }
 
     /// Own results since the last call, for telling the zone.
-    pub fn take_untold(&mut self) -> Vec<(Arc<str>, Results)> {
+    pub fn take_unpublished(&mut self) -> Vec<(Arc<str>, Results)> {
         let with_results = self
             .records
             .iter_mut()
-            .filter(|(_id, record)| record.untold != Results::default());
+            .filter(|(_id, record)| record.unpublished != Results::default());
         with_results
-            .map(|(id, record)| (Arc::clone(id), std::mem::take(&mut record.untold)))
+            .map(|(id, record)| (Arc::clone(id), std::mem::take(&mut record.unpublished)))
             .collect()
     }
 
--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -181,7 +181,7 @@
     }
 
     /// Takes what a daemon tells of its work. Returns whether it was news.
-    pub fn hear(&mut self, report: WorkReport, now: Instant) -> bool {
+    pub fn receive(&mut self, report: WorkReport, now: Instant) -> bool {
         self.expire(now);
         if let Some(known) = self.peers.get_mut(&report.origin) {
             if known.sequence >= report.sequence {
--- a/crates/fleet/src/placement/prefixes.rs
+++ b/crates/fleet/src/placement/prefixes.rs
@@ -97,7 +97,7 @@
 pub struct PrefixMemory {
     by_engine: HashMap<Arc<str>, Heads>,
     capacity_tokens: u64,
-    untold: Vec<HeadUse>,
+    unpublished: Vec<HeadUse>,
 }
 
 impl PrefixMemory {
@@ -116,14 +116,14 @@
     /// An engine has read, or fetched, a prompt with this head, sent by this daemon.
     pub fn used(&mut self, usage: HeadUse, now: Instant) {
         self.note(&usage, now);
-        if self.untold.len() < MAXIMUM_UNTOLD {
-            self.untold.push(usage);
+        if self.unpublished.len() < MAXIMUM_UNTOLD {
+            self.unpublished.push(usage);
         }
     }
 
     /// Own uses since the last call, for telling peers.
-    pub fn take_untold(&mut self) -> Vec<HeadUse> {
-        std::mem::take(&mut self.untold)
+    pub fn take_unpublished(&mut self) -> Vec<HeadUse> {
+        std::mem::take(&mut self.unpublished)
     }
 
     /// An engine has read a prompt with this head, sent by another daemon or seen in the engine's own words.
--- a/crates/fleet/src/placement/speed.rs
+++ b/crates/fleet/src/placement/speed.rs
@@ -118,7 +118,7 @@
 pub struct SpeedTable {
     readings: ReadingLine,
     decode_readings: ReadingLine,
-    untold: Vec<PromptReading>,
+    unpublished: Vec<PromptReading>,
     plain_ms: HashMap<Arc<str>, f64>,
     slowness: HashMap<Arc<str>, Slowness>,
 }
@@ -152,13 +152,13 @@
     /// A prefill engine that had nothing else to do read a prompt that this daemon sent.
     pub fn prompt_read(&mut self, reading: PromptReading) {
         self.readings.add(reading);
-        if self.untold.len() < MOST_UNTOLD {
-            self.untold.push(reading);
+        if self.unpublished.len() < MOST_UNTOLD {
+            self.unpublished.push(reading);
         }
     }
 
     /// The same for a prompt that a peer sent.
-    pub fn hear(&mut self, reading: PromptReading) {
+    pub fn receive(&mut self, reading: PromptReading) {
         self.readings.add(reading);
     }
 
@@ -168,8 +168,8 @@
     }
 
     /// Own readings since the last call, for telling peers.
-    pub fn take_untold(&mut self) -> Vec<PromptReading> {
-        std::mem::take(&mut self.untold)
+    pub fn take_unpublished(&mut self) -> Vec<PromptReading> {
+        std::mem::take(&mut self.unpublished)
     }
 
     /// Prompt tokens that a prefill engine reads in a millisecond.
--- a/crates/fleet/src/placement/work.rs
+++ b/crates/fleet/src/placement/work.rs
@@ -12,7 +12,7 @@
 const NEGLIGIBLE: f64 = 1e-4;
 
 /// What a peer told is forgotten after this long.
-const TOLD_LIFE: Duration = Duration::from_secs(3);
+const REPORT_LIFE: Duration = Duration::from_secs(3);
 
 #[derive(Debug)]
 struct Average {
@@ -57,19 +57,19 @@
 /// What peers told of the work that their requests bring.
 #[derive(Debug, Default)]
 pub struct PeerWork {
-    by_peer: HashMap<u64, Told>,
+    by_peer: HashMap<u64, PeerReport>,
 }
 
 #[derive(Debug)]
-struct Told {
+struct PeerReport {
     heard: Instant,
     rates: Vec<(Arc<str>, StageWork)>,
 }
 
 impl PeerWork {
     /// Takes what a peer tells; `origin` is a hash that tells it from others.
-    pub fn hear(&mut self, origin: u64, rates: Vec<(Arc<str>, StageWork)>, now: Instant) {
-        let told = Told { heard: now, rates };
+    pub fn receive(&mut self, origin: u64, rates: Vec<(Arc<str>, StageWork)>, now: Instant) {
+        let told = PeerReport { heard: now, rates };
         self.by_peer.insert(origin, told);
     }
 
@@ -81,7 +81,7 @@
         now: Instant,
     ) -> Vec<(Arc<str>, StageWork)> {
         self.by_peer
-            .retain(|_peer, told| now.saturating_duration_since(told.heard) < TOLD_LIFE);
+            .retain(|_peer, told| now.saturating_duration_since(told.heard) < REPORT_LIFE);
         let heard = self.by_peer.len() + 1;
         #[expect(clippy::cast_precision_loss, reason = "a few hundred daemons")]
         let scale = daemons.max(heard) as f64 / heard as f64;
--- a/crates/fleet/src/topology.rs
+++ b/crates/fleet/src/topology.rs
@@ -17,7 +17,7 @@
 /// once, one count in eight has no copy left, and the killed ones' newest are lost in any case.
 pub const USAGE_REPLICAS: usize = 3;
 /// Daemons of each other zone that are told.
-const TOLD_PER_ZONE: usize = 2;
+const PEERS_PER_OTHER_ZONE: usize = 2;
 
 /// A daemon as it announces itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -107,7 +107,7 @@
     others.sort_unstable();
     others
         .chunk_by(|left, right| left.0 == right.0)
-        .flat_map(|of_zone| of_zone.iter().take(TOLD_PER_ZONE))
+        .flat_map(|of_zone| of_zone.iter().take(PEERS_PER_OTHER_ZONE))
         .map(|(_zone, _rank, address)| *address)
         .collect()
 }
--- a/crates/fleet/tests/health.rs
+++ b/crates/fleet/tests/health.rs
@@ -27,7 +27,7 @@
 fn what_breaks_for_several_daemons_of_a_zone_is_ejected_by_all() {
     let mut health = Health::default();
     let now = Instant::now();
-    let mut pauses = (0..4).map(|_peer| health.hear(&id(), broken(1), now));
+    let mut pauses = (0..4).map(|_peer| health.receive(&id(), broken(1), now));
     assert!(pauses.by_ref().take(3).all(|pause| pause.is_none()));
     assert!(pauses.next().flatten().is_some());
     drop(pauses);
@@ -39,8 +39,8 @@
     let mut health = Health::default();
     let now = Instant::now();
     for _ in 0..50 {
-        assert!(health.hear(&id(), broken(200), now).is_none());
-        assert!(health.hear(&id(), WELL, now).is_none());
+        assert!(health.receive(&id(), broken(200), now).is_none());
+        assert!(health.receive(&id(), WELL, now).is_none());
     }
     assert!(!health.is_ejected("i-1"));
 }
@@ -52,7 +52,7 @@
     let first = health.record(&id(), Outcome::Unreachable, now);
     health.reinstate("i-1");
     assert!(health.is_on_trial("i-1"));
-    let second = health.hear(&id(), broken(1), now);
+    let second = health.receive(&id(), broken(1), now);
     assert!(second.expect("ejected") > first.expect("ejected"));
 }
 
@@ -63,7 +63,7 @@
     health.record(&id(), Outcome::Unreachable, now);
     health.reinstate("i-1");
     health.record(&id(), Outcome::Success, now);
-    health.hear(&id(), WELL, now);
+    health.receive(&id(), WELL, now);
     assert!(!health.is_on_trial("i-1"));
     assert!(health.record(&id(), Outcome::Broken, now).is_none());
 }
@@ -76,7 +76,7 @@
         .record(&id(), Outcome::Unreachable, now)
         .expect("ejected");
     now += pause;
-    health.hear(&id(), broken(1), now);
+    health.receive(&id(), broken(1), now);
     let next = health.may_check("i-1", pause, now).expect_err("it fails");
     assert!(next > pause);
     now += next;
@@ -93,7 +93,7 @@
         breaks: 0,
     };
     for _ in 0..20 {
-        health.hear(&id(), half, now);
+        health.receive(&id(), half, now);
     }
     assert!(health.cost_factor("i-1") > 2.0);
     assert!(!health.is_ejected("i-1"));
@@ -104,18 +104,18 @@
     let mut health = Health::default();
     health.record(&id(), Outcome::Success, Instant::now());
     health.record(&id(), Outcome::Error, Instant::now());
-    let told = health.take_untold();
+    let told = health.take_unpublished();
     let expected = Results {
         successes: 1,
         errors: 1,
         breaks: 0,
     };
     assert_eq!(told, [(id(), expected)]);
-    assert!(health.take_untold().is_empty());
+    assert!(health.take_unpublished().is_empty());
     let heard = broken(1);
-    health.hear(&id(), heard, Instant::now());
+    health.receive(&id(), heard, Instant::now());
     assert!(
-        health.take_untold().is_empty(),
+        health.take_unpublished().is_empty(),
         "what was heard is not told on"
     );
 }
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -114,7 +114,7 @@
         };
         let mut report = self.peer_report(engine, 1, outstanding);
         report.origin = origin;
-        assert!(self.placement.load.hear(report, self.now));
+        assert!(self.placement.load.receive(report, self.now));
     }
 }
 
@@ -309,7 +309,7 @@
         ..Outstanding::default()
     };
     let report = scene.peer_report(5, 1, full);
-    scene.placement.load.hear(report, scene.now);
+    scene.placement.load.receive(report, scene.now);
     let keeper = Arc::clone(&scene.engines[5].id);
     assert_ne!(scene.decode_choice(&asked), keeper);
 }
@@ -323,8 +323,8 @@
     };
     let newer = scene.peer_report(0, 5, work(2.0));
     let older = scene.peer_report(0, 4, work(9.0));
-    assert!(scene.placement.load.hear(newer, scene.now));
-    assert!(!scene.placement.load.hear(older, scene.now));
+    assert!(scene.placement.load.receive(newer, scene.now));
+    assert!(!scene.placement.load.receive(older, scene.now));
     let requests = scene.placement.load.requests(&scene.engines[0].id);
     assert!((requests - 2.0).abs() < 1e-9, "{requests}");
 }
@@ -350,8 +350,8 @@
 fn heads_are_told_to_peers_once() {
     let mut scene = Scene::new(1, 1);
     scene.keep(0, &prompt("h", 13_000, 100));
-    assert_eq!(scene.placement.prefixes.take_untold().len(), 1);
-    assert!(scene.placement.prefixes.take_untold().is_empty());
+    assert_eq!(scene.placement.prefixes.take_unpublished().len(), 1);
+    assert!(scene.placement.prefixes.take_unpublished().is_empty());
 }
 
 #[test]
@@ -387,7 +387,7 @@
     };
     let service = Arc::from("models");
     let told = vec![(service, busy)];
-    scene.placement.peer_work.hear(7, told, scene.now);
+    scene.placement.peer_work.receive(7, told, scene.now);
     scene.placement.work_of_all(scene.now);
     assert!(scene.plan(&short).prefill.is_some());
 }
@@ -471,7 +471,7 @@
         sequence: 1,
         rows: rows.collect(),
     };
-    scene.placement.load.hear(report, scene.now);
+    scene.placement.load.receive(report, scene.now);
     scene
 }
 
@@ -531,7 +531,7 @@
     for (origin, engine) in [(7, 0), (8, 1)] {
         let mut report = scene.peer_report(engine, 1, late);
         report.origin = origin;
-        scene.placement.load.hear(report, scene.now);
+        scene.placement.load.receive(report, scene.now);
     }
     let asked = prompt("h", 0, 1_000);
     let in_time = scene.plan(&asked).expected_ms;
@@ -579,7 +579,7 @@
         ..Outstanding::default()
     };
     let report = scene.peer_report(0, 1, late);
-    scene.placement.load.hear(report, scene.now);
+    scene.placement.load.receive(report, scene.now);
     for decode_engine in 2..4 {
         scene.peer_works_at_as(20 + decode_engine as u64, decode_engine, 30_000.0);
     }
--- a/crates/fleet/tests/speed.rs
+++ b/crates/fleet/tests/speed.rs
@@ -38,13 +38,13 @@
 fn readings_of_peers_count_and_are_not_told_again() {
     let mut speed = SpeedTable::default();
     for number in 1..=20 {
-        speed.hear(reading(f64::from(number) * 700.0, 0.0));
+        speed.receive(reading(f64::from(number) * 700.0, 0.0));
     }
     assert!(speed.prefill_tokens_per_ms() > 50.0);
-    assert!(speed.take_untold().is_empty());
+    assert!(speed.take_unpublished().is_empty());
     speed.prompt_read(reading(5_000.0, 0.0));
-    assert_eq!(speed.take_untold().len(), 1);
-    assert!(speed.take_untold().is_empty());
+    assert_eq!(speed.take_unpublished().len(), 1);
+    assert!(speed.take_unpublished().is_empty());
 }
 
 #[test]
--- a/crates/fleet/tests/topology.rs
+++ b/crates/fleet/tests/topology.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ponddrift_fleet::followers::{FollowerTable, WORD_INTERVAL};
+use ponddrift_fleet::followers::{FollowerTable, GOSSIP_INTERVAL};
 use ponddrift_fleet::topology::{FOLLOWERS, Member, SMALL_FLEET, Topology};
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -123,8 +123,8 @@
     let mut now = Instant::now();
     assert!(table.relied_on_until(now).is_none());
     for _ in 0..20 {
-        table.hear(peer(), Duration::from_millis(900), now);
-        now += WORD_INTERVAL;
+        table.receive(peer(), Duration::from_millis(900), now);
+        now += GOSSIP_INTERVAL;
         assert!(table.relied_on_until(now).is_some());
     }
     now += Duration::from_secs(1);
@@ -135,7 +135,7 @@
 fn a_follower_that_has_not_heard_from_the_store_is_not_relied_on() {
     let mut table = FollowerTable::default();
     let now = Instant::now();
-    table.hear(peer(), Duration::from_secs(3), now);
+    table.receive(peer(), Duration::from_secs(3), now);
     assert!(table.relied_on_until(now).is_none());
 }
 
@@ -143,7 +143,7 @@
 fn a_follower_that_does_not_hand_on_what_it_has_is_not_relied_on() {
     let mut table = FollowerTable::default();
     let now = Instant::now();
-    table.hear(peer(), Duration::ZERO, now);
+    table.receive(peer(), Duration::ZERO, now);
     table.distrust(peer());
     assert!(table.relied_on_until(now).is_none());
 }
@@ -153,7 +153,7 @@
     let mut table = FollowerTable::default();
     let now = Instant::now();
     // All followers die right after they said that the store had just answered.
-    table.hear(peer(), Duration::ZERO, now);
+    table.receive(peer(), Duration::ZERO, now);
     let until = table.relied_on_until(now).expect("relied on");
     assert!(until - now < Duration::from_secs(1));
 }
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -88,7 +88,7 @@
         let callers = front::serve_callers(runtime, settings.callers, &pipeline)
             .await
             .wrap_err("listen.callers cannot be bound: is another process there?")?;
-        let (following, untold) = Following::new();
+        let (following, unpublished) = Following::new();
         follow::start(
             runtime,
             &store,
@@ -106,7 +106,7 @@
             &state,
             &pipeline,
             &following,
-            untold,
+            unpublished,
         )
         .await
         .wrap_err("listen.peers cannot be bound: is another process there?")?;
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -1,4 +1,5 @@
-//! Keeps the state new: a few daemons of each neighbourhood follow the store and tell the others.
+//! Keeps the state new: a few daemons of each neighbourhood follow the store and publish its changes to the
+//! others.
 
 mod whole_read;
 
@@ -34,8 +35,8 @@
 const DAEMON_LEASE: Duration = Duration::from_secs(10);
 /// Time between two renewals.
 const RENEWAL: Duration = Duration::from_secs(3);
-/// Changes that wait to be told to neighbours, at most; what does not fit they fetch.
-const UNTOLD_CHANGES: usize = 64;
+/// Changes that wait to be published to neighbours, at most; what does not fit they fetch.
+const UNPUBLISHED_CHANGES: usize = 64;
 
 /// What is shared between following the store and telling peers.
 pub struct Following {
@@ -45,28 +46,28 @@
     disappointed: Notify,
     /// Wakes a daemon that waits to ask the store again when a neighbour reports an answer of the store.
     relieved: Notify,
-    untold: mpsc::Sender<Changes>,
+    unpublished: mpsc::Sender<Changes>,
 }
 
 impl Following {
-    /// Nobody heard yet. The receiver gets what neighbours are to be told.
+    /// No neighbour has reported yet. The receiver gets changes to publish to neighbours.
     #[must_use]
     pub fn new() -> (Arc<Self>, mpsc::Receiver<Changes>) {
-        let (untold, told) = mpsc::channel(UNTOLD_CHANGES);
+        let (unpublished, to_publish) = mpsc::channel(UNPUBLISHED_CHANGES);
         let following = Self {
             followers: Mutex::default(),
             last_answer: Mutex::default(),
             disappointed: Notify::new(),
             relieved: Notify::new(),
-            untold,
+            unpublished,
         };
-        (Arc::new(following), told)
+        (Arc::new(following), to_publish)
     }
 
     /// A neighbour says how long ago the store answered it.
-    pub fn heard(&self, peer: std::net::SocketAddr, store_silence: Duration) {
+    pub fn follower_reported(&self, peer: std::net::SocketAddr, store_silence: Duration) {
         let mut followers = lock(&self.followers);
-        followers.hear(peer, store_silence, now());
+        followers.receive(peer, store_silence, now());
         if followers.relied_on_until(now()).is_some() {
             self.relieved.notify_waiters();
         }
@@ -198,7 +199,7 @@
         drop(tokio::time::timeout(pause, self.following.relieved.notified()).await);
     }
 
-    /// Tells when this daemon begins or ends to rely on its neighbours.
+    /// Logs when this daemon begins or ends to rely on its neighbours.
     fn note_way(&mut self, relies_on_neighbours: bool) {
         if self.relies_on_neighbours == relies_on_neighbours {
             return;
@@ -238,7 +239,7 @@
         let has_news = !changes.items.is_empty();
         if has_news && follows_for_others {
             // Where too many wait already, neighbours fetch them.
-            drop(self.following.untold.try_send(changes.clone()));
+            drop(self.following.unpublished.try_send(changes.clone()));
         }
         // They follow on the position, which never goes back.
         self.state.take_changes(changes, Source::Store, now());
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -1,12 +1,12 @@
-//! What daemons tell each other: work in progress, prompt heads that engines keep, and what changed in the store.
+//! Gossip between daemons: work in progress, prompt heads that engines keep, usage, and changes of the store.
 //!
-//! Neighbours tell each other at once what weighs. A few daemons of every other zone hear it too and pass it on to their
-//! own neighbours. Daemons that follow the store tell what changes; whoever lacks something asks for it over TCP.
+//! Urgent changes go to all neighbours at once. A few daemons of every other zone get them too and forward them to their
+//! own neighbours. Daemons that follow the store publish its changes; whoever lacks some asks for them over TCP.
 
-mod hear;
 mod message;
+mod publish;
+mod receive;
 mod relay;
-mod tell;
 mod translate;
 
 use std::net::SocketAddr;
@@ -32,7 +32,7 @@
     pub seeds: Vec<SocketAddr>,
 }
 
-/// Starts telling and hearing peers. `untold` brings changes of the store that neighbours are to be told.
+/// Starts to publish and to receive gossip. `unpublished` brings changes of the store for the neighbours.
 ///
 /// # Errors
 /// When the address cannot be bound.
@@ -42,7 +42,7 @@
     state: &Arc<FleetState>,
     pipeline: &Arc<Pipeline>,
     following: &Arc<Following>,
-    untold: mpsc::Receiver<Changes>,
+    unpublished: mpsc::Receiver<Changes>,
 ) -> std::io::Result<()> {
     let own = state.own();
     let address = own.peer_address;
@@ -57,22 +57,22 @@
         state: Arc::clone(state),
         pipeline: Arc::clone(pipeline),
         following: Arc::clone(following),
-        to_pass_on: Mutex::default(),
-        has_to_pass_on: Notify::new(),
+        to_forward: Mutex::default(),
+        has_to_forward: Notify::new(),
         is_catching_up: AtomicBool::new(false),
     });
     let spawner = &runtime.spawner;
-    spawner.spawn(Box::pin(Arc::clone(&peers).tell()));
-    spawner.spawn(Box::pin(Arc::clone(&peers).tell_changes(untold)));
+    spawner.spawn(Box::pin(Arc::clone(&peers).publish()));
+    spawner.spawn(Box::pin(Arc::clone(&peers).publish_changes(unpublished)));
     if let Some(recorder) = usage {
         spawner.spawn(Box::pin(Arc::clone(&peers).replicate_usage(recorder)));
     }
-    spawner.spawn(Box::pin(peers.hear()));
+    spawner.spawn(Box::pin(peers.receive()));
     Ok(())
 }
 
 struct Peers {
-    /// Tells this life of this daemon from all others.
+    /// Distinguishes this life of this daemon from all others.
     origin: u64,
     runtime: Runtime,
     settings: PeerSettings,
@@ -80,22 +80,22 @@
     state: Arc<FleetState>,
     pipeline: Arc<Pipeline>,
     following: Arc<Following>,
-    to_pass_on: Mutex<PassedOn>,
-    has_to_pass_on: Notify,
+    to_forward: Mutex<Forwarded>,
+    has_to_forward: Notify,
     is_catching_up: AtomicBool,
 }
 
-/// What daemons of other zones told, for the neighbours.
+/// Reports of daemons of other zones, to be forwarded to the neighbours.
 #[derive(Debug, Default)]
-struct PassedOn {
+struct Forwarded {
     reports: Vec<ReportRow>,
     heads: Vec<HeadRow>,
     away: Vec<AwayRow>,
 }
 
 impl Peers {
-    fn to_pass_on(&self) -> MutexGuard<'_, PassedOn> {
-        self.to_pass_on
+    fn to_forward(&self) -> MutexGuard<'_, Forwarded> {
+        self.to_forward
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -29,12 +29,12 @@
 const MAXIMUM_AWAY: usize = 32;
 /// Services that surely fit beside them.
 const MAXIMUM_SERVICES: usize = 4;
-/// Tokens are told in so many, rounded up: far less than any reading that a decision depends on.
+/// Token counts are encoded in this unit, rounded up: far less than any prefill that a decision depends on.
 pub(super) const TOKENS_IN_UNIT: f64 = 32.0;
-/// Version of the messages; daemons of other versions are not heard.
+/// Version of the messages; messages of other versions are dropped.
 const VERSION: u8 = 4;
 
-/// What a datagram tells.
+/// What a datagram contains.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub(super) enum Message {
     /// How things stand.
@@ -59,9 +59,9 @@
     pub(super) position: u64,
     /// How long ago the store answered, in milliseconds; none where the daemon does not follow it.
     pub(super) store_silence_ms: Option<u16>,
-    /// Work: the daemon's own first, then what daemons of other zones told it.
+    /// Work: the daemon's own first, then reports that it forwards from daemons of other zones.
     pub(super) reports: Vec<ReportRow>,
-    /// Prompt heads that were read since it last told.
+    /// Prompt heads that were read since the last digest.
     pub(super) heads: Vec<HeadRow>,
     /// Prompts that engines read since then, with nothing else to do.
     pub(super) readings: Vec<ReadingRow>,
@@ -149,7 +149,7 @@
     pub(super) back_end: u32,
     /// Whole answers.
     pub(super) successes: u8,
-    /// Answers that tell of a failure.
+    /// Answers with a failure status.
     pub(super) errors: u8,
     /// Broken off, silent or not reached.
     pub(super) breaks: u8,
@@ -179,7 +179,7 @@
         if whole.is_none()
             && let Message::Digest(digest) = &mut message
         {
-            // Names of services may be long: what other daemons told is left out.
+            // Names of services may be long: forwarded reports are left out.
             digest.reports.truncate(1);
             return encode(&message);
         }
--- a/crates/serving/src/peers/tell.rs
+++ b/crates/serving/src/peers/publish.rs
@@ -1,10 +1,10 @@
-//! Tells peers.
+//! Publishes gossip to peers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use ponddrift_fleet::followers::WORD_INTERVAL;
+use ponddrift_fleet::followers::GOSSIP_INTERVAL;
 use ponddrift_fleet::topology::Topology;
 use ponddrift_fleet::usage::TallyOf;
 use rand::{RngExt as _, SeedableRng};
@@ -16,39 +16,40 @@
 use super::translate::{
     away_to_wire, head_to_wire, reading_to_wire, result_to_wire, row_to_wire, work_to_wire,
 };
-use super::{PassedOn, Peers};
+use super::{Forwarded, Peers};
 use crate::back_end_index::hash;
 use crate::follow::now;
 use crate::store::Changes;
 use crate::usage::UsageRecorder;
 
-/// Time between two words to peers, where nothing happens.
-const TELL_INTERVAL: Duration = Duration::from_millis(500);
-/// Changes within this time are told together.
+/// Time between two digests to peers while nothing changes.
+const IDLE_GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
+/// Changes within this time are published together.
 const GATHERING_TIME: Duration = Duration::from_millis(8);
-/// What other zones told is gathered for longer before it is passed on.
-const PASSING_TIME: Duration = Duration::from_millis(40);
-/// Time that each neighbour adds to the shortest time between two words: all of them together are heard no more often.
+/// Reports of other zones are gathered for longer before they are forwarded.
+const FORWARDING_INTERVAL: Duration = Duration::from_millis(40);
+/// Time that each neighbour adds to the shortest interval between two digests: it bounds the rate at which a daemon receives
+/// them from all neighbours together.
 const TIME_PER_NEIGHBOUR: Duration = Duration::from_millis(1);
 
 /// Time between two copies of what was counted: what a killed daemon counted since then is lost.
 const USAGE_INTERVAL: Duration = Duration::from_millis(250);
-/// Neighbours that are told each time where nothing weighs.
-const TOLD_IN_TURN: usize = 24;
+/// Neighbours that get each digest while nothing urgent changes.
+const FAN_OUT: usize = 24;
 
-/// Why peers are told now.
+/// Why a digest is published now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Reason {
     /// It is time.
     Interval,
     /// Own work that weighs began or ended.
     OwnWork,
-    /// Other zones told something.
-    PassedOn,
+    /// There are reports of other zones to forward.
+    Forwarded,
 }
 
 impl Peers {
-    pub(super) async fn tell(self: Arc<Self>) {
+    pub(super) async fn publish(self: Arc<Self>) {
         /// Makes this seed differ from the pipeline's.
         const SEED_PART: u64 = 0x7065_6572;
         let mut random = Pcg64Mcg::seed_from_u64(self.runtime.seed ^ SEED_PART);
@@ -65,31 +66,34 @@
             let neighbours = u32::try_from(topology.neighbours.len()).unwrap_or(u32::MAX);
             tokio::time::sleep_until(begun + TIME_PER_NEIGHBOUR * neighbours).await;
             sequence += 1;
-            self.tell_all(&topology, sequence, reason).await;
+            self.publish_digest(&topology, sequence, reason).await;
         }
     }
 
-    /// Waits until there is a reason to tell, and a little longer for what comes with it.
+    /// Waits until there is a reason to publish, and a little longer so that changes close together share a digest.
     async fn next_reason(&self, last_interval: Instant, spread: f64) -> Reason {
         let interval = if self.state.topology().follows_store {
-            WORD_INTERVAL
+            GOSSIP_INTERVAL
         } else {
-            TELL_INTERVAL
+            IDLE_GOSSIP_INTERVAL
         };
         let due = last_interval + interval.mul_f64(spread);
         let reason = tokio::select! {
             biased;
             () = self.pipeline.heavy_work_changed().notified() => Reason::OwnWork,
-            () = self.has_to_pass_on.notified() => Reason::PassedOn,
+            () = self.has_to_forward.notified() => Reason::Forwarded,
             () = tokio::time::sleep_until(due) => Reason::Interval,
         };
         match reason {
             Reason::Interval => {}
             Reason::OwnWork => tokio::time::sleep(GATHERING_TIME).await,
-            Reason::PassedOn => {
+            Reason::Forwarded => {
                 let own_work = self.pipeline.heavy_work_changed().notified();
-                // Own work is told sooner, and takes the rest along.
-                if tokio::time::timeout(PASSING_TIME, own_work).await.is_ok() {
+                // Own work is published sooner, and the forwarded reports go along.
+                if tokio::time::timeout(FORWARDING_INTERVAL, own_work)
+                    .await
+                    .is_ok()
+                {
                     tokio::time::sleep(GATHERING_TIME).await;
                     return Reason::OwnWork;
                 }
@@ -98,24 +102,24 @@
         reason
     }
 
-    async fn tell_all(&self, topology: &Topology, sequence: u32, reason: Reason) {
+    async fn publish_digest(&self, topology: &Topology, sequence: u32, reason: Reason) {
         self.pipeline.set_daemons(topology.daemons);
-        let passed_on = std::mem::take(&mut *self.to_pass_on());
+        let forwarded = std::mem::take(&mut *self.to_forward());
         let own = self.digest(sequence);
         let has_news = !own.heads.is_empty() || !own.away.is_empty();
-        if has_news || reason != Reason::PassedOn {
+        if has_news || reason != Reason::Forwarded {
             self.send(own.clone().encode(), &topology.far).await;
         }
-        let for_neighbours = with_passed_on(own, passed_on);
+        let for_neighbours = with_forwarded(own, forwarded);
         let neighbours = self.neighbours();
         // Neighbours rely on hearing a follower.
         let all = reason != Reason::Interval || has_news || topology.follows_store;
-        let told = if all {
+        let targets = if all {
             neighbours
         } else {
             in_turn(&neighbours, sequence)
         };
-        self.send(for_neighbours.encode(), &told).await;
+        self.send(for_neighbours.encode(), &targets).await;
     }
 
     async fn send(&self, bytes: Option<Vec<u8>>, targets: &[SocketAddr]) {
@@ -132,9 +136,9 @@
         let mut placement = self.pipeline.placement();
         placement.load.expire(now());
         let rows = placement.load.own_rows();
-        let heads = placement.prefixes.take_untold();
-        let readings = placement.speed.take_untold();
-        let results = placement.health.take_untold();
+        let heads = placement.prefixes.take_unpublished();
+        let readings = placement.speed.take_unpublished();
+        let results = placement.health.take_unpublished();
         let unwell = placement.health.ejected();
         let away = placement.away(now());
         let work = placement.work.rates(now());
@@ -186,10 +190,10 @@
         }
     }
 
-    /// Tells neighbours what changed in the store. What does not fit into a datagram they fetch, since the next word
-    /// tells that there is more.
-    pub(super) async fn tell_changes(self: Arc<Self>, mut untold: mpsc::Receiver<Changes>) {
-        while let Some(changes) = untold.recv().await {
+    /// Publishes changes of the store to neighbours. What does not fit into a datagram they fetch, since the next digest
+    /// shows that there is more.
+    pub(super) async fn publish_changes(self: Arc<Self>, mut unpublished: mpsc::Receiver<Changes>) {
+        while let Some(changes) = unpublished.recv().await {
             let at = changes.at;
             let in_doubt = self.state.is_in_doubt(now());
             let whole = message::encode(&Message::Changes { changes, in_doubt });
@@ -205,21 +209,21 @@
     }
 }
 
-/// Where nothing weighs, a part of many neighbours is told each time: all within the life of what they were told.
+/// While nothing urgent changes, each digest goes to a part of many neighbours: to all of them within the life of a report.
 fn in_turn(neighbours: &[SocketAddr], sequence: u32) -> Vec<SocketAddr> {
-    if neighbours.len() <= TOLD_IN_TURN {
+    if neighbours.len() <= FAN_OUT {
         return neighbours.to_vec();
     }
     let rounds = usize::try_from(sequence).unwrap_or_default();
-    let begin = rounds.wrapping_mul(TOLD_IN_TURN) % neighbours.len();
+    let begin = rounds.wrapping_mul(FAN_OUT) % neighbours.len();
     let from_there = neighbours.iter().cycle().skip(begin);
-    from_there.take(TOLD_IN_TURN).copied().collect()
+    from_there.take(FAN_OUT).copied().collect()
 }
 
-fn with_passed_on(own: Digest, passed_on: PassedOn) -> Digest {
+fn with_forwarded(own: Digest, forwarded: Forwarded) -> Digest {
     let mut digest = own;
-    digest.reports.extend(passed_on.reports);
-    digest.heads.extend(passed_on.heads);
-    digest.away.extend(passed_on.away);
+    digest.reports.extend(forwarded.reports);
+    digest.heads.extend(forwarded.heads);
+    digest.away.extend(forwarded.away);
     digest
 }
--- a/crates/serving/src/peers/hear.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -1,4 +1,4 @@
-//! Hears peers.
+//! Receives gossip from peers.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -20,10 +20,10 @@
 /// How long the store gets to bring what a peer already has, where this daemon follows it.
 const STORE_HEADSTART: Duration = Duration::from_millis(250);
 /// Heads of other zones that wait to be passed on, at most.
-const MOST_HEADS_PASSED_ON: usize = 64;
+const MOST_HEADS_FORWARDED: usize = 64;
 
 impl Peers {
-    pub(super) async fn hear(self: Arc<Self>) {
+    pub(super) async fn receive(self: Arc<Self>) {
         let mut buffer = vec![0; MAXIMUM_DATAGRAM];
         loop {
             let received = self.socket.receive_from(&mut buffer).await;
@@ -58,7 +58,8 @@
         if self.state.topology().of_zone.contains(&from) {
             for row in &digest.results {
                 if let Some(back_end) = known.find(row.back_end) {
-                    self.pipeline.hear_results(back_end, results_from_wire(row));
+                    self.pipeline
+                        .receive_results(back_end, results_from_wire(row));
                 }
             }
         }
@@ -67,11 +68,11 @@
         }
         if is_neighbour && let Some(silence_ms) = digest.store_silence_ms {
             let silence = Duration::from_millis(u64::from(silence_ms));
-            self.following.heard(from, silence);
+            self.following.follower_reported(from, silence);
         }
         self.notice(digest.position, from);
         if !is_neighbour {
-            self.pass_on(digest);
+            self.forward(digest);
         }
     }
 
@@ -79,14 +80,14 @@
         let mut placement = self.pipeline.placement();
         for report in &digest.reports {
             let report = report_from_wire(report, known);
-            placement.load.hear(report, now());
+            placement.load.receive(report, now());
         }
         let heads = digest.heads.iter();
         for usage in heads.filter_map(|row| head_from_wire(row, known)) {
             placement.prefixes.note(&usage, now());
         }
         for row in &digest.readings {
-            placement.speed.hear(reading_from_wire(row));
+            placement.speed.receive(reading_from_wire(row));
         }
         for row in &digest.away {
             if let Some(engine) = known.find(row.engine) {
@@ -96,7 +97,7 @@
         }
         if let Some(own) = digest.reports.first() {
             let work = digest.work.iter().map(work_from_wire).collect();
-            placement.peer_work.hear(own.origin, work, now());
+            placement.peer_work.receive(own.origin, work, now());
         }
         drop(placement);
         if !digest.heads.is_empty() {
@@ -104,9 +105,9 @@
         }
     }
 
-    /// What a daemon of another zone told goes to the neighbours, with the next word.
-    fn pass_on(&self, digest: Digest) {
-        let mut waiting = self.to_pass_on();
+    /// Reports of a daemon of another zone are forwarded to the neighbours with the next digest.
+    fn forward(&self, digest: Digest) {
+        let mut waiting = self.to_forward();
         let has_news = !digest.heads.is_empty() || !digest.away.is_empty();
         for report in digest.reports {
             waiting
@@ -115,15 +116,15 @@
             waiting.reports.push(report);
         }
         waiting.heads.extend(digest.heads);
-        waiting.heads.truncate(MOST_HEADS_PASSED_ON);
+        waiting.heads.truncate(MOST_HEADS_FORWARDED);
         waiting.away.extend(digest.away);
         drop(waiting);
         if has_news {
-            self.has_to_pass_on.notify_one();
+            self.has_to_forward.notify_one();
         }
     }
 
-    /// A neighbour that follows the store tells what changed.
+    /// A neighbour that follows the store publishes what changed.
     fn take_changes(self: &Arc<Self>, changes: Changes, in_doubt: bool, from: SocketAddr) {
         let at = changes.at;
         if in_doubt {
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -1,4 +1,4 @@
-//! Between what daemons decide with and what they tell each other.
+//! Between what daemons decide with and the messages that they exchange.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -264,8 +264,11 @@
     }
 
     /// Results of another daemon of the zone.
-    pub fn hear_results(self: &Arc<Self>, back_end: &Arc<BackEnd>, results: Results) {
-        let pause = self.placement().health.hear(&back_end.id, results, now());
+    pub fn receive_results(self: &Arc<Self>, back_end: &Arc<BackEnd>, results: Results) {
+        let pause = self
+            .placement()
+            .health
+            .receive(&back_end.id, results, now());
         if let Some(pause) = pause
             && let Some(health_path) = self.health_path(back_end)
         {
