--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -53,6 +53,13 @@
             Self::Spot => "spot",
         }
     }
+
+    const fn other(self) -> Self {
+        match self {
+            Self::OnDemand => Self::Spot,
+            Self::Spot => Self::OnDemand,
+        }
+    }
 }
 
 /// Engines by zone and contract.
@@ -69,15 +76,6 @@
     counts
 }
 
-impl Contract {
-    const fn other(self) -> Self {
-        match self {
-            Self::OnDemand => Self::Spot,
-            Self::Spot => Self::OnDemand,
-        }
-    }
-}
-
 /// What is wanted, and why.
 #[derive(Debug, Clone, PartialEq)]
 pub struct CapacityPlan {
--- a/crates/fleet/src/placement/fairness.rs
+++ b/crates/fleet/src/placement/fairness.rs
@@ -14,8 +14,8 @@
 const HALF_LIFE: Duration = Duration::from_secs(5);
 /// The same for how much of the work that does not yield can be in time: it has to follow the load.
 const FIT_HALF_LIFE: Duration = Duration::from_secs(3);
-/// Tenants yield once less than this part of the work can be in time: with 0.9 and a half-life of 1 s, what one daemon sees
-/// swings below it in calm times, and 3% of the worth of a calm day was lost,
+/// Tenants yield once less than this part of the work can be in time: the few requests that one daemon sees swing down to
+/// 0.9 in calm times, too,
 const OVERLOADED_BELOW: f64 = 0.8;
 /// and yield less as long as more than this part of what does not yield can be.
 const ROOM_ABOVE: f64 = 0.92;
