One place that lists the usage copies that are kept

Cause: read once more, two functions listed the kept windows with the same loop, and a test held a value that it dropped. Change: Inner::kept serves both; the unused value is gone. Behaviour and assertions as before.

--- a/crates/serve/tests/usage.rs
+++ b/crates/serve/tests/usage.rs
@@ -178,10 +178,8 @@
     ask_for(&mut fleet, &[0], Duration::from_secs(8));
     let leading = leader(&fleet);
     let killed: Vec<usize> = (0..6).filter(|daemon| *daemon != leading).take(3).collect();
-    let before = sum(&reported(&fleet));
     fleet.wait(DUE);
     let earlier = sum(&reported(&fleet));
-    drop(before);
     let served = ask_for(&mut fleet, &killed, Duration::from_secs(3));
     fleet.wait(Duration::from_millis(400));
     for daemon in &killed {
--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -128,9 +128,7 @@
     pub fn all_kept(&self) -> Vec<TallyOf> {
         let mut inner = self.lock();
         let current = self.roll(&mut inner);
-        (current.saturating_sub(WINDOWS_KEPT)..=current)
-            .flat_map(|window| inner.ledger.tallies(window))
-            .collect()
+        inner.kept(current)
     }
 
     /// What all daemons counted in a window, as far as is known here.
@@ -157,11 +155,8 @@
     pub fn send_all_again(&self) {
         let mut inner = self.lock();
         let current = self.roll(&mut inner);
-        let own: Vec<TallyOf> = (current.saturating_sub(WINDOWS_KEPT)..=current)
-            .flat_map(|window| inner.ledger.tallies(window))
-            .filter(|known| known.life == self.life)
-            .collect();
-        for known in own {
+        let kept = inner.kept(current).into_iter();
+        for known in kept.filter(|known| known.life == self.life) {
             if known.tally.closed_with.is_some() {
                 inner.note_closing(known.window, 1);
                 continue;
@@ -196,6 +191,13 @@
 }
 
 impl Inner {
+    /// Every copy of the windows up to `current` that are still kept.
+    fn kept(&self, current: WindowNumber) -> Vec<TallyOf> {
+        (current.saturating_sub(WINDOWS_KEPT)..=current)
+            .flat_map(|window| self.ledger.tallies(window))
+            .collect()
+    }
+
     fn note_closing(&mut self, window: WindowNumber, sends: u32) {
         let known = self
             .closings
