Logs tell the same request in all its tries, and engines that ended under it

Cause: two tries of one request have different identities, and a connection that broke looked the same whether its engine ended or not, so the logs could not tell the incident's hypotheses apart. Change: a fingerprint of tenant, method, host, path and body; where a run is cut, one look at whether the engine still listens, shared by all its requests; a line run_lost_with_engine (request, fingerprint, engine, run time, requests there), the fingerprint on the request's last line, a counter. Nothing is decided by it.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod configuration;
 pub mod directory;
 pub mod events;
+pub mod fingerprint;
 pub mod followers;
 pub mod health;
 pub mod leadership;
--- /dev/null
+++ b/crates/fleet/tests/fingerprint.rs
@@ -0,0 +1,85 @@
+//! Fingerprints of requests.
+
+use ponddrift_fleet::fingerprint::{RequestContent, RequestFingerprint};
+
+const CONTENT: RequestContent<'static> = RequestContent {
+    tenant: Some("alice"),
+    method: "POST",
+    host: "models.example",
+    path: "/tag/1?x=2",
+    body: b"a prompt",
+};
+
+#[test]
+fn the_same_content_has_the_same_fingerprint() {
+    let first = RequestFingerprint::of(&CONTENT);
+    let second = RequestFingerprint::of(&CONTENT.clone());
+    assert_eq!(first, second);
+}
+
+#[test]
+fn whatever_differs_makes_another_fingerprint() {
+    let others = [
+        RequestContent {
+            tenant: None,
+            ..CONTENT
+        },
+        RequestContent {
+            tenant: Some("bob"),
+            ..CONTENT
+        },
+        RequestContent {
+            method: "PUT",
+            ..CONTENT
+        },
+        RequestContent {
+            host: "other.example",
+            ..CONTENT
+        },
+        RequestContent {
+            path: "/tag/1?x=3",
+            ..CONTENT
+        },
+        RequestContent {
+            body: b"another",
+            ..CONTENT
+        },
+        // Parts that run together are kept apart.
+        RequestContent {
+            tenant: Some("aliceP"),
+            method: "OST",
+            ..CONTENT
+        },
+        RequestContent {
+            path: "/tag/1?x=2a",
+            body: b" prompt",
+            ..CONTENT
+        },
+    ];
+    for other in others {
+        assert_ne!(
+            RequestFingerprint::of(&CONTENT),
+            RequestFingerprint::of(&other),
+            "{other:?}"
+        );
+    }
+}
+
+#[test]
+fn a_fingerprint_is_read_as_it_is_written() {
+    let fingerprint = RequestFingerprint::of(&CONTENT);
+    assert_eq!(
+        RequestFingerprint::parse(&fingerprint.to_string()),
+        Some(fingerprint)
+    );
+    for text in [
+        "",
+        "00",
+        "zz",
+        &"g".repeat(32),
+        &"0".repeat(31),
+        &"é".repeat(16),
+    ] {
+        assert_eq!(RequestFingerprint::parse(text), None, "{text}");
+    }
+}
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -147,6 +147,16 @@
         }
     }
 
+    /// Whether anything accepts connections at `address`. Where nothing does, its process has ended or its machine is out of
+    /// reach; a connection that merely broke leaves its server listening.
+    pub async fn is_listening(&self, address: SocketAddr) -> bool {
+        let connecting = self.runtime.network.connect(address);
+        matches!(
+            tokio::time::timeout(CONNECT_LIMIT, connecting).await,
+            Ok(Ok(_))
+        )
+    }
+
     /// One small exchange, with its whole answer; none without one in time.
     pub async fn call(
         self: &Arc<Self>,
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -123,6 +123,7 @@
     fetches: Counter,
     resumed: Counter,
     ejections: Counter,
+    runs_lost: Counter,
     latency: Histogram,
     first_event: Histogram,
     gaps: Histogram,
@@ -170,6 +171,11 @@
             fetches: made(r, "head_fetches", "Prompts whose head was to be fetched"),
             resumed: made(r, "streams_resumed", "Streams that went on elsewhere"),
             ejections: made(r, "ejections", "Back ends found unwell"),
+            runs_lost: made(
+                r,
+                "runs_lost_with_engine",
+                "Runs that ended because their engine did",
+            ),
             latency: histogram(r, "request_seconds", "Time of a request"),
             first_event: histogram(r, "first_event_seconds", "Time to a stream's first event"),
             gaps: histogram(
@@ -304,6 +310,10 @@
         self.ejections.inc();
     }
 
+    pub(crate) fn run_lost(&self) {
+        self.runs_lost.inc();
+    }
+
     pub(crate) fn first_event(&self, waited: Duration) {
         self.first_event.observe(waited.as_secs_f64());
     }
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -12,6 +12,7 @@
 mod guards;
 mod intake;
 mod job;
+mod lost_runs;
 mod plain;
 mod prefill;
 mod probe;
@@ -43,6 +44,7 @@
 use crate::follow::now;
 use crate::metrics::{GaugeValues, Metrics};
 use crate::usage::UsageRecorder;
+use lost_runs::EngineEnds;
 
 /// Settings of the pipeline.
 #[derive(Clone)]
@@ -72,6 +74,7 @@
     dialect: Arc<dyn Dialect>,
     state: Arc<FleetState>,
     connections: Arc<Connections>,
+    engine_ends: EngineEnds,
     metrics: Arc<Metrics>,
     placement: Mutex<Placement>,
     budget: Mutex<RetryBudget>,
@@ -105,6 +108,7 @@
             dialect,
             state,
             connections: Connections::new(runtime.clone()),
+            engine_ends: EngineEnds::default(),
             metrics,
             placement: Mutex::new(placement),
             budget: Mutex::new(RetryBudget::new(settings.budget)),
@@ -215,6 +219,7 @@
         placement.speed.keep_only(|id| present.contains(id));
         placement.prefixes.keep_only(|id| present.contains(id));
         drop(placement);
+        self.engine_ends.keep_only(|id| present.contains(id));
         self.state.forget_old(now());
         if let Some(in_force) = self.state.in_force() {
             self.split().keep_only(&in_force.configuration);
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -139,6 +139,9 @@
         if let Some(outcome) = judged.outcome {
             self.note_outcome(back_end, &job.service.health_path, outcome);
         }
+        if matches!(judged.end, HeadEnd::Unsure(_)) {
+            self.run_was_cut(job, back_end, judged.outcome, begun).await;
+        }
         if let HeadEnd::NotSent(name) | HeadEnd::NotRun(name) | HeadEnd::Unsure(name) = &judged.end
         {
             self.attempt_ended(
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -34,7 +34,7 @@
         }
     }
 
-    const fn outcome(&self) -> Option<Outcome> {
+    pub(super) const fn outcome(&self) -> Option<Outcome> {
         match self {
             Self::WaitEnd(wait_end) => wait_end.outcome(),
             Self::Broken(_) => Some(Outcome::Broken),
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -329,6 +329,10 @@
         let opened = self
             .first_event(&decode, &path, reply, load, begun, wait_policy)
             .await;
+        if let Err(no_event) = &opened {
+            self.run_was_cut(job, &decode, no_event.outcome(), begun)
+                .await;
+        }
         self.note_first_event(job, plan, &decode, opened, Sent { begun, reads_alone })
     }
 
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -65,6 +65,7 @@
             back_ends = $job.trace.back_ends(),
             sends = $job.arrivals,
             runs = $job.runs,
+            fingerprint = $job.fingerprint.get().map(ToString::to_string),
             "request_ended"
         )
     };
@@ -181,6 +182,7 @@
             runs: 0,
             tried: Vec::new(),
             met_silence: false,
+            fingerprint: std::sync::OnceLock::new(),
             is_closed: false,
             pipeline: Arc::clone(self),
         })
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -1,11 +1,12 @@
 //! One request in the pipeline.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, Method, Uri, header};
 use ponddrift_fleet::configuration::{Route, Service};
+use ponddrift_fleet::fingerprint::{RequestContent, RequestFingerprint};
 use ponddrift_fleet::placement::{Aims, Urgency};
 use ponddrift_fleet::tenants::Tenant;
 
@@ -58,6 +59,8 @@
     pub(super) tried: Vec<Arc<str>>,
     /// Whether a back end left an answer out, maybe since the connection is silent.
     pub(super) met_silence: bool,
+    /// Recognizes the request when it comes again; worked out when it is first needed.
+    pub(super) fingerprint: OnceLock<RequestFingerprint>,
     /// Whether its end has been told.
     pub(super) is_closed: bool,
     pub(super) pipeline: Arc<Pipeline>,
@@ -109,6 +112,21 @@
             || (self.route.kind.is_repeatable() && self.runs < self.route.maximum_attempts)
     }
 
+    /// Recognizes the request when it comes again under another identity.
+    pub(super) fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let host = self.headers.get(header::HOST);
+            let path = self.uri.path_and_query();
+            RequestFingerprint::of(&RequestContent {
+                tenant: self.tenant.as_ref().map(|tenant| &*tenant.name),
+                method: self.method.as_str(),
+                host: host.and_then(|host| host.to_str().ok()).unwrap_or(""),
+                path: path.map_or("/", |path| path.as_str()),
+                body: &self.body,
+            })
+        })
+    }
+
     pub(super) fn note_tried(&mut self, id: &Arc<str>) {
         self.tried.push(Arc::clone(id));
     }
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -143,6 +143,7 @@
             Some(answer) => (Outcome::Success, "answered", Some(answer.head.status)),
             None => (Outcome::Broken, "answer_broke_off", None),
         };
+        self.run_was_cut(job, back_end, Some(outcome), begun).await;
         self.note_outcome(back_end, &job.service.health_path, outcome);
         if outcome == Outcome::Success {
             self.placement()
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -73,6 +73,8 @@
             },
         );
         let Some(result) = result else {
+            let cut = Some(Outcome::Broken);
+            self.run_was_cut(job, engine, cut, begun).await;
             self.note_outcome(engine, &job.service.health_path, Outcome::Broken);
             self.head_lost(job, engine);
             return None;
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -210,6 +210,9 @@
         outcome: Option<Outcome>,
     ) -> Result<(), BodyError> {
         self.note_end(&stream, reason, outcome);
+        self.pipeline
+            .run_was_cut(&self.job, &stream.back_end, outcome, stream.begun)
+            .await;
         // Those that refused it when it began may have room by now.
         self.job.tried = vec![Arc::clone(&stream.back_end.id)];
         drop(stream);
