--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -15,9 +15,9 @@
     ServiceText, StoreStandIn, config,
 };
 use ponddrift_serve::{Daemon, Settings, settings};
-use ponddrift_simulation::{HostId, HostSpec, Simulation, SimulationSettings};
+use ponddrift_simulation::{HostId, HostSpec, Simulation, SimulationHandle, SimulationSettings};
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Requests that a daemon of these tests has in progress, at most.
 pub const MOST_IN_PROGRESS: usize = 60;
@@ -224,6 +224,12 @@
         self.daemons.push(DaemonHost { host, ..daemon });
     }
 
+    /// All model engines that generate, with their hosts.
+    pub fn decoders(&self) -> Vec<(EngineStandIn, HostId)> {
+        let engines = self.decode.iter().cloned();
+        engines.zip(self.decode_hosts.iter().copied()).collect()
+    }
+
     /// Lets virtual time pass.
     pub fn wait(&mut self, time: Duration) {
         self.simulation.run_for(time);
@@ -348,6 +354,38 @@
     value.to_string()
 }
 
+/// Brings crashes about, for good: an engine that is about to crash is killed, and is back under another identity after
+/// `down`. Its old entry lapses then.
+pub async fn crash_engines(
+    simulation: SimulationHandle,
+    store: StoreStandIn,
+    engines: Vec<(EngineStandIn, HostId)>,
+    down: Duration,
+) {
+    let mut starts: Vec<(Instant, usize, String)> = Vec::new();
+    loop {
+        for (index, (engine, host)) in engines.iter().enumerate() {
+            if engine.is_crashing() {
+                simulation.kill(*host);
+                let entry = engine.key();
+                engine.has_crashed();
+                starts.push((Instant::now() + down, index, entry));
+            }
+        }
+        starts.retain(|(at, index, old_entry)| {
+            let is_due = *at <= Instant::now();
+            if is_due {
+                let (engine, host) = &engines[*index];
+                store.remove(old_entry);
+                engine.record(&store, "ready");
+                simulation.restart(*host);
+            }
+            !is_due
+        });
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
 /// Waits in virtual time until `condition` holds.
 pub async fn until(mut condition: impl FnMut() -> bool) {
     for _ in 0..20_000 {
