A request that ends engines one after the other is run no more, anywhere

Cause: daemons bounded the sends of one request identity and remembered nothing of a request beyond that. A caller that came again met a daemon that knew nothing, and each try ended up to two engines. Class: knowledge that ends with what it is about (a try) where the harm belongs to something longer (a request). Change: fleet::quarantine keeps, for each fingerprint, the runs that were lost with their engines; runs that overlap count as one, a good run clears. After two engines in a row a request is doubted: run where the fewest others are, not repeated by the daemon. After three it is quarantined for 10 min: 503 with that time as Retry-After. Daemons tell each other (single lost runs only to three recorders chosen by the fingerprint, the rest to all, three times) and file it in the store under a lease, so that it outlasts all daemons.

--- a/crates/fleet/src/fingerprint.rs
+++ b/crates/fleet/src/fingerprint.rs
@@ -54,6 +54,15 @@
         Self(bytes)
     }
 
+    /// The first of all in their order.
+    pub const LEAST: Self = Self([0; BYTES]);
+
+    /// Its bytes.
+    #[must_use]
+    pub const fn as_bytes(&self) -> &[u8] {
+        &self.0
+    }
+
     /// Reads the form that [`fmt::Display`] writes; none if it is not one.
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,7 +4,8 @@
 //! operators want, [`directory`] what back ends say of themselves, [`health`] what requests found out,
 //! [`placement`] chooses, [`budget`] bounds repeats, [`events`] cuts streams into whole events,
 //! [`stages`] plans which engines read prompts, [`capacity`] how many engines there are, [`tenants`] resolves
-//! whose request it is, [`usage`] counts them, [`leadership`] decides when the leader may act, [`true_time`]
+//! whose request it is, [`fingerprint`] recognizes one that comes again, [`quarantine`] decides which is run no
+//! more since engines end under it, [`usage`] counts them, [`leadership`] decides when the leader may act, [`true_time`]
 //! agrees on the time of day, [`topology`] decides which daemons talk to each other.
 
 pub mod budget;
@@ -18,6 +19,7 @@
 pub mod leadership;
 pub mod placement;
 pub mod prompt;
+pub mod quarantine;
 pub mod routes;
 pub mod stages;
 pub mod tenants;
--- /dev/null
+++ b/crates/fleet/src/quarantine.rs
@@ -0,0 +1,412 @@
+//! Requests that crash the engines that run them (queries of death), and when they are run no more.
+//!
+//! An engine that ends takes all its requests along, and at most one of them is the reason. What all daemons know of a
+//! request is the runs that it lost with their engines. A run that came to its end well clears it. Runs that overlapped in
+//! time count as one: a rack that loses its power ends many engines under the copies of one request at the same moment. After
+//! two engines, one after the other, the request is doubted: it is run only where it does little harm, and daemons do not
+//! repeat it themselves. After the third it is quarantined.
+//!
+//! Knowledge only grows and is merged as sets, so it can be sent again, out of order, and by anybody.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use crate::fingerprint::RequestFingerprint;
+
+/// Engines, one after the other, after which a request is doubted: by then it is rarely an innocent that shared one engine.
+const DOUBTED_AFTER: usize = 2;
+/// Engines, one after the other, after which a request is run no more: the third tells it from an innocent that met the same
+/// crashing request twice.
+const QUARANTINED_AFTER: usize = 3;
+/// How long a request is run no more, and how long it is remembered after that: long enough that it costs three engines some
+/// seconds each in that time, short enough that callers are served soon after an engine release that mends it. Also the
+/// longest lease of the store.
+pub const QUARANTINE: Duration = Duration::from_secs(600);
+/// Lost runs that are remembered of one request; more tell nothing new.
+const MOST_LOST_RUNS: usize = 8;
+/// Two good runs so close to each other are the same: times come from peers as ages, to which a datagram's way adds.
+const SAME_TIME: Duration = Duration::from_millis(500);
+/// Requests that are remembered, some 300 bytes each.
+const MOST_SUSPECTS: usize = 4_096;
+/// Requests that are remembered of one tenant, so that none pushes out what is known of others.
+const MOST_SUSPECTS_OF_TENANT: usize = 512;
+
+/// A run that ended because its engine did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LostRun {
+    /// The engine's incarnation.
+    pub engine: Arc<str>,
+    /// When the run began.
+    pub begun: Instant,
+    /// When the engine ended.
+    pub ended: Instant,
+}
+
+/// Everything that is known of one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Suspicion {
+    /// Which request.
+    pub fingerprint: RequestFingerprint,
+    /// Hash of its tenant's name; 0 where callers are not told apart.
+    pub tenant: u32,
+    /// Runs that it lost with their engines, in the order of their ends.
+    pub lost_runs: Vec<LostRun>,
+    /// When it last ran well.
+    pub cleared: Option<Instant>,
+}
+
+/// What may be done with a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing is held against it, or no more than against any other on an engine that ended.
+    Clear,
+    /// It is run where it does little harm, and not repeated by the daemon.
+    Doubted,
+    /// It is not run until then.
+    Quarantined {
+        /// When it is tried again.
+        until: Instant,
+    },
+}
+
+impl Standing {
+    /// Name in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Clear => "clear",
+            Self::Doubted => "doubted",
+            Self::Quarantined { .. } => "quarantined",
+        }
+    }
+
+    /// Whether it is not run.
+    #[must_use]
+    pub const fn is_quarantined(self) -> bool {
+        matches!(self, Self::Quarantined { .. })
+    }
+}
+
+/// What news changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Update {
+    /// Whether anything was new.
+    pub is_news: bool,
+    /// Whether more is known here than the news told.
+    pub knows_more: bool,
+    /// Before.
+    pub before: Standing,
+    /// Now.
+    pub after: Standing,
+}
+
+/// A quarantine that the store does not hold yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unfiled {
+    /// Which request.
+    pub fingerprint: RequestFingerprint,
+    /// Engines that ended under it.
+    pub engines: Vec<Arc<str>>,
+    /// Whether this daemon lost a run of it itself.
+    pub is_own: bool,
+}
+
+#[derive(Debug)]
+struct Entry {
+    suspicion: Suspicion,
+    /// Since when the store has held its quarantine, as far as is known here.
+    filed: Option<Instant>,
+    /// When its quarantine was ended, by its lease or by an operator.
+    released: Option<Instant>,
+    is_own: bool,
+}
+
+/// What is known of requests under which engines ended.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    entries: HashMap<RequestFingerprint, Entry>,
+    /// Cleared requests whose quarantine the store still holds.
+    to_release: Vec<RequestFingerprint>,
+}
+
+impl Quarantine {
+    /// Whether nothing is known of any request.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// What may be done with a request.
+    #[must_use]
+    pub fn standing(&self, fingerprint: RequestFingerprint, now: Instant) -> Standing {
+        let entry = self.entries.get(&fingerprint);
+        entry.map_or(Standing::Clear, |entry| entry.standing(now))
+    }
+
+    /// Requests that are not run now.
+    #[must_use]
+    pub fn quarantined(&self, now: Instant) -> usize {
+        let entries = self.entries.values();
+        entries
+            .filter(|entry| entry.standing(now).is_quarantined())
+            .count()
+    }
+
+    /// Requests that are remembered.
+    #[must_use]
+    pub fn suspects(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// This daemon lost a run of a request.
+    pub fn note_lost_run(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        tenant: u32,
+        run: LostRun,
+        now: Instant,
+    ) -> Update {
+        let suspicion = Suspicion {
+            fingerprint,
+            tenant,
+            lost_runs: vec![run],
+            cleared: None,
+        };
+        let update = self.merge(&suspicion, now);
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.is_own = true;
+        }
+        update
+    }
+
+    /// A request ran well, which no request does that crashes engines. Returns whether anything was held against it.
+    pub fn note_good_run(&mut self, fingerprint: RequestFingerprint, now: Instant) -> bool {
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return false;
+        };
+        let was_suspected = entry.filed.is_some() || entry.held_against().next().is_some();
+        if was_suspected {
+            entry.suspicion.cleared = Some(now);
+            let was_filed = entry.filed.take().is_some();
+            if was_filed {
+                self.to_release.push(fingerprint);
+            }
+        }
+        was_suspected
+    }
+
+    /// Takes what another daemon knows.
+    pub fn merge(&mut self, news: &Suspicion, now: Instant) -> Update {
+        let before = self.standing(news.fingerprint, now);
+        if !self.entries.contains_key(&news.fingerprint) {
+            self.make_room(news.tenant, now);
+        }
+        let entry = self
+            .entries
+            .entry(news.fingerprint)
+            .or_insert_with(|| Entry::of(news.fingerprint, news.tenant));
+        let is_news = entry.take(news);
+        Update {
+            is_news,
+            knows_more: entry.knows_more_than(news),
+            before,
+            after: entry.standing(now),
+        }
+    }
+
+    /// The store holds a request's quarantine.
+    pub fn note_filed(&mut self, fingerprint: RequestFingerprint, now: Instant) {
+        if !self.entries.contains_key(&fingerprint) {
+            self.make_room(0, now);
+        }
+        let entry = self
+            .entries
+            .entry(fingerprint)
+            .or_insert_with(|| Entry::of(fingerprint, 0));
+        entry.filed.get_or_insert(now);
+    }
+
+    /// The store holds a request's quarantine no more: its lease ended, or an operator ended it. The request is tried again,
+    /// still doubted.
+    pub fn note_released(&mut self, fingerprint: RequestFingerprint, now: Instant) {
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.filed = None;
+            entry.released = Some(now);
+        }
+    }
+
+    /// Whether the store is known to hold the request's quarantine.
+    #[must_use]
+    pub fn is_filed(&self, fingerprint: RequestFingerprint) -> bool {
+        let entry = self.entries.get(&fingerprint);
+        entry.is_some_and(|entry| entry.filed.is_some())
+    }
+
+    /// Quarantines that the store is not known to hold.
+    #[must_use]
+    pub fn unfiled(&self, now: Instant) -> Vec<Unfiled> {
+        let entries = self.entries.values();
+        let unfiled =
+            entries.filter(|entry| entry.filed.is_none() && entry.standing(now).is_quarantined());
+        unfiled
+            .map(|entry| Unfiled {
+                fingerprint: entry.suspicion.fingerprint,
+                engines: entry
+                    .held_against()
+                    .map(|run| Arc::clone(&run.engine))
+                    .collect(),
+                is_own: entry.is_own,
+            })
+            .collect()
+    }
+
+    /// Cleared requests whose quarantine is to be taken out of the store; each is named once.
+    pub fn take_releases(&mut self) -> Vec<RequestFingerprint> {
+        std::mem::take(&mut self.to_release)
+    }
+
+    /// What is known of a request, for telling other daemons.
+    #[must_use]
+    pub fn suspicion(&self, fingerprint: RequestFingerprint) -> Option<&Suspicion> {
+        self.entries.get(&fingerprint).map(|entry| &entry.suspicion)
+    }
+
+    /// Forgets what is long past.
+    pub fn forget_old(&mut self, now: Instant) {
+        self.entries.retain(|_fingerprint, entry| {
+            let newest = entry.newest_news();
+            newest.is_some_and(|newest| {
+                now.saturating_duration_since(newest) < QUARANTINE + QUARANTINE
+            })
+        });
+    }
+
+    /// Makes room for one more: of a tenant with too many its own, else any, those first that are least suspected, then the
+    /// oldest.
+    fn make_room(&mut self, tenant: u32, now: Instant) {
+        let of_tenant = self
+            .entries
+            .values()
+            .filter(|entry| entry.suspicion.tenant == tenant);
+        let is_tenant_full = tenant != 0 && of_tenant.count() >= MOST_SUSPECTS_OF_TENANT;
+        if !is_tenant_full && self.entries.len() < MOST_SUSPECTS {
+            return;
+        }
+        let weakest = self
+            .entries
+            .values()
+            .filter(|entry| !is_tenant_full || entry.suspicion.tenant == tenant)
+            .min_by_key(|entry| {
+                (
+                    entry.standing(now).is_quarantined(),
+                    entry.engines_in_a_row(),
+                    entry.newest_news(),
+                )
+            })
+            .map(|entry| entry.suspicion.fingerprint);
+        if let Some(weakest) = weakest {
+            self.entries.remove(&weakest);
+        }
+    }
+}
+
+impl Entry {
+    const fn of(fingerprint: RequestFingerprint, tenant: u32) -> Self {
+        Self {
+            suspicion: Suspicion {
+                fingerprint,
+                tenant,
+                lost_runs: Vec::new(),
+                cleared: None,
+            },
+            filed: None,
+            released: None,
+            is_own: false,
+        }
+    }
+
+    /// Returns whether anything was new.
+    fn take(&mut self, news: &Suspicion) -> bool {
+        let before = self.suspicion.clone();
+        let known = &mut self.suspicion;
+        if known.tenant == 0 {
+            known.tenant = news.tenant;
+        }
+        if is_later(news.cleared, known.cleared) {
+            known.cleared = news.cleared;
+            self.filed = None;
+        }
+        for run in &news.lost_runs {
+            if known
+                .lost_runs
+                .iter()
+                .all(|other| other.engine != run.engine)
+            {
+                known.lost_runs.push(run.clone());
+            }
+        }
+        known.lost_runs.sort_by_key(|run| run.ended);
+        let surplus = known.lost_runs.len().saturating_sub(MOST_LOST_RUNS);
+        known.lost_runs.drain(..surplus);
+        *known != before
+    }
+
+    fn knows_more_than(&self, news: &Suspicion) -> bool {
+        let known = &self.suspicion;
+        let is_told = |run: &LostRun| news.lost_runs.iter().any(|told| told.engine == run.engine);
+        is_later(known.cleared, news.cleared) || known.lost_runs.iter().any(|run| !is_told(run))
+    }
+
+    /// Lost runs that no good run followed.
+    fn held_against(&self) -> impl Iterator<Item = &LostRun> {
+        let cleared = self.suspicion.cleared;
+        let runs = self.suspicion.lost_runs.iter();
+        runs.filter(move |run| cleared.is_none_or(|cleared| run.ended > cleared))
+    }
+
+    /// Engines that ended one after the other: the longest row of runs of which each began after the one before had ended.
+    fn engines_in_a_row(&self) -> usize {
+        let mut in_a_row = 0;
+        let mut free_from: Option<Instant> = None;
+        for run in self.held_against() {
+            if free_from.is_none_or(|from| run.begun >= from) {
+                in_a_row += 1;
+                free_from = Some(run.ended);
+            }
+        }
+        in_a_row
+    }
+
+    fn standing(&self, now: Instant) -> Standing {
+        let in_a_row = self.engines_in_a_row();
+        let newest = self.held_against().map(|run| run.ended).max();
+        let since = newest
+            .filter(|_newest| in_a_row >= QUARANTINED_AFTER)
+            .filter(|newest| self.released.is_none_or(|released| *newest > released))
+            .max(self.filed);
+        if let Some(until) = since.map(|since| since + QUARANTINE)
+            && until > now
+        {
+            return Standing::Quarantined { until };
+        }
+        if in_a_row >= DOUBTED_AFTER {
+            Standing::Doubted
+        } else {
+            Standing::Clear
+        }
+    }
+
+    fn newest_news(&self) -> Option<Instant> {
+        let newest_run = self.suspicion.lost_runs.last().map(|run| run.ended);
+        newest_run.max(self.suspicion.cleared).max(self.filed)
+    }
+}
+
+fn is_later(one: Option<Instant>, other: Option<Instant>) -> bool {
+    match (one, other) {
+        (Some(one), Some(other)) => one > other + SAME_TIME,
+        (one, None) => one.is_some(),
+        (None, Some(_)) => false,
+    }
+}
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -22,7 +22,7 @@
 use ponddrift_serving::store::FleetStore;
 use ponddrift_serving::usage::UsageRecorder;
 use ponddrift_serving::usage::report::{self, ReportSettings, Reporting};
-use ponddrift_serving::{capacity, follow, front, leader, orders, peers};
+use ponddrift_serving::{capacity, follow, front, leader, orders, peers, quarantine};
 use tokio::time::Instant;
 
 use crate::process;
@@ -110,6 +110,7 @@
         )
         .await
         .wrap_err("listen.peers cannot be bound: is another process there?")?;
+        quarantine::start(runtime, &store, &state);
         let probing = Arc::clone(&pipeline).probe_caches();
         runtime.spawner.spawn(Box::pin(probing));
         let leader_settings = LeaderSettings {
--- a/crates/serve/tests/crashing_requests.rs
+++ b/crates/serve/tests/crashing_requests.rs
@@ -20,7 +20,9 @@
 
 use futures::future::{Either, select};
 use futures::stream::{FuturesUnordered, StreamExt};
-use ponddrift_platform_stand_ins::{Answer, ClientRequest};
+use http::StatusCode;
+use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest};
+use ponddrift_simulation::DatagramFaults;
 use support::{Fleet, Size, crash_engines};
 use tokio::time::{Instant, sleep};
 
@@ -67,6 +69,24 @@
     }
 }
 
+fn innocent(number: usize) -> ClientRequest {
+    ClientRequest {
+        body: format!("question {number}"),
+        ..ClientRequest::prompt(&format!("innocent-{number}"), "tag", 0, 30)
+    }
+}
+
+/// Whether the answer says that the request is quarantined.
+fn is_quarantined(answer: &Answer) -> bool {
+    answer.status == StatusCode::SERVICE_UNAVAILABLE
+        && answer.text().contains("engines ended while they ran")
+}
+
+/// Identity of the request that an answer belongs to.
+fn request_of(answer: &Answer) -> Option<&str> {
+    answer.headers.get("ponddrift-request-id")?.to_str().ok()
+}
+
 /// Sends `request` again and again, the n-th at daemon n; the answers as they came, those that ended bare left out.
 fn ask_again(
     fleet: &mut Fleet,
@@ -138,3 +158,188 @@
         crashes.len()
     );
 }
+
+/// Many others run on the engines that end: none of them is taken for the cause, however often it is hit.
+#[test]
+fn requests_on_engines_that_end_are_not_quarantined_with_the_one_that_ended_them() {
+    let mut fleet = crashing_fleet(size());
+    let repeats = Repeats {
+        times: 600,
+        every: Duration::from_millis(10),
+    };
+    // Every tenth is the one; callers come again with the same question a second later.
+    let mixed = |number: usize| match number % 10 {
+        0 => crasher(number),
+        _ => ClientRequest {
+            body: format!("question {}", number % 100),
+            ..innocent(number)
+        },
+    };
+    let answers = ask_again(&mut fleet, repeats, mixed);
+    let crashes = all_crashes(&fleet);
+    let refused: Vec<&str> = answers
+        .iter()
+        .filter(|answer| is_quarantined(answer))
+        .filter_map(request_of)
+        .collect();
+    assert!(crashes.len() <= 6, "{} engines ended", crashes.len());
+    assert!(!refused.is_empty(), "the crashing one is");
+    let innocents = refused.iter().filter(|id| id.starts_with("innocent"));
+    assert_eq!(innocents.count(), 0, "{refused:?}");
+    let served = answers
+        .iter()
+        .filter(|answer| answer.status == StatusCode::OK && answer.is_whole);
+    assert!(served.count() > 500, "{} engines ended", crashes.len());
+}
+
+/// What is known outlasts all daemons: they read it from the store.
+#[test]
+fn a_quarantine_outlasts_the_loss_of_all_daemons() {
+    let mut fleet = crashing_fleet(size());
+    let repeats = Repeats {
+        times: 20,
+        every: Duration::from_millis(100),
+    };
+    ask_again(&mut fleet, repeats, crasher);
+    let before = all_crashes(&fleet).len();
+    let simulation = fleet.simulation.handle();
+    for daemon in &fleet.daemons {
+        simulation.kill(daemon.host);
+    }
+    fleet.wait(Duration::from_millis(500));
+    for daemon in &fleet.daemons {
+        simulation.restart(daemon.host);
+    }
+    fleet.wait(Duration::from_secs(3));
+    let answers = ask_again(&mut fleet, repeats, crasher);
+    assert_eq!(all_crashes(&fleet).len(), before);
+    assert!(answers.iter().all(is_quarantined), "{answers:?}");
+}
+
+/// An operator who knows that the request does no harm any more removes its key.
+#[test]
+fn an_operator_ends_a_quarantine_by_removing_its_key() {
+    let mut fleet = crashing_fleet(size());
+    let repeats = Repeats {
+        times: 20,
+        every: Duration::from_millis(100),
+    };
+    ask_again(&mut fleet, repeats, crasher);
+    fleet.wait(DOWN);
+    for engine in &fleet.decode {
+        engine.crash_on("nothing is like this");
+    }
+    let still = ask_again(
+        &mut fleet,
+        Repeats {
+            times: 4,
+            ..repeats
+        },
+        crasher,
+    );
+    assert!(still.iter().all(is_quarantined), "{still:?}");
+    let keys = fleet.store.keys("ponddrift/quarantine/");
+    assert_eq!(keys.len(), 1, "{keys:?}");
+    fleet.store.remove(&keys[0]);
+    fleet.wait(Duration::from_secs(1));
+    let answers = ask_again(
+        &mut fleet,
+        Repeats {
+            times: 4,
+            ..repeats
+        },
+        crasher,
+    );
+    let statuses: Vec<StatusCode> = answers.iter().map(|answer| answer.status).collect();
+    assert_eq!(statuses, [StatusCode::OK; 4]);
+}
+
+/// The store is away while engines end: daemons tell each other, and file it once the store is back.
+#[test]
+fn a_quarantine_is_in_force_and_kept_though_the_store_was_away() {
+    let mut fleet = crashing_fleet(size());
+    let simulation = fleet.simulation.handle();
+    for daemon in &fleet.daemons {
+        simulation.cut(daemon.host, fleet.store_host);
+    }
+    let repeats = Repeats {
+        times: 30,
+        every: Duration::from_millis(100),
+    };
+    ask_again(&mut fleet, repeats, crasher);
+    assert!(all_crashes(&fleet).len() <= 5, "{:?}", all_crashes(&fleet));
+    for daemon in &fleet.daemons {
+        simulation.heal(daemon.host, fleet.store_host);
+    }
+    fleet.wait(Duration::from_secs(8));
+    assert_eq!(fleet.store.keys("ponddrift/quarantine/").len(), 1);
+}
+
+/// One datagram in three is lost between daemons.
+#[test]
+fn a_quarantine_reaches_all_daemons_though_datagrams_are_lost() {
+    let mut fleet = crashing_fleet(size());
+    fleet
+        .simulation
+        .handle()
+        .set_datagram_faults(DatagramFaults {
+            loss: 0.33,
+            ..DatagramFaults::default()
+        });
+    let repeats = Repeats {
+        times: 60,
+        every: Duration::from_millis(100),
+    };
+    ask_again(&mut fleet, repeats, crasher);
+    assert!(all_crashes(&fleet).len() <= 6, "{:?}", all_crashes(&fleet));
+}
+
+/// A rack loses its power: all engines end under the runs of one popular question at the same moment.
+#[test]
+fn a_popular_request_is_served_after_all_engines_ended_at_once() {
+    let mut fleet = Fleet::new(size());
+    for engine in &fleet.decode {
+        engine.behave_always(Behaviour::Hang);
+    }
+    let simulation = fleet.simulation.handle();
+    let engines = fleet.decoders();
+    let store = fleet.store.clone();
+    let popular = |number: usize| ClientRequest {
+        body: String::from("a popular question"),
+        ..innocent(number)
+    };
+    let client = fleet.client.clone();
+    let targets: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.callers).collect();
+    let calls: FuturesUnordered<_> = (0..12)
+        .map(|number| {
+            let client = client.clone();
+            let target = targets[number % targets.len()];
+            async move { client.ask(target, &popular(number)).await }
+        })
+        .collect();
+    let power = async move {
+        sleep(Duration::from_millis(300)).await;
+        for (_engine, host) in &engines {
+            simulation.kill(*host);
+        }
+        sleep(DOWN).await;
+        for (engine, host) in &engines {
+            store.remove(&engine.key());
+            engine.has_crashed();
+            engine.behave_well();
+            engine.record(&store, "ready");
+            simulation.restart(*host);
+        }
+    };
+    fleet.run(async move {
+        futures::join!(calls.collect::<Vec<_>>(), power);
+    });
+    fleet.wait(Duration::from_secs(2));
+    let repeats = Repeats {
+        times: 8,
+        every: Duration::from_millis(50),
+    };
+    let answers = ask_again(&mut fleet, repeats, |number| popular(100 + number));
+    let statuses: Vec<StatusCode> = answers.iter().map(|answer| answer.status).collect();
+    assert_eq!(statuses, [StatusCode::OK; 8]);
+}
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -10,16 +10,19 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use ponddrift_fleet::configuration::Configuration;
 use ponddrift_fleet::directory::{BackEnd, Lifecycle};
+use ponddrift_fleet::fingerprint::RequestFingerprint;
+use ponddrift_fleet::quarantine::Quarantine;
 use ponddrift_fleet::routes::RouteTable;
 use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
 
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 use fleet_view::FleetView;
 
 use crate::back_end_index::BackEndIndex;
-use crate::store::{Changes, FleetStore, Item, Snapshot};
+use crate::store::{Changes, Decoded, FleetStore, Item, Snapshot};
 
 /// A configuration in force.
 #[derive(Debug)]
@@ -74,6 +77,8 @@
     store: Arc<dyn FleetStore>,
     own: Member,
     inner: Mutex<FleetView>,
+    quarantine: Mutex<Quarantine>,
+    quarantine_changed: Notify,
 }
 
 impl FleetState {
@@ -81,7 +86,26 @@
     #[must_use]
     pub fn new(store: Arc<dyn FleetStore>, own: Member) -> Self {
         let inner = Mutex::new(FleetView::of(&own));
-        Self { store, own, inner }
+        Self {
+            store,
+            own,
+            inner,
+            quarantine: Mutex::default(),
+            quarantine_changed: Notify::new(),
+        }
+    }
+
+    /// What is known of requests under which engines ended.
+    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
+    /// Wakes who files quarantines in the store when there may be a new one.
+    #[must_use]
+    pub const fn quarantine_changed(&self) -> &Notify {
+        &self.quarantine_changed
     }
 
     /// This daemon.
@@ -259,6 +283,12 @@
             return;
         }
         match self.store.decode(&item) {
+            Ok(Decoded::Quarantined(fingerprint)) => {
+                self.quarantine_filed(fingerprint, item.revision, source, now);
+            }
+            Ok(Decoded::Released(fingerprint)) => {
+                self.quarantine_released(fingerprint, item.revision, source, now);
+            }
             Ok(decoded) => self.lock().apply(decoded, item.revision, source, now),
             Err(unreadable) => tracing::warn!(
                 key = unreadable.key,
@@ -272,6 +302,43 @@
         inner.items.insert(item.key.clone(), item);
     }
 
+    fn quarantine_filed(
+        &self,
+        fingerprint: RequestFingerprint,
+        revision: u64,
+        source: Source,
+        now: Instant,
+    ) {
+        tracing::info!(
+            %fingerprint,
+            revision,
+            source = source.as_str(),
+            "quarantine_filed"
+        );
+        self.quarantine().note_filed(fingerprint, now);
+    }
+
+    /// A lease that ran out while the store was away ends no quarantine: no operator and no time has.
+    fn quarantine_released(
+        &self,
+        fingerprint: RequestFingerprint,
+        revision: u64,
+        source: Source,
+        now: Instant,
+    ) {
+        let in_doubt = self.is_in_doubt(now);
+        tracing::info!(
+            %fingerprint,
+            revision,
+            in_doubt,
+            source = source.as_str(),
+            "quarantine_released"
+        );
+        if !in_doubt {
+            self.quarantine().note_released(fingerprint, now);
+        }
+    }
+
     fn is_stale(&self, item: &Item) -> bool {
         self.lock()
             .items
@@ -319,6 +386,7 @@
     pub fn forget_old(&self, now: Instant) {
         let mut inner = self.lock();
         inner.directory.forget_removals(now);
+        self.quarantine().forget_old(now);
         let newest = inner.newest;
         /// Removed keys are handed on to peers for about this many revisions.
         const REMOVED_KEPT: u64 = 10_000;
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -105,7 +105,7 @@
                 tracing::info!(revision, source = source.as_str(), "leader_gone");
                 self.leader = None;
             }
-            Decoded::Other => {}
+            Decoded::Quarantined(_) | Decoded::Released(_) | Decoded::Other => {}
         }
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod pipeline;
 pub mod provider;
+pub mod quarantine;
 pub mod request_trace;
 pub mod store;
 pub mod usage;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -78,6 +78,10 @@
     pub ejected: usize,
     /// Back ends whose entries held no usable time of their slow start.
     pub unusable_cold_times: u64,
+    /// Requests that are remembered since engines ended under them.
+    pub suspects: usize,
+    /// Requests among them that are not run.
+    pub quarantined: usize,
     /// Connections open to back ends.
     pub connections: u32,
     /// Requests in progress.
@@ -101,6 +105,8 @@
     back_ends: Gauge,
     ejected: Gauge,
     unusable_cold_times: Gauge,
+    suspects: Gauge,
+    quarantined: Gauge,
     connections: Gauge,
     in_progress: Gauge,
     log_lines_dropped: Gauge,
@@ -124,6 +130,7 @@
     resumed: Counter,
     ejections: Counter,
     runs_lost: Counter,
+    quarantined: Counter,
     latency: Histogram,
     first_event: Histogram,
     gaps: Histogram,
@@ -176,6 +183,11 @@
                 "runs_lost_with_engine",
                 "Runs that ended because their engine did",
             ),
+            quarantined: made(
+                r,
+                "requests_quarantined",
+                "Requests that were not run since engines ended under them",
+            ),
             latency: histogram(r, "request_seconds", "Time of a request"),
             first_event: histogram(r, "first_event_seconds", "Time to a stream's first event"),
             gaps: histogram(
@@ -210,6 +222,16 @@
             newest_revision: made(r, "store_revision", "Newest revision of the store seen"),
             daemons: made(r, "daemons", "Daemons known, this one among them"),
             back_ends: made(r, "back_ends", "Back ends that the directory names"),
+            suspects: made(
+                r,
+                "suspected_requests",
+                "Requests that are remembered since engines ended under them",
+            ),
+            quarantined: made(
+                r,
+                "quarantined_requests",
+                "Requests that are not run for now",
+            ),
             ejected: made(
                 r,
                 "back_ends_ejected",
@@ -310,6 +332,10 @@
         self.ejections.inc();
     }
 
+    pub(crate) fn quarantined(&self) {
+        self.quarantined.inc();
+    }
+
     pub(crate) fn run_lost(&self) {
         self.runs_lost.inc();
     }
@@ -349,6 +375,8 @@
         gauges.daemons.set(signed(values.daemons));
         gauges.back_ends.set(signed(values.back_ends));
         gauges.ejected.set(signed(values.ejected));
+        gauges.suspects.set(signed(values.suspects));
+        gauges.quarantined.set(signed(values.quarantined));
         gauges
             .unusable_cold_times
             .set(signed(values.unusable_cold_times));
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -7,6 +7,7 @@
 mod publish;
 mod receive;
 mod relay;
+mod suspects;
 mod translate;
 
 use std::net::SocketAddr;
@@ -67,6 +68,7 @@
     if let Some(recorder) = usage {
         spawner.spawn(Box::pin(Arc::clone(&peers).replicate_usage(recorder)));
     }
+    spawner.spawn(Box::pin(Arc::clone(&peers).publish_suspects()));
     spawner.spawn(Box::pin(peers.receive()));
     Ok(())
 }
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -4,6 +4,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
+use ponddrift_fleet::fingerprint::RequestFingerprint;
 use ponddrift_fleet::usage::{Tally, TallyOf};
 
 use crate::store::Changes;
@@ -48,6 +49,32 @@
     },
     /// What the sender counted of its tenants' requests, or a part of it.
     Usage(TallyOf),
+    /// Requests under which engines ended.
+    Suspects(Vec<SuspectRow>),
+}
+
+/// What the sender knows of one request under which engines ended.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct SuspectRow {
+    /// Which request.
+    pub(super) fingerprint: RequestFingerprint,
+    /// Hash of its tenant's name; 0 where there is none.
+    pub(super) tenant: u32,
+    /// Runs that it lost with their engines.
+    pub(super) lost_runs: Vec<LostRunRow>,
+    /// How long ago it last ran well, in milliseconds.
+    pub(super) cleared_ms_ago: Option<u32>,
+}
+
+/// One run that was lost with its engine. Times count back from when the message was sent: clocks of machines differ.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct LostRunRow {
+    /// The engine's incarnation.
+    pub(super) engine: String,
+    /// How long ago the run began, in milliseconds.
+    pub(super) begun_ms_ago: u32,
+    /// How long ago the engine ended, in milliseconds.
+    pub(super) ended_ms_ago: u32,
 }
 
 /// How things stand at a daemon.
@@ -232,6 +259,31 @@
     messages.filter_map(|message| encode(&message)).collect()
 }
 
+/// Rows about requests as datagrams, as many rows in each as fit. A row that fits into none is left out: the lines of its
+/// runs tell of it.
+pub(super) fn encode_suspects(rows: Vec<SuspectRow>) -> Vec<Vec<u8>> {
+    let mut datagrams = Vec::new();
+    let mut waiting = Vec::new();
+    for row in rows {
+        waiting.push(row);
+        if encode(&Message::Suspects(waiting.clone())).is_some() {
+            continue;
+        }
+        let last = waiting.pop();
+        datagrams.extend(encode_rows(&mut waiting));
+        waiting.extend(last);
+    }
+    datagrams.extend(encode_rows(&mut waiting));
+    datagrams
+}
+
+fn encode_rows(rows: &mut Vec<SuspectRow>) -> Option<Vec<u8>> {
+    if rows.is_empty() {
+        return None;
+    }
+    encode(&Message::Suspects(std::mem::take(rows)))
+}
+
 /// The datagram with this message; none if it does not fit.
 pub(super) fn encode(message: &Message) -> Option<Vec<u8>> {
     let bytes = borsh::to_vec(&(VERSION, message)).ok()?;
--- a/crates/serving/src/peers/publish.rs
+++ b/crates/serving/src/peers/publish.rs
@@ -122,7 +122,7 @@
         self.send(for_neighbours.encode(), &targets).await;
     }
 
-    async fn send(&self, bytes: Option<Vec<u8>>, targets: &[SocketAddr]) {
+    pub(super) async fn send(&self, bytes: Option<Vec<u8>>, targets: &[SocketAddr]) {
         let Some(bytes) = bytes else {
             return;
         };
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -41,6 +41,7 @@
                         recorder.merge(&copy);
                     }
                 }
+                Some(Message::Suspects(rows)) => self.take_suspects(&rows, from).await,
                 None => tracing::warn!(%from, length, "peer_message_unreadable"),
             }
         }
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -1,16 +1,18 @@
 //! Between what daemons decide with and the messages that they exchange.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ponddrift_fleet::health::Results;
 use ponddrift_fleet::placement::{
     HeadState, HeadUse, Outstanding, PromptReading, WorkReport, WorkRow,
 };
+use ponddrift_fleet::quarantine::{LostRun, Suspicion};
 use ponddrift_fleet::stages::StageWork;
 
 use super::message::{
-    AwayRow, BackEndRow, HeadRow, ReadingRow, ReportRow, ResultRow, ServiceWorkRow, TOKENS_IN_UNIT,
+    AwayRow, BackEndRow, HeadRow, LostRunRow, ReadingRow, ReportRow, ResultRow, ServiceWorkRow,
+    SuspectRow, TOKENS_IN_UNIT,
 };
 use crate::back_end_index::{BackEndIndex, hash};
 
@@ -154,3 +156,40 @@
     };
     (Arc::from(row.service.as_str()), work)
 }
+
+pub(super) fn suspicion_to_wire(suspicion: &Suspicion, now: Instant) -> SuspectRow {
+    let ms_ago = |at: Instant| {
+        let ago = now.saturating_duration_since(at).as_millis();
+        u32::try_from(ago).unwrap_or(u32::MAX)
+    };
+    let lost_runs = suspicion.lost_runs.iter().map(|run| LostRunRow {
+        engine: run.engine.to_string(),
+        begun_ms_ago: ms_ago(run.begun),
+        ended_ms_ago: ms_ago(run.ended),
+    });
+    SuspectRow {
+        fingerprint: suspicion.fingerprint,
+        tenant: suspicion.tenant,
+        lost_runs: lost_runs.collect(),
+        cleared_ms_ago: suspicion.cleared.map(ms_ago),
+    }
+}
+
+pub(super) fn suspicion_from_wire(row: &SuspectRow, now: Instant) -> Suspicion {
+    // A clock that shows less than the time that passed began after that.
+    let at = |ms_ago: u32| {
+        let ago = Duration::from_millis(u64::from(ms_ago));
+        now.checked_sub(ago).unwrap_or(now)
+    };
+    let lost_runs = row.lost_runs.iter().map(|run| LostRun {
+        engine: Arc::from(run.engine.as_str()),
+        begun: at(run.begun_ms_ago),
+        ended: at(run.ended_ms_ago),
+    });
+    Suspicion {
+        fingerprint: row.fingerprint,
+        tenant: row.tenant,
+        lost_runs: lost_runs.collect(),
+        cleared: row.cleared_ms_ago.map(at),
+    }
+}
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -16,6 +16,7 @@
 mod plain;
 mod prefill;
 mod probe;
+mod quarantining;
 mod relay;
 mod wait_policy;
 
@@ -45,6 +46,7 @@
 use crate::metrics::{GaugeValues, Metrics};
 use crate::usage::UsageRecorder;
 use lost_runs::EngineEnds;
+use quarantining::ChangedSuspects;
 
 /// Settings of the pipeline.
 #[derive(Clone)]
@@ -75,6 +77,7 @@
     state: Arc<FleetState>,
     connections: Arc<Connections>,
     engine_ends: EngineEnds,
+    changed_suspects: ChangedSuspects,
     metrics: Arc<Metrics>,
     placement: Mutex<Placement>,
     budget: Mutex<RetryBudget>,
@@ -109,6 +112,7 @@
             state,
             connections: Connections::new(runtime.clone()),
             engine_ends: EngineEnds::default(),
+            changed_suspects: ChangedSuspects::default(),
             metrics,
             placement: Mutex::new(placement),
             budget: Mutex::new(RetryBudget::new(settings.budget)),
@@ -163,6 +167,12 @@
         self.heads_changed.notify_waiters();
     }
 
+    /// Requests of which peers are to be told.
+    #[must_use]
+    pub(crate) const fn changed_suspects(&self) -> &ChangedSuspects {
+        &self.changed_suspects
+    }
+
     /// Counts what tenants use; none where usage is not reported.
     #[must_use]
     pub const fn usage(&self) -> Option<&Arc<UsageRecorder>> {
@@ -263,6 +273,8 @@
             back_ends: back_ends.len(),
             ejected,
             unusable_cold_times: self.state.unusable_cold_times(),
+            suspects: self.state.quarantine().suspects(),
+            quarantined: self.state.quarantine().quarantined(now()),
             connections: self.connections.open_count(),
             in_progress: self.in_progress(),
             ..GaugeValues::default()
--- a/crates/serving/src/pipeline/answers.rs
+++ b/crates/serving/src/pipeline/answers.rs
@@ -33,6 +33,11 @@
     TooLarge,
     /// The body did not come in time.
     BodyTooSlow,
+    /// Engines ended under it in earlier tries. It did not run now, and is tried again after `left` at the earliest.
+    Quarantined {
+        /// Until then.
+        left: Duration,
+    },
     /// It certainly did not run.
     NotRun(&'static str),
     /// It may have run.
@@ -44,7 +49,9 @@
 impl Failure {
     pub(super) const fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::Stopping | Self::NotRun(_) => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NotReady | Self::Stopping | Self::NotRun(_) | Self::Quarantined { .. } => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthenticated => StatusCode::UNAUTHORIZED,
             Self::BadRequest => StatusCode::BAD_REQUEST,
@@ -66,14 +73,12 @@
             Self::HeadTooLarge => "the head is larger than the configuration allows: send less",
             Self::TooLarge => "the body is larger than the configuration allows: send less",
             Self::BodyTooSlow => "the body did not come in time: send it faster",
+            Self::Quarantined { .. } => {
+                "engines ended while they ran this request: it is not run for now, change it or ask the operators"
+            }
             Self::NotRun(reason) | Self::Unsure(reason) | Self::TimeOver(reason) => reason,
         }
     }
-
-    /// Whether the caller may come back and ask again.
-    const fn invites_return(self) -> bool {
-        matches!(self, Self::NotReady | Self::Stopping | Self::NotRun(_))
-    }
 }
 
 impl Pipeline {
@@ -92,15 +97,31 @@
         if let Some(id) = id {
             self.dialect.mark_own_answer(headers, id);
         }
-        if failure.invites_return() {
-            let pause = self.return_pause(time_left);
-            if let Ok(value) = HeaderValue::from_str(&format!("{:.2}", pause.as_secs_f64())) {
-                headers.insert(header::RETRY_AFTER, value);
-            }
+        let pause = self.pause_before_return(failure, time_left);
+        if let Some(pause) = pause
+            && let Ok(value) = HeaderValue::from_str(&format!("{:.2}", pause.as_secs_f64()))
+        {
+            headers.insert(header::RETRY_AFTER, value);
         }
         response
     }
 
+    /// When the caller may come back and ask again; none where the request may have run, or must not be sent so again.
+    fn pause_before_return(
+        &self,
+        failure: Failure,
+        time_left: Option<Duration>,
+    ) -> Option<Duration> {
+        match failure {
+            Failure::NotReady | Failure::Stopping | Failure::NotRun(_) => {
+                Some(self.return_pause(time_left))
+            }
+            // Well beyond its deadline: an earlier return would be in vain.
+            Failure::Quarantined { left } => Some(left),
+            _ => None,
+        }
+    }
+
     /// A spread of times, so that those refused together do not come back together: a part of what the caller has left,
     /// where that is known.
     fn return_pause(&self, time_left: Option<Duration>) -> Duration {
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -120,6 +120,10 @@
         let mut failure = Failure::NotRun("no_back_end_ready");
         let mut error_answer = None;
         while job.time_left() > LEAST_TIME_FOR_A_SEND && job.may_run_again() {
+            if let Err(refusal) = self.may_run_now(job) {
+                failure = refusal;
+                break;
+            }
             if self.link_is_full(job) {
                 failure =
                     Failure::NotRun("this daemon's link is full: come back, another may have room");
@@ -140,6 +144,11 @@
                 ReadApart::Failed => continue,
                 ReadApart::Not => None,
             };
+            // Reading the prompt took a while, in which peers may have found out more.
+            if let Err(refusal) = self.may_run_now(job) {
+                failure = refusal;
+                break;
+            }
             if !self.may_send(job, failure.reason()) {
                 break;
             }
@@ -189,7 +198,7 @@
 
     fn plan(&self, job: &mut Job) -> Option<PromptPlan> {
         let now = now();
-        let ready = self.state.ready(&job.service.name, now);
+        let ready = self.candidates(job, now);
         let mut placement = self.placement();
         let plan = self.plan_in(&mut placement, job, &ready, now)?;
         job.expected_ms.get_or_insert(plan.expected_ms);
@@ -341,7 +350,7 @@
         if !after_prefill {
             return Arc::clone(&plan.decode);
         }
-        let ready = self.state.ready(&job.service.name, now());
+        let ready = self.candidates(job, now());
         let placement = self.placement();
         let chosen = placement
             .choose_decode(
@@ -387,7 +396,10 @@
             },
         );
         match answer {
-            Some(answer) => FirstEvent::Answer(answer.into_served()),
+            Some(answer) => {
+                self.note_good_run(job);
+                FirstEvent::Answer(answer.into_served())
+            }
             None => FirstEvent::Unsure("answer_broke_off"),
         }
     }
--- a/crates/serving/src/pipeline/lost_runs.rs
+++ b/crates/serving/src/pipeline/lost_runs.rs
@@ -64,6 +64,7 @@
             return;
         }
         self.metrics.run_lost();
+        let update = self.note_lost_run(job, engine, begun);
         tracing::warn!(
             request = &*job.id,
             fingerprint = %job.fingerprint(),
@@ -72,6 +73,8 @@
             back_end = &*engine.id,
             ran_ms = milliseconds(now().saturating_duration_since(begun)),
             requests_there = self.placement().load.requests(&engine.id),
+            before = update.before.as_str(),
+            standing = update.after.as_str(),
             "run_lost_with_engine"
         );
     }
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -73,6 +73,10 @@
         let mut failure = Failure::NotRun("no_back_end_ready");
         let mut error_answer = None;
         while job.time_left() > LEAST_TIME_FOR_A_SEND && job.may_run_again() {
+            if let Err(refusal) = self.may_run_now(job) {
+                failure = refusal;
+                break;
+            }
             let Some(back_end) = self.place_plain(job) else {
                 break;
             };
@@ -108,7 +112,7 @@
     }
 
     fn place_plain(&self, job: &mut Job) -> Option<Arc<BackEnd>> {
-        let ready = self.state.ready(&job.service.name, now());
+        let ready = self.candidates(job, now());
         let placement = self.placement();
         let chosen = placement.choose_plain(&ready, &job.tried, now(), &mut *self.random())?;
         job.trace.add(Step::Placed {
@@ -145,6 +149,9 @@
         };
         self.run_was_cut(job, back_end, Some(outcome), begun).await;
         self.note_outcome(back_end, &job.service.health_path, outcome);
+        if end.is_some() {
+            self.note_good_run(job);
+        }
         if outcome == Outcome::Success {
             self.placement()
                 .speed
--- /dev/null
+++ b/crates/serving/src/pipeline/quarantining.rs
@@ -0,0 +1,125 @@
+//! Whether a request may run that engines ended under, and where.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
+
+use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::fingerprint::RequestFingerprint;
+use ponddrift_fleet::quarantine::{LostRun, Standing, Update};
+use tokio::sync::Notify;
+
+use super::Pipeline;
+use super::answers::Failure;
+use super::job::Job;
+use crate::back_end_index::hash;
+use crate::follow::now;
+
+/// Requests of which this daemon knows something new that peers are to be told.
+#[derive(Debug, Default)]
+pub(crate) struct ChangedSuspects {
+    waiting: Mutex<BTreeSet<RequestFingerprint>>,
+    added: Notify,
+}
+
+impl ChangedSuspects {
+    pub(crate) fn add(&self, fingerprint: RequestFingerprint) {
+        self.lock().insert(fingerprint);
+        self.added.notify_one();
+    }
+
+    /// Waits until there are some.
+    pub(crate) async fn wait(&self) {
+        self.added.notified().await;
+    }
+
+    pub(crate) fn take(&self) -> BTreeSet<RequestFingerprint> {
+        std::mem::take(&mut *self.lock())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeSet<RequestFingerprint>> {
+        self.waiting
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+impl Pipeline {
+    pub(super) fn note_lost_run(&self, job: &Job, engine: &Arc<BackEnd>, begun: Instant) -> Update {
+        let run = LostRun {
+            engine: Arc::clone(&engine.id),
+            begun,
+            ended: now(),
+        };
+        let tenant = job.tenant.as_ref().map_or(0, |tenant| hash(&tenant.name));
+        let fingerprint = job.fingerprint();
+        let update = self
+            .state
+            .quarantine()
+            .note_lost_run(fingerprint, tenant, run, now());
+        self.changed_suspects.add(fingerprint);
+        if update.after.is_quarantined() {
+            self.state.quarantine_changed().notify_one();
+        }
+        update
+    }
+
+    /// The request ran to its end: what was held against it is void.
+    pub(super) fn note_good_run(&self, job: &Job) {
+        if self.state.quarantine().is_empty() {
+            return;
+        }
+        let fingerprint = job.fingerprint();
+        let was_filed = self.state.quarantine().is_filed(fingerprint);
+        if !self.state.quarantine().note_good_run(fingerprint, now()) {
+            return;
+        }
+        tracing::info!(
+            request = &*job.id,
+            %fingerprint,
+            was_filed,
+            "suspicion_cleared"
+        );
+        self.changed_suspects.add(fingerprint);
+        if was_filed {
+            self.state.quarantine_changed().notify_one();
+        }
+    }
+
+    pub(super) fn standing(&self, job: &Job) -> Standing {
+        let quarantine = self.state.quarantine();
+        if quarantine.is_empty() {
+            return Standing::Clear;
+        }
+        quarantine.standing(job.fingerprint(), now())
+    }
+
+    /// Whether the request may run now: not while it is quarantined, and not again in this try where it is doubted, since
+    /// each run may cost an engine with all its requests.
+    pub(super) fn may_run_now(&self, job: &Job) -> Result<(), Failure> {
+        const ENDED_UNDER_IT: &str =
+            "engines ended while they ran this request: it is not run again";
+        match self.standing(job) {
+            Standing::Clear => Ok(()),
+            Standing::Doubted if job.runs == 0 => Ok(()),
+            Standing::Quarantined { until } if job.runs == 0 => {
+                let left = until.saturating_duration_since(now());
+                self.metrics.quarantined();
+                Err(Failure::Quarantined { left })
+            }
+            Standing::Doubted | Standing::Quarantined { .. } => {
+                Err(Failure::Unsure(ENDED_UNDER_IT))
+            }
+        }
+    }
+
+    /// Back ends that may run the request. A doubted one goes where it takes the fewest others along if its engine ends.
+    pub(super) fn candidates(&self, job: &Job, now: Instant) -> Vec<Arc<BackEnd>> {
+        let ready = self.state.ready(&job.service.name, now);
+        if self.standing(job) == Standing::Doubted {
+            self.placement().least_busy(ready, &job.tried)
+        } else {
+            ready
+        }
+    }
+}
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -192,6 +192,7 @@
 
     fn complete(&mut self, stream: OpenStream) {
         self.note_end(&stream, "answered", Some(Outcome::Success));
+        self.pipeline.note_good_run(&self.job);
         let time = now().saturating_duration_since(stream.begun);
         let slots = stream.back_end.slots;
         let service = &self.job.service.name;
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -7,6 +7,7 @@
 use futures::future::BoxFuture;
 use ponddrift_fleet::configuration::Configuration;
 use ponddrift_fleet::directory::{BackEnd, Warmth};
+use ponddrift_fleet::fingerprint::RequestFingerprint;
 use ponddrift_fleet::topology::Member;
 use ponddrift_fleet::usage::{TenantCounts, WindowNumber};
 
@@ -78,6 +79,10 @@
     Leader(Arc<str>),
     /// Nobody leads.
     LeaderGone,
+    /// A request that is not run any more.
+    Quarantined(RequestFingerprint),
+    /// The quarantine of a request that ended.
+    Released(RequestFingerprint),
     /// Something that does not concern us.
     Other,
 }
@@ -155,6 +160,16 @@
         window: WindowNumber,
         counts: &'a TenantCounts,
     ) -> BoxFuture<'a, Result<TenantCounts, StoreError>>;
+    /// Writes the quarantine of a request under a lease of `life`, where the store does not hold it yet; `engines` ended
+    /// under it. Done as well where the store holds it already.
+    fn file_quarantine<'a>(
+        &'a self,
+        fingerprint: RequestFingerprint,
+        engines: &'a [Arc<str>],
+        life: Duration,
+    ) -> BoxFuture<'a, Result<(), StoreError>>;
+    /// Takes the quarantine of a request away.
+    fn release(&self, fingerprint: RequestFingerprint) -> BoxFuture<'_, Result<(), StoreError>>;
     /// What an item means.
     ///
     /// # Errors
