The gauges lock what is known of suspects once

Cause: two gauges locked the same mutex in one expression, where the first guard lives until its end: the daemon's only thread stopped at its first tidying.

Change: both counts come from one look; daemons of the simulated platform tidy each second, as the program does. Measured: with the tidying and without the mend the tests hang; with it all tests of the crate pass.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -112,6 +112,15 @@
     pub is_own: bool,
 }
 
+/// How many requests are known under which engines ended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SuspectCounts {
+    /// All of them.
+    pub remembered: usize,
+    /// Those that are not run now.
+    pub quarantined: usize,
+}
+
 #[derive(Debug)]
 struct Entry {
     suspicion: Suspicion,
@@ -144,19 +153,15 @@
         entry.map_or(Standing::Clear, |entry| entry.standing(now))
     }
 
-    /// Requests that are not run now.
+    /// How many requests are remembered.
     #[must_use]
-    pub fn quarantined(&self, now: Instant) -> usize {
+    pub fn counts(&self, now: Instant) -> SuspectCounts {
         let entries = self.entries.values();
-        entries
-            .filter(|entry| entry.standing(now).is_quarantined())
-            .count()
-    }
-
-    /// Requests that are remembered.
-    #[must_use]
-    pub fn suspects(&self) -> usize {
-        self.entries.len()
+        let quarantined = entries.filter(|entry| entry.standing(now).is_quarantined());
+        SuspectCounts {
+            remembered: self.entries.len(),
+            quarantined: quarantined.count(),
+        }
     }
 
     /// This daemon lost a run of a request.
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -157,7 +157,11 @@
         let lost = run(&format!("i-{number}"), at);
         known.note_lost_run(fingerprint(number), 7, lost, at);
     }
-    assert!(known.suspects() <= 513, "{}", known.suspects());
+    assert!(
+        known.counts(ended).remembered <= 513,
+        "{}",
+        known.counts(ended).remembered
+    );
     assert!(known.standing(request(), ended).is_quarantined());
 }
 
@@ -169,7 +173,11 @@
         let at = ended + Duration::from_millis(u64::from(number));
         known.note_lost_run(fingerprint(number), 0, run("i-x", at), at);
     }
-    assert!(known.suspects() <= 4_096, "{}", known.suspects());
+    assert!(
+        known.counts(ended).remembered <= 4_096,
+        "{}",
+        known.counts(ended).remembered
+    );
     assert!(known.standing(request(), ended).is_quarantined());
 }
 
@@ -178,7 +186,7 @@
     let mut known = Quarantine::default();
     let ended = lose(&mut known, 1, start());
     known.forget_old(ended + QUARANTINE);
-    assert_eq!(known.suspects(), 1);
+    assert_eq!(known.counts(ended).remembered, 1);
     known.forget_old(ended + QUARANTINE * 2);
     assert!(known.is_empty());
 }
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -21,6 +21,8 @@
 
 /// Requests that a daemon of these tests has in progress, at most.
 pub const MOST_IN_PROGRESS: usize = 60;
+/// Time between two tidyings of a daemon, as in the program.
+const TIDY_INTERVAL: Duration = Duration::from_secs(1);
 /// Service of plain servers.
 pub const RECORDS: &str = "records";
 /// Service of model engines.
@@ -215,7 +217,18 @@
             let stopped = Rc::clone(&stopped);
             async move {
                 let daemon = Daemon::start(&runtime, settings).await.expect("starts");
-                stop.notified().await;
+                // As the program does: what tidying holds must not hold up requests.
+                let tidying = async {
+                    loop {
+                        sleep(TIDY_INTERVAL).await;
+                        daemon.tidy(0);
+                    }
+                };
+                tokio::select! {
+                    biased;
+                    () = stop.notified() => {}
+                    () = tidying => {}
+                }
                 daemon.stop().await;
                 *stopped.borrow_mut() = true;
                 std::future::pending().await
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -253,6 +253,7 @@
         let engine_requests = requests.sum::<f64>() as u64;
         let ejected = placement.health.ejected().len();
         drop(placement);
+        let suspects = self.state.quarantine().counts(now());
         GaugeValues {
             configuration_version: in_force
                 .as_ref()
@@ -273,8 +274,8 @@
             back_ends: back_ends.len(),
             ejected,
             unusable_cold_times: self.state.unusable_cold_times(),
-            suspects: self.state.quarantine().suspects(),
-            quarantined: self.state.quarantine().quarantined(now()),
+            suspects: suspects.remembered,
+            quarantined: suspects.quarantined,
             connections: self.connections.open_count(),
             in_progress: self.in_progress(),
             ..GaugeValues::default()
