No doubt before the quarantine: it brought nothing

Cause: the first design ran a request under which two engines had ended where the fewest others were, and did not repeat it. Change: the doubt is gone, with its placement; suspicion only decides who is told.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -228,29 +228,6 @@
             .is_some_and(|away| away.until > now && away.stage == engine.stage)
     }
 
-    /// Those of the back ends that have the fewest requests, beside engines that only read prompts.
-    #[must_use]
-    pub fn least_busy(&self, ready: Vec<Arc<BackEnd>>, tried: &[Arc<str>]) -> Vec<Arc<BackEnd>> {
-        let is_reader = |back_end: &BackEnd| back_end.stage == Some(Stage::Prefill);
-        let can_run = |back_end: &BackEnd| {
-            !is_reader(back_end)
-                && !tried.contains(&back_end.id)
-                && !self.health.is_ejected(&back_end.id)
-        };
-        let requests = |back_end: &BackEnd| self.load.requests(&back_end.id);
-        let runners = ready.iter().filter(|back_end| can_run(back_end));
-        let fewest = runners
-            .map(|back_end| requests(back_end))
-            .fold(f64::INFINITY, f64::min);
-        let is_kept = |back_end: &BackEnd| {
-            is_reader(back_end) || (can_run(back_end) && requests(back_end) <= fewest)
-        };
-        ready
-            .into_iter()
-            .filter(|back_end| is_kept(back_end))
-            .collect()
-    }
-
     /// Chooses a plain back end, or an engine for a request that tells nothing of its prompt.
     pub fn choose_plain(
         &self,
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -1,10 +1,9 @@
 //! Requests that crash the engines that run them (queries of death), and when they are run no more.
 //!
 //! An engine that ends takes all its requests along, and at most one of them is the reason. What all daemons know of a
-//! request is the runs that it lost with their engines. A run that came to its end well clears it. Runs that overlapped in
-//! time count as one: a rack that loses its power ends many engines under the copies of one request at the same moment. After
-//! two engines, one after the other, the request is doubted: it is run only where it does little harm, and daemons do not
-//! repeat it themselves. After the third it is quarantined.
+//! request is the runs that it lost with their engines. A run that came to its end well clears it. Engines that ended at one
+//! moment count as one: a rack that loses its power ends many under the copies of one popular request. From the second
+//! engine on the request is suspected, which all daemons are told; after the third it is quarantined.
 //!
 //! Knowledge only grows and is merged as sets, so it can be sent again, out of order, and by anybody.
 
@@ -14,16 +13,20 @@
 
 use crate::fingerprint::RequestFingerprint;
 
-/// Engines, one after the other, after which a request is doubted: by then it is rarely an innocent that shared one engine.
-const DOUBTED_AFTER: usize = 2;
-/// Engines, one after the other, after which a request is run no more: the third tells it from an innocent that met the same
-/// crashing request twice.
+/// Engines, one after the other, after which a request is suspected: an innocent that shared one engine rarely is.
+const SUSPECTED_AFTER: usize = 2;
+/// Engines, one after the other, after which a request is run no more. After two, one to four engines fewer end, and up to
+/// sixteen of 720 innocents that met the same crashing request twice are refused for as long as it is (simulated fleet of
+/// seven engines, one to four crashing requests); after three none.
 const QUARANTINED_AFTER: usize = 3;
+/// Engines that end within this time under runs that overlap may have one cause: a rack or a switch takes all of its machines
+/// down within some tenths of a second.
+const SAME_MOMENT: Duration = Duration::from_millis(500);
 /// How long a request is run no more, and how long it is remembered after that: long enough that it costs three engines some
 /// seconds each in that time, short enough that callers are served soon after an engine release that mends it. Also the
 /// longest lease of the store.
 pub const QUARANTINE: Duration = Duration::from_secs(600);
-/// Lost runs that are remembered of one request; more tell nothing new.
+/// Lost runs that are remembered of one request: enough to tell apart those that were lost at one moment.
 const MOST_LOST_RUNS: usize = 8;
 /// Two good runs so close to each other are the same: times come from peers as ages, to which a datagram's way adds.
 const SAME_TIME: Duration = Duration::from_millis(500);
@@ -61,8 +64,8 @@
 pub enum Standing {
     /// Nothing is held against it, or no more than against any other on an engine that ended.
     Clear,
-    /// It is run where it does little harm, and not repeated by the daemon.
-    Doubted,
+    /// Two engines ended under it: it still runs, and all daemons are told.
+    Suspected,
     /// It is not run until then.
     Quarantined {
         /// When it is tried again.
@@ -76,7 +79,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Clear => "clear",
-            Self::Doubted => "doubted",
+            Self::Suspected => "suspected",
             Self::Quarantined { .. } => "quarantined",
         }
     }
@@ -233,7 +236,7 @@
     }
 
     /// The store holds a request's quarantine no more: its lease ended, or an operator ended it. The request is tried again,
-    /// still doubted.
+    /// still suspected.
     pub fn note_released(&mut self, fingerprint: RequestFingerprint, now: Instant) {
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
             entry.filed = None;
@@ -305,7 +308,7 @@
             .min_by_key(|entry| {
                 (
                     entry.standing(now).is_quarantined(),
-                    entry.engines_in_a_row(),
+                    entry.engines_in_a_row().len(),
                     entry.newest_news(),
                 )
             })
@@ -352,9 +355,22 @@
             }
         }
         known.lost_runs.sort_by_key(|run| run.ended);
-        let surplus = known.lost_runs.len().saturating_sub(MOST_LOST_RUNS);
-        known.lost_runs.drain(..surplus);
-        *known != before
+        self.drop_surplus_runs();
+        self.suspicion != before
+    }
+
+    /// Forgets runs that add nothing to the row first, then the oldest.
+    fn drop_surplus_runs(&mut self) {
+        while self.suspicion.lost_runs.len() > MOST_LOST_RUNS {
+            let in_row: Vec<Arc<str>> = self
+                .engines_in_a_row()
+                .into_iter()
+                .map(|run| Arc::clone(&run.engine))
+                .collect();
+            let runs = &mut self.suspicion.lost_runs;
+            let surplus = runs.iter().position(|run| !in_row.contains(&run.engine));
+            runs.remove(surplus.unwrap_or_default());
+        }
     }
 
     fn knows_more_than(&self, news: &Suspicion) -> bool {
@@ -370,21 +386,23 @@
         runs.filter(move |run| cleared.is_none_or(|cleared| run.ended > cleared))
     }
 
-    /// Engines that ended one after the other: the longest row of runs of which each began after the one before had ended.
-    fn engines_in_a_row(&self) -> usize {
-        let mut in_a_row = 0;
-        let mut free_from: Option<Instant> = None;
+    /// Engines that ended one after the other: each run in the row began after the one before had ended, or ended well after
+    /// it.
+    fn engines_in_a_row(&self) -> Vec<&LostRun> {
+        let mut row: Vec<&LostRun> = Vec::new();
         for run in self.held_against() {
-            if free_from.is_none_or(|from| run.begun >= from) {
-                in_a_row += 1;
-                free_from = Some(run.ended);
+            let follows = row.last().is_none_or(|before| {
+                run.begun >= before.ended || run.ended >= before.ended + SAME_MOMENT
+            });
+            if follows {
+                row.push(run);
             }
         }
-        in_a_row
+        row
     }
 
     fn standing(&self, now: Instant) -> Standing {
-        let in_a_row = self.engines_in_a_row();
+        let in_a_row = self.engines_in_a_row().len();
         let newest = self.held_against().map(|run| run.ended).max();
         let since = newest
             .filter(|_newest| in_a_row >= QUARANTINED_AFTER)
@@ -395,8 +413,8 @@
         {
             return Standing::Quarantined { until };
         }
-        if in_a_row >= DOUBTED_AFTER {
-            Standing::Doubted
+        if in_a_row >= SUSPECTED_AFTER {
+            Standing::Suspected
         } else {
             Standing::Clear
         }
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -21,7 +21,7 @@
 
 /// Requests that a daemon of these tests has in progress, at most.
 pub const MOST_IN_PROGRESS: usize = 60;
-/// Time between two tidyings of a daemon, as in the program.
+/// Time between two tidyings of a daemon; less than in the program, so that short tests see some.
 const TIDY_INTERVAL: Duration = Duration::from_secs(1);
 /// Service of plain servers.
 pub const RECORDS: &str = "records";
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -198,7 +198,7 @@
 
     fn plan(&self, job: &mut Job) -> Option<PromptPlan> {
         let now = now();
-        let ready = self.candidates(job, now);
+        let ready = self.state.ready(&job.service.name, now);
         let mut placement = self.placement();
         let plan = self.plan_in(&mut placement, job, &ready, now)?;
         job.expected_ms.get_or_insert(plan.expected_ms);
@@ -350,7 +350,7 @@
         if !after_prefill {
             return Arc::clone(&plan.decode);
         }
-        let ready = self.candidates(job, now());
+        let ready = self.state.ready(&job.service.name, now());
         let placement = self.placement();
         let chosen = placement
             .choose_decode(
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -112,7 +112,7 @@
     }
 
     fn place_plain(&self, job: &mut Job) -> Option<Arc<BackEnd>> {
-        let ready = self.candidates(job, now());
+        let ready = self.state.ready(&job.service.name, now());
         let placement = self.placement();
         let chosen = placement.choose_plain(&ready, &job.tried, now(), &mut *self.random())?;
         job.trace.add(Step::Placed {
--- a/crates/serving/src/pipeline/quarantining.rs
+++ b/crates/serving/src/pipeline/quarantining.rs
@@ -1,4 +1,4 @@
-//! Whether a request may run that engines ended under, and where.
+//! Whether a request may run that engines ended under.
 
 use std::collections::BTreeSet;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -94,32 +94,18 @@
         quarantine.standing(job.fingerprint(), now())
     }
 
-    /// Whether the request may run now: not while it is quarantined, and not again in this try where it is doubted, since
-    /// each run may cost an engine with all its requests.
+    /// Whether the request may run now, which may cost an engine with all its requests.
     pub(super) fn may_run_now(&self, job: &Job) -> Result<(), Failure> {
         const ENDED_UNDER_IT: &str =
             "engines ended while they ran this request: it is not run again";
-        match self.standing(job) {
-            Standing::Clear => Ok(()),
-            Standing::Doubted if job.runs == 0 => Ok(()),
-            Standing::Quarantined { until } if job.runs == 0 => {
-                let left = until.saturating_duration_since(now());
-                self.metrics.quarantined();
-                Err(Failure::Quarantined { left })
-            }
-            Standing::Doubted | Standing::Quarantined { .. } => {
-                Err(Failure::Unsure(ENDED_UNDER_IT))
-            }
-        }
-    }
-
-    /// Back ends that may run the request. A doubted one goes where it takes the fewest others along if its engine ends.
-    pub(super) fn candidates(&self, job: &Job, now: Instant) -> Vec<Arc<BackEnd>> {
-        let ready = self.state.ready(&job.service.name, now);
-        if self.standing(job) == Standing::Doubted {
-            self.placement().least_busy(ready, &job.tried)
-        } else {
-            ready
+        let Standing::Quarantined { until } = self.standing(job) else {
+            return Ok(());
+        };
+        if job.runs > 0 {
+            return Err(Failure::Unsure(ENDED_UNDER_IT));
         }
+        let left = until.saturating_duration_since(now());
+        self.metrics.quarantined();
+        Err(Failure::Quarantined { left })
     }
 }
