Decisions go by a clock that counts suspension

Cause: leases, deadlines and ages ran on the steady clock, which stands while a machine is suspended: a leader that slept for longer than its lease believed that it still led, and reported under its old fencing token; a request whose caller's time had passed was waited for, and sent, with time nobody had left. Change: serving::time::now is CLOCK_BOOTTIME in the program and tokio's clock in simulations; waits go by sleep_until and timeout_at of the same module, which are looked at anew once the two clocks are seen to have drifted apart (at each request, each digest and each end of a wait), with one line machine_was_suspended.

--- a/crates/serving/src/capacity.rs
+++ b/crates/serving/src/capacity.rs
@@ -16,10 +16,10 @@
 use tokio::time::sleep;
 
 use crate::fleet_state::FleetState;
-use crate::follow::now;
 use crate::leader::Leadership;
 use crate::pipeline::Pipeline;
 use crate::provider::{Caller, EngineOrder, Provider, ProviderError, result_name};
+use crate::time::now;
 
 /// Time between two looks at the load.
 const STEP: Duration = Duration::from_millis(500);
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -14,7 +14,7 @@
 use ponddrift_http::body::{self, Body};
 use ponddrift_runtime::Runtime;
 
-use crate::follow::now;
+use crate::time::now;
 
 /// Time to open a connection: far beyond any round trip, far below any deadline.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -4,18 +4,18 @@
 mod whole_read;
 
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ponddrift_fleet::followers::{FOLLOWER_WAIT, FollowerTable};
 use ponddrift_runtime::Runtime;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::{Notify, mpsc};
-use tokio::time::Instant;
 
 use crate::fleet_state::{FleetState, Source};
 use crate::metrics::Metrics;
 use crate::store::{Changes, Consistency, FleetStore, Lease, StoreError};
+use crate::time::{self, now};
 use whole_read::WholeRead;
 
 /// How long one call of a daemon waits for changes that follows the store only for itself.
@@ -83,7 +83,7 @@
     #[must_use]
     pub fn store_silence(&self) -> Option<Duration> {
         let last = *lock(&self.last_answer);
-        last.map(|last| last.elapsed())
+        last.map(|last| now().saturating_duration_since(last))
     }
 
     /// Whether this daemon asks the store itself.
@@ -92,7 +92,7 @@
         lock(&self.last_answer).is_some()
     }
 
-    fn relied_on_until(&self) -> Option<std::time::Instant> {
+    fn relied_on_until(&self) -> Option<Instant> {
         lock(&self.followers).relied_on_until(now())
     }
 
@@ -161,14 +161,14 @@
                 self.following.note_answer(None);
                 let disappointed = self.following.disappointed.notified();
                 // Either way it is looked at anew.
-                drop(tokio::time::timeout_at(until.into(), disappointed).await);
+                time::timeout_at(until, disappointed).await;
                 continue;
             }
             let ended = self.step().await;
             self.metrics.store_call(result_name(&ended));
             match ended {
                 Ok(at) => {
-                    self.following.note_answer(Some(Instant::now()));
+                    self.following.note_answer(Some(now()));
                     self.state.store_answered(at);
                     self.pause = FIRST_PAUSE;
                 }
@@ -215,7 +215,7 @@
     }
 
     /// Until when neighbours follow the store for this daemon; none where it has to itself.
-    fn may_rely_on_neighbours(&self) -> Option<std::time::Instant> {
+    fn may_rely_on_neighbours(&self) -> Option<Instant> {
         if self.state.topology().follows_store || self.state.position().is_none() {
             return None;
         }
@@ -244,7 +244,7 @@
         // They follow on the position, which never goes back.
         self.state.take_changes(changes, Source::Store, now());
         if has_news {
-            self.following.note_answer(Some(Instant::now()));
+            self.following.note_answer(Some(now()));
             tokio::time::sleep(self.gathering(follows_for_others)).await;
         }
         Ok(at)
@@ -313,7 +313,7 @@
                 }
                 Err(error) => tracing::debug!(%error, "announcement_failed"),
             }
-            tokio::time::sleep(RENEWAL).await;
+            time::sleep(RENEWAL).await;
         }
     }
 
@@ -330,9 +330,3 @@
         Ok(lease)
     }
 }
-
-/// The time for decisions: tokio's clock, which a simulation moves.
-#[must_use]
-pub fn now() -> std::time::Instant {
-    Instant::now().into_std()
-}
--- a/crates/serving/src/follow/whole_read.rs
+++ b/crates/serving/src/follow/whole_read.rs
@@ -8,9 +8,9 @@
 use std::time::Instant;
 
 use crate::fleet_state::{FleetState, Source};
-use crate::follow::now;
 use crate::request_trace::milliseconds;
 use crate::store::{Consistency, FleetStore, Page, StoreError};
+use crate::time::now;
 
 /// A reading of everything that has begun.
 #[derive(Debug)]
--- a/crates/serving/src/leader.rs
+++ b/crates/serving/src/leader.rs
@@ -14,9 +14,9 @@
 use tokio::sync::{Notify, watch};
 
 use crate::fleet_state::FleetState;
-use crate::follow::now;
 use crate::pipeline::Pipeline;
 use crate::store::{FleetStore, Lease, StoreError};
+use crate::time::{self, now};
 
 /// Renewals in the life of a lease: two may be lost.
 const RENEWALS_IN_A_LIFE: u32 = 3;
@@ -251,7 +251,7 @@
             tokio::select! {
                 biased;
                 () = self.shared.fenced_off.notified() => return Some("fenced_off"),
-                () = tokio::time::sleep_until(look.into()) => {}
+                () = time::sleep_until(look) => {}
             }
         }
         None
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod quarantine;
 pub mod request_trace;
 pub mod store;
+pub mod time;
 pub mod usage;
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -15,9 +15,9 @@
 use crate::connections::Connections;
 use crate::dialect::{Dialect, OrderFacts};
 use crate::fleet_state::FleetState;
-use crate::follow::now;
 use crate::leader::Leadership;
 use crate::pipeline::Pipeline;
+use crate::time::now;
 use engine_calls::{EngineCalls, OrderEnd};
 
 /// Time between two looks at the stages.
--- a/crates/serving/src/peers/publish.rs
+++ b/crates/serving/src/peers/publish.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ponddrift_fleet::followers::GOSSIP_INTERVAL;
 use ponddrift_fleet::topology::Topology;
@@ -10,7 +10,6 @@
 use rand::{RngExt as _, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 use super::message::{self, Digest, Message, ReportRow};
 use super::translate::{
@@ -18,8 +17,8 @@
 };
 use super::{Forwarded, Peers};
 use crate::back_end_index::hash;
-use crate::follow::now;
 use crate::store::Changes;
+use crate::time::{self, now};
 use crate::usage::UsageRecorder;
 
 /// Time between two digests to peers while nothing changes.
@@ -54,17 +53,18 @@
         const SEED_PART: u64 = 0x7065_6572;
         let mut random = Pcg64Mcg::seed_from_u64(self.runtime.seed ^ SEED_PART);
         let mut sequence = 0;
-        let mut last_interval = Instant::now();
+        let mut last_interval = now();
         loop {
-            let begun = Instant::now();
+            let begun = now();
             let spread = random.random_range(0.9..1.1);
             let reason = self.next_reason(last_interval, spread).await;
+            time::notice_suspension();
             if reason == Reason::Interval {
-                last_interval = Instant::now();
+                last_interval = now();
             }
             let topology = self.state.topology();
             let neighbours = u32::try_from(topology.neighbours.len()).unwrap_or(u32::MAX);
-            tokio::time::sleep_until(begun + TIME_PER_NEIGHBOUR * neighbours).await;
+            time::sleep_until(begun + TIME_PER_NEIGHBOUR * neighbours).await;
             sequence += 1;
             self.publish_digest(&topology, sequence, reason).await;
         }
@@ -82,7 +82,7 @@
             biased;
             () = self.pipeline.heavy_work_changed().notified() => Reason::OwnWork,
             () = self.has_to_forward.notified() => Reason::Forwarded,
-            () = tokio::time::sleep_until(due) => Reason::Interval,
+            () = time::sleep_until(due) => Reason::Interval,
         };
         match reason {
             Reason::Interval => {}
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -12,8 +12,8 @@
 use super::{Peers, relay};
 use crate::back_end_index::BackEndIndex;
 use crate::fleet_state::Source;
-use crate::follow::now;
 use crate::store::Changes;
+use crate::time::now;
 
 /// Pause after the socket failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
--- a/crates/serving/src/peers/suspects.rs
+++ b/crates/serving/src/peers/suspects.rs
@@ -7,19 +7,18 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use ponddrift_fleet::fingerprint::RequestFingerprint;
 use ponddrift_fleet::quarantine::{Standing, Suspicion};
 use ponddrift_fleet::topology::SMALL_FLEET;
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Peers;
 use super::message::{self, SuspectRow};
 use super::translate::{suspicion_from_wire, suspicion_to_wire};
 use crate::fleet_state::daemon_identity;
-use crate::follow::now;
+use crate::time::{self, now};
 
 /// Runs that are lost within this time are told together.
 const GATHERING_TIME: Duration = Duration::from_millis(5);
@@ -40,11 +39,13 @@
             let next = again.keys().next().map(|(at, _fingerprint)| *at);
             match next {
                 None => changed.wait().await,
-                Some(at) => drop(tokio::time::timeout_at(at, changed.wait()).await),
+                Some(at) => {
+                    time::timeout_at(at, changed.wait()).await;
+                }
             }
             tokio::time::sleep(GATHERING_TIME).await;
             let fresh = changed.take();
-            let begun = Instant::now();
+            let begun = now();
             for fingerprint in &fresh {
                 for pause in TOLD_AGAIN_AFTER {
                     again.insert((begun + pause, *fingerprint), ());
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -15,8 +15,8 @@
 use super::wait_policy::WaitPolicy;
 use crate::connections::{ExchangeError, NotSent, Reply, Reuse};
 use crate::dialect::{SendFacts, SendStep};
-use crate::follow::now;
 use crate::request_trace::{Step, milliseconds};
+use crate::time::now;
 
 /// Rank of everything that generates.
 const GENERATING_RANK: u8 = 0;
--- a/crates/serving/src/pipeline/cache_probe.rs
+++ b/crates/serving/src/pipeline/cache_probe.rs
@@ -15,7 +15,7 @@
 
 use super::Pipeline;
 use crate::dialect::CacheEvent;
-use crate::follow::now;
+use crate::time::now;
 
 /// Looks for the first model engine after a start.
 const LOOKS: u32 = 100;
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -17,8 +17,8 @@
 use super::job::Job;
 use super::wait_policy::{WaitEnd, WaitPolicy};
 use crate::connections::Reply;
-use crate::follow::now;
 use crate::request_trace::{Step, milliseconds};
+use crate::time::now;
 
 /// Why no first event came.
 pub(super) enum NoEvent {
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -24,8 +24,8 @@
 use super::wait_policy::WaitPolicy;
 use crate::connections::{Connection, Reply};
 use crate::dialect::SendStep;
-use crate::follow::now;
 use crate::request_trace::{Step, milliseconds};
+use crate::time::now;
 
 /// A stream whose first event has come.
 pub(super) struct OpenStream {
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -18,8 +18,8 @@
 use super::job::Job;
 use crate::dialect::RequestFacts;
 use crate::fleet_state::InForce;
-use crate::follow::now;
 use crate::request_trace::{RequestTrace, SERVED_TARGET, milliseconds};
+use crate::time::{self, now};
 
 /// An own answer leaves this long before the caller's time is over, so that it arrives.
 const ANSWER_MARGIN: Duration = Duration::from_millis(25);
@@ -80,6 +80,7 @@
 impl Pipeline {
     /// Serves one request of a caller.
     pub async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        time::notice_suspension();
         let arrived = now();
         let in_progress = InProgress::new(&self);
         let (head, body) = request.into_parts();
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -13,8 +13,8 @@
 use super::Pipeline;
 use super::guards::HeldBytes;
 use crate::dialect::RequestFacts;
-use crate::follow::now;
 use crate::request_trace::RequestTrace;
+use crate::time::now;
 
 /// Status in the log of a request whose caller left; none was sent.
 const CALLER_LEFT_STATUS: u16 = 0;
--- a/crates/serving/src/pipeline/lost_runs.rs
+++ b/crates/serving/src/pipeline/lost_runs.rs
@@ -13,8 +13,8 @@
 
 use super::Pipeline;
 use super::job::Job;
-use crate::follow::now;
 use crate::request_trace::milliseconds;
+use crate::time::now;
 
 /// Which engines were found to have ended. The many requests of one engine break at one moment and share one look.
 #[derive(Debug, Default)]
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -18,8 +18,8 @@
 use super::wait_policy::WaitPolicy;
 use crate::connections::Reply;
 use crate::dialect::SendStep;
-use crate::follow::now;
 use crate::request_trace::{Step, milliseconds};
+use crate::time::now;
 
 /// Largest answer that is held whole.
 const LARGEST_ANSWER_BYTES: usize = 16 << 20;
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -15,8 +15,8 @@
 use super::job::Job;
 use super::wait_policy::WaitPolicy;
 use crate::dialect::SendStep;
-use crate::follow::now;
 use crate::request_trace::{Step, milliseconds};
+use crate::time::{self, now};
 
 /// A prefill engine's health is asked for after this many times the expected time,
 const SUSPICION_FACTOR: f64 = 1.5;
@@ -124,7 +124,7 @@
                 return;
             }
             // Either way it is looked at anew.
-            drop(tokio::time::timeout_at(until.into(), changed).await);
+            time::timeout_at(until, changed).await;
         }
     }
 
--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -10,7 +10,7 @@
 
 use super::Pipeline;
 use crate::dialect::SmallCall;
-use crate::follow::now;
+use crate::time::now;
 
 /// Time for a health check.
 const CHECK_LIMIT: Duration = Duration::from_millis(400);
--- a/crates/serving/src/pipeline/quarantining.rs
+++ b/crates/serving/src/pipeline/quarantining.rs
@@ -13,7 +13,7 @@
 use super::answers::Failure;
 use super::job::Job;
 use crate::back_end_index::hash;
-use crate::follow::now;
+use crate::time::now;
 
 /// Requests of which this daemon knows something new that peers are to be told.
 #[derive(Debug, Default)]
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -20,8 +20,8 @@
 use super::guards::InProgress;
 use super::job::Job;
 use super::wait_policy::{WaitEnd, WaitPolicy};
-use crate::follow::now;
 use crate::request_trace::Step;
+use crate::time::now;
 
 /// The health of an engine whose next event is this many target gaps late is asked for,
 const GAP_FACTOR: u32 = 3;
--- a/crates/serving/src/pipeline/wait_policy.rs
+++ b/crates/serving/src/pipeline/wait_policy.rs
@@ -15,7 +15,7 @@
 
 use super::Pipeline;
 use super::job::Job;
-use crate::follow::now;
+use crate::time::{self, now};
 
 /// A back end that has sent something within this time is alive: its health endpoint is not queried.
 const SIGN_OF_LIFE_LASTS: Duration = Duration::from_millis(250);
@@ -106,7 +106,7 @@
         loop {
             let asks = suspicious_at.is_some_and(|at| at < wait_policy.until);
             let next = suspicious_at.filter(|_| asks).unwrap_or(wait_policy.until);
-            let sleep = tokio::time::sleep_until(next.into());
+            let sleep = time::sleep_until(next);
             tokio::select! {
                 biased;
                 answer = &mut answer => return Ok(answer),
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -11,8 +11,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::fleet_state::FleetState;
-use crate::follow::now;
 use crate::store::{FleetStore, StoreError};
+use crate::time::now;
 
 /// Daemons that know of a quarantine from others file it after a random time up to this, where the daemon that found it out
 /// has not, because it ended or cannot reach the store.
--- a/crates/serving/src/request_trace.rs
+++ b/crates/serving/src/request_trace.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use crate::follow::now;
+use crate::time::now;
 
 /// Target of the line of a request that was served in time: where there is no room for all lines, these go first.
 pub const SERVED_TARGET: &str = "served";
--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -15,7 +15,7 @@
 };
 use ponddrift_runtime::Clock;
 
-use crate::follow::now;
+use crate::time::now;
 
 /// Windows that are kept: by then the provider takes no more reports.
 const WINDOWS_KEPT: u64 = 12;
--- a/crates/serving/src/usage/report.rs
+++ b/crates/serving/src/usage/report.rs
@@ -17,12 +17,12 @@
 
 use super::UsageRecorder;
 use crate::fleet_state::FleetState;
-use crate::follow::now;
 use crate::leader::Leadership;
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::provider::{Caller, Provider, ProviderError, result_name};
 use crate::store::{FleetStore, StoreError};
+use crate::time::now;
 
 /// Time between two looks at what is to be done.
 const STEP: Duration = Duration::from_millis(200);
