The soak sends requests that crash engines

Cause: none of its 13 faults ended engines, and all its requests had one body. Change: engines of the soak crash, with their connections and their port, when they begin to run a marked request, and are back after 1.2 s under another identity; a fault that sends such a request at any daemon for 10 s while later faults strike; two checks: three tries at most reach engines later than 3 s after the third crash (excused only where the store was in trouble since then), and no other request is quarantined.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,6 +1,6 @@
 //! What must always hold, looked at after a run.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use http::StatusCode;
@@ -13,6 +13,12 @@
 /// An engine gets nothing new this long after it left, as the platform's bound says, and a little for the runs that
 /// were on their way.
 const DRAIN_BOUND: Duration = Duration::from_millis(2_200);
+/// Time in which all daemons learn what one of them found out.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Tries of a request that has crashed three engines which may reach engines after that.
+const FORGIVEN_TRIES: usize = 3;
+/// How a daemon words the refusal of a request that is quarantined.
+const QUARANTINED: &str = "engines ended while they ran this request: it is not run for now";
 /// Life of the lease under which engines are ordered.
 const ORDER_LEASE: Duration = Duration::from_secs(3);
 /// Events of a whole stream.
@@ -49,19 +55,58 @@
     for member in members {
         for run in member.engine.runs() {
             let of_request = runs.entry(run.request.clone()).or_default();
-            of_request.push((member.engine.id().to_owned(), run));
+            of_request.push((run.engine.clone(), run));
         }
     }
     for one in asked {
         let none = Vec::new();
         let of_request = runs.get(&one.request.id).unwrap_or(&none);
         check_request(one, of_request, &mut violations);
+        check_innocence(one, &mut violations);
     }
     check_drains(members, troubles, &mut violations);
     check_orders(members, &mut violations);
     violations
 }
 
+/// A request that has crashed three engines reaches engines in no more than three tries later than all daemons must know,
+/// daemons that have just started among them. Not where the store was in trouble meanwhile: a daemon that starts then may
+/// learn of the request only from the engine that it costs.
+#[must_use]
+pub fn check_crashing_requests(members: &[Member], store_troubles: &Troubles) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let mut tries: BTreeMap<String, Vec<Run>> = BTreeMap::new();
+    for run in members.iter().flat_map(|member| member.engine.runs()) {
+        let name = run.request.split('-').next().unwrap_or_default();
+        if name.starts_with("crasher") {
+            tries.entry(name.to_owned()).or_default().push(run);
+        }
+    }
+    for (name, mut runs) in tries {
+        runs.sort_by_key(|run| run.begun);
+        let crashes = runs.iter().filter(|run| !run.is_prefill);
+        let Some(third) = crashes.map(|run| run.begun).nth(2) else {
+            continue;
+        };
+        let late: BTreeSet<&str> = runs
+            .iter()
+            .filter(|run| run.begun > third + CONTACT)
+            .filter(|run| !store_troubles.touch(third, run.begun))
+            .map(|run| run.request.as_str())
+            .collect();
+        if late.len() > FORGIVEN_TRIES {
+            violations.push(Violation {
+                rule: "a request that crashes engines is run no more",
+                seen: format!(
+                    "{name} reached engines in {} tries more: {late:?}",
+                    late.len()
+                ),
+            });
+        }
+    }
+    violations
+}
+
 fn check_request(asked: &Asked, runs: &[(String, Run)], violations: &mut Vec<Violation>) {
     let id = &asked.request.id;
     let whole_runs = runs.iter().filter(|(_engine, run)| !run.is_prefill).count();
@@ -101,6 +146,19 @@
     check_body(asked, violations);
 }
 
+/// No request of the callers crashes engines: none of them is taken for one that does.
+fn check_innocence(asked: &Asked, violations: &mut Vec<Violation>) {
+    let Some(answer) = &asked.answer else {
+        return;
+    };
+    if answer.text().contains(QUARANTINED) {
+        violations.push(Violation {
+            rule: "no innocent request is quarantined",
+            seen: format!("{} got {}", asked.request.id, answer.status),
+        });
+    }
+}
+
 fn check_body(asked: &Asked, violations: &mut Vec<Violation>) {
     let (Some(answer), id) = (&asked.answer, &asked.request.id) else {
         return;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -29,6 +29,8 @@
     Engine(usize, Behaviour),
     /// An engine misbehaves with a few requests.
     EngineBriefly(usize, Behaviour),
+    /// A request that crashes engines comes again and again.
+    CrashingRequest,
     /// An engine drains, and another comes.
     Drain(usize),
     /// An engine's entry vanishes though it serves on, and another comes.
@@ -69,7 +71,7 @@
     let engine = random.random_range(0..engines);
     let behaviour = *BEHAVIOURS.choose(random).unwrap_or(&Behaviour::Refuse);
     let mode = *MODES.choose(random).unwrap_or(&StoreMode::Busy);
-    let fault = match random.random_range(0..16) {
+    let fault = match random.random_range(0..18) {
         0 | 1 => Fault::Kill(daemon),
         2 => Fault::Freeze(daemon),
         3 | 4 => Fault::Terminate(daemon),
@@ -82,6 +84,7 @@
         12 => Fault::Drain(engine),
         13 => Fault::Vanish(engine),
         14 => Fault::KillAll,
+        15 | 16 => Fault::CrashingRequest,
         _ => Fault::Configure,
     };
     DrawnFault {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! The same seed draws the same faults; real time and scheduling differ from run to run.
 
 pub mod checks;
+pub mod crashable;
 pub mod daemons;
 pub mod faults;
 pub mod load;
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -10,8 +10,12 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::platform::CRASH_MARK;
+
 /// What a caller waits beyond its deadline before it says that there was no answer.
 const BEYOND_DEADLINE: Duration = Duration::from_millis(1_500);
+/// Pause between two tries of a request that crashes engines.
+const CRASHER_PAUSE: Duration = Duration::from_millis(120);
 /// Pause between two requests of one caller.
 const PAUSE: Duration = Duration::from_millis(40);
 
@@ -90,11 +94,45 @@
 }
 
 fn draw(random: &mut Pcg64Mcg, id: &str) -> ClientRequest {
-    match random.random_range(0..5) {
+    let request = match random.random_range(0..5) {
         0 => ClientRequest::plain(id, "post"),
         1 => ClientRequest::plain(id, "fetch"),
         2 => ClientRequest::prompt(id, "tag", 40, 200),
         3 => ClientRequest::prompt(id, "verdict", 40, 200),
         _ => ClientRequest::prompt(id, "verdict", 5_000, 900),
+    };
+    // No two are the same, as far as their content goes.
+    ClientRequest {
+        body: format!("question of {id}"),
+        ..request
+    }
+}
+
+/// A request that crashes engines, until `end`: another try each `pause`, at any daemon, whatever became of the one before.
+pub async fn crash_again_and_again(
+    client: ClientStandIn,
+    state: Arc<LoadState>,
+    name: String,
+    seed: u64,
+    end: Instant,
+) {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let mut count = 0_u64;
+    while Instant::now() < end {
+        sleep(CRASHER_PAUSE).await;
+        let Some(daemon) = state.target(&mut random) else {
+            continue;
+        };
+        count += 1;
+        let request = ClientRequest {
+            body: format!("{name} {CRASH_MARK}"),
+            ..ClientRequest::prompt(&format!("{name}-{count}"), "tag", 40, 200)
+        };
+        let client = client.clone();
+        let limit = Duration::from_millis(request.deadline_ms) + BEYOND_DEADLINE;
+        tokio::spawn(async move {
+            // What becomes of it shows at the engines.
+            drop(timeout(limit, client.ask(daemon, &request)).await);
+        });
     }
 }
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -1,6 +1,7 @@
 //! The stand-ins around the daemons.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
@@ -10,6 +11,9 @@
 };
 use ponddrift_runtime::Runtime;
 use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::crashable::TaskGroup;
 
 /// Service of plain servers.
 pub const RECORDS: &str = "records";
@@ -17,6 +21,14 @@
 pub const MODELS: &str = "models";
 /// The route that configurations add and remove.
 pub const CHANGING: &str = "changing";
+/// Mark in the body of a request that crashes engines.
+pub const CRASH_MARK: &str = "crashes engines";
+/// How long an engine that crashed is down.
+const DOWN: Duration = Duration::from_millis(1_200);
+/// Tries to bind a port again,
+const PORT_TRIES: u32 = 20;
+/// and the pause between two.
+const PORT_PAUSE: Duration = Duration::from_millis(10);
 /// Time of a plain run.
 const RUN_TIME: Duration = Duration::from_millis(15);
 
@@ -26,6 +38,10 @@
     pub engine: EngineStandIn,
     /// When it said that it drains, or vanished.
     pub left: Option<Instant>,
+    /// What its present life runs.
+    tasks: Arc<TaskGroup>,
+    /// Where it has crashed: when it is back, and the entry that lapses then.
+    down: Option<(Instant, String)>,
 }
 
 /// Store and engines.
@@ -82,10 +98,62 @@
             run_time: RUN_TIME,
             spot: false,
         });
-        // The server lives as long as the process.
-        std::mem::forget(engine.serve(&self.runtime).await?);
+        engine.crash_on(CRASH_MARK);
+        let tasks = self.serve(&engine).await?;
         engine.record(&self.store, "ready");
-        self.members.push(Member { engine, left: None });
+        self.members.push(Member {
+            engine,
+            left: None,
+            tasks,
+            down: None,
+        });
+        Ok(())
+    }
+
+    async fn serve(&self, engine: &EngineStandIn) -> Result<Arc<TaskGroup>> {
+        let (tasks, runtime) = TaskGroup::of(&self.runtime);
+        // The server lives as long as its tasks.
+        std::mem::forget(engine.serve(&runtime).await?);
+        Ok(tasks)
+    }
+
+    /// Has engines crash that are about to, and starts those again that were down for long enough.
+    ///
+    /// # Errors
+    /// When an engine's port is taken.
+    pub async fn tend_engines(&mut self) -> Result<()> {
+        for index in 0..self.members.len() {
+            let member = &mut self.members[index];
+            if member.engine.is_crashing() {
+                member.tasks.crash();
+                let entry = member.engine.key();
+                member.engine.has_crashed();
+                member.down = Some((Instant::now() + DOWN, entry));
+            }
+            let is_due = matches!(&member.down, Some((back, _entry)) if *back <= Instant::now());
+            if is_due && let Some((_back, entry)) = member.down.take() {
+                self.store.remove(&entry);
+                self.start_again(index).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn start_again(&mut self, index: usize) -> Result<()> {
+        let engine = self.members[index].engine.clone();
+        // The aborted tasks of its former life may hold the port for a moment.
+        let mut served = self.serve(&engine).await;
+        for _ in 0..PORT_TRIES {
+            if served.is_ok() {
+                break;
+            }
+            sleep(PORT_PAUSE).await;
+            served = self.serve(&engine).await;
+        }
+        self.members[index].tasks = served?;
+        if self.members[index].left.is_none() {
+            engine.record(&self.store, "ready");
+        }
         Ok(())
     }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,15 +7,15 @@
 use eyre::Result;
 use http::StatusCode;
 use ponddrift_platform_stand_ins::{ClientRequest, ClientStandIn, StoreMode};
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::checks::{Troubles, Violation, check};
+use crate::checks::{Troubles, Violation, check, check_crashing_requests};
 use crate::daemons::DaemonProcess;
 use crate::faults::{DrawnFault, Fault, draw};
-use crate::load::{LoadState, call};
+use crate::load::{LoadState, call, crash_again_and_again};
 use crate::platform::{CHANGING, MODELS, Platform, RECORDS};
 
 /// What a fault leaves behind is over after this long.
@@ -24,6 +24,10 @@
 const READY_LIMIT: Duration = Duration::from_secs(20);
 /// Time in which a configuration is in force where nothing troubles.
 const CONFIGURATION_BOUND: Duration = Duration::from_secs(2);
+/// How long a request that crashes engines comes again.
+const CRASHER_TIME: Duration = Duration::from_secs(10);
+/// Time between two looks at processes and engines.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 /// Requests that the calm end sends to each daemon.
 const CALM_REQUESTS: usize = 10;
 
@@ -80,6 +84,8 @@
     random: Pcg64Mcg,
     faults: Vec<DrawnFault>,
     troubles: Troubles,
+    /// Those of them in which the store, or the way to it, was in trouble.
+    store_troubles: Troubles,
     violations: Vec<Violation>,
 }
 
@@ -100,6 +106,7 @@
             random: Pcg64Mcg::seed_from_u64(settings.seed),
             faults: Vec::new(),
             troubles: Troubles::default(),
+            store_troubles: Troubles::default(),
             violations: Vec::new(),
         })
     }
@@ -171,13 +178,13 @@
                 self.platform.store.set_mode(*mode);
                 self.pass(drawn.time).await?;
                 self.platform.store.set_mode(StoreMode::Up);
-                self.trouble(begun);
+                self.store_trouble(begun);
             }
             Fault::Door(daemon, mode) => {
                 self.daemons[*daemon].door.set_mode(*mode);
                 self.pass(drawn.time).await?;
                 self.daemons[*daemon].door.set_mode(StoreMode::Up);
-                self.trouble(begun);
+                self.store_trouble(begun);
             }
             Fault::DropHistory => self.platform.store.drop_history(),
             Fault::Engine(index, behaviour) => {
@@ -192,6 +199,7 @@
             }
             Fault::Drain(index) => self.leave(staying[*index], true).await?,
             Fault::Vanish(index) => self.leave(staying[*index], false).await?,
+            Fault::CrashingRequest => self.send_crashing_request(drawn.time).await?,
             Fault::Configure => self.configure().await?,
         }
         self.pass(drawn.pause).await
@@ -206,14 +214,30 @@
                 let expected = daemon.disturbed_until.is_some_and(|until| until > now);
                 daemon.keep_running(expected)?;
             }
+            self.platform.tend_engines().await?;
             self.look_for_ready().await;
             if Instant::now() >= end {
                 return Ok(());
             }
-            sleep(Duration::from_millis(100)).await;
+            sleep(LOOK_INTERVAL).await;
         }
     }
 
+    /// The request goes on while later faults strike.
+    async fn send_crashing_request(&mut self, time: Duration) -> Result<()> {
+        let name = format!("crasher{}", self.faults.len());
+        let end = Instant::now() + CRASHER_TIME;
+        let seed = self.random.random();
+        tokio::spawn(crash_again_and_again(
+            self.client.clone(),
+            Arc::clone(&self.load),
+            name,
+            seed,
+            end,
+        ));
+        self.pass(time).await
+    }
+
     fn disturb(&mut self, daemon: usize, time: Duration) {
         self.daemons[daemon].disturbed_until = Some(Instant::now() + time + AFTERMATH);
     }
@@ -222,6 +246,13 @@
         self.troubles.0.push((begun, Instant::now() + AFTERMATH));
     }
 
+    fn store_trouble(&mut self, begun: Instant) {
+        self.trouble(begun);
+        self.store_troubles
+            .0
+            .push((begun, Instant::now() + AFTERMATH));
+    }
+
     async fn kill(&mut self, daemons: &[usize], _time: Duration) -> Result<()> {
         let begun = Instant::now();
         for daemon in daemons {
@@ -356,7 +387,9 @@
     fn report(self) -> Report {
         let asked = self.load.asked.lock().expect("no holder panics").clone();
         let mut violations = self.violations;
-        violations.extend(check(&asked, &self.platform.members, &self.troubles));
+        let members = &self.platform.members;
+        violations.extend(check(&asked, members, &self.troubles));
+        violations.extend(check_crashing_requests(members, &self.store_troubles));
         let served = asked.iter().filter(|one| {
             let answer = one.answer.as_ref();
             answer.is_some_and(|answer| answer.status.is_success() && answer.is_whole)
