Half of the soak's callers keep using their connections

Cause: every caller of the soak opened a connection for each request, so that no planned stop met a connection in use; and no check looked at requests without an answer. Change: every second caller uses its connection for as long as it is open, also while its daemon stops; a check that whatever an engine was given is answered, and whatever a running daemon took is answered in time. Kills and freezes excuse their daemon's requests, planned stops excuse nothing.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! What must always hold, looked at after a run.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::StatusCode;
@@ -47,6 +48,56 @@
     }
 }
 
+/// A time in which a daemon's process was killed or stood still: what it had is lost then.
+#[derive(Debug, Clone, Copy)]
+pub struct Outage {
+    /// The daemon, by where callers connect.
+    pub daemon: SocketAddr,
+    /// When it began.
+    pub from: Instant,
+    /// When the process ran again.
+    pub to: Instant,
+}
+
+/// Whatever an engine was given has an answer, and whatever a running daemon took as well, in time. Planned stops excuse
+/// nothing: callers keep using their connections until the process is gone.
+#[must_use]
+pub fn check_answers(asked: &[Asked], members: &[Member], outages: &[Outage]) -> Vec<Violation> {
+    let runs = members.iter().flat_map(|member| member.engine.runs());
+    let passed_on: HashSet<String> = runs.map(|run| run.request).collect();
+    let is_excused = |one: &Asked| {
+        outages.iter().any(|outage| {
+            outage.daemon == one.daemon && outage.from <= one.ended && outage.to >= one.at
+        })
+    };
+    let unanswered = asked
+        .iter()
+        .filter(|one| one.answer.is_none() && !one.left)
+        .filter(|one| !is_excused(one));
+    unanswered
+        .filter_map(|one| {
+            let limit = Duration::from_millis(one.request.deadline_ms);
+            let rule = if one.ended - one.at > limit {
+                "an answer comes in time"
+            } else if passed_on.contains(&one.request.id) {
+                "what was passed on is answered"
+            } else {
+                // It crossed the end of the connection.
+                return None;
+            };
+            Some(Violation {
+                rule,
+                seen: format!(
+                    "{} at {} after {:?}",
+                    one.request.id,
+                    one.daemon,
+                    one.ended - one.at
+                ),
+            })
+        })
+        .collect()
+}
+
 /// Checks all that was asked against all that ran.
 #[must_use]
 pub fn check(asked: &[Asked], members: &[Member], troubles: &Troubles) -> Vec<Violation> {
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use ponddrift_platform_stand_ins::{Answer, ClientRequest, ClientStandIn};
+use ponddrift_platform_stand_ins::{Answer, ClientRequest, ClientStandIn, KeptConnection};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -56,7 +56,8 @@
     }
 }
 
-/// One caller, until `end`.
+/// One caller, until `end`. Every second one keeps its connection and uses it for as long as it is open, also while its
+/// daemon stops.
 pub async fn call(
     client: ClientStandIn,
     state: Arc<LoadState>,
@@ -66,11 +67,24 @@
 ) {
     let mut random = Pcg64Mcg::seed_from_u64(seed ^ (number + 1));
     let mut count = 0_u64;
+    let keeps_connections = number % 2 == 1;
+    let mut kept: Option<KeptConnection> = None;
     while Instant::now() < end {
         sleep(PAUSE).await;
-        let Some(daemon) = state.target(&mut random) else {
+        let is_open = match &mut kept {
+            Some(connection) => connection.is_open().await,
+            None => false,
+        };
+        if !is_open {
+            kept = None;
+        }
+        let next = kept.as_ref().map(KeptConnection::target);
+        let Some(daemon) = next.or_else(|| state.target(&mut random)) else {
             continue;
         };
+        if keeps_connections && kept.is_none() {
+            kept = client.connect(daemon).await;
+        }
         count += 1;
         let request = draw(&mut random, &format!("c{number}-{count}"));
         let leaves = random.random_bool(0.05);
@@ -80,7 +94,14 @@
             Duration::from_millis(request.deadline_ms) + BEYOND_DEADLINE
         };
         let at = Instant::now();
-        let answer = timeout(wait_policy, client.ask(daemon, &request)).await;
+        let answer = match &mut kept {
+            Some(connection) => timeout(wait_policy, connection.ask(&request)).await,
+            None => timeout(wait_policy, client.ask(daemon, &request)).await,
+        };
+        if answer.is_err() {
+            // Leaving closes the connection.
+            kept = None;
+        }
         let left = leaves && answer.is_err();
         state.note(Asked {
             request,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,7 +12,7 @@
 use rustix::process::Signal;
 use tokio::time::{Instant, sleep, timeout};
 
-use crate::checks::{Troubles, Violation, check, check_crashing_requests};
+use crate::checks::{Outage, Troubles, Violation, check, check_answers, check_crashing_requests};
 use crate::daemons::DaemonProcess;
 use crate::faults::{DrawnFault, Fault, draw};
 use crate::load::{LoadState, call, crash_again_and_again};
@@ -83,6 +83,7 @@
     load: Arc<LoadState>,
     random: Pcg64Mcg,
     faults: Vec<DrawnFault>,
+    outages: Vec<Outage>,
     troubles: Troubles,
     /// Those of them in which the store, or the way to it, was in trouble.
     store_troubles: Troubles,
@@ -105,6 +106,7 @@
             load: Arc::default(),
             random: Pcg64Mcg::seed_from_u64(settings.seed),
             faults: Vec::new(),
+            outages: Vec::new(),
             troubles: Troubles::default(),
             store_troubles: Troubles::default(),
             violations: Vec::new(),
@@ -246,6 +248,16 @@
         self.troubles.0.push((begun, Instant::now() + AFTERMATH));
     }
 
+    fn note_outages(&mut self, daemons: &[usize], begun: Instant) {
+        for daemon in daemons {
+            self.outages.push(Outage {
+                daemon: self.daemons[*daemon].callers,
+                from: begun,
+                to: Instant::now() + AFTERMATH,
+            });
+        }
+    }
+
     fn store_trouble(&mut self, begun: Instant) {
         self.trouble(begun);
         self.store_troubles
@@ -260,6 +272,7 @@
             self.daemons[*daemon].signal(Signal::KILL)?;
         }
         self.pass(Duration::from_millis(500)).await?;
+        self.note_outages(daemons, begun);
         self.trouble(begun);
         Ok(())
     }
@@ -270,6 +283,7 @@
         self.daemons[daemon].signal(Signal::STOP)?;
         self.pass(time).await?;
         self.daemons[daemon].signal(Signal::CONT)?;
+        self.note_outages(&[daemon], begun);
         self.trouble(begun);
         Ok(())
     }
@@ -390,6 +404,7 @@
         let members = &self.platform.members;
         violations.extend(check(&asked, members, &self.troubles));
         violations.extend(check_crashing_requests(members, &self.store_troubles));
+        violations.extend(check_answers(&asked, members, &self.outages));
         let served = asked.iter().filter(|one| {
             let answer = one.answer.as_ref();
             answer.is_some_and(|answer| answer.status.is_success() && answer.is_whole)
