Less is told of innocents, and engines out of reach say nothing of requests

Cause, found on reading: each request that was on an engine that ended, and then ran well elsewhere, was told to all daemons three times, though only its recorders had heard of it; an engine that did not answer its health check, or a new connection, counted as ended under its requests, so that a cut through the fleet could have had innocents refused; a daemon's own find waited behind the turn of another's. Change: a single lost run and its good run stay with the recorders; only a refused connection proves that an engine ended; own finds are filed first. Measured: the tests of the crates; a new one cuts all engines off four times under one request.

--- a/crates/serve/tests/crashing_requests.rs
+++ b/crates/serve/tests/crashing_requests.rs
@@ -22,7 +22,7 @@
 use futures::stream::{FuturesUnordered, StreamExt};
 use http::StatusCode;
 use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest};
-use ponddrift_simulation::DatagramFaults;
+use ponddrift_simulation::{DatagramFaults, HostId};
 use support::{Fleet, Size, crash_engines};
 use tokio::time::{Instant, sleep};
 
@@ -343,3 +343,43 @@
     let statuses: Vec<StatusCode> = answers.iter().map(|answer| answer.status).collect();
     assert_eq!(statuses, [StatusCode::OK; 8]);
 }
+
+/// Engines that fall silent behind a cut say nothing of the requests that waited for them.
+#[test]
+fn a_request_whose_engines_are_cut_off_again_and_again_is_not_quarantined() {
+    let mut fleet = Fleet::new(size());
+    let simulation = fleet.simulation.handle();
+    let popular = |number: usize| ClientRequest {
+        body: String::from("a popular question"),
+        ..innocent(number)
+    };
+    let daemons: Vec<HostId> = fleet.daemons.iter().map(|daemon| daemon.host).collect();
+    let engines = fleet.decode_hosts.clone();
+    for engine in &fleet.decode {
+        engine.behave_always(Behaviour::Hang);
+    }
+    for round in 0..4 {
+        let client = fleet.client.clone();
+        let target = fleet.daemons[0].callers;
+        let cutting = async {
+            sleep(Duration::from_millis(200)).await;
+            simulation.partition(&daemons, &engines);
+        };
+        let request = popular(round);
+        let asking = client.ask(target, &request);
+        fleet.run(async move { futures::join!(asking, cutting) });
+        simulation.heal_all();
+        fleet.wait(Duration::from_secs(1));
+    }
+    for engine in &fleet.decode {
+        engine.behave_well();
+    }
+    fleet.wait(Duration::from_secs(8));
+    let repeats = Repeats {
+        times: 8,
+        every: Duration::from_millis(50),
+    };
+    let answers = ask_again(&mut fleet, repeats, |number| popular(100 + number));
+    let statuses: Vec<StatusCode> = answers.iter().map(|answer| answer.status).collect();
+    assert_eq!(statuses, [StatusCode::OK; 8]);
+}
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -147,13 +147,13 @@
         }
     }
 
-    /// Whether anything accepts connections at `address`. Where nothing does, its process has ended or its machine is out of
-    /// reach; a connection that merely broke leaves its server listening.
-    pub async fn is_listening(&self, address: SocketAddr) -> bool {
+    /// Whether a machine says that nothing listens at `address`: its process has ended. A server whose connections merely
+    /// broke still listens, and one that is out of reach says nothing.
+    pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
         let connecting = self.runtime.network.connect(address);
         matches!(
             tokio::time::timeout(CONNECT_LIMIT, connecting).await,
-            Ok(Ok(_))
+            Ok(Err(_refused))
         )
     }
 
--- a/crates/serving/src/peers/suspects.rs
+++ b/crates/serving/src/peers/suspects.rs
@@ -4,7 +4,7 @@
 //! chosen by the fingerprint, so that runs lost at different daemons meet there. From the second engine on, and when a
 //! request is cleared, everybody is told at once, and again, since datagrams are lost.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -29,14 +29,14 @@
 const RECORDERS: usize = 3;
 
 /// What is to be told again, and when.
-type Schedule = BTreeMap<(Instant, RequestFingerprint), ()>;
+type Schedule = BTreeSet<(Instant, RequestFingerprint)>;
 
 impl Peers {
     pub(super) async fn publish_suspects(self: Arc<Self>) {
         let changed = self.pipeline.changed_suspects();
         let mut again = Schedule::new();
         loop {
-            let next = again.keys().next().map(|(at, _fingerprint)| *at);
+            let next = again.first().map(|(at, _fingerprint)| *at);
             match next {
                 None => changed.wait().await,
                 Some(at) => {
@@ -48,13 +48,13 @@
             let begun = now();
             for fingerprint in &fresh {
                 for pause in TOLD_AGAIN_AFTER {
-                    again.insert((begun + pause, *fingerprint), ());
+                    again.insert((begun + pause, *fingerprint));
                 }
             }
             let later = again.split_off(&(begun, RequestFingerprint::LEAST));
             let due = std::mem::replace(&mut again, later);
             let due = due
-                .into_keys()
+                .into_iter()
                 .map(|(_at, fingerprint)| (fingerprint, false));
             let fresh = fresh.into_iter().map(|fingerprint| (fingerprint, true));
             self.tell(due.chain(fresh)).await;
@@ -69,7 +69,9 @@
             let Some((suspicion, standing)) = known else {
                 continue;
             };
-            let concerns_all = standing != Standing::Clear || suspicion.cleared.is_some();
+            // One lost run and a good one are what most requests of an engine that ended have.
+            let was_suspected = suspicion.cleared.is_some() && suspicion.lost_runs.len() > 1;
+            let concerns_all = standing != Standing::Clear || was_suspected;
             if !concerns_all && !is_fresh {
                 continue;
             }
--- a/crates/serving/src/pipeline/lost_runs.rs
+++ b/crates/serving/src/pipeline/lost_runs.rs
@@ -1,7 +1,8 @@
 //! Runs that ended because their engine did.
 //!
 //! A connection that breaks under a request tells nothing of its cause. Where nothing listens at the engine's address any
-//! more, the engine has ended, and each request that it ran may have been the reason.
+//! more, the engine has ended, and each request that it ran may have been the reason. An engine that is merely out of reach
+//! says nothing of its requests.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -33,8 +34,8 @@
         Arc::clone(looks.entry(Arc::clone(engine)).or_default())
     }
 
-    /// The engine still listens: the next broken connection is a matter of its own.
-    fn still_listens(&self, engine: &str) {
+    /// The engine lives: the next broken connection is a matter of its own.
+    fn forget(&self, engine: &str) {
         self.lock().remove(engine);
     }
 
@@ -54,13 +55,8 @@
         outcome: Option<Outcome>,
         begun: Instant,
     ) {
-        let has_ended = match outcome {
-            Some(Outcome::Broken) => self.has_ended(engine).await,
-            // It answered no health check either.
-            Some(Outcome::Unreachable) => true,
-            _ => false,
-        };
-        if !has_ended {
+        let may_have_ended = matches!(outcome, Some(Outcome::Broken | Outcome::Unreachable));
+        if !may_have_ended || !self.has_ended(engine).await {
             return;
         }
         self.metrics.run_lost();
@@ -81,10 +77,10 @@
 
     async fn has_ended(&self, engine: &Arc<BackEnd>) -> bool {
         let look = self.engine_ends.look_of(&engine.id);
-        let looking = || async { !self.connections.is_listening(engine.address).await };
+        let looking = || self.connections.refuses_connections(engine.address);
         let has_ended = *look.get_or_init(looking).await;
         if !has_ended {
-            self.engine_ends.still_listens(&engine.id);
+            self.engine_ends.forget(&engine.id);
         }
         has_ended
     }
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -42,8 +42,8 @@
             self.state.quarantine_changed().notified().await;
             self.release_all().await;
             while let Some(unfiled) = self.next_unfiled() {
-                self.wait_for_its_turn(&unfiled).await;
-                if self.state.quarantine().is_filed(unfiled.fingerprint) {
+                let is_its_turn = self.wait_for_its_turn(&unfiled).await;
+                if !is_its_turn || self.state.quarantine().is_filed(unfiled.fingerprint) {
                     continue;
                 }
                 if !self.file(&unfiled).await {
@@ -60,10 +60,17 @@
         unfiled.into_iter().next()
     }
 
-    async fn wait_for_its_turn(&mut self, unfiled: &Unfiled) {
-        if !unfiled.is_own {
-            let spread = self.random.random_range(0.2..1.0);
-            tokio::time::sleep(FILING_SPREAD.mul_f64(spread)).await;
+    /// Returns false where something changed meanwhile: an own find goes first.
+    async fn wait_for_its_turn(&mut self, unfiled: &Unfiled) -> bool {
+        if unfiled.is_own {
+            return true;
+        }
+        let spread = self.random.random_range(0.2..1.0);
+        let turn = tokio::time::sleep(FILING_SPREAD.mul_f64(spread));
+        tokio::select! {
+            biased;
+            () = self.state.quarantine_changed().notified() => false,
+            () = turn => true,
         }
     }
 
