--- a/crates/serve/tests/crashing_requests.rs
+++ b/crates/serve/tests/crashing_requests.rs
@@ -11,8 +11,8 @@
 //! tell each other.
 //!
 //! Settled by these lines, one after the other of one fingerprint at different daemons, 31 in all:
-//! `{"message":"run_lost_with_engine","request":"7ad5…","fingerprint":"…","back_end":"i-3d7bcca4df","ran_ms":65}`
-//! `{"message":"run_lost_with_engine","request":"7ad5…","fingerprint":"…","back_end":"i-71bb3679a2","ran_ms":62}`
+//! `{"message":"run_lost_with_engine","request":"first try","fingerprint":"F","back_end":"i-1","ran_ms":65}`
+//! `{"message":"run_lost_with_engine","request":"second try","fingerprint":"F","back_end":"i-2","ran_ms":62}`
 
 mod support;
 
