A large zone reads the store through a few distributors

Cause: after a loss of all daemons every daemon reads everything from the store. That is daemons x back ends x 350 bytes over one link of 1 Gbit/s: 3.45 GB, 28 s, at 986 daemons before 10,004 back ends. The first page no longer holds what is needed to serve: keys of daemons come before those of back ends, and 986 fill two pages. A peer hands its whole state over in one answer within a second, which a link of 20 Mbit/s does not carry.

Ruled out: each daemon reads a part of the keys and peers exchange them. A daemon that knows nobody does not know how keys are spread.

Change: one daemon of sixteen of a zone hands on what the store holds, page by page, compressed, while it still reads itself; the first two read the store. Their addresses lie in the store under one key for each zone. A daemon that gets nothing for 1.5 s reads the store. News beyond a revision comes in parts too. The entries of a first reading have no line each: 11,000 lines a daemon, some 20 us each on a small machine.

Without distributors two tests of `recovery` fail.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,12 +6,14 @@
 //! [`stages`] plans which engines read prompts, [`capacity`] how many engines there are, [`tenants`] resolves
 //! whose request it is, [`fingerprint`] recognizes one that comes again, [`quarantine`] decides which is run no
 //! more since engines end under it, [`usage`] counts them, [`leadership`] decides when the leader may act, [`true_time`]
-//! agrees on the time of day, [`topology`] decides which daemons talk to each other.
+//! agrees on the time of day, [`topology`] decides which daemons talk to each other, [`distribution`] along which of them the
+//! state of the store spreads.
 
 pub mod budget;
 pub mod capacity;
 pub mod configuration;
 pub mod directory;
+pub mod distribution;
 pub mod events;
 pub mod fingerprint;
 pub mod followers;
--- a/crates/fleet/src/topology.rs
+++ b/crates/fleet/src/topology.rs
@@ -9,6 +9,8 @@
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::distribution::distributors;
+
 /// A fleet of no more daemons is one neighbourhood.
 pub const SMALL_FLEET: usize = 24;
 /// Daemons of each neighbourhood that follow the store: one may fail without a gap in the news.
@@ -51,6 +53,9 @@
     pub usage_replicas: Vec<SocketAddr>,
     /// All daemons that keep such copies, of all neighbourhoods, without this one.
     pub usage_keepers: Vec<SocketAddr>,
+    /// Daemons of the neighbourhood, this one perhaps among them, that hand on everything that the store holds; none in a small
+    /// one.
+    pub distributors: Vec<SocketAddr>,
 }
 
 impl Topology {
@@ -77,6 +82,7 @@
                 .iter()
                 .flat_map(|daemons| usage_keepers(own, daemons.iter().copied()))
                 .collect(),
+            distributors: distributors(near.iter().copied().chain([own])),
         }
     }
 }
@@ -137,7 +143,7 @@
 }
 
 /// Daemons with faster links come first.
-fn rank(member: &Member) -> (std::cmp::Reverse<u32>, u64) {
+pub(crate) fn rank(member: &Member) -> (std::cmp::Reverse<u32>, u64) {
     let order = xxh3_64(member.name.as_bytes());
     (std::cmp::Reverse(member.link_megabits), order)
 }
--- a/crates/serve/tests/recovery.rs
+++ b/crates/serve/tests/recovery.rs
@@ -106,3 +106,85 @@
     fleet.wait(Duration::from_secs(2));
     assert_eq!(status_of(&mut fleet, "1"), Some(StatusCode::OK));
 }
+
+/// Daemons of one zone, more than would all read the store.
+const MANY_DAEMONS: u8 = 40;
+
+/// A zone of many daemons that has been up for long enough that its distributors are known to the store.
+fn large_zone() -> Fleet {
+    let mut fleet = Fleet::new(Size {
+        daemons: MANY_DAEMONS,
+        ..Size::default()
+    });
+    for number in 0..MORE_ENTRIES {
+        let entry = r#"{"service":"others","address":"10.9.0.1:80","zone":"a","slots":1,"state":"ready","sequence":1}"#;
+        fleet.store.put(&format!("servers/j-{number:03}"), entry);
+    }
+    fleet.wait(Duration::from_secs(15));
+    fleet
+}
+
+fn lose_all_daemons(fleet: &mut Fleet) {
+    let handle = fleet.simulation.handle();
+    for daemon in &fleet.daemons {
+        handle.kill(daemon.host);
+    }
+    fleet.wait(Duration::from_millis(500));
+    for daemon in &fleet.daemons {
+        handle.restart(daemon.host);
+    }
+}
+
+/// How many daemons answer a request with success.
+fn serving(fleet: &mut Fleet) -> usize {
+    let client = fleet.client.clone();
+    let daemons = fleet.daemons.clone();
+    fleet.run(async move {
+        let mut serving = 0;
+        for (number, daemon) in daemons.iter().enumerate() {
+            let request = ClientRequest::plain(&format!("r-{number}"), "fetch");
+            let answer = client.ask(daemon.callers, &request).await;
+            serving += usize::from(answer.is_some_and(|answer| answer.status == StatusCode::OK));
+        }
+        serving
+    })
+}
+
+/// After a loss of all daemons a few of each zone read the store, and the others read from those.
+#[test]
+fn most_daemons_of_a_large_zone_that_come_back_read_nothing_from_the_store() {
+    let mut fleet = large_zone();
+    let before = fleet.store.pages_read().len();
+    lose_all_daemons(&mut fleet);
+    fleet.wait(Duration::from_secs(1));
+    assert_eq!(serving(&mut fleet), usize::from(MANY_DAEMONS));
+    fleet.wait(Duration::from_secs(2));
+    let pages = fleet.store.pages_read().split_off(before);
+    let whole_reads = pages.iter().filter(|after| after.is_empty()).count();
+    assert_eq!(whole_reads, 2, "{pages:?}");
+}
+
+/// Those that hand on everything may be gone for good.
+#[test]
+fn daemons_whose_distributors_are_gone_read_the_store() {
+    let mut fleet = large_zone();
+    let listed = fleet.store.keys("ponddrift/distributors/");
+    assert_eq!(listed, ["ponddrift/distributors/a"]);
+    let nobody: Vec<String> = (1..=4)
+        .map(|number| format!("10.9.9.{number}:7660"))
+        .collect();
+    let list = serde_json::to_string(&nobody).expect("a list");
+    fleet.store.put(&listed[0], list);
+    lose_all_daemons(&mut fleet);
+    fleet.wait(Duration::from_secs(4));
+    assert_eq!(serving(&mut fleet), usize::from(MANY_DAEMONS));
+}
+
+#[test]
+fn a_list_of_distributors_that_cannot_be_read_is_none() {
+    let mut fleet = large_zone();
+    fleet.store.put("ponddrift/distributors/a", "[\"nowhere\"");
+    lose_all_daemons(&mut fleet);
+    fleet.wait(Duration::from_secs(1));
+    assert_eq!(serving(&mut fleet), usize::from(MANY_DAEMONS));
+}
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -1,6 +1,7 @@
 //! The newest configuration, directory and daemons that this daemon has seen.
 
 mod fleet_view;
+mod handing_on;
 
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
@@ -19,10 +20,10 @@
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
-use fleet_view::FleetView;
+use fleet_view::{FleetView, PartlyRead};
 
 use crate::back_end_index::BackEndIndex;
-use crate::store::{Changes, Decoded, FleetStore, Item, Snapshot};
+use crate::store::{Changes, Decoded, FleetStore, Item, Page};
 
 /// A configuration in force.
 #[derive(Debug)]
@@ -66,10 +67,10 @@
 /// What a peer is told that asks for everything after a revision.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub enum News {
-    /// What changed since then.
+    /// What changed since then, or the first part of it.
     Changes(Changes),
-    /// Everything: what was removed since then is no longer known here.
-    Whole(Snapshot),
+    /// What was removed since then is no longer known here: everything is to be read anew.
+    TooLongAgo,
 }
 
 /// This daemon's view of the fleet, shared by its tasks.
@@ -79,6 +80,7 @@
     inner: Mutex<FleetView>,
     quarantine: Mutex<Quarantine>,
     quarantine_changed: Notify,
+    more_is_known: Notify,
 }
 
 impl FleetState {
@@ -92,6 +94,7 @@
             inner,
             quarantine: Mutex::default(),
             quarantine_changed: Notify::new(),
+            more_is_known: Notify::new(),
         }
     }
 
@@ -187,42 +190,29 @@
         self.lock().position
     }
 
-    /// What a peer lacks that knows everything up to `after`.
+    /// What a peer lacks that knows everything up to `after`, or the first part of it.
     #[must_use]
     pub fn news_after(&self, after: u64) -> News {
-        let inner = self.lock();
-        let at = inner.position.unwrap_or_default();
-        if after < inner.removals_since {
-            let present = inner.items.values().filter(|item| item.value.is_some());
-            return News::Whole(Snapshot {
-                items: present.cloned().collect(),
-                at,
-            });
-        }
-        let newer = inner.items.values().filter(|item| item.revision > after);
-        News::Changes(Changes {
-            after,
-            items: newer.cloned().collect(),
-            at,
-        })
-    }
-
-    /// Takes what a peer knows.
-    pub fn take_news(&self, news: News, now: Instant) {
-        match news {
-            News::Whole(snapshot) => self.take_snapshot(snapshot, now),
-            // Where they leave a gap, the peer is asked once more.
-            News::Changes(changes) => {
-                self.take_changes(changes, Source::Peer, now);
-            }
-        }
+        self.lock().news_after(after)
+    }
+
+    /// Everything behind the key `after`, or the first part of it; none where nothing behind it is known yet.
+    #[must_use]
+    pub fn page_after(&self, after: Option<&str>) -> Option<Page> {
+        self.lock().page_after(after)
+    }
+
+    /// Wakes whoever waits to hand on more, as soon as more is known.
+    #[must_use]
+    pub const fn more_is_known(&self) -> &Notify {
+        &self.more_is_known
     }
 
-    /// Takes everything that a peer holds; what is missing was removed.
-    fn take_snapshot(&self, snapshot: Snapshot, now: Instant) {
-        let keys = snapshot.items.iter().map(|item| item.key.clone()).collect();
-        self.take_items(snapshot.items, Source::Peer, now);
-        self.whole_is_known(&keys, snapshot.at, Source::Peer, now);
+    /// A first reading of everything has come to the key `up_to`, as of the revision `at`.
+    pub fn note_part_read(&self, up_to: &str, at: u64) {
+        let up_to = up_to.to_owned();
+        self.lock().partly_read = Some(PartlyRead { up_to, at });
+        self.more_is_known.notify_waiters();
     }
 
     /// All keys that were there at a revision have been taken: what is missing from them was removed, and changes follow
@@ -235,6 +225,9 @@
             inner.position = Some(at);
             inner.removals_since = at;
         }
+        inner.partly_read = None;
+        drop(inner);
+        self.more_is_known.notify_waiters();
     }
 
     /// Takes changes that follow on what is known. Returns false where something may lie between; nothing is taken
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -1,10 +1,9 @@
 //! This daemon's view of the fleet and how updates change it. Each change that matters is logged.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use indexmap::IndexMap;
 use ponddrift_fleet::configuration::{Configuration, Stage};
 use ponddrift_fleet::directory::{BackEnd, ColdStart, Directory, Lifecycle, Warmth};
 use ponddrift_fleet::routes::RouteTable;
@@ -18,6 +17,15 @@
 /// For this long after a failed call to the store, an entry that vanishes may have lapsed because the store was away.
 const DOUBT_AFTER_FAILURE: Duration = Duration::from_secs(5);
 
+/// How far a first reading of everything has come.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct PartlyRead {
+    /// Every key up to this one has been read.
+    pub(super) up_to: String,
+    /// Revision up to which those keys show every change.
+    pub(super) at: u64,
+}
+
 #[derive(Default)]
 pub(super) struct FleetView {
     pub(super) in_force: Option<Arc<InForce>>,
@@ -28,7 +36,10 @@
     /// Daemons have come or gone since the topology was worked out.
     daemons_changed: bool,
     pub(super) leader: Option<Arc<str>>,
-    pub(super) items: IndexMap<String, Item>,
+    /// Raw items by key, as they are handed on to peers page by page.
+    pub(super) items: BTreeMap<String, Item>,
+    /// A first reading of everything that is under way; none before its first page, or once everything is known.
+    pub(super) partly_read: Option<PartlyRead>,
     pub(super) newest: u64,
     /// Everything up to this revision is known; none before the first reading.
     pub(super) position: Option<u64>,
@@ -67,6 +78,12 @@
         self.topology = Arc::new(topology);
     }
 
+    /// Whether nothing has been known for long enough that an entry could be a change. A start writes one line for everything
+    /// that it reads: a line for each entry took a quarter of a second of a small machine before 10,000 back ends.
+    fn is_first_reading(&self) -> bool {
+        self.position.is_none()
+    }
+
     pub(super) fn is_in_doubt(&self, now: Instant) -> bool {
         self.last_store_failure
             .is_some_and(|last| now.saturating_duration_since(last) < DOUBT_AFTER_FAILURE)
@@ -83,12 +100,14 @@
             }
             Decoded::BackEndGone(id) => self.remove_back_end(&id, revision, source, now),
             Decoded::Daemon(daemon) => {
-                tracing::info!(
-                    daemon = %daemon.name,
-                    zone = %daemon.zone,
-                    address = %daemon.peer_address,
-                    "daemon_joined"
-                );
+                if !self.is_first_reading() {
+                    tracing::info!(
+                        daemon = %daemon.name,
+                        zone = %daemon.zone,
+                        address = %daemon.peer_address,
+                        "daemon_joined"
+                    );
+                }
                 self.daemons.insert(Arc::clone(&daemon.name), daemon);
                 self.daemons_changed = true;
             }
@@ -176,7 +195,8 @@
     }
 
     fn apply_back_end(&mut self, back_end: BackEnd, revision: u64, source: Source) {
-        let changed = self.directory.get(&back_end.id).is_none_or(|known| {
+        let known = self.directory.get(&back_end.id);
+        let changed = known.map_or(!self.is_first_reading(), |known| {
             known.lifecycle != back_end.lifecycle || known.stage != back_end.stage
         });
         if changed {
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -1,22 +1,25 @@
 //! Keeps the state new: a few daemons of each neighbourhood follow the store and publish its changes to the
 //! others.
 
-mod whole_read;
+mod distributor_list;
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use ponddrift_fleet::distribution::{FOLLOWER_PATIENCE, ReadingPlan};
 use ponddrift_fleet::followers::{FOLLOWER_WAIT, FollowerTable};
 use ponddrift_runtime::Runtime;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::{Notify, mpsc};
 
-use crate::fleet_state::{FleetState, Source};
+use crate::fleet_state::{FleetState, Source, daemon_identity};
 use crate::metrics::Metrics;
 use crate::store::{Changes, Consistency, FleetStore, Lease, StoreError};
 use crate::time::{self, now};
-use whole_read::WholeRead;
+use crate::whole_read::WholeRead;
+use distributor_list::DistributorList;
 
 /// How long one call of a daemon waits for changes that follows the store only for itself.
 const OWN_WAIT: Duration = Duration::from_secs(2);
@@ -31,6 +34,9 @@
 /// and to here where neighbours follow the store: they publish when it answers again, and calls to a store that is
 /// away are paid for too.
 const LONGEST_PAUSE_BEHIND_FOLLOWERS: Duration = Duration::from_millis(1_400);
+/// How long a daemon that starts waits to be told who hands on everything; then it begins to read the store itself. The answer is
+/// some hundred bytes, so that even 2,000 daemons that ask at the same time get it within a tenth of that, where all is well.
+const DISTRIBUTORS_LIMIT: Duration = Duration::from_millis(150);
 /// Life of the lease under which a daemon's key stands.
 const DAEMON_LEASE: Duration = Duration::from_secs(10);
 /// Time between two renewals.
@@ -65,7 +71,7 @@
     }
 
     /// A neighbour says how long ago the store answered it.
-    pub fn follower_reported(&self, peer: std::net::SocketAddr, store_silence: Duration) {
+    pub fn follower_reported(&self, peer: SocketAddr, store_silence: Duration) {
         let mut followers = lock(&self.followers);
         followers.receive(peer, store_silence, now());
         if followers.relied_on_until(now()).is_some() {
@@ -74,7 +80,7 @@
     }
 
     /// A neighbour did not hand on what it has.
-    pub fn distrust(&self, peer: std::net::SocketAddr) {
+    pub fn distrust(&self, peer: SocketAddr) {
         lock(&self.followers).distrust(peer);
         self.disappointed.notify_one();
     }
@@ -117,6 +123,7 @@
     metrics: &Arc<Metrics>,
 ) {
     let follower = Follower {
+        runtime: runtime.clone(),
         store: Arc::clone(store),
         state: Arc::clone(state),
         following: Arc::clone(following),
@@ -135,9 +142,12 @@
         metrics: Arc::clone(metrics),
     };
     runtime.spawner.spawn(Box::pin(announcer.run()));
+    let distributor_list = DistributorList::new(store, state);
+    runtime.spawner.spawn(Box::pin(distributor_list.run()));
 }
 
 struct Follower {
+    runtime: Runtime,
     store: Arc<dyn FleetStore>,
     state: Arc<FleetState>,
     following: Arc<Following>,
@@ -250,8 +260,9 @@
         Ok(at)
     }
 
-    /// Reads everything, or goes on where a page failed. A read that may be old is enough, since changes are followed
-    /// from its own revision on; not where the store has forgotten what follows on that.
+    /// Reads everything, or goes on where a page failed: from peers where the fleet is large, else from the store. A read that
+    /// may be old is enough, since changes are followed from its own revision on; not where the store has forgotten what
+    /// follows on that.
     async fn read_everything(&mut self) -> Result<u64, StoreError> {
         let consistency = if self.history_was_gone {
             Consistency::Linearizable
@@ -262,7 +273,11 @@
             .whole_read
             .take()
             .unwrap_or_else(|| WholeRead::new(consistency));
-        let ended = reading.finish(&*self.store, &self.state).await;
+        if let Some(at) = self.read_peers(&mut reading).await {
+            self.history_was_gone = false;
+            return Ok(at);
+        }
+        let ended = reading.read_store(&*self.store, &self.state).await;
         match ended {
             Ok(_) => self.history_was_gone = false,
             Err(_) => self.whole_read = Some(reading),
@@ -270,6 +285,48 @@
         ended
     }
 
+    /// Reads everything from peers. Returns none where there are none to read from, or where they do not bring what is missing.
+    async fn read_peers(&self, reading: &mut WholeRead) -> Option<u64> {
+        let own = self.state.own();
+        let spread = daemon_identity(&own.name);
+        let plan = ReadingPlan::of(own.peer_address, &self.distributors().await, spread);
+        let known = self.state.position();
+        let at = reading
+            .read_peers(&self.runtime, &plan, &self.state)
+            .await?;
+        if Some(at) <= known {
+            // They know no more than this daemon: the store does.
+            *reading = WholeRead::new(Consistency::Linearizable);
+            return None;
+        }
+        // One call less for every daemon, just when all of them start.
+        let relieved = self.following.relieved.notified();
+        if !self.state.topology().follows_store && self.following.relied_on_until().is_none() {
+            // Whichever comes first, the store is asked only where no follower has reported.
+            drop(tokio::time::timeout(FOLLOWER_PATIENCE, relieved).await);
+        }
+        Some(at)
+    }
+
+    /// Who hands on everything: by what this daemon knows of its peers, or by what the store says of its zone.
+    async fn distributors(&self) -> Vec<SocketAddr> {
+        if self.state.position().is_some() {
+            return self.state.topology().distributors.clone();
+        }
+        let reading = self.store.read_distributors(&self.state.own().zone);
+        match tokio::time::timeout(DISTRIBUTORS_LIMIT, reading).await {
+            Ok(Ok(distributors)) => distributors,
+            Ok(Err(error)) => {
+                tracing::info!(%error, "distributors_unknown");
+                Vec::new()
+            }
+            Err(_elapsed) => {
+                tracing::info!(error = "no answer in time", "distributors_unknown");
+                Vec::new()
+            }
+        }
+    }
+
     /// Every change wakes every follower: the more there are, the longer each gathers changes before it asks again.
     fn gathering(&self, follows_for_others: bool) -> Duration {
         let topology = self.state.topology();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod store;
 pub mod time;
 pub mod usage;
+mod whole_read;
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -24,6 +24,7 @@
 use crate::store::Changes;
 use message::{AwayRow, HeadRow, ReportRow};
 
+pub(crate) use relay::fetch_page;
 pub use relay::fetch_tallies;
 
 /// What a daemon knows of its peers before it has read the store.
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -1,19 +1,23 @@
 //! Receives gossip from peers.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use ponddrift_fleet::distribution::{PROVIDER_PATIENCE, ReadingPlan};
+
 use super::message::{self, Digest, MAXIMUM_DATAGRAM, Message};
 use super::translate::{
     head_from_wire, reading_from_wire, report_from_wire, results_from_wire, work_from_wire,
 };
 use super::{Peers, relay};
 use crate::back_end_index::BackEndIndex;
-use crate::fleet_state::Source;
-use crate::store::Changes;
+use crate::fleet_state::{News, Source};
+use crate::store::{Changes, Consistency};
 use crate::time::now;
+use crate::whole_read::WholeRead;
 
 /// Pause after the socket failed.
 const FAILURE_PAUSE: Duration = Duration::from_millis(500);
@@ -153,20 +157,40 @@
         if self.following.is_following() {
             tokio::time::sleep(STORE_HEADSTART).await;
         }
-        let Some(known) = self.state.position().filter(|known| *known < position) else {
-            // Nothing is missing any more, or nothing was read yet: the store brings it all.
-            return;
-        };
-        match relay::fetch(&self.runtime, peer, known).await {
-            Ok(news) => {
-                self.state.take_news(news, now());
-                let position = self.state.position();
-                tracing::info!(%peer, known, position, "caught_up_from_peer");
-            }
-            Err(error) => {
+        // Where nothing is missing any more nothing is fetched, nor where nothing was read yet: that brings it all.
+        while let Some(known) = self.state.position().filter(|known| *known < position) {
+            if let Err(error) = self.fetch_news(peer, known).await {
                 tracing::info!(%peer, %error, "catch_up_failed");
                 self.following.distrust(peer);
+                return;
+            }
+            let reached = self.state.position();
+            tracing::info!(%peer, known, position = reached, "caught_up_from_peer");
+            if reached <= Some(known) {
+                return;
+            }
+        }
+    }
+
+    /// Takes what a peer knows beyond `known`, or the first part of it.
+    async fn fetch_news(&self, peer: SocketAddr, known: u64) -> io::Result<()> {
+        match relay::fetch(&self.runtime, peer, known).await? {
+            // Where they leave a gap, the peer is asked once more.
+            News::Changes(changes) => {
+                self.state.take_changes(changes, Source::Peer, now());
             }
+            News::TooLongAgo => self.read_everything(peer).await,
         }
+        Ok(())
+    }
+
+    async fn read_everything(&self, peer: SocketAddr) {
+        let plan = ReadingPlan {
+            providers: vec![peer],
+            patience: PROVIDER_PATIENCE,
+        };
+        let mut reading = WholeRead::new(Consistency::Stale);
+        // What it brings shows in the position.
+        reading.read_peers(&self.runtime, &plan, &self.state).await;
     }
 }
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -1,5 +1,5 @@
-//! Questions between peers, over TCP: what the store holds beyond a revision, and what was counted in a window. Question
-//! and answer are each a length and a borsh value.
+//! Questions between peers, over TCP: what the store holds, whole or beyond a revision, and what was counted in a window.
+//! Question and answer are each a length and a borsh value.
 
 use std::io;
 use std::net::SocketAddr;
@@ -13,24 +13,58 @@
 use ponddrift_fleet::usage::{TallyOf, WindowNumber};
 
 use crate::fleet_state::{FleetState, News};
+use crate::store::Page;
+use crate::time::{self, now};
 use crate::usage::UsageRecorder;
 
 /// Time for a whole exchange.
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(1);
 /// Largest answer in bytes.
 const MAXIMUM_ANSWER: u32 = 32 << 20;
-/// Largest question in bytes.
-const MAXIMUM_QUESTION: u32 = 64;
+/// Largest question in bytes: a key of the store has 200 at most.
+const MAXIMUM_QUESTION: u32 = 256;
+/// Largest page in bytes, unpacked: a configuration can fill megabytes.
+const MAXIMUM_PAGE: usize = 16 << 20;
+/// How long a question for a page waits until this daemon has read so far itself.
+const PAGE_WAIT: Duration = Duration::from_millis(300);
 /// Pause after a failed `accept`.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// What a peer asks.
-#[derive(Debug, Clone, Copy, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, BorshSerialize, BorshDeserialize)]
 enum Question {
     /// What is known beyond this revision; answered by [`News`].
     NewsAfter(u64),
     /// Every copy of what was counted in this window; answered by a list of [`TallyOf`].
     Tallies(WindowNumber),
+    /// What the store holds behind this key, or from its first key on; answered by a [`PackedPage`], or by none where that has
+    /// not been read yet.
+    PageAfter(Option<String>),
+}
+
+/// A page of what the store holds, compressed (LZ4 behind its length): entries of back ends differ in a few bytes, and take a
+/// fifth of theirs.
+#[derive(Debug, BorshSerialize, BorshDeserialize)]
+struct PackedPage(Vec<u8>);
+
+impl PackedPage {
+    fn pack(page: &Page) -> io::Result<Self> {
+        let bytes = borsh::to_vec(page)?;
+        Ok(Self(lz4_flex::block::compress_prepend_size(&bytes)))
+    }
+
+    fn unpack(&self) -> io::Result<Page> {
+        let (length, packed) = lz4_flex::block::uncompressed_size(&self.0).map_err(unreadable)?;
+        if length > MAXIMUM_PAGE {
+            return Err(io::Error::from(io::ErrorKind::InvalidData));
+        }
+        let bytes = lz4_flex::block::decompress(packed, length).map_err(unreadable)?;
+        borsh::from_slice(&bytes)
+    }
+}
+
+fn unreadable(error: lz4_flex::block::DecompressError) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, error)
 }
 
 /// Answers peers at `address`.
@@ -89,10 +123,42 @@
             let usage = known.usage.as_ref();
             borsh::to_vec(&usage.map(|usage| usage.tallies(window)).unwrap_or_default())?
         }
+        Question::PageAfter(after) => {
+            let page = page_after(&known.state, after.as_deref()).await;
+            let packed = page.as_ref().map(PackedPage::pack).transpose()?;
+            borsh::to_vec(&packed)?
+        }
     };
     write_bytes(&mut stream, &bytes).await
 }
 
+/// Waits a little for a page that has not been read yet.
+async fn page_after(state: &FleetState, after: Option<&str>) -> Option<Page> {
+    let until = now() + PAGE_WAIT;
+    loop {
+        let more_is_known = state.more_is_known().notified();
+        let page = state.page_after(after);
+        if page.is_some() {
+            return page;
+        }
+        time::timeout_at(until, more_is_known).await?;
+    }
+}
+
+/// Asks a peer for a page of what the store holds; none where the peer has not read so far itself.
+///
+/// # Errors
+/// When the peer cannot be reached, does not answer in time, or what it answers is no page.
+pub(crate) async fn fetch_page(
+    runtime: &Runtime,
+    peer: SocketAddr,
+    after: Option<&str>,
+) -> io::Result<Option<Page>> {
+    let question = Question::PageAfter(after.map(str::to_owned));
+    let packed: Option<PackedPage> = ask(runtime, peer, question).await?;
+    packed.map(|packed| packed.unpack()).transpose()
+}
+
 /// Asks a peer for what it knows beyond the revision `after`.
 pub(super) async fn fetch(runtime: &Runtime, peer: SocketAddr, after: u64) -> io::Result<News> {
     ask(runtime, peer, Question::NewsAfter(after)).await
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -1,5 +1,6 @@
 //! What an adapter brings from the store.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,15 +23,6 @@
     pub value: Option<Vec<u8>>,
 }
 
-/// Everything of interest, at one time.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
-pub struct Snapshot {
-    /// Keys that are there.
-    pub items: Vec<Item>,
-    /// Revision from which changes follow.
-    pub at: u64,
-}
-
 /// How new an answer of the store has to be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Consistency {
@@ -41,11 +33,11 @@
 }
 
 /// One page of everything of interest, in the order of keys.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Page {
     /// Keys that are there.
     pub items: Vec<Item>,
-    /// Revision of the store that this page shows; pages are no snapshot, so later ones may be newer or older.
+    /// Revision of the store up to which this page shows every change; pages are no snapshot, so later ones may be newer or older.
     pub at: u64,
     /// Last key of this page, after which the next one begins; none where this is the last.
     pub next_after: Option<String>,
@@ -151,6 +143,16 @@
     fn end(&self, lease: Lease) -> BoxFuture<'_, Result<(), StoreError>>;
     /// Writes the daemon's key under its lease.
     fn announce(&self, daemon: &Member, lease: Lease) -> BoxFuture<'_, Result<(), StoreError>>;
+    /// Reads which daemons of a zone hand on everything that the store holds; none where nobody has written it. It may be
+    /// some seconds old.
+    fn read_distributors(&self, zone: &str) -> BoxFuture<'_, Result<Vec<SocketAddr>, StoreError>>;
+    /// Writes which daemons of a zone hand on everything that the store holds. No lease ends it: it is read when all
+    /// daemons were lost.
+    fn write_distributors<'a>(
+        &'a self,
+        zone: &'a str,
+        distributors: &'a [SocketAddr],
+    ) -> BoxFuture<'a, Result<(), StoreError>>;
     /// Writes the leader under its lease, where there is none. Returns the revision, which rises with each leader.
     fn take_lead(&self, holder: &str, lease: Lease) -> BoxFuture<'_, Result<u64, StoreError>>;
     /// Writes what is to be reported of a window, once: where figures of it stand already, these are returned and stay.
--- /dev/null
+++ b/crates/serving/src/whole_read.rs
@@ -0,0 +1,182 @@
+//! Reads everything that the store holds, page by page, from the store or from peers.
+//!
+//! After a loss of all machines every daemon reads everything at the same time, and the store's link is what they wait
+//! for: 1,000 daemons with 10,000 back ends would share 1 Gbit/s for half a minute. So a few read the store, and the others
+//! read from those while they still read. Each page takes effect as it comes: the first ones hold the configuration and
+//! enough back ends to serve with. A page that fails is read again, from whoever has it, never those before it: all hand out
+//! keys in the same order.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use ponddrift_fleet::distribution::ReadingPlan;
+use ponddrift_runtime::Runtime;
+
+use crate::fleet_state::{FleetState, Source};
+use crate::peers;
+use crate::request_trace::milliseconds;
+use crate::store::{Consistency, FleetStore, Page, StoreError};
+use crate::time::now;
+
+/// Pause before the next provider is asked, where one has nothing or fails.
+const PROVIDER_PAUSE: Duration = Duration::from_millis(30);
+
+/// A reading of everything that has begun.
+#[derive(Debug)]
+pub(crate) struct WholeRead {
+    consistency: Consistency,
+    begun: Instant,
+    pages: usize,
+    pages_of_peers: usize,
+    keys: HashSet<String>,
+    /// Lowest revision of any page. Pages are no snapshot, and one that may be old can be older than those before it:
+    /// what changed since then may be missing from some of them.
+    oldest_at: Option<u64>,
+    next_after: Option<String>,
+}
+
+/// A page that does not follow on those before it.
+#[derive(Debug, thiserror::Error)]
+#[error(
+    "a page does not go on behind the key that it was asked for; another peer, or the store, is read"
+)]
+struct NoProgress;
+
+impl WholeRead {
+    /// Nothing read yet.
+    pub(crate) fn new(consistency: Consistency) -> Self {
+        Self {
+            consistency,
+            begun: now(),
+            pages: 0,
+            pages_of_peers: 0,
+            keys: HashSet::new(),
+            oldest_at: None,
+            next_after: None,
+        }
+    }
+
+    /// Reads the pages that are left from the store. Returns the revision after which changes follow.
+    ///
+    /// # Errors
+    /// What the store answered to a page; called again, it goes on with that page.
+    pub(crate) async fn read_store(
+        &mut self,
+        store: &dyn FleetStore,
+        state: &FleetState,
+    ) -> Result<u64, StoreError> {
+        loop {
+            let after = self.next_after.as_deref();
+            let page = store.read_page(after, self.consistency).await?;
+            let end = self.take(page, Source::Store, state);
+            match end.map_err(|error| StoreError::Unreadable(error.to_string()))? {
+                Some(at) => return Ok(at),
+                None => continue,
+            }
+        }
+    }
+
+    /// Reads the pages that are left from peers. Returns the revision after which changes follow; none where no peer brought
+    /// more for as long as the plan has patience.
+    pub(crate) async fn read_peers(
+        &mut self,
+        runtime: &Runtime,
+        plan: &ReadingPlan,
+        state: &FleetState,
+    ) -> Option<u64> {
+        let mut last_page = now();
+        for provider in plan.providers.iter().cycle() {
+            match self
+                .read_peer(runtime, *provider, state, &mut last_page)
+                .await
+            {
+                Ok(end) => return end,
+                Err(Unhelpful::NothingYet) => {}
+                Err(Unhelpful::Failed(error)) => {
+                    tracing::info!(%provider, pages = self.pages, error, "page_not_read");
+                }
+            }
+            if now().saturating_duration_since(last_page) > plan.patience {
+                tracing::info!(pages = self.pages, "pages_left_to_store");
+                return None;
+            }
+            tokio::time::sleep(PROVIDER_PAUSE).await;
+        }
+        None
+    }
+
+    /// Reads pages from one peer for as long as it has any.
+    async fn read_peer(
+        &mut self,
+        runtime: &Runtime,
+        provider: SocketAddr,
+        state: &FleetState,
+        last_page: &mut Instant,
+    ) -> Result<Option<u64>, Unhelpful> {
+        loop {
+            let asked = peers::fetch_page(runtime, provider, self.next_after.as_deref()).await;
+            let page = asked.map_err(|error| Unhelpful::Failed(error.to_string()))?;
+            let page = page.ok_or(Unhelpful::NothingYet)?;
+            let end = self.take(page, Source::Peer, state);
+            let end = end.map_err(|error| Unhelpful::Failed(error.to_string()))?;
+            *last_page = now();
+            if end.is_some() {
+                return Ok(end);
+            }
+        }
+    }
+
+    /// Puts a page into effect. Returns the revision after which changes follow, where it was the last.
+    fn take(
+        &mut self,
+        page: Page,
+        source: Source,
+        state: &FleetState,
+    ) -> Result<Option<u64>, NoProgress> {
+        if !self.is_followed_by(&page) {
+            return Err(NoProgress);
+        }
+        self.pages += 1;
+        if source == Source::Peer {
+            self.pages_of_peers += 1;
+        }
+        let at = self.oldest_at.map_or(page.at, |oldest| oldest.min(page.at));
+        self.oldest_at = Some(at);
+        self.keys
+            .extend(page.items.iter().map(|item| item.key.clone()));
+        state.take_items(page.items, source, now());
+        self.next_after = page.next_after;
+        if let Some(up_to) = &self.next_after {
+            state.note_part_read(up_to, at);
+            return Ok(None);
+        }
+        state.whole_is_known(&self.keys, at, source, now());
+        tracing::info!(
+            pages = self.pages,
+            pages_of_peers = self.pages_of_peers,
+            keys = self.keys.len(),
+            at,
+            took_ms = milliseconds(now().saturating_duration_since(self.begun)),
+            "store_read"
+        );
+        Ok(Some(at))
+    }
+
+    fn is_followed_by(&self, page: &Page) -> bool {
+        let goes_on = page
+            .next_after
+            .as_ref()
+            .is_none_or(|next_after| Some(next_after) > self.next_after.as_ref());
+        let first = page.items.first().map(|item| &item.key);
+        goes_on && first.is_none_or(|first| Some(first) > self.next_after.as_ref())
+    }
+}
+
+/// Why a peer brought no page.
+enum Unhelpful {
+    /// It has not read so far itself.
+    NothingYet,
+    /// It cannot be reached, or what it sent is no page.
+    Failed(String),
+}
