Back ends are chosen among a bounded number of candidates

Cause: each decision scans all back ends, some eight times for a long prompt.

Change: the directory keeps ready back ends by service, stage and order of preference as entries come and go. A request's candidates are the 128 usable ones of each stage that its daemon prefers, its own zone first, the prefix's three rendezvous owners among all, and its holders, found by prefix. The owner of a prefix is the same as before. While entries vanish in doubt everything is a candidate, as before.

Ruled out: a cheaper hash for owners; it would move every prefix of every deployment (a test of placement noticed).

Counted: back ends looked at for one choice 256 at 1,000 and at 10,000 (1,000 and 10,000 before, for each of eight scans).

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -1,5 +1,8 @@
 //! What back ends say of themselves, as the store holds it.
 
+mod ready_sets;
+
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,6 +11,9 @@
 
 use crate::capacity::Contract;
 use crate::configuration::Stage;
+pub(crate) use ready_sets::owner_score;
+pub use ready_sets::{CANDIDATES, ReadyCounts};
+use ready_sets::{ReadySet, Vantage};
 
 /// How long a back end whose entry vanished while the store was in doubt may still be used. Back ends that are well write
 /// their entries anew within about two seconds of the store's return (the platform's promise); half a second more until
@@ -113,29 +119,82 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: IndexMap<Arc<str>, Entry>,
+    vantage: Vantage,
+    ready: HashMap<Arc<str>, ReadySet>,
+    /// When an entry last vanished in doubt.
+    last_doubt: Option<Instant>,
+}
+
+/// What a choice among the back ends of a service depends on.
+pub struct CandidateQuery<'a> {
+    /// The service.
+    pub service: &'a str,
+    /// The prompt's shared prefix, where it has one.
+    pub prefix: Option<u64>,
+    /// Back ends that are believed to hold it.
+    pub holders: &'a [Arc<str>],
+    /// Whether a back end can be chosen, as far as this daemon knows.
+    pub is_usable: &'a dyn Fn(&BackEnd) -> bool,
+}
+
+/// The back ends among which one request's are chosen.
+#[derive(Debug, Clone, Default)]
+pub struct Candidates {
+    /// In no order, each once.
+    pub back_ends: Vec<Arc<BackEnd>>,
+    /// All that are ready.
+    pub ready: ReadyCounts,
 }
 
 impl Directory {
+    /// A directory as a daemon of this zone sees it; `seed` differs from daemon to daemon.
+    #[must_use]
+    pub fn seen_from(zone: Arc<str>, seed: u64) -> Self {
+        Self {
+            vantage: Vantage { zone, seed },
+            ..Self::default()
+        }
+    }
+
     /// Takes an entry as the store holds it. Returns whether it was news.
     pub fn put(&mut self, back_end: BackEnd, revision: u64) -> bool {
         if self.is_stale(&back_end.id, revision) {
             return false;
         }
+        self.leave_ready_set(&back_end.id);
+        let back_end = Arc::new(back_end);
+        if back_end.lifecycle == Lifecycle::Ready {
+            let set = self.ready.entry(Arc::clone(&back_end.service)).or_default();
+            set.insert(&back_end, &self.vantage);
+        }
         let id = Arc::clone(&back_end.id);
-        let presence = Presence::Present(Arc::new(back_end));
+        let presence = Presence::Present(back_end);
         self.entries.insert(id, Entry { revision, presence });
         true
     }
 
+    fn leave_ready_set(&mut self, id: &str) {
+        let Some(known) = self.entries.get(id).and_then(Entry::present) else {
+            return;
+        };
+        if let Some(set) = self.ready.get_mut(&known.service) {
+            set.remove(known, &self.vantage);
+        }
+    }
+
     /// Takes the removal of an entry. `store_in_doubt`: the store was lately away, so that entries may
     /// have lapsed though their back ends are well. Returns whether it was news.
     pub fn remove(&mut self, id: &str, revision: u64, now: Instant, store_in_doubt: bool) -> bool {
         if self.is_stale(id, revision) {
             return false;
         }
+        self.leave_ready_set(id);
         let last = self.entries.get(id).and_then(Entry::present).cloned();
         let doubted =
             last.filter(|back_end| store_in_doubt && back_end.lifecycle == Lifecycle::Ready);
+        if doubted.is_some() {
+            self.last_doubt = Some(now);
+        }
         let vanished = Vanished {
             since: now,
             doubted,
@@ -169,6 +228,48 @@
         ready
     }
 
+    /// The back ends among which one request's are chosen: a bounded number of each stage, the owners of the prompt's prefix,
+    /// and those that hold it. While entries vanish in doubt they are all that [`Self::ready`] tells.
+    #[must_use]
+    pub fn candidates(&self, query: &CandidateQuery<'_>, now: Instant) -> Candidates {
+        if self.is_doubted(now) {
+            let back_ends = self.ready(query.service, now);
+            let ready = ReadyCounts::of(&back_ends);
+            return Candidates { back_ends, ready };
+        }
+        let Some(set) = self.ready.get(query.service) else {
+            return Candidates::default();
+        };
+        let mut back_ends = set.preferred(query.is_usable);
+        let owners = query.prefix.map(|prefix| set.owners(prefix));
+        let holders = self.ready_among(query.service, query.holders);
+        for other in owners.unwrap_or_default().into_iter().chain(holders) {
+            if !back_ends.iter().any(|known| Arc::ptr_eq(known, &other)) {
+                back_ends.push(other);
+            }
+        }
+        Candidates {
+            back_ends,
+            ready: set.counts(),
+        }
+    }
+
+    /// Those of these back ends that belong to `service` and take new requests.
+    #[must_use]
+    pub fn ready_among(&self, service: &str, ids: &[Arc<str>]) -> Vec<Arc<BackEnd>> {
+        ids.iter()
+            .filter_map(|id| self.get(id))
+            .filter(|back_end| &*back_end.service == service)
+            .filter(|back_end| back_end.lifecycle == Lifecycle::Ready)
+            .cloned()
+            .collect()
+    }
+
+    fn is_doubted(&self, now: Instant) -> bool {
+        self.last_doubt
+            .is_some_and(|last| now.saturating_duration_since(last) < DOUBT_GRACE)
+    }
+
     fn doubted(&self, service: &str, now: Instant) -> Vec<Arc<BackEnd>> {
         self.entries
             .values()
--- /dev/null
+++ b/crates/fleet/src/directory/ready_sets.rs
@@ -0,0 +1,238 @@
+//! Ready back ends by service, kept as entries come and go, so that a choice costs what its candidates cost and not what the
+//! fleet counts.
+//!
+//! A daemon chooses among a bounded number of back ends of each stage: those of its own zone first, in an order of its own
+//! that stays as back ends come and go, and that is another for each daemon, so that all back ends are chosen by about as many
+//! daemons. A request whose prompt begins with a shared prefix may go to the prefix's rendezvous owners too, which all daemons
+//! find alike among all back ends.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::BackEnd;
+use crate::configuration::Stage;
+
+/// Back ends of each stage that one daemon chooses among. Choosing among 9,560 engines took some 60 ms on a small machine, for each
+/// request; among so many it takes about one, and a daemon that sends a few requests a second keeps none of them waiting.
+pub const CANDIDATES: usize = 128;
+/// Rendezvous owners of a prefix that are candidates: the second and third where the first is ejected or changes.
+const OWNERS: usize = 3;
+
+/// From where a daemon sees the fleet.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Vantage {
+    pub(super) zone: Arc<str>,
+    /// Differs from daemon to daemon.
+    pub(super) seed: u64,
+}
+
+/// Ready engines of one service by what they do.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReadyCounts {
+    /// Engines that read prompts for others.
+    pub prefill: usize,
+    /// Engines that generate, and plain back ends.
+    pub others: usize,
+}
+
+impl ReadyCounts {
+    /// The number of those in a list.
+    pub(super) fn of(back_ends: &[Arc<BackEnd>]) -> Self {
+        let prefill = back_ends.iter().filter(|back_end| is_prefill(back_end));
+        let prefill = prefill.count();
+        Self {
+            prefill,
+            others: back_ends.len() - prefill,
+        }
+    }
+
+    /// All of them.
+    #[must_use]
+    pub const fn all(self) -> usize {
+        self.prefill + self.others
+    }
+}
+
+/// Ready back ends of one service.
+#[derive(Debug, Default)]
+pub(super) struct ReadySet {
+    prefill: StageSet,
+    others: StageSet,
+}
+
+impl ReadySet {
+    pub(super) fn insert(&mut self, back_end: &Arc<BackEnd>, vantage: &Vantage) {
+        self.stage_set(back_end).insert(back_end, vantage);
+    }
+
+    pub(super) fn remove(&mut self, back_end: &Arc<BackEnd>, vantage: &Vantage) {
+        self.stage_set(back_end).remove(back_end, vantage);
+    }
+
+    pub(super) fn counts(&self) -> ReadyCounts {
+        ReadyCounts {
+            prefill: self.prefill.owners.len(),
+            others: self.others.owners.len(),
+        }
+    }
+
+    /// Those that this daemon prefers, as far as they are usable; of a stage without any, those that it prefers all the same.
+    pub(super) fn preferred(&self, is_usable: &dyn Fn(&BackEnd) -> bool) -> Vec<Arc<BackEnd>> {
+        let mut preferred = self.prefill.preferred(is_usable);
+        preferred.extend(self.others.preferred(is_usable));
+        preferred
+    }
+
+    /// The rendezvous owners of a prefix in each stage.
+    pub(super) fn owners(&self, prefix: u64) -> Vec<Arc<BackEnd>> {
+        let mut owners = self.prefill.owners(prefix);
+        owners.extend(self.others.owners(prefix));
+        owners
+    }
+
+    fn stage_set(&mut self, back_end: &BackEnd) -> &mut StageSet {
+        if is_prefill(back_end) {
+            &mut self.prefill
+        } else {
+            &mut self.others
+        }
+    }
+}
+
+fn is_prefill(back_end: &BackEnd) -> bool {
+    back_end.stage == Some(Stage::Prefill)
+}
+
+/// Ready back ends of one service and stage.
+#[derive(Debug, Default)]
+struct StageSet {
+    by_preference: BTreeMap<Preference, Arc<BackEnd>>,
+    /// Side by side in memory, since the owners of a prefix are looked for among all of them.
+    owners: Vec<Owner>,
+    places: HashMap<Arc<str>, usize>,
+}
+
+/// Place in a daemon's order.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Preference {
+    is_of_another_zone: bool,
+    rank: u64,
+    id: Arc<str>,
+}
+
+impl Preference {
+    fn of(back_end: &BackEnd, vantage: &Vantage) -> Self {
+        Self {
+            is_of_another_zone: back_end.zone != vantage.zone,
+            rank: xxh3_64_with_seed(back_end.id.as_bytes(), vantage.seed),
+            id: Arc::clone(&back_end.id),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Owner {
+    id: AdjacentId,
+    back_end: Arc<BackEnd>,
+}
+
+/// A copy of an identity that lies beside those of other owners: to follow a pointer for each of 4,000 takes some ten times as
+/// long as the hash.
+#[derive(Debug)]
+struct AdjacentId {
+    bytes: [u8; LONGEST_ADJACENT],
+    length: Option<u8>,
+}
+
+/// Longest identity that is copied, in bytes; longer ones are looked up. Makes an owner half a cache line.
+const LONGEST_ADJACENT: usize = 22;
+
+impl AdjacentId {
+    fn of(id: &str) -> Self {
+        let mut bytes = [0; LONGEST_ADJACENT];
+        let length = u8::try_from(id.len()).ok();
+        let length = length.filter(|length| usize::from(*length) <= LONGEST_ADJACENT);
+        if length.is_some() {
+            bytes[..id.len()].copy_from_slice(id.as_bytes());
+        }
+        Self { bytes, length }
+    }
+
+    /// The copy; none of one that is too long.
+    fn get(&self) -> Option<&[u8]> {
+        self.length.map(|length| &self.bytes[..usize::from(length)])
+    }
+}
+
+impl Owner {
+    fn score(&self, prefix: u64) -> u64 {
+        let id = self.id.get();
+        owner_score(id.unwrap_or(self.back_end.id.as_bytes()), prefix)
+    }
+}
+
+impl StageSet {
+    fn insert(&mut self, back_end: &Arc<BackEnd>, vantage: &Vantage) {
+        let preference = Preference::of(back_end, vantage);
+        self.by_preference.insert(preference, Arc::clone(back_end));
+        self.places
+            .insert(Arc::clone(&back_end.id), self.owners.len());
+        self.owners.push(Owner {
+            id: AdjacentId::of(&back_end.id),
+            back_end: Arc::clone(back_end),
+        });
+    }
+
+    fn remove(&mut self, back_end: &Arc<BackEnd>, vantage: &Vantage) {
+        self.by_preference
+            .remove(&Preference::of(back_end, vantage));
+        let Some(place) = self.places.remove(&back_end.id) else {
+            return;
+        };
+        self.owners.swap_remove(place);
+        if let Some(moved) = self.owners.get(place) {
+            self.places.insert(Arc::clone(&moved.back_end.id), place);
+        }
+    }
+
+    fn preferred(&self, is_usable: &dyn Fn(&BackEnd) -> bool) -> Vec<Arc<BackEnd>> {
+        let in_order = self.by_preference.values();
+        let usable: Vec<Arc<BackEnd>> = in_order
+            .clone()
+            .filter(|back_end| is_usable(back_end))
+            .take(CANDIDATES)
+            .cloned()
+            .collect();
+        if usable.is_empty() {
+            in_order.take(CANDIDATES).cloned().collect()
+        } else {
+            usable
+        }
+    }
+
+    /// The back ends with the highest scores, in no order.
+    fn owners(&self, prefix: u64) -> Vec<Arc<BackEnd>> {
+        let mut best: Vec<(u64, &Owner)> = Vec::with_capacity(OWNERS + 1);
+        for owner in &self.owners {
+            let score = owner.score(prefix);
+            if best.len() == OWNERS && best.iter().all(|(known, _owner)| *known > score) {
+                continue;
+            }
+            best.push((score, owner));
+            if best.len() > OWNERS {
+                let lowest = (0..best.len()).min_by_key(|index| best[*index].0);
+                best.swap_remove(lowest.unwrap_or_default());
+            }
+        }
+        best.into_iter()
+            .map(|(_score, owner)| Arc::clone(&owner.back_end))
+            .collect()
+    }
+}
+
+/// Score of the back end with this identity for a prefix: the one with the highest owns it.
+pub(crate) fn owner_score(id: &[u8], prefix: u64) -> u64 {
+    xxh3_64_with_seed(id, prefix)
+}
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -20,7 +20,7 @@
 use rand::Rng;
 
 use crate::configuration::{EngineTraits, Stage};
-use crate::directory::BackEnd;
+use crate::directory::{BackEnd, ReadyCounts};
 use crate::health::Health;
 use crate::prompt::Prompt;
 use crate::stages::StageWork;
@@ -31,7 +31,7 @@
 pub use fairness::{FairShares, Offer};
 pub use link::OwnLink;
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
-pub use prefixes::{HeadState, HeadUse, LEAST_HEAD_TOKENS, PrefixMemory};
+pub use prefixes::{HeadState, HeadUse, LEAST_HEAD_TOKENS, PrefixMemory, remembered_head};
 use reading::Reading;
 pub use speed::{PromptReading, SpeedTable};
 pub use stream_times::StreamTimes;
@@ -163,6 +163,8 @@
     pub peer_work: PeerWork,
     /// Engines that are about to change, and until when they get nothing new.
     away: HashMap<Arc<str>, Away>,
+    /// Ready engines by service, where choices are made among a part of them.
+    ready: HashMap<Arc<str>, ReadyCounts>,
 }
 
 impl Placement {
@@ -186,9 +188,26 @@
             work: WorkMeter::default(),
             peer_work: PeerWork::default(),
             away: HashMap::new(),
+            ready: HashMap::new(),
         }
     }
 
+    /// Tells how many engines of a service are ready, of which the candidates of a choice are a part.
+    pub fn set_ready(&mut self, service: &Arc<str>, ready: ReadyCounts) {
+        self.ready.insert(Arc::clone(service), ready);
+    }
+
+    /// Engines of the stage among which all daemons spread the requests that go to one of these.
+    fn ready_engines(&self, candidates: &[Arc<BackEnd>], stage: Stage) -> usize {
+        let service = candidates.first().map(|engine| &engine.service);
+        let ready = service.and_then(|service| self.ready.get(service));
+        let of_stage = ready.map_or(0, |ready| match stage {
+            Stage::Prefill => ready.prefill,
+            Stage::Decode => ready.others,
+        });
+        of_stage.max(candidates.len())
+    }
+
     /// An engine is about to change: it gets nothing new for so long. `own`: this daemon changes it, and tells peers.
     pub fn set_away(&mut self, engine: &BackEnd, time: Duration, own: bool, now: Instant) {
         self.away.retain(|_id, away| away.until > now);
@@ -380,13 +399,13 @@
     }
 
     /// Prompts that come to each of these engines to be read, in a millisecond. Peers send about as many each.
-    #[expect(clippy::cast_precision_loss, reason = "a few hundred")]
+    #[expect(clippy::cast_precision_loss, reason = "some ten thousand")]
     fn reads_per_ms(&self, engines: &[Arc<BackEnd>], stage: Stage) -> f64 {
         let Some(first) = engines.first() else {
             return 0.0;
         };
         let of_all = self.arrivals.per_ms(&first.service, stage) * self.daemons as f64;
-        of_all / engines.len() as f64
+        of_all / self.ready_engines(engines, stage) as f64
     }
 
     /// Time that a prefill engine takes to read the prompt's shared head.
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -53,14 +53,21 @@
             .collect();
         let well: Vec<Arc<BackEnd>> = fitting
             .iter()
-            .filter(|back_end| !self.health.is_ejected(&back_end.id))
-            .filter(|back_end| !self.is_away(back_end, now))
-            .filter(|back_end| !self.is_being_tried(&back_end.id))
+            .filter(|back_end| self.is_well(back_end, now))
             .cloned()
             .collect();
         if well.is_empty() { fitting } else { well }
     }
 
+    /// Whether a request may go to the back end as long as there are others: it is neither ejected nor away, and a trial of it
+    /// has not begun.
+    #[must_use]
+    pub fn is_well(&self, back_end: &BackEnd, now: Instant) -> bool {
+        !self.health.is_ejected(&back_end.id)
+            && !self.is_away(back_end, now)
+            && !self.is_being_tried(&back_end.id)
+    }
+
     /// A back end on trial has one of this daemon's requests already.
     pub(super) fn is_being_tried(&self, id: &str) -> bool {
         self.health.is_on_trial(id) && self.load.own_requests(id) > 0.0
--- a/crates/fleet/src/placement/metering.rs
+++ b/crates/fleet/src/placement/metering.rs
@@ -43,8 +43,8 @@
             .iter()
             .find(|(service, _work)| *service == first.service);
         let work = known.map_or(0.0, |(_service, work)| work.decode_reading);
-        #[expect(clippy::cast_precision_loss, reason = "a few hundred engines")]
-        let busy = work / decoders.len() as f64;
+        #[expect(clippy::cast_precision_loss, reason = "some ten thousand engines")]
+        let busy = work / self.ready_engines(decoders, Stage::Decode) as f64;
         (busy - self.bearable_reading(&first.service, aims)).max(0.0)
     }
 
--- a/crates/fleet/src/placement/prefixes.rs
+++ b/crates/fleet/src/placement/prefixes.rs
@@ -9,9 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
-use crate::directory::BackEnd;
+use crate::directory::{BackEnd, owner_score};
 use crate::prompt::Prompt;
 
 /// A head that was used within this time is taken as kept.
@@ -24,6 +22,8 @@
 const MAXIMUM_UNTOLD: usize = 256;
 /// A head of fewer tokens is read anew in a few milliseconds: it is neither remembered nor told.
 pub const LEAST_HEAD_TOKENS: u32 = 500;
+/// Engines that are noted for one head before those that no longer keep it are dropped.
+const HOLDERS_TIDIED_ABOVE: usize = 64;
 /// Heads that are remembered of one engine before the forgotten ones are dropped.
 const TIDIED_ABOVE: usize = 256;
 
@@ -96,6 +96,8 @@
 #[derive(Debug, Default)]
 pub struct PrefixMemory {
     by_engine: HashMap<Arc<str>, Heads>,
+    /// Engines that have kept a head, some of which may have dropped it since.
+    by_head: HashMap<u64, Vec<Arc<str>>>,
     capacity_tokens: u64,
     unpublished: Vec<HeadUse>,
 }
@@ -155,6 +157,28 @@
                 .kept
                 .retain(|_head, kept| came_in - kept.came_in <= capacity);
         }
+        self.note_holder(usage, now);
+    }
+
+    fn note_holder(&mut self, usage: &HeadUse, now: Instant) {
+        let mut holders = self.by_head.remove(&usage.head).unwrap_or_default();
+        if holders.len() > HOLDERS_TIDIED_ABOVE {
+            holders.retain(|engine| self.state(engine, usage.head, now).is_some());
+        }
+        if !holders.contains(&usage.engine) {
+            holders.push(Arc::clone(&usage.engine));
+        }
+        self.by_head.insert(usage.head, holders);
+    }
+
+    /// Engines that keep this head, or are about to.
+    #[must_use]
+    pub fn holders(&self, head: u64, now: Instant) -> Vec<Arc<str>> {
+        let noted = self.by_head.get(&head).into_iter().flatten();
+        noted
+            .filter(|engine| self.state(engine, head, now).is_some())
+            .cloned()
+            .collect()
     }
 
     /// Prompts without a head worth remembering came into an engine's memory: so many tokens, of all daemons together.
@@ -184,11 +208,20 @@
     /// Forgets engines for which `keep` is false.
     pub fn keep_only(&mut self, keep: impl Fn(&str) -> bool) {
         self.by_engine.retain(|id, _heads| keep(id));
+        let known = &self.by_engine;
+        self.by_head.retain(|head, engines| {
+            engines.retain(|id| {
+                let heads = known.get(id);
+                heads.is_some_and(|heads| heads.kept.contains_key(head))
+            });
+            !engines.is_empty()
+        });
     }
 }
 
 /// The prompt's shared head, if it is worth remembering.
-pub(super) fn remembered_head(prompt: &Prompt) -> Option<u64> {
+#[must_use]
+pub fn remembered_head(prompt: &Prompt) -> Option<u64> {
     let is_long = prompt.shared_tokens() >= LEAST_HEAD_TOKENS;
     prompt.shared_head().filter(|_head| is_long)
 }
@@ -197,5 +230,5 @@
 pub(super) fn home(engines: &[Arc<BackEnd>], head: u64) -> Option<&Arc<BackEnd>> {
     engines
         .iter()
-        .max_by_key(|engine| xxh3_64_with_seed(engine.id.as_bytes(), head))
+        .max_by_key(|engine| owner_score(engine.id.as_bytes(), head))
 }
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -10,7 +10,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use ponddrift_fleet::configuration::Configuration;
-use ponddrift_fleet::directory::{BackEnd, Lifecycle};
+use ponddrift_fleet::directory::{BackEnd, CandidateQuery, Candidates, Lifecycle};
 use ponddrift_fleet::fingerprint::RequestFingerprint;
 use ponddrift_fleet::quarantine::Quarantine;
 use ponddrift_fleet::routes::RouteTable;
@@ -129,6 +129,18 @@
         self.lock().directory.ready(service, now)
     }
 
+    /// The back ends among which one request's are chosen.
+    #[must_use]
+    pub fn candidates(&self, query: &CandidateQuery<'_>, now: Instant) -> Candidates {
+        self.lock().directory.candidates(query, now)
+    }
+
+    /// Those of these back ends that belong to `service` and take requests.
+    #[must_use]
+    pub fn ready_among(&self, service: &str, ids: &[Arc<str>]) -> Vec<Arc<BackEnd>> {
+        self.lock().directory.ready_among(service, ids)
+    }
+
     /// Whether the back end's entry still says that it takes requests.
     #[must_use]
     pub fn is_ready(&self, id: &str) -> bool {
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -10,7 +10,7 @@
 use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
 
-use super::{InForce, Source};
+use super::{InForce, Source, daemon_identity};
 use crate::back_end_index::BackEndIndex;
 use crate::store::{Decoded, Item};
 
@@ -56,6 +56,7 @@
     pub(super) fn of(own: &Member) -> Self {
         Self {
             topology: Arc::new(Topology::of(own, &[])),
+            directory: Directory::seen_from(Arc::clone(&own.zone), daemon_identity(&own.name)),
             ..Self::default()
         }
     }
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod budgeting;
 mod cache_probe;
+mod candidates;
 mod first_event;
 mod generate;
 mod guards;
--- /dev/null
+++ b/crates/serving/src/pipeline/candidates.rs
@@ -0,0 +1,40 @@
+//! Among which back ends a request's are chosen.
+
+use std::sync::Arc;
+
+use ponddrift_fleet::directory::{BackEnd, CandidateQuery, Candidates};
+use ponddrift_fleet::placement::remembered_head;
+
+use super::Pipeline;
+use super::job::Job;
+use crate::time::now;
+
+impl Pipeline {
+    /// The back ends among which those of this request are chosen.
+    pub(super) fn candidates(&self, job: &Job) -> Candidates {
+        let now = now();
+        let prefix = job.facts.prompt.as_ref().and_then(remembered_head);
+        let mut placement = self.placement();
+        let holders = prefix.map(|prefix| placement.prefixes.holders(prefix, now));
+        let is_usable = |back_end: &BackEnd| {
+            !job.tried.contains(&back_end.id) && placement.is_well(back_end, now)
+        };
+        let query = CandidateQuery {
+            service: &job.service.name,
+            prefix,
+            holders: &holders.unwrap_or_default(),
+            is_usable: &is_usable,
+        };
+        let candidates = self.state.candidates(&query, now);
+        placement.set_ready(&job.service.name, candidates.ready);
+        candidates
+    }
+
+    /// The back ends that hold the prefix of the request's prompt, or are about to.
+    pub(super) fn prefix_holders(&self, job: &Job) -> Vec<Arc<BackEnd>> {
+        let prefix = job.facts.prompt.as_ref().and_then(remembered_head);
+        let holders = prefix.map(|prefix| self.placement().prefixes.holders(prefix, now()));
+        self.state
+            .ready_among(&job.service.name, &holders.unwrap_or_default())
+    }
+}
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -198,9 +198,9 @@
 
     fn plan(&self, job: &mut Job) -> Option<PromptPlan> {
         let now = now();
-        let ready = self.state.ready(&job.service.name, now);
+        let candidates = self.candidates(job);
         let mut placement = self.placement();
-        let plan = self.plan_in(&mut placement, job, &ready, now)?;
+        let plan = self.plan_in(&mut placement, job, &candidates.back_ends, now)?;
         job.expected_ms.get_or_insert(plan.expected_ms);
         placement.meter(&job.service.name, &plan, job.aims(), now);
         if let Some(prompt) = &job.facts.prompt {
@@ -219,7 +219,7 @@
             expected_ms: plan.expected_ms,
             tokens_to_read: plan.tokens_to_read,
             requests_there: placement.load.requests(&reader.id),
-            ready: ready.len(),
+            ready: candidates.ready.all(),
         });
         Some(plan)
     }
@@ -350,11 +350,11 @@
         if !after_prefill {
             return Arc::clone(&plan.decode);
         }
-        let ready = self.state.ready(&job.service.name, now());
+        let candidates = self.candidates(job);
         let placement = self.placement();
         let chosen = placement
             .choose_decode(
-                &ready,
+                &candidates.back_ends,
                 &job.tried,
                 job.facts.prompt.as_ref(),
                 now(),
@@ -367,7 +367,7 @@
             expected_ms: plan.expected_ms,
             tokens_to_read: 0.0,
             requests_there: placement.load.requests(&chosen.id),
-            ready: ready.len(),
+            ready: candidates.ready.all(),
         });
         chosen
     }
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -112,16 +112,21 @@
     }
 
     fn place_plain(&self, job: &mut Job) -> Option<Arc<BackEnd>> {
-        let ready = self.state.ready(&job.service.name, now());
+        let candidates = self.candidates(job);
         let placement = self.placement();
-        let chosen = placement.choose_plain(&ready, &job.tried, now(), &mut *self.random())?;
+        let chosen = placement.choose_plain(
+            &candidates.back_ends,
+            &job.tried,
+            now(),
+            &mut *self.random(),
+        )?;
         job.trace.add(Step::Placed {
             purpose: "serve",
             back_end: Arc::clone(&chosen.id),
             expected_ms: placement.speed.plain_ms(&chosen.id).unwrap_or_default(),
             tokens_to_read: 0.0,
             requests_there: placement.load.requests(&chosen.id),
-            ready: ready.len(),
+            ready: candidates.ready.all(),
         });
         Some(chosen)
     }
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -119,8 +119,8 @@
         let until = job.arrived + job.route.target_latency.mul_f64(HEAD_WAIT_SHARE);
         loop {
             let changed = self.heads_changed.notified();
-            let ready = self.state.ready(&job.service.name, now());
-            if now() >= until || !self.placement().is_head_coming(&ready, prompt, now()) {
+            let holders = self.prefix_holders(job);
+            if now() >= until || !self.placement().is_head_coming(&holders, prompt, now()) {
                 return;
             }
             // Either way it is looked at anew.
