The index of back ends by hash is kept as entries change

Change: an entry that comes, changes or goes changes its own row. Candidates are kept by zone, so that a choice can begin with another zone than the daemon's own.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -129,6 +129,8 @@
 pub struct CandidateQuery<'a> {
     /// The service.
     pub service: &'a str,
+    /// The zone whose back ends come first; that of the daemon where there is none.
+    pub zone: Option<&'a str>,
     /// The prompt's shared prefix, where it has one.
     pub prefix: Option<u64>,
     /// Back ends that are believed to hold it.
@@ -240,7 +242,9 @@
         let Some(set) = self.ready.get(query.service) else {
             return Candidates::default();
         };
-        let mut back_ends = set.preferred(query.is_usable);
+        let first_zone = query.zone.unwrap_or(&self.vantage.zone);
+        let zones = set.zones(first_zone, &self.vantage);
+        let mut back_ends = set.preferred(&zones, query.is_usable);
         let owners = query.prefix.map(|prefix| set.owners(prefix));
         let holders = self.ready_among(query.service, query.holders);
         for other in owners.unwrap_or_default().into_iter().chain(holders) {
--- a/crates/fleet/src/directory/ready_sets.rs
+++ b/crates/fleet/src/directory/ready_sets.rs
@@ -78,13 +78,32 @@
         }
     }
 
-    /// Those that this daemon prefers, as far as they are usable; of a stage without any, those that it prefers all the same.
-    pub(super) fn preferred(&self, is_usable: &dyn Fn(&BackEnd) -> bool) -> Vec<Arc<BackEnd>> {
-        let mut preferred = self.prefill.preferred(is_usable);
-        preferred.extend(self.others.preferred(is_usable));
+    /// Those that this daemon prefers, the zones in this order, as far as they are usable; of a stage without any, those that it
+    /// prefers all the same.
+    pub(super) fn preferred(
+        &self,
+        zones: &[&str],
+        is_usable: &dyn Fn(&BackEnd) -> bool,
+    ) -> Vec<Arc<BackEnd>> {
+        let mut preferred = self.prefill.preferred(zones, is_usable);
+        preferred.extend(self.others.preferred(zones, is_usable));
         preferred
     }
 
+    /// The zones in which any are, `first` ahead, then the own one, then the others in an order that differs from daemon to
+    /// daemon.
+    pub(super) fn zones<'a>(&'a self, first: &'a str, vantage: &'a Vantage) -> Vec<&'a str> {
+        let prefill = self.prefill.by_zone.keys();
+        let zones = prefill.chain(self.others.by_zone.keys());
+        let mut zones: Vec<&str> = zones.map(|zone| &**zone).collect();
+        zones.sort_unstable_by_key(|zone| {
+            let order = xxh3_64_with_seed(zone.as_bytes(), vantage.seed);
+            (*zone != first, *zone != &*vantage.zone, order)
+        });
+        zones.dedup();
+        zones
+    }
+
     /// The rendezvous owners of a prefix in each stage.
     pub(super) fn owners(&self, prefix: u64) -> Vec<Arc<BackEnd>> {
         let mut owners = self.prefill.owners(prefix);
@@ -108,16 +127,15 @@
 /// Ready back ends of one service and stage.
 #[derive(Debug, Default)]
 struct StageSet {
-    by_preference: BTreeMap<Preference, Arc<BackEnd>>,
+    by_zone: BTreeMap<Arc<str>, BTreeMap<Preference, Arc<BackEnd>>>,
     /// Side by side in memory, since the owners of a prefix are looked for among all of them.
     owners: Vec<Owner>,
     places: HashMap<Arc<str>, usize>,
 }
 
-/// Place in a daemon's order.
+/// Place in a daemon's order of the back ends of one zone.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Preference {
-    is_of_another_zone: bool,
     rank: u64,
     id: Arc<str>,
 }
@@ -125,7 +143,6 @@
 impl Preference {
     fn of(back_end: &BackEnd, vantage: &Vantage) -> Self {
         Self {
-            is_of_another_zone: back_end.zone != vantage.zone,
             rank: xxh3_64_with_seed(back_end.id.as_bytes(), vantage.seed),
             id: Arc::clone(&back_end.id),
         }
@@ -176,7 +193,8 @@
 impl StageSet {
     fn insert(&mut self, back_end: &Arc<BackEnd>, vantage: &Vantage) {
         let preference = Preference::of(back_end, vantage);
-        self.by_preference.insert(preference, Arc::clone(back_end));
+        let of_zone = self.by_zone.entry(Arc::clone(&back_end.zone)).or_default();
+        of_zone.insert(preference, Arc::clone(back_end));
         self.places
             .insert(Arc::clone(&back_end.id), self.owners.len());
         self.owners.push(Owner {
@@ -186,8 +204,9 @@
     }
 
     fn remove(&mut self, back_end: &Arc<BackEnd>, vantage: &Vantage) {
-        self.by_preference
-            .remove(&Preference::of(back_end, vantage));
+        if let Some(of_zone) = self.by_zone.get_mut(&back_end.zone) {
+            of_zone.remove(&Preference::of(back_end, vantage));
+        }
         let Some(place) = self.places.remove(&back_end.id) else {
             return;
         };
@@ -197,8 +216,9 @@
         }
     }
 
-    fn preferred(&self, is_usable: &dyn Fn(&BackEnd) -> bool) -> Vec<Arc<BackEnd>> {
-        let in_order = self.by_preference.values();
+    fn preferred(&self, zones: &[&str], is_usable: &dyn Fn(&BackEnd) -> bool) -> Vec<Arc<BackEnd>> {
+        let of_zones = zones.iter().filter_map(|zone| self.by_zone.get(*zone));
+        let in_order = of_zones.flat_map(BTreeMap::values);
         let usable: Vec<Arc<BackEnd>> = in_order
             .clone()
             .filter(|back_end| is_usable(back_end))
--- a/crates/fleet/tests/candidates.rs
+++ b/crates/fleet/tests/candidates.rs
@@ -45,6 +45,7 @@
 fn choose(directory: &Directory, prefix: Option<u64>, holders: &[Arc<str>]) -> Candidates {
     let query = CandidateQuery {
         service: SERVICE,
+        zone: None,
         prefix,
         holders,
         is_usable: &|_back_end| true,
@@ -64,6 +65,7 @@
         let looked_at = Cell::new(0);
         let query = CandidateQuery {
             service: SERVICE,
+            zone: None,
             prefix: Some(3),
             holders: &[],
             is_usable: &|_back_end| {
@@ -98,11 +100,27 @@
     );
 }
 
+#[test]
+fn back_ends_of_the_zone_that_is_asked_for_come_first() {
+    let directory = fleet(10_000, "b", 7);
+    let query = CandidateQuery {
+        service: SERVICE,
+        zone: Some("c"),
+        prefix: None,
+        holders: &[],
+        is_usable: &|_back_end| true,
+    };
+    let candidates = directory.candidates(&query, Instant::now());
+    let mut back_ends = candidates.back_ends.iter();
+    assert!(back_ends.all(|engine| &*engine.zone == "c"));
+}
+
 #[test]
 fn where_none_of_the_own_zone_can_be_used_others_are_candidates() {
     let directory = fleet(10_000, "b", 7);
     let query = CandidateQuery {
         service: SERVICE,
+        zone: None,
         prefix: None,
         holders: &[],
         is_usable: &|back_end| &*back_end.zone != "b",
@@ -122,6 +140,7 @@
     let directory = fleet(1_000, "b", 7);
     let query = CandidateQuery {
         service: SERVICE,
+        zone: None,
         prefix: None,
         holders: &[],
         is_usable: &|_back_end| false,
@@ -221,6 +240,7 @@
     }
     let query = CandidateQuery {
         service: SERVICE,
+        zone: None,
         prefix: None,
         holders: &[],
         is_usable: &|_back_end| true,
--- a/crates/serving/src/back_end_index.rs
+++ b/crates/serving/src/back_end_index.rs
@@ -6,16 +6,23 @@
 use ponddrift_fleet::directory::BackEnd;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Back ends that this daemon knows, to be found by hash.
-#[derive(Debug, Default)]
+/// Back ends that this daemon knows, to be found by hash; kept as entries come and go, since every message of a peer is read
+/// with it.
+#[derive(Debug, Clone, Default)]
 pub struct BackEndIndex(HashMap<u32, Arc<BackEnd>>);
 
 impl BackEndIndex {
-    /// An index of these back ends.
-    #[must_use]
-    pub fn new<'a>(back_ends: impl Iterator<Item = &'a Arc<BackEnd>>) -> Self {
-        let by_hash = back_ends.map(|back_end| (hash(&back_end.id), Arc::clone(back_end)));
-        Self(by_hash.collect())
+    /// A back end is known, or known otherwise than before.
+    pub fn insert(&mut self, back_end: &Arc<BackEnd>) {
+        self.0.insert(hash(&back_end.id), Arc::clone(back_end));
+    }
+
+    /// A back end is gone; one of the same hash stays.
+    pub fn remove(&mut self, id: &str) {
+        let hash = hash(id);
+        if self.0.get(&hash).is_some_and(|known| &*known.id == id) {
+            self.0.remove(&hash);
+        }
     }
 
     /// The back end with this hash.
@@ -25,8 +32,8 @@
     }
 }
 
-/// Hash of a back end's identity. Two of some hundreds have the same once in tens of thousands of fleets; what is then
-/// told of the one counts for the other, which costs some waiting and no rule.
+/// Hash of a back end's identity. Of 10,000 back ends two have the same in one fleet of a hundred; what is then told of the one
+/// counts for the other, which costs some waiting and no rule.
 #[must_use]
 pub fn hash(id: &str) -> u32 {
     let folded = xxh3_64(id.as_bytes()) & u64::from(u32::MAX);
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -159,13 +159,7 @@
     /// Every back end that has an entry, to be found by hash.
     #[must_use]
     pub fn back_end_index(&self) -> Arc<BackEndIndex> {
-        let mut inner = self.lock();
-        if let Some(index) = &inner.index {
-            return Arc::clone(index);
-        }
-        let index = Arc::new(BackEndIndex::new(inner.directory.present()));
-        inner.index = Some(Arc::clone(&index));
-        index
+        Arc::clone(&self.lock().index)
     }
 
     /// This daemon's place among those that have a key.
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -30,7 +30,8 @@
 pub(super) struct FleetView {
     pub(super) in_force: Option<Arc<InForce>>,
     pub(super) directory: Directory,
-    pub(super) index: Option<Arc<BackEndIndex>>,
+    /// Shared with whoever reads a message just now; copied only if it changes in that moment.
+    pub(super) index: Arc<BackEndIndex>,
     pub(super) daemons: HashMap<Arc<str>, Member>,
     pub(super) topology: Arc<Topology>,
     /// Daemons have come or gone since the topology was worked out.
@@ -213,8 +214,12 @@
                 "back_end_changed"
             );
         }
-        self.directory.put(back_end, revision);
-        self.index = None;
+        let id = Arc::clone(&back_end.id);
+        if self.directory.put(back_end, revision)
+            && let Some(known) = self.directory.get(&id)
+        {
+            Arc::make_mut(&mut self.index).insert(known);
+        }
     }
 
     fn remove_back_end(&mut self, id: &str, revision: u64, source: Source, now: Instant) {
@@ -226,7 +231,8 @@
             source = source.as_str(),
             "back_end_gone"
         );
-        self.directory.remove(id, revision, now, in_doubt);
-        self.index = None;
+        if self.directory.remove(id, revision, now, in_doubt) {
+            Arc::make_mut(&mut self.index).remove(id);
+        }
     }
 }
--- a/crates/serving/src/pipeline/candidates.rs
+++ b/crates/serving/src/pipeline/candidates.rs
@@ -12,6 +12,11 @@
 impl Pipeline {
     /// The back ends among which those of this request are chosen.
     pub(super) fn candidates(&self, job: &Job) -> Candidates {
+        self.candidates_near(job, None)
+    }
+
+    /// The same with those of `zone` ahead.
+    pub(super) fn candidates_near(&self, job: &Job, zone: Option<&str>) -> Candidates {
         let now = now();
         let prefix = job.facts.prompt.as_ref().and_then(remembered_head);
         let mut placement = self.placement();
@@ -21,6 +26,7 @@
         };
         let query = CandidateQuery {
             service: &job.service.name,
+            zone,
             prefix,
             holders: &holders.unwrap_or_default(),
             is_usable: &is_usable,
