A restarted daemon goes on with the lease of its former life

Cause: after a loss of all daemons each writes its key anew, two priced calls each, and each write is a change that every daemon is told of and works its place out for: daemons x daemons, just when all are starting.

Change: a daemon that starts reads its own key (a tenth of a call) and renews its lease where the key says what it would say. What was read may be old, so that a key that does not show within a renewal is written again. Ranks of daemons are worked out once for each sort.

--- a/crates/fleet/src/distribution.rs
+++ b/crates/fleet/src/distribution.rs
@@ -35,7 +35,7 @@
     if ranked.len() <= SMALL_FLEET {
         return Vec::new();
     }
-    ranked.sort_unstable_by_key(|member| rank(member));
+    ranked.sort_by_cached_key(|member| rank(member));
     let wanted = ranked.len().div_ceil(READERS_OF_A_DISTRIBUTOR);
     let count = wanted.clamp(FOLLOWERS, MOST_DISTRIBUTORS);
     let chosen = ranked.into_iter().take(count);
--- a/crates/fleet/src/topology.rs
+++ b/crates/fleet/src/topology.rs
@@ -137,7 +137,7 @@
 /// Those of a neighbourhood that keep copies of what its daemons counted, without this daemon.
 fn usage_keepers<'a>(own: &Member, daemons: impl Iterator<Item = &'a Member>) -> Vec<SocketAddr> {
     let mut ranked: Vec<&Member> = daemons.collect();
-    ranked.sort_unstable_by_key(|member| rank(member));
+    ranked.sort_by_cached_key(|member| rank(member));
     let keepers = ranked.into_iter().take(USAGE_REPLICAS);
     addresses(keepers.filter(|keeper| keeper.name != own.name))
 }
--- a/crates/serve/tests/recovery.rs
+++ b/crates/serve/tests/recovery.rs
@@ -188,3 +188,34 @@
     fleet.wait(Duration::from_secs(1));
     assert_eq!(serving(&mut fleet), usize::from(MANY_DAEMONS));
 }
+
+fn keys_of_daemons(fleet: &Fleet) -> Vec<(String, Option<u64>)> {
+    let keys = fleet.store.keys("ponddrift/daemons/").into_iter();
+    keys.map(|key| {
+        let revision = fleet.store.revision_of(&key);
+        (key, revision)
+    })
+    .collect()
+}
+
+/// Nobody is told anything of daemons that come back within the life of their leases.
+#[test]
+fn daemons_that_come_back_soon_do_not_write_their_keys_again() {
+    let mut fleet = large_zone();
+    let before = keys_of_daemons(&fleet);
+    assert_eq!(before.len(), usize::from(MANY_DAEMONS));
+    lose_all_daemons(&mut fleet);
+    fleet.wait(Duration::from_secs(30));
+    assert_eq!(keys_of_daemons(&fleet), before);
+}
+
+/// The lease of a former life may hold the key no longer: what was read of it may have been old.
+#[test]
+fn a_daemon_whose_key_went_after_it_came_back_writes_it_again() {
+    let mut fleet = large_zone();
+    lose_all_daemons(&mut fleet);
+    fleet.wait(Duration::from_millis(500));
+    fleet.store.remove("ponddrift/daemons/daemon-7");
+    fleet.wait(Duration::from_secs(8));
+    assert_eq!(keys_of_daemons(&fleet).len(), usize::from(MANY_DAEMONS));
+}
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -174,6 +174,12 @@
         self.lock().leader.clone()
     }
 
+    /// Whether this daemon has a key, as far as is known.
+    #[must_use]
+    pub fn knows_itself(&self) -> bool {
+        self.lock().daemons.contains_key(&self.own.name)
+    }
+
     /// All daemons that have a key, by identity.
     #[must_use]
     pub fn daemon_addresses(&self) -> BTreeMap<u64, SocketAddr> {
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -1,6 +1,7 @@
 //! Keeps the state new: a few daemons of each neighbourhood follow the store and publish its changes to the
 //! others.
 
+mod announcer;
 mod distributor_list;
 
 use std::net::SocketAddr;
@@ -16,9 +17,10 @@
 
 use crate::fleet_state::{FleetState, Source, daemon_identity};
 use crate::metrics::Metrics;
-use crate::store::{Changes, Consistency, FleetStore, Lease, StoreError};
+use crate::store::{Changes, Consistency, FleetStore, StoreError};
 use crate::time::{self, now};
 use crate::whole_read::WholeRead;
+use announcer::Announcer;
 use distributor_list::DistributorList;
 
 /// How long one call of a daemon waits for changes that follows the store only for itself.
@@ -37,10 +39,6 @@
 /// How long a daemon that starts waits to be told who hands on everything; then it begins to read the store itself. The answer is
 /// some hundred bytes, so that even 2,000 daemons that ask at the same time get it within a tenth of that, where all is well.
 const DISTRIBUTORS_LIMIT: Duration = Duration::from_millis(150);
-/// Life of the lease under which a daemon's key stands.
-const DAEMON_LEASE: Duration = Duration::from_secs(10);
-/// Time between two renewals.
-const RENEWAL: Duration = Duration::from_secs(3);
 /// Changes that wait to be published to neighbours, at most; what does not fit they fetch.
 const UNPUBLISHED_CHANGES: usize = 64;
 
@@ -136,11 +134,7 @@
         relies_on_neighbours: false,
     };
     runtime.spawner.spawn(Box::pin(follower.run()));
-    let announcer = Announcer {
-        store: Arc::clone(store),
-        state: Arc::clone(state),
-        metrics: Arc::clone(metrics),
-    };
+    let announcer = Announcer::new(store, state, metrics);
     runtime.spawner.spawn(Box::pin(announcer.run()));
     let distributor_list = DistributorList::new(store, state);
     runtime.spawner.spawn(Box::pin(distributor_list.run()));
@@ -350,40 +344,3 @@
         Err(_) => "unusable",
     }
 }
-
-/// Keeps the daemon's own key in the store, so that others find it.
-struct Announcer {
-    store: Arc<dyn FleetStore>,
-    state: Arc<FleetState>,
-    metrics: Arc<Metrics>,
-}
-
-impl Announcer {
-    async fn run(self) {
-        let mut lease = None;
-        loop {
-            match self.step(lease).await {
-                Ok(kept) => lease = Some(kept),
-                Err(StoreError::LeaseOver) => {
-                    lease = None;
-                    continue;
-                }
-                Err(error) => tracing::debug!(%error, "announcement_failed"),
-            }
-            time::sleep(RENEWAL).await;
-        }
-    }
-
-    async fn step(&self, lease: Option<Lease>) -> Result<Lease, StoreError> {
-        if let Some(lease) = lease {
-            let begun = now();
-            self.store.renew(lease).await?;
-            let took = now().saturating_duration_since(begun);
-            self.metrics.store_answered(took);
-            return Ok(lease);
-        }
-        let lease = self.store.grant(DAEMON_LEASE).await?;
-        self.store.announce(self.state.own(), lease).await?;
-        Ok(lease)
-    }
-}
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -141,6 +141,9 @@
     fn renew(&self, lease: Lease) -> BoxFuture<'_, Result<(), StoreError>>;
     /// Ends a lease with its keys.
     fn end(&self, lease: Lease) -> BoxFuture<'_, Result<(), StoreError>>;
+    /// The lease under which the daemon's key stands just as it would be written now; none where it does not. It may be some
+    /// seconds old.
+    fn announced_under(&self, daemon: &Member) -> BoxFuture<'_, Result<Option<Lease>, StoreError>>;
     /// Writes the daemon's key under its lease.
     fn announce(&self, daemon: &Member, lease: Lease) -> BoxFuture<'_, Result<(), StoreError>>;
     /// Reads which daemons of a zone hand on everything that the store holds; none where nobody has written it. It may be
