A prompt that was read apart goes on near its reader

Change: the decode engine of a prompt that no decode engine holds is the prefix's owner among those of the reader's zone, which all daemons find alike; the way into another zone counts as time.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -245,7 +245,7 @@
         let first_zone = query.zone.unwrap_or(&self.vantage.zone);
         let zones = set.zones(first_zone, &self.vantage);
         let mut back_ends = set.preferred(&zones, query.is_usable);
-        let owners = query.prefix.map(|prefix| set.owners(prefix));
+        let owners = query.prefix.map(|prefix| set.owners(prefix, query.zone));
         let holders = self.ready_among(query.service, query.holders);
         for other in owners.unwrap_or_default().into_iter().chain(holders) {
             if !back_ends.iter().any(|known| Arc::ptr_eq(known, &other)) {
--- a/crates/fleet/src/directory/ready_sets.rs
+++ b/crates/fleet/src/directory/ready_sets.rs
@@ -73,8 +73,8 @@
 
     pub(super) fn counts(&self) -> ReadyCounts {
         ReadyCounts {
-            prefill: self.prefill.owners.len(),
-            others: self.others.owners.len(),
+            prefill: self.prefill.count(),
+            others: self.others.count(),
         }
     }
 
@@ -104,10 +104,13 @@
         zones
     }
 
-    /// The rendezvous owners of a prefix in each stage.
-    pub(super) fn owners(&self, prefix: u64) -> Vec<Arc<BackEnd>> {
+    /// The rendezvous owners of a prefix in each stage, and among those of `zone` that generate.
+    pub(super) fn owners(&self, prefix: u64, zone: Option<&str>) -> Vec<Arc<BackEnd>> {
         let mut owners = self.prefill.owners(prefix);
         owners.extend(self.others.owners(prefix));
+        if let Some(of_zone) = zone.and_then(|zone| self.others.by_zone.get(zone)) {
+            owners.extend(of_zone.owners(prefix).into_iter().map(Owner::to_back_end));
+        }
         owners
     }
 
@@ -127,7 +130,13 @@
 /// Ready back ends of one service and stage.
 #[derive(Debug, Default)]
 struct StageSet {
-    by_zone: BTreeMap<Arc<str>, BTreeMap<Preference, Arc<BackEnd>>>,
+    by_zone: BTreeMap<Arc<str>, ZoneSet>,
+}
+
+/// Ready back ends of one service, stage and zone.
+#[derive(Debug, Default)]
+struct ZoneSet {
+    by_preference: BTreeMap<Preference, Arc<BackEnd>>,
     /// Side by side in memory, since the owners of a prefix are looked for among all of them.
     owners: Vec<Owner>,
     places: HashMap<Arc<str>, usize>,
@@ -188,37 +197,34 @@
         let id = self.id.get();
         owner_score(id.unwrap_or(self.back_end.id.as_bytes()), prefix)
     }
+
+    fn to_back_end(&self) -> Arc<BackEnd> {
+        Arc::clone(&self.back_end)
+    }
 }
 
 impl StageSet {
     fn insert(&mut self, back_end: &Arc<BackEnd>, vantage: &Vantage) {
-        let preference = Preference::of(back_end, vantage);
         let of_zone = self.by_zone.entry(Arc::clone(&back_end.zone)).or_default();
-        of_zone.insert(preference, Arc::clone(back_end));
-        self.places
-            .insert(Arc::clone(&back_end.id), self.owners.len());
-        self.owners.push(Owner {
-            id: AdjacentId::of(&back_end.id),
-            back_end: Arc::clone(back_end),
-        });
+        of_zone.insert(back_end, vantage);
     }
 
     fn remove(&mut self, back_end: &Arc<BackEnd>, vantage: &Vantage) {
         if let Some(of_zone) = self.by_zone.get_mut(&back_end.zone) {
-            of_zone.remove(&Preference::of(back_end, vantage));
-        }
-        let Some(place) = self.places.remove(&back_end.id) else {
-            return;
-        };
-        self.owners.swap_remove(place);
-        if let Some(moved) = self.owners.get(place) {
-            self.places.insert(Arc::clone(&moved.back_end.id), place);
+            of_zone.remove(back_end, vantage);
         }
     }
 
+    fn count(&self) -> usize {
+        self.by_zone
+            .values()
+            .map(|of_zone| of_zone.owners.len())
+            .sum()
+    }
+
     fn preferred(&self, zones: &[&str], is_usable: &dyn Fn(&BackEnd) -> bool) -> Vec<Arc<BackEnd>> {
         let of_zones = zones.iter().filter_map(|zone| self.by_zone.get(*zone));
-        let in_order = of_zones.flat_map(BTreeMap::values);
+        let in_order = of_zones.flat_map(|of_zone| of_zone.by_preference.values());
         let usable: Vec<Arc<BackEnd>> = in_order
             .clone()
             .filter(|back_end| is_usable(back_end))
@@ -232,24 +238,59 @@
         }
     }
 
-    /// The back ends with the highest scores, in no order.
+    /// The owners of all zones, in no order.
     fn owners(&self, prefix: u64) -> Vec<Arc<BackEnd>> {
-        let mut best: Vec<(u64, &Owner)> = Vec::with_capacity(OWNERS + 1);
-        for owner in &self.owners {
-            let score = owner.score(prefix);
-            if best.len() == OWNERS && best.iter().all(|(known, _owner)| *known > score) {
-                continue;
-            }
-            best.push((score, owner));
-            if best.len() > OWNERS {
-                let lowest = (0..best.len()).min_by_key(|index| best[*index].0);
-                best.swap_remove(lowest.unwrap_or_default());
-            }
+        let of_zones = self.by_zone.values();
+        let owners = of_zones.flat_map(|of_zone| of_zone.owners(prefix));
+        let best = highest(prefix, owners);
+        best.into_iter().map(Owner::to_back_end).collect()
+    }
+}
+
+impl ZoneSet {
+    fn insert(&mut self, back_end: &Arc<BackEnd>, vantage: &Vantage) {
+        let preference = Preference::of(back_end, vantage);
+        self.by_preference.insert(preference, Arc::clone(back_end));
+        self.places
+            .insert(Arc::clone(&back_end.id), self.owners.len());
+        self.owners.push(Owner {
+            id: AdjacentId::of(&back_end.id),
+            back_end: Arc::clone(back_end),
+        });
+    }
+
+    fn remove(&mut self, back_end: &Arc<BackEnd>, vantage: &Vantage) {
+        self.by_preference
+            .remove(&Preference::of(back_end, vantage));
+        let Some(place) = self.places.remove(&back_end.id) else {
+            return;
+        };
+        self.owners.swap_remove(place);
+        if let Some(moved) = self.owners.get(place) {
+            self.places.insert(Arc::clone(&moved.back_end.id), place);
+        }
+    }
+
+    fn owners(&self, prefix: u64) -> Vec<&Owner> {
+        highest(prefix, self.owners.iter())
+    }
+}
+
+/// Those with the highest scores for a prefix, in no order.
+fn highest<'a>(prefix: u64, owners: impl Iterator<Item = &'a Owner>) -> Vec<&'a Owner> {
+    let mut best: Vec<(u64, &Owner)> = Vec::with_capacity(OWNERS + 1);
+    for owner in owners {
+        let score = owner.score(prefix);
+        if best.len() == OWNERS && best.iter().all(|(known, _owner)| *known > score) {
+            continue;
+        }
+        best.push((score, owner));
+        if best.len() > OWNERS {
+            let lowest = (0..best.len()).min_by_key(|index| best[*index].0);
+            best.swap_remove(lowest.unwrap_or_default());
         }
-        best.into_iter()
-            .map(|(_score, owner)| Arc::clone(&owner.back_end))
-            .collect()
     }
+    best.into_iter().map(|(_score, owner)| owner).collect()
 }
 
 /// Score of the back end with this identity for a prefix: the one with the highest owns it.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -82,6 +82,43 @@
     pub body_bytes: usize,
 }
 
+/// A prompt that was read at one engine and is to be continued at another.
+#[derive(Debug, Clone, Copy)]
+pub struct HandOver<'a> {
+    /// The engine that read it.
+    pub reader: &'a BackEnd,
+    /// Time that its KV cache takes to another engine of the reader's zone, in milliseconds.
+    pub move_ms: f64,
+}
+
+impl<'a> HandOver<'a> {
+    /// A prompt of so many tokens that `reader` has read.
+    #[must_use]
+    pub fn of(prompt: &Prompt, reader: &'a BackEnd, traits: &EngineTraits) -> Self {
+        Self {
+            reader,
+            move_ms: reading::move_ms(traits, prompt.input_tokens),
+        }
+    }
+
+    /// The engines of the reader's zone.
+    fn engines_near(self, engines: &[Arc<BackEnd>]) -> Vec<Arc<BackEnd>> {
+        let near = engines
+            .iter()
+            .filter(|engine| engine.zone == self.reader.zone);
+        near.cloned().collect()
+    }
+
+    /// What the move takes longer to this engine than to one of the reader's zone, in milliseconds.
+    fn detour_ms(self, engine: &BackEnd) -> f64 {
+        if engine.zone == self.reader.zone {
+            0.0
+        } else {
+            self.move_ms * (reading::OTHER_ZONE_MOVE_FACTOR - 1.0)
+        }
+    }
+}
+
 /// Which engines serve a prompt.
 #[derive(Debug, Clone)]
 pub struct PromptPlan {
@@ -309,7 +346,7 @@
         let Some(reader) = reader else {
             return Some(reading.plan(None, direct.back_end, decoders_home, direct.time_ms));
         };
-        let decoder = self.cheapest_decoder(&decoders, Some(prompt), now, random)?;
+        let decoder = self.cheapest_decoder(&decoders, Some(prompt), None, now, random)?;
         if reader.cost_ms + decoder.cost_ms >= direct.cost_ms {
             return Some(reading.plan(None, direct.back_end, decoders_home, direct.time_ms));
         }
@@ -360,11 +397,24 @@
         prompt: Option<&Prompt>,
         now: Instant,
         random: &mut impl Rng,
+    ) -> Option<Arc<BackEnd>> {
+        self.choose_decode_after(ready, tried, prompt, None, now, random)
+    }
+
+    /// The same where it is known which engine holds what is moved.
+    pub fn choose_decode_after(
+        &self,
+        ready: &[Arc<BackEnd>],
+        tried: &[Arc<str>],
+        prompt: Option<&Prompt>,
+        hand_over: Option<HandOver<'_>>,
+        now: Instant,
+        random: &mut impl Rng,
     ) -> Option<Arc<BackEnd>> {
         let decoders = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
-        self.cheapest_decoder(&decoders, prompt, now, random)
+        self.cheapest_decoder(&decoders, prompt, hand_over, now, random)
             .map(|choice| choice.back_end)
     }
 
@@ -372,16 +422,22 @@
         &self,
         decoders: &[Arc<BackEnd>],
         prompt: Option<&Prompt>,
+        hand_over: Option<HandOver<'_>>,
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Choice> {
         let rate = self.speed.decode_tokens_per_ms();
         let head = prompt.and_then(prefixes::remembered_head);
-        let home = head.and_then(|head| prefixes::home(decoders, head));
+        // All daemons know alike where a prefix is read, and so where it is handed over to.
+        let near_reader = hand_over.map(|hand_over| hand_over.engines_near(decoders));
+        let rivals = near_reader.filter(|near| !near.is_empty());
+        let home =
+            head.and_then(|head| prefixes::home(rivals.as_deref().unwrap_or(decoders), head));
         let head_ms = prompt.map_or(0.0, |prompt| self.head_reading_ms(prompt));
         self.cheapest(decoders, now, random, |back_end| {
             let time_ms = self.slot_wait_ms(back_end, Urgency::InTime)
                 + self.speed.message_ms()
+                + hand_over.map_or(0.0, |hand_over| hand_over.detour_ms(back_end))
                 + self.backlog_ms(back_end, rate, Urgency::InTime) * MET_BACKLOG;
             let missing = match head {
                 None => 0.0,
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -13,7 +13,7 @@
 /// A head of fewer tokens is not worth a fetch.
 const LEAST_FETCHED_TOKENS: u32 = 1000;
 /// Moves between zones take this many times as long.
-const OTHER_ZONE_MOVE_FACTOR: f64 = 2.0;
+pub(super) const OTHER_ZONE_MOVE_FACTOR: f64 = 2.0;
 /// Part of the target gap up to which reading may stretch the pauses of the streams at an engine.
 const GAP_IN_USE: f64 = 0.9;
 
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -10,7 +10,7 @@
 use ponddrift_fleet::directory::{BackEnd, ColdStart};
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{
-    Aims, HeadState, HeadUse, Outstanding, Placement, PromptPlan, PromptRequest, Urgency,
+    Aims, HandOver, HeadState, HeadUse, Outstanding, Placement, PromptPlan, PromptRequest, Urgency,
     WorkReport, WorkRow,
 };
 use ponddrift_fleet::prompt::{Prompt, PromptPart};
@@ -597,3 +597,28 @@
     let idle: HashSet<Arc<str>> = HashSet::from([Arc::clone(&scene.engines[1].id)]);
     assert_eq!(readers(&mut scene, &asked), idle);
 }
+
+/// The KV cache of a long prompt takes twice as long into another zone.
+#[test]
+fn a_prompt_goes_on_in_the_zone_where_it_was_read() {
+    for seed in 0..10 {
+        let mut scene = Scene::new(1, 6);
+        scene.random = Pcg64Mcg::seed_from_u64(seed);
+        for engine in &mut scene.engines[4..] {
+            Arc::make_mut(engine).zone = Arc::from("far");
+        }
+        let mut reader = BackEnd::clone(&scene.engines[0]);
+        reader.zone = Arc::from("far");
+        let asked = prompt("h", 30_000, 10_000);
+        let hand_over = HandOver::of(&asked, &reader, &traits());
+        let chosen = scene.placement.choose_decode_after(
+            &scene.engines,
+            &[],
+            Some(&asked),
+            Some(hand_over),
+            scene.now,
+            &mut scene.random,
+        );
+        assert_eq!(&*chosen.expect("an engine").zone, "far", "seed {seed}");
+    }
+}
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -8,7 +8,7 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::placement::{Offer, Placement, PromptPlan, PromptRequest, Urgency};
+use ponddrift_fleet::placement::{HandOver, Offer, Placement, PromptPlan, PromptRequest, Urgency};
 use ponddrift_http::body::{self, Body};
 use rand::RngExt;
 
@@ -345,18 +345,25 @@
         self.note_first_event(job, plan, &decode, opened, Sent { begun, reads_alone })
     }
 
-    /// The engine that generates; chosen anew after a prompt was read, which takes a while.
+    /// The engine that generates; chosen anew after a prompt was read, which takes a while: one of the reader's zone where that
+    /// saves more time than it costs, since the prompt's KV cache takes twice as long into another zone.
     fn decode_engine(&self, job: &mut Job, plan: &PromptPlan, after_prefill: bool) -> Arc<BackEnd> {
         if !after_prefill {
             return Arc::clone(&plan.decode);
         }
-        let candidates = self.candidates(job);
+        let reader = plan.prefill.as_deref();
+        let candidates = self.candidates_near(job, reader.map(|reader| &*reader.zone));
+        let hand_over = reader
+            .zip(job.facts.prompt.as_ref())
+            .zip(job.service.engine.as_ref())
+            .map(|((reader, prompt), traits)| HandOver::of(prompt, reader, traits));
         let placement = self.placement();
         let chosen = placement
-            .choose_decode(
+            .choose_decode_after(
                 &candidates.back_ends,
                 &job.tried,
                 job.facts.prompt.as_ref(),
+                hand_over,
                 now(),
                 &mut *self.random(),
             )
