Daemons that follow the store alone use a tenth of its reads

Cause: a daemon that nobody follows the store for asks it again after 0.15 s.

Change: the time between two calls of such a daemon grows with the number of daemons, so that all together use a tenth of what the store takes; at most 1.5 s.

--- a/crates/fleet/src/followers.rs
+++ b/crates/fleet/src/followers.rs
@@ -17,6 +17,39 @@
 /// A neighbour whose last answer from the store is older is not relied on.
 const LONGEST_STORE_SILENCE: Duration = Duration::from_millis(1_400);
 
+/// Share of the reads that the store takes in a second which all daemons together use that follow it for others.
+const SHARE_FOR_OTHERS: f64 = 0.4;
+/// The same for those that follow it only for themselves: when all daemons start, all of them do for a moment, and a call of each
+/// for each change would be most of what a fleet of a thousand asks of the store in a day.
+const SHARE_ALONE: f64 = 0.1;
+/// A daemon that follows the store only for itself, though it need not for long, gathers changes for this long at least.
+const LEAST_GATHERING_ALONE: Duration = Duration::from_millis(150);
+
+/// How long a daemon that follows the store for others gathers changes before it asks again: every change wakes every follower.
+#[must_use]
+pub fn gathering_for_others(followers: usize, reads_per_second: f64) -> Duration {
+    time_per_call(followers, reads_per_second * SHARE_FOR_OTHERS)
+}
+
+/// The same for a daemon that follows it only for itself, as all daemons of the fleet may at the same time.
+#[must_use]
+pub fn gathering_alone(daemons: usize, reads_per_second: f64) -> Duration {
+    time_per_call(daemons, reads_per_second * SHARE_ALONE).max(LEAST_GATHERING_ALONE)
+}
+
+/// Time between two calls of one of so many callers that make so many calls a second together.
+fn time_per_call(callers: usize, calls_per_second: f64) -> Duration {
+    #[expect(clippy::cast_precision_loss, reason = "some thousand")]
+    let seconds = callers as f64 / calls_per_second;
+    // A store that takes no reads is asked once in a long while.
+    Duration::try_from_secs_f64(seconds)
+        .unwrap_or(LONGEST_GATHERING)
+        .min(LONGEST_GATHERING)
+}
+
+/// Changes are gathered no longer than this, however many daemons there are: they have to be in force within seconds.
+const LONGEST_GATHERING: Duration = Duration::from_millis(1_500);
+
 /// Neighbours that said that they follow the store.
 #[derive(Debug, Default)]
 pub struct FollowerTable {
--- a/crates/fleet/tests/topology.rs
+++ b/crates/fleet/tests/topology.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ponddrift_fleet::followers::{FollowerTable, GOSSIP_INTERVAL};
+use ponddrift_fleet::followers::{
+    FollowerTable, GOSSIP_INTERVAL, gathering_alone, gathering_for_others,
+};
 use ponddrift_fleet::topology::{FOLLOWERS, Member, SMALL_FLEET, Topology};
 
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -157,3 +159,33 @@
     let until = table.relied_on_until(now).expect("relied on");
     assert!(until - now < Duration::from_secs(1));
 }
+
+/// Calls a second of so many daemons that ask again after gathering.
+fn calls_per_second(daemons: u32, gathering: Duration) -> f64 {
+    f64::from(daemons) / gathering.as_secs_f64()
+}
+
+#[test]
+fn daemons_that_all_follow_the_store_alone_use_a_tenth_of_its_reads_whatever_their_number() {
+    const READS: f64 = 16_000.0;
+    for daemons in [100, 1_000, 2_000] {
+        let gathering = gathering_alone(daemons as usize, READS);
+        let calls = calls_per_second(daemons, gathering);
+        assert!(
+            calls <= READS * 0.101,
+            "{daemons} daemons: {calls} calls a second"
+        );
+    }
+}
+
+#[test]
+fn changes_are_gathered_no_longer_than_they_may_take() {
+    let longest = Duration::from_millis(1_500);
+    assert_eq!(gathering_alone(100_000, 100.0), longest);
+    assert_eq!(gathering_alone(7, 0.0), longest);
+    assert_eq!(
+        gathering_for_others(12, 16_000.0),
+        Duration::from_micros(1_875)
+    );
+    assert_eq!(gathering_alone(7, 2_000.0), Duration::from_millis(150));
+}
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -9,7 +9,9 @@
 use std::time::{Duration, Instant};
 
 use ponddrift_fleet::distribution::{FOLLOWER_PATIENCE, ReadingPlan};
-use ponddrift_fleet::followers::{FOLLOWER_WAIT, FollowerTable};
+use ponddrift_fleet::followers::{
+    FOLLOWER_WAIT, FollowerTable, gathering_alone, gathering_for_others,
+};
 use ponddrift_runtime::Runtime;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -25,10 +27,6 @@
 
 /// How long one call of a daemon waits for changes that follows the store only for itself.
 const OWN_WAIT: Duration = Duration::from_secs(2);
-/// Share of the reads that the store takes in a second which all followers together use.
-const SHARE_OF_READS: f64 = 0.4;
-/// A daemon that follows only for itself, though it need not for long, gathers changes for this long at least.
-const OWN_GATHERING: Duration = Duration::from_millis(150);
 /// Pauses after a failed call grow from here,
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// to here,
@@ -321,17 +319,14 @@
         }
     }
 
-    /// Every change wakes every follower: the more there are, the longer each gathers changes before it asks again.
+    /// How long it gathers changes before it asks again.
     fn gathering(&self, follows_for_others: bool) -> Duration {
         let topology = self.state.topology();
-        let (followers, least) = if follows_for_others {
-            (topology.followers, Duration::ZERO)
+        if follows_for_others {
+            gathering_for_others(topology.followers, self.reads_per_second)
         } else {
-            (topology.daemons, OWN_GATHERING)
-        };
-        #[expect(clippy::cast_precision_loss, reason = "a few hundred daemons")]
-        let seconds = followers as f64 / (self.reads_per_second * SHARE_OF_READS);
-        Duration::from_secs_f64(seconds).max(least)
+            gathering_alone(topology.daemons, self.reads_per_second)
+        }
     }
 }
 
