Zones save up retries together where one daemon cannot

Cause: a daemon's part of the slack of retries is rounded up to one. At 986 daemons that is 986 of 832 meant, and at twice the size it breaks the budget.

Weighed: a credit by lot for a part of the daemons (28% could ever retry, and each life that comes and goes adds to it); a pool in each zone.

Change: where the part is less than one, daemons put what they earn into a pool that the zone's third distributor keeps, once a second, each deposit at most once, and ask it for each retry. Nothing is rounded up.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -2,6 +2,11 @@
 //!
 //! Every daemon earns a share of each own request and may save up its part of the slack. A new life begins
 //! with nothing saved, so that daemons that come and go do not spend the slack again and again.
+//!
+//! In a fleet with more daemons than retries in the slack a daemon's part is less than one retry, and what it earns takes it long to
+//! add up to one: with one request in three seconds, half a minute. There the daemons of a zone put what they earn into a
+//! [`RetryPool`] that one of them keeps, and ask it for each retry. What is put in is put in at most once, so that retries stay
+//! within what was earned, whatever gets lost on the way or with a keeper.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -66,6 +71,21 @@
         *saved = (*saved + 1.0).min(most);
     }
 
+    /// Whether this daemon's part of the slack is less than one repeat, so that it saves nothing up itself.
+    #[must_use]
+    pub fn is_pooled(&self) -> bool {
+        self.share() < 1.0
+    }
+
+    /// Takes out all that is saved, for the pool.
+    pub fn take_deposits(&mut self) -> Vec<(Arc<str>, f64)> {
+        self.saved
+            .iter_mut()
+            .filter(|(_service, saved)| **saved > 0.0)
+            .map(|(service, saved)| (Arc::clone(service), std::mem::take(saved)))
+            .collect()
+    }
+
     /// Repeats left for `service`.
     #[must_use]
     pub fn left(&self, service: &str) -> f64 {
@@ -73,8 +93,68 @@
     }
 
     fn most(&self) -> f64 {
-        #[expect(clippy::cast_precision_loss, reason = "a few hundred daemons")]
+        self.share()
+    }
+
+    /// This daemon's part of the slack, in repeats.
+    fn share(&self) -> f64 {
+        #[expect(clippy::cast_precision_loss, reason = "some thousand daemons")]
         let daemons = self.daemons as f64;
-        (self.settings.slack * SHARE_USED / daemons).max(1.0)
+        self.settings.slack * SHARE_USED / daemons
     }
 }
+
+/// Deposits of one daemon.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Deposits {
+    /// Which daemon: a hash of its name and of this life of it.
+    pub origin: u64,
+    /// Counts its deposits; one that comes twice changes nothing.
+    pub sequence: u32,
+    /// Repeats by hash of the service.
+    pub repeats: Vec<(u32, f64)>,
+}
+
+/// Repeats that the daemons of a zone save up together. Another keeper begins with nothing.
+#[derive(Debug, Default)]
+pub struct RetryPool {
+    saved: HashMap<u32, f64>,
+    newest: HashMap<u64, u32>,
+}
+
+impl RetryPool {
+    /// A daemon puts in what it earned. `most` is the zone's part of the slack.
+    pub fn deposit(&mut self, deposits: &Deposits, most: f64) {
+        let newest = self.newest.entry(deposits.origin).or_default();
+        if deposits.sequence <= *newest {
+            return;
+        }
+        *newest = deposits.sequence;
+        for (service, repeats) in &deposits.repeats {
+            // What is no number of repeats would spoil the sum for good.
+            if !repeats.is_finite() || *repeats <= 0.0 {
+                continue;
+            }
+            let saved = self.saved.entry(*service).or_default();
+            *saved = (*saved + repeats).min(most);
+        }
+    }
+
+    /// Takes one repeat, if there is one.
+    pub fn withdraw(&mut self, service: u32) -> bool {
+        let saved = self.saved.entry(service).or_default();
+        if *saved < 1.0 {
+            return false;
+        }
+        *saved -= 1.0;
+        true
+    }
+}
+
+/// The part of the slack that a zone's pool saves up, in repeats: its daemons' parts together.
+#[must_use]
+pub fn pool_share(settings: BudgetSettings, of_zone: usize, daemons: usize) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "some thousand daemons")]
+    let part = of_zone as f64 / daemons.max(1) as f64;
+    settings.slack * SHARE_USED * part
+}
--- a/crates/fleet/src/topology.rs
+++ b/crates/fleet/src/topology.rs
@@ -59,6 +59,14 @@
 }
 
 impl Topology {
+    /// The daemon that keeps the retries of this one's zone; none in a small neighbourhood. Not one of those that read the store,
+    /// where there is another.
+    #[must_use]
+    pub fn retry_pool_keeper(&self) -> Option<SocketAddr> {
+        let other = self.distributors.get(FOLLOWERS);
+        other.or(self.distributors.first()).copied()
+    }
+
     /// The place of `own` among `others`, which may contain it.
     #[must_use]
     pub fn of(own: &Member, others: &[Member]) -> Self {
--- /dev/null
+++ b/crates/serve/tests/retry_pool.rs
@@ -0,0 +1,86 @@
+//! Retries in a fleet of so many daemons that none of them earns a whole one before long.
+
+mod support;
+
+use std::time::Duration;
+
+use http::StatusCode;
+use ponddrift_platform_stand_ins::{Behaviour, ClientRequest};
+use support::{Fleet, Size};
+
+/// More daemons than retries in the slack that the tests' settings give.
+const DAEMONS: u8 = 40;
+
+fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(Size {
+        daemons: DAEMONS,
+        ..Size::default()
+    });
+    fleet.wait(Duration::from_secs(3));
+    fleet
+}
+
+/// One request to each daemon. Returns how many were answered with success.
+fn ask_each_daemon(fleet: &mut Fleet, name: &str) -> usize {
+    let client = fleet.client.clone();
+    let daemons = fleet.daemons.clone();
+    let name = name.to_owned();
+    fleet.run(async move {
+        let mut served = 0;
+        for (number, daemon) in daemons.iter().enumerate() {
+            let request = ClientRequest::plain(&format!("{name}-{number}"), "fetch");
+            let answer = client.ask(daemon.callers, &request).await;
+            served += usize::from(answer.is_some_and(|answer| answer.status == StatusCode::OK));
+        }
+        served
+    })
+}
+
+#[test]
+fn a_daemon_that_has_earned_little_retries_with_what_others_earned() {
+    let mut fleet = fleet();
+    // Each earns a sixth of a retry.
+    assert_eq!(ask_each_daemon(&mut fleet, "good"), usize::from(DAEMONS));
+    fleet.wait(Duration::from_millis(1_500));
+    fleet.records[0].behave_next(&[Behaviour::Fail, Behaviour::Fail]);
+    assert_eq!(ask_each_daemon(&mut fleet, "bad"), usize::from(DAEMONS));
+}
+
+#[test]
+fn retries_of_all_daemons_stay_within_what_was_earned_while_every_back_end_fails() {
+    let mut fleet = fleet();
+    assert_eq!(ask_each_daemon(&mut fleet, "good"), usize::from(DAEMONS));
+    fleet.wait(Duration::from_millis(1_500));
+    for engine in &fleet.records {
+        engine.behave_always(Behaviour::Fail);
+    }
+    let before: usize = fleet.records.iter().map(|engine| engine.runs().len()).sum();
+    for round in 0..5 {
+        assert_eq!(ask_each_daemon(&mut fleet, &format!("bad-{round}")), 0);
+    }
+    let after: usize = fleet.records.iter().map(|engine| engine.runs().len()).sum();
+    let requests = usize::from(DAEMONS) * 5;
+    let retries = after - before - requests;
+    // 0.16 of 40 requests before, and of those until now; never the slack of 20 beside it, which nobody had saved up.
+    assert!((1..=38).contains(&retries), "{retries} retries");
+}
+
+#[test]
+fn where_the_keeper_of_the_pool_is_gone_the_caller_gets_the_first_answer() {
+    let mut fleet = fleet();
+    assert_eq!(ask_each_daemon(&mut fleet, "good"), usize::from(DAEMONS));
+    fleet.wait(Duration::from_millis(1_500));
+    let handle = fleet.simulation.handle();
+    for daemon in &fleet.daemons[1..] {
+        handle.freeze(daemon.host);
+    }
+    for engine in &fleet.records {
+        engine.behave_always(Behaviour::Fail);
+    }
+    let client = fleet.client.clone();
+    let target = fleet.daemons[0].callers;
+    let request = ClientRequest::plain("alone", "fetch");
+    let answer = fleet.run(async move { client.ask(target, &request).await });
+    let status = answer.map(|answer| answer.status);
+    assert_eq!(status, Some(StatusCode::INTERNAL_SERVER_ERROR));
+}
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -3,6 +3,7 @@
 //! Urgent changes go to all neighbours at once. A few daemons of every other zone get them too and forward them to their
 //! own neighbours. Daemons that follow the store publish its changes; whoever lacks some asks for them over TCP.
 
+mod deposits;
 mod message;
 mod publish;
 mod receive;
@@ -24,8 +25,8 @@
 use crate::store::Changes;
 use message::{AwayRow, HeadRow, ReportRow};
 
-pub(crate) use relay::fetch_page;
 pub use relay::fetch_tallies;
+pub(crate) use relay::{fetch_page, withdraw_retry};
 
 /// What a daemon knows of its peers before it has read the store.
 #[derive(Debug, Clone)]
@@ -50,7 +51,7 @@
     let address = own.peer_address;
     let socket: Arc<BoxedDatagram> = Arc::new(runtime.network.bind_datagram(address).await?);
     let usage = pipeline.usage().cloned();
-    relay::serve(runtime, address, state, usage.as_ref()).await?;
+    relay::serve(runtime, address, state, pipeline).await?;
     let peers = Arc::new(Peers {
         origin: xxh3_64_with_seed(own.name.as_bytes(), runtime.seed),
         runtime: runtime.clone(),
@@ -70,6 +71,7 @@
         spawner.spawn(Box::pin(Arc::clone(&peers).replicate_usage(recorder)));
     }
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_suspects()));
+    spawner.spawn(Box::pin(Arc::clone(&peers).deposit_retries()));
     spawner.spawn(Box::pin(peers.receive()));
     Ok(())
 }
--- /dev/null
+++ b/crates/serving/src/peers/deposits.rs
@@ -0,0 +1,45 @@
+//! Puts the retries that this daemon earned into the pool of its zone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ponddrift_fleet::budget::Deposits;
+
+use super::Peers;
+use super::message::{self, Message};
+use super::translate::deposits_to_wire;
+use crate::back_end_index::hash;
+
+/// Time between two deposits: what is earned within it is not there for a retry yet.
+const DEPOSIT_INTERVAL: Duration = Duration::from_secs(1);
+
+impl Peers {
+    pub(super) async fn deposit_retries(self: Arc<Self>) {
+        let mut sequence = 0;
+        loop {
+            tokio::time::sleep(DEPOSIT_INTERVAL).await;
+            let Some(keeper) = self.state.topology().retry_pool_keeper() else {
+                continue;
+            };
+            let earned = self.pipeline.take_deposits();
+            if earned.is_empty() {
+                continue;
+            }
+            sequence += 1;
+            let deposits = Deposits {
+                origin: self.origin,
+                sequence,
+                repeats: earned
+                    .into_iter()
+                    .map(|(service, repeats)| (hash(&service), repeats))
+                    .collect(),
+            };
+            if keeper == self.state.own().peer_address {
+                self.pipeline.receive_deposits(&deposits);
+            } else {
+                let row = Message::Deposits(deposits_to_wire(&deposits));
+                self.send(message::encode(&row), &[keeper]).await;
+            }
+        }
+    }
+}
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -33,10 +33,10 @@
 /// Token counts are encoded in this unit, rounded up: far less than any prefill that a decision depends on.
 pub(super) const TOKENS_IN_UNIT: f64 = 32.0;
 /// Version of the messages; messages of other versions are dropped.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
 /// What a datagram contains.
-#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub(super) enum Message {
     /// How things stand.
     Digest(Box<Digest>),
@@ -51,6 +51,19 @@
     Usage(TallyOf),
     /// Requests under which engines ended.
     Suspects(Vec<SuspectRow>),
+    /// Retries that the sender earned and the receiver keeps for the zone.
+    Deposits(DepositsRow),
+}
+
+/// Retries that a daemon puts into the pool of its zone.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub(super) struct DepositsRow {
+    /// Which daemon, and which life of it.
+    pub(super) origin: u64,
+    /// Counts its deposits.
+    pub(super) sequence: u32,
+    /// Retries by hash of the service.
+    pub(super) repeats: Vec<(u32, f32)>,
 }
 
 /// What the sender knows of one request under which engines ended.
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -10,7 +10,8 @@
 
 use super::message::{self, Digest, MAXIMUM_DATAGRAM, Message};
 use super::translate::{
-    head_from_wire, reading_from_wire, report_from_wire, results_from_wire, work_from_wire,
+    deposits_from_wire, head_from_wire, reading_from_wire, report_from_wire, results_from_wire,
+    work_from_wire,
 };
 use super::{Peers, relay};
 use crate::back_end_index::BackEndIndex;
@@ -46,6 +47,9 @@
                     }
                 }
                 Some(Message::Suspects(rows)) => self.take_suspects(&rows, from).await,
+                Some(Message::Deposits(row)) => {
+                    self.pipeline.receive_deposits(&deposits_from_wire(row))
+                }
                 None => tracing::warn!(%from, length, "peer_message_unreadable"),
             }
         }
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -13,9 +13,9 @@
 use ponddrift_fleet::usage::{TallyOf, WindowNumber};
 
 use crate::fleet_state::{FleetState, News};
+use crate::pipeline::Pipeline;
 use crate::store::Page;
 use crate::time::{self, now};
-use crate::usage::UsageRecorder;
 
 /// Time for a whole exchange.
 const EXCHANGE_LIMIT: Duration = Duration::from_secs(1);
@@ -40,6 +40,8 @@
     /// What the store holds behind this key, or from its first key on; answered by a [`PackedPage`], or by none where that has
     /// not been read yet.
     PageAfter(Option<String>),
+    /// A retry for the service of this hash, from the zone's pool; answered by whether there was one.
+    Retry(u32),
 }
 
 /// A page of what the store holds, compressed (LZ4 behind its length): entries of back ends differ in a few bytes, and take a
@@ -72,13 +74,13 @@
     runtime: &Runtime,
     address: SocketAddr,
     state: &Arc<FleetState>,
-    usage: Option<&Arc<UsageRecorder>>,
+    pipeline: &Arc<Pipeline>,
 ) -> io::Result<()> {
     let listener = runtime.network.listen(address).await?;
     let spawner = Arc::clone(&runtime.spawner);
     let known = Known {
         state: Arc::clone(state),
-        usage: usage.cloned(),
+        pipeline: Arc::clone(pipeline),
     };
     runtime.spawner.spawn(Box::pin(async move {
         accept(listener, spawner, known).await;
@@ -90,7 +92,7 @@
 #[derive(Clone)]
 struct Known {
     state: Arc<FleetState>,
-    usage: Option<Arc<UsageRecorder>>,
+    pipeline: Arc<Pipeline>,
 }
 
 async fn accept(
@@ -120,7 +122,7 @@
     let bytes = match question {
         Question::NewsAfter(revision) => borsh::to_vec(&known.state.news_after(revision))?,
         Question::Tallies(window) => {
-            let usage = known.usage.as_ref();
+            let usage = known.pipeline.usage();
             borsh::to_vec(&usage.map(|usage| usage.tallies(window)).unwrap_or_default())?
         }
         Question::PageAfter(after) => {
@@ -128,6 +130,7 @@
             let packed = page.as_ref().map(PackedPage::pack).transpose()?;
             borsh::to_vec(&packed)?
         }
+        Question::Retry(service) => borsh::to_vec(&known.pipeline.withdraw_from_pool(service))?,
     };
     write_bytes(&mut stream, &bytes).await
 }
@@ -159,6 +162,21 @@
     packed.map(|packed| packed.unpack()).transpose()
 }
 
+/// Asks the keeper of the zone's pool for a retry of the service with this hash. Returns whether there was one.
+///
+/// # Errors
+/// When the keeper cannot be reached or does not answer within `limit`.
+pub(crate) async fn withdraw_retry(
+    runtime: &Runtime,
+    keeper: SocketAddr,
+    service: u32,
+    limit: Duration,
+) -> io::Result<bool> {
+    let asking = ask(runtime, keeper, Question::Retry(service));
+    let answer = tokio::time::timeout(limit, asking).await;
+    answer.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
 /// Asks a peer for what it knows beyond the revision `after`.
 pub(super) async fn fetch(runtime: &Runtime, peer: SocketAddr, after: u64) -> io::Result<News> {
     ask(runtime, peer, Question::NewsAfter(after)).await
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ponddrift_fleet::budget::Deposits;
 use ponddrift_fleet::health::Results;
 use ponddrift_fleet::placement::{
     HeadState, HeadUse, Outstanding, PromptReading, WorkReport, WorkRow,
@@ -11,14 +12,37 @@
 use ponddrift_fleet::stages::StageWork;
 
 use super::message::{
-    AwayRow, BackEndRow, HeadRow, LostRunRow, ReadingRow, ReportRow, ResultRow, ServiceWorkRow,
-    SuspectRow, TOKENS_IN_UNIT,
+    AwayRow, BackEndRow, DepositsRow, HeadRow, LostRunRow, ReadingRow, ReportRow, ResultRow,
+    ServiceWorkRow, SuspectRow, TOKENS_IN_UNIT,
 };
 use crate::back_end_index::{BackEndIndex, hash};
 
 /// Milliseconds in a second.
 const MS_PER_S: f64 = 1000.0;
 
+#[expect(clippy::cast_possible_truncation, reason = "a few retries")]
+pub(super) fn deposits_to_wire(deposits: &Deposits) -> DepositsRow {
+    let repeats = deposits.repeats.iter();
+    DepositsRow {
+        origin: deposits.origin,
+        sequence: deposits.sequence,
+        repeats: repeats
+            .map(|(service, repeats)| (*service, *repeats as f32))
+            .collect(),
+    }
+}
+
+pub(super) fn deposits_from_wire(row: DepositsRow) -> Deposits {
+    let repeats = row.repeats.into_iter();
+    Deposits {
+        origin: row.origin,
+        sequence: row.sequence,
+        repeats: repeats
+            .map(|(service, repeats)| (service, f64::from(repeats)))
+            .collect(),
+    }
+}
+
 pub(super) fn head_to_wire(usage: &HeadUse) -> HeadRow {
     HeadRow {
         engine: hash(&usage.engine),
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -19,16 +19,17 @@
 mod probe;
 mod quarantining;
 mod relay;
+mod retry_pool;
 mod wait_policy;
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::future::BoxFuture;
 use http::{HeaderValue, Request, Response, header};
 use hyper::body::Incoming;
-use ponddrift_fleet::budget::{BudgetSettings, RetryBudget};
+use ponddrift_fleet::budget::{BudgetSettings, RetryBudget, RetryPool};
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::placement::Placement;
@@ -82,6 +83,11 @@
     metrics: Arc<Metrics>,
     placement: Mutex<Placement>,
     budget: Mutex<RetryBudget>,
+    budget_settings: BudgetSettings,
+    /// Retries of the zone, where this daemon keeps them.
+    retry_pool: Mutex<RetryPool>,
+    /// When the zone's pool last had no retry.
+    pool_was_empty: Mutex<Option<Instant>>,
     split: Mutex<SplitDealer>,
     random: Mutex<Pcg64Mcg>,
     stopping: AtomicBool,
@@ -117,6 +123,9 @@
             metrics,
             placement: Mutex::new(placement),
             budget: Mutex::new(RetryBudget::new(settings.budget)),
+            budget_settings: settings.budget,
+            retry_pool: Mutex::default(),
+            pool_was_empty: Mutex::default(),
             split: Mutex::default(),
             random: Mutex::new(Pcg64Mcg::seed_from_u64(runtime.seed)),
             stopping: AtomicBool::new(false),
--- a/crates/serving/src/pipeline/budgeting.rs
+++ b/crates/serving/src/pipeline/budgeting.rs
@@ -1,5 +1,7 @@
 //! Whether one more send is made.
 
+use std::sync::Arc;
+
 use super::Pipeline;
 use super::job::Job;
 use crate::request_trace::Step;
@@ -24,14 +26,14 @@
 impl Pipeline {
     /// Asks for the next reading of a prompt apart. The first that an engine takes up is free; any further one counts as
     /// a repeat, whether or not the first was of use, and so does each that an engine rejects, beyond the first.
-    pub(super) fn may_prefill(&self, job: &mut Job) -> PrefillPermit {
+    pub(super) async fn may_prefill(&self, job: &mut Job) -> PrefillPermit {
         if job.prefills >= MAXIMUM_PREFILLS || job.arrivals >= MAXIMUM_SENDS {
             return PrefillPermit::Denied;
         }
         if job.prefills == 0 && job.arrivals == 0 {
             return PrefillPermit::Free;
         }
-        if self.take_repeat(job, "prompt_read_again") {
+        if self.take_repeat(job, "prompt_read_again").await {
             PrefillPermit::Repeat
         } else {
             PrefillPermit::Denied
@@ -51,16 +53,16 @@
     }
 
     /// Asks for the next send of a request. The first is free; any further one needs a place in the budget.
-    pub(super) fn may_send(&self, job: &mut Job, reason: &'static str) -> bool {
+    pub(super) async fn may_send(&self, job: &mut Job, reason: &'static str) -> bool {
         if job.arrivals == 0 {
             return true;
         }
-        job.arrivals < MAXIMUM_SENDS && self.take_repeat(job, reason)
+        job.arrivals < MAXIMUM_SENDS && self.take_repeat(job, reason).await
     }
 
     /// Whether the budget has a place for another send of this request.
     pub(super) fn has_repeat(&self, job: &Job) -> bool {
-        job.arrivals < MAXIMUM_SENDS && self.budget().left(&job.service.name) >= 1.0
+        job.arrivals < MAXIMUM_SENDS && self.may_have_repeat(&job.service.name)
     }
 
     /// Whether a send that is given up may be followed by another: one that runs the request anew.
@@ -70,17 +72,41 @@
             && self.has_repeat(job)
     }
 
-    fn take_repeat(&self, job: &mut Job, reason: &'static str) -> bool {
-        let mut budget = self.budget();
-        let granted = budget.take(&job.service.name);
-        let budget_left = budget.left(&job.service.name);
+    fn may_have_repeat(&self, service: &str) -> bool {
+        let budget = self.budget();
+        let left = budget.left(service);
+        let is_pooled = budget.is_pooled();
         drop(budget);
+        left >= 1.0 || (is_pooled && self.pool_may_have_one())
+    }
+
+    async fn take_repeat(&self, job: &mut Job, reason: &'static str) -> bool {
+        let own = self.take_own_repeat(&job.service.name);
+        let granted =
+            own.granted || (own.is_pooled && self.withdraw_retry(&job.service.name).await);
         self.metrics.repeat(granted);
         job.trace.add(Step::Repeat {
             granted,
             reason,
-            budget_left,
+            budget_left: own.left,
+            is_pooled: own.is_pooled,
         });
         granted
     }
+
+    fn take_own_repeat(&self, service: &Arc<str>) -> OwnRepeat {
+        let mut budget = self.budget();
+        OwnRepeat {
+            granted: budget.take(service),
+            left: budget.left(service),
+            is_pooled: budget.is_pooled(),
+        }
+    }
+}
+
+/// What this daemon's own savings brought.
+struct OwnRepeat {
+    granted: bool,
+    left: f64,
+    is_pooled: bool,
 }
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -149,7 +149,7 @@
                 failure = refusal;
                 break;
             }
-            if !self.may_send(job, failure.reason()) {
+            if !self.may_send(job, failure.reason()).await {
                 break;
             }
             let end = self.stream_attempt(job, &plan, handle, resume_after).await;
@@ -179,7 +179,7 @@
         let Some(engine) = &plan.prefill else {
             return ReadApart::Not;
         };
-        let permit = self.may_prefill(job);
+        let permit = self.may_prefill(job).await;
         if permit == PrefillPermit::Denied {
             return ReadApart::Not;
         }
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -80,7 +80,7 @@
             let Some(back_end) = self.place_plain(job) else {
                 break;
             };
-            if !self.may_send(job, failure.reason()) {
+            if !self.may_send(job, failure.reason()).await {
                 break;
             }
             let end = self.plain_attempt(job, &back_end).await;
--- a/crates/serving/src/request_trace.rs
+++ b/crates/serving/src/request_trace.rs
@@ -52,6 +52,8 @@
         reason: &'static str,
         /// Repeats left to this daemon.
         budget_left: f64,
+        /// Whether the zone saves up retries together, so that its pool was asked.
+        is_pooled: bool,
     },
     /// It waited until its prompt's head had been read for another request.
     HeadAwaited {
@@ -161,12 +163,14 @@
             granted,
             reason,
             budget_left,
+            is_pooled,
         } => tracing::info!(
             request,
             at_ms,
             granted,
             reason,
             budget_left = rounded(*budget_left),
+            is_pooled,
             "repeat_decided"
         ),
         Step::HeadAwaited { waited } => {
