Distributors that answer nonsense; the order of constants

A list of distributors that answer too long, broken off, no value, a page that unpacks to gigabytes, or one that cannot be unpacked: each daemon reads the store instead.

--- a/crates/fleet/src/followers.rs
+++ b/crates/fleet/src/followers.rs
@@ -24,6 +24,8 @@
 const SHARE_ALONE: f64 = 0.1;
 /// A daemon that follows the store only for itself, though it need not for long, gathers changes for this long at least.
 const LEAST_GATHERING_ALONE: Duration = Duration::from_millis(150);
+/// Changes are gathered no longer than this, however many daemons there are: they have to be in force within seconds.
+const LONGEST_GATHERING: Duration = Duration::from_millis(1_500);
 
 /// How long a daemon that follows the store for others gathers changes before it asks again: every change wakes every follower.
 #[must_use]
@@ -41,15 +43,12 @@
 fn time_per_call(callers: usize, calls_per_second: f64) -> Duration {
     #[expect(clippy::cast_precision_loss, reason = "some thousand")]
     let seconds = callers as f64 / calls_per_second;
-    // A store that takes no reads is asked once in a long while.
+    // No time can be told where the store takes no reads.
     Duration::try_from_secs_f64(seconds)
         .unwrap_or(LONGEST_GATHERING)
         .min(LONGEST_GATHERING)
 }
 
-/// Changes are gathered no longer than this, however many daemons there are: they have to be in force within seconds.
-const LONGEST_GATHERING: Duration = Duration::from_millis(1_500);
-
 /// Neighbours that said that they follow the store.
 #[derive(Debug, Default)]
 pub struct FollowerTable {
--- a/crates/serve/tests/recovery.rs
+++ b/crates/serve/tests/recovery.rs
@@ -2,11 +2,14 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::StatusCode;
 use ponddrift_platform_stand_ins::{ClientRequest, StoreMode};
-use support::{Fleet, Size};
+use ponddrift_runtime::Runtime;
+use support::{Fleet, Size, spec};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 /// Time for each answer of a store that is busy with all daemons.
 const SLOW_ANSWER: Duration = Duration::from_millis(400);
@@ -219,3 +222,50 @@
     fleet.wait(Duration::from_secs(8));
     assert_eq!(keys_of_daemons(&fleet).len(), usize::from(MANY_DAEMONS));
 }
+
+/// A peer that answers each question with the next of some answers that are no pages.
+async fn answer_nonsense(runtime: Runtime, ip: [u8; 4]) {
+    let answers: [&[u8]; 5] = [
+        // Longer than any answer.
+        &[0xff, 0xff, 0xff, 0xff],
+        // Breaks off.
+        &[0, 0, 1, 0, 1, 2, 3],
+        // No value of any kind.
+        &[0, 0, 0, 2, 9, 9],
+        // A page that would unpack to four gigabytes.
+        &[0, 0, 0, 9, 1, 4, 0, 0, 0, 0xff, 0xff, 0xff, 0xff],
+        // A page that cannot be unpacked.
+        &[0, 0, 0, 11, 1, 6, 0, 0, 0, 8, 0, 0, 0, 0xff, 0xff],
+    ];
+    let listener = runtime
+        .network
+        .listen(SocketAddr::from((ip, 7660)))
+        .await
+        .expect("binds");
+    for answer in answers.iter().cycle() {
+        let (mut stream, _peer) = listener.accept().await.expect("accepts");
+        let mut question = [0; 64];
+        if stream.read(&mut question).await.is_ok() {
+            // A daemon that has gone away needs no answer.
+            drop(stream.write_all(answer).await);
+        }
+    }
+}
+
+#[test]
+fn daemons_whose_distributors_answer_nonsense_read_the_store() {
+    let mut fleet = large_zone();
+    let ips = [[10, 0, 1, 201], [10, 0, 1, 202], [10, 0, 1, 203]];
+    for ip in ips {
+        let name = format!("nonsense-{}", ip[3]);
+        fleet
+            .simulation
+            .add_host(spec(&name, ip), move |runtime| answer_nonsense(runtime, ip));
+    }
+    let list = ips.map(|ip| SocketAddr::from((ip, 7660)).to_string());
+    let list = serde_json::to_string(&list).expect("a list");
+    fleet.store.put("ponddrift/distributors/a", list);
+    lose_all_daemons(&mut fleet);
+    fleet.wait(Duration::from_secs(4));
+    assert_eq!(serving(&mut fleet), usize::from(MANY_DAEMONS));
+}
