Other zones are told at once of work, and seldom of none

Change: a digest that tells nothing of engines or of requests goes to other zones each 2 s; one that does, and the first after it, at once as before.

Counted: 30 digests a minute of a daemon without work, 120 before; 120 of one that always has some.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod directory;
 pub mod distribution;
 pub mod events;
+pub mod far_pace;
 pub mod fingerprint;
 pub mod followers;
 pub mod health;
--- a/crates/fleet/tests/topology.rs
+++ b/crates/fleet/tests/topology.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ponddrift_fleet::far_pace::FarPace;
 use ponddrift_fleet::followers::{
     FollowerTable, GOSSIP_INTERVAL, gathering_alone, gathering_for_others,
 };
@@ -189,3 +190,22 @@
     );
     assert_eq!(gathering_alone(7, 2_000.0), Duration::from_millis(150));
 }
+
+/// Digests to other zones in a minute, with one published each half second.
+fn far_digests_in_a_minute(tells_of_work: impl Fn(u32) -> bool) -> usize {
+    let begun = Instant::now();
+    let mut pace = FarPace::default();
+    let told = (0..120).filter(|step| {
+        let now = begun + Duration::from_millis(500) * *step;
+        pace.is_due(tells_of_work(*step), now)
+    });
+    told.count()
+}
+
+#[test]
+fn other_zones_are_told_at_once_of_work_and_seldom_of_none() {
+    assert_eq!(far_digests_in_a_minute(|_step| true), 120);
+    assert_eq!(far_digests_in_a_minute(|_step| false), 30);
+    // Work in one half second of ten: told then, its end at once, and twice more before the next.
+    assert_eq!(far_digests_in_a_minute(|step| step % 10 == 0), 48);
+}
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -205,6 +205,16 @@
 }
 
 impl Digest {
+    /// Whether it tells anything of engines or of requests there.
+    pub(super) fn tells_of_work(&self) -> bool {
+        let has_rows = self.reports.iter().any(|report| !report.rows.is_empty());
+        has_rows
+            || !self.heads.is_empty()
+            || !self.readings.is_empty()
+            || !self.unwell.is_empty()
+            || !self.away.is_empty()
+    }
+
     /// The datagram; none if it does not fit.
     pub(super) fn encode(mut self) -> Option<Vec<u8>> {
         self.bound_rows();
--- a/crates/serving/src/peers/publish.rs
+++ b/crates/serving/src/peers/publish.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ponddrift_fleet::far_pace::FarPace;
 use ponddrift_fleet::followers::GOSSIP_INTERVAL;
 use ponddrift_fleet::topology::Topology;
 use ponddrift_fleet::usage::TallyOf;
@@ -54,6 +55,7 @@
         let mut random = Pcg64Mcg::seed_from_u64(self.runtime.seed ^ SEED_PART);
         let mut sequence = 0;
         let mut last_interval = now();
+        let mut far_pace = FarPace::default();
         loop {
             let begun = now();
             let spread = random.random_range(0.9..1.1);
@@ -66,7 +68,8 @@
             let neighbours = u32::try_from(topology.neighbours.len()).unwrap_or(u32::MAX);
             time::sleep_until(begun + TIME_PER_NEIGHBOUR * neighbours).await;
             sequence += 1;
-            self.publish_digest(&topology, sequence, reason).await;
+            self.publish_digest(&topology, sequence, reason, &mut far_pace)
+                .await;
         }
     }
 
@@ -102,12 +105,19 @@
         reason
     }
 
-    async fn publish_digest(&self, topology: &Topology, sequence: u32, reason: Reason) {
+    async fn publish_digest(
+        &self,
+        topology: &Topology,
+        sequence: u32,
+        reason: Reason,
+        far_pace: &mut FarPace,
+    ) {
         self.pipeline.set_daemons(topology.daemons);
         let forwarded = std::mem::take(&mut *self.to_forward());
         let own = self.digest(sequence);
         let has_news = !own.heads.is_empty() || !own.away.is_empty();
-        if has_news || reason != Reason::Forwarded {
+        let concerns_far = has_news || reason != Reason::Forwarded;
+        if concerns_far && far_pace.is_due(own.tells_of_work(), now()) {
             self.send(own.clone().encode(), &topology.far).await;
         }
         let for_neighbours = with_forwarded(own, forwarded);
