Daemons that follow the store for others gather changes for 40 ms

Change: 40 ms at least between two calls.

A change is known up to 40 ms later if another came just before it, of the 5 s that it may take.

--- a/crates/fleet/src/followers.rs
+++ b/crates/fleet/src/followers.rs
@@ -22,6 +22,10 @@
 /// The same for those that follow it only for themselves: when all daemons start, all of them do for a moment, and a call of each
 /// for each change would be most of what a fleet of a thousand asks of the store in a day.
 const SHARE_ALONE: f64 = 0.1;
+/// A daemon that follows the store for others gathers changes for this long at least. When 10,000 back ends record themselves within
+/// seconds, or half of them are replaced, a call and a message to each neighbour for each change or two would be most of what a
+/// fleet asks of the store in a day; so long a delay is a hundredth of the time within which a change has to be in force.
+const LEAST_GATHERING_FOR_OTHERS: Duration = Duration::from_millis(40);
 /// A daemon that follows the store only for itself, though it need not for long, gathers changes for this long at least.
 const LEAST_GATHERING_ALONE: Duration = Duration::from_millis(150);
 /// Changes are gathered no longer than this, however many daemons there are: they have to be in force within seconds.
@@ -30,7 +34,7 @@
 /// How long a daemon that follows the store for others gathers changes before it asks again: every change wakes every follower.
 #[must_use]
 pub fn gathering_for_others(followers: usize, reads_per_second: f64) -> Duration {
-    time_per_call(followers, reads_per_second * SHARE_FOR_OTHERS)
+    time_per_call(followers, reads_per_second * SHARE_FOR_OTHERS).max(LEAST_GATHERING_FOR_OTHERS)
 }
 
 /// The same for a daemon that follows it only for itself, as all daemons of the fleet may at the same time.
--- a/crates/serve/tests/neighbours.rs
+++ b/crates/serve/tests/neighbours.rs
@@ -221,3 +221,21 @@
         );
     }
 }
+
+/// As when many back ends record themselves at the same time.
+#[test]
+fn changes_that_come_close_together_are_asked_for_together() {
+    const CHANGES: u64 = 200;
+    let mut fleet = of_daemons(8, 2);
+    let before = fleet.store.calls();
+    for _ in 0..CHANGES {
+        fleet.records[0].record(&fleet.store, "ready");
+        fleet.wait(Duration::from_millis(5));
+    }
+    let calls = fleet.store.calls() - before;
+    // Two daemons follow the store for one second; all renew their leases within it at most once.
+    assert!(
+        calls <= 2 * 25 + 8 + 6,
+        "{calls} calls for {CHANGES} changes"
+    );
+}
