A daemon that read from peers does not claim that the store answered it

Cause: a reading of everything from peers counted as an answer of the store, found on reading: the daemon's next digest told its neighbours that the store had answered just now, and they relied on it for up to 0.8 s as on a follower; the call was counted too.

Change: a step of following says who brought what is new; only the store's own answers are told and counted.

--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -167,9 +167,12 @@
                 continue;
             }
             let ended = self.step().await;
-            self.metrics.store_call(result_name(&ended));
+            if !matches!(ended, Ok(Progress::ByPeers)) {
+                self.metrics.store_call(result_name(&ended));
+            }
             match ended {
-                Ok(at) => {
+                Ok(Progress::ByPeers) => self.following.note_answer(None),
+                Ok(Progress::ByStore(at)) => {
                     self.following.note_answer(Some(now()));
                     self.state.store_answered(at);
                     self.pause = FIRST_PAUSE;
@@ -224,8 +227,8 @@
         self.following.relied_on_until()
     }
 
-    /// Reads everything, or waits for what changed. Returns the position from which to go on.
-    async fn step(&mut self) -> Result<u64, StoreError> {
+    /// Reads everything, or waits for what changed.
+    async fn step(&mut self) -> Result<Progress, StoreError> {
         let position = self.state.position();
         let Some(after) = position.filter(|_| !self.history_was_gone) else {
             return self.read_everything().await;
@@ -249,13 +252,13 @@
             self.following.note_answer(Some(now()));
             tokio::time::sleep(self.gathering(follows_for_others)).await;
         }
-        Ok(at)
+        Ok(Progress::ByStore(at))
     }
 
     /// Reads everything, or goes on where a page failed: from peers where the fleet is large, else from the store. A read that
     /// may be old is enough, since changes are followed from its own revision on; not where the store has forgotten what
     /// follows on that.
-    async fn read_everything(&mut self) -> Result<u64, StoreError> {
+    async fn read_everything(&mut self) -> Result<Progress, StoreError> {
         let consistency = if self.history_was_gone {
             Consistency::Linearizable
         } else {
@@ -265,31 +268,32 @@
             .whole_read
             .take()
             .unwrap_or_else(|| WholeRead::new(consistency));
-        if let Some(at) = self.read_peers(&mut reading).await {
+        if self.read_peers(&mut reading).await {
             self.history_was_gone = false;
-            return Ok(at);
+            return Ok(Progress::ByPeers);
         }
         let ended = reading.read_store(&*self.store, &self.state).await;
         match ended {
             Ok(_) => self.history_was_gone = false,
             Err(_) => self.whole_read = Some(reading),
         }
-        ended
+        ended.map(Progress::ByStore)
     }
 
-    /// Reads everything from peers. Returns none where there are none to read from, or where they do not bring what is missing.
-    async fn read_peers(&self, reading: &mut WholeRead) -> Option<u64> {
+    /// Reads everything from peers. Returns false where there are none to read from, or where they do not bring what is missing.
+    async fn read_peers(&self, reading: &mut WholeRead) -> bool {
         let own = self.state.own();
         let spread = daemon_identity(&own.name);
         let plan = ReadingPlan::of(own.peer_address, &self.distributors().await, spread);
         let known = self.state.position();
-        let at = reading
-            .read_peers(&self.runtime, &plan, &self.state)
-            .await?;
+        let read = reading.read_peers(&self.runtime, &plan, &self.state);
+        let Some(at) = read.await else {
+            return false;
+        };
         if Some(at) <= known {
             // They know no more than this daemon: the store does.
             *reading = WholeRead::new(Consistency::Linearizable);
-            return None;
+            return false;
         }
         // One call less for every daemon, just when all of them start.
         let relieved = self.following.relieved.notified();
@@ -297,7 +301,7 @@
             // Whichever comes first, the store is asked only where no follower has reported.
             drop(tokio::time::timeout(FOLLOWER_PATIENCE, relieved).await);
         }
-        Some(at)
+        true
     }
 
     /// Who hands on everything: by what this daemon knows of its peers, or by what the store says of its zone.
@@ -330,7 +334,16 @@
     }
 }
 
-const fn result_name(ended: &Result<u64, StoreError>) -> &'static str {
+/// What a step of following the store brought.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Progress {
+    /// The store answered; changes follow on this revision.
+    ByStore(u64),
+    /// Peers brought everything. It says nothing of the store, and must not be told to neighbours as its answer.
+    ByPeers,
+}
+
+const fn result_name(ended: &Result<Progress, StoreError>) -> &'static str {
     match ended {
         Ok(_) => "answered",
         Err(StoreError::Silent(_)) => "silent",
