--- a/crates/fleet/src/directory/ready_sets.rs
+++ b/crates/fleet/src/directory/ready_sets.rs
@@ -14,8 +14,9 @@
 use super::BackEnd;
 use crate::configuration::Stage;
 
-/// Back ends of each stage that one daemon chooses among. Choosing among 9,560 engines took some 60 ms on a small machine, for each
-/// request; among so many it takes about one, and a daemon that sends a few requests a second keeps none of them waiting.
+/// Back ends of each stage that one daemon chooses among: far more than the requests that it has in progress. Choosing for a long
+/// prompt took 55 to 135 ms on 0.12 of a core among 9,560 engines, and takes 5 ms among so many (time from the prompt's intake to
+/// its placement in the daemon's lines).
 pub const CANDIDATES: usize = 128;
 /// Rendezvous owners of a prefix that are candidates: the second and third where the first is ejected or changes.
 const OWNERS: usize = 3;
@@ -164,8 +165,8 @@
     back_end: Arc<BackEnd>,
 }
 
-/// A copy of an identity that lies beside those of other owners: to follow a pointer for each of 4,000 takes some ten times as
-/// long as the hash.
+/// A copy of an identity that lies beside those of other owners, so that looking for a prefix's owners reads memory in one pass
+/// and follows no pointer for each back end.
 #[derive(Debug)]
 struct AdjacentId {
     bytes: [u8; LONGEST_ADJACENT],
--- a/crates/fleet/src/distribution.rs
+++ b/crates/fleet/src/distribution.rs
@@ -14,8 +14,8 @@
 use crate::followers::GOSSIP_INTERVAL;
 use crate::topology::{FOLLOWERS, Member, SMALL_FLEET, rank};
 
-/// Readers of one distributor, about. A distributor with a link of 200 Mbit/s hands some 0.6 MB (10,000 back ends,
-/// compressed) to sixteen readers in 0.4 s.
+/// Readers of one distributor, about. 10,000 back ends take 0.31 MB (31 bytes each, compressed in pages), which a link of 200 Mbit/s
+/// carries to sixteen readers in 0.2 s. Daemons of a zone of 170 knew everything 0.41 s after all had been started (median).
 const READERS_OF_A_DISTRIBUTOR: usize = 16;
 /// Distributors of one zone, at most: the list of them stays far below a kilobyte of the store's answer to each daemon.
 pub const MOST_DISTRIBUTORS: usize = 64;
@@ -60,10 +60,10 @@
         let (roots, others) = distributors.split_at(distributors.len().min(FOLLOWERS));
         let providers = match own_rank {
             Some(rank) if rank < FOLLOWERS => Vec::new(),
-            Some(_) => turned(roots, spread),
+            Some(_) => rotated(roots, spread),
             None => {
-                let mut providers = turned(others, spread);
-                providers.extend(turned(roots, spread));
+                let mut providers = rotated(others, spread);
+                providers.extend(rotated(roots, spread));
                 providers
             }
         };
@@ -79,11 +79,11 @@
     }
 }
 
-/// The same addresses, beginning at a place that `spread` chooses.
-fn turned(addresses: &[SocketAddr], spread: u64) -> Vec<SocketAddr> {
-    let mut turned = addresses.to_vec();
-    let length = u64::try_from(turned.len()).unwrap_or(u64::MAX).max(1);
+/// The same addresses, rotated to begin at a place that `spread` chooses.
+fn rotated(addresses: &[SocketAddr], spread: u64) -> Vec<SocketAddr> {
+    let mut rotated = addresses.to_vec();
+    let length = u64::try_from(rotated.len()).unwrap_or(u64::MAX).max(1);
     let places = usize::try_from(spread % length).unwrap_or_default();
-    turned.rotate_left(places);
-    turned
+    rotated.rotate_left(places);
+    rotated
 }
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -45,7 +45,7 @@
 }
 
 /// A page of what the store holds, compressed (LZ4 behind its length): entries of back ends differ in a few bytes, and take a
-/// fifth of theirs.
+/// sixth (111 kB of 560 made entries became 17 kB).
 #[derive(Debug, BorshSerialize, BorshDeserialize)]
 struct PackedPage(Vec<u8>);
 
