--- a/crates/serve/tests/recovery.rs
+++ b/crates/serve/tests/recovery.rs
@@ -140,17 +140,7 @@
 
 /// How many daemons answer a request with success.
 fn serving(fleet: &mut Fleet) -> usize {
-    let client = fleet.client.clone();
-    let daemons = fleet.daemons.clone();
-    fleet.run(async move {
-        let mut serving = 0;
-        for (number, daemon) in daemons.iter().enumerate() {
-            let request = ClientRequest::plain(&format!("r-{number}"), "fetch");
-            let answer = client.ask(daemon.callers, &request).await;
-            serving += usize::from(answer.is_some_and(|answer| answer.status == StatusCode::OK));
-        }
-        serving
-    })
+    fleet.ask_each_daemon("r")
 }
 
 /// After a loss of all daemons a few of each zone read the store, and the others read from those.
--- a/crates/serve/tests/retry_pool.rs
+++ b/crates/serve/tests/retry_pool.rs
@@ -20,43 +20,27 @@
     fleet
 }
 
-/// One request to each daemon. Returns how many were answered with success.
-fn ask_each_daemon(fleet: &mut Fleet, name: &str) -> usize {
-    let client = fleet.client.clone();
-    let daemons = fleet.daemons.clone();
-    let name = name.to_owned();
-    fleet.run(async move {
-        let mut served = 0;
-        for (number, daemon) in daemons.iter().enumerate() {
-            let request = ClientRequest::plain(&format!("{name}-{number}"), "fetch");
-            let answer = client.ask(daemon.callers, &request).await;
-            served += usize::from(answer.is_some_and(|answer| answer.status == StatusCode::OK));
-        }
-        served
-    })
-}
-
 #[test]
 fn a_daemon_that_has_earned_little_retries_with_what_others_earned() {
     let mut fleet = fleet();
     // Each earns a sixth of a retry.
-    assert_eq!(ask_each_daemon(&mut fleet, "good"), usize::from(DAEMONS));
+    assert_eq!(fleet.ask_each_daemon("good"), usize::from(DAEMONS));
     fleet.wait(Duration::from_millis(1_500));
     fleet.records[0].behave_next(&[Behaviour::Fail, Behaviour::Fail]);
-    assert_eq!(ask_each_daemon(&mut fleet, "bad"), usize::from(DAEMONS));
+    assert_eq!(fleet.ask_each_daemon("bad"), usize::from(DAEMONS));
 }
 
 #[test]
 fn retries_of_all_daemons_stay_within_what_was_earned_while_every_back_end_fails() {
     let mut fleet = fleet();
-    assert_eq!(ask_each_daemon(&mut fleet, "good"), usize::from(DAEMONS));
+    assert_eq!(fleet.ask_each_daemon("good"), usize::from(DAEMONS));
     fleet.wait(Duration::from_millis(1_500));
     for engine in &fleet.records {
         engine.behave_always(Behaviour::Fail);
     }
     let before: usize = fleet.records.iter().map(|engine| engine.runs().len()).sum();
     for round in 0..5 {
-        assert_eq!(ask_each_daemon(&mut fleet, &format!("bad-{round}")), 0);
+        assert_eq!(fleet.ask_each_daemon(&format!("bad-{round}")), 0);
     }
     let after: usize = fleet.records.iter().map(|engine| engine.runs().len()).sum();
     let requests = usize::from(DAEMONS) * 5;
@@ -68,7 +52,7 @@
 #[test]
 fn where_the_keeper_of_the_pool_is_gone_the_caller_gets_the_first_answer() {
     let mut fleet = fleet();
-    assert_eq!(ask_each_daemon(&mut fleet, "good"), usize::from(DAEMONS));
+    assert_eq!(fleet.ask_each_daemon("good"), usize::from(DAEMONS));
     fleet.wait(Duration::from_millis(1_500));
     let handle = fleet.simulation.handle();
     for daemon in &fleet.daemons[1..] {
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -9,10 +9,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use http::StatusCode;
 use ponddrift_core::{RegionName, ZoneName};
 use ponddrift_platform_stand_ins::{
-    ClientStandIn, EngineSettings, EngineStandIn, EngineTraitsText, ProviderStandIn, RouteText,
-    ServiceText, StoreStandIn, config,
+    ClientRequest, ClientStandIn, EngineSettings, EngineStandIn, EngineTraitsText, ProviderStandIn,
+    RouteText, ServiceText, StoreStandIn, config,
 };
 use ponddrift_serve::{Daemon, Settings, settings};
 use ponddrift_simulation::{HostId, HostSpec, Simulation, SimulationHandle, SimulationSettings};
@@ -253,6 +254,22 @@
         self.simulation.block_on(driver)
     }
 
+    /// Sends a safe request to each daemon, `name-0` and on. Returns how many were answered with success.
+    pub fn ask_each_daemon(&mut self, name: &str) -> usize {
+        let client = self.client.clone();
+        let daemons = self.daemons.clone();
+        let name = name.to_owned();
+        self.run(async move {
+            let mut served = 0;
+            for (number, daemon) in daemons.iter().enumerate() {
+                let request = ClientRequest::plain(&format!("{name}-{number}"), "fetch");
+                let answer = client.ask(daemon.callers, &request).await;
+                served += usize::from(answer.is_some_and(|answer| answer.status == StatusCode::OK));
+            }
+            served
+        })
+    }
+
     /// Writes a newer configuration.
     pub fn configure(&self, version: u64, routes: &[RouteText]) {
         self.store.put("op/config", configuration(version, routes));
