Sight: what back ends announce in their answers, and sends that go against it

Cause looked for: requests reach back ends that said in answers that they leave or want rest.

Change: answers are read for Server-Leaving and Retry-After (503), kept by life (`born`), logged once a change (`back_end_announced`) and counted; a send that goes against it is logged with how many others there were (`sent_to_unavailable`). No decision uses any of it yet.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -73,11 +73,18 @@
     }
 }
 
+/// Tells lives of a back end apart that have one identity: the time of the start, in Unix milliseconds. The least is that of a
+/// back end that does not tell it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Incarnation(pub u64);
+
 /// One life of a back end.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BackEnd {
-    /// Identity of this life; another life has another.
+    /// Identity, which may pass to a later life.
     pub id: Arc<str>,
+    /// Which life under this identity.
+    pub incarnation: Incarnation,
     /// Service it belongs to.
     pub service: Arc<str>,
     /// Where it listens.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,7 +1,8 @@
 //! Decisions about a fleet whose configuration and directory lie in a store.
 //!
 //! Pure: everything takes the time as an argument, nothing does I/O. [`configuration`] is what the
-//! operators want, [`directory`] what back ends say of themselves, [`health`] what requests found out,
+//! operators want, [`directory`] what back ends record of themselves, [`announcements`] what they say in answers, [`health`] what
+//! requests found out,
 //! [`placement`] chooses, [`budget`] bounds repeats, [`events`] cuts streams into whole events,
 //! [`stages`] plans which engines read prompts, [`capacity`] how many engines there are, [`tenants`] resolves
 //! whose request it is, [`fingerprint`] recognizes one that comes again, [`quarantine`] decides which is run no
@@ -9,6 +10,7 @@
 //! agrees on the time of day, [`topology`] decides which daemons talk to each other, [`distribution`] along which of them the
 //! state of the store spreads.
 
+pub mod announcements;
 pub mod budget;
 pub mod capacity;
 pub mod configuration;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -19,6 +19,7 @@
 
 use rand::Rng;
 
+use crate::announcements::Announcements;
 use crate::configuration::{EngineTraits, Stage};
 use crate::directory::{BackEnd, ReadyCounts};
 use crate::health::Health;
@@ -175,6 +176,8 @@
     pub load: LoadTable,
     /// Failures.
     pub health: Health,
+    /// What back ends announced in their answers.
+    pub announcements: Announcements,
     /// Rates learned from answers.
     pub speed: SpeedTable,
     /// How long streams run.
@@ -212,6 +215,7 @@
             zone,
             load: LoadTable::default(),
             health: Health::default(),
+            announcements: Announcements::default(),
             speed: SpeedTable::default(),
             streams: StreamTimes::default(),
             confidence: Confidence::default(),
--- a/crates/fleet/tests/candidates.rs
+++ b/crates/fleet/tests/candidates.rs
@@ -9,7 +9,7 @@
 use ponddrift_fleet::capacity::Contract;
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::{
-    BackEnd, CANDIDATES, CandidateQuery, Candidates, Directory, Lifecycle,
+    BackEnd, CANDIDATES, CandidateQuery, Candidates, Directory, Incarnation, Lifecycle,
 };
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
@@ -23,6 +23,7 @@
     };
     BackEnd {
         id: Arc::from(format!("i-{number:06x}")),
+        incarnation: Incarnation::default(),
         service: Arc::from(SERVICE),
         address: SocketAddr::from(([10, 0, 0, 1], 8080)),
         zone: Arc::from(ZONES[number % ZONES.len()]),
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -6,13 +6,16 @@
 
 use ponddrift_fleet::budget::{BudgetSettings, RetryBudget};
 use ponddrift_fleet::capacity::Contract;
-use ponddrift_fleet::directory::{BackEnd, ColdStart, DOUBT_GRACE, Directory, Lifecycle};
+use ponddrift_fleet::directory::{
+    BackEnd, ColdStart, DOUBT_GRACE, Directory, Incarnation, Lifecycle,
+};
 use ponddrift_fleet::events::{EventError, EventSplitter, MAXIMUM_EVENT_BYTES};
 use ponddrift_fleet::health::{FIRST_EJECTION, Health, LONGEST_EJECTION, Outcome};
 
 fn back_end(id: &str, lifecycle: Lifecycle) -> BackEnd {
     BackEnd {
         id: Arc::from(id),
+        incarnation: Incarnation::default(),
         service: Arc::from("s"),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         zone: Arc::from("a"),
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -5,7 +5,7 @@
 
 use ponddrift_fleet::capacity::Contract;
 use ponddrift_fleet::configuration::Stage;
-use ponddrift_fleet::directory::{BackEnd, Lifecycle};
+use ponddrift_fleet::directory::{BackEnd, Incarnation, Lifecycle};
 
 /// Engines `i-1` and on, those that read prompts first.
 pub fn engines(prefill: u8, decode: u8) -> Vec<Arc<BackEnd>> {
@@ -20,6 +20,7 @@
 fn engine(number: u8, stage: Stage) -> Arc<BackEnd> {
     Arc::new(BackEnd {
         id: Arc::from(format!("i-{number}")),
+        incarnation: Incarnation::default(),
         service: Arc::from("models"),
         address: SocketAddr::from(([10, 0, 0, number], 8080)),
         zone: Arc::from("a"),
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, header, response};
+use http::{HeaderMap, Method, Request, StatusCode, header, response};
+use ponddrift_fleet::announcements::Announcement;
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::prompt::Prompt;
 use ponddrift_fleet::tenants::Credential;
@@ -159,6 +160,8 @@
     fn write_send(&self, headers: &mut HeaderMap, facts: &SendFacts<'_>);
     /// Reads the head of a back end's answer to request `id`.
     fn read_answer(&self, head: &response::Parts, id: &str) -> AnswerFacts;
+    /// Reads what any answer of a back end says of the back end itself.
+    fn read_announcement(&self, status: StatusCode, headers: &HeaderMap) -> Announcement;
     /// Reads the body of a prefill engine's answer.
     fn read_prefill(&self, body: &[u8]) -> Option<PrefillResult>;
     /// The call that frees a handle.
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -53,6 +53,12 @@
     stage: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AnnouncementLabels {
+    kind: &'static str,
+    source: &'static str,
+}
+
 /// Values that are looked up now and then.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct GaugeValues {
@@ -76,6 +82,10 @@
     pub back_ends: usize,
     /// Back ends that are ejected.
     pub ejected: usize,
+    /// Back ends that asked for rest.
+    pub resting: usize,
+    /// Back ends that said in an answer that they leave.
+    pub leaving: usize,
     /// Back ends whose entries held no usable time of their slow start.
     pub unusable_cold_times: u64,
     /// Requests that are remembered since engines ended under them.
@@ -104,6 +114,8 @@
     daemons: Gauge,
     back_ends: Gauge,
     ejected: Gauge,
+    resting: Gauge,
+    leaving: Gauge,
     unusable_cold_times: Gauge,
     suspects: Gauge,
     quarantined: Gauge,
@@ -129,6 +141,7 @@
     fetches: Counter,
     resumed: Counter,
     ejections: Counter,
+    announcements: Family<AnnouncementLabels, Counter>,
     runs_lost: Counter,
     quarantined: Counter,
     latency: Histogram,
@@ -178,6 +191,11 @@
             fetches: made(r, "head_fetches", "Prompts whose head was to be fetched"),
             resumed: made(r, "streams_resumed", "Streams that went on elsewhere"),
             ejections: made(r, "ejections", "Back ends found unwell"),
+            announcements: made(
+                r,
+                "announcements",
+                "What back ends announced of themselves in answers, by kind and source",
+            ),
             runs_lost: made(
                 r,
                 "runs_lost_with_engine",
@@ -237,6 +255,12 @@
                 "back_ends_ejected",
                 "Back ends found unwell that get nothing",
             ),
+            resting: made(r, "back_ends_resting", "Back ends that asked for rest"),
+            leaving: made(
+                r,
+                "back_ends_leaving",
+                "Back ends that said in an answer that they leave",
+            ),
             unusable_cold_times: made(
                 r,
                 "unusable_cold_times",
@@ -332,6 +356,12 @@
         self.ejections.inc();
     }
 
+    /// A back end announced something of itself with an answer of this kind.
+    pub(crate) fn announcement(&self, kind: &'static str, source: &'static str) {
+        let labels = AnnouncementLabels { kind, source };
+        self.announcements.get_or_create(&labels).inc();
+    }
+
     pub(crate) fn quarantined(&self) {
         self.quarantined.inc();
     }
@@ -375,6 +405,8 @@
         gauges.daemons.set(signed(values.daemons));
         gauges.back_ends.set(signed(values.back_ends));
         gauges.ejected.set(signed(values.ejected));
+        gauges.resting.set(signed(values.resting));
+        gauges.leaving.set(signed(values.leaving));
         gauges.suspects.set(signed(values.suspects));
         gauges.quarantined.set(signed(values.quarantined));
         gauges
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -3,6 +3,7 @@
 //! Dropping the future of a request (its caller went away) drops whatever it holds: the connection to the back
 //! end closes, which ends the work there, and handles are freed.
 
+mod announcements;
 mod answers;
 mod attempt;
 mod budgeting;
@@ -238,6 +239,9 @@
         placement.health.keep_only(|id| present.contains(id));
         placement.speed.keep_only(|id| present.contains(id));
         placement.prefixes.keep_only(|id| present.contains(id));
+        placement
+            .announcements
+            .forget_gone(|id| present.contains(id), now());
         drop(placement);
         self.engine_ends.keep_only(|id| present.contains(id));
         self.state.forget_old(now());
@@ -262,6 +266,7 @@
         )]
         let engine_requests = requests.sum::<f64>() as u64;
         let ejected = placement.health.ejected().len();
+        let announced = placement.announcements.counts(now());
         drop(placement);
         let suspects = self.state.quarantine().counts(now());
         GaugeValues {
@@ -283,6 +288,8 @@
             daemons: self.daemons.load(Ordering::Relaxed),
             back_ends: back_ends.len(),
             ejected,
+            resting: announced.resting,
+            leaving: announced.leaving,
             unusable_cold_times: self.state.unusable_cold_times(),
             suspects: suspects.remembered,
             quarantined: suspects.quarantined,
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -106,6 +106,7 @@
         let Some(request) = self.build(job, &facts) else {
             return HeadEnd::NotSent("request_not_writable");
         };
+        self.tell_of_unavailable(job, back_end, order.step);
         let most = self.connection_share(job.service.maximum_connections);
         let begun = now();
         self.placement().link.sends(job.body.len(), begun);
@@ -131,7 +132,7 @@
                 Judged::new(HeadEnd::Unsure(wait_end.name()), wait_end.outcome())
             }
             Ok(Err(error)) => judge_error(&error),
-            Ok(Ok(reply)) => self.judge(job, order.step, reply),
+            Ok(Ok(reply)) => self.judge(job, back_end, order.step, reply),
         };
         if let HeadEnd::NotRun(_) = &judged.end {
             self.leave_alone(back_end, judged.status);
@@ -188,10 +189,21 @@
         }
     }
 
-    fn judge(&self, job: &Job, step: SendStep<'_>, reply: Reply) -> Judged {
+    fn judge(
+        &self,
+        job: &Job,
+        back_end: &Arc<BackEnd>,
+        step: SendStep<'_>,
+        reply: Reply,
+    ) -> Judged {
         let (head, body) = reply.response.into_parts();
         let facts = self.dialect.read_answer(&head, &job.id);
         let status = Some(head.status.as_u16());
+        // Another back end that took over the address says so with this status, and speaks for itself.
+        let is_another = head.status == StatusCode::MISDIRECTED_REQUEST;
+        if facts.belongs && !is_another {
+            self.note_announcement(back_end, head.status, &head.headers, purpose(step));
+        }
         let is_for_caller = !matches!(step, SendStep::Prefill);
         let is_success = head.status.is_success();
         let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
