Back ends that say in answers that they leave or want rest get nothing new

Cause: an answer was read for what it says of the request only. Class: a source that knows best is not read, and a preference stands where an exclusion is meant.

Change: what answers announce closes the back end to requests, by life: leaving for good, rest until its latest end. It holds where no other is left (before, all counted again then). Every send asks right before it leaves (`why_closed`), the directory's word with it: a prompt that took seconds to read went to the decode engine chosen before. Callers whose back ends all rest are refused at once and told when the first takes requests again. Nothing is fetched from an engine that is closed.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -122,6 +122,13 @@
     doubted: Option<Arc<BackEnd>>,
 }
 
+impl Vanished {
+    /// Whether the back end may only have lost its entry.
+    fn is_doubted(&self, now: Instant) -> bool {
+        self.doubted.is_some() && now.saturating_duration_since(self.since) < DOUBT_GRACE
+    }
+}
+
 /// All back ends that the store knows or has lately known.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -132,6 +139,17 @@
     last_doubt: Option<Instant>,
 }
 
+/// How well a back end can be chosen for a request; the best first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Usability {
+    /// Nothing speaks against it.
+    Well,
+    /// Where no other is left: it failed lately, or is about to change.
+    AtNeed,
+    /// Not at all: it leaves, or wants no requests for now.
+    Closed,
+}
+
 /// What a choice among the back ends of a service depends on.
 pub struct CandidateQuery<'a> {
     /// The service.
@@ -142,8 +160,8 @@
     pub prefix: Option<u64>,
     /// Back ends that are believed to hold it.
     pub holders: &'a [Arc<str>],
-    /// Whether a back end can be chosen, as far as this daemon knows.
-    pub is_usable: &'a dyn Fn(&BackEnd) -> bool,
+    /// How well a back end can be chosen, as far as this daemon knows.
+    pub usability: &'a dyn Fn(&BackEnd) -> Usability,
 }
 
 /// The back ends among which one request's are chosen.
@@ -251,7 +269,7 @@
         };
         let first_zone = query.zone.unwrap_or(&self.vantage.zone);
         let zones = set.zones(first_zone, &self.vantage);
-        let mut back_ends = set.preferred(&zones, query.is_usable);
+        let mut back_ends = set.preferred(&zones, query.usability);
         let owners = query.prefix.map(|prefix| set.owners(prefix, query.zone));
         let holders = self.ready_among(query.service, query.holders);
         for other in owners.unwrap_or_default().into_iter().chain(holders) {
@@ -276,6 +294,16 @@
             .collect()
     }
 
+    /// Whether the back end may get a new request, as far as its entry tells: it is ready, or vanished in doubt.
+    #[must_use]
+    pub fn takes_requests(&self, id: &str, now: Instant) -> bool {
+        match self.entries.get(id).map(|entry| &entry.presence) {
+            Some(Presence::Present(back_end)) => back_end.lifecycle == Lifecycle::Ready,
+            Some(Presence::Vanished(vanished)) => vanished.is_doubted(now),
+            None => false,
+        }
+    }
+
     fn is_doubted(&self, now: Instant) -> bool {
         self.last_doubt
             .is_some_and(|last| now.saturating_duration_since(last) < DOUBT_GRACE)
@@ -285,9 +313,7 @@
         self.entries
             .values()
             .filter_map(|entry| match &entry.presence {
-                Presence::Vanished(vanished)
-                    if now.saturating_duration_since(vanished.since) < DOUBT_GRACE =>
-                {
+                Presence::Vanished(vanished) if vanished.is_doubted(now) => {
                     vanished.doubted.clone()
                 }
                 _ => None,
--- a/crates/fleet/src/directory/ready_sets.rs
+++ b/crates/fleet/src/directory/ready_sets.rs
@@ -11,7 +11,7 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::BackEnd;
+use super::{BackEnd, Usability};
 use crate::configuration::Stage;
 
 /// Back ends of each stage that one daemon chooses among: far more than the requests that it has in progress. Choosing for a long
@@ -79,15 +79,15 @@
         }
     }
 
-    /// Those that this daemon prefers, the zones in this order, as far as they are usable; of a stage without any, those that it
-    /// prefers all the same.
+    /// Those that this daemon prefers, the zones in this order, as far as nothing speaks against them; of a stage without any,
+    /// the best of the others.
     pub(super) fn preferred(
         &self,
         zones: &[&str],
-        is_usable: &dyn Fn(&BackEnd) -> bool,
+        usability: &dyn Fn(&BackEnd) -> Usability,
     ) -> Vec<Arc<BackEnd>> {
-        let mut preferred = self.prefill.preferred(zones, is_usable);
-        preferred.extend(self.others.preferred(zones, is_usable));
+        let mut preferred = self.prefill.preferred(zones, usability);
+        preferred.extend(self.others.preferred(zones, usability));
         preferred
     }
 
@@ -223,20 +223,29 @@
             .sum()
     }
 
-    fn preferred(&self, zones: &[&str], is_usable: &dyn Fn(&BackEnd) -> bool) -> Vec<Arc<BackEnd>> {
+    fn preferred(
+        &self,
+        zones: &[&str],
+        usability: &dyn Fn(&BackEnd) -> Usability,
+    ) -> Vec<Arc<BackEnd>> {
         let of_zones = zones.iter().filter_map(|zone| self.by_zone.get(*zone));
         let in_order = of_zones.flat_map(|of_zone| of_zone.by_preference.values());
-        let usable: Vec<Arc<BackEnd>> = in_order
-            .clone()
-            .filter(|back_end| is_usable(back_end))
-            .take(CANDIDATES)
-            .cloned()
-            .collect();
-        if usable.is_empty() {
-            in_order.take(CANDIDATES).cloned().collect()
-        } else {
-            usable
+        let mut best = Usability::Closed;
+        let mut preferred = Vec::new();
+        for back_end in in_order {
+            let found = usability(back_end);
+            if found < best {
+                best = found;
+                preferred.clear();
+            }
+            if found == best && preferred.len() < CANDIDATES {
+                preferred.push(Arc::clone(back_end));
+            }
+            if best == Usability::Well && preferred.len() == CANDIDATES {
+                break;
+            }
         }
+        preferred
     }
 
     /// The owners of all zones, in no order.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -367,11 +367,16 @@
         ready
             .iter()
             .filter(|engine| self.prefixes.state(&engine.id, head, now) == Some(HeadState::Kept))
-            .filter(|engine| !self.health.is_ejected(&engine.id))
+            .filter(|engine| self.may_hand_on(engine, now))
             .cloned()
             .collect()
     }
 
+    /// Whether another engine may fetch what this one keeps.
+    fn may_hand_on(&self, engine: &BackEnd, now: Instant) -> bool {
+        !self.health.is_ejected(&engine.id) && !self.is_closed(engine, now)
+    }
+
     /// Whether the prompt's head is being read for another request, and kept nowhere yet: an engine that reads two
     /// prompts with one head at a time reads it twice.
     #[must_use]
@@ -381,7 +386,7 @@
         };
         let states = ready
             .iter()
-            .filter(|engine| !self.health.is_ejected(&engine.id))
+            .filter(|engine| self.may_hand_on(engine, now))
             .filter_map(|engine| self.prefixes.state(&engine.id, head, now));
         let mut is_coming = false;
         for state in states {
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -6,7 +6,8 @@
 use rand::{Rng, RngExt};
 
 use super::{Placement, Urgency};
-use crate::directory::BackEnd;
+use crate::announcements::Availability;
+use crate::directory::{BackEnd, Usability};
 
 /// Cost of a way into another zone, in milliseconds.
 const OTHER_ZONE_MS: f64 = 2.0;
@@ -38,7 +39,7 @@
 }
 
 impl Placement {
-    /// Those that fit, were not tried, and are neither ejected nor away; where none is left, they all count.
+    /// Those that fit and were not tried, as far as nothing speaks against them; where none is left, those to be used at need.
     pub(super) fn usable(
         &self,
         ready: &[Arc<BackEnd>],
@@ -46,26 +47,56 @@
         now: Instant,
         fits: impl Fn(&BackEnd) -> bool,
     ) -> Vec<Arc<BackEnd>> {
-        let fitting: Vec<Arc<BackEnd>> = ready
+        let fitting: Vec<(Usability, &Arc<BackEnd>)> = ready
             .iter()
             .filter(|back_end| fits(back_end) && !tried.contains(&back_end.id))
-            .cloned()
+            .map(|back_end| (self.usability(back_end, now), back_end))
+            .filter(|(usability, _back_end)| *usability != Usability::Closed)
             .collect();
-        let well: Vec<Arc<BackEnd>> = fitting
+        let best = fitting
             .iter()
-            .filter(|back_end| self.is_well(back_end, now))
-            .cloned()
-            .collect();
-        if well.is_empty() { fitting } else { well }
+            .map(|(usability, _back_end)| *usability)
+            .min();
+        fitting
+            .into_iter()
+            .filter(|(usability, _back_end)| Some(*usability) == best)
+            .map(|(_usability, back_end)| Arc::clone(back_end))
+            .collect()
     }
 
-    /// Whether a request may go to the back end as long as there are others: it is neither ejected nor away, and a trial of it
-    /// has not begun.
+    /// How well a request can go to the back end.
     #[must_use]
-    pub fn is_well(&self, back_end: &BackEnd, now: Instant) -> bool {
-        !self.health.is_ejected(&back_end.id)
+    pub fn usability(&self, back_end: &BackEnd, now: Instant) -> Usability {
+        if self.is_closed(back_end, now) {
+            return Usability::Closed;
+        }
+        let is_well = !self.health.is_ejected(&back_end.id)
             && !self.is_away(back_end, now)
-            && !self.is_being_tried(&back_end.id)
+            && !self.is_being_tried(&back_end.id);
+        if is_well {
+            Usability::Well
+        } else {
+            Usability::AtNeed
+        }
+    }
+
+    /// Whether the back end said that it leaves, or wants no requests for now. It holds also where no other back end is left:
+    /// one that leaves may end under the request, and one that rests refuses it, which costs the caller a try.
+    #[must_use]
+    pub fn is_closed(&self, back_end: &BackEnd, now: Instant) -> bool {
+        self.announcements.availability(back_end, now) != Availability::Open
+    }
+
+    /// When the first of these back ends takes requests again that rest now.
+    #[must_use]
+    pub fn first_rest_end(&self, back_ends: &[Arc<BackEnd>], now: Instant) -> Option<Instant> {
+        let ends = back_ends.iter().filter_map(|back_end| {
+            match self.announcements.availability(back_end, now) {
+                Availability::Resting { until } => Some(until),
+                Availability::Open | Availability::Leaving => None,
+            }
+        });
+        ends.min()
     }
 
     /// A back end on trial has one of this daemon's requests already.
--- /dev/null
+++ b/crates/fleet/tests/announcements.rs
@@ -0,0 +1,174 @@
+//! What back ends announce in their answers: leaving, rest, lives.
+
+mod support;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ponddrift_fleet::announcements::{
+    Announcement, Announcements, Availability, LONGEST_REST, Rest,
+};
+use ponddrift_fleet::directory::{BackEnd, Incarnation, TOMBSTONE_LIFE};
+use support::engines;
+
+const LEAVES: Announcement = Announcement {
+    leaves: true,
+    rest: Rest::Unasked,
+};
+
+fn rest(seconds: u64) -> Announcement {
+    Announcement {
+        leaves: false,
+        rest: Rest::For(Duration::from_secs(seconds)),
+    }
+}
+
+fn life(born: u64) -> BackEnd {
+    BackEnd {
+        incarnation: Incarnation(born),
+        ..BackEnd::clone(&engines(0, 1)[0])
+    }
+}
+
+fn after(seconds: u64, start: Instant) -> Instant {
+    start + Duration::from_secs(seconds)
+}
+
+#[test]
+fn leaving_is_final_for_a_life_and_ends_with_it() {
+    let start = Instant::now();
+    let mut announcements = Announcements::default();
+    let news = announcements.note(&life(5), LEAVES, start);
+    assert_eq!(news, Some(Availability::Leaving));
+    assert_eq!(
+        announcements.note(&life(5), LEAVES, start),
+        None,
+        "said before"
+    );
+    announcements.note(&life(5), rest(1), start);
+    let later = after(3_600, start);
+    assert_eq!(
+        announcements.availability(&life(5), later),
+        Availability::Leaving
+    );
+    assert_eq!(
+        announcements.availability(&life(6), later),
+        Availability::Open
+    );
+    announcements.note(&life(6), rest(1), later);
+    assert_eq!(
+        announcements.note(&life(5), LEAVES, later),
+        None,
+        "an older life"
+    );
+    let resting = announcements.availability(&life(6), later);
+    assert_eq!(
+        resting,
+        Availability::Resting {
+            until: after(1, later)
+        }
+    );
+}
+
+#[test]
+fn of_several_rests_the_latest_end_holds() {
+    let start = Instant::now();
+    let mut announcements = Announcements::default();
+    let news = announcements.note(&life(0), rest(5), start);
+    let until = after(5, start);
+    assert_eq!(news, Some(Availability::Resting { until }));
+    assert_eq!(announcements.note(&life(0), rest(1), start), None);
+    let resting = announcements.availability(&life(0), after(4, start));
+    assert_eq!(resting, Availability::Resting { until });
+    assert_eq!(
+        announcements.availability(&life(0), until),
+        Availability::Open
+    );
+}
+
+#[test]
+fn the_order_of_answers_does_not_matter() {
+    let start = Instant::now();
+    let words = [(5, LEAVES), (6, rest(2)), (6, rest(9)), (4, LEAVES)];
+    for first in 0..words.len() {
+        for second in 0..words.len() {
+            let mut announcements = Announcements::default();
+            let mut order: Vec<usize> = (0..words.len()).collect();
+            order.swap(first, second);
+            for index in order {
+                let (born, announcement) = words[index];
+                announcements.note(&life(born), announcement, start);
+            }
+            let resting = announcements.availability(&life(6), start);
+            assert_eq!(
+                resting,
+                Availability::Resting {
+                    until: after(9, start)
+                }
+            );
+        }
+    }
+}
+
+#[test]
+fn a_rest_beyond_all_measure_is_bounded() {
+    let start = Instant::now();
+    let mut announcements = Announcements::default();
+    let forever = Announcement {
+        leaves: false,
+        rest: Rest::For(Duration::MAX),
+    };
+    announcements.note(&life(0), forever, start);
+    let over = start + LONGEST_REST;
+    assert_eq!(
+        announcements.availability(&life(0), over),
+        Availability::Open
+    );
+}
+
+#[test]
+fn what_is_no_time_says_nothing() {
+    let start = Instant::now();
+    let mut announcements = Announcements::default();
+    let unreadable = Announcement {
+        leaves: false,
+        rest: Rest::Unreadable,
+    };
+    assert_eq!(announcements.note(&life(0), unreadable, start), None);
+    assert_eq!(
+        announcements.availability(&life(0), start),
+        Availability::Open
+    );
+}
+
+/// While the store is away entries lapse though their back ends are well, and come back as they were before.
+#[test]
+fn what_was_said_outlives_an_entry_that_lapsed() {
+    let start = Instant::now();
+    let mut announcements = Announcements::default();
+    announcements.note(&life(0), LEAVES, start);
+    announcements.forget_gone(|_id| false, after(1, start));
+    assert_eq!(
+        announcements.availability(&life(0), start),
+        Availability::Leaving
+    );
+    announcements.forget_gone(|_id| true, start + TOMBSTONE_LIFE);
+    assert_eq!(announcements.counts(start).leaving, 1);
+    announcements.forget_gone(|_id| false, start + TOMBSTONE_LIFE);
+    assert_eq!(announcements.counts(start).leaving, 0);
+}
+
+#[test]
+fn those_that_rest_and_leave_are_counted_apart() {
+    let start = Instant::now();
+    let mut announcements = Announcements::default();
+    announcements.note(&life(0), rest(2), start);
+    let other = BackEnd {
+        id: Arc::from("other"),
+        ..life(0)
+    };
+    announcements.note(&other, LEAVES, start);
+    let counts = announcements.counts(start);
+    assert_eq!((counts.resting, counts.leaving), (1, 1));
+    assert_eq!(announcements.counts(after(2, start)).resting, 0);
+}
--- a/crates/fleet/tests/candidates.rs
+++ b/crates/fleet/tests/candidates.rs
@@ -9,7 +9,7 @@
 use ponddrift_fleet::capacity::Contract;
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::{
-    BackEnd, CANDIDATES, CandidateQuery, Candidates, Directory, Incarnation, Lifecycle,
+    BackEnd, CANDIDATES, CandidateQuery, Candidates, Directory, Incarnation, Lifecycle, Usability,
 };
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
@@ -49,11 +49,19 @@
         zone: None,
         prefix,
         holders,
-        is_usable: &|_back_end| true,
+        usability: &|_back_end| Usability::Well,
     };
     directory.candidates(&query, Instant::now())
 }
 
+fn well_if(is_well: bool) -> Usability {
+    if is_well {
+        Usability::Well
+    } else {
+        Usability::AtNeed
+    }
+}
+
 fn ids(candidates: &Candidates) -> HashSet<Arc<str>> {
     let engines = candidates.back_ends.iter();
     engines.map(|engine| Arc::clone(&engine.id)).collect()
@@ -69,9 +77,9 @@
             zone: None,
             prefix: Some(3),
             holders: &[],
-            is_usable: &|_back_end| {
+            usability: &|_back_end| {
                 looked_at.set(looked_at.get() + 1);
-                true
+                Usability::Well
             },
         };
         let candidates = directory.candidates(&query, Instant::now());
@@ -109,7 +117,7 @@
         zone: Some("c"),
         prefix: None,
         holders: &[],
-        is_usable: &|_back_end| true,
+        usability: &|_back_end| Usability::Well,
     };
     let candidates = directory.candidates(&query, Instant::now());
     let mut back_ends = candidates.back_ends.iter();
@@ -124,7 +132,7 @@
         zone: None,
         prefix: None,
         holders: &[],
-        is_usable: &|back_end| &*back_end.zone != "b",
+        usability: &|back_end| well_if(&*back_end.zone != "b"),
     };
     let candidates = directory.candidates(&query, Instant::now());
     assert_eq!(candidates.back_ends.len(), 2 * CANDIDATES);
@@ -144,7 +152,7 @@
         zone: None,
         prefix: None,
         holders: &[],
-        is_usable: &|_back_end| false,
+        usability: &|_back_end| Usability::AtNeed,
     };
     let candidates = directory.candidates(&query, Instant::now());
     assert_eq!(candidates.back_ends.len(), 2 * CANDIDATES);
@@ -244,7 +252,7 @@
         zone: None,
         prefix: None,
         holders: &[],
-        is_usable: &|_back_end| true,
+        usability: &|_back_end| Usability::Well,
     };
     assert_eq!(directory.candidates(&query, now).back_ends.len(), 1_000);
     let later = now + Duration::from_secs(10);
--- a/crates/serve/tests/announcements.rs
+++ b/crates/serve/tests/announcements.rs
@@ -130,6 +130,50 @@
     }
 }
 
+#[test]
+fn an_engine_that_leaves_while_prompts_are_read_generates_no_more() {
+    for leaver_reads in [true, false] {
+        let mut fleet = Fleet::new(Size {
+            prefill: 2,
+            ..Size::default()
+        });
+        fleet.store.set_mode(StoreMode::Busy);
+        let leaver = if leaver_reads {
+            fleet.prefill[0].clone()
+        } else {
+            fleet.decode[0].clone()
+        };
+        leaver.say_leaving();
+        let pause = Duration::from_millis(20);
+        ask_often(&mut fleet, 0, 20, pause, prompts("first", "tag"));
+        assert!(!leaver.arrivals().is_empty(), "it was asked once");
+        fleet.wait(HEARD);
+        let since = virtual_now(&mut fleet);
+        let answers = ask_often(&mut fleet, 0, 40, pause, prompts("later", "tag"));
+        assert!(all_served(&answers), "another serves");
+        assert_eq!(arrivals_since(&leaver, since), [], "reads: {leaver_reads}");
+    }
+}
+
+#[test]
+fn a_back_end_that_asks_for_rest_gets_nothing_from_that_daemon_until_its_end() {
+    let mut fleet = Fleet::new(Size {
+        records: 4,
+        ..Size::default()
+    });
+    earn_retries(&mut fleet, plain("earn", "fetch"));
+    for engine in &fleet.records[..2] {
+        turn_away(engine);
+    }
+    let pause = Duration::from_millis(30);
+    let answers = ask_often(&mut fleet, 0, 150, pause, plain("ask", "fetch"));
+    for engine in &fleet.records[..2] {
+        assert!(!engine.arrivals().is_empty(), "it was asked once");
+        assert_eq!(arrivals_during_rest(engine, REST), 0);
+    }
+    assert!(all_served(&answers), "two others serve");
+}
+
 #[test]
 fn engines_that_ask_for_rest_get_nothing_whatever_they_do() {
     let mut fleet = Fleet::new(Size {
@@ -200,3 +244,47 @@
         );
     }
 }
+
+/// A new life under the same identity has said nothing yet. An entry that is written anew in the same life ends nothing: the back
+/// end may have written it before it said that it leaves.
+#[test]
+fn a_back_end_that_starts_again_under_its_identity_takes_requests() {
+    let mut fleet = Fleet::new(Size::default());
+    let leaver = fleet.records[0].clone();
+    leaver.start_again(1_000);
+    leaver.record(&fleet.store, "ready");
+    leaver.say_leaving();
+    let pause = Duration::from_millis(20);
+    ask_often(&mut fleet, 0, 20, pause, plain("first", "post"));
+    let since = virtual_now(&mut fleet);
+    ask_often(&mut fleet, 0, 20, pause, plain("leaving", "post"));
+    assert_eq!(arrivals_since(&leaver, since), [], "it leaves");
+    // Its entry is written anew in the same life: it leaves all the same.
+    leaver.record(&fleet.store, "ready");
+    fleet.wait(Duration::from_millis(50));
+    ask_often(&mut fleet, 0, 20, pause, plain("written", "post"));
+    assert_eq!(arrivals_since(&leaver, since), [], "it still leaves");
+    leaver.start_again(2_000);
+    leaver.record(&fleet.store, "ready");
+    fleet.records[1].vanish(&fleet.store);
+    fleet.wait(Duration::from_millis(50));
+    let answers = ask_often(&mut fleet, 0, 20, pause, plain("again", "post"));
+    assert!(all_served(&answers), "it is back, and the only one");
+}
+
+#[test]
+fn what_is_no_time_of_rest_is_passed_over() {
+    let mut fleet = Fleet::new(Size {
+        prefill: 0,
+        ..Size::default()
+    });
+    earn_retries(&mut fleet, prompts("earn", "tag"));
+    let odd = fleet.decode[0].clone();
+    odd.behave_always(Behaviour::Refuse);
+    odd.ask_for_rest(&["Wed, 21 Oct 2026 07:28:00 GMT", "soon", "-4", "NaN"]);
+    let since = virtual_now(&mut fleet);
+    let pause = Duration::from_millis(50);
+    ask_often(&mut fleet, 0, 40, pause, prompts("ask", "tag"));
+    let asked = arrivals_since(&odd, since).len();
+    assert!(asked > 2, "it gave no time: it is asked again soon");
+}
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -150,6 +150,12 @@
             .is_some_and(|back_end| back_end.lifecycle == Lifecycle::Ready)
     }
 
+    /// Whether the back end may get a new request, as far as its entry tells.
+    #[must_use]
+    pub fn takes_requests(&self, id: &str, now: Instant) -> bool {
+        self.lock().directory.takes_requests(id, now)
+    }
+
     /// Every back end that has an entry.
     #[must_use]
     pub fn back_ends(&self) -> Vec<Arc<BackEnd>> {
--- a/crates/serving/src/pipeline/announcements.rs
+++ b/crates/serving/src/pipeline/announcements.rs
@@ -4,12 +4,12 @@
 
 use http::{HeaderMap, StatusCode};
 use ponddrift_fleet::announcements::{Availability, Rest};
+use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
 
 use super::Pipeline;
-use super::attempt::purpose;
+use super::answers::Failure;
 use super::job::Job;
-use crate::dialect::SendStep;
 use crate::request_trace::milliseconds;
 use crate::time::now;
 
@@ -55,35 +55,36 @@
         );
     }
 
-    /// Logs a send to a back end that has announced that it takes nothing, with how many others the request could go to.
-    pub(super) fn tell_of_unavailable(
-        &self,
-        job: &Job,
-        back_end: &Arc<BackEnd>,
-        step: SendStep<'_>,
-    ) {
+    /// Why a request must not be sent to the back end now; none where it may. Asked right before every send, since a request
+    /// may have waited for a prompt to be read or for a retry since its back end was chosen.
+    pub(super) fn why_closed(&self, back_end: &BackEnd) -> Option<&'static str> {
+        if !self.state.takes_requests(&back_end.id, now()) {
+            return Some("back_end_drains_or_is_gone");
+        }
         let availability = self.placement().announcements.availability(back_end, now());
-        if availability == Availability::Open {
-            return;
+        match availability {
+            Availability::Open => None,
+            Availability::Resting { .. } => Some("back_end_rests"),
+            Availability::Leaving => Some("back_end_leaves"),
+        }
+    }
+
+    /// What a caller is told whose request nothing can be chosen for. `failure` is what came of it before: where it may have
+    /// run, that stands.
+    pub(super) fn nothing_to_choose(&self, job: &Job, failure: Failure) -> Failure {
+        if !matches!(failure, Failure::NotRun(_)) {
+            return failure;
         }
         let candidates = self.candidates(job).back_ends;
-        let placement = self.placement();
-        let others = candidates
-            .iter()
-            .filter(|other| other.stage == back_end.stage && placement.is_well(other, now()))
-            .filter(|other| {
-                placement.announcements.availability(other, now()) == Availability::Open
-            })
-            .count();
-        drop(placement);
-        tracing::warn!(
-            request = &*job.id,
-            back_end = &*back_end.id,
-            purpose = purpose(step),
-            availability = availability.as_str(),
-            others,
-            directory_ready = self.state.is_ready(&back_end.id),
-            "sent_to_unavailable"
-        );
+        let generating = candidates
+            .into_iter()
+            .filter(|back_end| back_end.stage != Some(Stage::Prefill));
+        let now = now();
+        let first_end = self
+            .placement()
+            .first_rest_end(&generating.collect::<Vec<_>>(), now);
+        first_end.map_or(failure, |until| Failure::Resting {
+            left: until.saturating_duration_since(now),
+        })
     }
 }
--- a/crates/serving/src/pipeline/answers.rs
+++ b/crates/serving/src/pipeline/answers.rs
@@ -38,6 +38,11 @@
         /// Until then.
         left: Duration,
     },
+    /// It did not run: all back ends that could run it want no requests for a while, the first of them for `left`.
+    Resting {
+        /// Until then.
+        left: Duration,
+    },
     /// It certainly did not run.
     NotRun(&'static str),
     /// It may have run.
@@ -49,9 +54,11 @@
 impl Failure {
     pub(super) const fn status(self) -> StatusCode {
         match self {
-            Self::NotReady | Self::Stopping | Self::NotRun(_) | Self::Quarantined { .. } => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::Stopping
+            | Self::NotRun(_)
+            | Self::Resting { .. }
+            | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthenticated => StatusCode::UNAUTHORIZED,
             Self::BadRequest => StatusCode::BAD_REQUEST,
@@ -76,6 +83,9 @@
             Self::Quarantined { .. } => {
                 "engines ended while they ran this request: it is not run for now, change it or ask the operators"
             }
+            Self::Resting { .. } => {
+                "all back ends want no requests for a while: come back when the first takes them again"
+            }
             Self::NotRun(reason) | Self::Unsure(reason) | Self::TimeOver(reason) => reason,
         }
     }
@@ -116,6 +126,8 @@
             Failure::NotReady | Failure::Stopping | Failure::NotRun(_) => {
                 Some(self.return_pause(time_left))
             }
+            // An earlier return would be refused again; later by a spread, so that not all come back at one moment.
+            Failure::Resting { left } => Some(left + self.return_pause(time_left)),
             // Well beyond its deadline: an earlier return would be in vain.
             Failure::Quarantined { left } => Some(left),
             _ => None,
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -94,6 +94,9 @@
         back_end: &Arc<BackEnd>,
         order: SendOrder<'_>,
     ) -> HeadEnd {
+        if let Some(reason) = self.why_closed(back_end) {
+            return self.not_sent(job, back_end, order.step, reason);
+        }
         let facts = SendFacts {
             back_end: &back_end.id,
             time_left: job.time_left(),
@@ -106,7 +109,6 @@
         let Some(request) = self.build(job, &facts) else {
             return HeadEnd::NotSent("request_not_writable");
         };
-        self.tell_of_unavailable(job, back_end, order.step);
         let most = self.connection_share(job.service.maximum_connections);
         let begun = now();
         self.placement().link.sends(job.body.len(), begun);
@@ -163,6 +165,27 @@
         judged.end
     }
 
+    /// Notes a send that was not made.
+    fn not_sent(
+        &self,
+        job: &mut Job,
+        back_end: &BackEnd,
+        step: SendStep<'_>,
+        reason: &'static str,
+    ) -> HeadEnd {
+        self.attempt_ended(
+            job,
+            Step::Ended {
+                purpose: purpose(step),
+                back_end: Arc::clone(&back_end.id),
+                outcome: reason,
+                status: None,
+                took: Duration::ZERO,
+            },
+        );
+        HeadEnd::NotSent(reason)
+    }
+
     /// Notes the end of a send.
     pub(super) fn attempt_ended(&self, job: &mut Job, step: Step) {
         if let Step::Ended {
--- a/crates/serving/src/pipeline/candidates.rs
+++ b/crates/serving/src/pipeline/candidates.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use ponddrift_fleet::directory::{BackEnd, CandidateQuery, Candidates};
+use ponddrift_fleet::directory::{BackEnd, CandidateQuery, Candidates, Usability};
 use ponddrift_fleet::placement::remembered_head;
 
 use super::Pipeline;
@@ -21,15 +21,19 @@
         let prefix = job.facts.prompt.as_ref().and_then(remembered_head);
         let mut placement = self.placement();
         let holders = prefix.map(|prefix| placement.prefixes.holders(prefix, now));
-        let is_usable = |back_end: &BackEnd| {
-            !job.tried.contains(&back_end.id) && placement.is_well(back_end, now)
+        let usability = |back_end: &BackEnd| {
+            if job.tried.contains(&back_end.id) {
+                Usability::Closed
+            } else {
+                placement.usability(back_end, now)
+            }
         };
         let query = CandidateQuery {
             service: &job.service.name,
             zone,
             prefix,
             holders: &holders.unwrap_or_default(),
-            is_usable: &is_usable,
+            usability: &usability,
         };
         let candidates = self.state.candidates(&query, now);
         placement.set_ready(&job.service.name, candidates.ready);
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -131,6 +131,7 @@
             }
             self.await_head(job).await;
             let Some(plan) = self.plan(job) else {
+                failure = self.nothing_to_choose(job, failure);
                 break;
             };
             if is_hopeless(job, &plan) {
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -78,6 +78,7 @@
                 break;
             }
             let Some(back_end) = self.place_plain(job) else {
+                failure = self.nothing_to_choose(job, failure);
                 break;
             };
             if !self.may_send(job, failure.reason()).await {
