A prompt that was read is not read again when an engine turns its request away

Cause: where a decode engine turned a request away, its prompt's handle was freed and the prompt read anew: two repeats of the budget for one refusal.

Change: the handle goes to another decode engine, once: an engine that turns a request away at its door has not taken it. A second refusal has the prompt read anew, in case the handle is gone.

--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -71,10 +71,20 @@
     Not,
 }
 
+/// A prompt that was read for an engine which then turned the request away.
+struct ReadPrompt {
+    plan: PromptPlan,
+    handle: HeldHandle,
+}
+
 pub(super) enum FirstEvent {
     Came(Box<OpenStream>),
     Answer(Served),
-    NotRun(&'static str),
+    /// The prompt's handle is of use to another engine still, where there was one.
+    NotRun {
+        reason: &'static str,
+        handle: Option<HeldHandle>,
+    },
     Unsure(&'static str),
 }
 
@@ -119,6 +129,8 @@
     ) -> Result<OpenStream, NotOpened> {
         let mut failure = Failure::NotRun("no_back_end_ready");
         let mut error_answer = None;
+        let mut turned_away: Option<ReadPrompt> = None;
+        let mut may_hand_on = true;
         while job.time_left() > LEAST_TIME_FOR_A_SEND && job.may_run_again() {
             if let Err(refusal) = self.may_run_now(job) {
                 failure = refusal;
@@ -129,21 +141,26 @@
                     Failure::NotRun("this daemon's link is full: come back, another may have room");
                 break;
             }
-            self.await_head(job).await;
-            let Some(plan) = self.plan(job) else {
-                failure = self.nothing_to_choose(job, failure);
-                break;
-            };
-            if is_hopeless(job, &plan) {
-                failure = Failure::NotRun(
-                    "the engines have more to do than this request has time for: come back later",
-                );
-                break;
-            }
-            let handle = match self.read_apart(job, &plan).await {
-                ReadApart::Read(handle) => Some(handle),
-                ReadApart::Failed => continue,
-                ReadApart::Not => None,
+            let (plan, handle) = match turned_away.take() {
+                Some(read) => (read.plan, Some(read.handle)),
+                None => {
+                    self.await_head(job).await;
+                    let Some(plan) = self.plan(job) else {
+                        failure = self.nothing_to_choose(job, failure);
+                        break;
+                    };
+                    if is_hopeless(job, &plan) {
+                        failure = Failure::NotRun(
+                            "the engines have more to do than this request has time for: come back later",
+                        );
+                        break;
+                    }
+                    match self.read_apart(job, &plan).await {
+                        ReadApart::Read(handle) => (plan, Some(handle)),
+                        ReadApart::Failed => continue,
+                        ReadApart::Not => (plan, None),
+                    }
+                }
             };
             // Reading the prompt took a while, in which peers may have found out more.
             if let Err(refusal) = self.may_run_now(job) {
@@ -155,13 +172,24 @@
             }
             let end = self.stream_attempt(job, &plan, handle, resume_after).await;
             match end {
+                FirstEvent::NotRun {
+                    reason,
+                    handle: Some(handle),
+                } if std::mem::take(&mut may_hand_on) => {
+                    turned_away = Some(ReadPrompt { plan, handle });
+                    if job.runs == 0 {
+                        failure = Failure::NotRun(reason);
+                    }
+                }
                 FirstEvent::Came(stream) => return Ok(*stream),
                 FirstEvent::Answer(served) => {
                     failure = Failure::Unsure("back_end_error");
                     error_answer = Some(served);
                 }
-                FirstEvent::NotRun(reason) if job.runs == 0 => failure = Failure::NotRun(reason),
-                FirstEvent::NotRun(_) => {}
+                FirstEvent::NotRun { reason, .. } if job.runs == 0 => {
+                    failure = Failure::NotRun(reason);
+                }
+                FirstEvent::NotRun { .. } => {}
                 FirstEvent::Unsure(reason) => failure = self.unsure(job, reason),
             }
         }
@@ -323,7 +351,7 @@
         let reply = match end {
             HeadEnd::Answered(reply) => reply,
             HeadEnd::NotSent(reason) | HeadEnd::NotRun(reason) => {
-                return FirstEvent::NotRun(reason);
+                return FirstEvent::NotRun { reason, handle };
             }
             HeadEnd::Unsure(reason) => return FirstEvent::Unsure(reason),
         };
