A stopping daemon that follows the store gives its thread back

Finding: in one of five runs of the whole tests the process of emulator's the_overhead_is_printed_as_json did not end; it was looked at while it spun (9 minutes of one thread): daemon::configuration::follow, wait_for of the watched value.

Cause: while the daemon follows the store, the end of the channel that tells it to was taken for a change (`continue`), waited for again, answered at once, for good; a task that never yields keeps the runtime from ending. Class: an error of a channel taken for its event. The store's stand-in had the same at its end.

Change: Receiver::run_while tells a closed channel from a change; both loops end. Test: a closed channel ends the work.

--- a/crates/daemon/src/configuration.rs
+++ b/crates/daemon/src/configuration.rs
@@ -10,7 +10,7 @@
     snapshot_from_entries,
 };
 use ponddrift_platform::store::{KeyValueStore, RangeResult, StoreError, StoredValue, WatchEvent};
-use ponddrift_runtime::watch;
+use ponddrift_runtime::watch::{self, WhileEnd};
 use xtra::Address;
 
 use crate::actors::ask;
@@ -52,10 +52,14 @@
         if is_watcher.wait_for(|is_watcher| *is_watcher).await.is_err() {
             return;
         }
-        let ended = tokio::select! {
-            biased;
-            _changed = is_watcher.wait_for(|is_watcher| !is_watcher) => continue,
-            ended = watch_once(store.as_ref(), &configuration, &mut pause) => ended,
+        let following = watch_once(store.as_ref(), &configuration, &mut pause);
+        let ended = match is_watcher
+            .run_while(|is_watcher| *is_watcher, following)
+            .await
+        {
+            WhileEnd::Done(ended) => ended,
+            WhileEnd::Changed => continue,
+            WhileEnd::Closed => return,
         };
         if let Err(error) = ended {
             tracing::info!(%error, "following the configuration was interrupted");
--- a/crates/emulator/src/platform/key_value/watch.rs
+++ b/crates/emulator/src/platform/key_value/watch.rs
@@ -95,10 +95,15 @@
                 }
                 Taken::Events(_none) => {}
             }
-            tokio::select! {
+            let changed = tokio::select! {
                 biased;
-                _changed = self.faults.changed() => {}
-                _grew = self.revision.changed() => {}
+                changed = self.faults.changed() => changed,
+                grew = self.revision.changed() => grew,
+            };
+            if changed.is_err() {
+                // The service has ended: waiting again would be told so at once, for good.
+                self.phase = Phase::Ended;
+                return None;
             }
         }
     }
--- a/crates/runtime/src/watch.rs
+++ b/crates/runtime/src/watch.rs
@@ -15,6 +15,17 @@
 #[error("the sender of the watched value is gone: its task has ended")]
 pub struct Closed;
 
+/// How work ended that was done while a watched value was as wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WhileEnd<T> {
+    /// It came to its end.
+    Done(T),
+    /// The value is no longer as wanted.
+    Changed,
+    /// Every sender is gone.
+    Closed,
+}
+
 struct State<T> {
     value: T,
     version: u64,
@@ -176,6 +187,27 @@
     }
 }
 
+impl<T> Receiver<T> {
+    /// Does `work` for as long as `is_wanted` holds for the value.
+    ///
+    /// That the channel is closed is told apart from a change: a caller that took it for one and waited again would be told the
+    /// same at once, and keep its thread for good.
+    pub async fn run_while<W: Future>(
+        &mut self,
+        is_wanted: impl Fn(&T) -> bool,
+        work: W,
+    ) -> WhileEnd<W::Output> {
+        tokio::select! {
+            biased;
+            changed = self.wait_for(|value| !is_wanted(value)) => match changed {
+                Ok(_value) => WhileEnd::Changed,
+                Err(Closed) => WhileEnd::Closed,
+            },
+            output = work => WhileEnd::Done(output),
+        }
+    }
+}
+
 impl<T> Clone for Receiver<T> {
     fn clone(&self) -> Self {
         Self {
--- a/crates/runtime/tests/watch.rs
+++ b/crates/runtime/tests/watch.rs
@@ -66,3 +66,26 @@
     );
     assert!(receiver.wait_for(|value| *value == 4).await.is_err());
 }
+
+/// A daemon that stopped while it followed the store took the closed channel for a change, waited again, was told so again, and
+/// never gave its thread back: the process did not end.
+#[tokio::test]
+async fn a_closed_channel_ends_what_is_done_while_its_value_is_as_wanted() {
+    let (sender, mut receiver) = watch::channel(true);
+    let forever = std::future::pending::<()>();
+    let (end, ()) = tokio::join!(receiver.run_while(|wanted| *wanted, forever), async {
+        drop(sender);
+    });
+    assert_eq!(end, WhileEnd::Closed);
+}
+
+#[tokio::test]
+async fn work_ends_with_its_value_or_by_itself() {
+    let (sender, mut receiver) = watch::channel(true);
+    let end = receiver.run_while(|wanted| *wanted, async { 7 }).await;
+    assert_eq!(end, WhileEnd::Done(7));
+    sender.send_replace(false);
+    let forever = std::future::pending::<()>();
+    let end = receiver.run_while(|wanted| *wanted, forever).await;
+    assert_eq!(end, WhileEnd::Changed);
+}
