The same word is heard in health checks, reports, orders and cache events

The cause elsewhere: every answer of a back end says that it leaves, and only those to requests were heard. A leader ordered an engine that leaves first of all, since it is the least busy; health checks went on at engines that rest.

Change: all answers that name their back end are read; an engine that leaves or rests is not ordered, also where its report is the first to say so, and one that leaves is no capacity to the planner of stages; health checks that nobody waits for stop meanwhile. A new life under an identity writes `back_end_changed`.

Tests: orders an_engine_that_says_that_it_leaves_is_not_ordered (without the change the engines that leave are changed), announcements a_prompt_that_was_read_does_not_go_to_an_engine_that_began_to_drain_meanwhile (mutation: no look at the directory before a send; it fails).

--- a/crates/fleet/src/announcements.rs
+++ b/crates/fleet/src/announcements.rs
@@ -141,6 +141,12 @@
             .map_or(Availability::Open, |known| known.availability(now))
     }
 
+    /// Whether this life of the back end leaves, by its answers.
+    #[must_use]
+    pub fn is_leaving(&self, back_end: &BackEnd, now: Instant) -> bool {
+        self.availability(back_end, now) == Availability::Leaving
+    }
+
     /// Whether the rest of this life is over and no answer has shown since that it takes requests again.
     #[must_use]
     pub fn is_on_trial(&self, back_end: &BackEnd, now: Instant) -> bool {
--- a/crates/serve/tests/announcements.rs
+++ b/crates/serve/tests/announcements.rs
@@ -334,3 +334,31 @@
     let asked = arrivals_since(&odd, since).len();
     assert!(asked > 2, "it gave no time: it is asked again soon");
 }
+
+/// Reading a prompt takes seconds, in which the engine that was to go on with it may begin to leave. The store says so here; the
+/// engine was asked all the same where no other was left.
+#[test]
+fn a_prompt_that_was_read_does_not_go_to_an_engine_that_began_to_drain_meanwhile() {
+    let mut fleet = Fleet::new(Size {
+        decode: 1,
+        ..Size::default()
+    });
+    let (reader, drained) = (fleet.prefill[0].clone(), fleet.decode[0].clone());
+    let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers);
+    let store = fleet.store.clone();
+    let engine = drained.clone();
+    let answer = fleet.run(async move {
+        let mut request = ClientRequest::prompt("long", "verdict", 0, 12_000);
+        request.deadline_ms = 10_000;
+        let (answer, ()) = tokio::join!(client.ask(target, &request), async {
+            sleep(Duration::from_millis(100)).await;
+            engine.record(&store, "draining");
+        });
+        answer.expect("never a bare close")
+    });
+    assert!(!reader.arrivals().is_empty(), "the prompt was read apart");
+    assert_eq!(drained.arrivals(), []);
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    fleet.wait(Duration::from_millis(100));
+    assert_eq!(reader.freed_handles().len(), 1, "its memory is given back");
+}
--- a/crates/serve/tests/orders.rs
+++ b/crates/serve/tests/orders.rs
@@ -124,3 +124,32 @@
         assert!(engine.orders().len() <= 1, "{:?}", engine.orders());
     }
 }
+
+/// An engine that leaves gets no requests and is the least busy, which made it the first to be changed.
+#[test]
+fn an_engine_that_says_that_it_leaves_is_not_ordered() {
+    let mut fleet = Fleet::new(SIZE);
+    read_much(&mut fleet, Duration::from_secs(20));
+    let is_ordered = |fleet: &Fleet| -> Vec<bool> {
+        let engines = fleet.decode.iter();
+        engines.map(|engine| !engine.orders().is_empty()).collect()
+    };
+    let usual = is_ordered(&fleet);
+    let mut fleet = Fleet::new(SIZE);
+    for (engine, _ordered) in fleet
+        .decode
+        .iter()
+        .zip(&usual)
+        .filter(|(_, ordered)| **ordered)
+    {
+        engine.say_leaving();
+    }
+    read_much(&mut fleet, Duration::from_secs(20));
+    let now = is_ordered(&fleet);
+    let both = usual
+        .iter()
+        .zip(&now)
+        .filter(|(usual, now)| **usual && **now);
+    assert_eq!(both.count(), 0, "{usual:?}, then {now:?}");
+    assert!(now.contains(&true), "one that stays changes");
+}
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -199,11 +199,14 @@
     fn apply_back_end(&mut self, back_end: BackEnd, revision: u64, source: Source) {
         let known = self.directory.get(&back_end.id);
         let changed = known.map_or(!self.is_first_reading(), |known| {
-            known.lifecycle != back_end.lifecycle || known.stage != back_end.stage
+            known.lifecycle != back_end.lifecycle
+                || known.stage != back_end.stage
+                || known.incarnation != back_end.incarnation
         });
         if changed {
             tracing::info!(
                 back_end = %back_end.id,
+                incarnation = back_end.incarnation.0,
                 service = %back_end.service,
                 address = %back_end.address,
                 zone = %back_end.zone,
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -13,7 +13,7 @@
 use ponddrift_runtime::Runtime;
 
 use crate::connections::Connections;
-use crate::dialect::{Dialect, OrderFacts};
+use crate::dialect::{Dialect, EngineReport, OrderFacts};
 use crate::fleet_state::FleetState;
 use crate::leader::Leadership;
 use crate::pipeline::Pipeline;
@@ -47,6 +47,7 @@
         calls: EngineCalls {
             connections: Connections::new(runtime.clone()),
             dialect: Arc::clone(dialect),
+            pipeline: Arc::clone(pipeline),
         },
         state: Arc::clone(state),
         pipeline: Arc::clone(pipeline),
@@ -81,7 +82,7 @@
 
     async fn plan_all(&mut self) {
         for service in self.observe() {
-            let engines = self.state.ready(&service, now());
+            let engines = self.engines(&service);
             let changes = self.plan(&service, &engines);
             let ended = join_all(changes.iter().map(|change| self.change(change))).await;
             for (change, end) in changes.iter().zip(ended) {
@@ -94,15 +95,23 @@
     fn observe(&mut self) -> Vec<Arc<str>> {
         let work = self.pipeline.work_of_all();
         for (service, measured) in &work {
-            let planner = self.planners.entry(Arc::clone(service)).or_default();
-            let engines = self.state.ready(service, now());
+            let engines = self.engines(service);
             let slots = self.pipeline.placement().load.slots_held(&engines);
             let measured = StageWork { slots, ..*measured };
+            let planner = self.planners.entry(Arc::clone(service)).or_default();
             planner.observe(measured, &engines, now());
         }
         work.into_iter().map(|(service, _work)| service).collect()
     }
 
+    /// Engines of the service that stay.
+    fn engines(&self, service: &str) -> Vec<Arc<BackEnd>> {
+        let mut engines = self.state.ready(service, now());
+        let placement = self.pipeline.placement();
+        engines.retain(|engine| !placement.announcements.is_leaving(engine, now()));
+        engines
+    }
+
     fn plan(&mut self, service: &Arc<str>, engines: &[Arc<BackEnd>]) -> Vec<StageChange> {
         let to_prefill = self.away_time(service, Stage::Prefill);
         let to_decode = self.away_time(service, Stage::Decode);
@@ -117,7 +126,8 @@
             let is_unsettled = unsettled
                 .get(&engine.id)
                 .is_some_and(|until| *until > now());
-            let is_unwell = placement.health.is_ejected(&engine.id);
+            let is_unwell =
+                placement.health.is_ejected(&engine.id) || placement.is_closed(engine, now());
             let outstanding = placement.load.outstanding(&engine.id);
             let busyness = outstanding.requests + outstanding.prompt_tokens;
             (!is_unsettled && !is_unwell).then_some(busyness)
@@ -137,7 +147,7 @@
         tokio::time::sleep(NOTICE).await;
         let report = self.calls.report(engine).await;
         let (end, fence) = match report {
-            Some(report) if !report.is_changing && report.stage == engine.stage => {
+            Some(report) if self.may_change(engine, report) => {
                 self.order(engine, change.stage, report.sequence).await
             }
             _ => (OrderEnd::NotSent, None),
@@ -163,6 +173,12 @@
         end
     }
 
+    /// Whether the engine is as it was planned with; its report may have said that it leaves.
+    fn may_change(&self, engine: &BackEnd, report: EngineReport) -> bool {
+        let is_as_expected = !report.is_changing && report.stage == engine.stage;
+        is_as_expected && !self.pipeline.placement().is_closed(engine, now())
+    }
+
     /// An engine whose order was not taken is left alone for a while.
     fn settle(&mut self, engine: &BackEnd, end: OrderEnd) {
         let left_alone = match end {
@@ -199,7 +215,7 @@
     /// Orders the change under this daemon's fencing token, if it still leads. Returns the token.
     async fn order(
         &self,
-        engine: &BackEnd,
+        engine: &Arc<BackEnd>,
         stage: Stage,
         expected_sequence: u64,
     ) -> (OrderEnd, Option<u64>) {
--- a/crates/serving/src/orders/engine_calls.rs
+++ b/crates/serving/src/orders/engine_calls.rs
@@ -10,6 +10,7 @@
 
 use crate::connections::Connections;
 use crate::dialect::{Dialect, EngineReport, OrderFacts};
+use crate::pipeline::Pipeline;
 
 /// Connections to one engine, at most: for an order, and a report beside it.
 const CONNECTIONS: u32 = 2;
@@ -42,11 +43,12 @@
 pub(super) struct EngineCalls {
     pub(super) connections: Arc<Connections>,
     pub(super) dialect: Arc<dyn Dialect>,
+    pub(super) pipeline: Arc<Pipeline>,
 }
 
 impl EngineCalls {
     /// Asks an engine for its state; none without a whole answer in time.
-    pub(super) async fn report(&self, engine: &BackEnd) -> Option<EngineReport> {
+    pub(super) async fn report(&self, engine: &Arc<BackEnd>) -> Option<EngineReport> {
         let request = self.dialect.report().request(engine.address)?;
         let answer = self.exchange(engine, request).await?;
         (answer.status() == StatusCode::OK)
@@ -54,7 +56,7 @@
             .flatten()
     }
 
-    pub(super) async fn order(&self, engine: &BackEnd, facts: &OrderFacts<'_>) -> OrderEnd {
+    pub(super) async fn order(&self, engine: &Arc<BackEnd>, facts: &OrderFacts<'_>) -> OrderEnd {
         let Some(request) = self.build(engine, facts) else {
             return OrderEnd::NotSent;
         };
@@ -66,10 +68,20 @@
         }
     }
 
-    async fn exchange(&self, engine: &BackEnd, request: Request<Body>) -> Option<Response<Bytes>> {
-        self.connections
+    async fn exchange(
+        &self,
+        engine: &Arc<BackEnd>,
+        request: Request<Body>,
+    ) -> Option<Response<Bytes>> {
+        let answer = self
+            .connections
             .call(engine.address, CONNECTIONS, request, CALL_LIMIT)
-            .await
+            .await?;
+        if answer.status() != StatusCode::MISDIRECTED_REQUEST {
+            self.pipeline
+                .note_announcement(engine, answer.status(), answer.headers(), "order");
+        }
+        Some(answer)
     }
 
     fn build(&self, engine: &BackEnd, facts: &OrderFacts<'_>) -> Option<Request<Body>> {
--- a/crates/serving/src/pipeline/cache_probe.rs
+++ b/crates/serving/src/pipeline/cache_probe.rs
@@ -67,6 +67,7 @@
             .connections
             .call(engine.address, 2, request, ANSWER_LIMIT);
         let answer = call.await?;
+        self.note_announcement(&engine, answer.status(), answer.headers(), "cache_events");
         if answer.status() != StatusCode::OK {
             return None;
         }
--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -5,7 +5,7 @@
 
 use http::{Method, StatusCode};
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::health::Outcome;
+use ponddrift_fleet::health::{LONGEST_EJECTION, Outcome};
 use rand::RngExt;
 
 use super::Pipeline;
@@ -37,6 +37,11 @@
                     pipeline.placement().health.reinstate(&back_end.id);
                     return;
                 }
+                // Neither a check nor a request would be of use to it: what it said holds for both.
+                if pipeline.placement().is_closed(&back_end, now()) {
+                    pause = pipeline.spread(LONGEST_EJECTION);
+                    continue;
+                }
                 let may_check = pipeline
                     .placement()
                     .health
@@ -68,6 +73,9 @@
         let Some(path) = self.health_path(back_end) else {
             return;
         };
+        if self.placement().is_closed(back_end, now()) {
+            return;
+        }
         if !self.placement().health.take_hint(&back_end.id, now()) {
             return;
         }
@@ -87,7 +95,7 @@
     }
 
     /// Whether a back end answers its health check in time, as itself.
-    pub(super) async fn is_well(self: &Arc<Self>, back_end: &BackEnd, path: &str) -> bool {
+    pub(super) async fn is_well(self: &Arc<Self>, back_end: &Arc<BackEnd>, path: &str) -> bool {
         let call = SmallCall {
             method: Method::GET,
             path: path.to_owned(),
@@ -102,6 +110,9 @@
             return false;
         };
         let is_itself = self.dialect.health_identity(answer.headers()) == Some(&*back_end.id);
+        if is_itself {
+            self.note_announcement(back_end, answer.status(), answer.headers(), "health_check");
+        }
         answer.status() == StatusCode::OK && is_itself
     }
 }
