--- a/crates/runtime/tests/watch.rs
+++ b/crates/runtime/tests/watch.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use ponddrift_runtime::watch::{self, Closed};
+use ponddrift_runtime::watch::{self, Closed, WhileEnd};
 use tokio::task::LocalSet;
 
 #[tokio::test(flavor = "current_thread")]
