--- a/crates/fleet/src/announcements.rs
+++ b/crates/fleet/src/announcements.rs
@@ -1,4 +1,4 @@
-//! What back ends announce in their answers: that they leave, or that they want no requests for a while.
+//! What back ends announce in their answers: that they drain, or that callers are to back off for a while.
 //!
 //! The directory tells the same later, and nothing new while the store is away. A back end whose word is in an answer has said
 //! it to this daemon, so this daemon knows it at once.
@@ -9,22 +9,22 @@
 
 use crate::directory::{BackEnd, Incarnation, TOMBSTONE_LIFE};
 
-/// Longest rest that is granted. One that asks for more is asked again after this: a single refused request is the price of
+/// Longest time for which requests are held back from a back end. One that asks for more is asked again after this: a single refused request is the price of
 /// finding out, and a mistaken figure does not take a back end out of use for good.
-pub const LONGEST_REST: Duration = Duration::from_secs(600);
+pub const LONGEST_BACKOFF: Duration = Duration::from_secs(600);
 
 /// What one answer says of the back end that gave it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Announcement {
     /// It ends what it has and leaves.
-    pub leaves: bool,
-    /// For how long it wants no requests.
-    pub rest: Rest,
+    pub drains: bool,
+    /// For how long callers are to back off.
+    pub backoff: RequestedBackoff,
 }
 
-/// For how long a back end that refused a request wants no others.
+/// For how long a back end that refused a request asks its caller to back off.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum Rest {
+pub enum RequestedBackoff {
     /// It did not say.
     #[default]
     Unasked,
@@ -40,12 +40,12 @@
     /// As far as its answers tell.
     Open,
     /// Not until then.
-    Resting {
-        /// The end of its rest.
+    BackingOff {
+        /// The end of the time that it asked for.
         until: Instant,
     },
     /// Not in this life.
-    Leaving,
+    Draining,
 }
 
 impl Availability {
@@ -54,8 +54,8 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::Open => "open",
-            Self::Resting { .. } => "resting",
-            Self::Leaving => "leaving",
+            Self::BackingOff { .. } => "backing_off",
+            Self::Draining => "draining",
         }
     }
 }
@@ -69,8 +69,8 @@
 #[derive(Debug)]
 struct Announced {
     incarnation: Incarnation,
-    leaves: bool,
-    rests_until: Option<Instant>,
+    drains: bool,
+    backs_off_until: Option<Instant>,
     last: Instant,
 }
 
@@ -78,39 +78,39 @@
     const fn nothing(incarnation: Incarnation, now: Instant) -> Self {
         Self {
             incarnation,
-            leaves: false,
-            rests_until: None,
+            drains: false,
+            backs_off_until: None,
             last: now,
         }
     }
 
     fn availability(&self, now: Instant) -> Availability {
-        if self.leaves {
-            return Availability::Leaving;
+        if self.drains {
+            return Availability::Draining;
         }
-        match self.rests_until {
-            Some(until) if until > now => Availability::Resting { until },
+        match self.backs_off_until {
+            Some(until) if until > now => Availability::BackingOff { until },
             Some(_) | None => Availability::Open,
         }
     }
 }
 
 impl Announcements {
-    /// Takes what an answer announced. Returns the availability that follows where it is news: the back end leaves, or rests
-    /// and did not before.
+    /// Takes what an answer announced. Returns the availability that follows where it is news: the back end drains, or
+    /// asks for a time to back off and did not before.
     ///
-    /// Within a life leaving is final and of several rests the latest end holds, so the order of answers does not matter.
+    /// Within a life draining is final and of several times the latest end holds, so the order of answers does not matter.
     pub fn note(
         &mut self,
         back_end: &BackEnd,
         announcement: Announcement,
         now: Instant,
     ) -> Option<Availability> {
-        let rest_end = match announcement.rest {
-            Rest::For(time) => Some(now + time.min(LONGEST_REST)),
-            Rest::Unasked | Rest::Unreadable => None,
+        let backoff_end = match announcement.backoff {
+            RequestedBackoff::For(time) => Some(now + time.min(LONGEST_BACKOFF)),
+            RequestedBackoff::Unasked | RequestedBackoff::Unreadable => None,
         };
-        if !announcement.leaves && rest_end.is_none() {
+        if !announcement.drains && backoff_end.is_none() {
             return None;
         }
         let before = self.availability(back_end, now);
@@ -124,8 +124,8 @@
         if known.incarnation < back_end.incarnation {
             *known = Announced::nothing(back_end.incarnation, now);
         }
-        known.leaves |= announcement.leaves;
-        known.rests_until = known.rests_until.max(rest_end);
+        known.drains |= announcement.drains;
+        known.backs_off_until = known.backs_off_until.max(backoff_end);
         known.last = now;
         let after = known.availability(now);
         let is_news = std::mem::discriminant(&before) != std::mem::discriminant(&after);
@@ -141,40 +141,40 @@
             .map_or(Availability::Open, |known| known.availability(now))
     }
 
-    /// Whether this life of the back end leaves, by its answers.
+    /// Whether this life of the back end drains, by its answers.
     #[must_use]
-    pub fn is_leaving(&self, back_end: &BackEnd, now: Instant) -> bool {
-        self.availability(back_end, now) == Availability::Leaving
+    pub fn is_draining(&self, back_end: &BackEnd, now: Instant) -> bool {
+        self.availability(back_end, now) == Availability::Draining
     }
 
-    /// Whether the rest of this life is over and no answer has shown since that it takes requests again.
+    /// Whether the time that this life asked for is over and no answer has shown since that it takes requests again.
     #[must_use]
     pub fn is_on_trial(&self, back_end: &BackEnd, now: Instant) -> bool {
         self.by_back_end
             .get(&back_end.id)
             .filter(|known| known.incarnation >= back_end.incarnation)
-            .and_then(|known| known.rests_until)
+            .and_then(|known| known.backs_off_until)
             .is_some_and(|until| until <= now)
     }
 
-    /// The back end took a request: where its rest is over, the trial is too.
+    /// The back end took a request: where the time that it asked for is over, the trial is too.
     pub fn took_request(&mut self, back_end: &BackEnd, now: Instant) {
         if self.is_on_trial(back_end, now)
             && let Some(known) = self.by_back_end.get_mut(&back_end.id)
         {
-            known.rests_until = None;
+            known.backs_off_until = None;
         }
     }
 
-    /// Back ends that rest, and those that leave.
+    /// Back ends that asked their callers to back off, and those that drain.
     #[must_use]
     pub fn counts(&self, now: Instant) -> AnnouncedCounts {
         let mut counts = AnnouncedCounts::default();
         for known in self.by_back_end.values() {
             match known.availability(now) {
                 Availability::Open => {}
-                Availability::Resting { .. } => counts.resting += 1,
-                Availability::Leaving => counts.leaving += 1,
+                Availability::BackingOff { .. } => counts.backing_off += 1,
+                Availability::Draining => counts.draining += 1,
             }
         }
         counts
@@ -193,7 +193,7 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AnnouncedCounts {
     /// For a while.
-    pub resting: usize,
+    pub backing_off: usize,
     /// For good.
-    pub leaving: usize,
+    pub draining: usize,
 }
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -146,7 +146,7 @@
     Well,
     /// Where no other is left: it failed lately, or is about to change.
     AtNeed,
-    /// Not at all: it leaves, or wants no requests for now.
+    /// Not at all: it drains, wants no requests for now, or had this one.
     Closed,
 }
 
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -73,7 +73,7 @@
         let is_well = !self.health.is_ejected(&back_end.id)
             && !self.is_away(back_end, now)
             && !self.is_being_tried(&back_end.id)
-            && !self.may_rest_again(back_end, tried, now);
+            && !self.may_back_off_again(back_end, tried, now);
         if is_well {
             Usability::Well
         } else {
@@ -81,31 +81,36 @@
         }
     }
 
-    /// Whether the back end's rest has just ended and it is no place for this request: one request finds out whether it takes
-    /// any, and not one that was turned away before. Where 5 of 10 engines asked for rest again and again, this brought the
-    /// callers refused from 16 to 1 of 9,270 (four loads on simulated engines, the same seed).
-    fn may_rest_again(&self, back_end: &BackEnd, tried: &[Arc<str>], now: Instant) -> bool {
+    /// Whether the time that the back end asked for has just ended and it is no place for this request: one request finds out
+    /// whether it takes any, and not one that was turned away before. Where 5 of 10 engines asked for more time again and again,
+    /// this brought the callers refused from 16 to 1 of 9,270 (four loads on simulated engines, the same seed).
+    fn may_back_off_again(&self, back_end: &BackEnd, tried: &[Arc<str>], now: Instant) -> bool {
         self.announcements.is_on_trial(back_end, now)
             && (!tried.is_empty() || self.load.own_requests(&back_end.id) > 0.0)
     }
 
-    /// Whether the back end said that it leaves, or wants no requests for now. It holds also where no other back end is left:
-    /// one that leaves may end under the request, and one that rests refuses it, which costs the caller a try.
+    /// Whether the back end announced that it drains, or that callers are to back off for now. It holds also where no other back
+    /// end is left: one that drains may end under the request, and one that is backed off from refuses it, which costs the caller
+    /// a try.
     #[must_use]
     pub fn is_closed(&self, back_end: &BackEnd, now: Instant) -> bool {
         self.announcements.availability(back_end, now) != Availability::Open
     }
 
-    /// When the first of these back ends takes requests again that rest now.
+    /// When the first of these back ends takes requests again, where all of them asked their callers to back off or drain.
     #[must_use]
-    pub fn first_rest_end(&self, back_ends: &[Arc<BackEnd>], now: Instant) -> Option<Instant> {
-        let ends = back_ends.iter().filter_map(|back_end| {
+    pub fn first_backoff_end(&self, back_ends: &[Arc<BackEnd>], now: Instant) -> Option<Instant> {
+        let mut first = None;
+        for back_end in back_ends {
             match self.announcements.availability(back_end, now) {
-                Availability::Resting { until } => Some(until),
-                Availability::Open | Availability::Leaving => None,
+                Availability::Open => return None,
+                Availability::Draining => {}
+                Availability::BackingOff { until } => {
+                    first = Some(first.map_or(until, |first: Instant| first.min(until)));
+                }
             }
-        });
-        ends.min()
+        }
+        first
     }
 
     /// A back end on trial has one of this daemon's requests already.
--- a/crates/fleet/tests/announcements.rs
+++ b/crates/fleet/tests/announcements.rs
@@ -6,20 +6,20 @@
 use std::time::{Duration, Instant};
 
 use ponddrift_fleet::announcements::{
-    Announcement, Announcements, Availability, LONGEST_REST, Rest,
+    Announcement, Announcements, Availability, LONGEST_BACKOFF, RequestedBackoff,
 };
 use ponddrift_fleet::directory::{BackEnd, Incarnation, TOMBSTONE_LIFE};
 use support::engines;
 
-const LEAVES: Announcement = Announcement {
-    leaves: true,
-    rest: Rest::Unasked,
+const DRAINS: Announcement = Announcement {
+    drains: true,
+    backoff: RequestedBackoff::Unasked,
 };
 
-fn rest(seconds: u64) -> Announcement {
+fn backoff(seconds: u64) -> Announcement {
     Announcement {
-        leaves: false,
-        rest: Rest::For(Duration::from_secs(seconds)),
+        drains: false,
+        backoff: RequestedBackoff::For(Duration::from_secs(seconds)),
     }
 }
 
@@ -38,33 +38,33 @@
 fn leaving_is_final_for_a_life_and_ends_with_it() {
     let start = Instant::now();
     let mut announcements = Announcements::default();
-    let news = announcements.note(&life(5), LEAVES, start);
-    assert_eq!(news, Some(Availability::Leaving));
+    let news = announcements.note(&life(5), DRAINS, start);
+    assert_eq!(news, Some(Availability::Draining));
     assert_eq!(
-        announcements.note(&life(5), LEAVES, start),
+        announcements.note(&life(5), DRAINS, start),
         None,
         "said before"
     );
-    announcements.note(&life(5), rest(1), start);
+    announcements.note(&life(5), backoff(1), start);
     let later = after(3_600, start);
     assert_eq!(
         announcements.availability(&life(5), later),
-        Availability::Leaving
+        Availability::Draining
     );
     assert_eq!(
         announcements.availability(&life(6), later),
         Availability::Open
     );
-    announcements.note(&life(6), rest(1), later);
+    announcements.note(&life(6), backoff(1), later);
     assert_eq!(
-        announcements.note(&life(5), LEAVES, later),
+        announcements.note(&life(5), DRAINS, later),
         None,
         "an older life"
     );
     let resting = announcements.availability(&life(6), later);
     assert_eq!(
         resting,
-        Availability::Resting {
+        Availability::BackingOff {
             until: after(1, later)
         }
     );
@@ -74,12 +74,12 @@
 fn of_several_rests_the_latest_end_holds() {
     let start = Instant::now();
     let mut announcements = Announcements::default();
-    let news = announcements.note(&life(0), rest(5), start);
+    let news = announcements.note(&life(0), backoff(5), start);
     let until = after(5, start);
-    assert_eq!(news, Some(Availability::Resting { until }));
-    assert_eq!(announcements.note(&life(0), rest(1), start), None);
+    assert_eq!(news, Some(Availability::BackingOff { until }));
+    assert_eq!(announcements.note(&life(0), backoff(1), start), None);
     let resting = announcements.availability(&life(0), after(4, start));
-    assert_eq!(resting, Availability::Resting { until });
+    assert_eq!(resting, Availability::BackingOff { until });
     assert_eq!(
         announcements.availability(&life(0), until),
         Availability::Open
@@ -89,7 +89,7 @@
 #[test]
 fn the_order_of_answers_does_not_matter() {
     let start = Instant::now();
-    let words = [(5, LEAVES), (6, rest(2)), (6, rest(9)), (4, LEAVES)];
+    let words = [(5, DRAINS), (6, backoff(2)), (6, backoff(9)), (4, DRAINS)];
     for first in 0..words.len() {
         for second in 0..words.len() {
             let mut announcements = Announcements::default();
@@ -102,7 +102,7 @@
             let resting = announcements.availability(&life(6), start);
             assert_eq!(
                 resting,
-                Availability::Resting {
+                Availability::BackingOff {
                     until: after(9, start)
                 }
             );
@@ -115,11 +115,11 @@
     let start = Instant::now();
     let mut announcements = Announcements::default();
     let forever = Announcement {
-        leaves: false,
-        rest: Rest::For(Duration::MAX),
+        drains: false,
+        backoff: RequestedBackoff::For(Duration::MAX),
     };
     announcements.note(&life(0), forever, start);
-    let over = start + LONGEST_REST;
+    let over = start + LONGEST_BACKOFF;
     assert_eq!(
         announcements.availability(&life(0), over),
         Availability::Open
@@ -131,8 +131,8 @@
     let start = Instant::now();
     let mut announcements = Announcements::default();
     let unreadable = Announcement {
-        leaves: false,
-        rest: Rest::Unreadable,
+        drains: false,
+        backoff: RequestedBackoff::Unreadable,
     };
     assert_eq!(announcements.note(&life(0), unreadable, start), None);
     assert_eq!(
@@ -146,29 +146,29 @@
 fn what_was_said_outlives_an_entry_that_lapsed() {
     let start = Instant::now();
     let mut announcements = Announcements::default();
-    announcements.note(&life(0), LEAVES, start);
+    announcements.note(&life(0), DRAINS, start);
     announcements.forget_gone(|_id| false, after(1, start));
     assert_eq!(
         announcements.availability(&life(0), start),
-        Availability::Leaving
+        Availability::Draining
     );
     announcements.forget_gone(|_id| true, start + TOMBSTONE_LIFE);
-    assert_eq!(announcements.counts(start).leaving, 1);
+    assert_eq!(announcements.counts(start).draining, 1);
     announcements.forget_gone(|_id| false, start + TOMBSTONE_LIFE);
-    assert_eq!(announcements.counts(start).leaving, 0);
+    assert_eq!(announcements.counts(start).draining, 0);
 }
 
 #[test]
 fn those_that_rest_and_leave_are_counted_apart() {
     let start = Instant::now();
     let mut announcements = Announcements::default();
-    announcements.note(&life(0), rest(2), start);
+    announcements.note(&life(0), backoff(2), start);
     let other = BackEnd {
         id: Arc::from("other"),
         ..life(0)
     };
-    announcements.note(&other, LEAVES, start);
+    announcements.note(&other, DRAINS, start);
     let counts = announcements.counts(start);
-    assert_eq!((counts.resting, counts.leaving), (1, 1));
-    assert_eq!(announcements.counts(after(2, start)).resting, 0);
+    assert_eq!((counts.backing_off, counts.draining), (1, 1));
+    assert_eq!(announcements.counts(after(2, start)).backing_off, 0);
 }
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -82,10 +82,10 @@
     pub back_ends: usize,
     /// Back ends that are ejected.
     pub ejected: usize,
-    /// Back ends that asked for rest.
-    pub resting: usize,
-    /// Back ends that said in an answer that they leave.
-    pub leaving: usize,
+    /// Back ends that asked this daemon to back off for now.
+    pub backing_off: usize,
+    /// Back ends that announced in an answer that they drain.
+    pub announced_draining: usize,
     /// Back ends whose entries held no usable time of their slow start.
     pub unusable_cold_times: u64,
     /// Requests that are remembered since engines ended under them.
@@ -114,8 +114,8 @@
     daemons: Gauge,
     back_ends: Gauge,
     ejected: Gauge,
-    resting: Gauge,
-    leaving: Gauge,
+    backing_off: Gauge,
+    announced_draining: Gauge,
     unusable_cold_times: Gauge,
     suspects: Gauge,
     quarantined: Gauge,
@@ -255,11 +255,15 @@
                 "back_ends_ejected",
                 "Back ends found unwell that get nothing",
             ),
-            resting: made(r, "back_ends_resting", "Back ends that asked for rest"),
-            leaving: made(
+            backing_off: made(
                 r,
-                "back_ends_leaving",
-                "Back ends that said in an answer that they leave",
+                "back_ends_backing_off",
+                "Back ends that asked this daemon to back off for now",
+            ),
+            announced_draining: made(
+                r,
+                "back_ends_announced_draining",
+                "Back ends that announced in an answer that they drain",
             ),
             unusable_cold_times: made(
                 r,
@@ -405,8 +409,10 @@
         gauges.daemons.set(signed(values.daemons));
         gauges.back_ends.set(signed(values.back_ends));
         gauges.ejected.set(signed(values.ejected));
-        gauges.resting.set(signed(values.resting));
-        gauges.leaving.set(signed(values.leaving));
+        gauges.backing_off.set(signed(values.backing_off));
+        gauges
+            .announced_draining
+            .set(signed(values.announced_draining));
         gauges.suspects.set(signed(values.suspects));
         gauges.quarantined.set(signed(values.quarantined));
         gauges
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -108,7 +108,7 @@
     fn engines(&self, service: &str) -> Vec<Arc<BackEnd>> {
         let mut engines = self.state.ready(service, now());
         let placement = self.pipeline.placement();
-        engines.retain(|engine| !placement.announcements.is_leaving(engine, now()));
+        engines.retain(|engine| !placement.announcements.is_draining(engine, now()));
         engines
     }
 
@@ -173,7 +173,7 @@
         end
     }
 
-    /// Whether the engine is as it was planned with; its report may have said that it leaves.
+    /// Whether the engine is as it was planned with; its report may have announced that it drains.
     fn may_change(&self, engine: &BackEnd, report: EngineReport) -> bool {
         let is_as_expected = !report.is_changing && report.stage == engine.stage;
         is_as_expected && !self.pipeline.placement().is_closed(engine, now())
--- a/crates/serving/src/pipeline/announcements.rs
+++ b/crates/serving/src/pipeline/announcements.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use http::{HeaderMap, StatusCode};
-use ponddrift_fleet::announcements::{Availability, Rest};
+use ponddrift_fleet::announcements::{Availability, RequestedBackoff};
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
 
@@ -24,23 +24,23 @@
         source: &'static str,
     ) {
         let announcement = self.dialect.read_announcement(status, headers);
-        if announcement.leaves {
-            self.metrics.announcement("leaving", source);
+        if announcement.drains {
+            self.metrics.announcement("draining", source);
         }
-        match announcement.rest {
-            Rest::Unasked => {}
-            Rest::For(_) => self.metrics.announcement("rest", source),
-            Rest::Unreadable => self.metrics.announcement("rest_unreadable", source),
+        match announcement.backoff {
+            RequestedBackoff::Unasked => {}
+            RequestedBackoff::For(_) => self.metrics.announcement("backoff", source),
+            RequestedBackoff::Unreadable => self.metrics.announcement("backoff_unreadable", source),
         }
         let now = now();
         let news = self
             .placement()
             .announcements
             .note(back_end, announcement, now);
-        let rest_ms = match news {
+        let backoff_ms = match news {
             None | Some(Availability::Open) => return,
-            Some(Availability::Leaving) => None,
-            Some(Availability::Resting { until }) => {
+            Some(Availability::Draining) => None,
+            Some(Availability::BackingOff { until }) => {
                 Some(milliseconds(until.saturating_duration_since(now)))
             }
         };
@@ -48,7 +48,7 @@
             back_end = &*back_end.id,
             incarnation = back_end.incarnation.0,
             availability = news.map(Availability::as_str),
-            rest_ms,
+            backoff_ms,
             source,
             directory_ready = self.state.is_ready(&back_end.id),
             "back_end_announced"
@@ -64,8 +64,8 @@
         let availability = self.placement().announcements.availability(back_end, now());
         match availability {
             Availability::Open => None,
-            Availability::Resting { .. } => Some("back_end_rests"),
-            Availability::Leaving => Some("back_end_leaves"),
+            Availability::BackingOff { .. } => Some("back_end_backs_off"),
+            Availability::Draining => Some("back_end_announced_draining"),
         }
     }
 
@@ -82,8 +82,8 @@
         let now = now();
         let first_end = self
             .placement()
-            .first_rest_end(&generating.collect::<Vec<_>>(), now);
-        first_end.map_or(failure, |until| Failure::Resting {
+            .first_backoff_end(&generating.collect::<Vec<_>>(), now);
+        first_end.map_or(failure, |until| Failure::BackingOff {
             left: until.saturating_duration_since(now),
         })
     }
--- a/crates/serving/src/pipeline/answers.rs
+++ b/crates/serving/src/pipeline/answers.rs
@@ -38,8 +38,8 @@
         /// Until then.
         left: Duration,
     },
-    /// It did not run: all back ends that could run it want no requests for a while, the first of them for `left`.
-    Resting {
+    /// It did not run: all back ends that could run it asked this daemon to back off, the first of them for `left`.
+    BackingOff {
         /// Until then.
         left: Duration,
     },
@@ -57,7 +57,7 @@
             Self::NotReady
             | Self::Stopping
             | Self::NotRun(_)
-            | Self::Resting { .. }
+            | Self::BackingOff { .. }
             | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthenticated => StatusCode::UNAUTHORIZED,
@@ -83,8 +83,8 @@
             Self::Quarantined { .. } => {
                 "engines ended while they ran this request: it is not run for now, change it or ask the operators"
             }
-            Self::Resting { .. } => {
-                "all back ends want no requests for a while: come back when the first takes them again"
+            Self::BackingOff { .. } => {
+                "all back ends asked for a pause: come back when the first takes requests again"
             }
             Self::NotRun(reason) | Self::Unsure(reason) | Self::TimeOver(reason) => reason,
         }
@@ -127,7 +127,7 @@
                 Some(self.return_pause(time_left))
             }
             // An earlier return would be refused again; later by a spread, so that not all come back at one moment.
-            Failure::Resting { left } => Some(left + self.return_pause(time_left)),
+            Failure::BackingOff { left } => Some(left + self.return_pause(time_left)),
             // Well beyond its deadline: an earlier return would be in vain.
             Failure::Quarantined { left } => Some(left),
             _ => None,
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -227,7 +227,7 @@
         Served {
             response: self.failure_answer(failure, Some(&job.id), Some(job.time_left())),
             outcome: match failure {
-                Failure::NotRun(_) | Failure::Resting { .. } => "refused",
+                Failure::NotRun(_) | Failure::BackingOff { .. } => "refused",
                 Failure::Quarantined { .. } => "quarantined",
                 Failure::TimeOver(_) => "time_over",
                 _ => "failed",
