--- a/crates/fleet/tests/announcements.rs
+++ b/crates/fleet/tests/announcements.rs
@@ -172,3 +172,31 @@
     assert_eq!((counts.backing_off, counts.draining), (1, 1));
     assert_eq!(announcements.counts(after(2, start)).backing_off, 0);
 }
+
+/// Whatever answers come in whatever order, of however many lives: what holds for the latest life is the same, and said twice it
+/// changes nothing.
+#[test]
+fn any_order_of_any_answers_leads_to_the_same() {
+    let start = Instant::now();
+    bolero::check!()
+        .with_type::<Vec<(u8, bool, Option<u8>)>>()
+        .for_each(|words| {
+            let told = |words: &mut dyn Iterator<Item = &(u8, bool, Option<u8>)>| {
+                let mut announcements = Announcements::default();
+                for (born, drains, seconds) in words {
+                    let backoff = seconds.map_or(RequestedBackoff::Unasked, |seconds| {
+                        RequestedBackoff::For(Duration::from_secs(u64::from(seconds)))
+                    });
+                    let announcement = Announcement {
+                        drains: *drains,
+                        backoff,
+                    };
+                    announcements.note(&life(u64::from(born % 4)), announcement, start);
+                }
+                announcements.availability(&life(3), start)
+            };
+            let in_order = told(&mut words.iter());
+            assert_eq!(in_order, told(&mut words.iter().rev()));
+            assert_eq!(in_order, told(&mut words.iter().chain(words)));
+        });
+}
