--- a/crates/serve/tests/announcements.rs
+++ b/crates/serve/tests/announcements.rs
@@ -18,7 +18,7 @@
 //!
 //! Each send went against a word that the same daemon had heard, and each time there were others to send to. The time between two
 //! refusals of one engine to one daemon was 0.21 s at the least and 0.36 s in the median: the daemons' own pause, not the three
-//! seconds that were asked for.
+//! seconds that were asked for. In the code a back end that leaves is draining, and one that wants rest asks to back off.
 
 mod support;
 
