Sight: rates that back ends name in their answers, and requests sent to such a back end

Cause: no line of ours told what an answer says of a rate, nor how many requests one daemon sends to such a back end, so that the hypotheses of the incident could not be told apart. Change: the adapter reads the rate into a type (none, a rate, unreadable), by life, the newest word by when its request was sent; a line when it changes, one for each request sent to such a back end with this daemon's own sends of 4 s, a counter by source. Nothing is decided by it yet.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,7 +1,8 @@
 //! Decisions about a fleet whose configuration and directory lie in a store.
 //!
 //! Pure: everything takes the time as an argument, nothing does I/O. [`configuration`] is what the
-//! operators want, [`directory`] what back ends record of themselves, [`announcements`] what they say in answers, [`health`] what
+//! operators want, [`directory`] what back ends record of themselves, [`announcements`] and [`rate_limits`] what they say in
+//! answers, [`health`] what
 //! requests found out,
 //! [`placement`] chooses, [`budget`] bounds repeats, [`events`] cuts streams into whole events,
 //! [`stages`] plans which engines read prompts, [`capacity`] how many engines there are, [`tenants`] resolves
@@ -25,6 +26,7 @@
 pub mod placement;
 pub mod prompt;
 pub mod quarantine;
+pub mod rate_limits;
 pub mod routes;
 pub mod stages;
 pub mod tenants;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -24,6 +24,7 @@
 use crate::directory::{BackEnd, ReadyCounts};
 use crate::health::Health;
 use crate::prompt::Prompt;
+use crate::rate_limits::RateLimits;
 use crate::stages::StageWork;
 
 pub use arrivals::Arrivals;
@@ -178,6 +179,8 @@
     pub health: Health,
     /// What back ends announced in their answers.
     pub announcements: Announcements,
+    /// Rates that back ends set for all daemons together.
+    pub rate_limits: RateLimits,
     /// Rates learned from answers.
     pub speed: SpeedTable,
     /// How long streams run.
@@ -216,6 +219,7 @@
             load: LoadTable::default(),
             health: Health::default(),
             announcements: Announcements::default(),
+            rate_limits: RateLimits::default(),
             speed: SpeedTable::default(),
             streams: StreamTimes::default(),
             confidence: Confidence::default(),
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -9,6 +9,7 @@
 use ponddrift_fleet::announcements::Announcement;
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::prompt::Prompt;
+use ponddrift_fleet::rate_limits::AnnouncedRate;
 use ponddrift_fleet::tenants::Credential;
 use ponddrift_http::body::{self, Body};
 
@@ -162,6 +163,8 @@
     fn read_answer(&self, head: &response::Parts, id: &str) -> AnswerFacts;
     /// Reads what any answer of a back end says of the back end itself.
     fn read_announcement(&self, status: StatusCode, headers: &HeaderMap) -> Announcement;
+    /// Reads how many requests a second a back end says in an answer that it takes from all daemons together.
+    fn read_rate(&self, headers: &HeaderMap) -> AnnouncedRate;
     /// Reads the body of a prefill engine's answer.
     fn read_prefill(&self, body: &[u8]) -> Option<PrefillResult>;
     /// The call that frees a handle.
--- a/crates/serving/src/orders/engine_calls.rs
+++ b/crates/serving/src/orders/engine_calls.rs
@@ -10,7 +10,8 @@
 
 use crate::connections::Connections;
 use crate::dialect::{Dialect, EngineReport, OrderFacts};
-use crate::pipeline::Pipeline;
+use crate::pipeline::{AnswerOrigin, Pipeline};
+use crate::time::now;
 
 /// Connections to one engine, at most: for an order, and a report beside it.
 const CONNECTIONS: u32 = 2;
@@ -73,13 +74,15 @@
         engine: &Arc<BackEnd>,
         request: Request<Body>,
     ) -> Option<Response<Bytes>> {
+        let sent = now();
         let answer = self
             .connections
             .call(engine.address, CONNECTIONS, request, CALL_LIMIT)
             .await?;
         if answer.status() != StatusCode::MISDIRECTED_REQUEST {
+            let origin = AnswerOrigin::call("order", sent);
             self.pipeline
-                .note_announcement(engine, answer.status(), answer.headers(), "order");
+                .note_announcement(engine, answer.status(), answer.headers(), origin);
         }
         Some(answer)
     }
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -48,6 +48,7 @@
 use crate::metrics::{GaugeValues, Metrics};
 use crate::time::now;
 use crate::usage::UsageRecorder;
+pub(crate) use announcements::AnswerOrigin;
 use lost_runs::EngineEnds;
 use quarantining::ChangedSuspects;
 
@@ -242,6 +243,9 @@
         placement
             .announcements
             .forget_gone(|id| present.contains(id), now());
+        placement
+            .rate_limits
+            .forget_gone(|id| present.contains(id), now());
         drop(placement);
         self.engine_ends.keep_only(|id| present.contains(id));
         self.state.forget_old(now());
--- a/crates/serving/src/pipeline/announcements.rs
+++ b/crates/serving/src/pipeline/announcements.rs
@@ -1,11 +1,13 @@
 //! Takes up what back ends announce of themselves in answers.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use http::{HeaderMap, StatusCode};
 use ponddrift_fleet::announcements::{Availability, RequestedBackoff};
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::rate_limits::{AnnouncedRate, RateAnswer, RequestRate};
 
 use super::Pipeline;
 use super::answers::Failure;
@@ -13,16 +15,48 @@
 use crate::request_trace::milliseconds;
 use crate::time::now;
 
+/// Which answer tells something of its back end.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct AnswerOrigin {
+    /// What the request was for, for logs.
+    source: &'static str,
+    /// When the request was sent.
+    sent: Instant,
+    /// Whether it ran.
+    is_of_run: bool,
+}
+
+impl AnswerOrigin {
+    /// The answer to a caller's request, or to the reading of its prompt.
+    pub(super) const fn request(purpose: &'static str, sent: Instant, is_of_run: bool) -> Self {
+        Self {
+            source: purpose,
+            sent,
+            is_of_run,
+        }
+    }
+
+    /// The answer to a small call of this daemon's own.
+    pub(crate) const fn call(source: &'static str, sent: Instant) -> Self {
+        Self {
+            source,
+            sent,
+            is_of_run: false,
+        }
+    }
+}
+
 impl Pipeline {
-    /// Takes what an answer of `back_end` announces. The caller has made sure that this back end gave it; `source` tells of
-    /// what kind it is.
+    /// Takes what an answer of `back_end` announces. The caller has made sure that this back end gave it.
     pub(crate) fn note_announcement(
         &self,
         back_end: &Arc<BackEnd>,
         status: StatusCode,
         headers: &HeaderMap,
-        source: &'static str,
+        origin: AnswerOrigin,
     ) {
+        self.note_rate(back_end, headers, origin);
+        let source = origin.source;
         let announcement = self.dialect.read_announcement(status, headers);
         if announcement.drains {
             self.metrics.announcement("draining", source);
@@ -55,6 +89,35 @@
         );
     }
 
+    /// Takes the rate that the answer names, or that it names none.
+    fn note_rate(&self, back_end: &Arc<BackEnd>, headers: &HeaderMap, origin: AnswerOrigin) {
+        let rate = self.dialect.read_rate(headers);
+        match rate {
+            AnnouncedRate::Unlimited => {}
+            AnnouncedRate::Limited(_) => self.metrics.announcement("rate_limit", origin.source),
+            AnnouncedRate::Unreadable => {
+                self.metrics
+                    .announcement("rate_limit_unreadable", origin.source);
+            }
+        }
+        let answer = RateAnswer {
+            rate,
+            sent: origin.sent,
+            is_of_run: origin.is_of_run,
+        };
+        let change = self.placement().rate_limits.note(back_end, answer, now());
+        if let Some(change) = change {
+            tracing::info!(
+                back_end = &*back_end.id,
+                incarnation = back_end.incarnation.0,
+                rate_before = change.before.map(RequestRate::per_second),
+                rate = change.after.map(RequestRate::per_second),
+                source = origin.source,
+                "rate_limit_changed"
+            );
+        }
+    }
+
     /// Why a request must not be sent to the back end now; none where it may. Asked right before every send, since a request
     /// may have waited for a prompt to be read or for a retry since its back end was chosen.
     pub(super) fn why_closed(&self, back_end: &BackEnd) -> Option<&'static str> {
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -2,15 +2,17 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http::{Request, StatusCode};
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::{Outcome, Results};
 use ponddrift_fleet::placement::Urgency;
+use ponddrift_fleet::rate_limits::RequestRate;
 use ponddrift_http::body;
 
 use super::Pipeline;
+use super::announcements::AnswerOrigin;
 use super::job::Job;
 use super::wait_policy::WaitPolicy;
 use crate::connections::{ExchangeError, NotSent, Reply, Reuse};
@@ -112,6 +114,7 @@
         let most = self.connection_share(job.service.maximum_connections);
         let begun = now();
         self.placement().link.sends(job.body.len(), begun);
+        self.note_send_to_limited(back_end, order.step, begun);
         let reuse = if job.met_silence {
             Reuse::Never
         } else {
@@ -134,7 +137,7 @@
                 Judged::new(HeadEnd::Unsure(wait_end.name()), wait_end.outcome())
             }
             Ok(Err(error)) => judge_error(&error),
-            Ok(Ok(reply)) => self.judge(job, back_end, order.step, reply),
+            Ok(Ok(reply)) => self.judge(job, back_end, order.step, reply, begun),
         };
         match &judged.end {
             HeadEnd::Answered(_) => {
@@ -170,6 +173,23 @@
         judged.end
     }
 
+    /// Logs a request that leaves for a back end which limits the rate of its requests.
+    fn note_send_to_limited(&self, back_end: &BackEnd, step: SendStep<'_>, sent: Instant) {
+        let mut placement = self.placement();
+        let Some(sends) = placement.rate_limits.sent(back_end, sent) else {
+            return;
+        };
+        let rate = placement.rate_limits.limit(back_end);
+        drop(placement);
+        tracing::info!(
+            back_end = &*back_end.id,
+            purpose = purpose(step),
+            rate = rate.map(RequestRate::per_second),
+            own_sends_in_4_s = sends,
+            "sent_to_rate_limited"
+        );
+    }
+
     /// Notes a send that was not made.
     fn not_sent(
         &self,
@@ -223,6 +243,7 @@
         back_end: &Arc<BackEnd>,
         step: SendStep<'_>,
         reply: Reply,
+        sent: Instant,
     ) -> Judged {
         let (head, body) = reply.response.into_parts();
         let facts = self.dialect.read_answer(&head, &job.id);
@@ -230,7 +251,8 @@
         // Another back end that took over the address says so with this status, and speaks for itself.
         let is_another = head.status == StatusCode::MISDIRECTED_REQUEST;
         if facts.belongs && !is_another {
-            self.note_announcement(back_end, head.status, &head.headers, purpose(step));
+            let origin = AnswerOrigin::request(purpose(step), sent, !facts.not_run);
+            self.note_announcement(back_end, head.status, &head.headers, origin);
         }
         let is_for_caller = !matches!(step, SendStep::Prefill);
         let is_success = head.status.is_success();
--- a/crates/serving/src/pipeline/cache_probe.rs
+++ b/crates/serving/src/pipeline/cache_probe.rs
@@ -14,6 +14,7 @@
 use rand::seq::SliceRandom;
 
 use super::Pipeline;
+use super::announcements::AnswerOrigin;
 use crate::dialect::CacheEvent;
 use crate::time::now;
 
@@ -63,11 +64,13 @@
     /// Asks one engine. Returns the heads that it keeps; none without an answer.
     async fn probe_cache(self: &Arc<Self>, engine: Arc<BackEnd>) -> Option<usize> {
         let request = self.dialect.cache_events().request(engine.address)?;
+        let sent = now();
         let call = self
             .connections
             .call(engine.address, 2, request, ANSWER_LIMIT);
         let answer = call.await?;
-        self.note_announcement(&engine, answer.status(), answer.headers(), "cache_events");
+        let origin = AnswerOrigin::call("cache_events", sent);
+        self.note_announcement(&engine, answer.status(), answer.headers(), origin);
         if answer.status() != StatusCode::OK {
             return None;
         }
--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -9,6 +9,7 @@
 use rand::RngExt;
 
 use super::Pipeline;
+use super::announcements::AnswerOrigin;
 use crate::dialect::SmallCall;
 use crate::time::now;
 
@@ -103,6 +104,7 @@
         let Some(request) = call.request(back_end.address) else {
             return false;
         };
+        let sent = now();
         let call = self
             .connections
             .call(back_end.address, CHECK_CONNECTIONS, request, CHECK_LIMIT);
@@ -111,7 +113,8 @@
         };
         let is_itself = self.dialect.health_identity(answer.headers()) == Some(&*back_end.id);
         if is_itself {
-            self.note_announcement(back_end, answer.status(), answer.headers(), "health_check");
+            let origin = AnswerOrigin::call("health_check", sent);
+            self.note_announcement(back_end, answer.status(), answer.headers(), origin);
         }
         answer.status() == StatusCode::OK && is_itself
     }
