A rate that one back end sets is kept by all daemons together

What callers saw: nothing yet. Cause: nothing read the rate, and nothing in the product keeps a figure that belongs to all daemons together without asking anybody: each decides alone. Change: the limit is kept by life, the newest word by when its request was sent. All daemons work out alike which few of them share it (the back end's zone first, then those that have it early in their own order), each has a token bucket that begins empty, and all together save up 1.5 s of the rate and a request. A change is told to neighbours and to some of every other zone at once, three times, and limits in force go round each second. A back end without a token is no candidate. Every send to a back end needs a permit from one gate, by type, which takes the token right before it leaves; health checks and cache probes too. Where all back ends set limits, who can be in time waits in order, the others are refused at once with the time of their turn. The load of the committed test is raised, and its least use of the limit kept: at 16 requests a second a back end that seldom gets one looks slower than the others by the time of a new connection, limit or not, and is rightly not chosen.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -29,6 +29,7 @@
 
 pub use arrivals::Arrivals;
 pub use confidence::Confidence;
+pub use costs::RateOpening;
 use costs::{Choice, Estimate};
 pub use fairness::{FairShares, Offer};
 pub use link::OwnLink;
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -1,13 +1,14 @@
 //! Which back ends can be chosen, and what each costs in expected milliseconds.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use rand::{Rng, RngExt};
 
 use super::{Placement, Urgency};
-use crate::announcements::Availability;
+use crate::announcements::{Availability, LONGEST_BACKOFF};
 use crate::directory::{BackEnd, Usability};
+use crate::rate_limits::Allowance;
 
 /// Cost of a way into another zone, in milliseconds.
 const OTHER_ZONE_MS: f64 = 2.0;
@@ -28,6 +29,33 @@
     pub(super) burden_ms: f64,
 }
 
+/// When this daemon may send one more request to back ends that all limit the rate of requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RateOpening {
+    /// When the first token is there.
+    pub at: Instant,
+    /// Tokens a second, of all these back ends.
+    pub per_second: f64,
+}
+
+impl RateOpening {
+    /// When the turn of a request comes that has so many ahead of it.
+    #[must_use]
+    pub fn turn_after(self, ahead: u32) -> Instant {
+        let wait = Duration::try_from_secs_f64(f64::from(ahead) / self.per_second);
+        // Where no tokens come, none has come to be waited for either.
+        self.at + wait.unwrap_or(LONGEST_BACKOFF)
+    }
+}
+
+/// When a back end takes a request of this daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Opening {
+    Now,
+    At(Instant),
+    Never,
+}
+
 /// A back end that was chosen.
 #[derive(Debug, Clone)]
 pub(super) struct Choice {
@@ -67,7 +95,8 @@
     /// How well a request that went to `tried` before can go to the back end.
     #[must_use]
     pub fn usability(&self, back_end: &BackEnd, tried: &[Arc<str>], now: Instant) -> Usability {
-        if tried.contains(&back_end.id) || self.is_closed(back_end, now) {
+        let is_allowed = self.rate_limits.allowance(back_end, now) == Allowance::Now;
+        if tried.contains(&back_end.id) || self.is_closed(back_end, now) || !is_allowed {
             return Usability::Closed;
         }
         let is_well = !self.health.is_ejected(&back_end.id)
@@ -97,22 +126,67 @@
         self.announcements.availability(back_end, now) != Availability::Open
     }
 
-    /// When the first of these back ends takes requests again, where all of them asked their callers to back off or drain.
+    /// When the first of these back ends takes a request of this daemon, where all of them drain, asked their callers to back off or
+    /// limit the rate of requests. None where one of them takes requests now, or none ever does.
     #[must_use]
-    pub fn first_backoff_end(&self, back_ends: &[Arc<BackEnd>], now: Instant) -> Option<Instant> {
+    pub fn first_opening(&self, back_ends: &[Arc<BackEnd>], now: Instant) -> Option<Instant> {
         let mut first = None;
         for back_end in back_ends {
-            match self.announcements.availability(back_end, now) {
-                Availability::Open => return None,
-                Availability::Draining => {}
-                Availability::BackingOff { until } => {
-                    first = Some(first.map_or(until, |first: Instant| first.min(until)));
+            match self.opening(back_end, now) {
+                Opening::Now => return None,
+                Opening::Never => {}
+                Opening::At(opens) => {
+                    first = Some(first.map_or(opens, |first: Instant| first.min(opens)));
                 }
             }
         }
         first
     }
 
+    /// When the first of these back ends that were not tried has a token for this daemon, where all that are open to it limit the rate of
+    /// requests. None where one is open without, or none ever is.
+    #[must_use]
+    pub fn rate_opening(
+        &self,
+        back_ends: &[Arc<BackEnd>],
+        tried: &[Arc<str>],
+        now: Instant,
+    ) -> Option<RateOpening> {
+        let mut open: Vec<Arc<BackEnd>> = back_ends.to_vec();
+        open.retain(|back_end| !tried.contains(&back_end.id) && !self.is_closed(back_end, now));
+        let has_limit = |back_end: &Arc<BackEnd>| self.rate_limits.limit(back_end).is_some();
+        if !open.iter().all(has_limit) {
+            return None;
+        }
+        let allowances = open
+            .iter()
+            .map(|back_end| self.rate_limits.allowance(back_end, now));
+        let first = allowances.filter_map(|allowance| match allowance {
+            Allowance::Now => Some(now),
+            Allowance::At(at) => Some(at),
+            Allowance::None => None,
+        });
+        Some(RateOpening {
+            at: first.min()?,
+            per_second: self.rate_limits.shares(&open),
+        })
+    }
+
+    /// When the back end takes a request of this daemon, by what it announced.
+    fn opening(&self, back_end: &BackEnd, now: Instant) -> Opening {
+        let allowance = self.rate_limits.allowance(back_end, now);
+        let availability = self.announcements.availability(back_end, now);
+        match (availability, allowance) {
+            (Availability::Draining, _) | (_, Allowance::None) => Opening::Never,
+            (Availability::Open, Allowance::Now) => Opening::Now,
+            (Availability::Open, Allowance::At(opens)) => Opening::At(opens),
+            (Availability::BackingOff { until }, Allowance::Now) => Opening::At(until),
+            (Availability::BackingOff { until }, Allowance::At(opens)) => {
+                Opening::At(until.max(opens))
+            }
+        }
+    }
+
     /// A back end on trial has one of this daemon's requests already.
     pub(super) fn is_being_tried(&self, id: &str) -> bool {
         self.health.is_on_trial(id) && self.load.own_requests(id) > 0.0
--- a/crates/fleet/src/rate_limits/record.rs
+++ b/crates/fleet/src/rate_limits/record.rs
@@ -53,6 +53,14 @@
         }
     }
 
+    /// Takes what another daemon knows. Any order of any records leads to the same.
+    pub(super) fn merge(&mut self, other: &Self) {
+        if let Some(named) = other.named {
+            self.merge_named(named);
+        }
+        self.lifted = self.lifted.max(other.lifted);
+    }
+
     fn merge_named(&mut self, other: NamedRate) {
         let Some(known) = &mut self.named else {
             self.named = Some(other);
--- a/crates/serve/tests/rate_limits.rs
+++ b/crates/serve/tests/rate_limits.rs
@@ -23,7 +23,7 @@
 
 use futures::future::join_all;
 use http::StatusCode;
-use ponddrift_platform_stand_ins::{ClientRequest, EngineStandIn};
+use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest, EngineStandIn};
 use support::{Fleet, Size};
 use tokio::time::{Instant, sleep};
 
@@ -67,29 +67,30 @@
     fleet.run(async { Instant::now() })
 }
 
-/// What each daemon is asked: requests of one kind, this far apart, for so long.
+/// What all daemons are asked together: requests of one kind, so many a second, for so long.
 #[derive(Clone, Copy)]
 struct Load {
     route: &'static str,
-    pause: Duration,
+    per_second: u32,
     time: Duration,
 }
 
 impl Load {
-    /// Plain requests, 16 a second to each daemon.
+    /// Plain requests, as many as keep the back ends without a limit busy: else one that seldom gets a request looks slow beside them.
     const fn plain(time: Duration) -> Self {
         Self {
             route: "fetch",
-            pause: Duration::from_millis(60),
+            per_second: 1_100,
             time,
         }
     }
 
-    /// Prompts that share nothing, as often.
+    /// Prompts that share nothing.
     const fn prompts(time: Duration) -> Self {
         Self {
             route: "tag",
-            ..Self::plain(time)
+            per_second: 150,
+            time,
         }
     }
 
@@ -108,16 +109,18 @@
     let targets: Vec<SocketAddr> = fleet.daemons.iter().map(|daemon| daemon.callers).collect();
     let name = name.to_owned();
     fleet.run(async move {
-        let rounds = u32::try_from(load.time.as_millis() / load.pause.as_millis()).expect("few");
+        let daemons = u32::try_from(targets.len()).expect("few");
+        let pause = Duration::from_secs(1) * daemons / load.per_second;
+        let rounds = u32::try_from(load.time.as_micros() / pause.as_micros()).expect("few");
         let mut asked = Vec::new();
         for (daemon, target) in (0..).zip(targets.iter().copied()) {
             // Daemons are not asked at one moment.
-            let offset = load.pause * daemon / u32::try_from(targets.len()).expect("few");
+            let offset = pause * daemon / daemons;
             for round in 0..rounds {
                 let client = client.clone();
                 let request = load.request(&format!("{name}-{round}-{daemon}"));
                 asked.push(async move {
-                    sleep(offset + load.pause * round).await;
+                    sleep(offset + pause * round).await;
                     let answer = client.ask(target, &request).await;
                     answer.expect("never a bare close").status
                 });
@@ -190,9 +193,213 @@
 fn a_back_end_gets_no_more_than_it_takes_from_95_daemons_together() {
     let mut fleet = fleet_of(95, 3);
     let engine = fleet.records[0].clone();
+    check_limit(&mut fleet, &engine, Load::plain(Duration::from_secs(11)));
+}
+
+/// Sends one request to a daemon. Returns the answer and how long it took.
+fn ask(fleet: &mut Fleet, daemon: usize, request: &ClientRequest) -> (Answer, Duration) {
+    let (client, target) = (fleet.client.clone(), fleet.daemons[daemon].callers);
+    fleet.run(async move {
+        let begun = Instant::now();
+        let answer = client.ask(target, request).await;
+        (answer.expect("never a bare close"), begun.elapsed())
+    })
+}
+
+/// One of the daemons hears of the limit. The others must not find out by requests of their own, at any size.
+#[test]
+fn what_one_daemon_hears_of_a_limit_all_know_at_once() {
+    for (daemons, zones) in [(3, 3), (9, 3), (95, 3)] {
+        let mut fleet = Fleet::new(Size {
+            daemons,
+            zones,
+            records: 1,
+            ..Size::default()
+        });
+        // The daemons have to hear of each other first.
+        fleet.wait(Duration::from_secs(3));
+        let engine = fleet.records[0].clone();
+        engine.limit_rate(&["0.1"]);
+        ask(&mut fleet, 0, &ClientRequest::plain("first", "fetch"));
+        fleet.wait(Duration::from_millis(500));
+        let served = fleet.ask_each_daemon("others");
+        assert!(served <= 1, "{daemons}: {served} daemons sent");
+        assert!(engine.arrivals().len() <= 2, "{daemons}");
+    }
+}
+
+#[test]
+fn a_daemon_that_starts_again_is_told_of_limits_by_its_peers() {
+    let mut fleet = Fleet::new(Size {
+        daemons: 3,
+        records: 1,
+        ..Size::default()
+    });
+    let engine = fleet.records[0].clone();
+    engine.limit_rate(&["0.1"]);
+    ask(&mut fleet, 0, &ClientRequest::plain("first", "fetch"));
+    for number in 0..3 {
+        let host = fleet.daemons[number].host;
+        fleet.simulation.handle().kill(host);
+        fleet.wait(Duration::from_millis(200));
+        fleet.simulation.handle().restart(host);
+        fleet.wait(Duration::from_millis(2_500));
+    }
+    let before = engine.arrivals().len();
+    fleet.ask_each_daemon("again");
+    let reached = engine.arrivals().len() - before;
+    assert!(reached <= 1, "{reached} daemons sent");
+}
+
+/// An entry in the directory and the daemons' own words agree on nothing here: only an answer shows that the limit has ended.
+#[test]
+fn a_limit_ends_when_answers_no_longer_name_it() {
+    let mut fleet = fleet_of(9, 3);
+    let engine = fleet.records[0].clone();
+    engine.limit_rate(&[RATE_TEXT]);
+    ask_all(&mut fleet, "limited", Load::plain(Duration::from_secs(5)));
+    engine.limit_rate(&[]);
+    let lifted = virtual_now(&mut fleet);
+    let statuses = ask_all(&mut fleet, "lifted", Load::plain(Duration::from_secs(5)));
+    assert_eq!(refused(&statuses), 0);
+    let reached = arrivals_since(&engine, lifted + SETTLED);
+    assert!(
+        reached > 100,
+        "it gets requests as the others do: {reached}"
+    );
+}
+
+#[test]
+fn a_rate_of_nothing_lets_a_request_in_ten_seconds_through() {
+    let mut fleet = fleet_of(3, 1);
+    let engine = fleet.records[0].clone();
+    engine.limit_rate(&["0"]);
+    ask_all(&mut fleet, "first", Load::plain(Duration::from_secs(1)));
+    let since = virtual_now(&mut fleet);
+    let statuses = ask_all(&mut fleet, "later", Load::plain(Duration::from_secs(12)));
+    assert_eq!(refused(&statuses), 0);
+    let reached = arrivals_since(&engine, since);
+    assert!((1..=2).contains(&reached), "{reached}");
+}
+
+#[test]
+fn what_is_no_rate_is_passed_over_and_of_several_the_lowest_holds() {
+    let mut fleet = fleet_of(1, 1);
+    let engine = fleet.records[0].clone();
+    engine.limit_rate(&["", "soon", "-1", "NaN", "inf", "1,5"]);
+    let since = virtual_now(&mut fleet);
+    ask_all(&mut fleet, "odd", Load::plain(Duration::from_secs(2)));
+    let reached = arrivals_since(&engine, since);
+    assert!(reached > 100, "none of it limits it: {reached}");
+    engine.limit_rate(&["40", "2", "many"]);
+    ask_all(&mut fleet, "several", Load::plain(Duration::from_secs(1)));
+    let since = virtual_now(&mut fleet);
+    ask_all(&mut fleet, "lowest", Load::plain(Duration::from_secs(5)));
+    let reached = arrivals_since(&engine, since);
+    assert!(reached <= 12, "{reached}");
+}
+
+/// All back ends set a limit. Who can be in time waits for its turn; the others are refused at once and told when to come back.
+#[test]
+fn callers_wait_for_their_turn_or_are_refused_at_once_where_all_back_ends_set_limits() {
+    let mut fleet = Fleet::new(Size {
+        daemons: 3,
+        records: 4,
+        ..Size::default()
+    });
+    let engines = fleet.records.clone();
+    for engine in &engines {
+        engine.limit_rate(&["20"]);
+    }
     let load = Load {
-        pause: Duration::from_millis(600),
-        ..Load::plain(Duration::from_secs(11))
+        per_second: 200,
+        ..Load::plain(Duration::from_secs(8))
     };
-    check_limit(&mut fleet, &engine, load);
+    ask_all(
+        &mut fleet,
+        "first",
+        Load {
+            time: SETTLED,
+            ..load
+        },
+    );
+    let since = virtual_now(&mut fleet);
+    let statuses = ask_all(&mut fleet, "all", load);
+    let served = statuses.len() - refused(&statuses);
+    let could_serve = 4.0 * 20.0 * load.time.as_secs_f64();
+    assert!(
+        served as f64 >= 0.8 * could_serve,
+        "{served} of {could_serve} are served"
+    );
+    for engine in &engines {
+        let most = most_in_window(engine, since);
+        assert!(most as f64 <= allowed(20.0), "{most}");
+    }
+    let refusals: Vec<(Answer, Duration)> = (0..20)
+        .map(|number| {
+            ask(
+                &mut fleet,
+                0,
+                &ClientRequest::plain(&format!("r-{number}"), "fetch"),
+            )
+        })
+        .filter(|(answer, _took)| answer.status == StatusCode::SERVICE_UNAVAILABLE)
+        .collect();
+    for (answer, took) in refusals {
+        assert!(took < Duration::from_millis(50), "at once: {took:?}");
+        assert!(answer.retry_after_s().is_some(), "when to come back");
+    }
+}
+
+/// What a decode engine says while a prompt is read for it.
+#[derive(Debug, Clone, Copy)]
+enum Word {
+    Leaves,
+    BacksOff,
+    TakesNothing,
+}
+
+/// Reading a prompt takes long. Meanwhile the only engine that could go on with it says in an answer to another request that it takes no more.
+/// The request was placed before, so that only the last check before the send can hold it back.
+#[test]
+fn a_request_that_waited_since_its_engine_was_chosen_is_checked_again_before_it_leaves() {
+    for word in [Word::Leaves, Word::BacksOff, Word::TakesNothing] {
+        let mut fleet = Fleet::new(Size {
+            decode: 1,
+            ..Size::default()
+        });
+        let engine = fleet.decode[0].clone();
+        let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers);
+        let told = engine.clone();
+        let (long, short) = fleet.run(async move {
+            let mut request = ClientRequest::prompt("long", "verdict", 0, 12_000);
+            request.deadline_ms = 10_000;
+            let short = async {
+                sleep(Duration::from_millis(100)).await;
+                match word {
+                    Word::Leaves => told.say_leaving(),
+                    Word::BacksOff => {
+                        told.behave_next(&[Behaviour::Refuse]);
+                        told.ask_for_rest(&["5"]);
+                    }
+                    Word::TakesNothing => told.limit_rate(&["0"]),
+                }
+                let request = ClientRequest::prompt("short", "tag", 0, 20);
+                client.ask(target, &request).await
+            };
+            tokio::join!(client.ask(target, &request), short)
+        });
+        assert!(short.is_some(), "it brought the engine's word");
+        let long = long.expect("never a bare close");
+        assert_eq!(long.status, StatusCode::SERVICE_UNAVAILABLE, "{word:?}");
+        let reached: Vec<String> = engine
+            .arrivals()
+            .into_iter()
+            .map(|arrival| arrival.request)
+            .collect();
+        assert!(
+            !reached.iter().any(|id| id.starts_with("long")),
+            "{word:?}: {reached:?}"
+        );
+    }
 }
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -14,6 +14,7 @@
 use ponddrift_http::body::{self, Body};
 use ponddrift_runtime::Runtime;
 
+use crate::pipeline::SendPermit;
 use crate::time::now;
 
 /// Time to open a connection: far beyond any round trip, far below any deadline.
@@ -97,13 +98,14 @@
         })
     }
 
-    /// Sends one request and waits for the answer's head. Dropping the future cancels the exchange and closes
+    /// Sends one message, which has leave to be sent, and waits for the answer's head. Dropping the future cancels the exchange and closes
     /// its connection.
     ///
     /// # Errors
     /// [`ExchangeError`], which tells whether the request may have arrived.
     pub async fn exchange(
         self: &Arc<Self>,
+        _permit: SendPermit,
         address: SocketAddr,
         most: u32,
         reuse: Reuse,
@@ -160,6 +162,7 @@
     /// One small exchange, with its whole answer; none without one in time.
     pub async fn call(
         self: &Arc<Self>,
+        permit: SendPermit,
         address: SocketAddr,
         most: u32,
         request: Request<Body>,
@@ -167,7 +170,7 @@
     ) -> Option<Response<Bytes>> {
         let exchange = async {
             let reply = self
-                .exchange(address, most, Reuse::Idle, request)
+                .exchange(permit, address, most, Reuse::Idle, request)
                 .await
                 .ok()?;
             let (head, incoming) = reply.response.into_parts();
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -13,6 +13,7 @@
 use ponddrift_fleet::directory::{BackEnd, CandidateQuery, Candidates, Lifecycle};
 use ponddrift_fleet::fingerprint::RequestFingerprint;
 use ponddrift_fleet::quarantine::Quarantine;
+use ponddrift_fleet::rate_limits::Members;
 use ponddrift_fleet::routes::RouteTable;
 use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
@@ -174,6 +175,12 @@
         Arc::clone(&self.lock().topology)
     }
 
+    /// The daemons that have a key.
+    #[must_use]
+    pub fn members(&self) -> Arc<Members> {
+        Arc::clone(&self.lock().members)
+    }
+
     /// The daemon that leads, as far as is known.
     #[must_use]
     pub fn leader(&self) -> Option<Arc<str>> {
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -6,6 +6,7 @@
 
 use ponddrift_fleet::configuration::{Configuration, Stage};
 use ponddrift_fleet::directory::{BackEnd, ColdStart, Directory, Lifecycle, Warmth};
+use ponddrift_fleet::rate_limits::Members;
 use ponddrift_fleet::routes::RouteTable;
 use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
@@ -34,6 +35,8 @@
     pub(super) index: Arc<BackEndIndex>,
     pub(super) daemons: HashMap<Arc<str>, Member>,
     pub(super) topology: Arc<Topology>,
+    /// The daemons, for sharing out what back ends take from all together.
+    pub(super) members: Arc<Members>,
     /// Daemons have come or gone since the topology was worked out.
     daemons_changed: bool,
     pub(super) leader: Option<Arc<str>>,
@@ -78,6 +81,13 @@
             );
         }
         self.topology = Arc::new(topology);
+        self.members = Arc::new(Members {
+            own: daemon_identity(&own.name),
+            daemons: members
+                .iter()
+                .map(|member| (Arc::clone(&member.zone), daemon_identity(&member.name)))
+                .collect(),
+        });
     }
 
     /// Whether nothing has been known for long enough that an entry could be a change. A start writes one line for everything
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod back_end_index;
 pub mod capacity;
+mod changed;
 pub mod connections;
 pub mod dialect;
 pub mod fleet_state;
--- a/crates/serving/src/orders/engine_calls.rs
+++ b/crates/serving/src/orders/engine_calls.rs
@@ -10,7 +10,7 @@
 
 use crate::connections::Connections;
 use crate::dialect::{Dialect, EngineReport, OrderFacts};
-use crate::pipeline::{AnswerOrigin, Pipeline};
+use crate::pipeline::{AnswerOrigin, Pipeline, SendPermit};
 use crate::time::now;
 
 /// Connections to one engine, at most: for an order, and a report beside it.
@@ -77,7 +77,13 @@
         let sent = now();
         let answer = self
             .connections
-            .call(engine.address, CONNECTIONS, request, CALL_LIMIT)
+            .call(
+                SendPermit::control_call(),
+                engine.address,
+                CONNECTIONS,
+                request,
+                CALL_LIMIT,
+            )
             .await?;
         if answer.status() != StatusCode::MISDIRECTED_REQUEST {
             let origin = AnswerOrigin::call("order", sent);
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -6,15 +6,19 @@
 mod deposits;
 mod message;
 mod publish;
+mod rate_limits;
 mod receive;
 mod relay;
 mod suspects;
 mod translate;
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
+use ponddrift_fleet::rate_limits::MembersTrust;
 use ponddrift_runtime::{BoxedDatagram, Runtime};
 use tokio::sync::{Notify, mpsc};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -23,8 +27,10 @@
 use crate::follow::Following;
 use crate::pipeline::Pipeline;
 use crate::store::Changes;
+use crate::time::now;
 use message::{AwayRow, HeadRow, ReportRow};
 
+pub(crate) use rate_limits::log_rate_change;
 pub use relay::fetch_tallies;
 pub(crate) use relay::{fetch_page, withdraw_retry};
 
@@ -63,6 +69,7 @@
         to_forward: Mutex::default(),
         has_to_forward: Notify::new(),
         is_catching_up: AtomicBool::new(false),
+        heard: Mutex::default(),
     });
     let spawner = &runtime.spawner;
     spawner.spawn(Box::pin(Arc::clone(&peers).publish()));
@@ -71,11 +78,15 @@
         spawner.spawn(Box::pin(Arc::clone(&peers).replicate_usage(recorder)));
     }
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_suspects()));
+    spawner.spawn(Box::pin(Arc::clone(&peers).publish_rate_limits()));
     spawner.spawn(Box::pin(Arc::clone(&peers).deposit_retries()));
     spawner.spawn(Box::pin(peers.receive()));
     Ok(())
 }
 
+/// A neighbour counts as heard for so long: one of a hundred is told every two seconds while nothing changes.
+const HEARD_LIFE: Duration = Duration::from_secs(3);
+
 struct Peers {
     /// Distinguishes this life of this daemon from all others.
     origin: u64,
@@ -88,6 +99,8 @@
     to_forward: Mutex<Forwarded>,
     has_to_forward: Notify,
     is_catching_up: AtomicBool,
+    /// When each neighbour was last heard.
+    heard: Mutex<HashMap<SocketAddr, Instant>>,
 }
 
 /// Reports of daemons of other zones, to be forwarded to the neighbours.
@@ -119,6 +132,32 @@
             .collect()
     }
 
+    fn note_heard(&self, peer: SocketAddr) {
+        if self.is_neighbour(peer) {
+            self.heard().insert(peer, now());
+        }
+    }
+
+    /// Whether what is known of the other daemons can be relied on: half of the neighbours or more were heard lately. A daemon that wakes or is cut
+    /// off hears none.
+    fn members_trust(&self) -> MembersTrust {
+        let neighbours = &self.state.topology().neighbours;
+        let mut heard = self.heard();
+        heard.retain(|_peer, at| now().saturating_duration_since(*at) < HEARD_LIFE);
+        let heard = neighbours.iter().filter(|peer| heard.contains_key(peer));
+        if heard.count() * 2 >= neighbours.len() {
+            MembersTrust::Confirmed
+        } else {
+            MembersTrust::Unconfirmed
+        }
+    }
+
+    fn heard(&self) -> MutexGuard<'_, HashMap<SocketAddr, Instant>> {
+        self.heard
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
     fn is_neighbour(&self, peer: SocketAddr) -> bool {
         let topology = self.state.topology();
         topology.daemons == 1 || topology.neighbours.contains(&peer)
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -33,7 +33,7 @@
 /// Token counts are encoded in this unit, rounded up: far less than any prefill that a decision depends on.
 pub(super) const TOKENS_IN_UNIT: f64 = 32.0;
 /// Version of the messages; messages of other versions are dropped.
-const VERSION: u8 = 5;
+const VERSION: u8 = 6;
 
 /// What a datagram contains.
 #[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
@@ -51,6 +51,13 @@
     Usage(TallyOf),
     /// Requests under which engines ended.
     Suspects(Vec<SuspectRow>),
+    /// Rate limits that back ends set.
+    RateLimits {
+        /// What the sender knows of each.
+        rows: Vec<RateRow>,
+        /// Whether the receiver is to tell what the sender lacks.
+        wants_more: bool,
+    },
     /// Retries that the sender earned and the receiver keeps for the zone.
     Deposits(DepositsRow),
 }
@@ -90,6 +97,30 @@
     pub(super) ended_ms_ago: u32,
 }
 
+/// What the sender knows of one back end's rate limit.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub(super) struct RateRow {
+    /// Identity of the back end.
+    pub(super) back_end: String,
+    /// Which life of it.
+    pub(super) incarnation: u64,
+    /// The newest rate that an answer named.
+    pub(super) named: Option<NamedRateRow>,
+    /// How long ago the newest request was sent whose answer lifted the limit, in milliseconds.
+    pub(super) lifted_ms_ago: Option<u32>,
+}
+
+/// A rate that an answer named. Times count back from when the message was sent: clocks of machines differ.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub(super) struct NamedRateRow {
+    /// Requests a second.
+    pub(super) per_second: f64,
+    /// How long ago the request was sent, in milliseconds.
+    pub(super) sent_ms_ago: u32,
+    /// How long ago the last answer came that named a rate, in milliseconds.
+    pub(super) came_ms_ago: u32,
+}
+
 /// How things stand at a daemon.
 #[derive(Debug, Clone, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub(super) struct Digest {
@@ -282,31 +313,38 @@
     messages.filter_map(|message| encode(&message)).collect()
 }
 
-/// Rows about requests as datagrams, as many rows in each as fit. A row that fits into none is left out: the lines of its
-/// runs tell of it.
+/// Rows about requests as datagrams. A row that fits into none is left out: the lines of its runs tell of it.
 pub(super) fn encode_suspects(rows: Vec<SuspectRow>) -> Vec<Vec<u8>> {
+    encode_rows(rows, Message::Suspects)
+}
+
+/// Rows about rate limits as datagrams.
+pub(super) fn encode_rates(rows: Vec<RateRow>, wants_more: bool) -> Vec<Vec<u8>> {
+    encode_rows(rows, |rows| Message::RateLimits { rows, wants_more })
+}
+
+/// As many rows in each datagram as fit. A row that fits into none is left out.
+fn encode_rows<R: Clone>(rows: Vec<R>, message_of: impl Fn(Vec<R>) -> Message) -> Vec<Vec<u8>> {
     let mut datagrams = Vec::new();
-    let mut waiting = Vec::new();
+    let mut waiting: Vec<R> = Vec::new();
+    let mut whole = None;
     for row in rows {
-        waiting.push(row);
-        if encode(&Message::Suspects(waiting.clone())).is_some() {
+        waiting.push(row.clone());
+        if let Some(bytes) = encode(&message_of(waiting.clone())) {
+            whole = Some(bytes);
             continue;
         }
-        let last = waiting.pop();
-        datagrams.extend(encode_rows(&mut waiting));
-        waiting.extend(last);
+        datagrams.extend(whole.take());
+        waiting = vec![row];
+        whole = encode(&message_of(waiting.clone()));
+        if whole.is_none() {
+            waiting.clear();
+        }
     }
-    datagrams.extend(encode_rows(&mut waiting));
+    datagrams.extend(whole);
     datagrams
 }
 
-fn encode_rows(rows: &mut Vec<SuspectRow>) -> Option<Vec<u8>> {
-    if rows.is_empty() {
-        return None;
-    }
-    encode(&Message::Suspects(std::mem::take(rows)))
-}
-
 /// The datagram with this message; none if it does not fit.
 pub(super) fn encode(message: &Message) -> Option<Vec<u8>> {
     let bytes = borsh::to_vec(&(VERSION, message)).ok()?;
--- a/crates/serving/src/peers/publish.rs
+++ b/crates/serving/src/peers/publish.rs
@@ -113,6 +113,8 @@
         far_pace: &mut FarPace,
     ) {
         self.pipeline.set_daemons(topology.daemons);
+        self.pipeline
+            .set_members(&self.state.members(), self.members_trust());
         let forwarded = std::mem::take(&mut *self.to_forward());
         let own = self.digest(sequence);
         let has_news = !own.heads.is_empty() || !own.away.is_empty();
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -36,6 +36,7 @@
                 tokio::time::sleep(FAILURE_PAUSE).await;
                 continue;
             };
+            self.note_heard(from);
             match message::decode(&buffer[..length]) {
                 Some(Message::Digest(digest)) => self.take(*digest, from),
                 Some(Message::Changes { changes, in_doubt }) => {
@@ -47,6 +48,9 @@
                     }
                 }
                 Some(Message::Suspects(rows)) => self.take_suspects(&rows, from).await,
+                Some(Message::RateLimits { rows, wants_more }) => {
+                    self.take_rates(&rows, wants_more, from).await;
+                }
                 Some(Message::Deposits(row)) => {
                     self.pipeline.receive_deposits(&deposits_from_wire(row))
                 }
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -4,16 +4,18 @@
 use std::time::{Duration, Instant};
 
 use ponddrift_fleet::budget::Deposits;
+use ponddrift_fleet::directory::Incarnation;
 use ponddrift_fleet::health::Results;
 use ponddrift_fleet::placement::{
     HeadState, HeadUse, Outstanding, PromptReading, WorkReport, WorkRow,
 };
 use ponddrift_fleet::quarantine::{LostRun, Suspicion};
+use ponddrift_fleet::rate_limits::{NamedRate, RateRecord, RequestRate};
 use ponddrift_fleet::stages::StageWork;
 
 use super::message::{
-    AwayRow, BackEndRow, DepositsRow, HeadRow, LostRunRow, ReadingRow, ReportRow, ResultRow,
-    ServiceWorkRow, SuspectRow, TOKENS_IN_UNIT,
+    AwayRow, BackEndRow, DepositsRow, HeadRow, LostRunRow, NamedRateRow, RateRow, ReadingRow,
+    ReportRow, ResultRow, ServiceWorkRow, SuspectRow, TOKENS_IN_UNIT,
 };
 use crate::back_end_index::{BackEndIndex, hash};
 
@@ -181,11 +183,51 @@
     (Arc::from(row.service.as_str()), work)
 }
 
-pub(super) fn suspicion_to_wire(suspicion: &Suspicion, now: Instant) -> SuspectRow {
-    let ms_ago = |at: Instant| {
-        let ago = now.saturating_duration_since(at).as_millis();
-        u32::try_from(ago).unwrap_or(u32::MAX)
+pub(super) fn rate_to_wire(
+    id: &str,
+    (incarnation, record): (Incarnation, RateRecord),
+    now: Instant,
+) -> RateRow {
+    RateRow {
+        back_end: id.to_owned(),
+        incarnation: incarnation.0,
+        named: record.named.map(|named| NamedRateRow {
+            per_second: named.rate.per_second(),
+            sent_ms_ago: ms_since(named.sent, now),
+            came_ms_ago: ms_since(named.came, now),
+        }),
+        lifted_ms_ago: record.lifted.map(|lifted| ms_since(lifted, now)),
+    }
+}
+
+pub(super) fn rate_from_wire(row: &RateRow, now: Instant) -> (Incarnation, RateRecord) {
+    let named = row.named.as_ref().and_then(|named| {
+        Some(NamedRate {
+            rate: RequestRate::new(named.per_second)?,
+            sent: ms_before(named.sent_ms_ago, now),
+            came: ms_before(named.came_ms_ago, now),
+        })
+    });
+    let record = RateRecord {
+        named,
+        lifted: row.lifted_ms_ago.map(|ago| ms_before(ago, now)),
     };
+    (Incarnation(row.incarnation), record)
+}
+
+fn ms_since(at: Instant, now: Instant) -> u32 {
+    let since = now.saturating_duration_since(at).as_millis();
+    u32::try_from(since).unwrap_or(u32::MAX)
+}
+
+/// A clock that shows less than the time that passed began after that.
+fn ms_before(milliseconds: u32, now: Instant) -> Instant {
+    let before = Duration::from_millis(u64::from(milliseconds));
+    now.checked_sub(before).unwrap_or(now)
+}
+
+pub(super) fn suspicion_to_wire(suspicion: &Suspicion, now: Instant) -> SuspectRow {
+    let ms_ago = |at: Instant| ms_since(at, now);
     let lost_runs = suspicion.lost_runs.iter().map(|run| LostRunRow {
         engine: run.engine.to_string(),
         begun_ms_ago: ms_ago(run.begun),
@@ -200,11 +242,7 @@
 }
 
 pub(super) fn suspicion_from_wire(row: &SuspectRow, now: Instant) -> Suspicion {
-    // A clock that shows less than the time that passed began after that.
-    let at = |ms_ago: u32| {
-        let ago = Duration::from_millis(u64::from(ms_ago));
-        now.checked_sub(ago).unwrap_or(now)
-    };
+    let at = |ms_ago: u32| ms_before(ms_ago, now);
     let lost_runs = row.lost_runs.iter().map(|run| LostRun {
         engine: Arc::from(run.engine.as_str()),
         begun: at(run.begun_ms_ago),
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -19,8 +19,10 @@
 mod prefill;
 mod probe;
 mod quarantining;
+mod rate_wait;
 mod relay;
 mod retry_pool;
+mod send_gate;
 mod wait_policy;
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -33,7 +35,9 @@
 use ponddrift_fleet::budget::{BudgetSettings, RetryBudget, RetryPool};
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::fingerprint::RequestFingerprint;
 use ponddrift_fleet::placement::Placement;
+use ponddrift_fleet::rate_limits::{Members, MembersTrust};
 use ponddrift_fleet::routes::SplitDealer;
 use ponddrift_fleet::stages::StageWork;
 use ponddrift_http::Body;
@@ -42,6 +46,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
+use crate::changed::Changed;
 use crate::connections::Connections;
 use crate::dialect::Dialect;
 use crate::fleet_state::FleetState;
@@ -50,7 +55,8 @@
 use crate::usage::UsageRecorder;
 pub(crate) use announcements::AnswerOrigin;
 use lost_runs::EngineEnds;
-use quarantining::ChangedSuspects;
+use rate_wait::RateQueues;
+pub use send_gate::SendPermit;
 
 /// Settings of the pipeline.
 #[derive(Clone)]
@@ -81,7 +87,10 @@
     state: Arc<FleetState>,
     connections: Arc<Connections>,
     engine_ends: EngineEnds,
-    changed_suspects: ChangedSuspects,
+    /// Requests of which this daemon knows something new that peers are to be told.
+    changed_suspects: Changed<RequestFingerprint>,
+    /// Back ends of whose rate limits it does.
+    changed_rate_limits: Changed<Arc<str>>,
     metrics: Arc<Metrics>,
     placement: Mutex<Placement>,
     budget: Mutex<RetryBudget>,
@@ -98,6 +107,8 @@
     in_progress: AtomicUsize,
     heavy_work_changed: Notify,
     heads_changed: Notify,
+    rates_changed: Notify,
+    rate_queues: RateQueues,
     held_bytes: AtomicUsize,
     bounds: IntakeBounds,
     usage: Option<Arc<UsageRecorder>>,
@@ -121,7 +132,8 @@
             state,
             connections: Connections::new(runtime.clone()),
             engine_ends: EngineEnds::default(),
-            changed_suspects: ChangedSuspects::default(),
+            changed_suspects: Changed::default(),
+            changed_rate_limits: Changed::default(),
             metrics,
             placement: Mutex::new(placement),
             budget: Mutex::new(RetryBudget::new(settings.budget)),
@@ -136,6 +148,8 @@
             in_progress: AtomicUsize::new(0),
             heavy_work_changed: Notify::new(),
             heads_changed: Notify::new(),
+            rates_changed: Notify::new(),
+            rate_queues: RateQueues::default(),
             held_bytes: AtomicUsize::new(0),
             bounds: settings.bounds,
             usage: settings.usage.clone(),
@@ -181,10 +195,23 @@
 
     /// Requests of which peers are to be told.
     #[must_use]
-    pub(crate) const fn changed_suspects(&self) -> &ChangedSuspects {
+    pub(crate) const fn changed_suspects(&self) -> &Changed<RequestFingerprint> {
         &self.changed_suspects
     }
 
+    /// Back ends of whose rate limits peers are to be told.
+    #[must_use]
+    pub(crate) const fn changed_rate_limits(&self) -> &Changed<Arc<str>> {
+        &self.changed_rate_limits
+    }
+
+    /// Tells which daemons share what back ends take from all together, and whether that can be relied on.
+    pub fn set_members(&self, members: &Arc<Members>, trust: MembersTrust) {
+        self.placement()
+            .rate_limits
+            .set_members(members, trust, now());
+    }
+
     /// Counts what tenants use; none where usage is not reported.
     #[must_use]
     pub const fn usage(&self) -> Option<&Arc<UsageRecorder>> {
@@ -252,6 +279,7 @@
         if let Some(in_force) = self.state.in_force() {
             self.split().keep_only(&in_force.configuration);
         }
+        self.rate_queues.tidy();
         self.connections.close_idle();
     }
 
--- a/crates/serving/src/pipeline/announcements.rs
+++ b/crates/serving/src/pipeline/announcements.rs
@@ -5,13 +5,13 @@
 
 use http::{HeaderMap, StatusCode};
 use ponddrift_fleet::announcements::{Availability, RequestedBackoff};
-use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::rate_limits::{AnnouncedRate, RateAnswer, RequestRate};
+use ponddrift_fleet::rate_limits::{AnnouncedRate, RateAnswer};
 
 use super::Pipeline;
 use super::answers::Failure;
 use super::job::Job;
+use crate::peers::log_rate_change;
 use crate::request_trace::milliseconds;
 use crate::time::now;
 
@@ -107,28 +107,9 @@
         };
         let change = self.placement().rate_limits.note(back_end, answer, now());
         if let Some(change) = change {
-            tracing::info!(
-                back_end = &*back_end.id,
-                incarnation = back_end.incarnation.0,
-                rate_before = change.before.map(RequestRate::per_second),
-                rate = change.after.map(RequestRate::per_second),
-                source = origin.source,
-                "rate_limit_changed"
-            );
-        }
-    }
-
-    /// Why a request must not be sent to the back end now; none where it may. Asked right before every send, since a request
-    /// may have waited for a prompt to be read or for a retry since its back end was chosen.
-    pub(super) fn why_closed(&self, back_end: &BackEnd) -> Option<&'static str> {
-        if !self.state.takes_requests(&back_end.id, now()) {
-            return Some("back_end_drains_or_is_gone");
-        }
-        let availability = self.placement().announcements.availability(back_end, now());
-        match availability {
-            Availability::Open => None,
-            Availability::BackingOff { .. } => Some("back_end_backs_off"),
-            Availability::Draining => Some("back_end_announced_draining"),
+            log_rate_change(&back_end.id, back_end.incarnation.0, change, origin.source);
+            self.changed_rate_limits.add(Arc::clone(&back_end.id));
+            self.rates_have_changed();
         }
     }
 
@@ -138,16 +119,16 @@
         if !matches!(failure, Failure::NotRun(_)) {
             return failure;
         }
-        let candidates = self.candidates(job).back_ends;
-        let generating = candidates
-            .into_iter()
-            .filter(|back_end| back_end.stage != Some(Stage::Prefill));
         let now = now();
-        let first_end = self
-            .placement()
-            .first_backoff_end(&generating.collect::<Vec<_>>(), now);
-        first_end.map_or(failure, |until| Failure::BackingOff {
-            left: until.saturating_duration_since(now),
-        })
+        let generating = self.generating(job);
+        let first_opening = self.placement().first_opening(&generating, now);
+        let Some(first_opening) = first_opening else {
+            return failure;
+        };
+        // Those that wait are served before it.
+        let turn = self.rate_turn(job).unwrap_or_default();
+        Failure::BackingOff {
+            left: turn.max(first_opening.saturating_duration_since(now)),
+        }
     }
 }
--- a/crates/serving/src/pipeline/answers.rs
+++ b/crates/serving/src/pipeline/answers.rs
@@ -38,7 +38,8 @@
         /// Until then.
         left: Duration,
     },
-    /// It did not run: all back ends that could run it asked this daemon to back off, the first of them for `left`.
+    /// It did not run: all back ends that could run it asked their callers to back off, or limit the rate of requests. `left` is the time until the
+    /// first takes it.
     BackingOff {
         /// Until then.
         left: Duration,
@@ -84,7 +85,7 @@
                 "engines ended while they ran this request: it is not run for now, change it or ask the operators"
             }
             Self::BackingOff { .. } => {
-                "all back ends asked for a pause: come back when the first takes requests again"
+                "all back ends asked for a pause or limit their requests: come back when the first takes this one"
             }
             Self::NotRun(reason) | Self::Unsure(reason) | Self::TimeOver(reason) => reason,
         }
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -8,7 +8,6 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::{Outcome, Results};
 use ponddrift_fleet::placement::Urgency;
-use ponddrift_fleet::rate_limits::RequestRate;
 use ponddrift_http::body;
 
 use super::Pipeline;
@@ -96,9 +95,6 @@
         back_end: &Arc<BackEnd>,
         order: SendOrder<'_>,
     ) -> HeadEnd {
-        if let Some(reason) = self.why_closed(back_end) {
-            return self.not_sent(job, back_end, order.step, reason);
-        }
         let facts = SendFacts {
             back_end: &back_end.id,
             time_left: job.time_left(),
@@ -111,10 +107,13 @@
         let Some(request) = self.build(job, &facts) else {
             return HeadEnd::NotSent("request_not_writable");
         };
+        let permit = match self.permit_request(back_end) {
+            Ok(permit) => permit,
+            Err(reason) => return self.not_sent(job, back_end, order.step, reason),
+        };
         let most = self.connection_share(job.service.maximum_connections);
         let begun = now();
         self.placement().link.sends(job.body.len(), begun);
-        self.note_send_to_limited(back_end, order.step, begun);
         let reuse = if job.met_silence {
             Reuse::Never
         } else {
@@ -122,7 +121,7 @@
         };
         let exchange = self
             .connections
-            .exchange(back_end.address, most, reuse, request);
+            .exchange(permit, back_end.address, most, reuse, request);
         let answer = self
             .wait_for(
                 exchange,
@@ -173,23 +172,6 @@
         judged.end
     }
 
-    /// Logs a request that leaves for a back end which limits the rate of its requests.
-    fn note_send_to_limited(&self, back_end: &BackEnd, step: SendStep<'_>, sent: Instant) {
-        let mut placement = self.placement();
-        let Some(sends) = placement.rate_limits.sent(back_end, sent) else {
-            return;
-        };
-        let rate = placement.rate_limits.limit(back_end);
-        drop(placement);
-        tracing::info!(
-            back_end = &*back_end.id,
-            purpose = purpose(step),
-            rate = rate.map(RequestRate::per_second),
-            own_sends_in_4_s = sends,
-            "sent_to_rate_limited"
-        );
-    }
-
     /// Notes a send that was not made.
     fn not_sent(
         &self,
--- a/crates/serving/src/pipeline/cache_probe.rs
+++ b/crates/serving/src/pipeline/cache_probe.rs
@@ -64,10 +64,11 @@
     /// Asks one engine. Returns the heads that it keeps; none without an answer.
     async fn probe_cache(self: &Arc<Self>, engine: Arc<BackEnd>) -> Option<usize> {
         let request = self.dialect.cache_events().request(engine.address)?;
+        let permit = self.permit_check(&engine)?;
         let sent = now();
         let call = self
             .connections
-            .call(engine.address, 2, request, ANSWER_LIMIT);
+            .call(permit, engine.address, 2, request, ANSWER_LIMIT);
         let answer = call.await?;
         let origin = AnswerOrigin::call("cache_events", sent);
         self.note_announcement(&engine, answer.status(), answer.headers(), origin);
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -146,6 +146,9 @@
                 None => {
                     self.await_head(job).await;
                     let Some(plan) = self.plan(job) else {
+                        if self.await_rate(job).await {
+                            continue;
+                        }
                         failure = self.nothing_to_choose(job, failure);
                         break;
                     };
--- a/crates/serving/src/pipeline/guards.rs
+++ b/crates/serving/src/pipeline/guards.rs
@@ -8,7 +8,7 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::placement::Urgency;
 
-use super::Pipeline;
+use super::{Pipeline, SendPermit};
 
 /// Time for a small call to a back end.
 const SMALL_CALL_LIMIT: Duration = Duration::from_millis(500);
@@ -157,7 +157,13 @@
                 // What is not freed lapses by itself.
                 drop(
                     connections
-                        .call(source, most, request, SMALL_CALL_LIMIT)
+                        .call(
+                            SendPermit::control_call(),
+                            source,
+                            most,
+                            request,
+                            SMALL_CALL_LIMIT,
+                        )
                         .await,
                 );
             }
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -78,6 +78,9 @@
                 break;
             }
             let Some(back_end) = self.place_plain(job) else {
+                if self.await_rate(job).await {
+                    continue;
+                }
                 failure = self.nothing_to_choose(job, failure);
                 break;
             };
--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -18,6 +18,17 @@
 /// Connections that health checks may open beside those of requests.
 const CHECK_CONNECTIONS: u32 = u32::MAX;
 
+/// How a health check ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum CheckEnd {
+    /// The back end is well.
+    Well,
+    /// It did not answer in time, or not as itself, or says that it is not.
+    Unwell,
+    /// It was not asked: its rate limit leaves no room.
+    NotMade,
+}
+
 impl Pipeline {
     /// Checks an ejected back end, with growing pauses, until it is well or gone.
     pub(super) fn check_until_well(
@@ -51,10 +62,17 @@
                     pause = pipeline.spread(next);
                     continue;
                 }
-                if pipeline.is_well(&back_end, &path).await {
-                    tracing::info!(back_end = &*back_end.id, "back_end_reinstated");
-                    pipeline.placement().health.reinstate(&back_end.id);
-                    return;
+                match pipeline.check_health(&back_end, &path).await {
+                    CheckEnd::Well => {
+                        tracing::info!(back_end = &*back_end.id, "back_end_reinstated");
+                        pipeline.placement().health.reinstate(&back_end.id);
+                        return;
+                    }
+                    CheckEnd::NotMade => {
+                        pause = pipeline.spread(LONGEST_EJECTION);
+                        continue;
+                    }
+                    CheckEnd::Unwell => {}
                 }
                 match pipeline.placement().health.check_failed(&back_end.id) {
                     Some(next) => pause = pipeline.spread(next),
@@ -83,7 +101,7 @@
         let pipeline = Arc::clone(self);
         let back_end = Arc::clone(back_end);
         self.runtime.spawner.spawn(Box::pin(async move {
-            if !pipeline.is_well(&back_end, &path).await {
+            if pipeline.check_health(&back_end, &path).await == CheckEnd::Unwell {
                 pipeline.note_outcome(&back_end, &path, Outcome::Unreachable);
             }
         }));
@@ -95,27 +113,42 @@
         Some(Arc::clone(&service.health_path))
     }
 
-    /// Whether a back end answers its health check in time, as itself.
-    pub(super) async fn is_well(self: &Arc<Self>, back_end: &Arc<BackEnd>, path: &str) -> bool {
+    /// Checks whether a back end answers its health check in time, as itself.
+    pub(super) async fn check_health(
+        self: &Arc<Self>,
+        back_end: &Arc<BackEnd>,
+        path: &str,
+    ) -> CheckEnd {
         let call = SmallCall {
             method: Method::GET,
             path: path.to_owned(),
         };
         let Some(request) = call.request(back_end.address) else {
-            return false;
+            return CheckEnd::Unwell;
+        };
+        let Some(permit) = self.permit_check(back_end) else {
+            return CheckEnd::NotMade;
         };
         let sent = now();
-        let call = self
-            .connections
-            .call(back_end.address, CHECK_CONNECTIONS, request, CHECK_LIMIT);
+        let call = self.connections.call(
+            permit,
+            back_end.address,
+            CHECK_CONNECTIONS,
+            request,
+            CHECK_LIMIT,
+        );
         let Some(answer) = call.await else {
-            return false;
+            return CheckEnd::Unwell;
         };
         let is_itself = self.dialect.health_identity(answer.headers()) == Some(&*back_end.id);
         if is_itself {
             let origin = AnswerOrigin::call("health_check", sent);
             self.note_announcement(back_end, answer.status(), answer.headers(), origin);
         }
-        answer.status() == StatusCode::OK && is_itself
+        if answer.status() == StatusCode::OK && is_itself {
+            CheckEnd::Well
+        } else {
+            CheckEnd::Unwell
+        }
     }
 }
--- a/crates/serving/src/pipeline/quarantining.rs
+++ b/crates/serving/src/pipeline/quarantining.rs
@@ -1,13 +1,10 @@
 //! Whether a request may run that engines ended under.
 
-use std::collections::BTreeSet;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::Instant;
 
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::fingerprint::RequestFingerprint;
 use ponddrift_fleet::quarantine::{LostRun, Standing, Update};
-use tokio::sync::Notify;
 
 use super::Pipeline;
 use super::answers::Failure;
@@ -15,35 +12,6 @@
 use crate::back_end_index::hash;
 use crate::time::now;
 
-/// Requests of which this daemon knows something new that peers are to be told.
-#[derive(Debug, Default)]
-pub(crate) struct ChangedSuspects {
-    waiting: Mutex<BTreeSet<RequestFingerprint>>,
-    added: Notify,
-}
-
-impl ChangedSuspects {
-    pub(crate) fn add(&self, fingerprint: RequestFingerprint) {
-        self.lock().insert(fingerprint);
-        self.added.notify_one();
-    }
-
-    /// Waits until there are some.
-    pub(crate) async fn wait(&self) {
-        self.added.notified().await;
-    }
-
-    pub(crate) fn take(&self) -> BTreeSet<RequestFingerprint> {
-        std::mem::take(&mut *self.lock())
-    }
-
-    fn lock(&self) -> MutexGuard<'_, BTreeSet<RequestFingerprint>> {
-        self.waiting
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-    }
-}
-
 impl Pipeline {
     pub(super) fn note_lost_run(&self, job: &Job, engine: &Arc<BackEnd>, begun: Instant) -> Update {
         let run = LostRun {
--- a/crates/serving/src/pipeline/wait_policy.rs
+++ b/crates/serving/src/pipeline/wait_policy.rs
@@ -15,6 +15,7 @@
 
 use super::Pipeline;
 use super::job::Job;
+use super::probe::CheckEnd;
 use crate::time::{self, now};
 
 /// A back end that has sent something within this time is alive: its health endpoint is not queried.
@@ -130,8 +131,8 @@
             tokio::select! {
                 biased;
                 answer = &mut answer => return Ok(answer),
-                is_well = self.is_well(back_end, health_path) => {
-                    if !is_well {
+                check = self.check_health(back_end, health_path) => {
+                    if check == CheckEnd::Unwell {
                         self.connections.distrust_idle(back_end.address);
                         return Err(WaitEnd::Unresponsive);
                     }
--- a/crates/serving/src/request_trace.rs
+++ b/crates/serving/src/request_trace.rs
@@ -60,6 +60,11 @@
         /// How long.
         waited: Duration,
     },
+    /// It waited for its turn, since all back ends limit the rate of requests.
+    RateAwaited {
+        /// How long.
+        waited: Duration,
+    },
     /// A stream went on elsewhere.
     Resumed {
         /// After this event.
@@ -181,6 +186,14 @@
                 "head_awaited"
             );
         }
+        Step::RateAwaited { waited } => {
+            tracing::info!(
+                request,
+                at_ms,
+                waited_ms = milliseconds(*waited),
+                "rate_awaited"
+            );
+        }
         Step::Resumed { after, reason } => {
             tracing::info!(request, at_ms, after, reason, "stream_resumed");
         }
