An engine that limits the rate of its requests is no home for prefixes

Cause: the home of a prefix is worked out among the engines that take a request now; one with a limit takes one now and none a moment later, so that the prefix moves with each token and is read anew. Change: an engine with a limit is a home only where no other is left. Test: a prompt of a prefix never seen does not go to the limited engine though it has a token; without the change it does (tried).

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -364,6 +364,15 @@
         Some(reading.plan(prefill, decoder.back_end, prefills_home, time_ms))
     }
 
+    /// The engine where prompts with this head meet. One that limits the rate of requests is none where another is left: it takes now one and
+    /// now none, and each change of the home has the head read once more.
+    fn home<'a>(&self, engines: &'a [Arc<BackEnd>], head: u64) -> Option<&'a Arc<BackEnd>> {
+        let unlimited = engines
+            .iter()
+            .filter(|engine| self.rate_limits.limit(engine).is_none());
+        prefixes::home(unlimited, head).or_else(|| prefixes::home(engines.iter(), head))
+    }
+
     /// Engines that are believed to keep the prompt's head.
     fn keepers(&self, ready: &[Arc<BackEnd>], prompt: &Prompt, now: Instant) -> Vec<Arc<BackEnd>> {
         let Some(head) = prefixes::remembered_head(prompt) else {
@@ -445,8 +454,7 @@
         // All daemons know alike where a prefix is read, and so where it is handed over to.
         let near_reader = hand_over.map(|hand_over| hand_over.engines_near(decoders));
         let rivals = near_reader.filter(|near| !near.is_empty());
-        let home =
-            head.and_then(|head| prefixes::home(rivals.as_deref().unwrap_or(decoders), head));
+        let home = head.and_then(|head| self.home(rivals.as_deref().unwrap_or(decoders), head));
         let head_ms = prompt.map_or(0.0, |prompt| self.head_reading_ms(prompt));
         self.cheapest(decoders, now, random, |back_end| {
             let time_ms = self.slot_wait_ms(back_end, Urgency::InTime)
--- a/crates/fleet/src/placement/prefixes.rs
+++ b/crates/fleet/src/placement/prefixes.rs
@@ -227,8 +227,9 @@
 }
 
 /// The engine where prompts with this head meet: the one with the highest hash of both.
-pub(super) fn home(engines: &[Arc<BackEnd>], head: u64) -> Option<&Arc<BackEnd>> {
-    engines
-        .iter()
-        .max_by_key(|engine| owner_score(engine.id.as_bytes(), head))
+pub(super) fn home<'a>(
+    engines: impl Iterator<Item = &'a Arc<BackEnd>>,
+    head: u64,
+) -> Option<&'a Arc<BackEnd>> {
+    engines.max_by_key(|engine| owner_score(engine.id.as_bytes(), head))
 }
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -169,7 +169,7 @@
         if self.is_worth_a_fetch() && !self.keepers.is_empty() {
             return None;
         }
-        prefixes::home(rivals, head)
+        self.placement.home(rivals, head)
     }
 
     fn is_worth_a_fetch(&self) -> bool {
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -14,6 +14,9 @@
     WorkReport, WorkRow,
 };
 use ponddrift_fleet::prompt::{Prompt, PromptPart};
+use ponddrift_fleet::rate_limits::{
+    Allowance, AnnouncedRate, Members, MembersTrust, RateAnswer, RequestRate,
+};
 use ponddrift_fleet::stages::StageWork;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -622,3 +625,29 @@
         assert_eq!(&*chosen.expect("an engine").zone, "far", "seed {seed}");
     }
 }
+
+/// An engine that limits the rate of its requests takes one now and none a moment later: a prefix at home there would move, and be read anew, each time.
+#[test]
+fn an_engine_that_limits_its_requests_is_no_home_for_prefixes() {
+    let mut scene = Scene::new(0, 6);
+    let fresh = prompt("never-seen", 8_000, 200);
+    let home = scene.plan(&fresh).decode;
+    let members = Arc::new(Members {
+        own: 1,
+        daemons: vec![(Arc::from("a"), 1)],
+    });
+    let limits = &mut scene.placement.rate_limits;
+    limits.set_members(&members, MembersTrust::Confirmed, scene.now);
+    let answer = RateAnswer {
+        rate: AnnouncedRate::Limited(RequestRate::new(50.0).expect("a rate")),
+        sent: scene.now,
+        is_of_run: true,
+    };
+    limits.note(&home, answer, scene.now);
+    scene.now += Duration::from_secs(1);
+    let allowance = scene.placement.rate_limits.allowance(&home, scene.now);
+    assert_eq!(allowance, Allowance::Now, "it would take the request");
+    for _ in 0..20 {
+        assert_ne!(scene.plan(&fresh).decode.id, home.id);
+    }
+}
