Two halves of the daemons that do not hear each other do not both take the whole of a limit

What callers saw: nothing. With 5 of 9 daemons cut off from the store and the other 4, both sides shared out the whole rate, and a back end that takes 24 requests in 4 s got 30. Cause: a daemon counted its view of the others as good where it heard half of its neighbours, which the half that the store takes for gone does too.

--- a/crates/fleet/src/followers.rs
+++ b/crates/fleet/src/followers.rs
@@ -15,7 +15,7 @@
 /// How long one call of a follower waits for changes: the store's answer is no older than this, where all is well.
 pub const FOLLOWER_WAIT: Duration = Duration::from_secs(1);
 /// A neighbour whose last answer from the store is older is not relied on.
-const LONGEST_STORE_SILENCE: Duration = Duration::from_millis(1_400);
+pub const LONGEST_STORE_SILENCE: Duration = Duration::from_millis(1_400);
 
 /// Share of the reads that the store takes in a second which all daemons together use that follow it for others.
 const SHARE_FOR_OTHERS: f64 = 0.4;
--- a/crates/serve/tests/rate_limits.rs
+++ b/crates/serve/tests/rate_limits.rs
@@ -24,7 +24,8 @@
 use futures::future::join_all;
 use http::StatusCode;
 use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest, EngineStandIn};
-use support::{Fleet, Size};
+use ponddrift_simulation::HostId;
+use support::{DaemonHost, Fleet, Size};
 use tokio::time::{Instant, sleep};
 
 /// Rate that back ends name here, in requests a second.
@@ -403,3 +404,51 @@
         );
     }
 }
+
+/// Daemons freeze and wake while a back end sets a limit: nothing is saved up meanwhile, and what they missed they are told.
+#[test]
+fn a_back_end_gets_no_more_than_it_takes_while_daemons_freeze_and_wake() {
+    let mut fleet = fleet_of(9, 3);
+    let engine = fleet.records[0].clone();
+    engine.limit_rate(&[RATE_TEXT]);
+    let begun = virtual_now(&mut fleet);
+    let handle = fleet.simulation.handle();
+    let hosts: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.host).collect();
+    for frozen in hosts.chunks(3) {
+        let load = Load::plain(Duration::from_secs(2));
+        for host in frozen {
+            handle.freeze(*host);
+        }
+        fleet.wait(Duration::from_millis(1_500));
+        for host in frozen {
+            handle.thaw(*host);
+        }
+        ask_all(&mut fleet, &format!("thawed-{frozen:?}"), load);
+    }
+    let most = most_in_window(&engine, begun + SETTLED);
+    assert!(most as f64 <= allowed(RATE), "{most}");
+}
+
+/// Two halves of the daemons do not hear each other, and only one of them hears the store. It takes the others for gone, who go on with what they
+/// know: both sides together must not send twice what the back end takes.
+#[test]
+fn two_halves_that_do_not_hear_each_other_do_not_both_take_the_whole() {
+    let mut fleet = fleet_of(9, 2);
+    let engine = fleet.records[0].clone();
+    engine.limit_rate(&[RATE_TEXT]);
+    let begun = virtual_now(&mut fleet);
+    ask_all(&mut fleet, "whole", Load::plain(Duration::from_secs(4)));
+    // All that share the limit are of the engine's zone, which the daemons with even numbers are of.
+    let numbered = fleet.daemons.iter().enumerate();
+    let (cut_off, rest): (Vec<_>, Vec<_>) = numbered.partition(|(number, _)| number % 2 == 0);
+    let hosts = |daemons: Vec<(usize, &DaemonHost)>| {
+        let hosts = daemons.into_iter().map(|(_, daemon)| daemon.host);
+        hosts.collect::<Vec<HostId>>()
+    };
+    let (cut_off, mut rest) = (hosts(cut_off), hosts(rest));
+    rest.push(fleet.store_host);
+    fleet.simulation.handle().partition(&cut_off, &rest);
+    ask_all(&mut fleet, "halves", Load::plain(Duration::from_secs(20)));
+    let most = most_in_window(&engine, begun + SETTLED);
+    assert!(most as f64 <= allowed(RATE), "{most}");
+}
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -10,7 +10,7 @@
 
 use ponddrift_fleet::distribution::{FOLLOWER_PATIENCE, REREAD_PATIENCE, ReadingPlan};
 use ponddrift_fleet::followers::{
-    FOLLOWER_WAIT, FollowerTable, gathering_alone, gathering_for_others,
+    FOLLOWER_WAIT, FollowerTable, LONGEST_STORE_SILENCE, gathering_alone, gathering_for_others,
 };
 use ponddrift_runtime::Runtime;
 use rand::{RngExt, SeedableRng};
@@ -94,6 +94,14 @@
         lock(&self.last_answer).is_some()
     }
 
+    /// Whether the store answered this daemon, or a neighbour that it hears, a moment ago.
+    #[must_use]
+    pub fn hears_store(&self) -> bool {
+        let own = self.store_silence();
+        own.is_some_and(|silence| silence < LONGEST_STORE_SILENCE)
+            || self.relied_on_until().is_some()
+    }
+
     fn relied_on_until(&self) -> Option<Instant> {
         lock(&self.followers).relied_on_until(now())
     }
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -86,6 +86,8 @@
     pub backing_off: usize,
     /// Back ends that announced in an answer that they drain.
     pub announced_draining: usize,
+    /// Back ends that limit the rate of requests.
+    pub rate_limited: usize,
     /// Back ends whose entries held no usable time of their slow start.
     pub unusable_cold_times: u64,
     /// Requests that are remembered since engines ended under them.
@@ -116,6 +118,7 @@
     ejected: Gauge,
     backing_off: Gauge,
     announced_draining: Gauge,
+    rate_limited: Gauge,
     unusable_cold_times: Gauge,
     suspects: Gauge,
     quarantined: Gauge,
@@ -265,6 +268,11 @@
                 "back_ends_announced_draining",
                 "Back ends that announced in an answer that they drain",
             ),
+            rate_limited: made(
+                r,
+                "back_ends_rate_limited",
+                "Back ends that limit the rate of all daemons' requests",
+            ),
             unusable_cold_times: made(
                 r,
                 "unusable_cold_times",
@@ -413,6 +421,7 @@
         gauges
             .announced_draining
             .set(signed(values.announced_draining));
+        gauges.rate_limited.set(signed(values.rate_limited));
         gauges.suspects.set(signed(values.suspects));
         gauges.quarantined.set(signed(values.quarantined));
         gauges
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -138,14 +138,17 @@
         }
     }
 
-    /// Whether what is known of the other daemons can be relied on: half of the neighbours or more were heard lately. A daemon that wakes or is cut
-    /// off hears none.
+    /// Whether what is known of the other daemons can be relied on: the store tells who is there, or all neighbours were heard lately. A
+    /// daemon that wakes or is cut off has neither.
     fn members_trust(&self) -> MembersTrust {
-        let neighbours = &self.state.topology().neighbours;
         let mut heard = self.heard();
         heard.retain(|_peer, at| now().saturating_duration_since(*at) < HEARD_LIFE);
-        let heard = neighbours.iter().filter(|peer| heard.contains_key(peer));
-        if heard.count() * 2 >= neighbours.len() {
+        let topology = self.state.topology();
+        let hears_all = topology
+            .neighbours
+            .iter()
+            .all(|peer| heard.contains_key(peer));
+        if hears_all || self.following.hears_store() {
             MembersTrust::Confirmed
         } else {
             MembersTrust::Unconfirmed
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -299,6 +299,7 @@
         let engine_requests = requests.sum::<f64>() as u64;
         let ejected = placement.health.ejected().len();
         let announced = placement.announcements.counts(now());
+        let rate_limited = placement.rate_limits.limited().len();
         drop(placement);
         let suspects = self.state.quarantine().counts(now());
         GaugeValues {
@@ -322,6 +323,7 @@
             ejected,
             backing_off: announced.backing_off,
             announced_draining: announced.draining,
+            rate_limited,
             unusable_cold_times: self.state.unusable_cold_times(),
             suspects: suspects.remembered,
             quarantined: suspects.quarantined,
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -180,6 +180,7 @@
             expected_ms: None,
             first_event: None,
             longest_gap: Duration::ZERO,
+            turns: 0,
             runs: 0,
             tried: Vec::new(),
             met_silence: false,
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -53,6 +53,8 @@
     pub(super) first_event: Option<Instant>,
     /// Longest pause between two events.
     pub(super) longest_gap: Duration,
+    /// Turns that it waited for while all back ends limited the rate of requests.
+    pub(super) turns: u32,
     /// Back ends that ran the request, or may have.
     pub(super) runs: u32,
     /// Back ends that are not tried again.
--- a/crates/serving/src/pipeline/rate_wait.rs
+++ b/crates/serving/src/pipeline/rate_wait.rs
@@ -18,6 +18,9 @@
 /// Part of its time in target that a request may wait for its turn: the rest is for its run.
 const WAIT_SHARE: f64 = 0.5;
 
+/// Turns that a request waits for, at most: one whose token others take each time is refused rather than looked at again and again.
+const MOST_TURNS: u32 = 8;
+
 /// The requests of each service that wait, in the order in which they came.
 #[derive(Debug, Default)]
 pub(super) struct RateQueues {
@@ -79,6 +82,10 @@
         let Some(opening) = self.rate_opening(job) else {
             return false;
         };
+        if job.turns >= MOST_TURNS {
+            return false;
+        }
+        job.turns += 1;
         let last = job.arrived + job.route.target_latency.mul_f64(WAIT_SHARE);
         let queue = self.rate_queues.of(&job.service.name);
         let ahead = queue.waiting.load(Ordering::Relaxed);
