--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::costs::Estimate;
-use super::{HOME_READ_SHARE, MS_PER_S, Placement, PromptPlan, PromptRequest, Urgency, prefixes};
+use super::{HOME_READ_SHARE, MS_PER_S, Placement, PromptPlan, PromptRequest, Urgency};
 use crate::configuration::EngineTraits;
 use crate::directory::BackEnd;
 
