A daemon that starts asks its peers for rate limits in force

What callers saw: nothing; a daemon that starts knew of a limit only within a second or two, by the rounds of its neighbours, and sent requests until then. Change: it asks three peers at once and again after 60, 200 and 800 ms, since at first it may know only its seeds. The test of daemons that start again wants it within 300 ms, before 2,500 ms.

--- a/crates/serve/tests/rate_limits.rs
+++ b/crates/serve/tests/rate_limits.rs
@@ -244,7 +244,7 @@
         fleet.simulation.handle().kill(host);
         fleet.wait(Duration::from_millis(200));
         fleet.simulation.handle().restart(host);
-        fleet.wait(Duration::from_millis(2_500));
+        fleet.wait(Duration::from_millis(300));
     }
     let before = engine.arrivals().len();
     fleet.ask_each_daemon("again");
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -78,6 +78,7 @@
         spawner.spawn(Box::pin(Arc::clone(&peers).replicate_usage(recorder)));
     }
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_suspects()));
+    spawner.spawn(Box::pin(Arc::clone(&peers).ask_for_rate_limits()));
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_rate_limits()));
     spawner.spawn(Box::pin(Arc::clone(&peers).deposit_retries()));
     spawner.spawn(Box::pin(peers.receive()));
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -58,6 +58,8 @@
         /// Whether the receiver is to tell what the sender lacks.
         wants_more: bool,
     },
+    /// The sender has started and wants to know of rate limits in force.
+    RateLimitsWanted,
     /// Retries that the sender earned and the receiver keeps for the zone.
     Deposits(DepositsRow),
 }
--- a/crates/serving/src/peers/rate_limits.rs
+++ b/crates/serving/src/peers/rate_limits.rs
@@ -12,7 +12,7 @@
 use ponddrift_fleet::rate_limits::{RateChange, RequestRate};
 
 use super::Peers;
-use super::message::{self, RateRow};
+use super::message::{self, Message, RateRow};
 use super::translate::{rate_from_wire, rate_to_wire};
 use crate::back_end_index::hash;
 use crate::time::{self, now};
@@ -29,6 +29,19 @@
 /// about a second. With a full datagram a round takes 2.8 kB, a quarter of the bytes a second that a daemon may use.
 const REPAIR_FAN_OUT: usize = 2;
 
+/// When a daemon that has started asks for the limits in force, after its start: at once it may know no peers yet but its seeds, and these may be
+/// down.
+const ASKED_AFTER: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::from_millis(60),
+    Duration::from_millis(200),
+    Duration::from_millis(800),
+];
+/// Peers that are asked at a time.
+const ASKED_PEERS: usize = 3;
+/// Limits that a daemon which asks is told, at most: the rounds bring it the others.
+const MOST_TOLD: usize = 256;
+
 /// Back ends whose limits are to be told again, and when.
 type Schedule = BTreeSet<(Instant, Arc<str>)>;
 
@@ -70,6 +83,33 @@
         }
     }
 
+    /// Asks peers for the limits in force, once after the start: what this daemon does not know of may hold all the same.
+    pub(super) async fn ask_for_rate_limits(self: Arc<Self>) {
+        let begun = now();
+        for (asked, after) in ASKED_AFTER.into_iter().enumerate() {
+            time::sleep_until(begun + after).await;
+            let neighbours = self.neighbours();
+            let next = neighbours.iter().cycle().skip(asked * ASKED_PEERS);
+            let targets: Vec<SocketAddr> = next
+                .take(ASKED_PEERS.min(neighbours.len()))
+                .copied()
+                .collect();
+            let question = message::encode(&Message::RateLimitsWanted);
+            self.send(question, &targets).await;
+        }
+    }
+
+    pub(super) async fn tell_rates_in_force(&self, peer: SocketAddr) {
+        let limited = self.pipeline.placement().rate_limits.limited();
+        let rows = limited
+            .iter()
+            .take(MOST_TOLD)
+            .filter_map(|id| self.rate_row(id));
+        for bytes in message::encode_rates(rows.collect(), true) {
+            self.send(Some(bytes), &[peer]).await;
+        }
+    }
+
     /// Tells neighbours and a few daemons of every other zone what is known of these back ends.
     async fn tell_rates(&self, back_ends: BTreeSet<Arc<str>>) {
         if back_ends.is_empty() {
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -51,6 +51,7 @@
                 Some(Message::RateLimits { rows, wants_more }) => {
                     self.take_rates(&rows, wants_more, from).await;
                 }
+                Some(Message::RateLimitsWanted) => self.tell_rates_in_force(from).await,
                 Some(Message::Deposits(row)) => {
                     self.pipeline.receive_deposits(&deposits_from_wire(row))
                 }
