Soak: engines set rate limits beside the faults

One engine after the other names 0, 0.5, 1, 3.3 or 8 requests a second for 4 to 9 s; none may get more than half as much again and 5 in any 4 s, from 3 s after it first named it. Drawn apart from the faults, so that seeds draw the faults that they drew; the seeds that showed a fault run without.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod crashable;
 pub mod daemons;
 pub mod faults;
+pub mod limits;
 pub mod load;
 pub mod platform;
 pub mod run;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use clap::{Arg, Command, value_parser};
+use clap::{Arg, ArgAction, Command, value_parser};
 use eyre::{Context, Result};
 use ponddrift_soak::{SoakSettings, run};
 use rand::TryRng;
@@ -41,6 +41,12 @@
                 .default_value("12")
                 .value_parser(value_parser!(u64).range(1..=200)),
         )
+        .arg(
+            Arg::new("without-limits")
+                .long("without-limits")
+                .action(ArgAction::SetTrue)
+                .help("Engines set no rate limits beside the faults"),
+        )
         .arg(
             Arg::new("folder")
                 .long("folder")
@@ -68,14 +74,16 @@
         time: Duration::from_secs(seconds),
         daemons: usize::from(daemons),
         callers,
+        limits: !matches.get_flag("without-limits"),
         folder,
     };
     println!("seed {seed}, {seconds} s, {daemons} daemons, {callers} callers");
     let report = run(&settings).await?;
     println!(
-        "{} requests, {} served, {} faults",
+        "{} requests, {} served, {} rate limits, {} faults",
         report.asked,
         report.served,
+        report.limits,
         report.faults.len()
     );
     for fault in &report.faults {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -6,7 +6,7 @@
 
 use eyre::Result;
 use http::StatusCode;
-use ponddrift_platform_stand_ins::{ClientRequest, ClientStandIn, StoreMode};
+use ponddrift_platform_stand_ins::{ClientRequest, ClientStandIn, EngineStandIn, StoreMode};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
@@ -15,6 +15,7 @@
 use crate::checks::{Outage, Troubles, Violation, check, check_answers, check_crashing_requests};
 use crate::daemons::DaemonProcess;
 use crate::faults::{DrawnFault, Fault, draw};
+use crate::limits::Limiter;
 use crate::load::{LoadState, call, crash_again_and_again};
 use crate::platform::{CHANGING, MODELS, Platform, RECORDS};
 
@@ -42,6 +43,8 @@
     pub daemons: usize,
     /// Callers.
     pub callers: u64,
+    /// Whether engines set rate limits beside the faults.
+    pub limits: bool,
     /// Where settings and logs go.
     pub folder: PathBuf,
 }
@@ -53,6 +56,8 @@
     pub asked: usize,
     /// Those answered with a success.
     pub served: usize,
+    /// Rate limits that engines set.
+    pub limits: usize,
     /// Faults in order.
     pub faults: Vec<DrawnFault>,
     /// What did not hold.
@@ -87,6 +92,8 @@
     troubles: Troubles,
     /// Those of them in which the store, or the way to it, was in trouble.
     store_troubles: Troubles,
+    /// Has engines set rate limits; none where they do not.
+    limiter: Option<Limiter>,
     violations: Vec<Violation>,
 }
 
@@ -109,6 +116,7 @@
             outages: Vec::new(),
             troubles: Troubles::default(),
             store_troubles: Troubles::default(),
+            limiter: settings.limits.then(|| Limiter::new(settings.seed)),
             violations: Vec::new(),
         })
     }
@@ -217,6 +225,7 @@
                 daemon.keep_running(expected)?;
             }
             self.platform.tend_engines().await?;
+            self.tend_limits();
             self.look_for_ready().await;
             if Instant::now() >= end {
                 return Ok(());
@@ -225,6 +234,16 @@
         }
     }
 
+    fn tend_limits(&mut self) {
+        let staying = self.staying().into_iter();
+        let engines: Vec<EngineStandIn> = staying
+            .map(|index| self.platform.members[index].engine.clone())
+            .collect();
+        if let Some(limiter) = &mut self.limiter {
+            limiter.tend(&engines);
+        }
+    }
+
     /// The request goes on while later faults strike.
     async fn send_crashing_request(&mut self, time: Duration) -> Result<()> {
         let name = format!("crasher{}", self.faults.len());
@@ -357,6 +376,10 @@
     }
 
     async fn calm_down(&mut self) -> Result<()> {
+        if let Some(limiter) = &mut self.limiter {
+            limiter.lift();
+        }
+        let limiter = self.limiter.take();
         self.platform.store.set_mode(StoreMode::Up);
         for daemon in &self.daemons {
             daemon.door.set_mode(StoreMode::Up);
@@ -364,7 +387,9 @@
         for member in &self.platform.members {
             member.engine.behave_well();
         }
-        self.pass(AFTERMATH + Duration::from_secs(4)).await
+        self.pass(AFTERMATH + Duration::from_secs(4)).await?;
+        self.limiter = limiter;
+        Ok(())
     }
 
     /// With all faults over, every daemon is ready and serves every request.
@@ -404,6 +429,7 @@
         let members = &self.platform.members;
         violations.extend(check(&asked, members, &self.troubles));
         violations.extend(check_crashing_requests(members, &self.store_troubles));
+        violations.extend(self.limiter.iter().flat_map(Limiter::check));
         violations.extend(check_answers(&asked, members, &self.outages));
         let served = asked.iter().filter(|one| {
             let answer = one.answer.as_ref();
@@ -412,6 +438,7 @@
         Report {
             served: served.count(),
             asked: asked.len(),
+            limits: self.limiter.as_ref().map_or(0, Limiter::count),
             faults: self.faults,
             violations,
         }
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -8,6 +8,10 @@
 const TIME: Duration = Duration::from_secs(12);
 
 async fn soak(seed: u64) -> Report {
+    soak_with(seed, false).await
+}
+
+async fn soak_with(seed: u64, limits: bool) -> Report {
     let folder =
         std::env::temp_dir().join(format!("ponddrift-seeded-{}-{seed}", std::process::id()));
     let settings = SoakSettings {
@@ -15,6 +19,7 @@
         time: TIME,
         daemons: 4,
         callers: 8,
+        limits,
         folder: folder.clone(),
     };
     let report = run(&settings).await.expect("processes start");
@@ -54,3 +59,10 @@
         .filter(|drawn| drawn.fault == ponddrift_soak::faults::Fault::CrashingRequest);
     assert!(crashing.count() > 0, "the seed draws some");
 }
+
+/// Engines set rate limits for all daemons together while daemons are killed, freeze and start again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_that_limit_the_rate_of_all_daemons_requests_beside_other_faults() {
+    let report = soak_with(8, true).await;
+    assert!(report.limits > 0, "engines set some");
+}
