Daemons of the build before still hear each other while a fleet is replaced

Cause: the messages of rate limits stood before another kind and the messages' version was raised, so that daemons of the old and the new build would not have heard each other's load, changes of the store and retries during a rollout. Change: the new kinds stand at the end and the version stays: an older daemon passes over just these, with a warning.

--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -33,9 +33,9 @@
 /// Token counts are encoded in this unit, rounded up: far less than any prefill that a decision depends on.
 pub(super) const TOKENS_IN_UNIT: f64 = 32.0;
 /// Version of the messages; messages of other versions are dropped.
-const VERSION: u8 = 6;
+const VERSION: u8 = 5;
 
-/// What a datagram contains.
+/// What a datagram contains. New kinds go to the end: daemons of an older build then still read the others while a fleet is replaced.
 #[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
 pub(super) enum Message {
     /// How things stand.
@@ -51,6 +51,8 @@
     Usage(TallyOf),
     /// Requests under which engines ended.
     Suspects(Vec<SuspectRow>),
+    /// Retries that the sender earned and the receiver keeps for the zone.
+    Deposits(DepositsRow),
     /// Rate limits that back ends set.
     RateLimits {
         /// What the sender knows of each.
@@ -60,8 +62,6 @@
     },
     /// The sender has started and wants to know of rate limits in force.
     RateLimitsWanted,
-    /// Retries that the sender earned and the receiver keeps for the zone.
-    Deposits(DepositsRow),
 }
 
 /// Retries that a daemon puts into the pool of its zone.
