--- a/crates/fleet/src/rate_limits.rs
+++ b/crates/fleet/src/rate_limits.rs
@@ -1,8 +1,8 @@
 //! Rate limits that back ends set in their answers for the requests of all daemons together, and this daemon's share of each.
 //!
 //! A back end in need names in its answers how many requests a second it takes. The figure holds for one life, until an answer
-//! to a later request no longer names one. It belongs to the back end, so that no daemon can keep it alone: daemons tell each other
-//! of it, and work out alike who may send how much.
+//! to a later request no longer names one. It belongs to the back end, so that no daemon can keep it alone: daemons exchange
+//! it, and work out alike who may send how much.
 
 mod record;
 mod shares;
@@ -18,7 +18,7 @@
 pub use shares::{LEAST_RATE, Members, MembersTrust, Share, SharedBackEnd};
 pub use token_bucket::TokenBucket;
 
-/// Highest rate that is told apart: no back end takes more requests a second, and a mistaken figure stays a number to count with.
+/// Highest rate; a higher one counts as this. No back end takes more requests a second, and a mistaken figure stays a number to count with.
 pub const HIGHEST_RATE: f64 = 1e6;
 
 /// Requests a second that a back end takes from all daemons together.
@@ -198,7 +198,7 @@
         limited.map(|known| known.bucket.per_second()).sum()
     }
 
-    /// Tells which daemons there are, and whether that can be relied on.
+    /// Sets the daemons that there are, and whether that view can be relied on.
     pub fn set_members(&mut self, members: &Arc<Members>, trust: MembersTrust, now: Instant) {
         if Arc::ptr_eq(&self.members, members) && self.trust == trust {
             return;
@@ -210,7 +210,7 @@
         }
     }
 
-    /// Forgets back ends that the directory does not name, some time after their last word: an entry that lapsed may come back
+    /// Forgets back ends that the directory does not name, some time after the last news of them: an entry that lapsed may come back
     /// as it was.
     pub fn forget_gone(&mut self, is_present: impl Fn(&str) -> bool, now: Instant) {
         self.by_back_end.retain(|id, known| {
--- a/crates/fleet/src/rate_limits/record.rs
+++ b/crates/fleet/src/rate_limits/record.rs
@@ -15,7 +15,7 @@
     pub came: Instant,
 }
 
-/// What answers said of one life's limit. The newest word counts, by when its request was sent.
+/// What answers said of one life's limit. The newest statement counts, by when its request was sent.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct RateRecord {
     /// The newest rate.
--- a/crates/fleet/src/rate_limits/shares.rs
+++ b/crates/fleet/src/rate_limits/shares.rs
@@ -13,8 +13,8 @@
 /// shows that it takes more again.
 pub const LEAST_RATE: f64 = 0.1;
 
-/// Part of its share that a daemon sends which hears neither the store nor all of its neighbours. Those may be left with the rest of the
-/// daemons, who then share the whole rate: both sides together send a quarter too much, within the half that back ends bear. Without it
+/// Part of its share that a daemon sends which has contact neither to the store nor to all of its neighbours. Those may form the rest of the
+/// fleet, who then share the whole rate: both sides together send a quarter too much, within the half that back ends bear. Without it
 /// they sent 30 requests in 4 s of the 24 that a rate of 3.3 a second allows (9 simulated daemons, 5 of them cut off).
 const UNCONFIRMED_PART: f64 = 0.25;
 
@@ -30,7 +30,7 @@
 /// Whether what is known of the members can be relied on.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum MembersTrust {
-    /// The store tells them, or all neighbours were heard lately.
+    /// The store is in contact, or all neighbours are.
     #[default]
     Confirmed,
     /// Neither.
--- a/crates/serving/src/changed.rs
+++ b/crates/serving/src/changed.rs
@@ -1,4 +1,4 @@
-//! Things that changed and that a task is to tell of.
+//! Things that changed and that a task is to publish.
 
 use std::collections::BTreeSet;
 use std::sync::{Mutex, MutexGuard};
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -94,9 +94,9 @@
         lock(&self.last_answer).is_some()
     }
 
-    /// Whether the store answered this daemon, or a neighbour that it hears, a moment ago.
+    /// Whether the store answered this daemon, or a neighbour whose reports arrive, a moment ago.
     #[must_use]
-    pub fn hears_store(&self) -> bool {
+    pub fn has_store_contact(&self) -> bool {
         let own = self.store_silence();
         own.is_some_and(|silence| silence < LONGEST_STORE_SILENCE)
             || self.relied_on_until().is_some()
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -69,7 +69,7 @@
         to_forward: Mutex::default(),
         has_to_forward: Notify::new(),
         is_catching_up: AtomicBool::new(false),
-        heard: Mutex::default(),
+        last_received: Mutex::default(),
     });
     let spawner = &runtime.spawner;
     spawner.spawn(Box::pin(Arc::clone(&peers).publish()));
@@ -85,8 +85,8 @@
     Ok(())
 }
 
-/// A neighbour counts as heard for so long: one of a hundred is told every two seconds while nothing changes.
-const HEARD_LIFE: Duration = Duration::from_secs(3);
+/// A neighbour counts as reachable for so long after a datagram of it: of a hundred neighbours each gets one every two seconds while nothing changes.
+const NEIGHBOUR_TIMEOUT: Duration = Duration::from_secs(3);
 
 struct Peers {
     /// Distinguishes this life of this daemon from all others.
@@ -100,8 +100,8 @@
     to_forward: Mutex<Forwarded>,
     has_to_forward: Notify,
     is_catching_up: AtomicBool,
-    /// When each neighbour was last heard.
-    heard: Mutex<HashMap<SocketAddr, Instant>>,
+    /// When the last datagram of each neighbour was received.
+    last_received: Mutex<HashMap<SocketAddr, Instant>>,
 }
 
 /// Reports of daemons of other zones, to be forwarded to the neighbours.
@@ -133,31 +133,31 @@
             .collect()
     }
 
-    fn note_heard(&self, peer: SocketAddr) {
+    fn note_received(&self, peer: SocketAddr) {
         if self.is_neighbour(peer) {
-            self.heard().insert(peer, now());
+            self.last_received().insert(peer, now());
         }
     }
 
-    /// Whether what is known of the other daemons can be relied on: the store tells who is there, or all neighbours were heard lately. A
-    /// daemon that wakes or is cut off has neither.
+    /// Whether the known members can be relied on: the store is in contact, or all neighbours sent something lately. For a daemon that wakes or is
+    /// cut off neither holds.
     fn members_trust(&self) -> MembersTrust {
-        let mut heard = self.heard();
-        heard.retain(|_peer, at| now().saturating_duration_since(*at) < HEARD_LIFE);
+        let mut reachable = self.last_received();
+        reachable.retain(|_peer, at| now().saturating_duration_since(*at) < NEIGHBOUR_TIMEOUT);
         let topology = self.state.topology();
-        let hears_all = topology
+        let reaches_all = topology
             .neighbours
             .iter()
-            .all(|peer| heard.contains_key(peer));
-        if hears_all || self.following.hears_store() {
+            .all(|peer| reachable.contains_key(peer));
+        if reaches_all || self.following.has_store_contact() {
             MembersTrust::Confirmed
         } else {
             MembersTrust::Unconfirmed
         }
     }
 
-    fn heard(&self) -> MutexGuard<'_, HashMap<SocketAddr, Instant>> {
-        self.heard
+    fn last_received(&self) -> MutexGuard<'_, HashMap<SocketAddr, Instant>> {
+        self.last_received
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -57,7 +57,7 @@
     RateLimits {
         /// What the sender knows of each.
         rows: Vec<RateRow>,
-        /// Whether the receiver is to tell what the sender lacks.
+        /// Whether the receiver is to send what the sender lacks.
         wants_more: bool,
     },
     /// The sender has started and wants to know of rate limits in force.
--- a/crates/serving/src/peers/rate_limits.rs
+++ b/crates/serving/src/peers/rate_limits.rs
@@ -1,8 +1,9 @@
-//! Tells peers of rate limits that back ends set for all daemons together.
+//! Gossip of rate limits that back ends set for all daemons together.
 //!
-//! A limit is heard first by the daemon that a request was answered to. All others must know of it before requests of their own find out,
-//! each: a change goes at once to the neighbours and to a few daemons of every other zone, who tell their own neighbours. Each second the
-//! limits in force go to a few neighbours more, which brings them to a daemon that has started or has lost what it was told.
+//! A limit first reaches the daemon whose request was answered with it. All others must learn of it before requests of their own show it,
+//! one by one: a change is published at once to the neighbours and to a few daemons of every other zone, who forward it to their own
+//! neighbours. Each second the limits in force go to a few neighbours more, which repairs what lost datagrams left out. A daemon that
+//! starts asks for them.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -17,15 +18,15 @@
 use crate::back_end_index::hash;
 use crate::time::{self, now};
 
-/// Changes within this time are told together.
+/// Changes within this time share datagrams.
 const GATHERING_TIME: Duration = Duration::from_millis(2);
-/// When a change is told again: one datagram in thirty may be lost on a bad link.
-const TOLD_AGAIN_AFTER: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
-/// Time between two rounds that tell what is in force.
+/// When a change is published again: one datagram in thirty may be lost on a bad link.
+const REPEATED_AFTER: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
+/// Time between two repair rounds, which publish what is in force.
 const REPAIR_INTERVAL: Duration = Duration::from_secs(1);
-/// Limits that a round tells: with the usual identities they fit into one datagram.
+/// Limits of a repair round: with the usual identities they fit into one datagram.
 const ROUND_ROWS: usize = 24;
-/// Neighbours that a round goes to: a daemon hears as many rounds a second as it sends, so one that starts knows the limits within
+/// Neighbours that a repair round goes to: a daemon receives as many rounds a second as it sends, so one that missed a change learns of it within
 /// about a second. With a full datagram a round takes 2.8 kB, a quarter of the bytes a second that a daemon may use.
 const REPAIR_FAN_OUT: usize = 2;
 
@@ -39,18 +40,18 @@
 ];
 /// Peers that are asked at a time.
 const ASKED_PEERS: usize = 3;
-/// Limits that a daemon which asks is told, at most: the rounds bring it the others.
-const MOST_TOLD: usize = 256;
+/// Limits in the reply to a daemon that asks, at most: the repair rounds bring it the others.
+const MOST_IN_REPLY: usize = 256;
 
-/// Back ends whose limits are to be told again, and when.
+/// Back ends whose limits are to be published again, and when.
 type Schedule = BTreeSet<(Instant, Arc<str>)>;
 
-/// Where the rounds have come to.
+/// Where the repair rounds have come to.
 #[derive(Debug, Default)]
 struct RepairRounds {
-    /// Neighbours that were told so far.
+    /// Neighbours that rounds went to so far.
     neighbours: usize,
-    /// The last back end whose limit a round told.
+    /// The last back end of the last round.
     last: Option<Arc<str>>,
 }
 
@@ -68,17 +69,17 @@
             let begun = now();
             let mut due = changed.take();
             for id in &due {
-                for pause in TOLD_AGAIN_AFTER {
+                for pause in REPEATED_AFTER {
                     again.insert((begun + pause, Arc::clone(id)));
                 }
             }
             while again.first().is_some_and(|(at, _id)| *at <= begun) {
                 due.extend(again.pop_first().map(|(_at, id)| id));
             }
-            self.tell_rates(due).await;
+            self.publish_rates(due).await;
             if next_round <= begun {
                 next_round = begun + REPAIR_INTERVAL;
-                self.tell_a_round(&mut rounds).await;
+                self.publish_repair_round(&mut rounds).await;
             }
         }
     }
@@ -99,19 +100,19 @@
         }
     }
 
-    pub(super) async fn tell_rates_in_force(&self, peer: SocketAddr) {
+    pub(super) async fn send_rates_in_force(&self, peer: SocketAddr) {
         let limited = self.pipeline.placement().rate_limits.limited();
         let rows = limited
             .iter()
-            .take(MOST_TOLD)
+            .take(MOST_IN_REPLY)
             .filter_map(|id| self.rate_row(id));
         for bytes in message::encode_rates(rows.collect(), true) {
             self.send(Some(bytes), &[peer]).await;
         }
     }
 
-    /// Tells neighbours and a few daemons of every other zone what is known of these back ends.
-    async fn tell_rates(&self, back_ends: BTreeSet<Arc<str>>) {
+    /// Publishes what is known of these back ends to neighbours and a few daemons of every other zone.
+    async fn publish_rates(&self, back_ends: BTreeSet<Arc<str>>) {
         if back_ends.is_empty() {
             return;
         }
@@ -126,17 +127,17 @@
         }
     }
 
-    /// Tells the next neighbours of limits in force, some at a time.
-    async fn tell_a_round(&self, rounds: &mut RepairRounds) {
+    /// Publishes limits in force to the next neighbours, some at a time.
+    async fn publish_repair_round(&self, rounds: &mut RepairRounds) {
         let limited = self.pipeline.placement().rate_limits.limited();
         if limited.is_empty() {
             return;
         }
         let begin = limited.partition_point(|id| Some(id) <= rounds.last.as_ref());
         let in_order = limited[begin..].iter().chain(&limited[..begin]);
-        let told: Vec<&Arc<str>> = in_order.take(ROUND_ROWS).collect();
-        rounds.last = told.last().map(|id| Arc::clone(id));
-        let rows: Vec<RateRow> = told
+        let round: Vec<&Arc<str>> = in_order.take(ROUND_ROWS).collect();
+        rounds.last = round.last().map(|id| Arc::clone(id));
+        let rows: Vec<RateRow> = round
             .into_iter()
             .filter_map(|id| self.rate_row(id))
             .collect();
@@ -158,14 +159,14 @@
         Some(rate_to_wire(id, known, now()))
     }
 
-    /// Takes what a peer knows. Where it asks for that, it is told what it lacks: it may have started a moment ago, or datagrams were lost.
-    pub(super) async fn take_rates(&self, rows: &[RateRow], wants_more: bool, from: SocketAddr) {
+    /// Merges what a peer knows. Where it asks for that, it is sent what it lacks: it may have started a moment ago, or datagrams were lost.
+    pub(super) async fn receive_rates(&self, rows: &[RateRow], wants_more: bool, from: SocketAddr) {
         let index = self.state.back_end_index();
         let is_far = !self.is_neighbour(from);
         let mut missing_there = Vec::new();
         for row in rows {
             let known = index.find(hash(&row.back_end));
-            // One that is not known here yet is told of again.
+            // The repair rounds bring the limit of one that is not known here yet.
             let Some(back_end) = known.filter(|known| *known.id == *row.back_end) else {
                 continue;
             };
@@ -196,7 +197,7 @@
     }
 }
 
-/// Logs that a back end's limit is another than before; `source` tells by what.
+/// Logs that a back end's limit is another than before; `source` names what showed it.
 pub(crate) fn log_rate_change(
     back_end: &str,
     incarnation: u64,
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -36,7 +36,7 @@
                 tokio::time::sleep(FAILURE_PAUSE).await;
                 continue;
             };
-            self.note_heard(from);
+            self.note_received(from);
             match message::decode(&buffer[..length]) {
                 Some(Message::Digest(digest)) => self.take(*digest, from),
                 Some(Message::Changes { changes, in_doubt }) => {
@@ -49,9 +49,9 @@
                 }
                 Some(Message::Suspects(rows)) => self.take_suspects(&rows, from).await,
                 Some(Message::RateLimits { rows, wants_more }) => {
-                    self.take_rates(&rows, wants_more, from).await;
+                    self.receive_rates(&rows, wants_more, from).await;
                 }
-                Some(Message::RateLimitsWanted) => self.tell_rates_in_force(from).await,
+                Some(Message::RateLimitsWanted) => self.send_rates_in_force(from).await,
                 Some(Message::Deposits(row)) => {
                     self.pipeline.receive_deposits(&deposits_from_wire(row))
                 }
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -87,7 +87,7 @@
     state: Arc<FleetState>,
     connections: Arc<Connections>,
     engine_ends: EngineEnds,
-    /// Requests of which this daemon knows something new that peers are to be told.
+    /// Requests of which this daemon knows something new that is to be published.
     changed_suspects: Changed<RequestFingerprint>,
     /// Back ends of whose rate limits it does.
     changed_rate_limits: Changed<Arc<str>>,
@@ -199,13 +199,13 @@
         &self.changed_suspects
     }
 
-    /// Back ends of whose rate limits peers are to be told.
+    /// Back ends whose rate limits are to be published.
     #[must_use]
     pub(crate) const fn changed_rate_limits(&self) -> &Changed<Arc<str>> {
         &self.changed_rate_limits
     }
 
-    /// Tells which daemons share what back ends take from all together, and whether that can be relied on.
+    /// Sets the daemons that share what back ends take from all together, and whether that view can be relied on.
     pub fn set_members(&self, members: &Arc<Members>, trust: MembersTrust) {
         self.placement()
             .rate_limits
--- a/crates/serving/src/pipeline/announcements.rs
+++ b/crates/serving/src/pipeline/announcements.rs
@@ -15,7 +15,7 @@
 use crate::request_trace::milliseconds;
 use crate::time::now;
 
-/// Which answer tells something of its back end.
+/// Where an announcement comes from.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct AnswerOrigin {
     /// What the request was for, for logs.
