Failing test: a daemon that starts knows limits before its first request

Found by a mutation: without the question to its peers the test of daemons that start again stayed green, since the peers' rounds happened to come within its 300 ms. The stricter test, ten starts at ten moments and a request 150 ms after each, fails with the question too. What callers see: nothing; the back end gets a request or two more than its limit in the first fifth of a second of a daemon's life. Cause (by reading): the reply comes before the directory is read, and a row about a back end that is not known yet is passed over.

--- a/crates/serve/tests/rate_limits.rs
+++ b/crates/serve/tests/rate_limits.rs
@@ -252,6 +252,32 @@
     assert!(reached <= 1, "{reached} daemons sent");
 }
 
+/// Its requests come as soon as it is ready: it must know by then, whenever its peers last published what is in force.
+#[test]
+fn a_daemon_that_starts_again_knows_limits_before_its_first_request() {
+    let mut fleet = Fleet::new(Size {
+        daemons: 3,
+        records: 1,
+        ..Size::default()
+    });
+    let engine = fleet.records[0].clone();
+    engine.limit_rate(&["0.1"]);
+    ask(&mut fleet, 0, &ClientRequest::plain("first", "fetch"));
+    for start in 0..10 {
+        let number = start % 3;
+        let host = fleet.daemons[number].host;
+        fleet.simulation.handle().kill(host);
+        let down = u64::try_from(start).expect("few") * 130 + 200;
+        fleet.wait(Duration::from_millis(down));
+        fleet.simulation.handle().restart(host);
+        fleet.wait(Duration::from_millis(150));
+        let before = engine.arrivals().len();
+        let request = ClientRequest::plain(&format!("started-{start}"), "fetch");
+        ask(&mut fleet, number, &request);
+        assert_eq!(engine.arrivals().len(), before, "start {start}");
+    }
+}
+
 /// An entry in the directory and the daemons' own words agree on nothing here: only an answer shows that the limit has ended.
 #[test]
 fn a_limit_ends_when_answers_no_longer_name_it() {
