--- a/crates/fleet/src/rate_limits/shares.rs
+++ b/crates/fleet/src/rate_limits/shares.rs
@@ -68,7 +68,7 @@
 /// Seconds of a back end's rate that may be saved up by all daemons together, beside one request. With N a second they send 5.5 N + 1 at most
 /// in any 4 s, of the 6 N + 5 that back ends bear: the rest is for views of the members that differ for a moment. With 95 daemons and 12
 /// a second that is enough for 56 in 100 of the rate to be used where nothing else serves, against 46 with one second; two would
-/// leave 5 requests for views that differ (`examples/shared_rates.rs`).
+/// leave 4 requests for views that differ (`examples/shared_rates.rs`).
 const SAVED_UP_S: f64 = 1.5;
 
 /// Requests that all daemons together may have saved up for a back end with this rate.
