--- a/crates/serve/tests/rate_limits.rs
+++ b/crates/serve/tests/rate_limits.rs
@@ -229,8 +229,8 @@
     }
 }
 
-#[test]
-fn a_daemon_that_starts_again_is_told_of_limits_by_its_peers() {
+/// Three daemons before one back end, whose limit of a request in ten seconds has been named.
+fn fleet_before_one_limited_back_end() -> (Fleet, EngineStandIn) {
     let mut fleet = Fleet::new(Size {
         daemons: 3,
         records: 1,
@@ -239,6 +239,12 @@
     let engine = fleet.records[0].clone();
     engine.limit_rate(&["0.1"]);
     ask(&mut fleet, 0, &ClientRequest::plain("first", "fetch"));
+    (fleet, engine)
+}
+
+#[test]
+fn a_daemon_that_starts_again_is_told_of_limits_by_its_peers() {
+    let (mut fleet, engine) = fleet_before_one_limited_back_end();
     for number in 0..3 {
         let host = fleet.daemons[number].host;
         fleet.simulation.handle().kill(host);
@@ -255,14 +261,7 @@
 /// Its requests come as soon as it is ready: it must know by then, whenever its peers last published what is in force.
 #[test]
 fn a_daemon_that_starts_again_knows_limits_before_its_first_request() {
-    let mut fleet = Fleet::new(Size {
-        daemons: 3,
-        records: 1,
-        ..Size::default()
-    });
-    let engine = fleet.records[0].clone();
-    engine.limit_rate(&["0.1"]);
-    ask(&mut fleet, 0, &ClientRequest::plain("first", "fetch"));
+    let (mut fleet, engine) = fleet_before_one_limited_back_end();
     for start in 0..10 {
         let number = start % 3;
         let host = fleet.daemons[number].host;
