--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -298,6 +298,7 @@
 
     fn take_item(&self, item: Item, source: Source, now: Instant) {
         if self.is_stale(&item) {
+            self.log_passed_over(&item, source);
             return;
         }
         match self.store.decode(&item) {
@@ -357,6 +358,23 @@
         }
     }
 
+    /// An item that is no newer by its revision, and yet says something else, is worth a line: the two cannot both be right.
+    fn log_passed_over(&self, item: &Item, source: Source) {
+        let inner = self.lock();
+        let Some(known) = inner.items.get(&item.key) else {
+            return;
+        };
+        if known.value != item.value {
+            tracing::info!(
+                key = item.key,
+                revision = item.revision,
+                known_revision = known.revision,
+                source = source.as_str(),
+                "item_passed_over"
+            );
+        }
+    }
+
     fn is_stale(&self, item: &Item) -> bool {
         self.lock()
             .items
