Revisions and leases hold within one era of the store

Callers saw requests at a server that had said that it leaves, and a dropped route served for seconds: a store that comes back from an older copy gives revisions out again, and what was written under a number that daemons knew was passed over, until a higher number came.

A revision is ordered by era first. The adapter reads the era of each answer; an answer of an era before is dropped, a watch after a position of an era before is no news. Whoever learns of a new era reads everything anew, tells its neighbours with the next position, and those read it from it or along the tree. A lease of an era before is over, for the daemon's key and for the leader, whose token rises with the era and who waits as after any doubt.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -11,6 +11,7 @@
 
 use crate::capacity::Contract;
 use crate::configuration::Stage;
+use crate::revision::Revision;
 pub(crate) use ready_sets::owner_score;
 pub use ready_sets::{CANDIDATES, ReadyCounts};
 use ready_sets::{ReadySet, Vantage};
@@ -105,7 +106,7 @@
 
 #[derive(Debug)]
 struct Entry {
-    revision: u64,
+    revision: Revision,
     presence: Presence,
 }
 
@@ -184,7 +185,7 @@
     }
 
     /// Takes an entry as the store holds it. Returns whether it was news.
-    pub fn put(&mut self, back_end: BackEnd, revision: u64) -> bool {
+    pub fn put(&mut self, back_end: BackEnd, revision: Revision) -> bool {
         if self.is_stale(&back_end.id, revision) {
             return false;
         }
@@ -211,7 +212,13 @@
 
     /// Takes the removal of an entry. `store_in_doubt`: the store was lately away, so that entries may
     /// have lapsed though their back ends are well. Returns whether it was news.
-    pub fn remove(&mut self, id: &str, revision: u64, now: Instant, store_in_doubt: bool) -> bool {
+    pub fn remove(
+        &mut self,
+        id: &str,
+        revision: Revision,
+        now: Instant,
+        store_in_doubt: bool,
+    ) -> bool {
         if self.is_stale(id, revision) {
             return false;
         }
@@ -232,7 +239,7 @@
         true
     }
 
-    fn is_stale(&self, id: &str, revision: u64) -> bool {
+    fn is_stale(&self, id: &str, revision: Revision) -> bool {
         self.entries
             .get(id)
             .is_some_and(|entry| entry.revision >= revision)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod prompt;
 pub mod quarantine;
 pub mod rate_limits;
+pub mod revision;
 pub mod routes;
 pub mod stages;
 pub mod tenants;
--- a/crates/fleet/tests/candidates.rs
+++ b/crates/fleet/tests/candidates.rs
@@ -11,6 +11,12 @@
 use ponddrift_fleet::directory::{
     BackEnd, CANDIDATES, CandidateQuery, Candidates, Directory, Incarnation, Lifecycle, Usability,
 };
+use ponddrift_fleet::revision::{Era, Revision};
+
+/// A revision of the first era.
+fn at(number: u64) -> Revision {
+    Revision::new(Era::FIRST, number).expect("small")
+}
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 const SERVICE: &str = "models";
@@ -38,7 +44,7 @@
 fn fleet(engines: usize, zone: &str, seed: u64) -> Directory {
     let mut directory = Directory::seen_from(Arc::from(zone), seed);
     for number in 0..engines {
-        directory.put(engine(number), 1);
+        directory.put(engine(number), at(1));
     }
     directory
 }
@@ -197,7 +203,7 @@
     let far: Arc<str> = Arc::from("i-000003");
     let holders = [Arc::clone(&far), Arc::from("i-unknown")];
     assert!(ids(&choose(&directory, Some(3), &holders)).contains(&far));
-    directory.remove(&far, 2, Instant::now(), false);
+    directory.remove(&far, at(2), Instant::now(), false);
     assert!(!ids(&choose(&directory, Some(3), &holders)).contains(&far));
 }
 
@@ -209,7 +215,7 @@
     for number in (1..10_000).step_by(7) {
         let left = engine(number);
         if !before.contains(&left.id) {
-            directory.remove(&left.id, 2, now, false);
+            directory.remove(&left.id, at(2), now, false);
         }
     }
     assert_eq!(ids(&choose(&directory, None, &[])), before);
@@ -220,10 +226,10 @@
     let mut directory = fleet(300, "a", 7);
     let mut draining = engine(4);
     draining.lifecycle = Lifecycle::Draining;
-    directory.put(draining, 2);
+    directory.put(draining, at(2));
     let mut of_another = engine(8);
     of_another.service = Arc::from("others");
-    directory.put(of_another, 2);
+    directory.put(of_another, at(2));
     let candidates = choose(&directory, None, &[]);
     assert_eq!(candidates.ready.all(), 298);
     assert!(!ids(&candidates).contains("i-000004"));
@@ -235,7 +241,7 @@
     let mut directory = fleet(300, "a", 7);
     let mut changed = engine(4);
     changed.stage = Some(Stage::Prefill);
-    directory.put(changed, 2);
+    directory.put(changed, at(2));
     let ready = choose(&directory, None, &[]).ready;
     assert_eq!((ready.prefill, ready.others), (61, 239));
 }
@@ -245,7 +251,7 @@
     let mut directory = fleet(1_000, "a", 7);
     let now = Instant::now();
     for number in 0..900 {
-        directory.remove(&engine(number).id, 2, now, true);
+        directory.remove(&engine(number).id, at(2), now, true);
     }
     let query = CandidateQuery {
         service: SERVICE,
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -11,6 +11,12 @@
 };
 use ponddrift_fleet::events::{EventError, EventSplitter, MAXIMUM_EVENT_BYTES};
 use ponddrift_fleet::health::{FIRST_EJECTION, Health, LONGEST_EJECTION, Outcome};
+use ponddrift_fleet::revision::{Era, Revision};
+
+/// A revision of the first era.
+fn at(number: u64) -> Revision {
+    Revision::new(Era::FIRST, number).expect("small")
+}
 
 fn back_end(id: &str, lifecycle: Lifecycle) -> BackEnd {
     BackEnd {
@@ -36,13 +42,13 @@
 fn older_news_of_a_back_end_changes_nothing() {
     let now = Instant::now();
     let mut directory = Directory::default();
-    assert!(directory.put(back_end("a", Lifecycle::Draining), 5));
-    assert!(!directory.put(back_end("a", Lifecycle::Ready), 4));
-    assert!(!directory.put(back_end("a", Lifecycle::Ready), 5));
+    assert!(directory.put(back_end("a", Lifecycle::Draining), at(5)));
+    assert!(!directory.put(back_end("a", Lifecycle::Ready), at(4)));
+    assert!(!directory.put(back_end("a", Lifecycle::Ready), at(5)));
     assert!(ready_ids(&directory, now).is_empty());
-    assert!(directory.remove("a", 6, now, false));
+    assert!(directory.remove("a", at(6), now, false));
     assert!(
-        !directory.put(back_end("a", Lifecycle::Ready), 5),
+        !directory.put(back_end("a", Lifecycle::Ready), at(5)),
         "a tombstone stays"
     );
 }
@@ -52,12 +58,12 @@
     let now = Instant::now();
     let mut directory = Directory::default();
     for (id, revision) in [("a", 1), ("b", 2), ("c", 3)] {
-        directory.put(back_end(id, Lifecycle::Ready), revision);
+        directory.put(back_end(id, Lifecycle::Ready), at(revision));
     }
-    directory.remove("a", 4, now, true);
+    directory.remove("a", at(4), now, true);
     assert_eq!(ready_ids(&directory, now), ["b", "c"], "one alone has left");
-    directory.remove("b", 5, now, true);
-    directory.remove("c", 6, now, true);
+    directory.remove("b", at(5), now, true);
+    directory.remove("c", at(6), now, true);
     assert_eq!(ready_ids(&directory, now).len(), 3);
     assert!(ready_ids(&directory, now + DOUBT_GRACE).is_empty());
 }
@@ -68,10 +74,10 @@
     let now = Instant::now();
     let mut directory = Directory::default();
     for (id, revision) in [("a", 1), ("b", 2)] {
-        directory.put(back_end(id, Lifecycle::Ready), revision);
-        directory.remove(id, revision + 10, now, true);
+        directory.put(back_end(id, Lifecycle::Ready), at(revision));
+        directory.remove(id, at(revision + 10), now, true);
     }
-    directory.put(back_end("a", Lifecycle::Ready), 20);
+    directory.put(back_end("a", Lifecycle::Ready), at(20));
     let later = now + Duration::from_secs(3);
     assert_eq!(ready_ids(&directory, later), ["a"]);
 }
@@ -93,8 +99,8 @@
 fn entries_that_vanish_while_the_store_is_well_are_gone() {
     let now = Instant::now();
     let mut directory = Directory::default();
-    directory.put(back_end("a", Lifecycle::Ready), 1);
-    directory.remove("a", 2, now, false);
+    directory.put(back_end("a", Lifecycle::Ready), at(1));
+    directory.remove("a", at(2), now, false);
     assert!(ready_ids(&directory, now).is_empty());
 }
 
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -2,6 +2,7 @@
 
 mod fleet_view;
 mod handing_on;
+mod known_era;
 
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
@@ -14,6 +15,7 @@
 use ponddrift_fleet::fingerprint::RequestFingerprint;
 use ponddrift_fleet::quarantine::Quarantine;
 use ponddrift_fleet::rate_limits::Members;
+use ponddrift_fleet::revision::{Era, Revision};
 use ponddrift_fleet::routes::RouteTable;
 use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
@@ -22,6 +24,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use fleet_view::{FleetView, PartlyRead};
+pub use known_era::KnownEra;
 
 use crate::back_end_index::BackEndIndex;
 use crate::store::{Changes, Decoded, FleetStore, Item, Page};
@@ -36,7 +39,7 @@
     /// Its tenants by key; none where requests are not authenticated.
     pub tenants: Option<TenantTable>,
     /// Revision of its key.
-    pub revision: u64,
+    pub revision: Revision,
     /// Since when it has been in force here.
     pub since: Instant,
 }
@@ -82,6 +85,7 @@
     quarantine: Mutex<Quarantine>,
     quarantine_changed: Notify,
     more_is_known: Notify,
+    era: KnownEra,
 }
 
 impl FleetState {
@@ -96,6 +100,7 @@
             quarantine: Mutex::default(),
             quarantine_changed: Notify::new(),
             more_is_known: Notify::new(),
+            era: KnownEra::default(),
         }
     }
 
@@ -205,19 +210,47 @@
 
     /// Newest revision of any item.
     #[must_use]
-    pub fn newest_revision(&self) -> u64 {
+    pub fn newest_revision(&self) -> Revision {
         self.lock().newest
     }
 
     /// Revision up to which everything is known; none before the first reading.
     #[must_use]
-    pub fn position(&self) -> Option<u64> {
+    pub fn position(&self) -> Option<Revision> {
         self.lock().position
     }
 
+    /// The newest era of the store, as far as is known.
+    #[must_use]
+    pub const fn era(&self) -> &KnownEra {
+        &self.era
+    }
+
+    /// Whether the store has come back from an older copy since everything was read.
+    #[must_use]
+    pub fn is_of_era_before(&self) -> bool {
+        let position = self.position();
+        position.is_some_and(|position| position.era() < self.era.newest())
+    }
+
+    /// An answer of the store named an era.
+    pub fn store_named_era(&self, era: Era, now: Instant) {
+        self.era.note_of_store(era, now);
+    }
+
+    /// A peer that has read everything named an era.
+    pub fn peer_named_era(&self, era: Era, now: Instant) {
+        self.era.note_of_peer(era, now);
+    }
+
+    /// Everything was read from the store itself just now, as of `at`.
+    pub fn store_was_read(&self, at: Revision, now: Instant) {
+        self.era.refute_newer_than(at.era(), now);
+    }
+
     /// What a peer lacks that knows everything up to `after`, or the first part of it.
     #[must_use]
-    pub fn news_after(&self, after: u64) -> News {
+    pub fn news_after(&self, after: Revision) -> News {
         self.lock().news_after(after)
     }
 
@@ -234,7 +267,7 @@
     }
 
     /// A first reading of everything has come to the key `up_to`, as of the revision `at`.
-    pub fn note_part_read(&self, up_to: &str, at: u64) {
+    pub fn note_part_read(&self, up_to: &str, at: Revision) {
         let up_to = up_to.to_owned();
         self.lock().partly_read = Some(PartlyRead { up_to, at });
         self.more_is_known.notify_waiters();
@@ -242,7 +275,13 @@
 
     /// All keys that were there at a revision have been taken: what is missing from them was removed, and changes follow
     /// on that revision.
-    pub fn whole_is_known(&self, keys: &HashSet<String>, at: u64, source: Source, now: Instant) {
+    pub fn whole_is_known(
+        &self,
+        keys: &HashSet<String>,
+        at: Revision,
+        source: Source,
+        now: Instant,
+    ) {
         let removed = self.missing_from(keys, at);
         self.take_items(removed, source, now);
         let mut inner = self.lock();
@@ -271,7 +310,7 @@
     }
 
     /// What is held as present, is no newer than `at`, and is not among `keys`.
-    fn missing_from(&self, keys: &HashSet<String>, at: u64) -> Vec<Item> {
+    fn missing_from(&self, keys: &HashSet<String>, at: Revision) -> Vec<Item> {
         let inner = self.lock();
         inner
             .items
@@ -311,7 +350,7 @@
             Ok(decoded) => self.lock().apply(decoded, item.revision, source, now),
             Err(unreadable) => tracing::warn!(
                 key = unreadable.key,
-                revision = unreadable.revision,
+                revision = %unreadable.revision,
                 problem = unreadable.problem,
                 "value_unreadable"
             ),
@@ -324,13 +363,13 @@
     fn quarantine_filed(
         &self,
         fingerprint: RequestFingerprint,
-        revision: u64,
+        revision: Revision,
         source: Source,
         now: Instant,
     ) {
         tracing::info!(
             %fingerprint,
-            revision,
+            %revision,
             source = source.as_str(),
             "quarantine_filed"
         );
@@ -341,14 +380,14 @@
     fn quarantine_released(
         &self,
         fingerprint: RequestFingerprint,
-        revision: u64,
+        revision: Revision,
         source: Source,
         now: Instant,
     ) {
         let in_doubt = self.is_in_doubt(now);
         tracing::info!(
             %fingerprint,
-            revision,
+            %revision,
             in_doubt,
             source = source.as_str(),
             "quarantine_released"
@@ -367,8 +406,8 @@
         if known.value != item.value {
             tracing::info!(
                 key = item.key,
-                revision = item.revision,
-                known_revision = known.revision,
+                revision = %item.revision,
+                known_revision = %known.revision,
                 source = source.as_str(),
                 "item_passed_over"
             );
@@ -394,7 +433,7 @@
         inner.last_store_failure = Some(now);
         if inner.store_reached {
             inner.store_reached = false;
-            tracing::warn!(%error, newest_revision = inner.newest, "store_lost");
+            tracing::warn!(%error, newest_revision = %inner.newest, "store_lost");
         }
     }
 
@@ -410,28 +449,26 @@
     }
 
     /// A call to the store succeeded.
-    pub fn store_answered(&self, at: u64) {
+    pub fn store_answered(&self, at: Revision) {
         let mut inner = self.lock();
         if !inner.store_reached {
             inner.store_reached = true;
-            tracing::info!(at, newest_revision = inner.newest, "store_reached");
+            tracing::info!(%at, newest_revision = %inner.newest, "store_reached");
         }
     }
 
     /// Forgets what is long past.
     pub fn forget_old(&self, now: Instant) {
+        /// Removed keys are handed on to peers for about this many revisions.
+        const REMOVED_KEPT: u64 = 10_000;
         let mut inner = self.lock();
         inner.directory.forget_removals(now);
         self.quarantine().forget_old(now);
-        let newest = inner.newest;
-        /// Removed keys are handed on to peers for about this many revisions.
-        const REMOVED_KEPT: u64 = 10_000;
+        let oldest_removal = inner.newest.back_by(REMOVED_KEPT);
         inner
             .items
-            .retain(|_key, item| item.value.is_some() || item.revision + REMOVED_KEPT > newest);
-        inner.removals_since = inner
-            .removals_since
-            .max(newest.saturating_sub(REMOVED_KEPT));
+            .retain(|_key, item| item.value.is_some() || item.revision > oldest_removal);
+        inner.removals_since = inner.removals_since.max(oldest_removal);
     }
 
     fn lock(&self) -> MutexGuard<'_, FleetView> {
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -7,6 +7,7 @@
 use ponddrift_fleet::configuration::{Configuration, Stage};
 use ponddrift_fleet::directory::{BackEnd, ColdStart, Directory, Lifecycle, Warmth};
 use ponddrift_fleet::rate_limits::Members;
+use ponddrift_fleet::revision::Revision;
 use ponddrift_fleet::routes::RouteTable;
 use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
@@ -24,7 +25,7 @@
     /// Every key up to this one has been read.
     pub(super) up_to: String,
     /// Revision up to which those keys show every change.
-    pub(super) at: u64,
+    pub(super) at: Revision,
 }
 
 #[derive(Default)]
@@ -44,11 +45,11 @@
     pub(super) items: BTreeMap<String, Item>,
     /// A first reading of everything that is under way; none before its first page, or once everything is known.
     pub(super) partly_read: Option<PartlyRead>,
-    pub(super) newest: u64,
+    pub(super) newest: Revision,
     /// Everything up to this revision is known; none before the first reading.
-    pub(super) position: Option<u64>,
+    pub(super) position: Option<Revision>,
     /// Removals are known from this revision on.
-    pub(super) removals_since: u64,
+    pub(super) removals_since: Revision,
     /// Back ends whose entries held no usable time of their slow start.
     pub(super) unusable_cold_times: u64,
     pub(super) last_store_failure: Option<Instant>,
@@ -101,7 +102,13 @@
             .is_some_and(|last| now.saturating_duration_since(last) < DOUBT_AFTER_FAILURE)
     }
 
-    pub(super) fn apply(&mut self, decoded: Decoded, revision: u64, source: Source, now: Instant) {
+    pub(super) fn apply(
+        &mut self,
+        decoded: Decoded,
+        revision: Revision,
+        source: Source,
+        now: Instant,
+    ) {
         match decoded {
             Decoded::Configuration(configuration) => {
                 self.apply_configuration(*configuration, revision, source, now);
@@ -129,11 +136,11 @@
                 self.daemons_changed = true;
             }
             Decoded::Leader(leader) => {
-                tracing::info!(%leader, revision, source = source.as_str(), "leader");
+                tracing::info!(%leader, %revision, source = source.as_str(), "leader");
                 self.leader = Some(leader);
             }
             Decoded::LeaderGone => {
-                tracing::info!(revision, source = source.as_str(), "leader_gone");
+                tracing::info!(%revision, source = source.as_str(), "leader_gone");
                 self.leader = None;
             }
             Decoded::Quarantined(_) | Decoded::Released(_) | Decoded::Other => {}
@@ -143,7 +150,7 @@
     fn apply_configuration(
         &mut self,
         configuration: Configuration,
-        revision: u64,
+        revision: Revision,
         source: Source,
         now: Instant,
     ) {
@@ -159,7 +166,7 @@
         tracing::info!(
             version = configuration.version,
             before = known,
-            revision,
+            %revision,
             routes = configuration.routes.len(),
             tenants = configuration.tenants.as_ref().map(Vec::len),
             ambiguous_keys,
@@ -181,7 +188,7 @@
         &mut self,
         back_end: &BackEnd,
         warmth: Warmth,
-        revision: u64,
+        revision: Revision,
         now: Instant,
     ) -> Option<ColdStart> {
         let known = self.directory.get(&back_end.id);
@@ -196,7 +203,7 @@
                     self.unusable_cold_times += 1;
                     tracing::warn!(
                         back_end = %back_end.id,
-                        revision,
+                        %revision,
                         problem = "no time, negative or too long: taken as warm",
                         "cold_time_unusable"
                     );
@@ -206,7 +213,7 @@
         }
     }
 
-    fn apply_back_end(&mut self, back_end: BackEnd, revision: u64, source: Source) {
+    fn apply_back_end(&mut self, back_end: BackEnd, revision: Revision, source: Source) {
         let known = self.directory.get(&back_end.id);
         let changed = known.map_or(!self.is_first_reading(), |known| {
             known.lifecycle != back_end.lifecycle
@@ -222,7 +229,7 @@
                 zone = %back_end.zone,
                 ready = back_end.lifecycle == Lifecycle::Ready,
                 stage = back_end.stage.map(Stage::as_str),
-                revision,
+                %revision,
                 source = source.as_str(),
                 "back_end_changed"
             );
@@ -235,11 +242,11 @@
         }
     }
 
-    fn remove_back_end(&mut self, id: &str, revision: u64, source: Source, now: Instant) {
+    fn remove_back_end(&mut self, id: &str, revision: Revision, source: Source, now: Instant) {
         let in_doubt = self.is_in_doubt(now);
         tracing::info!(
             back_end = id,
-            revision,
+            %revision,
             in_doubt,
             source = source.as_str(),
             "back_end_gone"
--- a/crates/serving/src/fleet_state/handing_on.rs
+++ b/crates/serving/src/fleet_state/handing_on.rs
@@ -2,6 +2,8 @@
 
 use std::ops::Bound;
 
+use ponddrift_fleet::revision::Revision;
+
 use super::News;
 use super::fleet_view::FleetView;
 use crate::store::{Changes, Item, Page};
@@ -14,7 +16,7 @@
 
 impl FleetView {
     /// What a peer lacks that knows everything up to `after`, or the first part of it.
-    pub(super) fn news_after(&self, after: u64) -> News {
+    pub(super) fn news_after(&self, after: Revision) -> News {
         if after < self.removals_since {
             return News::TooLongAgo;
         }
@@ -84,7 +86,7 @@
     /// The last one; none where all are known.
     up_to: Option<&'a str>,
     /// Revision up to which they show every change.
-    at: u64,
+    at: Revision,
 }
 
 /// Whole revisions, as many as fit: one that wrote several keys is not torn apart.
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -8,10 +8,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use ponddrift_fleet::distribution::{FOLLOWER_PATIENCE, REREAD_PATIENCE, ReadingPlan};
+use ponddrift_fleet::distribution::{
+    DISTRIBUTOR_PATIENCE, FOLLOWER_PATIENCE, REREAD_PATIENCE, ReadingPlan,
+};
 use ponddrift_fleet::followers::{
     FOLLOWER_WAIT, FollowerTable, LONGEST_STORE_SILENCE, gathering_alone, gathering_for_others,
 };
+use ponddrift_fleet::revision::{Era, Revision};
 use ponddrift_runtime::Runtime;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -49,6 +52,8 @@
     /// Wakes a daemon that waits to ask the store again when a neighbour reports an answer of the store.
     relieved: Notify,
     unpublished: mpsc::Sender<Changes>,
+    /// The peer that last said that it has read an era of the store that is new here.
+    ahead: Mutex<Option<SocketAddr>>,
 }
 
 impl Following {
@@ -62,6 +67,7 @@
             disappointed: Notify::new(),
             relieved: Notify::new(),
             unpublished,
+            ahead: Mutex::default(),
         };
         (Arc::new(following), to_publish)
     }
@@ -81,6 +87,17 @@
         self.disappointed.notify_one();
     }
 
+    /// A peer has read an era of the store that is new here.
+    pub fn peer_is_ahead(&self, peer: SocketAddr) {
+        *lock(&self.ahead) = Some(peer);
+        self.wake();
+    }
+
+    /// What neighbours are relied on for has to be looked at anew.
+    fn wake(&self) {
+        self.disappointed.notify_one();
+    }
+
     /// How long ago the store answered this daemon; none where its last call failed, or it does not follow.
     #[must_use]
     pub fn store_silence(&self) -> Option<Duration> {
@@ -142,10 +159,25 @@
     runtime.spawner.spawn(Box::pin(follower.run()));
     let announcer = Announcer::new(store, state, metrics);
     runtime.spawner.spawn(Box::pin(announcer.run()));
+    let noting = note_eras(Arc::clone(store), Arc::clone(state), Arc::clone(following));
+    runtime.spawner.spawn(Box::pin(noting));
     let distributor_list = DistributorList::new(store, state);
     runtime.spawner.spawn(Box::pin(distributor_list.run()));
 }
 
+/// Whichever call of this daemon first gets an answer of a new era, everything is read anew.
+async fn note_eras(store: Arc<dyn FleetStore>, state: Arc<FleetState>, following: Arc<Following>) {
+    let mut era = store.era();
+    loop {
+        let named = *era.borrow_and_update();
+        state.store_named_era(named, now());
+        following.wake();
+        if era.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 struct Follower {
     runtime: Runtime,
     store: Arc<dyn FleetStore>,
@@ -185,9 +217,11 @@
                     self.state.store_answered(at);
                     self.pause = FIRST_PAUSE;
                 }
-                Err(StoreError::HistoryGone) => {
-                    tracing::info!(position = self.state.position(), "store_history_gone");
+                Err(error @ (StoreError::HistoryGone | StoreError::OtherEra)) => {
+                    let position = self.state.position();
+                    tracing::info!(position = position.map(display), %error, "store_history_gone");
                     self.history_was_gone = true;
+                    self.whole_read = None;
                 }
                 Err(error) => {
                     self.following.note_answer(None);
@@ -220,16 +254,21 @@
         self.relies_on_neighbours = relies_on_neighbours;
         let position = self.state.position();
         if relies_on_neighbours {
-            tracing::info!(position, "store_left_to_neighbours");
+            tracing::info!(position = position.map(display), "store_left_to_neighbours");
         } else {
             let follows_for_others = self.state.topology().follows_store;
-            tracing::info!(position, follows_for_others, "store_followed");
+            tracing::info!(
+                position = position.map(display),
+                follows_for_others,
+                "store_followed"
+            );
         }
     }
 
     /// Until when neighbours follow the store for this daemon; none where it has to itself.
     fn may_rely_on_neighbours(&self) -> Option<Instant> {
-        if self.state.topology().follows_store || self.state.position().is_none() {
+        let lacks_everything = self.state.position().is_none() || self.state.is_of_era_before();
+        if self.state.topology().follows_store || lacks_everything {
             return None;
         }
         self.following.relied_on_until()
@@ -238,7 +277,8 @@
     /// Reads everything, or waits for what changed.
     async fn step(&mut self) -> Result<Progress, StoreError> {
         let position = self.state.position();
-        let Some(after) = position.filter(|_| !self.history_was_gone) else {
+        let must_read = self.history_was_gone || self.state.is_of_era_before();
+        let Some(after) = position.filter(|_| !must_read) else {
             return self.read_everything().await;
         };
         let follows_for_others = self.state.topology().follows_store;
@@ -247,7 +287,7 @@
         } else {
             OWN_WAIT
         };
-        let changes = self.store.changes(after, wait).await?;
+        let changes = self.await_changes(after, wait).await?;
         let at = changes.at.max(after);
         let has_news = !changes.items.is_empty();
         if has_news && follows_for_others {
@@ -263,11 +303,22 @@
         Ok(Progress::ByStore(at))
     }
 
+    /// Waits for changes; no longer once the store is known to have come back from an older copy.
+    async fn await_changes(&self, after: Revision, wait: Duration) -> Result<Changes, StoreError> {
+        let mut era = self.state.era().subscribe();
+        let newer = era.wait_for(|newest| *newest > after.era());
+        tokio::select! {
+            biased;
+            _era = newer => Err(StoreError::OtherEra),
+            changes = self.store.changes(after, wait) => changes,
+        }
+    }
+
     /// Reads everything, or goes on where a page failed: from peers where the fleet is large, else from the store. A read that
     /// may be old is enough, since changes are followed from its own revision on; not where the store has forgotten what
     /// follows on that.
     async fn read_everything(&mut self) -> Result<Progress, StoreError> {
-        let consistency = if self.history_was_gone {
+        let consistency = if self.history_was_gone || self.state.is_of_era_before() {
             Consistency::Linearizable
         } else {
             Consistency::Stale
@@ -280,14 +331,35 @@
             self.history_was_gone = false;
             return Ok(Progress::ByPeers);
         }
+        let era_before = self.state.position().map(Revision::era);
         let ended = reading.read_store(&*self.store, &self.state).await;
         match ended {
-            Ok(_) => self.history_was_gone = false,
+            Ok(at) => {
+                self.history_was_gone = false;
+                self.state.store_was_read(at, now());
+                self.publish_era(era_before, at);
+            }
+            Err(StoreError::OtherEra) => {}
             Err(_) => self.whole_read = Some(reading),
         }
         ended.map(Progress::ByStore)
     }
 
+    /// Neighbours learn at once that the store has come back from an older copy: changes that follow on a position in an era
+    /// that they do not know tell them.
+    fn publish_era(&self, before: Option<Era>, at: Revision) {
+        if before.is_none_or(|before| before >= at.era()) {
+            return;
+        }
+        let nothing_yet = Changes {
+            after: at,
+            items: Vec::new(),
+            at,
+        };
+        // Where too many wait already, the next digest tells them.
+        drop(self.following.unpublished.try_send(nothing_yet));
+    }
+
     /// Reads everything from peers. Returns false where there are none to read from, or where they do not bring what is missing.
     async fn read_peers(&self, reading: &mut WholeRead) -> bool {
         let own = self.state.own();
@@ -297,6 +369,11 @@
         if known.is_some() {
             plan.patience = REREAD_PATIENCE;
         }
+        if known.is_some() && plan.providers.is_empty() && !self.state.topology().follows_store {
+            // Without distributors: who told of the new era has read it.
+            plan.providers.extend(lock(&self.following.ahead).take());
+            plan.patience = DISTRIBUTOR_PATIENCE;
+        }
         reading.only_newer_than(known);
         let read = reading.read_peers(&self.runtime, &plan, &self.state);
         let Some(at) = read.await else {
@@ -350,7 +427,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Progress {
     /// The store answered; changes follow on this revision.
-    ByStore(u64),
+    ByStore(Revision),
     /// Peers brought everything. It says nothing of the store, and must not be told to neighbours as its answer.
     ByPeers,
 }
@@ -361,6 +438,7 @@
         Err(StoreError::Silent(_)) => "silent",
         Err(StoreError::Refused(_)) => "refused",
         Err(StoreError::HistoryGone) => "history_gone",
+        Err(StoreError::OtherEra | StoreError::Outdated) => "other_era",
         Err(_) => "unusable",
     }
 }
--- a/crates/serving/src/leader.rs
+++ b/crates/serving/src/leader.rs
@@ -184,7 +184,7 @@
         let lease = self.store.grant(self.settings.lease).await?;
         let taken = self.store.take_lead(&self.settings.holder, lease).await;
         let fencing_token = match taken {
-            Ok(fencing_token) => fencing_token,
+            Ok(revision) => revision.as_token(),
             Err(error) => {
                 self.end(lease).await;
                 return Err(error);
@@ -195,11 +195,19 @@
             life: lease.life,
             asked,
             answered: now(),
-            last_call: *self.shared.last_call(),
+            last_call: self.last_call(),
         };
         Ok((lease, Tenure::new(&grant, self.settings.fencing)))
     }
 
+    /// When a call may last have left, of this daemon or of a leader that had not seen yet that the store came back from an older
+    /// copy, where its key was not there any more.
+    fn last_call(&self) -> Instant {
+        let own = *self.shared.last_call();
+        let of_era_before = self.state.era().risen();
+        of_era_before.map_or(own, |risen| risen.max(own))
+    }
+
     /// Renews the lease for as long as it can, then ends it.
     async fn lead(&mut self, lease: Lease, tenure: Tenure) {
         let fence = tenure.fencing_token;
@@ -243,6 +251,7 @@
     /// Waits until the lease is to be renewed; returns why it is not.
     async fn await_renewal(&self, lease: Lease) -> Option<&'static str> {
         let renew_at = now() + lease.life / RENEWALS_IN_A_LIFE;
+        let mut era = self.state.era().subscribe();
         while now() < renew_at {
             if self.pipeline.is_stopping() {
                 return Some("stopping");
@@ -251,6 +260,7 @@
             tokio::select! {
                 biased;
                 () = self.shared.fenced_off.notified() => return Some("fenced_off"),
+                _era = era.wait_for(|newest| *newest > lease.era) => return Some("store_restored"),
                 () = time::sleep_until(look) => {}
             }
         }
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use ponddrift_fleet::revision::Revision;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -67,7 +68,7 @@
     /// How long it has been in force here, in seconds.
     pub configuration_age_s: u64,
     /// Newest revision of the store that was seen.
-    pub newest_revision: u64,
+    pub newest_revision: Revision,
     /// Model engines that read prompts for others.
     pub prefill_engines: usize,
     /// Model engines that generate.
@@ -403,7 +404,9 @@
         gauges
             .configuration_age_s
             .set(signed(values.configuration_age_s));
-        gauges.newest_revision.set(signed(values.newest_revision));
+        gauges
+            .newest_revision
+            .set(signed(values.newest_revision.number()));
         let by_stage = [
             ("prefill", values.prefill_engines),
             ("decode", values.decode_engines),
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -5,6 +5,7 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 
 use ponddrift_fleet::fingerprint::RequestFingerprint;
+use ponddrift_fleet::revision::Revision;
 use ponddrift_fleet::usage::{Tally, TallyOf};
 
 use crate::store::Changes;
@@ -129,7 +130,7 @@
     /// Time of day by the sender's own clock, in milliseconds since the start of 1970.
     pub(super) time_of_day_ms: u64,
     /// Everything up to this revision is known.
-    pub(super) position: u64,
+    pub(super) position: Revision,
     /// How long ago the store answered, in milliseconds; none where the daemon does not follow it.
     pub(super) store_silence_ms: Option<u16>,
     /// Work: the daemon's own first, then reports that it forwards from daemons of other zones.
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use ponddrift_fleet::distribution::{PROVIDER_PATIENCE, ReadingPlan};
+use ponddrift_fleet::revision::Revision;
 
 use super::message::{self, Digest, MAXIMUM_DATAGRAM, Message};
 use super::translate::{
@@ -150,8 +151,14 @@
     }
 
     /// A peer knows everything up to `position`: what is missing here is fetched from it.
-    fn notice(self: &Arc<Self>, position: u64, from: SocketAddr) {
-        let is_known = self.state.position().is_some_and(|own| own >= position);
+    fn notice(self: &Arc<Self>, position: Revision, from: SocketAddr) {
+        let own = self.state.position();
+        if own.is_some_and(|own| own.era() < position.era()) {
+            self.state.peer_named_era(position.era(), now());
+            self.following.peer_is_ahead(from);
+            return;
+        }
+        let is_known = own.is_some_and(|own| own >= position);
         if is_known || self.is_catching_up.swap(true, Ordering::Relaxed) {
             return;
         }
@@ -162,7 +169,7 @@
         }));
     }
 
-    async fn catch_up(&self, peer: SocketAddr, position: u64) {
+    async fn catch_up(&self, peer: SocketAddr, position: Revision) {
         if self.following.is_following() {
             tokio::time::sleep(STORE_HEADSTART).await;
         }
@@ -174,7 +181,12 @@
                 return;
             }
             let reached = self.state.position();
-            tracing::info!(%peer, known, position = reached, "caught_up_from_peer");
+            tracing::info!(
+                %peer,
+                %known,
+                position = reached.map(tracing::field::display),
+                "caught_up_from_peer"
+            );
             if reached <= Some(known) {
                 return;
             }
@@ -182,7 +194,7 @@
     }
 
     /// Takes what a peer knows beyond `known`, or the first part of it.
-    async fn fetch_news(&self, peer: SocketAddr, known: u64) -> io::Result<()> {
+    async fn fetch_news(&self, peer: SocketAddr, known: Revision) -> io::Result<()> {
         match relay::fetch(&self.runtime, peer, known).await? {
             // Where they leave a gap, the peer is asked once more.
             News::Changes(changes) => {
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -10,6 +10,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
 use borsh::{BorshDeserialize, BorshSerialize};
+use ponddrift_fleet::revision::Revision;
 use ponddrift_fleet::usage::{TallyOf, WindowNumber};
 
 use crate::fleet_state::{FleetState, News};
@@ -34,7 +35,7 @@
 #[derive(Debug, Clone, BorshSerialize, BorshDeserialize)]
 enum Question {
     /// What is known beyond this revision; answered by [`News`].
-    NewsAfter(u64),
+    NewsAfter(Revision),
     /// Every copy of what was counted in this window; answered by a list of [`TallyOf`].
     Tallies(WindowNumber),
     /// What the store holds behind this key, or from its first key on; answered by a [`PackedPage`], or by none where that has
@@ -178,7 +179,11 @@
 }
 
 /// Asks a peer for what it knows beyond the revision `after`.
-pub(super) async fn fetch(runtime: &Runtime, peer: SocketAddr, after: u64) -> io::Result<News> {
+pub(super) async fn fetch(
+    runtime: &Runtime,
+    peer: SocketAddr,
+    after: Revision,
+) -> io::Result<News> {
     ask(runtime, peer, Question::NewsAfter(after)).await
 }
 
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -47,7 +47,7 @@
             route = &*$job.route.name,
             service = &*$job.service.name,
             tenant = $job.tenant.as_ref().map(|tenant| &*tenant.name),
-            revision = $job.revision,
+            revision = %$job.revision,
             kind = $job.route.kind.as_str(),
             priority = $job.priority(),
             status = $end.status,
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -34,7 +34,7 @@
     pub(super) service: Arc<Service>,
     /// Whose request it is; none on routes that need no key.
     pub(super) tenant: Option<Arc<Tenant>>,
-    pub(super) revision: u64,
+    pub(super) revision: ponddrift_fleet::revision::Revision,
     pub(super) arrived: Instant,
     /// When the caller, or the route's time limit, ends it.
     pub(super) end: Instant,
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -9,8 +9,10 @@
 use ponddrift_fleet::configuration::Configuration;
 use ponddrift_fleet::directory::{BackEnd, Warmth};
 use ponddrift_fleet::fingerprint::RequestFingerprint;
+use ponddrift_fleet::revision::{Era, Revision};
 use ponddrift_fleet::topology::Member;
 use ponddrift_fleet::usage::{TenantCounts, WindowNumber};
+use tokio::sync::watch;
 
 /// One key of the store at one revision, as raw as it lies there: daemons hand it on to each other so.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
@@ -18,7 +20,7 @@
     /// Key.
     pub key: String,
     /// Revision of the write, or of the removal.
-    pub revision: u64,
+    pub revision: Revision,
     /// Value; none where the key was removed.
     pub value: Option<Vec<u8>>,
 }
@@ -38,7 +40,7 @@
     /// Keys that are there.
     pub items: Vec<Item>,
     /// Revision of the store up to which this page shows every change; pages are no snapshot, so later ones may be newer or older.
-    pub at: u64,
+    pub at: Revision,
     /// Last key of this page, after which the next one begins; none where this is the last.
     pub next_after: Option<String>,
 }
@@ -47,11 +49,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub struct Changes {
     /// Revision after which these changes are all.
-    pub after: u64,
+    pub after: Revision,
     /// In the order of their revisions.
     pub items: Vec<Item>,
     /// Revision up to which this tells everything.
-    pub at: u64,
+    pub at: Revision,
 }
 
 /// What a key means.
@@ -88,7 +90,7 @@
     /// Key.
     pub key: String,
     /// Revision.
-    pub revision: u64,
+    pub revision: Revision,
     /// What is wrong.
     pub problem: String,
 }
@@ -105,6 +107,16 @@
     /// Changes after that revision are no longer known.
     #[error("the store has dropped its history; everything is read anew")]
     HistoryGone,
+    /// The store has come back from an older copy since that revision.
+    #[error(
+        "the store has come back from an older copy: its revisions begin anew; everything is read anew"
+    )]
+    OtherEra,
+    /// The answer left the store before it came back from an older copy.
+    #[error(
+        "an answer from before the store's return from an older copy came late; it is asked again"
+    )]
+    Outdated,
     /// The lease is over.
     #[error("the lease is over; another is taken")]
     LeaseOver,
@@ -123,23 +135,31 @@
     pub id: u64,
     /// Time it lives after each renewal.
     pub life: Duration,
+    /// In which era it was granted: in the next its number may be another's.
+    pub era: Era,
 }
 
 /// The store.
 pub trait FleetStore: Send + Sync + 'static {
+    /// The newest era that any answer of the store has named. Rises only.
+    fn era(&self) -> watch::Receiver<Era>;
     /// Reads one page of everything of interest: the first, or the one that follows the key `after`.
     fn read_page(
         &self,
         after: Option<&str>,
         consistency: Consistency,
     ) -> BoxFuture<'_, Result<Page, StoreError>>;
-    /// Waits for changes after a revision, at most `wait`.
-    fn changes(&self, after: u64, wait: Duration) -> BoxFuture<'_, Result<Changes, StoreError>>;
+    /// Waits for changes after a revision, at most `wait`. [`StoreError::OtherEra`] where that revision is of another era.
+    fn changes(
+        &self,
+        after: Revision,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Changes, StoreError>>;
     /// Takes a lease.
     fn grant(&self, life: Duration) -> BoxFuture<'_, Result<Lease, StoreError>>;
-    /// Renews a lease.
+    /// Renews a lease. [`StoreError::LeaseOver`] also where it is of an era before.
     fn renew(&self, lease: Lease) -> BoxFuture<'_, Result<(), StoreError>>;
-    /// Ends a lease with its keys.
+    /// Ends a lease with its keys; one of an era before has ended.
     fn end(&self, lease: Lease) -> BoxFuture<'_, Result<(), StoreError>>;
     /// The lease under which the daemon's key stands just as it would be written now; none where it does not. It may be some
     /// seconds old.
@@ -157,7 +177,7 @@
         distributors: &'a [SocketAddr],
     ) -> BoxFuture<'a, Result<(), StoreError>>;
     /// Writes the leader under its lease, where there is none. Returns the revision, which rises with each leader.
-    fn take_lead(&self, holder: &str, lease: Lease) -> BoxFuture<'_, Result<u64, StoreError>>;
+    fn take_lead(&self, holder: &str, lease: Lease) -> BoxFuture<'_, Result<Revision, StoreError>>;
     /// Writes what is to be reported of a window, once: where figures of it stand already, these are returned and stay.
     /// [`StoreError::Conflict`] where the window is so old that a later one has taken its place.
     fn settle_usage<'a>(
--- a/crates/serving/src/whole_read.rs
+++ b/crates/serving/src/whole_read.rs
@@ -11,6 +11,7 @@
 use std::time::{Duration, Instant};
 
 use ponddrift_fleet::distribution::ReadingPlan;
+use ponddrift_fleet::revision::Revision;
 use ponddrift_runtime::Runtime;
 
 use crate::fleet_state::{FleetState, Source};
@@ -32,18 +33,31 @@
     keys: HashSet<String>,
     /// Lowest revision of any page. Pages are no snapshot, and one that may be old can be older than those before it:
     /// what changed since then may be missing from some of them.
-    oldest_at: Option<u64>,
+    oldest_at: Option<Revision>,
     next_after: Option<String>,
     /// A page of a peer counts only if it is newer than this.
-    newer_than: Option<u64>,
+    newer_than: Option<Revision>,
 }
 
 /// A page that does not follow on those before it.
 #[derive(Debug, thiserror::Error)]
-#[error(
-    "a page does not go on behind the key that it was asked for; another peer, or the store, is read"
-)]
-struct NoProgress;
+enum Misfit {
+    #[error(
+        "a page does not go on behind the key that it was asked for; another peer, or the store, is read"
+    )]
+    NoProgress,
+    #[error("a page is of another era of the store than those before it; all are read anew")]
+    OtherEra,
+}
+
+impl From<Misfit> for StoreError {
+    fn from(misfit: Misfit) -> Self {
+        match misfit {
+            Misfit::NoProgress => Self::Unreadable(misfit.to_string()),
+            Misfit::OtherEra => Self::OtherEra,
+        }
+    }
+}
 
 impl WholeRead {
     /// Nothing read yet.
@@ -62,10 +76,18 @@
 
     /// From now on pages of peers that show no more than the revision `known` are not taken: whoever sent them has not read what is
     /// missing yet, and is asked again. When the store forgets its history, all daemons miss the same.
-    pub(crate) fn only_newer_than(&mut self, known: Option<u64>) {
+    pub(crate) fn only_newer_than(&mut self, known: Option<Revision>) {
         self.newer_than = known;
     }
 
+    /// Pages of two eras of the store make no whole.
+    fn begin_anew(&mut self) {
+        *self = Self {
+            newer_than: self.newer_than,
+            ..Self::new(self.consistency)
+        };
+    }
+
     /// Reads the pages that are left from the store. Returns the revision after which changes follow.
     ///
     /// # Errors
@@ -74,14 +96,13 @@
         &mut self,
         store: &dyn FleetStore,
         state: &FleetState,
-    ) -> Result<u64, StoreError> {
+    ) -> Result<Revision, StoreError> {
         loop {
             let after = self.next_after.as_deref();
             let page = store.read_page(after, self.consistency).await?;
             let end = self.take(page, Source::Store, state);
-            match end.map_err(|error| StoreError::Unreadable(error.to_string()))? {
-                Some(at) => return Ok(at),
-                None => continue,
+            if let Some(at) = end? {
+                return Ok(at);
             }
         }
     }
@@ -93,7 +114,7 @@
         runtime: &Runtime,
         plan: &ReadingPlan,
         state: &FleetState,
-    ) -> Option<u64> {
+    ) -> Option<Revision> {
         let mut last_page = now();
         for provider in plan.providers.iter().cycle() {
             match self
@@ -122,16 +143,25 @@
         provider: SocketAddr,
         state: &FleetState,
         last_page: &mut Instant,
-    ) -> Result<Option<u64>, Unhelpful> {
+    ) -> Result<Option<Revision>, Unhelpful> {
         loop {
             let asked = peers::fetch_page(runtime, provider, self.next_after.as_deref()).await;
             let page = asked.map_err(|error| Unhelpful::Failed(error.to_string()))?;
             let page = page.ok_or(Unhelpful::NothingYet)?;
-            if Some(page.at) <= self.newer_than {
+            let is_of_era_before = self
+                .oldest_at
+                .is_some_and(|oldest| page.at.era() < oldest.era());
+            if is_of_era_before || Some(page.at) <= self.newer_than {
                 return Err(Unhelpful::NothingYet);
             }
-            let end = self.take(page, Source::Peer, state);
-            let end = end.map_err(|error| Unhelpful::Failed(error.to_string()))?;
+            let end = match self.take(page, Source::Peer, state) {
+                Ok(end) => end,
+                Err(Misfit::OtherEra) => {
+                    self.begin_anew();
+                    continue;
+                }
+                Err(misfit) => return Err(Unhelpful::Failed(misfit.to_string())),
+            };
             *last_page = now();
             if end.is_some() {
                 return Ok(end);
@@ -145,9 +175,15 @@
         page: Page,
         source: Source,
         state: &FleetState,
-    ) -> Result<Option<u64>, NoProgress> {
+    ) -> Result<Option<Revision>, Misfit> {
+        if self
+            .oldest_at
+            .is_some_and(|oldest| oldest.era() != page.at.era())
+        {
+            return Err(Misfit::OtherEra);
+        }
         if !self.is_followed_by(&page) {
-            return Err(NoProgress);
+            return Err(Misfit::NoProgress);
         }
         self.pages += 1;
         if source == Source::Peer {
@@ -168,7 +204,7 @@
             pages = self.pages,
             pages_of_peers = self.pages_of_peers,
             keys = self.keys.len(),
-            at,
+            %at,
             took_ms = milliseconds(now().saturating_duration_since(self.begun)),
             "store_read"
         );
