What was acknowledged stays known though the store comes back without it

Callers saw an older configuration in force, and requests at servers that had left, once the store came back as a copy from before: the copy's entries are newer by era. Now a configuration goes by its own version; a back end that has begun to leave or has gone stays so in the same life, until it is written again, or for 10 s where the copy shows it all the while; one that the copy lacks is in doubt, not gone; a daemon whose key is missing stays a member until it has had the time to write it again; quarantines and the distributors' list are filed again.

Two ways were weighed: this, and to take the copy and let peers mend it. With the second a daemon that reads the copy serves what it shows until a peer is heard, which is what the incident's callers saw.

The tests ask all daemons side by side now: one after the other, 95 took longer than entries are in doubt.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -21,6 +21,10 @@
 /// that is known here. One that is still missing then is gone.
 pub const DOUBT_GRACE: Duration = Duration::from_millis(2_500);
 
+/// How long a back end that had gone stays gone though the store, back from an older copy, shows its entry. That of one that is
+/// gone lapses within a few of its heartbeats; one that is still there then lives.
+pub const GONE_OUTLIVES_COPY: Duration = Duration::from_secs(10);
+
 /// How long the removal of an entry is remembered, so that no older news brings it back.
 pub const TOMBSTONE_LIFE: Duration = Duration::from_secs(60);
 
@@ -119,17 +123,38 @@
 #[derive(Debug)]
 struct Vanished {
     since: Instant,
-    /// The last word of a back end that vanished while the store was in doubt.
-    doubted: Option<Arc<BackEnd>>,
+    /// The last entry of the back end, where one was known.
+    last: Option<Arc<BackEnd>>,
+    /// It vanished while the store was in doubt.
+    in_doubt: bool,
+    /// Its entry as the store shows it since it came back from an older copy.
+    shown_by_copy: Option<Arc<BackEnd>>,
 }
 
 impl Vanished {
-    /// Whether the back end may only have lost its entry.
-    fn is_doubted(&self, now: Instant) -> bool {
-        self.doubted.is_some() && now.saturating_duration_since(self.since) < DOUBT_GRACE
+    /// The back end, where it may only have lost its entry.
+    fn doubted(&self, now: Instant) -> Option<&Arc<BackEnd>> {
+        let is_doubted = self.in_doubt && now.saturating_duration_since(self.since) < DOUBT_GRACE;
+        self.last.as_ref().filter(|_last| is_doubted)
+    }
+
+    /// Whether it has gone, and not long ago.
+    fn has_gone_lately(&self, now: Instant) -> bool {
+        !self.in_doubt && now.saturating_duration_since(self.since) < GONE_OUTLIVES_COPY
     }
 }
 
+/// What became of an entry that the store showed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Taken {
+    /// It is known so from now on.
+    News,
+    /// It is no newer than what is known.
+    Stale,
+    /// The store came back from an older copy, whose entry says less than what was known before: that stays known.
+    Outlived,
+}
+
 /// All back ends that the store knows or has lately known.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -184,11 +209,26 @@
         }
     }
 
-    /// Takes an entry as the store holds it. Returns whether it was news.
-    pub fn put(&mut self, back_end: BackEnd, revision: Revision) -> bool {
+    /// Takes an entry as the store holds it.
+    pub fn put(&mut self, back_end: BackEnd, revision: Revision, now: Instant) -> Taken {
         if self.is_stale(&back_end.id, revision) {
-            return false;
+            return Taken::Stale;
+        }
+        if let Some(entry) = self.entries.get_mut(&back_end.id)
+            && entry.revision.era() < revision.era()
+            && entry.outlives(&back_end, now)
+        {
+            entry.revision = revision;
+            if let Presence::Vanished(vanished) = &mut entry.presence {
+                vanished.shown_by_copy = Some(Arc::new(back_end));
+            }
+            return Taken::Outlived;
         }
+        self.make_present(back_end, revision);
+        Taken::News
+    }
+
+    fn make_present(&mut self, back_end: BackEnd, revision: Revision) {
         self.leave_ready_set(&back_end.id);
         let back_end = Arc::new(back_end);
         if back_end.lifecycle == Lifecycle::Ready {
@@ -198,7 +238,6 @@
         let id = Arc::clone(&back_end.id);
         let presence = Presence::Present(back_end);
         self.entries.insert(id, Entry { revision, presence });
-        true
     }
 
     fn leave_ready_set(&mut self, id: &str) {
@@ -212,6 +251,8 @@
 
     /// Takes the removal of an entry. `store_in_doubt`: the store was lately away, so that entries may
     /// have lapsed though their back ends are well. Returns whether it was news.
+    ///
+    /// An entry that the store lacks since it came back from an older copy may be written again too.
     pub fn remove(
         &mut self,
         id: &str,
@@ -222,21 +263,38 @@
         if self.is_stale(id, revision) {
             return false;
         }
+        let mut is_of_era_before = false;
+        if let Some(known) = self.entries.get_mut(id) {
+            is_of_era_before = known.revision.era() < revision.era();
+            if is_of_era_before && known.present().is_none() {
+                // What had gone before is not in doubt now.
+                known.revision = revision;
+                return true;
+            }
+        }
+        self.vanish(id, revision, now, store_in_doubt || is_of_era_before);
+        true
+    }
+
+    fn vanish(&mut self, id: &str, revision: Revision, now: Instant, store_in_doubt: bool) {
         self.leave_ready_set(id);
         let last = self.entries.get(id).and_then(Entry::present).cloned();
-        let doubted =
-            last.filter(|back_end| store_in_doubt && back_end.lifecycle == Lifecycle::Ready);
-        if doubted.is_some() {
+        let was_ready = last
+            .as_ref()
+            .is_some_and(|last| last.lifecycle == Lifecycle::Ready);
+        let in_doubt = store_in_doubt && was_ready;
+        if in_doubt {
             self.last_doubt = Some(now);
         }
         let vanished = Vanished {
             since: now,
-            doubted,
+            last,
+            in_doubt,
+            shown_by_copy: None,
         };
         let presence = Presence::Vanished(vanished);
         self.entries
             .insert(Arc::from(id), Entry { revision, presence });
-        true
     }
 
     fn is_stale(&self, id: &str, revision: Revision) -> bool {
@@ -306,7 +364,7 @@
     pub fn takes_requests(&self, id: &str, now: Instant) -> bool {
         match self.entries.get(id).map(|entry| &entry.presence) {
             Some(Presence::Present(back_end)) => back_end.lifecycle == Lifecycle::Ready,
-            Some(Presence::Vanished(vanished)) => vanished.is_doubted(now),
+            Some(Presence::Vanished(vanished)) => vanished.doubted(now).is_some(),
             None => false,
         }
     }
@@ -320,10 +378,8 @@
         self.entries
             .values()
             .filter_map(|entry| match &entry.presence {
-                Presence::Vanished(vanished) if vanished.is_doubted(now) => {
-                    vanished.doubted.clone()
-                }
-                _ => None,
+                Presence::Vanished(vanished) => vanished.doubted(now).cloned(),
+                Presence::Present(_) => None,
             })
             .filter(|back_end| &*back_end.service == service)
             .collect()
@@ -340,8 +396,23 @@
         self.entries.get(id)?.present()
     }
 
-    /// Forgets removals that are long past.
+    /// Forgets removals that are long past. Back ends that had gone, and whose entries the store has shown ever since it came back
+    /// from an older copy, live.
     pub fn forget_removals(&mut self, now: Instant) {
+        let alive: Vec<(Arc<BackEnd>, Revision)> = self
+            .entries
+            .values()
+            .filter_map(|entry| match &entry.presence {
+                Presence::Vanished(vanished) if !vanished.has_gone_lately(now) => {
+                    let shown = vanished.shown_by_copy.clone();
+                    shown.map(|shown| (shown, entry.revision))
+                }
+                _ => None,
+            })
+            .collect();
+        for (back_end, revision) in alive {
+            self.make_present(BackEnd::clone(&back_end), revision);
+        }
         self.entries.retain(|_id, entry| match &entry.presence {
             Presence::Present(_) => true,
             Presence::Vanished(vanished) => {
@@ -352,6 +423,22 @@
 }
 
 impl Entry {
+    /// Whether what is known says more than an older copy of the entry: the same life has begun to leave or has gone since, or a
+    /// later life has begun.
+    fn outlives(&self, copy: &BackEnd, now: Instant) -> bool {
+        match &self.presence {
+            Presence::Present(known) if known.incarnation == copy.incarnation => {
+                known.lifecycle == Lifecycle::Draining && copy.lifecycle == Lifecycle::Ready
+            }
+            Presence::Present(known) => known.incarnation > copy.incarnation,
+            Presence::Vanished(vanished) => {
+                let last = vanished.last.as_ref();
+                vanished.has_gone_lately(now)
+                    && last.is_some_and(|last| last.incarnation >= copy.incarnation)
+            }
+        }
+    }
+
     fn present(&self) -> Option<&Arc<BackEnd>> {
         match &self.presence {
             Presence::Present(back_end) => Some(back_end),
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -129,6 +129,8 @@
     suspicion: Suspicion,
     /// Since when the store has held its quarantine, as far as is known here.
     filed: Option<Instant>,
+    /// The store came back from an older copy that lacks it.
+    is_missing: bool,
     /// When its quarantine was ended, by its lease or by an operator.
     released: Option<Instant>,
     is_own: bool,
@@ -233,6 +235,15 @@
             .entry(fingerprint)
             .or_insert_with(|| Entry::of(fingerprint, 0));
         entry.filed.get_or_insert(now);
+        entry.is_missing = false;
+    }
+
+    /// The store may have lost a request's quarantine: it came back from an older copy, or was away. It goes on, and is to be filed
+    /// again.
+    pub fn note_missing(&mut self, fingerprint: RequestFingerprint) {
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.is_missing = true;
+        }
     }
 
     /// The store holds a request's quarantine no more: its lease ended, or an operator ended it. The request is tried again,
@@ -248,7 +259,7 @@
     #[must_use]
     pub fn is_filed(&self, fingerprint: RequestFingerprint) -> bool {
         let entry = self.entries.get(&fingerprint);
-        entry.is_some_and(|entry| entry.filed.is_some())
+        entry.is_some_and(|entry| entry.filed.is_some() && !entry.is_missing)
     }
 
     /// Quarantines that the store is not known to hold.
@@ -256,7 +267,7 @@
     pub fn unfiled(&self, now: Instant) -> Vec<Unfiled> {
         let entries = self.entries.values();
         let unfiled =
-            entries.filter(|entry| entry.filed.is_none() && entry.standing(now).is_quarantined());
+            entries.filter(|entry| entry.is_to_be_filed() && entry.standing(now).is_quarantined());
         unfiled
             .map(|entry| Unfiled {
                 fingerprint: entry.suspicion.fingerprint,
@@ -329,6 +340,7 @@
                 cleared: None,
             },
             filed: None,
+            is_missing: false,
             released: None,
             is_own: false,
         }
@@ -373,6 +385,10 @@
         }
     }
 
+    const fn is_to_be_filed(&self) -> bool {
+        self.filed.is_none() || self.is_missing
+    }
+
     fn knows_more_than(&self, news: &Suspicion) -> bool {
         let known = &self.suspicion;
         let is_told = |run: &LostRun| news.lost_runs.iter().any(|told| told.engine == run.engine);
--- a/crates/fleet/tests/candidates.rs
+++ b/crates/fleet/tests/candidates.rs
@@ -44,7 +44,7 @@
 fn fleet(engines: usize, zone: &str, seed: u64) -> Directory {
     let mut directory = Directory::seen_from(Arc::from(zone), seed);
     for number in 0..engines {
-        directory.put(engine(number), at(1));
+        directory.put(engine(number), at(1), Instant::now());
     }
     directory
 }
@@ -226,10 +226,10 @@
     let mut directory = fleet(300, "a", 7);
     let mut draining = engine(4);
     draining.lifecycle = Lifecycle::Draining;
-    directory.put(draining, at(2));
+    directory.put(draining, at(2), Instant::now());
     let mut of_another = engine(8);
     of_another.service = Arc::from("others");
-    directory.put(of_another, at(2));
+    directory.put(of_another, at(2), Instant::now());
     let candidates = choose(&directory, None, &[]);
     assert_eq!(candidates.ready.all(), 298);
     assert!(!ids(&candidates).contains("i-000004"));
@@ -241,7 +241,7 @@
     let mut directory = fleet(300, "a", 7);
     let mut changed = engine(4);
     changed.stage = Some(Stage::Prefill);
-    directory.put(changed, at(2));
+    directory.put(changed, at(2), Instant::now());
     let ready = choose(&directory, None, &[]).ready;
     assert_eq!((ready.prefill, ready.others), (61, 239));
 }
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -7,7 +7,7 @@
 use ponddrift_fleet::budget::{BudgetSettings, RetryBudget};
 use ponddrift_fleet::capacity::Contract;
 use ponddrift_fleet::directory::{
-    BackEnd, ColdStart, DOUBT_GRACE, Directory, Incarnation, Lifecycle,
+    BackEnd, ColdStart, DOUBT_GRACE, Directory, Incarnation, Lifecycle, Taken,
 };
 use ponddrift_fleet::events::{EventError, EventSplitter, MAXIMUM_EVENT_BYTES};
 use ponddrift_fleet::health::{FIRST_EJECTION, Health, LONGEST_EJECTION, Outcome};
@@ -42,13 +42,23 @@
 fn older_news_of_a_back_end_changes_nothing() {
     let now = Instant::now();
     let mut directory = Directory::default();
-    assert!(directory.put(back_end("a", Lifecycle::Draining), at(5)));
-    assert!(!directory.put(back_end("a", Lifecycle::Ready), at(4)));
-    assert!(!directory.put(back_end("a", Lifecycle::Ready), at(5)));
+    assert_eq!(
+        directory.put(back_end("a", Lifecycle::Draining), at(5), now),
+        Taken::News
+    );
+    assert_eq!(
+        directory.put(back_end("a", Lifecycle::Ready), at(4), now),
+        Taken::Stale
+    );
+    assert_eq!(
+        directory.put(back_end("a", Lifecycle::Ready), at(5), now),
+        Taken::Stale
+    );
     assert!(ready_ids(&directory, now).is_empty());
     assert!(directory.remove("a", at(6), now, false));
-    assert!(
-        !directory.put(back_end("a", Lifecycle::Ready), at(5)),
+    assert_eq!(
+        directory.put(back_end("a", Lifecycle::Ready), at(5), now),
+        Taken::Stale,
         "a tombstone stays"
     );
 }
@@ -58,7 +68,7 @@
     let now = Instant::now();
     let mut directory = Directory::default();
     for (id, revision) in [("a", 1), ("b", 2), ("c", 3)] {
-        directory.put(back_end(id, Lifecycle::Ready), at(revision));
+        directory.put(back_end(id, Lifecycle::Ready), at(revision), Instant::now());
     }
     directory.remove("a", at(4), now, true);
     assert_eq!(ready_ids(&directory, now), ["b", "c"], "one alone has left");
@@ -74,10 +84,10 @@
     let now = Instant::now();
     let mut directory = Directory::default();
     for (id, revision) in [("a", 1), ("b", 2)] {
-        directory.put(back_end(id, Lifecycle::Ready), at(revision));
+        directory.put(back_end(id, Lifecycle::Ready), at(revision), Instant::now());
         directory.remove(id, at(revision + 10), now, true);
     }
-    directory.put(back_end("a", Lifecycle::Ready), at(20));
+    directory.put(back_end("a", Lifecycle::Ready), at(20), Instant::now());
     let later = now + Duration::from_secs(3);
     assert_eq!(ready_ids(&directory, later), ["a"]);
 }
@@ -99,7 +109,7 @@
 fn entries_that_vanish_while_the_store_is_well_are_gone() {
     let now = Instant::now();
     let mut directory = Directory::default();
-    directory.put(back_end("a", Lifecycle::Ready), at(1));
+    directory.put(back_end("a", Lifecycle::Ready), at(1), Instant::now());
     directory.remove("a", at(2), now, false);
     assert!(ready_ids(&directory, now).is_empty());
 }
--- a/crates/serve/tests/restored_store.rs
+++ b/crates/serve/tests/restored_store.rs
@@ -24,6 +24,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use futures::future::join_all;
 use http::StatusCode;
 use ponddrift_platform_stand_ins::{ClientRequest, StoreCopy, StoreMode, UsageNote};
 use support::{Fleet, Size, routes};
@@ -86,11 +87,18 @@
         let mut statuses = Vec::new();
         let mut number = 0;
         for _ in 0..ROUNDS {
-            for daemon in &daemons {
+            let asked = daemons.iter().map(|daemon| {
                 number += 1;
-                let answer = client.ask(daemon.callers, &request(number)).await;
-                statuses.push(answer.expect("an answer").status);
-            }
+                let (client, request) = (client.clone(), request(number));
+                let target = daemon.callers;
+                async move { client.ask(target, &request).await }
+            });
+            let answers = join_all(asked).await;
+            statuses.extend(
+                answers
+                    .into_iter()
+                    .map(|answer| answer.expect("an answer").status),
+            );
         }
         statuses
     })
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -3,6 +3,7 @@
 mod fleet_view;
 mod handing_on;
 mod known_era;
+mod retained;
 
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
@@ -282,6 +283,7 @@
         source: Source,
         now: Instant,
     ) {
+        self.doubt_what_a_copy_lacks(at, now);
         let removed = self.missing_from(keys, at);
         self.take_items(removed, source, now);
         let mut inner = self.lock();
@@ -309,6 +311,17 @@
         true
     }
 
+    /// What a store lacks that has come back from an older copy may be written again.
+    fn doubt_what_a_copy_lacks(&self, at: Revision, now: Instant) {
+        let mut inner = self.lock();
+        if inner
+            .position
+            .is_some_and(|position| position.era() < at.era())
+        {
+            inner.last_store_failure = Some(now);
+        }
+    }
+
     /// What is held as present, is no newer than `at`, and is not among `keys`.
     fn missing_from(&self, keys: &HashSet<String>, at: Revision) -> Vec<Item> {
         let inner = self.lock();
@@ -347,7 +360,7 @@
             Ok(Decoded::Released(fingerprint)) => {
                 self.quarantine_released(fingerprint, item.revision, source, now);
             }
-            Ok(decoded) => self.lock().apply(decoded, item.revision, source, now),
+            Ok(decoded) => self.lock().apply(decoded, &item, source, now),
             Err(unreadable) => tracing::warn!(
                 key = unreadable.key,
                 revision = %unreadable.revision,
@@ -392,7 +405,10 @@
             source = source.as_str(),
             "quarantine_released"
         );
-        if !in_doubt {
+        if in_doubt {
+            self.quarantine().note_missing(fingerprint);
+            self.quarantine_changed.notify_one();
+        } else {
             self.quarantine().note_released(fingerprint, now);
         }
     }
@@ -463,6 +479,8 @@
         const REMOVED_KEPT: u64 = 10_000;
         let mut inner = self.lock();
         inner.directory.forget_removals(now);
+        inner.remove_departed(now);
+        inner.place_where_daemons_changed(&self.own);
         self.quarantine().forget_old(now);
         let oldest_removal = inner.newest.back_by(REMOVED_KEPT);
         inner
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use ponddrift_fleet::configuration::{Configuration, Stage};
-use ponddrift_fleet::directory::{BackEnd, ColdStart, Directory, Lifecycle, Warmth};
+use ponddrift_fleet::directory::{BackEnd, ColdStart, Directory, Lifecycle, Taken, Warmth};
 use ponddrift_fleet::rate_limits::Members;
 use ponddrift_fleet::revision::Revision;
 use ponddrift_fleet::routes::RouteTable;
@@ -14,6 +14,7 @@
 
 use super::{InForce, Source, daemon_identity};
 use crate::back_end_index::BackEndIndex;
+use crate::follow::MISSING_KEY_GRACE;
 use crate::store::{Decoded, Item};
 
 /// For this long after a failed call to the store, an entry that vanishes may have lapsed because the store was away.
@@ -43,6 +44,11 @@
     pub(super) leader: Option<Arc<str>>,
     /// Raw items by key, as they are handed on to peers page by page.
     pub(super) items: BTreeMap<String, Item>,
+    /// What was known before the store came back from an older copy, where that shows less: it stays in force until it is written
+    /// again.
+    pub(super) retained: BTreeMap<String, Item>,
+    /// Daemons whose keys the store lacks since it came back, and since when.
+    missing_daemons: HashMap<Arc<str>, Instant>,
     /// A first reading of everything that is under way; none before its first page, or once everything is known.
     pub(super) partly_read: Option<PartlyRead>,
     pub(super) newest: Revision,
@@ -102,20 +108,22 @@
             .is_some_and(|last| now.saturating_duration_since(last) < DOUBT_AFTER_FAILURE)
     }
 
-    pub(super) fn apply(
-        &mut self,
-        decoded: Decoded,
-        revision: Revision,
-        source: Source,
-        now: Instant,
-    ) {
+    /// Applies what an item means that is newer than what is known of its key.
+    pub(super) fn apply(&mut self, decoded: Decoded, item: &Item, source: Source, now: Instant) {
+        let revision = item.revision;
         match decoded {
             Decoded::Configuration(configuration) => {
+                if self.knows_newer_than(configuration.version) {
+                    self.retain_known(item);
+                } else {
+                    self.retained.remove(&item.key);
+                }
                 self.apply_configuration(*configuration, revision, source, now);
             }
+            Decoded::ConfigurationGone => self.retain_known(item),
             Decoded::BackEnd(mut back_end, warmth) => {
                 back_end.cold_start = self.cold_start(&back_end, warmth, revision, now);
-                self.apply_back_end(back_end, revision, source);
+                self.apply_back_end(back_end, item, source, now);
             }
             Decoded::BackEndGone(id) => self.remove_back_end(&id, revision, source, now),
             Decoded::Daemon(daemon) => {
@@ -127,14 +135,16 @@
                         "daemon_joined"
                     );
                 }
+                self.missing_daemons.remove(&daemon.name);
                 self.daemons.insert(Arc::clone(&daemon.name), daemon);
                 self.daemons_changed = true;
             }
-            Decoded::DaemonGone(name) => {
-                tracing::info!(daemon = %name, "daemon_left");
-                self.daemons.remove(&name);
-                self.daemons_changed = true;
+            Decoded::DaemonGone(name) if self.is_of_era_before(item) => {
+                // Its key went with the store's return; the daemon itself writes it again.
+                tracing::info!(daemon = %name, %revision, "daemon_key_missing");
+                self.missing_daemons.insert(name, now);
             }
+            Decoded::DaemonGone(name) => self.remove_daemon(&name),
             Decoded::Leader(leader) => {
                 tracing::info!(%leader, %revision, source = source.as_str(), "leader");
                 self.leader = Some(leader);
@@ -147,6 +157,39 @@
         }
     }
 
+    /// Whether a newer configuration is in force.
+    fn knows_newer_than(&self, version: u64) -> bool {
+        let in_force = self.in_force.as_ref();
+        in_force.is_some_and(|in_force| in_force.configuration.version > version)
+    }
+
+    /// Whether what is known of an item's key is of an era before the item's: the item may be no news, but what the store held when
+    /// its copy was made.
+    fn is_of_era_before(&self, item: &Item) -> bool {
+        let known = self.items.get(&item.key);
+        known.is_some_and(|known| known.revision.era() < item.revision.era())
+    }
+
+    fn remove_daemon(&mut self, name: &str) {
+        tracing::info!(daemon = name, "daemon_left");
+        self.missing_daemons.remove(name);
+        self.daemons.remove(name);
+        self.daemons_changed = true;
+    }
+
+    /// Removes daemons that have not written their keys again after the store came back without them.
+    pub(super) fn remove_departed(&mut self, now: Instant) {
+        let departed: Vec<Arc<str>> = self
+            .missing_daemons
+            .iter()
+            .filter(|(_name, since)| now.saturating_duration_since(**since) > MISSING_KEY_GRACE)
+            .map(|(name, _since)| Arc::clone(name))
+            .collect();
+        for name in departed {
+            self.remove_daemon(&name);
+        }
+    }
+
     fn apply_configuration(
         &mut self,
         configuration: Configuration,
@@ -213,7 +256,8 @@
         }
     }
 
-    fn apply_back_end(&mut self, back_end: BackEnd, revision: Revision, source: Source) {
+    fn apply_back_end(&mut self, back_end: BackEnd, item: &Item, source: Source, now: Instant) {
+        let revision = item.revision;
         let known = self.directory.get(&back_end.id);
         let changed = known.map_or(!self.is_first_reading(), |known| {
             known.lifecycle != back_end.lifecycle
@@ -235,10 +279,15 @@
             );
         }
         let id = Arc::clone(&back_end.id);
-        if self.directory.put(back_end, revision)
-            && let Some(known) = self.directory.get(&id)
-        {
-            Arc::make_mut(&mut self.index).insert(known);
+        match self.directory.put(back_end, revision, now) {
+            Taken::News => {
+                self.retained.remove(&item.key);
+                if let Some(known) = self.directory.get(&id) {
+                    Arc::make_mut(&mut self.index).insert(known);
+                }
+            }
+            Taken::Outlived => self.retain_known(item),
+            Taken::Stale => {}
         }
     }
 
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -26,6 +26,7 @@
 use crate::time::{self, now};
 use crate::whole_read::WholeRead;
 use announcer::Announcer;
+pub(crate) use announcer::MISSING_KEY_GRACE;
 use distributor_list::DistributorList;
 
 /// How long one call of a daemon waits for changes that follows the store only for itself.
--- a/crates/serving/src/follow/announcer.rs
+++ b/crates/serving/src/follow/announcer.rs
@@ -15,6 +15,9 @@
 const DAEMON_LEASE: Duration = Duration::from_secs(10);
 /// Time between two renewals.
 const RENEWAL: Duration = Duration::from_secs(3);
+/// A daemon whose key the store lacks since it came back from an older copy is there for so long all the same: it writes its key
+/// again with its next renewal, and one that has ended goes when its lease would have.
+pub(crate) const MISSING_KEY_GRACE: Duration = DAEMON_LEASE.saturating_add(RENEWAL);
 
 pub(super) struct Announcer {
     store: Arc<dyn FleetStore>,
--- a/crates/serving/src/follow/distributor_list.rs
+++ b/crates/serving/src/follow/distributor_list.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ponddrift_fleet::revision::Era;
+
 use crate::fleet_state::FleetState;
 use crate::store::{FleetStore, StoreError};
 
@@ -15,8 +17,8 @@
 pub(super) struct DistributorList {
     store: Arc<dyn FleetStore>,
     state: Arc<FleetState>,
-    /// What the store holds, where it is known.
-    written: Option<Vec<SocketAddr>>,
+    /// What the store holds, where it is known, and since which era.
+    written: Option<(Era, Vec<SocketAddr>)>,
 }
 
 impl DistributorList {
@@ -46,17 +48,24 @@
 
     async fn bring_up_to_date(&mut self, distributors: &[SocketAddr]) -> Result<(), StoreError> {
         let zone = &self.state.own().zone;
-        if self.written.is_none() {
-            self.written = Some(self.store.read_distributors(zone).await?);
+        let era = self.state.era().newest();
+        // What was written may have gone when the store came back from an older copy.
+        let mut written = self.written.take_if(|(since, _list)| *since == era);
+        if written.is_none() {
+            written = Some((era, self.store.read_distributors(zone).await?));
         }
-        if self.written.as_deref() == Some(distributors) {
+        if written
+            .as_ref()
+            .is_some_and(|(_era, list)| list == distributors)
+        {
+            self.written = written;
             return Ok(());
         }
         // Whatever comes of the call, what the store holds is not known for sure.
         self.written = None;
         self.store.write_distributors(zone, distributors).await?;
         tracing::info!(distributors = distributors.len(), "distributors_written");
-        self.written = Some(distributors.to_vec());
+        self.written = Some((era, distributors.to_vec()));
         Ok(())
     }
 }
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -61,6 +61,8 @@
 pub enum Decoded {
     /// The operators' configuration.
     Configuration(Box<Configuration>),
+    /// The operators' configuration is not there.
+    ConfigurationGone,
     /// A back end, and what it says of its slow start.
     BackEnd(BackEnd, Warmth),
     /// A back end whose entry was removed.
