Daemons that only know an older copy of the store are told what it lacks

A daemon that started right after the store came back read the copy, served a route that had been dropped and sent requests to a server that was leaving. Daemons that know more say so twice a second, with a hash of what they know, until it has been written again; whoever has not seen that set asks for it and takes what says more than its copy.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -240,6 +240,43 @@
         self.entries.insert(id, Entry { revision, presence });
     }
 
+    /// Takes what a peer knows of a back end whose entry the store, back from an older copy, shows here. Returns whether it says
+    /// more than that.
+    pub fn put_over_copy(&mut self, back_end: BackEnd) -> bool {
+        let Some(entry) = self.entries.get(&back_end.id) else {
+            return false;
+        };
+        let is_news = match &entry.presence {
+            Presence::Present(shown) => says_more(&back_end, shown),
+            Presence::Vanished(_) => false,
+        };
+        if is_news {
+            let revision = entry.revision;
+            self.make_present(back_end, revision);
+        }
+        is_news
+    }
+
+    /// The same for a back end that had gone.
+    pub fn remove_over_copy(&mut self, id: &str, now: Instant) -> bool {
+        let Some(entry) = self.entries.get(id) else {
+            return false;
+        };
+        let Some(shown) = entry.present().cloned() else {
+            return false;
+        };
+        let revision = entry.revision;
+        self.vanish(id, revision, now, false);
+        if let Some(Entry {
+            presence: Presence::Vanished(vanished),
+            ..
+        }) = self.entries.get_mut(id)
+        {
+            vanished.shown_by_copy = Some(shown);
+        }
+        true
+    }
+
     fn leave_ready_set(&mut self, id: &str) {
         let Some(known) = self.entries.get(id).and_then(Entry::present) else {
             return;
@@ -397,8 +434,8 @@
     }
 
     /// Forgets removals that are long past. Back ends that had gone, and whose entries the store has shown ever since it came back
-    /// from an older copy, live.
-    pub fn forget_removals(&mut self, now: Instant) {
+    /// from an older copy, live: returns those.
+    pub fn forget_removals(&mut self, now: Instant) -> Vec<Arc<BackEnd>> {
         let alive: Vec<(Arc<BackEnd>, Revision)> = self
             .entries
             .values()
@@ -410,8 +447,8 @@
                 _ => None,
             })
             .collect();
-        for (back_end, revision) in alive {
-            self.make_present(BackEnd::clone(&back_end), revision);
+        for (back_end, revision) in &alive {
+            self.make_present(BackEnd::clone(back_end), *revision);
         }
         self.entries.retain(|_id, entry| match &entry.presence {
             Presence::Present(_) => true,
@@ -419,18 +456,27 @@
                 now.saturating_duration_since(vanished.since) < TOMBSTONE_LIFE
             }
         });
+        alive
+            .into_iter()
+            .map(|(back_end, _revision)| back_end)
+            .collect()
     }
 }
 
+/// Whether what is known of a back end is of a later time than a copy of its entry: the same life has begun to leave since, or a later
+/// life has begun.
+fn says_more(known: &BackEnd, copy: &BackEnd) -> bool {
+    if known.incarnation != copy.incarnation {
+        return known.incarnation > copy.incarnation;
+    }
+    known.lifecycle == Lifecycle::Draining && copy.lifecycle == Lifecycle::Ready
+}
+
 impl Entry {
-    /// Whether what is known says more than an older copy of the entry: the same life has begun to leave or has gone since, or a
-    /// later life has begun.
+    /// Whether what is known is of a later time than a copy of the entry, or the back end has gone since.
     fn outlives(&self, copy: &BackEnd, now: Instant) -> bool {
         match &self.presence {
-            Presence::Present(known) if known.incarnation == copy.incarnation => {
-                known.lifecycle == Lifecycle::Draining && copy.lifecycle == Lifecycle::Ready
-            }
-            Presence::Present(known) => known.incarnation > copy.incarnation,
+            Presence::Present(known) => says_more(known, copy),
             Presence::Vanished(vanished) => {
                 let last = vanished.last.as_ref();
                 vanished.has_gone_lately(now)
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -478,8 +478,9 @@
         /// Removed keys are handed on to peers for about this many revisions.
         const REMOVED_KEPT: u64 = 10_000;
         let mut inner = self.lock();
-        inner.directory.forget_removals(now);
+        inner.forget_removals(now);
         inner.remove_departed(now);
+        inner.forget_retained(now);
         inner.place_where_daemons_changed(&self.own);
         self.quarantine().forget_old(now);
         let oldest_removal = inner.newest.back_by(REMOVED_KEPT);
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -12,6 +12,7 @@
 use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
 
+use super::retained::Retained;
 use super::{InForce, Source, daemon_identity};
 use crate::back_end_index::BackEndIndex;
 use crate::follow::MISSING_KEY_GRACE;
@@ -46,7 +47,7 @@
     pub(super) items: BTreeMap<String, Item>,
     /// What was known before the store came back from an older copy, where that shows less: it stays in force until it is written
     /// again.
-    pub(super) retained: BTreeMap<String, Item>,
+    pub(super) retained: BTreeMap<String, Retained>,
     /// Daemons whose keys the store lacks since it came back, and since when.
     missing_daemons: HashMap<Arc<str>, Instant>,
     /// A first reading of everything that is under way; none before its first page, or once everything is known.
@@ -114,18 +115,23 @@
         match decoded {
             Decoded::Configuration(configuration) => {
                 if self.knows_newer_than(configuration.version) {
-                    self.retain_known(item);
+                    self.retain_known(item, now);
                 } else {
                     self.retained.remove(&item.key);
                 }
                 self.apply_configuration(*configuration, revision, source, now);
             }
-            Decoded::ConfigurationGone => self.retain_known(item),
+            Decoded::ConfigurationGone => self.retain_known(item, now),
             Decoded::BackEnd(mut back_end, warmth) => {
                 back_end.cold_start = self.cold_start(&back_end, warmth, revision, now);
                 self.apply_back_end(back_end, item, source, now);
             }
-            Decoded::BackEndGone(id) => self.remove_back_end(&id, revision, source, now),
+            Decoded::BackEndGone(id) => {
+                if !self.is_of_era_before(item) {
+                    self.retained.remove(&item.key);
+                }
+                self.remove_back_end(&id, revision, source, now);
+            }
             Decoded::Daemon(daemon) => {
                 if !self.is_first_reading() {
                     tracing::info!(
@@ -177,6 +183,13 @@
         self.daemons_changed = true;
     }
 
+    pub(super) fn forget_removals(&mut self, now: Instant) {
+        for back_end in self.directory.forget_removals(now) {
+            tracing::info!(back_end = %back_end.id, "back_end_shown_by_copy_lives");
+            Arc::make_mut(&mut self.index).insert(&back_end);
+        }
+    }
+
     /// Removes daemons that have not written their keys again after the store came back without them.
     pub(super) fn remove_departed(&mut self, now: Instant) {
         let departed: Vec<Arc<str>> = self
@@ -190,19 +203,20 @@
         }
     }
 
-    fn apply_configuration(
+    /// Returns whether it is newer than the one in force.
+    pub(super) fn apply_configuration(
         &mut self,
         configuration: Configuration,
         revision: Revision,
         source: Source,
         now: Instant,
-    ) {
+    ) -> bool {
         let known = self
             .in_force
             .as_ref()
             .map_or(0, |in_force| in_force.configuration.version);
         if configuration.version <= known {
-            return;
+            return false;
         }
         let tenants = configuration.tenants.as_deref().map(TenantTable::new);
         let ambiguous_keys = tenants.as_ref().map_or(0, TenantTable::ambiguous_keys);
@@ -224,6 +238,7 @@
             revision,
             since: now,
         }));
+        true
     }
 
     /// The slow start of a back end, counted from now: entries are written about once a heartbeat.
@@ -286,7 +301,7 @@
                     Arc::make_mut(&mut self.index).insert(known);
                 }
             }
-            Taken::Outlived => self.retain_known(item),
+            Taken::Outlived => self.retain_known(item, now),
             Taken::Stale => {}
         }
     }
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -9,6 +9,7 @@
 mod rate_limits;
 mod receive;
 mod relay;
+mod retained;
 mod suspects;
 mod translate;
 
@@ -29,6 +30,7 @@
 use crate::store::Changes;
 use crate::time::now;
 use message::{AwayRow, HeadRow, ReportRow};
+use retained::SeenSets;
 
 pub(crate) use rate_limits::log_rate_change;
 pub use relay::fetch_tallies;
@@ -69,6 +71,8 @@
         to_forward: Mutex::default(),
         has_to_forward: Notify::new(),
         is_catching_up: AtomicBool::new(false),
+        is_asking_for_retained: AtomicBool::new(false),
+        seen_sets: Mutex::default(),
         last_received: Mutex::default(),
     });
     let spawner = &runtime.spawner;
@@ -77,6 +81,7 @@
     if let Some(recorder) = usage {
         spawner.spawn(Box::pin(Arc::clone(&peers).replicate_usage(recorder)));
     }
+    spawner.spawn(Box::pin(Arc::clone(&peers).publish_retained()));
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_suspects()));
     spawner.spawn(Box::pin(Arc::clone(&peers).ask_for_rate_limits()));
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_rate_limits()));
@@ -100,6 +105,8 @@
     to_forward: Mutex<Forwarded>,
     has_to_forward: Notify,
     is_catching_up: AtomicBool,
+    is_asking_for_retained: AtomicBool,
+    seen_sets: Mutex<SeenSets>,
     /// When the last datagram of each neighbour was received.
     last_received: Mutex<HashMap<SocketAddr, Instant>>,
 }
@@ -113,6 +120,12 @@
 }
 
 impl Peers {
+    fn seen_sets(&self) -> MutexGuard<'_, SeenSets> {
+        self.seen_sets
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
     fn to_forward(&self) -> MutexGuard<'_, Forwarded> {
         self.to_forward
             .lock()
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -63,6 +63,11 @@
     },
     /// The sender has started and wants to know of rate limits in force.
     RateLimitsWanted,
+    /// The sender knows what the store lacks since it came back from an older copy.
+    Retained {
+        /// Hash of what it knows, the same for the same items.
+        set: u64,
+    },
 }
 
 /// Retries that a daemon puts into the pool of its zone.
--- a/crates/serving/src/peers/publish.rs
+++ b/crates/serving/src/peers/publish.rs
@@ -222,7 +222,7 @@
 }
 
 /// While nothing urgent changes, each digest goes to a part of many neighbours: to all of them within the life of a report.
-fn in_turn(neighbours: &[SocketAddr], sequence: u32) -> Vec<SocketAddr> {
+pub(super) fn in_turn(neighbours: &[SocketAddr], sequence: u32) -> Vec<SocketAddr> {
     if neighbours.len() <= FAN_OUT {
         return neighbours.to_vec();
     }
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -53,6 +53,7 @@
                     self.receive_rates(&rows, wants_more, from).await;
                 }
                 Some(Message::RateLimitsWanted) => self.send_rates_in_force(from).await,
+                Some(Message::Retained { set }) => self.notice_retained(set, from),
                 Some(Message::Deposits(row)) => {
                     self.pipeline.receive_deposits(&deposits_from_wire(row))
                 }
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -43,6 +43,8 @@
     PageAfter(Option<String>),
     /// A retry for the service of this hash, from the zone's pool; answered by whether there was one.
     Retry(u32),
+    /// What the store lacks since it came back from an older copy; answered by a [`PackedPage`].
+    Retained,
 }
 
 /// A page of what the store holds, compressed (LZ4 behind its length): entries of back ends differ in a few bytes, and take a
@@ -131,6 +133,7 @@
             let packed = page.as_ref().map(PackedPage::pack).transpose()?;
             borsh::to_vec(&packed)?
         }
+        Question::Retained => borsh::to_vec(&PackedPage::pack(&known.state.retained())?)?,
         Question::Retry(service) => borsh::to_vec(&known.pipeline.withdraw_from_pool(service))?,
     };
     write_bytes(&mut stream, &bytes).await
@@ -163,6 +166,15 @@
     packed.map(|packed| packed.unpack()).transpose()
 }
 
+/// Asks a peer for what the store lacks since it came back from an older copy.
+///
+/// # Errors
+/// When the peer cannot be reached, does not answer in time, or what it answers is no page.
+pub(super) async fn fetch_retained(runtime: &Runtime, peer: SocketAddr) -> io::Result<Page> {
+    let packed: PackedPage = ask(runtime, peer, Question::Retained).await?;
+    packed.unpack()
+}
+
 /// Asks the keeper of the zone's pool for a retry of the service with this hash. Returns whether there was one.
 ///
 /// # Errors
