Limits that a daemon is told of before it knows the back ends hold too

A daemon that starts asks its peers for rate limits at once. With a slow store the replies came before it had read which back ends there are, were passed over, and its first request went to a back end that took none (new test, fails without). They are kept, 256 at most, until the directory has been read.

--- a/crates/serve/tests/rate_limits.rs
+++ b/crates/serve/tests/rate_limits.rs
@@ -23,7 +23,7 @@
 
 use futures::future::join_all;
 use http::StatusCode;
-use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest, EngineStandIn};
+use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest, EngineStandIn, StoreMode};
 use ponddrift_simulation::HostId;
 use support::{DaemonHost, Fleet, Size};
 use tokio::time::{Instant, sleep};
@@ -277,6 +277,29 @@
     }
 }
 
+/// The store is slow: peers tell of the limit long before the daemon has read which back ends there are.
+#[test]
+fn a_daemon_that_reads_the_directory_late_keeps_limits_that_it_was_told_of_before() {
+    let (mut fleet, engine) = fleet_before_one_limited_back_end();
+    fleet.wait(Duration::from_secs(1));
+    for start in 0..5 {
+        let number = start % 3;
+        let host = fleet.daemons[number].host;
+        fleet
+            .store
+            .set_mode(StoreMode::Slow(Duration::from_secs(1)));
+        fleet.simulation.handle().restart(host);
+        let late = u64::try_from(start).expect("few") * 10;
+        fleet.wait(Duration::from_millis(1_155 + late));
+        let before = engine.arrivals().len();
+        let request = ClientRequest::plain(&format!("late-{start}"), "fetch");
+        ask(&mut fleet, number, &request);
+        assert_eq!(engine.arrivals().len(), before, "start {start}");
+        fleet.store.set_mode(StoreMode::Up);
+        fleet.wait(Duration::from_secs(3));
+    }
+}
+
 /// An entry in the directory and the daemons' own words agree on nothing here: only an answer shows that the limit has ended.
 #[test]
 fn a_limit_ends_when_answers_no_longer_name_it() {
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -30,6 +30,7 @@
 use crate::store::Changes;
 use crate::time::now;
 use message::{AwayRow, HeadRow, ReportRow};
+use rate_limits::EarlyLimit;
 use retained::SeenSets;
 
 pub(crate) use rate_limits::log_rate_change;
@@ -73,6 +74,7 @@
         is_catching_up: AtomicBool::new(false),
         is_asking_for_retained: AtomicBool::new(false),
         seen_sets: Mutex::default(),
+        early_limits: Mutex::default(),
         last_received: Mutex::default(),
     });
     let spawner = &runtime.spawner;
@@ -84,6 +86,7 @@
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_retained()));
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_suspects()));
     spawner.spawn(Box::pin(Arc::clone(&peers).ask_for_rate_limits()));
+    spawner.spawn(Box::pin(Arc::clone(&peers).take_early_limits()));
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_rate_limits()));
     spawner.spawn(Box::pin(Arc::clone(&peers).deposit_retries()));
     spawner.spawn(Box::pin(peers.receive()));
@@ -107,6 +110,7 @@
     is_catching_up: AtomicBool,
     is_asking_for_retained: AtomicBool,
     seen_sets: Mutex<SeenSets>,
+    early_limits: Mutex<Vec<EarlyLimit>>,
     /// When the last datagram of each neighbour was received.
     last_received: Mutex<HashMap<SocketAddr, Instant>>,
 }
@@ -126,6 +130,12 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    fn early_limits(&self) -> MutexGuard<'_, Vec<EarlyLimit>> {
+        self.early_limits
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
     fn to_forward(&self) -> MutexGuard<'_, Forwarded> {
         self.to_forward
             .lock()
--- a/crates/serving/src/peers/rate_limits.rs
+++ b/crates/serving/src/peers/rate_limits.rs
@@ -10,7 +10,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ponddrift_fleet::rate_limits::{RateChange, RequestRate};
+use ponddrift_fleet::directory::{BackEnd, Incarnation};
+use ponddrift_fleet::rate_limits::{RateChange, RateMerge, RateRecord, RequestRate};
 
 use super::Peers;
 use super::message::{self, Message, RateRow};
@@ -43,6 +44,14 @@
 /// Limits in the reply to a daemon that asks, at most: the repair rounds bring it the others.
 const MOST_IN_REPLY: usize = 256;
 
+/// What a peer knows of the limit of a back end that is not known here yet.
+#[derive(Debug)]
+pub(super) struct EarlyLimit {
+    back_end: String,
+    incarnation: Incarnation,
+    theirs: RateRecord,
+}
+
 /// Back ends whose limits are to be published again, and when.
 type Schedule = BTreeSet<(Instant, Arc<str>)>;
 
@@ -166,24 +175,19 @@
         let mut missing_there = Vec::new();
         for row in rows {
             let known = index.find(hash(&row.back_end));
-            // The repair rounds bring the limit of one that is not known here yet.
+            let (incarnation, theirs) = rate_from_wire(row, now());
             let Some(back_end) = known.filter(|known| *known.id == *row.back_end) else {
+                self.keep_until_known(EarlyLimit {
+                    back_end: row.back_end.clone(),
+                    incarnation,
+                    theirs,
+                });
                 continue;
             };
-            let (incarnation, theirs) = rate_from_wire(row, now());
-            let merge =
-                self.pipeline
-                    .placement()
-                    .rate_limits
-                    .merge(back_end, incarnation, &theirs, now());
-            if let Some(change) = merge.change {
-                log_rate_change(&row.back_end, incarnation.0, change, "peer");
-                self.pipeline.rates_have_changed();
-                if is_far {
-                    self.pipeline
-                        .changed_rate_limits()
-                        .add(Arc::clone(&back_end.id));
-                }
+            let merge = self.merge_rate(back_end, incarnation, &theirs);
+            if merge.change.is_some() && is_far {
+                let changed = self.pipeline.changed_rate_limits();
+                changed.add(Arc::clone(&back_end.id));
             }
             if merge.knows_more {
                 missing_there.extend(self.rate_row(&back_end.id));
@@ -197,6 +201,57 @@
     }
 }
 
+impl Peers {
+    fn merge_rate(
+        &self,
+        back_end: &BackEnd,
+        incarnation: Incarnation,
+        theirs: &RateRecord,
+    ) -> RateMerge {
+        let mut placement = self.pipeline.placement();
+        let limits = &mut placement.rate_limits;
+        let merge = limits.merge(back_end, incarnation, theirs, now());
+        drop(placement);
+        if let Some(change) = merge.change {
+            log_rate_change(&back_end.id, incarnation.0, change, "peer");
+            self.pipeline.rates_have_changed();
+        }
+        merge
+    }
+
+    /// A daemon that starts is told of limits before it has read which back ends there are: its first requests must keep them all the
+    /// same. Once it has read them, the repair rounds bring the limit of one that is new to it.
+    fn keep_until_known(&self, limit: EarlyLimit) {
+        let mut early = self.early_limits();
+        if self.state.position().is_none() && early.len() < MOST_IN_REPLY {
+            early.push(limit);
+        }
+    }
+
+    /// Takes the limits that were told too early, as the directory is read.
+    pub(super) async fn take_early_limits(self: Arc<Self>) {
+        while self.state.position().is_none() {
+            self.state.more_is_known().notified().await;
+            self.take_limits_of_known();
+        }
+        self.early_limits().clear();
+    }
+
+    fn take_limits_of_known(&self) {
+        let index = self.state.back_end_index();
+        let early = std::mem::take(&mut *self.early_limits());
+        for limit in early {
+            let known = index.find(hash(&limit.back_end));
+            match known.filter(|known| *known.id == *limit.back_end) {
+                Some(back_end) => {
+                    self.merge_rate(back_end, limit.incarnation, &limit.theirs);
+                }
+                None => self.early_limits().push(limit),
+            }
+        }
+    }
+}
+
 /// Logs that a back end's limit is another than before; `source` names what showed it.
 pub(crate) fn log_rate_change(
     back_end: &str,
