A rate limit is told to peers the moment it is learned

The known red test: a daemon that was started sent a request to a back end whose limit leaves it none. The trace shows another cause than was noted: its peers knew of no limit (they answered its question with none), because the daemon that had learned it was killed within the 2 ms in which changes were gathered before the first datagram.

--- a/crates/serving/src/peers/rate_limits.rs
+++ b/crates/serving/src/peers/rate_limits.rs
@@ -19,7 +19,8 @@
 use crate::back_end_index::hash;
 use crate::time::{self, now};
 
-/// Changes within this time share datagrams.
+/// Changes within this time after one share datagrams. The first goes out at once: a daemon that ends right after its answer would take
+/// what it learned with it.
 const GATHERING_TIME: Duration = Duration::from_millis(2);
 /// When a change is published again: one datagram in thirty may be lost on a bad link.
 const REPEATED_AFTER: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(400)];
@@ -74,7 +75,6 @@
             let next = again.first().map_or(next_round, |(at, _id)| *at);
             // Either way it is looked at anew.
             time::timeout_at(next.min(next_round), changed.wait()).await;
-            tokio::time::sleep(GATHERING_TIME).await;
             let begun = now();
             let mut due = changed.take();
             for id in &due {
@@ -90,6 +90,7 @@
                 next_round = begun + REPAIR_INTERVAL;
                 self.publish_repair_round(&mut rounds).await;
             }
+            tokio::time::sleep(GATHERING_TIME).await;
         }
     }
 
