Failing test: a rate limit while members come and go without a pause

A property test came upon it once, with a seed of its own: 164 requests in 4 s where 156.4 are borne, while one of twelve daemons comes or goes each 400 ms. The input stays as a test; the cause is open.

--- a/crates/fleet/tests/rate_limits.rs
+++ b/crates/fleet/tests/rate_limits.rs
@@ -269,63 +269,113 @@
 /// Whatever daemons come and go, with views that differ for up to a second, no window sees more than back ends bear.
 #[test]
 fn no_window_sees_more_than_the_back_end_bears_while_members_come_and_go() {
+    bolero::check!()
+        .with_type::<(Vec<(u8, u8)>, u8)>()
+        .for_each(|(changes, rate_seed)| assert_no_window_sees_more(changes, *rate_seed));
+}
+
+/// An input that the test above came upon.
+#[test]
+fn no_window_sees_more_while_a_member_comes_or_goes_each_400_ms() {
+    let changes = [
+        (140, 127),
+        (168, 51),
+        (20, 80),
+        (212, 165),
+        (172, 243),
+        (234, 0),
+        (62, 172),
+        (31, 63),
+        (150, 22),
+        (249, 71),
+        (85, 44),
+        (131, 248),
+        (189, 48),
+        (16, 21),
+        (253, 26),
+        (115, 6),
+        (115, 135),
+        (58, 58),
+        (55, 240),
+        (202, 92),
+        (111, 32),
+        (73, 88),
+        (71, 215),
+        (42, 101),
+        (254, 36),
+        (112, 82),
+        (149, 123),
+        (91, 48),
+        (85, 188),
+        (4, 59),
+        (67, 94),
+        (11, 126),
+        (112, 251),
+        (32, 6),
+        (201, 66),
+        (166, 251),
+        (208, 6),
+        (163, 13),
+        (51, 71),
+    ];
+    assert_no_window_sees_more(&changes, 201);
+}
+
+/// `changes` are daemons that come or go, and how differently late others see it.
+fn assert_no_window_sees_more(changes: &[(u8, u8)], rate_seed: u8) {
     /// Time between two steps, in which each daemon sends as often as it may.
     const STEP_MS: u64 = 50;
     const VIEW_LAG_MS: u64 = 1_000;
-    bolero::check!()
-        .with_type::<(Vec<(u8, u8)>, u8)>()
-        .for_each(|(changes, rate_seed)| {
-            let start = Instant::now();
-            let per_second = 0.1 + f64::from(*rate_seed) / 8.0;
-            let back_end = life(1);
-            let fleet = 12_u64;
-            let mut limits: Vec<RateLimits> = (0..fleet).map(|_| RateLimits::default()).collect();
-            let mut present: Vec<bool> = (0..fleet).map(|number| number % 2 == 0).collect();
-            let mut views: Vec<(u64, Arc<Members>)> = Vec::new();
-            for (own, known) in (0..).zip(&mut limits) {
-                known.note(&back_end, names(per_second, start), start);
-                views.push((0, view_of(&present, own)));
+    let start = Instant::now();
+    let per_second = 0.1 + f64::from(rate_seed) / 8.0;
+    let back_end = life(1);
+    let fleet = 12_u64;
+    let mut limits: Vec<RateLimits> = (0..fleet).map(|_| RateLimits::default()).collect();
+    let mut present: Vec<bool> = (0..fleet).map(|number| number % 2 == 0).collect();
+    let mut views: Vec<(u64, Arc<Members>)> = Vec::new();
+    for (own, known) in (0..).zip(&mut limits) {
+        known.note(&back_end, names(per_second, start), start);
+        views.push((0, view_of(&present, own)));
+    }
+    let mut changes = changes.iter().take(40);
+    let mut sent: Vec<u64> = Vec::new();
+    for step in 0..160_u64 {
+        let now_ms = step * STEP_MS;
+        if step % 8 == 0
+            && let Some((who, lag)) = changes.next()
+        {
+            let who = usize::from(*who) % present.len();
+            present[who] = !present[who];
+            for (own, view) in (0..).zip(&mut views) {
+                let lag = (u64::from(*lag) * (own + 1) * 37) % VIEW_LAG_MS;
+                *view = (now_ms + lag, view_of(&present, own));
             }
-            let mut changes = changes.iter().take(40);
-            let mut sent: Vec<u64> = Vec::new();
-            for step in 0..160_u64 {
-                let now_ms = step * STEP_MS;
-                if step % 8 == 0
-                    && let Some((who, lag)) = changes.next()
-                {
-                    let who = usize::from(*who) % present.len();
-                    present[who] = !present[who];
-                    for (own, view) in (0..).zip(&mut views) {
-                        let lag = (u64::from(*lag) * (own + 1) * 37) % VIEW_LAG_MS;
-                        *view = (now_ms + lag, view_of(&present, own));
-                    }
-                }
-                let now = at(now_ms, start);
-                for (number, known) in limits.iter_mut().enumerate() {
-                    let (since, view) = &views[number];
-                    if *since <= now_ms {
-                        known.set_members(view, MembersTrust::Confirmed, now);
-                    }
-                    while present[number] && known.take(&back_end, now) {
-                        if known.limit(&back_end).is_none() {
-                            break;
-                        }
-                        sent.push(now_ms);
-                    }
-                }
+        }
+        let now = at(now_ms, start);
+        for (number, known) in limits.iter_mut().enumerate() {
+            let (since, view) = &views[number];
+            if *since <= now_ms {
+                known.set_members(view, MembersTrust::Confirmed, now);
             }
-            let borne = 1.5 * per_second * WINDOW_S + 5.0;
-            for from in &sent {
-                let in_window = sent
-                    .iter()
-                    .filter(|at| **at >= *from && **at < from + 4_000);
-                let count = u32::try_from(in_window.count()).expect("few");
-                assert!(
-                    f64::from(count) <= borne,
-                    "{count} of {borne} at {per_second}"
-                );
+            while present[number] && known.take(&back_end, now) {
+                if known.limit(&back_end).is_none() {
+                    break;
+                }
+                sent.push(now_ms);
             }
-        });
+        }
+    }
+    let borne = 1.5 * per_second * WINDOW_S + 5.0;
+    for from in &sent {
+        let in_window = sent
+            .iter()
+            .filter(|at| **at >= *from && **at < from + 4_000);
+        let count = u32::try_from(in_window.count()).expect("few");
+        assert!(
+            f64::from(count) <= borne,
+            "{count} of {borne} at {per_second}"
+        );
+    }
 }
 
 fn view_of(present: &[bool], own: u64) -> Arc<Members> {
