A usage window keeps its figures when the store comes back without them

Failing test first: a window was reported without what a daemon had counted that nobody could reach; its counts came later, the store came back from a copy from before the report, and the next leader reported the window again with other figures ({} and 16 and 7 requests of two tenants). A leader remembers what it settled for as long as windows are kept, settles the same again, and a new leader asks those that led lately for windows that ended before its time. Left: where all of them have ended meanwhile, nobody knows.

--- a/crates/serve/tests/usage.rs
+++ b/crates/serve/tests/usage.rs
@@ -294,6 +294,37 @@
     let _each_window_has_one_figure = reported(&fleet);
 }
 
+/// A window was reported without what a daemon had counted that nobody could reach. Its counts came later, and then the store came
+/// back from a copy that knows nothing of the report: another leader settled the window again, with other figures.
+#[test]
+fn a_window_reported_before_the_store_comes_back_from_an_older_copy_keeps_its_figures() {
+    let mut fleet = fleet(4);
+    fleet.store.name_era(1);
+    let copy = fleet.store.copy().from_before("ponddrift/");
+    ask_for(&mut fleet, &[0, 1, 2, 3], Duration::from_secs(9));
+    let leading = leader(&fleet);
+    let counting = (leading + 1) % 4;
+    wait_into_next_window(&mut fleet, Duration::from_millis(200));
+    let handle = fleet.simulation.handle();
+    for other in (0..4).filter(|other| *other != counting) {
+        handle.cut(fleet.daemons[counting].host, fleet.daemons[other].host);
+    }
+    ask_for(&mut fleet, &[counting], Duration::from_secs(2));
+    let before = reported(&fleet).len();
+    // The one before, and this one without what that daemon counted.
+    while reported(&fleet).len() < before + 2 {
+        fleet.wait(Duration::from_millis(100));
+    }
+    handle.heal_all();
+    fleet.wait(Duration::from_millis(400));
+    fleet.store.come_back_from(&copy);
+    fleet.wait(DUE + WINDOW);
+    let notes = fleet.provider.usage();
+    let fences: std::collections::BTreeSet<u64> = notes.iter().map(|note| note.fence).collect();
+    assert!(fences.len() > 1, "somebody led in each era");
+    let _each_window_has_one_figure = reported(&fleet);
+}
+
 /// Daemons of a fleet of two zones, each a neighbourhood of its own.
 const MANY: u8 = 26;
 
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -193,6 +193,18 @@
         self.lock().leader.clone()
     }
 
+    /// Addresses of the other daemons that led lately, the newest first.
+    #[must_use]
+    pub fn other_recent_leaders(&self) -> Vec<SocketAddr> {
+        let inner = self.lock();
+        let others = inner.recent_leaders.iter().rev();
+        others
+            .filter(|leader| **leader != self.own.name)
+            .filter_map(|leader| inner.daemons.get(leader))
+            .map(|member| member.peer_address)
+            .collect()
+    }
+
     /// Whether this daemon has a key, as far as is known.
     #[must_use]
     pub fn knows_itself(&self) -> bool {
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -1,6 +1,6 @@
 //! This daemon's view of the fleet and how updates change it. Each change that matters is logged.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -21,6 +21,9 @@
 /// For this long after a failed call to the store, an entry that vanishes may have lapsed because the store was away.
 const DOUBT_AFTER_FAILURE: Duration = Duration::from_secs(5);
 
+/// Daemons that led before and are still known: within the windows of usage that are reported hardly more lead.
+const LEADERS_REMEMBERED: usize = 4;
+
 /// How far a first reading of everything has come.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) struct PartlyRead {
@@ -43,6 +46,8 @@
     /// Daemons have come or gone since the topology was worked out.
     daemons_changed: bool,
     pub(super) leader: Option<Arc<str>>,
+    /// The last daemons that led, the newest last.
+    pub(super) recent_leaders: VecDeque<Arc<str>>,
     /// Raw items by key, as they are handed on to peers page by page.
     pub(super) items: BTreeMap<String, Item>,
     /// What was known before the store came back from an older copy, where that shows less: it stays in force until it is written
@@ -153,7 +158,7 @@
             Decoded::DaemonGone(name) => self.remove_daemon(&name),
             Decoded::Leader(leader) => {
                 tracing::info!(%leader, %revision, source = source.as_str(), "leader");
-                self.leader = Some(leader);
+                self.note_leader(leader);
             }
             Decoded::LeaderGone => {
                 tracing::info!(%revision, source = source.as_str(), "leader_gone");
@@ -176,6 +181,15 @@
         known.is_some_and(|known| known.revision.era() < item.revision.era())
     }
 
+    fn note_leader(&mut self, leader: Arc<str>) {
+        self.recent_leaders.retain(|known| *known != leader);
+        if self.recent_leaders.len() == LEADERS_REMEMBERED {
+            self.recent_leaders.pop_front();
+        }
+        self.recent_leaders.push_back(Arc::clone(&leader));
+        self.leader = Some(leader);
+    }
+
     fn remove_daemon(&mut self, name: &str) {
         tracing::info!(daemon = name, "daemon_left");
         self.missing_daemons.remove(name);
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -34,8 +34,8 @@
 use retained::SeenSets;
 
 pub(crate) use rate_limits::log_rate_change;
-pub use relay::fetch_tallies;
 pub(crate) use relay::{fetch_page, withdraw_retry};
+pub use relay::{fetch_settled, fetch_tallies};
 
 /// What a daemon knows of its peers before it has read the store.
 #[derive(Debug, Clone)]
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -11,7 +11,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use ponddrift_fleet::revision::Revision;
-use ponddrift_fleet::usage::{TallyOf, WindowNumber};
+use ponddrift_fleet::usage::{TallyOf, TenantCounts, WindowNumber};
 
 use crate::fleet_state::{FleetState, News};
 use crate::pipeline::Pipeline;
@@ -45,6 +45,8 @@
     Retry(u32),
     /// What the store lacks since it came back from an older copy; answered by a [`PackedPage`].
     Retained,
+    /// The figures of this window that the peer settled as the leader; answered by [`TenantCounts`], or by none.
+    Settled(WindowNumber),
 }
 
 /// A page of what the store holds, compressed (LZ4 behind its length): entries of back ends differ in a few bytes, and take a
@@ -133,6 +135,10 @@
             let packed = page.as_ref().map(PackedPage::pack).transpose()?;
             borsh::to_vec(&packed)?
         }
+        Question::Settled(window) => {
+            let usage = known.pipeline.usage();
+            borsh::to_vec(&usage.and_then(|usage| usage.settled(window)))?
+        }
         Question::Retained => borsh::to_vec(&PackedPage::pack(&known.state.retained())?)?,
         Question::Retry(service) => borsh::to_vec(&known.pipeline.withdraw_from_pool(service))?,
     };
@@ -166,6 +172,18 @@
     packed.map(|packed| packed.unpack()).transpose()
 }
 
+/// Asks a peer for the figures of a window that it settled as the leader; none where it did not.
+///
+/// # Errors
+/// When the peer cannot be reached or does not answer in time.
+pub async fn fetch_settled(
+    runtime: &Runtime,
+    peer: SocketAddr,
+    window: WindowNumber,
+) -> io::Result<Option<TenantCounts>> {
+    ask(runtime, peer, Question::Settled(window)).await
+}
+
 /// Asks a peer for what the store lacks since it came back from an older copy.
 ///
 /// # Errors
--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -41,6 +41,8 @@
     /// What has not been sent to replicas yet.
     unsent: BTreeSet<(WindowNumber, Arc<str>)>,
     closings: VecDeque<Closing>,
+    /// Figures that this daemon settled as the leader. The store may come back from an older copy that lacks them.
+    settled: BTreeMap<WindowNumber, TenantCounts>,
 }
 
 /// A window that has ended, and how often its tally is still to be sent to replicas.
@@ -137,6 +139,17 @@
         self.lock().ledger.totals(window)
     }
 
+    /// These figures of a window stand in the store, and are reported.
+    pub fn note_settled(&self, window: WindowNumber, counts: &TenantCounts) {
+        self.lock().settled.insert(window, counts.clone());
+    }
+
+    /// The figures of a window that this daemon settled or saw settled.
+    #[must_use]
+    pub fn settled(&self, window: WindowNumber) -> Option<TenantCounts> {
+        self.lock().settled.get(&window).cloned()
+    }
+
     /// What is to be sent to replicas now.
     #[must_use]
     pub fn take_unsent(&self) -> Vec<TallyOf> {
@@ -146,6 +159,9 @@
         inner
             .ledger
             .forget_before(current.saturating_sub(WINDOWS_KEPT));
+        inner.settled = inner
+            .settled
+            .split_off(&current.saturating_sub(WINDOWS_KEPT));
         let closed = inner.take_closings(self.life);
         let changed = inner.take_changed(self.life);
         closed.into_iter().chain(changed).collect()
--- a/crates/serving/src/usage/report.rs
+++ b/crates/serving/src/usage/report.rs
@@ -94,6 +94,8 @@
     failures: u32,
     not_before: Option<Instant>,
     settled: Option<TenantCounts>,
+    /// It ended before this daemon led: another may have reported it.
+    may_be_reported: bool,
 }
 
 impl Progress {
@@ -139,8 +141,10 @@
         // A new leader does not know what the one before reported: it settles and reports all that is not overdue again.
         let not_overdue = current.saturating_sub(1 + self.windows_until_due(length));
         let first = self.next.unwrap_or(not_overdue).max(oldest);
+        let may_be_reported = self.next.is_none();
         for window in first..current {
-            self.open.entry(window).or_default();
+            let progress = self.open.entry(window).or_default();
+            progress.may_be_reported = may_be_reported;
         }
         self.next = Some(current.max(first));
         for (window, _progress) in self.open.extract_if(..oldest, |_window, _progress| true) {
@@ -260,12 +264,43 @@
         }
     }
 
+    /// What is to be settled: the figures that were settled before, where the store has lost them since.
+    async fn figures(&self, window: WindowNumber, progress: &Progress) -> TenantCounts {
+        let recorder = &self.reporting.recorder;
+        if let Some(settled) = recorder.settled(window) {
+            return settled;
+        }
+        if progress.may_be_reported
+            && let Some(settled) = self.settled_by_leader_before(window).await
+        {
+            return settled;
+        }
+        recorder.totals(window)
+    }
+
+    async fn settled_by_leader_before(&self, window: WindowNumber) -> Option<TenantCounts> {
+        let leaders = self.reporting.state.other_recent_leaders();
+        let asked = leaders
+            .iter()
+            .map(|leader| peers::fetch_settled(&self.runtime, *leader, window));
+        for (leader, answer) in leaders.iter().zip(join_all(asked).await) {
+            match answer {
+                Ok(Some(settled)) => return Some(settled),
+                Ok(None) => {}
+                // It may have ended: then what it settled stands in the store alone.
+                Err(error) => tracing::info!(%leader, window, %error, "settled_usage_not_fetched"),
+            }
+        }
+        None
+    }
+
     async fn settle(&self, window: WindowNumber, progress: &mut Progress) -> StepEnd {
-        let counts = self.reporting.recorder.totals(window);
+        let counts = self.figures(window, progress).await;
         match self.reporting.store.settle_usage(window, &counts).await {
             Ok(settled) => {
                 let is_own = settled == counts;
                 tracing::info!(window, tenants = settled.len(), is_own, "usage_settled");
+                self.reporting.recorder.note_settled(window, &settled);
                 progress.settled = Some(settled);
                 StepEnd::GoesOn
             }
