A daemon that the store refuses reads a new era from the peer that told of it

One of three daemons, refused by the store with 429, went on with what it knew when the store came back: it follows the store for others, and those were not to read from peers.

--- a/crates/serve/tests/crashing_requests.rs
+++ b/crates/serve/tests/crashing_requests.rs
@@ -275,6 +275,30 @@
     assert_eq!(fleet.store.keys("ponddrift/quarantine/").len(), 1);
 }
 
+#[test]
+fn a_quarantine_is_in_force_and_filed_again_though_the_store_comes_back_from_an_older_copy() {
+    let mut fleet = crashing_fleet(size());
+    fleet.store.name_era(1);
+    fleet.wait(Duration::from_secs(1));
+    let copy = fleet.store.copy();
+    let repeats = Repeats {
+        times: 30,
+        every: Duration::from_millis(100),
+    };
+    ask_again(&mut fleet, repeats, crasher);
+    fleet.wait(Duration::from_secs(1));
+    assert_eq!(fleet.store.keys("ponddrift/quarantine/").len(), 1);
+    fleet.store.come_back_from(&copy);
+    fleet.wait(Duration::from_secs(4));
+    let again = Repeats {
+        times: 4,
+        ..repeats
+    };
+    let still = ask_again(&mut fleet, again, crasher);
+    assert!(still.iter().all(is_quarantined), "{still:?}");
+    assert_eq!(fleet.store.keys("ponddrift/quarantine/").len(), 1);
+}
+
 /// One datagram in three is lost between daemons.
 #[test]
 fn a_quarantine_reaches_all_daemons_though_datagrams_are_lost() {
--- a/crates/serve/tests/orders.rs
+++ b/crates/serve/tests/orders.rs
@@ -103,6 +103,29 @@
     assert_one_at_a_time(&orders(&fleet));
 }
 
+/// The copy is from before anybody led, and gives out numbers again that tokens were made of.
+#[test]
+fn orders_of_the_next_era_have_higher_tokens_and_wait_until_those_before_have_arrived() {
+    let mut fleet = Fleet::new(SIZE);
+    fleet.store.name_era(1);
+    let copy = fleet.store.copy().from_before("ponddrift/");
+    read_much(&mut fleet, Duration::from_secs(15));
+    let before = orders(&fleet).len();
+    assert!(before > 0, "orders are under way");
+    fleet.store.come_back_from(&copy);
+    read_much(&mut fleet, Duration::from_secs(1));
+    for engine in fleet.prefill.iter().chain(&fleet.decode) {
+        engine.vanish(&fleet.store);
+        engine.record(&fleet.store, "ready");
+    }
+    read_much(&mut fleet, Duration::from_secs(40));
+    let all = orders(&fleet);
+    assert_one_at_a_time(&all);
+    for pair in all.windows(2) {
+        assert!(pair[1].fence >= pair[0].fence, "{pair:?}");
+    }
+}
+
 #[test]
 fn no_order_leaves_while_the_store_is_away() {
     let mut fleet = Fleet::new(SIZE);
--- a/crates/serve/tests/restored_store.rs
+++ b/crates/serve/tests/restored_store.rs
@@ -244,6 +244,49 @@
     }
 }
 
+/// A daemon starts just when the store comes back, and reads some pages before and some after it.
+#[test]
+fn a_daemon_that_starts_while_the_store_comes_back_mixes_no_pages_of_two_eras() {
+    for moment_ms in [100, 300, 500, 700, 900] {
+        let mut fleet = fleet_of(9);
+        for number in 0..230 {
+            let entry = r#"{"service":"others","address":"10.9.0.1:80","zone":"a","slots":1,"state":"ready","sequence":1}"#;
+            fleet.store.put(&format!("servers/j-{number:03}"), entry);
+        }
+        fleet.wait(Duration::from_secs(1));
+        let copy = fleet.store.copy();
+        write_versions(&mut fleet, 2..=20);
+        fleet
+            .store
+            .set_mode(StoreMode::Slow(Duration::from_millis(150)));
+        fleet.simulation.handle().restart(fleet.daemons[0].host);
+        fleet.wait(Duration::from_millis(moment_ms));
+        fleet.store.come_back_from(&copy);
+        change(&fleet, 21);
+        fleet.store.set_mode(StoreMode::Up);
+        fleet.wait(IN_FORCE);
+        assert_changes_in_force(&mut fleet, &format!("{moment_ms} ms"));
+    }
+}
+
+#[test]
+fn daemons_that_the_store_refuses_learn_of_its_return_from_their_peers() {
+    for daemons in SIZES {
+        let mut fleet = fleet_of(daemons);
+        let copy = fleet.store.copy();
+        write_versions(&mut fleet, 2..=20);
+        for refused in fleet.daemons.iter().take(usize::from(daemons / 3)) {
+            fleet.store.refuse(refused.machine);
+        }
+        fleet.wait(Duration::from_secs(2));
+        come_back(&mut fleet, &copy);
+        fleet.wait(Duration::from_secs(1));
+        change(&fleet, 21);
+        fleet.wait(IN_FORCE);
+        assert_changes_in_force(&mut fleet, &format!("{daemons} daemons"));
+    }
+}
+
 /// Servers that the copy lacks are used until it is sure that they do not write themselves again.
 #[test]
 fn servers_that_an_older_copy_lacks_are_in_doubt_and_not_gone() {
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -92,6 +92,7 @@
     pub fn peer_is_ahead(&self, peer: SocketAddr) {
         *lock(&self.ahead) = Some(peer);
         self.wake();
+        self.relieved.notify_waiters();
     }
 
     /// What neighbours are relied on for has to be looked at anew.
@@ -370,8 +371,8 @@
         if known.is_some() {
             plan.patience = REREAD_PATIENCE;
         }
-        if known.is_some() && plan.providers.is_empty() && !self.state.topology().follows_store {
-            // Without distributors: who told of the new era has read it.
+        if known.is_some() && plan.providers.is_empty() {
+            // Who told of the new era has read it. The store may refuse this machine, whether or not it follows for others.
             plan.providers.extend(lock(&self.following.ahead).take());
             plan.patience = DISTRIBUTOR_PATIENCE;
         }
