Soak: the store comes back from older copies beside the faults

A copy is taken each half second; every few seconds the store falls silent for up to 1.5 s and comes back as one of the last eight, with revisions and leases given out again, and the operator and the engines write again within 0.8 s. Faults drawn from a seed stay as they were. A short seeded run goes into the tests.

--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod limits;
 pub mod load;
 pub mod platform;
+pub mod restorer;
 pub mod run;
 
 pub use run::{Report, SoakSettings, run};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -47,6 +47,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Engines set no rate limits beside the faults"),
         )
+        .arg(
+            Arg::new("without-restores")
+                .long("without-restores")
+                .action(ArgAction::SetTrue)
+                .help("The store does not come back from older copies beside the faults"),
+        )
         .arg(
             Arg::new("folder")
                 .long("folder")
@@ -75,15 +81,17 @@
         daemons: usize::from(daemons),
         callers,
         limits: !matches.get_flag("without-limits"),
+        restores: !matches.get_flag("without-restores"),
         folder,
     };
     println!("seed {seed}, {seconds} s, {daemons} daemons, {callers} callers");
     let report = run(&settings).await?;
     println!(
-        "{} requests, {} served, {} rate limits, {} faults",
+        "{} requests, {} served, {} rate limits, {} returns of the store, {} faults",
         report.asked,
         report.served,
         report.limits,
+        report.restores,
         report.faults.len()
     );
     for fault in &report.faults {
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -1,5 +1,6 @@
 //! The stand-ins around the daemons.
 
+use std::collections::HashSet;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -38,6 +39,8 @@
     pub engine: EngineStandIn,
     /// When it said that it drains, or vanished.
     pub left: Option<Instant>,
+    /// Whether it said that it drains.
+    pub drains: bool,
     /// What its present life runs.
     tasks: Arc<TaskGroup>,
     /// Where it has crashed: when it is back, and the entry that lapses then.
@@ -104,6 +107,7 @@
         self.members.push(Member {
             engine,
             left: None,
+            drains: false,
             tasks,
             down: None,
         });
@@ -157,6 +161,27 @@
         Ok(())
     }
 
+    /// The operator and the engines write what they last wrote, as after a return of the store from an older copy. Entries that are
+    /// nobody's lapse.
+    pub fn write_again(&self) {
+        let configuration = configuration(self.version, self.has_changing);
+        self.store.put("op/config", configuration);
+        let mut own = HashSet::new();
+        for member in self.members.iter().filter(|member| member.down.is_none()) {
+            match member.left {
+                None => member.engine.record(&self.store, "ready"),
+                Some(_) if member.drains => member.engine.record(&self.store, "draining"),
+                Some(_) => continue,
+            }
+            own.insert(member.engine.key());
+        }
+        for key in self.store.keys("servers/") {
+            if !own.contains(&key) {
+                self.store.remove(&key);
+            }
+        }
+    }
+
     /// Writes the next configuration, with or without the changing route.
     pub fn configure(&mut self, has_changing: bool) {
         self.version += 3;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,6 +18,7 @@
 use crate::limits::Limiter;
 use crate::load::{LoadState, call, crash_again_and_again};
 use crate::platform::{CHANGING, MODELS, Platform, RECORDS};
+use crate::restorer::Restorer;
 
 /// What a fault leaves behind is over after this long.
 const AFTERMATH: Duration = Duration::from_secs(5);
@@ -45,6 +46,8 @@
     pub callers: u64,
     /// Whether engines set rate limits beside the faults.
     pub limits: bool,
+    /// Whether the store comes back from older copies beside the faults.
+    pub restores: bool,
     /// Where settings and logs go.
     pub folder: PathBuf,
 }
@@ -58,6 +61,8 @@
     pub served: usize,
     /// Rate limits that engines set.
     pub limits: usize,
+    /// Returns of the store from older copies.
+    pub restores: usize,
     /// Faults in order.
     pub faults: Vec<DrawnFault>,
     /// What did not hold.
@@ -94,6 +99,8 @@
     store_troubles: Troubles,
     /// Has engines set rate limits; none where they do not.
     limiter: Option<Limiter>,
+    /// Has the store come back from older copies; none where it does not.
+    restorer: Option<Restorer>,
     violations: Vec<Violation>,
 }
 
@@ -117,6 +124,7 @@
             troubles: Troubles::default(),
             store_troubles: Troubles::default(),
             limiter: settings.limits.then(|| Limiter::new(settings.seed)),
+            restorer: settings.restores.then(|| Restorer::new(settings.seed)),
             violations: Vec::new(),
         })
     }
@@ -226,6 +234,7 @@
             }
             self.platform.tend_engines().await?;
             self.tend_limits();
+            self.tend_restorer();
             self.look_for_ready().await;
             if Instant::now() >= end {
                 return Ok(());
@@ -244,6 +253,16 @@
         }
     }
 
+    fn tend_restorer(&mut self) {
+        let Some(restorer) = &mut self.restorer else {
+            return;
+        };
+        if let Some(trouble) = restorer.tend(&self.platform) {
+            self.troubles.0.push(trouble);
+            self.store_troubles.0.push(trouble);
+        }
+    }
+
     /// The request goes on while later faults strike.
     async fn send_crashing_request(&mut self, time: Duration) -> Result<()> {
         let name = format!("crasher{}", self.faults.len());
@@ -330,6 +349,7 @@
             engine.vanish(&self.platform.store);
         }
         self.platform.members[index].left = Some(Instant::now());
+        self.platform.members[index].drains = says_so;
         self.platform.add_engine(service, stage).await?;
         self.pass(Duration::from_millis(300)).await
     }
@@ -380,6 +400,10 @@
             limiter.lift();
         }
         let limiter = self.limiter.take();
+        let mut restorer = self.restorer.take();
+        if let Some(restorer) = &mut restorer {
+            restorer.end(&self.platform);
+        }
         self.platform.store.set_mode(StoreMode::Up);
         for daemon in &self.daemons {
             daemon.door.set_mode(StoreMode::Up);
@@ -389,6 +413,7 @@
         }
         self.pass(AFTERMATH + Duration::from_secs(4)).await?;
         self.limiter = limiter;
+        self.restorer = restorer;
         Ok(())
     }
 
@@ -439,6 +464,7 @@
             served: served.count(),
             asked: asked.len(),
             limits: self.limiter.as_ref().map_or(0, Limiter::count),
+            restores: self.restorer.as_ref().map_or(0, Restorer::count),
             faults: self.faults,
             violations,
         }
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -8,10 +8,17 @@
 const TIME: Duration = Duration::from_secs(12);
 
 async fn soak(seed: u64) -> Report {
-    soak_with(seed, false).await
+    soak_with(seed, Beside::default()).await
 }
 
-async fn soak_with(seed: u64, limits: bool) -> Report {
+/// What goes on beside the faults that the seed draws.
+#[derive(Default)]
+struct Beside {
+    limits: bool,
+    restores: bool,
+}
+
+async fn soak_with(seed: u64, beside: Beside) -> Report {
     let folder =
         std::env::temp_dir().join(format!("ponddrift-seeded-{}-{seed}", std::process::id()));
     let settings = SoakSettings {
@@ -19,7 +26,8 @@
         time: TIME,
         daemons: 4,
         callers: 8,
-        limits,
+        limits: beside.limits,
+        restores: beside.restores,
         folder: folder.clone(),
     };
     let report = run(&settings).await.expect("processes start");
@@ -63,6 +71,21 @@
 /// Engines set rate limits for all daemons together while daemons are killed, freeze and start again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn engines_that_limit_the_rate_of_all_daemons_requests_beside_other_faults() {
-    let report = soak_with(8, true).await;
+    let beside = Beside {
+        limits: true,
+        ..Beside::default()
+    };
+    let report = soak_with(8, beside).await;
     assert!(report.limits > 0, "engines set some");
 }
+
+/// The store is away for moments and comes back as copies up to some seconds old, while daemons are killed, freeze and start again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_store_that_comes_back_from_older_copies_beside_other_faults() {
+    let beside = Beside {
+        restores: true,
+        ..Beside::default()
+    };
+    let report = soak_with(11, beside).await;
+    assert!(report.restores > 0, "it comes back");
+}
