--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -155,6 +155,7 @@
         random: Pcg64Mcg::seed_from_u64(runtime.seed.rotate_left(31)),
         pause: FIRST_PAUSE,
         history_was_gone: false,
+        gone_after: None,
         whole_read: None,
         relies_on_neighbours: false,
     };
@@ -191,6 +192,9 @@
     pause: Duration,
     /// The store forgot what followed on the position; everything is read as it is now.
     history_was_gone: bool,
+    /// The position after which the store last had no history. Asked again from there, it has none either: without a pause, that would go
+    /// on as fast as it answers.
+    gone_after: Option<Revision>,
     /// A reading of everything that a failed page interrupted.
     whole_read: Option<WholeRead>,
     relies_on_neighbours: bool,
@@ -224,6 +228,10 @@
                     tracing::info!(position = position.map(display), %error, "store_history_gone");
                     self.history_was_gone = true;
                     self.whole_read = None;
+                    if position.is_some() && self.gone_after == position {
+                        self.pause_after_failure().await;
+                    }
+                    self.gone_after = position;
                 }
                 Err(error) => {
                     self.following.note_answer(None);
