An operator's end of a quarantine outlives an older copy; notices go with the regular digests

A quarantine that an operator had ended was in force again when the store came back as a copy that shows it, and one that ended while the store was in doubt would have been filed again: only what an older copy lacks is. Notices of what the store lacks need no timer of their own. Followers read anew by one way only, the answer to their watch.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -238,8 +238,7 @@
         entry.is_missing = false;
     }
 
-    /// The store may have lost a request's quarantine: it came back from an older copy, or was away. It goes on, and is to be filed
-    /// again.
+    /// The store came back from an older copy that lacks a request's quarantine. It goes on, and is to be filed again.
     pub fn note_missing(&mut self, fingerprint: RequestFingerprint) {
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
             entry.is_missing = true;
--- a/crates/serve/tests/crashing_requests.rs
+++ b/crates/serve/tests/crashing_requests.rs
@@ -299,6 +299,34 @@
     assert_eq!(fleet.store.keys("ponddrift/quarantine/").len(), 1);
 }
 
+/// The copy shows the quarantine that an operator has ended since.
+#[test]
+fn a_quarantine_that_an_operator_ended_stays_ended_though_an_older_copy_shows_it() {
+    let mut fleet = crashing_fleet(size());
+    fleet.store.name_era(1);
+    let repeats = Repeats {
+        times: 30,
+        every: Duration::from_millis(100),
+    };
+    ask_again(&mut fleet, repeats, crasher);
+    for engine in &fleet.decode {
+        engine.crash_on("nothing is like this");
+    }
+    fleet.wait(DOWN);
+    let copy = fleet.store.copy();
+    let keys = fleet.store.keys("ponddrift/quarantine/");
+    fleet.store.remove(&keys[0]);
+    fleet.wait(Duration::from_secs(1));
+    fleet.store.come_back_from(&copy);
+    fleet.wait(Duration::from_secs(2));
+    let again = Repeats {
+        times: 4,
+        ..repeats
+    };
+    let answers = ask_again(&mut fleet, again, crasher);
+    assert!(!answers.iter().any(is_quarantined), "{answers:?}");
+}
+
 /// One datagram in three is lost between daemons.
 #[test]
 fn a_quarantine_reaches_all_daemons_though_datagrams_are_lost() {
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -3,6 +3,7 @@
 mod fleet_view;
 mod handing_on;
 mod known_era;
+mod quarantines;
 mod retained;
 
 use std::collections::{BTreeMap, HashSet};
@@ -13,7 +14,6 @@
 use borsh::{BorshDeserialize, BorshSerialize};
 use ponddrift_fleet::configuration::Configuration;
 use ponddrift_fleet::directory::{BackEnd, CandidateQuery, Candidates, Lifecycle};
-use ponddrift_fleet::fingerprint::RequestFingerprint;
 use ponddrift_fleet::quarantine::Quarantine;
 use ponddrift_fleet::rate_limits::Members;
 use ponddrift_fleet::revision::{Era, Revision};
@@ -367,10 +367,10 @@
         }
         match self.store.decode(&item) {
             Ok(Decoded::Quarantined(fingerprint)) => {
-                self.quarantine_filed(fingerprint, item.revision, source, now);
+                self.quarantine_filed(fingerprint, &item, source, now);
             }
             Ok(Decoded::Released(fingerprint)) => {
-                self.quarantine_released(fingerprint, item.revision, source, now);
+                self.quarantine_released(fingerprint, &item, source, now);
             }
             Ok(decoded) => self.lock().apply(decoded, &item, source, now),
             Err(unreadable) => tracing::warn!(
@@ -385,46 +385,6 @@
         inner.items.insert(item.key.clone(), item);
     }
 
-    fn quarantine_filed(
-        &self,
-        fingerprint: RequestFingerprint,
-        revision: Revision,
-        source: Source,
-        now: Instant,
-    ) {
-        tracing::info!(
-            %fingerprint,
-            %revision,
-            source = source.as_str(),
-            "quarantine_filed"
-        );
-        self.quarantine().note_filed(fingerprint, now);
-    }
-
-    /// A lease that ran out while the store was away ends no quarantine: no operator and no time has.
-    fn quarantine_released(
-        &self,
-        fingerprint: RequestFingerprint,
-        revision: Revision,
-        source: Source,
-        now: Instant,
-    ) {
-        let in_doubt = self.is_in_doubt(now);
-        tracing::info!(
-            %fingerprint,
-            %revision,
-            in_doubt,
-            source = source.as_str(),
-            "quarantine_released"
-        );
-        if in_doubt {
-            self.quarantine().note_missing(fingerprint);
-            self.quarantine_changed.notify_one();
-        } else {
-            self.quarantine().note_released(fingerprint, now);
-        }
-    }
-
     /// An item that is no newer by its revision, and yet says something else, is worth a line: the two cannot both be right.
     fn log_passed_over(&self, item: &Item, source: Source) {
         let inner = self.lock();
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -287,8 +287,7 @@
     /// Reads everything, or waits for what changed.
     async fn step(&mut self) -> Result<Progress, StoreError> {
         let position = self.state.position();
-        let must_read = self.history_was_gone || self.state.is_of_era_before();
-        let Some(after) = position.filter(|_| !must_read) else {
+        let Some(after) = position.filter(|_| !self.history_was_gone) else {
             return self.read_everything().await;
         };
         let follows_for_others = self.state.topology().follows_store;
@@ -328,7 +327,7 @@
     /// may be old is enough, since changes are followed from its own revision on; not where the store has forgotten what
     /// follows on that.
     async fn read_everything(&mut self) -> Result<Progress, StoreError> {
-        let consistency = if self.history_was_gone || self.state.is_of_era_before() {
+        let consistency = if self.history_was_gone {
             Consistency::Linearizable
         } else {
             Consistency::Stale
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -83,7 +83,6 @@
     if let Some(recorder) = usage {
         spawner.spawn(Box::pin(Arc::clone(&peers).replicate_usage(recorder)));
     }
-    spawner.spawn(Box::pin(Arc::clone(&peers).publish_retained()));
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_suspects()));
     spawner.spawn(Box::pin(Arc::clone(&peers).ask_for_rate_limits()));
     spawner.spawn(Box::pin(Arc::clone(&peers).take_early_limits()));
--- a/crates/serving/src/peers/publish.rs
+++ b/crates/serving/src/peers/publish.rs
@@ -70,6 +70,9 @@
             sequence += 1;
             self.publish_digest(&topology, sequence, reason, &mut far_pace)
                 .await;
+            if reason == Reason::Interval {
+                self.publish_retained(sequence).await;
+            }
         }
     }
 
--- a/crates/serving/src/peers/retained.rs
+++ b/crates/serving/src/peers/retained.rs
@@ -1,21 +1,18 @@
 //! What daemons know that the store lacks since it came back from an older copy, told to those that only know the copy.
 //!
-//! A daemon that starts right then reads an older configuration, and back ends that have left since. Daemons that know more say so twice a
-//! second until it has been written again; whoever has not seen just that set asks for it.
+//! A daemon that starts right then reads an older configuration, and back ends that have left since. Daemons that know more say so with each
+//! regular digest until it has been written again; whoever has not seen just that set asks for it.
 
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use super::message::{self, Message};
 use super::publish::in_turn;
 use super::{Peers, relay};
 use crate::time::now;
 
-/// Time between two notices.
-const NOTICE_INTERVAL: Duration = Duration::from_millis(500);
 /// Sets of other daemons that are remembered, so that none is asked for twice.
 const SETS_REMEMBERED: usize = 64;
 
@@ -37,18 +34,14 @@
 }
 
 impl Peers {
-    pub(super) async fn publish_retained(self: Arc<Self>) {
-        let mut round = 0;
-        loop {
-            tokio::time::sleep(NOTICE_INTERVAL).await;
-            let Some(set) = self.state.retained_set() else {
-                continue;
-            };
-            round += 1;
-            let targets = in_turn(&self.neighbours(), round);
-            let notice = message::encode(&Message::Retained { set });
-            self.send(notice, &targets).await;
-        }
+    /// Says that this daemon knows what the store lacks, where it does.
+    pub(super) async fn publish_retained(&self, round: u32) {
+        let Some(set) = self.state.retained_set() else {
+            return;
+        };
+        let targets = in_turn(&self.neighbours(), round);
+        let notice = message::encode(&Message::Retained { set });
+        self.send(notice, &targets).await;
     }
 
     /// A peer knows what the store lacks.
