--- a/crates/fleet/src/revision.rs
+++ b/crates/fleet/src/revision.rs
@@ -27,6 +27,12 @@
     pub fn after_returns(returns: u64) -> Option<Self> {
         (returns < ERAS).then_some(Self(returns))
     }
+
+    /// How many returns came before.
+    #[must_use]
+    pub const fn returns(self) -> u64 {
+        self.0
+    }
 }
 
 impl fmt::Display for Era {
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -157,7 +157,8 @@
             }
             Decoded::DaemonGone(name) => self.remove_daemon(&name),
             Decoded::Leader(leader) => {
-                tracing::info!(%leader, %revision, source = source.as_str(), "leader");
+                let fence = revision.as_token();
+                tracing::info!(%leader, %revision, fence, source = source.as_str(), "leader");
                 self.note_leader(leader);
             }
             Decoded::LeaderGone => {
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use ponddrift_fleet::revision::Revision;
+use ponddrift_fleet::revision::{Era, Revision};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -69,6 +69,8 @@
     pub configuration_age_s: u64,
     /// Newest revision of the store that was seen.
     pub newest_revision: Revision,
+    /// How often the store has come back from an older copy, as far as is known.
+    pub era: Era,
     /// Model engines that read prompts for others.
     pub prefill_engines: usize,
     /// Model engines that generate.
@@ -111,6 +113,7 @@
     configuration_version: Gauge,
     configuration_age_s: Gauge,
     newest_revision: Gauge,
+    era: Gauge,
     engines: Family<StageLabels, Gauge>,
     engine_slots: Gauge,
     engine_requests: Gauge,
@@ -241,7 +244,16 @@
             engines: made(r, "engines", "Model engines by stage"),
             engine_slots: made(r, "engine_slots", "Slots of all model engines"),
             engine_requests: made(r, "engine_requests", "Requests known at model engines"),
-            newest_revision: made(r, "store_revision", "Newest revision of the store seen"),
+            newest_revision: made(
+                r,
+                "store_revision",
+                "Newest revision of the store seen, in its era",
+            ),
+            era: made(
+                r,
+                "store_era",
+                "How often the store has come back from an older copy",
+            ),
             daemons: made(r, "daemons", "Daemons known, this one among them"),
             back_ends: made(r, "back_ends", "Back ends that the directory names"),
             suspects: made(
@@ -404,6 +416,7 @@
         gauges
             .configuration_age_s
             .set(signed(values.configuration_age_s));
+        gauges.era.set(signed(values.era.returns()));
         gauges
             .newest_revision
             .set(signed(values.newest_revision.number()));
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -310,6 +310,7 @@
                 now().saturating_duration_since(known.since).as_secs()
             }),
             newest_revision: self.state.newest_revision(),
+            era: self.state.era().newest(),
             prefill_engines: engines()
                 .filter(|known| known.stage == Some(Stage::Prefill))
                 .count(),
