--- a/crates/serve/tests/restored_store.rs
+++ b/crates/serve/tests/restored_store.rs
@@ -331,6 +331,18 @@
     }
 }
 
+#[test]
+fn the_list_of_distributors_is_written_again_when_an_older_copy_lacks_it() {
+    let mut fleet = fleet_of(95);
+    fleet.wait(Duration::from_secs(8));
+    let listed = fleet.store.keys("ponddrift/distributors/");
+    assert_eq!(listed.len(), 3);
+    let copy = fleet.store.copy().from_before("ponddrift/distributors/");
+    come_back(&mut fleet, &copy);
+    fleet.wait(Duration::from_secs(14));
+    assert_eq!(fleet.store.keys("ponddrift/distributors/"), listed);
+}
+
 /// Renewing a lease of the era before would keep another's key alive, and ending it would take that key away.
 #[test]
 fn no_lease_of_an_era_before_is_renewed_or_ended() {
