Daemons' keys after a return: the copy's lease is taken over, and where keys are missing the writes are spread

Failing test: 95 daemons before a store that takes 20 writes a second, as 1,900 before one that takes 400; 12.5 s after it came back without their keys 4 stood there, since all wrote at the same moment, and a lease whose key the store did not take was thrown away. Where the copy has the key, as it does when it is some seconds old, the daemon finds its lease there and renews it, and writes nothing.

--- a/crates/serve/tests/restored_store.rs
+++ b/crates/serve/tests/restored_store.rs
@@ -331,6 +331,18 @@
     }
 }
 
+/// As many daemons for each writing call that the store takes in a second as 1,900 have where it takes 400.
+#[test]
+fn daemons_write_their_keys_again_in_time_where_the_store_takes_few_writes_a_second() {
+    let mut fleet = fleet_of(95);
+    let copy = fleet.store.copy().from_before("ponddrift/daemons/");
+    come_back(&mut fleet, &copy);
+    fleet.store.limit_writes(20);
+    // A member whose key is missing is one for 20 s.
+    fleet.wait(Duration::from_secs(16));
+    assert_eq!(daemon_keys(&fleet), 95);
+}
+
 #[test]
 fn the_list_of_distributors_is_written_again_when_an_older_copy_lacks_it() {
     let mut fleet = fleet_of(95);
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -205,10 +205,10 @@
             .collect()
     }
 
-    /// Whether this daemon has a key, as far as is known.
+    /// Whether the store holds this daemon's key, as far as is known.
     #[must_use]
-    pub fn knows_itself(&self) -> bool {
-        self.lock().daemons.contains_key(&self.own.name)
+    pub fn knows_own_key(&self) -> bool {
+        self.lock().has_key_of(&self.own.name)
     }
 
     /// All daemons that have a key, by identity.
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -191,6 +191,11 @@
         self.leader = Some(leader);
     }
 
+    /// Whether the store holds the key of this daemon, as far as is known.
+    pub(super) fn has_key_of(&self, daemon: &str) -> bool {
+        self.daemons.contains_key(daemon) && !self.missing_daemons.contains_key(daemon)
+    }
+
     fn remove_daemon(&mut self, name: &str) {
         tracing::info!(daemon = name, "daemon_left");
         self.missing_daemons.remove(name);
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -160,7 +160,7 @@
         relies_on_neighbours: false,
     };
     runtime.spawner.spawn(Box::pin(follower.run()));
-    let announcer = Announcer::new(store, state, metrics);
+    let announcer = Announcer::new(store, state, metrics, runtime.seed);
     runtime.spawner.spawn(Box::pin(announcer.run()));
     let noting = note_eras(Arc::clone(store), Arc::clone(state), Arc::clone(following));
     runtime.spawner.spawn(Box::pin(noting));
