--- a/crates/serve/tests/hostile_peers.rs
+++ b/crates/serve/tests/hostile_peers.rs
@@ -121,3 +121,42 @@
         assert_eq!(answer.status, StatusCode::OK);
     });
 }
+
+/// A digest of the present version of messages that names a position and nothing else.
+fn digest_at(position: u64) -> Vec<u8> {
+    /// Version of the messages, and the number of the kind.
+    const DIGEST: [u8; 2] = [5, 0];
+    /// No answer of the store, and seven empty lists.
+    const NOTHING_ELSE: [u8; 29] = [0; 29];
+    let mut bytes = DIGEST.to_vec();
+    bytes.extend_from_slice(&0_u64.to_le_bytes());
+    bytes.extend_from_slice(&position.to_le_bytes());
+    bytes.extend_from_slice(&NOTHING_ELSE);
+    bytes
+}
+
+/// The store has never come back from a copy. Believed, each digest would make the daemon read everything and drop what it reads.
+#[test]
+fn a_peer_that_names_an_era_that_the_store_does_not_is_not_believed_for_long() {
+    let mut fleet = Fleet::new(Size::default());
+    fleet.store.name_era(1);
+    fleet.wait(Duration::from_secs(2));
+    let before = fleet.store.pages_read().len();
+    let (_host, runtime) = fleet.simulation.add_client(spec("stranger", [10, 0, 3, 9]));
+    let daemon = SocketAddr::from(([10, 0, 2, 1], 7660));
+    fleet.run(async move {
+        let own = SocketAddr::from(([10, 0, 3, 9], 5000));
+        let socket = runtime.network.bind_datagram(own).await.expect("binds");
+        let many_eras_ahead = 1 << 50;
+        for _ in 0..24 {
+            let sent = socket.send_to(&digest_at(many_eras_ahead), daemon).await;
+            sent.expect("sent");
+            tokio::time::sleep(Duration::from_millis(250)).await;
+        }
+    });
+    let read = fleet.store.pages_read().len() - before;
+    assert!((1..=4).contains(&read), "{read} pages in 6 s");
+    fleet.configure(2, &support::routes()[..1]);
+    fleet.wait(Duration::from_secs(1));
+    assert_eq!(fleet.ask_each_daemon("dropped"), 0);
+}
--- a/crates/serve/tests/orders.rs
+++ b/crates/serve/tests/orders.rs
@@ -126,6 +126,32 @@
     }
 }
 
+/// The leader of the era before may go on for as long as its lease lasts by its own clock: nobody takes turns with it.
+#[test]
+fn the_next_leader_waits_for_one_that_does_not_see_the_store_come_back_from_an_older_copy() {
+    for seconds in [9, 10, 11, 12, 13, 14] {
+        let mut fleet = Fleet::new(SIZE);
+        fleet.store.name_era(1);
+        let copy = fleet.store.copy().from_before("ponddrift/");
+        read_much(&mut fleet, Duration::from_secs(seconds));
+        let before = orders(&fleet);
+        let Some(first) = before.last().map(|order| order.holder.clone()) else {
+            continue;
+        };
+        let number = usize::from(first.as_bytes().last().expect("a digit") - b'1');
+        let handle = fleet.simulation.handle();
+        handle.cut(fleet.daemons[number].host, fleet.store_host);
+        for other in (0..3).filter(|other| *other != number) {
+            handle.cut(fleet.daemons[number].host, fleet.daemons[other].host);
+        }
+        fleet.store.come_back_from(&copy);
+        read_much(&mut fleet, Duration::from_secs(10));
+        handle.heal_all();
+        read_much(&mut fleet, Duration::from_secs(10));
+        assert_one_at_a_time(&orders(&fleet));
+    }
+}
+
 #[test]
 fn no_order_leaves_while_the_store_is_away() {
     let mut fleet = Fleet::new(SIZE);
