The era that a daemon meets first is no return; a lease whose key is not taken yet does not lapse

Each daemon that started in a later era logged a return and, as a candidate to lead, waited once more.

--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -248,7 +248,11 @@
 
     /// An answer of the store named an era.
     pub fn store_named_era(&self, era: Era, now: Instant) {
-        self.era.note_of_store(era, now);
+        if self.position().is_some() {
+            self.era.note_of_store(era, now);
+        } else {
+            self.era.meet(era);
+        }
     }
 
     /// A peer that has read everything named an era.
--- a/crates/serving/src/fleet_state/known_era.rs
+++ b/crates/serving/src/fleet_state/known_era.rs
@@ -36,12 +36,17 @@
         self.newest.subscribe()
     }
 
-    /// When this daemon learned of the newest era; none in the era that it met first.
+    /// When this daemon learned that the store had come back; none where it has not since this daemon knows what it holds.
     #[must_use]
     pub fn risen(&self) -> Option<Instant> {
         self.times().risen
     }
 
+    /// An answer of the store named an era, before this daemon has read anything: it is the one that it meets first.
+    pub(super) fn meet(&self, era: Era) {
+        self.newest.send_if_modified(|newest| raise_to(newest, era));
+    }
+
     /// An answer of the store named an era.
     pub(super) fn note_of_store(&self, era: Era, now: Instant) {
         self.raise(era, "store", now);
@@ -58,11 +63,7 @@
 
     fn raise(&self, era: Era, source: &'static str, now: Instant) {
         let before = self.newest();
-        let has_risen = self.newest.send_if_modified(|newest| {
-            let rises = era > *newest;
-            *newest = era.max(*newest);
-            rises
-        });
+        let has_risen = self.newest.send_if_modified(|newest| raise_to(newest, era));
         if has_risen {
             self.times().risen = Some(now);
             tracing::warn!(%before, %era, source, "store_restored");
@@ -89,3 +90,10 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
+
+/// Returns whether that was higher.
+fn raise_to(newest: &mut Era, era: Era) -> bool {
+    let rises = era > *newest;
+    *newest = era.max(*newest);
+    rises
+}
--- a/crates/serving/src/follow/announcer.rs
+++ b/crates/serving/src/follow/announcer.rs
@@ -121,7 +121,11 @@
             Some(Held {
                 lease,
                 key: KeyState::Unwritten,
-            }) => self.write(lease).await,
+            }) => {
+                // Renewals are not among the writes that the store bounds; the lease must not lapse before its key is taken.
+                self.store.renew(lease).await?;
+                self.write(lease).await
+            }
             Some(held) => self.renew(held).await,
         }
     }
