--- a/crates/serve/tests/hostile_peers.rs
+++ b/crates/serve/tests/hostile_peers.rs
@@ -160,3 +160,55 @@
     fleet.wait(Duration::from_secs(1));
     assert_eq!(fleet.ask_each_daemon("dropped"), 0);
 }
+
+/// Changes of the store as a build without eras publishes them: the configuration at a bare revision.
+fn configuration_at(after: u64, revision: u64, configuration: &str) -> Vec<u8> {
+    /// Version of the messages, and the number of the kind.
+    const CHANGES: [u8; 2] = [5, 1];
+    let text = |bytes: &mut Vec<u8>, text: &str| {
+        let length = u32::try_from(text.len()).expect("short");
+        bytes.extend_from_slice(&length.to_le_bytes());
+        bytes.extend_from_slice(text.as_bytes());
+    };
+    let mut bytes = CHANGES.to_vec();
+    bytes.extend_from_slice(&after.to_le_bytes());
+    bytes.extend_from_slice(&1_u32.to_le_bytes());
+    text(&mut bytes, "op/config");
+    bytes.extend_from_slice(&revision.to_le_bytes());
+    let has_value = 1;
+    bytes.push(has_value);
+    text(&mut bytes, configuration);
+    bytes.extend_from_slice(&revision.to_le_bytes());
+    let in_doubt = 0;
+    bytes.push(in_doubt);
+    bytes
+}
+
+/// While a fleet is replaced, daemons of the build before publish bare numbers. In a later era these are of an era before: what they
+/// bear may be long undone.
+#[test]
+fn a_build_without_eras_is_heard_in_the_first_era_and_brings_nothing_older_in_a_later_one() {
+    for returns in [0, 1] {
+        let mut fleet = Fleet::new(Size::default());
+        fleet.store.name_era(1);
+        fleet.wait(Duration::from_secs(2));
+        let known = fleet.store.revision();
+        if returns > 0 {
+            let copy = fleet.store.copy();
+            fleet.store.come_back_from(&copy);
+            fleet.wait(Duration::from_secs(2));
+        }
+        let (_host, runtime) = fleet.simulation.add_client(spec("stranger", [10, 0, 3, 9]));
+        let daemon = SocketAddr::from(([10, 0, 2, 1], 7660));
+        let dropped = support::configuration(2, &support::routes()[..1]);
+        fleet.run(async move {
+            let own = SocketAddr::from(([10, 0, 3, 9], 5000));
+            let socket = runtime.network.bind_datagram(own).await.expect("binds");
+            let changes = configuration_at(known, known + 1, &dropped);
+            socket.send_to(&changes, daemon).await.expect("sent");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        });
+        let serves_the_route = fleet.ask_each_daemon("route") == 1;
+        assert_eq!(serves_the_route, returns > 0, "{returns} returns");
+    }
+}
