--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -16,6 +16,8 @@
 
 use crate::crashable::TaskGroup;
 
+/// What the store names before it has ever come back from a copy.
+const FIRST_ERA: u64 = 1;
 /// Service of plain servers.
 pub const RECORDS: &str = "records";
 /// Service of model engines.
@@ -74,6 +76,7 @@
             version: 0,
             has_changing: false,
         };
+        platform.store.name_era(FIRST_ERA);
         for _ in 0..3 {
             platform.add_engine(RECORDS, None).await?;
         }
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -80,12 +80,15 @@
 }
 
 /// The store is away for moments and comes back as copies up to some seconds old, while daemons are killed, freeze and start again.
+///
+/// Failed once: after its first return the stand-in named what a store names that has never come back, so that nobody noticed, and two
+/// daemons led.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_store_that_comes_back_from_older_copies_beside_other_faults() {
     let beside = Beside {
+        limits: true,
         restores: true,
-        ..Beside::default()
     };
-    let report = soak_with(11, beside).await;
+    let report = soak_with(8001, beside).await;
     assert!(report.restores > 0, "it comes back");
 }
