--- a/crates/serve/tests/restored_store.rs
+++ b/crates/serve/tests/restored_store.rs
@@ -416,13 +416,6 @@
     assert_eq!(windows.len() as u64, span, "{:?}", windows.keys());
 }
 
-fn leader(fleet: &Fleet) -> usize {
-    let notes = fleet.provider.usage();
-    let holder = &notes.last().expect("a report").holder;
-    let number = holder.trim_start_matches("daemon-");
-    number.parse::<usize>().expect("a number") - 1
-}
-
 #[test]
 fn one_daemon_leads_in_the_next_era_with_a_higher_token_and_reports_no_window_with_other_figures() {
     let mut fleet = Fleet::new(Size {
@@ -433,7 +426,7 @@
     fleet.store.name_era(FIRST_ERA);
     let copy = fleet.store.copy().from_before("ponddrift/");
     fleet.wait(Duration::from_secs(16));
-    let first_leader = leader(&fleet);
+    let first_leader = fleet.last_reporter();
     // A second leader, whose token is higher than those given out next.
     write_versions(&mut fleet, 2..=60);
     let handle = fleet.simulation.handle();
@@ -442,7 +435,7 @@
     handle.thaw(fleet.daemons[first_leader].host);
     fleet.wait(Duration::from_secs(8));
     let before = fleet.provider.usage().len();
-    assert_ne!(leader(&fleet), first_leader);
+    assert_ne!(fleet.last_reporter(), first_leader);
     come_back(&mut fleet, &copy);
     fetch(&mut fleet, "counted");
     fleet.wait(Duration::from_secs(24));
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -270,6 +270,14 @@
         })
     }
 
+    /// Index of the daemon that reported usage last, which leads.
+    pub fn last_reporter(&self) -> usize {
+        let notes = self.provider.usage();
+        let holder = &notes.last().expect("a report").holder;
+        let number = holder.trim_start_matches("daemon-");
+        number.parse::<usize>().expect("a number") - 1
+    }
+
     /// Writes a newer configuration.
     pub fn configure(&self, version: u64, routes: &[RouteText]) {
         self.store.put("op/config", configuration(version, routes));
--- a/crates/serve/tests/usage.rs
+++ b/crates/serve/tests/usage.rs
@@ -116,13 +116,6 @@
     }
 }
 
-fn leader(fleet: &Fleet) -> usize {
-    let notes = fleet.provider.usage();
-    let holder = &notes.last().expect("a report").holder;
-    let number = holder.trim_start_matches("daemon-");
-    number.parse::<usize>().expect("a number") - 1
-}
-
 #[test]
 fn what_each_tenant_ran_is_reported_in_time_by_one_daemon() {
     let mut fleet = fleet(4);
@@ -147,7 +140,7 @@
     for moment_ms in [100, 700, 1_200, 1_400, 1_700, 2_500, 4_000] {
         let mut fleet = fleet(4);
         ask_for(&mut fleet, &[0, 1, 2, 3], Duration::from_secs(9));
-        let first = leader(&fleet);
+        let first = fleet.last_reporter();
         let into_window = fleet.simulation.handle().elapsed().as_millis() % WINDOW.as_millis();
         let until = (WINDOW.as_millis() - into_window + moment_ms) % WINDOW.as_millis();
         let others: Vec<usize> = (0..4).filter(|daemon| *daemon != first).collect();
@@ -176,7 +169,7 @@
     let mut fleet = fleet(6);
     // Whoever leads is not killed.
     ask_for(&mut fleet, &[0], Duration::from_secs(8));
-    let leading = leader(&fleet);
+    let leading = fleet.last_reporter();
     let killed: Vec<usize> = (0..6).filter(|daemon| *daemon != leading).take(3).collect();
     fleet.wait(DUE);
     let earlier = sum(&reported(&fleet));
@@ -276,13 +269,13 @@
 fn a_leader_cut_from_the_store_and_one_frozen_past_its_lease_report_nothing_of_their_own() {
     let mut fleet = fleet(4);
     ask_for(&mut fleet, &[0, 1, 2, 3], Duration::from_secs(8));
-    let first = leader(&fleet);
+    let first = fleet.last_reporter();
     let handle = fleet.simulation.handle();
     handle.cut(fleet.daemons[first].host, fleet.store_host);
     let others: Vec<usize> = (0..4).filter(|daemon| *daemon != first).collect();
     ask_for(&mut fleet, &others, Duration::from_secs(12));
     handle.heal_all();
-    let second = leader(&fleet);
+    let second = fleet.last_reporter();
     assert_ne!(first, second);
     handle.freeze(fleet.daemons[second].host);
     let others: Vec<usize> = (0..4).filter(|daemon| *daemon != second).collect();
@@ -302,7 +295,7 @@
     fleet.store.name_era(1);
     let copy = fleet.store.copy().from_before("ponddrift/");
     ask_for(&mut fleet, &[0, 1, 2, 3], Duration::from_secs(9));
-    let leading = leader(&fleet);
+    let leading = fleet.last_reporter();
     let counting = (leading + 1) % 4;
     wait_into_next_window(&mut fleet, Duration::from_millis(200));
     let handle = fleet.simulation.handle();
@@ -386,7 +379,7 @@
 fn copies_lost_with_their_keepers_are_replaced_by_the_daemons_that_counted() {
     let mut fleet = fleet_of_two_zones();
     ask_for(&mut fleet, &[0], Duration::from_secs(8));
-    let (keepers, others) = of_the_other_zone(&fleet, leader(&fleet));
+    let (keepers, others) = of_the_other_zone(&fleet, fleet.last_reporter());
     assert_eq!(keepers.len(), USAGE_REPLICAS);
     fleet.wait(DUE);
     let earlier = sum(&reported(&fleet));
@@ -409,7 +402,7 @@
 fn counts_outlive_a_rolling_restart_of_a_zone() {
     let mut fleet = fleet_of_two_zones();
     ask_for(&mut fleet, &[0], Duration::from_secs(8));
-    let (keepers, others) = of_the_other_zone(&fleet, leader(&fleet));
+    let (keepers, others) = of_the_other_zone(&fleet, fleet.last_reporter());
     fleet.wait(DUE);
     let earlier = sum(&reported(&fleet));
     wait_into_next_window(&mut fleet, Duration::from_millis(200));
