Profiles of back ends: the types that placement and gossip share

Placement knows one speed for all back ends of a service. Back ends may run on machines of different speed, so what each one is like has to be kept. Nothing records or uses them yet; no decision changes.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -29,6 +29,13 @@
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.iter().find(|service| &*service.name == name)
     }
+
+    /// Whether callers rely on the pace of whole streams, so that it matters which back end a
+    /// stream runs on.
+    #[must_use]
+    pub fn has_long_streams(&self) -> bool {
+        self.routes.iter().any(|route| route.has_long_streams())
+    }
 }
 
 /// Whether and how a request may be retried.
@@ -94,6 +101,19 @@
     pub maximum_attempts: u32,
 }
 
+impl Route {
+    /// Whether the route's streams may last for many gaps and are to be continued if their back
+    /// end fails.
+    #[must_use]
+    pub fn has_long_streams(&self) -> bool {
+        /// Number of target gaps from which a stream counts as long.
+        const LONG_STREAM_GAPS: u32 = 50;
+        let is_long = |gap: Duration| self.timeout >= gap.saturating_mul(LONG_STREAM_GAPS);
+        let is_resumable = matches!(self.kind, RequestKind::Stream { resumable: true });
+        is_resumable && self.target_gap.is_some_and(is_long)
+    }
+}
+
 /// Share of one service in a route.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SplitPart {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`announcements`]: whether back ends accept requests, according to their answers
 //! - [`rate_limits`]: request rates that back ends allow, according to their answers
 //! - [`health`]: ejection of back ends whose requests fail, and their return on trial
+//! - [`profiles`]: how fast each back end works compared with the others of its service
 //! - [`topology`]: to which daemons a daemon sends its digests, and which daemons follow the store
 //! - [`followers`]: whether a daemon can rely on neighbours that follow the store
 //! - [`distribution`]: from which daemons a daemon reads the complete state of the store
@@ -50,6 +51,7 @@
 pub mod health;
 pub mod leadership;
 pub mod placement;
+pub mod profiles;
 pub mod prompt;
 pub mod quarantine;
 pub mod rate_limits;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -23,6 +23,7 @@
 use crate::configuration::{EngineTraits, Stage};
 use crate::directory::{BackEnd, ReadyCounts};
 use crate::health::Health;
+use crate::profiles::Profiles;
 use crate::prompt::Prompt;
 use crate::rate_limits::RateLimits;
 use crate::stages::StageWork;
@@ -187,6 +188,8 @@
     pub rate_limits: RateLimits,
     /// Processing speeds learned from answers.
     pub speed: SpeedTable,
+    /// Speed of each back end compared with the others of its service.
+    pub profiles: Profiles,
     /// Durations and event gaps of streams.
     pub streams: StreamTimes,
     /// Reliability of latency estimates.
@@ -225,6 +228,7 @@
             announcements: Announcements::default(),
             rate_limits: RateLimits::default(),
             speed: SpeedTable::default(),
+            profiles: Profiles::default(),
             streams: StreamTimes::default(),
             confidence: Confidence::default(),
             fairness: FairShares::default(),
--- a/crates/fleet/src/placement/stream_times.rs
+++ b/crates/fleet/src/placement/stream_times.rs
@@ -100,6 +100,14 @@
             .unwrap_or_default()
     }
 
+    /// Expected gap between two events at an average back end that generates `streams` streams and
+    /// processes no prompts, in milliseconds; `None` before the first sample.
+    #[must_use]
+    pub fn gap_ms(&self, service: &str, _streams: f64) -> Option<f64> {
+        let times = self.by_service.get(service);
+        times.and_then(|times| times.baseline_gap_ms.0)
+    }
+
     fn of(&mut self, service: &Arc<str>) -> &mut Times {
         self.by_service.entry(Arc::clone(service)).or_default()
     }
