Profiles of back ends: learned from gaps, prompts and plain answers

Placement knows one gap and one prefill speed for a service whose back ends differ. The profiles now hold, for each incarnation and kind of work, a decayed mean of log ratios of measured to expected times: samples are limited to a factor of two around the estimate, a kind with few samples borrows from the others, and an estimate starts from the average of the service, which is computed over its back ends. The gap of an average engine is a line over the streams there, learned from gaps corrected by each engine's factor; speeds of prompts are corrected alike. Learned from gaps at engines without pending prompts, from prompts at prefill and decode engines with a free slot, and from plain answers, each against the work known to be there. Switched on by placement.profiles where the configuration has long streams; off, nothing is learned and no decision changes.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -4,6 +4,8 @@
 mod confidence;
 mod costs;
 mod fairness;
+mod gap_line;
+mod learning;
 mod link;
 mod load;
 mod metering;
@@ -33,12 +35,14 @@
 pub use costs::NextRateToken;
 use costs::{Choice, Estimate};
 pub use fairness::{FairShares, OfferedRequest};
+pub use learning::PromptTime;
 pub use link::LocalLink;
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
 pub use prefixes::{MIN_PREFIX_TOKENS, PrefixMemory, PrefixState, PrefixUse, tracked_prefix};
 use reading::PrefillEstimator;
 pub use speed::{PromptReading, SpeedTable};
 pub use stream_times::StreamTimes;
+pub(crate) use work::half_life_decay;
 pub use work::{PeerWork, WorkMeter};
 
 /// Share of an uncached prefix that its preferred engine is expected to process. Below 1 because
--- a/crates/fleet/src/placement/stream_times.rs
+++ b/crates/fleet/src/placement/stream_times.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use super::MS_PER_S;
+use super::gap_line::GapLine;
 use super::work::half_life_decay;
 
 /// Half-life of the longest observed duration, so that it follows a changing request mix.
@@ -43,6 +44,7 @@
     longest: Option<Longest>,
     average_ms: Average,
     baseline_gap_ms: Average,
+    gap_line: GapLine,
 }
 
 /// Stream statistics by service.
@@ -100,12 +102,22 @@
             .unwrap_or_default()
     }
 
+    /// Records the gap between two events at an engine that generated `streams` streams and was not
+    /// known to process prompts. `factor` is the ratio of the engine's times to those of an average
+    /// engine, as far as known.
+    pub fn record_gap(&mut self, service: &Arc<str>, streams: f64, gap: Duration, factor: f64) {
+        let gap_ms = gap.as_secs_f64() * MS_PER_S;
+        let times = self.of(service);
+        times.gap_line.add(streams, gap_ms / factor);
+    }
+
     /// Expected gap between two events at an average back end that generates `streams` streams and
     /// processes no prompts, in milliseconds; `None` before the first sample.
     #[must_use]
-    pub fn gap_ms(&self, service: &str, _streams: f64) -> Option<f64> {
-        let times = self.by_service.get(service);
-        times.and_then(|times| times.baseline_gap_ms.0)
+    pub fn gap_ms(&self, service: &str, streams: f64) -> Option<f64> {
+        let times = self.by_service.get(service)?;
+        let learned = times.gap_line.at(streams);
+        learned.or(times.baseline_gap_ms.0)
     }
 
     fn of(&mut self, service: &Arc<str>) -> &mut Times {
--- a/crates/fleet/src/placement/work.rs
+++ b/crates/fleet/src/placement/work.rs
@@ -112,7 +112,7 @@
 }
 
 /// Remaining share of an amount with this half-life.
-pub(super) fn half_life_decay(since: Instant, now: Instant, half_life: Duration) -> f64 {
+pub(crate) fn half_life_decay(since: Instant, now: Instant, half_life: Duration) -> f64 {
     let age = now.saturating_duration_since(since).as_secs_f64();
     (-age / half_life.as_secs_f64()).exp2()
 }
--- /dev/null
+++ b/crates/fleet/src/profiles/merge.rs
@@ -0,0 +1,128 @@
+//! What other daemons know of a back end.
+//!
+//! Each daemon publishes the means of its own samples. Per back end and kind of work, the newest
+//! row of each daemon is kept, of a bounded number of daemons. Which daemons these are depends only
+//! on their identity, so the state does not depend on the order in which rows arrive.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use super::WorkKind;
+use super::estimate::{Evidence, HALF_LIFE};
+
+/// Daemons whose rows are kept per back end and kind of work. Their samples determine a factor far
+/// more closely than a decision needs it.
+pub const MAX_OBSERVERS: usize = 24;
+/// Greatest weight of a row.
+pub const MAX_ROW_WEIGHT: f64 = 64.0;
+/// Greatest absolute log ratio of a row: a back end twenty times as slow or fast as the average.
+pub const MAX_ROW_LOG_RATIO: f64 = 3.0;
+/// Rows are removed after this time; little of their weight is left then.
+const ROW_TTL: Duration = Duration::from_secs(4 * HALF_LIFE.as_secs());
+
+/// A daemon's mean of its samples of one back end.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ProfileRow {
+    /// Hash of the daemon's name and start, which identifies this run of it.
+    pub origin: u64,
+    /// Number of the message; a row of an earlier message does not replace a later one.
+    pub sequence: u32,
+    /// Kind of work.
+    pub kind: WorkKind,
+    /// Number of samples, reduced by their age.
+    pub weight: f64,
+    /// Natural logarithm of the mean ratio of measured to expected time.
+    pub log_ratio: f64,
+    /// Time since the newest sample.
+    pub age: Duration,
+}
+
+impl ProfileRow {
+    /// Whether all values are possible.
+    #[must_use]
+    pub fn is_valid(&self) -> bool {
+        let has_weight = self.weight > 0.0 && self.weight <= MAX_ROW_WEIGHT;
+        has_weight && self.log_ratio.abs() <= MAX_ROW_LOG_RATIO && self.age <= ROW_TTL
+    }
+}
+
+/// What became of a received row.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RowMerge {
+    /// It is the newest row of its daemon.
+    Merged,
+    /// A row of the same daemon that is as new is known, or enough other daemons are.
+    NotNeeded,
+    /// A value is out of range.
+    OutOfRange,
+    /// It describes an incarnation that is not the one in the directory.
+    OtherIncarnation,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct ObserverRow {
+    sequence: u32,
+    received_at: Instant,
+    evidence: Evidence,
+}
+
+/// Newest rows of other daemons about one back end and kind of work.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Observers {
+    rows: BTreeMap<u64, ObserverRow>,
+    sum: Evidence,
+}
+
+impl Observers {
+    pub(super) fn merge(&mut self, row: &ProfileRow, now: Instant) -> RowMerge {
+        let is_known = self
+            .rows
+            .get(&row.origin)
+            .is_some_and(|known| known.sequence >= row.sequence);
+        if is_known {
+            return RowMerge::NotNeeded;
+        }
+        let newest = now.checked_sub(row.age).unwrap_or(now);
+        let received = ObserverRow {
+            sequence: row.sequence,
+            received_at: now,
+            evidence: Evidence::of(row.weight, row.log_ratio, newest, now),
+        };
+        self.rows.insert(row.origin, received);
+        let removed = if self.rows.len() > MAX_OBSERVERS {
+            self.rows.pop_last()
+        } else {
+            None
+        };
+        if removed.is_some_and(|(origin, _row)| origin == row.origin) {
+            return RowMerge::NotNeeded;
+        }
+        self.update_sum(now);
+        RowMerge::Merged
+    }
+
+    /// Removes expired rows.
+    pub(super) fn expire(&mut self, now: Instant) {
+        let before = self.rows.len();
+        self.rows
+            .retain(|_origin, row| now.saturating_duration_since(row.received_at) < ROW_TTL);
+        if self.rows.len() < before {
+            self.update_sum(now);
+        }
+    }
+
+    fn update_sum(&mut self, now: Instant) {
+        self.sum = Evidence::default();
+        for row in self.rows.values() {
+            self.sum.merge(&row.evidence, now);
+        }
+    }
+
+    pub(super) const fn sum(&self) -> &Evidence {
+        &self.sum
+    }
+
+    pub(super) fn count(&self) -> usize {
+        self.rows.len()
+    }
+}
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -70,6 +70,7 @@
             budget: settings.retry_budget,
             bounds: settings.intake_bounds,
             usage: usage_recorder.clone(),
+            profiles: settings.profiles,
         };
         let dialect: Arc<dyn Dialect> = Arc::new(PlatformDialect);
         let pipeline = Pipeline::new(
@@ -115,6 +116,8 @@
         quarantine::start(runtime, &store, &state);
         let cache_probe = Arc::clone(&pipeline).probe_caches();
         runtime.spawner.spawn(Box::pin(cache_probe));
+        let switch_profiles = Arc::clone(&pipeline).switch_profiles();
+        runtime.spawner.spawn(Box::pin(switch_profiles));
         let leader_settings = LeaderSettings {
             holder: Arc::clone(&settings.name),
             lease: settings.leader_lease,
@@ -157,6 +160,7 @@
             fencing = ?settings.fencing,
             usage = ?settings.usage,
             capacity = ?settings.capacity,
+            profiles = settings.profiles,
             stop_limit_ms = u64::try_from(settings.stop.exit_deadline.as_millis()).unwrap_or(u64::MAX),
             "started"
         );
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -64,6 +64,8 @@
     /// How the number of engines is planned; none if the provider accepts no orders or operators
     /// set the number themselves.
     pub capacity: Option<CapacitySettings>,
+    /// Whether the speed of each back end is learned, where the configuration has long streams.
+    pub profiles: bool,
     /// Time limits of a graceful stop.
     pub stop: StopSettings,
     /// Filter of log lines, in the syntax of `tracing_subscriber::EnvFilter`.
@@ -171,6 +173,7 @@
     };
     let usage = usage_settings(&mut reader, is_accepted_call(USAGE_REPORT_CALL));
     let capacity = capacity_settings(&mut reader, is_accepted_call(AUTOSCALE_CALL));
+    let profiles = reader.flag("placement.profiles", true);
     let stop = stop_settings(&mut reader);
     let log_filter = reader
         .parsed(
@@ -201,6 +204,7 @@
         provider_address,
         usage,
         capacity,
+        profiles,
         stop,
         log_filter,
         log_buffered_lines,
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -85,6 +85,7 @@
     inner: Mutex<FleetView>,
     quarantine: Mutex<Quarantine>,
     quarantine_changed: Notify,
+    configuration_changed: Notify,
     read_progressed: Notify,
     era: KnownEra,
 }
@@ -100,6 +101,7 @@
             inner,
             quarantine: Mutex::default(),
             quarantine_changed: Notify::new(),
+            configuration_changed: Notify::new(),
             read_progressed: Notify::new(),
             era: KnownEra::default(),
         }
@@ -118,6 +120,12 @@
         &self.quarantine_changed
     }
 
+    /// Notified when another configuration may be in force.
+    #[must_use]
+    pub const fn configuration_changed(&self) -> &Notify {
+        &self.configuration_changed
+    }
+
     /// This daemon, as it announces itself.
     #[must_use]
     pub const fn own(&self) -> &Member {
@@ -359,11 +367,20 @@
     /// Applies items, each only if it is newer than the known item of the same key. Does not treat
     /// missing keys as removed; for that see [`Self::finish_full_read`].
     pub fn apply_items(&self, items: Vec<Item>, source: UpdateSource, now: Instant) {
+        let version_before = self.lock().configuration_version();
         for item in items {
             self.apply_item(item, source, now);
         }
         // Once for all items, because a full read contains every daemon.
         self.lock().update_topology(&self.own);
+        self.notify_new_configuration(version_before);
+    }
+
+    /// Notifies of a configuration that came into force since `version_before` was.
+    fn notify_new_configuration(&self, version_before: u64) {
+        if self.lock().configuration_version() != version_before {
+            self.configuration_changed.notify_one();
+        }
     }
 
     fn apply_item(&self, item: Item, source: UpdateSource, now: Instant) {
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -179,6 +179,12 @@
         }
     }
 
+    /// Version of the configuration in force; 0 if there is none.
+    pub(super) fn configuration_version(&self) -> u64 {
+        let in_force = self.in_force.as_ref();
+        in_force.map_or(0, |in_force| in_force.configuration.version)
+    }
+
     /// Whether a newer configuration is in force.
     fn has_newer_configuration(&self, version: u64) -> bool {
         let in_force = self.in_force.as_ref();
@@ -242,10 +248,7 @@
         source: UpdateSource,
         now: Instant,
     ) -> bool {
-        let known = self
-            .in_force
-            .as_ref()
-            .map_or(0, |in_force| in_force.configuration.version);
+        let known = self.configuration_version();
         if configuration.version <= known {
             return false;
         }
--- a/crates/serving/src/fleet_state/retained.rs
+++ b/crates/serving/src/fleet_state/retained.rs
@@ -127,6 +127,7 @@
             return 0;
         }
         let items = std::mem::take(&mut page.items);
+        let version_before = self.lock().configuration_version();
         let mut applied = 0;
         for item in items {
             match self.store.decode(&item) {
@@ -137,6 +138,7 @@
                 Err(error) => tracing::warn!(%error, "value_unreadable"),
             }
         }
+        self.notify_new_configuration(version_before);
         applied
     }
 }
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -19,6 +19,7 @@
 mod plain;
 mod prefill;
 mod probe;
+mod profiling;
 mod quarantining;
 mod rate_wait;
 mod relay;
@@ -70,6 +71,8 @@
     pub bounds: IntakeLimits,
     /// Counts the usage of tenants; `None` if usage is not reported.
     pub usage: Option<Arc<UsageRecorder>>,
+    /// Whether profiles of back ends are kept if the configuration has long streams.
+    pub profiles: bool,
 }
 
 /// Limits on the requests held at a time. Requests beyond them are refused before any processing.
@@ -113,6 +116,7 @@
     held_bytes: AtomicUsize,
     bounds: IntakeLimits,
     usage: Option<Arc<UsageRecorder>>,
+    keeps_profiles: bool,
 }
 
 impl Pipeline {
@@ -154,6 +158,7 @@
             held_bytes: AtomicUsize::new(0),
             bounds: settings.bounds,
             usage: settings.usage.clone(),
+            keeps_profiles: settings.profiles,
         })
     }
 
@@ -270,6 +275,8 @@
         placement.health.keep_only(|id| present.contains(id));
         placement.speed.keep_only(|id| present.contains(id));
         placement.prefixes.keep_only(|id| present.contains(id));
+        placement.profiles.keep_only(|id| present.contains(id));
+        placement.profiles.expire(now());
         placement
             .announcements
             .forget_absent(|id| present.contains(id), now());
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -9,7 +9,7 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::placement::{PrefixState, PromptPlan, PromptReading, Urgency};
+use ponddrift_fleet::placement::{PrefixState, PromptPlan, PromptReading, PromptTime, Urgency};
 
 use super::Pipeline;
 use super::generate::{OpenAttempt, OpenStream, SendTiming};
@@ -97,6 +97,7 @@
                     decode,
                     sent.had_no_queued_prefill.then_some(took),
                 );
+                self.learn_prompt_at_decode(job, plan, decode, took, sent);
                 OpenAttempt::Opened(stream)
             }
             Err(no_event) => {
@@ -151,14 +152,37 @@
         }
         if let Some(took) = took {
             let took_ms = milliseconds(took);
-            let speed = &mut self.placement().speed;
-            speed.record_engine_answer(&decode.id, plan.expected_ms, took_ms, now());
-            speed.record_decode_reading(PromptReading {
+            let reading = PromptReading {
                 tokens: plan.tokens_to_read,
                 took_ms: (took_ms - plan.fetch_ms).max(0.0),
-            });
+            };
+            let mut placement = self.placement();
+            let at_average = placement.at_average_engine(decode, reading, now());
+            let speed = &mut placement.speed;
+            speed.record_engine_answer(&decode.id, plan.expected_ms, took_ms, now());
+            speed.record_decode_reading(at_average);
         }
     }
+
+    /// Learns how fast a decode engine processes prompts.
+    fn learn_prompt_at_decode(
+        &self,
+        job: &Job,
+        plan: &PromptPlan,
+        decode: &BackEnd,
+        took: Duration,
+        sent: SendTiming,
+    ) {
+        let Some(tokens_ahead) = sent.tokens_ahead.filter(|_| job.metadata.prompt.is_some()) else {
+            return;
+        };
+        let time = PromptTime {
+            tokens: plan.tokens_to_read,
+            tokens_ahead,
+            took_ms: milliseconds(took) - plan.fetch_ms,
+        };
+        self.placement().learn_prompt(decode, time, now());
+    }
 }
 
 async fn read_first_event(
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -61,6 +61,9 @@
     pub(super) started_at: Instant,
     /// Whether the engine had no other prompt to prefill at the time of the send.
     pub(super) had_no_queued_prefill: bool,
+    /// Prompt tokens of other requests that the engine was known to process before; `None` if the
+    /// engine processed no prompt for this request or the request may have waited for a slot.
+    pub(super) tokens_ahead: Option<f64>,
 }
 
 /// Result of a prefill on a separate engine.
@@ -348,6 +351,9 @@
         };
         let outstanding = self.placement().load.outstanding(&decode.id);
         let had_no_queued_prefill = handle.is_none() && outstanding.prompt_tokens < 1.0;
+        let had_free_slot = outstanding.requests_ahead(job.urgency) < f64::from(decode.slots);
+        let tokens_ahead =
+            (handle.is_none() && had_free_slot).then(|| outstanding.tokens_ahead(job.urgency));
         let load = LoadGuard::new(self, &decode, tokens, job.urgency);
         let wait_policy = self.first_event_wait_policy(job, plan);
         let step = match &handle {
@@ -397,6 +403,7 @@
             SendTiming {
                 started_at,
                 had_no_queued_prefill,
+                tokens_ahead,
             },
         )
     }
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -140,6 +140,7 @@
     }
 
     async fn plain_attempt(self: &Arc<Self>, job: &mut Job, back_end: &Arc<BackEnd>) -> PlainEnd {
+        let requests_ahead = self.placement().load.requests(&back_end.id);
         let _load = LoadGuard::new(self, back_end, 0.0, job.urgency);
         let started_at = now();
         let wait_policy = self.plain_wait_policy(job);
@@ -167,9 +168,10 @@
             self.record_good_run(job);
         }
         if outcome == Outcome::Success {
-            self.placement()
-                .speed
-                .record_plain_answer(&back_end.id, milliseconds(took));
+            let took_ms = milliseconds(took);
+            let mut placement = self.placement();
+            placement.speed.record_plain_answer(&back_end.id, took_ms);
+            placement.learn_plain_answer(back_end, requests_ahead, took_ms, now());
         }
         self.attempt_ended(
             job,
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -6,7 +6,7 @@
 use http::StatusCode;
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::placement::{PrefixState, PrefixUse, PromptPlan, PromptReading};
+use ponddrift_fleet::placement::{PrefixState, PrefixUse, PromptPlan, PromptReading, PromptTime};
 use ponddrift_fleet::prompt::Prompt;
 
 use super::Pipeline;
@@ -38,7 +38,8 @@
     ) -> Option<KvCacheHandle> {
         let tokens_to_read = plan.tokens_to_read;
         let expected_ms = self.expected_prefill_ms(engine, tokens_to_read);
-        let engine_was_idle = self.placement().load.requests(&engine.id) < 0.5;
+        let before = self.placement().load.outstanding(&engine.id);
+        let engine_was_idle = before.requests < 0.5;
         self.note_prefix(job, engine, PrefixState::Pending);
         let _load = LoadGuard::new(self, engine, tokens_to_read, job.urgency);
         let expected = Duration::from_secs_f64(expected_ms / 1000.0);
@@ -91,11 +92,22 @@
             took_ms: (took_ms - plan.fetch_ms).max(0.0),
         });
         self.note_prefix(job, engine, PrefixState::Cached);
+        let mut placement = self.placement();
         if let Some(reading) = measured {
-            let speed = &mut self.placement().speed;
-            speed.prompt_read(reading);
+            let at_average = placement.at_average_engine(engine, reading, now());
+            let speed = &mut placement.speed;
+            speed.prompt_read(at_average);
             speed.record_engine_answer(&engine.id, expected_ms + plan.fetch_ms, took_ms, now());
         }
+        if before.requests_ahead(job.urgency) < f64::from(engine.slots) {
+            let time = PromptTime {
+                tokens: tokens_to_read,
+                tokens_ahead: before.tokens_ahead(job.urgency),
+                took_ms: took_ms - plan.fetch_ms,
+            };
+            placement.learn_prompt(engine, time, now());
+        }
+        drop(placement);
         let max_connections = self.connection_share(job.service.maximum_connections);
         Some(KvCacheHandle::new(
             self,
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -128,9 +128,11 @@
             let gap = now.saturating_duration_since(before);
             self.pipeline.metrics.gap(gap);
             // Without a pending prefill at the engine, the gap is caused by its streams alone.
-            if placement.load.outstanding(engine).prompt_tokens < 1.0 {
+            let outstanding = placement.load.outstanding(engine);
+            if outstanding.prompt_tokens < 1.0 {
                 let service = &self.job.service.name;
                 placement.streams.record_baseline_gap(service, gap);
+                placement.learn_gap(&stream.back_end, outstanding.generating, gap, now);
             }
             self.job.longest_gap = self.job.longest_gap.max(gap);
         }
