Profiles of back ends: daemons exchange what their samples show

A daemon sends a back end a request every few seconds, too seldom to know how fast it is. Each daemon now publishes the means of its own samples in Message::Profiles, the most informative first and all in turn: 48 rows of 11 bytes a second to two neighbours, each fourth report to a daemon of another zone, which forwards it to two neighbours. The newest row of each daemon counts, of at most 24 daemons for each back end and kind, chosen by identity, so that order, duplicates and losses don't matter. A daemon that starts asks twelve neighbours. Nothing is sent while profiles are off. Rows out of range, of unknown back ends or other incarnations are dropped and counted; metrics and a bounded log line show factors.

--- a/crates/fleet/src/profiles/merge.rs
+++ b/crates/fleet/src/profiles/merge.rs
@@ -57,6 +57,22 @@
     OutOfRange,
     /// It describes an incarnation that is not the one in the directory.
     OtherIncarnation,
+    /// It describes a back end that is not in the directory, or for which there is no room.
+    UnknownBackEnd,
+}
+
+impl RowMerge {
+    /// Name used in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Merged => "merged",
+            Self::NotNeeded => "not_needed",
+            Self::OutOfRange => "out_of_range",
+            Self::OtherIncarnation => "other_incarnation",
+            Self::UnknownBackEnd => "unknown_back_end",
+        }
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
--- a/crates/fleet/src/profiles/reports.rs
+++ b/crates/fleet/src/profiles/reports.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::{Profile, Profiles, WorkKind};
+use super::{KindProfile, Profile, Profiles, WorkKind};
 use crate::directory::Incarnation;
 
 /// Means of less weight are not published.
@@ -72,12 +72,36 @@
     pub fn take_own_rows(&mut self, maximum: usize, now: Instant) -> Vec<OwnRow> {
         self.round = self.round.wrapping_add(1);
         let round = self.round;
+        let rows = self.ranked_own_rows(maximum, now, |known, row| {
+            let rounds_left_out = round.wrapping_sub(known.published_in);
+            row.weight * f64::from(rounds_left_out)
+        });
+        for row in &rows {
+            if let Some(profile) = self.by_back_end.get_mut(&row.id) {
+                profile.kinds[row.kind.index()].published_in = round;
+            }
+        }
+        rows
+    }
+
+    /// The own means with the most samples.
+    #[must_use]
+    pub fn own_rows(&self, maximum: usize, now: Instant) -> Vec<OwnRow> {
+        self.ranked_own_rows(maximum, now, |_known, row| row.weight)
+    }
+
+    fn ranked_own_rows(
+        &self,
+        maximum: usize,
+        now: Instant,
+        rank: impl Fn(&KindProfile, &OwnRow) -> f64,
+    ) -> Vec<OwnRow> {
         let mut ranked: Vec<(f64, OwnRow)> = Vec::new();
         for (id, profile) in &self.by_back_end {
             for kind in WorkKind::ALL {
-                let rounds_left_out = round.wrapping_sub(profile.kinds[kind.index()].published_in);
+                let known = &profile.kinds[kind.index()];
                 let row = own_row(id, profile, kind, now);
-                ranked.extend(row.map(|row| (row.weight * f64::from(rounds_left_out), row)));
+                ranked.extend(row.map(|row| (rank(known, &row), row)));
             }
         }
         ranked.sort_by(|left, right| {
@@ -85,11 +109,6 @@
             by_rank.then_with(|| (&left.1.id, left.1.kind).cmp(&(&right.1.id, right.1.kind)))
         });
         ranked.truncate(maximum);
-        for (_rank, row) in &ranked {
-            if let Some(profile) = self.by_back_end.get_mut(&row.id) {
-                profile.kinds[row.kind.index()].published_in = round;
-            }
-        }
         ranked.into_iter().map(|(_rank, row)| row).collect()
     }
 
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use ponddrift_fleet::profiles::ProfileSummary;
 use ponddrift_fleet::revision::{Era, Revision};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
@@ -54,6 +55,11 @@
     stage: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ExtremeLabels {
+    extreme: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct AnnouncementLabels {
     kind: &'static str,
@@ -91,6 +97,8 @@
     pub announced_draining: usize,
     /// Back ends that limit their request rate.
     pub rate_limited: usize,
+    /// Profiles of back ends.
+    pub profiles: ProfileSummary,
     /// Directory entries without a usable cold-start time.
     pub unusable_cold_times: u64,
     /// Requests that are suspected of crashing engines.
@@ -123,6 +131,9 @@
     backing_off: Gauge,
     announced_draining: Gauge,
     rate_limited: Gauge,
+    profiles: Gauge,
+    profile_extremes: Family<ExtremeLabels, Gauge<f64, std::sync::atomic::AtomicU64>>,
+    profile_age_s: Gauge<f64, std::sync::atomic::AtomicU64>,
     unusable_cold_times: Gauge,
     suspects: Gauge,
     quarantined: Gauge,
@@ -149,6 +160,7 @@
     resumed: Counter,
     ejections: Counter,
     announcements: Family<AnnouncementLabels, Counter>,
+    profile_rows: Family<ResultLabels, Counter>,
     runs_lost: Counter,
     quarantined: Counter,
     latency: Histogram,
@@ -215,6 +227,11 @@
                 "announcements",
                 "What back ends announced of themselves in answers, by kind and source",
             ),
+            profile_rows: register_default(
+                r,
+                "profile_rows",
+                "Rows of back-end profiles received from other daemons, by result",
+            ),
             runs_lost: register_default(
                 r,
                 "runs_lost_with_engine",
@@ -306,6 +323,17 @@
                 "back_ends_rate_limited",
                 "Back ends that limit the rate of all daemons' requests",
             ),
+            profiles: register_default(r, "back_end_profiles", "Back ends whose speed is known"),
+            profile_extremes: register_default(
+                r,
+                "back_end_profile_factor",
+                "Time of the fastest and of the slowest back end relative to the average",
+            ),
+            profile_age_s: register_default(
+                r,
+                "back_end_profile_age_seconds",
+                "Time since the newest sample of the back end that was sampled least recently",
+            ),
             unusable_cold_times: register_default(
                 r,
                 "unusable_cold_times",
@@ -415,6 +443,13 @@
         self.announcements.get_or_create(&labels).inc();
     }
 
+    /// Counts a row of a back-end profile that another daemon published.
+    pub(crate) fn profile_row(&self, result: &'static str) {
+        self.profile_rows
+            .get_or_create(&ResultLabels { result })
+            .inc();
+    }
+
     pub(crate) fn quarantined(&self) {
         self.quarantined.inc();
     }
@@ -468,6 +503,16 @@
             .announced_draining
             .set(saturating_i64(values.announced_draining));
         gauges.rate_limited.set(saturating_i64(values.rate_limited));
+        let profiles = &values.profiles;
+        gauges.profiles.set(saturating_i64(profiles.back_ends));
+        for (extreme, factor) in [("fastest", profiles.fastest), ("slowest", profiles.slowest)] {
+            if let Some(factor) = factor {
+                let labels = ExtremeLabels { extreme };
+                gauges.profile_extremes.get_or_create(&labels).set(factor);
+            }
+        }
+        let profile_age = profiles.oldest.unwrap_or_default();
+        gauges.profile_age_s.set(profile_age.as_secs_f64());
         gauges.suspects.set(saturating_i64(values.suspects));
         gauges.quarantined.set(saturating_i64(values.quarantined));
         gauges
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -7,6 +7,7 @@
 
 mod deposits;
 mod message;
+mod profiles;
 mod publish;
 mod queries;
 mod rate_limits;
@@ -32,6 +33,7 @@
 use crate::store::Changes;
 use crate::time::now;
 use message::{LoadReportRow, PrefixRow, UnavailableEngineRow};
+use profiles::ProfileExchange;
 use rate_limits::PendingLimit;
 use retained::SeenSets;
 
@@ -79,6 +81,7 @@
         seen_sets: Mutex::default(),
         pending_limits: Mutex::default(),
         last_received: Mutex::default(),
+        profile_exchange: Mutex::default(),
     });
     let spawner = &runtime.spawner;
     spawner.spawn(Box::pin(Arc::clone(&peers).publish()));
@@ -93,6 +96,7 @@
     ));
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_rate_limits()));
     spawner.spawn(Box::pin(Arc::clone(&peers).deposit_retries()));
+    spawner.spawn(Box::pin(Arc::clone(&peers).publish_profiles()));
     spawner.spawn(Box::pin(peers.receive()));
     Ok(())
 }
@@ -118,6 +122,7 @@
     pending_limits: Mutex<Vec<PendingLimit>>,
     /// When the last datagram of each neighbour arrived.
     last_received: Mutex<HashMap<SocketAddr, Instant>>,
+    profile_exchange: Mutex<ProfileExchange>,
 }
 
 /// Data from daemons of other zones to forward to the neighbours.
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -71,6 +71,42 @@
         /// Hash of the retained items; equal for equal sets of items.
         items_hash: u64,
     },
+    /// What a daemon's own samples show of the speed of back ends.
+    Profiles {
+        /// The daemon's samples.
+        report: ProfileReportRow,
+        /// Whether the receiver is to reply with its own samples, because the sender has just
+        /// started.
+        wants_reply: bool,
+    },
+}
+
+/// Samples of one daemon of the speed of back ends.
+#[derive(Debug, Clone, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct ProfileReportRow {
+    /// Identifies the daemon and its run.
+    pub(super) origin: u64,
+    /// Number of this report; increases with each report of the same origin.
+    pub(super) sequence: u32,
+    /// Samples by back end and kind of work.
+    pub(super) rows: Vec<BackEndProfileRow>,
+}
+
+/// Samples of one back end and kind of work.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct BackEndProfileRow {
+    /// Hash of the back end's identity.
+    pub(super) back_end: u32,
+    /// Low bits of the hash of its incarnation.
+    pub(super) incarnation: u16,
+    /// Kind of work: 0 prefill, 1 decode, 2 plain.
+    pub(super) kind: u8,
+    /// Number of samples, reduced by their age, in quarters.
+    pub(super) weight: u8,
+    /// Natural logarithm of the mean ratio of measured to expected time, in thousandths.
+    pub(super) log_ratio: i16,
+    /// Time since the newest sample, in quarters of a second; saturates at 255.
+    pub(super) age: u8,
 }
 
 /// Retry tokens that a daemon adds to the pool of its zone.
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -55,6 +55,10 @@
                 }
                 Some(Message::RateLimitsWanted) => self.reply_rate_limits(from).await,
                 Some(Message::Retained { items_hash }) => self.observe_retained(items_hash, from),
+                Some(Message::Profiles {
+                    report,
+                    wants_reply,
+                }) => self.receive_profiles(report, wants_reply, from).await,
                 Some(Message::Deposits(row)) => {
                     self.pipeline.receive_deposits(&deposits_from_wire(row))
                 }
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -9,15 +9,18 @@
 use ponddrift_fleet::placement::{
     Outstanding, PrefixState, PrefixUse, PromptReading, WorkReport, WorkRow,
 };
+use ponddrift_fleet::profiles::{OwnRow, ProfileRow, WorkKind};
 use ponddrift_fleet::quarantine::{LostRun, Suspicion};
 use ponddrift_fleet::rate_limits::{NamedRate, RateRecord, RequestRate};
 use ponddrift_fleet::stages::StageWork;
 
 use super::message::{
-    BackEndLoadRow, DepositsRow, LoadReportRow, LostRunRow, NamedRateRow, PrefillTimingRow,
-    PrefixRow, RateRow, ResultRow, ServiceWorkRow, SuspectRow, TOKENS_PER_UNIT,
+    BackEndLoadRow, BackEndProfileRow, DepositsRow, LoadReportRow, LostRunRow, NamedRateRow,
+    PrefillTimingRow, PrefixRow, RateRow, ResultRow, ServiceWorkRow, SuspectRow, TOKENS_PER_UNIT,
     UnavailableEngineRow,
 };
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::back_end_index::{BackEndIndex, hash};
 
 /// Milliseconds per second.
@@ -260,3 +263,58 @@
         cleared: row.cleared_ms_ago.map(at),
     }
 }
+
+/// Samples per unit of the weight of a profile row.
+const WEIGHT_UNIT: f64 = 0.25;
+/// Unit of the logarithms of profile rows.
+const LOG_RATIO_UNIT: f64 = 0.001;
+/// Unit of the ages of profile rows, in milliseconds.
+const AGE_UNIT_MS: u64 = 250;
+
+/// Low bits of the hash of an incarnation, which tell it from the one before.
+pub(super) fn incarnation_check(incarnation: Incarnation) -> u16 {
+    let low_bits = xxh3_64(&incarnation.0.to_le_bytes()) & u64::from(u16::MAX);
+    u16::try_from(low_bits).unwrap_or_default()
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "casts saturate, and no weight is negative"
+)]
+pub(super) fn profile_to_wire(row: &OwnRow) -> BackEndProfileRow {
+    let age = u64::try_from(row.age.as_millis()).unwrap_or(u64::MAX) / AGE_UNIT_MS;
+    BackEndProfileRow {
+        back_end: hash(&row.id),
+        incarnation: incarnation_check(row.incarnation),
+        kind: match row.kind {
+            WorkKind::Prefill => 0,
+            WorkKind::Decode => 1,
+            WorkKind::Plain => 2,
+        },
+        weight: (row.weight / WEIGHT_UNIT).round() as u8,
+        log_ratio: (row.log_ratio / LOG_RATIO_UNIT).round() as i16,
+        age: u8::try_from(age).unwrap_or(u8::MAX),
+    }
+}
+
+/// Returns `None` for an unknown kind of work.
+pub(super) fn profile_from_wire(
+    (origin, sequence): (u64, u32),
+    row: &BackEndProfileRow,
+) -> Option<ProfileRow> {
+    let kind = match row.kind {
+        0 => WorkKind::Prefill,
+        1 => WorkKind::Decode,
+        2 => WorkKind::Plain,
+        _ => return None,
+    };
+    Some(ProfileRow {
+        origin,
+        sequence,
+        kind,
+        weight: f64::from(row.weight) * WEIGHT_UNIT,
+        log_ratio: f64::from(row.log_ratio) * LOG_RATIO_UNIT,
+        age: Duration::from_millis(u64::from(row.age) * AGE_UNIT_MS),
+    })
+}
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -117,6 +117,7 @@
     bounds: IntakeLimits,
     usage: Option<Arc<UsageRecorder>>,
     keeps_profiles: bool,
+    profiles_switched: Notify,
 }
 
 impl Pipeline {
@@ -159,6 +160,7 @@
             bounds: settings.bounds,
             usage: settings.usage.clone(),
             keeps_profiles: settings.profiles,
+            profiles_switched: Notify::new(),
         })
     }
 
@@ -310,6 +312,7 @@
         let ejected = placement.health.ejected().len();
         let announced = placement.announcements.counts(now());
         let rate_limited = placement.rate_limits.limited().len();
+        let profiles = placement.profiles.summary(now());
         drop(placement);
         let suspects = self.state.quarantine().counts(now());
         GaugeValues {
@@ -335,6 +338,7 @@
             backing_off: announced.backing_off,
             announced_draining: announced.draining,
             rate_limited,
+            profiles,
             unusable_cold_times: self.state.unusable_cold_times(),
             suspects: suspects.remembered,
             quarantined: suspects.quarantined,
--- a/crates/serving/src/pipeline/profiling.rs
+++ b/crates/serving/src/pipeline/profiling.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use tokio::sync::Notify;
+
 use super::Pipeline;
 
 impl Pipeline {
@@ -21,7 +23,13 @@
         let profiles = &mut self.placement().profiles;
         if profiles.is_enabled() != is_enabled {
             profiles.set_enabled(is_enabled);
+            self.profiles_switched.notify_one();
             tracing::info!(is_enabled, "back_end_profiles_switched");
         }
     }
+
+    /// Notified when profiles are switched on or off.
+    pub(crate) const fn profiles_switched(&self) -> &Notify {
+        &self.profiles_switched
+    }
 }
