Profiles of back ends: prompts behind others count more, reports go to three neighbours

The expected time now contains the overhead, half of the prompts ahead count as uncertain, rows from a quarter of a sample are published, to three neighbours; longer gaps enter the line at 2.5 times the expected one.

--- a/crates/fleet/src/placement/gap_line.rs
+++ b/crates/fleet/src/placement/gap_line.rs
@@ -4,7 +4,7 @@
 const DECAY_PER_GAP: f64 = 0.997;
 /// Greatest ratio of a gap to the expected one with which it enters the line. Longer gaps contain a
 /// pause of the caller, the engine or this daemon.
-const MAX_GAP_RATIO: f64 = 4.0;
+const MAX_GAP_RATIO: f64 = 2.5;
 /// Weight from which longer gaps are limited.
 const MIN_WEIGHT_FOR_LIMIT: f64 = 20.0;
 /// Least variance of the number of streams from which a slope can be told; below it the line is
--- a/crates/fleet/src/placement/learning.rs
+++ b/crates/fleet/src/placement/learning.rs
@@ -14,6 +14,10 @@
 /// speed, in milliseconds.
 const MIN_PREFILL_MS: f64 = 2.0;
 
+/// Share of the prompt tokens ahead that may have been processed before the request arrived: on
+/// average half of a prompt that an engine has started.
+const UNCERTAIN_SHARE_AHEAD: f64 = 0.5;
+
 /// How long a prompt took at an engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PromptTime {
@@ -49,17 +53,17 @@
     /// Learns from the time of a prompt at an engine.
     pub fn learn_prompt(&mut self, engine: &BackEnd, time: PromptTime, now: Instant) {
         let tokens = time.tokens + time.tokens_ahead;
-        let expected_ms = tokens / self.reading_tokens_per_ms(engine);
-        if !self.profiles.is_enabled() || expected_ms < MIN_PREFILL_MS {
+        let reading_ms = tokens / self.reading_tokens_per_ms(engine);
+        if !self.profiles.is_enabled() || reading_ms < MIN_PREFILL_MS {
             return;
         }
         let sample = Sample {
             kind: WorkKind::Prefill,
-            expected_ms,
-            took_ms: (time.took_ms - self.speed.message_overhead_ms()).max(0.0),
+            expected_ms: self.speed.message_overhead_ms() + reading_ms,
+            took_ms: time.took_ms.max(0.0),
         };
-        // Of the prompts ahead, an unknown part had been processed before.
-        let certainty = time.tokens / tokens;
+        let certain_tokens = time.tokens + (1.0 - UNCERTAIN_SHARE_AHEAD) * time.tokens_ahead;
+        let certainty = certain_tokens / tokens;
         self.profiles
             .record_uncertain(engine, sample, certainty, now);
     }
--- a/crates/fleet/src/profiles/reports.rs
+++ b/crates/fleet/src/profiles/reports.rs
@@ -7,7 +7,7 @@
 use crate::directory::Incarnation;
 
 /// Means of less weight are not published.
-const MIN_PUBLISHED_WEIGHT: f64 = 0.5;
+const MIN_PUBLISHED_WEIGHT: f64 = 0.25;
 /// Weight from which a factor is reported to operators.
 const MIN_REPORTED_WEIGHT: f64 = 8.0;
 /// Bounds between the classes of factors that are reported to operators: fast, usual, slow and very
--- a/crates/serving/src/peers/profiles.rs
+++ b/crates/serving/src/peers/profiles.rs
@@ -25,7 +25,7 @@
 /// Rows of a reply to a daemon that starts. They fit into one datagram.
 const ROWS_PER_REPLY: usize = 112;
 /// Neighbours that get each report. The reports to other zones and the forwarded ones come on top.
-const NEIGHBOURS_PER_REPORT: usize = 2;
+const NEIGHBOURS_PER_REPORT: usize = 3;
 /// One report in this many also goes to a daemon of another zone.
 const REPORTS_PER_REMOTE_REPORT: usize = 4;
 /// Neighbours to which a report of another zone is forwarded.
