--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -19,6 +19,7 @@
 mod plain;
 mod prefill;
 mod probe;
+mod profiling;
 mod quarantining;
 mod rate_wait;
 mod relay;
@@ -70,6 +71,8 @@
     pub bounds: IntakeLimits,
     /// Counts the usage of tenants; `None` if usage is not reported.
     pub usage: Option<Arc<UsageRecorder>>,
+    /// Whether profiles of back ends are kept if the configuration has long streams.
+    pub profiles: bool,
 }
 
 /// Limits on the requests held at a time. Requests beyond them are refused before any processing.
@@ -113,6 +116,8 @@
     held_bytes: AtomicUsize,
     bounds: IntakeLimits,
     usage: Option<Arc<UsageRecorder>>,
+    keeps_profiles: bool,
+    profiles_switched: Notify,
 }
 
 impl Pipeline {
@@ -154,6 +159,8 @@
             held_bytes: AtomicUsize::new(0),
             bounds: settings.bounds,
             usage: settings.usage.clone(),
+            keeps_profiles: settings.profiles,
+            profiles_switched: Notify::new(),
         })
     }
 
@@ -270,6 +277,8 @@
         placement.health.keep_only(|id| present.contains(id));
         placement.speed.keep_only(|id| present.contains(id));
         placement.prefixes.keep_only(|id| present.contains(id));
+        placement.profiles.keep_only(|id| present.contains(id));
+        placement.profiles.expire(now());
         placement
             .announcements
             .forget_absent(|id| present.contains(id), now());
@@ -303,6 +312,7 @@
         let ejected = placement.health.ejected().len();
         let announced = placement.announcements.counts(now());
         let rate_limited = placement.rate_limits.limited().len();
+        let profiles = placement.profiles.summary(now());
         drop(placement);
         let suspects = self.state.quarantine().counts(now());
         GaugeValues {
@@ -328,6 +338,7 @@
             backing_off: announced.backing_off,
             announced_draining: announced.draining,
             rate_limited,
+            profiles,
             unusable_cold_times: self.state.unusable_cold_times(),
             suspects: suspects.remembered,
             quarantined: suspects.quarantined,
