Placement by profile: streams go where they keep their gap, prompts where they break none

Cause: placement knows one gap and one prefill speed for all engines of a service. On fleets whose engines differ and share their machines, a stream is late by its pauses because of the engine it was given, although another had room.

Change, only while profiles are enabled: times are multiplied by the back end's own factors for prefill, decode and plain work instead of the local slowness. A stream is charged for the risk that one of its gaps exceeds the target (through the busy quantile, growing with the number of gaps), for the risk that it adds to the streams there, and for the time by which it would overrun its deadline. A prompt read at a decode engine counts the streams there by that engine's own gaps. The trace says the chosen engine's factor, gap and risk and what spoke against the fastest; request_ended shows the expected gap.

Measured: tests only; a hash over 2,000 choices and expected times without profiles equals that of the code before.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -3,7 +3,9 @@
 mod arrivals;
 mod confidence;
 mod costs;
+mod decoding;
 mod fairness;
+mod gap_risk;
 mod link;
 mod load;
 mod metering;
@@ -32,7 +34,10 @@
 pub use confidence::Confidence;
 pub use costs::NextRateToken;
 use costs::{Choice, Estimate};
+use decoding::DecodeEstimator;
+pub use decoding::{FastestEngine, StreamPlacement};
 pub use fairness::{FairShares, OfferedRequest};
+pub use gap_risk::{GapForecast, StreamNeeds};
 pub use link::LocalLink;
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
 pub use prefixes::{MIN_PREFIX_TOKENS, PrefixMemory, PrefixState, PrefixUse, tracked_prefix};
@@ -85,6 +90,19 @@
     pub urgency: Urgency,
     /// Size of the request body, which is sent once to each chosen engine.
     pub body_bytes: usize,
+    /// Needs of the answer as a stream; `None` without a target gap.
+    pub stream: Option<StreamNeeds>,
+}
+
+/// Input of [`Placement::choose_decode_after_prefill`].
+#[derive(Debug, Clone, Copy, Default)]
+pub struct DecodeRequest<'a> {
+    /// Prompt to continue.
+    pub prompt: Option<&'a Prompt>,
+    /// Engine that holds the KV cache, if it is known.
+    pub hand_over: Option<HandOver<'a>>,
+    /// Needs of the answer as a stream; `None` without a target gap.
+    pub stream: Option<StreamNeeds>,
 }
 
 /// A prompt that one engine has processed and another is to continue.
@@ -316,12 +334,10 @@
         let candidates = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
+        let average_ms = self.average_plain_ms(&candidates, now);
         self.cheapest(&candidates, now, random, |back_end| {
             let ahead = self.load.requests(&back_end.id);
-            let expected = self
-                .speed
-                .plain_ms(&back_end.id)
-                .unwrap_or(DEFAULT_PLAIN_MS);
+            let expected = self.plain_ms(back_end, average_ms, now);
             Estimate {
                 time_ms: expected * (1.0 + ahead / f64::from(back_end.slots.max(1))),
                 burden_ms: 0.0,
@@ -354,8 +370,10 @@
             holders: &holders,
             excess_reading: self.excess_reading(&decoders, request.latency_targets),
             link_wait_ms: self.link.wait_ms(now),
+            decoding: self.decode_estimator(&decoders, request.stream, now),
             decode_arrivals_per_ms: self.arrivals_per_engine_per_ms(&decoders, Stage::Decode),
             prefill_arrivals_per_ms: self.arrivals_per_engine_per_ms(&prefills, Stage::Prefill),
+            now,
         };
         let preferred_decoder = reading.preferred_engine(&decoders);
         let direct = self.cheapest(&decoders, now, random, |back_end| {
@@ -368,7 +386,12 @@
         let Some(reader) = reader else {
             return Some(reading.plan(None, direct.back_end, preferred_decoder, direct.time_ms));
         };
-        let decoder = self.cheapest_decoder(&decoders, Some(prompt), None, now, random)?;
+        let decode_request = DecodeRequest {
+            prompt: Some(prompt),
+            hand_over: None,
+            stream: request.stream,
+        };
+        let decoder = self.cheapest_decoder(&decoders, &decode_request, now, random)?;
         if reader.cost_ms + decoder.cost_ms >= direct.cost_ms {
             return Some(reading.plan(None, direct.back_end, preferred_decoder, direct.time_ms));
         }
@@ -443,7 +466,11 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Arc<BackEnd>> {
-        self.choose_decode_after_prefill(ready, tried, prompt, None, now, random)
+        let request = DecodeRequest {
+            prompt,
+            ..DecodeRequest::default()
+        };
+        self.choose_decode_after_prefill(ready, tried, &request, now, random)
     }
 
     /// Like [`Self::choose_decode`], for a known engine that holds the KV cache.
@@ -451,26 +478,62 @@
         &self,
         ready: &[Arc<BackEnd>],
         tried: &[Arc<str>],
-        prompt: Option<&Prompt>,
-        hand_over: Option<HandOver<'_>>,
+        request: &DecodeRequest<'_>,
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Arc<BackEnd>> {
         let decoders = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
-        self.cheapest_decoder(&decoders, prompt, hand_over, now, random)
+        self.cheapest_decoder(&decoders, request, now, random)
             .map(|choice| choice.back_end)
     }
 
+    /// Explains why a stream was placed at `chosen`; `None` while the gaps of streams are unknown or
+    /// profiles are not used.
+    #[must_use]
+    pub fn explain_stream(
+        &self,
+        chosen: &BackEnd,
+        ready: &[Arc<BackEnd>],
+        stream: Option<StreamNeeds>,
+        now: Instant,
+    ) -> Option<StreamPlacement> {
+        if !self.profiles.is_enabled() {
+            return None;
+        }
+        let decoders = self.usable(ready, &[], now, |back_end| {
+            back_end.stage != Some(Stage::Prefill)
+        });
+        self.decode_estimator(&decoders, stream, now)
+            .explain(chosen, &decoders)
+    }
+
+    fn decode_estimator(
+        &self,
+        decoders: &[Arc<BackEnd>],
+        stream: Option<StreamNeeds>,
+        now: Instant,
+    ) -> DecodeEstimator<'_> {
+        DecodeEstimator {
+            placement: self,
+            stream,
+            reading_share: self.reading_share(decoders),
+            now,
+        }
+    }
+
     fn cheapest_decoder(
         &self,
         decoders: &[Arc<BackEnd>],
-        prompt: Option<&Prompt>,
-        hand_over: Option<HandOver<'_>>,
+        request: &DecodeRequest<'_>,
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Choice> {
+        let DecodeRequest {
+            prompt, hand_over, ..
+        } = *request;
+        let decoding = self.decode_estimator(decoders, request.stream, now);
         let rate = self.speed.decode_tokens_per_ms();
         let prefix = prompt.and_then(prefixes::tracked_prefix);
         // All daemons compute the same preferred engine, so they also hand over to the same one.
@@ -481,10 +544,10 @@
         });
         let prefix_ms = prompt.map_or(0.0, |prompt| self.prefix_reading_ms(prompt));
         self.cheapest(decoders, now, random, |back_end| {
-            let time_ms = self.slot_wait_ms(back_end, Urgency::InTime)
+            let time_ms = self.slot_wait_ms(back_end, Urgency::InTime, now)
                 + self.speed.message_overhead_ms()
                 + hand_over.map_or(0.0, |hand_over| hand_over.extra_transfer_ms(back_end))
-                + self.backlog_ms(back_end, rate, Urgency::InTime) * ENCOUNTERED_BACKLOG_SHARE;
+                + self.backlog_ms(back_end, rate, Urgency::InTime, now) * ENCOUNTERED_BACKLOG_SHARE;
             let miss_share = match prefix {
                 None => 0.0,
                 Some(prefix) if self.prefixes.state(&back_end.id, prefix, now).is_some() => 0.0,
@@ -498,7 +561,7 @@
             };
             Estimate {
                 time_ms,
-                burden_ms: miss_share * prefix_ms,
+                burden_ms: miss_share * prefix_ms + decoding.stream_burden_ms(back_end),
             }
         })
     }
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -5,9 +5,10 @@
 
 use rand::{Rng, RngExt};
 
-use super::{Placement, Urgency};
+use super::{DEFAULT_PLAIN_MS, Placement, Urgency};
 use crate::announcements::{Availability, MAX_BACKOFF};
 use crate::directory::{BackEnd, Eligibility};
+use crate::profiles::WorkKind;
 use crate::rate_limits::Allowance;
 
 /// Cost of sending a request to another zone, in milliseconds.
@@ -226,17 +227,68 @@
     }
 
     /// Slowdown factor of the back end, from its answers or from its announced slow start,
-    /// whichever is higher.
+    /// whichever is higher. Where profiles are used, the estimates already contain what its answers
+    /// have shown.
     fn slowness(&self, back_end: &BackEnd, now: Instant) -> f64 {
         let cold_share = back_end
             .cold_start
             .map_or(0.0, |start| start.remaining_fraction(now));
         let cold_start_slowness = 1.0 + (COLD_START_SLOWNESS - 1.0) * cold_share;
+        if self.profiles.is_enabled() {
+            return cold_start_slowness;
+        }
         self.speed
             .slowness(&back_end.id, now)
             .max(cold_start_slowness)
     }
 
+    /// Time of a back end compared with the average; 1 while profiles are not used.
+    pub(super) fn time_factor(&self, back_end: &BackEnd, kind: WorkKind, now: Instant) -> f64 {
+        if self.profiles.is_enabled() {
+            self.profiles.factor(back_end, kind, now)
+        } else {
+            1.0
+        }
+    }
+
+    /// Response time of an average plain back end, as far as the answers that this daemon received
+    /// from the candidates show it, in milliseconds; `None` before the first one and while profiles
+    /// are not used.
+    pub(super) fn average_plain_ms(
+        &self,
+        candidates: &[Arc<BackEnd>],
+        now: Instant,
+    ) -> Option<f64> {
+        if !self.profiles.is_enabled() {
+            return None;
+        }
+        let mut sum = 0.0;
+        let mut known = 0.0;
+        for back_end in candidates {
+            if let Some(own_ms) = self.speed.plain_ms(&back_end.id) {
+                sum += own_ms / self.time_factor(back_end, WorkKind::Plain, now);
+                known += 1.0;
+            }
+        }
+        (known > 0.0).then(|| sum / known)
+    }
+
+    /// Expected response time of an idle plain back end, in milliseconds: from its profile, which
+    /// all daemons share, otherwise from the answers that this daemon received from it.
+    pub(super) fn plain_ms(
+        &self,
+        back_end: &BackEnd,
+        average_ms: Option<f64>,
+        now: Instant,
+    ) -> f64 {
+        let known = self.profiles.known(back_end, WorkKind::Plain, now);
+        known
+            .zip(average_ms)
+            .map(|(profile, average_ms)| profile.factor * average_ms)
+            .or_else(|| self.speed.plain_ms(&back_end.id))
+            .unwrap_or(DEFAULT_PLAIN_MS)
+    }
+
     pub(super) fn zone_ms(&self, back_end: &BackEnd) -> f64 {
         if back_end.zone == self.zone {
             0.0
@@ -247,10 +299,12 @@
 
     /// Expected wait for a slot, in milliseconds. A nearly full engine may be full when the request
     /// arrives; a slot becomes free as soon as any stream there ends.
-    pub(super) fn slot_wait_ms(&self, back_end: &BackEnd, urgency: Urgency) -> f64 {
+    pub(super) fn slot_wait_ms(&self, back_end: &BackEnd, urgency: Urgency, now: Instant) -> f64 {
         let ahead = self.load.outstanding(&back_end.id).requests_ahead(urgency);
         let occupancy = ahead / f64::from(back_end.slots.max(1));
-        (occupancy - SLOT_WAIT_THRESHOLD).max(0.0) * self.streams.average_ms(&back_end.service)
+        let stream_ms = self.streams.average_ms(&back_end.service)
+            * self.time_factor(back_end, WorkKind::Decode, now);
+        (occupancy - SLOT_WAIT_THRESHOLD).max(0.0) * stream_ms
     }
 
     /// Time until the engine has processed the prompts queued ahead of a request, in milliseconds.
@@ -259,8 +313,10 @@
         back_end: &BackEnd,
         tokens_per_ms: f64,
         urgency: Urgency,
+        now: Instant,
     ) -> f64 {
         let outstanding = self.load.outstanding(&back_end.id);
-        outstanding.tokens_ahead(urgency) / tokens_per_ms
+        let factor = self.time_factor(back_end, WorkKind::Prefill, now);
+        outstanding.tokens_ahead(urgency) / tokens_per_ms * factor
     }
 }
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -1,11 +1,14 @@
 //! Estimates the cost of processing a prompt at an engine, including cached and fetched prefixes.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use super::costs::Estimate;
+use super::decoding::DecodeEstimator;
 use super::{MS_PER_S, PREFERRED_ENGINE_READ_SHARE, Placement, PromptPlan, PromptRequest, Urgency};
 use crate::configuration::EngineTraits;
 use crate::directory::BackEnd;
+use crate::profiles::WorkKind;
 
 /// Cost of a fetched prefix to other requests, as a share of its prefill time: it may evict another
 /// prefix that must then be processed again.
@@ -21,6 +24,7 @@
 pub(super) struct PrefillEstimator<'a> {
     pub(super) placement: &'a Placement,
     pub(super) request: &'a PromptRequest<'a>,
+    pub(super) decoding: DecodeEstimator<'a>,
     pub(super) holders: &'a [Arc<BackEnd>],
     /// Share of time that the service's decode engines spend on prefill beyond what their streams
     /// tolerate.
@@ -31,6 +35,7 @@
     pub(super) decode_arrivals_per_ms: f64,
     /// Prompts per millisecond that arrive at each prefill engine.
     pub(super) prefill_arrivals_per_ms: f64,
+    pub(super) now: Instant,
 }
 
 /// Work that an engine has to do before decoding can start.
@@ -50,18 +55,20 @@
         let placement = self.placement;
         let rate = placement.speed.decode_tokens_per_ms();
         let work = self.read_work(back_end, preferred_engine);
-        let prompt_ms = work.tokens / rate;
-        let reading_ms = placement.backlog_ms(back_end, rate, self.request.urgency) + prompt_ms;
+        let prompt_ms = work.tokens / rate * self.reading_factor(back_end);
+        let backlog_ms = placement.backlog_ms(back_end, rate, self.request.urgency, self.now);
+        let reading_ms = backlog_ms + prompt_ms;
         let late_streams = self.late_streams(back_end, reading_ms) + self.excess_reading;
         Estimate {
-            time_ms: placement.slot_wait_ms(back_end, self.request.urgency)
+            time_ms: placement.slot_wait_ms(back_end, self.request.urgency, self.now)
                 + placement.speed.message_overhead_ms()
                 + self.send_ms(1.0)
                 + work.transfer_ms
                 + reading_ms,
             burden_ms: self.fetch_burden_ms(&work)
                 + late_streams * self.request.latency_targets.latency_ms()
-                + delay_of_others_ms(self.decode_arrivals_per_ms, prompt_ms),
+                + delay_of_others_ms(self.decode_arrivals_per_ms, prompt_ms)
+                + self.decoding.stream_burden_ms(back_end),
         }
     }
 
@@ -74,19 +81,24 @@
         let placement = self.placement;
         let rate = placement.speed.prefill_tokens_per_ms();
         let work = self.read_work(back_end, preferred_engine);
-        let prompt_ms = work.tokens / rate;
+        let prompt_ms = work.tokens / rate * self.reading_factor(back_end);
         Estimate {
-            time_ms: placement.slot_wait_ms(back_end, self.request.urgency)
+            time_ms: placement.slot_wait_ms(back_end, self.request.urgency, self.now)
                 + placement.speed.message_overhead_ms()
                 + self.send_ms(2.0)
                 + work.transfer_ms
-                + placement.backlog_ms(back_end, rate, self.request.urgency)
+                + placement.backlog_ms(back_end, rate, self.request.urgency, self.now)
                 + prompt_ms
                 + transfer_ms(self.request.traits, self.request.prompt.input_tokens),
             burden_ms: self.fetch_burden_ms(&work) + self.delay_burden_ms(back_end, prompt_ms),
         }
     }
 
+    fn reading_factor(&self, back_end: &BackEnd) -> f64 {
+        self.placement
+            .time_factor(back_end, WorkKind::Prefill, self.now)
+    }
+
     /// Delay that processing the prompt at a prefill engine causes for others, in milliseconds. An
     /// engine completes a prompt that it has started, whatever arrives meanwhile. Requests on time
     /// avoid engines that process late prompts, so another late prompt there delays nobody; late
@@ -123,6 +135,12 @@
             return 0.0;
         };
         let target_ms = target.as_secs_f64() * MS_PER_S;
+        let broken = self
+            .decoding
+            .streams_broken_by(back_end, reading_ms, target_ms);
+        if let Some(broken) = broken {
+            return broken;
+        }
         let baseline_ms = self.placement.streams.baseline_gap_ms(&back_end.service);
         let gap_ms = baseline_ms + reading_ms.min(target_ms);
         let beyond = gap_ms / target_ms - GAP_PENALTY_THRESHOLD;
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -10,8 +10,8 @@
 use ponddrift_fleet::directory::{BackEnd, ColdStart};
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{
-    HandOver, LatencyTargets, Outstanding, Placement, PrefixState, PrefixUse, PromptPlan,
-    PromptRequest, Urgency, WorkReport, WorkRow,
+    DecodeRequest, HandOver, LatencyTargets, Outstanding, Placement, PrefixState, PrefixUse,
+    PromptPlan, PromptRequest, StreamNeeds, Urgency, WorkReport, WorkRow,
 };
 use ponddrift_fleet::prompt::{Prompt, PromptPart};
 use ponddrift_fleet::rate_limits::{
@@ -59,6 +59,7 @@
                     traits: &traits(),
                     urgency: self.urgency,
                     body_bytes: 20_000,
+                    stream: StreamNeeds::of(prompt, TARGETS, 0, Duration::from_secs(10)),
                 },
                 self.now,
                 &mut self.random,
@@ -659,8 +660,11 @@
         let chosen = scene.placement.choose_decode_after_prefill(
             &scene.engines,
             &[],
-            Some(&test_prompt),
-            Some(hand_over),
+            &DecodeRequest {
+                prompt: Some(&test_prompt),
+                hand_over: Some(hand_over),
+                stream: None,
+            },
             scene.now,
             &mut scene.random,
         );
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -9,7 +9,7 @@
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{
-    HandOver, OfferedRequest, Placement, PromptPlan, PromptRequest, Urgency,
+    DecodeRequest, HandOver, OfferedRequest, Placement, PromptPlan, PromptRequest, Urgency,
 };
 use ponddrift_http::body::{self, Body};
 use rand::RngExt;
@@ -254,6 +254,12 @@
                 .prompt(total, plan.tokens_to_read, plan.fetch_from.is_some());
         }
         let prompt_engine = plan.prefill.as_ref().unwrap_or(&plan.decode);
+        let decodes_here = plan.prefill.is_none();
+        let explanation = decodes_here.then(|| {
+            placement.explain_stream(&plan.decode, &candidates.back_ends, job.stream_needs(), now)
+        });
+        let stream = explanation.flatten();
+        job.note_expected_gap(stream.as_ref());
         job.trace.add(TraceStep::BackEndChosen {
             purpose: if plan.prefill.is_some() {
                 "prefill"
@@ -265,6 +271,7 @@
             tokens_to_read: plan.tokens_to_read,
             requests_there: placement.load.requests(&prompt_engine.id),
             ready: candidates.ready.all(),
+            stream,
         });
         Some(plan)
     }
@@ -291,6 +298,7 @@
             traits,
             urgency: Urgency::InTime,
             body_bytes: job.body.len(),
+            stream: job.stream_needs(),
         };
         let plan = placement.plan_prompt(ready, &job.tried, &request, now, &mut *self.random())?;
         let share = placement.confidence.share(&job.service.name);
@@ -421,12 +429,18 @@
             .choose_decode_after_prefill(
                 &candidates.back_ends,
                 &job.tried,
-                job.metadata.prompt.as_ref(),
-                hand_over,
+                &DecodeRequest {
+                    prompt: job.metadata.prompt.as_ref(),
+                    hand_over,
+                    stream: job.stream_needs(),
+                },
                 now(),
                 &mut *self.random(),
             )
             .unwrap_or_else(|| Arc::clone(&plan.decode));
+        let stream =
+            placement.explain_stream(&chosen, &candidates.back_ends, job.stream_needs(), now());
+        job.note_expected_gap(stream.as_ref());
         job.trace.add(TraceStep::BackEndChosen {
             purpose: "decode",
             back_end: Arc::clone(&chosen.id),
@@ -434,6 +448,7 @@
             tokens_to_read: 0.0,
             requests_there: placement.load.requests(&chosen.id),
             ready: candidates.ready.all(),
+            stream,
         });
         chosen
     }
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -19,7 +19,7 @@
 use super::job::Job;
 use crate::dialect::RequestMetadata;
 use crate::fleet_state::ConfigurationInForce;
-use crate::request_trace::{RequestTrace, SERVED_LOG_TARGET, milliseconds};
+use crate::request_trace::{RequestTrace, SERVED_LOG_TARGET, milliseconds, rounded};
 use crate::time::{self, now};
 
 /// An answer of the daemon itself is sent this long before the caller's deadline, so that it
@@ -62,6 +62,7 @@
             urgency = $job.urgency.as_str(),
             yields = $job.yields,
             longest_gap_ms = milliseconds($job.longest_gap),
+            expected_gap_ms = $job.expected_gap_ms.map(rounded),
             took_ms = milliseconds($end.took),
             limit_ms = milliseconds($job.deadline.saturating_duration_since($job.arrived)),
             prompt_tokens = $job.metadata.prompt.as_ref().map(|prompt| prompt.input_tokens),
@@ -168,6 +169,7 @@
             headers,
             _held_bytes: HeldBytes::new(self, body.len()),
             body,
+            events_sent: metadata.resume_after.unwrap_or(0),
             metadata,
             route,
             service,
@@ -183,6 +185,7 @@
             expected_ms: None,
             first_event: None,
             longest_gap: Duration::ZERO,
+            expected_gap_ms: None,
             rate_waits: 0,
             runs: 0,
             tried: Vec::new(),
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Method, Uri, header};
 use ponddrift_fleet::configuration::{Route, Service};
 use ponddrift_fleet::fingerprint::{RequestContent, RequestFingerprint};
-use ponddrift_fleet::placement::{LatencyTargets, Urgency};
+use ponddrift_fleet::placement::{LatencyTargets, StreamNeeds, StreamPlacement, Urgency};
 use ponddrift_fleet::tenants::Tenant;
 
 use super::Pipeline;
@@ -55,6 +55,10 @@
     pub(super) first_event: Option<Instant>,
     /// Longest time between two events.
     pub(super) longest_gap: Duration,
+    /// Gap that was expected at the engine chosen last, in milliseconds.
+    pub(super) expected_gap_ms: Option<f64>,
+    /// Events of the stream that the caller has.
+    pub(super) events_sent: u64,
     /// How often the request waited while all back ends limited their request rate.
     pub(super) rate_waits: u32,
     /// Back ends that ran the request, or may have run it.
@@ -112,6 +116,23 @@
         }
     }
 
+    /// What the rest of the stream needs; `None` if it has no target gap or no described prompt.
+    pub(super) fn stream_needs(&self) -> Option<StreamNeeds> {
+        let prompt = self.metadata.prompt.as_ref()?;
+        StreamNeeds::of(
+            prompt,
+            self.latency_targets(),
+            self.events_sent,
+            self.time_left(),
+        )
+    }
+
+    /// Records the gap that is expected at the chosen engine.
+    pub(super) fn note_expected_gap(&mut self, placement: Option<&StreamPlacement>) {
+        let gap_ms = placement.map(|placement| placement.gap_ms);
+        self.expected_gap_ms = gap_ms.or(self.expected_gap_ms);
+    }
+
     /// Whether another back end may run the request.
     pub(super) fn may_run_again(&self) -> bool {
         self.runs == 0
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -135,6 +135,7 @@
             tokens_to_read: 0.0,
             requests_there: placement.load.requests(&chosen.id),
             ready: candidates.ready.all(),
+            stream: None,
         });
         Some(chosen)
     }
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -94,6 +94,7 @@
                         continue;
                     }
                     self.last_event_id = event.id.or(self.last_event_id);
+                    self.job.events_sent += 1;
                     return Some(Ok(event.bytes));
                 }
                 NextItem::End => self.complete(stream),
--- a/crates/serving/src/request_trace.rs
+++ b/crates/serving/src/request_trace.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ponddrift_fleet::placement::StreamPlacement;
+
 use crate::time::now;
 
 /// Log target of requests that were served in time. The log drops these lines first when it is
@@ -31,6 +33,8 @@
         requests_there: f64,
         /// Number of back ends that were ready.
         ready: usize,
+        /// Why the stream was placed there, where back ends are compared by their profiles.
+        stream: Option<StreamPlacement>,
     },
     /// A send ended.
     AttemptEnded {
@@ -138,17 +142,30 @@
             tokens_to_read,
             requests_there,
             ready,
-        } => tracing::info!(
-            request,
-            at_ms,
-            purpose,
-            back_end = &**back_end,
-            expected_ms = rounded(*expected_ms),
-            tokens_to_read = rounded(*tokens_to_read),
-            requests_there,
-            ready,
-            "placed"
-        ),
+            stream,
+        } => {
+            let stream = stream.as_ref();
+            let fastest = stream.and_then(|stream| stream.fastest.as_ref());
+            tracing::info!(
+                request,
+                at_ms,
+                purpose,
+                back_end = &**back_end,
+                expected_ms = rounded(*expected_ms),
+                tokens_to_read = rounded(*tokens_to_read),
+                requests_there,
+                ready,
+                factor = stream.map(|stream| hundredths(stream.factor)),
+                expected_gap_ms = stream.map(|stream| rounded(stream.gap_ms)),
+                late_share = stream.map(|stream| hundredths(stream.late_share)),
+                fastest = fastest.map(|fastest| &*fastest.back_end),
+                fastest_gap_ms = fastest.map(|fastest| rounded(fastest.gap_ms)),
+                fastest_requests = fastest.map(|fastest| fastest.requests),
+                fastest_prompt_tokens = fastest.map(|fastest| rounded(fastest.prompt_tokens)),
+                fastest_extra_cost_ms = fastest.map(|fastest| rounded(fastest.extra_cost_ms)),
+                "placed"
+            );
+        }
         TraceStep::AttemptEnded {
             purpose,
             back_end,
@@ -207,6 +224,11 @@
     rounded(time.as_secs_f64() * 1000.0)
 }
 
-fn rounded(value: f64) -> f64 {
+/// Rounds to one decimal for logs.
+pub(crate) fn rounded(value: f64) -> f64 {
     (value * 10.0).round() / 10.0
 }
+
+fn hundredths(value: f64) -> f64 {
+    (value * 100.0).round() / 100.0
+}
