Stage planner: prefill capacity in work, and engines chosen by their profile

Cause: the planner counts engines as equal. Where they differ, a prefill stage of slow engines looks less busy than it is, and a fast engine may be sent to prefill while streams run on slow ones.

Change, only while profiles are enabled: prefill work counts by the time that the prefill engines themselves take. Of engines that are about equally busy (within a factor of two), the slowest change to prefill and the fastest to decode: streams need short gaps whatever else the engine does, while prompts can be spread by work.

Measured: tests only.

--- a/crates/fleet/src/stages.rs
+++ b/crates/fleet/src/stages.rs
@@ -10,6 +10,7 @@
 //! is changing no longer counts for its old stage; it counts for its new stage only when further
 //! changes are planned.
 
+mod engine_times;
 mod gain;
 mod work;
 
@@ -19,6 +20,8 @@
 
 use crate::configuration::Stage;
 use crate::directory::BackEnd;
+pub use engine_times::EngineTime;
+use engine_times::EngineTimes;
 use gain::{Engines, best_move, net_gain};
 pub(crate) use work::DECODE_READ_SPEED_RATIO;
 pub use work::{DECODE_READING_SHARE, StageWork};
@@ -100,6 +103,7 @@
     /// [`gain::best_move`]; `None` before the first plan.
     change_share: Option<f64>,
     recent: VecDeque<(Instant, StageWork)>,
+    times: EngineTimes,
 }
 
 /// Stage that needs more engines, and since when without interruption.
@@ -110,9 +114,22 @@
 }
 
 impl StagePlanner {
+    /// Replaces what is known of the speed of engines. Without it they count as equal.
+    pub fn set_engine_times(&mut self, times: impl IntoIterator<Item = (Arc<str>, EngineTime)>) {
+        self.times = EngineTimes::new(times);
+    }
+
     /// Records measured work and the engines that performed it. Daemons that do not order changes
     /// also observe, so that they can take over without a warm-up.
     pub fn observe(&mut self, measured: StageWork, engines: &[Arc<BackEnd>], now: Instant) {
+        // Prompts are measured at the speed of an average engine; held slots and decode work already
+        // contain the speed of the engines.
+        let prefill_time = self.times.of_prefill_stage(engines);
+        let measured = StageWork {
+            prefill: measured.prefill * prefill_time,
+            short_reading: measured.short_reading * prefill_time,
+            ..measured
+        };
         self.smooth(measured);
         self.recent.push_back((now, measured));
         while let Some((at, _work)) = self.recent.front()
@@ -202,7 +219,7 @@
         counts
     }
 
-    /// Engines that may change to `stage`, the least busy last.
+    /// Engines that may change to `stage`, the least busy and most suitable last.
     fn candidates(
         &self,
         engines: &[Arc<BackEnd>],
@@ -216,7 +233,10 @@
             .filter(|engine| !self.must_dwell(engine, now))
             .filter_map(|engine| Some((engine, busyness(engine)?)))
             .collect();
-        candidates.sort_by(|left, right| right.1.total_cmp(&left.1));
+        candidates.sort_by(|left, right| {
+            let (left, right) = ((&**left.0, left.1), (&**right.0, right.1));
+            self.times.compare(stage, left, right)
+        });
         let engines = candidates.into_iter();
         engines
             .map(|(engine, _requests)| Arc::clone(engine))
--- a/crates/fleet/tests/stages.rs
+++ b/crates/fleet/tests/stages.rs
@@ -7,7 +7,7 @@
 
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::stages::{StageChange, StagePlanner, StageWork};
+use ponddrift_fleet::stages::{EngineTime, StageChange, StagePlanner, StageWork};
 use support::engines;
 
 const STEP: Duration = Duration::from_millis(500);
@@ -268,3 +268,70 @@
     scene.run(Duration::from_secs(15), full);
     assert!(scene.prefill() < 9, "{}", scene.prefill());
 }
+
+fn engine_times(scene: &Scene, time_of: impl Fn(usize) -> f64) -> Vec<(Arc<str>, EngineTime)> {
+    let times = scene.engines.iter().enumerate().map(|(index, engine)| {
+        let time = time_of(index);
+        let time = EngineTime {
+            prefill: time,
+            decode: time,
+        };
+        (Arc::clone(&engine.id), time)
+    });
+    times.collect()
+}
+
+/// Load: prefill work for six engines before four prefill and twelve idle decode engines, of which
+/// the last three take 1.8 times as long as the others. Bound: streams keep their gaps only at the
+/// fast ones, so the slow ones change to prefill first.
+#[test]
+fn slow_engines_change_to_prefill_first() {
+    let mut scene = Scene::new(4, 12);
+    let times = engine_times(&scene, |index| if index >= 13 { 1.8 } else { 1.0 });
+    let slow: Vec<Arc<str>> = times[13..]
+        .iter()
+        .map(|(id, _time)| Arc::clone(id))
+        .collect();
+    scene.planner.set_engine_times(times);
+    let changes = scene.run_until_changes(work(4.5, 0.5));
+    for change in &changes {
+        assert_eq!(change.stage, Stage::Prefill);
+        assert!(slow.contains(&change.engine.id));
+    }
+}
+
+/// Load: decode work for six engines before twelve idle prefill engines, of which the last three
+/// take half as long as the others, and four decode engines. Bound: streams keep their gaps best at
+/// the fast ones, so these change to decode first.
+#[test]
+fn fast_engines_change_to_decode_first() {
+    let mut scene = Scene::new(12, 4);
+    let is_fast = |index: usize| (9..12).contains(&index);
+    let times = engine_times(&scene, |index| if is_fast(index) { 0.5 } else { 1.0 });
+    let fast: Vec<Arc<str>> = times[9..12]
+        .iter()
+        .map(|(id, _time)| Arc::clone(id))
+        .collect();
+    scene.planner.set_engine_times(times);
+    let changes = scene.run_until_changes(work(0.5, 4.5));
+    for change in &changes {
+        assert_eq!(change.stage, Stage::Decode);
+        assert!(fast.contains(&change.engine.id));
+    }
+}
+
+/// Load: prefill work for two average engines before six prefill and six decode engines, for a
+/// minute; the prefill engines are average in one case and take three times as long in the other.
+/// Bound: the slow ones are as busy as with work for six engines, so they get help.
+#[test]
+fn prefill_capacity_is_counted_in_work() {
+    let changes_with = |time: f64| {
+        let mut scene = Scene::new(6, 6);
+        let times = engine_times(&scene, |index| if index < 6 { time } else { 1.0 });
+        scene.planner.set_engine_times(times);
+        scene.run(Duration::from_secs(60), work(2.0, 0.3));
+        scene.changes
+    };
+    assert_eq!(changes_with(1.0), 0);
+    assert!(changes_with(3.0) > 0);
+}
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -9,7 +9,9 @@
 use futures::future::join_all;
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::stages::{StageChange, StagePlanner, StageWork};
+use ponddrift_fleet::placement::Placement;
+use ponddrift_fleet::profiles::WorkKind;
+use ponddrift_fleet::stages::{EngineTime, StageChange, StagePlanner, StageWork};
 use ponddrift_runtime::Runtime;
 
 use crate::connections::Connections;
@@ -98,9 +100,13 @@
         let work = self.pipeline.fleet_work();
         for (service, measured) in &work {
             let engines = self.engines(service);
-            let slots = self.pipeline.placement().load.slots_held(&engines);
+            let placement = self.pipeline.placement();
+            let slots = placement.load.slots_held(&engines);
+            let times = known_times(&placement, &engines, now());
+            drop(placement);
             let measured = StageWork { slots, ..*measured };
             let planner = self.planners.entry(Arc::clone(service)).or_default();
+            planner.set_engine_times(times);
             planner.observe(measured, &engines, now());
         }
         work.into_iter().map(|(service, _work)| service).collect()
@@ -237,3 +243,23 @@
         (self.calls.order(engine, &facts).await, Some(fence))
     }
 }
+
+/// Times of the engines whose profiles are known; empty where profiles are not used.
+fn known_times(
+    placement: &Placement,
+    engines: &[Arc<BackEnd>],
+    now: Instant,
+) -> Vec<(Arc<str>, EngineTime)> {
+    let profiles = &placement.profiles;
+    if !profiles.is_enabled() {
+        return Vec::new();
+    }
+    let times = engines.iter().map(|engine| {
+        let time = EngineTime {
+            prefill: profiles.factor(engine, WorkKind::Prefill, now),
+            decode: profiles.factor(engine, WorkKind::Decode, now),
+        };
+        (Arc::clone(&engine.id), time)
+    });
+    times.collect()
+}
