--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -5,7 +5,9 @@
 mod costs;
 mod decoding;
 mod fairness;
+mod gap_line;
 mod gap_risk;
+mod learning;
 mod link;
 mod load;
 mod metering;
@@ -39,6 +41,7 @@
 pub use decoding::{FastestEngine, StreamPlacement};
 pub use fairness::{FairShares, OfferedRequest};
 pub use gap_risk::{GapForecast, StreamNeeds};
+pub use learning::PromptTime;
 pub use link::LocalLink;
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
 pub use prefixes::{MIN_PREFIX_TOKENS, PrefixMemory, PrefixState, PrefixUse, tracked_prefix};
@@ -46,6 +49,7 @@
 pub use request::{DecodeRequest, HandOver, LatencyTargets, PromptPlan, PromptRequest};
 pub use speed::{PromptReading, SpeedTable};
 pub use stream_times::StreamTimes;
+pub(crate) use work::half_life_decay;
 pub use work::{PeerWork, WorkMeter};
 
 /// Share of an uncached prefix that its preferred engine is expected to process. Below 1 because
