--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -221,10 +221,9 @@
         let candidates = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
-        let average_ms = self.average_plain_ms(&candidates, now);
         self.cheapest(&candidates, now, random, |back_end| {
             let ahead = self.load.requests(&back_end.id);
-            let expected = self.plain_ms(back_end, average_ms, now);
+            let expected = self.plain_ms(back_end, now);
             Estimate {
                 time_ms: expected * (1.0 + ahead / f64::from(back_end.slots.max(1))),
                 burden_ms: 0.0,
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -251,39 +251,12 @@
         }
     }
 
-    /// Response time of an average plain back end, as far as the answers that this daemon received
-    /// from the candidates show it, in milliseconds; `None` before the first one and while profiles
-    /// are not used.
-    pub(super) fn average_plain_ms(
-        &self,
-        candidates: &[Arc<BackEnd>],
-        now: Instant,
-    ) -> Option<f64> {
-        if !self.profiles.is_enabled() {
-            return None;
-        }
-        let mut sum = 0.0;
-        let mut known = 0.0;
-        for back_end in candidates {
-            if let Some(own_ms) = self.speed.plain_ms(&back_end.id) {
-                sum += own_ms / self.time_factor(back_end, WorkKind::Plain, now);
-                known += 1.0;
-            }
-        }
-        (known > 0.0).then(|| sum / known)
-    }
-
     /// Expected response time of an idle plain back end, in milliseconds: from its profile, which
     /// all daemons share, otherwise from the answers that this daemon received from it.
-    pub(super) fn plain_ms(
-        &self,
-        back_end: &BackEnd,
-        average_ms: Option<f64>,
-        now: Instant,
-    ) -> f64 {
+    pub(super) fn plain_ms(&self, back_end: &BackEnd, now: Instant) -> f64 {
         let known = self.profiles.known(back_end, WorkKind::Plain, now);
         known
-            .zip(average_ms)
+            .zip(self.profiles.plain_ms(&back_end.service))
             .map(|(profile, average_ms)| profile.factor * average_ms)
             .or_else(|| self.speed.plain_ms(&back_end.id))
             .unwrap_or(DEFAULT_PLAIN_MS)
