Gap risk: gaps are counted in events, and a prompt pays only for the gaps that it breaks itself

Change: the events of a stream for each announced token are learned from complete streams; before the first one a stream counts as one that keeps its target gap until its deadline. A prompt counts only the streams that it breaks in addition. Reading takes at most half of an engine's time from its streams.

--- a/crates/fleet/src/placement/decoding.rs
+++ b/crates/fleet/src/placement/decoding.rs
@@ -8,8 +8,9 @@
 use crate::directory::BackEnd;
 use crate::profiles::WorkKind;
 
-/// Largest share of an engine's time that reading prompts is assumed to take from its streams.
-const MAX_READING_SHARE: f64 = 0.75;
+/// Largest share of an engine's time that reading prompts is assumed to take from its streams: it
+/// reads in pieces, between the events of streams.
+const MAX_READING_SHARE: f64 = 0.5;
 
 /// Context for estimating the gaps of streams at the decode engines of a service.
 #[derive(Clone, Copy)]
@@ -96,8 +97,9 @@
         late_streams * stream.latency_ms + stream.overrun_ms(with_it)
     }
 
-    /// Number of streams at an engine that would have a gap beyond `target_ms` if the engine
-    /// processed prompts for `reading_ms`; `None` while gaps are unknown or profiles are not used.
+    /// Number of streams at an engine that would have a gap beyond `target_ms` only because the
+    /// engine processed prompts for `reading_ms`; `None` while gaps are unknown or profiles are not
+    /// used.
     pub(super) fn streams_broken_by(
         &self,
         back_end: &BackEnd,
@@ -106,10 +108,9 @@
     ) -> Option<f64> {
         let outstanding = self.placement.load.outstanding(&back_end.id);
         let gaps = self.gaps(back_end, streams_there(back_end, outstanding))?;
-        let exceeded = gaps
-            .with_extra(reading_ms.min(target_ms))
-            .exceeds(target_ms);
-        Some(exceeded * outstanding.generating)
+        let with_reading = gaps.with_extra(reading_ms.min(target_ms));
+        let added_share = with_reading.exceeds(target_ms) - gaps.exceeds(target_ms);
+        Some(added_share * outstanding.generating)
     }
 
     /// Explains the placement of the stream at `chosen` among `candidates`.
--- a/crates/fleet/src/placement/gap_risk.rs
+++ b/crates/fleet/src/placement/gap_risk.rs
@@ -64,7 +64,7 @@
     pub target_gap_ms: f64,
     /// Target time to the first event, in milliseconds: what a late request costs.
     pub latency_ms: f64,
-    /// Maximum number of gaps still to come.
+    /// Expected number of gaps still to come.
     pub gaps: f64,
     /// Time until the stream's deadline, in milliseconds.
     pub time_left_ms: f64,
@@ -72,22 +72,30 @@
 
 impl StreamNeeds {
     /// Needs of the answer to `prompt` after its first `events_sent` events; `None` without a
-    /// target gap.
+    /// target gap. An event may contain several tokens: `events_per_token` is `None` while their
+    /// ratio is unknown, and the stream then counts as one that keeps its target gap until its
+    /// deadline.
     #[must_use]
     pub fn of(
         prompt: &Prompt,
         targets: LatencyTargets,
         events_sent: u64,
         time_left: Duration,
+        events_per_token: Option<f64>,
     ) -> Option<Self> {
-        let target_gap = targets.gap?;
-        let gaps_sent = u32::try_from(events_sent).unwrap_or(u32::MAX);
-        let gaps = prompt.output_tokens.saturating_sub(gaps_sent.max(1));
+        let target_gap_ms = targets.gap?.as_secs_f64() * MS_PER_S;
+        let time_left_ms = time_left.as_secs_f64() * MS_PER_S;
+        let tokens = f64::from(prompt.output_tokens);
+        let events = events_per_token.map_or_else(
+            || tokens.min(time_left_ms / target_gap_ms),
+            |events_per_token| tokens * events_per_token,
+        );
+        let events_sent = u32::try_from(events_sent).unwrap_or(u32::MAX);
         Some(Self {
-            target_gap_ms: target_gap.as_secs_f64() * MS_PER_S,
+            target_gap_ms,
             latency_ms: targets.latency_ms(),
-            gaps: f64::from(gaps),
-            time_left_ms: time_left.as_secs_f64() * MS_PER_S,
+            gaps: (events - f64::from(events_sent.max(1))).max(0.0),
+            time_left_ms,
         })
     }
 
--- a/crates/fleet/src/placement/stream_times.rs
+++ b/crates/fleet/src/placement/stream_times.rs
@@ -45,6 +45,14 @@
     average_ms: Average,
     baseline_gap_ms: Average,
     gap_line: GapLine,
+    events: EventCounts,
+}
+
+/// Events and announced tokens of ended streams; those of older streams weigh less.
+#[derive(Debug, Default)]
+struct EventCounts {
+    events: f64,
+    tokens: f64,
 }
 
 /// Stream statistics by service.
@@ -74,6 +82,23 @@
         self.of(service).baseline_gap_ms.add(gap_ms);
     }
 
+    /// Records the number of events of a complete stream that was announced with `output_tokens`.
+    pub fn record_events(&mut self, service: &Arc<str>, output_tokens: u32, events: u64) {
+        let events = u32::try_from(events).unwrap_or(u32::MAX);
+        let counts = &mut self.of(service).events;
+        let kept = 1.0 - NEWEST_WEIGHT;
+        counts.events = counts.events * kept + f64::from(events);
+        counts.tokens = counts.tokens * kept + f64::from(output_tokens);
+    }
+
+    /// Events of a stream for each token that it was announced with; `None` before the first
+    /// complete stream.
+    #[must_use]
+    pub fn events_per_token(&self, service: &str) -> Option<f64> {
+        let counts = &self.by_service.get(service)?.events;
+        (counts.tokens > 0.0).then(|| counts.events / counts.tokens)
+    }
+
     /// Time within which the running streams of an engine can be expected to end: the longest
     /// recent duration, decayed.
     #[must_use]
--- a/crates/fleet/tests/placement.rs
+++ b/crates/fleet/tests/placement.rs
@@ -59,7 +59,7 @@
                     traits: &traits(),
                     urgency: self.urgency,
                     body_bytes: 20_000,
-                    stream: StreamNeeds::of(prompt, TARGETS, 0, Duration::from_secs(10)),
+                    stream: StreamNeeds::of(prompt, TARGETS, 0, Duration::from_secs(10), None),
                 },
                 self.now,
                 &mut self.random,
--- a/crates/fleet/tests/placement_by_profile.rs
+++ b/crates/fleet/tests/placement_by_profile.rs
@@ -104,7 +104,7 @@
     }
 
     fn stream(&self, prompt: &Prompt, time_left: Duration) -> Option<StreamNeeds> {
-        StreamNeeds::of(prompt, TARGETS, 0, time_left)
+        StreamNeeds::of(prompt, TARGETS, 0, time_left, Some(1.0))
     }
 
     fn choose_decoder(&mut self, prompt: &Prompt, time_left: Duration) -> Arc<BackEnd> {
--- a/crates/fleet/tests/placement_without_profiles.rs
+++ b/crates/fleet/tests/placement_without_profiles.rs
@@ -99,7 +99,7 @@
                 Urgency::InTime
             },
             body_bytes: 2_000,
-            stream: StreamNeeds::of(&prompt, TARGETS, 0, Duration::from_secs(2)),
+            stream: StreamNeeds::of(&prompt, TARGETS, 0, Duration::from_secs(2), None),
         };
         let plan = placement
             .plan_prompt(&engines, &[], &request, now, &mut random)
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -259,7 +259,12 @@
         let prompt_engine = plan.prefill.as_ref().unwrap_or(&plan.decode);
         let decodes_here = plan.prefill.is_none();
         let explanation = decodes_here.then(|| {
-            placement.explain_stream(&plan.decode, &candidates.back_ends, job.stream_needs(), now)
+            placement.explain_stream(
+                &plan.decode,
+                &candidates.back_ends,
+                job.stream_needs(&placement),
+                now,
+            )
         });
         let stream = explanation.flatten();
         job.note_expected_gap(stream.as_ref());
@@ -301,7 +306,7 @@
             traits,
             urgency: Urgency::InTime,
             body_bytes: job.body.len(),
-            stream: job.stream_needs(),
+            stream: job.stream_needs(placement),
         };
         let plan = placement.plan_prompt(ready, &job.tried, &request, now, &mut *self.random())?;
         let share = placement.confidence.share(&job.service.name);
@@ -439,14 +444,18 @@
                 &DecodeRequest {
                     prompt: job.metadata.prompt.as_ref(),
                     hand_over,
-                    stream: job.stream_needs(),
+                    stream: job.stream_needs(&placement),
                 },
                 now(),
                 &mut *self.random(),
             )
             .unwrap_or_else(|| Arc::clone(&plan.decode));
-        let stream =
-            placement.explain_stream(&chosen, &candidates.back_ends, job.stream_needs(), now());
+        let stream = placement.explain_stream(
+            &chosen,
+            &candidates.back_ends,
+            job.stream_needs(&placement),
+            now(),
+        );
         job.note_expected_gap(stream.as_ref());
         job.trace.add(TraceStep::BackEndChosen {
             purpose: "decode",
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -7,7 +7,9 @@
 use http::{HeaderMap, Method, Uri, header};
 use ponddrift_fleet::configuration::{Route, Service};
 use ponddrift_fleet::fingerprint::{RequestContent, RequestFingerprint};
-use ponddrift_fleet::placement::{LatencyTargets, StreamNeeds, StreamPlacement, Urgency};
+use ponddrift_fleet::placement::{
+    LatencyTargets, Placement, StreamNeeds, StreamPlacement, Urgency,
+};
 use ponddrift_fleet::tenants::Tenant;
 
 use super::Pipeline;
@@ -117,13 +119,15 @@
     }
 
     /// What the rest of the stream needs; `None` if it has no target gap or no described prompt.
-    pub(super) fn stream_needs(&self) -> Option<StreamNeeds> {
+    pub(super) fn stream_needs(&self, placement: &Placement) -> Option<StreamNeeds> {
         let prompt = self.metadata.prompt.as_ref()?;
+        let events_per_token = placement.streams.events_per_token(&self.service.name);
         StreamNeeds::of(
             prompt,
             self.latency_targets(),
             self.events_sent,
             self.time_left(),
+            events_per_token,
         )
     }
 
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -201,9 +201,14 @@
         let time = now().saturating_duration_since(stream.started_at);
         let slots = stream.back_end.slots;
         let service = &self.job.service.name;
-        self.pipeline
-            .placement()
-            .record_stream_work(service, slots, time, now());
+        let mut placement = self.pipeline.placement();
+        placement.record_stream_work(service, slots, time, now());
+        if let Some(prompt) = &self.job.metadata.prompt {
+            let events = self.job.events_sent;
+            let streams = &mut placement.streams;
+            streams.record_events(service, prompt.output_tokens, events);
+        }
+        drop(placement);
         stream.connection.return_to_pool(&stream.head.headers);
         self.finish(200, "served");
     }
