Stage orders: an engine that took its order gets no requests until it shows its new stage

Choices by gap send streams to the least busy engine first, so that the retry budget ran out.

Change, only while profiles are enabled: once the order is taken, the suspension lasts until the engine reports its new stage or the change is overdue.

--- a/crates/fleet/src/stages.rs
+++ b/crates/fleet/src/stages.rs
@@ -31,7 +31,7 @@
 const EXPECTED_REMAINING_FACTOR: f64 = 2.0;
 /// A change that the directory does not show after this multiple of its expected time is considered
 /// failed or undone.
-const OVERDUE_FACTOR: f64 = 3.0;
+pub const OVERDUE_FACTOR: f64 = 3.0;
 /// Weight of the newest sample in the moving average of work.
 const NEWEST_WEIGHT: f64 = 0.4;
 /// Minimum interval between two changes.
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -11,7 +11,7 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::placement::Placement;
 use ponddrift_fleet::profiles::WorkKind;
-use ponddrift_fleet::stages::{EngineTime, StageChange, StagePlanner, StageWork};
+use ponddrift_fleet::stages::{EngineTime, OVERDUE_FACTOR, StageChange, StagePlanner, StageWork};
 use ponddrift_runtime::Runtime;
 
 use crate::connections::Connections;
@@ -90,7 +90,7 @@
             let changes = self.plan(&service, &engines);
             let outcomes = join_all(changes.iter().map(|change| self.change(change))).await;
             for (change, outcome) in changes.iter().zip(outcomes) {
-                self.settle(&change.engine, outcome);
+                self.settle(change, outcome);
             }
         }
     }
@@ -190,9 +190,13 @@
     }
 
     /// Pauses orders to an engine that did not accept one.
-    fn settle(&mut self, engine: &BackEnd, outcome: OrderOutcome) {
+    fn settle(&mut self, change: &StageChange, outcome: OrderOutcome) {
+        let engine = &change.engine;
         let pause = match outcome {
-            OrderOutcome::Taken => return,
+            OrderOutcome::Taken => {
+                self.extend_pause(change);
+                return;
+            }
             OrderOutcome::Unanswered => UNANSWERED_ORDER_PAUSE,
             OrderOutcome::Refused(_) | OrderOutcome::NotSent => {
                 self.pipeline.resume_engine(&engine.id);
@@ -206,6 +210,17 @@
             .insert(Arc::clone(&engine.id), now() + pause);
     }
 
+    /// Keeps requests away from an engine that took its order until it shows its new stage, or the
+    /// change is overdue. Until its last stream has ended it refuses all requests, although it is
+    /// the least busy engine of all. Only where profiles are used: there streams avoid busy engines.
+    fn extend_pause(&self, change: &StageChange) {
+        let has_profiles = self.pipeline.placement().profiles.is_enabled();
+        if has_profiles {
+            let until_overdue = Duration::from_secs_f64(change.away_s * OVERDUE_FACTOR);
+            self.pipeline.pause_engine(&change.engine, until_overdue);
+        }
+    }
+
     /// How long a change makes an engine of the service unavailable: its streams end first if it
     /// has any, then it changes, then its entry shows the new stage.
     fn unavailable_time(&self, service: &str, to: Stage) -> Duration {
