--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -279,7 +279,10 @@
         };
         let decoder = self.cheapest_decoder(&decoders, &decode_request, now, random)?;
         let time_ms = reader.time_ms + decoder.time_ms;
-        if reader.cost_ms + decoder.cost_ms >= direct.cost_ms {
+        let is_direct_cheaper = reader.cost_ms + decoder.cost_ms >= direct.cost_ms;
+        let spares_streams =
+            reading.should_spare_streams(&direct.back_end, preferred_decoder, time_ms);
+        if is_direct_cheaper && !spares_streams {
             return Some(reading.plan(None, direct.back_end, preferred_decoder, direct.time_ms));
         }
         let prefill = Some(reader.back_end);
--- a/crates/fleet/src/placement/decoding.rs
+++ b/crates/fleet/src/placement/decoding.rs
@@ -12,6 +12,10 @@
 /// reads in pieces, between the events of streams.
 const MAX_READING_SHARE: f64 = 0.5;
 
+/// Streams with fewer gaps than this have next to no risk of their own, so their placement is not
+/// explained.
+const MIN_GAPS_TO_EXPLAIN: f64 = 3.0;
+
 /// Context for estimating the gaps of streams at the decode engines of a service.
 #[derive(Clone, Copy)]
 pub(super) struct DecodeEstimator<'a> {
@@ -113,13 +117,15 @@
         Some(added_share * outstanding.generating)
     }
 
-    /// Explains the placement of the stream at `chosen` among `candidates`.
+    /// Explains the placement of a stream with several gaps at `chosen` among `candidates`.
     pub(super) fn explain(
         &self,
         chosen: &BackEnd,
         candidates: &[Arc<BackEnd>],
     ) -> Option<StreamPlacement> {
-        let stream = self.stream?;
+        let stream = self
+            .stream
+            .filter(|stream| stream.gaps >= MIN_GAPS_TO_EXPLAIN)?;
         let gaps = self.gaps_of_new_stream(chosen)?;
         let gap_of = |back_end: &BackEnd| {
             let forecast = self.gaps_of_new_stream(back_end);
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -8,7 +8,7 @@
 use super::{MS_PER_S, PREFERRED_ENGINE_READ_SHARE, Placement, PromptPlan, PromptRequest, Urgency};
 use crate::configuration::EngineTraits;
 use crate::directory::BackEnd;
-use crate::profiles::WorkKind;
+use crate::profiles::{BUSY_QUANTILE, WorkKind};
 
 /// Cost of a fetched prefix to other requests, as a share of its prefill time: it may evict another
 /// prefix that must then be processed again.
@@ -20,6 +20,10 @@
 /// Share of the target gap from which the gaps of streams are penalized.
 const GAP_PENALTY_THRESHOLD: f64 = 0.9;
 
+/// Expected number of streams with a broken gap up to which a decode engine may process a prompt that
+/// a prefill engine could process in time: the share of gaps that the busy factor leaves open.
+const MAX_BROKEN_STREAMS: f64 = 1.0 - BUSY_QUANTILE;
+
 /// Context for estimating the prefill of one prompt.
 pub(super) struct PrefillEstimator<'a> {
     pub(super) placement: &'a Placement,
@@ -53,11 +57,9 @@
         preferred_engine: Option<&Arc<BackEnd>>,
     ) -> Estimate {
         let placement = self.placement;
-        let rate = placement.speed.decode_tokens_per_ms();
         let work = self.read_work(back_end, preferred_engine);
-        let prompt_ms = work.tokens / rate * self.reading_factor(back_end);
-        let backlog_ms = placement.backlog_ms(back_end, rate, self.request.urgency, self.now);
-        let reading_ms = backlog_ms + prompt_ms;
+        let prompt_ms = self.prompt_at_decode_ms(back_end, &work);
+        let reading_ms = self.backlog_at_decode_ms(back_end) + prompt_ms;
         let late_streams = self.late_streams(back_end, reading_ms) + self.excess_reading;
         Estimate {
             time_ms: placement.slot_wait_ms(back_end, self.request.urgency, self.now)
@@ -94,11 +96,51 @@
         }
     }
 
+    /// Time until a decode engine has processed the prompts queued there, in milliseconds.
+    fn backlog_at_decode_ms(&self, back_end: &BackEnd) -> f64 {
+        let rate = self.placement.speed.decode_tokens_per_ms();
+        let urgency = self.request.urgency;
+        self.placement.backlog_ms(back_end, rate, urgency, self.now)
+    }
+
+    /// Time that a decode engine takes for the prompt itself, in milliseconds.
+    fn prompt_at_decode_ms(&self, back_end: &BackEnd, work: &ReadWork) -> f64 {
+        let rate = self.placement.speed.decode_tokens_per_ms();
+        work.tokens / rate * self.reading_factor(back_end)
+    }
+
     fn reading_factor(&self, back_end: &BackEnd) -> f64 {
         self.placement
             .time_factor(back_end, WorkKind::Prefill, self.now)
     }
 
+    /// Whether the decode engine would break gaps of its streams by processing the prompt, while a
+    /// prefill engine almost certainly serves it in time, in `time_ms` as expected.
+    pub(super) fn should_spare_streams(
+        &self,
+        decode: &BackEnd,
+        preferred_engine: Option<&Arc<BackEnd>>,
+        time_ms: f64,
+    ) -> bool {
+        let Some(target) = self.request.latency_targets.gap else {
+            return false;
+        };
+        let work = self.read_work(decode, preferred_engine);
+        let reading_ms =
+            self.backlog_at_decode_ms(decode) + self.prompt_at_decode_ms(decode, &work);
+        let target_ms = target.as_secs_f64() * MS_PER_S;
+        let broken = self
+            .decoding
+            .streams_broken_by(decode, reading_ms, target_ms);
+        let busy_factor = self
+            .placement
+            .profiles
+            .busy_factor(&decode.service, WorkKind::Prefill);
+        let is_other_way_in_time =
+            time_ms * busy_factor <= self.request.latency_targets.latency_ms();
+        is_other_way_in_time && broken.is_some_and(|broken| broken > MAX_BROKEN_STREAMS)
+    }
+
     /// Delay that processing the prompt at a prefill engine causes for others, in milliseconds. An
     /// engine completes a prompt that it has started, whatever arrives meanwhile. Requests on time
     /// avoid engines that process late prompts, so another late prompt there delays nobody; late
--- a/crates/fleet/tests/placement_by_profile.rs
+++ b/crates/fleet/tests/placement_by_profile.rs
@@ -343,6 +343,29 @@
     assert!((over_target.exceeds(TARGET_GAP_MS) - 1.0).abs() < 1e-9);
 }
 
+/// Load: complete streams announced with 4,752 tokens that brought 72 events. Bound: the next one is
+/// expected to have as many gaps as they had, and before the first one no more than it has time for
+/// at its target gap.
+#[test]
+fn gaps_are_counted_in_events() {
+    let mut placement = Placement::new(Arc::from("a"));
+    let service: Arc<str> = Arc::from("models");
+    let prompt = prompt(0, 220, 4_752);
+    let gaps = |placement: &Placement, events_sent| {
+        let events_per_token = placement.streams.events_per_token("models");
+        let time_left = Duration::from_secs(15);
+        let needs = StreamNeeds::of(&prompt, TARGETS, events_sent, time_left, events_per_token);
+        needs.expect("a target gap").gaps
+    };
+    assert!((gaps(&placement, 0) - 74.0).abs() < 1e-9);
+    for _ in 0..3 {
+        placement.streams.record_events(&service, 4_752, 72);
+    }
+    assert!((gaps(&placement, 0) - 71.0).abs() < 1e-6);
+    assert!((gaps(&placement, 40) - 32.0).abs() < 1e-6);
+    assert!((gaps(&placement, 200)).abs() < 1e-9);
+}
+
 /// Load: 300 streams before engines that have answered slowly, with profiles disabled. Bound: what
 /// is recorded meanwhile changes no choice.
 #[test]
