Gap risk: caution before the variation of gaps is known; running streams count by their rest

Change: a busy factor below 1.5 counts as 1.5; a running stream counts with half of its gaps. Measured: tests only so far.

--- a/crates/fleet/src/placement/decoding.rs
+++ b/crates/fleet/src/placement/decoding.rs
@@ -96,7 +96,8 @@
         else {
             return 0.0;
         };
-        let added_risk = stream.late_share(with_it) - stream.late_share(without_it);
+        let added_risk =
+            stream.late_share_of_running(with_it) - stream.late_share_of_running(without_it);
         let late_streams = stream.late_share(with_it) + outstanding.generating * added_risk;
         late_streams * stream.latency_ms + stream.overrun_ms(with_it)
     }
--- a/crates/fleet/src/placement/gap_risk.rs
+++ b/crates/fleet/src/placement/gap_risk.rs
@@ -11,8 +11,11 @@
 use crate::profiles::BUSY_QUANTILE;
 use crate::prompt::Prompt;
 
-/// Lowest busy factor assumed: the mean gap is itself an estimate, so no gap is certain.
-const MIN_BUSY_FACTOR: f64 = 1.2;
+/// Lowest busy factor assumed, also before the variation of the service's gaps is known. The mean gap
+/// is itself an estimate, and prompts that arrive later lengthen single gaps.
+const MIN_BUSY_FACTOR: f64 = 1.5;
+/// Share of a running stream's gaps that are still to come, on average.
+const REMAINING_SHARE_OF_GAPS: f64 = 0.5;
 /// Share of the time left that a stream should be expected to need at most. Keeps the rest for
 /// moments in which the back end is slow.
 const MAX_EXPECTED_SHARE_OF_TIME_LEFT: f64 = 0.8;
@@ -105,6 +108,13 @@
         forecast.any_exceeds(self.gaps, self.target_gap_ms)
     }
 
+    /// Probability that a stream of this kind that is already running misses its target gap in the
+    /// rest of it.
+    #[must_use]
+    pub fn late_share_of_running(self, forecast: GapForecast) -> f64 {
+        forecast.any_exceeds(self.gaps * REMAINING_SHARE_OF_GAPS, self.target_gap_ms)
+    }
+
     /// Time by which the stream is expected to overrun the time that it should need, in
     /// milliseconds.
     #[must_use]
