--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -3,14 +3,17 @@
 mod arrivals;
 mod confidence;
 mod costs;
+mod decoding;
 mod fairness;
 mod gap_line;
+mod gap_risk;
 mod learning;
 mod link;
 mod load;
 mod metering;
 mod prefixes;
 mod reading;
+mod request;
 mod speed;
 mod stream_times;
 mod work;
@@ -22,7 +25,7 @@
 use rand::Rng;
 
 use crate::announcements::Announcements;
-use crate::configuration::{EngineTraits, Stage};
+use crate::configuration::Stage;
 use crate::directory::{BackEnd, ReadyCounts};
 use crate::health::Health;
 use crate::profiles::Profiles;
@@ -34,12 +37,16 @@
 pub use confidence::Confidence;
 pub use costs::NextRateToken;
 use costs::{Choice, Estimate};
+use decoding::DecodeEstimator;
+pub use decoding::{FastestEngine, StreamPlacement};
 pub use fairness::{FairShares, OfferedRequest};
+pub use gap_risk::{GapForecast, StreamNeeds};
 pub use learning::PromptTime;
 pub use link::LocalLink;
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
 pub use prefixes::{MIN_PREFIX_TOKENS, PrefixMemory, PrefixState, PrefixUse, tracked_prefix};
 use reading::PrefillEstimator;
+pub use request::{DecodeRequest, HandOver, LatencyTargets, PromptPlan, PromptRequest};
 pub use speed::{PromptReading, SpeedTable};
 pub use stream_times::StreamTimes;
 pub(crate) use work::half_life_decay;
@@ -61,112 +68,6 @@
 /// Expected latency of a plain back end that has not answered yet, in milliseconds.
 const DEFAULT_PLAIN_MS: f64 = 20.0;
 
-/// Latency targets of a request.
-#[derive(Debug, Clone, Copy)]
-pub struct LatencyTargets {
-    /// Target time to the first event.
-    pub latency: Duration,
-    /// Longest acceptable gap between two events, if the route sets one.
-    pub gap: Option<Duration>,
-}
-
-impl LatencyTargets {
-    fn latency_ms(self) -> f64 {
-        self.latency.as_secs_f64() * MS_PER_S
-    }
-}
-
-/// Input of [`Placement::plan_prompt`].
-#[derive(Debug, Clone, Copy)]
-pub struct PromptRequest<'a> {
-    /// Prompt to place.
-    pub prompt: &'a Prompt,
-    /// Latency targets of the answer.
-    pub latency_targets: LatencyTargets,
-    /// Properties of the service's engines.
-    pub traits: &'a EngineTraits,
-    /// Whether the request can still meet its target; decides which queued work it waits for.
-    pub urgency: Urgency,
-    /// Size of the request body, which is sent once to each chosen engine.
-    pub body_bytes: usize,
-}
-
-/// A prompt that one engine has processed and another is to continue.
-#[derive(Debug, Clone, Copy)]
-pub struct HandOver<'a> {
-    /// Engine that processed the prompt and holds its KV cache.
-    pub reader: &'a BackEnd,
-    /// Transfer time of the prompt's KV cache to another engine in the reader's zone, in
-    /// milliseconds.
-    pub transfer_ms: f64,
-}
-
-impl<'a> HandOver<'a> {
-    /// Describes the handover of `prompt` after `reader` has processed it.
-    #[must_use]
-    pub fn of(prompt: &Prompt, reader: &'a BackEnd, traits: &EngineTraits) -> Self {
-        Self {
-            reader,
-            transfer_ms: reading::transfer_ms(traits, prompt.input_tokens),
-        }
-    }
-
-    fn engines_in_reader_zone(self, engines: &[Arc<BackEnd>]) -> Vec<Arc<BackEnd>> {
-        let in_zone = engines
-            .iter()
-            .filter(|engine| engine.zone == self.reader.zone);
-        in_zone.cloned().collect()
-    }
-
-    /// Additional transfer time to `engine` compared with an engine in the reader's zone, in
-    /// milliseconds.
-    fn extra_transfer_ms(self, engine: &BackEnd) -> f64 {
-        if engine.zone == self.reader.zone {
-            0.0
-        } else {
-            self.transfer_ms * (reading::OTHER_ZONE_TRANSFER_FACTOR - 1.0)
-        }
-    }
-}
-
-/// Engines chosen for a prompt.
-#[derive(Debug, Clone)]
-pub struct PromptPlan {
-    /// Prefill engine; `None` if the decode engine processes the prompt itself.
-    pub prefill: Option<Arc<BackEnd>>,
-    /// Decode engine.
-    pub decode: Arc<BackEnd>,
-    /// Engine from which the reader fetches the cached prefix instead of processing it.
-    pub fetch_from: Option<Arc<BackEnd>>,
-    /// Expected time to the first event, in milliseconds.
-    pub expected_ms: f64,
-    /// Expected time to fetch the prefix, in milliseconds.
-    pub fetch_ms: f64,
-    /// Expected number of prompt tokens to process.
-    pub tokens_to_read: f64,
-}
-
-impl PromptPlan {
-    /// Plan for a request that does not describe its prompt.
-    #[must_use]
-    pub const fn unknown(decode: Arc<BackEnd>) -> Self {
-        Self {
-            prefill: None,
-            decode,
-            fetch_from: None,
-            expected_ms: 0.0,
-            fetch_ms: 0.0,
-            tokens_to_read: 0.0,
-        }
-    }
-
-    /// Expected time to the first event.
-    #[must_use]
-    pub fn expected(&self) -> Duration {
-        Duration::from_secs_f64(self.expected_ms / MS_PER_S)
-    }
-}
-
 /// Period during which an engine that is about to change its stage gets no new requests.
 #[derive(Debug, Clone, Copy)]
 struct Suspension {
@@ -322,10 +223,7 @@
         });
         self.cheapest(&candidates, now, random, |back_end| {
             let ahead = self.load.requests(&back_end.id);
-            let expected = self
-                .speed
-                .plain_ms(&back_end.id)
-                .unwrap_or(DEFAULT_PLAIN_MS);
+            let expected = self.plain_ms(back_end, now);
             Estimate {
                 time_ms: expected * (1.0 + ahead / f64::from(back_end.slots.max(1))),
                 burden_ms: 0.0,
@@ -358,8 +256,10 @@
             holders: &holders,
             excess_reading: self.excess_reading(&decoders, request.latency_targets),
             link_wait_ms: self.link.wait_ms(now),
+            decoding: self.decode_estimator(&decoders, request.stream, now),
             decode_arrivals_per_ms: self.arrivals_per_engine_per_ms(&decoders, Stage::Decode),
             prefill_arrivals_per_ms: self.arrivals_per_engine_per_ms(&prefills, Stage::Prefill),
+            now,
         };
         let preferred_decoder = reading.preferred_engine(&decoders);
         let direct = self.cheapest(&decoders, now, random, |back_end| {
@@ -372,11 +272,19 @@
         let Some(reader) = reader else {
             return Some(reading.plan(None, direct.back_end, preferred_decoder, direct.time_ms));
         };
-        let decoder = self.cheapest_decoder(&decoders, Some(prompt), None, now, random)?;
-        if reader.cost_ms + decoder.cost_ms >= direct.cost_ms {
+        let decode_request = DecodeRequest {
+            prompt: Some(prompt),
+            hand_over: None,
+            stream: request.stream,
+        };
+        let decoder = self.cheapest_decoder(&decoders, &decode_request, now, random)?;
+        let time_ms = reader.time_ms + decoder.time_ms;
+        let is_direct_cheaper = reader.cost_ms + decoder.cost_ms >= direct.cost_ms;
+        let spares_streams =
+            reading.should_spare_streams(&direct.back_end, preferred_decoder, time_ms);
+        if is_direct_cheaper && !spares_streams {
             return Some(reading.plan(None, direct.back_end, preferred_decoder, direct.time_ms));
         }
-        let time_ms = reader.time_ms + decoder.time_ms;
         let prefill = Some(reader.back_end);
         Some(reading.plan(prefill, decoder.back_end, preferred_prefill, time_ms))
     }
@@ -447,7 +355,11 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Arc<BackEnd>> {
-        self.choose_decode_after_prefill(ready, tried, prompt, None, now, random)
+        let request = DecodeRequest {
+            prompt,
+            ..DecodeRequest::default()
+        };
+        self.choose_decode_after_prefill(ready, tried, &request, now, random)
     }
 
     /// Like [`Self::choose_decode`], for a known engine that holds the KV cache.
@@ -455,26 +367,62 @@
         &self,
         ready: &[Arc<BackEnd>],
         tried: &[Arc<str>],
-        prompt: Option<&Prompt>,
-        hand_over: Option<HandOver<'_>>,
+        request: &DecodeRequest<'_>,
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Arc<BackEnd>> {
         let decoders = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
-        self.cheapest_decoder(&decoders, prompt, hand_over, now, random)
+        self.cheapest_decoder(&decoders, request, now, random)
             .map(|choice| choice.back_end)
     }
 
+    /// Explains why a stream was placed at `chosen`; `None` while the gaps of streams are unknown or
+    /// profiles are not used.
+    #[must_use]
+    pub fn explain_stream(
+        &self,
+        chosen: &BackEnd,
+        ready: &[Arc<BackEnd>],
+        stream: Option<StreamNeeds>,
+        now: Instant,
+    ) -> Option<StreamPlacement> {
+        if !self.profiles.is_enabled() {
+            return None;
+        }
+        let decoders = self.usable(ready, &[], now, |back_end| {
+            back_end.stage != Some(Stage::Prefill)
+        });
+        self.decode_estimator(&decoders, stream, now)
+            .explain(chosen, &decoders)
+    }
+
+    fn decode_estimator(
+        &self,
+        decoders: &[Arc<BackEnd>],
+        stream: Option<StreamNeeds>,
+        now: Instant,
+    ) -> DecodeEstimator<'_> {
+        DecodeEstimator {
+            placement: self,
+            stream,
+            reading_share: self.reading_share(decoders),
+            now,
+        }
+    }
+
     fn cheapest_decoder(
         &self,
         decoders: &[Arc<BackEnd>],
-        prompt: Option<&Prompt>,
-        hand_over: Option<HandOver<'_>>,
+        request: &DecodeRequest<'_>,
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Choice> {
+        let DecodeRequest {
+            prompt, hand_over, ..
+        } = *request;
+        let decoding = self.decode_estimator(decoders, request.stream, now);
         let rate = self.speed.decode_tokens_per_ms();
         let prefix = prompt.and_then(prefixes::tracked_prefix);
         // All daemons compute the same preferred engine, so they also hand over to the same one.
@@ -485,10 +433,10 @@
         });
         let prefix_ms = prompt.map_or(0.0, |prompt| self.prefix_reading_ms(prompt));
         self.cheapest(decoders, now, random, |back_end| {
-            let time_ms = self.slot_wait_ms(back_end, Urgency::InTime)
+            let time_ms = self.slot_wait_ms(back_end, Urgency::InTime, now)
                 + self.speed.message_overhead_ms()
                 + hand_over.map_or(0.0, |hand_over| hand_over.extra_transfer_ms(back_end))
-                + self.backlog_ms(back_end, rate, Urgency::InTime) * ENCOUNTERED_BACKLOG_SHARE;
+                + self.backlog_ms(back_end, rate, Urgency::InTime, now) * ENCOUNTERED_BACKLOG_SHARE;
             let miss_share = match prefix {
                 None => 0.0,
                 Some(prefix) if self.prefixes.state(&back_end.id, prefix, now).is_some() => 0.0,
@@ -502,7 +450,7 @@
             };
             Estimate {
                 time_ms,
-                burden_ms: miss_share * prefix_ms,
+                burden_ms: miss_share * prefix_ms + decoding.stream_burden_ms(back_end),
             }
         })
     }
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -9,7 +9,9 @@
 use futures::future::join_all;
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::stages::{StageChange, StagePlanner, StageWork};
+use ponddrift_fleet::placement::Placement;
+use ponddrift_fleet::profiles::WorkKind;
+use ponddrift_fleet::stages::{EngineTime, OVERDUE_FACTOR, StageChange, StagePlanner, StageWork};
 use ponddrift_runtime::Runtime;
 
 use crate::connections::Connections;
@@ -88,7 +90,7 @@
             let changes = self.plan(&service, &engines);
             let outcomes = join_all(changes.iter().map(|change| self.change(change))).await;
             for (change, outcome) in changes.iter().zip(outcomes) {
-                self.settle(&change.engine, outcome);
+                self.settle(change, outcome);
             }
         }
     }
@@ -98,9 +100,13 @@
         let work = self.pipeline.fleet_work();
         for (service, measured) in &work {
             let engines = self.engines(service);
-            let slots = self.pipeline.placement().load.slots_held(&engines);
+            let placement = self.pipeline.placement();
+            let slots = placement.load.slots_held(&engines);
+            let times = known_times(&placement, &engines, now());
+            drop(placement);
             let measured = StageWork { slots, ..*measured };
             let planner = self.planners.entry(Arc::clone(service)).or_default();
+            planner.set_engine_times(times);
             planner.observe(measured, &engines, now());
         }
         work.into_iter().map(|(service, _work)| service).collect()
@@ -184,9 +190,13 @@
     }
 
     /// Pauses orders to an engine that did not accept one.
-    fn settle(&mut self, engine: &BackEnd, outcome: OrderOutcome) {
+    fn settle(&mut self, change: &StageChange, outcome: OrderOutcome) {
+        let engine = &change.engine;
         let pause = match outcome {
-            OrderOutcome::Taken => return,
+            OrderOutcome::Taken => {
+                self.extend_pause(change);
+                return;
+            }
             OrderOutcome::Unanswered => UNANSWERED_ORDER_PAUSE,
             OrderOutcome::Refused(_) | OrderOutcome::NotSent => {
                 self.pipeline.resume_engine(&engine.id);
@@ -200,6 +210,17 @@
             .insert(Arc::clone(&engine.id), now() + pause);
     }
 
+    /// Keeps requests away from an engine that took its order until it shows its new stage, or the
+    /// change is overdue. Until its last stream has ended it refuses all requests, although it is
+    /// the least busy engine of all. Only where profiles are used: there streams avoid busy engines.
+    fn extend_pause(&self, change: &StageChange) {
+        let has_profiles = self.pipeline.placement().profiles.is_enabled();
+        if has_profiles {
+            let until_overdue = Duration::from_secs_f64(change.away_s * OVERDUE_FACTOR);
+            self.pipeline.pause_engine(&change.engine, until_overdue);
+        }
+    }
+
     /// How long a change makes an engine of the service unavailable: its streams end first if it
     /// has any, then it changes, then its entry shows the new stage.
     fn unavailable_time(&self, service: &str, to: Stage) -> Duration {
@@ -237,3 +258,23 @@
         (self.calls.order(engine, &facts).await, Some(fence))
     }
 }
+
+/// Times of the engines whose profiles are known; empty where profiles are not used.
+fn known_times(
+    placement: &Placement,
+    engines: &[Arc<BackEnd>],
+    now: Instant,
+) -> Vec<(Arc<str>, EngineTime)> {
+    let profiles = &placement.profiles;
+    if !profiles.is_enabled() {
+        return Vec::new();
+    }
+    let times = engines.iter().map(|engine| {
+        let time = EngineTime {
+            prefill: profiles.factor(engine, WorkKind::Prefill, now),
+            decode: profiles.factor(engine, WorkKind::Decode, now),
+        };
+        (Arc::clone(&engine.id), time)
+    });
+    times.collect()
+}
