Load that back ends report: read, checked and kept for a moment

Back ends may report requests running and waiting, their slots and how busy their machine is. The header is read as a typed value; one that is empty, negative, not a number, infinite, impossible, repeated or with too few or too many figures is passed over and counted (load_unreadable). The busyness is kept for 0.9 s for the incarnation that reported it (Profiles::present_busyness), while profiles are on. No decision uses it yet.

--- a/crates/fleet/src/profiles.rs
+++ b/crates/fleet/src/profiles.rs
@@ -9,6 +9,7 @@
 mod busy;
 mod estimate;
 mod merge;
+mod present;
 mod reports;
 
 use std::collections::HashMap;
@@ -20,6 +21,8 @@
 use estimate::{Evidence, Mean};
 use merge::Observers;
 pub use merge::{MAX_OBSERVERS, MAX_ROW_LOG_RATIO, MAX_ROW_WEIGHT, ProfileRow, RowMerge};
+use present::ReportedBusyness;
+pub use present::{Busyness, LoadAnnouncement, PRESENT_LOAD_TTL, PresentLoad};
 pub use reports::{BeliefChange, OwnRow, ProfileSummary};
 
 /// Lower and upper bound of the ratio that one sample may show.
@@ -144,6 +147,8 @@
     kinds: [KindProfile; KINDS],
     /// Factor that was last reported to operators.
     reported: f64,
+    /// What the back end last reported of its present busyness.
+    present: Option<ReportedBusyness>,
 }
 
 impl Profile {
@@ -153,6 +158,7 @@
             service: Arc::clone(&back_end.service),
             kinds: Default::default(),
             reported: 1.0,
+            present: None,
         }
     }
 
@@ -338,6 +344,26 @@
             .map_or(1.0, |service| service.variations[kind.index()].quantile())
     }
 
+    /// Records how busy a back end reports to be at present.
+    pub fn note_present_load(&mut self, back_end: &BackEnd, load: PresentLoad, now: Instant) {
+        let Some(busyness) = load.busyness.filter(|_| self.is_enabled) else {
+            return;
+        };
+        if let Some(profile) = profile_of(&mut self.by_back_end, back_end) {
+            profile.present = Some(ReportedBusyness { busyness, at: now });
+        }
+    }
+
+    /// How busy a back end reported to be a moment ago; `None` if it did not.
+    #[must_use]
+    pub fn present_busyness(&self, back_end: &BackEnd, now: Instant) -> Option<Busyness> {
+        let profile = self.by_back_end.get(&back_end.id)?;
+        let reported = profile.present?;
+        (profile.incarnation == back_end.incarnation)
+            .then(|| reported.now(now))
+            .flatten()
+    }
+
     /// Ratio of measured to expected times at an average back end of the service: what the callers
     /// of [`Self::record`] underestimate.
     #[must_use]
--- a/crates/fleet/tests/profiles.rs
+++ b/crates/fleet/tests/profiles.rs
@@ -7,7 +7,9 @@
 
 use ponddrift_fleet::directory::{BackEnd, Incarnation};
 use ponddrift_fleet::placement::{Placement, PromptReading, PromptTime};
-use ponddrift_fleet::profiles::{Profiles, Sample, WorkKind};
+use ponddrift_fleet::profiles::{
+    Busyness, PRESENT_LOAD_TTL, PresentLoad, Profiles, Sample, WorkKind,
+};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use support::engines;
@@ -399,3 +401,32 @@
         .factor(&engines[0], WorkKind::Decode, now);
     assert!((factor - 1.0).abs() < 1e-9, "{factor}");
 }
+
+/// Replays a report that work takes 2.5 times as long at present, and a restart.
+#[test]
+fn the_reported_busyness_expires_within_a_second() {
+    let engines = engines(0, 2);
+    let busy = PresentLoad {
+        running: 3,
+        waiting: 0,
+        slots: 16,
+        busyness: Busyness::new(2.5),
+    };
+    let now = Instant::now();
+    let mut profiles = Profiles::default();
+    profiles.note_present_load(&engines[0], busy, now);
+    assert_eq!(profiles.present_busyness(&engines[0], now), None, "off");
+    profiles.set_enabled(true);
+    profiles.note_present_load(&engines[0], busy, now);
+    let present = profiles.present_busyness(&engines[0], now);
+    assert_eq!(present.map(Busyness::ratio), Some(2.5));
+    assert_eq!(profiles.present_busyness(&engines[1], now), None);
+    let restarted = of_incarnation(&engines[0], 7);
+    assert_eq!(profiles.present_busyness(&restarted, now), None);
+    assert!(PRESENT_LOAD_TTL < Duration::from_secs(1));
+    let later = now + PRESENT_LOAD_TTL;
+    assert_eq!(profiles.present_busyness(&engines[0], later), None);
+    for impossible in [0.0, -1.0, f64::NAN, f64::INFINITY, 1e6] {
+        assert_eq!(Busyness::new(impossible), None, "{impossible}");
+    }
+}
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, header, response};
 use ponddrift_fleet::announcements::Announcement;
 use ponddrift_fleet::configuration::Stage;
+use ponddrift_fleet::profiles::LoadAnnouncement;
 use ponddrift_fleet::prompt::Prompt;
 use ponddrift_fleet::rate_limits::AnnouncedRate;
 use ponddrift_fleet::tenants::Credential;
@@ -168,6 +169,8 @@
     /// Reads the rate limit that a back end announces in an answer: requests a second from all
     /// daemons together.
     fn read_rate(&self, headers: &HeaderMap) -> AnnouncedRate;
+    /// Reads the present load that a back end reports in an answer.
+    fn read_load(&self, headers: &HeaderMap) -> LoadAnnouncement;
     /// Reads the body of a prefill engine's answer.
     fn read_prefill(&self, body: &[u8]) -> Option<PrefillResult>;
     /// The call that releases a KV cache handle.
--- a/crates/serving/src/pipeline/announcements.rs
+++ b/crates/serving/src/pipeline/announcements.rs
@@ -8,6 +8,7 @@
 use http::{HeaderMap, StatusCode};
 use ponddrift_fleet::announcements::{Availability, RequestedBackoff};
 use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::profiles::LoadAnnouncement;
 use ponddrift_fleet::rate_limits::{AnnouncedRate, RateAnswer};
 
 use super::Pipeline;
@@ -60,6 +61,7 @@
         origin: AnswerOrigin,
     ) {
         self.record_announced_rate(back_end, headers, origin);
+        self.record_reported_load(back_end, headers, origin.purpose);
         let source = origin.purpose;
         let announcement = self.dialect.read_announcement(status, headers);
         if announcement.drains {
@@ -126,6 +128,18 @@
         }
     }
 
+    /// Records the present load that a back end reports, while profiles are kept.
+    fn record_reported_load(&self, back_end: &BackEnd, headers: &HeaderMap, source: &'static str) {
+        match self.dialect.read_load(headers) {
+            LoadAnnouncement::None => {}
+            LoadAnnouncement::Unreadable => self.metrics.announcement("load_unreadable", source),
+            LoadAnnouncement::Reported(load) => {
+                let profiles = &mut self.placement().profiles;
+                profiles.note_present_load(back_end, load, now());
+            }
+        }
+    }
+
     /// Failure to report if no back end can be chosen. Returns [`Failure::BackingOff`] if the
     /// request has certainly not run and, of the candidates that can generate the answer (all but
     /// prefill engines), none accepts requests now and at least one will later. Otherwise returns
