Profiles of back ends: what is known of a service without back ends is removed

Entries of the directory name services, so the table of services could grow with what other writers write. Now a service whose last back end is gone goes with it. Tests of fleet passed.

--- a/crates/fleet/src/profiles.rs
+++ b/crates/fleet/src/profiles.rs
@@ -12,7 +12,7 @@
 mod present;
 mod reports;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -371,9 +371,12 @@
         self.averages(service)[kind.index()].exp()
     }
 
-    /// Removes back ends for which `keep` returns false.
+    /// Removes back ends for which `keep` returns false, and services of which none is left.
     pub fn keep_only(&mut self, keep: impl Fn(&str) -> bool) {
         self.by_back_end.retain(|id, _profile| keep(id));
+        let profiles = self.by_back_end.values();
+        let used: HashSet<&Arc<str>> = profiles.map(|profile| &profile.service).collect();
+        self.services.retain(|name, _service| used.contains(name));
     }
 
     /// Removes expired rows of other daemons.
--- a/crates/fleet/tests/profiles.rs
+++ b/crates/fleet/tests/profiles.rs
@@ -212,6 +212,10 @@
     );
     let average_ms = placement.profiles.plain_ms("models").expect("answers");
     assert!((18.0..30.0).contains(&average_ms), "{average_ms}");
+    placement.profiles.keep_only(|id| id == "i-1");
+    assert!(placement.profiles.plain_ms("models").is_some());
+    placement.profiles.keep_only(|_id| false);
+    assert_eq!(placement.profiles.plain_ms("models"), None);
 }
 
 /// Replays 20 samples at each of 8 engines that all take half of the expected time.
