Profiles of back ends: published rows are always valid, factors are computed once a second

Cause (review): own means older than 48 s were published though receivers refuse them, and a learned bias could carry a log ratio beyond the bound; a factor merged all evidence for each candidate and call; a full table reported the wrong reason. Now such means are left out or limited, deviations are renewed with samples, rows and averages and kept for up to a second, and a back end without room counts as unknown. Tests: rows are valid at any age; the reason of a full table.

--- a/crates/fleet/src/profiles.rs
+++ b/crates/fleet/src/profiles.rs
@@ -149,6 +149,15 @@
     reported: f64,
     /// What the back end last reported of its present busyness.
     present: Option<ReportedBusyness>,
+    /// Deviations as of a moment ago, because a decision reads those of all its candidates.
+    recent: Option<RecentDeviations>,
+}
+
+/// Deviations of a back end by kind of work, as of a moment.
+#[derive(Debug, Clone, Copy)]
+struct RecentDeviations {
+    by_kind: [Option<f64>; KINDS],
+    at: Instant,
 }
 
 impl Profile {
@@ -159,9 +168,22 @@
             kinds: Default::default(),
             reported: 1.0,
             present: None,
+            recent: None,
         }
     }
 
+    fn renew_deviations(&mut self, averages: &[f64; KINDS], now: Instant) {
+        let by_kind = WorkKind::ALL.map(|kind| self.deviation(kind, averages, now));
+        self.recent = Some(RecentDeviations { by_kind, at: now });
+    }
+
+    /// Deviations that were computed less than [`AVERAGES_INTERVAL`] ago.
+    fn recent_deviations(&self, now: Instant) -> Option<[Option<f64>; KINDS]> {
+        let recent = self.recent?;
+        let age = now.saturating_duration_since(recent.at);
+        (age < AVERAGES_INTERVAL).then_some(recent.by_kind)
+    }
+
     /// Logarithm of the back end's time relative to its service; `None` if nothing is known.
     fn deviation(&self, kind: WorkKind, averages: &[f64; KINDS], now: Instant) -> Option<f64> {
         let others = WorkKind::ALL.into_iter().filter(|other| *other != kind);
@@ -253,6 +275,7 @@
         let weight = certainty.clamp(0.0, 1.0) * precision;
         known.own.add(limited, weight, now);
         known.own.limit_weight(MAX_ROW_WEIGHT);
+        profile.renew_deviations(&service.averages, now);
         self.count_sample(now);
     }
 
@@ -291,11 +314,15 @@
         if !self.is_enabled {
             return RowMerge::NotNeeded;
         }
+        if !has_room(&self.by_back_end, back_end) {
+            return RowMerge::UnknownBackEnd;
+        }
         let Some(profile) = profile_of(&mut self.by_back_end, back_end) else {
             return RowMerge::OtherIncarnation;
         };
         let merged = profile.kinds[row.kind.index()].observers.merge(row, now);
-        service_of(&mut self.services, &back_end.service);
+        let service = service_of(&mut self.services, &back_end.service);
+        profile.renew_deviations(&service.averages, now);
         if merged == RowMerge::Merged {
             self.count_sample(now);
         }
@@ -330,9 +357,11 @@
             .by_back_end
             .get(&back_end.id)
             .filter(|profile| profile.incarnation == back_end.incarnation);
-        profile
-            .and_then(|profile| profile.deviation(kind, &self.averages(&profile.service), now))
-            .map_or(1.0, f64::exp)
+        let deviation = profile.and_then(|profile| match profile.recent_deviations(now) {
+            Some(recent) => recent[kind.index()],
+            None => profile.deviation(kind, &self.averages(&profile.service), now),
+        });
+        deviation.map_or(1.0, f64::exp)
     }
 
     /// Ratio of a time at a back end to its own average that [`BUSY_QUANTILE`] of the samples of
@@ -419,6 +448,11 @@
                 service.averages = means.map(|means| estimate::service_average(means.into_iter()));
             }
         }
+        for profile in self.by_back_end.values_mut() {
+            if let Some(service) = self.services.get(&profile.service) {
+                profile.renew_deviations(&service.averages, now);
+            }
+        }
     }
 }
 
@@ -428,8 +462,7 @@
     by_back_end: &'a mut HashMap<Arc<str>, Profile>,
     back_end: &BackEnd,
 ) -> Option<&'a mut Profile> {
-    let has_room = by_back_end.len() < MAX_BACK_ENDS;
-    if !has_room && !by_back_end.contains_key(&back_end.id) {
+    if !has_room(by_back_end, back_end) {
         return None;
     }
     let profile = by_back_end
@@ -441,6 +474,10 @@
     (profile.incarnation == back_end.incarnation).then_some(profile)
 }
 
+fn has_room(by_back_end: &HashMap<Arc<str>, Profile>, back_end: &BackEnd) -> bool {
+    by_back_end.len() < MAX_BACK_ENDS || by_back_end.contains_key(&back_end.id)
+}
+
 fn service_of<'a>(
     services: &'a mut HashMap<Arc<str>, ServiceProfile>,
     name: &Arc<str>,
--- a/crates/fleet/src/profiles/merge.rs
+++ b/crates/fleet/src/profiles/merge.rs
@@ -18,7 +18,7 @@
 /// Greatest absolute log ratio of a row: a back end twenty times as slow or fast as the average.
 pub const MAX_ROW_LOG_RATIO: f64 = 3.0;
 /// Rows are removed after this time; little of their weight is left then.
-const ROW_TTL: Duration = Duration::from_secs(4 * HALF_LIFE.as_secs());
+pub(super) const ROW_TTL: Duration = Duration::from_secs(4 * HALF_LIFE.as_secs());
 
 /// A daemon's mean of its samples of one back end.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/fleet/src/profiles/reports.rs
+++ b/crates/fleet/src/profiles/reports.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::merge::{MAX_ROW_LOG_RATIO, ROW_TTL};
 use super::{KindProfile, Profile, Profiles, WorkKind};
 use crate::directory::Incarnation;
 
@@ -161,13 +162,14 @@
     let mean = own
         .mean(now)
         .filter(|mean| mean.weight >= MIN_PUBLISHED_WEIGHT)?;
-    Some(OwnRow {
+    let age = now.saturating_duration_since(own.newest()?);
+    (age <= ROW_TTL).then(|| OwnRow {
         id: Arc::clone(id),
         incarnation: profile.incarnation,
         kind,
         weight: mean.weight,
-        log_ratio: mean.log_ratio,
-        age: now.saturating_duration_since(own.newest()?),
+        log_ratio: mean.log_ratio.clamp(-MAX_ROW_LOG_RATIO, MAX_ROW_LOG_RATIO),
+        age,
     })
 }
 
--- a/crates/fleet/tests/profile_merge.rs
+++ b/crates/fleet/tests/profile_merge.rs
@@ -306,6 +306,12 @@
         profiles.merge(&other, &row(1, 1, 0.0), now);
     }
     assert_eq!(profiles.summary(now).back_ends, MAX_BACK_ENDS);
+    let one_more = BackEnd {
+        id: Arc::from("one-more"),
+        ..BackEnd::clone(engine)
+    };
+    let merged = profiles.merge(&one_more, &row(1, 1, 0.0), now);
+    assert_eq!(merged, RowMerge::UnknownBackEnd);
     profiles.keep_only(|id| id == "i-1");
     assert_eq!(profiles.summary(now).back_ends, 1);
 }
@@ -357,6 +363,41 @@
     assert_eq!(told.len(), 100, "all within 20 rounds");
 }
 
+/// Replays samples at twenty times the expected time at one engine, and a pause of up to 200 s: each
+/// row that is published must be valid where it arrives.
+#[test]
+fn every_published_row_is_valid_at_any_age() {
+    let engines = engines(0, 2);
+    let now = Instant::now();
+    let mut profiles = enabled();
+    // Others that find the engine fast give this daemon a bias, which adds to its ratios.
+    for origin in 1..=5 {
+        let fast = ProfileRow {
+            weight: MAX_ROW_WEIGHT,
+            ..row(origin, 1, MAX_ROW_LOG_RATIO)
+        };
+        profiles.merge(&engines[1], &fast, now);
+    }
+    for _ in 0..300 {
+        for (engine, took_ms) in engines.iter().zip([800.0, 4.0]) {
+            let sample = Sample {
+                kind: WorkKind::Decode,
+                expected_ms: 40.0,
+                took_ms,
+            };
+            profiles.record(engine, sample, now);
+        }
+    }
+    assert!(!profiles.take_own_rows(48, now).is_empty());
+    for seconds in 0..200 {
+        let later = now + Duration::from_secs(seconds);
+        for own in profiles.take_own_rows(48, later) {
+            let received = published(&own, 9, 1);
+            assert!(received.is_valid(), "after {seconds} s: {received:?}");
+        }
+    }
+}
+
 /// Replays 20 samples at six engines, one of which takes three times as long.
 #[test]
 fn a_changed_factor_is_reported_once() {
