Profiles of back ends: rows of other daemons are bounded in total

A faulty peer could fill the table with rows for each back end under many origins. At most 32,768 rows are kept, in sorted lists instead of trees; beyond it further ones are dropped until others expire. Within the bound the merge remains independent of order.

--- a/crates/fleet/src/profiles.rs
+++ b/crates/fleet/src/profiles.rs
@@ -20,7 +20,7 @@
 use busy::Variation;
 use estimate::{Evidence, Mean};
 use merge::Observers;
-pub use merge::{MAX_OBSERVERS, MAX_ROW_LOG_RATIO, MAX_ROW_WEIGHT, ProfileRow, RowMerge};
+pub use merge::{MAX_OBSERVERS, MAX_ROW_LOG_RATIO, MAX_ROW_WEIGHT, MAX_ROWS, ProfileRow, RowMerge};
 use present::ReportedBusyness;
 pub use present::{Busyness, LoadAnnouncement, PRESENT_LOAD_TTL, PresentLoad};
 pub use reports::{BeliefChange, OwnRow, ProfileSummary};
@@ -217,6 +217,8 @@
     averaged_at: Option<Instant>,
     samples_since_averaged: usize,
     round: u32,
+    /// Rows of other daemons, counted again whenever rows expire.
+    rows: usize,
 }
 
 impl Profiles {
@@ -320,7 +322,10 @@
         let Some(profile) = profile_of(&mut self.by_back_end, back_end) else {
             return RowMerge::OtherIncarnation;
         };
-        let merged = profile.kinds[row.kind.index()].observers.merge(row, now);
+        let observers = &mut profile.kinds[row.kind.index()].observers;
+        let before = observers.count();
+        let merged = observers.merge(row, self.rows < MAX_ROWS, now);
+        self.rows += observers.count() - before;
         let service = service_of(&mut self.services, &back_end.service);
         profile.renew_deviations(&service.averages, now);
         if merged == RowMerge::Merged {
@@ -411,9 +416,12 @@
     /// Removes expired rows of other daemons.
     pub fn expire(&mut self, now: Instant) {
         let profiles = self.by_back_end.values_mut();
+        let mut rows = 0;
         for known in profiles.flat_map(|profile| &mut profile.kinds) {
             known.observers.expire(now);
+            rows += known.observers.count();
         }
+        self.rows = rows;
     }
 
     fn averages(&self, service: &str) -> [f64; KINDS] {
--- a/crates/fleet/src/profiles/merge.rs
+++ b/crates/fleet/src/profiles/merge.rs
@@ -4,7 +4,6 @@
 //! row of each daemon is kept, of a bounded number of daemons. Which daemons these are depends only
 //! on their identity, so the state does not depend on the order in which rows arrive.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use super::WorkKind;
@@ -13,6 +12,9 @@
 /// Daemons whose rows are kept per back end and kind of work. Their samples determine a factor far
 /// more closely than a decision needs it.
 pub const MAX_OBSERVERS: usize = 24;
+/// Rows of other daemons that are kept in total, several times what they publish in the time for
+/// which a row is kept. Beyond it no further ones are added until others expire.
+pub const MAX_ROWS: usize = 32_768;
 /// Greatest weight of a row.
 pub const MAX_ROW_WEIGHT: f64 = 64.0;
 /// Greatest absolute log ratio of a row: a back end twenty times as slow or fast as the average.
@@ -77,6 +79,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct ObserverRow {
+    origin: u64,
     sequence: u32,
     received_at: Instant,
     evidence: Evidence,
@@ -85,33 +88,32 @@
 /// Newest rows of other daemons about one back end and kind of work.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Observers {
-    rows: BTreeMap<u64, ObserverRow>,
+    /// Sorted by origin.
+    rows: Vec<ObserverRow>,
     sum: Evidence,
 }
 
 impl Observers {
-    pub(super) fn merge(&mut self, row: &ProfileRow, now: Instant) -> RowMerge {
-        let is_known = self
-            .rows
-            .get(&row.origin)
-            .is_some_and(|known| known.sequence >= row.sequence);
-        if is_known {
-            return RowMerge::NotNeeded;
-        }
+    /// Merges a row. `has_room` tells whether a row of a further daemon may be added.
+    pub(super) fn merge(&mut self, row: &ProfileRow, has_room: bool, now: Instant) -> RowMerge {
         let newest = now.checked_sub(row.age).unwrap_or(now);
         let received = ObserverRow {
+            origin: row.origin,
             sequence: row.sequence,
             received_at: now,
             evidence: Evidence::of(row.weight, row.log_ratio, newest, now),
         };
-        self.rows.insert(row.origin, received);
-        let removed = if self.rows.len() > MAX_OBSERVERS {
-            self.rows.pop_last()
-        } else {
-            None
-        };
-        if removed.is_some_and(|(origin, _row)| origin == row.origin) {
-            return RowMerge::NotNeeded;
+        match self
+            .rows
+            .binary_search_by_key(&row.origin, |known| known.origin)
+        {
+            Ok(index) if self.rows[index].sequence >= row.sequence => return RowMerge::NotNeeded,
+            Ok(index) => self.rows[index] = received,
+            Err(index) if index >= MAX_OBSERVERS || !has_room => return RowMerge::NotNeeded,
+            Err(index) => {
+                self.rows.insert(index, received);
+                self.rows.truncate(MAX_OBSERVERS);
+            }
         }
         self.update_sum(now);
         RowMerge::Merged
@@ -121,7 +123,7 @@
     pub(super) fn expire(&mut self, now: Instant) {
         let before = self.rows.len();
         self.rows
-            .retain(|_origin, row| now.saturating_duration_since(row.received_at) < ROW_TTL);
+            .retain(|row| now.saturating_duration_since(row.received_at) < ROW_TTL);
         if self.rows.len() < before {
             self.update_sum(now);
         }
@@ -129,7 +131,7 @@
 
     fn update_sum(&mut self, now: Instant) {
         self.sum = Evidence::default();
-        for row in self.rows.values() {
+        for row in &self.rows {
             self.sum.merge(&row.evidence, now);
         }
     }
--- a/crates/fleet/tests/profile_merge.rs
+++ b/crates/fleet/tests/profile_merge.rs
@@ -8,8 +8,8 @@
 
 use ponddrift_fleet::directory::{BackEnd, Incarnation};
 use ponddrift_fleet::profiles::{
-    MAX_BACK_ENDS, MAX_OBSERVERS, MAX_ROW_LOG_RATIO, MAX_ROW_WEIGHT, OwnRow, ProfileRow, Profiles,
-    RowMerge, Sample, WorkKind,
+    MAX_BACK_ENDS, MAX_OBSERVERS, MAX_ROW_LOG_RATIO, MAX_ROW_WEIGHT, MAX_ROWS, OwnRow, ProfileRow,
+    Profiles, RowMerge, Sample, WorkKind,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -316,6 +316,30 @@
     assert_eq!(profiles.summary(now).back_ends, 1);
 }
 
+/// Replays a faulty peer that sends rows of 24 origins about 2,000 back ends.
+#[test]
+fn rows_are_bounded_in_total() {
+    let engine = &engines(0, 1)[0];
+    let now = Instant::now();
+    let mut profiles = enabled();
+    let mut merged = 0;
+    for number in 0..2_000 {
+        let other = BackEnd {
+            id: Arc::from(format!("other-{number}")),
+            ..BackEnd::clone(engine)
+        };
+        for origin in 1..=24 {
+            let result = profiles.merge(&other, &row(origin, 1, 0.0), now);
+            merged += usize::from(result == RowMerge::Merged);
+        }
+    }
+    assert_eq!(merged, MAX_ROWS);
+    let later = now + Duration::from_secs(60);
+    profiles.expire(later);
+    let result = profiles.merge(engine, &row(1, 2, 0.0), later);
+    assert_eq!(result, RowMerge::Merged, "there is room again");
+}
+
 /// Replays a daemon that was replaced: its rows end, those of others go on.
 #[test]
 fn rows_of_daemons_that_are_gone_expire() {
