--- a/crates/fleet/src/profiles.rs
+++ b/crates/fleet/src/profiles.rs
@@ -9,9 +9,10 @@
 mod busy;
 mod estimate;
 mod merge;
+mod present;
 mod reports;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,7 +20,9 @@
 use busy::Variation;
 use estimate::{Evidence, Mean};
 use merge::Observers;
-pub use merge::{MAX_OBSERVERS, MAX_ROW_LOG_RATIO, MAX_ROW_WEIGHT, ProfileRow, RowMerge};
+pub use merge::{MAX_OBSERVERS, MAX_ROW_LOG_RATIO, MAX_ROW_WEIGHT, MAX_ROWS, ProfileRow, RowMerge};
+use present::ReportedBusyness;
+pub use present::{Busyness, LoadAnnouncement, PRESENT_LOAD_TTL, PresentLoad};
 pub use reports::{BeliefChange, OwnRow, ProfileSummary};
 
 /// Lower and upper bound of the ratio that one sample may show.
@@ -144,6 +147,17 @@
     kinds: [KindProfile; KINDS],
     /// Factor that was last reported to operators.
     reported: f64,
+    /// What the back end last reported of its present busyness.
+    present: Option<ReportedBusyness>,
+    /// Deviations as of a moment ago, because a decision reads those of all its candidates.
+    recent: Option<RecentDeviations>,
+}
+
+/// Deviations of a back end by kind of work, as of a moment.
+#[derive(Debug, Clone, Copy)]
+struct RecentDeviations {
+    by_kind: [Option<f64>; KINDS],
+    at: Instant,
 }
 
 impl Profile {
@@ -153,9 +167,23 @@
             service: Arc::clone(&back_end.service),
             kinds: Default::default(),
             reported: 1.0,
+            present: None,
+            recent: None,
         }
     }
 
+    fn renew_deviations(&mut self, averages: &[f64; KINDS], now: Instant) {
+        let by_kind = WorkKind::ALL.map(|kind| self.deviation(kind, averages, now));
+        self.recent = Some(RecentDeviations { by_kind, at: now });
+    }
+
+    /// Deviations that were computed less than [`AVERAGES_INTERVAL`] ago.
+    fn recent_deviations(&self, now: Instant) -> Option<[Option<f64>; KINDS]> {
+        let recent = self.recent?;
+        let age = now.saturating_duration_since(recent.at);
+        (age < AVERAGES_INTERVAL).then_some(recent.by_kind)
+    }
+
     /// Logarithm of the back end's time relative to its service; `None` if nothing is known.
     fn deviation(&self, kind: WorkKind, averages: &[f64; KINDS], now: Instant) -> Option<f64> {
         let others = WorkKind::ALL.into_iter().filter(|other| *other != kind);
@@ -189,6 +217,8 @@
     averaged_at: Option<Instant>,
     samples_since_averaged: usize,
     round: u32,
+    /// Rows of other daemons, counted again whenever rows expire.
+    rows: usize,
 }
 
 impl Profiles {
@@ -247,6 +277,7 @@
         let weight = certainty.clamp(0.0, 1.0) * precision;
         known.own.add(limited, weight, now);
         known.own.limit_weight(MAX_ROW_WEIGHT);
+        profile.renew_deviations(&service.averages, now);
         self.count_sample(now);
     }
 
@@ -285,11 +316,18 @@
         if !self.is_enabled {
             return RowMerge::NotNeeded;
         }
+        if !has_room(&self.by_back_end, back_end) {
+            return RowMerge::UnknownBackEnd;
+        }
         let Some(profile) = profile_of(&mut self.by_back_end, back_end) else {
             return RowMerge::OtherIncarnation;
         };
-        let merged = profile.kinds[row.kind.index()].observers.merge(row, now);
-        service_of(&mut self.services, &back_end.service);
+        let observers = &mut profile.kinds[row.kind.index()].observers;
+        let before = observers.count();
+        let merged = observers.merge(row, self.rows < MAX_ROWS, now);
+        self.rows += observers.count() - before;
+        let service = service_of(&mut self.services, &back_end.service);
+        profile.renew_deviations(&service.averages, now);
         if merged == RowMerge::Merged {
             self.count_sample(now);
         }
@@ -324,9 +362,11 @@
             .by_back_end
             .get(&back_end.id)
             .filter(|profile| profile.incarnation == back_end.incarnation);
-        profile
-            .and_then(|profile| profile.deviation(kind, &self.averages(&profile.service), now))
-            .map_or(1.0, f64::exp)
+        let deviation = profile.and_then(|profile| match profile.recent_deviations(now) {
+            Some(recent) => recent[kind.index()],
+            None => profile.deviation(kind, &self.averages(&profile.service), now),
+        });
+        deviation.map_or(1.0, f64::exp)
     }
 
     /// Ratio of a time at a back end to its own average that [`BUSY_QUANTILE`] of the samples of
@@ -338,6 +378,26 @@
             .map_or(1.0, |service| service.variations[kind.index()].quantile())
     }
 
+    /// Records how busy a back end reports to be at present.
+    pub fn note_present_load(&mut self, back_end: &BackEnd, load: PresentLoad, now: Instant) {
+        let Some(busyness) = load.busyness.filter(|_| self.is_enabled) else {
+            return;
+        };
+        if let Some(profile) = profile_of(&mut self.by_back_end, back_end) {
+            profile.present = Some(ReportedBusyness { busyness, at: now });
+        }
+    }
+
+    /// How busy a back end reported to be a moment ago; `None` if it did not.
+    #[must_use]
+    pub fn present_busyness(&self, back_end: &BackEnd, now: Instant) -> Option<Busyness> {
+        let profile = self.by_back_end.get(&back_end.id)?;
+        let reported = profile.present?;
+        (profile.incarnation == back_end.incarnation)
+            .then(|| reported.now(now))
+            .flatten()
+    }
+
     /// Ratio of measured to expected times at an average back end of the service: what the callers
     /// of [`Self::record`] underestimate.
     #[must_use]
@@ -345,17 +405,23 @@
         self.averages(service)[kind.index()].exp()
     }
 
-    /// Removes back ends for which `keep` returns false.
+    /// Removes back ends for which `keep` returns false, and services of which none is left.
     pub fn keep_only(&mut self, keep: impl Fn(&str) -> bool) {
         self.by_back_end.retain(|id, _profile| keep(id));
+        let profiles = self.by_back_end.values();
+        let used: HashSet<&Arc<str>> = profiles.map(|profile| &profile.service).collect();
+        self.services.retain(|name, _service| used.contains(name));
     }
 
     /// Removes expired rows of other daemons.
     pub fn expire(&mut self, now: Instant) {
         let profiles = self.by_back_end.values_mut();
+        let mut rows = 0;
         for known in profiles.flat_map(|profile| &mut profile.kinds) {
             known.observers.expire(now);
+            rows += known.observers.count();
         }
+        self.rows = rows;
     }
 
     fn averages(&self, service: &str) -> [f64; KINDS] {
@@ -390,6 +456,11 @@
                 service.averages = means.map(|means| estimate::service_average(means.into_iter()));
             }
         }
+        for profile in self.by_back_end.values_mut() {
+            if let Some(service) = self.services.get(&profile.service) {
+                profile.renew_deviations(&service.averages, now);
+            }
+        }
     }
 }
 
@@ -399,8 +470,7 @@
     by_back_end: &'a mut HashMap<Arc<str>, Profile>,
     back_end: &BackEnd,
 ) -> Option<&'a mut Profile> {
-    let has_room = by_back_end.len() < MAX_BACK_ENDS;
-    if !has_room && !by_back_end.contains_key(&back_end.id) {
+    if !has_room(by_back_end, back_end) {
         return None;
     }
     let profile = by_back_end
@@ -412,6 +482,10 @@
     (profile.incarnation == back_end.incarnation).then_some(profile)
 }
 
+fn has_room(by_back_end: &HashMap<Arc<str>, Profile>, back_end: &BackEnd) -> bool {
+    by_back_end.len() < MAX_BACK_ENDS || by_back_end.contains_key(&back_end.id)
+}
+
 fn service_of<'a>(
     services: &'a mut HashMap<Arc<str>, ServiceProfile>,
     name: &Arc<str>,
--- a/crates/fleet/tests/profile_merge.rs
+++ b/crates/fleet/tests/profile_merge.rs
@@ -8,8 +8,8 @@
 
 use ponddrift_fleet::directory::{BackEnd, Incarnation};
 use ponddrift_fleet::profiles::{
-    MAX_BACK_ENDS, MAX_OBSERVERS, MAX_ROW_LOG_RATIO, MAX_ROW_WEIGHT, OwnRow, ProfileRow, Profiles,
-    RowMerge, Sample, WorkKind,
+    MAX_BACK_ENDS, MAX_OBSERVERS, MAX_ROW_LOG_RATIO, MAX_ROW_WEIGHT, MAX_ROWS, OwnRow, ProfileRow,
+    Profiles, RowMerge, Sample, WorkKind,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -306,10 +306,40 @@
         profiles.merge(&other, &row(1, 1, 0.0), now);
     }
     assert_eq!(profiles.summary(now).back_ends, MAX_BACK_ENDS);
+    let one_more = BackEnd {
+        id: Arc::from("one-more"),
+        ..BackEnd::clone(engine)
+    };
+    let merged = profiles.merge(&one_more, &row(1, 1, 0.0), now);
+    assert_eq!(merged, RowMerge::UnknownBackEnd);
     profiles.keep_only(|id| id == "i-1");
     assert_eq!(profiles.summary(now).back_ends, 1);
 }
 
+/// Replays a faulty peer that sends rows of 24 origins about 2,000 back ends.
+#[test]
+fn rows_are_bounded_in_total() {
+    let engine = &engines(0, 1)[0];
+    let now = Instant::now();
+    let mut profiles = enabled();
+    let mut merged = 0;
+    for number in 0..2_000 {
+        let other = BackEnd {
+            id: Arc::from(format!("other-{number}")),
+            ..BackEnd::clone(engine)
+        };
+        for origin in 1..=24 {
+            let result = profiles.merge(&other, &row(origin, 1, 0.0), now);
+            merged += usize::from(result == RowMerge::Merged);
+        }
+    }
+    assert_eq!(merged, MAX_ROWS);
+    let later = now + Duration::from_secs(60);
+    profiles.expire(later);
+    let result = profiles.merge(engine, &row(1, 2, 0.0), later);
+    assert_eq!(result, RowMerge::Merged, "there is room again");
+}
+
 /// Replays a daemon that was replaced: its rows end, those of others go on.
 #[test]
 fn rows_of_daemons_that_are_gone_expire() {
@@ -357,6 +387,41 @@
     assert_eq!(told.len(), 100, "all within 20 rounds");
 }
 
+/// Replays samples at twenty times the expected time at one engine, and a pause of up to 200 s: each
+/// row that is published must be valid where it arrives.
+#[test]
+fn every_published_row_is_valid_at_any_age() {
+    let engines = engines(0, 2);
+    let now = Instant::now();
+    let mut profiles = enabled();
+    // Others that find the engine fast give this daemon a bias, which adds to its ratios.
+    for origin in 1..=5 {
+        let fast = ProfileRow {
+            weight: MAX_ROW_WEIGHT,
+            ..row(origin, 1, MAX_ROW_LOG_RATIO)
+        };
+        profiles.merge(&engines[1], &fast, now);
+    }
+    for _ in 0..300 {
+        for (engine, took_ms) in engines.iter().zip([800.0, 4.0]) {
+            let sample = Sample {
+                kind: WorkKind::Decode,
+                expected_ms: 40.0,
+                took_ms,
+            };
+            profiles.record(engine, sample, now);
+        }
+    }
+    assert!(!profiles.take_own_rows(48, now).is_empty());
+    for seconds in 0..200 {
+        let later = now + Duration::from_secs(seconds);
+        for own in profiles.take_own_rows(48, later) {
+            let received = published(&own, 9, 1);
+            assert!(received.is_valid(), "after {seconds} s: {received:?}");
+        }
+    }
+}
+
 /// Replays 20 samples at six engines, one of which takes three times as long.
 #[test]
 fn a_changed_factor_is_reported_once() {
