Placement by profile: failures weigh as much as gaps; the least busy engines change stage first

Change, only while profiles are enabled: the number of requests decides which engine changes, speed only among equals; the share of failed requests of an engine counts three late streams.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -290,6 +290,14 @@
             .is_some_and(|health| health.ejected)
     }
 
+    /// Share of recent requests of the zone to the back end that failed, from 0 to 1.
+    #[must_use]
+    pub fn failure_rate(&self, id: &str) -> f64 {
+        self.by_back_end
+            .get(id)
+            .map_or(0.0, |health| health.failure_rate)
+    }
+
     /// Factor by which failures increase the cost of a back end; 1 without failures. Grows with the
     /// square of the failure rate, so that a single failure has little effect.
     #[must_use]
--- a/crates/fleet/src/placement/decoding.rs
+++ b/crates/fleet/src/placement/decoding.rs
@@ -12,6 +12,9 @@
 /// reads in pieces, between the events of streams.
 const MAX_READING_SHARE: f64 = 0.5;
 
+/// Cost of a failed stream as a multiple of that of a late one: it is lost, and its repetition takes
+/// the place of another.
+const FAILURE_WEIGHT: f64 = 3.0;
 /// Streams with fewer gaps than this have next to no risk of their own, so their placement is not
 /// explained.
 const MIN_GAPS_TO_EXPLAIN: f64 = 3.0;
@@ -83,7 +86,8 @@
     }
 
     /// Cost of the stream at an engine in addition to the time to its first event, in milliseconds:
-    /// its own risk, and that which it adds for the streams there.
+    /// its own risk, and that which it adds for the streams there. An engine that fails requests has
+    /// few streams, so its failures must weigh as much as the gaps elsewhere.
     pub(super) fn stream_burden_ms(&self, back_end: &BackEnd) -> f64 {
         let Some(stream) = self.stream else {
             return 0.0;
@@ -99,7 +103,8 @@
         let added_risk =
             stream.late_share_of_running(with_it) - stream.late_share_of_running(without_it);
         let late_streams = stream.late_share(with_it) + outstanding.generating * added_risk;
-        late_streams * stream.latency_ms + stream.overrun_ms(with_it)
+        let failures = self.placement.health.failure_rate(&back_end.id) * FAILURE_WEIGHT;
+        (late_streams + failures) * stream.latency_ms + stream.overrun_ms(with_it)
     }
 
     /// Number of streams at an engine that would have a gap beyond `target_ms` only because the
--- a/crates/fleet/src/stages/engine_times.rs
+++ b/crates/fleet/src/stages/engine_times.rs
@@ -88,7 +88,8 @@
     }
 }
 
-/// Engines whose busyness differs by less than a factor of two are about equally busy.
+/// Engines with the same number of requests, rounded, are about equally busy. The number decides
+/// first: a change begins only when the last stream of its engine has ended.
 fn busyness_level(busyness: f64) -> f64 {
-    busyness.max(1.0).log2().floor()
+    busyness.round()
 }
