Gap risk: prompts read meanwhile are part of the learned gaps

The learned gaps contain the reading that a daemon does not know of, and the share of time for reading was added on top; every stream was expected to be late, and the costs no longer told engines apart.

Change: the forecast is the learned gap times the factor.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -256,7 +256,7 @@
             holders: &holders,
             excess_reading: self.excess_reading(&decoders, request.latency_targets),
             link_wait_ms: self.link.wait_ms(now),
-            decoding: self.decode_estimator(&decoders, request.stream, now),
+            decoding: self.decode_estimator(request.stream, now),
             decode_arrivals_per_ms: self.arrivals_per_engine_per_ms(&decoders, Stage::Decode),
             prefill_arrivals_per_ms: self.arrivals_per_engine_per_ms(&prefills, Stage::Prefill),
             now,
@@ -394,20 +394,14 @@
         let decoders = self.usable(ready, &[], now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
-        self.decode_estimator(&decoders, stream, now)
+        self.decode_estimator(stream, now)
             .explain(chosen, &decoders)
     }
 
-    fn decode_estimator(
-        &self,
-        decoders: &[Arc<BackEnd>],
-        stream: Option<StreamNeeds>,
-        now: Instant,
-    ) -> DecodeEstimator<'_> {
+    fn decode_estimator(&self, stream: Option<StreamNeeds>, now: Instant) -> DecodeEstimator<'_> {
         DecodeEstimator {
             placement: self,
             stream,
-            reading_share: self.reading_share(decoders),
             now,
         }
     }
@@ -422,7 +416,7 @@
         let DecodeRequest {
             prompt, hand_over, ..
         } = *request;
-        let decoding = self.decode_estimator(decoders, request.stream, now);
+        let decoding = self.decode_estimator(request.stream, now);
         let rate = self.speed.decode_tokens_per_ms();
         let prefix = prompt.and_then(prefixes::tracked_prefix);
         // All daemons compute the same preferred engine, so they also hand over to the same one.
--- a/crates/fleet/src/placement/decoding.rs
+++ b/crates/fleet/src/placement/decoding.rs
@@ -8,10 +8,6 @@
 use crate::directory::BackEnd;
 use crate::profiles::WorkKind;
 
-/// Largest share of an engine's time that reading prompts is assumed to take from its streams: it
-/// reads in pieces, between the events of streams.
-const MAX_READING_SHARE: f64 = 0.5;
-
 /// Cost of a failed stream as a multiple of that of a late one: it is lost, and its repetition takes
 /// the place of another.
 const FAILURE_WEIGHT: f64 = 3.0;
@@ -25,8 +21,6 @@
     pub(super) placement: &'a Placement,
     /// Needs of the stream to place; `None` if it has no target gap.
     pub(super) stream: Option<StreamNeeds>,
-    /// Average share of time that the decode engines spend on prefill.
-    pub(super) reading_share: f64,
     pub(super) now: Instant,
 }
 
@@ -59,7 +53,8 @@
 }
 
 impl DecodeEstimator<'_> {
-    /// Gaps of `streams` streams at an engine; `None` while the service's gaps are unknown or
+    /// Gaps of `streams` streams at an engine. Prompts that the engines read meanwhile are part of the
+    /// learned gaps, as daemons know few of them in time. `None` while the service's gaps are unknown or
     /// profiles are not used.
     pub(super) fn gaps(&self, back_end: &BackEnd, streams: f64) -> Option<GapForecast> {
         let placement = self.placement;
@@ -70,9 +65,8 @@
         let factor = placement
             .profiles
             .factor(back_end, WorkKind::Decode, self.now);
-        let time_for_streams = 1.0 - self.reading_share.min(MAX_READING_SHARE);
         Some(GapForecast {
-            mean_ms: average_ms * factor / time_for_streams,
+            mean_ms: average_ms * factor,
             busy_factor: placement
                 .profiles
                 .busy_factor(&back_end.service, WorkKind::Decode),
--- a/crates/fleet/src/placement/metering.rs
+++ b/crates/fleet/src/placement/metering.rs
@@ -41,15 +41,6 @@
         decoders: &[Arc<BackEnd>],
         latency_targets: LatencyTargets,
     ) -> f64 {
-        let Some(first) = decoders.first() else {
-            return 0.0;
-        };
-        let busy = self.reading_share(decoders);
-        (busy - self.acceptable_reading(&first.service, latency_targets)).max(0.0)
-    }
-
-    /// Share of time that the service's decode engines spend on prefill.
-    pub(super) fn reading_share(&self, decoders: &[Arc<BackEnd>]) -> f64 {
         let Some(first) = decoders.first() else {
             return 0.0;
         };
@@ -62,8 +53,8 @@
             clippy::cast_precision_loss,
             reason = "at most tens of thousands of engines"
         )]
-        let engines = self.ready_engines(decoders, Stage::Decode) as f64;
-        work / engines
+        let busy = work / self.ready_engines(decoders, Stage::Decode) as f64;
+        (busy - self.acceptable_reading(&first.service, latency_targets)).max(0.0)
     }
 
     /// Share of time that decode engines may spend on prefill.
