Placement by profile: suspensions by incarnation, announced lengths bounded, prefill checks by factor

Findings of a review: - A suspension that lasts until a change is overdue applied to the next run of the engine under the same id as well. Where profiles are used it now belongs to the incarnation. - One stream with a wrong announced length could move the ratio of events to tokens to zero. Each stream now counts by its own ratio, weighted by its events. - The health check of a prefill engine came early at slow engines: its time now has the factor. - The way through a prefill engine was called safe with a busy factor of 1 while none was known: 1.5. - The placement of short streams is left unexplained before candidates are filtered.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -26,7 +26,7 @@
 
 use crate::announcements::Announcements;
 use crate::configuration::Stage;
-use crate::directory::{BackEnd, ReadyCounts};
+use crate::directory::{BackEnd, Incarnation, ReadyCounts};
 use crate::health::Health;
 use crate::profiles::Profiles;
 use crate::prompt::Prompt;
@@ -37,7 +37,7 @@
 pub use confidence::Confidence;
 pub use costs::NextRateToken;
 use costs::{Choice, Estimate};
-use decoding::DecodeEstimator;
+use decoding::{DecodeEstimator, MIN_GAPS_TO_EXPLAIN};
 pub use decoding::{FastestEngine, StreamPlacement};
 pub use fairness::{FairShares, OfferedRequest};
 pub use gap_risk::{GapForecast, StreamNeeds};
@@ -76,6 +76,8 @@
     /// Stage at the time of the suspension. Once the engine reports another stage, it has changed
     /// and the suspension no longer applies.
     stage: Option<Stage>,
+    /// Incarnation that is about to change.
+    incarnation: Incarnation,
 }
 
 /// State on which placement decisions are based.
@@ -176,11 +178,17 @@
             .retain(|_id, suspension| suspension.until > now);
         let until = now + time;
         let is_known = self.suspensions.get(&engine.id).is_some_and(|suspension| {
-            suspension.until >= until && suspension.stage == engine.stage
+            suspension.until >= until && self.applies(suspension, engine)
         });
         if !is_known {
             let stage = engine.stage;
-            let suspension = Suspension { until, own, stage };
+            let incarnation = engine.incarnation;
+            let suspension = Suspension {
+                until,
+                own,
+                stage,
+                incarnation,
+            };
             self.suspensions.insert(Arc::clone(&engine.id), suspension);
         }
     }
@@ -207,7 +215,15 @@
     fn is_suspended(&self, engine: &BackEnd, now: Instant) -> bool {
         self.suspensions
             .get(&engine.id)
-            .is_some_and(|suspension| suspension.until > now && suspension.stage == engine.stage)
+            .is_some_and(|suspension| suspension.until > now && self.applies(suspension, engine))
+    }
+
+    /// Whether the suspension is that of the engine as it is now. Where profiles are used,
+    /// suspensions last until a change is overdue, and a new incarnation knows nothing of its order.
+    fn applies(&self, suspension: &Suspension, engine: &BackEnd) -> bool {
+        let is_same_run =
+            suspension.incarnation == engine.incarnation || !self.profiles.is_enabled();
+        suspension.stage == engine.stage && is_same_run
     }
 
     /// Chooses a plain back end, or an engine for a request that does not describe its prompt.
@@ -388,7 +404,8 @@
         stream: Option<StreamNeeds>,
         now: Instant,
     ) -> Option<StreamPlacement> {
-        if !self.profiles.is_enabled() {
+        let stream = stream.filter(|stream| stream.gaps >= MIN_GAPS_TO_EXPLAIN);
+        if !self.profiles.is_enabled() || stream.is_none() {
             return None;
         }
         let decoders = self.usable(ready, &[], now, |back_end| {
--- a/crates/fleet/src/placement/decoding.rs
+++ b/crates/fleet/src/placement/decoding.rs
@@ -13,7 +13,7 @@
 const FAILURE_WEIGHT: f64 = 3.0;
 /// Streams with fewer gaps than this have next to no risk of their own, so their placement is not
 /// explained.
-const MIN_GAPS_TO_EXPLAIN: f64 = 3.0;
+pub(super) const MIN_GAPS_TO_EXPLAIN: f64 = 3.0;
 
 /// Context for estimating the gaps of streams at the decode engines of a service.
 #[derive(Clone, Copy)]
@@ -80,7 +80,8 @@
     }
 
     /// Cost of the stream at an engine in addition to the time to its first event, in milliseconds:
-    /// its own risk, and that which it adds for the streams there. An engine that fails requests has
+    /// its own risk, and that which it adds for the streams there, which are assumed to be of its own
+    /// length. An engine that fails requests has
     /// few streams, so its failures must weigh as much as the gaps elsewhere.
     pub(super) fn stream_burden_ms(&self, back_end: &BackEnd) -> f64 {
         let Some(stream) = self.stream else {
@@ -123,9 +124,7 @@
         chosen: &BackEnd,
         candidates: &[Arc<BackEnd>],
     ) -> Option<StreamPlacement> {
-        let stream = self
-            .stream
-            .filter(|stream| stream.gaps >= MIN_GAPS_TO_EXPLAIN)?;
+        let stream = self.stream?;
         let gaps = self.gaps_of_new_stream(chosen)?;
         let gap_of = |back_end: &BackEnd| {
             let forecast = self.gaps_of_new_stream(back_end);
--- a/crates/fleet/src/placement/gap_risk.rs
+++ b/crates/fleet/src/placement/gap_risk.rs
@@ -13,7 +13,7 @@
 
 /// Lowest busy factor assumed, also before the variation of the service's gaps is known. The mean gap
 /// is itself an estimate, and prompts that arrive later lengthen single gaps.
-const MIN_BUSY_FACTOR: f64 = 1.5;
+pub(super) const MIN_BUSY_FACTOR: f64 = 1.5;
 /// Share of a running stream's gaps that are still to come, on average.
 const REMAINING_SHARE_OF_GAPS: f64 = 0.5;
 /// Share of the time left that a stream should be expected to need at most. Keeps the rest for
--- a/crates/fleet/src/placement/reading.rs
+++ b/crates/fleet/src/placement/reading.rs
@@ -5,6 +5,7 @@
 
 use super::costs::Estimate;
 use super::decoding::DecodeEstimator;
+use super::gap_risk::MIN_BUSY_FACTOR;
 use super::{MS_PER_S, PREFERRED_ENGINE_READ_SHARE, Placement, PromptPlan, PromptRequest, Urgency};
 use crate::configuration::EngineTraits;
 use crate::directory::BackEnd;
@@ -135,7 +136,8 @@
         let busy_factor = self
             .placement
             .profiles
-            .busy_factor(&decode.service, WorkKind::Prefill);
+            .busy_factor(&decode.service, WorkKind::Prefill)
+            .max(MIN_BUSY_FACTOR);
         let is_other_way_in_time =
             time_ms * busy_factor <= self.request.latency_targets.latency_ms();
         is_other_way_in_time && broken.is_some_and(|broken| broken > MAX_BROKEN_STREAMS)
--- a/crates/fleet/src/placement/stream_times.rs
+++ b/crates/fleet/src/placement/stream_times.rs
@@ -48,11 +48,12 @@
     events: EventCounts,
 }
 
-/// Events and announced tokens of ended streams; those of older streams weigh less.
+/// Events of ended streams and their ratio to the announced tokens, each stream weighted by its
+/// events; older streams weigh less. A stream with a wrong announcement counts as one stream.
 #[derive(Debug, Default)]
 struct EventCounts {
     events: f64,
-    tokens: f64,
+    weighted_ratio: f64,
 }
 
 /// Stream statistics by service.
@@ -84,11 +85,12 @@
 
     /// Records the number of events of a complete stream that was announced with `output_tokens`.
     pub fn record_events(&mut self, service: &Arc<str>, output_tokens: u32, events: u64) {
-        let events = u32::try_from(events).unwrap_or(u32::MAX);
+        let events = f64::from(u32::try_from(events).unwrap_or(u32::MAX));
+        let ratio = events / f64::from(output_tokens.max(1));
         let counts = &mut self.of(service).events;
         let kept = 1.0 - NEWEST_WEIGHT;
-        counts.events = counts.events * kept + f64::from(events);
-        counts.tokens = counts.tokens * kept + f64::from(output_tokens);
+        counts.events = counts.events * kept + events;
+        counts.weighted_ratio = counts.weighted_ratio * kept + events * ratio;
     }
 
     /// Events of a stream for each token that it was announced with; `None` before the first
@@ -96,7 +98,7 @@
     #[must_use]
     pub fn events_per_token(&self, service: &str) -> Option<f64> {
         let counts = &self.by_service.get(service)?.events;
-        (counts.tokens > 0.0).then(|| counts.events / counts.tokens)
+        (counts.events > 0.0).then(|| counts.weighted_ratio / counts.events)
     }
 
     /// Time within which the running streams of an engine can be expected to end: the longest
--- a/crates/fleet/src/stages/engine_times.rs
+++ b/crates/fleet/src/stages/engine_times.rs
@@ -88,8 +88,8 @@
     }
 }
 
-/// Engines with the same number of requests, rounded, are about equally busy. The number decides
-/// first: a change begins only when the last stream of its engine has ended.
+/// Engines with the same sum of requests and waiting prompt tokens, rounded, are equally busy. The
+/// sum decides first: a change begins only when the last stream of its engine has ended.
 fn busyness_level(busyness: f64) -> f64 {
     busyness.round()
 }
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -7,6 +7,7 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{PrefixState, PrefixUse, PromptPlan, PromptReading, PromptTime};
+use ponddrift_fleet::profiles::WorkKind;
 use ponddrift_fleet::prompt::Prompt;
 
 use super::Pipeline;
@@ -120,7 +121,8 @@
     fn expected_prefill_ms(&self, engine: &BackEnd, tokens: f64) -> f64 {
         let placement = self.placement();
         let waiting = placement.load.outstanding(&engine.id).prompt_tokens;
-        (waiting + tokens) / placement.speed.prefill_tokens_per_ms()
+        let factor = placement.profiles.factor(engine, WorkKind::Prefill, now());
+        (waiting + tokens) / placement.speed.prefill_tokens_per_ms() * factor
     }
 
     /// Waits while another request prefills the shared prefix, as long as this request may benefit
