--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -26,7 +26,7 @@
 
 use crate::announcements::Announcements;
 use crate::configuration::Stage;
-use crate::directory::{BackEnd, ReadyCounts};
+use crate::directory::{BackEnd, Incarnation, ReadyCounts};
 use crate::health::Health;
 use crate::profiles::Profiles;
 use crate::prompt::Prompt;
@@ -37,7 +37,7 @@
 pub use confidence::Confidence;
 pub use costs::NextRateToken;
 use costs::{Choice, Estimate};
-use decoding::DecodeEstimator;
+use decoding::{DecodeEstimator, MIN_GAPS_TO_EXPLAIN};
 pub use decoding::{FastestEngine, StreamPlacement};
 pub use fairness::{FairShares, OfferedRequest};
 pub use gap_risk::{GapForecast, StreamNeeds};
@@ -76,6 +76,8 @@
     /// Stage at the time of the suspension. Once the engine reports another stage, it has changed
     /// and the suspension no longer applies.
     stage: Option<Stage>,
+    /// Incarnation that is about to change.
+    incarnation: Incarnation,
 }
 
 /// State on which placement decisions are based.
@@ -176,11 +178,17 @@
             .retain(|_id, suspension| suspension.until > now);
         let until = now + time;
         let is_known = self.suspensions.get(&engine.id).is_some_and(|suspension| {
-            suspension.until >= until && suspension.stage == engine.stage
+            suspension.until >= until && self.applies(suspension, engine)
         });
         if !is_known {
             let stage = engine.stage;
-            let suspension = Suspension { until, own, stage };
+            let incarnation = engine.incarnation;
+            let suspension = Suspension {
+                until,
+                own,
+                stage,
+                incarnation,
+            };
             self.suspensions.insert(Arc::clone(&engine.id), suspension);
         }
     }
@@ -207,7 +215,15 @@
     fn is_suspended(&self, engine: &BackEnd, now: Instant) -> bool {
         self.suspensions
             .get(&engine.id)
-            .is_some_and(|suspension| suspension.until > now && suspension.stage == engine.stage)
+            .is_some_and(|suspension| suspension.until > now && self.applies(suspension, engine))
+    }
+
+    /// Whether the suspension is that of the engine as it is now. Where profiles are used,
+    /// suspensions last until a change is overdue, and a new incarnation knows nothing of its order.
+    fn applies(&self, suspension: &Suspension, engine: &BackEnd) -> bool {
+        let is_same_run =
+            suspension.incarnation == engine.incarnation || !self.profiles.is_enabled();
+        suspension.stage == engine.stage && is_same_run
     }
 
     /// Chooses a plain back end, or an engine for a request that does not describe its prompt.
@@ -256,7 +272,7 @@
             holders: &holders,
             excess_reading: self.excess_reading(&decoders, request.latency_targets),
             link_wait_ms: self.link.wait_ms(now),
-            decoding: self.decode_estimator(&decoders, request.stream, now),
+            decoding: self.decode_estimator(request.stream, now),
             decode_arrivals_per_ms: self.arrivals_per_engine_per_ms(&decoders, Stage::Decode),
             prefill_arrivals_per_ms: self.arrivals_per_engine_per_ms(&prefills, Stage::Prefill),
             now,
@@ -388,26 +404,21 @@
         stream: Option<StreamNeeds>,
         now: Instant,
     ) -> Option<StreamPlacement> {
-        if !self.profiles.is_enabled() {
+        let stream = stream.filter(|stream| stream.gaps >= MIN_GAPS_TO_EXPLAIN);
+        if !self.profiles.is_enabled() || stream.is_none() {
             return None;
         }
         let decoders = self.usable(ready, &[], now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
-        self.decode_estimator(&decoders, stream, now)
+        self.decode_estimator(stream, now)
             .explain(chosen, &decoders)
     }
 
-    fn decode_estimator(
-        &self,
-        decoders: &[Arc<BackEnd>],
-        stream: Option<StreamNeeds>,
-        now: Instant,
-    ) -> DecodeEstimator<'_> {
+    fn decode_estimator(&self, stream: Option<StreamNeeds>, now: Instant) -> DecodeEstimator<'_> {
         DecodeEstimator {
             placement: self,
             stream,
-            reading_share: self.reading_share(decoders),
             now,
         }
     }
@@ -422,7 +433,7 @@
         let DecodeRequest {
             prompt, hand_over, ..
         } = *request;
-        let decoding = self.decode_estimator(decoders, request.stream, now);
+        let decoding = self.decode_estimator(request.stream, now);
         let rate = self.speed.decode_tokens_per_ms();
         let prefix = prompt.and_then(prefixes::tracked_prefix);
         // All daemons compute the same preferred engine, so they also hand over to the same one.
--- a/crates/fleet/src/placement/decoding.rs
+++ b/crates/fleet/src/placement/decoding.rs
@@ -8,13 +8,12 @@
 use crate::directory::BackEnd;
 use crate::profiles::WorkKind;
 
-/// Largest share of an engine's time that reading prompts is assumed to take from its streams: it
-/// reads in pieces, between the events of streams.
-const MAX_READING_SHARE: f64 = 0.5;
-
+/// Cost of a failed stream as a multiple of that of a late one: it is lost, and its repetition takes
+/// the place of another.
+const FAILURE_WEIGHT: f64 = 3.0;
 /// Streams with fewer gaps than this have next to no risk of their own, so their placement is not
 /// explained.
-const MIN_GAPS_TO_EXPLAIN: f64 = 3.0;
+pub(super) const MIN_GAPS_TO_EXPLAIN: f64 = 3.0;
 
 /// Context for estimating the gaps of streams at the decode engines of a service.
 #[derive(Clone, Copy)]
@@ -22,8 +21,6 @@
     pub(super) placement: &'a Placement,
     /// Needs of the stream to place; `None` if it has no target gap.
     pub(super) stream: Option<StreamNeeds>,
-    /// Average share of time that the decode engines spend on prefill.
-    pub(super) reading_share: f64,
     pub(super) now: Instant,
 }
 
@@ -56,7 +53,8 @@
 }
 
 impl DecodeEstimator<'_> {
-    /// Gaps of `streams` streams at an engine; `None` while the service's gaps are unknown or
+    /// Gaps of `streams` streams at an engine. Prompts that the engines read meanwhile are part of the
+    /// learned gaps, as daemons know few of them in time. `None` while the service's gaps are unknown or
     /// profiles are not used.
     pub(super) fn gaps(&self, back_end: &BackEnd, streams: f64) -> Option<GapForecast> {
         let placement = self.placement;
@@ -67,9 +65,8 @@
         let factor = placement
             .profiles
             .factor(back_end, WorkKind::Decode, self.now);
-        let time_for_streams = 1.0 - self.reading_share.min(MAX_READING_SHARE);
         Some(GapForecast {
-            mean_ms: average_ms * factor / time_for_streams,
+            mean_ms: average_ms * factor,
             busy_factor: placement
                 .profiles
                 .busy_factor(&back_end.service, WorkKind::Decode),
@@ -83,7 +80,9 @@
     }
 
     /// Cost of the stream at an engine in addition to the time to its first event, in milliseconds:
-    /// its own risk, and that which it adds for the streams there.
+    /// its own risk, and that which it adds for the streams there, which are assumed to be of its own
+    /// length. An engine that fails requests has
+    /// few streams, so its failures must weigh as much as the gaps elsewhere.
     pub(super) fn stream_burden_ms(&self, back_end: &BackEnd) -> f64 {
         let Some(stream) = self.stream else {
             return 0.0;
@@ -99,7 +98,8 @@
         let added_risk =
             stream.late_share_of_running(with_it) - stream.late_share_of_running(without_it);
         let late_streams = stream.late_share(with_it) + outstanding.generating * added_risk;
-        late_streams * stream.latency_ms + stream.overrun_ms(with_it)
+        let failures = self.placement.health.failure_rate(&back_end.id) * FAILURE_WEIGHT;
+        (late_streams + failures) * stream.latency_ms + stream.overrun_ms(with_it)
     }
 
     /// Number of streams at an engine that would have a gap beyond `target_ms` only because the
@@ -124,9 +124,7 @@
         chosen: &BackEnd,
         candidates: &[Arc<BackEnd>],
     ) -> Option<StreamPlacement> {
-        let stream = self
-            .stream
-            .filter(|stream| stream.gaps >= MIN_GAPS_TO_EXPLAIN)?;
+        let stream = self.stream?;
         let gaps = self.gaps_of_new_stream(chosen)?;
         let gap_of = |back_end: &BackEnd| {
             let forecast = self.gaps_of_new_stream(back_end);
