Capacity: engines follow a forecast of the load where callers may want more than there is

Cause: the planner held capacity for the highest load of 15 boot times, kept one on-demand engine in each zone, and ordered half as many engines again before any load.

Change (setting capacity.forecast, on where the contracts name `pressure`): a forecast one boot time ahead (level, trend, errors of earlier forecasts), kept for four boot times; utilization from target latency, gaps and prompt times; no headroom before any load; spot engines fill the minimum of a zone; zones without spot engines are replaced by others.

--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -8,6 +8,8 @@
 //! The plan is a desired state. It follows the highest load within a time window: it is raised
 //! immediately and lowered only after the load has been lower for long.
 
+mod forecast;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 use std::time::Instant;
@@ -16,6 +18,10 @@
 use crate::directory::{BackEnd, Lifecycle};
 use crate::stages::StageWork;
 
+pub use forecast::{
+    Binding, Forecast, ForecastPlanner, GapTarget, WaitTargets, acceptable_utilization,
+};
+
 /// Headroom for peaks relative to the current size. Applies to fleets with unknown load and without
 /// spot engines, whose operators could not plan for peaks.
 const PEAK_HEADROOM_FACTOR: f64 = 1.5;
@@ -87,14 +93,9 @@
     pub needed: f64,
     /// Number of engines left after the loss of one zone's spot engines.
     pub left_after_loss: f64,
-}
-
-impl CapacityPlan {
     /// Engines that must be running while others are replaced. Contains no headroom for peaks or
     /// the loss of a zone, since a replacement takes only seconds.
-    fn min_running_engines(&self) -> f64 {
-        self.needed / PEAK_HEADROOM_FACTOR
-    }
+    pub min_running: f64,
 }
 
 /// Capacity planner of one service.
@@ -160,7 +161,12 @@
         };
         self.planned_needed = Some(needed);
         let zones = zones(present, autoscaling);
-        Some(spread_over_zones(needed, &zones, autoscaling, settings))
+        Some(spread_over_zones(
+            needed,
+            &zones,
+            autoscaling,
+            settings.on_demand_share,
+        ))
     }
 }
 
@@ -220,20 +226,32 @@
     needed: f64,
     zones: &[Arc<str>],
     autoscaling: &Autoscaling,
-    settings: CapacitySettings,
+    on_demand_share: f64,
 ) -> CapacityPlan {
     let zone_count = count(zones.len().max(1));
     let maximum = f64::from(autoscaling.maximum);
     let minimum = f64::from(autoscaling.minimum);
     let in_bounds = |engines: f64| engines.ceil().clamp(minimum.min(maximum), maximum);
     let (on_demand, spot) = if is_spot_cheaper(autoscaling, zone_count) {
-        let on_demand = in_bounds(needed * settings.on_demand_share / zone_count);
+        let on_demand = in_bounds(needed * on_demand_share / zone_count);
         let rest = (needed - on_demand * zone_count).max(0.0);
         let spot = (rest / (zone_count - 1.0)).ceil().min(maximum - on_demand);
         (on_demand, spot)
     } else {
         (in_bounds(needed / zone_count), 0.0)
     };
+    to_plan(needed, zones, autoscaling, on_demand, spot)
+}
+
+/// The plan with these numbers of engines in each zone.
+fn to_plan(
+    needed: f64,
+    zones: &[Arc<str>],
+    autoscaling: &Autoscaling,
+    on_demand: f64,
+    spot: f64,
+) -> CapacityPlan {
+    let zone_count = count(zones.len().max(1));
     let mut desired = EngineCounts::new();
     for zone in zones {
         desired.insert(
@@ -247,10 +265,41 @@
     CapacityPlan {
         desired,
         needed,
+        min_running: needed / PEAK_HEADROOM_FACTOR,
         left_after_loss: on_demand * zone_count + spot * (zone_count - 1.0),
     }
 }
 
+/// Like [`spread_over_zones`], but without on-demand engines beyond `on_demand_share` where spot
+/// engines fill the minimum of each zone, and with more engines in the other zones while the
+/// provider has no spot engines in some. The number is the same in all zones: with more engines in
+/// cheaper zones, their loss would leave fewer, and the spare ones would cost more than is saved.
+fn spread_spot_first(
+    needed: f64,
+    zones: &[Arc<str>],
+    autoscaling: &Autoscaling,
+    on_demand_share: f64,
+    zones_without_spot: usize,
+) -> CapacityPlan {
+    let zone_count = count(zones.len().max(1));
+    if !is_spot_cheaper(autoscaling, zone_count) {
+        return spread_over_zones(needed, zones, autoscaling, on_demand_share);
+    }
+    let maximum = f64::from(autoscaling.maximum);
+    let minimum = f64::from(autoscaling.minimum).min(maximum);
+    let on_demand = (needed * on_demand_share / zone_count).ceil().min(maximum);
+    let rest = (needed - on_demand * zone_count).max(0.0);
+    let carrying_zones = zones.len().saturating_sub(zones_without_spot + 1).max(1);
+    let spot = (rest / count(carrying_zones))
+        .ceil()
+        .max(minimum - on_demand)
+        .min(maximum - on_demand);
+    CapacityPlan {
+        min_running: needed,
+        ..to_plan(needed, zones, autoscaling, on_demand, spot)
+    }
+}
+
 /// Whether spot engines, with the spare capacity for the loss of one zone, cost less than on-demand
 /// engines.
 fn is_spot_cheaper(autoscaling: &Autoscaling, zones: f64) -> bool {
@@ -270,7 +319,7 @@
 ) -> EngineCounts {
     let present_count = |key: &(Arc<str>, Contract)| present.get(key).copied().unwrap_or_default();
     let ready: u32 = present.values().sum();
-    let mut spare = to_engine_count((f64::from(ready) - plan.min_running_engines()).max(0.0));
+    let mut spare = to_engine_count((f64::from(ready) - plan.min_running).max(0.0));
     let mut step = EngineCounts::new();
     for (key, desired) in &plan.desired {
         let removed = present_count(key).saturating_sub(*desired).min(spare);
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -8,6 +8,7 @@
 mod load;
 mod metering;
 mod prefixes;
+mod prompt_times;
 mod reading;
 mod speed;
 mod stream_times;
@@ -36,6 +37,7 @@
 pub use link::LocalLink;
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
 pub use prefixes::{MIN_PREFIX_TOKENS, PrefixMemory, PrefixState, PrefixUse, tracked_prefix};
+pub use prompt_times::{PromptTime, PromptTimes};
 use reading::PrefillEstimator;
 pub use speed::{PromptReading, SpeedTable};
 pub use stream_times::StreamTimes;
@@ -207,6 +209,8 @@
     /// Work of all daemons per service, as of `fleet_work_updated_at`.
     fleet_work: Vec<(Arc<str>, StageWork)>,
     fleet_work_updated_at: Option<Instant>,
+    /// Times that prefill engines need for prompts.
+    pub prompt_times: PromptTimes,
     /// Work caused by this daemon's requests.
     pub work: WorkMeter,
     /// Work caused by the requests of peers.
@@ -238,6 +242,7 @@
             daemons: 1,
             fleet_work: Vec::new(),
             fleet_work_updated_at: None,
+            prompt_times: PromptTimes::default(),
             work: WorkMeter::default(),
             peer_work: PeerWork::default(),
             suspensions: HashMap::new(),
--- a/crates/fleet/src/placement/metering.rs
+++ b/crates/fleet/src/placement/metering.rs
@@ -6,7 +6,7 @@
 use super::{LatencyTargets, MS_PER_S, Placement, PromptPlan};
 use crate::configuration::Stage;
 use crate::directory::BackEnd;
-use crate::stages::{DECODE_READING_SHARE, StageWork};
+use crate::stages::{DECODE_READING_SHARE, STREAM_SLOT_WEIGHT, StageWork};
 
 /// A decode engine can process prompts for this share of the target gap without noticeably delaying
 /// its streams.
@@ -14,8 +14,6 @@
 /// Share of the headroom between the usual and the target gap that decode engines may spend on
 /// prefill.
 const READING_SHARE_OF_HEADROOM: f64 = 0.5;
-/// Share of a slot's capacity that a stream uses; the streams of a batch share each decode step.
-const SLOT_WEIGHT: f64 = 0.3;
 /// Interval at which the work of all daemons is recomputed.
 const FLEET_WORK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -85,6 +83,7 @@
     ) {
         let prefill_s = plan.tokens_to_read / self.speed.prefill_tokens_per_ms() / MS_PER_S;
         let decode_s = plan.tokens_to_read / self.speed.decode_tokens_per_ms() / MS_PER_S;
+        self.prompt_times.record(service, prefill_s);
         let mut work = StageWork::default();
         if plan.tokens_to_read > self.short_read_tokens(latency_targets) {
             work.prefill = prefill_s;
@@ -113,7 +112,7 @@
         self.streams.record_stream(service, time, now);
         let held = time.as_secs_f64() / f64::from(slots.max(1));
         let work = StageWork {
-            decode: held * SLOT_WEIGHT,
+            decode: held * STREAM_SLOT_WEIGHT,
             ..StageWork::default()
         };
         self.work.add(service, work, now);
--- a/crates/fleet/src/stages.rs
+++ b/crates/fleet/src/stages.rs
@@ -20,7 +20,7 @@
 use crate::configuration::Stage;
 use crate::directory::BackEnd;
 use gain::{Engines, best_move, net_gain};
-pub(crate) use work::DECODE_READ_SPEED_RATIO;
+pub(crate) use work::{DECODE_READ_SPEED_RATIO, STREAM_SLOT_WEIGHT};
 pub use work::{DECODE_READING_SHARE, StageWork};
 
 /// Expected remaining duration of a request mix as a multiple of its duration so far: the mean
--- a/crates/fleet/src/stages/work.rs
+++ b/crates/fleet/src/stages/work.rs
@@ -3,6 +3,8 @@
 /// Share of time that decode engines may spend on short prompts. Beyond it the gaps of their
 /// streams become noticeable, and prefill engines process the rest.
 pub const DECODE_READING_SHARE: f64 = 0.1;
+/// Share of a slot's capacity that a stream uses; the streams of a batch share each decode step.
+pub(crate) const STREAM_SLOT_WEIGHT: f64 = 0.3;
 /// Prefill speed of a decode engine relative to a prefill engine.
 pub(crate) const DECODE_READ_SPEED_RATIO: f64 = 0.5;
 
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -157,6 +157,7 @@
             fencing = ?settings.fencing,
             usage = ?settings.usage,
             capacity = ?settings.capacity,
+            capacity_by_forecast = settings.capacity_by_forecast,
             stop_limit_ms = u64::try_from(settings.stop.exit_deadline.as_millis()).unwrap_or(u64::MAX),
             "started"
         );
@@ -264,6 +265,7 @@
         let capacity_parts = CapacityDependencies {
             holder: Arc::clone(&settings.name),
             settings: capacity_settings,
+            by_forecast: settings.capacity_by_forecast,
             state: Arc::clone(&dependencies.state),
             pipeline: Arc::clone(&dependencies.pipeline),
             provider: Arc::clone(&dependencies.provider),
--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -78,6 +78,14 @@
         ("{{cloud.duties}}", "usage_report,autoscale"),
         ("{{bounds.reportWindowS}}", "5"),
         ("{{bounds.usageLateS}}", "10"),
+        (
+            "{{contracts}}",
+            if has_optional_values {
+                "base,tenants,pressure"
+            } else {
+                ""
+            },
+        ),
     ]
     .iter()
     .fold(
@@ -170,3 +178,23 @@
     );
     assert_eq!((settings.usage, settings.capacity), (None, None));
 }
+
+#[test]
+fn engines_are_planned_by_forecast_only_where_the_deployment_names_pressure_or_asks_for_it() {
+    let named = check(&rendered_template()).expect("valid settings");
+    assert!(named.capacity_by_forecast);
+    let without = rendered_template().replace("tenants,pressure", "tenants,pressures");
+    let settings = check(&without).expect("valid settings");
+    assert!(!settings.capacity_by_forecast, "the whole name counts");
+    let settings = check(&render_template(false)).expect("valid settings");
+    assert!(!settings.capacity_by_forecast);
+    let off = rendered_template() + "\n[capacity]\nforecast = false\n";
+    let settings = check(&off).expect("valid settings");
+    assert!(
+        !settings.capacity_by_forecast,
+        "operators may switch it off"
+    );
+    let wrong = rendered_template() + "\n[capacity]\nforecast = \"yes\"\n";
+    let faults = check(&wrong).expect_err("invalid settings");
+    assert_eq!(faults.0[0].key, "capacity.forecast");
+}
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -44,6 +44,12 @@
     result: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CapacityLabels {
+    service: String,
+    figure: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct PromptTokenLabels {
     way: &'static str,
@@ -143,6 +149,7 @@
     orders: Family<ResultLabels, Counter>,
     usage_reports: Family<ResultLabels, Counter>,
     engines_ordered: Family<ResultLabels, Counter>,
+    capacity: Family<CapacityLabels, Gauge<f64, std::sync::atomic::AtomicU64>>,
     store_calls: Family<ResultLabels, Counter>,
     prompt_tokens: Family<PromptTokenLabels, Counter<f64, std::sync::atomic::AtomicU64>>,
     fetches: Counter,
@@ -192,6 +199,11 @@
             retries: register_default(r, "repeats", "Sends beyond the first, granted or not"),
             orders: register_default(r, "orders", "Orders to engines by result"),
             engines_ordered: register_default(r, "engines_ordered", "Orders of engines by result"),
+            capacity: register_default(
+                r,
+                "capacity_engines",
+                "Engines of a service that are present, needed and forecast, and the forecast's error",
+            ),
             usage_reports: register_default(
                 r,
                 "usage_reports",
@@ -371,6 +383,15 @@
             .inc();
     }
 
+    /// Sets a figure of capacity planning, in engines.
+    pub(crate) fn capacity(&self, service: &str, figure: &'static str, engines: f64) {
+        let labels = CapacityLabels {
+            service: service.to_owned(),
+            figure,
+        };
+        self.capacity.get_or_create(&labels).set(engines);
+    }
+
     pub(crate) fn usage_report(&self, result: &'static str) {
         self.usage_reports
             .get_or_create(&ResultLabels { result })
