Connections: new ones to back ends are counted by reason; one that is idle is preferred among near-equal back ends

Engines announce 10 s; after the others, eight in a hundred, the connection is used for 0.6 s.

Change: a counter by reason; with capacity.forecast, a back end without an idle connection costs twice the measured time to open one in placement.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -4,6 +4,7 @@
 mod confidence;
 mod costs;
 mod fairness;
+mod idle_connections;
 mod link;
 mod load;
 mod metering;
@@ -34,6 +35,7 @@
 pub use costs::NextRateToken;
 use costs::{Choice, Estimate};
 pub use fairness::{FairShares, OfferedRequest};
+pub use idle_connections::IdleConnections;
 pub use link::LocalLink;
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
 pub use prefixes::{MIN_PREFIX_TOKENS, PrefixMemory, PrefixState, PrefixUse, tracked_prefix};
@@ -209,6 +211,8 @@
     /// Work of all daemons per service, as of `fleet_work_updated_at`.
     fleet_work: Vec<(Arc<str>, StageWork)>,
     fleet_work_updated_at: Option<Instant>,
+    /// Back ends that can be reached without opening a connection.
+    pub idle_connections: IdleConnections,
     /// Times that prefill engines need for prompts.
     pub prompt_times: PromptTimes,
     /// Work caused by this daemon's requests.
@@ -242,6 +246,7 @@
             daemons: 1,
             fleet_work: Vec::new(),
             fleet_work_updated_at: None,
+            idle_connections: IdleConnections::default(),
             prompt_times: PromptTimes::default(),
             work: WorkMeter::default(),
             peer_work: PeerWork::default(),
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -213,7 +213,9 @@
                 let estimate = estimate(back_end);
                 let time_ms = estimate.time_ms * self.slowness(back_end, now);
                 let failure_weighted_ms = time_ms * self.health.cost_factor(&back_end.id);
-                let cost_ms = failure_weighted_ms + estimate.burden_ms + self.zone_ms(back_end);
+                let opening_ms = self.idle_connections.opening_cost_ms(back_end.address);
+                let cost_ms =
+                    failure_weighted_ms + estimate.burden_ms + self.zone_ms(back_end) + opening_ms;
                 let jitter: f64 = random.random();
                 (back_end, time_ms, cost_ms * (1.0 + JITTER_SHARE * jitter))
             })
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -70,6 +70,7 @@
             budget: settings.retry_budget,
             bounds: settings.intake_bounds,
             usage: usage_recorder.clone(),
+            prefers_idle_connections: settings.capacity_by_forecast,
         };
         let dialect: Arc<dyn Dialect> = Arc::new(PlatformDialect);
         let pipeline = Pipeline::new(
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -1,7 +1,7 @@
 //! Connection pools to back ends. Connections are reused, and their number never exceeds this
 //! daemon's share of what a back end accepts.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -11,9 +11,11 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use ponddrift_fleet::placement::IdleConnections;
 use ponddrift_http::body::{self, Body};
 use ponddrift_runtime::Runtime;
 
+use crate::metrics::Metrics;
 use crate::pipeline::SendPermit;
 use crate::time::now;
 
@@ -28,6 +30,14 @@
 
 /// Maximum bytes of the answer to a [`Connections::call`].
 const MAX_CALL_ANSWER_BYTES: usize = 4 << 20;
+/// Weight of the newest connection in the average time to open one.
+const NEWEST_OPENING_WEIGHT: f64 = 0.05;
+const MS_PER_S: f64 = 1_000.0;
+/// Ended connections of one back end whose reasons are kept for the metric of new connections.
+const MAX_REMEMBERED_ENDS: usize = 16;
+/// Pools without connections are removed after this time, when their back ends are gone or hardly
+/// used.
+const UNUSED_POOL_TTL: Duration = Duration::from_secs(30);
 
 /// Why a request was not sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,13 +77,67 @@
 /// All connections of this daemon.
 pub struct Connections {
     runtime: Runtime,
+    /// Where new connections are counted.
+    metrics: Option<Arc<Metrics>>,
     pools: Mutex<HashMap<SocketAddr, Pool>>,
+    /// Average time to open a connection, in milliseconds; `None` before the first one.
+    opening_ms: Mutex<Option<f64>>,
 }
 
 #[derive(Default)]
 struct Pool {
     open: u32,
     idle: Vec<Idle>,
+    /// Why earlier connections ended, oldest first, as far as no new one has replaced them.
+    ended: VecDeque<ConnectionEnd>,
+    /// Since when the pool has been seen without any connection.
+    unused_since: Option<Instant>,
+}
+
+impl Pool {
+    fn record_end(&mut self, end: ConnectionEnd) {
+        self.open = self.open.saturating_sub(1);
+        if self.ended.len() == MAX_REMEMBERED_ENDS {
+            self.ended.pop_front();
+        }
+        self.ended.push_back(end);
+    }
+
+    /// Why the pool needs a connection more than it has.
+    fn opening_reason(&mut self) -> &'static str {
+        match self.ended.pop_front() {
+            Some(end) => end.as_str(),
+            None if self.open > 0 => "others_in_use",
+            None => "first",
+        }
+    }
+}
+
+/// Why a connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ConnectionEnd {
+    /// It was idle until shortly before the server would have closed it.
+    Expired,
+    /// The server closed it while it was idle.
+    ClosedByServer,
+    /// It was idle while the back end did not answer in time on another one.
+    Discarded,
+    /// The server asked to close it after an answer.
+    CloseRequested,
+    /// Its exchange failed, was cancelled or left a body unread.
+    Interrupted,
+}
+
+impl ConnectionEnd {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Expired => "expired",
+            Self::ClosedByServer => "closed_by_server",
+            Self::Discarded => "discarded",
+            Self::CloseRequested => "close_requested",
+            Self::Interrupted => "interrupted",
+        }
+    }
 }
 
 struct Idle {
@@ -81,20 +145,52 @@
     usable_until: Instant,
 }
 
+impl Idle {
+    /// Why the connection can no longer be used; `None` if it can.
+    fn end(&self, now: Instant) -> Option<ConnectionEnd> {
+        if self.sender.is_closed() {
+            return Some(ConnectionEnd::ClosedByServer);
+        }
+        (self.usable_until <= now).then_some(ConnectionEnd::Expired)
+    }
+}
+
 /// A connection in use.
 pub struct Connection {
-    sender: Option<SendRequest<Body>>,
+    state: ConnectionState,
     address: SocketAddr,
     owner: Arc<Connections>,
 }
 
+enum ConnectionState {
+    /// It is being opened, or its exchange has not ended.
+    Opening,
+    InUse(SendRequest<Body>),
+    /// The server asked to close it.
+    CloseRequested,
+    /// The pool has it again.
+    Returned,
+}
+
 impl Connections {
     /// Creates an empty set of connection pools.
     #[must_use]
     pub fn new(runtime: Runtime) -> Arc<Self> {
+        Self::with_metrics(runtime, None)
+    }
+
+    /// Creates an empty set of connection pools whose new connections are counted by reason.
+    #[must_use]
+    pub fn to_back_ends(runtime: Runtime, metrics: Arc<Metrics>) -> Arc<Self> {
+        Self::with_metrics(runtime, Some(metrics))
+    }
+
+    fn with_metrics(runtime: Runtime, metrics: Option<Arc<Metrics>>) -> Arc<Self> {
         Arc::new(Self {
             runtime,
+            metrics,
             pools: Mutex::default(),
+            opening_ms: Mutex::default(),
         })
     }
 
@@ -122,7 +218,7 @@
                 Some(connection) => connection,
                 None => self.open(address, max_connections).await?,
             };
-            let Some(sender) = connection.sender.as_mut() else {
+            let ConnectionState::InUse(sender) = &mut connection.state else {
                 continue;
             };
             // A reused connection may still be finishing its previous exchange.
@@ -201,14 +297,16 @@
         let mut pools = self.lock();
         let pool = pools.get_mut(&address)?;
         while let Some(idle) = pool.idle.pop() {
-            if idle.usable_until > now && !idle.sender.is_closed() {
-                return Some(Connection {
-                    sender: Some(idle.sender),
-                    address,
-                    owner: Arc::clone(self),
-                });
+            match idle.end(now) {
+                None => {
+                    return Some(Connection {
+                        state: ConnectionState::InUse(idle.sender),
+                        address,
+                        owner: Arc::clone(self),
+                    });
+                }
+                Some(end) => pool.record_end(end),
             }
-            pool.open -= 1;
         }
         None
     }
@@ -221,10 +319,11 @@
         self.reserve_connection(address, max_connections)?;
         // The connection already counts as open, so that an error or a drop frees its place.
         let mut connection = Connection {
-            sender: None,
+            state: ConnectionState::Opening,
             address,
             owner: Arc::clone(self),
         };
+        let started_at = now();
         let connecting = self.runtime.network.connect(address);
         let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
             Ok(Ok(stream)) => stream,
@@ -234,11 +333,12 @@
             .handshake::<_, Body>(TokioIo::new(stream))
             .await;
         let (sender, driver) = handshake.map_err(ExchangeError::Broken)?;
+        self.record_opening(now().saturating_duration_since(started_at));
         self.runtime.spawner.spawn(Box::pin(async move {
             // A connection error surfaces at the sender.
             drop(driver.await);
         }));
-        connection.sender = Some(sender);
+        connection.state = ConnectionState::InUse(sender);
         Ok(connection)
     }
 
@@ -252,20 +352,31 @@
         if pool.open >= max_connections.max(1) {
             return Err(ExchangeError::NotSent(NotSent::Exhausted));
         }
+        let reason = pool.opening_reason();
         pool.open += 1;
+        drop(pools);
+        if let Some(metrics) = &self.metrics {
+            metrics.connection_opened(reason);
+        }
         Ok(())
     }
 
-    /// Closes expired idle connections and removes pools without any open connection.
+    /// Closes expired idle connections and removes pools that have been without any for long.
     pub fn close_expired_idle(&self) {
         let now = now();
         self.lock().retain(|_address, pool| {
-            let before = pool.idle.len();
-            pool.idle
-                .retain(|idle| idle.usable_until > now && !idle.sender.is_closed());
-            let closed = u32::try_from(before - pool.idle.len()).unwrap_or(u32::MAX);
-            pool.open = pool.open.saturating_sub(closed);
-            pool.open > 0
+            for idle in std::mem::take(&mut pool.idle) {
+                match idle.end(now) {
+                    None => pool.idle.push(idle),
+                    Some(end) => pool.record_end(end),
+                }
+            }
+            if pool.open > 0 {
+                pool.unused_since = None;
+                return true;
+            }
+            let unused_since = *pool.unused_since.get_or_insert(now);
+            now.saturating_duration_since(unused_since) < UNUSED_POOL_TTL
         });
     }
 
@@ -274,9 +385,32 @@
     /// request its time.
     pub fn discard_idle(&self, address: SocketAddr) {
         if let Some(pool) = self.lock().get_mut(&address) {
-            let closed = u32::try_from(pool.idle.len()).unwrap_or(u32::MAX);
-            pool.idle.clear();
-            pool.open = pool.open.saturating_sub(closed);
+            for _idle in std::mem::take(&mut pool.idle) {
+                pool.record_end(ConnectionEnd::Discarded);
+            }
+        }
+    }
+
+    fn record_opening(&self, took: Duration) {
+        let sample = took.as_secs_f64() * MS_PER_S;
+        let mut opening_ms = lock(&self.opening_ms);
+        let before = opening_ms.unwrap_or(sample);
+        *opening_ms = Some(before + NEWEST_OPENING_WEIGHT * (sample - before));
+    }
+
+    /// Back ends with an idle connection, and the time that opening one takes.
+    #[must_use]
+    pub fn idle_connections(&self) -> IdleConnections {
+        let now = now();
+        let pools = self.lock();
+        let with_idle = pools
+            .iter()
+            .filter(|(_address, pool)| pool.idle.iter().any(|idle| idle.end(now).is_none()));
+        let addresses = with_idle.map(|(address, _pool)| *address).collect();
+        drop(pools);
+        IdleConnections {
+            addresses: Some(addresses),
+            opening_ms: *lock(&self.opening_ms),
         }
     }
 
@@ -287,21 +421,29 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Pool>> {
-        self.pools
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        lock(&self.pools)
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
 impl Connection {
     /// Returns the connection to the pool if the headers of the answer allow reuse. The body of the
     /// answer must have been read completely.
     pub fn return_to_pool(mut self, head: &HeaderMap) {
-        let Some(sender) = self.sender.take() else {
+        let lifetime = idle_lifetime(head);
+        let next = match lifetime {
+            Some(_lifetime) => ConnectionState::Returned,
+            None => ConnectionState::CloseRequested,
+        };
+        let ConnectionState::InUse(sender) = std::mem::replace(&mut self.state, next) else {
             return;
         };
-        let Some(lifetime) = idle_lifetime(head) else {
-            self.sender = Some(sender);
+        let Some(lifetime) = lifetime else {
             return;
         };
         let idle = Idle {
@@ -311,15 +453,19 @@
         let mut pools = self.owner.lock();
         let pool = pools.entry(self.address).or_default();
         pool.idle.push(idle);
-        pool.open += 1; // the drop of `self` takes one away
     }
 }
 
 impl Drop for Connection {
     fn drop(&mut self) {
+        let end = match self.state {
+            ConnectionState::Returned => return,
+            ConnectionState::CloseRequested => ConnectionEnd::CloseRequested,
+            ConnectionState::Opening | ConnectionState::InUse(_) => ConnectionEnd::Interrupted,
+        };
         let mut pools = self.owner.lock();
         if let Some(pool) = pools.get_mut(&self.address) {
-            pool.open = pool.open.saturating_sub(1);
+            pool.record_end(end);
         }
     }
 }
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -44,6 +44,11 @@
     result: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CapacityLabels {
     service: String,
@@ -150,6 +155,7 @@
     usage_reports: Family<ResultLabels, Counter>,
     engines_ordered: Family<ResultLabels, Counter>,
     capacity: Family<CapacityLabels, Gauge<f64, std::sync::atomic::AtomicU64>>,
+    connections_opened: Family<ReasonLabels, Counter>,
     store_calls: Family<ResultLabels, Counter>,
     prompt_tokens: Family<PromptTokenLabels, Counter<f64, std::sync::atomic::AtomicU64>>,
     fetches: Counter,
@@ -204,6 +210,11 @@
                 "capacity_engines",
                 "Engines of a service that are present, needed and forecast, and the forecast's error",
             ),
+            connections_opened: register_default(
+                r,
+                "back_end_connections_opened",
+                "New connections to back ends by reason",
+            ),
             usage_reports: register_default(
                 r,
                 "usage_reports",
@@ -392,6 +403,12 @@
         self.capacity.get_or_create(&labels).set(engines);
     }
 
+    pub(crate) fn connection_opened(&self, reason: &'static str) {
+        self.connections_opened
+            .get_or_create(&ReasonLabels { reason })
+            .inc();
+    }
+
     pub(crate) fn usage_report(&self, result: &'static str) {
         self.usage_reports
             .get_or_create(&ResultLabels { result })
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -46,7 +46,7 @@
         holder,
         leadership,
         calls: EngineCalls {
-            connections: Connections::new(runtime.clone()),
+            connections: Connections::to_back_ends(runtime.clone(), Arc::clone(pipeline.metrics())),
             dialect: Arc::clone(dialect),
             pipeline: Arc::clone(pipeline),
         },
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -70,6 +70,8 @@
     pub bounds: IntakeLimits,
     /// Counts the usage of tenants; `None` if usage is not reported.
     pub usage: Option<Arc<UsageRecorder>>,
+    /// Whether back ends with an idle connection are preferred over others.
+    pub prefers_idle_connections: bool,
 }
 
 /// Limits on the requests held at a time. Requests beyond them are refused before any processing.
@@ -113,6 +115,7 @@
     held_bytes: AtomicUsize,
     bounds: IntakeLimits,
     usage: Option<Arc<UsageRecorder>>,
+    prefers_idle_connections: bool,
 }
 
 impl Pipeline {
@@ -131,7 +134,7 @@
             runtime: runtime.clone(),
             dialect,
             state,
-            connections: Connections::new(runtime.clone()),
+            connections: Connections::to_back_ends(runtime.clone(), Arc::clone(&metrics)),
             engine_exit_checks: EngineExitChecks::default(),
             changed_suspects: PendingSet::default(),
             changed_rate_limits: PendingSet::default(),
@@ -154,6 +157,7 @@
             held_bytes: AtomicUsize::new(0),
             bounds: settings.bounds,
             usage: settings.usage.clone(),
+            prefers_idle_connections: settings.prefers_idle_connections,
         })
     }
 
@@ -339,7 +343,7 @@
 
     /// Metrics of this daemon.
     #[must_use]
-    pub fn metrics(&self) -> &Metrics {
+    pub fn metrics(&self) -> &Arc<Metrics> {
         &self.metrics
     }
 
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -285,6 +285,9 @@
         };
         placement.prefixes.set_capacity(traits.cache_tokens);
         placement.fleet_work(now);
+        if self.prefers_idle_connections {
+            placement.idle_connections = self.connections.idle_connections();
+        }
         let mut request = PromptRequest {
             prompt,
             latency_targets: job.latency_targets(),
