Capacity: the headroom before any load stays, also by forecast

Cause: with the operators' fleet alone before any load, bursts in the first boot times met too few engines. Change: half as many engines again until the load has been known for four boot times; while on-demand engines are replaced, this headroom is not waited for. What a restarted daemon takes as the initial fleet is what is left after the loss of a zone, on-demand engines included.

--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -294,10 +294,7 @@
         .ceil()
         .max(minimum - on_demand)
         .min(maximum - on_demand);
-    CapacityPlan {
-        min_running: needed,
-        ..to_plan(needed, zones, autoscaling, on_demand, spot)
-    }
+    to_plan(needed, zones, autoscaling, on_demand, spot)
 }
 
 /// Whether spot engines, with the spare capacity for the loss of one zone, cost less than on-demand
--- a/crates/fleet/src/capacity/forecast.rs
+++ b/crates/fleet/src/capacity/forecast.rs
@@ -10,8 +10,8 @@
 use std::time::{Duration, Instant};
 
 use super::{
-    CapacityPlan, Contract, EngineCounts, MAX_SLOT_SHARE, count, engines_after_zone_loss,
-    spread_spot_first, total, zones,
+    CapacityPlan, Contract, EngineCounts, MAX_SLOT_SHARE, PEAK_HEADROOM_FACTOR, count,
+    engines_after_zone_loss, spread_spot_first, total, zones,
 };
 use crate::configuration::Autoscaling;
 use crate::placement::PromptTime;
@@ -151,6 +151,39 @@
     }
 }
 
+/// The fleet that was there before the load was known.
+#[derive(Debug, Clone, Copy)]
+struct InitialFleet {
+    /// Engines that operators, or an earlier plan, held necessary.
+    engines: f64,
+    /// Headroom for peaks, for which operators could not plan.
+    headroom_factor: f64,
+}
+
+impl Default for InitialFleet {
+    fn default() -> Self {
+        Self {
+            engines: 0.0,
+            headroom_factor: 1.0,
+        }
+    }
+}
+
+impl InitialFleet {
+    /// Takes the present engines into account, as far as they are not replacements that this planner
+    /// has seen ordered: what remains after the loss of a zone is what was needed.
+    fn see(&mut self, present: &EngineCounts, autoscaling: &Autoscaling) {
+        let is_operators_fleet = total(present, Contract::Spot) < 1.0;
+        if is_operators_fleet && total(present, Contract::OnDemand) > 0.0 {
+            self.headroom_factor = PEAK_HEADROOM_FACTOR;
+        }
+        if is_operators_fleet || self.headroom_factor <= 1.0 {
+            let engines = engines_after_zone_loss(present, autoscaling);
+            self.engines = self.engines.max(engines);
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Observation {
     at: Instant,
@@ -165,8 +198,7 @@
 pub struct ForecastPlanner {
     /// Observations of the last few boot times, oldest first.
     observations: VecDeque<Observation>,
-    /// Engines that were there before the load was known.
-    initial_engines: f64,
+    initial: InitialFleet,
     load_known_since: Option<Instant>,
     /// Engines needed according to the last plan.
     planned_needed: Option<f64>,
@@ -192,9 +224,7 @@
             .load_known_for(now)
             .is_none_or(|time| time < autoscaling.boot)
         {
-            self.initial_engines = self
-                .initial_engines
-                .max(initial_engines(present, autoscaling));
+            self.initial.see(present, autoscaling);
         }
         let engines = measured.map_or(0.0, |work| engines_for_load(work, utilization));
         let kept = kept_time(autoscaling);
@@ -238,7 +268,10 @@
             .load_known_for(newest.at)
             .is_none_or(|time| time <= kept_time(autoscaling));
         if is_load_new {
-            forecast.raise(self.initial_engines, Binding::InitialFleet);
+            forecast.raise(
+                self.initial.engines * self.initial.headroom_factor,
+                Binding::InitialFleet,
+            );
         }
         if let Some(planned) = self.planned_needed
             && forecast.needed >= planned * RELEASE_THRESHOLD
@@ -259,6 +292,11 @@
     ) -> Option<(CapacityPlan, Forecast)> {
         let forecast = self.forecast(autoscaling)?;
         self.planned_needed = Some(forecast.needed);
+        // While engines are replaced, headroom for peaks of an unknown load is not needed.
+        let min_running = match forecast.binding {
+            Binding::InitialFleet => self.initial.engines,
+            _ => forecast.needed,
+        };
         let zones = zones(present, autoscaling);
         let plan = spread_spot_first(
             forecast.needed,
@@ -267,6 +305,10 @@
             on_demand_share,
             zones_without_spot,
         );
+        let plan = CapacityPlan {
+            min_running,
+            ..plan
+        };
         Some((plan, forecast))
     }
 
@@ -320,13 +362,6 @@
     decoders + (work.prefill + work.short_reading) / utilization
 }
 
-/// Engines that the operators, or an earlier plan, held necessary: on-demand engines, or spot
-/// engines after the loss of a zone. While one kind replaces the other, both are present.
-fn initial_engines(present: &EngineCounts, autoscaling: &Autoscaling) -> f64 {
-    let on_demand = total(present, Contract::OnDemand);
-    (engines_after_zone_loss(present, autoscaling) - on_demand).max(on_demand)
-}
-
 fn mean<'a>(observed: impl Iterator<Item = &'a (Duration, f64)>) -> Option<f64> {
     let (sum, observations) = observed.fold((0.0, 0.0), |(sum, observations), (_age, engines)| {
         (sum + engines, observations + 1.0)
