Capacity by forecast: too little known means more engines; on-demand engines where no zone has spot

Cause (review): slots that streams hold now were not in the work that the planner sees, only what ended streams had held; prompt times unknown, or known from one prompt, allowed the highest utilization; with the spot engines of all zones withdrawn and refused nothing was ordered on demand; a cost of new connections without bound; choices of plain back ends and of decode engines after a prefill used the idle connections of an earlier choice.

Change: slots held now count; the lowest utilization until 20 prompts and the usual gap are known, capacity.busy_share for services without prompts; on-demand engines replace what is missing beyond the loss of one zone while no zone has spot engines; while replacing, at least the observed need keeps running; at most 10 ms for a new connection; idle connections are read at each choice. Tests: unknown prompt times, no zone with spot engines; the others have none yet.

--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -277,6 +277,7 @@
 fn spread_spot_first(
     needed: f64,
     zones: &[Arc<str>],
+    present: &EngineCounts,
     autoscaling: &Autoscaling,
     on_demand_share: f64,
     zones_without_spot: usize,
@@ -294,6 +295,12 @@
         .ceil()
         .max(minimum - on_demand)
         .min(maximum - on_demand);
+    if zones_without_spot < zones.len() {
+        return to_plan(needed, zones, autoscaling, on_demand, spot);
+    }
+    // No zone can replace another. On-demand engines replace what is missing beyond the loss of one.
+    let missing = (spot * (zone_count - 1.0) - total(present, Contract::Spot)).max(0.0);
+    let on_demand = (on_demand + (missing / zone_count).ceil()).clamp(minimum, maximum);
     to_plan(needed, zones, autoscaling, on_demand, spot)
 }
 
--- a/crates/fleet/src/capacity/forecast.rs
+++ b/crates/fleet/src/capacity/forecast.rs
@@ -44,7 +44,7 @@
 pub struct WaitTargets {
     /// Shortest time within which an answer has to begin.
     pub latency: Duration,
-    /// Gaps of streams; `None` if no route has a target for them, or nothing is known of them.
+    /// Gaps of streams; `None` if no route has a target for them.
     pub gaps: Option<GapTarget>,
 }
 
@@ -58,11 +58,12 @@
 }
 
 /// Utilization at which at most [`LATE_SHARE`] of the requests wait longer than their targets allow,
-/// for prompts that arrive independently of each other; the highest one if there are no prompts.
+/// for prompts that arrive independently of each other; the lowest one while too little is known of
+/// them.
 #[must_use]
 pub fn acceptable_utilization(targets: WaitTargets, prompts: Option<PromptTime>) -> f64 {
     let Some(residual_s) = prompts.map(PromptTime::residual_s) else {
-        return MAX_UTILIZATION;
+        return MIN_UTILIZATION;
     };
     let first = utilization_for(targets.latency.as_secs_f64() - residual_s, residual_s, 1.0);
     let gaps = targets.gaps.map(|gaps| {
@@ -215,7 +216,7 @@
         autoscaling: &Autoscaling,
         now: Instant,
     ) {
-        let measured = work.filter(|work| work.total() > 0.0);
+        let measured = work.filter(|work| work.total() > 0.0 || work.slots > 0.0);
         if measured.is_some() {
             self.load_known_since.get_or_insert(now);
         }
@@ -294,13 +295,14 @@
         self.planned_needed = Some(forecast.needed);
         // While engines are replaced, headroom for peaks of an unknown load is not needed.
         let min_running = match forecast.binding {
-            Binding::InitialFleet => self.initial.engines,
+            Binding::InitialFleet => self.initial.engines.max(forecast.observed),
             _ => forecast.needed,
         };
         let zones = zones(present, autoscaling);
         let plan = spread_spot_first(
             forecast.needed,
             &zones,
+            present,
             autoscaling,
             on_demand_share,
             zones_without_spot,
--- a/crates/fleet/src/placement/idle_connections.rs
+++ b/crates/fleet/src/placement/idle_connections.rs
@@ -7,6 +7,9 @@
 /// Cost of a new connection relative to the time that it takes this daemon to open one. The back end
 /// spends as long, and keeps the connection until it has been idle for long.
 const OPENING_COST_FACTOR: f64 = 2.0;
+/// Maximum of the cost, so that a slow network does not outweigh the load of back ends, in
+/// milliseconds.
+const MAX_OPENING_COST_MS: f64 = 10.0;
 
 /// Idle connections as of the current decision, and the time that opening one takes.
 #[derive(Debug, Clone, Default)]
@@ -22,7 +25,7 @@
     pub(super) fn opening_cost_ms(&self, address: SocketAddr) -> f64 {
         match (&self.addresses, self.opening_ms) {
             (Some(addresses), Some(opening_ms)) if !addresses.contains(&address) => {
-                opening_ms * OPENING_COST_FACTOR
+                (opening_ms * OPENING_COST_FACTOR).min(MAX_OPENING_COST_MS)
             }
             _ => 0.0,
         }
--- a/crates/fleet/src/placement/prompt_times.rs
+++ b/crates/fleet/src/placement/prompt_times.rs
@@ -3,14 +3,17 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// Weight of the newest prompt in the averages.
+/// Weight of the newest prompt in the averages; the first ones weigh equally.
 const NEWEST_WEIGHT: f64 = 0.02;
+/// Prompts from which on the averages are used; fewer may all be short ones.
+const MIN_PROMPTS: u32 = 20;
 
 /// Average times of prompts at a prefill engine.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct PromptTime {
     mean_s: f64,
     mean_square_s2: f64,
+    prompts: u32,
 }
 
 impl PromptTime {
@@ -35,18 +38,24 @@
         if !(seconds.is_finite() && seconds > 0.0) {
             return;
         }
-        let sample = PromptTime {
-            mean_s: seconds,
-            mean_square_s2: seconds * seconds,
-        };
-        let known = self.by_service.entry(Arc::clone(service)).or_insert(sample);
-        known.mean_s += NEWEST_WEIGHT * (sample.mean_s - known.mean_s);
-        known.mean_square_s2 += NEWEST_WEIGHT * (sample.mean_square_s2 - known.mean_square_s2);
+        let known = self
+            .by_service
+            .entry(Arc::clone(service))
+            .or_insert(PromptTime {
+                mean_s: seconds,
+                mean_square_s2: seconds * seconds,
+                prompts: 0,
+            });
+        known.prompts = known.prompts.saturating_add(1);
+        let weight = NEWEST_WEIGHT.max(1.0 / f64::from(known.prompts));
+        known.mean_s += weight * (seconds - known.mean_s);
+        known.mean_square_s2 += weight * (seconds * seconds - known.mean_square_s2);
     }
 
-    /// Average times of the service's prompts; `None` before the first prompt.
+    /// Average times of the service's prompts; `None` while too few are known.
     #[must_use]
     pub fn of(&self, service: &str) -> Option<PromptTime> {
-        self.by_service.get(service).copied()
+        let known = self.by_service.get(service).copied();
+        known.filter(|known| known.prompts >= MIN_PROMPTS)
     }
 }
--- a/crates/fleet/tests/capacity_forecast.rs
+++ b/crates/fleet/tests/capacity_forecast.rs
@@ -233,6 +233,30 @@
     assert!(engines(&replay.present) < 60.0, "{:?}", replay.present);
 }
 
+/// Load: 8 engines of work while the spot engines of all zones are taken away one after the other and
+/// none are to be had. Callers must find on-demand engines that cover the work.
+#[test]
+fn on_demand_engines_serve_where_no_zone_has_spot_engines() {
+    let mut replay = Replay::new(in_all_zones(Contract::OnDemand, 15));
+    for _ in 0..80 {
+        replay.step(8.0);
+    }
+    for zone in ZONES {
+        replay.lose_spot_engines_of(zone);
+        for _ in 0..10 {
+            replay.step(8.0);
+        }
+    }
+    assert!(replay.covers(8.0), "{:?}", replay.present);
+    assert!(total(&replay.present, Contract::OnDemand) >= 20);
+    replay.zones_without_spot.clear();
+    for _ in 0..60 {
+        replay.step(8.0);
+        assert!(replay.covers(8.0), "{:?}", replay.present);
+    }
+    assert_eq!(total(&replay.present, Contract::OnDemand), 0);
+}
+
 /// Load: 8 engines of work; a new leader first knows a hundredth of it. It must not release engines
 /// that carry the rest.
 #[test]
@@ -298,7 +322,9 @@
 
 fn utilization(prompt_ms: f64, latency_ms: u64, gaps: Option<GapTarget>) -> f64 {
     let mut times = PromptTimes::default();
-    times.record(&Arc::from("s"), prompt_ms / 1_000.0);
+    for _ in 0..20 {
+        times.record(&Arc::from("s"), prompt_ms / 1_000.0);
+    }
     let latency = Duration::from_millis(latency_ms);
     acceptable_utilization(WaitTargets { latency, gaps }, times.of("s"))
 }
@@ -326,7 +352,13 @@
         gaps: Some(gaps),
     };
     let unknown = acceptable_utilization(targets, nothing_known.of("s"));
-    assert!((0.2..=0.8).contains(&unknown));
+    assert!(
+        unknown <= longest,
+        "{unknown}: too little known means more engines"
+    );
+    let mut hardly_known = PromptTimes::default();
+    hardly_known.record(&Arc::from("s"), 0.001);
+    assert_eq!(hardly_known.of("s"), None, "one short prompt tells nothing");
 }
 
 /// Load: any list of work, with engines lost at any time. Plans stay within the bounds of the zones,
--- a/crates/serving/src/capacity.rs
+++ b/crates/serving/src/capacity.rs
@@ -13,6 +13,7 @@
     ForecastPlanner, GapTarget, WaitTargets, acceptable_utilization, count_ready, next_step,
 };
 use ponddrift_fleet::configuration::{Autoscaling, Route, Service};
+use ponddrift_fleet::stages::StageWork;
 use ponddrift_runtime::Runtime;
 use tokio::time::sleep;
 
@@ -177,7 +178,8 @@
         let work = work.into_iter().find(|(name, _work)| *name == service.name);
         let work = work.map(|(_name, work)| work);
         let settings = self.dependencies.settings;
-        let utilization = self.acceptable_utilization(&service.name);
+        let utilization = self.acceptable_utilization(service);
+        let slots = self.slots_held(&service.name);
         let by_forecast = self.dependencies.by_forecast;
         let planner = self
             .planners
@@ -188,6 +190,7 @@
                 planner.observe(work, present, autoscaling, settings, now());
             }
             Planner::Forecast(planner) => {
+                let work = work.map(|work| StageWork { slots, ..work });
                 planner.observe(work, utilization, present, autoscaling, now());
                 if let Some(forecast) = planner.forecast(autoscaling) {
                     self.record_forecast(service, &forecast, present, utilization);
@@ -236,8 +239,25 @@
         );
     }
 
+    /// Slots that streams hold now, as a number of engines.
+    fn slots_held(&self, service: &str) -> f64 {
+        let back_ends = self.dependencies.state.back_ends();
+        let engines = back_ends.iter().filter(|known| &*known.service == service);
+        let engines: Vec<_> = engines.cloned().collect();
+        self.dependencies
+            .pipeline
+            .placement()
+            .load
+            .slots_held(&engines)
+    }
+
     /// Utilization at which prompts of the service wait acceptably for the strictest of its routes.
-    fn acceptable_utilization(&self, service: &str) -> f64 {
+    fn acceptable_utilization(&self, service: &Service) -> f64 {
+        if service.engine.is_none() {
+            // It serves no prompts, whose times would tell.
+            return self.dependencies.settings.busy_share;
+        }
+        let service = &*service.name;
         let in_force = self.dependencies.state.in_force();
         let routes = in_force
             .iter()
@@ -248,9 +268,18 @@
         let gap = routes.iter().filter_map(|route| route.target_gap).min();
         let placement = self.dependencies.pipeline.placement();
         let usual_ms = placement.streams.baseline_gap_ms(service);
-        let gaps = gap.filter(|_| usual_ms > 0.0).map(|gap| GapTarget {
-            headroom: gap.saturating_sub(Duration::from_secs_f64(usual_ms / MS_PER_S)),
-            gaps_per_stream: placement.streams.average_ms(service) / usual_ms,
+        let gaps = gap.map(|gap| {
+            // While the usual gap is unknown, nothing is known to be left of the target.
+            let is_known = usual_ms > 0.0;
+            let usual = Duration::from_secs_f64(usual_ms / MS_PER_S);
+            GapTarget {
+                headroom: gap.saturating_sub(if is_known { usual } else { gap }),
+                gaps_per_stream: if is_known {
+                    placement.streams.average_ms(service) / usual_ms
+                } else {
+                    1.0
+                },
+            }
         });
         let targets = WaitTargets {
             latency: latency.unwrap_or_default(),
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -256,6 +256,13 @@
         self.placement().resume_engine(id);
     }
 
+    /// Tells the placement of the next choice which connections are idle now.
+    fn refresh_idle_connections(&self, placement: &mut Placement) {
+        if self.prefers_idle_connections {
+            placement.idle_connections = self.connections.idle_connections();
+        }
+    }
+
     /// Work of every service, summed over all daemons.
     #[must_use]
     pub fn fleet_work(&self) -> Vec<(Arc<str>, StageWork)> {
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -245,6 +245,7 @@
         let now = now();
         let candidates = self.candidates(job);
         let mut placement = self.placement();
+        self.refresh_idle_connections(&mut placement);
         let plan = self.choose_plan(&mut placement, job, &candidates.back_ends, now)?;
         job.expected_ms.get_or_insert(plan.expected_ms);
         placement.record_prompt_work(&job.service.name, &plan, job.latency_targets(), now);
@@ -285,9 +286,6 @@
         };
         placement.prefixes.set_capacity(traits.cache_tokens);
         placement.fleet_work(now);
-        if self.prefers_idle_connections {
-            placement.idle_connections = self.connections.idle_connections();
-        }
         let mut request = PromptRequest {
             prompt,
             latency_targets: job.latency_targets(),
@@ -419,7 +417,8 @@
             .zip(job.metadata.prompt.as_ref())
             .zip(job.service.engine.as_ref())
             .map(|((prompt_engine, prompt), traits)| HandOver::of(prompt, prompt_engine, traits));
-        let placement = self.placement();
+        let mut placement = self.placement();
+        self.refresh_idle_connections(&mut placement);
         let chosen = placement
             .choose_decode_after_prefill(
                 &candidates.back_ends,
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -121,7 +121,8 @@
 
     fn choose_back_end(&self, job: &mut Job) -> Option<Arc<BackEnd>> {
         let candidates = self.candidates(job);
-        let placement = self.placement();
+        let mut placement = self.placement();
+        self.refresh_idle_connections(&mut placement);
         let chosen = placement.choose_plain(
             &candidates.back_ends,
             &job.tried,
