--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -7,11 +7,13 @@
 mod fairness;
 mod gap_line;
 mod gap_risk;
+mod idle_connections;
 mod learning;
 mod link;
 mod load;
 mod metering;
 mod prefixes;
+mod prompt_times;
 mod reading;
 mod request;
 mod speed;
@@ -41,10 +43,12 @@
 pub use decoding::{FastestEngine, StreamPlacement};
 pub use fairness::{FairShares, OfferedRequest};
 pub use gap_risk::{GapForecast, StreamNeeds};
+pub use idle_connections::IdleConnections;
 pub use learning::PromptTime;
 pub use link::LocalLink;
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
 pub use prefixes::{MIN_PREFIX_TOKENS, PrefixMemory, PrefixState, PrefixUse, tracked_prefix};
+pub use prompt_times::{PromptDuration, PromptTimes};
 use reading::PrefillEstimator;
 pub use request::{DecodeRequest, HandOver, LatencyTargets, PromptPlan, PromptRequest};
 pub use speed::{PromptReading, SpeedTable};
@@ -114,6 +118,10 @@
     /// Work of all daemons per service, as of `fleet_work_updated_at`.
     fleet_work: Vec<(Arc<str>, StageWork)>,
     fleet_work_updated_at: Option<Instant>,
+    /// Back ends that can be reached without opening a connection.
+    pub idle_connections: IdleConnections,
+    /// Times that prefill engines need for prompts.
+    pub prompt_times: PromptTimes,
     /// Work caused by this daemon's requests.
     pub work: WorkMeter,
     /// Work caused by the requests of peers.
@@ -145,6 +153,8 @@
             daemons: 1,
             fleet_work: Vec::new(),
             fleet_work_updated_at: None,
+            idle_connections: IdleConnections::default(),
+            prompt_times: PromptTimes::default(),
             work: WorkMeter::default(),
             peer_work: PeerWork::default(),
             suspensions: HashMap::new(),
--- a/crates/fleet/src/stages.rs
+++ b/crates/fleet/src/stages.rs
@@ -23,7 +23,7 @@
 pub use engine_times::EngineTime;
 use engine_times::EngineTimes;
 use gain::{Engines, best_move, net_gain};
-pub(crate) use work::DECODE_READ_SPEED_RATIO;
+pub(crate) use work::{DECODE_READ_SPEED_RATIO, STREAM_SLOT_WEIGHT};
 pub use work::{DECODE_READING_SHARE, StageWork};
 
 /// Expected remaining duration of a request mix as a multiple of its duration so far: the mean
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -71,6 +71,7 @@
             bounds: settings.intake_bounds,
             usage: usage_recorder.clone(),
             profiles: settings.profiles,
+            prefers_idle_connections: settings.capacity_by_forecast,
         };
         let dialect: Arc<dyn Dialect> = Arc::new(PlatformDialect);
         let pipeline = Pipeline::new(
@@ -161,6 +162,7 @@
             usage = ?settings.usage,
             capacity = ?settings.capacity,
             profiles = settings.profiles,
+            capacity_by_forecast = settings.capacity_by_forecast,
             stop_limit_ms = u64::try_from(settings.stop.exit_deadline.as_millis()).unwrap_or(u64::MAX),
             "started"
         );
@@ -268,6 +270,7 @@
         let capacity_parts = CapacityDependencies {
             holder: Arc::clone(&settings.name),
             settings: capacity_settings,
+            by_forecast: settings.capacity_by_forecast,
             state: Arc::clone(&dependencies.state),
             pipeline: Arc::clone(&dependencies.pipeline),
             provider: Arc::clone(&dependencies.provider),
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -73,6 +73,8 @@
     pub usage: Option<Arc<UsageRecorder>>,
     /// Whether profiles of back ends are kept if the configuration has long streams.
     pub profiles: bool,
+    /// Whether back ends with an idle connection are preferred over others.
+    pub prefers_idle_connections: bool,
 }
 
 /// Limits on the requests held at a time. Requests beyond them are refused before any processing.
@@ -118,6 +120,7 @@
     usage: Option<Arc<UsageRecorder>>,
     keeps_profiles: bool,
     profiles_switched: Notify,
+    prefers_idle_connections: bool,
 }
 
 impl Pipeline {
@@ -136,7 +139,7 @@
             runtime: runtime.clone(),
             dialect,
             state,
-            connections: Connections::new(runtime.clone()),
+            connections: Connections::to_back_ends(runtime.clone(), Arc::clone(&metrics)),
             engine_exit_checks: EngineExitChecks::default(),
             changed_suspects: PendingSet::default(),
             changed_rate_limits: PendingSet::default(),
@@ -161,6 +164,7 @@
             usage: settings.usage.clone(),
             keeps_profiles: settings.profiles,
             profiles_switched: Notify::new(),
+            prefers_idle_connections: settings.prefers_idle_connections,
         })
     }
 
@@ -259,6 +263,13 @@
         self.placement().resume_engine(id);
     }
 
+    /// Tells the placement of the next choice which connections are idle now.
+    fn refresh_idle_connections(&self, placement: &mut Placement) {
+        if self.prefers_idle_connections {
+            placement.idle_connections = self.connections.idle_connections();
+        }
+    }
+
     /// Work of every service, summed over all daemons.
     #[must_use]
     pub fn fleet_work(&self) -> Vec<(Arc<str>, StageWork)> {
@@ -350,7 +361,7 @@
 
     /// Metrics of this daemon.
     #[must_use]
-    pub fn metrics(&self) -> &Metrics {
+    pub fn metrics(&self) -> &Arc<Metrics> {
         &self.metrics
     }
 
