Leader: a term whose lease outlived an outage of the store resumes with its token

Cause: a leader that could not renew its lease before the lease may have expired by its own clock stepped down. If the store kept the lease through its outage, the leader's key stood until the lease ran out after the store's return, and the next leader waited 1.3 lease durations more where receivers check no fences. Usage of a window was then reported too late.

Change: a leader in doubt sends no calls but goes on renewing, twice as often, for at most 20 lease durations. If a renewal under the same lease succeeds, it reads its key (linearizable); if that is the same write under the same lease, nobody else can have led, and the term continues with the same token, counted from when the renewal was sent. If the lease is over, of an earlier era, or the key was written again, it steps down as before. The reporter keeps its pending windows over such a pause of one term. Usage fixed before the outage is not sent during it: another daemon may hold the lease if only this one cannot reach the store.

The model moved into a directory of three files; both earlier scopes are explored with the same bounds.

--- a/crates/fleet/src/leadership.rs
+++ b/crates/fleet/src/leadership.rs
@@ -5,6 +5,10 @@
 //! before the call that granted or renewed it, and stops before the store can let it expire, early
 //! enough for a call in flight to arrive. The calls of two holders therefore never overlap, and
 //! each call carries the fencing token of its holder.
+//!
+//! A holder whose lease may have expired sends no calls but goes on renewing it for a bounded time,
+//! because an unavailable store may keep leases until it is back. If the renewal succeeds and the
+//! holder's key was never written since, nobody else can have led, and its term resumes.
 
 use std::time::{Duration, Instant};
 
@@ -16,6 +20,9 @@
 /// Where receivers do not check fencing tokens, a new holder waits this many lease durations before
 /// its first call, because a call of the previous holder may be delayed in the network.
 const UNFENCED_WAIT_LEASE_DURATIONS: f64 = 1.3;
+/// A holder whose lease may have expired renews it for this many lease durations, then steps down.
+/// After a longer outage, a new election costs little in comparison.
+const MAX_RECOVERY_LEASE_DURATIONS: u32 = 20;
 
 /// Whether the receivers of a leader's calls reject those of earlier leaders.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +49,72 @@
     pub last_call: Instant,
 }
 
+/// The store's answer to a renewal of the lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RenewalOutcome {
+    /// The lease was renewed.
+    Renewed {
+        /// Time when the renewal was sent.
+        requested_at: Instant,
+    },
+    /// The lease has expired, or belongs to an earlier era of the store.
+    Expired,
+    /// There was no answer, or the store rejected the call: the lease may have expired or not, and
+    /// may have been renewed or not.
+    Unknown,
+}
+
+/// The leader's key in the store, according to a linearizable read after a renewal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyState {
+    /// The key was not written since this daemon acquired the leadership, and has its lease.
+    Unchanged,
+    /// The key is missing, was written again or has another lease.
+    Changed,
+    /// There was no answer, or the store rejected the call.
+    Unknown,
+}
+
+/// What the holder does after a renewal or a read of its key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RenewalDecision {
+    /// The term continues in this form.
+    Continue(LeaderTerm),
+    /// The lease holds again after it may have expired. The holder reads its key, and passes the
+    /// result and this time to [`LeaderTerm::after_key_read`].
+    ReadKey {
+        /// Time when the successful renewal was sent.
+        requested_at: Instant,
+    },
+    /// The lease is renewed again later. The term is unchanged, so that it may allow no calls.
+    Retry,
+    /// The leadership is over.
+    StepDown(EndReason),
+}
+
+/// Why a leadership ends after a renewal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndReason {
+    /// The lease has expired.
+    LeaseExpired,
+    /// The lease may have expired and could not be renewed for too long.
+    NotRecovered,
+    /// Another daemon may have led in the meantime.
+    KeyChanged,
+}
+
+impl EndReason {
+    /// Name in log messages.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::LeaseExpired => "lapsed",
+            Self::NotRecovered => "may_have_lapsed",
+            Self::KeyChanged => "key_changed",
+        }
+    }
+}
+
 /// Time span during which one daemon is the leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaderTerm {
@@ -82,6 +155,44 @@
         }
     }
 
+    /// Decides how to go on after a renewal whose answer arrived, or failed to arrive, at `now`.
+    #[must_use]
+    pub fn after_renewal(self, outcome: RenewalOutcome, now: Instant) -> RenewalDecision {
+        match outcome {
+            RenewalOutcome::Renewed { requested_at } if self.may_have_expired(now) => {
+                RenewalDecision::ReadKey { requested_at }
+            }
+            RenewalOutcome::Renewed { requested_at } => {
+                RenewalDecision::Continue(self.renewed(requested_at))
+            }
+            RenewalOutcome::Expired => RenewalDecision::StepDown(EndReason::LeaseExpired),
+            RenewalOutcome::Unknown => self.retry_or_step_down(now),
+        }
+    }
+
+    /// Decides how to go on after the key was read, following a renewal sent at `requested_at`.
+    #[must_use]
+    pub fn after_key_read(
+        self,
+        key: KeyState,
+        requested_at: Instant,
+        now: Instant,
+    ) -> RenewalDecision {
+        match key {
+            KeyState::Unchanged => RenewalDecision::Continue(self.renewed(requested_at)),
+            KeyState::Changed => RenewalDecision::StepDown(EndReason::KeyChanged),
+            KeyState::Unknown => self.retry_or_step_down(now),
+        }
+    }
+
+    fn retry_or_step_down(self, now: Instant) -> RenewalDecision {
+        if now >= self.ends + self.life * MAX_RECOVERY_LEASE_DURATIONS {
+            RenewalDecision::StepDown(EndReason::NotRecovered)
+        } else {
+            RenewalDecision::Retry
+        }
+    }
+
     /// Whether a call sent now arrives while the lease certainly holds.
     #[must_use]
     pub fn allows_call(&self, now: Instant) -> bool {
--- a/crates/fleet/tests/leadership_model.rs
+++ b/crates/fleet/tests/leadership_model/state.rs
@@ -1,150 +1,76 @@
-//! Model checker for the leadership rules: explores all interleavings of two candidates and one
-//! store up to a bound, with delayed and lost answers, pauses, kills and releases. Guards against
-//! receivers seeing a lower fencing token, a token shared by two leaders, or calls that alternate
-//! between leaders.
-//!
-//! Time passes in ticks; in each tick every candidate performs at most one action. Times in a state
-//! are relative to the present, so that the number of states is finite and each is visited once.
-//! Faults seeded into the rules must be detected.
+//! The state of two candidates, the store and the receiver of calls, and how time changes it.
 
-use std::collections::HashSet;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use ponddrift_fleet::leadership::{Fencing, Grant, LeaderTerm};
-
-/// Duration of a tick.
-const TICK_DURATION: Duration = Duration::from_millis(300);
-/// Maximum number of ticks until a call arrives; it is abandoned before the next tick.
-const MAX_CALL_TICKS: u8 = 2;
-/// Limit on the number of visited states.
-const MAX_STATES: usize = 3_000_000;
-/// Ticks until the store processes a request, and from then until its answer; `None` if the answer
-/// is lost.
-type StoreDelays = &'static [(u8, Option<u8>)];
-
-/// Bounds of an exploration.
-#[derive(Debug, Clone, Copy)]
-struct Scope {
-    /// Number of pauses and kills.
-    faults: u8,
-    /// Number of voluntary releases of the lease.
-    releases: u8,
-    store_delays: StoreDelays,
-    /// Number of ticks.
-    horizon: usize,
-}
-
-/// Delayed and lost answers, one fault and one release.
-const UNRELIABLE_STORE: Scope = Scope {
-    faults: 1,
-    releases: 1,
-    store_delays: &[(0, Some(0)), (0, Some(3)), (1, Some(1)), (0, None)],
-    horizon: 16,
-};
-/// Two releases, with a lease long enough for three leaders within it.
-const TWO_RELEASES: Scope = Scope {
-    faults: 0,
-    releases: 2,
-    store_delays: &[(0, Some(0)), (0, None)],
-    horizon: 24,
+use super::candidate::{
+    Candidate, HeldGrant, MAX_CALL_TICKS, PendingRequest, RequestKind, TICK_DURATION, Treatment,
+    max_age_ticks,
 };
-/// Lease duration in ticks for each scope.
-const SHORT_LEASE_TICKS: u8 = 6;
-const LONG_LEASE_TICKS: u8 = 12;
-
-/// The rules as implemented, and variants with a seeded fault.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Rules {
-    AsImplemented,
-    /// The lease counts from the store's answer.
-    LeaseFromAnswer,
-    /// A renewal counts from the store's answer.
-    RenewalFromAnswer,
-    /// A call may be sent until the lease expires in the store.
-    CallUntilExpiry,
-    /// A former leader does not wait after its own last call.
-    NoWaitAfterOwnCalls,
-    /// The lease is released while calls are in flight.
-    ReleaseAtOnce,
-}
-
-/// A grant held by a candidate; times in ticks before now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct HeldGrant {
-    /// Number of later grants.
-    token_age: u8,
-    requested_at: u8,
-    granted_at: u8,
-    last_call: u8,
-    renewed: Option<u8>,
-}
+use super::{Rules, Scope};
 
+/// What an outage of the store affects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum RequestKind {
-    Take,
-    Renew,
-    Release,
+pub(super) enum OutageKind {
+    /// All requests; leases keep the time that they had left.
+    AllKeepingLeases,
+    /// All requests; leases expire.
+    All,
+    /// The requests of one candidate.
+    Only(usize),
 }
 
-/// A request to the store in flight.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct PendingRequest {
-    kind: RequestKind,
-    requested_at: u8,
-    processed_in: Option<u8>,
-    answer_in: Option<u8>,
-    /// Whether the store performed the request, once processed.
-    done: bool,
-    token_age: u8,
+pub(super) struct Outage {
+    pub(super) kind: OutageKind,
+    pub(super) left: u8,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default)]
-struct Candidate {
-    held: Option<HeldGrant>,
-    pending: Option<PendingRequest>,
-    last_call: u8,
-    paused: u8,
-    /// Call in flight: ticks until it arrives, and the age of its token.
-    call: Option<(u8, u8)>,
-    /// Ticks until the candidate releases the lease.
-    releases_in: Option<u8>,
+impl Outage {
+    fn rejects(self, candidate: usize) -> bool {
+        match self.kind {
+            OutageKind::AllKeepingLeases | OutageKind::All => true,
+            OutageKind::Only(affected) => affected == candidate,
+        }
+    }
 }
 
 /// The lease as the store holds it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct Lease {
-    holder: usize,
-    left: u8,
+pub(super) struct Lease {
+    pub(super) holder: usize,
+    pub(super) left: u8,
 }
 
 /// Times of a candidate's calls at the receiver, in ticks before now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct SeenCalls {
-    newest: u8,
+pub(super) struct SeenCalls {
+    pub(super) newest: u8,
     /// The last call before the newest call of the other candidate.
-    before_other: u8,
+    pub(super) before_other: u8,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct State<const LEASE_TICKS: u8> {
-    candidates: [Candidate; 2],
-    lease: Option<Lease>,
-    seen: [SeenCalls; 2],
+pub(super) struct State<const LEASE_TICKS: u8> {
+    pub(super) candidates: [Candidate; 2],
+    pub(super) lease: Option<Lease>,
+    pub(super) seen: [SeenCalls; 2],
     /// Age of the highest token seen, and the candidate that sent it.
-    highest: Option<(u8, usize)>,
-    faults_left: u8,
-    releases_left: u8,
+    pub(super) highest: Option<(u8, usize)>,
+    pub(super) faults_left: u8,
+    pub(super) releases_left: u8,
+    pub(super) outages_left: u8,
+    pub(super) outage: Option<Outage>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Violation {
+pub(super) enum Violation {
     LowerToken,
     SharedToken,
     AlternatingCalls,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Step {
+pub(super) enum Step {
     Nothing,
     SendRequest(RequestKind, u8, Option<u8>),
     SendCall(u8),
@@ -155,9 +81,11 @@
 
 impl<const LEASE_TICKS: u8> State<LEASE_TICKS> {
     /// Age in ticks beyond which events no longer matter.
-    const MAX_AGE_TICKS: u8 = LEASE_TICKS + 3;
+    const MAX_AGE_TICKS: u8 = max_age_ticks(LEASE_TICKS);
     /// Age in ticks of a grant or renewal at which the lease is renewed.
     const RENEWAL_AGE_TICKS: u8 = LEASE_TICKS / 3;
+    /// Duration of an outage in ticks.
+    const OUTAGE_TICKS: u8 = LEASE_TICKS + 1;
     /// Duration of a pause in ticks.
     const PAUSE_TICKS: u8 = LEASE_TICKS + 3;
 
@@ -165,7 +93,7 @@
         (ticks + 1).min(Self::MAX_AGE_TICKS)
     }
 
-    fn first(scope: Scope) -> Self {
+    pub(super) fn first(scope: Scope) -> Self {
         let long_ago = SeenCalls {
             newest: Self::MAX_AGE_TICKS,
             before_other: Self::MAX_AGE_TICKS,
@@ -181,6 +109,8 @@
             highest: None,
             faults_left: scope.faults,
             releases_left: scope.releases,
+            outages_left: scope.outages,
+            outage: None,
         }
     }
 
@@ -193,36 +123,13 @@
             return false;
         }
         let now = Instant::now() + TICK_DURATION * 1_000;
-        let ago = |ticks: u8| now - TICK_DURATION * u32::from(ticks);
-        let requested_at = match rules {
-            Rules::LeaseFromAnswer => ago(held.granted_at),
-            _ => ago(held.requested_at),
-        };
-        let last_call = match rules {
-            Rules::NoWaitAfterOwnCalls => ago(100),
-            // Nothing depends on older calls.
-            _ if held.last_call >= Self::MAX_AGE_TICKS => ago(100),
-            _ => ago(held.last_call),
-        };
-        let grant = Grant {
-            fencing_token: 1,
-            life: TICK_DURATION * u32::from(LEASE_TICKS),
-            requested_at,
-            granted_at: ago(held.granted_at),
-            last_call,
-        };
-        let term = LeaderTerm::new(&grant, Fencing::Checked);
-        let term = match held.renewed {
-            Some(renewed) => term.renewed(ago(renewed)),
-            None => term,
-        };
         match rules {
             Rules::CallUntilExpiry => held.renewed.unwrap_or(held.requested_at) < LEASE_TICKS,
-            _ => term.allows_call(now),
+            _ => held.term::<LEASE_TICKS>(rules, now).allows_call(now),
         }
     }
 
-    fn steps(&self, index: usize, rules: Rules, scope: Scope) -> Vec<Step> {
+    pub(super) fn steps(&self, index: usize, rules: Rules, scope: Scope) -> Vec<Step> {
         let candidate = &self.candidates[index];
         let mut steps = vec![Step::Nothing];
         if candidate.paused > 0 {
@@ -242,7 +149,13 @@
                 Some(held)
                     if held.renewed.unwrap_or(held.requested_at) >= Self::RENEWAL_AGE_TICKS =>
                 {
-                    ask(RequestKind::Renew);
+                    let now = Instant::now() + TICK_DURATION * 1_000;
+                    let in_doubt = held.term::<LEASE_TICKS>(rules, now).may_have_expired(now);
+                    if rules == Rules::ResumeWithoutRenewal && in_doubt {
+                        ask(RequestKind::ReadKey(0));
+                    } else {
+                        ask(RequestKind::Renew);
+                    }
                 }
                 _ => {}
             }
@@ -262,7 +175,7 @@
         steps
     }
 
-    fn take_step(&mut self, index: usize, step: Step, rules: Rules) {
+    pub(super) fn take_step(&mut self, index: usize, step: Step, rules: Rules) {
         let candidate = &mut self.candidates[index];
         match step {
             Step::Nothing => {}
@@ -272,7 +185,7 @@
                     requested_at: 0,
                     processed_in: Some(processing),
                     answer_in: answering.map(|answering| processing + answering),
-                    done: false,
+                    treatment: Treatment::NotProcessed,
                     token_age: 0,
                 });
             }
@@ -307,14 +220,14 @@
     }
 
     /// Advances time by one tick and delivers what is due.
-    fn advance_tick(&mut self, rules: Rules) -> Result<(), Violation> {
+    pub(super) fn advance_tick(&mut self, rules: Rules, scope: Scope) -> Result<(), Violation> {
         for index in 0..2 {
             self.begin_release(index);
             self.store_processes_request(index);
-            self.answer_arrives(index);
+            self.answer_arrives(index, rules);
             self.call_arrives(index)?;
         }
-        self.age(rules);
+        self.age(rules, scope);
         Ok(())
     }
 
@@ -329,7 +242,7 @@
                     requested_at: 0,
                     processed_in: Some(0),
                     answer_in: Some(0),
-                    done: false,
+                    treatment: Treatment::NotProcessed,
                     token_age: 0,
                 });
             }
@@ -346,29 +259,44 @@
             return;
         }
         pending.processed_in = None;
-        let holds = self.lease.is_some_and(|lease| lease.holder == index);
-        match pending.kind {
-            RequestKind::Take if self.lease.is_none() => {
+        pending.treatment = if self.outage.is_some_and(|outage| outage.rejects(index)) {
+            Treatment::Rejected
+        } else if self.perform(index, pending.kind) {
+            Treatment::Done
+        } else {
+            Treatment::ConditionFailed
+        };
+        self.candidates[index].pending = Some(pending);
+    }
+
+    /// Performs a request. Returns whether its condition held.
+    fn perform(&mut self, index: usize, kind: RequestKind) -> bool {
+        let is_holder = self.lease.is_some_and(|lease| lease.holder == index);
+        let condition_holds = match kind {
+            RequestKind::Take => self.lease.is_none(),
+            RequestKind::Renew | RequestKind::Release | RequestKind::ReadKey(_) => is_holder,
+        };
+        if !condition_holds {
+            return false;
+        }
+        match kind {
+            RequestKind::Take => {
                 self.lease = Some(Lease {
                     holder: index,
                     left: LEASE_TICKS,
                 });
-                pending.done = true;
                 self.age_tokens();
             }
-            RequestKind::Take => {}
-            RequestKind::Renew if holds => {
+            RequestKind::Renew => {
                 self.lease = Some(Lease {
                     holder: index,
                     left: LEASE_TICKS,
                 });
-                pending.done = true;
             }
-            RequestKind::Renew => {}
-            RequestKind::Release if holds => self.lease = None,
-            RequestKind::Release => {}
+            RequestKind::Release => self.lease = None,
+            RequestKind::ReadKey(_) => {}
         }
-        self.candidates[index].pending = Some(pending);
+        true
     }
 
     /// Ages all tokens after a new one was granted.
@@ -378,7 +306,7 @@
                 held.token_age = (held.token_age + 1).min(9);
             }
             if let Some(pending) = &mut candidate.pending
-                && pending.done
+                && pending.treatment == Treatment::Done
             {
                 pending.token_age = (pending.token_age + 1).min(9);
             }
@@ -391,7 +319,7 @@
         }
     }
 
-    fn answer_arrives(&mut self, index: usize) {
+    fn answer_arrives(&mut self, index: usize, rules: Rules) {
         let candidate = &mut self.candidates[index];
         let Some(pending) = candidate.pending else {
             return;
@@ -401,8 +329,8 @@
             return;
         }
         candidate.pending = None;
-        match (pending.kind, pending.done) {
-            (RequestKind::Take, true) => {
+        match (pending.kind, candidate.held) {
+            (RequestKind::Take, _) if pending.treatment == Treatment::Done => {
                 candidate.held = Some(HeldGrant {
                     token_age: pending.token_age,
                     requested_at: pending.requested_at,
@@ -411,12 +339,16 @@
                     renewed: None,
                 });
             }
-            (RequestKind::Renew, true) => {
-                if let Some(held) = &mut candidate.held {
-                    held.renewed = Some(pending.requested_at);
-                }
+            (RequestKind::Renew, Some(held)) => {
+                candidate.renewal_answered::<LEASE_TICKS>(held, pending, rules);
+            }
+            (RequestKind::ReadKey(renewal_sent), Some(held)) => {
+                let counted_from = match rules {
+                    Rules::ResumeFromKeyRead => 0,
+                    _ => renewal_sent,
+                };
+                candidate.key_read::<LEASE_TICKS>(held, pending, counted_from, rules);
             }
-            (RequestKind::Renew, false) => candidate.held = None,
             _ => {}
         }
     }
@@ -452,7 +384,7 @@
         Ok(())
     }
 
-    fn age(&mut self, rules: Rules) {
+    fn age(&mut self, rules: Rules, scope: Scope) {
         for candidate in &mut self.candidates {
             candidate.paused = candidate.paused.saturating_sub(1);
             candidate.last_call = Self::increment_age(candidate.last_call);
@@ -461,11 +393,15 @@
                 held.granted_at = Self::increment_age(held.granted_at);
                 held.last_call = Self::increment_age(held.last_call);
                 held.renewed = held.renewed.map(Self::increment_age);
-                if held.renewed.unwrap_or(held.requested_at) >= Self::MAX_AGE_TICKS {
+                let age = held.renewed.unwrap_or(held.requested_at);
+                if !scope.resumes && age >= Self::MAX_AGE_TICKS {
                     candidate.held = None;
                 }
             }
             if let Some(pending) = &mut candidate.pending {
+                if let RequestKind::ReadKey(renewal_sent) = &mut pending.kind {
+                    *renewal_sent = Self::increment_age(*renewal_sent);
+                }
                 // A renewal that counts from its answer does not age while in flight.
                 if !(rules == Rules::RenewalFromAnswer && pending.kind == RequestKind::Renew) {
                     pending.requested_at = Self::increment_age(pending.requested_at);
@@ -482,69 +418,43 @@
             seen.newest = Self::increment_age(seen.newest);
             seen.before_other = Self::increment_age(seen.before_other);
         }
-        if let Some(lease) = &mut self.lease {
+        let keeps_leases = self
+            .outage
+            .is_some_and(|outage| outage.kind == OutageKind::AllKeepingLeases);
+        if !keeps_leases && let Some(lease) = &mut self.lease {
             lease.left -= 1;
             if lease.left == 0 {
                 self.lease = None;
             }
         }
-    }
-}
-
-/// Visits all states within the horizon. Returns their number and the first violation found.
-fn explore<const LEASE_TICKS: u8>(rules: Rules, scope: Scope) -> (usize, Option<Violation>) {
-    let first = State::<LEASE_TICKS>::first(scope);
-    let mut visited = HashSet::from([first]);
-    let mut layer = vec![first];
-    for _tick in 0..scope.horizon {
-        let mut next = Vec::new();
-        for state in layer {
-            for first in state.steps(0, rules, scope) {
-                let mut intermediate = state;
-                intermediate.take_step(0, first, rules);
-                for second in intermediate.steps(1, rules, scope) {
-                    let mut after = intermediate;
-                    after.take_step(1, second, rules);
-                    if let Err(violation) = after.advance_tick(rules) {
-                        return (visited.len(), Some(violation));
-                    }
-                    if visited.insert(after) {
-                        next.push(after);
-                    }
-                    assert!(visited.len() <= MAX_STATES, "too many states");
-                }
+        if let Some(outage) = &mut self.outage {
+            outage.left -= 1;
+            if outage.left == 0 {
+                self.outage = None;
             }
         }
-        layer = next;
-    }
-    (visited.len(), None)
-}
-
-#[test]
-fn no_interleaving_violates_the_rules_at_receivers() {
-    let results = [
-        explore::<SHORT_LEASE_TICKS>(Rules::AsImplemented, UNRELIABLE_STORE),
-        explore::<LONG_LEASE_TICKS>(Rules::AsImplemented, TWO_RELEASES),
-    ];
-    for (states, violation) in results {
-        assert_eq!(violation, None);
-        assert!(states > 1_000, "only {states} states were visited");
     }
-}
 
-#[test]
-fn each_fault_seeded_into_the_rules_is_detected() {
-    let seeded = [
-        Rules::LeaseFromAnswer,
-        Rules::RenewalFromAnswer,
-        Rules::CallUntilExpiry,
-        Rules::NoWaitAfterOwnCalls,
-        Rules::ReleaseAtOnce,
-    ];
-    for rules in seeded {
-        let in_first_scope = explore::<SHORT_LEASE_TICKS>(rules, UNRELIABLE_STORE).1;
-        let violation =
-            in_first_scope.or_else(|| explore::<LONG_LEASE_TICKS>(rules, TWO_RELEASES).1);
-        assert!(violation.is_some(), "{rules:?} is not detected");
+    /// This state, and the states in which an outage begins now.
+    pub(super) fn with_outages(self) -> Vec<Self> {
+        let mut states = vec![self];
+        // An outage matters only to a leader.
+        if self.outages_left > 0 && self.lease.is_some() {
+            let kinds = [
+                OutageKind::AllKeepingLeases,
+                OutageKind::All,
+                OutageKind::Only(0),
+                OutageKind::Only(1),
+            ];
+            states.extend(kinds.map(|kind| Self {
+                outages_left: self.outages_left - 1,
+                outage: Some(Outage {
+                    kind,
+                    left: Self::OUTAGE_TICKS,
+                }),
+                ..self
+            }));
+        }
+        states
     }
 }
--- a/crates/serve/tests/usage.rs
+++ b/crates/serve/tests/usage.rs
@@ -281,6 +281,60 @@
     assert_eq!(windows.len() as u64, newest - oldest + 1);
 }
 
+/// Begins or ends an outage during which leases keep the time that they had left.
+fn set_store_down(fleet: &mut Fleet, is_down: bool) {
+    let store = fleet.store.clone();
+    // Inside the simulation, whose time the leases follow.
+    fleet.run(async move {
+        let since = tokio::time::Instant::now();
+        let down = StoreMode::Down { since };
+        store.set_mode(if is_down { down } else { StoreMode::Up });
+    });
+}
+
+/// While the store is down, leases run out or keep the time that they had left. In the second case
+/// nobody else can have led, so the leader goes on at once when the store is back.
+#[test]
+fn a_leader_whose_lease_outlives_an_outage_of_the_store_reports_with_the_same_token_at_once() {
+    let mut fleet = fleet(3);
+    send_requests(&mut fleet, &[0, 1, 2], Duration::from_secs(8));
+    let leader = fleet.last_reporter();
+    let fence = fleet.provider.usage().last().expect("a report").fence;
+    set_store_down(&mut fleet, true);
+    // One window ends in the outage.
+    send_requests(&mut fleet, &[0, 1, 2], Duration::from_secs(8));
+    let during = fleet.provider.usage().len();
+    set_store_down(&mut fleet, false);
+    fleet.wait(Duration::from_secs(2));
+    let notes = fleet.provider.usage();
+    assert!(notes.len() > during, "no report within 2 s");
+    assert_eq!(notes.last().map(|note| note.fence), Some(fence));
+    assert_eq!(fleet.last_reporter(), leader);
+    fleet.wait(DUE + WINDOW);
+    assert_one_leader_at_a_time(&fleet.provider.usage());
+    let windows = reported(&fleet);
+    let notes = fleet.provider.usage();
+    assert_eq!(notes.len(), windows.len(), "no report is sent twice");
+}
+
+/// The leader cannot renew its lease while another daemon takes over.
+#[test]
+fn a_leader_whose_key_was_taken_meanwhile_does_not_resume() {
+    let mut fleet = fleet(3);
+    send_requests(&mut fleet, &[0, 1, 2], Duration::from_secs(8));
+    let leader = fleet.last_reporter();
+    let handle = fleet.simulation.handle();
+    handle.cut(fleet.daemons[leader].host, fleet.store_host);
+    let others: Vec<usize> = (0..3).filter(|daemon| *daemon != leader).collect();
+    send_requests(&mut fleet, &others, Duration::from_secs(15));
+    let next_leader = fleet.last_reporter();
+    assert_ne!(next_leader, leader);
+    handle.heal_all();
+    send_requests(&mut fleet, &[0, 1, 2], Duration::from_secs(10));
+    assert_eq!(fleet.last_reporter(), next_leader);
+    assert_one_leader_at_a_time(&fleet.provider.usage());
+}
+
 #[test]
 fn a_leader_that_is_partitioned_or_frozen_beyond_its_lease_reports_no_other_figures() {
     let mut fleet = fleet(4);
--- a/crates/serving/src/leader.rs
+++ b/crates/serving/src/leader.rs
@@ -9,7 +9,10 @@
 use std::time::{Duration, Instant};
 
 use futures::FutureExt;
-use ponddrift_fleet::leadership::{CALL_TIMEOUT, Fencing, Grant, LeaderTerm};
+use ponddrift_fleet::leadership::{
+    CALL_TIMEOUT, Fencing, Grant, KeyState, LeaderTerm, RenewalDecision, RenewalOutcome,
+};
+use ponddrift_fleet::revision::Revision;
 use ponddrift_runtime::Runtime;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -22,6 +25,9 @@
 
 /// Renewals per lease lifetime: two in a row may be lost.
 const RENEWALS_PER_LEASE: u32 = 3;
+/// Renewals per lease lifetime while the lease may have expired. More frequent, because the duties
+/// of the leader rest until one succeeds.
+const RECOVERY_RENEWALS_PER_LEASE: u32 = 6;
 /// Daemons that see no leader wait a random time up to this before they become candidates, so that
 /// few ask the store at once.
 const MAX_CANDIDACY_DELAY: Duration = Duration::from_millis(1_500);
@@ -72,9 +78,16 @@
     /// Whether a call may be sent now.
     #[must_use]
     pub fn may_call(&self) -> bool {
-        self.term
-            .borrow()
-            .is_some_and(|term| term.allows_call(now()))
+        self.current_token().is_some()
+    }
+
+    /// The fencing token of the current term if a call may be sent now. See [`Self::begin_call`] for
+    /// the token of a call.
+    #[must_use]
+    pub fn current_token(&self) -> Option<u64> {
+        let term = *self.term.borrow();
+        term.filter(|term| term.allows_call(now()))
+            .map(|term| term.fencing_token)
     }
 
     /// Returns the fencing token for a call that is sent now, or `None` if this daemon must not
@@ -138,6 +151,14 @@
     one_lease_ago.unwrap_or(now)
 }
 
+/// A lease under which this daemon wrote the leader's key.
+#[derive(Debug, Clone, Copy)]
+struct HeldLease {
+    lease: Lease,
+    /// Revision of that write.
+    key_revision: Revision,
+}
+
 struct Candidate {
     settings: LeaderSettings,
     store: Arc<dyn FleetStore>,
@@ -155,7 +176,7 @@
                 continue;
             }
             match self.acquire_lease().await {
-                Ok((lease, term)) => self.lead(lease, term).await,
+                Ok((held, term)) => self.lead(held, term).await,
                 Err(error) => tracing::debug!(%error, "leader_lease_not_taken"),
             }
         }
@@ -185,28 +206,32 @@
         back_ends.iter().any(|back_end| back_end.stage.is_some())
     }
 
-    async fn acquire_lease(&self) -> Result<(Lease, LeaderTerm), StoreError> {
+    async fn acquire_lease(&self) -> Result<(HeldLease, LeaderTerm), StoreError> {
         let requested_at = now();
         let lease = self.store.grant(self.settings.lease).await?;
         let acquired = self
             .store
             .acquire_leadership(&self.settings.holder, lease)
             .await;
-        let fencing_token = match acquired {
-            Ok(revision) => revision.as_token(),
+        let key_revision = match acquired {
+            Ok(revision) => revision,
             Err(error) => {
                 self.revoke(lease).await;
                 return Err(error);
             }
         };
         let grant = Grant {
-            fencing_token,
+            fencing_token: key_revision.as_token(),
             life: lease.life,
             requested_at,
             granted_at: now(),
             last_call: self.last_call(),
         };
-        Ok((lease, LeaderTerm::new(&grant, self.settings.fencing)))
+        let held = HeldLease {
+            lease,
+            key_revision,
+        };
+        Ok((held, LeaderTerm::new(&grant, self.settings.fencing)))
     }
 
     /// The latest time at which an earlier leader may have sent a call: this daemon, or a leader
@@ -218,7 +243,7 @@
     }
 
     /// Renews the lease for as long as possible, then revokes it.
-    async fn lead(&mut self, lease: Lease, term: LeaderTerm) {
+    async fn lead(&mut self, held: HeldLease, term: LeaderTerm) {
         let fence = term.fencing_token;
         tracing::info!(fence, "leader_lease_taken");
         // A fencing report that concerns an earlier lease must not end this one.
@@ -227,39 +252,85 @@
             tracing::debug!(fence, "fencing_of_earlier_lease_ignored");
         }
         self.tenure_sender.send_replace(Some(term));
-        let reason = self.renew_until_ended(lease, term).await;
+        let reason = self.renew_until_ended(held, term).await;
         self.tenure_sender.send_replace(None);
         tracing::info!(fence, reason, "leader_lease_over");
         // Calls in flight must arrive before another daemon can become the leader.
         tokio::time::sleep(CALL_TIMEOUT).await;
-        self.revoke(lease).await;
+        self.revoke(held.lease).await;
     }
 
     /// Returns why the leadership ended.
-    async fn renew_until_ended(&self, lease: Lease, mut term: LeaderTerm) -> &'static str {
+    async fn renew_until_ended(&self, held: HeldLease, mut term: LeaderTerm) -> &'static str {
+        let fence = term.fencing_token;
+        let mut in_doubt_since = None;
         loop {
-            if let Some(reason) = self.wait_for_renewal(lease).await {
+            let renewals_per_lease = match in_doubt_since {
+                Some(_since) => RECOVERY_RENEWALS_PER_LEASE,
+                None => RENEWALS_PER_LEASE,
+            };
+            let interval = held.lease.life / renewals_per_lease;
+            if let Some(reason) = self.wait_for_renewal(held.lease, interval).await {
                 return reason;
             }
-            let requested_at = now();
-            match self.store.renew(lease).await {
-                Ok(()) => {
-                    term = term.renewed(requested_at);
+            match self.renew(held, term).await {
+                RenewalDecision::Continue(renewed) => {
+                    term = renewed;
                     self.tenure_sender.send_replace(Some(term));
+                    if let Some(since) = in_doubt_since.take() {
+                        let doubt_ms = now().saturating_duration_since(since).as_millis();
+                        tracing::info!(fence, doubt_ms, "leader_lease_recovered");
+                    }
                 }
-                Err(StoreError::LeaseExpired) => return "lapsed",
-                Err(_error) if !term.may_have_expired(now()) => {}
-                Err(error) => {
-                    tracing::warn!(%error, "leader_lease_not_renewed");
-                    return "may_have_lapsed";
+                RenewalDecision::StepDown(reason) => return reason.as_str(),
+                RenewalDecision::ReadKey { .. } | RenewalDecision::Retry => {
+                    if in_doubt_since.is_none() && term.may_have_expired(now()) {
+                        in_doubt_since = Some(now());
+                        tracing::warn!(fence, "leader_lease_in_doubt");
+                    }
                 }
             }
         }
     }
 
+    /// Renews the lease once. If it may have expired before, also reads the leader's key.
+    async fn renew(&self, held: HeldLease, term: LeaderTerm) -> RenewalDecision {
+        let requested_at = now();
+        let outcome = match self.store.renew(held.lease).await {
+            Ok(()) => RenewalOutcome::Renewed { requested_at },
+            Err(StoreError::LeaseExpired) => RenewalOutcome::Expired,
+            Err(error) => {
+                tracing::debug!(%error, "leader_lease_not_renewed");
+                RenewalOutcome::Unknown
+            }
+        };
+        match term.after_renewal(outcome, now()) {
+            RenewalDecision::ReadKey { requested_at } => {
+                let key = self.read_key(held).await;
+                term.after_key_read(key, requested_at, now())
+            }
+            decision => decision,
+        }
+    }
+
+    async fn read_key(&self, held: HeldLease) -> KeyState {
+        let is_unchanged = self
+            .store
+            .holds_leadership(held.lease, held.key_revision)
+            .await;
+        match is_unchanged {
+            Ok(true) => KeyState::Unchanged,
+            Ok(false) => KeyState::Changed,
+            Err(error) => {
+                tracing::debug!(%error, "leader_key_not_read");
+                KeyState::Unknown
+            }
+        }
+    }
+
     /// Waits until the next renewal is due. Returns the reason if the lease is not to be renewed.
-    async fn wait_for_renewal(&self, lease: Lease) -> Option<&'static str> {
-        let renew_at = now() + lease.life / RENEWALS_PER_LEASE;
+    async fn wait_for_renewal(&self, lease: Lease, interval: Duration) -> Option<&'static str> {
+        let renew_at = now() + interval;
         let mut era = self.state.era().subscribe();
         while now() < renew_at {
             if self.pipeline.is_stopping() {
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -196,6 +196,13 @@
         holder: &str,
         lease: Lease,
     ) -> BoxFuture<'_, Result<Revision, StoreError>>;
+    /// Whether the leader's key still is as it was written at `written` under `lease`. The answer is
+    /// linearizable. Fails with [`StoreError::LeaseExpired`] if the lease belongs to an earlier era.
+    fn holds_leadership(
+        &self,
+        lease: Lease,
+        written: Revision,
+    ) -> BoxFuture<'_, Result<bool, StoreError>>;
     /// Writes the usage figures of a window once. If figures were written before, they are left
     /// unchanged and returned. Fails with [`StoreError::Conflict`] if the window is so old that its
     /// place in the store was reused for a later one.
--- a/crates/serving/src/usage/report.rs
+++ b/crates/serving/src/usage/report.rs
@@ -74,6 +74,7 @@
         dependencies,
         pending: BTreeMap::new(),
         next_window: None,
+        term: None,
     };
     runtime.spawner.spawn(Box::pin(reporter.run()));
 }
@@ -86,6 +87,8 @@
     pending: BTreeMap<WindowNumber, Progress>,
     /// The first window that has not been added to `pending`.
     next_window: Option<WindowNumber>,
+    /// Fencing token of the term to which `pending` belongs. A term may pause and resume.
+    term: Option<u64>,
 }
 
 /// Progress of the report of one window.
@@ -125,11 +128,14 @@
     async fn run(mut self) {
         loop {
             sleep(STEP_INTERVAL).await;
-            if !self.dependencies.leadership.may_call() {
-                // The new leader reports the pending windows.
+            let Some(fencing_token) = self.dependencies.leadership.current_token() else {
+                continue;
+            };
+            if self.term != Some(fencing_token) {
+                // Another daemon may have reported windows since this daemon's earlier term.
                 self.pending.clear();
                 self.next_window = None;
-                continue;
+                self.term = Some(fencing_token);
             }
             self.add_ended_windows();
             self.report_pending_windows().await;
