Directory: an entry that cannot be decoded takes its back end out of use

Cause: an entry under the back ends' prefix that another party wrote (bytes that can't be read, fields missing or of another type, an unknown state or stage) was logged as `value_unreadable` and the entry that it replaced stayed in force, so that the back end went on getting requests.

Change: such an entry counts as a confirmed removal at its revision, also while the store is in doubt; the next readable entry brings the back end back, and an earlier entry that arrives later does not. An entry whose service is not in the configuration stays in the directory, so that a later configuration can name it; it is logged and counted, and its caches are not probed. Log line `back_end_unusable`, gauge `unusable_back_end_entries`.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -330,6 +330,17 @@
         true
     }
 
+    /// Applies a written entry that names no usable back end. It replaces the known entry, so that
+    /// the back end is out of use until a usable entry is written. Unlike a removal, it does not
+    /// result from an unavailable store. Returns whether it is newer than what is known.
+    pub fn take_out_of_use(&mut self, id: &str, revision: Revision, now: Instant) -> bool {
+        if self.is_stale(id, revision) {
+            return false;
+        }
+        self.mark_removed(id, revision, now, false);
+        true
+    }
+
     fn mark_removed(&mut self, id: &str, revision: Revision, now: Instant, may_be_alive: bool) {
         self.remove_from_ready_set(id);
         let last = self.entries.get(id).and_then(Entry::present).cloned();
--- a/crates/serve/tests/fleet_changes.rs
+++ b/crates/serve/tests/fleet_changes.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
-use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest, StoreMode};
+use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest, StoreMode, config};
 use support::{Fleet, FleetOptions, routes, wait_until};
 use tokio::time::sleep;
 
@@ -52,6 +52,57 @@
     }
 }
 
+/// Another party may write under the engines' prefix: such an entry names no engine to use.
+#[test]
+fn an_engine_whose_entry_names_no_usable_one_gets_no_requests_until_it_is_written_again() {
+    let address = r#""address":"10.0.9.9:80","zone":"a","slots":1,"sequence":1"#;
+    for value in [
+        String::from("\u{1}\u{2}"),
+        String::from("{}"),
+        format!(r#"{{"service":"records",{address},"state":"paused"}}"#),
+        format!(r#"{{"service":"elsewhere",{address},"state":"ready"}}"#),
+    ] {
+        let mut fleet = Fleet::new(FleetOptions {
+            daemons: 3,
+            ..FleetOptions::default()
+        });
+        fleet.store.put(&fleet.records[0].key(), value.clone());
+        fleet.wait(Duration::from_millis(500));
+        let ask_all = |fleet: &mut Fleet, name: &str| {
+            for number in 0..12 {
+                let request = ClientRequest::plain(&format!("{name}{number}"), "fetch");
+                let answer = ask_at(fleet, number % 3, &request).expect("an answer");
+                assert_eq!(answer.status, StatusCode::OK);
+            }
+        };
+        ask_all(&mut fleet, "a");
+        assert!(fleet.records[0].runs().is_empty(), "{value}");
+        assert!(!fleet.records[1].runs().is_empty(), "the others hold");
+        fleet.records[0].record(&fleet.store, "ready");
+        fleet.wait(Duration::from_millis(500));
+        ask_all(&mut fleet, "b");
+        assert!(!fleet.records[0].runs().is_empty(), "{value}");
+    }
+}
+
+/// The entry is known before the configuration that names its service.
+#[test]
+fn an_engine_of_a_service_of_a_later_configuration_is_used() {
+    let mut fleet = Fleet::new(FleetOptions::default());
+    let key = fleet.records[0].key();
+    fleet.records[1].remove_entry(&fleet.store);
+    fleet.store.remove(&key);
+    fleet.store.put("op/config", config(2, &[], &[]));
+    fleet.wait(Duration::from_millis(300));
+    fleet.records[0].record(&fleet.store, "ready");
+    fleet.wait(Duration::from_millis(300));
+    fleet.configure(3, &routes());
+    fleet.wait(Duration::from_millis(300));
+    let answer = ask(&mut fleet, &ClientRequest::plain("1", "fetch"));
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(fleet.records[0].runs().len(), 1);
+}
+
 #[test]
 fn a_drain_missing_from_the_watch_history_is_found_by_reading_the_store_again() {
     let mut fleet = Fleet::new(FleetOptions::default());
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -28,7 +28,7 @@
 pub use known_era::KnownEra;
 
 use crate::back_end_index::BackEndIndex;
-use crate::store::{Changes, Decoded, FleetStore, Item, Page};
+use crate::store::{Changes, Decoded, FleetStore, Item, Page, Unreadable};
 
 /// A configuration in force, with the tables that are derived from it.
 #[derive(Debug)]
@@ -169,6 +169,12 @@
         self.lock().directory.present().cloned().collect()
     }
 
+    /// Whether the configuration in force has the service, or there is none yet.
+    #[must_use]
+    pub fn has_service(&self, service: &str) -> bool {
+        self.lock().has_service(service)
+    }
+
     /// Every back end that has an entry, indexed by hash.
     #[must_use]
     pub fn back_end_index(&self) -> Arc<BackEndIndex> {
@@ -379,16 +385,34 @@
                 self.apply_quarantine_removed(fingerprint, &item, source, now);
             }
             Ok(decoded) => self.lock().apply(decoded, &item, source, now),
-            Err(unreadable) => tracing::warn!(
+            Err(unreadable) => self.apply_unreadable(&unreadable, &item, source, now),
+        }
+        let mut inner = self.lock();
+        inner.newest = inner.newest.max(item.revision);
+        inner.items.insert(item.key.clone(), item);
+    }
+
+    /// Takes the back end out of use if the value is its entry; otherwise the last valid value stays
+    /// in force.
+    fn apply_unreadable(
+        &self,
+        unreadable: &Unreadable,
+        item: &Item,
+        source: UpdateSource,
+        now: Instant,
+    ) {
+        match &unreadable.back_end {
+            Some(id) => {
+                let mut inner = self.lock();
+                inner.take_out_of_use(id, &unreadable.problem, item, source, now);
+            }
+            None => tracing::warn!(
                 key = unreadable.key,
                 revision = %unreadable.revision,
                 problem = unreadable.problem,
                 "value_unreadable"
             ),
         }
-        let mut inner = self.lock();
-        inner.newest = inner.newest.max(item.revision);
-        inner.items.insert(item.key.clone(), item);
     }
 
     /// Logs an ignored item that is not newer than the known one but has a different value, which
@@ -416,6 +440,13 @@
             .is_some_and(|known| known.revision >= item.revision)
     }
 
+    /// Number of back-end entries that cannot be decoded or name a service that the configuration
+    /// does not have.
+    #[must_use]
+    pub fn unusable_entries(&self) -> usize {
+        self.lock().unusable_entries()
+    }
+
     /// Number of back-end entries with an unusable cold-start time so far.
     #[must_use]
     pub fn unusable_cold_times(&self) -> u64 {
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -1,6 +1,6 @@
 //! This daemon's view of the fleet, and how updates change it. Relevant changes are logged.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -66,6 +66,8 @@
     pub(super) position: Option<Revision>,
     /// Revision after which all removals are known.
     pub(super) removals_since: Revision,
+    /// Back ends whose entries in the store cannot be decoded.
+    unreadable_entries: HashSet<Arc<str>>,
     /// Number of back-end entries with an unusable cold-start time.
     pub(super) unusable_cold_times: u64,
     pub(super) last_store_failure: Option<Instant>,
@@ -138,6 +140,7 @@
             }
             Decoded::ConfigurationRemoved => self.retain_known(item, now),
             Decoded::BackEnd(mut back_end, warmth) => {
+                self.unreadable_entries.remove(&back_end.id);
                 back_end.cold_start = self.cold_start(&back_end, warmth, revision, now);
                 self.apply_back_end(back_end, item, source, now);
             }
@@ -145,6 +148,7 @@
                 if !self.is_of_earlier_era(item) {
                     self.retained.remove(&item.key);
                 }
+                self.unreadable_entries.remove(&id);
                 self.remove_back_end(&id, revision, source, now);
             }
             Decoded::Daemon(daemon) => {
@@ -331,6 +335,16 @@
                 "back_end_changed"
             );
         }
+        if changed && !self.has_service(&back_end.service) {
+            tracing::warn!(
+                back_end = %back_end.id,
+                service = %back_end.service,
+                %revision,
+                problem = "its service is not in the configuration",
+                source = source.as_str(),
+                "back_end_unusable"
+            );
+        }
         let id = Arc::clone(&back_end.id);
         match self.directory.put(back_end, revision, now) {
             PutOutcome::Applied => {
@@ -344,6 +358,50 @@
         }
     }
 
+    /// Whether the configuration in force has the service. Before the first configuration, every
+    /// service may be one of its services.
+    pub(super) fn has_service(&self, service: &str) -> bool {
+        self.in_force
+            .as_ref()
+            .is_none_or(|in_force| in_force.configuration.service(service).is_some())
+    }
+
+    /// Number of back-end entries that cannot be decoded or name a service that the configuration
+    /// does not have.
+    pub(super) fn unusable_entries(&self) -> usize {
+        let present = self.directory.present();
+        let of_unknown_services = present.filter(|back_end| !self.has_service(&back_end.service));
+        self.unreadable_entries.len() + of_unknown_services.count()
+    }
+
+    /// Applies an entry that cannot be decoded. It names no back end to use, so the back end that
+    /// it replaces gets no new requests until a readable entry is written.
+    pub(super) fn take_out_of_use(
+        &mut self,
+        id: &Arc<str>,
+        problem: &str,
+        item: &Item,
+        source: UpdateSource,
+        now: Instant,
+    ) {
+        let was_used = self.directory.get(id).is_some();
+        tracing::warn!(
+            back_end = %id,
+            revision = %item.revision,
+            problem,
+            was_used,
+            source = source.as_str(),
+            "back_end_unusable"
+        );
+        self.unreadable_entries.insert(Arc::clone(id));
+        if !self.is_of_earlier_era(item) {
+            self.retained.remove(&item.key);
+        }
+        if self.directory.take_out_of_use(id, item.revision, now) {
+            Arc::make_mut(&mut self.index).remove(id);
+        }
+    }
+
     fn remove_back_end(
         &mut self,
         id: &str,
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -93,6 +93,8 @@
     pub rate_limited: usize,
     /// Directory entries without a usable cold-start time.
     pub unusable_cold_times: u64,
+    /// Directory entries that name no back end to use.
+    pub unusable_entries: usize,
     /// Requests that are suspected of crashing engines.
     pub suspects: usize,
     /// Suspected requests that are quarantined.
@@ -124,6 +126,7 @@
     announced_draining: Gauge,
     rate_limited: Gauge,
     unusable_cold_times: Gauge,
+    unusable_entries: Gauge,
     suspects: Gauge,
     quarantined: Gauge,
     connections: Gauge,
@@ -311,6 +314,11 @@
                 "unusable_cold_times",
                 "Back ends whose entries held no usable time of their slow start",
             ),
+            unusable_entries: register_default(
+                r,
+                "unusable_back_end_entries",
+                "Entries that cannot be decoded or name a service that is not configured",
+            ),
             connections: register_default(
                 r,
                 "back_end_connections",
@@ -473,6 +481,9 @@
         gauges
             .unusable_cold_times
             .set(saturating_i64(values.unusable_cold_times));
+        gauges
+            .unusable_entries
+            .set(saturating_i64(values.unusable_entries));
         gauges.connections.set(saturating_i64(values.connections));
         gauges.in_progress.set(saturating_i64(values.in_progress));
         gauges
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -329,6 +329,7 @@
             announced_draining: announced.draining,
             rate_limited,
             unusable_cold_times: self.state.unusable_cold_times(),
+            unusable_entries: self.state.unusable_entries(),
             suspects: suspects.remembered,
             quarantined: suspects.quarantined,
             connections: self.connections.open_count(),
--- a/crates/serving/src/pipeline/cache_probe.rs
+++ b/crates/serving/src/pipeline/cache_probe.rs
@@ -51,7 +51,8 @@
     async fn wait_for_engines(&self) -> Option<Vec<Arc<BackEnd>>> {
         for _ in 0..MAX_ENGINE_LOOKUPS {
             let mut engines = self.state.back_ends();
-            engines.retain(|engine| engine.stage.is_some());
+            engines
+                .retain(|engine| engine.stage.is_some() && self.state.has_service(&engine.service));
             if !engines.is_empty() {
                 engines.shuffle(&mut *self.random());
                 engines.truncate(MAX_PROBED_ENGINES);
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -89,8 +89,8 @@
 /// A value in the store that cannot be decoded.
 #[derive(Debug, Clone, thiserror::Error)]
 #[error(
-    "the value of {key} at revision {revision} cannot be decoded: {problem}; \
-     the last valid one stays in force"
+    "the value of {key} at revision {revision} cannot be decoded: {problem}; {}",
+    self.consequence()
 )]
 pub struct Unreadable {
     /// Key in the store.
@@ -99,6 +99,17 @@
     pub revision: Revision,
     /// Why the value cannot be decoded.
     pub problem: String,
+    /// The back end whose entry it is, if it is one.
+    pub back_end: Option<Arc<str>>,
+}
+
+impl Unreadable {
+    const fn consequence(&self) -> &'static str {
+        match self.back_end {
+            Some(_) => "the back end is not used until its entry can be decoded",
+            None => "the last valid one stays in force",
+        }
+    }
 }
 
 /// Why a call to the store failed.
