Attempts: a run at an engine that is known to have ended is not counted

Cause: `maxAttempts` counted each engine that ran a request, also one that had ended since. A stream whose first engine ended and whose second one fell silent or broke off was not resumed, although the right to do so was left.

Change: a run whose engine refuses connections, or has started again as a later incarnation, does not count as an attempt; an unknown end does. The retry budget, the limit of sends and the quarantine of requests that crash engines hold as before.

`leader_lease_recovered` states its `doubt_ms` as a number.

Tests: the new test of `streams` (one engine killed, the next one without power, two attempts allowed) fails when all runs count, and passes now.

--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -270,6 +270,51 @@
     assert_eq!(event_ids(&answer), ["1", "2", "3", "4"]);
 }
 
+/// The route allows two attempts. An engine that is known to have ended is not one of them; one that
+/// only fell silent is.
+#[test]
+fn a_stream_is_completed_after_one_engine_ended_and_the_next_fell_silent() {
+    let mut fleet = Fleet::new(FleetOptions {
+        decode: 1,
+        ..FleetOptions::default()
+    });
+    build_up_retry_budget(&mut fleet);
+    let (second, second_host) = fleet.add_engine(support::MODELS, Some("decode"));
+    let (third, _host) = fleet.add_engine(support::MODELS, Some("decode"));
+    for engine in [&fleet.decode[0], &second, &third] {
+        engine.set_default_behaviour(Behaviour::Stream {
+            events: 8,
+            gap_ms: 200,
+        });
+    }
+    second.record(&fleet.store, "draining");
+    third.record(&fleet.store, "draining");
+    fleet.wait(Duration::from_millis(100));
+    let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers_address);
+    let (handle, store) = (fleet.simulation.handle(), fleet.store.clone());
+    let first_host = fleet.decode_hosts[0];
+    let answer = fleet.run(async move {
+        let mut request = ClientRequest::prompt("1", "tag", 40, 200);
+        request.deadline_ms = 10_000;
+        let failures = async {
+            let pause = || tokio::time::sleep(Duration::from_millis(300));
+            pause().await;
+            second.record(&store, "ready");
+            pause().await;
+            handle.kill(first_host);
+            pause().await;
+            third.record(&store, "ready");
+            pause().await;
+            handle.power_off(second_host);
+        };
+        tokio::join!(client.ask(target, &request), failures).0
+    });
+    let answer = answer.expect("a response, not a closed connection");
+    assert!(answer.is_complete, "{:?}", event_ids(&answer));
+    let expected: Vec<String> = (1..=8).map(|id| id.to_string()).collect();
+    assert_eq!(event_ids(&answer), expected);
+}
+
 #[test]
 fn a_caller_that_disconnects_during_prefill_cancels_it() {
     let mut fleet = Fleet::new(FleetOptions::default());
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -157,6 +157,14 @@
             .is_some_and(|back_end| back_end.lifecycle == Lifecycle::Ready)
     }
 
+    /// Whether the back end has started again since the given entry.
+    #[must_use]
+    pub fn has_later_incarnation(&self, known: &BackEnd) -> bool {
+        let inner = self.lock();
+        let newest = inner.directory.get(&known.id);
+        newest.is_some_and(|newest| newest.incarnation > known.incarnation)
+    }
+
     /// Whether the back end may get a new request, according to its entry.
     #[must_use]
     pub fn accepts_requests(&self, id: &str, now: Instant) -> bool {
--- a/crates/serving/src/leader.rs
+++ b/crates/serving/src/leader.rs
@@ -20,6 +20,7 @@
 
 use crate::fleet_state::FleetState;
 use crate::pipeline::Pipeline;
+use crate::request_trace::milliseconds;
 use crate::store::{FleetStore, Lease, StoreError};
 use crate::time::{self, now};
 
@@ -278,7 +279,7 @@
                     term = renewed;
                     self.tenure_sender.send_replace(Some(term));
                     if let Some(since) = in_doubt_since.take() {
-                        let doubt_ms = now().saturating_duration_since(since).as_millis();
+                        let doubt_ms = milliseconds(now().saturating_duration_since(since));
                         tracing::info!(fence, doubt_ms, "leader_lease_recovered");
                     }
                 }
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -153,8 +153,10 @@
             self.note_outcome(back_end, &job.service.health_path, outcome);
         }
         if matches!(verdict.result, SendEnd::MayHaveRun(_)) {
-            self.check_lost_run(job, back_end, verdict.outcome, started_at)
+            let has_ended = self
+                .check_lost_run(job, back_end, verdict.outcome, started_at)
                 .await;
+            job.ended_runs += u32::from(has_ended && !matches!(options.step, SendStep::Prefill));
         }
         if let SendEnd::NotSent(name) | SendEnd::NotRun(name) | SendEnd::MayHaveRun(name) =
             &verdict.result
--- a/crates/serving/src/pipeline/budgeting.rs
+++ b/crates/serving/src/pipeline/budgeting.rs
@@ -66,7 +66,7 @@
     /// Whether an abandoned send may be followed by another one that runs the request again.
     pub(super) fn may_be_sent_elsewhere(&self, job: &Job) -> bool {
         job.route.kind.is_retryable()
-            && job.runs + 1 < job.route.maximum_attempts
+            && job.attempts() + 1 < job.route.maximum_attempts
             && self.has_retry(job)
     }
 
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -386,8 +386,10 @@
             .first_event(&decode, &path, reply, load, started_at, wait_policy)
             .await;
         if let Err(no_event) = &opened {
-            self.check_lost_run(job, &decode, no_event.outcome(), started_at)
+            let has_ended = self
+                .check_lost_run(job, &decode, no_event.outcome(), started_at)
                 .await;
+            job.ended_runs += u32::from(has_ended);
         }
         self.note_first_event(
             job,
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -185,6 +185,7 @@
             longest_gap: Duration::ZERO,
             rate_waits: 0,
             runs: 0,
+            ended_runs: 0,
             tried: Vec::new(),
             had_timeout: false,
             fingerprint: std::sync::OnceLock::new(),
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -59,6 +59,8 @@
     pub(super) rate_waits: u32,
     /// Back ends that ran the request, or may have run it.
     pub(super) runs: u32,
+    /// Those of them that are known to have ended since. They do not count as attempts.
+    pub(super) ended_runs: u32,
     /// Back ends that must not be tried again.
     pub(super) tried: Vec<Arc<str>>,
     /// Whether a back end did not answer in time. Later sends use new connections, because idle
@@ -115,7 +117,12 @@
     /// Whether another back end may run the request.
     pub(super) fn may_run_again(&self) -> bool {
         self.runs == 0
-            || (self.route.kind.is_retryable() && self.runs < self.route.maximum_attempts)
+            || (self.route.kind.is_retryable() && self.attempts() < self.route.maximum_attempts)
+    }
+
+    /// Runs that count as attempts: those at back ends that are not known to have ended since.
+    pub(super) const fn attempts(&self) -> u32 {
+        self.runs.saturating_sub(self.ended_runs)
     }
 
     /// Identifies the request when it is sent again under another request ID.
--- a/crates/serving/src/pipeline/lost_runs.rs
+++ b/crates/serving/src/pipeline/lost_runs.rs
@@ -50,17 +50,17 @@
 
 impl Pipeline {
     /// Checks a send that began at `started_at` and ended without a complete answer. Records the
-    /// run as lost if the engine exited.
+    /// run as lost if the engine exited, and returns whether it did.
     pub(super) async fn check_lost_run(
         &self,
         job: &Job,
         engine: &Arc<BackEnd>,
         outcome: Option<Outcome>,
         started_at: Instant,
-    ) {
+    ) -> bool {
         let may_have_exited = matches!(outcome, Some(Outcome::Broken | Outcome::Unreachable));
         if !may_have_exited || !self.engine_has_exited(engine).await {
-            return;
+            return false;
         }
         self.metrics.run_lost();
         let update = self.record_lost_run(job, engine, started_at);
@@ -76,9 +76,13 @@
             standing = update.after.as_str(),
             "run_lost_with_engine"
         );
+        true
     }
 
     async fn engine_has_exited(&self, engine: &Arc<BackEnd>) -> bool {
+        if self.state.has_later_incarnation(engine) {
+            return true;
+        }
         let check = self.engine_exit_checks.check_for(&engine.id);
         let probe = || self.connections.refuses_connections(engine.address);
         let engine_has_exited = *check.get_or_init(probe).await;
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -160,8 +160,10 @@
             Some(answer) => (Outcome::Success, "answered", Some(answer.head.status)),
             None => (Outcome::Broken, "answer_broke_off", None),
         };
-        self.check_lost_run(job, back_end, Some(outcome), started_at)
+        let has_ended = self
+            .check_lost_run(job, back_end, Some(outcome), started_at)
             .await;
+        job.ended_runs += u32::from(has_ended);
         self.note_outcome(back_end, &job.service.health_path, outcome);
         if result.is_some() {
             self.record_good_run(job);
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -214,9 +214,11 @@
         outcome: Option<Outcome>,
     ) -> Result<(), BodyError> {
         self.record_end(&stream, reason, outcome);
-        self.pipeline
+        let has_ended = self
+            .pipeline
             .check_lost_run(&self.job, &stream.back_end, outcome, stream.started_at)
             .await;
+        self.job.ended_runs += u32::from(has_ended);
         // Back ends that refused the request at its start may have capacity by now.
         self.job.tried = vec![Arc::clone(&stream.back_end.id)];
         drop(stream);
