Retry budget: a reserve for requests that have run, from what busy daemons earn

Change: where the configuration has long streams and a daemon's share is one to eight retries, what it earns beyond its share goes into a reserve of the zone, over the deposits of the retry pool (0.09 of the slack for all zones, 0.03 on the way; own shares stay 0.8). Only requests that have run may use it, after their daemon's own retries: the others can be told to come back.

Tests: bounds of shares, deposits and reserve together under uneven load; in a simulated fleet, a daemon that earned nothing repeats a failed request with long streams configured, and does not without.

--- a/crates/fleet/tests/retry_pool.rs
+++ b/crates/fleet/tests/retry_pool.rs
@@ -3,7 +3,9 @@
 
 use std::sync::Arc;
 
-use ponddrift_fleet::budget::{BudgetSettings, Deposits, RetryBudget, RetryPool, pool_capacity};
+use ponddrift_fleet::budget::{
+    BudgetSettings, Deposits, RetryBudget, RetryPool, Sharing, pool_capacity, reserve_capacity,
+};
 
 const SETTINGS: BudgetSettings = BudgetSettings {
     ratio: 0.2,
@@ -141,3 +143,118 @@
         assert!(!pool.withdraw(SERVICE), "{repeats}");
     }
 }
+
+/// Daemons of a fleet whose share is two retries, in one zone with a reserve.
+struct ReserveZone {
+    budgets: Vec<RetryBudget>,
+    reserve: RetryPool,
+    sequence: u32,
+}
+
+const RESERVE_SETTINGS: BudgetSettings = BudgetSettings {
+    ratio: 0.2,
+    slack: 218.0,
+};
+const RESERVE_DAEMONS: usize = 89;
+
+impl ReserveZone {
+    fn new() -> Self {
+        let budget = || {
+            let mut budget = RetryBudget::new(RESERVE_SETTINGS);
+            budget.set_daemons(RESERVE_DAEMONS);
+            budget.set_reserve(true);
+            budget
+        };
+        Self {
+            budgets: std::iter::repeat_with(budget)
+                .take(RESERVE_DAEMONS)
+                .collect(),
+            reserve: RetryPool::default(),
+            sequence: 0,
+        }
+    }
+
+    /// `daemon` earns for this many requests, then all daemons deposit their surplus.
+    fn run_requests(&mut self, daemon: usize, requests: u32) {
+        let service = Arc::from("s");
+        for _ in 0..requests {
+            self.budgets[daemon].earn(&service);
+        }
+        self.sequence += 1;
+        let capacity = reserve_capacity(RESERVE_SETTINGS, RESERVE_DAEMONS, RESERVE_DAEMONS);
+        for (origin, budget) in (1..).zip(&mut self.budgets) {
+            let repeats = budget.take_deposits().into_iter();
+            let deposits = Deposits {
+                origin,
+                sequence: self.sequence,
+                repeats: repeats
+                    .map(|(_service, repeats)| (SERVICE, repeats))
+                    .collect(),
+            };
+            self.reserve.deposit(&deposits, capacity);
+        }
+    }
+
+    /// Takes all retries that any daemon may take.
+    fn take_all(&mut self) -> usize {
+        let service = Arc::from("s");
+        let reserve = &mut self.reserve;
+        let withdrawn = std::iter::repeat_with(|| reserve.withdraw(SERVICE));
+        let mut taken = withdrawn.take_while(|granted| *granted).count();
+        for budget in &mut self.budgets {
+            let own = std::iter::repeat_with(|| budget.take(&service));
+            taken += own.take_while(|granted| *granted).count();
+        }
+        taken
+    }
+}
+
+#[test]
+fn a_reserve_holds_what_busy_daemons_earn_beyond_their_share() {
+    let mut zone = ReserveZone::new();
+    assert_eq!(zone.budgets[0].sharing(), Sharing::Reserve);
+    for _ in 0..200 {
+        zone.run_requests(0, 30);
+    }
+    let withdrawn = std::iter::repeat_with(|| zone.reserve.withdraw(SERVICE));
+    let withdrawn = withdrawn.take_while(|granted| *granted).count();
+    assert!(
+        withdrawn >= 10,
+        "{withdrawn} retries for streams that an engine breaks at once"
+    );
+    let service = Arc::from("s");
+    assert!(zone.budgets[0].take(&service), "its own share is kept");
+}
+
+#[test]
+fn retries_stay_within_ratio_and_slack_with_a_reserve_and_uneven_load() {
+    let mut zone = ReserveZone::new();
+    let mut requests = 0_u32;
+    let mut taken = 0;
+    // All savings are full, then everything is taken again and again.
+    for daemon in 0..RESERVE_DAEMONS {
+        zone.run_requests(daemon, 200);
+    }
+    for round in 0..50 {
+        let of_round = [350, 1, 40][round % 3];
+        zone.run_requests(round % RESERVE_DAEMONS, of_round);
+        requests += of_round;
+        taken += zone.take_all();
+    }
+    #[expect(clippy::cast_precision_loss, reason = "small counts")]
+    let taken = taken as f64;
+    let allowed = RESERVE_SETTINGS.slack + RESERVE_SETTINGS.ratio * f64::from(requests);
+    assert!(taken <= allowed, "{taken} retries, {allowed} allowed");
+}
+
+#[test]
+fn a_daemon_without_a_reserve_deposits_nothing() {
+    let service = Arc::from("s");
+    let mut budget = RetryBudget::new(RESERVE_SETTINGS);
+    budget.set_daemons(RESERVE_DAEMONS);
+    for _ in 0..1_000 {
+        budget.earn(&service);
+    }
+    assert_eq!(budget.sharing(), Sharing::Own);
+    assert!(budget.take_deposits().is_empty());
+}
--- a/crates/serving/src/pipeline/retry_pool.rs
+++ b/crates/serving/src/pipeline/retry_pool.rs
@@ -1,9 +1,10 @@
-//! The retry pool that the daemons of a zone share if a single daemon earns too few retries.
+//! The retry pool that the daemons of a zone share if a single daemon earns too few retries, and the
+//! reserve that they share if it earns a few.
 
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
 
-use ponddrift_fleet::budget::{Deposits, RetryPool, pool_capacity};
+use ponddrift_fleet::budget::{Deposits, RetryPool, Sharing, pool_capacity, reserve_capacity};
 
 use super::Pipeline;
 use crate::back_end_index::hash;
@@ -18,23 +19,21 @@
 const POOL_EMPTY_PAUSE: Duration = Duration::from_millis(250);
 
 impl Pipeline {
-    /// Takes the retries that this daemon earned since the last call; empty if it keeps its own
-    /// budget.
+    /// Takes the retries that this daemon deposits; empty if it keeps all that it earns.
     pub(crate) fn take_deposits(&self) -> Vec<(Arc<str>, f64)> {
-        let mut budget = self.budget();
-        if budget.is_pooled() {
-            budget.take_deposits()
-        } else {
-            Vec::new()
-        }
+        self.budget().take_deposits()
     }
 
-    /// Adds the retries that a daemon of the zone earned to the pool.
+    /// Adds the retries that a daemon of the zone earned to the pool or the reserve.
     pub(crate) fn receive_deposits(&self, deposits: &Deposits) {
         let topology = self.state.topology();
         let zone_daemons = topology.neighbours.len() + 1;
-        let zone_share = pool_capacity(self.budget_settings, zone_daemons, topology.daemons);
-        self.retry_pool().deposit(deposits, zone_share);
+        let capacity_of = match self.budget().sharing() {
+            Sharing::Pool => pool_capacity,
+            Sharing::Own | Sharing::Reserve => reserve_capacity,
+        };
+        let capacity = capacity_of(self.budget_settings, zone_daemons, topology.daemons);
+        self.retry_pool().deposit(deposits, capacity);
     }
 
     /// Takes a retry from the pool that this daemon owns.
