--- a/crates/serve/tests/usage.rs
+++ b/crates/serve/tests/usage.rs
@@ -287,7 +287,7 @@
     // Inside the simulation, whose time the leases follow.
     fleet.run(async move {
         let since = tokio::time::Instant::now();
-        let down = StoreMode::Down { since };
+        let down = StoreMode::Down(since);
         store.set_mode(if is_down { down } else { StoreMode::Up });
     });
 }
