Leader: a lease in doubt is read before it is renewed, and given up after 60 s

A leader in doubt went on renewing without knowing whether its calls were done: if they were done but not answered, it kept the lease, and others from leading, for up to 63 s while it sent nothing.

Change: in doubt it reads its key first, which does not lengthen the lease, renews only after an answered read, and reads again before it acts. It steps down after two renewals without a confirmed result, after 60 s of doubt however long its lease is, and when the lease belongs to an earlier era; it doesn't revoke a lease whose key another wrote. While this daemon's other calls to the store fail, it tries every 5 s; their success shows the store's return.

--- a/crates/fleet/src/leadership.rs
+++ b/crates/fleet/src/leadership.rs
@@ -6,9 +6,11 @@
 //! enough for a call in flight to arrive. The calls of two holders therefore never overlap, and
 //! each call carries the fencing token of its holder.
 //!
-//! A holder whose lease may have expired sends no calls but goes on renewing it for a bounded time,
-//! because an unavailable store may keep leases until it is back. If the renewal succeeds and the
-//! holder's key was never written since, nobody else can have led, and its term resumes.
+//! A holder whose lease may have expired sends no calls but tries to recover it for a bounded time,
+//! because an unavailable store may keep leases until it is back. It reads its key first: that does
+//! not lengthen the lease, so that a holder whose calls are done but not answered does not keep
+//! others from leading. If the key was never written since, it renews the lease, a few times at
+//! most, and reads the key again. If both succeed, nobody else can have led, and its term resumes.
 
 use std::time::{Duration, Instant};
 
@@ -20,9 +22,12 @@
 /// Where receivers do not check fencing tokens, a new holder waits this many lease durations before
 /// its first call, because a call of the previous holder may be delayed in the network.
 const UNFENCED_WAIT_LEASE_DURATIONS: f64 = 1.3;
-/// A holder whose lease may have expired renews it for this many lease durations, then steps down.
-/// After a longer outage, a new election costs little in comparison.
-const MAX_RECOVERY_LEASE_DURATIONS: u32 = 20;
+/// A holder whose lease may have expired steps down after this time. After a longer outage, a new
+/// election costs little in comparison.
+const MAX_DOUBT: Duration = Duration::from_secs(60);
+/// A holder whose lease may have expired steps down after this many renewals without a confirmed
+/// result. Each may have lengthened the lease, during which nobody acts.
+const MAX_UNCONFIRMED_RENEWALS: u32 = 2;
 
 /// Whether the receivers of a leader's calls reject those of earlier leaders.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,7 +69,7 @@
     Unknown,
 }
 
-/// The leader's key in the store, according to a linearizable read after a renewal.
+/// The leader's key in the store, according to a linearizable read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KeyState {
     /// The key was not written since this daemon acquired the leadership, and has its lease.
@@ -80,13 +85,15 @@
 pub enum RenewalDecision {
     /// The term continues in this form.
     Continue(LeaderTerm),
-    /// The lease holds again after it may have expired. The holder reads its key, and passes the
-    /// result and this time to [`LeaderTerm::after_key_read`].
-    ReadKey {
+    /// Renew the lease now.
+    Renew,
+    /// Read the key now, and pass the result and this time to [`LeaderTerm::after_key_read`].
+    ConfirmKey {
         /// Time when the successful renewal was sent.
         requested_at: Instant,
     },
-    /// The lease is renewed again later. The term is unchanged, so that it may allow no calls.
+    /// Try again later: renew the lease, or, if it may have expired, read the key. The term is
+    /// unchanged and may therefore allow no calls.
     Retry,
     /// The leadership is over.
     StepDown(EndReason),
@@ -97,7 +104,7 @@
 pub enum EndReason {
     /// The lease has expired.
     LeaseExpired,
-    /// The lease may have expired and could not be renewed for too long.
+    /// The lease may have expired and could not be recovered.
     NotRecovered,
     /// Another daemon may have led in the meantime.
     KeyChanged,
@@ -123,6 +130,8 @@
     life: Duration,
     begins: Instant,
     ends: Instant,
+    /// Renewals without a confirmed result since the lease may have expired.
+    unconfirmed_renewals: u32,
 }
 
 impl LeaderTerm {
@@ -143,6 +152,7 @@
             life: grant.life,
             begins: (grant.granted_at + wait).max(after_own_last_call),
             ends: end_of(grant.requested_at, grant.life),
+            unconfirmed_renewals: 0,
         }
     }
 
@@ -151,42 +161,54 @@
     pub fn renewed(self, requested_at: Instant) -> Self {
         Self {
             ends: end_of(requested_at, self.life),
+            unconfirmed_renewals: 0,
             ..self
         }
     }
 
     /// Decides how to go on after a renewal whose answer arrived, or failed to arrive, at `now`.
     #[must_use]
-    pub fn after_renewal(self, outcome: RenewalOutcome, now: Instant) -> RenewalDecision {
+    pub fn after_renewal(&mut self, outcome: RenewalOutcome, now: Instant) -> RenewalDecision {
+        let in_doubt = self.may_have_expired(now);
         match outcome {
-            RenewalOutcome::Renewed { requested_at } if self.may_have_expired(now) => {
-                RenewalDecision::ReadKey { requested_at }
+            RenewalOutcome::Renewed { requested_at } if in_doubt => {
+                self.unconfirmed_renewals += 1;
+                RenewalDecision::ConfirmKey { requested_at }
             }
             RenewalOutcome::Renewed { requested_at } => {
                 RenewalDecision::Continue(self.renewed(requested_at))
             }
             RenewalOutcome::Expired => RenewalDecision::StepDown(EndReason::LeaseExpired),
-            RenewalOutcome::Unknown => self.retry_or_step_down(now),
+            RenewalOutcome::Unknown => {
+                self.unconfirmed_renewals += u32::from(in_doubt);
+                self.retry_or_step_down(now)
+            }
         }
     }
 
-    /// Decides how to go on after the key was read, following a renewal sent at `requested_at`.
+    /// Decides how to go on after the key was read because the lease may have expired: before a
+    /// renewal, or after one that was sent at `renewed_at`.
     #[must_use]
     pub fn after_key_read(
-        self,
+        &self,
         key: KeyState,
-        requested_at: Instant,
+        renewed_at: Option<Instant>,
         now: Instant,
     ) -> RenewalDecision {
-        match key {
-            KeyState::Unchanged => RenewalDecision::Continue(self.renewed(requested_at)),
-            KeyState::Changed => RenewalDecision::StepDown(EndReason::KeyChanged),
-            KeyState::Unknown => self.retry_or_step_down(now),
+        match (key, renewed_at) {
+            (KeyState::Unchanged, Some(requested_at)) => {
+                RenewalDecision::Continue(self.renewed(requested_at))
+            }
+            (KeyState::Unchanged, None) => RenewalDecision::Renew,
+            (KeyState::Changed, _) => RenewalDecision::StepDown(EndReason::KeyChanged),
+            (KeyState::Unknown, _) => self.retry_or_step_down(now),
         }
     }
 
-    fn retry_or_step_down(self, now: Instant) -> RenewalDecision {
-        if now >= self.ends + self.life * MAX_RECOVERY_LEASE_DURATIONS {
+    fn retry_or_step_down(&self, now: Instant) -> RenewalDecision {
+        let is_over =
+            now >= self.ends + MAX_DOUBT || self.unconfirmed_renewals >= MAX_UNCONFIRMED_RENEWALS;
+        if is_over {
             RenewalDecision::StepDown(EndReason::NotRecovered)
         } else {
             RenewalDecision::Retry
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -471,6 +471,12 @@
         }
     }
 
+    /// Whether this daemon's newest call to the store that shows its state was answered.
+    #[must_use]
+    pub fn is_store_reached(&self) -> bool {
+        self.lock().store_reached
+    }
+
     /// Whether keys that disappear now may have expired only because the store was unavailable.
     #[must_use]
     pub fn is_in_doubt(&self, now: Instant) -> bool {
--- a/crates/serving/src/leader.rs
+++ b/crates/serving/src/leader.rs
@@ -10,7 +10,7 @@
 
 use futures::FutureExt;
 use ponddrift_fleet::leadership::{
-    CALL_TIMEOUT, Fencing, Grant, KeyState, LeaderTerm, RenewalDecision, RenewalOutcome,
+    CALL_TIMEOUT, EndReason, Fencing, Grant, KeyState, LeaderTerm, RenewalDecision, RenewalOutcome,
 };
 use ponddrift_fleet::revision::Revision;
 use ponddrift_runtime::Runtime;
@@ -26,9 +26,11 @@
 
 /// Renewals per lease lifetime: two in a row may be lost.
 const RENEWALS_PER_LEASE: u32 = 3;
-/// Renewals per lease lifetime while the lease may have expired. More frequent, because the duties
-/// of the leader rest until one succeeds.
-const RECOVERY_RENEWALS_PER_LEASE: u32 = 6;
+/// Interval of attempts to recover a lease that may have expired, while the store answers this
+/// daemon. No duty is performed until one succeeds.
+const RECOVERY_INTERVAL: Duration = Duration::from_millis(500);
+/// The same while the store does not answer: other calls of this daemon show its return.
+const RECOVERY_INTERVAL_IN_OUTAGE: Duration = Duration::from_secs(5);
 /// Daemons that see no leader wait a random time up to this before they become candidates, so that
 /// few ask the store at once.
 const MAX_CANDIDACY_DELAY: Duration = Duration::from_millis(1_500);
@@ -258,7 +260,9 @@
         tracing::info!(fence, reason, "leader_lease_over");
         // Calls in flight must arrive before another daemon can become the leader.
         tokio::time::sleep(CALL_TIMEOUT).await;
-        self.revoke(held.lease).await;
+        if reason != EndReason::KeyChanged.as_str() {
+            self.revoke(held.lease).await;
+        }
     }
 
     /// Returns why the leadership ended.
@@ -266,15 +270,15 @@
         let fence = term.fencing_token;
         let mut in_doubt_since = None;
         loop {
-            let renewals_per_lease = match in_doubt_since {
-                Some(_since) => RECOVERY_RENEWALS_PER_LEASE,
-                None => RENEWALS_PER_LEASE,
-            };
-            let interval = held.lease.life / renewals_per_lease;
-            if let Some(reason) = self.wait_for_renewal(held.lease, interval).await {
+            if let Some(reason) = self.wait_for_renewal(held.lease, in_doubt_since).await {
                 return reason;
             }
-            match self.renew(held, term).await {
+            let decision = if term.may_have_expired(now()) {
+                self.recover(held, &mut term).await
+            } else {
+                self.renew(held, &mut term).await
+            };
+            match decision {
                 RenewalDecision::Continue(renewed) => {
                     term = renewed;
                     self.tenure_sender.send_replace(Some(term));
@@ -284,18 +288,19 @@
                     }
                 }
                 RenewalDecision::StepDown(reason) => return reason.as_str(),
-                RenewalDecision::ReadKey { .. } | RenewalDecision::Retry => {
-                    if in_doubt_since.is_none() && term.may_have_expired(now()) {
-                        in_doubt_since = Some(now());
-                        tracing::warn!(fence, "leader_lease_in_doubt");
-                    }
-                }
+                RenewalDecision::Renew
+                | RenewalDecision::ConfirmKey { .. }
+                | RenewalDecision::Retry => {}
+            }
+            if in_doubt_since.is_none() && term.may_have_expired(now()) {
+                in_doubt_since = Some(now());
+                tracing::warn!(fence, "leader_lease_in_doubt");
             }
         }
     }
 
     /// Renews the lease once. If it may have expired before, also reads the leader's key.
-    async fn renew(&self, held: HeldLease, term: LeaderTerm) -> RenewalDecision {
+    async fn renew(&self, held: HeldLease, term: &mut LeaderTerm) -> RenewalDecision {
         let requested_at = now();
         let outcome = match self.store.renew(held.lease).await {
             Ok(()) => RenewalOutcome::Renewed { requested_at },
@@ -306,14 +311,23 @@
             }
         };
         match term.after_renewal(outcome, now()) {
-            RenewalDecision::ReadKey { requested_at } => {
+            RenewalDecision::ConfirmKey { requested_at } => {
                 let key = self.read_key(held).await;
-                term.after_key_read(key, requested_at, now())
+                term.after_key_read(key, Some(requested_at), now())
             }
             decision => decision,
         }
     }
 
+    /// Tries once to recover a lease that may have expired.
+    async fn recover(&self, held: HeldLease, term: &mut LeaderTerm) -> RenewalDecision {
+        let key = self.read_key(held).await;
+        match term.after_key_read(key, None, now()) {
+            RenewalDecision::Renew => self.renew(held, term).await,
+            decision => decision,
+        }
+    }
+
     async fn read_key(&self, held: HeldLease) -> KeyState {
         let is_unchanged = self
             .store
@@ -321,7 +335,8 @@
             .await;
         match is_unchanged {
             Ok(true) => KeyState::Unchanged,
-            Ok(false) => KeyState::Changed,
+            // The lease ended with its era.
+            Ok(false) | Err(StoreError::LeaseExpired) => KeyState::Changed,
             Err(error) => {
                 tracing::debug!(%error, "leader_key_not_read");
                 KeyState::Unknown
@@ -329,11 +344,25 @@
         }
     }
 
-    /// Waits until the next renewal is due. Returns the reason if the lease is not to be renewed.
-    async fn wait_for_renewal(&self, lease: Lease, interval: Duration) -> Option<&'static str> {
-        let renew_at = now() + interval;
+    /// Waits until the next renewal, or attempt to recover the lease, is due. Returns the reason if
+    /// there is to be none.
+    async fn wait_for_renewal(
+        &self,
+        lease: Lease,
+        in_doubt_since: Option<Instant>,
+    ) -> Option<&'static str> {
+        let began = now();
         let mut era = self.state.era().subscribe();
-        while now() < renew_at {
+        loop {
+            let interval = match in_doubt_since {
+                None => lease.life / RENEWALS_PER_LEASE,
+                Some(_since) if self.state.is_store_reached() => RECOVERY_INTERVAL,
+                Some(_since) => RECOVERY_INTERVAL_IN_OUTAGE,
+            };
+            let renew_at = began + interval;
+            if now() >= renew_at {
+                return None;
+            }
             if self.pipeline.is_stopping() {
                 return Some("stopping");
             }
@@ -345,7 +374,6 @@
                 () = time::sleep_until(next_check) => {}
             }
         }
-        None
     }
 
     async fn revoke(&self, lease: Lease) {
