--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -2,6 +2,7 @@
 //! daemon's share of what a back end accepts.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
@@ -155,10 +156,10 @@
     /// one does not answer at all.
     pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
         let connecting = self.runtime.network.connect(address);
-        matches!(
-            tokio::time::timeout(CONNECT_TIMEOUT, connecting).await,
-            Ok(Err(_refused))
-        )
+        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        // Other errors, such as no route or no free descriptor, show nothing about the process.
+        let is_refusal = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
+        matches!(connected, Ok(Err(error)) if is_refusal(&error))
     }
 
     /// Sends one request and reads the complete answer. Returns `None` if that fails or takes
