Lost runs: the result of an exit check belongs to one life of a back end

Cause: results were kept by ID alone, so that a back end that exited and started again under its ID, before its entry lapsed, counted as ended at each later broken connection.

Tests: crashing_requests and streams pass as before; a test of a restart under the same ID is not written yet.

--- a/crates/serving/src/pipeline/lost_runs.rs
+++ b/crates/serving/src/pipeline/lost_runs.rs
@@ -21,33 +21,40 @@
 /// moment and share one check.
 #[derive(Debug, Default)]
 pub(super) struct EngineExitChecks {
-    checks: Mutex<HashMap<Arc<str>, Arc<OnceCell<bool>>>>,
+    checks: Mutex<HashMap<EngineLife, Arc<OnceCell<bool>>>>,
 }
 
+/// ID and incarnation: an engine may start again under its ID.
+type EngineLife = (Arc<str>, u64);
+
 impl EngineExitChecks {
     /// Removes engines that are no longer in the directory.
     pub(super) fn keep_only(&self, is_present: impl Fn(&str) -> bool) {
-        self.lock().retain(|id, _check| is_present(id));
+        self.lock().retain(|(id, _life), _check| is_present(id));
     }
 
-    fn check_for(&self, engine: &Arc<str>) -> Arc<OnceCell<bool>> {
+    fn check_for(&self, engine: &BackEnd) -> Arc<OnceCell<bool>> {
         let mut checks = self.lock();
-        Arc::clone(checks.entry(Arc::clone(engine)).or_default())
+        Arc::clone(checks.entry(life_of(engine)).or_default())
     }
 
     /// Removes the result for an engine that is alive, so that the next broken connection is
     /// checked again.
-    fn forget(&self, engine: &str) {
-        self.lock().remove(engine);
+    fn forget(&self, engine: &BackEnd) {
+        self.lock().remove(&life_of(engine));
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Arc<str>, Arc<OnceCell<bool>>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<EngineLife, Arc<OnceCell<bool>>>> {
         self.checks
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
 
+fn life_of(engine: &BackEnd) -> EngineLife {
+    (Arc::clone(&engine.id), engine.incarnation.0)
+}
+
 impl Pipeline {
     /// Checks a send that began at `started_at` and ended without a complete answer. Records the
     /// run as lost if the engine exited, and returns whether it did.
@@ -83,11 +90,11 @@
         if self.state.has_later_incarnation(engine) {
             return true;
         }
-        let check = self.engine_exit_checks.check_for(&engine.id);
+        let check = self.engine_exit_checks.check_for(engine);
         let probe = || self.connections.refuses_connections(engine.address);
         let engine_has_exited = *check.get_or_init(probe).await;
         if !engine_has_exited {
-            self.engine_exit_checks.forget(&engine.id);
+            self.engine_exit_checks.forget(engine);
         }
         engine_has_exited
     }
