--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -38,6 +38,7 @@
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::fingerprint::RequestFingerprint;
+use ponddrift_fleet::pace::StreamLengths;
 use ponddrift_fleet::placement::Placement;
 use ponddrift_fleet::rate_limits::{Members, MembersTrust};
 use ponddrift_fleet::routes::SplitScheduler;
@@ -99,6 +100,7 @@
     changed_rate_limits: PendingSet<Arc<str>>,
     metrics: Arc<Metrics>,
     placement: Mutex<Placement>,
+    stream_lengths: Mutex<StreamLengths>,
     budget: Mutex<RetryBudget>,
     budget_settings: BudgetSettings,
     /// The retry pool of the zone; used only if this daemon owns the pool.
@@ -145,6 +147,7 @@
             changed_rate_limits: PendingSet::default(),
             metrics,
             placement: Mutex::new(placement),
+            stream_lengths: Mutex::default(),
             budget: Mutex::new(RetryBudget::new(settings.budget)),
             budget_settings: settings.budget,
             retry_pool: Mutex::default(),
@@ -240,10 +243,23 @@
     /// Sets the number of serving daemons, including this one.
     pub fn set_daemons(&self, daemons: usize) {
         self.daemons.store(daemons.max(1), Ordering::Relaxed);
-        self.budget().set_daemons(daemons);
+        let in_force = self.state.in_force();
+        let has_long_streams =
+            in_force.is_some_and(|in_force| in_force.configuration.has_long_streams());
+        let mut budget = self.budget();
+        budget.set_daemons(daemons);
+        budget.set_reserve(has_long_streams);
+        drop(budget);
         self.placement().daemons = daemons;
     }
 
+    /// Locks what is known of the lengths of streams.
+    fn stream_lengths(&self) -> MutexGuard<'_, StreamLengths> {
+        self.stream_lengths
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
     /// Locks the state that back ends are chosen from.
     pub fn placement(&self) -> MutexGuard<'_, Placement> {
         self.placement
@@ -351,6 +367,7 @@
             rate_limited,
             profiles,
             unusable_cold_times: self.state.unusable_cold_times(),
+            unusable_entries: self.state.unusable_entries(),
             suspects: suspects.remembered,
             quarantined: suspects.quarantined,
             connections: self.connections.open_count(),
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -89,8 +89,8 @@
 /// A value in the store that cannot be decoded.
 #[derive(Debug, Clone, thiserror::Error)]
 #[error(
-    "the value of {key} at revision {revision} cannot be decoded: {problem}; \
-     the last valid one stays in force"
+    "the value of {key} at revision {revision} cannot be decoded: {problem}; {}",
+    self.consequence()
 )]
 pub struct Unreadable {
     /// Key in the store.
@@ -99,6 +99,17 @@
     pub revision: Revision,
     /// Why the value cannot be decoded.
     pub problem: String,
+    /// The back end whose entry it is, if it is one.
+    pub back_end: Option<Arc<str>>,
+}
+
+impl Unreadable {
+    const fn consequence(&self) -> &'static str {
+        match self.back_end {
+            Some(_) => "the back end is not used until its entry can be decoded",
+            None => "the last valid one stays in force",
+        }
+    }
 }
 
 /// Why a call to the store failed.
@@ -196,6 +207,13 @@
         holder: &str,
         lease: Lease,
     ) -> BoxFuture<'_, Result<Revision, StoreError>>;
+    /// Whether the leader's key still is as it was written at `written` under `lease`. The answer is
+    /// linearizable. Fails with [`StoreError::LeaseExpired`] if the lease belongs to an earlier era.
+    fn holds_leadership(
+        &self,
+        lease: Lease,
+        written: Revision,
+    ) -> BoxFuture<'_, Result<bool, StoreError>>;
     /// Writes the usage figures of a window once. If figures were written before, they are left
     /// unchanged and returned. Fails with [`StoreError::Conflict`] if the window is so old that its
     /// place in the store was reused for a later one.
