--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -50,7 +50,6 @@
 pub mod followers;
 pub mod health;
 pub mod leadership;
-pub mod pace;
 pub mod placement;
 pub mod profiles;
 pub mod prompt;
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -38,7 +38,6 @@
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::fingerprint::RequestFingerprint;
-use ponddrift_fleet::pace::StreamLengths;
 use ponddrift_fleet::placement::Placement;
 use ponddrift_fleet::rate_limits::{Members, MembersTrust};
 use ponddrift_fleet::routes::SplitScheduler;
@@ -100,7 +99,6 @@
     changed_rate_limits: PendingSet<Arc<str>>,
     metrics: Arc<Metrics>,
     placement: Mutex<Placement>,
-    stream_lengths: Mutex<StreamLengths>,
     budget: Mutex<RetryBudget>,
     budget_settings: BudgetSettings,
     /// The retry pool of the zone; used only if this daemon owns the pool.
@@ -147,7 +145,6 @@
             changed_rate_limits: PendingSet::default(),
             metrics,
             placement: Mutex::new(placement),
-            stream_lengths: Mutex::default(),
             budget: Mutex::new(RetryBudget::new(settings.budget)),
             budget_settings: settings.budget,
             retry_pool: Mutex::default(),
@@ -253,13 +250,6 @@
         self.placement().daemons = daemons;
     }
 
-    /// Locks what is known of the lengths of streams.
-    fn stream_lengths(&self) -> MutexGuard<'_, StreamLengths> {
-        self.stream_lengths
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-    }
-
     /// Locks the state that back ends are chosen from.
     pub fn placement(&self) -> MutexGuard<'_, Placement> {
         self.placement
--- a/crates/serving/src/pipeline/budgeting.rs
+++ b/crates/serving/src/pipeline/budgeting.rs
@@ -54,7 +54,7 @@
     /// Asks to send the request. The first send is free; each further one takes a retry from the
     /// budget.
     pub(super) async fn may_send(&self, job: &mut Job, reason: &'static str) -> bool {
-        if job.delivered_sends == 0 || std::mem::take(&mut job.has_retry_in_hand) {
+        if job.delivered_sends == 0 {
             return true;
         }
         job.delivered_sends < MAXIMUM_SENDS && self.take_retry(job, reason).await
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -189,7 +189,6 @@
             rate_waits: 0,
             runs: 0,
             ended_runs: 0,
-            has_retry_in_hand: false,
             tried: Vec::new(),
             had_timeout: false,
             fingerprint: std::sync::OnceLock::new(),
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -67,8 +67,6 @@
     pub(super) runs: u32,
     /// Those of them that are known to have ended since. They do not count as attempts.
     pub(super) ended_runs: u32,
-    /// Whether the next send has its retry from the budget already.
-    pub(super) has_retry_in_hand: bool,
     /// Back ends that must not be tried again.
     pub(super) tried: Vec<Arc<str>>,
     /// Whether a back end did not answer in time. Later sends use new connections, because idle
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -10,12 +10,8 @@
 use bytes::Bytes;
 use futures::{Stream, stream};
 use http_body_util::BodyExt;
-use ponddrift_fleet::configuration::Stage;
-use ponddrift_fleet::directory::Eligibility;
 use ponddrift_fleet::events::Event;
 use ponddrift_fleet::health::Outcome;
-use ponddrift_fleet::pace::{EVENTS_BETWEEN_DECISIONS, StreamProgress};
-use ponddrift_fleet::profiles::WorkKind;
 use ponddrift_http::body::BodyError;
 
 use super::Pipeline;
@@ -43,14 +39,6 @@
     stream: Option<OpenStream>,
     last_event_id: Option<u64>,
     last_event: Option<Instant>,
-    /// Events that the caller has, including those before its `Last-Event-Id`.
-    forwarded_events: u64,
-    /// Events from the current back end, and when the first of them came.
-    events_here: u32,
-    first_event_here: Option<Instant>,
-    /// Expected gap of a single stream at an average back end when this one began, in
-    /// milliseconds: since then, a slow stream has raised the average itself.
-    gap_before_ms: Option<f64>,
     is_finished: bool,
     _in_progress: InProgress,
 }
@@ -75,18 +63,12 @@
         in_progress: InProgress,
     ) -> Self {
         let last_event_id = job.metadata.resume_after;
-        let service = &job.service.name;
-        let gap_before_ms = pipeline.placement().streams.gap_ms(service, 1.0);
         Self {
             pipeline: Arc::clone(pipeline),
             job,
             stream: Some(stream),
             last_event_id,
             last_event: None,
-            forwarded_events: last_event_id.unwrap_or_default(),
-            events_here: 0,
-            first_event_here: None,
-            gap_before_ms,
             is_finished: false,
             _in_progress: in_progress,
         }
@@ -103,12 +85,6 @@
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         while !self.is_finished {
             let mut stream = self.stream.take()?;
-            if self.is_better_elsewhere(&stream) && self.take_retry_in_hand().await {
-                if let Err(error) = self.resume_elsewhere(stream, "too_slow", None).await {
-                    return Some(Err(error));
-                }
-                continue;
-            }
             match self.read_next(&mut stream).await {
                 NextItem::Event(event) => {
                     self.record_gap(&stream);
@@ -119,7 +95,6 @@
                     }
                     self.last_event_id = event.id.or(self.last_event_id);
                     self.job.events_sent += 1;
-                    self.forwarded_events += 1;
                     return Some(Ok(event.bytes));
                 }
                 NextItem::End => self.complete(stream),
@@ -145,8 +120,6 @@
     /// Records the time since the previous event, if there is one.
     fn record_gap(&mut self, stream: &OpenStream) {
         let now = now();
-        self.events_here = self.events_here.saturating_add(1);
-        self.first_event_here.get_or_insert(now);
         let engine = &stream.back_end.id;
         let mut placement = self.pipeline.placement();
         placement.health.record_activity(engine, now);
@@ -167,74 +140,6 @@
         self.last_event = Some(now);
     }
 
-    /// Whether the stream would miss its deadline here and not at another back end. Asked every few
-    /// events.
-    fn is_better_elsewhere(&self, stream: &OpenStream) -> bool {
-        let job = &self.job;
-        let is_due = self.events_here > 0
-            && self.events_here.is_multiple_of(EVENTS_BETWEEN_DECISIONS)
-            && stream.buffered_event.is_none();
-        if !is_due || !job.route.has_long_streams() || !job.may_run_again() {
-            return false;
-        }
-        let (Some(prompt), Some(first_event_here)) = (&job.metadata.prompt, self.first_event_here)
-        else {
-            return false;
-        };
-        let service = &job.service.name;
-        let expected_events = self
-            .pipeline
-            .stream_lengths()
-            .expected_events(service, prompt.output_tokens);
-        let Some(expected_events) = expected_events else {
-            return false;
-        };
-        let progress = StreamProgress {
-            expected_events,
-            forwarded_events: self.forwarded_events,
-            events_here: self.events_here,
-            time_here: now().saturating_duration_since(first_event_here),
-            time_left: job.time_left(),
-        };
-        // Without a pause elsewhere, a stream that is in time needs no search of the candidates.
-        progress.is_better_elsewhere(Duration::ZERO)
-            && self
-                .smallest_gap_elsewhere(stream)
-                .is_some_and(|gap| progress.is_better_elsewhere(gap))
-    }
-
-    /// The smallest gap expected at another back end that may be chosen; `None` if there is none or
-    /// nothing is known of gaps.
-    fn smallest_gap_elsewhere(&self, stream: &OpenStream) -> Option<Duration> {
-        let job = &self.job;
-        let candidates = self.pipeline.candidates(job);
-        let now = now();
-        let placement = self.pipeline.placement();
-        let gap_now_ms = placement.streams.gap_ms(&job.service.name, 1.0)?;
-        let without_this_stream = (self.gap_before_ms? / gap_now_ms).min(1.0);
-        let others = candidates.back_ends.iter().filter(|other| {
-            other.id != stream.back_end.id
-                && other.stage != Some(Stage::Prefill)
-                && placement.eligibility(other, &[], now) == Eligibility::Preferred
-        });
-        let gaps = others.filter_map(|other| {
-            let streams = placement.load.requests(&other.id) + 1.0;
-            let gap_ms = placement.streams.gap_ms(&job.service.name, streams)?;
-            let factor = placement.profiles.factor(other, WorkKind::Decode, now);
-            let gap_ms = gap_ms * factor * without_this_stream;
-            Duration::try_from_secs_f64(gap_ms / 1_000.0).ok()
-        });
-        gaps.min()
-    }
-
-    /// Takes the retry for a stream that continues elsewhere before its connection is closed,
-    /// because it goes on here if there is none.
-    async fn take_retry_in_hand(&mut self) -> bool {
-        let granted = self.pipeline.may_send(&mut self.job, "too_slow").await;
-        self.job.has_retry_in_hand = granted;
-        granted
-    }
-
     /// Whether the caller already has this event.
     fn is_already_forwarded(&self, event: &Event) -> bool {
         matches!((event.id, self.last_event_id), (Some(id), Some(last)) if id <= last)
@@ -305,10 +210,6 @@
         }
         drop(placement);
         stream.connection.return_to_pool(&stream.head.headers);
-        if let Some(prompt) = &self.job.metadata.prompt {
-            let mut lengths = self.pipeline.stream_lengths();
-            lengths.record(service, prompt.output_tokens, self.forwarded_events);
-        }
         self.finish(200, "served");
     }
 
@@ -329,8 +230,6 @@
         // Back ends that refused the request at its start may have capacity by now.
         self.job.tried = vec![Arc::clone(&stream.back_end.id)];
         drop(stream);
-        self.events_here = 0;
-        self.first_event_here = None;
         if !self.job.may_run_again() {
             return Err(self.fail_stream(reason));
         }
