--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -7,11 +7,6 @@
 //! it would take long to earn one. The daemons of a zone then deposit what they earn into a
 //! [`RetryPool`] owned by one of them and request each retry from it. Every amount is deposited at
 //! most once, so retries stay within what was earned even if messages or the pool owner are lost.
-//!
-//! If a daemon's share is a few retries, it keeps them. What it earns while its share is full goes
-//! into a reserve of the zone, in the same way as into a pool, if the operators' configuration asks
-//! for one. The reserve is for requests that have run: they can't be told to come back, and the
-//! failure of one back end may break more of them at one daemon than its share covers.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -19,25 +14,6 @@
 /// Share of the allowed retries that is used; the rest covers requests that span two windows.
 const USED_SHARE: f64 = 0.8;
 
-/// Share of the slack that the reserves of all zones may hold.
-const RESERVE_SHARE: f64 = 0.09;
-/// Share of the slack that daemons may hold back between two deposits into the reserve.
-const UNDEPOSITED_SHARE: f64 = 0.03;
-/// Daemons whose share is at least this many retries need no reserve: few back ends run more of one
-/// daemon's requests at a time.
-const RESERVE_BELOW_RETRIES: f64 = 8.0;
-
-/// Where a daemon gets retries from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Sharing {
-    /// Only what it saved itself.
-    Own,
-    /// What it saved itself, and the zone's reserve for requests that have run.
-    Reserve,
-    /// Only the zone's pool.
-    Pool,
-}
-
 /// Settings of the retry budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct BudgetSettings {
@@ -53,10 +29,6 @@
     settings: BudgetSettings,
     daemons: usize,
     saved: HashMap<Arc<str>, f64>,
-    /// Whether the zone has a reserve.
-    has_reserve: bool,
-    /// Earned while the share was full, and not yet deposited into the reserve.
-    surplus: HashMap<Arc<str>, f64>,
 }
 
 impl RetryBudget {
@@ -67,16 +39,9 @@
             settings,
             daemons: 1,
             saved: HashMap::new(),
-            has_reserve: false,
-            surplus: HashMap::new(),
         }
     }
 
-    /// Sets whether the zone has a reserve for requests that have run.
-    pub fn set_reserve(&mut self, has_reserve: bool) {
-        self.has_reserve = has_reserve;
-    }
-
     /// Sets the number of daemons that share the slack.
     pub fn set_daemons(&mut self, daemons: usize) {
         self.daemons = daemons.max(1);
@@ -86,14 +51,7 @@
     pub fn earn(&mut self, service: &Arc<str>) {
         let max_saved = self.max_saved();
         let saved = self.saved.entry(Arc::clone(service)).or_default();
-        let sum = *saved + self.settings.ratio * USED_SHARE;
-        *saved = sum.min(max_saved);
-        let excess = sum - *saved;
-        if excess > 0.0 && self.sharing() == Sharing::Reserve {
-            let max_surplus = self.settings.slack * UNDEPOSITED_SHARE / self.daemons_f64();
-            let surplus = self.surplus.entry(Arc::clone(service)).or_default();
-            *surplus = (*surplus + excess).min(max_surplus);
-        }
+        *saved = (*saved + self.settings.ratio * USED_SHARE).min(max_saved);
     }
 
     /// Takes one retry. Returns `false` if less than one is saved.
@@ -117,31 +75,12 @@
     /// the zone's pool.
     #[must_use]
     pub fn is_pooled(&self) -> bool {
-        self.sharing() == Sharing::Pool
-    }
-
-    /// Where this daemon gets retries from.
-    #[must_use]
-    pub fn sharing(&self) -> Sharing {
-        let share = self.share();
-        if share < 1.0 {
-            Sharing::Pool
-        } else if self.has_reserve && share < RESERVE_BELOW_RETRIES {
-            Sharing::Reserve
-        } else {
-            Sharing::Own
-        }
+        self.share() < 1.0
     }
 
-    /// Removes and returns what is to be deposited: everything saved into the pool, or the surplus
-    /// into the reserve.
+    /// Removes and returns everything saved, to be deposited into the pool.
     pub fn take_deposits(&mut self) -> Vec<(Arc<str>, f64)> {
-        let deposited = match self.sharing() {
-            Sharing::Own => return Vec::new(),
-            Sharing::Reserve => &mut self.surplus,
-            Sharing::Pool => &mut self.saved,
-        };
-        deposited
+        self.saved
             .iter_mut()
             .filter(|(_service, saved)| **saved > 0.0)
             .map(|(service, saved)| (Arc::clone(service), std::mem::take(saved)))
@@ -160,12 +99,9 @@
 
     /// This daemon's share of the slack, in retries.
     fn share(&self) -> f64 {
-        self.settings.slack * USED_SHARE / self.daemons_f64()
-    }
-
-    #[expect(clippy::cast_precision_loss, reason = "some thousand daemons")]
-    const fn daemons_f64(&self) -> f64 {
-        self.daemons as f64
+        #[expect(clippy::cast_precision_loss, reason = "some thousand daemons")]
+        let daemons = self.daemons as f64;
+        self.settings.slack * USED_SHARE / daemons
     }
 }
 
@@ -220,16 +156,7 @@
 /// Capacity of a zone's pool, in retries: the combined shares of its daemons.
 #[must_use]
 pub fn pool_capacity(settings: BudgetSettings, zone_daemons: usize, daemons: usize) -> f64 {
-    settings.slack * USED_SHARE * zone_part(zone_daemons, daemons)
-}
-
-/// Capacity of a zone's reserve, in retries.
-#[must_use]
-pub fn reserve_capacity(settings: BudgetSettings, zone_daemons: usize, daemons: usize) -> f64 {
-    settings.slack * RESERVE_SHARE * zone_part(zone_daemons, daemons)
-}
-
-#[expect(clippy::cast_precision_loss, reason = "some thousand daemons")]
-fn zone_part(zone_daemons: usize, daemons: usize) -> f64 {
-    zone_daemons as f64 / daemons.max(1) as f64
+    #[expect(clippy::cast_precision_loss, reason = "some thousand daemons")]
+    let part = zone_daemons as f64 / daemons.max(1) as f64;
+    settings.slack * USED_SHARE * part
 }
--- a/crates/serve/tests/capacity.rs
+++ b/crates/serve/tests/capacity.rs
@@ -16,7 +16,6 @@
     zones: 1,
     reports_usage: false,
     orders_engines: true,
-    retry_slack: 20,
 };
 const ZONES: [&str; 2] = ["a", "b"];
 /// On-demand engines in each zone at the start.
@@ -191,7 +190,6 @@
 {
     let (mut fleet, _engines) = fleet(FleetOptions {
         orders_engines: false,
-        retry_slack: 20,
         ..OPTIONS
     });
     fleet.wait(Duration::from_secs(8));
--- a/crates/serve/tests/orders.rs
+++ b/crates/serve/tests/orders.rs
@@ -20,7 +20,6 @@
     zones: 1,
     reports_usage: false,
     orders_engines: false,
-    retry_slack: 20,
 };
 
 /// Sends long prompts for `time`, which load the prefill engines more than the decode engines.
--- a/crates/serve/tests/retry_pool.rs
+++ b/crates/serve/tests/retry_pool.rs
@@ -6,7 +6,7 @@
 
 use http::StatusCode;
 use ponddrift_platform_stand_ins::{Behaviour, ClientRequest};
-use support::{Fleet, FleetOptions, routes};
+use support::{Fleet, FleetOptions};
 
 /// More daemons than the `retry.budget_slack` of the test settings.
 const DAEMONS: u8 = 40;
@@ -68,47 +68,3 @@
     let status = answer.map(|answer| answer.status);
     assert_eq!(status, Some(StatusCode::INTERNAL_SERVER_ERROR));
 }
-
-/// Asks one daemon this many times. Returns the number of successful answers.
-fn ask_one_daemon(fleet: &mut Fleet, daemon: usize, name: &str, requests: usize) -> usize {
-    let client = fleet.client.clone();
-    let target = fleet.daemons[daemon].callers_address;
-    let name = name.to_owned();
-    fleet.run(async move {
-        let mut served = 0;
-        for number in 0..requests {
-            let request = ClientRequest::plain(&format!("{name}-{daemon}-{number}"), "fetch");
-            let answer = client.ask(target, &request).await;
-            served += usize::from(answer.is_some_and(|answer| answer.status == StatusCode::OK));
-        }
-        served
-    })
-}
-
-/// Each daemon's share is little more than a retry. A failure hits a daemon that earned nothing, and
-/// whose requests have run, so that their callers can't be told to come back.
-#[test]
-fn requests_that_ran_use_the_reserve_that_busy_daemons_earned_if_there_are_long_streams() {
-    for has_long_streams in [true, false] {
-        let mut fleet = Fleet::new(FleetOptions {
-            daemons: DAEMONS,
-            retry_slack: 60,
-            ..FleetOptions::default()
-        });
-        let mut routes = routes();
-        if has_long_streams {
-            routes[3].timeout_ms = 60_000;
-        }
-        fleet.configure(2, &routes);
-        fleet.wait(Duration::from_secs(3));
-        for daemon in 1..usize::from(DAEMONS) {
-            assert_eq!(ask_one_daemon(&mut fleet, daemon, "good", 12), 12);
-        }
-        fleet.wait(Duration::from_millis(1_500));
-        fleet.records[0].queue_behaviours(&[Behaviour::Fail]);
-        fleet.records[1].queue_behaviours(&[Behaviour::Fail]);
-        // The first request fails at both back ends, or each of two requests at one.
-        let served = ask_one_daemon(&mut fleet, 0, "bad", 2);
-        assert_eq!(served, usize::from(has_long_streams));
-    }
-}
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -42,8 +42,6 @@
     pub reports_usage: bool,
     /// Whether the daemons order engines from the provider.
     pub orders_engines: bool,
-    /// `retry.budget_slack` of the daemons.
-    pub retry_slack: u32,
 }
 
 impl Default for FleetOptions {
@@ -56,7 +54,6 @@
             zones: 1,
             reports_usage: false,
             orders_engines: false,
-            retry_slack: 20,
         }
     }
 }
@@ -335,9 +332,8 @@
          [listen]\ncallers = \"10.0.2.{number}:8144\"\nreadiness = \"10.0.2.{number}:8140\"\n\
          peers = \"10.0.2.{number}:7660\"\n[store]\naddress = \"{STORE_ADDRESS}\"\n\
          [peers]\nseeds = [\"10.0.2.1:1\", \"10.0.2.2:1\"]\n\
-         [retry]\nbudget_ratio = 0.2\nbudget_slack = {}\n[stop]\ngrace_s = 8\n\
-         [limits]\nrequests_in_progress = {MAX_REQUESTS_IN_PROGRESS}\n",
-        options.retry_slack
+         [retry]\nbudget_ratio = 0.2\nbudget_slack = 20\n[stop]\ngrace_s = 8\n\
+         [limits]\nrequests_in_progress = {MAX_REQUESTS_IN_PROGRESS}\n"
     );
     let provider_calls: Vec<&str> = [
         (options.reports_usage, "usage_report"),
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -240,13 +240,7 @@
     /// Sets the number of serving daemons, including this one.
     pub fn set_daemons(&self, daemons: usize) {
         self.daemons.store(daemons.max(1), Ordering::Relaxed);
-        let in_force = self.state.in_force();
-        let has_long_streams =
-            in_force.is_some_and(|in_force| in_force.configuration.has_long_streams());
-        let mut budget = self.budget();
-        budget.set_daemons(daemons);
-        budget.set_reserve(has_long_streams);
-        drop(budget);
+        self.budget().set_daemons(daemons);
         self.placement().daemons = daemons;
     }
 
--- a/crates/serving/src/pipeline/budgeting.rs
+++ b/crates/serving/src/pipeline/budgeting.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use ponddrift_fleet::budget::Sharing;
-
 use super::Pipeline;
 use super::job::Job;
 use crate::request_trace::TraceStep;
@@ -82,20 +80,14 @@
 
     async fn take_retry(&self, job: &mut Job, reason: &'static str) -> bool {
         let own_retry = self.take_own_retry(&job.service.name);
-        let may_withdraw = match own_retry.sharing {
-            Sharing::Own => false,
-            // Others can be told that they have not run, and come back.
-            Sharing::Reserve => job.runs > 0,
-            Sharing::Pool => true,
-        };
-        let granted =
-            own_retry.granted || (may_withdraw && self.withdraw_retry(&job.service.name).await);
+        let granted = own_retry.granted
+            || (own_retry.is_pooled && self.withdraw_retry(&job.service.name).await);
         self.metrics.retry(granted);
         job.trace.add(TraceStep::Retry {
             granted,
             reason,
             budget_left: own_retry.left,
-            is_pooled: may_withdraw,
+            is_pooled: own_retry.is_pooled,
         });
         granted
     }
@@ -105,7 +97,7 @@
         OwnRetry {
             granted: budget.take(service),
             left: budget.left(service),
-            sharing: budget.sharing(),
+            is_pooled: budget.is_pooled(),
         }
     }
 }
@@ -114,5 +106,5 @@
 struct OwnRetry {
     granted: bool,
     left: f64,
-    sharing: Sharing,
+    is_pooled: bool,
 }
--- a/crates/serving/src/pipeline/retry_pool.rs
+++ b/crates/serving/src/pipeline/retry_pool.rs
@@ -1,10 +1,9 @@
-//! The retry pool that the daemons of a zone share if a single daemon earns too few retries, and the
-//! reserve that they share if it earns a few.
+//! The retry pool that the daemons of a zone share if a single daemon earns too few retries.
 
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
 
-use ponddrift_fleet::budget::{Deposits, RetryPool, Sharing, pool_capacity, reserve_capacity};
+use ponddrift_fleet::budget::{Deposits, RetryPool, pool_capacity};
 
 use super::Pipeline;
 use crate::back_end_index::hash;
@@ -19,21 +18,23 @@
 const POOL_EMPTY_PAUSE: Duration = Duration::from_millis(250);
 
 impl Pipeline {
-    /// Takes the retries that this daemon deposits; empty if it keeps all that it earns.
+    /// Takes the retries that this daemon earned since the last call; empty if it keeps its own
+    /// budget.
     pub(crate) fn take_deposits(&self) -> Vec<(Arc<str>, f64)> {
-        self.budget().take_deposits()
+        let mut budget = self.budget();
+        if budget.is_pooled() {
+            budget.take_deposits()
+        } else {
+            Vec::new()
+        }
     }
 
-    /// Adds the retries that a daemon of the zone earned to the pool or the reserve.
+    /// Adds the retries that a daemon of the zone earned to the pool.
     pub(crate) fn receive_deposits(&self, deposits: &Deposits) {
         let topology = self.state.topology();
         let zone_daemons = topology.neighbours.len() + 1;
-        let capacity_of = match self.budget().sharing() {
-            Sharing::Pool => pool_capacity,
-            Sharing::Own | Sharing::Reserve => reserve_capacity,
-        };
-        let capacity = capacity_of(self.budget_settings, zone_daemons, topology.daemons);
-        self.retry_pool().deposit(deposits, capacity);
+        let zone_share = pool_capacity(self.budget_settings, zone_daemons, topology.daemons);
+        self.retry_pool().deposit(deposits, zone_share);
     }
 
     /// Takes a retry from the pool that this daemon owns.
