Lost runs: a restart under the same ID is no evidence against the request

A later incarnation shows that the earlier process has ended, so its run uses up no attempt. It does not show that this request was lost with it: the request may have run in the new process. Only a refused connection records the run as lost, as before.

--- a/crates/serving/src/pipeline/lost_runs.rs
+++ b/crates/serving/src/pipeline/lost_runs.rs
@@ -56,8 +56,10 @@
 }
 
 impl Pipeline {
-    /// Checks a send that began at `started_at` and ended without a complete answer. Records the
-    /// run as lost if the engine exited, and returns whether it did.
+    /// Checks a send that began at `started_at` and ended without a complete answer. Returns whether
+    /// the engine is known to have exited. The run is recorded as lost only if nothing listens at the
+    /// engine's address any more: after a restart under the same ID, the request may have run in the
+    /// new process.
     pub(super) async fn check_lost_run(
         &self,
         job: &Job,
@@ -66,9 +68,12 @@
         started_at: Instant,
     ) -> bool {
         let may_have_exited = matches!(outcome, Some(Outcome::Broken | Outcome::Unreachable));
-        if !may_have_exited || !self.engine_has_exited(engine).await {
+        if !may_have_exited {
             return false;
         }
+        if !self.engine_has_exited(engine).await {
+            return self.state.has_later_incarnation(engine);
+        }
         self.metrics.run_lost();
         let update = self.record_lost_run(job, engine, started_at);
         tracing::warn!(
@@ -87,9 +92,6 @@
     }
 
     async fn engine_has_exited(&self, engine: &Arc<BackEnd>) -> bool {
-        if self.state.has_later_incarnation(engine) {
-            return true;
-        }
         let check = self.engine_exit_checks.check_for(engine);
         let probe = || self.connections.refuses_connections(engine.address);
         let engine_has_exited = *check.get_or_init(probe).await;
