Placement by profile: the mean gap of a stream is part of its cost

Where all engines keep the target gap, the cost of a stream was the time to its first event alone, a few milliseconds, so that the 2 ms of another zone decided: after a zone was withdrawn, streams went to the one or two decode engines left in their own zone (20 to 25 streams there, 2 elsewhere), and prompts that arrived there later broke their gaps. The mean gap is now counted once, so streams go where gaps are short.

Test: without the change, 20 of 20 streams go to the full engine of their own zone.

--- a/crates/fleet/src/placement/decoding.rs
+++ b/crates/fleet/src/placement/decoding.rs
@@ -99,7 +99,8 @@
             stream.late_share_of_running(with_it) - stream.late_share_of_running(without_it);
         let late_streams = stream.late_share(with_it) + outstanding.generating * added_risk;
         let failures = self.placement.health.failure_rate(&back_end.id) * FAILURE_WEIGHT;
-        (late_streams + failures) * stream.latency_ms + stream.overrun_ms(with_it)
+        let mean_gap_ms = with_it.mean_ms * stream.gaps.min(1.0);
+        mean_gap_ms + (late_streams + failures) * stream.latency_ms + stream.overrun_ms(with_it)
     }
 
     /// Number of streams at an engine that would have a gap beyond `target_ms` only because the
--- a/crates/fleet/tests/placement_by_profile.rs
+++ b/crates/fleet/tests/placement_by_profile.rs
@@ -437,3 +437,35 @@
     };
     assert_eq!(choices(false), choices(true));
 }
+
+/// Load: a daemon whose own zone has one decode engine, with 40 of 64 slots taken, and another zone
+/// five with 2 streams each; all are equal and keep gaps far below the target. Bound: none of 20
+/// further streams of 72 events goes to the full one, so that prompts that arrive there later find
+/// gaps short enough to absorb them.
+#[test]
+fn long_streams_prefer_short_gaps_to_their_own_zone() {
+    let mut scene = Scene::new(0, &[Some(1.0); 6], 11);
+    // Without other work on the machines, the risk of a late gap is no reason to spread.
+    scene.placement.profiles.set_enabled(false);
+    scene.placement.profiles.set_enabled(true);
+    let service = Arc::clone(&scene.engines[0].service);
+    for streams in [0.0, 16.0, 32.0, 48.0].repeat(200) {
+        let gap = Duration::from_secs_f64((40.0 + 0.4 * streams) / 1000.0);
+        scene
+            .placement
+            .streams
+            .record_gap(&service, streams, gap, 1.0);
+    }
+    for (position, engine) in scene.engines.iter_mut().enumerate() {
+        let engine = Arc::make_mut(engine);
+        engine.slots = 64;
+        engine.zone = Arc::from(if position == 0 { "a" } else { "b" });
+    }
+    scene.start_streams(0..1, 40);
+    scene.start_streams(1..6, 2);
+    let prompt = prompt(0, 220, 72);
+    let own_zone = (0..20)
+        .filter(|_| &*scene.choose_decoder(&prompt, Duration::from_secs(15)).zone == "a")
+        .count();
+    assert_eq!(own_zone, 0);
+}
