Room under scarcity: plain services, demand over all daemons, returns

Change, only where `overload.scarce` is set (by the name `pressure` in `overload.contracts`): - fleet::scarcity::demand: tenants' work, prioritized work and arrivals of each daemon, in bounded rows, merged by origin and sequence; the fair shares and the arrivals per engine use the fleet's. - fleet::scarcity::room: a request to a plain service is sent only while its wait leaves it its time in target; lower priorities, tenants beyond their share and early repeats lose room first. - fleet::scarcity::returns: Retry-After from the backlog and the rate at which work ends; a turn for those who come back at their time. - placement::plain_choice: two back ends of the zone and one elsewhere are drawn and compared, with averages of the peers' load. - fleet::budget: shares of under eight retries are pooled by zone beside one that each daemon keeps.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 //! Decisions on single requests:
 //! - [`routes`], [`tenants`]: route and tenant of a request
 //! - [`placement`]: choice of back ends
+//! - [`scarcity`]: sharing of room while callers want more than the back ends can do
 //! - [`budget`]: retry budget, which limits retries across all daemons
 //! - [`quarantine`]: refusal of requests that crash engines
 //!
@@ -57,6 +58,7 @@
 pub mod rate_limits;
 pub mod revision;
 pub mod routes;
+pub mod scarcity;
 pub mod stages;
 pub mod tenants;
 pub mod topology;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -7,8 +7,11 @@
 mod link;
 mod load;
 mod metering;
+mod peer_averages;
+mod plain_choice;
 mod prefixes;
 mod reading;
+mod sharing;
 mod speed;
 mod stream_times;
 mod work;
@@ -26,15 +29,18 @@
 use crate::profiles::Profiles;
 use crate::prompt::Prompt;
 use crate::rate_limits::RateLimits;
+use crate::scarcity::returns::Returns;
+use crate::scarcity::room::Rooms;
 use crate::stages::StageWork;
 
 pub use arrivals::Arrivals;
 pub use confidence::Confidence;
 pub use costs::NextRateToken;
 use costs::{Choice, Estimate};
-pub use fairness::{FairShares, OfferedRequest};
+pub use fairness::{FairShares, OfferedRequest, ShareInputs};
 pub use link::LocalLink;
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
+pub use plain_choice::{PlainClaim, PlainRequest};
 pub use prefixes::{MIN_PREFIX_TOKENS, PrefixMemory, PrefixState, PrefixUse, tracked_prefix};
 use reading::PrefillEstimator;
 pub use speed::{PromptReading, SpeedTable};
@@ -196,6 +202,12 @@
     pub confidence: Confidence,
     /// Fair sharing between tenants.
     pub fairness: FairShares,
+    /// Whether room is shared out among priorities and tenants over all daemons.
+    is_scarce: bool,
+    /// Times of runs at plain services, from which their room follows.
+    pub rooms: Rooms,
+    /// Times promised to refused callers.
+    pub returns: Returns,
     /// Arrival rates of prompts.
     pub arrivals: Arrivals,
     /// Send queue of this daemon's network link.
@@ -232,6 +244,9 @@
             streams: StreamTimes::default(),
             confidence: Confidence::default(),
             fairness: FairShares::default(),
+            is_scarce: false,
+            rooms: Rooms::default(),
+            returns: Returns::default(),
             arrivals: Arrivals::default(),
             link: LocalLink::default(),
             prefixes: PrefixMemory::default(),
@@ -313,6 +328,9 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<Arc<BackEnd>> {
+        if self.is_scarce {
+            return self.choose_plain_by_room(ready, tried, now, random);
+        }
         let candidates = self.usable(ready, tried, now, |back_end| {
             back_end.stage != Some(Stage::Prefill)
         });
@@ -503,20 +521,6 @@
         })
     }
 
-    /// Prompts per millisecond that arrive at each of these engines for prefill. Assumes that every
-    /// daemon sends about as many as this one.
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "at most tens of thousands of daemons and engines"
-    )]
-    fn arrivals_per_engine_per_ms(&self, engines: &[Arc<BackEnd>], stage: Stage) -> f64 {
-        let Some(first) = engines.first() else {
-            return 0.0;
-        };
-        let fleet_per_ms = self.arrivals.per_ms(&first.service, stage) * self.daemons as f64;
-        fleet_per_ms / self.ready_engines(engines, stage) as f64
-    }
-
     /// Time a prefill engine takes to process the prompt's shared prefix, in milliseconds.
     fn prefix_reading_ms(&self, prompt: &Prompt) -> f64 {
         f64::from(prompt.shared_tokens()) / self.speed.prefill_tokens_per_ms()
--- a/crates/fleet/src/placement/arrivals.rs
+++ b/crates/fleet/src/placement/arrivals.rs
@@ -61,4 +61,19 @@
         });
         per_s / MS_PER_S
     }
+
+    /// Rates of this daemon's prompts per second by service: processed by prefill engines, and by
+    /// decode engines.
+    #[must_use]
+    pub fn per_s(&self, now: Instant) -> Vec<(Arc<str>, f64, f64)> {
+        let rates = self.by_service.iter().map(|(service, rates)| {
+            let kept = average_decay(rates.at, now);
+            (
+                Arc::clone(service),
+                rates.prefill * kept,
+                rates.decode * kept,
+            )
+        });
+        rates.collect()
+    }
 }
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -227,7 +227,7 @@
 
     /// Slowdown factor of the back end, from its answers or from its announced slow start,
     /// whichever is higher.
-    fn slowness(&self, back_end: &BackEnd, now: Instant) -> f64 {
+    pub(super) fn slowness(&self, back_end: &BackEnd, now: Instant) -> f64 {
         let cold_share = back_end
             .cold_start
             .map_or(0.0, |start| start.remaining_fraction(now));
--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::peer_averages::PeerAverages;
 use crate::directory::BackEnd;
 
 /// Reports of peers expire after this time.
@@ -129,6 +130,8 @@
     peers: HashMap<u64, PeerLoad>,
     peer_sum: HashMap<Arc<str>, Outstanding>,
     last_expiry: Option<Instant>,
+    /// Averages of `peer_sum`; `None` if they are not used.
+    averages: Option<PeerAverages>,
 }
 
 #[derive(Debug)]
@@ -139,6 +142,20 @@
 }
 
 impl LoadTable {
+    /// Keeps averages of the peers' requests from now on.
+    pub fn average_peers(&mut self) {
+        self.averages.get_or_insert_default();
+    }
+
+    /// Requests of all daemons that one that lasts `run_ms` is likely to find at a back end.
+    #[must_use]
+    pub fn expected_requests(&self, id: &str, run_ms: f64, now: Instant) -> f64 {
+        self.averages.as_ref().map_or_else(
+            || self.requests(id),
+            |averages| self.own_requests(id) + averages.expected(id, run_ms, now),
+        )
+    }
+
     /// Records the start of a request at a back end.
     pub fn begin(&mut self, id: &Arc<str>, prompt_tokens: f64, urgency: Urgency) {
         let own = self.own.entry(Arc::clone(id)).or_default();
@@ -190,11 +207,13 @@
             }
             let before = std::mem::take(&mut known.rows);
             subtract_rows(&mut self.peer_sum, &before);
+            record_averages(&mut self.averages, &self.peer_sum, &before, now);
         }
         for row in &report.rows {
             let peer_sum = self.peer_sum.entry(Arc::clone(&row.id)).or_default();
             peer_sum.add(row.outstanding);
         }
+        record_averages(&mut self.averages, &self.peer_sum, &report.rows, now);
         let peer_load = PeerLoad {
             received_at: now,
             sequence: report.sequence,
@@ -214,13 +233,18 @@
         }
         self.last_expiry = Some(now);
         let peer_sum = &mut self.peer_sum;
+        let averages = &mut self.averages;
         self.peers.retain(|_origin, load| {
             let is_fresh = now.saturating_duration_since(load.received_at) < PEER_REPORT_TTL;
             if !is_fresh {
                 subtract_rows(peer_sum, &load.rows);
+                record_averages(averages, peer_sum, &load.rows, now);
             }
             is_fresh
         });
+        if let Some(averages) = averages {
+            averages.expire(now);
+        }
         peer_sum.retain(|_id, work| work.requests > 0.0 || work.tokens_ahead(Urgency::Late) > 0.0);
     }
 
@@ -274,3 +298,19 @@
         }
     }
 }
+
+/// Takes the sums at the back ends of `rows` into the averages.
+fn record_averages(
+    averages: &mut Option<PeerAverages>,
+    peer_sum: &HashMap<Arc<str>, Outstanding>,
+    rows: &[WorkRow],
+    now: Instant,
+) {
+    let Some(averages) = averages else {
+        return;
+    };
+    for row in rows {
+        let requests = peer_sum.get(&row.id).map_or(0.0, |work| work.requests);
+        averages.record(&row.id, requests, now);
+    }
+}
--- a/crates/fleet/tests/retry_pool.rs
+++ b/crates/fleet/tests/retry_pool.rs
@@ -141,3 +141,114 @@
         assert!(!pool.withdraw(SERVICE), "{repeats}");
     }
 }
+
+/// A fleet of 77 daemons in three zones whose shares are about two retries each.
+const SMALL_SHARES: BudgetSettings = BudgetSettings {
+    ratio: 0.2,
+    slack: 194.0,
+};
+
+fn budget_that_pools_small_shares() -> RetryBudget {
+    let mut budget = RetryBudget::new(SMALL_SHARES);
+    budget.pool_small_shares();
+    budget.set_daemons(77);
+    budget
+}
+
+#[test]
+fn retries_that_some_daemons_save_serve_the_failures_of_others() {
+    // Load: a zone of 26 daemons; each serves a request a second for ten seconds, then one of them
+    // has eight failures at once.
+    let service = Arc::from("s");
+    let mut budgets: Vec<RetryBudget> = (0..26).map(|_| budget_that_pools_small_shares()).collect();
+    let capacity = budgets[0].pool_capacity(budgets.len());
+    let mut pool = RetryPool::default();
+    for second in 1..=10 {
+        for (origin, budget) in (1..).zip(&mut budgets) {
+            budget.earn(&service);
+            let deposits = budget.take_deposits().into_iter();
+            let deposits = Deposits {
+                origin,
+                sequence: second,
+                repeats: deposits
+                    .map(|(_service, retries)| (SERVICE, retries))
+                    .collect(),
+            };
+            pool.deposit(&deposits, capacity);
+        }
+    }
+    let mut granted = 0;
+    for _failure in 0..8 {
+        granted += u32::from(budgets[0].take(&service) || pool.withdraw(SERVICE));
+    }
+    assert_eq!(granted, 8, "the fleet earned 1.6 for each daemon");
+    let mut alone = RetryBudget::new(SMALL_SHARES);
+    alone.set_daemons(77);
+    for _request in 0..10 {
+        alone.earn(&service);
+    }
+    assert!(!alone.is_pooled());
+    assert!(alone.take(&service));
+    assert!(!alone.take(&service), "one of eight without a pool");
+}
+
+#[test]
+fn pooled_small_shares_stay_within_the_slack() {
+    // Load: 77 daemons that save for a long time, deposit now and then, and then spend everything.
+    let service = Arc::from("s");
+    let mut spent = 0.0;
+    for zone_daemons in [25, 24, 28] {
+        let mut budgets: Vec<RetryBudget> = (0..zone_daemons)
+            .map(|_| budget_that_pools_small_shares())
+            .collect();
+        let capacity = budgets[0].pool_capacity(zone_daemons);
+        let mut pool = RetryPool::default();
+        for round in 1..=40 {
+            for (origin, budget) in (1..).zip(&mut budgets) {
+                for _request in 0..20 {
+                    budget.earn(&service);
+                }
+                // After the last round, what is saved is not deposited.
+                if round < 40 {
+                    let deposits = budget.take_deposits().into_iter();
+                    let deposits = Deposits {
+                        origin,
+                        sequence: round,
+                        repeats: deposits
+                            .map(|(_service, retries)| (SERVICE, retries))
+                            .collect(),
+                    };
+                    pool.deposit(&deposits, capacity);
+                }
+            }
+        }
+        spent += budgets
+            .iter()
+            .map(|budget| budget.left(&service))
+            .sum::<f64>();
+        while pool.withdraw(SERVICE) {
+            spent += 1.0;
+        }
+    }
+    assert!(spent <= SMALL_SHARES.slack, "{spent}");
+}
+
+#[test]
+fn small_shares_are_pooled_only_in_a_fleet_with_a_pool_that_asks_for_it() {
+    // Load: fleets of sizes at which a share is small, large, and less than one retry.
+    let mut budget = RetryBudget::new(SMALL_SHARES);
+    budget.pool_small_shares();
+    for (daemons, is_pooled) in [
+        (1, false),
+        (12, false),
+        (24, false),
+        (77, true),
+        (500, true),
+    ] {
+        budget.set_daemons(daemons);
+        assert_eq!(budget.is_pooled(), is_pooled, "{daemons} daemons");
+    }
+    let mut without = RetryBudget::new(SMALL_SHARES);
+    without.set_daemons(77);
+    assert!(!without.is_pooled());
+}
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -70,6 +70,7 @@
             budget: settings.retry_budget,
             bounds: settings.intake_bounds,
             usage: usage_recorder.clone(),
+            overload: settings.overload,
         };
         let dialect: Arc<dyn Dialect> = Arc::new(PlatformDialect);
         let pipeline = Pipeline::new(
@@ -157,6 +158,7 @@
             fencing = ?settings.fencing,
             usage = ?settings.usage,
             capacity = ?settings.capacity,
+            overload = ?settings.overload,
             stop_limit_ms = u64::try_from(settings.stop.exit_deadline.as_millis()).unwrap_or(u64::MAX),
             "started"
         );
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -9,6 +9,7 @@
 use ponddrift_fleet::budget::BudgetSettings;
 use ponddrift_fleet::capacity::CapacitySettings;
 use ponddrift_fleet::leadership::Fencing;
+use ponddrift_fleet::scarcity::OverloadSettings;
 use ponddrift_serving::pipeline::IntakeLimits;
 use ponddrift_settings::{Fault, Faults, Reader};
 use toml::Table;
@@ -20,6 +21,8 @@
 const USAGE_REPORT_CALL: &str = "usage_report";
 /// Name of the call that orders engines in `provider.calls`.
 const AUTOSCALE_CALL: &str = "autoscale";
+/// Name in `overload.contracts` of the agreement under which callers may want more than there is.
+const PRESSURE_CONTRACT: &str = "pressure";
 const HOUR_MS: u64 = 3_600_000;
 /// A graceful stop ends this long before the supervisor kills the process (`stop.grace_s`).
 const GRACE_PERIOD_MARGIN: Duration = Duration::from_millis(700);
@@ -64,6 +67,8 @@
     /// How the number of engines is planned; none if the provider accepts no orders or operators
     /// set the number themselves.
     pub capacity: Option<CapacitySettings>,
+    /// How requests are admitted while callers want more than the back ends can do.
+    pub overload: OverloadSettings,
     /// Time limits of a graceful stop.
     pub stop: StopSettings,
     /// Filter of log lines, in the syntax of `tracing_subscriber::EnvFilter`.
@@ -171,6 +176,7 @@
     };
     let usage = usage_settings(&mut reader, is_accepted_call(USAGE_REPORT_CALL));
     let capacity = capacity_settings(&mut reader, is_accepted_call(AUTOSCALE_CALL));
+    let overload = overload_settings(&mut reader);
     let stop = stop_settings(&mut reader);
     let log_filter = reader
         .parsed(
@@ -201,6 +207,7 @@
         provider_address,
         usage,
         capacity,
+        overload,
         stop,
         log_filter,
         log_buffered_lines,
@@ -255,6 +262,22 @@
     })
 }
 
+fn overload_settings(reader: &mut Reader) -> OverloadSettings {
+    let contracts = reader
+        .parsed(
+            "overload.contracts",
+            Some(String::new()),
+            "names separated by commas",
+        )
+        .unwrap_or_default();
+    let may_want_more = contracts
+        .split(',')
+        .any(|name| name.trim() == PRESSURE_CONTRACT);
+    OverloadSettings {
+        scarce: reader.flag("overload.scarce", may_want_more),
+    }
+}
+
 fn stop_settings(reader: &mut Reader) -> StopSettings {
     let notice_period = reader.milliseconds("stop.notice_ms", 2_300, 0..=HOUR_MS);
     let accept_period = reader.milliseconds("stop.accept_ms", 3_000, 0..=HOUR_MS);
--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -78,6 +78,14 @@
         ("{{cloud.duties}}", "usage_report,autoscale"),
         ("{{bounds.reportWindowS}}", "5"),
         ("{{bounds.usageLateS}}", "10"),
+        (
+            "{{contracts}}",
+            if has_optional_values {
+                "base,tenants,pressure"
+            } else {
+                ""
+            },
+        ),
     ]
     .iter()
     .fold(
@@ -170,3 +178,20 @@
     );
     assert_eq!((settings.usage, settings.capacity), (None, None));
 }
+
+#[test]
+fn room_is_shared_out_only_where_the_deployment_names_pressure_or_asks_for_it() {
+    let named = check(&rendered_template()).expect("valid settings");
+    assert!(named.overload.scarce);
+    let without = rendered_template().replace("tenants,pressure", "tenants,pressures");
+    let settings = check(&without).expect("valid settings");
+    assert!(!settings.overload.scarce, "the whole name counts");
+    let settings = check(&render_template(false)).expect("valid settings");
+    assert!(!settings.overload.scarce);
+    let overridden = rendered_template().replace("[overload]\n", "[overload]\nscarce = false\n");
+    let settings = check(&overridden).expect("valid settings");
+    assert!(!settings.overload.scarce, "operators may switch it off");
+    let wrong = rendered_template().replace("[overload]\n", "[overload]\nscarce = \"yes\"\n");
+    let faults = check(&wrong).expect_err("invalid settings");
+    assert_eq!(faults.0[0].key, "overload.scarce");
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod provider;
 pub mod quarantine;
 pub mod request_trace;
+pub mod scarcity_metrics;
 pub mod store;
 pub mod time;
 pub mod usage;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -12,6 +12,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Metric, Registry};
 
+use crate::scarcity_metrics::{ScarcityMetrics, ScarcityValues};
+
 /// Bucket bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
 
@@ -103,6 +105,8 @@
     pub in_progress: usize,
     /// Log lines that were dropped because the log reader was too slow.
     pub log_lines_dropped: usize,
+    /// Values of the sharing of room.
+    pub scarcity: ScarcityValues,
     /// Resident memory of the process, in bytes.
     pub memory_bytes: u64,
     /// Open file descriptors of the process.
@@ -157,6 +161,7 @@
     prefix_waits: Histogram,
     store_seconds: Histogram,
     gauges: Gauges,
+    scarcity: ScarcityMetrics,
 }
 
 /// Registers a metric with its default value.
@@ -181,6 +186,7 @@
         let mut registry = Registry::with_prefix("ponddrift");
         let r = &mut registry;
         let gauges = Gauges::new(r);
+        let scarcity = ScarcityMetrics::register(r);
         Self {
             requests: register_default(r, "requests", "Requests by route, kind and end"),
             refused: register_default(
@@ -239,6 +245,7 @@
             ),
             store_seconds: histogram(r, "store_call_seconds", "Time of a lease's renewal"),
             gauges,
+            scarcity,
             registry: Mutex::new(registry),
         }
     }
@@ -347,6 +354,11 @@
         self.latency.observe(took.as_secs_f64());
     }
 
+    /// Metrics of the sharing of room.
+    pub(crate) const fn scarcity(&self) -> &ScarcityMetrics {
+        &self.scarcity
+    }
+
     pub(crate) fn refused(&self, status: u16) {
         self.refused.get_or_create(&StatusLabels { status }).inc();
     }
@@ -437,6 +449,7 @@
 
     /// Sets the gauges, which are read periodically.
     pub fn set_gauges(&self, values: &GaugeValues) {
+        self.scarcity.set(values.scarcity);
         let gauges = &self.gauges;
         gauges
             .configuration_version
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -12,6 +12,7 @@
 mod rate_limits;
 mod receive;
 mod retained;
+mod scarcity;
 mod suspects;
 mod translate;
 
@@ -93,6 +94,10 @@
     ));
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_rate_limits()));
     spawner.spawn(Box::pin(Arc::clone(&peers).deposit_retries()));
+    if scarcity::is_shared(&peers) {
+        spawner.spawn(Box::pin(Arc::clone(&peers).publish_demand()));
+        spawner.spawn(Box::pin(Arc::clone(&peers).publish_promises()));
+    }
     spawner.spawn(Box::pin(peers.receive()));
     Ok(())
 }
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -71,6 +71,10 @@
         /// Hash of the retained items; equal for equal sets of items.
         items_hash: u64,
     },
+    /// Demand by tenant at the sender.
+    Demand(DemandRow),
+    /// Times promised to refused callers.
+    Promises(Vec<PromiseRow>),
 }
 
 /// Retry tokens that a daemon adds to the pool of its zone.
@@ -84,6 +88,50 @@
     pub(super) retries: Vec<(u32, f32)>,
 }
 
+/// Demand by tenant at one daemon.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub(super) struct DemandRow {
+    /// Identifies the daemon and its run.
+    pub(super) origin: u64,
+    /// Number of this report; increases with each report of the same origin.
+    pub(super) sequence: u32,
+    /// Demand by service.
+    pub(super) services: Vec<ServiceDemandRow>,
+}
+
+/// Demand for one service.
+#[derive(Debug, Clone, PartialEq, BorshSerialize, BorshDeserialize)]
+pub(super) struct ServiceDemandRow {
+    /// Hash of the service's name.
+    pub(super) service: u32,
+    /// Work of requests that do not yield, the part of it that could be in time, and the latter
+    /// over the half-life of the tenants' demands.
+    pub(super) work: [f32; 3],
+    /// Prompts per second that prefill and decode engines process.
+    pub(super) arrivals: [f32; 2],
+    /// Work of the largest tenants by hash of their names.
+    pub(super) tenants: Vec<(u32, f32)>,
+    /// Work of all other tenants.
+    pub(super) rest: f32,
+    /// Number of other tenants.
+    pub(super) rest_tenants: u16,
+}
+
+/// A time promised to a refused caller.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct PromiseRow {
+    /// Hash of the service's name.
+    pub(super) service: u32,
+    /// Fingerprint of the request.
+    pub(super) fingerprint: RequestFingerprint,
+    /// Time from when the message was sent until the promised time, in milliseconds.
+    pub(super) due_in_ms: u32,
+    /// Whether the caller has a turn then.
+    pub(super) has_turn: bool,
+    /// Whether the caller has come back.
+    pub(super) is_kept: bool,
+}
+
 /// What the sender knows of one request during which engines ended.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub(super) struct SuspectRow {
@@ -342,6 +390,16 @@
     encode_rows(rows, |rows| Message::RateLimits { rows, wants_more })
 }
 
+/// Encodes promises as datagrams.
+pub(super) fn encode_promises(rows: Vec<PromiseRow>) -> Vec<Vec<u8>> {
+    encode_rows(rows, Message::Promises)
+}
+
+/// Encodes the demand at a daemon as one datagram. Four services with all their tenants fit.
+pub(super) fn encode_demand(row: &DemandRow) -> Option<Vec<u8>> {
+    encode(&Message::Demand(row.clone()))
+}
+
 /// Packs as many rows into each datagram as fit. A row that is too large for a datagram is left
 /// out.
 fn encode_rows<R: Clone>(rows: Vec<R>, message_of: impl Fn(Vec<R>) -> Message) -> Vec<Vec<u8>> {
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -58,6 +58,8 @@
                 Some(Message::Deposits(row)) => {
                     self.pipeline.receive_deposits(&deposits_from_wire(row))
                 }
+                Some(Message::Demand(row)) => self.receive_demand(row, from),
+                Some(Message::Promises(rows)) => self.receive_promises(&rows),
                 None => tracing::warn!(%from, length, "peer_message_unreadable"),
             }
         }
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -11,12 +11,13 @@
 };
 use ponddrift_fleet::quarantine::{LostRun, Suspicion};
 use ponddrift_fleet::rate_limits::{NamedRate, RateRecord, RequestRate};
+use ponddrift_fleet::scarcity::demand::{DemandReport, ServiceDemand, TenantRow};
 use ponddrift_fleet::stages::StageWork;
 
 use super::message::{
-    BackEndLoadRow, DepositsRow, LoadReportRow, LostRunRow, NamedRateRow, PrefillTimingRow,
-    PrefixRow, RateRow, ResultRow, ServiceWorkRow, SuspectRow, TOKENS_PER_UNIT,
-    UnavailableEngineRow,
+    BackEndLoadRow, DemandRow, DepositsRow, LoadReportRow, LostRunRow, NamedRateRow,
+    PrefillTimingRow, PrefixRow, RateRow, ResultRow, ServiceDemandRow, ServiceWorkRow, SuspectRow,
+    TOKENS_PER_UNIT, UnavailableEngineRow,
 };
 use crate::back_end_index::{BackEndIndex, hash};
 
@@ -260,3 +261,61 @@
         cleared: row.cleared_ms_ago.map(at),
     }
 }
+
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "sums of the last seconds; their seventh digit decides nothing"
+)]
+pub(super) fn demand_to_wire(report: &DemandReport) -> DemandRow {
+    let services = report.services.iter().map(|demand| ServiceDemandRow {
+        service: demand.service,
+        work: [
+            demand.prioritized as f32,
+            demand.prioritized_in_time as f32,
+            demand.in_time as f32,
+        ],
+        arrivals: [
+            demand.prefill_arrivals as f32,
+            demand.decode_arrivals as f32,
+        ],
+        tenants: demand
+            .tenants
+            .iter()
+            .map(|row| (row.tenant, row.work as f32))
+            .collect(),
+        rest: demand.rest as f32,
+        rest_tenants: demand.rest_tenants,
+    });
+    DemandRow {
+        origin: report.origin,
+        sequence: report.sequence,
+        services: services.collect(),
+    }
+}
+
+pub(super) fn demand_from_wire(row: DemandRow) -> DemandReport {
+    let services = row.services.into_iter().map(|row| {
+        let [prioritized, prioritized_in_time, in_time] = row.work.map(f64::from);
+        let [prefill_arrivals, decode_arrivals] = row.arrivals.map(f64::from);
+        let tenants = row.tenants.into_iter().map(|(tenant, work)| TenantRow {
+            tenant,
+            work: f64::from(work),
+        });
+        ServiceDemand {
+            service: row.service,
+            prioritized,
+            prioritized_in_time,
+            in_time,
+            prefill_arrivals,
+            decode_arrivals,
+            tenants: tenants.collect(),
+            rest: f64::from(row.rest),
+            rest_tenants: row.rest_tenants,
+        }
+    });
+    DemandReport {
+        origin: row.origin,
+        sequence: row.sequence,
+        services: services.collect(),
+    }
+}
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -23,6 +23,7 @@
 mod rate_wait;
 mod relay;
 mod retry_pool;
+mod room;
 mod send_gate;
 mod wait_policy;
 
@@ -40,6 +41,7 @@
 use ponddrift_fleet::placement::Placement;
 use ponddrift_fleet::rate_limits::{Members, MembersTrust};
 use ponddrift_fleet::routes::SplitScheduler;
+use ponddrift_fleet::scarcity::OverloadSettings;
 use ponddrift_fleet::stages::StageWork;
 use ponddrift_http::Body;
 use ponddrift_runtime::Runtime;
@@ -52,6 +54,7 @@
 use crate::dialect::Dialect;
 use crate::fleet_state::FleetState;
 use crate::metrics::{GaugeValues, Metrics};
+use crate::scarcity_metrics::ScarcityValues;
 use crate::time::now;
 use crate::usage::UsageRecorder;
 pub(crate) use announcements::AnswerOrigin;
@@ -70,6 +73,8 @@
     pub bounds: IntakeLimits,
     /// Counts the usage of tenants; `None` if usage is not reported.
     pub usage: Option<Arc<UsageRecorder>>,
+    /// How requests are admitted while callers want more than the back ends can do.
+    pub overload: OverloadSettings,
 }
 
 /// Limits on the requests held at a time. Requests beyond them are refused before any processing.
@@ -95,7 +100,6 @@
     metrics: Arc<Metrics>,
     placement: Mutex<Placement>,
     budget: Mutex<RetryBudget>,
-    budget_settings: BudgetSettings,
     /// The retry pool of the zone; used only if this daemon owns the pool.
     retry_pool: Mutex<RetryPool>,
     /// When the zone's retry pool last denied a retry.
@@ -113,6 +117,7 @@
     held_bytes: AtomicUsize,
     bounds: IntakeLimits,
     usage: Option<Arc<UsageRecorder>>,
+    overload: OverloadSettings,
 }
 
 impl Pipeline {
@@ -127,6 +132,11 @@
     ) -> Arc<Self> {
         let mut placement = Placement::new(Arc::clone(&settings.zone));
         placement.link.set_megabits(state.own().link_megabits);
+        let mut budget = RetryBudget::new(settings.budget);
+        if settings.overload.scarce {
+            placement.share_out_room();
+            budget.pool_small_shares();
+        }
         Arc::new(Self {
             runtime: runtime.clone(),
             dialect,
@@ -137,8 +147,7 @@
             changed_rate_limits: PendingSet::default(),
             metrics,
             placement: Mutex::new(placement),
-            budget: Mutex::new(RetryBudget::new(settings.budget)),
-            budget_settings: settings.budget,
+            budget: Mutex::new(budget),
             retry_pool: Mutex::default(),
             pool_last_empty: Mutex::default(),
             traffic_split: Mutex::default(),
@@ -154,6 +163,7 @@
             held_bytes: AtomicUsize::new(0),
             bounds: settings.bounds,
             usage: settings.usage.clone(),
+            overload: settings.overload,
         })
     }
 
@@ -230,7 +240,7 @@
     pub fn set_daemons(&self, daemons: usize) {
         self.daemons.store(daemons.max(1), Ordering::Relaxed);
         self.budget().set_daemons(daemons);
-        self.placement().daemons = daemons;
+        self.placement().set_daemons(daemons);
     }
 
     /// Locks the state that back ends are chosen from.
@@ -270,6 +280,7 @@
         placement.health.keep_only(|id| present.contains(id));
         placement.speed.keep_only(|id| present.contains(id));
         placement.prefixes.keep_only(|id| present.contains(id));
+        placement.returns.expire(now());
         placement
             .announcements
             .forget_absent(|id| present.contains(id), now());
@@ -300,6 +311,7 @@
             reason = "a count"
         )]
         let engine_requests = requests.sum::<f64>() as u64;
+        let scarcity = scarcity_values(&placement, &back_ends);
         let ejected = placement.health.ejected().len();
         let announced = placement.announcements.counts(now());
         let rate_limited = placement.rate_limits.limited().len();
@@ -333,6 +345,7 @@
             quarantined: suspects.quarantined,
             connections: self.connections.open_count(),
             in_progress: self.in_progress(),
+            scarcity,
             ..GaugeValues::default()
         }
     }
@@ -368,6 +381,26 @@
     }
 }
 
+/// Reads the gauges of the sharing of room; zero where it is not shared out.
+fn scarcity_values(placement: &Placement, back_ends: &[Arc<BackEnd>]) -> ScarcityValues {
+    if !placement.is_scarce() {
+        return ScarcityValues::default();
+    }
+    let plain = || back_ends.iter().filter(|known| known.stage.is_none());
+    let requests = plain().map(|back_end| placement.load.requests(&back_end.id));
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "a count"
+    )]
+    let plain_requests = requests.sum::<f64>() as u64;
+    ScarcityValues {
+        plain_slots: plain().map(|back_end| u64::from(back_end.slots)).sum(),
+        plain_requests,
+        known_daemons: placement.fairness.known_daemons(),
+    }
+}
+
 /// Handles the requests of callers with one pipeline.
 pub struct CallerHandler(pub Arc<Pipeline>);
 
--- a/crates/serving/src/pipeline/answers.rs
+++ b/crates/serving/src/pipeline/answers.rs
@@ -46,6 +46,15 @@
         /// Time until the first back end takes the request.
         remaining: Duration,
     },
+    /// The request did not run: there is no room for it in time.
+    NoRoom {
+        /// Why, for the caller.
+        reason: &'static str,
+        /// Time after which there is room.
+        room_in: Duration,
+        /// Expected time of the run.
+        run: Duration,
+    },
     /// The request certainly did not run.
     NotRun(&'static str),
     /// The request may have run.
@@ -61,6 +70,7 @@
             | Self::Stopping
             | Self::NotRun(_)
             | Self::BackingOff { .. }
+            | Self::NoRoom { .. }
             | Self::Quarantined { .. } => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthenticated => StatusCode::UNAUTHORIZED,
@@ -89,18 +99,21 @@
             Self::BackingOff { .. } => {
                 "all back ends asked for a pause or limit their requests: come back when the first takes this one"
             }
-            Self::NotRun(reason) | Self::MayHaveRun(reason) | Self::TimedOut(reason) => reason,
+            Self::NoRoom { reason, .. }
+            | Self::NotRun(reason)
+            | Self::MayHaveRun(reason)
+            | Self::TimedOut(reason) => reason,
         }
     }
 }
 
 impl Pipeline {
-    /// Builds the answer that reports a failure.
+    /// Builds the answer that reports a failure. `pause` is the value of `Retry-After`.
     pub(super) fn failure_answer(
         &self,
         failure: Failure,
         id: Option<&str>,
-        time_left: Option<Duration>,
+        pause: Option<Duration>,
     ) -> Response<Body> {
         let mut response = Response::new(body::full(failure.reason()));
         *response.status_mut() = failure.status();
@@ -110,7 +123,6 @@
         if let Some(id) = id {
             self.dialect.mark_own_answer(headers, id);
         }
-        let pause = self.retry_after(failure, time_left);
         if let Some(pause) = pause
             && let Ok(value) = HeaderValue::from_str(&format!("{:.2}", pause.as_secs_f64()))
         {
@@ -120,14 +132,21 @@
     }
 
     /// Value of `Retry-After`; `None` if the request may have run or must not be retried unchanged.
-    fn retry_after(&self, failure: Failure, time_left: Option<Duration>) -> Option<Duration> {
+    pub(super) fn retry_after(
+        &self,
+        failure: Failure,
+        time_left: Option<Duration>,
+    ) -> Option<Duration> {
         match failure {
             Failure::NotReady | Failure::Stopping | Failure::NotRun(_) => {
                 Some(self.retry_delay(time_left))
             }
             // An earlier retry would be refused again. The random delay keeps callers from retrying
             // all at once.
-            Failure::BackingOff { remaining } => Some(remaining + self.retry_delay(time_left)),
+            Failure::BackingOff { remaining }
+            | Failure::NoRoom {
+                room_in: remaining, ..
+            } => Some(remaining + self.retry_delay(time_left)),
             // Usually far beyond the caller's deadline, because an earlier retry would be refused
             // again.
             Failure::Quarantined { remaining } => Some(remaining),
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -8,6 +8,7 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::{Outcome, OutcomeCounts};
 use ponddrift_fleet::placement::Urgency;
+use ponddrift_fleet::scarcity::returns::Return;
 use ponddrift_http::body;
 
 use super::Pipeline;
@@ -23,6 +24,8 @@
 const GENERATING_RANK: u8 = 0;
 /// Rank penalty of requests that will miss their latency target.
 const LATE_RANK_PENALTY: u8 = 5;
+/// The same for those whose callers were refused and came back at their time.
+const RETURNED_LATE_RANK_PENALTY: u8 = 4;
 /// Rank penalty of requests beyond their tenant's fair share. They are placed like any other
 /// request, so they lose nothing while no other tenant's request waits.
 const YIELDING_RANK_PENALTY: u8 = 3;
@@ -367,6 +370,7 @@
 /// Penalty that is added to the rank of a request at its engine.
 fn rank_penalty(job: &Job) -> u8 {
     match job.urgency {
+        Urgency::Late if job.returned == Return::Punctual => RETURNED_LATE_RANK_PENALTY,
         Urgency::Late => LATE_RANK_PENALTY,
         Urgency::InTime if job.yields => YIELDING_RANK_PENALTY,
         Urgency::InTime => 0,
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -121,7 +121,7 @@
                 final_answer.response
             }
             Err(NotOpened::Failure(failure)) => {
-                let final_answer = self.fail_request(&job, failure);
+                let final_answer = self.fail_request(&mut job, failure);
                 self.finish(
                     &mut job,
                     final_answer.response.status().as_u16(),
@@ -164,9 +164,7 @@
                         break;
                     };
                     if would_time_out(job, &plan) {
-                        failure = Failure::NotRun(
-                            "the engines have more to do than this request has time for: come back later",
-                        );
+                        failure = self.engines_have_no_room(job);
                         break;
                     }
                     match self.prefill_remotely(job, &plan).await {
@@ -294,6 +292,7 @@
         };
         let plan = placement.plan_prompt(ready, &job.tried, &request, now, &mut *self.random())?;
         let share = placement.confidence.share(&job.service.name);
+        job.in_time_plan_ms = Some(plan.expected_ms);
         let can_be_in_time =
             now + plan.expected() <= job.arrived + job.route.target_latency.mul_f64(share);
         job.yields = self.yields_to_other_tenants(placement, job, &plan, can_be_in_time, now);
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use ponddrift_fleet::configuration::{RequestKind, Route};
 use ponddrift_fleet::placement::Urgency;
+use ponddrift_fleet::scarcity::returns::Return;
 use ponddrift_fleet::tenants::{Credential, Tenant};
 use ponddrift_http::body::{self, Body, ReadError};
 
@@ -61,6 +62,7 @@
             expected_ms = $job.expected_ms,
             urgency = $job.urgency.as_str(),
             yields = $job.yields,
+            returned = $job.returned == Return::Punctual,
             longest_gap_ms = milliseconds($job.longest_gap),
             took_ms = milliseconds($end.took),
             limit_ms = milliseconds($job.deadline.saturating_duration_since($job.arrived)),
@@ -90,15 +92,17 @@
         let metadata = self.dialect.read_request(&head.headers);
         let id = metadata.id.clone();
         let mut body = body;
-        let job = match self.accept(head, &mut body, metadata, arrived).await {
+        let mut job = match self.accept(head, &mut body, metadata, arrived).await {
             Ok(job) => job,
             Err(failure) => {
                 self.record_refusal(failure, id.as_deref());
                 drain_body(body).await;
-                return self.failure_answer(failure, id.as_deref(), None);
+                let pause = self.retry_after(failure, None);
+                return self.failure_answer(failure, id.as_deref(), pause);
             }
         };
         self.budget().earn(&job.service.name);
+        self.recognize_return(&mut job);
         match job.route.kind {
             RequestKind::Stream { .. } => self.serve_stream(job, in_progress).await,
             RequestKind::Safe | RequestKind::Unsafe => self.serve_plain(job).await,
@@ -181,6 +185,8 @@
             urgency: Urgency::InTime,
             yields: false,
             expected_ms: None,
+            in_time_plan_ms: None,
+            returned: Return::New,
             first_event: None,
             longest_gap: Duration::ZERO,
             rate_waits: 0,
@@ -197,6 +203,7 @@
     /// decisions are logged before that line.
     pub(super) fn finish(&self, job: &mut Job, status: u16, outcome: &'static str) {
         job.is_finished = true;
+        self.record_end_of_work(job);
         let took = now().saturating_duration_since(job.arrived);
         let waited = job.first_event.unwrap_or_else(now);
         let waited = waited.saturating_duration_since(job.arrived);
@@ -228,11 +235,16 @@
     }
 
     /// Builds the final answer to a request that could not be served.
-    pub(super) fn fail_request(&self, job: &Job, failure: Failure) -> FinalAnswer {
+    pub(super) fn fail_request(&self, job: &mut Job, failure: Failure) -> FinalAnswer {
+        let pause = self
+            .promise_return(job, failure)
+            .or_else(|| self.retry_after(failure, Some(job.time_left())));
         FinalAnswer {
-            response: self.failure_answer(failure, Some(&job.id), Some(job.time_left())),
+            response: self.failure_answer(failure, Some(&job.id), pause),
             outcome: match failure {
-                Failure::NotRun(_) | Failure::BackingOff { .. } => "refused",
+                Failure::NotRun(_) | Failure::BackingOff { .. } | Failure::NoRoom { .. } => {
+                    "refused"
+                }
                 Failure::Quarantined { .. } => "quarantined",
                 Failure::TimedOut(_) => "time_over",
                 _ => "failed",
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -8,6 +8,7 @@
 use ponddrift_fleet::configuration::{Route, Service};
 use ponddrift_fleet::fingerprint::{RequestContent, RequestFingerprint};
 use ponddrift_fleet::placement::{LatencyTargets, Urgency};
+use ponddrift_fleet::scarcity::returns::Return;
 use ponddrift_fleet::tenants::Tenant;
 
 use super::Pipeline;
@@ -51,6 +52,11 @@
     pub(super) yields: bool,
     /// Time to the first event that the first plan expected, in milliseconds.
     pub(super) expected_ms: Option<f64>,
+    /// Time to the first event if the request had room at once, in milliseconds; `None` before the
+    /// first plan.
+    pub(super) in_time_plan_ms: Option<f64>,
+    /// Whether the caller was refused before and came back at the time that it was told.
+    pub(super) returned: Return,
     /// When the first event arrived.
     pub(super) first_event: Option<Instant>,
     /// Longest time between two events.
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -81,6 +81,10 @@
                 failure = refusal;
                 break;
             }
+            if let Err(no_room) = self.claim_room(job) {
+                failure = no_room;
+                break;
+            }
             let Some(back_end) = self.choose_back_end(job) else {
                 if self.await_rate(job).await {
                     continue;
@@ -140,6 +144,7 @@
     }
 
     async fn plain_attempt(self: &Arc<Self>, job: &mut Job, back_end: &Arc<BackEnd>) -> PlainEnd {
+        let ahead = self.placement().load.requests(&back_end.id);
         let _load = LoadGuard::new(self, back_end, 0.0, job.urgency);
         let started_at = now();
         let wait_policy = self.plain_wait_policy(job);
@@ -167,9 +172,14 @@
             self.record_good_run(job);
         }
         if outcome == Outcome::Success {
-            self.placement()
+            let mut placement = self.placement();
+            placement
                 .speed
                 .record_plain_answer(&back_end.id, milliseconds(took));
+            let service = &job.service.name;
+            placement
+                .rooms
+                .record_answer(service, milliseconds(took), ahead, back_end.slots);
         }
         self.attempt_ended(
             job,
--- a/crates/serving/src/request_trace.rs
+++ b/crates/serving/src/request_trace.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ponddrift_fleet::placement::PlainClaim;
+
 use crate::time::now;
 
 /// Log target of requests that were served in time. The log drops these lines first when it is
@@ -66,6 +68,21 @@
         /// Duration of the wait.
         waited: Duration,
     },
+    /// It was decided whether a plain service has room for the request.
+    RoomDecided(Box<PlainClaim>),
+    /// The caller was told when to come back.
+    ReturnPromised {
+        /// Time that it was told.
+        after: Duration,
+        /// Time after which the backlog leaves room.
+        room_in: Duration,
+        /// Whether the request could not run before its deadline then.
+        is_too_late: bool,
+        /// Whether it goes before new requests of its rank then.
+        has_turn: bool,
+        /// Whether it came back early and was told the same time again.
+        is_repeated: bool,
+    },
     /// A stream was resumed on another engine.
     StreamResumed {
         /// ID of the last event that the caller had received.
@@ -195,12 +212,56 @@
                 "rate_awaited"
             );
         }
+        TraceStep::RoomDecided(inputs) => write_room(request, at_ms, inputs),
+        TraceStep::ReturnPromised {
+            after,
+            room_in,
+            is_too_late,
+            has_turn,
+            is_repeated,
+        } => tracing::info!(
+            request,
+            at_ms,
+            retry_after_ms = milliseconds(*after),
+            room_in_ms = milliseconds(*room_in),
+            is_too_late,
+            has_turn,
+            is_repeated,
+            "return_promised"
+        ),
         TraceStep::StreamResumed { after, reason } => {
             tracing::info!(request, at_ms, after, reason, "stream_resumed");
         }
     }
 }
 
+fn write_room(request: &str, at_ms: f64, inputs: &PlainClaim) {
+    let decision = inputs
+        .verdict
+        .refusal
+        .map_or("room", |refusal| refusal.as_str());
+    tracing::info!(
+        request,
+        at_ms,
+        decision,
+        wait_ms = inputs.verdict.wait_ms.map(rounded),
+        allowed_wait_ms = rounded(inputs.verdict.allowed_wait_ms),
+        room_in_ms = milliseconds(inputs.verdict.room_in),
+        run_ms = milliseconds(inputs.verdict.run),
+        slots = inputs.load.slots,
+        requests_there = inputs.load.requests,
+        returning = rounded(inputs.load.returning),
+        priority = inputs.claim.priority,
+        yields = inputs.claim.yields,
+        returned = inputs.claim.returned,
+        tenant_demand = rounded(inputs.share.demand),
+        fair_share = rounded(inputs.share.level),
+        known_daemons = inputs.share.known_daemons,
+        news_age_ms = milliseconds(inputs.share.oldest_news),
+        "room_decided"
+    );
+}
+
 /// Converts to milliseconds, rounded to one decimal for logs.
 #[must_use]
 pub fn milliseconds(time: Duration) -> f64 {
