Returns: shared at once, and spread at the rate of full back ends

Change: promises are published when they are made, batched for 5 ms; the spread follows what ends while the back ends are full, if that is faster than what was measured.

--- a/crates/fleet/src/placement/plain_choice.rs
+++ b/crates/fleet/src/placement/plain_choice.rs
@@ -6,7 +6,7 @@
 
 use rand::{Rng, RngExt};
 
-use super::{DEFAULT_PLAIN_MS, OfferedRequest, Placement, ShareInputs};
+use super::{DEFAULT_PLAIN_MS, MS_PER_S, OfferedRequest, Placement, ShareInputs};
 use crate::configuration::Stage;
 use crate::directory::BackEnd;
 use crate::scarcity::returns::Return;
@@ -48,6 +48,9 @@
     pub claim: Claim,
     /// Demand of its tenant and its fair share.
     pub share: ShareInputs,
+    /// Time between two ends of work at the full back ends, for this daemon's part of the callers;
+    /// `None` if the time of a run is not known yet.
+    pub interval: Option<Duration>,
 }
 
 /// A back end that may take the request.
@@ -101,6 +104,11 @@
             load,
             claim,
             share: share.unwrap_or_default(),
+            interval: self.rooms.run_ms(service).map(|run_ms| {
+                #[expect(clippy::cast_precision_loss, reason = "some thousand daemons")]
+                let daemons = self.daemons as f64;
+                Duration::from_secs_f64(run_ms * daemons / load.slots / MS_PER_S)
+            }),
         })
     }
 
--- a/crates/fleet/src/scarcity/returns.rs
+++ b/crates/fleet/src/scarcity/returns.rs
@@ -52,6 +52,9 @@
     pub time_left: Option<Duration>,
     /// Expected time of the run.
     pub run: Duration,
+    /// Time between two ends of work that this daemon's callers may follow, while the back ends are
+    /// full; `None` if only the measured rate is known.
+    pub interval: Option<Duration>,
     /// Whether the caller may get a turn before new ones. Not if its tenant exceeds its fair share.
     pub may_have_turn: bool,
 }
@@ -189,7 +192,11 @@
         now: Instant,
     ) -> Promise {
         let schedule = self.schedule(service, now);
-        let gap = Duration::from_secs_f64(1.0 / schedule.rate(now).max(MIN_RATE));
+        let measured = Duration::from_secs_f64(1.0 / schedule.rate(now).max(MIN_RATE));
+        // What ended of late may be less than what ends while the back ends are full.
+        let gap = refusal
+            .interval
+            .map_or(measured, |interval| interval.min(measured));
         let earliest = refusal.room_in.max(MIN_PAUSE);
         let turn = schedule.next.saturating_duration_since(now).max(earliest);
         let latest = refusal
--- a/crates/fleet/tests/scarcity_returns.rs
+++ b/crates/fleet/tests/scarcity_returns.rs
@@ -50,6 +50,7 @@
                     room_in: ms(u64::from(*room_in)),
                     time_left: Some(ms(u64::from(*time_left))),
                     run: ms(u64::from(*run)),
+                    interval: None,
                     may_have_turn: true,
                 };
                 let draw = f64::from(*draw) / 256.0;
@@ -85,6 +86,7 @@
                 room_in: ms(200),
                 time_left: Some(ms(10_000)),
                 run: ms(100),
+                interval: None,
                 may_have_turn: true,
             };
             let draw = random.random_range(0.0..1.0);
--- a/crates/fleet/tests/support/plain_service.rs
+++ b/crates/fleet/tests/support/plain_service.rs
@@ -274,6 +274,7 @@
                     room_in: claimed.verdict.room_in,
                     time_left: Some(asked.time_left),
                     run: claimed.verdict.run,
+                    interval: claimed.interval,
                     may_have_turn: !claimed.claim.yields,
                 };
                 self.refuse(request, refusal);
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -42,6 +42,8 @@
     pub reports_usage: bool,
     /// Whether the daemons order engines from the provider.
     pub orders_engines: bool,
+    /// Whether the daemons share out room.
+    pub shares_room: bool,
 }
 
 impl Default for FleetOptions {
@@ -54,6 +56,7 @@
             zones: 1,
             reports_usage: false,
             orders_engines: false,
+            shares_room: false,
         }
     }
 }
@@ -349,6 +352,9 @@
              [usage]\nwindow_s = 5\ndue_s = 10\n"
         );
     }
+    if options.shares_room {
+        text += "[overload]\nscarce = true\n";
+    }
     settings::check(&text).expect("valid settings")
 }
 
--- a/crates/serving/src/peers/scarcity.rs
+++ b/crates/serving/src/peers/scarcity.rs
@@ -21,9 +21,8 @@
 /// Neighbours that get each report; bounds the reports that a daemon receives, whatever the number
 /// of daemons.
 const DEMAND_FAN_OUT: usize = 12;
-/// Promises within this time share datagrams; short compared with the shortest promise that
-/// callers of remote services keep.
-const PROMISE_INTERVAL: Duration = Duration::from_millis(50);
+/// Promises within this time share datagrams; short compared with the shortest promise.
+const PROMISE_BATCHING_DELAY: Duration = Duration::from_millis(5);
 
 impl Peers {
     pub(super) async fn publish_demand(self: Arc<Self>) {
@@ -68,7 +67,8 @@
 
     pub(super) async fn publish_promises(self: Arc<Self>) {
         loop {
-            tokio::time::sleep(PROMISE_INTERVAL).await;
+            self.pipeline.promises_changed().notified().await;
+            tokio::time::sleep(PROMISE_BATCHING_DELAY).await;
             let promises = self.pipeline.placement().returns.take_unpublished();
             if promises.is_empty() {
                 continue;
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -113,6 +113,7 @@
     heavy_work_changed: Notify,
     prefixes_changed: Notify,
     rates_changed: Notify,
+    promises_changed: Notify,
     rate_queues: RateQueues,
     held_bytes: AtomicUsize,
     bounds: IntakeLimits,
@@ -159,6 +160,7 @@
             heavy_work_changed: Notify::new(),
             prefixes_changed: Notify::new(),
             rates_changed: Notify::new(),
+            promises_changed: Notify::new(),
             rate_queues: RateQueues::default(),
             held_bytes: AtomicUsize::new(0),
             bounds: settings.bounds,
@@ -199,6 +201,12 @@
         &self.heavy_work_changed
     }
 
+    /// Notified when a refused caller was promised a time or came back at it.
+    #[must_use]
+    pub(crate) const fn promises_changed(&self) -> &Notify {
+        &self.promises_changed
+    }
+
     /// Wakes requests that wait for a shared prefix, after the known contents of engine caches
     /// changed.
     pub fn notify_prefix_change(&self) {
--- a/crates/serving/src/pipeline/answers.rs
+++ b/crates/serving/src/pipeline/answers.rs
@@ -54,6 +54,8 @@
         room_in: Duration,
         /// Expected time of the run.
         run: Duration,
+        /// Time between two ends of work that this daemon's callers may follow, if known.
+        interval: Option<Duration>,
     },
     /// The request certainly did not run.
     NotRun(&'static str),
--- a/crates/serving/src/pipeline/room.rs
+++ b/crates/serving/src/pipeline/room.rs
@@ -26,7 +26,10 @@
         match job.returned {
             Return::New => {}
             Return::Early { .. } => self.metrics.scarcity().caller_returns("early"),
-            Return::Punctual => self.metrics.scarcity().caller_returns("kept"),
+            Return::Punctual => {
+                self.promises_changed.notify_one();
+                self.metrics.scarcity().caller_returns("kept");
+            }
         }
     }
 
@@ -74,6 +77,7 @@
             reason: "the back ends have no room for this request in time: come back when told",
             room_in: verdict.room_in,
             run: verdict.run,
+            interval: claimed.interval,
         })
     }
 
@@ -92,18 +96,26 @@
             reason,
             room_in: wait,
             run: target,
+            interval: None,
         }
     }
 
     /// Decides when a refused caller may come back. `None` if the failure does not depend on room.
     pub(super) fn promise_return(&self, job: &mut Job, failure: Failure) -> Option<Duration> {
-        let Failure::NoRoom { room_in, run, .. } = failure else {
+        let Failure::NoRoom {
+            room_in,
+            run,
+            interval,
+            ..
+        } = failure
+        else {
             return None;
         };
         let refusal = Refusal {
             room_in,
             time_left: Some(job.time_left()),
             run,
+            interval,
             may_have_turn: !job.yields,
         };
         if let Return::Early { remaining } = job.returned {
@@ -134,6 +146,7 @@
                 .remember(service, fingerprint, promise, now());
         }
         drop(placement);
+        self.promises_changed.notify_one();
         let result = match (is_too_late, has_turn) {
             (true, _) => "too_late",
             (false, true) => "promised",
