--- a/crates/cli/src/losses.rs
+++ b/crates/cli/src/losses.rs
@@ -13,6 +13,9 @@
 /// Length of the time windows in which losses are counted.
 const WINDOW_SECONDS: u64 = 2;
 
+/// Decision of `room_decided` on a request that was sent.
+const HAS_ROOM: &str = "room";
+
 /// Fields of a log event that the summary uses.
 #[derive(Debug, Deserialize)]
 struct LogEvent {
@@ -32,6 +35,8 @@
     #[serde(default)]
     urgency: String,
     #[serde(default)]
+    decision: String,
+    #[serde(default)]
     in_time: bool,
     #[serde(default)]
     waited_ms: f64,
@@ -85,6 +90,12 @@
                     self.attempts.insert(request, end);
                 }
             }
+            "room_decided" if event.decision != HAS_ROOM => {
+                if let Some(request) = event.request {
+                    let refusal = format!("no room: {}", event.decision);
+                    self.attempts.insert(request, refusal);
+                }
+            }
             "request_ended" => self.add_request_ended(&event),
             "refused" => {
                 self.count_request("(none)", &event);
--- a/crates/cli/tests/losses.rs
+++ b/crates/cli/tests/losses.rs
@@ -69,6 +69,24 @@
     assert_eq!(lines[7], "1 lines could not be parsed");
 }
 
+#[test]
+fn requests_without_room_are_counted_by_the_decision() {
+    let refused =
+        "\"outcome\":\"refused\",\"in_time\":true,\"waited_ms\":1.0,\"urgency\":\"in_time\"";
+    let mut log = String::new();
+    for (request, decision) in [("1", "late"), ("2", "all_full"), ("3", "room")] {
+        log += &format!(
+            "{{\"message\":\"room_decided\",\"request\":\"{request}\",\"decision\":\"{decision}\"}}\n"
+        );
+        log += &request_ended(1, request, refused);
+    }
+    let summary = summarize(&log);
+    for loss in ["no room: late", "no room: all_full", "no attempt was made"] {
+        let expected = format!("1 (33.3%)  refused, {loss}");
+        assert!(summary.contains(&expected), "{expected} in {summary}");
+    }
+}
+
 #[test]
 fn an_empty_log_has_no_losses() {
     assert_eq!(summarize(""), "");
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -7,25 +7,12 @@
 //! it would take long to earn one. The daemons of a zone then deposit what they earn into a
 //! [`RetryPool`] owned by one of them and request each retry from it. Every amount is deposited at
 //! most once, so retries stay within what was earned even if messages or the pool owner are lost.
-//!
-//! Where demand is uneven, most retries are saved at daemons that need none, while others that see
-//! few requests have less than one when they need it. Pooling can therefore also be asked for while
-//! shares are small ([`RetryBudget::pool_small_shares`]). A daemon then keeps one retry for itself
-//! and deposits the rest.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::topology::SMALL_FLEET_MAX_DAEMONS;
-
 /// Share of the allowed retries that is used; the rest covers requests that span two windows.
 const USED_SHARE: f64 = 0.8;
-/// Shares of fewer retries than this are pooled if that is asked for: a daemon needs that many at
-/// once when a few of its requests fail together.
-const SMALL_SHARE: f64 = 8.0;
-/// Retries that a daemon keeps for itself while small shares are pooled, so that a single failure
-/// needs no message.
-const KEPT: f64 = 1.0;
 
 /// Settings of the retry budget.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -41,7 +28,6 @@
 pub struct RetryBudget {
     settings: BudgetSettings,
     daemons: usize,
-    pools_small_shares: bool,
     saved: HashMap<Arc<str>, f64>,
 }
 
@@ -52,16 +38,10 @@
         Self {
             settings,
             daemons: 1,
-            pools_small_shares: false,
             saved: HashMap::new(),
         }
     }
 
-    /// Pools shares from now on also while they are not less than one retry, but small.
-    pub fn pool_small_shares(&mut self) {
-        self.pools_small_shares = true;
-    }
-
     /// Sets the number of daemons that share the slack.
     pub fn set_daemons(&mut self, daemons: usize) {
         self.daemons = daemons.max(1);
@@ -91,44 +71,22 @@
         *saved = (*saved + 1.0).min(max_saved);
     }
 
-    /// Whether this daemon's share of the slack is so small that retries come from the zone's pool.
+    /// Whether this daemon's share of the slack is less than one retry, so that retries come from
+    /// the zone's pool.
     #[must_use]
     pub fn is_pooled(&self) -> bool {
-        self.share() < 1.0 || self.keeps_part()
-    }
-
-    /// Whether this daemon keeps a retry of its own beside the pool. A small fleet has no pool.
-    fn keeps_part(&self) -> bool {
-        let is_small_share = (KEPT..SMALL_SHARE).contains(&self.share());
-        self.pools_small_shares && is_small_share && self.daemons > SMALL_FLEET_MAX_DAEMONS
+        self.share() < 1.0
     }
 
-    /// Removes and returns what is saved for the pool: everything, or all but one retry.
+    /// Removes and returns everything saved, to be deposited into the pool.
     pub fn take_deposits(&mut self) -> Vec<(Arc<str>, f64)> {
-        let kept = if self.keeps_part() { KEPT } else { 0.0 };
         self.saved
             .iter_mut()
-            .filter(|(_service, saved)| **saved > kept)
-            .map(|(service, saved)| {
-                let deposit = *saved - kept;
-                *saved = kept;
-                (Arc::clone(service), deposit)
-            })
+            .filter(|(_service, saved)| **saved > 0.0)
+            .map(|(service, saved)| (Arc::clone(service), std::mem::take(saved)))
             .collect()
     }
 
-    /// Capacity of the pool of a zone with `zone_daemons` daemons, in retries. Together with what
-    /// the daemons keep and have not deposited yet, it stays within their shares.
-    #[must_use]
-    pub fn pool_capacity(&self, zone_daemons: usize) -> f64 {
-        if !self.keeps_part() {
-            return pool_capacity(self.settings, zone_daemons, self.daemons);
-        }
-        #[expect(clippy::cast_precision_loss, reason = "some thousand daemons")]
-        let daemons = zone_daemons as f64;
-        daemons * (self.share() - KEPT) / 2.0
-    }
-
     /// Retries left for `service`.
     #[must_use]
     pub fn left(&self, service: &str) -> f64 {
@@ -136,11 +94,7 @@
     }
 
     fn max_saved(&self) -> f64 {
-        if self.keeps_part() {
-            KEPT + (self.share() - KEPT) / 2.0
-        } else {
-            self.share()
-        }
+        self.share()
     }
 
     /// This daemon's share of the slack, in retries.
--- a/crates/fleet/src/scarcity/room.rs
+++ b/crates/fleet/src/scarcity/room.rs
@@ -167,7 +167,9 @@
             .all_full_for
             .map_or(0.0, |time| time.as_secs_f64() * MS_PER_S);
         let room_in_ms = (wait_ms - allowed_wait_ms).max(full_ms).max(0.0);
-        let can_end = wait_ms.max(full_ms) + run_ms <= time_left_ms;
+        // Runs vary: one that needs no wait may end in less than the average time.
+        let needed_ms = wait_ms.max(full_ms);
+        let can_end = needed_ms <= 0.0 || needed_ms + run_ms <= time_left_ms;
         let can_return = room_in_ms + run_ms <= time_left_ms;
         let refusal = if !can_end {
             Some(NoRoom::Hopeless)
--- a/crates/fleet/tests/scarcity_demand.rs
+++ b/crates/fleet/tests/scarcity_demand.rs
@@ -1,7 +1,10 @@
 //! Tests the merge of demand reports of daemons: any order, repetitions and losses.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ponddrift_fleet::configuration::Stage;
+use ponddrift_fleet::placement::{OfferedRequest, Placement};
 use ponddrift_fleet::scarcity::demand::{
     DemandReport, FleetDemand, MAX_ORIGINS, MAX_TENANT_ROWS, REPORT_TTL, ReportMerge,
     ServiceDemand, TenantRow,
@@ -166,3 +169,43 @@
     let total = demand.rest + demand.tenants.iter().map(|row| row.work).sum::<f64>();
     assert!((total - f64::from(81 * 82 / 2)).abs() < 1e-6);
 }
+
+#[test]
+fn arrivals_of_the_fleet_are_those_reported_not_a_multiple_of_the_own() {
+    // Load: three daemons; one sends 30 prompts within a second, the others report none and two.
+    let service: Arc<str> = Arc::from("models");
+    let tenant: Arc<str> = Arc::from("t");
+    let now = Instant::now();
+    let mut busy = Placement::new(Arc::from("a"));
+    assert!(busy.own_demand(now).is_empty(), "demand is not shared");
+    busy.share_out_room();
+    busy.set_daemons(3);
+    let offer = OfferedRequest {
+        service: &service,
+        tenant: &tenant,
+        work: 1.0,
+        can_be_in_time: true,
+    };
+    busy.fairness.yields(offer, 0.5, now);
+    for _prompt in 0..30 {
+        busy.arrivals.add(&service, Stage::Decode, now);
+    }
+    let demand = busy.own_demand(now);
+    let own_rate = demand[0].decode_arrivals;
+    assert!(own_rate > 0.0);
+    for (origin, decode_arrivals) in [(1, 0.0), (2, 2.0)] {
+        let report = DemandReport {
+            origin,
+            sequence: 1,
+            services: vec![ServiceDemand {
+                decode_arrivals,
+                ..demand[0].clone()
+            }],
+        };
+        busy.fairness.receive(report, now);
+    }
+    let later = now + Duration::from_millis(300);
+    busy.fairness.yields(offer, 0.5, later);
+    let peers = busy.fairness.known_peers("models").expect("both are known");
+    assert!((peers.sum.decode_arrivals - 2.0).abs() < 1e-9);
+}
--- a/crates/fleet/tests/scarcity_room.rs
+++ b/crates/fleet/tests/scarcity_room.rs
@@ -126,6 +126,18 @@
     assert_eq!(verdict.refusal, None, "late is better than never");
 }
 
+#[test]
+fn a_request_with_little_time_left_is_sent_while_slots_are_free() {
+    // Load: few requests; a caller with 40 ms left, before runs of 60 ms on average.
+    let rooms = rooms(&[2], Instant::now());
+    let short = Claim {
+        target_left: ms(40),
+        time_left: ms(40),
+        ..claim(2)
+    };
+    assert_eq!(rooms.decide("s", load(3.0), &short).refusal, None);
+}
+
 #[test]
 fn nothing_is_refused_on_what_is_not_known() {
     // Load: a long backlog at a service of which no answer has come yet.
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -100,6 +100,7 @@
     metrics: Arc<Metrics>,
     placement: Mutex<Placement>,
     budget: Mutex<RetryBudget>,
+    budget_settings: BudgetSettings,
     /// The retry pool of the zone; used only if this daemon owns the pool.
     retry_pool: Mutex<RetryPool>,
     /// When the zone's retry pool last denied a retry.
@@ -133,10 +134,8 @@
     ) -> Arc<Self> {
         let mut placement = Placement::new(Arc::clone(&settings.zone));
         placement.link.set_megabits(state.own().link_megabits);
-        let mut budget = RetryBudget::new(settings.budget);
         if settings.overload.scarce {
             placement.share_out_room();
-            budget.pool_small_shares();
         }
         Arc::new(Self {
             runtime: runtime.clone(),
@@ -148,7 +147,8 @@
             changed_rate_limits: PendingSet::default(),
             metrics,
             placement: Mutex::new(placement),
-            budget: Mutex::new(budget),
+            budget: Mutex::new(RetryBudget::new(settings.budget)),
+            budget_settings: settings.budget,
             retry_pool: Mutex::default(),
             pool_last_empty: Mutex::default(),
             traffic_split: Mutex::default(),
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -144,7 +144,7 @@
     }
 
     async fn plain_attempt(self: &Arc<Self>, job: &mut Job, back_end: &Arc<BackEnd>) -> PlainEnd {
-        let ahead = self.placement().load.requests(&back_end.id);
+        let ahead = self.requests_ahead(back_end);
         let _load = LoadGuard::new(self, back_end, 0.0, job.urgency);
         let started_at = now();
         let wait_policy = self.plain_wait_policy(job);
@@ -172,14 +172,10 @@
             self.record_good_run(job);
         }
         if outcome == Outcome::Success {
-            let mut placement = self.placement();
-            placement
+            self.placement()
                 .speed
                 .record_plain_answer(&back_end.id, milliseconds(took));
-            let service = &job.service.name;
-            placement
-                .rooms
-                .record_answer(service, milliseconds(took), ahead, back_end.slots);
+            self.record_run_time(job, back_end, took, ahead);
         }
         self.attempt_ended(
             job,
--- a/crates/serving/src/pipeline/retry_pool.rs
+++ b/crates/serving/src/pipeline/retry_pool.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, MutexGuard};
 use std::time::{Duration, Instant};
 
-use ponddrift_fleet::budget::{Deposits, RetryPool};
+use ponddrift_fleet::budget::{Deposits, RetryPool, pool_capacity};
 
 use super::Pipeline;
 use crate::back_end_index::hash;
@@ -33,7 +33,7 @@
     pub(crate) fn receive_deposits(&self, deposits: &Deposits) {
         let topology = self.state.topology();
         let zone_daemons = topology.neighbours.len() + 1;
-        let zone_share = self.budget().pool_capacity(zone_daemons);
+        let zone_share = pool_capacity(self.budget_settings, zone_daemons, topology.daemons);
         self.retry_pool().deposit(deposits, zone_share);
     }
 
--- a/crates/serving/src/pipeline/room.rs
+++ b/crates/serving/src/pipeline/room.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::placement::PlainRequest;
 use ponddrift_fleet::scarcity::returns::{Promise, Refusal, Return};
 use rand::RngExt;
@@ -12,7 +13,7 @@
 use super::Pipeline;
 use super::answers::Failure;
 use super::job::Job;
-use crate::request_trace::TraceStep;
+use crate::request_trace::{TraceStep, milliseconds};
 use crate::time::now;
 
 impl Pipeline {
@@ -163,6 +164,28 @@
         Some(after)
     }
 
+    /// Requests known to be at a plain back end; `None` where room is not shared out.
+    pub(super) fn requests_ahead(&self, back_end: &BackEnd) -> Option<f64> {
+        self.overload
+            .scarce
+            .then(|| self.placement().load.requests(&back_end.id))
+    }
+
+    /// Records how long a plain back end took to answer a request that had `ahead` others before it.
+    pub(super) fn record_run_time(
+        &self,
+        job: &Job,
+        back_end: &BackEnd,
+        took: Duration,
+        ahead: Option<f64>,
+    ) {
+        if let Some(ahead) = ahead {
+            let took_ms = milliseconds(took);
+            let rooms = &mut self.placement().rooms;
+            rooms.record_answer(&job.service.name, took_ms, ahead, back_end.slots);
+        }
+    }
+
     /// Records that a request ended at a back end, for the rate at which room becomes free.
     pub(super) fn record_end_of_work(&self, job: &Job) {
         if job.runs > 0 && self.overload.scarce {
