--- a/crates/serve/tests/orders.rs
+++ b/crates/serve/tests/orders.rs
@@ -20,6 +20,7 @@
     zones: 1,
     reports_usage: false,
     orders_engines: false,
+    shares_room: false,
 };
 
 /// Sends long prompts for `time`, which load the prefill engines more than the decode engines.
