--- a/crates/fleet/src/placement/fairness.rs
+++ b/crates/fleet/src/placement/fairness.rs
@@ -40,6 +40,8 @@
 const MIN_FLEET_EXCESS_FACTOR: f64 = 1.5;
 /// Interval between updates of the fair-share level.
 const LEVEL_REFRESH_INTERVAL: Duration = Duration::from_millis(250);
+/// Limit on tenants that no report names; bounds the work of an update.
+const MAX_UNNAMED_TENANTS: u16 = 1_024;
 /// Tenants with less work than this are removed.
 const NEGLIGIBLE_WORK: f64 = 1e-3;
 
@@ -243,14 +245,18 @@
             .or_insert_with(|| DecayingAmount::zero(DEMAND_HALF_LIFE, now))
             .add(offer.work, now);
         if now.saturating_duration_since(self.level_updated_at) >= LEVEL_REFRESH_INTERVAL {
-            self.set_peers(fleet.and_then(|fleet| fleet.peers(name_hash(offer.service), now)));
+            self.refresh_peers(offer.service, fleet, now);
             self.update_level(now);
         }
     }
 
-    /// The capacity of one daemon's share and that of the fleet are different amounts.
-    fn set_peers(&mut self, peers: Option<PeerDemand>) {
+    fn refresh_peers(&mut self, service: &str, fleet: Option<&FleetDemand>, now: Instant) {
+        let Some(fleet) = fleet else {
+            return;
+        };
+        let peers = fleet.peers(name_hash(service), now);
         if peers.is_some() != self.peers.is_some() {
+            // The capacity of one daemon's share and that of the fleet are different amounts.
             self.capacity = None;
         }
         self.peers = peers;
@@ -298,8 +304,9 @@
         for (tenant, demand) in own {
             *by_tenant.entry(name_hash(tenant)).or_default() += demand.at(now);
         }
-        let unnamed = usize::from(peers.sum.rest_tenants);
-        let unnamed_work = peers.sum.rest / f64::from(peers.sum.rest_tenants.max(1));
+        let unnamed = peers.sum.rest_tenants.min(MAX_UNNAMED_TENANTS);
+        let unnamed_work = peers.sum.rest / f64::from(unnamed.max(1));
+        let unnamed = usize::from(unnamed);
         let named = by_tenant.into_values();
         named
             .chain(std::iter::repeat_n(unnamed_work, unnamed))
--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -147,6 +147,21 @@
         self.averages.get_or_insert_default();
     }
 
+    /// Averages the peers' requests at a back end from now on, if averages are kept.
+    pub fn track(&mut self, id: &Arc<str>, now: Instant) {
+        let requests = self.peer_sum.get(id).map_or(0.0, |work| work.requests);
+        if let Some(averages) = &mut self.averages {
+            averages.track(id, requests, now);
+        }
+    }
+
+    /// Forgets the averages of back ends for which `keep` returns false.
+    pub fn keep_averages(&mut self, keep: impl Fn(&str) -> bool) {
+        if let Some(averages) = &mut self.averages {
+            averages.keep_only(keep);
+        }
+    }
+
     /// Requests of all daemons that one that lasts `run_ms` is likely to find at a back end.
     #[must_use]
     pub fn expected_requests(&self, id: &str, run_ms: f64, now: Instant) -> f64 {
@@ -242,9 +257,6 @@
             }
             is_fresh
         });
-        if let Some(averages) = averages {
-            averages.expire(now);
-        }
         peer_sum.retain(|_id, work| work.requests > 0.0 || work.tokens_ahead(Urgency::Late) > 0.0);
     }
 
--- a/crates/fleet/src/placement/peer_averages.rs
+++ b/crates/fleet/src/placement/peer_averages.rs
@@ -8,8 +8,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-/// Time constant of the averages: a few intervals between reports.
-const AVERAGING_TIME: Duration = Duration::from_secs(1);
+/// Time constant of the averages: more than the interval between reports, less than a queue lasts.
+const AVERAGING_TIME: Duration = Duration::from_millis(400);
 /// Time for which a report of a peer stands until its next one replaces it, in milliseconds.
 const REPORT_INTERVAL_MS: f64 = 250.0;
 
@@ -35,16 +35,26 @@
 }
 
 impl PeerAverages {
-    /// Records that peers have `requests` at a back end from now on.
-    pub(super) fn record(&mut self, id: &Arc<str>, requests: f64, now: Instant) {
-        let known = self.by_back_end.get(id);
-        let average = known.map_or(requests, |known| known.at(now));
-        let average = Average {
-            value: requests,
-            average,
-            at: now,
-        };
-        self.by_back_end.insert(Arc::clone(id), average);
+    /// Averages the requests at a back end from now on; `requests` are there at present.
+    pub(super) fn track(&mut self, id: &Arc<str>, requests: f64, now: Instant) {
+        self.by_back_end
+            .entry(Arc::clone(id))
+            .or_insert_with(|| Average {
+                value: requests,
+                average: requests,
+                at: now,
+            });
+    }
+
+    /// Records that peers have `requests` at a back end from now on, if it is tracked.
+    pub(super) fn record(&mut self, id: &str, requests: f64, now: Instant) {
+        if let Some(known) = self.by_back_end.get_mut(id) {
+            *known = Average {
+                value: requests,
+                average: known.at(now),
+                at: now,
+            };
+        }
     }
 
     /// Requests of peers that one that lasts `run_ms` is likely to find. The longer requests last,
@@ -57,10 +67,8 @@
         })
     }
 
-    /// Forgets back ends at which peers have had no requests for a while.
-    pub(super) fn expire(&mut self, now: Instant) {
-        const NEGLIGIBLE: f64 = 0.01;
-        self.by_back_end
-            .retain(|_id, known| known.value > 0.0 || known.at(now) > NEGLIGIBLE);
+    /// Forgets the back ends for which `keep` returns false.
+    pub(super) fn keep_only(&mut self, keep: impl Fn(&str) -> bool) {
+        self.by_back_end.retain(|id, _known| keep(id));
     }
 }
--- a/crates/fleet/src/placement/plain_choice.rs
+++ b/crates/fleet/src/placement/plain_choice.rs
@@ -8,13 +8,14 @@
 
 use super::{DEFAULT_PLAIN_MS, MS_PER_S, OfferedRequest, Placement, ShareInputs};
 use crate::configuration::Stage;
-use crate::directory::BackEnd;
+use crate::directory::{BackEnd, Eligibility};
 use crate::scarcity::returns::Return;
 use crate::scarcity::room::{Claim, KnownLoad, Verdict};
 
-/// Back ends that are compared for one request. Two drawn at random spread the requests of daemons
-/// with the same news almost as evenly as knowing each other's choices would.
-const COMPARED: usize = 2;
+/// Back ends drawn from all others to be compared with one of this daemon's zone. Few draws spread the
+/// requests of daemons with the same news almost as evenly as knowing each other's choices would; if
+/// all were compared, those daemons would meet at the best one.
+const OTHERS_COMPARED: usize = 1;
 /// Share of the slots from which a request may have to wait, because reports lag.
 const BUSY_SHARE: f64 = 0.7;
 
@@ -74,6 +75,9 @@
         if load.slots <= 0.0 {
             return None;
         }
+        for back_end in ready {
+            self.load.track(&back_end.id, now);
+        }
         let service = request.service;
         let mut claim = Claim {
             priority: request.priority,
@@ -120,7 +124,11 @@
         request: &PlainRequest<'_>,
         now: Instant,
     ) -> KnownLoad {
-        let usable = self.usable(ready, tried, now, is_plain);
+        // Back ends that are a fallback now take requests again soon, so they count as room.
+        let mut usable = ready.to_vec();
+        usable.retain(|back_end| {
+            is_plain(back_end) && self.eligibility(back_end, tried, now) != Eligibility::Excluded
+        });
         let slots = usable.iter().map(|back_end| f64::from(back_end.slots));
         let requests = usable
             .iter()
@@ -151,8 +159,8 @@
         holds.then(|| suspension.until - now)
     }
 
-    /// Chooses a plain back end: of a few drawn at random in this daemon's zone and one elsewhere,
-    /// the one with the lowest expected time.
+    /// Chooses a plain back end: of one drawn at random in this daemon's zone and another drawn from
+    /// all, the one with the lower expected time.
     pub(super) fn choose_plain_by_room(
         &self,
         ready: &[Arc<BackEnd>],
@@ -162,18 +170,14 @@
     ) -> Option<Arc<BackEnd>> {
         let usable = self.usable(ready, tried, now, is_plain);
         let mean_failure_factor = self.mean_failure_factor(&usable);
-        let (near, far): (Vec<&Arc<BackEnd>>, Vec<&Arc<BackEnd>>) = usable
+        let (mut near, mut others): (Vec<&Arc<BackEnd>>, Vec<&Arc<BackEnd>>) = usable
             .iter()
             .partition(|back_end| back_end.zone == self.zone);
-        let near_draws = if far.is_empty() {
-            COMPARED + 1
-        } else {
-            COMPARED
-        };
-        let far_draws = if near.is_empty() { COMPARED + 1 } else { 1 };
-        let drawn = draw(near, near_draws, random)
+        let first = draw(&mut near, 1, random);
+        others.append(&mut near);
+        let drawn = first
             .into_iter()
-            .chain(draw(far, far_draws, random));
+            .chain(draw(&mut others, OTHERS_COMPARED, random));
         let compared = drawn.map(|back_end| {
             let failure_factor = self.health.cost_factor(&back_end.id) / mean_failure_factor;
             let time_ms = self.plain_time_ms(back_end, now);
@@ -192,7 +196,7 @@
         let run_ms = self
             .speed
             .plain_ms(&back_end.id)
-            .or_else(|| self.rooms.run_ms(&back_end.service))
+            .or_else(|| self.rooms.rough_run_ms(&back_end.service))
             .unwrap_or(DEFAULT_PLAIN_MS);
         let ahead = self.load.expected_requests(&back_end.id, run_ms, now);
         let occupancy = (ahead + 1.0) / f64::from(back_end.slots.max(1));
@@ -218,7 +222,7 @@
 
 /// Draws `count` different back ends, or all if there are no more.
 fn draw<'a>(
-    mut back_ends: Vec<&'a Arc<BackEnd>>,
+    back_ends: &mut Vec<&'a Arc<BackEnd>>,
     count: usize,
     random: &mut impl Rng,
 ) -> Vec<&'a Arc<BackEnd>> {
--- a/crates/fleet/src/scarcity/demand.rs
+++ b/crates/fleet/src/scarcity/demand.rs
@@ -24,7 +24,10 @@
 pub const MAX_ORIGINS: usize = 192;
 /// Reports older than this say nothing about the demand any more: bursts last a few seconds.
 pub const REPORT_TTL: Duration = Duration::from_secs(8);
-/// The demand of the fleet is known if reports of at least this share of the other daemons are.
+/// The demand of the fleet is known if reports of at least this many other daemons are, however large
+/// the fleet: their sum shows a tenant with a tenth of the demand to within half of it.
+const MIN_KNOWN_DAEMONS: usize = 24;
+/// In a smaller fleet, reports of this share of the other daemons.
 const MIN_KNOWN_SHARE: f64 = 0.2;
 /// No report counts for more work per service than this; protects the sums from corrupt values.
 const MAX_WORK: f64 = 1e12;
@@ -205,7 +208,8 @@
             .collect();
         let others = self.daemons.saturating_sub(1).max(fresh.len());
         let scale = as_f64(others) / as_f64(fresh.len().max(1));
-        if fresh.is_empty() || 1.0 / scale < MIN_KNOWN_SHARE {
+        let is_known = fresh.len() >= MIN_KNOWN_DAEMONS || 1.0 / scale >= MIN_KNOWN_SHARE;
+        if fresh.is_empty() || !is_known {
             return None;
         }
         let mut tenants: BTreeMap<u32, f64> = BTreeMap::new();
--- a/crates/fleet/src/scarcity/returns.rs
+++ b/crates/fleet/src/scarcity/returns.rs
@@ -18,8 +18,8 @@
 use crate::fingerprint::RequestFingerprint;
 use crate::scarcity::name_hash;
 
-/// Times that are remembered. At the highest rate of refusals that one daemon can answer, a few
-/// hundred a second, this covers the longest promise.
+/// Times that are remembered, own and of neighbours; bounds the memory to about 100 KB. Callers
+/// beyond it are treated as new.
 pub const MAX_PROMISES: usize = 2_048;
 /// A caller counts as punctual up to this much before its time, because clocks and links vary.
 const EARLY_TOLERANCE: Duration = Duration::from_millis(30);
@@ -29,6 +29,10 @@
 const MIN_PAUSE: Duration = Duration::from_millis(20);
 /// Longest time that a caller is told, however large the backlog.
 pub const MAX_PAUSE: Duration = Duration::from_secs(30);
+/// Callers wait for the time that they are told only up to this share of the time that they have left.
+pub const HONOURED_SHARE: f64 = 1.0 / 3.0;
+/// Interval between removals of promises whose time has passed, while there is no space.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
 /// Callers that come back are spread over this share of the time at least.
 const SPREAD_SHARE: f64 = 0.25;
 /// Time constant of the rate at which work ends.
@@ -145,6 +149,7 @@
     pub kept: u64,
     /// Average share of promises that are kept.
     kept_share: f64,
+    last_expiry: Option<Instant>,
 }
 
 impl Default for Returns {
@@ -156,6 +161,7 @@
             promised: 0,
             kept: 0,
             kept_share: INITIAL_KEPT_SHARE,
+            last_expiry: None,
         }
     }
 }
@@ -201,7 +207,7 @@
         let turn = schedule.next.saturating_duration_since(now).max(earliest);
         let latest = refusal
             .time_left
-            .map(|left| left.saturating_sub(refusal.run));
+            .map(|left| latest_return(left, refusal.run));
         let spread = gap.max(turn.mul_f64(SPREAD_SHARE)).mul_f64(draw);
         let is_too_late = latest.is_some_and(|latest| latest < earliest);
         let fits = latest.is_none_or(|latest| turn + spread <= latest);
@@ -225,14 +231,14 @@
     }
 
     /// Remembers a promise. A time that was promised before stays; beyond [`MAX_PROMISES`] nothing
-    /// more is remembered, and those callers are treated as new.
+    /// more is remembered, and those callers are treated as new. Returns whether this one is.
     pub fn remember(
         &mut self,
         service: &str,
         fingerprint: RequestFingerprint,
         promise: Promise,
         now: Instant,
-    ) {
+    ) -> bool {
         self.promised += 1;
         let promise = SharedPromise {
             service: name_hash(service),
@@ -241,9 +247,11 @@
             has_turn: promise.has_turn,
             is_kept: false,
         };
-        if self.merge(promise, now) {
+        let is_remembered = self.merge(promise, now);
+        if is_remembered {
             self.publish(promise);
         }
+        is_remembered
     }
 
     fn publish(&mut self, promise: SharedPromise) {
@@ -270,7 +278,10 @@
         {
             return known.merge(promise);
         }
-        if self.known.len() >= MAX_PROMISES {
+        let may_expire = self
+            .last_expiry
+            .is_none_or(|last| now.saturating_duration_since(last) >= EXPIRY_INTERVAL);
+        if self.known.len() >= MAX_PROMISES && may_expire {
             self.expire(now);
         }
         if self.known.len() >= MAX_PROMISES {
@@ -344,6 +355,7 @@
 
     /// Removes promises whose time has passed.
     pub fn expire(&mut self, now: Instant) {
+        self.last_expiry = Some(now);
         let kept_share = &mut self.kept_share;
         self.known.retain(|_fingerprint, known| {
             let is_over = is_over(known.due, now);
@@ -362,6 +374,13 @@
     }
 }
 
+/// Latest time at which a caller both comes back and leaves its request time to run.
+#[must_use]
+pub fn latest_return(time_left: Duration, run: Duration) -> Duration {
+    let honoured = time_left.mul_f64(HONOURED_SHARE);
+    time_left.saturating_sub(run).min(honoured)
+}
+
 /// Whether a promised time has passed for long enough that its caller will not come any more.
 fn is_over(due: Instant, now: Instant) -> bool {
     now.saturating_duration_since(due) > LATE_TOLERANCE
--- a/crates/fleet/src/scarcity/room.rs
+++ b/crates/fleet/src/scarcity/room.rs
@@ -10,18 +10,25 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use super::returns::latest_return;
+
 /// A priority competes for room while a request of it arrived within this time; longer than the
 /// pauses within a burst.
 const PRIORITY_MEMORY: Duration = Duration::from_secs(5);
-/// Weight of the newest sample in the average time of a run.
+/// Weight of the newest sample in the average time of a run, once there are enough.
 const NEWEST_WEIGHT: f64 = 0.05;
+/// Answers from which on the average decides. Runs vary by half of their time: the average of ten is
+/// within a sixth of it.
+const MIN_ANSWERS: u32 = 10;
 const MS_PER_S: f64 = 1000.0;
 
 /// What is known of one service.
 #[derive(Debug, Default)]
 struct ServiceRoom {
-    /// Average time of a run without waiting, in milliseconds; `None` before the first answer.
-    run_ms: Option<f64>,
+    /// Average time of a run without waiting, in milliseconds.
+    run_ms: f64,
+    /// Answers that it was learned from.
+    answers: u32,
     /// When a request of each priority last arrived.
     priorities: BTreeMap<u8, Instant>,
 }
@@ -120,14 +127,23 @@
         let room = self.by_service.entry(Arc::clone(service)).or_default();
         let rounds = 1.0 + waiting_rounds(ahead, f64::from(slots.max(1)));
         let run_ms = elapsed_ms / rounds;
-        let average = room.run_ms.get_or_insert(run_ms);
-        *average += NEWEST_WEIGHT * (run_ms - *average);
+        room.answers = room.answers.saturating_add(1);
+        let weight = NEWEST_WEIGHT.max(1.0 / f64::from(room.answers));
+        room.run_ms += weight * (run_ms - room.run_ms);
     }
 
-    /// Average time of a run without waiting; `None` before the first answer.
+    /// Average time of a run without waiting; `None` while there are too few answers.
     #[must_use]
     pub fn run_ms(&self, service: &str) -> Option<f64> {
-        self.by_service.get(service).and_then(|room| room.run_ms)
+        let room = self.by_service.get(service)?;
+        (room.answers >= MIN_ANSWERS).then_some(room.run_ms)
+    }
+
+    /// The same from however few answers there are; for a choice, not for a refusal.
+    #[must_use]
+    pub fn rough_run_ms(&self, service: &str) -> Option<f64> {
+        let room = self.by_service.get(service)?;
+        (room.answers > 0).then_some(room.run_ms)
     }
 
     /// Records that a request of this priority arrived.
@@ -142,7 +158,7 @@
     #[must_use]
     pub fn decide(&self, service: &str, load: KnownLoad, claim: &Claim) -> Verdict {
         let known = self.by_service.get(service);
-        let run_ms = known.and_then(|room| room.run_ms);
+        let run_ms = self.run_ms(service);
         let target_ms = claim.target_left.as_secs_f64() * MS_PER_S;
         let time_left_ms = claim.time_left.as_secs_f64() * MS_PER_S;
         let Some(run_ms) = run_ms else {
@@ -151,7 +167,8 @@
                 wait_ms: None,
                 allowed_wait_ms: target_ms,
                 room_in: load.all_full_for.unwrap_or_default(),
-                run: Duration::ZERO,
+                // Not known; a request that is in time takes no longer.
+                run: claim.target_left,
             };
         };
         let ahead = if claim.returned {
@@ -170,7 +187,9 @@
         // Runs vary: one that needs no wait may end in less than the average time.
         let needed_ms = wait_ms.max(full_ms);
         let can_end = needed_ms <= 0.0 || needed_ms + run_ms <= time_left_ms;
-        let can_return = room_in_ms + run_ms <= time_left_ms;
+        let run = Duration::from_secs_f64(run_ms / MS_PER_S);
+        let latest_return = latest_return(claim.time_left, run);
+        let can_return = room_in_ms <= latest_return.as_secs_f64() * MS_PER_S;
         let refusal = if !can_end {
             Some(NoRoom::Hopeless)
         } else if load.all_full_for.is_some() {
@@ -189,7 +208,7 @@
             wait_ms: Some(wait_ms),
             allowed_wait_ms,
             room_in: Duration::from_secs_f64(room_in_ms / MS_PER_S),
-            run: Duration::from_secs_f64(run_ms / MS_PER_S),
+            run,
         }
     }
 }
--- a/crates/serving/src/peers/scarcity.rs
+++ b/crates/serving/src/peers/scarcity.rs
@@ -23,6 +23,11 @@
 const DEMAND_FAN_OUT: usize = 12;
 /// Promises within this time share datagrams; short compared with the shortest promise.
 const PROMISE_BATCHING_DELAY: Duration = Duration::from_millis(5);
+/// The minimum interval between two datagrams of promises is this time multiplied by the number of
+/// neighbours. It bounds what a daemon receives from all neighbours together to 200 a second.
+const PROMISE_INTERVAL_PER_NEIGHBOUR: Duration = Duration::from_millis(5);
+/// Promises in one datagram.
+const MAX_PROMISES_SENT: usize = 40;
 
 impl Peers {
     pub(super) async fn publish_demand(self: Arc<Self>) {
@@ -85,9 +90,13 @@
                 })
             });
             let neighbours = self.neighbours();
-            for bytes in message::encode_promises(rows.collect()) {
+            // The callers of rows that do not fit are treated as new elsewhere.
+            let rows = rows.take(MAX_PROMISES_SENT).collect();
+            for bytes in message::encode_promises(rows) {
                 self.send(Some(bytes), &neighbours).await;
             }
+            let count = u32::try_from(neighbours.len()).unwrap_or(u32::MAX);
+            tokio::time::sleep(PROMISE_INTERVAL_PER_NEIGHBOUR.saturating_mul(count)).await;
         }
     }
 
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -288,6 +288,7 @@
         placement.health.keep_only(|id| present.contains(id));
         placement.speed.keep_only(|id| present.contains(id));
         placement.prefixes.keep_only(|id| present.contains(id));
+        placement.load.keep_averages(|id| present.contains(id));
         placement.returns.expire(now());
         placement
             .announcements
--- a/crates/serving/src/pipeline/room.rs
+++ b/crates/serving/src/pipeline/room.rs
@@ -24,6 +24,10 @@
         }
         let fingerprint = job.fingerprint();
         job.returned = self.placement().returns.arrive(&fingerprint, now());
+        // Without a body, requests of different callers may be equal.
+        if job.body.is_empty() && matches!(job.returned, Return::Early { .. }) {
+            job.returned = Return::New;
+        }
         match job.returned {
             Return::New => {}
             Return::Early { .. } => self.metrics.scarcity().caller_returns("early"),
@@ -117,14 +121,15 @@
             time_left: Some(job.time_left()),
             run,
             interval,
-            may_have_turn: !job.yields,
+            // Nobody has two turns.
+            may_have_turn: !job.yields && job.returned != Return::Punctual,
         };
         if let Return::Early { remaining } = job.returned {
             job.trace.add(TraceStep::ReturnPromised {
                 after: remaining,
                 room_in,
                 is_too_late: remaining + run > job.time_left(),
-                has_turn: true,
+                has_turn: false,
                 is_repeated: true,
             });
             return Some(remaining);
