Plain choice: back ends that lose answers get what the others have no room for

Change: one of the zone and one of all are drawn among back ends that fail no more than by chance above the best; one that does is compared as a third, with its cost raised. Errors that all have in common no longer shift requests.

--- a/crates/fleet/src/placement/plain_choice.rs
+++ b/crates/fleet/src/placement/plain_choice.rs
@@ -16,6 +16,9 @@
 /// requests of daemons with the same news almost as evenly as knowing each other's choices would; if
 /// all were compared, those daemons would meet at the best one.
 const OTHERS_COMPARED: usize = 1;
+/// A back end is sound if its failures raise its cost by no more than this factor above the lowest.
+/// One whose requests fail one in four times is not, chance errors of the application are below.
+const MAX_SOUND_FACTOR: f64 = 1.5;
 /// Share of the slots from which a request may have to wait, because reports lag.
 const BUSY_SHARE: f64 = 0.7;
 
@@ -169,21 +172,34 @@
         random: &mut impl Rng,
     ) -> Option<Arc<BackEnd>> {
         let usable = self.usable(ready, tried, now, is_plain);
-        let mean_failure_factor = self.mean_failure_factor(&usable);
-        let (mut near, mut others): (Vec<&Arc<BackEnd>>, Vec<&Arc<BackEnd>>) = usable
-            .iter()
+        let lowest_failure_factor = self.lowest_failure_factor(&usable);
+        let is_sound = |back_end: &&Arc<BackEnd>| {
+            let factor = self.health.cost_factor(&back_end.id);
+            factor <= lowest_failure_factor * MAX_SOUND_FACTOR
+        };
+        let (sound, mut failing): (Vec<&Arc<BackEnd>>, Vec<&Arc<BackEnd>>) =
+            usable.iter().partition(&is_sound);
+        let (mut near, mut others): (Vec<&Arc<BackEnd>>, Vec<&Arc<BackEnd>>) = sound
+            .into_iter()
             .partition(|back_end| back_end.zone == self.zone);
         let first = draw(&mut near, 1, random);
         others.append(&mut near);
+        // One that fails more than the others gets what they have no room for.
         let drawn = first
             .into_iter()
-            .chain(draw(&mut others, OTHERS_COMPARED, random));
+            .chain(draw(&mut others, OTHERS_COMPARED, random))
+            .chain(draw(&mut failing, 1, random));
         let compared = drawn.map(|back_end| {
-            let failure_factor = self.health.cost_factor(&back_end.id) / mean_failure_factor;
+            // Small differences are chance; they would send all requests to one of the sound ones.
+            let failure_factor = if is_sound(&back_end) {
+                1.0
+            } else {
+                self.health.cost_factor(&back_end.id) / lowest_failure_factor
+            };
             let time_ms = self.plain_time_ms(back_end, now);
             Candidate {
                 back_end,
-                cost_ms: time_ms * failure_factor.max(1.0) + self.zone_ms(back_end),
+                cost_ms: time_ms * failure_factor + self.zone_ms(back_end),
             }
         });
         compared
@@ -206,13 +222,11 @@
 
     /// Failures that all back ends have in common come from the application and say nothing about
     /// one of them.
-    fn mean_failure_factor(&self, back_ends: &[Arc<BackEnd>]) -> f64 {
+    fn lowest_failure_factor(&self, back_ends: &[Arc<BackEnd>]) -> f64 {
         let factors = back_ends
             .iter()
             .map(|back_end| self.health.cost_factor(&back_end.id));
-        #[expect(clippy::cast_precision_loss, reason = "at most thousands")]
-        let count = back_ends.len().max(1) as f64;
-        (factors.sum::<f64>() / count).max(1.0)
+        factors.min_by(f64::total_cmp).unwrap_or(1.0)
     }
 }
 
