--- a/crates/fleet/src/placement/decoding.rs
+++ b/crates/fleet/src/placement/decoding.rs
@@ -80,9 +80,11 @@
     }
 
     /// Cost of the stream at an engine in addition to the time to its first event, in milliseconds:
-    /// its own risk, and that which it adds for the streams there, which are assumed to be of its own
-    /// length. An engine that fails requests has
-    /// few streams, so its failures must weigh as much as the gaps elsewhere.
+    /// its mean gap, its own risk, and that which it adds for the streams there, which are assumed to
+    /// be of its own length. The mean gap spreads long streams over engines that all keep the target,
+    /// because an engine with shorter gaps can process more of the prompts that arrive later. An
+    /// engine that fails requests has few streams, so its failures must weigh as much as the gaps
+    /// elsewhere.
     pub(super) fn stream_burden_ms(&self, back_end: &BackEnd) -> f64 {
         let Some(stream) = self.stream else {
             return 0.0;
