Simulation: log lines name the host that logged them

All hosts of a simulation log to one stream, so a line did not show which daemon decided what. The hosts' tasks now run in a span with the host's name. With RUST_LOG set, the tests of `ponddrift-serve` print the lines with the virtual time. Needed to tell apart why a refused daemon misses a change.

--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses only a part of it")]
 
+mod logging;
+
 use std::cell::RefCell;
 use std::future::Future;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
@@ -113,6 +115,8 @@
     /// Starts a fleet whose store holds no configuration yet.
     pub fn without_configuration(options: FleetOptions) -> Self {
         let mut simulation = Simulation::new(SimulationSettings::with_seed(7));
+        let start = simulation.block_on(async { Instant::now() });
+        logging::start_if_requested(start);
         let store = StoreStandIn::default();
         let store_host = add_store(&mut simulation, &store);
         let provider = ProviderStandIn::default();
--- a/crates/simulation/src/host.rs
+++ b/crates/simulation/src/host.rs
@@ -63,6 +63,8 @@
     factory: HostFactory,
     active: Option<Incarnation>,
     polls: PollCounter,
+    /// Span of the host's log lines. All hosts log to one stream.
+    span: tracing::Span,
 }
 
 /// Desired state of a host, as set by fault injection.
@@ -81,12 +83,15 @@
             count: 0,
             limit,
         };
+        let name = world.with(|world| world.host(id).spec.name.clone());
+        let span = tracing::error_span!("host", name);
         Self {
             id,
             world,
             factory,
             active: None,
             polls,
+            span,
         }
     }
 
@@ -132,7 +137,9 @@
             run.tasks
                 .spawn_local(record_task_panic(self.id, self.world.clone(), task));
         }
-        let _all_ended = Pin::new(&mut run.tasks).poll(context);
+        let _all_ended = self
+            .span
+            .in_scope(|| Pin::new(&mut run.tasks).poll(context));
         if run.main.is_finished() {
             let number = run.number;
             self.end_incarnation();
