Store stand-in: leases follow the virtual time of the simulation

Cause: outside the simulation's runtime, tokio's `Instant::now` is the real time, which is behind the virtual time by as much as the simulation has run ahead. Tests restore the store, expire leases, end outages and limit writes from outside. The restored leases therefore ended 0 to 10 s too early, depending on how fast the machine was.

--- a/crates/serve/tests/restored_store.rs
+++ b/crates/serve/tests/restored_store.rs
@@ -348,6 +348,26 @@
     assert_eq!(fleet.store.keys("ponddrift/distributors/"), listed);
 }
 
+/// The stand-in's leases follow the virtual time although the test restores the store from outside
+/// the simulation: with the real time, they would expire at once.
+#[test]
+fn restored_leases_live_as_long_as_their_time_to_live_in_virtual_time() {
+    let mut fleet = fleet_of(3);
+    fleet.wait(Duration::from_secs(60));
+    let copy = fleet.store.copy();
+    let handle = fleet.simulation.handle();
+    for daemon in &fleet.daemons {
+        handle.kill(daemon.host);
+    }
+    fleet.store.restore_from(&copy);
+    fleet.wait(Duration::from_secs(9));
+    fleet.store.remove_expired_leases();
+    assert_eq!(daemon_keys(&fleet), 3, "after 9 s of 10");
+    fleet.wait(Duration::from_secs(2));
+    fleet.store.remove_expired_leases();
+    assert_eq!(daemon_keys(&fleet), 0, "after 11 s of 10");
+}
+
 /// A lease number of an earlier era may belong to another daemon now: renewing it would keep the
 /// key of that daemon alive, and ending it would remove the key.
 #[test]
