Gossip: a daemon without a key in the store still learns of changes

Seen by callers: a daemon whose calls the store rejects for longer than its lease lives (10 s) serves removed routes and sends to draining back ends until the store accepts it again.

Cause: gossip goes to members, and membership is a key under a lease that such a daemon cannot renew. In the log of 9 simulated daemons the rejected daemon 3 reads the new era (12.65 s), its lease ends and daemon 5 removes it (13.20 s), and nothing arrives at it after that. The rejected daemons 1 and 2 got the change only because they are the seeds.

Change: a daemon that gets a digest of a daemon without a key replies with its position and with the age of the store's last answer. The receiver fetches what it lacks, as after any digest. Daemons that follow the store themselves or are still reading it get no reply.

--- a/crates/fleet/src/topology.rs
+++ b/crates/fleet/src/topology.rs
@@ -5,6 +5,7 @@
 //! their own neighbours. Calls to the store are expensive, so only a few daemons of each
 //! neighbourhood follow it and forward changes. All daemons compute the same followers.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -51,6 +52,8 @@
     pub daemons: usize,
     /// Approximate number of daemons that follow the store, over all neighbourhoods.
     pub followers: usize,
+    /// All other daemons of the fleet.
+    pub members: HashSet<SocketAddr>,
     /// Neighbours that store copies of this daemon's usage counts.
     pub usage_replicas: Vec<SocketAddr>,
     /// All other daemons that store such copies, over all neighbourhoods.
@@ -90,6 +93,7 @@
             remote_zone_peers: remote_zone_peers_of(own, &peers, is_near),
             follows_store: is_follower(own, &near),
             daemons: peers.len() + 1,
+            members: peers.iter().map(|peer| peer.peer_address).collect(),
             followers: zones * FOLLOWERS_PER_NEIGHBOURHOOD,
             usage_replicas: usage_replica_holders(own, near.iter().copied().chain([own])),
             usage_replica_holders: neighbourhoods(own, &peers, is_small)
--- a/crates/serve/tests/restored_store.rs
+++ b/crates/serve/tests/restored_store.rs
@@ -278,6 +278,30 @@
     }
 }
 
+/// The leases of the refused daemons expire at different moments of the restore: before anything is
+/// read, between the read and the change, and after the change.
+#[test]
+fn refused_daemons_apply_changes_whenever_their_restored_leases_expire() {
+    for daemons in FLEET_SIZES {
+        for lease_life_ms in (0..=2_000).step_by(200) {
+            let lease_life = Duration::from_millis(lease_life_ms);
+            let mut fleet = fleet_of(daemons);
+            let copy = fleet.store.copy().with_lease_life(lease_life);
+            write_versions(&mut fleet, 2..=20);
+            for refused in fleet.daemons.iter().take(usize::from(daemons / 3)) {
+                fleet.store.refuse(refused.daemon_ip);
+            }
+            fleet.wait(Duration::from_secs(2));
+            restore_after_outage(&mut fleet, &copy);
+            fleet.wait(Duration::from_secs(1));
+            write_changes(&fleet, 21);
+            fleet.wait(APPLY_TIME);
+            let context = format!("{daemons} daemons, leases of {lease_life_ms} ms");
+            assert_changes_in_force(&mut fleet, &context);
+        }
+    }
+}
+
 /// Servers that are missing from the copy must be used until they have had time to write their
 /// entries again.
 #[test]
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -79,6 +79,18 @@
         /// started.
         wants_reply: bool,
     },
+    /// Reply to a digest of a daemon that has no key in the store and therefore gets no digests.
+    StoreContact(StoreContact),
+}
+
+/// What a daemon knows of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct StoreContact {
+    /// Revision up to which the sender knows the contents of the store.
+    pub(super) position: Revision,
+    /// Time since the store last answered the sender, in milliseconds; `None` if the sender does
+    /// not follow the store.
+    pub(super) store_silence_ms: Option<u16>,
 }
 
 /// Samples of one daemon of the speed of back ends.
@@ -288,6 +300,14 @@
 }
 
 impl Digest {
+    /// What the sender knows of the store.
+    pub(super) const fn store_contact(&self) -> StoreContact {
+        StoreContact {
+            position: self.position,
+            store_silence_ms: self.store_silence_ms,
+        }
+    }
+
     /// Whether the digest contains anything about engines or about requests at engines.
     pub(super) fn contains_work(&self) -> bool {
         let has_rows = self.reports.iter().any(|report| !report.rows.is_empty());
--- a/crates/serving/src/peers/publish.rs
+++ b/crates/serving/src/peers/publish.rs
@@ -12,7 +12,7 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::mpsc;
 
-use super::message::{self, Digest, LoadReportRow, Message};
+use super::message::{self, Digest, LoadReportRow, Message, StoreContact};
 use super::translate::{
     load_row_to_wire, prefill_timing_to_wire, prefix_to_wire, result_to_wire, unavailable_to_wire,
     work_to_wire,
@@ -161,13 +161,12 @@
         let unavailable = placement.suspended_engines(now());
         let work = placement.work.rates(now());
         drop(placement);
-        let store_silence = self.follow_status.store_silence();
+        let contact = self.store_contact();
         let time_of_day = self.runtime.clock.time_of_day();
         Digest {
             time_of_day_ms: u64::try_from(time_of_day.as_millis()).unwrap_or(u64::MAX),
-            position: self.state.position().unwrap_or_default(),
-            store_silence_ms: store_silence
-                .map(|silence| u16::try_from(silence.as_millis()).unwrap_or(u16::MAX)),
+            position: contact.position,
+            store_silence_ms: contact.store_silence_ms,
             reports: vec![LoadReportRow {
                 origin: self.origin,
                 sequence,
@@ -182,6 +181,16 @@
         }
     }
 
+    /// What this daemon knows of the store.
+    pub(super) fn store_contact(&self) -> StoreContact {
+        let store_silence = self.follow_status.store_silence();
+        StoreContact {
+            position: self.state.position().unwrap_or_default(),
+            store_silence_ms: store_silence
+                .map(|silence| u16::try_from(silence.as_millis()).unwrap_or(u16::MAX)),
+        }
+    }
+
     /// Sends copies of this daemon's usage counts to the neighbours that keep replicas.
     pub(super) async fn replicate_usage(self: Arc<Self>, recorder: Arc<UsageRecorder>) {
         let mut replicas = Vec::new();
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -9,7 +9,7 @@
 use ponddrift_fleet::distribution::{PROVIDER_TIMEOUT, ReadPlan};
 use ponddrift_fleet::revision::Revision;
 
-use super::message::{self, Digest, MAX_DATAGRAM_BYTES, Message};
+use super::message::{self, Digest, MAX_DATAGRAM_BYTES, Message, StoreContact};
 use super::translate::{
     deposits_from_wire, prefill_timing_from_wire, prefix_from_wire, report_from_wire,
     results_from_wire, work_from_wire,
@@ -40,7 +40,11 @@
             };
             self.record_datagram(from);
             match message::decode(&buffer[..length]) {
-                Some(Message::Digest(digest)) => self.receive_digest(*digest, from),
+                Some(Message::Digest(digest)) => {
+                    self.reply_to_non_member(&digest, from).await;
+                    self.receive_digest(*digest, from);
+                }
+                Some(Message::StoreContact(contact)) => self.receive_contact(contact, from),
                 Some(Message::Changes { changes, in_doubt }) => {
                     self.receive_changes(changes, in_doubt, from);
                 }
@@ -69,7 +73,6 @@
 
     fn receive_digest(self: &Arc<Self>, digest: Digest, from: SocketAddr) {
         let known = self.state.back_end_index();
-        let is_neighbour = self.is_neighbour(from);
         if let Some(recorder) = self.pipeline.usage()
             && let Some(own) = digest.reports.first()
         {
@@ -87,14 +90,34 @@
         for back_end in digest.unhealthy.iter().filter_map(|hash| known.find(*hash)) {
             self.pipeline.check_reported_back_end(back_end);
         }
-        if is_neighbour && let Some(silence_ms) = digest.store_silence_ms {
+        self.receive_contact(digest.store_contact(), from);
+        if !self.is_neighbour(from) {
+            self.forward(digest);
+        }
+    }
+
+    /// Tells a daemon that has no key in the store how far the store's changes have come.
+    ///
+    /// Members publish only to members. A daemon whose lease expired because the store rejects its
+    /// calls would otherwise never learn of a change.
+    async fn reply_to_non_member(&self, digest: &Digest, from: SocketAddr) {
+        let is_reading = digest.position == Revision::default();
+        let follows_store = digest.store_silence_ms.is_some();
+        if is_reading || follows_store || self.is_member(from) {
+            return;
+        }
+        let reply = message::encode(&Message::StoreContact(self.store_contact()));
+        self.send(reply, &[from]).await;
+    }
+
+    fn receive_contact(self: &Arc<Self>, contact: StoreContact, from: SocketAddr) {
+        if self.is_neighbour(from)
+            && let Some(silence_ms) = contact.store_silence_ms
+        {
             let silence = Duration::from_millis(u64::from(silence_ms));
             self.follow_status.follower_reported(from, silence);
         }
-        self.observe_position(digest.position, from);
-        if !is_neighbour {
-            self.forward(digest);
-        }
+        self.observe_position(contact.position, from);
     }
 
     fn apply_load(&self, digest: &Digest, known: &BackEndIndex) {
