Gossip: a daemon that lacks changes gets a reply from daemons of other zones

Cause, from the log of a failed run: daemon 6 fetched a state in which all 95 keys had gone (`store_follower_chosen daemons=1`) and wrote to the seeds from then on. The seeds had read the new era when the keys were already missing, which keeps them as members for 20 s. Daemon 6 was therefore a member for them, in another zone, and got neither digests nor replies.

Change: a daemon that lacks changes gets a reply unless it is a neighbour, whose digests reach it anyway; one that lacks none, only if it is no member.

--- a/crates/serve/tests/lapsed_leases.rs
+++ b/crates/serve/tests/lapsed_leases.rs
@@ -10,7 +10,7 @@
 
 use futures::future::join_all;
 use http::StatusCode;
-use ponddrift_platform_stand_ins::ClientRequest;
+use ponddrift_platform_stand_ins::{ClientRequest, StoreMode};
 use support::{Fleet, FleetOptions, routes};
 
 /// Fleet sizes: all daemons watch the store; two watch it for the others; three zones, each of
@@ -33,10 +33,10 @@
     fleet
 }
 
-/// Sends requests of a route to the daemons `first..`. Returns the statuses of the responses.
-fn send_requests(fleet: &mut Fleet, first: usize, route: &'static str) -> Vec<StatusCode> {
+/// Sends requests of a route to each daemon. Returns the statuses of the responses.
+fn send_requests(fleet: &mut Fleet, route: &'static str) -> Vec<StatusCode> {
     let client = fleet.client.clone();
-    let daemons = fleet.daemons[first..].to_vec();
+    let daemons = fleet.daemons.clone();
     fleet.run(async move {
         let mut statuses = Vec::new();
         for round in 0..ROUNDS {
@@ -60,36 +60,65 @@
         .count()
 }
 
+/// Makes the store reject the calls of a third of the daemons.
+fn refuse_a_third(fleet: &Fleet) {
+    for refused in fleet.daemons.iter().take(fleet.daemons.len() / 3) {
+        fleet.store.refuse(refused.daemon_ip);
+    }
+}
+
+/// Marks a server as draining and removes the route `fetch`, then asserts that all daemons have
+/// applied both in time.
+fn assert_changes_are_applied(fleet: &mut Fleet, context: &str) {
+    fleet.records[0].record(&fleet.store, "draining");
+    fleet.configure(21, &routes()[..1]);
+    fleet.wait(APPLY_TIME);
+    let before = fleet.records[0].arrivals().len();
+    let statuses = send_requests(fleet, "fetch");
+    let posted = send_requests(fleet, "post");
+    let late = fleet.records[0].arrivals().len() - before;
+    assert_eq!(
+        count(&statuses, StatusCode::NOT_FOUND),
+        statuses.len(),
+        "{context}: the route is removed"
+    );
+    assert_eq!(
+        count(&posted, StatusCode::OK),
+        posted.len(),
+        "{context}: the other route is served"
+    );
+    assert_eq!(late, 0, "{context}: requests to a draining server");
+}
+
 #[test]
 fn daemons_whose_leases_expired_apply_changes_that_their_peers_know() {
     for daemons in FLEET_SIZES {
         let mut fleet = fleet_of(daemons);
-        for refused in fleet.daemons.iter().take(usize::from(daemons / 3)) {
-            fleet.store.refuse(refused.daemon_ip);
-        }
+        refuse_a_third(&fleet);
         fleet.wait(LEASE_EXPIRY);
         assert_eq!(
             fleet.store.keys("ponddrift/daemons/").len(),
             usize::from(daemons - daemons / 3),
             "the leases of the refused daemons have expired"
         );
-        fleet.records[0].record(&fleet.store, "draining");
-        fleet.configure(21, &routes()[..1]);
-        fleet.wait(APPLY_TIME);
-        let before = fleet.records[0].arrivals().len();
-        let statuses = send_requests(&mut fleet, 0, "fetch");
-        let posted = send_requests(&mut fleet, 0, "post");
-        let late = fleet.records[0].arrivals().len() - before;
-        assert_eq!(
-            count(&statuses, StatusCode::NOT_FOUND),
-            statuses.len(),
-            "{daemons} daemons: the route is removed"
-        );
-        assert_eq!(
-            count(&posted, StatusCode::OK),
-            posted.len(),
-            "{daemons} daemons: the other route is served"
-        );
-        assert_eq!(late, 0, "{daemons} daemons: requests to a draining server");
+        assert_changes_are_applied(&mut fleet, &format!("{daemons} daemons"));
+    }
+}
+
+/// All leases expire during the outage. The daemons must not lose sight of each other until they
+/// have written their keys again.
+#[test]
+fn refused_daemons_apply_changes_right_after_an_outage_that_ended_all_leases() {
+    for daemons in FLEET_SIZES {
+        for change_after_ms in [0, 300, 600, 900, 1_200] {
+            let mut fleet = fleet_of(daemons);
+            refuse_a_third(&fleet);
+            fleet.store.set_mode(StoreMode::Silent);
+            fleet.wait(LEASE_EXPIRY);
+            fleet.store.set_mode(StoreMode::Up);
+            fleet.wait(Duration::from_millis(change_after_ms));
+            let context = format!("{daemons} daemons, change after {change_after_ms} ms");
+            assert_changes_are_applied(&mut fleet, &context);
+        }
     }
 }
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -195,11 +195,6 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
-    /// Whether the peer has a key in the store, as far as this daemon knows.
-    fn is_member(&self, peer: SocketAddr) -> bool {
-        self.state.topology().members.contains(&peer)
-    }
-
     fn is_neighbour(&self, peer: SocketAddr) -> bool {
         let topology = self.state.topology();
         topology.daemons == 1 || topology.neighbours.contains(&peer)
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -79,7 +79,7 @@
         /// started.
         wants_reply: bool,
     },
-    /// Reply to a digest of a daemon that has no key in the store and therefore gets no digests.
+    /// Reply to a digest of a daemon to which the sender of the reply publishes none.
     StoreContact(StoreContact),
 }
 
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -41,7 +41,7 @@
             self.record_datagram(from);
             match message::decode(&buffer[..length]) {
                 Some(Message::Digest(digest)) => {
-                    self.reply_to_non_member(&digest, from).await;
+                    self.reply_if_unreached(&digest, from).await;
                     self.receive_digest(*digest, from);
                 }
                 Some(Message::StoreContact(contact)) => self.receive_contact(contact, from),
@@ -96,18 +96,29 @@
         }
     }
 
-    /// Tells a daemon that has no key in the store how far the store's changes have come.
+    /// Tells a daemon that gets no digests how far the store's changes have come.
     ///
-    /// Members publish only to members. A daemon whose lease expired because the store rejects its
-    /// calls would otherwise never learn of a change.
-    async fn reply_to_non_member(&self, digest: &Digest, from: SocketAddr) {
+    /// Daemons publish to their neighbours and to some members of other zones. A daemon whose lease
+    /// expired because the store rejects its calls is no member any more, and one that saw all
+    /// other leases expire writes to members of any zone. They would never learn of a change.
+    async fn reply_if_unreached(&self, digest: &Digest, from: SocketAddr) {
         let is_reading = digest.position == Revision::default();
         let follows_store = digest.store_silence_ms.is_some();
-        if is_reading || follows_store || self.is_member(from) {
+        if is_reading || follows_store {
             return;
         }
-        let reply = message::encode(&Message::StoreContact(self.store_contact()));
-        self.send(reply, &[from]).await;
+        let contact = self.store_contact();
+        let topology = self.state.topology();
+        let lacks_changes = digest.position < contact.position;
+        let is_reached = if lacks_changes {
+            topology.neighbours.contains(&from)
+        } else {
+            topology.members.contains(&from)
+        };
+        if !is_reached {
+            let reply = message::encode(&Message::StoreContact(contact));
+            self.send(reply, &[from]).await;
+        }
     }
 
     fn receive_contact(self: &Arc<Self>, contact: StoreContact, from: SocketAddr) {
