Catch-up: a position that arrives during a catch-up is not dropped

Callers of a fleet that has just started got 503 "no configuration is known yet" from single daemons for longer than necessary.

Cause: one catch-up runs at a time, and positions that arrived meanwhile were dropped, also newer ones. The next digest began another catch-up, with another 250 ms of head start for the store.

Change: the newest position is kept and caught up with at the end. The code moves from `receive.rs` to its own module.

--- a/crates/serve/tests/neighbours.rs
+++ b/crates/serve/tests/neighbours.rs
@@ -113,6 +113,37 @@
     });
 }
 
+/// The daemons of a fleet that has just started still fetch each other's keys when the change is
+/// published. They must fetch the change right after that and not wait for another digest.
+#[test]
+fn a_change_that_is_published_during_a_catch_up_is_applied_at_its_end() {
+    /// Head start that a daemon gives to the store before it asks a peer.
+    const STORE_HEAD_START: Duration = Duration::from_millis(250);
+    /// Time for the query and its answer.
+    const FETCH_TIME: Duration = Duration::from_millis(30);
+    let mut fleet = Fleet::without_configuration(FleetOptions {
+        daemons: 95,
+        zones: 3,
+        ..FleetOptions::default()
+    });
+    fleet.configure(1, &routes());
+    fleet.wait(STORE_HEAD_START + FETCH_TIME);
+    let client = fleet.client.clone();
+    let daemons = fleet.daemons.clone();
+    let answers = fleet.run(async move {
+        let request = ClientRequest::plain("1", "fetch");
+        let asked = daemons
+            .iter()
+            .map(|daemon| client.ask(daemon.callers_address, &request));
+        futures::future::join_all(asked).await
+    });
+    let served = answers
+        .into_iter()
+        .flatten()
+        .filter(|answer| answer.status == StatusCode::OK);
+    assert_eq!(served.count(), 95, "daemons that know the configuration");
+}
+
 /// Any two daemons, and so also both that watch the store, may freeze at the time of a change.
 #[test]
 fn a_change_is_applied_in_time_while_the_daemons_that_watch_the_store_are_frozen() {
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -5,6 +5,7 @@
 //! them as well and forward them to their own neighbours. Daemons that follow the store publish its
 //! changes. A daemon that lacks some of them fetches them over TCP.
 
+mod catch_up;
 mod deposits;
 mod message;
 mod profiles;
@@ -32,6 +33,7 @@
 use crate::pipeline::Pipeline;
 use crate::store::Changes;
 use crate::time::now;
+use catch_up::CatchUp;
 use message::{LoadReportRow, PrefixRow, UnavailableEngineRow};
 use profiles::ProfileExchange;
 use rate_limits::PendingLimit;
@@ -76,7 +78,7 @@
         follow_status: Arc::clone(follow_status),
         to_forward: Mutex::default(),
         has_to_forward: Notify::new(),
-        is_catching_up: AtomicBool::new(false),
+        catch_up: CatchUp::default(),
         is_fetching_retained: AtomicBool::new(false),
         seen_sets: Mutex::default(),
         pending_limits: Mutex::default(),
@@ -116,7 +118,7 @@
     follow_status: Arc<FollowStatus>,
     to_forward: Mutex<Forwarded>,
     has_to_forward: Notify,
-    is_catching_up: AtomicBool,
+    catch_up: CatchUp,
     is_fetching_retained: AtomicBool,
     seen_sets: Mutex<SeenSets>,
     pending_limits: Mutex<Vec<PendingLimit>>,
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -1,31 +1,24 @@
 //! Receives gossip from peers.
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use ponddrift_fleet::distribution::{PROVIDER_TIMEOUT, ReadPlan};
 use ponddrift_fleet::revision::Revision;
 
+use super::Peers;
 use super::message::{self, Digest, MAX_DATAGRAM_BYTES, Message, StoreContact};
 use super::translate::{
     deposits_from_wire, prefill_timing_from_wire, prefix_from_wire, report_from_wire,
     results_from_wire, work_from_wire,
 };
-use super::{Peers, queries};
 use crate::back_end_index::BackEndIndex;
-use crate::fleet_state::{ChangesAnswer, UpdateSource};
-use crate::full_read::FullRead;
-use crate::store::{Changes, Consistency};
+use crate::fleet_state::UpdateSource;
+use crate::store::Changes;
 use crate::time::now;
 
 /// Delay before the next attempt after the socket failed.
 const SOCKET_RETRY_DELAY: Duration = Duration::from_millis(500);
-/// How long the store may take to deliver what a peer already has, if this daemon follows the
-/// store.
-const STORE_HEAD_START: Duration = Duration::from_millis(250);
 /// Limit on prompt prefixes of other zones that wait to be forwarded.
 const MAX_FORWARDED_PREFIXES: usize = 64;
 
@@ -190,70 +183,4 @@
             self.observe_position(at, from);
         }
     }
-
-    /// Handles a peer's claim to know everything up to `position`: fetches what is missing here.
-    fn observe_position(self: &Arc<Self>, position: Revision, from: SocketAddr) {
-        let own = self.state.position();
-        if own.is_some_and(|own| own.era() < position.era()) {
-            self.state.observe_peer_era(position.era(), now());
-            self.follow_status.peer_is_ahead(from);
-            return;
-        }
-        let is_known = own.is_some_and(|own| own >= position);
-        if is_known || self.is_catching_up.swap(true, Ordering::Relaxed) {
-            return;
-        }
-        let peers = Arc::clone(self);
-        self.runtime.spawner.spawn(Box::pin(async move {
-            peers.catch_up(from, position).await;
-            peers.is_catching_up.store(false, Ordering::Relaxed);
-        }));
-    }
-
-    async fn catch_up(&self, peer: SocketAddr, position: Revision) {
-        if self.follow_status.is_following() {
-            tokio::time::sleep(STORE_HEAD_START).await;
-        }
-        // Does nothing if there is no gap any more, or before the first full read, which fetches
-        // everything.
-        while let Some(known) = self.state.position().filter(|known| *known < position) {
-            if let Err(error) = self.fetch_changes(peer, known).await {
-                tracing::info!(%peer, %error, "catch_up_failed");
-                self.follow_status.distrust(peer);
-                return;
-            }
-            let reached = self.state.position();
-            tracing::info!(
-                %peer,
-                %known,
-                position = reached.map(tracing::field::display),
-                "caught_up_from_peer"
-            );
-            if reached <= Some(known) {
-                return;
-            }
-        }
-    }
-
-    /// Fetches the changes after `known`, or the first part of them, from a peer.
-    async fn fetch_changes(&self, peer: SocketAddr, known: Revision) -> io::Result<()> {
-        match queries::fetch_changes_after(&self.runtime, peer, known).await? {
-            // If the changes leave a gap, the next iteration asks the peer again.
-            ChangesAnswer::Changes(changes) => {
-                self.state.apply_changes(changes, UpdateSource::Peer, now());
-            }
-            ChangesAnswer::HistoryForgotten => self.read_everything(peer).await,
-        }
-        Ok(())
-    }
-
-    async fn read_everything(&self, peer: SocketAddr) {
-        let plan = ReadPlan {
-            providers: vec![peer],
-            fallback_after: PROVIDER_TIMEOUT,
-        };
-        let mut reading = FullRead::new(Consistency::Stale);
-        // The caller sees the progress in the position.
-        reading.read_peers(&self.runtime, &plan, &self.state).await;
-    }
 }
