--- a/crates/process-tests/tests/claims.rs
+++ b/crates/process-tests/tests/claims.rs
@@ -169,3 +169,44 @@
     }
     Ok(())
 }
+
+/// Sends the keys to all daemons in turn until one of them does not answer from the kept claim.
+async fn repeat_until_refused(fleet: &Fleet, keys: &[String]) -> Result<()> {
+    loop {
+        for key in keys {
+            for daemon in 0..fleet.daemons.len() {
+                let status = post(fleet, daemon, key).await?.status();
+                eyre::ensure!(
+                    status == StatusCode::OK,
+                    "{key} at daemon {daemon}: {status}"
+                );
+            }
+        }
+    }
+}
+
+/// Guards against refusals while a stopping daemon hands its claims over: the other daemons hold
+/// the claims of the old group or of the new one at any time.
+#[tokio::test]
+async fn kept_keys_are_answered_while_daemons_shut_down() -> Result<()> {
+    let mut fleet = Fleet::start(FleetSize {
+        daemons: 5,
+        engines: 0,
+        records: 1,
+    })
+    .await?;
+    wait_until_claims_work(&fleet).await?;
+    let keys: Vec<String> = (0..20).map(|number| format!("kept-{number}")).collect();
+    for key in &keys {
+        assert_eq!(post(&fleet, 0, key).await?.status(), StatusCode::OK);
+    }
+    for _ in 0..2 {
+        let stopping = fleet.daemons.remove(0);
+        stopping.signal(Signal::TERM)?;
+        tokio::select! {
+            exit_code = stopping.wait_for_exit() => assert_eq!(exit_code?, Some(0)),
+            refused = repeat_until_refused(&fleet, &keys) => refused?,
+        }
+    }
+    Ok(())
+}
