Claims: a key whose claim group is replaced is claimed again, not refused

Seen by callers: while a `ponddriftd` stops, the other daemons refuse requests with idempotency keys, kept ones too, with 503 "the daemons that keep this key are changing": 1,565 refusals of 20 keys in two stops, over some 2.5 s of each (trial, debug build beside load). Found by provoking the known failure of `consecutive_daemon_shutdowns_hand_over_claims` at other moments.

Cause: a change of a group seals the old members, transfers the claims and begins the new epoch, shard after shard. Until then the members of neither group vote, and the claimant passed that on at once. All refusals seen had this reason.

Change: a claim that is refused for its epoch is submitted again, under a new claimant, when the shard map changes or after 100 ms, until the request's deadline and for 5 s at most. A refused claimant has withdrawn, so this is what a caller that repeats its request does; protocol and model are unchanged.

`consecutive_daemon_shutdowns_hand_over_claims` on the same build: 24 of 24.

--- a/crates/daemon/src/gateway/claim.rs
+++ b/crates/daemon/src/gateway/claim.rs
@@ -1,13 +1,14 @@
 //! Claims the idempotency keys of requests that must run at most once.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use http::{HeaderValue, Response, StatusCode, header};
 use ponddrift_core::claims::{
-    ClaimAction, ClaimAnswer, ClaimCoordinator, ClaimKey, ClaimMessage, ClaimOutcome, ClaimReply,
-    ClaimSettings, ShardMap,
+    ClaimAction, ClaimAnswer, ClaimCoordinator, ClaimFailure, ClaimKey, ClaimMessage, ClaimOutcome,
+    ClaimReply, ClaimSettings, ShardMap,
 };
-use ponddrift_core::{RequestId, ServiceName};
+use ponddrift_core::{RequestId, ServiceName, Timestamp};
 use ponddrift_http::{Body, Problem, ProblemKind, body};
 use ponddrift_protocol::{Request, Response as PeerResponse};
 use tokio::sync::mpsc;
@@ -17,6 +18,12 @@
 use super::caller::Caller;
 use crate::daemon::peer_address;
 
+/// Longest time for which a request waits while the claim group of its key is replaced. A planned
+/// stop replaces all groups of a daemon within a few seconds.
+const GROUP_CHANGE_WAIT: Duration = Duration::from_secs(5);
+/// Interval between submissions of such a request while its shard map does not change.
+const GROUP_CHANGE_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A claimed key. If the claim is dropped without [`Claim::release`] or [`Claim::completed`], the
 /// key stays claimed, because the request may have run.
 pub(super) struct Claim {
@@ -35,6 +42,9 @@
 impl Claim {
     /// Claims the idempotency key. Returns `None` when the caller gave none.
     ///
+    /// While the claim group of the key is replaced, its members refuse all claims. The claim is
+    /// then submitted again until `deadline`, or until the group should have been replaced.
+    ///
     /// # Errors
     /// Returns the problem to send to the caller when the key cannot be claimed.
     pub(super) async fn obtain(
@@ -43,20 +53,57 @@
         service: &ServiceName,
         request_id: RequestId,
         request_body: &[u8],
+        deadline: Timestamp,
     ) -> Result<Option<ClaimResult>, Problem> {
         let Some(key) = &caller.idempotency_key else {
             return Ok(None);
         };
         let key = ClaimKey::new(&caller.tenant, service, key.as_bytes());
-        let map: Arc<ShardMap> = Arc::clone(&context.claims.shard_map.borrow());
+        let fingerprint = xxh3_64(request_body);
+        let retry_until = deadline.min(context.now() + GROUP_CHANGE_WAIT);
+        let mut shard_map = context.claims.shard_map.clone();
+        let mut submission = request_id;
+        loop {
+            let map = Arc::clone(&shard_map.borrow_and_update());
+            let (claim, outcome) =
+                Self::submit(context, &map, submission, key, fingerprint).await?;
+            match outcome {
+                ClaimOutcome::Won => return Ok(Some(ClaimResult::Won(Box::new(claim)))),
+                ClaimOutcome::AlreadyRan {
+                    answer: Some(answer),
+                    ..
+                } => return Ok(Some(ClaimResult::Answered(stored_answer_response(answer)))),
+                ClaimOutcome::Failed(ClaimFailure::OtherEpoch) if context.now() < retry_until => {
+                    tracing::debug!(%request_id, "claim group is being replaced; claiming again");
+                    // Submit again both after a change of the map and after the interval.
+                    drop(
+                        tokio::time::timeout(GROUP_CHANGE_RETRY_INTERVAL, shard_map.changed())
+                            .await,
+                    );
+                    // The refused submission has withdrawn its claim and must not be reused.
+                    submission = context.new_request_id();
+                }
+                other => return Err(outcome_problem(&other)),
+            }
+        }
+    }
+
+    /// Submits one claim and waits for its outcome.
+    async fn submit(
+        context: &Arc<GatewayContext>,
+        map: &ShardMap,
+        submission: RequestId,
+        key: ClaimKey,
+        fingerprint: u64,
+    ) -> Result<(Self, ClaimOutcome), Problem> {
         let started = ClaimCoordinator::start(
             ClaimSettings::default(),
             context.now(),
-            &map,
+            map,
             context.claims.own,
-            request_id,
+            submission,
             key,
-            xxh3_64(request_body),
+            fingerprint,
         );
         let Some((coordinator, actions)) = started else {
             let detail = "no claim group for idempotency keys exists yet: run at least three daemons, \
@@ -69,14 +116,7 @@
             coordinator,
         };
         let outcome = claim.run_until_decided(actions).await;
-        match outcome {
-            ClaimOutcome::Won => Ok(Some(ClaimResult::Won(Box::new(claim)))),
-            ClaimOutcome::AlreadyRan {
-                answer: Some(answer),
-                ..
-            } => Ok(Some(ClaimResult::Answered(stored_answer_response(answer)))),
-            other => Err(outcome_problem(&other)),
-        }
+        Ok((claim, outcome))
     }
 
     async fn run_until_decided(&mut self, mut actions: Vec<ClaimAction>) -> ClaimOutcome {
--- a/crates/daemon/src/gateway/completions.rs
+++ b/crates/daemon/src/gateway/completions.rs
@@ -187,7 +187,15 @@
         return Ok(None);
     }
     let body = serde_json::to_vec(&job.engine_request).unwrap_or_default();
-    Claim::obtain(context, &job.caller, &job.name, job.request_id, &body).await
+    Claim::obtain(
+        context,
+        &job.caller,
+        &job.name,
+        job.request_id,
+        &body,
+        job.deadline,
+    )
+    .await
 }
 
 async fn read_completion(
--- a/crates/daemon/src/gateway/plain.rs
+++ b/crates/daemon/src/gateway/plain.rs
@@ -108,7 +108,15 @@
     if job.service.repeatable {
         return Ok(None);
     }
-    Claim::obtain(context, &job.caller, &job.name, job.request_id, &job.body).await
+    Claim::obtain(
+        context,
+        &job.caller,
+        &job.name,
+        job.request_id,
+        &job.body,
+        job.deadline,
+    )
+    .await
 }
 
 /// Releases the claim, unless a dispatch may have run, and returns the problem.
