--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -89,11 +89,12 @@
         }
     }
 
-    /// Tells a daemon that gets no digests how far the store's changes have come.
+    /// Tells a daemon to which this one publishes nothing how far the store's changes have come.
     ///
-    /// Daemons publish to their neighbours and to some members of other zones. A daemon whose lease
-    /// expired because the store rejects its calls is no member any more, and one that saw all
-    /// other leases expire writes to members of any zone. They would never learn of a change.
+    /// Daemons publish to their neighbours and to some members of other zones. Two kinds of daemons
+    /// would never learn of a change: one whose lease expired because the store rejects its calls
+    /// is not a member any more; one that saw all other leases expire knows only the seeds, which
+    /// may count it as a member of another zone.
     async fn reply_if_unreached(&self, digest: &Digest, from: SocketAddr) {
         let is_reading = digest.position == Revision::default();
         let follows_store = digest.store_silence_ms.is_some();
@@ -114,6 +115,8 @@
         }
     }
 
+    /// Records whether a peer is in contact with the store, and fetches the changes that it knows and
+    /// this daemon lacks.
     fn receive_contact(self: &Arc<Self>, contact: StoreContact, from: SocketAddr) {
         if self.is_neighbour(from)
             && let Some(silence_ms) = contact.store_silence_ms
