--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -115,8 +115,8 @@
         }
     }
 
-    /// Records whether a peer is in contact with the store, and fetches the changes that it knows and
-    /// this daemon lacks.
+    /// Records whether a peer is in contact with the store, and fetches the changes that only the
+    /// peer knows.
     fn receive_contact(self: &Arc<Self>, contact: StoreContact, from: SocketAddr) {
         if self.is_neighbour(from)
             && let Some(silence_ms) = contact.store_silence_ms
