--- a/crates/serve/tests/lapsed_leases.rs
+++ b/crates/serve/tests/lapsed_leases.rs
@@ -105,8 +105,8 @@
     }
 }
 
-/// All leases expire during the outage. The daemons must not lose sight of each other until they
-/// have written their keys again.
+/// All leases expire during the outage, so that no daemon is a member until it has written its key
+/// again. Changes in this time must reach the refused daemons as well.
 #[test]
 fn refused_daemons_apply_changes_right_after_an_outage_that_ended_all_leases() {
     for daemons in FLEET_SIZES {
--- a/crates/serving/src/peers/publish.rs
+++ b/crates/serving/src/peers/publish.rs
@@ -181,7 +181,8 @@
         }
     }
 
-    /// What this daemon knows of the store.
+    /// What this daemon knows of the store. Before the first full read, the position is the lowest
+    /// one, from which no receiver fetches anything.
     pub(super) fn store_contact(&self) -> StoreContact {
         let store_silence = self.follow_status.store_silence();
         StoreContact {
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -89,7 +89,7 @@
         }
     }
 
-    /// Tells a daemon to which this one publishes nothing how far the store's changes have come.
+    /// Replies with this daemon's position in the store to a daemon that gets no digests from it.
     ///
     /// Daemons publish to their neighbours and to some members of other zones. Two kinds of daemons
     /// would never learn of a change: one whose lease expired because the store rejects its calls
