--- a/crates/simulation/src/handle.rs
+++ b/crates/simulation/src/handle.rs
@@ -93,9 +93,33 @@
         }
     }
 
+    /// Refuses new connections from each host of the first group to each host of the second. Open
+    /// connections and datagrams still pass.
+    pub fn refuse_connections(&self, from: &[HostId], to: &[HostId]) {
+        self.world.with(|world| {
+            for &client in from {
+                for &server in to {
+                    world.set_refusing(client, server, true);
+                }
+            }
+        });
+    }
+
+    /// Resets the open connections between two groups of hosts.
+    pub fn reset_connections(&self, first: &[HostId], second: &[HostId]) {
+        self.world.with(|world| {
+            for &left in first {
+                for &right in second {
+                    world.reset_connections_between(left, right);
+                }
+            }
+        });
+    }
+
     /// Restores every link.
     pub fn heal_all(&self) {
         self.world.with(|world| {
+            world.accept_everywhere();
             for (from, to) in world.cut_links() {
                 world.heal_link(from, to);
             }
--- a/crates/simulation/src/network/connection.rs
+++ b/crates/simulation/src/network/connection.rs
@@ -147,6 +147,16 @@
         let endpoints = self.endpoints.iter().filter(|(_, end)| end.host == host);
         endpoints.map(|(id, _)| *id).collect()
     }
+
+    /// Endpoints of both sides of the connections between two hosts.
+    pub(super) fn endpoints_between(&self, first: HostId, second: HostId) -> Vec<EndpointId> {
+        let connects = |end: &Endpoint| {
+            let ends = (end.host, end.remote_host);
+            ends == (first, second) || ends == (second, first)
+        };
+        let endpoints = self.endpoints.iter().filter(|(_, end)| connects(end));
+        endpoints.map(|(id, _)| *id).collect()
+    }
 }
 
 impl World {
--- a/crates/simulation/src/network/delivery.rs
+++ b/crates/simulation/src/network/delivery.rs
@@ -38,6 +38,9 @@
             return;
         }
         match packet.receiver {
+            Receiver::Listener { .. } if self.refuses(packet.from, packet.to) => {
+                self.reply_without_endpoint(&packet, Payload::Refused);
+            }
             Receiver::Listener { from, to } => self.handle_open(&packet, from, to),
             Receiver::Endpoint(receiver) => self.deliver_to_endpoint(receiver, packet),
         }
@@ -52,6 +55,13 @@
         }
     }
 
+    /// Resets the open connections between two hosts.
+    pub(crate) fn reset_connections_between(&mut self, first: HostId, second: HostId) {
+        for id in self.connections.endpoints_between(first, second) {
+            self.fail_endpoint(id, io::ErrorKind::ConnectionReset);
+        }
+    }
+
     fn is_blackholed(&self, receiver: Receiver) -> bool {
         let Receiver::Endpoint(id) = receiver else {
             return false;
--- a/crates/simulation/src/world.rs
+++ b/crates/simulation/src/world.rs
@@ -81,6 +81,8 @@
     /// Offset of each host's time of day from the simulated time, in milliseconds.
     clock_offsets_ms: BTreeMap<HostId, i64>,
     down_links: BTreeSet<Link>,
+    /// Links over which connections are refused; open connections and datagrams pass.
+    refusing_links: BTreeSet<Link>,
     events: BTreeMap<(Instant, u64), Event>,
     next_event: u64,
     start: Instant,
@@ -103,6 +105,7 @@
             host_by_ip: BTreeMap::new(),
             clock_offsets_ms: BTreeMap::new(),
             down_links: BTreeSet::new(),
+            refusing_links: BTreeSet::new(),
             events: BTreeMap::new(),
             next_event: 0,
             start: Instant::now(),
@@ -354,6 +357,22 @@
         }
     }
 
+    pub(crate) fn refuses(&self, from: HostId, to: HostId) -> bool {
+        self.refusing_links.contains(&(from, to))
+    }
+
+    pub(crate) fn set_refusing(&mut self, from: HostId, to: HostId, refuses: bool) {
+        if refuses {
+            self.refusing_links.insert((from, to));
+        } else {
+            self.refusing_links.remove(&(from, to));
+        }
+    }
+
+    pub(crate) fn accept_everywhere(&mut self) {
+        self.refusing_links.clear();
+    }
+
     pub(crate) fn cut_links(&self) -> Vec<Link> {
         self.down_links.iter().copied().collect()
     }
