--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`cross_zone_pacer`]: how often digests are sent to other zones
 //! - [`revision`]: order of the store's changes, also after a restore from an older copy
 //! - [`fleet_time`]: time of day that most daemons agree on
+//! - [`paths`], [`relays`]: cut paths to back ends, and the peers through which they are reached
 //!
 //! Contents of requests and responses:
 //! - [`prompt`]: size and parts of a prompt, as described by the caller
@@ -50,11 +51,13 @@
 pub mod followers;
 pub mod health;
 pub mod leadership;
+pub mod paths;
 pub mod placement;
 pub mod profiles;
 pub mod prompt;
 pub mod quarantine;
 pub mod rate_limits;
+pub mod relays;
 pub mod revision;
 pub mod routes;
 pub mod stages;
--- a/crates/fleet/src/paths.rs
+++ b/crates/fleet/src/paths.rs
@@ -144,9 +144,9 @@
             cut.successes = 0;
             return false;
         }
-        let relapsed = path.restored_at.is_some_and(|restored_at| {
-            now.saturating_duration_since(restored_at) < RELAPSE_WINDOW
-        });
+        let relapsed = path
+            .restored_at
+            .is_some_and(|restored_at| now.saturating_duration_since(restored_at) < RELAPSE_WINDOW);
         path.checks_to_restore = if relapsed {
             (path.checks_to_restore * 2).min(MAX_CHECKS_TO_RESTORE)
         } else {
@@ -174,9 +174,9 @@
         let is_suspect = |address: &&SocketAddr| {
             let path = self.by_address.get(*address);
             path.is_none_or(|path| {
-                let is_recent = path.last_contact.is_some_and(|contact| {
-                    now.saturating_duration_since(contact) < RECENT_CONTACT
-                });
+                let is_recent = path
+                    .last_contact
+                    .is_some_and(|contact| now.saturating_duration_since(contact) < RECENT_CONTACT);
                 path.cut.is_none() && !is_recent
             })
         };
@@ -191,8 +191,9 @@
             .by_address
             .iter()
             .filter_map(|(address, path)| Some((path.cut?.next_check, *address)));
-        let mut due: Vec<(Instant, SocketAddr)> =
-            cut.filter(|(next_check, _address)| *next_check <= now).collect();
+        let mut due: Vec<(Instant, SocketAddr)> = cut
+            .filter(|(next_check, _address)| *next_check <= now)
+            .collect();
         due.sort_unstable();
         due.truncate(MAX_CONCURRENT_CHECKS);
         due.into_iter().map(|(_at, address)| address).collect()
--- a/crates/fleet/src/relays.rs
+++ b/crates/fleet/src/relays.rs
@@ -9,8 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use rand::Rng;
-use rand::seq::IndexedRandom;
+use rand::{Rng, RngExt};
 
 /// How long a report counts. Several publishing intervals, because datagrams are lost.
 pub const REPORT_LIFETIME: Duration = Duration::from_secs(3);
@@ -132,7 +131,10 @@
             .iter()
             .filter(|candidate| self.is_usable(candidate.address, query, now))
             .collect();
-        let compared = usable.sample(random, COMPARED_PEERS);
+        if usable.is_empty() {
+            return None;
+        }
+        let compared = (0..COMPARED_PEERS).map(|_| usable[random.random_range(0..usable.len())]);
         let chosen = compared.min_by_key(|candidate| self.cost(candidate, query, now))?;
         Some(chosen.address)
     }
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -119,6 +119,10 @@
         runtime.spawner.spawn(Box::pin(cache_probe));
         let switch_profiles = Arc::clone(&pipeline).switch_profiles();
         runtime.spawner.spawn(Box::pin(switch_profiles));
+        let handle_cut_paths = Arc::clone(&pipeline).handle_cut_paths();
+        runtime.spawner.spawn(Box::pin(handle_cut_paths));
+        let check_cut_paths = Arc::clone(&pipeline).check_cut_paths();
+        runtime.spawner.spawn(Box::pin(check_cut_paths));
         let leader_settings = LeaderSettings {
             holder: Arc::clone(&settings.name),
             lease: settings.leader_lease,
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -4,6 +4,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -12,16 +13,16 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use ponddrift_fleet::paths::ConnectFailure;
 use ponddrift_fleet::placement::IdleConnections;
 use ponddrift_http::body::{self, Body};
 use ponddrift_runtime::Runtime;
 
+use crate::back_end_paths::{BackEndPaths, CONNECT_TIMEOUT, OpenedStream, Unreachable, connect};
 use crate::metrics::Metrics;
 use crate::pipeline::SendPermit;
 use crate::time::now;
 
-/// Time limit for opening a connection; well above any round trip and well below any deadline.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Time limit for a reused connection to finish its previous exchange.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
 /// An idle connection is no longer used this long before its server would close it.
@@ -44,7 +45,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NotSent {
     /// No connection could be opened.
-    Unreachable,
+    Unreachable(Unreachable),
     /// All connections of this daemon's share are in use.
     Exhausted,
 }
@@ -58,6 +59,25 @@
     Never,
 }
 
+/// Which way an exchange went, for those who wait for its answer.
+#[derive(Debug, Default)]
+pub struct ExchangeRoute {
+    is_direct: AtomicBool,
+}
+
+impl ExchangeRoute {
+    /// Whether the request was sent over a direct connection, not through a peer.
+    #[must_use]
+    pub fn is_direct(&self) -> bool {
+        self.is_direct.load(Ordering::Relaxed)
+    }
+
+    fn set(&self, connection: &Connection) {
+        let is_direct = connection.relay.is_none();
+        self.is_direct.store(is_direct, Ordering::Relaxed);
+    }
+}
+
 /// How an exchange failed.
 #[derive(Debug)]
 pub enum ExchangeError {
@@ -78,6 +98,8 @@
 /// All connections of this daemon.
 pub struct Connections {
     runtime: Runtime,
+    /// Opens connections through peers where needed; without it all are direct.
+    paths: Option<Arc<BackEndPaths>>,
     /// Where new connections are counted.
     metrics: Option<Arc<Metrics>>,
     pools: Mutex<HashMap<SocketAddr, Pool>>,
@@ -104,6 +126,17 @@
         self.ended.push_back(end);
     }
 
+    fn discard_idle_if(&mut self, is_discarded: impl Fn(&Idle) -> bool) {
+        let (discarded, kept) = std::mem::take(&mut self.idle)
+            .into_iter()
+            .partition(is_discarded);
+        self.idle = kept;
+        let discarded: Vec<Idle> = discarded;
+        for _idle in discarded {
+            self.record_end(ConnectionEnd::Discarded);
+        }
+    }
+
     /// Why the pool needs a connection more than it has.
     fn opening_reason(&mut self) -> &'static str {
         match self.ended.pop_front() {
@@ -144,6 +177,8 @@
 struct Idle {
     sender: SendRequest<Body>,
     usable_until: Instant,
+    /// The peer that relays the connection.
+    relay: Option<SocketAddr>,
 }
 
 impl Idle {
@@ -160,6 +195,8 @@
 pub struct Connection {
     state: ConnectionState,
     address: SocketAddr,
+    /// The peer that relays the connection.
+    relay: Option<SocketAddr>,
     owner: Arc<Connections>,
 }
 
@@ -177,18 +214,34 @@
     /// Creates an empty set of connection pools.
     #[must_use]
     pub fn new(runtime: Runtime) -> Arc<Self> {
-        Self::with_metrics(runtime, None)
+        Self::with(runtime, None, None)
     }
 
     /// Creates an empty set of connection pools whose new connections are counted by reason.
     #[must_use]
     pub fn to_back_ends(runtime: Runtime, metrics: Arc<Metrics>) -> Arc<Self> {
-        Self::with_metrics(runtime, Some(metrics))
+        Self::with(runtime, Some(metrics), None)
     }
 
-    fn with_metrics(runtime: Runtime, metrics: Option<Arc<Metrics>>) -> Arc<Self> {
+    /// Creates an empty set of connection pools whose connections go through a peer where this
+    /// daemon's own path is cut.
+    #[must_use]
+    pub fn over_paths(
+        runtime: Runtime,
+        metrics: Arc<Metrics>,
+        paths: Arc<BackEndPaths>,
+    ) -> Arc<Self> {
+        Self::with(runtime, Some(metrics), Some(paths))
+    }
+
+    fn with(
+        runtime: Runtime,
+        metrics: Option<Arc<Metrics>>,
+        paths: Option<Arc<BackEndPaths>>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             runtime,
+            paths,
             metrics,
             pools: Mutex::default(),
             opening_ms: Mutex::default(),
@@ -196,7 +249,7 @@
     }
 
     /// Sends one message and waits for the head of the answer. Dropping the future cancels the
-    /// exchange and closes its connection.
+    /// exchange and closes its connection. `route` is set before anything is sent.
     ///
     /// # Errors
     /// [`ExchangeError`], which tells whether the request may have arrived.
@@ -207,6 +260,7 @@
         max_connections: u32,
         reuse: ConnectionReuse,
         request: Request<Body>,
+        route: &ExchangeRoute,
     ) -> Result<Reply, ExchangeError> {
         if reuse == ConnectionReuse::Never {
             self.discard_idle(address);
@@ -219,6 +273,7 @@
                 Some(connection) => connection,
                 None => self.open(address, max_connections).await?,
             };
+            route.set(&connection);
             let ConnectionState::InUse(sender) = &mut connection.state else {
                 continue;
             };
@@ -229,6 +284,7 @@
             }
             match sender.try_send_request(request).await {
                 Ok(response) => {
+                    self.record_answer(&connection);
                     return Ok(Reply {
                         response,
                         connection,
@@ -239,7 +295,11 @@
                     // again.
                     Some(unsent) if !is_new => request = unsent,
                     Some(_unsent) => {
-                        return Err(ExchangeError::NotSent(NotSent::Unreachable));
+                        let closed = Unreachable {
+                            failure: ConnectFailure::NoAnswer,
+                            is_confirmed: false,
+                        };
+                        return Err(ExchangeError::NotSent(NotSent::Unreachable(closed)));
                     }
                     None => return Err(ExchangeError::Broken(error.into_error())),
                 },
@@ -276,6 +336,7 @@
                     max_connections,
                     ConnectionReuse::Idle,
                     request,
+                    &ExchangeRoute::default(),
                 )
                 .await
                 .ok()?;
@@ -303,6 +364,7 @@
                     return Some(Connection {
                         state: ConnectionState::InUse(idle.sender),
                         address,
+                        relay: idle.relay,
                         owner: Arc::clone(self),
                     });
                 }
@@ -322,16 +384,15 @@
         let mut connection = Connection {
             state: ConnectionState::Opening,
             address,
+            relay: None,
             owner: Arc::clone(self),
         };
         let started_at = now();
-        let connecting = self.runtime.network.connect(address);
-        let stream = match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(_)) | Err(_) => return Err(ExchangeError::NotSent(NotSent::Unreachable)),
-        };
+        let opened = self.connect(address).await;
+        let opened = opened.map_err(|error| ExchangeError::NotSent(NotSent::Unreachable(error)))?;
+        connection.relay = opened.relay;
         let handshake = http1::Builder::new()
-            .handshake::<_, Body>(TokioIo::new(stream))
+            .handshake::<_, Body>(TokioIo::new(opened.stream))
             .await;
         let (sender, driver) = handshake.map_err(ExchangeError::Broken)?;
         self.record_opening(now().saturating_duration_since(started_at));
@@ -343,6 +404,31 @@
         Ok(connection)
     }
 
+    async fn connect(&self, address: SocketAddr) -> Result<OpenedStream, Unreachable> {
+        if let Some(paths) = &self.paths {
+            return paths.connect(address).await;
+        }
+        match connect(&self.runtime, address, CONNECT_TIMEOUT).await {
+            Ok(stream) => Ok(OpenedStream {
+                stream,
+                relay: None,
+            }),
+            Err(failure) => Err(Unreachable {
+                failure,
+                is_confirmed: false,
+            }),
+        }
+    }
+
+    /// Records that a back end answered on a direct connection.
+    fn record_answer(&self, connection: &Connection) {
+        if let Some(paths) = &self.paths
+            && connection.relay.is_none()
+        {
+            paths.paths().record_contact(connection.address, now());
+        }
+    }
+
     fn reserve_connection(
         &self,
         address: SocketAddr,
@@ -385,13 +471,42 @@
     /// died at once without a reset while new connections work, and each one tried would cost a
     /// request its time.
     pub fn discard_idle(&self, address: SocketAddr) {
+        self.discard_idle_if(address, |_idle| true);
+    }
+
+    /// Closes the direct idle connections to a back end whose path is cut in silence.
+    pub(crate) fn discard_direct_idle(&self, address: SocketAddr) {
+        self.discard_idle_if(address, |idle| idle.relay.is_none());
+    }
+
+    /// Closes the relayed idle connections to a back end that is reached directly again.
+    pub(crate) fn discard_relayed_idle(&self, address: SocketAddr) {
+        self.discard_idle_if(address, |idle| idle.relay.is_some());
+    }
+
+    /// Closes the idle connections that a peer relays, because it is stopping.
+    pub(crate) fn discard_idle_through(&self, peer: SocketAddr) {
+        for pool in self.lock().values_mut() {
+            pool.discard_idle_if(|idle| idle.relay == Some(peer));
+        }
+    }
+
+    fn discard_idle_if(&self, address: SocketAddr, is_discarded: impl Fn(&Idle) -> bool) {
         if let Some(pool) = self.lock().get_mut(&address) {
-            for _idle in std::mem::take(&mut pool.idle) {
-                pool.record_end(ConnectionEnd::Discarded);
-            }
+            pool.discard_idle_if(is_discarded);
         }
     }
 
+    /// Addresses to which connections are open.
+    pub(crate) fn connected_addresses(&self) -> Vec<SocketAddr> {
+        let pools = self.lock();
+        let open = pools.iter().filter(|(_address, pool)| pool.open > 0);
+        let mut addresses: Vec<SocketAddr> = open.map(|(address, _pool)| *address).collect();
+        drop(pools);
+        addresses.sort_unstable();
+        addresses
+    }
+
     fn record_opening(&self, took: Duration) {
         let sample = took.as_secs_f64() * MS_PER_S;
         let mut opening_ms = lock(&self.opening_ms);
@@ -433,6 +548,20 @@
 }
 
 impl Connection {
+    /// The route of the exchange on this connection.
+    #[must_use]
+    pub fn route(&self) -> ExchangeRoute {
+        let route = ExchangeRoute::default();
+        route.set(self);
+        route
+    }
+
+    /// The peer that relays the connection; `None` if it is direct.
+    #[must_use]
+    pub const fn relay(&self) -> Option<SocketAddr> {
+        self.relay
+    }
+
     /// Returns the connection to the pool if the headers of the answer allow reuse. The body of the
     /// answer must have been read completely.
     pub fn return_to_pool(mut self, head: &HeaderMap) {
@@ -450,6 +579,7 @@
         let idle = Idle {
             sender,
             usable_until: now() + lifetime,
+            relay: self.relay,
         };
         let mut pools = self.owner.lock();
         let pool = pools.entry(self.address).or_default();
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -16,6 +16,7 @@
 use ponddrift_fleet::directory::{BackEnd, CandidateQuery, Candidates, Lifecycle};
 use ponddrift_fleet::quarantine::Quarantine;
 use ponddrift_fleet::rate_limits::Members;
+use ponddrift_fleet::relays::RelayCandidate;
 use ponddrift_fleet::revision::{Era, Revision};
 use ponddrift_fleet::routes::RouteTable;
 use ponddrift_fleet::tenants::TenantTable;
@@ -191,6 +192,35 @@
         self.lock().has_service(service)
     }
 
+    /// The back end whose entry names this address. Takes time in proportion to the number of
+    /// back ends.
+    #[must_use]
+    pub fn back_end_at(&self, address: SocketAddr) -> Option<Arc<BackEnd>> {
+        let inner = self.lock();
+        let mut present = inner.directory.present();
+        present
+            .find(|back_end| back_end.address == address)
+            .cloned()
+    }
+
+    /// The other daemons that have a key, in a fixed order, as candidates for relaying connections.
+    #[must_use]
+    pub fn relay_candidates(&self) -> Vec<RelayCandidate> {
+        let inner = self.lock();
+        let others = inner
+            .daemons
+            .values()
+            .filter(|member| member.name != self.own.name);
+        let mut candidates: Vec<RelayCandidate> = others
+            .map(|member| RelayCandidate {
+                address: member.peer_address,
+                zone: Arc::clone(&member.zone),
+            })
+            .collect();
+        candidates.sort_unstable_by_key(|candidate| candidate.address);
+        candidates
+    }
+
     /// Every back end that has an entry, indexed by hash.
     #[must_use]
     pub fn back_end_index(&self) -> Arc<BackEndIndex> {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`pipeline`] accepts requests from callers, forwards them to back ends and returns the answers.
 //! [`listeners`] opens the ports for callers and for status checks. [`connections`] pools the
-//! connections to back ends.
+//! connections to back ends, and [`back_end_paths`] opens them, through a peer where this daemon's own
+//! path is cut.
 //!
 //! [`fleet_state`] caches the contents of the store and [`follow`] keeps the cache up to date.
 //! [`peers`] publishes this daemon's own work to other daemons and relays newer state.
@@ -14,6 +15,7 @@
 //! the traits in [`dialect`], [`store`] and [`provider`].
 
 pub mod back_end_index;
+pub mod back_end_paths;
 pub mod capacity;
 mod changed;
 pub mod connections;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Metrics of this daemon in the Prometheus text format.
 
+mod paths;
+
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -13,6 +15,9 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Metric, Registry};
 
+pub use paths::PathGaugeValues;
+use paths::PathMetrics;
+
 /// Bucket bounds of the latency histograms, in seconds.
 const LATENCY_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
 
@@ -120,6 +125,8 @@
     pub quarantined: usize,
     /// Connections open to back ends.
     pub connections: u32,
+    /// Paths to back ends.
+    pub paths: PathGaugeValues,
     /// Requests in progress.
     pub in_progress: usize,
     /// Log lines that were dropped because the log reader was too slow.
@@ -170,6 +177,7 @@
     engines_ordered: Family<ResultLabels, Counter>,
     capacity: Family<CapacityLabels, Gauge<f64, std::sync::atomic::AtomicU64>>,
     connections_opened: Family<ReasonLabels, Counter>,
+    paths: PathMetrics,
     store_calls: Family<ResultLabels, Counter>,
     prompt_tokens: Family<PromptTokenLabels, Counter<f64, std::sync::atomic::AtomicU64>>,
     fetches: Counter,
@@ -230,6 +238,7 @@
                 "back_end_connections_opened",
                 "New connections to back ends by reason",
             ),
+            paths: PathMetrics::new(r),
             usage_reports: register_default(
                 r,
                 "usage_reports",
@@ -567,6 +576,7 @@
         gauges
             .unusable_entries
             .set(saturating_i64(values.unusable_entries));
+        self.paths.set(values.paths);
         gauges.connections.set(saturating_i64(values.connections));
         gauges.in_progress.set(saturating_i64(values.in_progress));
         gauges
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -8,11 +8,13 @@
 mod catch_up;
 mod deposits;
 mod message;
+mod path_reports;
 mod profiles;
 mod publish;
 mod queries;
 mod rate_limits;
 mod receive;
+mod relay;
 mod retained;
 mod suspects;
 mod translate;
@@ -42,6 +44,7 @@
 pub(crate) use queries::{fetch_page, withdraw_retry};
 pub use queries::{fetch_settled, fetch_tallies};
 pub(crate) use rate_limits::log_rate_change;
+pub(crate) use relay::{RelayAnswer, open_relay};
 
 /// How to find peers before the store has been read.
 #[derive(Debug, Clone)]
@@ -99,6 +102,7 @@
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_rate_limits()));
     spawner.spawn(Box::pin(Arc::clone(&peers).deposit_retries()));
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_profiles()));
+    spawner.spawn(Box::pin(Arc::clone(&peers).publish_paths()));
     spawner.spawn(Box::pin(peers.receive()));
     Ok(())
 }
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -82,6 +82,30 @@
     },
     /// Reply to a digest of a daemon to which the sender of the reply publishes none.
     StoreContact(StoreContact),
+    /// The sender's paths to back ends, and what it relays for others.
+    Paths(PathsRow),
+}
+
+/// Paths of a daemon to back ends, and what it relays for others.
+#[derive(Debug, Clone, Default, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct PathsRow {
+    /// Services whose back ends are not all reached directly.
+    pub(super) services: Vec<ServicePathRow>,
+    /// Connections that the daemon relays.
+    pub(super) relayed: u16,
+    /// Further connections that it would relay; saturates at 65,535.
+    pub(super) room: u16,
+    /// Whether the daemon is stopping.
+    pub(super) is_stopping: bool,
+}
+
+/// How much of a service is reached directly.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct ServicePathRow {
+    /// Hash of the service's name.
+    pub(super) service: u32,
+    /// Share of its back ends, in parts of 255.
+    pub(super) reachable: u8,
 }
 
 /// What a daemon knows of the store.
--- a/crates/serving/src/peers/queries.rs
+++ b/crates/serving/src/peers/queries.rs
@@ -13,6 +13,7 @@
 use ponddrift_fleet::revision::Revision;
 use ponddrift_fleet::usage::{TallyRecord, TenantCounts, WindowNumber};
 
+use super::relay;
 use crate::fleet_state::{ChangesAnswer, FleetState};
 use crate::pipeline::Pipeline;
 use crate::store::Page;
@@ -24,6 +25,8 @@
 const MAX_ANSWER_BYTES: u32 = 32 << 20;
 /// Size limit of a query in bytes. Keys of the store are at most 200 bytes long.
 const MAX_QUERY_BYTES: u32 = 256;
+/// Size limit of a [`RelayAnswer`](super::relay::RelayAnswer) in bytes.
+pub(super) const MAX_RELAY_ANSWER_BYTES: u32 = 16;
 /// Size limit of a decompressed page in bytes. A configuration can take several megabytes.
 const MAX_PAGE_BYTES: usize = 16 << 20;
 /// How long a query for a page waits if this daemon has not read that far yet.
@@ -33,7 +36,7 @@
 
 /// A query from a peer.
 #[derive(Debug, Clone, BorshSerialize, BorshDeserialize)]
-enum Query {
+pub(super) enum Query {
     /// The changes after this revision; answered with a [`ChangesAnswer`].
     ChangesAfter(Revision),
     /// All copies of the usage counts of this window; answered with a list of [`TallyRecord`].
@@ -50,6 +53,10 @@
     /// The usage figures of this window that the peer settled as the leader; answered with
     /// [`TenantCounts`], or with `None`.
     Settled(WindowNumber),
+    /// A connection to the back end at this address; answered with a
+    /// [`RelayAnswer`](relay::RelayAnswer), followed by
+    /// the connection's bytes.
+    Relay(SocketAddr),
 }
 
 /// A page of the store's contents, compressed with LZ4 and prefixed with its length. Entries of
@@ -87,6 +94,7 @@
     let listener = runtime.network.listen(address).await?;
     let spawner = Arc::clone(&runtime.spawner);
     let sources = AnswerSources {
+        runtime: runtime.clone(),
         state: Arc::clone(state),
         pipeline: Arc::clone(pipeline),
     };
@@ -98,9 +106,10 @@
 
 /// The sources of the answers.
 #[derive(Clone)]
-struct AnswerSources {
-    state: Arc<FleetState>,
-    pipeline: Arc<Pipeline>,
+pub(super) struct AnswerSources {
+    pub(super) runtime: Runtime,
+    pub(super) state: Arc<FleetState>,
+    pub(super) pipeline: Arc<Pipeline>,
 }
 
 async fn accept(
@@ -110,11 +119,10 @@
 ) {
     loop {
         match listener.accept().await {
-            Ok((stream, _peer)) => {
+            Ok((stream, peer)) => {
                 let sources = sources.clone();
                 spawner.spawn(Box::pin(async move {
-                    // A peer whose query fails repeats it.
-                    drop(tokio::time::timeout(EXCHANGE_TIMEOUT, answer(stream, &sources)).await);
+                    serve_query(stream, peer, &sources).await;
                 }));
             }
             Err(error) => {
@@ -125,9 +133,35 @@
     }
 }
 
-async fn answer(mut stream: BoxedStream, sources: &AnswerSources) -> io::Result<()> {
-    let query = read_value(&mut stream, MAX_QUERY_BYTES).await?;
+/// Answers one query. The peer repeats it if that fails.
+async fn serve_query(mut stream: BoxedStream, peer: SocketAddr, sources: &AnswerSources) {
+    let reading = read_value(&mut stream, MAX_QUERY_BYTES);
+    let query = match tokio::time::timeout(EXCHANGE_TIMEOUT, reading).await {
+        Ok(Ok(query)) => query,
+        Ok(Err(error)) => {
+            sources.pipeline.metrics().unreadable_peer_query();
+            tracing::warn!(%peer, %error, "peer_query_unreadable");
+            return;
+        }
+        Err(_elapsed) => return,
+    };
+    let served = match query {
+        Query::Relay(back_end) => relay::serve(stream, peer, back_end, sources).await,
+        query => {
+            let answering = answer(stream, query, sources);
+            let answered = tokio::time::timeout(EXCHANGE_TIMEOUT, answering).await;
+            answered.unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()))
+        }
+    };
+    if let Err(error) = served {
+        tracing::debug!(%peer, %error, "peer_exchange_ended");
+    }
+}
+
+async fn answer(mut stream: BoxedStream, query: Query, sources: &AnswerSources) -> io::Result<()> {
     let bytes = match query {
+        // Served by its own function, because it has no time limit.
+        Query::Relay(_back_end) => return Err(io::ErrorKind::InvalidInput.into()),
         Query::ChangesAfter(revision) => borsh::to_vec(&sources.state.changes_after(revision))?,
         Query::Tallies(window) => {
             let usage = sources.pipeline.usage();
@@ -250,14 +284,17 @@
         .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
-async fn write_bytes(stream: &mut BoxedStream, bytes: &[u8]) -> io::Result<()> {
+pub(super) async fn write_bytes(stream: &mut BoxedStream, bytes: &[u8]) -> io::Result<()> {
     let length = u32::try_from(bytes.len()).unwrap_or(u32::MAX);
     stream.write_u32(length).await?;
     stream.write_all(bytes).await?;
     stream.flush().await
 }
 
-async fn read_value<T: BorshDeserialize>(stream: &mut BoxedStream, limit: u32) -> io::Result<T> {
+pub(super) async fn read_value<T: BorshDeserialize>(
+    stream: &mut BoxedStream,
+    limit: u32,
+) -> io::Result<T> {
     let length = stream.read_u32().await?;
     if length > limit {
         return Err(io::Error::from(io::ErrorKind::InvalidData));
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -56,6 +56,7 @@
                     report,
                     wants_reply,
                 }) => self.receive_profiles(report, wants_reply, from).await,
+                Some(Message::Paths(row)) => self.receive_paths(&row, from),
                 Some(Message::Deposits(row)) => {
                     self.pipeline.receive_deposits(&deposits_from_wire(row))
                 }
--- /dev/null
+++ b/crates/serving/src/peers/relay.rs
@@ -0,0 +1,269 @@
+//! Relays connections to back ends for peers whose own path is cut.
+//!
+//! A relayed connection is always direct on this side, so that none passes through two peers. It
+//! ends as soon as either side closes it, and one without any bytes for [`IDLE_LIMIT`] is closed,
+//! because its peer may have lost power.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use borsh::{BorshDeserialize, BorshSerialize};
+use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::paths::ConnectFailure;
+use ponddrift_runtime::{BoxedStream, Runtime};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf};
+
+use super::queries::{AnswerSources, MAX_RELAY_ANSWER_BYTES, Query, read_value, write_bytes};
+use crate::back_end_paths::{FRAME_HEADER_BYTES, connect, frame_header};
+use crate::pipeline::{Pipeline, RelaySlot};
+use crate::time::{self, now};
+
+/// Time limit for connecting to the back end.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time limit for showing that another back end is reached.
+const WITNESS_TIMEOUT: Duration = Duration::from_millis(100);
+/// Other back ends that are tried for that.
+const WITNESS_BACK_ENDS: usize = 2;
+/// Time after which a connection without any bytes is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// How long the peer has to close a connection that the back end closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Size of the buffer for each direction, in bytes.
+const BUFFER_BYTES: usize = 8 << 10;
+
+/// The answer to a peer that asks for a connection to a back end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(crate) enum RelayAnswer {
+    /// The connection is open; what follows on this one is forwarded.
+    Connected,
+    /// The back end cannot be reached from here either.
+    Unreachable {
+        /// Whether the connection was refused; otherwise there was no answer in time.
+        is_refused: bool,
+        /// Whether another back end was reached at the same time, which shows that the paths from
+        /// here work.
+        reaches_others: bool,
+    },
+    /// This daemon's own path to the back end is cut.
+    PathCut,
+    /// The directory here holds no back end at the address.
+    UnknownBackEnd,
+    /// This daemon has no room for another connection, or its network link has a backlog.
+    Busy,
+    /// This daemon is stopping.
+    Stopping,
+}
+
+impl RelayAnswer {
+    /// Name in logs and metrics.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Connected => "connected",
+            Self::Unreachable {
+                is_refused: true, ..
+            } => "refused",
+            Self::Unreachable { .. } => "no_answer",
+            Self::PathCut => "path_cut",
+            Self::UnknownBackEnd => "unknown_back_end",
+            Self::Busy => "busy",
+            Self::Stopping => "stopping",
+        }
+    }
+}
+
+/// Asks a peer for a connection to a back end. The stream leads to the back end if the answer is
+/// [`RelayAnswer::Connected`].
+///
+/// # Errors
+/// If the peer cannot be reached or sends no valid answer. Has no time limit of its own.
+pub(crate) async fn open_relay(
+    runtime: &Runtime,
+    peer: SocketAddr,
+    back_end: SocketAddr,
+) -> io::Result<(RelayAnswer, BoxedStream)> {
+    let mut stream = runtime.network.connect(peer).await?;
+    let query = Query::Relay(back_end);
+    write_bytes(&mut stream, &borsh::to_vec(&query)?).await?;
+    let answer = read_value(&mut stream, MAX_RELAY_ANSWER_BYTES).await?;
+    Ok((answer, stream))
+}
+
+/// Answers a peer that asks for a connection, and forwards bytes until one side closes it.
+pub(super) async fn serve(
+    mut stream: BoxedStream,
+    peer: SocketAddr,
+    address: SocketAddr,
+    sources: &AnswerSources,
+) -> io::Result<()> {
+    let pipeline = &sources.pipeline;
+    let opened = open(address, sources).await;
+    let answer = match &opened {
+        Ok(_opened) => RelayAnswer::Connected,
+        Err(answer) => *answer,
+    };
+    pipeline.metrics().relay_answer(answer.as_str());
+    tracing::info!(%peer, back_end_address = %address, answer = answer.as_str(), "relay_answered");
+    write_bytes(&mut stream, &borsh::to_vec(&answer)?).await?;
+    if let Ok((back_end, _slot)) = opened {
+        forward_both_ways(stream, back_end, pipeline).await?;
+    }
+    Ok(())
+}
+
+async fn open(
+    address: SocketAddr,
+    sources: &AnswerSources,
+) -> Result<(BoxedStream, RelaySlot), RelayAnswer> {
+    let AnswerSources {
+        runtime,
+        state,
+        pipeline,
+    } = sources;
+    if pipeline.is_stopping() {
+        return Err(RelayAnswer::Stopping);
+    }
+    let back_end = state
+        .back_end_at(address)
+        .ok_or(RelayAnswer::UnknownBackEnd)?;
+    if pipeline.paths().is_cut(address) {
+        return Err(RelayAnswer::PathCut);
+    }
+    let slot = RelaySlot::take(pipeline).ok_or(RelayAnswer::Busy)?;
+    match connect(runtime, address, CONNECT_TIMEOUT).await {
+        Ok(stream) => {
+            pipeline.paths().paths().record_contact(address, now());
+            Ok((stream, slot))
+        }
+        Err(failure) => Err(RelayAnswer::Unreachable {
+            is_refused: failure == ConnectFailure::Refused,
+            reaches_others: reaches_others(&back_end, sources).await,
+        }),
+    }
+}
+
+/// Whether another back end accepts a connection from here. Those in the zone of `unreachable` are
+/// tried first: the path to a whole zone may be cut.
+async fn reaches_others(unreachable: &BackEnd, sources: &AnswerSources) -> bool {
+    let mut others = sources.state.back_ends();
+    others.retain(|other| other.address != unreachable.address);
+    others.sort_by_key(|other| (other.zone != unreachable.zone, other.address));
+    let in_zone = others
+        .iter()
+        .filter(|other| other.zone == unreachable.zone)
+        .count();
+    if in_zone > 0 {
+        others.truncate(in_zone);
+    }
+    let start = sources.pipeline.random_index(others.len());
+    let chosen = others
+        .iter()
+        .cycle()
+        .skip(start)
+        .take(WITNESS_BACK_ENDS.min(others.len()));
+    let attempts = chosen.map(|other| connect(&sources.runtime, other.address, WITNESS_TIMEOUT));
+    let results = futures::future::join_all(attempts).await;
+    others.is_empty() || results.iter().any(Result::is_ok)
+}
+
+/// When bytes were last forwarded in either direction.
+struct LastActivity(Mutex<Instant>);
+
+impl LastActivity {
+    fn start() -> Self {
+        Self(Mutex::new(now()))
+    }
+
+    fn record(&self) {
+        *self.lock() = now();
+    }
+
+    /// Waits until nothing was forwarded for [`IDLE_LIMIT`].
+    async fn idle(&self) {
+        loop {
+            let idle_at = *self.lock() + IDLE_LIMIT;
+            if now() >= idle_at {
+                return;
+            }
+            time::sleep_until(idle_at).await;
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Instant> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn forward_both_ways(
+    peer: BoxedStream,
+    back_end: BoxedStream,
+    pipeline: &Arc<Pipeline>,
+) -> io::Result<()> {
+    let (mut from_peer, mut to_peer) = tokio::io::split(peer);
+    let (mut from_back_end, mut to_back_end) = tokio::io::split(back_end);
+    let activity = LastActivity::start();
+    tokio::select! {
+        biased;
+        requests = forward_requests(&mut from_peer, &mut to_back_end, pipeline, &activity) => {
+            return requests;
+        }
+        answers = forward_answers(&mut from_back_end, &mut to_peer, pipeline, &activity) => answers?,
+        () = activity.idle() => return Err(io::Error::from(io::ErrorKind::TimedOut)),
+    }
+    // The peer still reads the last bytes: closing with unread bytes of its own would reset them.
+    to_peer.shutdown().await?;
+    let mut rest = tokio::io::sink();
+    let draining = tokio::io::copy(&mut from_peer, &mut rest);
+    drop(tokio::time::timeout(CLOSE_TIMEOUT, draining).await);
+    Ok(())
+}
+
+/// Forwards the peer's bytes until it closes the connection.
+async fn forward_requests(
+    from_peer: &mut ReadHalf<BoxedStream>,
+    to_back_end: &mut WriteHalf<BoxedStream>,
+    pipeline: &Arc<Pipeline>,
+    activity: &LastActivity,
+) -> io::Result<()> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let length = from_peer.read(&mut buffer).await?;
+        if length == 0 {
+            return Ok(());
+        }
+        record_forwarded(pipeline, activity, length);
+        to_back_end.write_all(&buffer[..length]).await?;
+        to_back_end.flush().await?;
+    }
+}
+
+/// Forwards the back end's bytes in frames until it closes the connection, and says so in a last
+/// frame. Without it the peer knows that the answer is not complete.
+async fn forward_answers(
+    from_back_end: &mut ReadHalf<BoxedStream>,
+    to_peer: &mut WriteHalf<BoxedStream>,
+    pipeline: &Arc<Pipeline>,
+    activity: &LastActivity,
+) -> io::Result<()> {
+    let mut buffer = vec![0; FRAME_HEADER_BYTES + BUFFER_BYTES];
+    loop {
+        let length = from_back_end
+            .read(&mut buffer[FRAME_HEADER_BYTES..])
+            .await?;
+        buffer[..FRAME_HEADER_BYTES].copy_from_slice(&frame_header(length));
+        record_forwarded(pipeline, activity, length);
+        to_peer
+            .write_all(&buffer[..FRAME_HEADER_BYTES + length])
+            .await?;
+        to_peer.flush().await?;
+        if length == 0 {
+            return Ok(());
+        }
+    }
+}
+
+fn record_forwarded(pipeline: &Arc<Pipeline>, activity: &LastActivity, length: usize) {
+    activity.record();
+    pipeline.placement().link.record_send(length, now());
+}
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -16,6 +16,7 @@
 mod intake;
 mod job;
 mod lost_runs;
+mod path_checks;
 mod plain;
 mod prefill;
 mod probe;
@@ -23,6 +24,7 @@
 mod quarantining;
 mod rate_wait;
 mod relay;
+mod relay_slots;
 mod retry_pool;
 mod send_gate;
 mod wait_policy;
@@ -48,16 +50,18 @@
 use rand_pcg::Pcg64Mcg;
 use tokio::sync::Notify;
 
+use crate::back_end_paths::BackEndPaths;
 use crate::changed::PendingSet;
 use crate::connections::Connections;
 use crate::dialect::Dialect;
 use crate::fleet_state::FleetState;
-use crate::metrics::{GaugeValues, Metrics};
+use crate::metrics::{GaugeValues, Metrics, PathGaugeValues};
 use crate::time::now;
 use crate::usage::UsageRecorder;
 pub(crate) use announcements::AnswerOrigin;
 use lost_runs::EngineExitChecks;
 use rate_wait::RateQueues;
+pub(crate) use relay_slots::RelaySlot;
 pub use send_gate::SendPermit;
 
 /// Settings of the pipeline.
@@ -92,6 +96,9 @@
     dialect: Arc<dyn Dialect>,
     state: Arc<FleetState>,
     connections: Arc<Connections>,
+    paths: Arc<BackEndPaths>,
+    /// Connections that this daemon relays for peers.
+    relayed: AtomicUsize,
     engine_exit_checks: EngineExitChecks,
     /// Requests whose quarantine state changed and has to be published to peers.
     changed_suspects: PendingSet<RequestFingerprint>,
@@ -133,13 +140,20 @@
         metrics: Arc<Metrics>,
         settings: &PipelineSettings,
     ) -> Arc<Self> {
+        let paths = BackEndPaths::new(runtime, &state, &metrics);
         let mut placement = Placement::new(Arc::clone(&settings.zone));
         placement.link.set_megabits(state.own().link_megabits);
         Arc::new(Self {
             runtime: runtime.clone(),
             dialect,
             state,
-            connections: Connections::to_back_ends(runtime.clone(), Arc::clone(&metrics)),
+            connections: Connections::over_paths(
+                runtime.clone(),
+                Arc::clone(&metrics),
+                Arc::clone(&paths),
+            ),
+            paths,
+            relayed: AtomicUsize::new(0),
             engine_exit_checks: EngineExitChecks::default(),
             changed_suspects: PendingSet::default(),
             changed_rate_limits: PendingSet::default(),
@@ -303,6 +317,7 @@
             self.traffic_split().keep_only(&in_force.configuration);
         }
         self.rate_queues.tidy();
+        self.tidy_paths();
         self.connections.close_expired_idle();
     }
 
@@ -355,6 +370,11 @@
             suspects: suspects.remembered,
             quarantined: suspects.quarantined,
             connections: self.connections.open_count(),
+            paths: PathGaugeValues {
+                cut: self.paths.paths().cut_count(),
+                through_peers: self.paths.relays().open_count(),
+                relayed: self.relayed_connections(),
+            },
             in_progress: self.in_progress(),
             ..GaugeValues::default()
         }
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -7,6 +7,7 @@
 use http::{Request, StatusCode};
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::{Outcome, OutcomeCounts};
+use ponddrift_fleet::paths::ConnectFailure;
 use ponddrift_fleet::placement::Urgency;
 use ponddrift_http::body;
 
@@ -14,7 +15,7 @@
 use super::announcements::AnswerOrigin;
 use super::job::Job;
 use super::wait_policy::WaitPolicy;
-use crate::connections::{ConnectionReuse, ExchangeError, NotSent, Reply};
+use crate::connections::{ConnectionReuse, ExchangeError, ExchangeRoute, NotSent, Reply};
 use crate::dialect::{SendMetadata, SendStep};
 use crate::request_trace::{TraceStep, milliseconds};
 use crate::time::now;
@@ -35,7 +36,7 @@
 /// How a send ended, up to the head of the answer.
 pub(super) enum SendEnd {
     /// A back end ran the request and sent the head of its answer.
-    Answered(Reply),
+    Answered(Box<Reply>),
     /// The request did not reach any back end.
     NotSent(&'static str),
     /// A back end states that it did not run the request.
@@ -122,15 +123,22 @@
         } else {
             ConnectionReuse::Idle
         };
-        let exchange =
-            self.connections
-                .exchange(permit, back_end.address, max_connections, reuse, request);
+        let route = ExchangeRoute::default();
+        let exchange = self.connections.exchange(
+            permit,
+            back_end.address,
+            max_connections,
+            reuse,
+            request,
+            &route,
+        );
         let answer = self
             .wait_for(
                 exchange,
                 back_end,
                 &job.service.health_path,
                 options.wait_policy,
+                &route,
             )
             .await;
         let verdict = match answer {
@@ -139,7 +147,12 @@
                 SendVerdict::new(SendEnd::MayHaveRun(wait_end.name()), wait_end.outcome())
             }
             Ok(Err(error)) => classify_error(&error),
-            Ok(Ok(reply)) => self.classify_reply(job, back_end, options.step, reply, started_at),
+            Ok(Ok(reply)) => {
+                if let Some(peer) = reply.connection.relay() {
+                    job.trace.add(TraceStep::Relayed { peer });
+                }
+                self.classify_reply(job, back_end, options.step, reply, started_at)
+            }
         };
         match &verdict.result {
             SendEnd::Answered(_) => {
@@ -265,13 +278,12 @@
                 response: http::Response::from_parts(head, body),
                 connection: reply.connection,
             };
-            (SendEnd::Answered(reply), None)
+            (SendEnd::Answered(Box::new(reply)), None)
         };
         SendVerdict {
             has_run: matches!(result, SendEnd::MayHaveRun(_)),
-            result,
-            outcome,
             status,
+            ..SendVerdict::new(result, outcome)
         }
     }
 
@@ -386,8 +398,12 @@
 
 fn classify_error(error: &ExchangeError) -> SendVerdict {
     match error {
-        ExchangeError::NotSent(NotSent::Unreachable) => {
-            SendVerdict::new(SendEnd::NotSent("unreachable"), Some(Outcome::Unreachable))
+        ExchangeError::NotSent(NotSent::Unreachable(unreachable)) => {
+            let reason = match unreachable.failure {
+                ConnectFailure::Refused => "connection_refused",
+                ConnectFailure::NoAnswer => "unreachable",
+            };
+            SendVerdict::new(SendEnd::NotSent(reason), Some(Outcome::Unreachable))
         }
         ExchangeError::NotSent(NotSent::Exhausted) => {
             SendVerdict::new(SendEnd::NotSent("connections_in_use"), None)
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -54,9 +54,10 @@
     ) -> Result<Box<OpenStream>, FirstEventError> {
         let (head, mut body) = reply.response.into_parts();
         let mut splitter = EventSplitter::default();
+        let route = reply.connection.route();
         let reading = read_first_event(&mut body, &mut splitter);
         let (buffered_event, ended) = self
-            .wait_for(reading, back_end, health_path, wait_policy)
+            .wait_for(reading, back_end, health_path, wait_policy, &route)
             .await
             .map_err(FirstEventError::WaitEnd)?
             .map_err(FirstEventError::Broken)?;
@@ -90,14 +91,13 @@
                 self.metrics.first_event(waited);
                 self.count_tenant_run(job);
                 job.first_event.get_or_insert_with(now);
+                let is_direct = stream.connection.relay().is_none();
+                let took_without_queue = (is_direct && sent.had_no_queued_prefill).then_some(took);
                 self.record_first_event_time(job, decode, waited);
-                self.record_decode_speed(
-                    job,
-                    plan,
-                    decode,
-                    sent.had_no_queued_prefill.then_some(took),
-                );
-                self.learn_prompt_at_decode(job, plan, decode, took, sent);
+                self.record_decode_speed(job, plan, decode, took_without_queue);
+                if is_direct {
+                    self.learn_prompt_at_decode(job, plan, decode, took, sent);
+                }
                 OpenAttempt::Opened(stream)
             }
             Err(no_event) => {
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -387,7 +387,7 @@
         let result = self.send(job, &decode, options).await;
         job.note_tried(&decode.id);
         let reply = match result {
-            SendEnd::Answered(reply) => reply,
+            SendEnd::Answered(reply) => *reply,
             SendEnd::NotSent(reason) | SendEnd::NotRun(reason) => {
                 return OpenAttempt::NotRun { reason, handle };
             }
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -149,11 +149,12 @@
         let options = SendOptions::new(SendStep::Serve, wait_policy);
         let result = self.send(job, back_end, options).await;
         let reply = match result {
-            SendEnd::Answered(reply) => reply,
+            SendEnd::Answered(reply) => *reply,
             SendEnd::NotSent(reason) | SendEnd::NotRun(reason) => return PlainEnd::NotRun(reason),
             SendEnd::MayHaveRun(reason) => return PlainEnd::MayHaveRun(reason),
         };
         self.count_tenant_run(job);
+        let is_direct = reply.connection.relay().is_none();
         let result = self.read_complete(reply, wait_policy.until).await;
         let took = now().saturating_duration_since(started_at);
         let (outcome, name, status) = match &result {
@@ -171,7 +172,7 @@
         if result.is_some() {
             self.record_good_run(job);
         }
-        if outcome == Outcome::Success {
+        if outcome == Outcome::Success && is_direct {
             let took_ms = milliseconds(took);
             let mut placement = self.placement();
             placement.speed.record_plain_answer(&back_end.id, took_ms);
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -59,7 +59,8 @@
             self.forget_prefix(job, engine);
             return None;
         };
-        let answer = self.read_complete(reply, wait_policy.until).await;
+        let is_direct = reply.connection.relay().is_none();
+        let answer = self.read_complete(*reply, wait_policy.until).await;
         let took = now().saturating_duration_since(started_at);
         let status = answer.as_ref().map(|answer| answer.head.status);
         let result = answer
@@ -88,7 +89,7 @@
         };
         self.note_outcome(engine, &job.service.health_path, Outcome::Success);
         let took_ms = milliseconds(took);
-        let measured = engine_was_idle.then_some(PromptReading {
+        let measured = (engine_was_idle && is_direct).then_some(PromptReading {
             tokens: tokens_to_read,
             took_ms: (took_ms - plan.fetch_ms).max(0.0),
         });
@@ -100,7 +101,7 @@
             speed.prompt_read(at_average);
             speed.record_engine_answer(&engine.id, expected_ms + plan.fetch_ms, took_ms, now());
         }
-        if before.requests_ahead(job.urgency) < f64::from(engine.slots) {
+        if is_direct && before.requests_ahead(job.urgency) < f64::from(engine.slots) {
             let time = PromptTime {
                 tokens: tokens_to_read,
                 tokens_ahead: before.tokens_ahead(job.urgency),
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -130,7 +130,8 @@
             self.pipeline.metrics.gap(gap);
             // Without a pending prefill at the engine, the gap is caused by its streams alone.
             let outstanding = placement.load.outstanding(engine);
-            if outstanding.prompt_tokens < 1.0 {
+            let is_direct = stream.connection.relay().is_none();
+            if is_direct && outstanding.prompt_tokens < 1.0 {
                 let service = &self.job.service.name;
                 placement.streams.record_baseline_gap(service, gap);
                 placement.learn_gap(&stream.back_end, outstanding.generating, gap, now);
@@ -150,6 +151,7 @@
             return NextItem::Event(event);
         }
         let wait_policy = self.wait_policy();
+        let route = stream.connection.route();
         loop {
             match stream.splitter.next_event() {
                 Ok(Some(event)) => return NextItem::Event(event),
@@ -164,6 +166,7 @@
                     &stream.back_end,
                     &self.job.service.health_path,
                     wait_policy,
+                    &route,
                 )
                 .await;
             match waited {
--- a/crates/serving/src/pipeline/wait_policy.rs
+++ b/crates/serving/src/pipeline/wait_policy.rs
@@ -3,8 +3,12 @@
 //! A slow engine may be busy, or it may have died silently; the connection does not show which.
 //! Once the answer is overdue, the engine's health endpoint is queried while the request keeps
 //! waiting. An engine that does not answer the health check either is abandoned.
+//!
+//! The path to it may be cut as well, which a check through a peer shows. A request on a direct
+//! connection is then abandoned if another back end may run it.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,6 +20,7 @@
 use super::Pipeline;
 use super::job::Job;
 use super::probe::HealthCheckResult;
+use crate::connections::ExchangeRoute;
 use crate::time::{self, now};
 
 /// A back end that has sent something within this time is alive, so its health endpoint is not
@@ -36,6 +41,10 @@
     /// When the health endpoint is queried; `None` if ending the wait early would not help the
     /// request.
     pub(super) health_check_at: Option<Instant>,
+    /// When the path to the back end is checked, if it has been silent.
+    pub(super) path_check_at: Instant,
+    /// Whether another back end could be tried if the path turns out to be cut.
+    pub(super) leaves_cut_path: bool,
     /// Whether the request ranks below others at the back end, which then may never get to it.
     pub(super) has_lower_rank: bool,
 }
@@ -51,6 +60,8 @@
     Silent,
     /// The back end did not answer its health check either.
     Unresponsive,
+    /// This daemon's path to the back end was cut during the wait.
+    PathCut,
 }
 
 impl WaitEnd {
@@ -60,13 +71,14 @@
             Self::NotReached => "not_reached_in_time",
             Self::Silent => "no_answer_in_time",
             Self::Unresponsive => "back_end_unresponsive",
+            Self::PathCut => "path_cut",
         }
     }
 
     /// What the end of the wait tells about the health of the back end.
     pub(super) const fn outcome(self) -> Option<Outcome> {
         match self {
-            Self::OutOfTime | Self::NotReached => None,
+            Self::OutOfTime | Self::NotReached | Self::PathCut => None,
             Self::Silent => Some(Outcome::Silent),
             Self::Unresponsive => Some(Outcome::Unreachable),
         }
@@ -85,12 +97,58 @@
         Self {
             until: limit.map_or(job.deadline, |limit| (started_at + limit).min(job.deadline)),
             health_check_at: health_check_after.map(|after| started_at + after),
+            path_check_at: started_at + health_check_after.unwrap_or(job.route.target_latency),
+            leaves_cut_path: limit.is_some(),
             has_lower_rank: job.urgency == Urgency::Late,
         }
     }
 }
 
 impl Pipeline {
+    /// Waits for `answer`. Has the path checked if the back end is silent for too long; if the path is
+    /// cut and another back end could be tried, the wait ends.
+    async fn watch_path<T>(
+        self: &Arc<Self>,
+        answer: impl Future<Output = T>,
+        back_end: &Arc<BackEnd>,
+        wait_policy: WaitPolicy,
+        route: &ExchangeRoute,
+    ) -> Result<T, WaitEnd> {
+        let mut answer = pin!(answer);
+        let mut check_at = Some(wait_policy.path_check_at);
+        loop {
+            let changed = self.paths().changed().notified();
+            let check = async {
+                match check_at {
+                    Some(at) => time::sleep_until(at).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                answer = &mut answer => return Ok(answer),
+                () = changed => {
+                    let is_cut = self.paths().is_cut(back_end.address);
+                    if is_cut && route.is_direct() && wait_policy.leaves_cut_path {
+                        return Err(WaitEnd::PathCut);
+                    }
+                }
+                () = check => {
+                    check_at = None;
+                    if route.is_direct() && !self.active_since(back_end, now() - RECENT_ACTIVITY_WINDOW) {
+                        self.spawn_path_check(back_end.address);
+                    }
+                }
+            }
+        }
+    }
+
+    fn spawn_path_check(&self, address: SocketAddr) {
+        let paths = Arc::clone(self.paths());
+        let spawner = &self.runtime.spawner;
+        spawner.spawn(Box::pin(async move { paths.verify(address).await }));
+    }
+
     fn active_since(&self, back_end: &BackEnd, since: Instant) -> bool {
         self.placement().health.active_since(&back_end.id, since)
     }
@@ -102,7 +160,9 @@
         back_end: &Arc<BackEnd>,
         health_path: &str,
         wait_policy: WaitPolicy,
+        route: &ExchangeRoute,
     ) -> Result<T, WaitEnd> {
+        let answer = self.watch_path(answer, back_end, wait_policy, route);
         let mut answer = pin!(answer);
         let started_at = now();
         let time = wait_policy.until.saturating_duration_since(started_at);
@@ -115,9 +175,12 @@
             let sleep = time::sleep_until(next);
             tokio::select! {
                 biased;
-                answer = &mut answer => return Ok(answer),
+                answer = &mut answer => return answer,
                 () = sleep => {}
             }
+            if route.is_direct() && self.paths().is_cut(back_end.address) {
+                return Err(WaitEnd::PathCut);
+            }
             if !should_check {
                 self.connections.discard_idle(back_end.address);
                 return Err(if time < MIN_CONCLUSIVE_WAIT {
@@ -135,7 +198,7 @@
             }
             tokio::select! {
                 biased;
-                answer = &mut answer => return Ok(answer),
+                answer = &mut answer => return answer,
                 check = self.check_health(back_end, health_path) => {
                     if check == HealthCheckResult::Unhealthy {
                         self.connections.discard_idle(back_end.address);
--- a/crates/serving/src/request_trace.rs
+++ b/crates/serving/src/request_trace.rs
@@ -3,6 +3,7 @@
 //! A request that was served in time is logged as a single summary line. For any other request, one
 //! line for each decision is logged in order before the summary line.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -49,6 +50,11 @@
         /// Duration of the send.
         took: Duration,
     },
+    /// The send went through a peer, because this daemon's path to the back end is cut.
+    Relayed {
+        /// Address of the peer.
+        peer: SocketAddr,
+    },
     /// A retry was granted or denied.
     Retry {
         /// Whether the retry was granted.
@@ -182,6 +188,9 @@
             took_ms = milliseconds(*took),
             "attempt_ended"
         ),
+        TraceStep::Relayed { peer } => {
+            tracing::info!(request, at_ms, %peer, "sent_through_peer");
+        }
         TraceStep::Retry {
             granted,
             reason,
