Lost runs: a refused connection on one path does not show that an engine exited

Cause: a daemon whose path refuses connections took that for engines that had exited, and the quarantine is in the store, for all daemons.

a_request_interrupted_by_refusing_paths_of_one_daemon_is_not_quarantined failed on (503 eight times at daemon 1) and passes; crashing_requests.rs passes unchanged (10 of 10).

--- /dev/null
+++ b/crates/serve/tests/path_conclusions.rs
@@ -0,0 +1,86 @@
+//! Guards against one daemon's cut paths being taken for the state of the back ends.
+
+mod support;
+
+use std::time::Duration;
+
+use http::StatusCode;
+use ponddrift_platform_stand_ins::{Behaviour, ClientRequest};
+use ponddrift_simulation::{HostId, SimulationHandle};
+use support::{Fleet, FleetOptions};
+use tokio::time::sleep;
+
+/// Number of requests of one kind that show whether something was concluded from a cut path.
+const REQUESTS: usize = 8;
+
+/// Resets the connections between the groups and refuses new ones from the first to the second.
+fn cut(simulation: &SimulationHandle, daemons: &[HostId], back_ends: &[HostId]) {
+    simulation.reset_connections(daemons, back_ends);
+    simulation.refuse_connections(daemons, back_ends);
+}
+
+fn fleet_of_three_daemons() -> Fleet {
+    Fleet::new(FleetOptions {
+        daemons: 3,
+        records: 3,
+        prefill: 1,
+        decode: 4,
+        ..FleetOptions::default()
+    })
+}
+
+/// Sends requests to a daemon one after the other; returns the statuses of the answers.
+fn ask_repeatedly(
+    fleet: &mut Fleet,
+    daemon: usize,
+    request: impl Fn(usize) -> ClientRequest,
+) -> Vec<StatusCode> {
+    let client = fleet.client.clone();
+    let target = fleet.daemons[daemon].callers_address;
+    let requests: Vec<ClientRequest> = (0..REQUESTS).map(request).collect();
+    fleet.run(async move {
+        let mut statuses = Vec::new();
+        for request in requests {
+            let answer = client.ask(target, &request).await.expect("a response");
+            statuses.push(answer.status);
+            sleep(Duration::from_millis(50)).await;
+        }
+        statuses
+    })
+}
+
+#[test]
+fn a_request_interrupted_by_refusing_paths_of_one_daemon_is_not_quarantined() {
+    let mut fleet = fleet_of_three_daemons();
+    let simulation = fleet.simulation.handle();
+    let popular = |number: usize| ClientRequest {
+        body: String::from("a popular question"),
+        ..ClientRequest::prompt(&format!("popular-{number}"), "verdict", 0, 200)
+    };
+    let cut_daemon = [fleet.daemons[0].host];
+    let engines = fleet.decode_hosts.clone();
+    for engine in &fleet.decode {
+        engine.set_default_behaviour(Behaviour::Hang);
+    }
+    for round in 0..6 {
+        let client = fleet.client.clone();
+        let target = fleet.daemons[0].callers_address;
+        let cutting = async {
+            sleep(Duration::from_millis(200)).await;
+            cut(&simulation, &cut_daemon, &engines);
+        };
+        let request = popular(round);
+        let asking = client.ask(target, &request);
+        fleet.run(async move { futures::join!(asking, cutting) });
+        simulation.heal_all();
+        fleet.wait(Duration::from_secs(2));
+    }
+    for engine in &fleet.decode {
+        engine.clear_behaviours();
+    }
+    fleet.wait(Duration::from_secs(8));
+    for daemon in [1, 0] {
+        let statuses = ask_repeatedly(&mut fleet, daemon, |number| popular(100 + number));
+        assert_eq!(statuses, [StatusCode::OK; REQUESTS], "daemon {daemon}");
+    }
+}
--- a/crates/serving/src/back_end_paths.rs
+++ b/crates/serving/src/back_end_paths.rs
@@ -271,6 +271,26 @@
             .choose(&candidates, &query, now(), &mut *lock(&self.random))
     }
 
+    /// Whether the process at this address has exited: it refuses this daemon's connections and
+    /// those of a peer that reaches other back ends. Without peers, the own evidence has to do.
+    pub(crate) async fn has_exited(&self, address: SocketAddr) -> bool {
+        let failure = match self.connect_directly(address).await {
+            Ok(_stream) => return false,
+            Err(failure) => failure,
+        };
+        let is_refused = failure == ConnectFailure::Refused;
+        match self.connect_through_peers(address).await {
+            ThroughPeers::Opened(_stream) => {
+                self.record_cut(address, failure);
+                false
+            }
+            ThroughPeers::Unreachable(peer_failure) => {
+                is_refused && peer_failure == ConnectFailure::Refused
+            }
+            ThroughPeers::NoRelay => is_refused && self.state.topology().daemons <= 1,
+        }
+    }
+
     /// Checks whether the path to a back end that does not answer is cut.
     pub(crate) async fn verify(&self, address: SocketAddr) {
         if self.is_cut(address) || !lock(&self.checking).insert(address) {
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -2,7 +2,6 @@
 //! daemon's share of what a back end accepts.
 
 use std::collections::{HashMap, VecDeque};
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -307,17 +306,6 @@
         }
     }
 
-    /// Whether the host refuses connections to `address`, which shows that the process there has
-    /// exited. A server whose connections merely broke still accepts new ones, and an unreachable
-    /// one does not answer at all.
-    pub async fn refuses_connections(&self, address: SocketAddr) -> bool {
-        let connecting = self.runtime.network.connect(address);
-        let connected = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-        // Other errors, such as no route or no free descriptor, show nothing about the process.
-        let is_refusal = |error: &std::io::Error| error.kind() == ErrorKind::ConnectionRefused;
-        matches!(connected, Ok(Err(error)) if is_refusal(&error))
-    }
-
     /// Sends one request and reads the complete answer. Returns `None` if that fails or takes
     /// longer than `limit`.
     pub async fn call(
--- a/crates/serving/src/pipeline/lost_runs.rs
+++ b/crates/serving/src/pipeline/lost_runs.rs
@@ -2,7 +2,8 @@
 //!
 //! A broken connection does not show its cause. If nothing listens at the engine's address any
 //! more, the engine has exited, and any of the requests that it ran may have caused that. An engine
-//! that is merely unreachable is no evidence against its requests.
+//! that is merely unreachable is no evidence against its requests, and a connection that is refused
+//! on one path is none either: a peer that reaches other back ends has to be refused as well.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -93,7 +94,7 @@
 
     async fn engine_has_exited(&self, engine: &Arc<BackEnd>) -> bool {
         let check = self.engine_exit_checks.check_for(engine);
-        let probe = || self.connections.refuses_connections(engine.address);
+        let probe = || self.paths().has_exited(engine.address);
         let engine_has_exited = *check.get_or_init(probe).await;
         if !engine_has_exited {
             self.engine_exit_checks.forget(engine);
