Health: requests without an answer are published only if they are not due to the own path

Cause: an unanswered request was published at once, although it shows the path as much as the back end. Change: it is held until the back end was reached directly since, or a peer with working paths could not reach it either; it is dropped, with the ejection for it, if the path turns out to be cut.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -18,6 +18,10 @@
 //! - ejections. An ejection at a peer does not eject the back end here, but makes this daemon check
 //!   it. If the check fails, it counts as an unreachable request.
 //!
+//! A request without a complete response shows a fault of the back end or of the path to it. It is
+//! published once the back end was reached over the same path again, or a peer could not reach it
+//! either.
+//!
 //! Outcomes from other zones are ignored: the same back end may behave differently when it is
 //! called from another zone.
 
@@ -38,6 +42,8 @@
 /// Requests without a complete response, summed over all daemons of the zone, that eject a back end
 /// if none succeeds in between.
 const ZONE_UNANSWERED_LIMIT: u32 = 4;
+/// Requests without a complete response that are not confirmed within this time are not published.
+const UNCONFIRMED_LIFETIME: Duration = Duration::from_secs(5);
 /// Successful requests that end a trial.
 const TRIAL_SUCCESSES: u32 = 2;
 /// Maximum number of requests without a complete response in one message that count toward
@@ -129,6 +135,11 @@
     failure_rate: f64,
     /// Outcomes of this daemon's requests that have not been sent to its peers yet.
     unpublished: OutcomeCounts,
+    /// Requests of this daemon without a complete response that may be due to its own path. They are
+    /// published only once they are confirmed.
+    unconfirmed: u8,
+    /// When the last of them failed.
+    last_unconfirmed: Option<Instant>,
 }
 
 /// Health of all back ends.
@@ -142,7 +153,7 @@
     /// delay before the first health check.
     pub fn record(&mut self, id: &Arc<str>, outcome: Outcome, now: Instant) -> Option<Duration> {
         let health = self.by_back_end.entry(Arc::clone(id)).or_default();
-        health.unpublished.count(outcome);
+        health.count_for_peers(outcome, now);
         if outcome == Outcome::Success {
             health.last_activity = Some(now);
             health.consecutive_unanswered = 0;
@@ -156,6 +167,26 @@
         health.eject_if_due(health.consecutive_unanswered >= limit)
     }
 
+    /// Releases this daemon's requests without a complete response for publication: the back end was
+    /// reached over the same path since, or a peer could not reach it either.
+    pub fn confirm_unanswered(&mut self, id: &str, now: Instant) {
+        if let Some(health) = self.by_back_end.get_mut(id) {
+            health.confirm_unanswered(now);
+        }
+    }
+
+    /// Forgets this daemon's requests without a complete response and the ejection for them, because
+    /// its path to the back end was cut.
+    pub fn discard_unanswered(&mut self, id: &str) {
+        if let Some(health) = self.by_back_end.get_mut(id) {
+            health.unconfirmed = 0;
+            health.consecutive_unanswered = 0;
+            health.zone_unanswered = 0;
+            health.ejected = false;
+            health.trial_successes_left = 0;
+        }
+    }
+
     /// Records that the back end sent data for any request. This shows that it is alive even if
     /// other requests are still waiting for data.
     pub fn record_activity(&mut self, id: &Arc<str>, now: Instant) {
@@ -316,6 +347,36 @@
 }
 
 impl BackEndHealth {
+    /// Counts an outcome of this daemon's own request towards what its peers are sent.
+    fn count_for_peers(&mut self, outcome: Outcome, now: Instant) {
+        match outcome {
+            Outcome::Success | Outcome::Error => {
+                self.confirm_unanswered(now);
+                self.unpublished.count(outcome);
+            }
+            Outcome::Unreachable | Outcome::Silent | Outcome::Broken => {
+                self.drop_old_unconfirmed(now);
+                self.unconfirmed = self.unconfirmed.saturating_add(1);
+                self.last_unconfirmed = Some(now);
+            }
+        }
+    }
+
+    fn confirm_unanswered(&mut self, now: Instant) {
+        self.drop_old_unconfirmed(now);
+        let confirmed = std::mem::take(&mut self.unconfirmed);
+        self.unpublished.unanswered = self.unpublished.unanswered.saturating_add(confirmed);
+    }
+
+    fn drop_old_unconfirmed(&mut self, now: Instant) {
+        let is_old = self
+            .last_unconfirmed
+            .is_some_and(|last| now.saturating_duration_since(last) > UNCONFIRMED_LIFETIME);
+        if is_old {
+            self.unconfirmed = 0;
+        }
+    }
+
     fn count_success(&mut self) {
         self.failure_rate -= FAILURE_RATE_WEIGHT * self.failure_rate;
         self.zone_unanswered = 0;
--- a/crates/fleet/tests/health.rs
+++ b/crates/fleet/tests/health.rs
@@ -137,3 +137,43 @@
     health.record(&id, Outcome::Silent, later + Duration::from_secs(1));
     assert!(!health.active_since(&id, later + Duration::from_millis(1)));
 }
+
+#[test]
+fn requests_without_an_answer_are_published_once_the_path_is_known_to_work() {
+    let (mut health, now) = (Health::default(), Instant::now());
+    health.record(&id(), Outcome::Broken, now);
+    health.record(&id(), Outcome::Silent, now);
+    assert!(
+        health.take_unpublished().is_empty(),
+        "it may be the own path"
+    );
+    health.confirm_unanswered("i-1", now);
+    assert_eq!(health.take_unpublished(), [(id(), broken(2))]);
+    health.record(&id(), Outcome::Broken, now);
+    health.record(&id(), Outcome::Success, now);
+    let both = OutcomeCounts {
+        successes: 1,
+        ..broken(1)
+    };
+    assert_eq!(health.take_unpublished(), [(id(), both)]);
+}
+
+#[test]
+fn requests_without_an_answer_over_a_cut_path_are_forgotten() {
+    let (mut health, now) = (Health::default(), Instant::now());
+    health.record(&id(), Outcome::Unreachable, now);
+    assert!(health.is_ejected("i-1"));
+    health.discard_unanswered("i-1");
+    assert!(!health.is_ejected("i-1"));
+    assert!(!health.is_on_trial("i-1"));
+    health.confirm_unanswered("i-1", now);
+    assert!(health.take_unpublished().is_empty());
+}
+
+#[test]
+fn requests_without_an_answer_are_not_published_long_after_they_failed() {
+    let (mut health, now) = (Health::default(), Instant::now());
+    health.record(&id(), Outcome::Broken, now);
+    health.confirm_unanswered("i-1", now + Duration::from_secs(6));
+    assert!(health.take_unpublished().is_empty());
+}
--- a/crates/serve/tests/path_conclusions.rs
+++ b/crates/serve/tests/path_conclusions.rs
@@ -49,6 +49,17 @@
     })
 }
 
+/// Value of a metric at a daemon.
+fn metric(fleet: &mut Fleet, daemon: usize, name: &str) -> f64 {
+    let client = fleet.client.clone();
+    let target = fleet.daemons[daemon].readiness_address;
+    let text = fleet.run(async move { client.text(target, "/metrics").await });
+    let text = text.expect("metrics");
+    let line = text.lines().find(|line| line.starts_with(name));
+    let value = line.and_then(|line| line.split_whitespace().nth(1));
+    value.expect("a value").parse().expect("a number")
+}
+
 #[test]
 fn a_request_interrupted_by_refusing_paths_of_one_daemon_is_not_quarantined() {
     let mut fleet = fleet_of_three_daemons();
@@ -84,3 +95,39 @@
         assert_eq!(statuses, [StatusCode::OK; REQUESTS], "daemon {daemon}");
     }
 }
+
+#[test]
+fn back_ends_stay_in_use_at_a_daemon_whose_neighbours_lost_their_paths() {
+    for is_silent in [true, false] {
+        let mut fleet = fleet_of_three_daemons();
+        let simulation = fleet.simulation.handle();
+        let back_ends: Vec<HostId> = [&fleet.records_hosts, &fleet.decode_hosts]
+            .into_iter()
+            .flatten()
+            .copied()
+            .collect();
+        let cut_daemons = [fleet.daemons[0].host, fleet.daemons[1].host];
+        for daemon in [0, 1] {
+            ask_repeatedly(&mut fleet, daemon, |number| {
+                ClientRequest::plain(&format!("before-{daemon}-{number}"), "fetch")
+            });
+        }
+        if is_silent {
+            simulation.partition(&cut_daemons, &back_ends);
+        } else {
+            cut(&simulation, &cut_daemons, &back_ends);
+        }
+        for round in 0..4 {
+            for daemon in [0, 1] {
+                ask_repeatedly(&mut fleet, daemon, |number| {
+                    ClientRequest::plain(&format!("cut-{round}-{daemon}-{number}"), "fetch")
+                });
+            }
+        }
+        let ejections = metric(&mut fleet, 2, "ponddrift_ejections_total");
+        assert!(
+            ejections == 0.0,
+            "silent: {is_silent}: {ejections} ejections"
+        );
+    }
+}
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -76,6 +76,8 @@
     status: Option<u16>,
     /// Whether the back end most likely ran the request although its answer is unusable.
     has_run: bool,
+    /// Whether a peer could not reach the back end either.
+    is_confirmed_by_peer: bool,
 }
 
 impl SendVerdict {
@@ -85,6 +87,7 @@
             outcome,
             status: None,
             has_run: false,
+            is_confirmed_by_peer: false,
         }
     }
 }
@@ -165,6 +168,10 @@
         if let Some(outcome) = verdict.outcome {
             self.note_outcome(back_end, &job.service.health_path, outcome);
         }
+        if verdict.is_confirmed_by_peer {
+            let mut placement = self.placement();
+            placement.health.confirm_unanswered(&back_end.id, now());
+        }
         if matches!(verdict.result, SendEnd::MayHaveRun(_)) {
             let has_ended = self
                 .check_lost_run(job, back_end, verdict.outcome, started_at)
@@ -403,7 +410,10 @@
                 ConnectFailure::Refused => "connection_refused",
                 ConnectFailure::NoAnswer => "unreachable",
             };
-            SendVerdict::new(SendEnd::NotSent(reason), Some(Outcome::Unreachable))
+            SendVerdict {
+                is_confirmed_by_peer: unreachable.is_confirmed,
+                ..SendVerdict::new(SendEnd::NotSent(reason), Some(Outcome::Unreachable))
+            }
         }
         ExchangeError::NotSent(NotSent::Exhausted) => {
             SendVerdict::new(SendEnd::NotSent("connections_in_use"), None)
--- a/crates/serving/src/pipeline/lost_runs.rs
+++ b/crates/serving/src/pipeline/lost_runs.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
@@ -18,6 +18,9 @@
 use crate::request_trace::milliseconds;
 use crate::time::now;
 
+/// A check that reached the engine within this time shows that the path works.
+const RECENT_CONTACT: Duration = Duration::from_millis(500);
+
 /// Results of the checks whether engines have exited. All requests of an engine fail at the same
 /// moment and share one check.
 #[derive(Debug, Default)]
@@ -92,6 +95,18 @@
         true
     }
 
+    /// Releases outcomes for publication if the engine accepts direct connections.
+    fn confirm_if_reached(&self, engine: &BackEnd) {
+        let reached = self
+            .paths()
+            .paths()
+            .has_contact_since(engine.address, now() - RECENT_CONTACT);
+        if reached {
+            let mut placement = self.placement();
+            placement.health.confirm_unanswered(&engine.id, now());
+        }
+    }
+
     async fn engine_has_exited(&self, engine: &Arc<BackEnd>) -> bool {
         let check = self.engine_exit_checks.check_for(engine);
         let probe = || self.paths().has_exited(engine.address);
@@ -99,6 +114,7 @@
         if !engine_has_exited {
             self.engine_exit_checks.forget(engine);
         }
+        self.confirm_if_reached(engine);
         engine_has_exited
     }
 }
--- a/crates/serving/src/pipeline/path_checks.rs
+++ b/crates/serving/src/pipeline/path_checks.rs
@@ -38,6 +38,9 @@
         if self.paths.paths().failure(address) == Some(ConnectFailure::NoAnswer) {
             self.connections.discard_direct_idle(address);
         }
+        if let Some(back_end) = self.state.back_end_at(address) {
+            self.placement().health.discard_unanswered(&back_end.id);
+        }
         let connected = self.connections.connected_addresses();
         let suspects = self.paths.paths().suspects(&connected, now());
         for suspect in suspects.into_iter().take(MAX_SUSPECTS) {
--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -47,6 +47,9 @@
             let mut pause = pipeline.with_jitter(first_pause);
             loop {
                 tokio::time::sleep(pause).await;
+                if !pipeline.placement().health.is_ejected(&back_end.id) {
+                    return;
+                }
                 if !pipeline.state.is_ready(&back_end.id) {
                     pipeline.placement().health.reinstate(&back_end.id);
                     return;
@@ -119,6 +122,14 @@
         }));
     }
 
+    /// Releases outcomes for publication after the back end answered, unless it did through a peer.
+    fn confirm_if_direct(&self, back_end: &BackEnd) {
+        if !self.paths().is_cut(back_end.address) {
+            let mut placement = self.placement();
+            placement.health.confirm_unanswered(&back_end.id, now());
+        }
+    }
+
     pub(super) fn health_path(&self, back_end: &BackEnd) -> Option<Arc<str>> {
         let in_force = self.state.in_force()?;
         let service = in_force.configuration.service(&back_end.service)?;
@@ -159,6 +170,7 @@
             self.record_announcements(back_end, answer.status(), answer.headers(), origin);
         }
         if answer.status() == StatusCode::OK && identity_matches {
+            self.confirm_if_direct(back_end);
             HealthCheckResult::Healthy
         } else {
             HealthCheckResult::Unhealthy
