Leader: a daemon without paths to the engines hands the leadership over

Orders and reports of engines are not relayed, because they must come from one machine: a leader without paths could order nothing and no other daemon would, until its paths return. Change: the leader steps down when its paths to most engines are cut, which implies that a peer reaches them, and such a daemon becomes a candidate later than the others. It keeps a lease that it took while its paths were cut, because no other daemon wanted it.

--- a/crates/serve/tests/path_conclusions.rs
+++ b/crates/serve/tests/path_conclusions.rs
@@ -19,12 +19,13 @@
     simulation.refuse_connections(daemons, back_ends);
 }
 
-fn fleet_of_three_daemons() -> Fleet {
+fn fleet_of_three_daemons(reports_usage: bool) -> Fleet {
     Fleet::new(FleetOptions {
         daemons: 3,
         records: 3,
         prefill: 1,
         decode: 4,
+        reports_usage,
         ..FleetOptions::default()
     })
 }
@@ -62,7 +63,7 @@
 
 #[test]
 fn a_request_interrupted_by_refusing_paths_of_one_daemon_is_not_quarantined() {
-    let mut fleet = fleet_of_three_daemons();
+    let mut fleet = fleet_of_three_daemons(false);
     let simulation = fleet.simulation.handle();
     let popular = |number: usize| ClientRequest {
         body: String::from("a popular question"),
@@ -99,7 +100,7 @@
 #[test]
 fn back_ends_stay_in_use_at_a_daemon_whose_neighbours_lost_their_paths() {
     for is_silent in [true, false] {
-        let mut fleet = fleet_of_three_daemons();
+        let mut fleet = fleet_of_three_daemons(false);
         let simulation = fleet.simulation.handle();
         let back_ends: Vec<HostId> = [&fleet.records_hosts, &fleet.decode_hosts]
             .into_iter()
@@ -131,3 +132,32 @@
         );
     }
 }
+
+#[test]
+fn a_leader_without_paths_to_the_engines_hands_over_to_a_daemon_with_paths() {
+    let mut fleet = fleet_of_three_daemons(true);
+    fleet.wait(Duration::from_secs(20));
+    let leader = fleet.last_reporter();
+    let simulation = fleet.simulation.handle();
+    let engines: Vec<HostId> = [&fleet.prefill_hosts, &fleet.decode_hosts]
+        .into_iter()
+        .flatten()
+        .copied()
+        .collect();
+    simulation.partition(&[fleet.daemons[leader].host], &engines);
+    for round in 0..6 {
+        ask_repeatedly(&mut fleet, leader, |number| {
+            ClientRequest::prompt(&format!("cut-{round}-{number}"), "tag", 0, 200)
+        });
+    }
+    fleet.wait(Duration::from_secs(20));
+    let successor = fleet.last_reporter();
+    assert_ne!(successor, leader, "the leader still reports");
+    simulation.heal_all();
+    fleet.wait(Duration::from_secs(20));
+    assert_eq!(
+        fleet.last_reporter(),
+        successor,
+        "the leadership does not return"
+    );
+}
--- a/crates/serving/src/leader.rs
+++ b/crates/serving/src/leader.rs
@@ -39,7 +39,9 @@
 /// Additional delay for daemons that do not follow the store themselves. Those that do notice the
 /// loss of the leader first and have the faster links.
 const NON_FOLLOWER_EXTRA_DELAY: Duration = Duration::from_secs(2);
-/// Interval at which the leader checks whether a planned stop has begun.
+/// Additional delay for daemons that reach most engines only through peers: orders are not relayed.
+const CUT_PATHS_EXTRA_DELAY: Duration = Duration::from_secs(4);
+/// Interval at which the leader checks whether a planned stop has begun or its paths were cut.
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Settings of the leader election.
@@ -197,6 +199,9 @@
         if !self.state.topology().follows_store {
             tokio::time::sleep(NON_FOLLOWER_EXTRA_DELAY).await;
         }
+        if self.pipeline.is_cut_from_engines() {
+            tokio::time::sleep(CUT_PATHS_EXTRA_DELAY).await;
+        }
         self.needs_leader()
     }
 
@@ -268,11 +273,16 @@
     /// Returns why the leadership ended.
     async fn renew_until_ended(&self, held: HeldLease, mut term: LeaderTerm) -> &'static str {
         let fence = term.fencing_token;
+        // A daemon that leads although its paths are cut does so because no other did.
+        let steps_down_if_cut = !self.pipeline.is_cut_from_engines();
         let mut in_doubt_since = None;
         loop {
             if let Some(reason) = self.wait_for_renewal(held.lease, in_doubt_since).await {
                 return reason;
             }
+            if steps_down_if_cut && self.pipeline.is_cut_from_engines() {
+                return "no_path_to_engines";
+            }
             let decision = if term.may_have_expired(now()) {
                 self.recover(held, &mut term).await
             } else {
--- a/crates/serving/src/pipeline/path_checks.rs
+++ b/crates/serving/src/pipeline/path_checks.rs
@@ -90,6 +90,19 @@
         shares
     }
 
+    /// Whether this daemon reaches less than half of the model engines directly.
+    pub(crate) fn is_cut_from_engines(&self) -> bool {
+        let paths = self.paths.paths();
+        if paths.cut_count() == 0 {
+            return false;
+        }
+        let back_ends = self.state.back_ends();
+        let engines = back_ends.iter().filter(|known| known.stage.is_some());
+        let (cut, reached): (Vec<_>, Vec<_>) =
+            engines.partition(|engine| paths.is_cut(engine.address));
+        cut.len() > reached.len()
+    }
+
     /// Forgets paths to addresses without a back end, and peers that are gone.
     pub(super) fn tidy_paths(&self) {
         let back_ends = self.state.back_ends();
