Lost runs: a peer that reaches another service only is no witness of an engine's exit

The asked peer was refused by the same service, and had proved its paths by an engine of the other service in the zone. Change: a witness has to reach another back end of the same service and another one in the same zone, and two peers have to be refused, or all of a smaller fleet.

--- a/crates/serve/tests/path_conclusions.rs
+++ b/crates/serve/tests/path_conclusions.rs
@@ -97,6 +97,38 @@
     }
 }
 
+/// Each daemon but the last is cut from one service only, so a peer reaches other back ends in the
+/// zone although it is refused by this service.
+#[test]
+fn a_request_interrupted_by_paths_that_refuse_one_service_is_not_quarantined() {
+    let mut fleet = fleet_of_three_daemons(false);
+    let simulation = fleet.simulation.handle();
+    let popular = |number: usize| ClientRequest {
+        body: String::from("a popular question"),
+        ..ClientRequest::plain(&format!("popular-{number}"), "fetch")
+    };
+    let cut_daemons = [fleet.daemons[0].host, fleet.daemons[1].host];
+    let records = fleet.records_hosts.clone();
+    for round in 0..6 {
+        for engine in &fleet.records {
+            engine.set_default_behaviour(Behaviour::Hang);
+        }
+        let client = fleet.client.clone();
+        let target = fleet.daemons[0].callers_address;
+        let cutting = async {
+            sleep(Duration::from_millis(200)).await;
+            cut(&simulation, &cut_daemons, &records);
+        };
+        let request = popular(round);
+        let asking = client.ask(target, &request);
+        fleet.run(async move { futures::join!(asking, cutting) });
+        simulation.heal_all();
+        fleet.wait(Duration::from_secs(3));
+    }
+    let lost_runs = metric(&mut fleet, 0, "ponddrift_runs_lost_with_engine_total");
+    assert!(lost_runs == 0.0, "{lost_runs} runs counted as lost");
+}
+
 #[test]
 fn back_ends_stay_in_use_at_a_daemon_whose_neighbours_lost_their_paths() {
     for is_silent in [true, false] {
--- a/crates/serving/src/back_end_paths.rs
+++ b/crates/serving/src/back_end_paths.rs
@@ -37,6 +37,9 @@
 const RELAY_TIMEOUT: Duration = Duration::from_millis(350);
 /// Peers that are asked for one connection.
 const MAX_RELAY_ATTEMPTS: usize = 3;
+/// Peers that have to be refused as well before a process counts as exited. More than one, because
+/// the paths of a peer to some back ends may be cut like this daemon's.
+const EXIT_WITNESSES: usize = 2;
 
 /// An open connection to a back end.
 pub(crate) struct OpenedStream {
@@ -215,9 +218,18 @@
     }
 
     async fn connect_through_peers(&self, address: SocketAddr) -> ThroughPeers {
-        let mut tried = Vec::new();
-        while tried.len() < MAX_RELAY_ATTEMPTS {
-            let Some(peer) = self.choose_relay(address, &tried) else {
+        self.connect_through_untried_peers(address, &mut Vec::new())
+            .await
+    }
+
+    /// Asks peers that are not in `tried`, and adds them.
+    async fn connect_through_untried_peers(
+        &self,
+        address: SocketAddr,
+        tried: &mut Vec<SocketAddr>,
+    ) -> ThroughPeers {
+        for _attempt in 0..MAX_RELAY_ATTEMPTS {
+            let Some(peer) = self.choose_relay(address, tried) else {
                 break;
             };
             tried.push(peer);
@@ -272,23 +284,33 @@
     }
 
     /// Whether the process at this address has exited: it refuses this daemon's connections and
-    /// those of a peer that reaches other back ends. Without peers, the own evidence has to do.
+    /// those of [`EXIT_WITNESSES`] peers that reach other back ends. In a fleet with fewer other
+    /// daemons, all of them have to be refused.
     pub(crate) async fn has_exited(&self, address: SocketAddr) -> bool {
-        let failure = match self.connect_directly(address).await {
-            Ok(_stream) => return false,
-            Err(failure) => failure,
+        let Err(failure) = self.connect_directly(address).await else {
+            return false;
         };
-        let is_refused = failure == ConnectFailure::Refused;
-        match self.connect_through_peers(address).await {
-            ThroughPeers::Opened(_stream) => {
-                self.record_cut(address, failure);
-                false
-            }
-            ThroughPeers::Unreachable(peer_failure) => {
-                is_refused && peer_failure == ConnectFailure::Refused
+        if failure != ConnectFailure::Refused {
+            return false;
+        }
+        let peers = self.state.topology().daemons.saturating_sub(1);
+        let mut tried = Vec::new();
+        for _witness in 0..peers.min(EXIT_WITNESSES) {
+            match self
+                .connect_through_untried_peers(address, &mut tried)
+                .await
+            {
+                ThroughPeers::Opened(_stream) => {
+                    self.record_cut(address, failure);
+                    return false;
+                }
+                ThroughPeers::Unreachable(ConnectFailure::Refused) => {}
+                ThroughPeers::Unreachable(ConnectFailure::NoAnswer) | ThroughPeers::NoRelay => {
+                    return false;
+                }
             }
-            ThroughPeers::NoRelay => is_refused && self.state.topology().daemons <= 1,
         }
+        true
     }
 
     /// Checks whether the path to a back end that does not answer is cut.
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -24,7 +24,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time limit for showing that another back end is reached.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(100);
-/// Other back ends that are tried for that.
+/// Other back ends of a group that are tried for that.
 const WITNESS_BACK_ENDS: usize = 2;
 /// Time after which a connection without any bytes is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
@@ -42,8 +42,8 @@
     Unreachable {
         /// Whether the connection was refused; otherwise there was no answer in time.
         is_refused: bool,
-        /// Whether another back end was reached at the same time, which shows that the paths from
-        /// here work.
+        /// Whether others of its service and of its zone were reached at the same time, which shows
+        /// that the paths from here work.
         reaches_others: bool,
     },
     /// This daemon's own path to the back end is cut.
@@ -143,28 +143,31 @@
     }
 }
 
-/// Whether another back end accepts a connection from here. Those in the zone of `unreachable` are
-/// tried first: the path to a whole zone may be cut.
+/// Whether the paths from here work that lead where the path to `unreachable` leads: to another back
+/// end of its service, and to another one in its zone.
 async fn reaches_others(unreachable: &BackEnd, sources: &AnswerSources) -> bool {
     let mut others = sources.state.back_ends();
     others.retain(|other| other.address != unreachable.address);
-    others.sort_by_key(|other| (other.zone != unreachable.zone, other.address));
-    let in_zone = others
+    others.sort_by_key(|other| other.address);
+    let of_service = others
         .iter()
-        .filter(|other| other.zone == unreachable.zone)
-        .count();
-    if in_zone > 0 {
-        others.truncate(in_zone);
-    }
-    let start = sources.pipeline.random_index(others.len());
-    let chosen = others
-        .iter()
-        .cycle()
-        .skip(start)
-        .take(WITNESS_BACK_ENDS.min(others.len()));
-    let attempts = chosen.map(|other| connect(&sources.runtime, other.address, WITNESS_TIMEOUT));
+        .filter(|other| other.service == unreachable.service);
+    let in_zone = others.iter().filter(|other| other.zone == unreachable.zone);
+    let reaches_service = accepts_any(of_service.collect(), sources);
+    let reaches_zone = accepts_any(in_zone.collect(), sources);
+    let (reaches_service, reaches_zone) = futures::join!(reaches_service, reaches_zone);
+    reaches_service && reaches_zone
+}
+
+/// Whether one of a few of these back ends accepts a connection; true if there are none.
+async fn accepts_any(back_ends: Vec<&Arc<BackEnd>>, sources: &AnswerSources) -> bool {
+    let start = sources.pipeline.random_index(back_ends.len());
+    let tried = back_ends.len().min(WITNESS_BACK_ENDS);
+    let chosen = back_ends.iter().cycle().skip(start).take(tried);
+    let attempts =
+        chosen.map(|back_end| connect(&sources.runtime, back_end.address, WITNESS_TIMEOUT));
     let results = futures::future::join_all(attempts).await;
-    others.is_empty() || results.iter().any(Result::is_ok)
+    back_ends.is_empty() || results.iter().any(Result::is_ok)
 }
 
 /// When bytes were last forwarded in either direction.
