Tests: cut paths, choice of relays, requests over relayed connections

Simulation (serve): at most one run, not-run refusals, callers that leave, killed relaying daemons, a healed path, an engine silent for a second, connections that live on while new ones are refused, one service or some back ends cut off, invalid queries, usage counted once.

--- /dev/null
+++ b/crates/serve/tests/relayed_connections.rs
@@ -0,0 +1,366 @@
+//! Requests over connections that a peer relays: at most one run, cancellation, interrupted answers,
+//! and failures of the peer.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::StatusCode;
+use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest, RunEnd};
+use ponddrift_simulation::HostId;
+use support::{Fleet, FleetOptions, host_spec};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::{Instant, sleep};
+
+/// Time within which the end of a request must have reached the engine.
+const CANCEL_LIMIT: Duration = Duration::from_millis(500);
+/// Port on which daemons answer queries of peers.
+const PEER_PORT: u16 = 7_660;
+
+fn back_end_hosts(fleet: &Fleet) -> Vec<HostId> {
+    let groups = [
+        &fleet.records_hosts,
+        &fleet.prefill_hosts,
+        &fleet.decode_hosts,
+    ];
+    groups.into_iter().flatten().copied().collect()
+}
+
+/// Three daemons, the first of which is cut from all back ends and has noticed it.
+fn fleet_with_a_cut_daemon() -> Fleet {
+    let mut fleet = Fleet::new(FleetOptions {
+        daemons: 3,
+        records: 3,
+        prefill: 0,
+        decode: 3,
+        ..FleetOptions::default()
+    });
+    cut_first_daemon(&mut fleet);
+    fleet
+}
+
+fn cut_first_daemon(fleet: &mut Fleet) {
+    let back_ends = back_end_hosts(fleet);
+    let simulation = fleet.simulation.handle();
+    simulation.partition(&[fleet.daemons[0].host], &back_ends);
+    for number in 0..12 {
+        ask(
+            fleet,
+            &ClientRequest::plain(&format!("cut-{number}"), "fetch"),
+        );
+        ask(
+            fleet,
+            &ClientRequest::prompt(&format!("cut-tag-{number}"), "tag", 0, 200),
+        );
+    }
+}
+
+fn ask(fleet: &mut Fleet, request: &ClientRequest) -> Answer {
+    let client = fleet.client.clone();
+    let target = fleet.daemons[0].callers_address;
+    fleet
+        .run(async move { client.ask(target, request).await })
+        .expect("a response")
+}
+
+/// Value of a metric at a daemon.
+fn metric(fleet: &mut Fleet, daemon: usize, name: &str) -> f64 {
+    let client = fleet.client.clone();
+    let target = fleet.daemons[daemon].readiness_address;
+    let text = fleet.run(async move { client.text(target, "/metrics").await });
+    let text = text.expect("metrics");
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    let values = lines.filter_map(|line| line.split_whitespace().last()?.parse::<f64>().ok());
+    values.sum()
+}
+
+/// Answers of the other two daemons to queries for relayed connections.
+fn relay_answers(fleet: &mut Fleet) -> f64 {
+    let name = "ponddrift_relay_answers_total";
+    metric(fleet, 1, name) + metric(fleet, 2, name)
+}
+
+fn runs_of(fleet: &Fleet, request: &str) -> usize {
+    let engines = fleet.records.iter().chain(&fleet.decode);
+    let runs = engines.flat_map(|engine| engine.runs());
+    runs.filter(|run| run.request == request && !run.is_prefill)
+        .count()
+}
+
+#[test]
+fn an_unsafe_request_runs_once_even_if_its_relayed_answer_is_lost() {
+    for behaviour in [
+        Behaviour::DropAnswer,
+        Behaviour::TruncateAnswer,
+        Behaviour::AnswerWrongRequest,
+    ] {
+        let mut fleet = fleet_with_a_cut_daemon();
+        for engine in &fleet.records {
+            engine.set_default_behaviour(behaviour);
+        }
+        let answer = ask(&mut fleet, &ClientRequest::plain("once", "post"));
+        assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{behaviour:?}");
+        assert_eq!(runs_of(&fleet, "once"), 1, "{behaviour:?}");
+    }
+}
+
+#[test]
+fn a_request_that_no_engine_ran_behind_a_relay_is_refused_as_not_run() {
+    let mut fleet = fleet_with_a_cut_daemon();
+    for engine in &fleet.records {
+        engine.set_default_behaviour(Behaviour::Refuse);
+    }
+    let answer = ask(&mut fleet, &ClientRequest::plain("refused", "post"));
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(runs_of(&fleet, "refused"), 0);
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_work_behind_a_relay() {
+    let mut fleet = fleet_with_a_cut_daemon();
+    for engine in &fleet.decode {
+        engine.set_default_behaviour(Behaviour::Stream {
+            events: 100,
+            gap_ms: 50,
+        });
+    }
+    let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers_address);
+    fleet.run(async move {
+        let request = ClientRequest::prompt("left", "tag", 0, 200);
+        client
+            .ask_then_disconnect(target, &request, Duration::from_millis(400))
+            .await;
+    });
+    fleet.wait(CANCEL_LIMIT);
+    let runs = fleet.decode.iter().flat_map(|engine| engine.runs());
+    let ends: Vec<RunEnd> = runs
+        .filter(|run| run.request == "left")
+        .map(|run| run.end)
+        .collect();
+    assert_eq!(ends, [RunEnd::Cancelled]);
+}
+
+#[test]
+fn a_resumable_stream_continues_when_the_relaying_daemon_is_killed() {
+    for victim in [1, 2] {
+        let mut fleet = fleet_with_a_cut_daemon();
+        for engine in &fleet.decode {
+            engine.set_default_behaviour(Behaviour::Stream {
+                events: 20,
+                gap_ms: 40,
+            });
+        }
+        let simulation = fleet.simulation.handle();
+        let victim_host = fleet.daemons[victim].host;
+        let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers_address);
+        let answer = fleet.run(async move {
+            let request = ClientRequest::prompt("stream", "tag", 0, 200);
+            let killing = async {
+                sleep(Duration::from_millis(300)).await;
+                simulation.kill(victim_host);
+            };
+            let (answer, ()) = futures::join!(client.ask(target, &request), killing);
+            answer.expect("a response")
+        });
+        assert!(answer.is_complete, "daemon {victim} killed");
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+}
+
+#[test]
+fn an_unsafe_request_whose_relaying_daemon_is_killed_runs_at_most_once() {
+    let mut statuses = Vec::new();
+    for victim in [1, 2] {
+        let mut fleet = fleet_with_a_cut_daemon();
+        for engine in &fleet.records {
+            engine.set_default_behaviour(Behaviour::Hang);
+        }
+        let simulation = fleet.simulation.handle();
+        let victim_host = fleet.daemons[victim].host;
+        let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers_address);
+        let answer = fleet.run(async move {
+            let request = ClientRequest::plain("once", "post");
+            let killing = async {
+                sleep(Duration::from_millis(300)).await;
+                simulation.kill(victim_host);
+            };
+            let (answer, ()) = futures::join!(client.ask(target, &request), killing);
+            answer.expect("a response")
+        });
+        assert_eq!(runs_of(&fleet, "once"), 1);
+        statuses.push(answer.status);
+    }
+    let may_have_run = [StatusCode::BAD_GATEWAY, StatusCode::GATEWAY_TIMEOUT];
+    assert!(
+        statuses.iter().all(|status| may_have_run.contains(status)),
+        "{statuses:?}"
+    );
+    assert!(statuses.contains(&StatusCode::BAD_GATEWAY), "{statuses:?}");
+}
+
+#[test]
+fn a_healed_path_is_used_again_although_nothing_was_requested_meanwhile() {
+    let mut fleet = fleet_with_a_cut_daemon();
+    assert!(metric(&mut fleet, 0, "ponddrift_back_end_paths_cut_total") > 0.0);
+    fleet.simulation.handle().heal_all();
+    fleet.wait(Duration::from_secs(3));
+    let cut_now = metric(&mut fleet, 0, "ponddrift_back_end_paths_cut_now");
+    assert!(cut_now == 0.0, "{cut_now} paths are still cut");
+    let before = relay_answers(&mut fleet);
+    assert!(before > 0.0, "connections were relayed");
+    for number in 0..10 {
+        let answer = ask(
+            &mut fleet,
+            &ClientRequest::plain(&format!("h{number}"), "fetch"),
+        );
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert!(
+        relay_answers(&mut fleet) == before,
+        "nothing is relayed any more"
+    );
+}
+
+#[test]
+fn an_engine_that_is_silent_for_a_second_is_not_taken_for_a_cut_path() {
+    let mut fleet = Fleet::new(FleetOptions {
+        daemons: 3,
+        records: 3,
+        ..FleetOptions::default()
+    });
+    for number in 0..6 {
+        ask(
+            &mut fleet,
+            &ClientRequest::plain(&format!("w{number}"), "fetch"),
+        );
+    }
+    let simulation = fleet.simulation.handle();
+    let silent = fleet.records_hosts[0];
+    simulation.freeze(silent);
+    for number in 0..10 {
+        let answer = ask(
+            &mut fleet,
+            &ClientRequest::plain(&format!("s{number}"), "fetch"),
+        );
+        assert_eq!(answer.status, StatusCode::OK);
+        fleet.wait(Duration::from_millis(100));
+    }
+    simulation.thaw(silent);
+    let cuts = metric(&mut fleet, 0, "ponddrift_back_end_paths_cut_total");
+    assert!(cuts == 0.0, "{cuts} paths counted as cut");
+}
+
+#[test]
+fn open_connections_that_work_are_used_while_new_ones_are_refused() {
+    let mut fleet = Fleet::new(FleetOptions {
+        daemons: 3,
+        records: 1,
+        ..FleetOptions::default()
+    });
+    fleet.records[0].set_keep_alive(60);
+    ask(&mut fleet, &ClientRequest::plain("first", "fetch"));
+    let back_ends = back_end_hosts(&fleet);
+    let simulation = fleet.simulation.handle();
+    simulation.refuse_connections(&[fleet.daemons[0].host], &back_ends);
+    for number in 0..10 {
+        let answer = ask(
+            &mut fleet,
+            &ClientRequest::plain(&format!("r{number}"), "post"),
+        );
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    let relayed = relay_answers(&mut fleet);
+    assert!(relayed == 0.0, "{relayed} connections through peers");
+}
+
+#[test]
+fn requests_are_served_while_one_service_or_some_back_ends_are_cut_off() {
+    let mut fleet = Fleet::new(FleetOptions {
+        daemons: 3,
+        records: 3,
+        prefill: 0,
+        decode: 3,
+        ..FleetOptions::default()
+    });
+    let some = [fleet.records_hosts[0], fleet.decode_hosts[1]];
+    let one_service = fleet.records_hosts.clone();
+    let simulation = fleet.simulation.handle();
+    let daemon = fleet.daemons[0].host;
+    for (case, cut) in [("some", &some[..]), ("one service", &one_service[..])] {
+        simulation.partition(&[daemon], cut);
+        fleet.wait(Duration::from_secs(1));
+        for number in 0..6 {
+            ask(
+                &mut fleet,
+                &ClientRequest::plain(&format!("{case}-{number}"), "fetch"),
+            );
+        }
+        for number in 0..12 {
+            let request = ClientRequest::plain(&format!("{case}-post-{number}"), "post");
+            assert_eq!(ask(&mut fleet, &request).status, StatusCode::OK, "{case}");
+            let request = ClientRequest::prompt(&format!("{case}-tag-{number}"), "tag", 0, 200);
+            assert_eq!(ask(&mut fleet, &request).status, StatusCode::OK, "{case}");
+        }
+        simulation.heal_all();
+    }
+}
+
+#[test]
+fn invalid_queries_of_peers_are_rejected_and_counted() {
+    let mut fleet = Fleet::new(FleetOptions {
+        daemons: 2,
+        ..FleetOptions::default()
+    });
+    let (_host, runtime) = fleet
+        .simulation
+        .add_client(host_spec("stranger", [10, 0, 3, 9]));
+    let target = SocketAddr::new(fleet.daemons[0].daemon_ip, PEER_PORT);
+    let unknown_back_end = relay_query([10, 0, 0, 1], 7_000);
+    let oversized = [0xff; 16].to_vec();
+    let unknown_variant = [0, 0, 0, 1, 250].to_vec();
+    let truncated = [0, 0, 0, 7, 6].to_vec();
+    for bytes in [unknown_back_end, oversized, unknown_variant, truncated] {
+        let runtime = runtime.clone();
+        fleet.run(async move {
+            let mut stream = runtime.network.connect(target).await.expect("connected");
+            stream.write_all(&bytes).await.expect("written");
+            stream.shutdown().await.expect("closed");
+            let mut answer = Vec::new();
+            let reading = stream.read_to_end(&mut answer);
+            let ended = tokio::time::timeout(Duration::from_secs(3), reading).await;
+            assert!(ended.is_ok(), "the daemon ends the connection");
+        });
+    }
+    let unknown = metric(
+        &mut fleet,
+        0,
+        "ponddrift_relay_answers_total{result=\"unknown_back_end\"}",
+    );
+    assert!(unknown == 1.0, "{unknown} queries for an unknown back end");
+    let unreadable = metric(&mut fleet, 0, "ponddrift_unreadable_peer_queries_total");
+    assert!(unreadable == 3.0, "{unreadable} unreadable queries");
+    let started_at = Instant::now();
+    let answer = ask(&mut fleet, &ClientRequest::plain("after", "post"));
+    assert_eq!(
+        answer.status,
+        StatusCode::OK,
+        "after {:?}",
+        started_at.elapsed()
+    );
+}
+
+/// An encoded query for a connection to an address.
+fn relay_query(ip: [u8; 4], port: u16) -> Vec<u8> {
+    /// Number of the variant among the queries.
+    const RELAY_VARIANT: u8 = 6;
+    /// Number of the variant for an IPv4 address.
+    const IPV4_VARIANT: u8 = 0;
+    let mut query = vec![RELAY_VARIANT, IPV4_VARIANT];
+    query.extend(ip);
+    query.extend(port.to_le_bytes());
+    let length = u32::try_from(query.len()).expect("short");
+    let mut bytes = length.to_be_bytes().to_vec();
+    bytes.extend(query);
+    bytes
+}
--- a/crates/serve/tests/usage.rs
+++ b/crates/serve/tests/usage.rs
@@ -146,6 +146,30 @@
     assert!(elapsed > DUE);
 }
 
+#[test]
+fn requests_whose_connections_a_peer_relays_are_counted_once() {
+    let mut fleet = fleet(3);
+    let back_ends = [
+        &fleet.records_hosts,
+        &fleet.prefill_hosts,
+        &fleet.decode_hosts,
+    ];
+    let back_ends: Vec<_> = back_ends.into_iter().flatten().copied().collect();
+    let simulation = fleet.simulation.handle();
+    let before = send_requests(&mut fleet, &[0], Duration::from_secs(2));
+    simulation.partition(&[fleet.daemons[0].host], &back_ends);
+    // The requests that find out about the cut may run although they are not answered.
+    let while_noticing = send_requests(&mut fleet, &[0], Duration::from_secs(2));
+    let during = send_requests(&mut fleet, &[0], Duration::from_secs(16));
+    fleet.wait(DUE);
+    let mut served = before;
+    for (tenant, count) in while_noticing.into_iter().chain(during) {
+        *served.entry(tenant).or_default() += count;
+    }
+    assert!(served["alice"] > 100, "most requests are served: {served:?}");
+    assert_close(&total_by_tenant(&reported(&fleet)), &served);
+}
+
 #[test]
 fn killing_the_leader_at_any_time_leaves_no_window_missing_or_with_two_figures() {
     for moment_ms in [100, 700, 1_200, 1_400, 1_700, 2_500, 4_000] {
