Lost runs: a daemon without paths learns from peers that an engine exited

Cause: a daemon concluded only if it was refused itself, which one whose path is cut never is in a meaningful way. Change: peers with working paths are the witnesses; what the daemon sees itself counts only if it can connect, or if it has no peers. Two are asked, one is enough if no other can say.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod daemon;
 pub mod logging;
 mod process;
+pub mod program;
 pub mod settings;
 
 pub use daemon::Daemon;
--- a/crates/serve/tests/crashing_requests.rs
+++ b/crates/serve/tests/crashing_requests.rs
@@ -136,6 +136,29 @@
         .count()
 }
 
+/// Daemons without paths of their own run requests through a peer, and learn from peers that the
+/// engine exited.
+#[test]
+fn a_request_that_crashes_engines_is_quarantined_while_most_daemons_have_no_paths() {
+    let mut fleet = crashing_fleet(fleet_options());
+    let cut: Vec<HostId> = fleet.daemons[..3]
+        .iter()
+        .map(|daemon| daemon.host)
+        .collect();
+    let engines = [fleet.prefill_hosts.clone(), fleet.decode_hosts.clone()].concat();
+    fleet.simulation.handle().partition(&cut, &engines);
+    let repetitions = Repetitions {
+        count: 80,
+        interval: Duration::from_millis(100),
+    };
+    send_repeatedly(&mut fleet, repetitions, harmless_request);
+    send_repeatedly(&mut fleet, repetitions, crashing_request);
+    let crashes = all_crashes(&fleet);
+    let third_crash = crashes[TOLERATED_CRASHES - 1];
+    let sends = runs_begun_after(&fleet, "crasher", third_crash + PROPAGATION_TIME);
+    assert!(sends <= TOLERATED_SENDS, "{sends} sends after that");
+}
+
 #[test]
 fn a_request_that_crashes_engines_is_not_run_after_the_third_crash() {
     let mut fleet = crashing_fleet(fleet_options());
--- a/crates/serve/tests/usage.rs
+++ b/crates/serve/tests/usage.rs
@@ -166,7 +166,10 @@
     for (tenant, count) in while_noticing.into_iter().chain(during) {
         *served.entry(tenant).or_default() += count;
     }
-    assert!(served["alice"] > 100, "most requests are served: {served:?}");
+    assert!(
+        served["alice"] > 100,
+        "most requests are served: {served:?}"
+    );
     assert_close(&total_by_tenant(&reported(&fleet)), &served);
 }
 
--- a/crates/serving/src/back_end_paths.rs
+++ b/crates/serving/src/back_end_paths.rs
@@ -37,8 +37,8 @@
 const RELAY_TIMEOUT: Duration = Duration::from_millis(350);
 /// Peers that are asked for one connection.
 const MAX_RELAY_ATTEMPTS: usize = 3;
-/// Peers that have to be refused as well before a process counts as exited. More than one, because
-/// the paths of a peer to some back ends may be cut like this daemon's.
+/// Peers that are asked whether a process has exited. More than one, because the paths of a peer to
+/// some back ends may be cut like this daemon's.
 const EXIT_WITNESSES: usize = 2;
 
 /// An open connection to a back end.
@@ -283,19 +283,24 @@
             .choose(&candidates, &query, now(), &mut *lock(&self.random))
     }
 
-    /// Whether the process at this address has exited: it refuses this daemon's connections and
-    /// those of [`EXIT_WITNESSES`] peers that reach other back ends. In a fleet with fewer other
-    /// daemons, all of them have to be refused.
+    /// Whether the process at this address has exited: peers that reach other back ends are refused.
+    /// What this daemon sees itself counts only if it can connect, or if it has no peers. Asks for
+    /// [`EXIT_WITNESSES`] peers, and is content with one if no other can say.
     pub(crate) async fn has_exited(&self, address: SocketAddr) -> bool {
-        let Err(failure) = self.connect_directly(address).await else {
-            return false;
+        let known_failure = self.paths().failure(address);
+        let failure = match known_failure {
+            Some(known) => known,
+            None => match self.connect_directly(address).await {
+                Ok(_stream) => return false,
+                Err(failure) => failure,
+            },
         };
-        if failure != ConnectFailure::Refused {
-            return false;
+        if self.state.topology().daemons <= 1 {
+            return failure == ConnectFailure::Refused;
         }
-        let peers = self.state.topology().daemons.saturating_sub(1);
         let mut tried = Vec::new();
-        for _witness in 0..peers.min(EXIT_WITNESSES) {
+        let mut refused_peers = 0;
+        while refused_peers < EXIT_WITNESSES {
             match self
                 .connect_through_untried_peers(address, &mut tried)
                 .await
@@ -304,13 +309,12 @@
                     self.record_cut(address, failure);
                     return false;
                 }
-                ThroughPeers::Unreachable(ConnectFailure::Refused) => {}
-                ThroughPeers::Unreachable(ConnectFailure::NoAnswer) | ThroughPeers::NoRelay => {
-                    return false;
-                }
+                ThroughPeers::Unreachable(ConnectFailure::Refused) => refused_peers += 1,
+                ThroughPeers::Unreachable(ConnectFailure::NoAnswer) => return false,
+                ThroughPeers::NoRelay => break,
             }
         }
-        true
+        refused_peers > 0
     }
 
     /// Checks whether the path to a back end that does not answer is cut.
