Soak: paths between daemons and back ends are cut, in series that overlap with the other faults

The soak had no daemon that loses its paths to back ends only, so it could not find the fault of the incident. A second program, ponddrift-soak-daemon, is the daemon with a network whose outgoing paths a control message cuts: in silence, by resets, by refusals, of one daemon up to all but one, from all back ends, one service or half of them. After the faults, all daemons but one are cut in each way, and have to serve every request from 3 s on.

--- a/crates/soak/src/daemons.rs
+++ b/crates/soak/src/daemons.rs
@@ -1,6 +1,6 @@
 //! Daemon processes, controlled through signals.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 
@@ -10,10 +10,13 @@
 use tokio::process::{Child, Command};
 use tokio::time::Instant;
 
+use crate::faulty_network::{CONTROL_VARIABLE, Cut};
 use crate::platform::{Platform, unique_loopback_address};
 
 /// File name of the daemon's binary, expected in the directory of this program.
 const SERVE_BINARY_NAME: &str = "ponddrift-serve";
+/// File name of the daemon's binary with a network whose paths can be cut.
+const CUTTABLE_BINARY_NAME: &str = "ponddrift-soak-daemon";
 
 /// A daemon, across restarts of its process.
 pub struct DaemonProcess {
@@ -29,7 +32,10 @@
     pub disturbed_until: Option<Instant>,
     /// Number of times the process exited without a fault that explains it.
     pub unexpected_exits: u32,
-    serve_binary_path: PathBuf,
+    /// Address that receives control messages; `None` if the paths cannot be cut.
+    control: Option<SocketAddr>,
+    control_socket: UdpSocket,
+    binary_path: PathBuf,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -41,7 +47,12 @@
     /// # Errors
     /// When the settings cannot be written, the store link's address cannot be bound or the process
     /// cannot be started.
-    pub async fn start(number: usize, platform: &Platform, folder: &Path) -> Result<Self> {
+    pub async fn start(
+        number: usize,
+        platform: &Platform,
+        folder: &Path,
+        has_cuts: bool,
+    ) -> Result<Self> {
         let name = format!("daemon-{number}");
         let caller_address = unique_loopback_address();
         let readiness_address = unique_loopback_address();
@@ -69,7 +80,13 @@
             store_link,
             disturbed_until: None,
             unexpected_exits: 0,
-            serve_binary_path: serve_binary_path()?,
+            control: has_cuts.then(unique_loopback_address),
+            control_socket: control_socket()?,
+            binary_path: if has_cuts {
+                binary_path(CUTTABLE_BINARY_NAME)?
+            } else {
+                serve_binary_path()?
+            },
             settings,
             child: None,
         };
@@ -82,7 +99,11 @@
             .create(true)
             .append(true)
             .open(&self.log)?;
-        let child = Command::new(&self.serve_binary_path)
+        let mut command = Command::new(&self.binary_path);
+        if let Some(control) = self.control {
+            command.env(CONTROL_VARIABLE, control.to_string());
+        }
+        let child = command
             .arg("--config")
             .arg(&self.settings)
             .stdin(Stdio::null())
@@ -114,6 +135,15 @@
         self.spawn()
     }
 
+    /// Sets the cut between the daemon and back ends, or ends it. A message to a process that is not
+    /// running is lost, so the state has to be sent repeatedly.
+    pub fn set_cut(&self, cut: Option<&Cut>) {
+        if let Some(control) = self.control {
+            let message = Cut::encode(cut);
+            drop(self.control_socket.send_to(message.as_bytes(), control));
+        }
+    }
+
     /// Sends a signal to the process.
     ///
     /// # Errors
@@ -132,6 +162,16 @@
 /// # Errors
 /// When the binary does not exist: build the workspace's binaries first.
 pub fn serve_binary_path() -> Result<PathBuf> {
+    binary_path(SERVE_BINARY_NAME)
+}
+
+fn control_socket() -> Result<UdpSocket> {
+    let socket = UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))?;
+    socket.set_nonblocking(true)?;
+    Ok(socket)
+}
+
+fn binary_path(name: &str) -> Result<PathBuf> {
     let this = std::env::current_exe()?;
     let mut folder = this
         .parent()
@@ -141,10 +181,10 @@
     if folder.ends_with("deps") {
         folder.pop();
     }
-    let path = folder.join(SERVE_BINARY_NAME);
+    let path = folder.join(name);
     eyre::ensure!(
         path.exists(),
-        "{SERVE_BINARY_NAME} does not exist in the directory of this program: run cargo build --workspace --bins"
+        "{name} does not exist in the directory of this program: run cargo build --workspace --bins"
     );
     Ok(path)
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,8 +6,10 @@
 //! between runs.
 
 pub mod checks;
+pub mod cuts;
 pub mod daemons;
 pub mod faults;
+pub mod faulty_network;
 pub mod limits;
 pub mod load;
 pub mod platform;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -14,7 +14,7 @@
     Command::new("ponddrift-soak")
         .about("Injects random faults into real daemons under load, and checks invariants")
         .after_help(
-            "Requires the ponddrift-serve binary in the same directory: cargo build --release -p ponddrift-serve -p ponddrift-soak\n\n\
+            "Requires the ponddrift-serve and ponddrift-soak-daemon binaries in the same directory: cargo build --release -p ponddrift-serve -p ponddrift-soak\n\n\
              Example: ponddrift-soak --seconds 120",
         )
         .arg(
@@ -53,6 +53,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Disables restoring the store from older copies in addition to the faults"),
         )
+        .arg(
+            Arg::new("without-cuts")
+                .long("without-cuts")
+                .action(ArgAction::SetTrue)
+                .help("Disables cutting paths between daemons and back ends in addition to the faults"),
+        )
         .arg(
             Arg::new("folder")
                 .long("folder")
@@ -85,16 +91,18 @@
         callers,
         limits: !matches.get_flag("without-limits"),
         restores: !matches.get_flag("without-restores"),
+        cuts: !matches.get_flag("without-cuts"),
         folder,
     };
     println!("seed {seed}, {seconds} s, {daemons} daemons, {callers} callers");
     let report = run(&settings).await?;
     println!(
-        "{} requests, {} served, {} rate limits, {} store restores, {} faults",
+        "{} requests, {} served, {} rate limits, {} store restores, {} cuts, {} faults",
         report.requests,
         report.served,
         report.limits,
         report.restores,
+        report.cuts,
         report.faults.len()
     );
     for fault in &report.faults {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,8 +16,10 @@
 use crate::checks::{
     Disruptions, Outage, Violation, check, check_crashing_requests, check_every_request_answered,
 };
+use crate::cuts::PathCutter;
 use crate::daemons::DaemonProcess;
 use crate::faults::{Fault, ScheduledFault, draw_fault};
+use crate::faulty_network::{CUT_KINDS, CutKind};
 use crate::limits::RateLimitInjector;
 use crate::load::{CallerState, repeat_crashing_request, run_caller};
 use crate::platform::{MODEL_SERVICE, PLAIN_SERVICE, Platform, TOGGLED_ROUTE};
@@ -33,6 +35,12 @@
 const CRASHING_REQUEST_DURATION: Duration = Duration::from_secs(10);
 /// Interval of the checks of processes and engines.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Time after a cut from which its daemons must serve requests.
+const CUT_DETECTION_LIMIT: Duration = Duration::from_secs(3);
+/// Time after a cut for daemons to use their own paths again.
+const CUT_RECOVERY_TIME: Duration = Duration::from_secs(2);
+/// Number of requests sent to each daemon during a cut, after the others.
+const CUT_REQUESTS_PER_DAEMON: usize = 8;
 /// Number of requests sent to each daemon in the final check.
 const FINAL_REQUESTS_PER_DAEMON: usize = 10;
 
@@ -51,6 +59,8 @@
     pub limits: bool,
     /// Whether the store is restored from older copies in addition to the faults.
     pub restores: bool,
+    /// Whether paths between daemons and back ends are cut in addition to the faults.
+    pub cuts: bool,
     /// Directory for the daemons' settings and logs.
     pub folder: PathBuf,
 }
@@ -66,6 +76,8 @@
     pub limits: usize,
     /// Number of times the store was restored from an older copy.
     pub restores: usize,
+    /// Number of cuts of paths between daemons and back ends.
+    pub cuts: usize,
     /// Faults in the order of their injection.
     pub faults: Vec<ScheduledFault>,
     /// Violated invariants.
@@ -87,6 +99,7 @@
         drop(caller.await);
     }
     soak.check_recovery().await;
+    soak.check_cut_paths().await?;
     Ok(soak.report())
 }
 
@@ -105,6 +118,8 @@
     rate_limiter: Option<RateLimitInjector>,
     /// `None` if the store is not restored.
     restorer: Option<StoreRestorer>,
+    /// `None` if no paths are cut.
+    path_cutter: Option<PathCutter>,
     violations: Vec<Violation>,
 }
 
@@ -114,7 +129,8 @@
         let platform = Platform::start(settings.seed).await?;
         let mut daemons = Vec::new();
         for number in 0..settings.daemons {
-            let daemon = DaemonProcess::start(number + 1, &platform, &settings.folder);
+            let daemon =
+                DaemonProcess::start(number + 1, &platform, &settings.folder, settings.cuts);
             daemons.push(daemon.await?);
         }
         Ok(Self {
@@ -131,6 +147,7 @@
                 .limits
                 .then(|| RateLimitInjector::new(settings.seed)),
             restorer: settings.restores.then(|| StoreRestorer::new(settings.seed)),
+            path_cutter: settings.cuts.then(|| PathCutter::new(settings.seed)),
             violations: Vec::new(),
         })
     }
@@ -243,6 +260,9 @@
             self.platform.update_engines().await?;
             self.update_rate_limits();
             self.update_restores();
+            if let Some(path_cutter) = &mut self.path_cutter {
+                path_cutter.tick(&self.daemons, &self.platform);
+            }
             self.update_targets().await;
             if Instant::now() >= end {
                 return Ok(());
@@ -419,6 +439,11 @@
             rate_limiter.clear_limit();
         }
         let rate_limiter = self.rate_limiter.take();
+        let mut path_cutter = self.path_cutter.take();
+        if let Some(path_cutter) = &mut path_cutter {
+            path_cutter.heal();
+            path_cutter.send(&self.daemons);
+        }
         let mut restorer = self.restorer.take();
         if let Some(restorer) = &mut restorer {
             restorer.finish(&self.platform);
@@ -433,9 +458,67 @@
         self.run_for(RECOVERY_TIME + Duration::from_secs(4)).await?;
         self.rate_limiter = rate_limiter;
         self.restorer = restorer;
+        self.path_cutter = path_cutter;
         Ok(())
     }
 
+    /// Checks for each kind of cut that all daemons but one, cut from all back ends, serve every
+    /// request once they must have noticed it.
+    async fn check_cut_paths(&mut self) -> Result<()> {
+        let Some(mut path_cutter) = self.path_cutter.take() else {
+            return Ok(());
+        };
+        let connected = self.random.random_range(0..self.daemons.len());
+        let cut: Vec<usize> = (0..self.daemons.len())
+            .filter(|daemon| *daemon != connected)
+            .collect();
+        for kind in CUT_KINDS {
+            path_cutter.cut_from_all(cut.clone(), kind, &self.platform);
+            path_cutter.send(&self.daemons);
+            self.load_all(&cut, kind, Instant::now() + CUT_DETECTION_LIMIT)
+                .await;
+            self.check_served_by_cut_daemons(&cut, kind).await;
+            path_cutter.heal();
+            path_cutter.send(&self.daemons);
+            self.run_for(CUT_RECOVERY_TIME).await?;
+        }
+        self.path_cutter = Some(path_cutter);
+        Ok(())
+    }
+
+    /// Sends requests to the daemons until `end`, so that they notice a cut.
+    async fn load_all(&self, daemons: &[usize], kind: CutKind, end: Instant) {
+        let mut turn = 0;
+        while Instant::now() < end {
+            turn += 1;
+            let requests = daemons.iter().map(|daemon| {
+                let request = cut_request(&format!("noticing-{kind:?}-{daemon}-{turn}"), turn);
+                async move { self.request_status(*daemon, &request).await }
+            });
+            futures::future::join_all(requests).await;
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    async fn check_served_by_cut_daemons(&mut self, daemons: &[usize], kind: CutKind) {
+        for turn in 0..CUT_REQUESTS_PER_DAEMON {
+            for daemon in daemons {
+                let id = format!("cut-{kind:?}-{daemon}-{turn}");
+                let request = cut_request(&id, turn);
+                let status = self.request_status(*daemon, &request).await;
+                if status != Some(StatusCode::OK) {
+                    self.violations.push(Violation {
+                        rule: "daemons without paths to back ends serve requests",
+                        observed: format!(
+                            "{} answered {status:?} to {id}",
+                            self.daemons[*daemon].name
+                        ),
+                    });
+                }
+            }
+        }
+    }
+
     /// Checks that after the end of all faults every daemon is ready and serves every request.
     async fn check_recovery(&mut self) {
         let ready = self.update_targets().await;
@@ -496,8 +579,19 @@
                 .as_ref()
                 .map_or(0, RateLimitInjector::count),
             restores: self.restorer.as_ref().map_or(0, StoreRestorer::count),
+            cuts: self.path_cutter.as_ref().map_or(0, PathCutter::count),
             faults: self.faults,
             violations,
         }
     }
 }
+
+/// A request of one of the kinds in turn.
+fn cut_request(id: &str, turn: usize) -> ClientRequest {
+    match turn % 4 {
+        0 => ClientRequest::plain(id, "post"),
+        1 => ClientRequest::plain(id, "fetch"),
+        2 => ClientRequest::prompt(id, "tag", 40, 200),
+        _ => ClientRequest::prompt(id, "verdict", 40, 200),
+    }
+}
--- a/crates/soak/tests/logs.rs
+++ b/crates/soak/tests/logs.rs
@@ -32,7 +32,7 @@
         let folder = std::env::temp_dir().join(format!("ponddrift-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let platform = Platform::start(1).await?;
-        let daemon = DaemonProcess::start(1, &platform, &folder).await?;
+        let daemon = DaemonProcess::start(1, &platform, &folder, false).await?;
         let client = ClientStandIn::new(platform.runtime.clone());
         let fleet = Self {
             platform,
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -16,6 +16,7 @@
 struct ExtraEvents {
     limits: bool,
     restores: bool,
+    cuts: bool,
 }
 
 async fn soak_with(seed: u64, extra_events: ExtraEvents) -> Report {
@@ -28,6 +29,7 @@
         callers: 8,
         limits: extra_events.limits,
         restores: extra_events.restores,
+        cuts: extra_events.cuts,
         folder: folder.clone(),
     };
     let report = run(&settings).await.expect("the soak run failed");
@@ -93,7 +95,20 @@
     let extra_events = ExtraEvents {
         limits: true,
         restores: true,
+        ..ExtraEvents::default()
     };
     let report = soak_with(8001, extra_events).await;
     assert!(report.restores > 0, "the store must be restored");
 }
+
+/// Guards against requests that are lost or run twice, and against conclusions that other daemons draw, when
+/// daemons lose their paths to back ends while others are killed, stopped and restarted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn paths_to_back_ends_are_cut_with_other_faults() {
+    let extra_events = ExtraEvents {
+        cuts: true,
+        ..ExtraEvents::default()
+    };
+    let report = soak_with(62, extra_events).await;
+    assert!(report.cuts > 0, "paths must be cut");
+}
