Prefill: a prompt on a path that is cut goes to another engine at once

A prefill had no limit but its deadline, and health checks, which go through a peer when the path is cut, found the engine well: the prompt waited on a connection that leads nowhere. It may always be read again elsewhere within the retry budget, so the wait ends when the path turns out to be cut.

--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -45,7 +45,7 @@
         let _load = LoadGuard::new(self, engine, tokens_to_read, job.urgency);
         let expected = Duration::from_secs_f64(expected_ms / 1000.0);
         let health_check_after = expected.mul_f64(HEALTH_CHECK_FACTOR) + HEALTH_CHECK_MARGIN;
-        let wait_policy = WaitPolicy::new(job, None, Some(health_check_after));
+        let wait_policy = WaitPolicy::new(job, None, Some(health_check_after)).leaving_cut_path();
         let started_at = now();
         let options = SendOptions {
             fetch_from: plan
--- a/crates/serving/src/pipeline/wait_policy.rs
+++ b/crates/serving/src/pipeline/wait_policy.rs
@@ -102,6 +102,15 @@
             has_lower_rank: job.urgency == Urgency::Late,
         }
     }
+
+    /// Ends the wait if the path turns out to be cut, although no other back end can be tried for
+    /// being slow.
+    pub(super) const fn leaving_cut_path(self) -> Self {
+        Self {
+            leaves_cut_path: true,
+            ..self
+        }
+    }
 }
 
 impl Pipeline {
