Planned stop: a daemon that relays connections waits for them

A stopping daemon ended once its own requests had, and cut the connections that it relayed for peers. It now waits for those too, until its exit deadline; peers close idle ones when they learn of the stop.

a_planned_stop_of_the_relaying_daemon_cuts_no_stream: the relaying daemon stopped before the stream's end without the change.

--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -208,8 +208,8 @@
     /// 1. Readiness checks fail at once, and every response closes its connection.
     /// 2. After `notice_period`, idle connections are closed.
     /// 3. After `accept_period`, new requests are refused at once.
-    /// 4. The stop ends once no request is in progress, at the latest `CLOSE_TIMEOUT` after
-    ///    `exit_deadline`.
+    /// 4. The stop ends once no request is in progress and no connection is relayed, at the latest
+    ///    `CLOSE_TIMEOUT` after `exit_deadline`.
     pub async fn stop(&self) {
         let stop = &self.settings.stop;
         let started_at = Instant::now();
@@ -233,7 +233,7 @@
     }
 
     async fn wait_until_idle(&self, deadline: Instant) {
-        while self.pipeline.in_progress() > 0 && Instant::now() < deadline {
+        while !self.pipeline.is_idle() && Instant::now() < deadline {
             tokio::time::sleep(STOP_POLL_INTERVAL).await;
         }
     }
--- a/crates/serve/tests/relayed_connections.rs
+++ b/crates/serve/tests/relayed_connections.rs
@@ -168,6 +168,47 @@
     }
 }
 
+#[test]
+fn a_planned_stop_of_the_relaying_daemon_cuts_no_stream() {
+    let mut waited_for_stream = false;
+    for stopped in [1, 2] {
+        let mut fleet = fleet_with_a_cut_daemon();
+        for engine in &fleet.decode {
+            engine.set_default_behaviour(Behaviour::Stream {
+                events: 80,
+                gap_ms: 50,
+            });
+        }
+        let stopping = fleet.daemons[stopped].clone();
+        let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers_address);
+        let answer = fleet.run(async move {
+            let request = ClientRequest {
+                deadline_ms: 4_900,
+                ..ClientRequest::prompt("stream", "verdict", 0, 200)
+            };
+            let stop = async {
+                sleep(Duration::from_millis(300)).await;
+                stopping.terminate();
+            };
+            let (answer, ()) = futures::join!(client.ask(target, &request), stop);
+            answer.expect("a response")
+        });
+        waited_for_stream |= !fleet.daemons[stopped].has_stopped();
+        assert!(answer.is_complete, "daemon {stopped} stopped");
+        assert_eq!(runs_of(&fleet, "stream"), 1);
+        fleet.wait(Duration::from_secs(3));
+        assert!(fleet.daemons[stopped].has_stopped(), "it stops once idle");
+        for number in 0..5 {
+            let request = ClientRequest::plain(&format!("after-{number}"), "post");
+            assert_eq!(ask(&mut fleet, &request).status, StatusCode::OK);
+        }
+    }
+    assert!(
+        waited_for_stream,
+        "the relaying daemon waits for the stream"
+    );
+}
+
 #[test]
 fn an_unsafe_request_whose_relaying_daemon_is_killed_runs_at_most_once() {
     let mut statuses = Vec::new();
--- a/crates/serving/src/pipeline/relay_slots.rs
+++ b/crates/serving/src/pipeline/relay_slots.rs
@@ -33,6 +33,13 @@
 }
 
 impl Pipeline {
+    /// Whether no request is in progress and no connection is relayed. Peers close those that they
+    /// don't use once they learn of a stop.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.in_progress() == 0 && self.relayed_connections() == 0
+    }
+
     /// Connections that this daemon relays for peers.
     pub(crate) fn relayed_connections(&self) -> usize {
         self.relayed.load(Ordering::Relaxed)
