--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -257,6 +257,27 @@
         engines.zip(self.decode_hosts.iter().copied()).collect()
     }
 
+    /// The hosts of all back ends.
+    pub fn back_end_hosts(&self) -> Vec<HostId> {
+        let groups = [&self.records_hosts, &self.prefill_hosts, &self.decode_hosts];
+        groups.into_iter().flatten().copied().collect()
+    }
+
+    /// Sum of the values of all metrics of a daemon whose names with labels start with `prefix`; 0 if
+    /// there are none, because a counter with labels appears with its first event.
+    pub fn metric(&mut self, daemon: usize, prefix: &str) -> f64 {
+        let client = self.client.clone();
+        let target = self.daemons[daemon].readiness_address;
+        let text = self.run(async move { client.text(target, "/metrics").await });
+        let text = text.expect("metrics");
+        let lines = text.lines().filter(|line| line.starts_with(prefix));
+        let values = lines.map(|line| {
+            let value = line.split_whitespace().last().expect("a value");
+            value.parse::<f64>().expect("a number")
+        });
+        values.sum()
+    }
+
     /// Runs the simulation for `time` of virtual time.
     pub fn wait(&mut self, time: Duration) {
         self.simulation.run_for(time);
