Soak: the store is not restored while cut daemons are checked

The restores and rate limits go on in the waits between the cuts, unlike in the checks after the faults. They rest now in this check as well; its bound is unchanged.

--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -470,6 +470,9 @@
         let Some(mut path_cutter) = self.path_cutter.take() else {
             return Ok(());
         };
+        // Restores would bring back the entries of engines that have left.
+        let restorer = self.restorer.take();
+        let rate_limiter = self.rate_limiter.take();
         let connected = self.random.random_range(0..self.daemons.len());
         let cut: Vec<usize> = (0..self.daemons.len())
             .filter(|daemon| *daemon != connected)
@@ -485,6 +488,8 @@
             self.run_for(CUT_RECOVERY_TIME).await?;
         }
         self.path_cutter = Some(path_cutter);
+        self.restorer = restorer;
+        self.rate_limiter = rate_limiter;
         Ok(())
     }
 
