Paths: the comments say all ways in which a path counts as cut

They said that a path is cut only if a peer reached the back end. A direct check that fails right after another path was found to be cut counts as well.

--- a/crates/fleet/src/paths.rs
+++ b/crates/fleet/src/paths.rs
@@ -1,9 +1,13 @@
 //! Network paths from this daemon to back ends.
 //!
 //! A connection that cannot be opened says as much about the path as about the back end. A path
-//! counts as cut only if a peer reached the back end while this daemon could not. Connections over a
-//! cut path are opened through a peer until the path works again, which this daemon checks
-//! periodically, whether or not requests want the back end.
+//! counts as cut if a peer reached the back end while this daemon could not, or if a direct check
+//! failed right after another path was found to be cut. Connections over a cut path are opened
+//! through a peer until the path works again, which this daemon checks periodically, whether or not
+//! requests want the back end.
+//!
+//! Paths belong to addresses, not to incarnations of back ends: a new process at the same address is
+//! reached over the same path.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -21,8 +25,8 @@
 const MAX_CHECKS_TO_RESTORE: u32 = 16;
 /// A path that is cut again within this time after its restoration needs more checks than before.
 const RELAPSE_WINDOW: Duration = Duration::from_secs(10);
-/// A back end that was heard of directly within this time is not suspected when another path turns
-/// out to be cut.
+/// A back end with direct contact within this time is not suspected when another path turns out to be
+/// cut.
 const RECENT_CONTACT: Duration = Duration::from_millis(250);
 /// A path is forgotten if nothing was recorded for this long and it is not cut.
 const RETENTION: Duration = Duration::from_secs(60);
@@ -121,7 +125,7 @@
         self.path(address, now).last_contact = Some(now);
     }
 
-    /// Whether the back end was heard of directly at or after `since`.
+    /// Whether there was direct contact with the back end at or after `since`.
     #[must_use]
     pub fn has_contact_since(&self, address: SocketAddr, since: Instant) -> bool {
         let contact = self
@@ -131,8 +135,8 @@
         contact.is_some_and(|contact| contact >= since)
     }
 
-    /// Records that this daemon cannot connect to the back end although a peer can. Returns whether
-    /// the path was not cut before.
+    /// Records that the path is cut, see the module documentation. Returns whether it was not cut
+    /// before.
     pub fn record_cut(
         &mut self,
         address: SocketAddr,
@@ -167,8 +171,8 @@
         Some(self.by_address.get(&address)?.cut?.failure)
     }
 
-    /// Of `addresses`, those that may be cut as well after another path was found to be: neither
-    /// known to be cut nor heard of recently.
+    /// Of `addresses`, those that may be cut as well after another path was found to be: not known to
+    /// be cut, and without recent direct contact.
     #[must_use]
     pub fn suspects(&self, addresses: &[SocketAddr], now: Instant) -> Vec<SocketAddr> {
         let is_suspect = |address: &&SocketAddr| {
--- a/crates/serving/src/back_end_paths.rs
+++ b/crates/serving/src/back_end_paths.rs
@@ -62,7 +62,7 @@
     Opened(OpenedStream),
     /// A peer that reaches other back ends could not connect. Holds how its attempt failed.
     Unreachable(ConnectFailure),
-    /// No peer could tell.
+    /// No peer connected, and none showed that the back end is unreachable.
     NoRelay,
 }
 
@@ -335,8 +335,9 @@
         lock(&self.checking).remove(&address);
     }
 
-    /// Checks the direct path to a back end that a peer reaches, or whose neighbours on the network
-    /// are cut.
+    /// Checks the direct path to a back end that a peer reaches, or after another path was found to be
+    /// cut. A failed check alone counts as a cut then: peers are tried first on the next connection, and
+    /// if they fail as well, the back end counts as unreachable.
     pub(crate) fn spawn_check(self: &Arc<Self>, address: SocketAddr) {
         let paths = Arc::clone(self);
         self.runtime.spawner.spawn(Box::pin(async move {
