--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -51,7 +51,9 @@
     pub fn earn(&mut self, service: &Arc<str>) {
         let max_saved = self.max_saved();
         let saved = self.saved.entry(Arc::clone(service)).or_default();
-        *saved = (*saved + self.settings.ratio * USED_SHARE).min(max_saved);
+        let earned = self.settings.ratio * USED_SHARE;
+        // More than the maximum is saved only after a retry was given back.
+        *saved = (*saved + earned).min(max_saved.max(*saved));
     }
 
     /// Takes one retry. Returns `false` if less than one is saved.
@@ -64,9 +66,10 @@
         true
     }
 
-    /// Returns a retry that was taken but not used.
+    /// Returns a retry that was taken but not used. A share below one retry still holds it, until it
+    /// is deposited into the pool.
     pub fn give_back(&mut self, service: &Arc<str>) {
-        let max_saved = self.max_saved();
+        let max_saved = self.max_saved().max(1.0);
         let saved = self.saved.entry(Arc::clone(service)).or_default();
         *saved = (*saved + 1.0).min(max_saved);
     }
--- a/crates/serve/tests/silent_back_ends.rs
+++ b/crates/serve/tests/silent_back_ends.rs
@@ -338,3 +338,38 @@
     let limit = events_take + CALLERS_GIVE_UP;
     assert!(longest_gap < limit, "{longest_gap:?}, {limit:?} at most");
 }
+
+#[test]
+fn a_stream_that_has_not_begun_keeps_its_silent_engine_if_no_other_can_run_it() {
+    let mut fleet = fleet_of(1, 1);
+    let silence = silence(&fleet, &fleet.decode_hosts, Duration::from_millis(1_200));
+    let requests = streams("tag", "tag", 6).into_iter().map(|sent| Sent {
+        after: SILENCE_STARTS - Duration::from_millis(EVENT_GAP_MS / 2),
+        ..sent
+    });
+    let answered = send_beside(&mut fleet, requests.collect(), silence);
+    assert_all_served(&answered, "silent before the first event");
+}
+
+#[test]
+fn a_prompt_keeps_its_silent_prefill_engine_if_no_engine_can_decode() {
+    let mut fleet = fleet_of(1, 2);
+    for engine in &fleet.decode {
+        engine.clear_behaviours();
+    }
+    let silence = silence(
+        &fleet,
+        &fleet.back_end_hosts(),
+        Duration::from_millis(1_200),
+    );
+    let requests = (0..4).map(|number| Sent {
+        after: SILENCE_STARTS - Duration::from_millis(10),
+        daemon: 0,
+        request: ClientRequest {
+            deadline_ms: 5_000,
+            ..ClientRequest::prompt(&format!("long-{number}"), "verdict", 6_000, 900)
+        },
+    });
+    let answered = send_beside(&mut fleet, requests.collect(), silence);
+    assert_all_served(&answered, "silent during the prefill");
+}
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -62,6 +62,7 @@
 #[derive(Debug, Default)]
 pub struct ExchangeRoute {
     is_direct: AtomicBool,
+    is_connected: AtomicBool,
 }
 
 impl ExchangeRoute {
@@ -74,6 +75,13 @@
     fn set(&self, connection: &Connection) {
         let is_direct = connection.relay.is_none();
         self.is_direct.store(is_direct, Ordering::Relaxed);
+        self.is_connected.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether there is a connection, so that the request may have been sent.
+    #[must_use]
+    pub fn is_connected(&self) -> bool {
+        self.is_connected.load(Ordering::Relaxed)
     }
 }
 
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -27,6 +27,7 @@
 mod relay_slots;
 mod retry_pool;
 mod send_gate;
+mod silent_sends;
 mod wait_policy;
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::future::BoxFuture;
 use http::{Request, StatusCode};
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::{Outcome, OutcomeCounts};
@@ -12,8 +13,10 @@
 use ponddrift_http::body;
 
 use super::Pipeline;
+use super::SendPermit;
 use super::announcements::AnswerOrigin;
 use super::job::Job;
+use super::silent_sends::RunStage;
 use super::wait_policy::WaitPolicy;
 use crate::connections::{ConnectionReuse, ExchangeError, ExchangeRoute, NotSent, Reply};
 use crate::dialect::{SendMetadata, SendStep};
@@ -33,6 +36,13 @@
 /// directory has to catch up.
 const MISDIRECTED_PAUSE: Duration = Duration::from_millis(800);
 
+/// Outcome of a send whose request another back end has answered first.
+pub(super) const ANSWERED_ELSEWHERE: &str = "answered_elsewhere";
+/// Name of a run in logs and metrics.
+pub(super) const SERVE: &str = "serve";
+/// Name of a prefill in logs and metrics.
+pub(super) const PREFILL: &str = "prefill";
+
 /// How a send ended, up to the head of the answer.
 pub(super) enum SendEnd {
     /// A back end ran the request and sent the head of its answer.
@@ -43,6 +53,32 @@
     NotRun(&'static str),
     /// The request may have run.
     MayHaveRun(&'static str),
+    /// The back end fell silent. The request holds what it needs to run elsewhere, and the answer is
+    /// still accepted.
+    Silent(SilentExchange),
+}
+
+/// An exchange with a back end that fell silent. Dropping it closes the connection.
+pub(super) struct SilentExchange {
+    pub(super) answer: PendingExchange,
+}
+
+/// The head of an answer that is still awaited.
+pub(super) type PendingExchange = BoxFuture<'static, Result<Reply, ExchangeError>>;
+
+/// Whether an answer began and reports success.
+pub(super) fn is_success(result: &Result<Reply, ExchangeError>) -> bool {
+    result
+        .as_ref()
+        .is_ok_and(|reply| reply.response.status().is_success())
+}
+
+/// A send that has not ended.
+#[derive(Debug, Clone)]
+pub(super) struct OpenSend {
+    pub(super) back_end: Arc<BackEnd>,
+    pub(super) purpose: &'static str,
+    pub(super) started_at: Instant,
 }
 
 /// Parameters of one send.
@@ -70,8 +106,8 @@
 }
 
 /// How a send was classified from the head of its answer or its error.
-struct SendVerdict {
-    result: SendEnd,
+pub(super) struct SendVerdict {
+    pub(super) result: SendEnd,
     outcome: Option<Outcome>,
     status: Option<u16>,
     /// Whether the back end most likely ran the request although its answer is unusable.
@@ -116,54 +152,109 @@
             Ok(permit) => permit,
             Err(reason) => return self.record_unsent(job, back_end, options.step, reason),
         };
-        let max_connections = self.connection_share(job.service.maximum_connections);
         let started_at = now();
         self.placement()
             .link
             .record_send(job.body.len(), started_at);
-        let reuse = if job.had_timeout {
-            ConnectionReuse::Never
-        } else {
-            ConnectionReuse::Idle
-        };
-        let route = ExchangeRoute::default();
-        let exchange = self.connections.exchange(
-            permit,
-            back_end.address,
-            max_connections,
-            reuse,
-            request,
-            &route,
-        );
+        let route = Arc::new(ExchangeRoute::default());
+        let mut exchange = self.start_exchange(job, back_end, permit, request, &route);
+        job.begin_send(OpenSend {
+            back_end: Arc::clone(back_end),
+            purpose: step_name(options.step),
+            started_at,
+        });
         let answer = self
-            .wait_for(
-                exchange,
-                back_end,
-                &job.service.health_path,
-                options.wait_policy,
-                &route,
-            )
+            .wait_for(&mut exchange, job, back_end, options.wait_policy, &route)
             .await;
+        job.open_send = None;
         let verdict = match answer {
-            Err(wait_end) => {
+            Err(finding) => {
                 job.had_timeout = true;
-                SendVerdict::new(SendEnd::MayHaveRun(wait_end.name()), wait_end.outcome())
+                let silent = SilentExchange { answer: exchange };
+                let is_run = !matches!(options.step, SendStep::Prefill);
+                if is_run && route.is_connected() && !job.time_left().is_zero() {
+                    job.count_run(step_name(options.step));
+                    return SendEnd::Silent(silent);
+                }
+                drop(silent);
+                let result = if route.is_connected() {
+                    SendEnd::MayHaveRun(finding.name())
+                } else {
+                    SendEnd::NotSent("unreachable")
+                };
+                SendVerdict::new(result, finding.outcome())
             }
-            Ok(Err(error)) => classify_error(&error),
-            Ok(Ok(reply)) => {
+            Ok(result) => {
+                let verdict =
+                    self.judge(job, back_end, step_name(options.step), result, started_at);
+                self.record_verdict(job, back_end, &verdict);
+                verdict
+            }
+        };
+        self.conclude_send(job, back_end, options.step, verdict, started_at)
+            .await
+    }
+
+    /// Starts to send the request. The exchange lives on if its request turns to another back end.
+    fn start_exchange(
+        &self,
+        job: &Job,
+        back_end: &BackEnd,
+        permit: SendPermit,
+        request: Request<body::Body>,
+        route: &Arc<ExchangeRoute>,
+    ) -> PendingExchange {
+        let connections = Arc::clone(&self.connections);
+        let route = Arc::clone(route);
+        let address = back_end.address;
+        let max_connections = self.connection_share(job.service.maximum_connections);
+        let reuse = if job.had_timeout {
+            ConnectionReuse::Never
+        } else {
+            ConnectionReuse::Idle
+        };
+        Box::pin(async move {
+            connections
+                .exchange(permit, address, max_connections, reuse, request, &route)
+                .await
+        })
+    }
+
+    /// What the head of an answer or its absence says.
+    pub(super) fn judge(
+        &self,
+        job: &mut Job,
+        back_end: &Arc<BackEnd>,
+        purpose: &'static str,
+        result: Result<Reply, ExchangeError>,
+        started_at: Instant,
+    ) -> SendVerdict {
+        match result {
+            Err(error) => classify_error(&error),
+            Ok(reply) => {
                 if let Some(peer) = reply.connection.relay() {
                     job.trace.add(TraceStep::Relayed { peer });
                 }
-                self.classify_reply(job, back_end, options.step, reply, started_at)
+                self.classify_reply(job, back_end, purpose, reply, started_at)
             }
-        };
+        }
+    }
+
+    /// Records what the end of an exchange says about the back end.
+    pub(super) fn record_verdict(
+        self: &Arc<Self>,
+        job: &Job,
+        back_end: &Arc<BackEnd>,
+        verdict: &SendVerdict,
+    ) {
         match &verdict.result {
             SendEnd::Answered(_) => {
+                job.run_stage.set(RunStage::Accepted);
                 let announcements = &mut self.placement().announcements;
                 announcements.record_accepted_request(back_end, now());
             }
             SendEnd::NotRun(_) => self.pause_refusing_back_end(back_end, verdict.status),
-            SendEnd::NotSent(_) | SendEnd::MayHaveRun(_) => {}
+            SendEnd::NotSent(_) | SendEnd::MayHaveRun(_) | SendEnd::Silent(_) => {}
         }
         if let Some(outcome) = verdict.outcome {
             self.note_outcome(back_end, &job.service.health_path, outcome);
@@ -172,19 +263,76 @@
             let mut placement = self.placement();
             placement.health.confirm_unanswered(&back_end.id, now());
         }
+    }
+
+    async fn conclude_send(
+        self: &Arc<Self>,
+        job: &mut Job,
+        back_end: &Arc<BackEnd>,
+        step: SendStep<'_>,
+        verdict: SendVerdict,
+        started_at: Instant,
+    ) -> SendEnd {
+        self.record_delivery(job, &verdict.result, step);
+        self.record_end_of_send(job, back_end, step_name(step), &verdict, started_at);
         if matches!(verdict.result, SendEnd::MayHaveRun(_)) {
             let has_ended = self
                 .check_lost_run(job, back_end, verdict.outcome, started_at)
                 .await;
-            job.ended_runs += u32::from(has_ended && !matches!(options.step, SendStep::Prefill));
+            if has_ended && !matches!(step, SendStep::Prefill) {
+                job.note_ended_run(back_end);
+            }
+        }
+        if verdict.has_run && !matches!(step, SendStep::Prefill) {
+            self.count_tenant_run(job);
         }
+        verdict.result
+    }
+
+    /// Judges the late answer of a back end that was silent. Its run was counted when the request
+    /// turned elsewhere.
+    pub(super) async fn judge_late_answer(
+        self: &Arc<Self>,
+        job: &mut Job,
+        back_end: &Arc<BackEnd>,
+        purpose: &'static str,
+        result: Result<Reply, ExchangeError>,
+        started_at: Instant,
+    ) -> SendEnd {
+        let verdict = self.judge(job, back_end, purpose, result, started_at);
+        self.record_verdict(job, back_end, &verdict);
+        match &verdict.result {
+            SendEnd::MayHaveRun(_) => {
+                let has_ended = self
+                    .check_lost_run(job, back_end, verdict.outcome, started_at)
+                    .await;
+                if has_ended {
+                    job.note_ended_run(back_end);
+                }
+            }
+            SendEnd::NotSent(_) | SendEnd::NotRun(_) => job.forget_run(back_end),
+            SendEnd::Answered(_) | SendEnd::Silent(_) => {}
+        }
+        self.record_end_of_send(job, back_end, purpose, &verdict, started_at);
+        verdict.result
+    }
+
+    /// Records the end of a send that got no answer for the caller.
+    pub(super) fn record_end_of_send(
+        &self,
+        job: &mut Job,
+        back_end: &BackEnd,
+        purpose: &'static str,
+        verdict: &SendVerdict,
+        started_at: Instant,
+    ) {
         if let SendEnd::NotSent(name) | SendEnd::NotRun(name) | SendEnd::MayHaveRun(name) =
             &verdict.result
         {
             self.attempt_ended(
                 job,
                 TraceStep::AttemptEnded {
-                    purpose: step_name(options.step),
+                    purpose,
                     back_end: Arc::clone(&back_end.id),
                     outcome: name,
                     status: verdict.status,
@@ -192,11 +340,30 @@
                 },
             );
         }
-        self.record_delivery(job, &verdict.result, options.step);
-        if verdict.has_run && !matches!(options.step, SendStep::Prefill) {
-            self.count_tenant_run(job);
+    }
+
+    /// Records the end of a send whose request was answered by another back end in the meantime, and
+    /// returns the retry that it did not use.
+    pub(super) fn cancel_open_send(&self, job: &mut Job) {
+        if let Some(open) = job.open_send.take() {
+            job.count_run(open.purpose);
+            self.open_send_ended(job, &open, ANSWERED_ELSEWHERE);
         }
-        verdict.result
+        job.held_retry = None;
+    }
+
+    /// Records the end of a send without an answer.
+    pub(super) fn open_send_ended(&self, job: &mut Job, open: &OpenSend, outcome: &'static str) {
+        self.attempt_ended(
+            job,
+            TraceStep::AttemptEnded {
+                purpose: open.purpose,
+                back_end: Arc::clone(&open.back_end.id),
+                outcome,
+                status: None,
+                took: now().saturating_duration_since(open.started_at),
+            },
+        );
     }
 
     /// Records a send that was not made.
@@ -233,16 +400,11 @@
 
     /// Counts the sends that arrived and the runs that may have happened.
     fn record_delivery(&self, job: &mut Job, result: &SendEnd, step: SendStep<'_>) {
-        let is_prefill = matches!(step, SendStep::Prefill);
         match result {
-            SendEnd::NotSent(_) => {}
-            SendEnd::NotRun(_) => job.delivered_sends += 1,
-            // A prefill does not count as a run, and the first one does not count as a delivered
-            // send.
-            SendEnd::Answered(_) | SendEnd::MayHaveRun(_) if is_prefill => job.prefill_sends += 1,
-            SendEnd::Answered(_) | SendEnd::MayHaveRun(_) => {
-                job.delivered_sends += 1;
-                job.runs += 1;
+            SendEnd::NotSent(_) => job.keep_retry(),
+            SendEnd::NotRun(_) => job.count_delivery(step_name(step)),
+            SendEnd::Answered(_) | SendEnd::MayHaveRun(_) | SendEnd::Silent(_) => {
+                job.count_run(step_name(step));
             }
         }
     }
@@ -251,7 +413,7 @@
         &self,
         job: &Job,
         back_end: &Arc<BackEnd>,
-        step: SendStep<'_>,
+        purpose: &'static str,
         reply: Reply,
         sent: Instant,
     ) -> SendVerdict {
@@ -262,10 +424,10 @@
         // must not be attributed to the expected back end.
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         if metadata.matches_request && !is_misdirected {
-            let origin = AnswerOrigin::request(step_name(step), sent, !metadata.was_not_run);
+            let origin = AnswerOrigin::request(purpose, sent, !metadata.was_not_run);
             self.record_announcements(back_end, head.status, &head.headers, origin);
         }
-        let is_for_caller = !matches!(step, SendStep::Prefill);
+        let is_for_caller = purpose != PREFILL;
         let is_success = head.status.is_success();
         let is_encoded = head.headers.contains_key(http::header::CONTENT_ENCODING);
         let (result, outcome) = if !metadata.matches_request {
@@ -397,8 +559,8 @@
 /// Name of the step in logs and metrics.
 pub(super) const fn step_name(step: SendStep<'_>) -> &'static str {
     match step {
-        SendStep::Serve => "serve",
-        SendStep::Prefill => "prefill",
+        SendStep::Serve => SERVE,
+        SendStep::Prefill => PREFILL,
         SendStep::Decode { .. } => "decode",
     }
 }
--- a/crates/serving/src/pipeline/budgeting.rs
+++ b/crates/serving/src/pipeline/budgeting.rs
@@ -12,6 +12,29 @@
 /// Maximum remote prefills of one request.
 const MAXIMUM_PREFILLS: u32 = 2;
 
+/// A retry that was taken from the budget for a request which still waits for its back end. Returned
+/// to the budget on drop, unless it was used.
+pub(super) struct HeldRetry {
+    pipeline: Arc<Pipeline>,
+    service: Arc<str>,
+    is_used: bool,
+}
+
+impl HeldRetry {
+    /// Uses the retry.
+    pub(super) fn spend(mut self) {
+        self.is_used = true;
+    }
+}
+
+impl Drop for HeldRetry {
+    fn drop(&mut self) {
+        if !self.is_used {
+            self.pipeline.budget().give_back(&self.service);
+        }
+    }
+}
+
 /// Whether a prompt may be prefilled on a separate engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PrefillPermit {
@@ -51,11 +74,27 @@
 
     /// Asks to send the request. The first send is free; each further one takes a retry from the
     /// budget.
-    pub(super) async fn may_send(&self, job: &mut Job, reason: &'static str) -> bool {
+    pub(super) async fn may_send(self: &Arc<Self>, job: &mut Job, reason: &'static str) -> bool {
         if job.delivered_sends == 0 {
             return true;
         }
-        job.delivered_sends < MAXIMUM_SENDS && self.take_retry(job, reason).await
+        job.delivered_sends < MAXIMUM_SENDS && self.hold_retry(job, reason).await
+    }
+
+    /// Takes a retry for the next send. It is used once the send arrives at a back end.
+    pub(super) async fn hold_retry(self: &Arc<Self>, job: &mut Job, reason: &'static str) -> bool {
+        if job.held_retry.is_some() {
+            return true;
+        }
+        if !self.take_retry(job, reason).await {
+            return false;
+        }
+        job.held_retry = Some(HeldRetry {
+            pipeline: Arc::clone(self),
+            service: Arc::clone(&job.service.name),
+            is_used: false,
+        });
+        true
     }
 
     /// Whether the budget holds a retry for this request.
@@ -63,13 +102,6 @@
         job.delivered_sends < MAXIMUM_SENDS && self.may_have_retry(&job.service.name)
     }
 
-    /// Whether an abandoned send may be followed by another one that runs the request again.
-    pub(super) fn may_be_sent_elsewhere(&self, job: &Job) -> bool {
-        job.route.kind.is_retryable()
-            && job.attempts() + 1 < job.route.maximum_attempts
-            && self.has_retry(job)
-    }
-
     fn may_have_retry(&self, service: &str) -> bool {
         let budget = self.budget();
         let left = budget.left(service);
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -1,9 +1,11 @@
 //! Waits for the first event of a stream and records its timing.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use futures::FutureExt;
+use http::response;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use ponddrift_fleet::directory::BackEnd;
@@ -12,115 +14,121 @@
 use ponddrift_fleet::placement::{PrefixState, PromptPlan, PromptReading, PromptTime, Urgency};
 
 use super::Pipeline;
-use super::generate::{OpenAttempt, OpenStream, SendTiming};
-use super::guards::LoadGuard;
+use super::attempt::SERVE;
+use super::generate::{LateStart, OpenAttempt, OpenStream, SendTiming, StreamSend};
 use super::job::Job;
-use super::wait_policy::{WaitEnd, WaitPolicy};
-use crate::connections::Reply;
+use super::wait_policy::WaitPolicy;
+use crate::connections::{Connection, Reply};
 use crate::request_trace::{TraceStep, milliseconds};
 use crate::time::now;
 
-/// Why no first event arrived.
-pub(super) enum FirstEventError {
-    WaitEnd(WaitEnd),
-    Broken(&'static str),
-}
-
-impl FirstEventError {
-    const fn name(&self) -> &'static str {
-        match self {
-            Self::WaitEnd(wait_end) => wait_end.name(),
-            Self::Broken(name) => name,
-        }
-    }
-
-    pub(super) const fn outcome(&self) -> Option<Outcome> {
-        match self {
-            Self::WaitEnd(wait_end) => wait_end.outcome(),
-            Self::Broken(_) => Some(Outcome::Broken),
-        }
-    }
+/// A stream that has begun.
+pub(super) struct StartedStream {
+    head: response::Parts,
+    body: Incoming,
+    connection: Connection,
+    splitter: EventSplitter,
+    buffered_event: Option<Event>,
+    ended: bool,
 }
 
 impl Pipeline {
+    /// Waits for the first event of an answer.
     pub(super) async fn first_event(
         self: &Arc<Self>,
-        back_end: &Arc<BackEnd>,
-        health_path: &str,
+        job: &mut Job,
+        send: StreamSend,
         reply: Reply,
-        mut load: LoadGuard,
-        started_at: Instant,
         wait_policy: WaitPolicy,
-    ) -> Result<Box<OpenStream>, FirstEventError> {
-        let (head, mut body) = reply.response.into_parts();
-        let mut splitter = EventSplitter::default();
+    ) -> OpenAttempt {
         let route = reply.connection.route();
-        let reading = read_first_event(&mut body, &mut splitter);
-        let (buffered_event, ended) = self
-            .wait_for(reading, back_end, health_path, wait_policy, &route)
-            .await
-            .map_err(FirstEventError::WaitEnd)?
-            .map_err(FirstEventError::Broken)?;
-        load.generates();
-        Ok(Box::new(OpenStream {
-            back_end: Arc::clone(back_end),
-            head,
-            body,
-            connection: reply.connection,
-            splitter,
-            buffered_event,
-            ended,
-            has_forwarded_event: false,
-            started_at,
-            _load: load,
-        }))
+        let mut reading = read_first_event(reply).boxed();
+        let waited = self
+            .wait_for(&mut reading, job, &send.decode, wait_policy, &route)
+            .await;
+        match waited {
+            Ok(started) => self.note_first_event(job, send, started).await,
+            Err(_finding) if !job.time_left().is_zero() => {
+                let answer = reading.map(LateStart::FirstEvent).boxed();
+                OpenAttempt::Silent(Box::new(send.fall_silent(job, answer)))
+            }
+            Err(finding) => self.no_first_event(job, &send, finding.name()),
+        }
     }
 
-    pub(super) fn note_first_event(
+    /// Records the first event, or that the answer broke off before it.
+    pub(super) async fn note_first_event(
         self: &Arc<Self>,
         job: &mut Job,
-        plan: &PromptPlan,
-        decode: &Arc<BackEnd>,
-        opened: Result<Box<OpenStream>, FirstEventError>,
-        sent: SendTiming,
+        send: StreamSend,
+        started: Result<StartedStream, &'static str>,
     ) -> OpenAttempt {
-        let took = now().saturating_duration_since(sent.started_at);
-        match opened {
-            Ok(stream) => {
-                let waited = now().saturating_duration_since(job.arrived);
-                self.metrics.first_event(waited);
-                self.count_tenant_run(job);
-                job.first_event.get_or_insert_with(now);
-                let is_direct = stream.connection.relay().is_none();
-                let took_without_queue = (is_direct && sent.had_no_queued_prefill).then_some(took);
-                self.record_first_event_time(job, decode, waited);
-                self.record_decode_speed(job, plan, decode, took_without_queue);
-                if is_direct {
-                    self.learn_prompt_at_decode(job, plan, decode, took, sent);
-                }
-                OpenAttempt::Opened(stream)
-            }
-            Err(no_event) => {
-                if let Some(outcome) = no_event.outcome() {
-                    self.note_outcome(decode, &job.service.health_path, outcome);
+        let started = match started {
+            Ok(started) => started,
+            Err(reason) => {
+                let broken = Some(Outcome::Broken);
+                let has_ended = self
+                    .check_lost_run(job, &send.decode, broken, send.timing.started_at)
+                    .await;
+                if has_ended {
+                    job.note_ended_run(&send.decode);
                 }
-                if matches!(no_event, FirstEventError::Broken(_)) {
-                    self.count_tenant_run(job);
-                }
-                let reason = no_event.name();
-                self.attempt_ended(
-                    job,
-                    TraceStep::AttemptEnded {
-                        purpose: "serve",
-                        back_end: Arc::clone(&decode.id),
-                        outcome: reason,
-                        status: None,
-                        took,
-                    },
-                );
-                OpenAttempt::MayHaveRun(reason)
+                self.note_outcome(&send.decode, &job.service.health_path, Outcome::Broken);
+                self.count_tenant_run(job);
+                return self.no_first_event(job, &send, reason);
             }
+        };
+        let StreamSend {
+            plan,
+            decode,
+            mut load,
+            timing,
+            ..
+        } = send;
+        let took = now().saturating_duration_since(timing.started_at);
+        let waited = now().saturating_duration_since(job.arrived);
+        load.generates();
+        self.metrics.first_event(waited);
+        self.count_tenant_run(job);
+        job.first_event.get_or_insert_with(now);
+        let is_direct = started.connection.relay().is_none();
+        let took_without_queue = (is_direct && timing.had_no_queued_prefill).then_some(took);
+        self.record_first_event_time(job, &decode, waited);
+        self.record_decode_speed(job, &plan, &decode, took_without_queue);
+        if is_direct {
+            self.learn_prompt_at_decode(job, &plan, &decode, took, timing);
         }
+        OpenAttempt::Opened(Box::new(OpenStream {
+            back_end: decode,
+            head: started.head,
+            body: started.body,
+            connection: started.connection,
+            splitter: started.splitter,
+            buffered_event: started.buffered_event,
+            ended: started.ended,
+            has_forwarded_event: false,
+            started_at: timing.started_at,
+            _load: load,
+        }))
+    }
+
+    fn no_first_event(
+        &self,
+        job: &mut Job,
+        send: &StreamSend,
+        reason: &'static str,
+    ) -> OpenAttempt {
+        self.attempt_ended(
+            job,
+            TraceStep::AttemptEnded {
+                purpose: SERVE,
+                back_end: Arc::clone(&send.decode.id),
+                outcome: reason,
+                status: None,
+                took: now().saturating_duration_since(send.timing.started_at),
+            },
+        );
+        OpenAttempt::MayHaveRun(reason)
     }
 
     fn record_first_event_time(&self, job: &Job, decode: &Arc<BackEnd>, waited: Duration) {
@@ -185,20 +193,27 @@
     }
 }
 
-async fn read_first_event(
-    body: &mut Incoming,
-    splitter: &mut EventSplitter,
-) -> Result<(Option<Event>, bool), &'static str> {
-    loop {
+async fn read_first_event(reply: Reply) -> Result<StartedStream, &'static str> {
+    let (head, mut body) = reply.response.into_parts();
+    let mut splitter = EventSplitter::default();
+    let (buffered_event, ended) = loop {
         if let Some(event) = splitter.next_event().map_err(|_fault| "event_too_long")? {
-            return Ok((Some(event), false));
+            break (Some(event), false);
         }
         let frame = body.frame().await;
-        match push_frame(splitter, frame, "broke_off_before_first_event")? {
+        match push_frame(&mut splitter, frame, "broke_off_before_first_event")? {
             BodyState::Continues => {}
-            BodyState::Ended => return Ok((None, true)),
+            BodyState::Ended => break (None, true),
         }
-    }
+    };
+    Ok(StartedStream {
+        head,
+        body,
+        connection: reply.connection,
+        splitter,
+        buffered_event,
+        ended,
+    })
 }
 
 /// Whether a body continues after a frame.
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures::FutureExt;
+use futures::future::BoxFuture;
 use http::{Response, StatusCode, response};
 use hyper::body::Incoming;
 use ponddrift_fleet::directory::BackEnd;
@@ -16,15 +18,19 @@
 
 use super::Pipeline;
 use super::answers::Failure;
-use super::attempt::{SendEnd, SendOptions};
+use super::attempt::{ANSWERED_ELSEWHERE, OpenSend, SendEnd, SendOptions, is_success, step_name};
 use super::budgeting::PrefillPermit;
+use super::first_event::StartedStream;
 use super::guards::{InProgress, KvCacheHandle, LoadGuard};
 use super::intake::{FinalAnswer, end_to_end_headers};
 use super::job::Job;
-use super::plain::{MIN_TIME_FOR_SEND, TARGET_WAIT_FACTOR};
+use super::plain::{
+    MIN_TIME_FOR_SEND, NO_ANSWER, TARGET_WAIT_FACTOR, may_have_run_failure, read_complete,
+};
 use super::relay::Relay;
+use super::silent_sends::{First, Late, LateAnswer, RunStage, SilentSend, SilentSends};
 use super::wait_policy::WaitPolicy;
-use crate::connections::{Connection, Reply};
+use crate::connections::{Connection, ExchangeError, Reply};
 use crate::dialect::SendStep;
 use crate::request_trace::{TraceStep, milliseconds};
 use crate::time::now;
@@ -66,6 +72,15 @@
     pub(super) tokens_ahead: Option<f64>,
 }
 
+/// How one round of opening a stream ended.
+enum Round {
+    Attempt(OpenAttempt),
+    /// Nothing was sent; another round may send.
+    Nothing,
+    /// No further send is possible.
+    NoFurtherSend,
+}
+
 /// Result of a prefill on a separate engine.
 enum RemotePrefill {
     /// The prompt was prefilled.
@@ -77,7 +92,7 @@
 }
 
 /// A prompt whose KV cache can be reused after another engine refused the request.
-struct PrefilledPrompt {
+pub(super) struct PrefilledPrompt {
     plan: PromptPlan,
     handle: KvCacheHandle,
 }
@@ -85,12 +100,103 @@
 pub(super) enum OpenAttempt {
     Opened(Box<OpenStream>),
     Answer(FinalAnswer),
-    /// The KV cache handle, if any, can be used by another engine.
+    /// The engine did not run the request. The prefilled prompt, if any, can be used by another one.
     NotRun {
         reason: &'static str,
-        handle: Option<KvCacheHandle>,
+        prefilled: Option<PrefilledPrompt>,
     },
     MayHaveRun(&'static str),
+    /// The engine fell silent; its answer is still accepted.
+    Silent(Box<SilentStreamSend>),
+}
+
+/// What a silent engine may still send.
+pub(super) enum LateStart {
+    /// The head of the answer, or why there is none.
+    Head(Result<Reply, ExchangeError>),
+    /// The first event, or why there is none.
+    FirstEvent(Result<StartedStream, &'static str>),
+}
+
+/// What is needed to continue with the answer of an engine.
+pub(super) struct StreamSend {
+    pub(super) plan: PromptPlan,
+    pub(super) decode: Arc<BackEnd>,
+    pub(super) step: &'static str,
+    pub(super) handle: Option<KvCacheHandle>,
+    pub(super) load: LoadGuard,
+    pub(super) timing: SendTiming,
+}
+
+impl LateAnswer for LateStart {
+    fn is_usable(&self) -> bool {
+        match self {
+            Self::Head(result) => is_success(result),
+            Self::FirstEvent(started) => started.is_ok(),
+        }
+    }
+}
+
+pub(super) type SilentStreamSend = SilentSend<StreamSend, LateStart>;
+type SilentStreamSends = SilentSends<StreamSend, LateStart>;
+
+impl StreamSend {
+    pub(super) fn fall_silent(
+        mut self,
+        job: &mut Job,
+        answer: BoxFuture<'static, LateStart>,
+    ) -> SilentStreamSend {
+        // Its time says nothing about the speed of the engine.
+        self.timing.had_no_queued_prefill = false;
+        self.timing.tokens_ahead = None;
+        let open = OpenSend {
+            back_end: Arc::clone(&self.decode),
+            purpose: self.step,
+            started_at: self.timing.started_at,
+        };
+        job.silent_runs.push(open.clone());
+        SilentSend::new(open, self, answer)
+    }
+}
+
+/// What came of the attempts to open a stream so far.
+struct OpenProgress {
+    failure: Failure,
+    error_answer: Option<FinalAnswer>,
+    prefilled: Option<PrefilledPrompt>,
+    may_reuse_handle: bool,
+}
+
+impl OpenProgress {
+    /// Notes how an attempt ended. Returns the stream if it is open.
+    fn note(
+        &mut self,
+        job: &Job,
+        end: OpenAttempt,
+        silent: &mut SilentStreamSends,
+    ) -> Option<OpenStream> {
+        match end {
+            OpenAttempt::Opened(stream) => return Some(*stream),
+            OpenAttempt::Answer(final_answer) => {
+                self.failure = Failure::MayHaveRun("back_end_error");
+                self.error_answer = Some(final_answer);
+            }
+            OpenAttempt::NotRun { reason, prefilled } => {
+                if prefilled.is_some() && std::mem::take(&mut self.may_reuse_handle) {
+                    self.prefilled = prefilled;
+                }
+                if job.runs == 0 {
+                    self.failure = Failure::NotRun(reason);
+                }
+            }
+            OpenAttempt::MayHaveRun(reason) => self.failure = may_have_run_failure(job, reason),
+            OpenAttempt::Silent(send) => {
+                self.failure = Failure::MayHaveRun(NO_ANSWER);
+                silent.push(*send);
+            }
+        }
+        None
+    }
 }
 
 /// Whether the caller of a request that no engine has started would give up before the expected
@@ -135,82 +241,131 @@
         }
     }
 
-    /// Opens the stream. If a back end fails and the request may run again, tries another one.
+    /// Opens the stream. If a back end fails and the request may run again, tries another one. One
+    /// that is silent may still answer first.
     pub(super) async fn open_stream(
         self: &Arc<Self>,
         job: &mut Job,
         resume_after: Option<u64>,
     ) -> Result<OpenStream, NotOpened> {
-        let mut failure = Failure::NotRun("no_back_end_ready");
-        let mut error_answer = None;
-        let mut prefilled: Option<PrefilledPrompt> = None;
-        let mut may_reuse_handle = true;
-        while job.time_left() > MIN_TIME_FOR_SEND && job.may_run_again() {
-            if let Err(refusal) = self.may_run_now(job) {
-                failure = refusal;
-                break;
-            }
-            if self.link_is_congested(job) {
-                failure =
-                    Failure::NotRun("this daemon's link is full: come back, another may have room");
-                break;
+        let mut progress = OpenProgress {
+            failure: Failure::NotRun("no_back_end_ready"),
+            error_answer: None,
+            prefilled: None,
+            may_reuse_handle: true,
+        };
+        let mut silent = SilentSends::default();
+        loop {
+            let round = self
+                .next_open_end(job, &mut progress, &mut silent, resume_after)
+                .await;
+            let end = match round {
+                Round::Attempt(end) => end,
+                Round::Nothing => continue,
+                Round::NoFurtherSend => break,
+            };
+            if let Some(stream) = progress.note(job, end, &mut silent) {
+                silent.close(self, job, ANSWERED_ELSEWHERE);
+                return Ok(stream);
             }
-            let (plan, handle) = match prefilled.take() {
-                Some(reusable) => (reusable.plan, Some(reusable.handle)),
-                None => {
-                    self.await_prefix(job).await;
-                    let Some(plan) = self.plan(job) else {
-                        if self.await_rate(job).await {
-                            continue;
+        }
+        if !silent.is_empty() {
+            silent.close(self, job, NO_ANSWER);
+            progress.failure = Failure::TimedOut(NO_ANSWER);
+        }
+        let failure = NotOpened::Failure(progress.failure);
+        Err(progress.error_answer.map_or(failure, NotOpened::Answer))
+    }
+
+    /// Sends the request to the next engine, if it may be sent, unless a silent one answers first.
+    async fn next_open_end(
+        self: &Arc<Self>,
+        job: &mut Job,
+        progress: &mut OpenProgress,
+        silent: &mut SilentStreamSends,
+        resume_after: Option<u64>,
+    ) -> Round {
+        let late = match silent.take_unusable() {
+            Some(late) => late,
+            None => {
+                let stage = Arc::clone(&job.run_stage);
+                let round = self.open_round(job, progress, resume_after);
+                match silent.beside(self, &stage, round).await {
+                    First::Late(late) => late,
+                    First::Attempt(Round::NoFurtherSend) => {
+                        match silent.next_before_retry(job).await {
+                            Some(late) => late,
+                            None if silent.may_answer(job) => return Round::Nothing,
+                            None => return Round::NoFurtherSend,
                         }
-                        failure = self.no_candidate_failure(job, failure);
-                        break;
-                    };
-                    if would_time_out(job, &plan) {
-                        failure = Failure::NotRun(
-                            "the engines have more to do than this request has time for: come back later",
-                        );
-                        break;
-                    }
-                    match self.prefill_remotely(job, &plan).await {
-                        RemotePrefill::Done(handle) => (plan, Some(handle)),
-                        RemotePrefill::Failed => continue,
-                        RemotePrefill::Skipped => (plan, None),
                     }
+                    First::Attempt(round) => return round,
                 }
-            };
-            // The prefill took time, during which peers may have quarantined the request.
-            if let Err(refusal) = self.may_run_now(job) {
-                failure = refusal;
-                break;
             }
-            if !self.may_send(job, failure.reason()).await {
-                break;
-            }
-            let result = self.stream_attempt(job, &plan, handle, resume_after).await;
-            match result {
-                OpenAttempt::NotRun {
-                    reason,
-                    handle: Some(handle),
-                } if std::mem::take(&mut may_reuse_handle) => {
-                    prefilled = Some(PrefilledPrompt { plan, handle });
-                    if job.runs == 0 {
-                        failure = Failure::NotRun(reason);
+        };
+        self.cancel_open_send(job);
+        job.forget_silent_run(&late.open);
+        Round::Attempt(self.late_stream_answer(job, late).await)
+    }
+
+    /// Plans the request and sends it, if it may be sent.
+    async fn open_round(
+        self: &Arc<Self>,
+        job: &mut Job,
+        progress: &mut OpenProgress,
+        resume_after: Option<u64>,
+    ) -> Round {
+        if job.time_left() <= MIN_TIME_FOR_SEND || !job.may_run_again() {
+            return Round::NoFurtherSend;
+        }
+        job.run_stage.set(RunStage::None);
+        self.check_silent_runs(job).await;
+        if let Err(refusal) = self.may_run_now(job) {
+            progress.failure = refusal;
+            return Round::NoFurtherSend;
+        }
+        if self.link_is_congested(job) {
+            progress.failure =
+                Failure::NotRun("this daemon's link is full: come back, another may have room");
+            return Round::NoFurtherSend;
+        }
+        // Without a retry another run would be planned, and its prompt read, in vain.
+        if job.runs > 0 && !self.may_send(job, progress.failure.reason()).await {
+            return Round::NoFurtherSend;
+        }
+        let (plan, handle) = match progress.prefilled.take() {
+            Some(reusable) => (reusable.plan, Some(reusable.handle)),
+            None => {
+                self.await_prefix(job).await;
+                let Some(plan) = self.plan(job) else {
+                    if self.await_rate(job).await {
+                        return Round::Nothing;
                     }
+                    progress.failure = self.no_candidate_failure(job, progress.failure);
+                    return Round::NoFurtherSend;
+                };
+                if would_time_out(job, &plan) {
+                    progress.failure = Failure::NotRun(
+                        "the engines have more to do than this request has time for: come back later",
+                    );
+                    return Round::NoFurtherSend;
                 }
-                OpenAttempt::Opened(stream) => return Ok(*stream),
-                OpenAttempt::Answer(final_answer) => {
-                    failure = Failure::MayHaveRun("back_end_error");
-                    error_answer = Some(final_answer);
-                }
-                OpenAttempt::NotRun { reason, .. } if job.runs == 0 => {
-                    failure = Failure::NotRun(reason);
+                match self.prefill_remotely(job, &plan).await {
+                    RemotePrefill::Done(handle) => (plan, Some(handle)),
+                    RemotePrefill::Failed => return Round::Nothing,
+                    RemotePrefill::Skipped => (plan, None),
                 }
-                OpenAttempt::NotRun { .. } => {}
-                OpenAttempt::MayHaveRun(reason) => failure = self.may_have_run_failure(job, reason),
             }
+        };
+        // The prefill took time, during which peers may have quarantined the request.
+        if let Err(refusal) = self.may_run_now(job) {
+            progress.failure = refusal;
+            return Round::NoFurtherSend;
+        }
+        if !self.may_send(job, progress.failure.reason()).await {
+            return Round::NoFurtherSend;
         }
-        Err(error_answer.map_or(NotOpened::Failure(failure), NotOpened::Answer))
+        Round::Attempt(self.stream_attempt(job, plan, handle, resume_after).await)
     }
 
     /// Whether the backlog on this daemon's network link alone would make a request late that no
@@ -353,11 +508,11 @@
     async fn stream_attempt(
         self: &Arc<Self>,
         job: &mut Job,
-        plan: &PromptPlan,
+        plan: PromptPlan,
         handle: Option<KvCacheHandle>,
         resume_after: Option<u64>,
     ) -> OpenAttempt {
-        let decode = self.decode_engine(job, plan, handle.is_some());
+        let decode = self.decode_engine(job, &plan, handle.is_some());
         let tokens = if handle.is_some() {
             0.0
         } else {
@@ -369,7 +524,7 @@
         let tokens_ahead =
             (handle.is_none() && had_free_slot).then(|| outstanding.tokens_ahead(job.urgency));
         let load = LoadGuard::new(self, &decode, tokens, job.urgency);
-        let wait_policy = self.first_event_wait_policy(job, plan);
+        let wait_policy = self.first_event_wait_policy(job, &plan);
         let step = match &handle {
             Some(held) => SendStep::Decode {
                 source: held.source,
@@ -377,7 +532,11 @@
             },
             None => SendStep::Serve,
         };
-        let started_at = now();
+        let timing = SendTiming {
+            started_at: now(),
+            had_no_queued_prefill,
+            tokens_ahead,
+        };
         let cache_source = plan.fetch_from.as_ref().filter(|_| handle.is_none());
         let options = SendOptions {
             resume_after,
@@ -386,42 +545,69 @@
         };
         let result = self.send(job, &decode, options).await;
         job.note_tried(&decode.id);
+        let send = StreamSend {
+            plan,
+            decode,
+            step: step_name(step),
+            handle,
+            load,
+            timing,
+        };
+        self.continue_stream(job, send, result, wait_policy).await
+    }
+
+    /// Continues after the head of an answer arrived or failed to.
+    async fn continue_stream(
+        self: &Arc<Self>,
+        job: &mut Job,
+        mut send: StreamSend,
+        result: SendEnd,
+        wait_policy: WaitPolicy,
+    ) -> OpenAttempt {
         let reply = match result {
             SendEnd::Answered(reply) => *reply,
             SendEnd::NotSent(reason) | SendEnd::NotRun(reason) => {
-                return OpenAttempt::NotRun { reason, handle };
+                let plan = send.plan;
+                let prefilled = send.handle.map(|handle| PrefilledPrompt { plan, handle });
+                return OpenAttempt::NotRun { reason, prefilled };
             }
             SendEnd::MayHaveRun(reason) => return OpenAttempt::MayHaveRun(reason),
+            SendEnd::Silent(exchange) => {
+                let answer = exchange.answer.map(LateStart::Head).boxed();
+                return OpenAttempt::Silent(Box::new(send.fall_silent(job, answer)));
+            }
         };
-        if let Some(mut held) = handle {
+        if let Some(held) = &mut send.handle {
             held.mark_taken();
         }
         if !reply.response.status().is_success() {
             return self
-                .error_answer(job, &decode, reply, wait_policy.until)
+                .error_answer(job, &send.decode, reply, wait_policy.deadline())
                 .await;
         }
-        let path = Arc::clone(&job.service.health_path);
-        let opened = self
-            .first_event(&decode, &path, reply, load, started_at, wait_policy)
+        self.first_event(job, send, reply, wait_policy).await
+    }
+
+    /// Continues with the answer of an engine that was silent.
+    async fn late_stream_answer(
+        self: &Arc<Self>,
+        job: &mut Job,
+        late: Late<StreamSend, LateStart>,
+    ) -> OpenAttempt {
+        let send = late.context;
+        let result = match late.answer {
+            LateStart::FirstEvent(started) => {
+                return self.note_first_event(job, send, started).await;
+            }
+            LateStart::Head(result) => result,
+        };
+        let decode = Arc::clone(&send.decode);
+        let started_at = send.timing.started_at;
+        let result = self
+            .judge_late_answer(job, &decode, send.step, result, started_at)
             .await;
-        if let Err(no_event) = &opened {
-            let has_ended = self
-                .check_lost_run(job, &decode, no_event.outcome(), started_at)
-                .await;
-            job.ended_runs += u32::from(has_ended);
-        }
-        self.note_first_event(
-            job,
-            plan,
-            &decode,
-            opened,
-            SendTiming {
-                started_at,
-                had_no_queued_prefill,
-                tokens_ahead,
-            },
-        )
+        let wait_policy = WaitPolicy::until_deadline(job);
+        self.continue_stream(job, send, result, wait_policy).await
     }
 
     /// Chooses the engine that decodes. After a remote prefill the choice is made again, because
@@ -478,14 +664,14 @@
         job: &mut Job,
         back_end: &Arc<BackEnd>,
         reply: Reply,
-        until: Instant,
+        deadline: Instant,
     ) -> OpenAttempt {
         // Engines also answer with this status if the deadline passed before the request started to
         // run.
         if reply.response.status() != StatusCode::GATEWAY_TIMEOUT {
             self.count_tenant_run(job);
         }
-        let answer = self.read_complete(reply, until).await;
+        let answer = read_complete(reply, deadline).await;
         self.note_outcome(back_end, &job.service.health_path, Outcome::Error);
         self.attempt_ended(
             job,
@@ -506,16 +692,14 @@
         }
     }
 
-    /// A stream that may be opened elsewhere is abandoned well after its latency target, or if its
-    /// engine does not answer a health check either.
+    /// An engine counts as too slow well after the latency target, or if it does not answer a health
+    /// check either.
     fn first_event_wait_policy(&self, job: &Job, plan: &PromptPlan) -> WaitPolicy {
         const EXPECTED_TIME_FACTOR: f64 = 2.0;
         const HEALTH_CHECK_MARGIN: Duration = Duration::from_millis(100);
-        if !self.may_be_sent_elsewhere(job) {
-            return WaitPolicy::new(job, None, None);
-        }
         let expected = plan.expected().mul_f64(EXPECTED_TIME_FACTOR);
         let limit = (job.route.target_latency * TARGET_WAIT_FACTOR).max(expected);
-        WaitPolicy::new(job, Some(limit), Some(expected + HEALTH_CHECK_MARGIN))
+        let health_check_after = expected + HEALTH_CHECK_MARGIN;
+        WaitPolicy::new(job, job.release(), Some(limit), Some(health_check_after))
     }
 }
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri, header};
 use ponddrift_fleet::configuration::{Route, Service};
+use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::fingerprint::{RequestContent, RequestFingerprint};
 use ponddrift_fleet::placement::{
     LatencyTargets, Placement, StreamNeeds, StreamPlacement, Urgency,
@@ -13,7 +14,11 @@
 use ponddrift_fleet::tenants::Tenant;
 
 use super::Pipeline;
+use super::attempt::{OpenSend, PREFILL};
+use super::budgeting::HeldRetry;
 use super::guards::HeldBytes;
+use super::silent_sends::{RunStage, SharedRunStage};
+use super::wait_policy::Release;
 use crate::dialect::RequestMetadata;
 use crate::request_trace::RequestTrace;
 use crate::time::now;
@@ -65,13 +70,23 @@
     pub(super) rate_waits: u32,
     /// Back ends that ran the request, or may have run it.
     pub(super) runs: u32,
-    /// Those of them that are known to have ended since. They do not count as attempts.
-    pub(super) ended_runs: u32,
+    /// Those of them whose back ends fell silent and were not checked since.
+    pub(super) silent_runs: Vec<OpenSend>,
+    /// Back ends of runs that are known to have ended since. These do not count as attempts.
+    pub(super) ended_runs: Vec<Arc<str>>,
     /// Back ends that must not be tried again.
     pub(super) tried: Vec<Arc<str>>,
     /// Whether a back end did not answer in time. Later sends use new connections, because idle
     /// ones may have died silently.
     pub(super) had_timeout: bool,
+    /// The send that is in progress.
+    pub(super) open_send: Option<OpenSend>,
+    /// How far the current run has come.
+    pub(super) run_stage: Arc<SharedRunStage>,
+    /// A retry taken for the next send.
+    pub(super) held_retry: Option<HeldRetry>,
+    /// The retry of the send that is in progress.
+    pub(super) sending_retry: Option<HeldRetry>,
     /// Identifies the request when it is sent again; computed on first use.
     pub(super) fingerprint: OnceLock<RequestFingerprint>,
     /// Whether the end of the request has been recorded.
@@ -146,8 +161,58 @@
     }
 
     /// Runs that count as attempts: those at back ends that are not known to have ended since.
-    pub(super) const fn attempts(&self) -> u32 {
-        self.runs.saturating_sub(self.ended_runs)
+    pub(super) fn attempts(&self) -> u32 {
+        let ended = u32::try_from(self.ended_runs.len()).unwrap_or(u32::MAX);
+        self.runs.saturating_sub(ended)
+    }
+
+    /// Records that the back end of a run has ended.
+    pub(super) fn note_ended_run(&mut self, back_end: &BackEnd) {
+        if !self.ended_runs.contains(&back_end.id) {
+            self.ended_runs.push(Arc::clone(&back_end.id));
+        }
+    }
+
+    /// Takes back a run that a back end turns out not to have begun.
+    pub(super) fn forget_run(&mut self, back_end: &BackEnd) {
+        self.runs = self.runs.saturating_sub(1);
+        self.ended_runs.retain(|id| *id != back_end.id);
+    }
+
+    pub(super) fn begin_send(&mut self, send: OpenSend) {
+        if send.purpose != PREFILL {
+            self.run_stage.set(RunStage::Sent);
+            self.sending_retry = self.held_retry.take();
+        }
+        self.open_send = Some(send);
+    }
+
+    /// Keeps the retry of a send that did not arrive for the next one.
+    pub(super) fn keep_retry(&mut self) {
+        if let Some(retry) = self.sending_retry.take() {
+            self.held_retry = Some(retry);
+        }
+    }
+
+    /// Counts a send that arrived. One that runs the request uses its retry.
+    pub(super) fn count_delivery(&mut self, purpose: &'static str) {
+        self.delivered_sends += 1;
+        if purpose != PREFILL
+            && let Some(retry) = self.sending_retry.take()
+        {
+            retry.spend();
+        }
+    }
+
+    /// Counts a run that may have happened. A prefill does not count as a run, and the first one does
+    /// not count as a delivered send.
+    pub(super) fn count_run(&mut self, purpose: &'static str) {
+        if purpose == PREFILL {
+            self.prefill_sends += 1;
+        } else {
+            self.count_delivery(purpose);
+            self.runs += 1;
+        }
     }
 
     /// Identifies the request when it is sent again under another request ID.
@@ -165,6 +230,23 @@
         })
     }
 
+    /// What the request needs before it leaves a back end that may be running it.
+    pub(super) fn release(&self) -> Release {
+        let may_run_elsewhere =
+            self.route.kind.is_retryable() && self.attempts() + 1 < self.route.maximum_attempts;
+        if may_run_elsewhere {
+            Release::WithRetry
+        } else {
+            Release::Never
+        }
+    }
+
+    /// Records that the back end of a silent run has answered.
+    pub(super) fn forget_silent_run(&mut self, answered: &OpenSend) {
+        self.silent_runs
+            .retain(|run| run.back_end.id != answered.back_end.id);
+    }
+
     pub(super) fn note_tried(&mut self, id: &Arc<str>) {
         self.tried.push(Arc::clone(id));
     }
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::FutureExt;
 use http::StatusCode;
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
@@ -14,7 +15,8 @@
 use super::attempt::{SendEnd, SendOptions};
 use super::guards::{KvCacheHandle, LoadGuard};
 use super::job::Job;
-use super::wait_policy::WaitPolicy;
+use super::plain::read_complete;
+use super::wait_policy::{Release, WaitPolicy};
 use crate::dialect::SendStep;
 use crate::request_trace::{TraceStep, milliseconds};
 use crate::time::{self, now};
@@ -45,7 +47,8 @@
         let _load = LoadGuard::new(self, engine, tokens_to_read, job.urgency);
         let expected = Duration::from_secs_f64(expected_ms / 1000.0);
         let health_check_after = expected.mul_f64(HEALTH_CHECK_FACTOR) + HEALTH_CHECK_MARGIN;
-        let wait_policy = WaitPolicy::new(job, None, Some(health_check_after)).leaving_cut_path();
+        let wait_policy =
+            WaitPolicy::new(job, Release::WithBackEnd, None, Some(health_check_after));
         let started_at = now();
         let options = SendOptions {
             fetch_from: plan
@@ -60,7 +63,13 @@
             return None;
         };
         let is_direct = reply.connection.relay().is_none();
-        let answer = self.read_complete(*reply, wait_policy.until).await;
+        let route = reply.connection.route();
+        let mut reading = read_complete(*reply, wait_policy.deadline()).boxed();
+        let waited = self
+            .wait_for(&mut reading, job, engine, wait_policy, &route)
+            .await;
+        // Without an answer in time the result is as unusable as one that broke off.
+        let answer = waited.ok().flatten();
         let took = now().saturating_duration_since(started_at);
         let status = answer.as_ref().map(|answer| answer.head.status);
         let result = answer
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -8,18 +8,20 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use futures::{Stream, stream};
+use futures::{FutureExt, Stream, stream};
 use http_body_util::BodyExt;
 use ponddrift_fleet::events::Event;
 use ponddrift_fleet::health::Outcome;
 use ponddrift_http::body::BodyError;
 
 use super::Pipeline;
+use super::attempt::OpenSend;
 use super::first_event::{BodyState, push_frame};
 use super::generate::OpenStream;
 use super::guards::InProgress;
 use super::job::Job;
-use super::wait_policy::{WaitEnd, WaitPolicy};
+use super::silent_sends::{First, LateAnswer, SilentSend, SilentSends};
+use super::wait_policy::{Release, WaitEnd, WaitPolicy};
 use crate::request_trace::TraceStep;
 use crate::time::now;
 
@@ -53,6 +55,43 @@
     End,
     Broken(&'static str),
     WaitEnd(WaitEnd),
+    /// Another engine has resumed the stream.
+    Resumed,
+}
+
+impl OpenStream {
+    /// Reads the next item, and returns it with the stream.
+    async fn into_next_item(mut self) -> (Self, NextItem) {
+        let item = next_item(&mut self).await;
+        (self, item)
+    }
+}
+
+impl LateAnswer for (OpenStream, NextItem) {
+    fn is_usable(&self) -> bool {
+        matches!(self.1, NextItem::Event(_) | NextItem::End)
+    }
+}
+
+/// Reads the next item of a stream. Loses nothing if it is dropped.
+async fn next_item(stream: &mut OpenStream) -> NextItem {
+    if let Some(event) = stream.buffered_event.take() {
+        return NextItem::Event(event);
+    }
+    loop {
+        match stream.splitter.next_event() {
+            Ok(Some(event)) => return NextItem::Event(event),
+            Ok(None) if stream.ended => return NextItem::End,
+            Ok(None) => {}
+            Err(_fault) => return NextItem::Broken("event_too_long"),
+        }
+        let frame = stream.body.frame().await;
+        match push_frame(&mut stream.splitter, frame, "broke_off") {
+            Ok(BodyState::Continues) => {}
+            Ok(BodyState::Ended) => return NextItem::End,
+            Err(reason) => return NextItem::Broken(reason),
+        }
+    }
 }
 
 impl Relay {
@@ -63,6 +102,9 @@
         in_progress: InProgress,
     ) -> Self {
         let last_event_id = job.metadata.resume_after;
+        let mut job = job;
+        // Back ends that refused the request may have capacity by the time it is resumed.
+        job.tried = vec![Arc::clone(&stream.back_end.id)];
         Self {
             pipeline: Arc::clone(pipeline),
             job,
@@ -85,7 +127,17 @@
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         while !self.is_finished {
             let mut stream = self.stream.take()?;
-            match self.read_next(&mut stream).await {
+            let mut next = self.read_next(&mut stream).await;
+            if let NextItem::WaitEnd(finding) = next
+                && !self.job.time_left().is_zero()
+            {
+                let reason = finding.name();
+                match self.resume_beside(stream, reason).await {
+                    Some(continued) => (stream, next) = continued,
+                    None => return Some(Err(self.fail_stream(reason))),
+                }
+            }
+            match next {
                 NextItem::Event(event) => {
                     self.record_gap(&stream);
                     stream.has_forwarded_event = true;
@@ -99,24 +151,78 @@
                 }
                 NextItem::End => self.complete(stream),
                 NextItem::Broken(reason) => {
-                    if let Err(error) = self
-                        .resume_elsewhere(stream, reason, Some(Outcome::Broken))
-                        .await
-                    {
+                    let broken = Some(Outcome::Broken);
+                    if let Err(error) = self.resume_elsewhere(stream, reason, broken).await {
                         return Some(Err(error));
                     }
                 }
-                NextItem::WaitEnd(wait_end) => {
-                    let (reason, outcome) = (wait_end.name(), wait_end.outcome());
-                    if let Err(error) = self.resume_elsewhere(stream, reason, outcome).await {
+                NextItem::WaitEnd(finding) => {
+                    let reason = finding.name();
+                    if let Err(error) = self.resume_elsewhere(stream, reason, None).await {
                         return Some(Err(error));
                     }
                 }
+                NextItem::Resumed => self.stream = Some(stream),
             }
         }
         None
     }
 
+    /// Resumes the stream on another engine while the silent one may go on. Returns the stream that
+    /// is first to continue, and its next item; the other one is closed, which ends its run. `None`
+    /// if neither continues.
+    async fn resume_beside(
+        &mut self,
+        silent: OpenStream,
+        reason: &'static str,
+    ) -> Option<(OpenStream, NextItem)> {
+        let open = OpenSend {
+            back_end: Arc::clone(&silent.back_end),
+            purpose: "stream",
+            started_at: silent.started_at,
+        };
+        let silent_id = Arc::clone(&open.back_end.id);
+        self.job.silent_runs.push(open.clone());
+        self.note_resumption(reason);
+        let mut sends = SilentSends::default();
+        let answer = silent.into_next_item().boxed();
+        sends.push(SilentSend::new(open, (), answer));
+        let late = loop {
+            self.job.tried = vec![Arc::clone(&silent_id)];
+            let stage = Arc::clone(&self.job.run_stage);
+            let opening = self.pipeline.open_stream(&mut self.job, self.last_event_id);
+            match sends.beside(&self.pipeline, &stage, opening).await {
+                First::Attempt(Ok(resumed)) => {
+                    sends.close(&self.pipeline, &mut self.job, reason);
+                    return Some((resumed, NextItem::Resumed));
+                }
+                First::Late(late) => break late,
+                First::Attempt(Err(_not_opened)) => {}
+            }
+            if let Some(late) = sends.take_unusable() {
+                break late;
+            }
+            if let Some(late) = sends.next_before_retry(&mut self.job).await {
+                break late;
+            }
+            if !sends.may_answer(&self.job) {
+                sends.close(&self.pipeline, &mut self.job, reason);
+                return None;
+            }
+        };
+        self.pipeline.cancel_open_send(&mut self.job);
+        self.job.forget_silent_run(&late.open);
+        Some(late.answer)
+    }
+
+    fn note_resumption(&mut self, reason: &'static str) {
+        let after = self.last_event_id;
+        self.job
+            .trace
+            .add(TraceStep::StreamResumed { after, reason });
+        self.pipeline.metrics.resumed();
+    }
+
     /// Records the time since the previous event, if there is one.
     fn record_gap(&mut self, stream: &OpenStream) {
         let now = now();
@@ -146,53 +252,29 @@
         matches!((event.id, self.last_event_id), (Some(id), Some(last)) if id <= last)
     }
 
-    async fn read_next(&self, stream: &mut OpenStream) -> NextItem {
-        if let Some(event) = stream.buffered_event.take() {
-            return NextItem::Event(event);
-        }
+    async fn read_next(&mut self, stream: &mut OpenStream) -> NextItem {
         let wait_policy = self.wait_policy();
         let route = stream.connection.route();
-        loop {
-            match stream.splitter.next_event() {
-                Ok(Some(event)) => return NextItem::Event(event),
-                Ok(None) if stream.ended => return NextItem::End,
-                Ok(None) => {}
-                Err(_fault) => return NextItem::Broken("event_too_long"),
-            }
-            let waited = self
-                .pipeline
-                .wait_for(
-                    stream.body.frame(),
-                    &stream.back_end,
-                    &self.job.service.health_path,
-                    wait_policy,
-                    &route,
-                )
-                .await;
-            match waited {
-                Err(wait_end) => return NextItem::WaitEnd(wait_end),
-                Ok(frame) => match push_frame(&mut stream.splitter, frame, "broke_off") {
-                    Ok(BodyState::Continues) => {}
-                    Ok(BodyState::Ended) => return NextItem::End,
-                    Err(reason) => return NextItem::Broken(reason),
-                },
-            }
-        }
+        let back_end = Arc::clone(&stream.back_end);
+        let mut item = std::pin::pin!(next_item(stream));
+        let waited = self
+            .pipeline
+            .wait_for(&mut item, &mut self.job, &back_end, wait_policy, &route)
+            .await;
+        waited.unwrap_or_else(NextItem::WaitEnd)
     }
 
-    /// A silent engine is abandoned in mid-stream only if another engine may resume the stream and
-    /// the budget holds a retry. Its health is checked first.
+    /// A silent engine is left in mid-stream only if another engine may resume the stream. Its health
+    /// is checked first.
     fn wait_policy(&self) -> WaitPolicy {
         let job = &self.job;
-        let Some(gap) = job.route.target_gap else {
-            return WaitPolicy::new(job, None, None);
+        let Some(gap) = job.route.target_gap.filter(|_| job.may_run_again()) else {
+            return WaitPolicy::until_deadline(job);
         };
-        if !job.may_run_again() || !self.pipeline.has_retry(job) {
-            return WaitPolicy::new(job, None, None);
-        }
         let health_check_after = (gap * GAP_CHECK_FACTOR).max(MIN_GAP_WAIT);
         WaitPolicy::new(
             job,
+            Release::WithRetry,
             Some(RESUME_TIMEOUT.max(health_check_after)),
             Some(health_check_after),
         )
@@ -229,18 +311,17 @@
             .pipeline
             .check_lost_run(&self.job, &stream.back_end, outcome, stream.started_at)
             .await;
-        self.job.ended_runs += u32::from(has_ended);
+        if has_ended {
+            self.job.note_ended_run(&stream.back_end);
+        }
         // Back ends that refused the request at its start may have capacity by now.
         self.job.tried = vec![Arc::clone(&stream.back_end.id)];
         drop(stream);
         if !self.job.may_run_again() {
             return Err(self.fail_stream(reason));
         }
+        self.note_resumption(reason);
         let after = self.last_event_id;
-        self.job
-            .trace
-            .add(TraceStep::StreamResumed { after, reason });
-        self.pipeline.metrics.resumed();
         match self.pipeline.open_stream(&mut self.job, after).await {
             Ok(stream) => {
                 self.stream = Some(stream);
--- a/crates/serving/src/pipeline/wait_policy.rs
+++ b/crates/serving/src/pipeline/wait_policy.rs
@@ -2,17 +2,18 @@
 //!
 //! A slow engine may be busy, or it may have died silently; the connection does not show which.
 //! Once the answer is overdue, the engine's health endpoint is queried while the request keeps
-//! waiting. An engine that does not answer the health check either is abandoned.
+//! waiting. The path to it may be cut as well, which a check through a peer shows.
 //!
-//! The path to it may be cut as well, which a check through a peer shows. A request on a direct
-//! connection is then abandoned if another back end may run it.
+//! A wait ends before its deadline only if the request already holds what it needs to run elsewhere:
+//! a retry and a back end that is not known to fail. Until then it keeps its back end, which may
+//! answer after all.
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::Urgency;
@@ -29,24 +30,39 @@
 /// Time between two health checks of an engine whose answer is awaited.
 const HEALTH_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Time after which a request that may not leave its back end yet asks again.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(150);
+
 /// A timeout after a shorter wait is no evidence against the back end, because callers that retry
 /// may have little time left.
 const MIN_CONCLUSIVE_WAIT: Duration = Duration::from_millis(400);
 
+/// What a request must hold before it leaves its back end early.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Release {
+    /// It stays until its deadline, because it must not run elsewhere.
+    Never,
+    /// A retry and another back end.
+    WithRetry,
+    /// Another back end only: what it waits for is no run.
+    WithBackEnd,
+}
+
 /// Limits of one wait.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct WaitPolicy {
     /// When the wait ends at the latest.
-    pub(super) until: Instant,
-    /// When the health endpoint is queried; `None` if ending the wait early would not help the
-    /// request.
-    pub(super) health_check_at: Option<Instant>,
-    /// When the path to the back end is checked, if it has been silent.
-    pub(super) path_check_at: Instant,
-    /// Whether another back end could be tried if the path turns out to be cut.
-    pub(super) leaves_cut_path: bool,
+    deadline: Instant,
+    /// Time after which the back end counts as too slow, if the request may leave it.
+    limit: Option<Duration>,
+    /// Time after which the health endpoint is queried; `None` for never.
+    health_check_after: Option<Duration>,
+    /// Time after which the path to the back end is checked, if it has been silent.
+    path_check_after: Duration,
+    /// What ending the wait early requires.
+    release: Release,
     /// Whether the request ranks below others at the back end, which then may never get to it.
-    pub(super) has_lower_rank: bool,
+    has_lower_rank: bool,
 }
 
 /// Why a wait ended without an answer.
@@ -86,136 +102,268 @@
 }
 
 impl WaitPolicy {
-    /// Waits until the request's deadline, or at most for `limit` if another back end could be
-    /// tried then.
+    /// Waits until the request's deadline. If `release` allows the request to leave, the back end
+    /// counts as too slow after `limit`, and is checked after `health_check_after`.
     pub(super) fn new(
         job: &Job,
+        release: Release,
         limit: Option<Duration>,
         health_check_after: Option<Duration>,
     ) -> Self {
-        let started_at = now();
+        let may_leave = release != Release::Never;
         Self {
-            until: limit.map_or(job.deadline, |limit| (started_at + limit).min(job.deadline)),
-            health_check_at: health_check_after.map(|after| started_at + after),
-            path_check_at: started_at + health_check_after.unwrap_or(job.route.target_latency),
-            leaves_cut_path: limit.is_some(),
+            deadline: job.deadline,
+            limit: limit.filter(|_| may_leave),
+            health_check_after: health_check_after.filter(|_| may_leave),
+            path_check_after: health_check_after.unwrap_or(job.route.target_latency),
+            release,
             has_lower_rank: job.urgency == Urgency::Late,
         }
     }
 
-    /// Ends the wait if the path turns out to be cut, although no other back end can be tried for
-    /// being slow.
-    pub(super) const fn leaving_cut_path(self) -> Self {
+    /// Waits until the request's deadline, whatever the back end does.
+    pub(super) fn until_deadline(job: &Job) -> Self {
+        Self::new(job, Release::Never, None, None)
+    }
+
+    /// When the wait ends at the latest.
+    pub(super) const fn deadline(&self) -> Instant {
+        self.deadline
+    }
+}
+
+/// What is known during one wait.
+struct Wait {
+    policy: WaitPolicy,
+    started_at: Instant,
+    /// When the back end counts as too slow.
+    limit: Option<Instant>,
+    health_check_at: Option<Instant>,
+    path_check_at: Option<Instant>,
+    /// When the back end was found not to answer its health check.
+    unresponsive_since: Option<Instant>,
+    /// When to ask again whether the request may leave its back end.
+    ask_again_at: Option<Instant>,
+    /// What was recorded for the back end's health.
+    recorded: Option<Outcome>,
+}
+
+impl Wait {
+    fn new(policy: WaitPolicy) -> Self {
+        let started_at = now();
         Self {
-            leaves_cut_path: true,
-            ..self
+            policy,
+            started_at,
+            limit: policy.limit.map(|limit| started_at + limit),
+            health_check_at: policy.health_check_after.map(|after| started_at + after),
+            path_check_at: Some(started_at + policy.path_check_after),
+            unresponsive_since: None,
+            ask_again_at: None,
+            recorded: None,
         }
     }
+
+    /// When the next decision is due.
+    fn next_decision(&self, now: Instant) -> Instant {
+        let limit = self.limit.filter(|limit| *limit > now);
+        [
+            limit,
+            self.health_check_at,
+            self.path_check_at,
+            self.ask_again_at,
+        ]
+        .into_iter()
+        .flatten()
+        .fold(self.policy.deadline, Instant::min)
+    }
+
+    /// Whether a check that is due at `check_at` has to be made now; it is not due again then.
+    fn take_due(check_at: &mut Option<Instant>, now: Instant) -> bool {
+        check_at.take_if(|at| *at <= now).is_some()
+    }
 }
 
 impl Pipeline {
-    /// Waits for `answer`. Has the path checked if the back end is silent for too long; if the path is
-    /// cut and another back end could be tried, the wait ends.
-    async fn watch_path<T>(
+    /// Waits for `answer` within the limits of `policy`. If the wait ends early, the request holds
+    /// what it needs to run elsewhere.
+    pub(super) async fn wait_for<T>(
         self: &Arc<Self>,
-        answer: impl Future<Output = T>,
+        answer: &mut (impl Future<Output = T> + Unpin),
+        job: &mut Job,
         back_end: &Arc<BackEnd>,
-        wait_policy: WaitPolicy,
+        policy: WaitPolicy,
         route: &ExchangeRoute,
     ) -> Result<T, WaitEnd> {
-        let mut answer = pin!(answer);
-        let mut check_at = Some(wait_policy.path_check_at);
+        let mut wait = Wait::new(policy);
         loop {
             let changed = self.paths().changed().notified();
-            let check = async {
-                match check_at {
-                    Some(at) => time::sleep_until(at).await,
-                    None => std::future::pending().await,
-                }
-            };
+            let decision = time::sleep_until(wait.next_decision(now()));
             tokio::select! {
                 biased;
-                answer = &mut answer => return Ok(answer),
-                () = changed => {
-                    let is_cut = self.paths().is_cut(back_end.address);
-                    if is_cut && route.is_direct() && wait_policy.leaves_cut_path {
-                        return Err(WaitEnd::PathCut);
-                    }
-                }
-                () = check => {
-                    check_at = None;
-                    if route.is_direct() && !self.active_since(back_end, now() - RECENT_ACTIVITY_WINDOW) {
-                        self.spawn_path_check(back_end.address);
-                    }
+                answer = &mut *answer => return Ok(answer),
+                () = changed => {}
+                () = decision => {}
+            }
+            if now() >= policy.deadline {
+                let finding = self.overdue(&wait, back_end);
+                self.record_finding(&mut wait, job, back_end, finding);
+                self.connections.discard_idle(back_end.address);
+                return Err(finding);
+            }
+            if Wait::take_due(&mut wait.path_check_at, now())
+                && route.is_direct()
+                && !self.was_recently_active(back_end)
+            {
+                self.spawn_path_check(back_end.address);
+            }
+            if Wait::take_due(&mut wait.health_check_at, now()) {
+                tokio::select! {
+                    biased;
+                    answer = &mut *answer => return Ok(answer),
+                    () = self.check_during_wait(&mut wait, back_end, &job.service.health_path) => {}
                 }
             }
+            let Some(finding) = self.finding(&wait, back_end, route) else {
+                wait.ask_again_at = None;
+                continue;
+            };
+            // A back end that only is slow counts as silent for the requests that leave it.
+            if finding != WaitEnd::Silent {
+                self.record_finding(&mut wait, job, back_end, finding);
+            }
+            if self.may_leave(&mut wait, job, back_end, finding).await {
+                self.record_finding(&mut wait, job, back_end, finding);
+                self.connections.discard_idle(back_end.address);
+                return Err(finding);
+            }
         }
     }
 
-    fn spawn_path_check(&self, address: SocketAddr) {
-        let paths = Arc::clone(self.paths());
-        let spawner = &self.runtime.spawner;
-        spawner.spawn(Box::pin(async move { paths.verify(address).await }));
+    /// Records what a wait found for the health of the back end, once for each kind of outcome that
+    /// is worse than the one before.
+    fn record_finding(
+        self: &Arc<Self>,
+        wait: &mut Wait,
+        job: &Job,
+        back_end: &Arc<BackEnd>,
+        finding: WaitEnd,
+    ) {
+        let Some(outcome) = finding.outcome() else {
+            return;
+        };
+        let is_known =
+            matches!(wait.recorded, Some(known) if known == outcome || outcome == Outcome::Silent);
+        if !is_known {
+            wait.recorded = Some(outcome);
+            self.note_outcome(back_end, &job.service.health_path, outcome);
+        }
     }
 
-    fn active_since(&self, back_end: &BackEnd, since: Instant) -> bool {
-        self.placement().health.active_since(&back_end.id, since)
+    /// Queries the health endpoint, unless the back end has just sent something: one at capacity
+    /// delays its health check as it delays requests.
+    async fn check_during_wait(
+        self: &Arc<Self>,
+        wait: &mut Wait,
+        back_end: &Arc<BackEnd>,
+        health_path: &str,
+    ) {
+        if self.was_recently_active(back_end) {
+            wait.health_check_at = Some(now() + RECENT_ACTIVITY_WINDOW);
+            return;
+        }
+        let check = self.check_health(back_end, health_path);
+        let check = time::timeout_at(wait.policy.deadline, check).await;
+        wait.unresponsive_since = (check == Some(HealthCheckResult::Unhealthy)).then(now);
+        wait.health_check_at = Some(now() + HEALTH_CHECK_INTERVAL);
     }
 
-    /// Waits for `answer` within the limits of `wait_policy`.
-    pub(super) async fn wait_for<T>(
+    /// What speaks for leaving the back end now.
+    fn finding(&self, wait: &Wait, back_end: &BackEnd, route: &ExchangeRoute) -> Option<WaitEnd> {
+        if route.is_direct() && self.paths().is_cut(back_end.address) {
+            return Some(WaitEnd::PathCut);
+        }
+        let is_unresponsive = wait
+            .unresponsive_since
+            .is_some_and(|since| !self.active_since(back_end, since));
+        if is_unresponsive {
+            return Some(WaitEnd::Unresponsive);
+        }
+        let is_too_slow = wait.limit.is_some_and(|limit| now() >= limit);
+        is_too_slow.then(|| self.overdue(wait, back_end))
+    }
+
+    /// What an answer that is overdue tells about the back end.
+    fn overdue(&self, wait: &Wait, back_end: &BackEnd) -> WaitEnd {
+        let waited = now().saturating_duration_since(wait.started_at);
+        if waited < MIN_CONCLUSIVE_WAIT {
+            WaitEnd::OutOfTime
+        } else if wait.policy.has_lower_rank && self.active_since(back_end, wait.started_at) {
+            WaitEnd::NotReached
+        } else {
+            WaitEnd::Silent
+        }
+    }
+
+    /// Whether the request may leave its back end for this finding. If not, the wait asks again later.
+    async fn may_leave(
         self: &Arc<Self>,
-        answer: impl Future<Output = T>,
+        wait: &mut Wait,
+        job: &mut Job,
         back_end: &Arc<BackEnd>,
-        health_path: &str,
-        wait_policy: WaitPolicy,
-        route: &ExchangeRoute,
-    ) -> Result<T, WaitEnd> {
-        let answer = self.watch_path(answer, back_end, wait_policy, route);
-        let mut answer = pin!(answer);
-        let started_at = now();
-        let time = wait_policy.until.saturating_duration_since(started_at);
-        let mut health_check_at = wait_policy.health_check_at;
-        loop {
-            let should_check = health_check_at.is_some_and(|at| at < wait_policy.until);
-            let next = health_check_at
-                .filter(|_| should_check)
-                .unwrap_or(wait_policy.until);
-            let sleep = time::sleep_until(next);
-            tokio::select! {
-                biased;
-                answer = &mut answer => return answer,
-                () = sleep => {}
-            }
-            if route.is_direct() && self.paths().is_cut(back_end.address) {
-                return Err(WaitEnd::PathCut);
-            }
-            if !should_check {
-                self.connections.discard_idle(back_end.address);
-                return Err(if time < MIN_CONCLUSIVE_WAIT {
-                    WaitEnd::OutOfTime
-                } else if wait_policy.has_lower_rank && self.active_since(back_end, started_at) {
-                    WaitEnd::NotReached
-                } else {
-                    WaitEnd::Silent
-                });
-            }
-            // A back end at capacity delays its health check as it delays requests.
-            if self.active_since(back_end, now() - RECENT_ACTIVITY_WINDOW) {
-                health_check_at = Some(now() + RECENT_ACTIVITY_WINDOW);
-                continue;
-            }
-            tokio::select! {
-                biased;
-                answer = &mut answer => return answer,
-                check = self.check_health(back_end, health_path) => {
-                    if check == HealthCheckResult::Unhealthy {
-                        self.connections.discard_idle(back_end.address);
-                        return Err(WaitEnd::Unresponsive);
-                    }
-                }
+        finding: WaitEnd,
+    ) -> bool {
+        if wait.ask_again_at.is_some_and(|at| now() < at) {
+            return false;
+        }
+        let release = wait.policy.release;
+        let may_leave = self
+            .can_run_elsewhere(job, back_end, release, finding)
+            .await;
+        wait.ask_again_at = Some(now() + RELEASE_INTERVAL);
+        may_leave
+    }
+
+    /// Whether the request holds what it needs to run elsewhere. Takes a retry if one is needed.
+    async fn can_run_elsewhere(
+        self: &Arc<Self>,
+        job: &mut Job,
+        back_end: &BackEnd,
+        release: Release,
+        finding: WaitEnd,
+    ) -> bool {
+        match release {
+            Release::Never => false,
+            Release::WithBackEnd => self.has_other_back_end(job, back_end),
+            Release::WithRetry => {
+                self.has_retry(job)
+                    && self.has_other_back_end(job, back_end)
+                    && self.hold_retry(job, finding.name()).await
             }
-            health_check_at = Some(now() + HEALTH_CHECK_INTERVAL);
         }
     }
+
+    /// Whether another back end that is not known to fail can generate the answer.
+    fn has_other_back_end(&self, job: &Job, current: &BackEnd) -> bool {
+        let candidates = self.candidates(job).back_ends;
+        let placement = self.placement();
+        candidates.iter().any(|candidate| {
+            candidate.id != current.id
+                && candidate.stage != Some(Stage::Prefill)
+                && !placement.health.is_ejected(&candidate.id)
+        })
+    }
+
+    fn spawn_path_check(&self, address: SocketAddr) {
+        let paths = Arc::clone(self.paths());
+        let spawner = &self.runtime.spawner;
+        spawner.spawn(Box::pin(async move { paths.verify(address).await }));
+    }
+
+    fn was_recently_active(&self, back_end: &BackEnd) -> bool {
+        self.active_since(back_end, now() - RECENT_ACTIVITY_WINDOW)
+    }
+
+    fn active_since(&self, back_end: &BackEnd, since: Instant) -> bool {
+        self.placement().health.active_since(&back_end.id, since)
+    }
 }
--- a/crates/serving/src/request_trace.rs
+++ b/crates/serving/src/request_trace.rs
@@ -85,6 +85,15 @@
     },
 }
 
+impl TraceStep {
+    /// Whether this denies a retry that the step before it denied as well: a waiting request asks again
+    /// and again.
+    fn repeats_denial(&self, before: Option<&Self>) -> bool {
+        let is_denial = |step: &Self| matches!(step, Self::Retry { granted: false, .. });
+        is_denial(self) && before.is_some_and(is_denial)
+    }
+}
+
 /// The decisions taken for one request.
 #[derive(Debug)]
 pub struct RequestTrace {
@@ -106,6 +115,9 @@
 
     /// Adds a decision.
     pub fn add(&mut self, step: TraceStep) {
+        if step.repeats_denial(self.steps.last().map(|(_at, step)| step)) {
+            return;
+        }
         if self.steps.len() >= MAXIMUM_STEPS {
             self.dropped += 1;
             return;
