Paths: a cut is concluded only from an attempt after the peer's

Callers saw requests go through peers for seconds after back ends had been silent for about a second and had gone on.

Cause: a direct attempt that began during the silence failed at its timeout, after the silence. The peer's attempt, made later, succeeded, and the two together counted as a cut path. That cut made the daemon check its other idle paths, where a failure alone counts.

Change: a failed direct attempt shows a cut only if it began at most 100 ms after a peer had reached the back end (`Paths::shows_cut`). The direct attempt is repeated once a peer is connected; the request uses the peer's connection at once, as before.

Evidence: `back_ends_that_are_silent_for_a_while_are_not_taken_for_cut_paths` (most back ends silent for 0.9 to 1.5 s under load at three daemons, two kinds of silence) failed before: "Unreachable for 1.1s: 1 paths of daemon 0 counted as cut".

--- a/crates/fleet/src/paths.rs
+++ b/crates/fleet/src/paths.rs
@@ -1,8 +1,9 @@
 //! Network paths from this daemon to back ends.
 //!
 //! A connection that cannot be opened says as much about the path as about the back end. A path
-//! counts as cut if a peer reached the back end while this daemon could not, or if a direct check
-//! failed right after another path was found to be cut. Connections over a cut path are opened
+//! counts as cut if a direct attempt fails that began right after a peer had reached the back end, or if
+//! a direct check failed right after another path was found to be cut. An attempt that began earlier
+//! shows nothing: the back end may have been silent then. Connections over a cut path are opened
 //! through a peer until the path works again, which this daemon checks periodically, whether or not
 //! requests want the back end.
 //!
@@ -28,6 +29,9 @@
 /// A back end with direct contact within this time is not suspected when another path turns out to be
 /// cut.
 const RECENT_CONTACT: Duration = Duration::from_millis(250);
+/// A direct attempt that begins within this time after a peer reached the back end shows whether the
+/// path is cut. Shorter than any silence of a back end after which it goes on.
+const PEER_CONTACT_WINDOW: Duration = Duration::from_millis(100);
 /// A path is forgotten if nothing was recorded for this long and it is not cut.
 const RETENTION: Duration = Duration::from_secs(60);
 
@@ -65,6 +69,8 @@
 struct Path {
     cut: Option<Cut>,
     last_contact: Option<Instant>,
+    /// When a peer last opened a connection to the back end.
+    last_peer_contact: Option<Instant>,
     last_used: Instant,
     restored_at: Option<Instant>,
     checks_to_restore: u32,
@@ -75,6 +81,7 @@
         Self {
             cut: None,
             last_contact: None,
+            last_peer_contact: None,
             last_used: now,
             restored_at: None,
             checks_to_restore: CHECKS_TO_RESTORE,
@@ -125,6 +132,23 @@
         self.path(address, now).last_contact = Some(now);
     }
 
+    /// Records that a peer opened a connection to the back end.
+    pub fn record_peer_contact(&mut self, address: SocketAddr, now: Instant) {
+        self.path(address, now).last_peer_contact = Some(now);
+    }
+
+    /// Whether the path is cut if a direct attempt failed that began at `began_at`: a peer had just
+    /// reached the back end.
+    #[must_use]
+    pub fn shows_cut(&self, address: SocketAddr, began_at: Instant) -> bool {
+        let path = self.by_address.get(&address);
+        let peer_contact = path.and_then(|path| path.last_peer_contact);
+        peer_contact.is_some_and(|contact| {
+            let since_contact = began_at.checked_duration_since(contact);
+            since_contact.is_some_and(|time| time <= PEER_CONTACT_WINDOW)
+        })
+    }
+
     /// Whether there was direct contact with the back end at or after `since`.
     #[must_use]
     pub fn has_contact_since(&self, address: SocketAddr, since: Instant) -> bool {
--- a/crates/fleet/tests/paths.rs
+++ b/crates/fleet/tests/paths.rs
@@ -113,6 +113,28 @@
     assert_eq!(paths.suspects(&known, later), [address(2), address(4)]);
 }
 
+#[test]
+fn a_failed_attempt_shows_a_cut_only_if_it_began_right_after_a_peer_reached_the_back_end() {
+    let (mut paths, start) = (Paths::default(), Instant::now());
+    let after = |milliseconds| start + Duration::from_millis(milliseconds);
+    assert!(
+        !paths.shows_cut(address(1), start),
+        "no peer reached the back end"
+    );
+    paths.record_peer_contact(address(1), after(200));
+    assert!(
+        !paths.shows_cut(address(1), after(199)),
+        "the back end may have been silent when the attempt began"
+    );
+    assert!(paths.shows_cut(address(1), after(200)));
+    assert!(paths.shows_cut(address(1), after(300)));
+    assert!(
+        !paths.shows_cut(address(1), after(301)),
+        "the back end may have fallen silent since"
+    );
+    assert!(!paths.shows_cut(address(2), after(200)), "another back end");
+}
+
 #[test]
 fn paths_without_a_back_end_and_unused_ones_are_forgotten() {
     let (mut paths, now) = (Paths::default(), Instant::now());
--- a/crates/serve/tests/path_conclusions.rs
+++ b/crates/serve/tests/path_conclusions.rs
@@ -2,17 +2,22 @@
 
 mod support;
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures::FutureExt;
 use http::StatusCode;
-use ponddrift_platform_stand_ins::{Behaviour, ClientRequest};
+use ponddrift_platform_stand_ins::{Behaviour, ClientRequest, ClientStandIn};
 use ponddrift_simulation::{HostId, SimulationHandle};
 use support::{Fleet, FleetOptions};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Number of requests of one kind that show whether something was concluded from a cut path.
 const REQUESTS: usize = 8;
 
+/// How long back ends may be silent without any harm.
+const LONGEST_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// Resets the connections between the groups and refuses new ones from the first to the second.
 fn cut(simulation: &SimulationHandle, daemons: &[HostId], back_ends: &[HostId]) {
     simulation.reset_connections(daemons, back_ends);
@@ -154,6 +159,123 @@
     }
 }
 
+/// Time after the first connection that does not open within which the path must count as cut: the
+/// time after which a peer is asked, and one connect timeout.
+const CONCLUSION_LIMIT: Duration = Duration::from_millis(450);
+
+#[test]
+fn a_cut_path_is_found_within_a_connect_timeout_after_a_peer_was_asked() {
+    for is_refused in [true, false] {
+        let mut fleet = fleet_of_three_daemons(false);
+        let simulation = fleet.simulation.handle();
+        let cut_daemon = [fleet.daemons[0].host];
+        let back_ends = fleet.back_end_hosts();
+        if is_refused {
+            cut(&simulation, &cut_daemon, &back_ends);
+        } else {
+            simulation.partition(&cut_daemon, &back_ends);
+        }
+        let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers_address);
+        let answer = fleet.run(async move {
+            let request = ClientRequest::plain("first", "post");
+            let limit = sleep(CONCLUSION_LIMIT);
+            let (answer, ()) = futures::join!(client.ask(target, &request), limit);
+            answer.expect("a response")
+        });
+        assert_eq!(answer.status, StatusCode::OK, "refused: {is_refused}");
+        let cut = fleet.metric(0, "ponddrift_back_end_paths_cut_total");
+        assert!(cut > 0.0, "refused: {is_refused}: no path counts as cut");
+    }
+}
+
+/// How the back ends of a test fall silent.
+#[derive(Debug, Clone, Copy)]
+enum Silence {
+    /// Their processes stand still.
+    Frozen,
+    /// Nothing that is sent to them or by them arrives.
+    Unreachable,
+}
+
+/// Sends requests to a daemon, one every 20 ms, until `end`.
+async fn ask_until(
+    client: ClientStandIn,
+    target: SocketAddr,
+    request: impl Fn(usize) -> ClientRequest,
+    end: Instant,
+) {
+    let mut pending = Vec::new();
+    while Instant::now() < end {
+        let (client, request) = (client.clone(), request(pending.len()));
+        let asking = async move { client.ask(target, &request).await };
+        pending.push(tokio::task::spawn_local(asking));
+        sleep(Duration::from_millis(20)).await;
+    }
+    for call in pending {
+        call.await.expect("no panic");
+    }
+}
+
+/// Runs load at all daemons while most back ends are silent for some time, then for two seconds more.
+fn run_load_through_silence(fleet: &mut Fleet, silence: Silence, time: Duration) {
+    let simulation = fleet.simulation.handle();
+    let mut silent = fleet.back_end_hosts();
+    silent.retain(|host| *host != fleet.records_hosts[0]);
+    let daemons: Vec<HostId> = fleet.daemons.iter().map(|daemon| daemon.host).collect();
+    let targets: Vec<SocketAddr> = fleet.daemons.iter().map(|it| it.callers_address).collect();
+    let client = fleet.client.clone();
+    fleet.run(async move {
+        let begin = Instant::now() + Duration::from_secs(1);
+        let end = begin + time + Duration::from_secs(2);
+        let calls = targets.into_iter().flat_map(|target| {
+            let plain =
+                move |turn| ClientRequest::plain(&format!("{target}-plain-{turn}"), "fetch");
+            let tag =
+                move |turn| ClientRequest::prompt(&format!("{target}-tag-{turn}"), "tag", 0, 200);
+            [
+                ask_until(client.clone(), target, plain, end).boxed_local(),
+                ask_until(client.clone(), target, tag, end).boxed_local(),
+            ]
+        });
+        let calls = futures::future::join_all(calls.collect::<Vec<_>>());
+        let falling_silent = async {
+            tokio::time::sleep_until(begin).await;
+            match silence {
+                Silence::Frozen => silent.iter().for_each(|host| simulation.freeze(*host)),
+                Silence::Unreachable => simulation.partition(&daemons, &silent),
+            }
+            sleep(time).await;
+            match silence {
+                Silence::Frozen => silent.iter().for_each(|host| simulation.thaw(*host)),
+                Silence::Unreachable => simulation.heal_all(),
+            }
+        };
+        let load = tokio::task::LocalSet::new();
+        load.run_until(async { futures::join!(calls, falling_silent) })
+            .await;
+    });
+}
+
+#[test]
+fn back_ends_that_are_silent_for_a_while_are_not_taken_for_cut_paths() {
+    let step = Duration::from_millis(100);
+    let mut time = Duration::from_millis(900);
+    while time <= LONGEST_SILENCE {
+        for silence in [Silence::Frozen, Silence::Unreachable] {
+            let mut fleet = fleet_of_three_daemons(false);
+            run_load_through_silence(&mut fleet, silence, time);
+            for daemon in 0..3 {
+                let cut = fleet.metric(daemon, "ponddrift_back_end_paths_cut_total");
+                assert!(
+                    cut == 0.0,
+                    "{silence:?} for {time:?}: {cut} paths of daemon {daemon} counted as cut"
+                );
+            }
+        }
+        time += step;
+    }
+}
+
 #[test]
 fn a_leader_without_paths_to_the_engines_hands_over_to_a_daemon_with_paths() {
     let mut fleet = fleet_of_three_daemons(true);
--- a/crates/serving/src/back_end_paths.rs
+++ b/crates/serving/src/back_end_paths.rs
@@ -138,7 +138,7 @@
                 Ok(stream) => Ok(stream),
                 Err(failure) => {
                     let through_peers = self.connect_through_peers(address).await;
-                    self.conclude(address, failure, through_peers)
+                    self.after_failure(address, failure, through_peers)
                 }
             },
             () = tokio::time::sleep(ATTEMPT_DELAY) => {}
@@ -148,16 +148,16 @@
             biased;
             opened = &mut direct => match opened {
                 Ok(stream) => Ok(stream),
-                Err(failure) => self.conclude(address, failure, through_peers.await),
+                Err(failure) => self.after_failure(address, failure, through_peers.await),
             },
             relayed = &mut through_peers => match relayed {
                 ThroughPeers::Opened(stream) => {
-                    self.spawn_check(address);
+                    self.spawn_confirmation(address);
                     Ok(stream)
                 }
                 other => match direct.await {
                     Ok(stream) => Ok(stream),
-                    Err(failure) => self.conclude(address, failure, other),
+                    Err(failure) => self.after_failure(address, failure, other),
                 },
             },
         }
@@ -184,17 +184,17 @@
         }
     }
 
-    /// The result of a connection whose direct attempt failed. The path is cut if a peer could
-    /// connect.
-    fn conclude(
-        &self,
+    /// The result of a connection whose direct attempt failed. If a peer could connect, its connection
+    /// is used, and another direct attempt shows whether the path is cut.
+    fn after_failure(
+        self: &Arc<Self>,
         address: SocketAddr,
         failure: ConnectFailure,
         through_peers: ThroughPeers,
     ) -> Result<OpenedStream, Unreachable> {
         match through_peers {
             ThroughPeers::Opened(stream) => {
-                self.record_cut(address, failure);
+                self.spawn_confirmation(address);
                 Ok(stream)
             }
             ThroughPeers::Unreachable(_) => Err(Unreachable {
@@ -209,7 +209,14 @@
     }
 
     async fn connect_directly(&self, address: SocketAddr) -> Result<OpenedStream, ConnectFailure> {
-        let stream = connect(&self.runtime, address, CONNECT_TIMEOUT).await?;
+        let began_at = now();
+        let opened = connect(&self.runtime, address, CONNECT_TIMEOUT).await;
+        if let Err(failure) = opened
+            && self.paths().shows_cut(address, began_at)
+        {
+            self.record_cut(address, failure);
+        }
+        let stream = opened?;
         self.paths().record_contact(address, now());
         Ok(OpenedStream {
             stream,
@@ -241,6 +248,7 @@
             };
             match answer {
                 Ok((RelayAnswer::Connected, stream)) => {
+                    self.paths().record_peer_contact(address, now());
                     let stream = RelayedStream::new(stream, peer, &self.relays);
                     return ThroughPeers::Opened(OpenedStream {
                         stream: Box::new(stream),
@@ -291,7 +299,7 @@
     /// Whether the process at this address has exited: peers that reach other back ends are refused.
     /// What this daemon sees itself counts only if it can connect, or if it has no peers. Asks for
     /// [`EXIT_WITNESSES`] peers, and is content with one if no other can say.
-    pub(crate) async fn has_exited(&self, address: SocketAddr) -> bool {
+    pub(crate) async fn has_exited(self: &Arc<Self>, address: SocketAddr) -> bool {
         let known_failure = self.paths().failure(address);
         let failure = match known_failure {
             Some(known) => known,
@@ -311,7 +319,7 @@
                 .await
             {
                 ThroughPeers::Opened(_stream) => {
-                    self.record_cut(address, failure);
+                    self.spawn_confirmation(address);
                     return false;
                 }
                 ThroughPeers::Unreachable(ConnectFailure::Refused) => refused_peers += 1,
@@ -324,33 +332,54 @@
 
     /// Checks whether the path to a back end that does not answer is cut.
     pub(crate) async fn verify(&self, address: SocketAddr) {
-        if self.is_cut(address) || !lock(&self.checking).insert(address) {
+        if !self.begin_check(address) {
             return;
         }
-        if let Err(failure) = self.connect_directly(address).await
-            && let ThroughPeers::Opened(_stream) = self.connect_through_peers(address).await
-        {
-            self.record_cut(address, failure);
+        let attempt = connect(&self.runtime, address, ATTEMPT_DELAY).await;
+        if attempt.is_ok() {
+            self.paths().record_contact(address, now());
+        } else if let ThroughPeers::Opened(_stream) = self.connect_through_peers(address).await {
+            drop(self.connect_directly(address).await);
         }
-        lock(&self.checking).remove(&address);
+        self.end_check(address);
     }
 
-    /// Checks the direct path to a back end that a peer reaches, or after another path was found to be
-    /// cut. A failed check alone counts as a cut then: peers are tried first on the next connection, and
-    /// if they fail as well, the back end counts as unreachable.
+    /// Checks the direct path to a back end that a peer has just reached.
+    fn spawn_confirmation(self: &Arc<Self>, address: SocketAddr) {
+        let paths = Arc::clone(self);
+        self.runtime.spawner.spawn(Box::pin(async move {
+            if paths.begin_check(address) {
+                drop(paths.connect_directly(address).await);
+                paths.end_check(address);
+            }
+        }));
+    }
+
+    /// Checks the direct path to a back end after another path was found to be cut. A failed check
+    /// alone counts as a cut then: peers are tried first on the next connection, and if they fail as
+    /// well, the back end counts as unreachable.
     pub(crate) fn spawn_check(self: &Arc<Self>, address: SocketAddr) {
         let paths = Arc::clone(self);
         self.runtime.spawner.spawn(Box::pin(async move {
-            if paths.is_cut(address) || !lock(&paths.checking).insert(address) {
+            if !paths.begin_check(address) {
                 return;
             }
             if let Err(failure) = paths.connect_directly(address).await {
                 paths.record_cut(address, failure);
             }
-            lock(&paths.checking).remove(&address);
+            paths.end_check(address);
         }));
     }
 
+    /// Returns whether the path is to be checked: it is not known to be cut and not being checked.
+    fn begin_check(&self, address: SocketAddr) -> bool {
+        !self.is_cut(address) && lock(&self.checking).insert(address)
+    }
+
+    fn end_check(&self, address: SocketAddr) {
+        lock(&self.checking).remove(&address);
+    }
+
     /// Checks the cut paths that are due. Returns those that work again.
     pub(crate) async fn check_due(&self) -> Vec<SocketAddr> {
         let due = self.paths().due_checks(now());
