Health: logs say why a back end is ejected and how a health check failed

An ejection only said whether it came from own requests, so a refused connection, a silence and a broken answer could not be told apart. The line now names the outcome (evidence), and each failed health check logs one line with its result. Connections::call returns why it failed.

No change of behaviour.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -75,6 +75,18 @@
 }
 
 impl Outcome {
+    /// Name for logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Success => "success",
+            Self::Unreachable => "unreachable",
+            Self::Silent => "no_answer_in_time",
+            Self::Broken => "broken",
+            Self::Error => "error",
+        }
+    }
+
     /// Number of consecutive requests without a complete response, of whatever kind, at which a
     /// request with this outcome ejects the back end; `None` for outcomes that never do.
     const fn ejection_limit(self) -> Option<u32> {
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -86,6 +86,41 @@
     Broken(hyper::Error),
 }
 
+/// Why a call got no complete answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallError {
+    /// The connection was refused.
+    Refused,
+    /// No connection could be opened, or nothing came back in time.
+    NoAnswer,
+    /// The connection broke.
+    Broken,
+}
+
+impl CallError {
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::NoAnswer => "no_answer",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+impl From<ExchangeError> for CallError {
+    fn from(error: ExchangeError) -> Self {
+        match error {
+            ExchangeError::NotSent(NotSent::Unreachable(unreachable)) => {
+                match unreachable.failure {
+                    ConnectFailure::Refused => Self::Refused,
+                    ConnectFailure::NoAnswer => Self::NoAnswer,
+                }
+            }
+            ExchangeError::NotSent(NotSent::Exhausted) | ExchangeError::Broken(_) => Self::Broken,
+        }
+    }
+}
+
 /// The head of an answer whose body has not been read yet, with its connection.
 pub struct Reply {
     /// The answer.
@@ -306,8 +341,10 @@
         }
     }
 
-    /// Sends one request and reads the complete answer. Returns `None` if that fails or takes
-    /// longer than `limit`.
+    /// Sends one request and reads the complete answer.
+    ///
+    /// # Errors
+    /// [`CallError`] if that fails or takes longer than `limit`.
     pub async fn call(
         self: &Arc<Self>,
         permit: SendPermit,
@@ -315,7 +352,7 @@
         max_connections: u32,
         request: Request<Body>,
         limit: Duration,
-    ) -> Option<Response<Bytes>> {
+    ) -> Result<Response<Bytes>, CallError> {
         let exchange = async {
             let reply = self
                 .exchange(
@@ -326,20 +363,19 @@
                     request,
                     &ExchangeRoute::default(),
                 )
-                .await
-                .ok()?;
+                .await?;
             let (head, incoming) = reply.response.into_parts();
             let bytes = body::read_all(incoming, MAX_CALL_ANSWER_BYTES, limit)
                 .await
-                .ok()?;
+                .map_err(|_error| CallError::Broken)?;
             reply.connection.return_to_pool(&head.headers);
-            Some(Response::from_parts(head, bytes))
+            Ok(Response::from_parts(head, bytes))
         };
         let answer = tokio::time::timeout(limit, exchange).await;
         if answer.is_err() {
             self.discard_idle(address);
         }
-        answer.ok()?
+        answer.unwrap_or(Err(CallError::NoAnswer))
     }
 
     fn take_idle(self: &Arc<Self>, address: SocketAddr) -> Option<Connection> {
--- a/crates/serving/src/orders/engine_calls.rs
+++ b/crates/serving/src/orders/engine_calls.rs
@@ -89,7 +89,8 @@
                 request,
                 CALL_TIMEOUT,
             )
-            .await?;
+            .await
+            .ok()?;
         if answer.status() != StatusCode::MISDIRECTED_REQUEST {
             let origin = AnswerOrigin::call("order", sent);
             self.pipeline
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -340,7 +340,7 @@
     ) {
         let pause = self.placement().health.record(&back_end.id, outcome, now());
         if let Some(pause) = pause {
-            self.ejected(back_end, health_path, pause, "own_requests");
+            self.ejected(back_end, health_path, pause, outcome.name());
         }
     }
 
--- a/crates/serving/src/pipeline/cache_probe.rs
+++ b/crates/serving/src/pipeline/cache_probe.rs
@@ -72,7 +72,7 @@
         let call = self
             .connections
             .call(permit, engine.address, 2, request, PROBE_TIMEOUT);
-        let answer = call.await?;
+        let answer = call.await.ok()?;
         let origin = AnswerOrigin::call("cache_events", sent);
         self.record_announcements(&engine, answer.status(), answer.headers(), origin);
         if answer.status() != StatusCode::OK {
--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -160,8 +160,12 @@
             request,
             HEALTH_CHECK_TIMEOUT,
         );
-        let Some(answer) = call.await else {
-            return HealthCheckResult::Unhealthy;
+        let answer = match call.await {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.log_failed_check(back_end, error.name());
+                return HealthCheckResult::Unhealthy;
+            }
         };
         let identity_matches =
             self.dialect.health_identity(answer.headers()) == Some(&*back_end.id);
@@ -173,7 +177,23 @@
             self.confirm_if_direct(back_end);
             HealthCheckResult::Healthy
         } else {
+            let result = if identity_matches {
+                "unhealthy"
+            } else {
+                "another_identity"
+            };
+            self.log_failed_check(back_end, result);
             HealthCheckResult::Unhealthy
         }
     }
+
+    fn log_failed_check(&self, back_end: &BackEnd, result: &'static str) {
+        let is_ejected = self.placement().health.is_ejected(&back_end.id);
+        tracing::info!(
+            back_end = &*back_end.id,
+            result,
+            is_ejected,
+            "health_check_failed"
+        );
+    }
 }
