Health: a silence is not a failure, and requests outlast a short one

Callers with seconds of time were refused 503 "unreachable", or held until their deadline (504), while all back ends of a service were silent.

Cause: one connection attempt or health check without an answer counted like a refused connection. It ejected the back end at every daemon of the zone, the next checks came after 0.5 to 4 s, and a request then spent 300 ms on each silent back end in turn, or was sent into the silence.

Change: - Outcome::Unresponsive and HealthCheckResult::Unresponsive stand for silence. It still ejects at once, but is not counted at peers, which check the back end themselves. Any answer ends the ejection, without a trial if the silence was shorter than 2 s. Evidence from an attempt that began before the last answer is ignored. Checks of silent back ends come each 200 ms during a short silence, then ever more rarely. - Silent back ends get no requests. If no other is left, a request is held until one shows a sign of life and has room, at most for the rest of a short silence and until its deadline less its latency target, and in at most 0.75 of the intake. Otherwise it is refused at once, and refusals bring one health check forward, at most each 250 ms. - Metric requests_at_silent_services, log line silence_awaited.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -180,7 +180,7 @@
     Preferred,
     /// Only if no preferred back end is left: it failed recently or is about to change its stage.
     Fallback,
-    /// Never: it drains, asked callers to back off, or was already tried for this request.
+    /// Never: it drains, asked callers to back off, is silent, or was already tried for this request.
     Excluded,
 }
 
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -6,7 +6,12 @@
 //! answer in time or repeatedly breaks connections. Responses that report a failure never eject a
 //! back end; they only increase its cost.
 //!
-//! After a successful health check the back end is reinstated on trial: it receives one request at
+//! A healthy back end may fall silent for about a second and go on. A connection attempt or health
+//! check without any answer therefore shows only silence: the back end is ejected at once, but the
+//! first sign of life ends the ejection, and until [`SHORT_SILENCE`] has passed it is expected to
+//! come back. A refused connection or an unhealthy answer shows a failure.
+//!
+//! After any other ejection, and after a longer silence, a successful health check the back end is reinstated on trial: it receives one request at
 //! a time until `TRIAL_SUCCESSES` requests have succeeded. A health check may succeed although
 //! requests fail, so the first request on trial without a complete response ejects the back end
 //! again. The delay before the next health check grows with each ejection and each failed or
@@ -29,6 +34,13 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// Longest silence of a back end that is expected to go on.
+pub const SHORT_SILENCE: Duration = Duration::from_secs(2);
+/// Delay before each health check of a back end during a short silence.
+pub const SILENT_CHECK_DELAY: Duration = Duration::from_millis(200);
+/// Data that arrived within this time came after the start of any attempt that has just ended
+/// without an answer.
+const RECENT_LIFE: Duration = Duration::from_millis(300);
 /// Delay before the first health check of an ejected back end.
 pub const FIRST_CHECK_DELAY: Duration = Duration::from_millis(500);
 /// Maximum delay between two health checks.
@@ -64,8 +76,10 @@
 pub enum Outcome {
     /// Complete response.
     Success,
-    /// No connection could be established.
+    /// The connection was refused, or a health check failed.
     Unreachable,
+    /// No answer to a connection attempt or to a health check.
+    Unresponsive,
     /// No response within the expected time.
     Silent,
     /// The connection broke, or the response was malformed.
@@ -80,7 +94,8 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Success => "success",
-            Self::Unreachable => "unreachable",
+            Self::Unreachable => "refused_or_unhealthy",
+            Self::Unresponsive => "no_answer_to_connection_or_check",
             Self::Silent => "no_answer_in_time",
             Self::Broken => "broken",
             Self::Error => "error",
@@ -92,7 +107,7 @@
     const fn ejection_limit(self) -> Option<u32> {
         match self {
             Self::Success | Self::Error => None,
-            Self::Unreachable => Some(1),
+            Self::Unreachable | Self::Unresponsive => Some(1),
             Self::Silent => Some(2),
             Self::Broken => Some(3),
         }
@@ -107,7 +122,8 @@
     /// Responses that report a failure.
     pub errors: u8,
     /// Requests without a complete response: [`Outcome::Unreachable`], [`Outcome::Silent`] and
-    /// [`Outcome::Broken`].
+    /// [`Outcome::Broken`]. [`Outcome::Unresponsive`] is not counted: each daemon checks the back end
+    /// itself once a peer has ejected it.
     pub unanswered: u8,
 }
 
@@ -117,6 +133,7 @@
             Outcome::Success => &mut self.successes,
             Outcome::Error => &mut self.errors,
             Outcome::Unreachable | Outcome::Silent | Outcome::Broken => &mut self.unanswered,
+            Outcome::Unresponsive => return,
         };
         *counter = counter.saturating_add(1);
     }
@@ -132,6 +149,16 @@
     /// all daemons of the zone.
     zone_unanswered: u32,
     ejected: bool,
+    /// Number of ejections and silences so far, which distinguishes their health checks.
+    ejections: u32,
+    /// When its first request without a complete response since its last sign of life ended.
+    unanswered_since: Option<Instant>,
+    /// Since when it gives no sign of life; `None` if it is not silent.
+    silent_since: Option<Instant>,
+    /// Whether silence is the only reason of the ejection.
+    is_ejected_for_silence: bool,
+    /// When it last answered anything, including health checks.
+    last_life: Option<Instant>,
     /// Successful requests that remain until the trial ends; 0 when not on trial.
     trial_successes_left: u32,
     /// Number of doublings of the delay before the next health check. Grows with each ejection and
@@ -158,12 +185,17 @@
 #[derive(Debug, Default)]
 pub struct Health {
     by_back_end: HashMap<Arc<str>, BackEndHealth>,
+    /// Number of silences that have ended.
+    ended_silences: u64,
 }
 
 impl Health {
     /// Records the outcome of a request of this daemon. If it ejects the back end, returns the
     /// delay before the first health check.
     pub fn record(&mut self, id: &Arc<str>, outcome: Outcome, now: Instant) -> Option<Duration> {
+        if matches!(outcome, Outcome::Success | Outcome::Error) {
+            self.record_life(id, now);
+        }
         let health = self.by_back_end.entry(Arc::clone(id)).or_default();
         health.count_for_peers(outcome, now);
         if outcome == Outcome::Success {
@@ -172,8 +204,15 @@
             health.count_success();
             return None;
         }
+        if outcome == Outcome::Unresponsive {
+            return health.begin_silence(now);
+        }
+        if outcome == Outcome::Unreachable {
+            health.end_silence_by_failure();
+        }
         health.count_failure(now);
         let limit = outcome.ejection_limit()?;
+        health.unanswered_since.get_or_insert(now);
         health.consecutive_unanswered += 1;
         health.zone_unanswered += 1;
         health.eject_if_due(health.consecutive_unanswered >= limit)
@@ -196,16 +235,69 @@
             health.zone_unanswered = 0;
             health.ejected = false;
             health.trial_successes_left = 0;
+            health.is_ejected_for_silence = false;
+            health.unanswered_since = None;
+            if health.silent_since.take().is_some() {
+                self.ended_silences += 1;
+            }
         }
     }
 
     /// Records that the back end sent data for any request. This shows that it is alive even if
     /// other requests are still waiting for data.
     pub fn record_activity(&mut self, id: &Arc<str>, now: Instant) {
+        self.record_life(id, now);
         let health = self.by_back_end.entry(Arc::clone(id)).or_default();
         health.last_activity = Some(now);
     }
 
+    /// Records an answer of any kind, which ends a silence.
+    pub fn record_life(&mut self, id: &Arc<str>, now: Instant) {
+        let health = self.by_back_end.entry(Arc::clone(id)).or_default();
+        health.last_life = Some(now);
+        health.unanswered_since = None;
+        let Some(since) = health.silent_since.take() else {
+            return;
+        };
+        self.ended_silences += 1;
+        if std::mem::take(&mut health.is_ejected_for_silence) {
+            let trial_before = health.trial_successes_left;
+            health.reinstate();
+            if now.saturating_duration_since(since) < SHORT_SILENCE {
+                health.trial_successes_left = trial_before;
+            }
+        }
+    }
+
+    /// Records a health check that was refused, answered badly or answered by another process.
+    pub fn record_unhealthy(&mut self, id: &str) {
+        if let Some(health) = self.by_back_end.get_mut(id) {
+            health.end_silence_by_failure();
+        }
+    }
+
+    /// Since when the back end has given no sign of life; `None` if it is not known to be silent.
+    #[must_use]
+    pub fn silent_since(&self, id: &str) -> Option<Instant> {
+        self.by_back_end
+            .get(id)
+            .and_then(|health| health.silent_since)
+    }
+
+    /// Number of silences that have ended, to notice that a back end has come back.
+    #[must_use]
+    pub const fn ended_silences(&self) -> u64 {
+        self.ended_silences
+    }
+
+    /// Number of the current ejection; `None` if the back end is not ejected. Changes when the back
+    /// end is ejected again or falls silent, which starts health checks of its own.
+    #[must_use]
+    pub fn ejection(&self, id: &str) -> Option<u32> {
+        let health = self.by_back_end.get(id).filter(|health| health.ejected)?;
+        Some(health.ejections)
+    }
+
     /// Whether the back end has shown activity at or after `since`.
     #[must_use]
     pub fn active_since(&self, id: &str, since: Instant) -> bool {
@@ -257,7 +349,7 @@
 
     /// Whether an ejected back end may be checked now. `waited` is the delay that preceded this
     /// check. If a request of any daemon of the zone failed during its second half, the back end is
-    /// probably still failing.
+    /// probably still failing. A silent back end may always be checked.
     ///
     /// # Errors
     ///
@@ -266,6 +358,9 @@
         let Some(health) = self.by_back_end.get_mut(id) else {
             return Ok(());
         };
+        if health.silent_since.is_some() {
+            return Ok(());
+        }
         let failed_recently = health
             .last_failure
             .is_some_and(|last| now.saturating_duration_since(last) < waited / 2);
@@ -285,18 +380,19 @@
 
     /// Records a failed health check of an ejected back end. Returns the delay before the next one;
     /// `None` if the back end is no longer tracked.
-    pub fn record_failed_check(&mut self, id: &str) -> Option<Duration> {
+    pub fn record_failed_check(&mut self, id: &str, now: Instant) -> Option<Duration> {
         let health = self.by_back_end.get_mut(id)?;
-        Some(health.next_check_delay())
+        Some(if health.is_silent_for_short(now) {
+            SILENT_CHECK_DELAY
+        } else {
+            health.next_check_delay()
+        })
     }
 
     /// Ends the ejection of a back end and puts it on trial, see the module documentation.
     pub fn reinstate(&mut self, id: &str) {
         if let Some(health) = self.by_back_end.get_mut(id) {
-            health.ejected = false;
-            health.consecutive_unanswered = 0;
-            health.zone_unanswered = 0;
-            health.trial_successes_left = TRIAL_SUCCESSES;
+            health.reinstate();
         }
     }
 
@@ -359,6 +455,44 @@
 }
 
 impl BackEndHealth {
+    /// Ejects the back end for its silence, unless it answered something since the attempt began.
+    /// Returns the delay before the first health check.
+    fn begin_silence(&mut self, now: Instant) -> Option<Duration> {
+        let was_alive = self
+            .last_life
+            .is_some_and(|last| now.saturating_duration_since(last) < RECENT_LIFE);
+        if was_alive || self.silent_since.is_some() {
+            return None;
+        }
+        self.count_failure(now);
+        self.silent_since = Some(self.unanswered_since.unwrap_or(now));
+        self.is_ejected_for_silence = !self.ejected;
+        self.ejected = true;
+        self.ejections += 1;
+        Some(SILENT_CHECK_DELAY)
+    }
+
+    /// A failing back end is not expected to go on by itself.
+    fn end_silence_by_failure(&mut self) {
+        self.silent_since = None;
+        self.is_ejected_for_silence = false;
+    }
+
+    fn is_silent_for_short(&self, now: Instant) -> bool {
+        self.silent_since
+            .is_some_and(|since| now.saturating_duration_since(since) < SHORT_SILENCE)
+    }
+
+    fn reinstate(&mut self) {
+        self.ejected = false;
+        self.unanswered_since = None;
+        self.silent_since = None;
+        self.is_ejected_for_silence = false;
+        self.consecutive_unanswered = 0;
+        self.zone_unanswered = 0;
+        self.trial_successes_left = TRIAL_SUCCESSES;
+    }
+
     /// Counts an outcome of this daemon's own request towards what its peers are sent.
     fn count_for_peers(&mut self, outcome: Outcome, now: Instant) {
         match outcome {
@@ -371,6 +505,8 @@
                 self.unconfirmed = self.unconfirmed.saturating_add(1);
                 self.last_unconfirmed = Some(now);
             }
+            // Peers check the back end themselves.
+            Outcome::Unresponsive => {}
         }
     }
 
@@ -412,6 +548,7 @@
             return None;
         }
         self.ejected = true;
+        self.ejections += 1;
         self.trial_successes_left = 0;
         Some(self.next_check_delay())
     }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -37,8 +37,8 @@
 
 pub use arrivals::Arrivals;
 pub use confidence::Confidence;
-pub use costs::NextRateToken;
 use costs::{Choice, Estimate};
+pub use costs::{NextRateToken, ShortSilence};
 use decoding::{DecodeEstimator, MIN_GAPS_TO_EXPLAIN};
 pub use decoding::{FastestEngine, StreamPlacement};
 pub use fairness::{FairShares, OfferedRequest};
--- a/crates/fleet/src/placement/costs.rs
+++ b/crates/fleet/src/placement/costs.rs
@@ -8,6 +8,7 @@
 use super::{DEFAULT_PLAIN_MS, Placement, Urgency};
 use crate::announcements::{Availability, MAX_BACKOFF};
 use crate::directory::{BackEnd, Eligibility};
+use crate::health::SHORT_SILENCE;
 use crate::profiles::WorkKind;
 use crate::rate_limits::Allowance;
 
@@ -52,6 +53,15 @@
     }
 }
 
+/// Silent back ends that a request could be sent to once they go on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ShortSilence {
+    /// A silence that lasts longer is no short one any more.
+    pub ends_by: Instant,
+    /// IDs of the silent back ends.
+    pub silent: Vec<Arc<str>>,
+}
+
 /// When a back end accepts a request of this daemon.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Acceptance {
@@ -101,7 +111,9 @@
     #[must_use]
     pub fn eligibility(&self, back_end: &BackEnd, tried: &[Arc<str>], now: Instant) -> Eligibility {
         let is_allowed = self.rate_limits.allowance(back_end, now) == Allowance::Now;
-        if tried.contains(&back_end.id) || self.is_closed(back_end, now) || !is_allowed {
+        let is_silent = self.health.silent_since(&back_end.id).is_some();
+        let is_closed = self.is_closed(back_end, now);
+        if tried.contains(&back_end.id) || is_closed || is_silent || !is_allowed {
             return Eligibility::Excluded;
         }
         let is_preferred = !self.health.is_ejected(&back_end.id)
@@ -115,6 +127,41 @@
         }
     }
 
+    /// Until when silent back ends among these are expected to go on, and which ones they are.
+    /// `None` if one of the others accepts requests.
+    #[must_use]
+    pub fn short_silence(
+        &self,
+        back_ends: &[Arc<BackEnd>],
+        tried: &[Arc<str>],
+        now: Instant,
+    ) -> Option<ShortSilence> {
+        let mut ends_by = None;
+        let mut silent = Vec::new();
+        for back_end in back_ends {
+            if self.eligibility(back_end, tried, now) != Eligibility::Excluded {
+                return None;
+            }
+            if let Some(since) = self.health.silent_since(&back_end.id)
+                && !self.is_closed(back_end, now)
+            {
+                ends_by = ends_by.max(Some(since + SHORT_SILENCE));
+                silent.push(Arc::clone(&back_end.id));
+            }
+        }
+        let ends_by = ends_by?;
+        Some(ShortSilence { ends_by, silent })
+    }
+
+    /// Whether one of these back ends accepts a request and is not full.
+    #[must_use]
+    pub fn has_room(&self, back_ends: &[Arc<BackEnd>], tried: &[Arc<str>], now: Instant) -> bool {
+        back_ends.iter().any(|back_end| {
+            self.eligibility(back_end, tried, now) != Eligibility::Excluded
+                && self.load.requests(&back_end.id) < f64::from(back_end.slots.max(1))
+        })
+    }
+
     /// Whether the back end's backoff has just ended and this request should not be the probe. A
     /// single request tests whether the back end accepts requests again, and never one that was
     /// already refused elsewhere.
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -134,7 +134,7 @@
     let mut last = FIRST_CHECK_DELAY;
     for _ in 0..8 {
         now += last;
-        let next = health.record_failed_check(&id).expect("known");
+        let next = health.record_failed_check(&id, now).expect("known");
         assert!(next >= last && next <= MAX_CHECK_DELAY);
         last = next;
     }
--- a/crates/fleet/tests/health.rs
+++ b/crates/fleet/tests/health.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ponddrift_fleet::health::{Health, Outcome, OutcomeCounts};
+use ponddrift_fleet::health::{Health, Outcome, OutcomeCounts, SHORT_SILENCE, SILENT_CHECK_DELAY};
 
 fn id() -> Arc<str> {
     Arc::from("i-1")
@@ -177,3 +177,135 @@
     health.confirm_unanswered("i-1", now + Duration::from_secs(6));
     assert!(health.take_unpublished().is_empty());
 }
+
+fn silent(now: Instant) -> Health {
+    let mut health = Health::default();
+    let pause = health.record(&id(), Outcome::Unresponsive, now);
+    assert_eq!(pause, Some(SILENT_CHECK_DELAY));
+    assert!(health.is_ejected("i-1"));
+    assert_eq!(health.silent_since("i-1"), Some(now));
+    health
+}
+
+#[test]
+fn a_sign_of_life_ends_the_ejection_for_a_short_silence_without_a_trial() {
+    let now = Instant::now();
+    let mut health = silent(now);
+    health.record_activity(&id(), now + Duration::from_millis(1_500));
+    assert!(!health.is_ejected("i-1"));
+    assert!(!health.is_on_trial("i-1"));
+    assert_eq!(health.silent_since("i-1"), None);
+    assert_eq!(health.ended_silences(), 1);
+}
+
+#[test]
+fn a_back_end_is_on_trial_after_a_long_silence() {
+    let now = Instant::now();
+    let mut health = silent(now);
+    health.record_life(&id(), now + SHORT_SILENCE);
+    assert!(!health.is_ejected("i-1"));
+    assert!(health.is_on_trial("i-1"));
+}
+
+#[test]
+fn a_short_silence_does_not_end_an_earlier_trial() {
+    let mut now = Instant::now();
+    let mut health = Health::default();
+    health.record(&id(), Outcome::Unreachable, now);
+    health.reinstate("i-1");
+    health.record(&id(), Outcome::Unresponsive, now);
+    now += Duration::from_secs(1);
+    health.record_life(&id(), now);
+    assert!(!health.is_ejected("i-1"));
+    assert!(health.is_on_trial("i-1"));
+}
+
+#[test]
+fn a_silent_back_end_is_checked_at_a_steady_pace_and_later_ever_more_rarely() {
+    let now = Instant::now();
+    let mut health = silent(now);
+    let soon = now + SHORT_SILENCE - Duration::from_millis(1);
+    for _ in 0..5 {
+        assert!(health.may_check("i-1", SILENT_CHECK_DELAY, now).is_ok());
+        let next = health.record_failed_check("i-1", soon);
+        assert_eq!(next, Some(SILENT_CHECK_DELAY));
+    }
+    let later = now + SHORT_SILENCE;
+    let first = health.record_failed_check("i-1", later);
+    let second = health.record_failed_check("i-1", later);
+    assert!(first > Some(SILENT_CHECK_DELAY));
+    assert!(second > first);
+}
+
+#[test]
+fn a_sign_of_life_does_not_end_an_ejection_for_another_reason() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    health.record(&id(), Outcome::Unreachable, now);
+    health.record_activity(&id(), now);
+    assert!(health.is_ejected("i-1"), "refused before it was silent");
+    let mut health = silent(now);
+    health.record(&id(), Outcome::Unreachable, now);
+    assert_eq!(health.silent_since("i-1"), None);
+    health.record_activity(&id(), now);
+    assert!(health.is_ejected("i-1"), "refused after it was silent");
+    let mut health = silent(now);
+    health.record_unhealthy("i-1");
+    health.record_activity(&id(), now);
+    assert!(health.is_ejected("i-1"), "unhealthy");
+}
+
+/// An attempt that began during a silence may end without an answer after the silence.
+#[test]
+fn an_attempt_that_began_before_the_last_sign_of_life_shows_no_silence() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    health.record_activity(&id(), now);
+    let after = |ms| now + Duration::from_millis(ms);
+    let pause = health.record(&id(), Outcome::Unresponsive, after(250));
+    assert_eq!(pause, None);
+    assert!(!health.is_ejected("i-1"));
+    let pause = health.record(&id(), Outcome::Unresponsive, after(300));
+    assert!(pause.is_some(), "nothing came since it began");
+}
+
+#[test]
+fn a_silence_begins_with_the_first_request_without_an_answer() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    health.record(&id(), Outcome::Silent, now);
+    let later = now + Duration::from_secs(1);
+    health.record(&id(), Outcome::Unresponsive, later);
+    assert_eq!(health.silent_since("i-1"), Some(now));
+    health.record_life(&id(), later);
+    let again = later + Duration::from_secs(1);
+    health.record(&id(), Outcome::Unresponsive, again);
+    assert_eq!(health.silent_since("i-1"), Some(again));
+}
+
+/// Peers learn of the ejection and check the back end themselves.
+#[test]
+fn silence_is_not_counted_against_a_back_end_at_peers() {
+    let now = Instant::now();
+    let mut health = silent(now);
+    health.confirm_unanswered("i-1", now);
+    health.record_life(&id(), now + Duration::from_secs(1));
+    health.record(&id(), Outcome::Success, now + Duration::from_secs(1));
+    assert_eq!(health.take_unpublished(), [(id(), ONE_SUCCESS)]);
+}
+
+#[test]
+fn a_back_end_that_falls_silent_while_ejected_gets_checks_of_its_own() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    for _ in 0..2 {
+        health.record(&id(), Outcome::Silent, now);
+    }
+    let before = health.ejection("i-1");
+    assert!(before.is_some());
+    let pause = health.record(&id(), Outcome::Unresponsive, now);
+    assert_eq!(pause, Some(SILENT_CHECK_DELAY));
+    assert_ne!(health.ejection("i-1"), before);
+    health.record_life(&id(), now + Duration::from_secs(1));
+    assert!(health.is_ejected("i-1"), "its requests hung before");
+}
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -183,6 +183,7 @@
     fetches: Counter,
     resumed: Counter,
     ejections: Counter,
+    silences: Family<ResultLabels, Counter>,
     announcements: Family<AnnouncementLabels, Counter>,
     profile_rows: Family<ResultLabels, Counter>,
     runs_lost: Counter,
@@ -257,6 +258,11 @@
             fetches: register_default(r, "head_fetches", "Prompts whose head was to be fetched"),
             resumed: register_default(r, "streams_resumed", "Streams that went on elsewhere"),
             ejections: register_default(r, "ejections", "Back ends found unwell"),
+            silences: register_default(
+                r,
+                "requests_at_silent_services",
+                "Requests whose back ends were all silent, by whether one came back in time",
+            ),
             announcements: register_default(
                 r,
                 "announcements",
@@ -492,6 +498,24 @@
         self.ejections.inc();
     }
 
+    /// Counts a request that was held while all its back ends were silent.
+    pub(crate) fn silence_awaited(&self, has_ended: bool) {
+        self.silence(if has_ended {
+            "came_back"
+        } else {
+            "waited_in_vain"
+        });
+    }
+
+    /// Counts a request that was not held although all its back ends were silent.
+    pub(crate) fn silence_refused(&self) {
+        self.silence("not_held");
+    }
+
+    fn silence(&self, result: &'static str) {
+        self.silences.get_or_create(&ResultLabels { result }).inc();
+    }
+
     /// Counts an announcement of this kind by a back end.
     pub(crate) fn announcement(&self, kind: &'static str, source: &'static str) {
         let labels = AnnouncementLabels { kind, source };
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -27,6 +27,7 @@
 mod relay_slots;
 mod retry_pool;
 mod send_gate;
+mod silent_service;
 mod wait_policy;
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -63,6 +64,7 @@
 use rate_wait::RateQueues;
 pub(crate) use relay_slots::RelaySlot;
 pub use send_gate::SendPermit;
+use silent_service::SilentServices;
 
 /// Settings of the pipeline.
 #[derive(Clone)]
@@ -122,6 +124,7 @@
     prefixes_changed: Notify,
     rates_changed: Notify,
     rate_queues: RateQueues,
+    silent_services: Arc<SilentServices>,
     held_bytes: AtomicUsize,
     bounds: IntakeLimits,
     usage: Option<Arc<UsageRecorder>>,
@@ -173,6 +176,7 @@
             prefixes_changed: Notify::new(),
             rates_changed: Notify::new(),
             rate_queues: RateQueues::default(),
+            silent_services: Arc::default(),
             held_bytes: AtomicUsize::new(0),
             bounds: settings.bounds,
             usage: settings.usage.clone(),
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -406,13 +406,13 @@
 fn classify_error(error: &ExchangeError) -> SendVerdict {
     match error {
         ExchangeError::NotSent(NotSent::Unreachable(unreachable)) => {
-            let reason = match unreachable.failure {
-                ConnectFailure::Refused => "connection_refused",
-                ConnectFailure::NoAnswer => "unreachable",
+            let (reason, outcome) = match unreachable.failure {
+                ConnectFailure::Refused => ("connection_refused", Outcome::Unreachable),
+                ConnectFailure::NoAnswer => ("unreachable", Outcome::Unresponsive),
             };
             SendVerdict {
                 is_confirmed_by_peer: unreachable.is_confirmed,
-                ..SendVerdict::new(SendEnd::NotSent(reason), Some(Outcome::Unreachable))
+                ..SendVerdict::new(SendEnd::NotSent(reason), Some(outcome))
             }
         }
         ExchangeError::NotSent(NotSent::Exhausted) => {
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -160,7 +160,7 @@
                 None => {
                     self.await_prefix(job).await;
                     let Some(plan) = self.plan(job) else {
-                        if self.await_rate(job).await {
+                        if self.await_rate(job).await || self.await_sign_of_life(job).await {
                             continue;
                         }
                         failure = self.no_candidate_failure(job, failure);
--- a/crates/serving/src/pipeline/lost_runs.rs
+++ b/crates/serving/src/pipeline/lost_runs.rs
@@ -71,7 +71,10 @@
         outcome: Option<Outcome>,
         started_at: Instant,
     ) -> bool {
-        let may_have_exited = matches!(outcome, Some(Outcome::Broken | Outcome::Unreachable));
+        let may_have_exited = matches!(
+            outcome,
+            Some(Outcome::Broken | Outcome::Unreachable | Outcome::Unresponsive)
+        );
         if !may_have_exited {
             return false;
         }
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -82,7 +82,7 @@
                 break;
             }
             let Some(back_end) = self.choose_back_end(job) else {
-                if self.await_rate(job).await {
+                if self.await_rate(job).await || self.await_sign_of_life(job).await {
                     continue;
                 }
                 failure = self.no_candidate_failure(job, failure);
--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -10,6 +10,7 @@
 
 use super::Pipeline;
 use super::announcements::AnswerOrigin;
+use crate::connections::CallError;
 use crate::dialect::BodylessCall;
 use crate::time::now;
 
@@ -23,13 +24,30 @@
 pub(super) enum HealthCheckResult {
     /// The back end is healthy.
     Healthy,
-    /// The back end did not answer in time, answered with another identity, or reports that it is
-    /// unhealthy.
+    /// The connection was refused or broke, or the back end answered with another identity or
+    /// reports that it is unhealthy.
     Unhealthy,
+    /// The back end did not answer in time.
+    Unresponsive,
     /// No check was made, because the back end's rate limit does not allow it.
     Skipped,
 }
 
+impl HealthCheckResult {
+    pub(super) const fn has_failed(self) -> bool {
+        matches!(self, Self::Unhealthy | Self::Unresponsive)
+    }
+
+    /// What a failed check shows.
+    const fn outcome(self) -> Option<Outcome> {
+        match self {
+            Self::Healthy | Self::Skipped => None,
+            Self::Unhealthy => Some(Outcome::Unreachable),
+            Self::Unresponsive => Some(Outcome::Unresponsive),
+        }
+    }
+}
+
 impl Pipeline {
     /// Checks an ejected back end with increasing pauses until it is healthy or removed from the
     /// directory.
@@ -45,9 +63,10 @@
         let spawner = Arc::clone(&self.runtime.spawner);
         spawner.spawn(Box::pin(async move {
             let mut pause = pipeline.with_jitter(first_pause);
+            let ejection = pipeline.placement().health.ejection(&back_end.id);
             loop {
-                tokio::time::sleep(pause).await;
-                if !pipeline.placement().health.is_ejected(&back_end.id) {
+                pipeline.await_check(&back_end, pause).await;
+                if pipeline.placement().health.ejection(&back_end.id) != ejection {
                     return;
                 }
                 if !pipeline.state.is_ready(&back_end.id) {
@@ -71,19 +90,32 @@
                 match pipeline.check_health(&back_end, &path).await {
                     HealthCheckResult::Healthy => {
                         tracing::info!(back_end = &*back_end.id, "back_end_reinstated");
-                        pipeline.placement().health.reinstate(&back_end.id);
+                        let health = &mut pipeline.placement().health;
+                        // The answer itself ended an ejection for silence.
+                        if health.is_ejected(&back_end.id) {
+                            health.reinstate(&back_end.id);
+                        }
                         return;
                     }
                     HealthCheckResult::Skipped => {
                         pause = pipeline.with_jitter(MAX_CHECK_DELAY);
                         continue;
                     }
-                    HealthCheckResult::Unhealthy => {}
+                    HealthCheckResult::Unhealthy => {
+                        pipeline.placement().health.record_unhealthy(&back_end.id);
+                    }
+                    // If this is the first sign of silence, it starts checks at another pace.
+                    HealthCheckResult::Unresponsive => {
+                        pipeline.note_outcome(&back_end, &path, Outcome::Unresponsive);
+                        if pipeline.placement().health.ejection(&back_end.id) != ejection {
+                            return;
+                        }
+                    }
                 }
                 match pipeline
                     .placement()
                     .health
-                    .record_failed_check(&back_end.id)
+                    .record_failed_check(&back_end.id, now())
                 {
                     Some(next) => pause = pipeline.with_jitter(next),
                     None => return,
@@ -92,6 +124,15 @@
         }));
     }
 
+    /// Waits before a health check. A refused request brings the check of a silent back end forward.
+    async fn await_check(&self, back_end: &BackEnd, pause: Duration) {
+        let is_silent = self.placement().health.silent_since(&back_end.id).is_some();
+        tokio::select! {
+            () = tokio::time::sleep(pause) => {}
+            () = self.silent_services().check_advanced(), if is_silent => {}
+        }
+    }
+
     /// Adds jitter, so that daemons that ejected a back end at the same time do not check it at the
     /// same time. The first one to check tells the others.
     fn with_jitter(&self, pause: Duration) -> Duration {
@@ -116,8 +157,9 @@
         let pipeline = Arc::clone(self);
         let back_end = Arc::clone(back_end);
         self.runtime.spawner.spawn(Box::pin(async move {
-            if pipeline.check_health(&back_end, &path).await == HealthCheckResult::Unhealthy {
-                pipeline.note_outcome(&back_end, &path, Outcome::Unreachable);
+            let result = pipeline.check_health(&back_end, &path).await;
+            if let Some(outcome) = result.outcome() {
+                pipeline.note_outcome(&back_end, &path, outcome);
             }
         }));
     }
@@ -164,7 +206,10 @@
             Ok(answer) => answer,
             Err(error) => {
                 self.log_failed_check(back_end, error.name());
-                return HealthCheckResult::Unhealthy;
+                return match error {
+                    CallError::NoAnswer => HealthCheckResult::Unresponsive,
+                    CallError::Refused | CallError::Broken => HealthCheckResult::Unhealthy,
+                };
             }
         };
         let identity_matches =
@@ -175,6 +220,7 @@
         }
         if answer.status() == StatusCode::OK && identity_matches {
             self.confirm_if_direct(back_end);
+            self.placement().health.record_life(&back_end.id, now());
             HealthCheckResult::Healthy
         } else {
             let result = if identity_matches {
--- a/crates/serving/src/pipeline/wait_policy.rs
+++ b/crates/serving/src/pipeline/wait_policy.rs
@@ -19,7 +19,6 @@
 
 use super::Pipeline;
 use super::job::Job;
-use super::probe::HealthCheckResult;
 use crate::connections::ExchangeRoute;
 use crate::time::{self, now};
 
@@ -80,7 +79,7 @@
         match self {
             Self::OutOfTime | Self::NotReached | Self::PathCut => None,
             Self::Silent => Some(Outcome::Silent),
-            Self::Unresponsive => Some(Outcome::Unreachable),
+            Self::Unresponsive => Some(Outcome::Unresponsive),
         }
     }
 }
@@ -209,7 +208,7 @@
                 biased;
                 answer = &mut answer => return answer,
                 check = self.check_health(back_end, health_path) => {
-                    if check == HealthCheckResult::Unhealthy {
+                    if check.has_failed() {
                         self.connections.discard_idle(back_end.address);
                         return Err(WaitEnd::Unresponsive);
                     }
--- a/crates/serving/src/request_trace.rs
+++ b/crates/serving/src/request_trace.rs
@@ -76,6 +76,13 @@
         /// Duration of the wait.
         waited: Duration,
     },
+    /// The request was held because all back ends that could run it were silent.
+    SilenceAwaited {
+        /// Duration of the wait.
+        waited: Duration,
+        /// Whether one of them came back in time.
+        has_ended: bool,
+    },
     /// A stream was resumed on another engine.
     StreamResumed {
         /// ID of the last event that the caller had received.
@@ -221,6 +228,15 @@
                 "rate_awaited"
             );
         }
+        TraceStep::SilenceAwaited { waited, has_ended } => {
+            tracing::info!(
+                request,
+                at_ms,
+                waited_ms = milliseconds(*waited),
+                has_ended,
+                "silence_awaited"
+            );
+        }
         TraceStep::StreamResumed { after, reason } => {
             tracing::info!(request, at_ms, after, reason, "stream_resumed");
         }
