--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -7,6 +7,7 @@
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::{MAX_CHECK_DELAY, Outcome};
 use rand::RngExt;
+use tokio::sync::SemaphorePermit;
 
 use super::Pipeline;
 use super::announcements::AnswerOrigin;
@@ -65,7 +66,7 @@
             let mut pause = pipeline.with_jitter(first_pause);
             let ejection = pipeline.placement().health.ejection(&back_end.id);
             loop {
-                pipeline.await_check(&back_end, pause).await;
+                let _turn = pipeline.await_check(&back_end, pause).await;
                 if pipeline.placement().health.ejection(&back_end.id) != ejection {
                     return;
                 }
@@ -125,12 +126,21 @@
     }
 
     /// Waits before a health check. A refused request brings the check of a silent back end forward.
-    async fn await_check(&self, back_end: &BackEnd, pause: Duration) {
+    async fn await_check(
+        &self,
+        back_end: &BackEnd,
+        pause: Duration,
+    ) -> Option<SemaphorePermit<'_>> {
         let is_silent = self.placement().health.silent_since(&back_end.id).is_some();
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             () = self.silent_services().check_advanced(), if is_silent => {}
         }
+        if is_silent {
+            self.silent_services().check_turn().await
+        } else {
+            None
+        }
     }
 
     /// Adds jitter, so that daemons that ejected a back end at the same time do not check it at the
--- a/crates/serving/src/pipeline/silent_service.rs
+++ b/crates/serving/src/pipeline/silent_service.rs
@@ -10,7 +10,7 @@
 
 use ponddrift_fleet::placement::ShortSilence;
 use rand::RngExt;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore, SemaphorePermit};
 
 use super::Pipeline;
 use super::job::Job;
@@ -25,13 +25,29 @@
 /// Minimum time between two health checks that refusals bring forward.
 const MIN_ADVANCED_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Health checks of silent back ends that run at a time. After the loss of many back ends at once,
+/// the others wait for their turn.
+const MAX_CONCURRENT_CHECKS: usize = 64;
+
 /// Held requests, and the health checks that refused ones ask for.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct SilentServices {
     held: AtomicUsize,
     last_advanced_check: std::sync::Mutex<Option<Instant>>,
     /// Wakes one health check of a silent back end before its time.
     check_advanced: Notify,
+    check_slots: Semaphore,
+}
+
+impl Default for SilentServices {
+    fn default() -> Self {
+        Self {
+            held: AtomicUsize::new(0),
+            last_advanced_check: std::sync::Mutex::default(),
+            check_advanced: Notify::new(),
+            check_slots: Semaphore::new(MAX_CONCURRENT_CHECKS),
+        }
+    }
 }
 
 /// Counts a held request.
@@ -51,6 +67,12 @@
         (before < limit).then_some(held)
     }
 
+    /// Waits for the turn of a health check; the check holds it until it ends.
+    pub(super) async fn check_turn(&self) -> Option<SemaphorePermit<'_>> {
+        // The semaphore is never closed.
+        self.check_slots.acquire().await.ok()
+    }
+
     /// Completes when a refused request brings a health check forward.
     pub(super) async fn check_advanced(&self) {
         self.check_advanced.notified().await;
