Health: what a silence explains is not published after it

Peers could eject a back end once more after its silence: requests that had got no answer during the silence were published as soon as the back end was reached again. The end of a silence now discards them.

Evidence: fleet health requests_without_an_answer_during_a_silence_are_not_published_after_it failed before. Two more tests of silent services: room for other services, and no flood at the first back end that returns.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -260,6 +260,8 @@
             return;
         };
         self.ended_silences += 1;
+        // They were due to the silence, which is over.
+        health.unconfirmed = 0;
         if std::mem::take(&mut health.is_ejected_for_silence) {
             let trial_before = health.trial_successes_left;
             health.reinstate();
--- a/crates/fleet/tests/health.rs
+++ b/crates/fleet/tests/health.rs
@@ -309,3 +309,16 @@
     health.record_life(&id(), now + Duration::from_secs(1));
     assert!(health.is_ejected("i-1"), "its requests hung before");
 }
+
+/// Guards against peers that eject a back end for its silence after it has gone on.
+#[test]
+fn requests_without_an_answer_during_a_silence_are_not_published_after_it() {
+    let now = Instant::now();
+    let mut health = Health::default();
+    health.record(&id(), Outcome::Silent, now);
+    health.record(&id(), Outcome::Unresponsive, now);
+    let later = now + Duration::from_secs(1);
+    health.record_life(&id(), later);
+    health.confirm_unanswered("i-1", later);
+    assert!(health.take_unpublished().is_empty());
+}
--- a/crates/serve/tests/silent_services.rs
+++ b/crates/serve/tests/silent_services.rs
@@ -7,7 +7,7 @@
 use http::{StatusCode, header};
 use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest};
 use ponddrift_simulation::HostId;
-use support::{Fleet, FleetOptions};
+use support::{Fleet, FleetOptions, MAX_REQUESTS_IN_PROGRESS};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// Events of a stream in these tests; its last one comes 0.5 s after the first.
@@ -276,3 +276,64 @@
         );
     }
 }
+
+/// Guards against requests of a silent service that take all places of a daemon.
+#[test]
+fn a_silent_service_leaves_room_for_others() {
+    const BURST: usize = 2 * MAX_REQUESTS_IN_PROGRESS;
+    let mut fleet = fleet_of(1, 3);
+    let simulation = fleet.simulation.handle();
+    let records = fleet.records_hosts.clone();
+    let daemon = fleet.daemons[0].host;
+    let silence = async move {
+        sleep(SILENCE_STARTS).await;
+        simulation.partition(&[daemon], &records);
+    };
+    let known_silent = SILENCE_STARTS + Duration::from_millis(500);
+    let first = (0..9).map(|number| (SILENCE_STARTS, format!("first-{number}")));
+    let burst = (0..BURST).map(|number| (known_silent, format!("burst-{number}")));
+    let silenced = first.chain(burst).map(|(after, id)| Sent {
+        after,
+        daemon: 0,
+        request: ClientRequest {
+            deadline_ms: 3_000,
+            ..ClientRequest::plain(&id, "fetch")
+        },
+    });
+    let others = (0..5).map(|number| Sent {
+        after: known_silent + Duration::from_millis(100 + 100 * number),
+        daemon: 0,
+        request: ClientRequest::prompt(&format!("tag-{number}"), "tag", 40, 200),
+    });
+    let answered = send_late_beside(&mut fleet, silenced.collect(), others.collect(), silence);
+    assert_all_served(&answered, "the other service");
+}
+
+#[test]
+fn one_back_end_that_comes_back_early_is_not_flooded() {
+    const CAME_BACK: Duration = Duration::from_millis(600);
+    let mut fleet = fleet_of(1, 3);
+    let simulation = fleet.simulation.handle();
+    let engines = fleet.decode_hosts.clone();
+    let daemon = fleet.daemons[0].host;
+    let silence = async move {
+        sleep(SILENCE_STARTS).await;
+        simulation.partition(&[daemon], &engines);
+        sleep(CAME_BACK).await;
+        simulation.heal(daemon, engines[0]);
+        sleep(CAME_BACK).await;
+        simulation.heal_all();
+    };
+    let requests = (0..40).map(|number| Sent {
+        after: SILENCE_STARTS + Duration::from_millis(1 + 10 * number),
+        daemon: 0,
+        request: ClientRequest {
+            deadline_ms: 5_000,
+            ..ClientRequest::prompt(&format!("tag-{number}"), "tag", 40, 200)
+        },
+    });
+    let answered = send_beside(&mut fleet, requests.collect(), silence);
+    assert_all_served(&answered, "one of three back early");
+    let rejected = fleet.decode[0].rejected();
+    assert_eq!(rejected, 0, "more requests than it has slots");
+}
--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -229,8 +229,9 @@
             self.record_announcements(back_end, answer.status(), answer.headers(), origin);
         }
         if answer.status() == StatusCode::OK && identity_matches {
-            self.confirm_if_direct(back_end);
+            // First, because it discards what the end of a silence explains.
             self.placement().health.record_life(&back_end.id, now());
+            self.confirm_if_direct(back_end);
             HealthCheckResult::Healthy
         } else {
             let result = if identity_matches {
