--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -502,7 +502,7 @@
     ) {
         let pause = self.placement().health.record(&back_end.id, outcome, now());
         if let Some(pause) = pause {
-            self.ejected(back_end, health_path, pause, "own_requests");
+            self.ejected(back_end, health_path, pause, outcome.name());
         }
     }
 
@@ -568,13 +568,13 @@
 fn classify_error(error: &ExchangeError) -> SendVerdict {
     match error {
         ExchangeError::NotSent(NotSent::Unreachable(unreachable)) => {
-            let reason = match unreachable.failure {
-                ConnectFailure::Refused => "connection_refused",
-                ConnectFailure::NoAnswer => "unreachable",
+            let (reason, outcome) = match unreachable.failure {
+                ConnectFailure::Refused => ("connection_refused", Outcome::Unreachable),
+                ConnectFailure::NoAnswer => ("unreachable", Outcome::Unresponsive),
             };
             SendVerdict {
                 is_confirmed_by_peer: unreachable.is_confirmed,
-                ..SendVerdict::new(SendEnd::NotSent(reason), Some(Outcome::Unreachable))
+                ..SendVerdict::new(SendEnd::NotSent(reason), Some(outcome))
             }
         }
         ExchangeError::NotSent(NotSent::Exhausted) => {
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -338,7 +338,7 @@
             None => {
                 self.await_prefix(job).await;
                 let Some(plan) = self.plan(job) else {
-                    if self.await_rate(job).await {
+                    if self.await_rate(job).await || self.await_sign_of_life(job).await {
                         return Round::Nothing;
                     }
                     progress.failure = self.no_candidate_failure(job, progress.failure);
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -193,7 +193,7 @@
             return Round::NoFurtherSend;
         }
         let Some(back_end) = self.choose_back_end(job) else {
-            if self.await_rate(job).await {
+            if self.await_rate(job).await || self.await_sign_of_life(job).await {
                 return Round::Nothing;
             }
             progress.failure = self.no_candidate_failure(job, progress.failure);
--- a/crates/serving/src/pipeline/silent_sends.rs
+++ b/crates/serving/src/pipeline/silent_sends.rs
@@ -239,22 +239,21 @@
 }
 
 impl Pipeline {
-    /// Whether a back end that was silent at `since` may work on the request again. An engine that is
-    /// not ejected has answered its health check.
+    /// Whether a back end that was silent at `since` may work on the request again.
     fn is_reachable(&self, back_end: &BackEnd, since: Instant) -> bool {
         if self.paths().is_cut(back_end.address) {
             return false;
         }
         let health = &self.placement().health;
         let is_engine = back_end.stage.is_some();
-        health.active_since(&back_end.id, since) || (is_engine && !health.is_ejected(&back_end.id))
+        health.active_since(&back_end.id, since) || (is_engine && health.silent_since(&back_end.id).is_none())
     }
 
     /// Checks whether the engines that the request left in silence have exited: their runs do not
     /// count as attempts then.
     pub(super) async fn check_silent_runs(&self, job: &mut Job) {
         while let Some(run) = job.silent_runs.pop() {
-            let silent = Some(Outcome::Unreachable);
+            let silent = Some(Outcome::Unresponsive);
             let check = self.check_lost_run(job, &run.back_end, silent, run.started_at);
             let has_ended = time::timeout_at(now() + EXIT_CHECK_LIMIT, check).await;
             if has_ended == Some(true) {
--- a/crates/serving/src/pipeline/wait_policy.rs
+++ b/crates/serving/src/pipeline/wait_policy.rs
@@ -96,7 +96,7 @@
         match self {
             Self::OutOfTime | Self::NotReached | Self::PathCut => None,
             Self::Silent => Some(Outcome::Silent),
-            Self::Unresponsive => Some(Outcome::Unreachable),
+            Self::Unresponsive => Some(Outcome::Unresponsive),
         }
     }
 }
@@ -273,7 +273,8 @@
         }
         let check = self.check_health(back_end, health_path);
         let check = time::timeout_at(wait.policy.deadline, check).await;
-        wait.unresponsive_since = (check == Some(HealthCheckResult::Unhealthy)).then(now);
+        let has_failed = check.is_some_and(HealthCheckResult::has_failed);
+        wait.unresponsive_since = has_failed.then(now);
         wait.health_check_at = Some(now() + HEALTH_CHECK_INTERVAL);
     }
 
