Log: the removal of a back end says whose store failure puts it in doubt

Every daemon logs the removal as in doubt, 6 s after the last refusal, and the line does not say which failure that doubt rests on.

back_end_gone names the source of the last failure (store or peer) and its age.

--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -388,6 +388,7 @@
             .is_some_and(|position| position.era() < at.era())
         {
             inner.last_store_failure = Some(now);
+            inner.failure_source = Some(UpdateSource::Store);
         }
     }
 
@@ -512,6 +513,7 @@
     pub fn store_failed(&self, error: &dyn std::fmt::Display, now: Instant) {
         let mut inner = self.lock();
         inner.last_store_failure = Some(now);
+        inner.failure_source = Some(UpdateSource::Store);
         if inner.store_reached {
             inner.store_reached = false;
             tracing::warn!(%error, newest_revision = %inner.newest, "store_lost");
@@ -532,7 +534,9 @@
 
     /// Records that a peer which follows the store reports its removals as doubtful.
     pub fn record_peer_doubt(&self, now: Instant) {
-        self.lock().last_store_failure = Some(now);
+        let mut inner = self.lock();
+        inner.last_store_failure = Some(now);
+        inner.failure_source = Some(UpdateSource::Peer);
     }
 
     /// Records a successful call to the store.
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -71,6 +71,8 @@
     /// Number of back-end entries with an unusable cold-start time.
     pub(super) unusable_cold_times: u64,
     pub(super) last_store_failure: Option<Instant>,
+    /// Whether the last failure is this daemon's own or was reported by a peer.
+    pub(super) failure_source: Option<UpdateSource>,
     pub(super) store_reached: bool,
 }
 
@@ -418,6 +420,10 @@
             back_end = id,
             %revision,
             in_doubt,
+            failure_source = self.failure_source.map(UpdateSource::as_str),
+            failed_ms_ago = self.last_store_failure.map(|last| {
+                now.saturating_duration_since(last).as_millis()
+            }),
             source = source.as_str(),
             "back_end_gone"
         );
