Directory: doubt about removals ends soon after the store's return, and is not passed on

Cause: a daemon in doubt publishes its doubt with every change, and the receivers counted their own five seconds from the arrival and published their doubt in turn. Two followers kept each other and all others in doubt for as long as something changed every five seconds: 6 s after the last refusal all eight logged the removal as in doubt, with a peer's failure 0 to 500 ms before. Beside this, the period in doubt did not end with the outage: a removal 3 to 5 s after it was unconfirmed for another 2.5 s.

Change: fleet::store_doubt, pure code. Doubt ends 2.5 s after the first answer that follows the last failure, whenever the entry is removed. A neighbour's answer counts as the return as well, also if a call that began before it fails only afterwards. Daemons publish only outages that they saw themselves, with their age, in a message variant of its own. The receiver ignores one around which the store answered its own calls. Reports merge by the latest time and are bounded. Older builds drop the new variant and fetch the changes after the next digest; their own flag is understood.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -12,16 +12,11 @@
 use crate::capacity::Contract;
 use crate::configuration::Stage;
 use crate::revision::Revision;
+use crate::store_doubt::REWRITE_PERIOD;
 pub(crate) use ready_sets::owner_score;
 use ready_sets::{LocalDaemon, ReadySet};
 pub use ready_sets::{MAX_CANDIDATES_PER_STAGE, ReadyCounts};
 
-/// How long a back end may still be used after its entry disappeared while the store had recently
-/// been unavailable. Healthy back ends rewrite their entries within about two seconds of the
-/// store's return; the rest is time for that change to reach this daemon. A back end that is still
-/// missing afterwards is gone.
-pub const UNCONFIRMED_REMOVAL_GRACE: Duration = Duration::from_millis(2_500);
-
 /// How long a removed back end stays removed although the store, restored from an older copy, shows
 /// its entry again. The entry of a back end that is really gone expires after a few missed
 /// heartbeats; a back end whose entry is still there after this time is alive.
@@ -128,9 +123,9 @@
     since: Instant,
     /// Last known entry, if any.
     last: Option<Arc<BackEnd>>,
-    /// The entry disappeared while the store had recently been unavailable or restored, so the back
-    /// end may still be alive.
-    is_unconfirmed: bool,
+    /// The entry disappeared while the store had recently been unavailable or restored: until this
+    /// time the back end may be alive and write it again. `None` if it was removed for certain.
+    may_return_until: Option<Instant>,
     /// Entry that the store has shown again since it was restored from an older copy.
     restored_entry: Option<Arc<BackEnd>>,
 }
@@ -138,15 +133,14 @@
 impl Removed {
     /// The last known entry if the back end may still be alive.
     fn unconfirmed(&self, now: Instant) -> Option<&Arc<BackEnd>> {
-        let is_in_grace_period = self.is_unconfirmed
-            && now.saturating_duration_since(self.since) < UNCONFIRMED_REMOVAL_GRACE;
-        self.last.as_ref().filter(|_last| is_in_grace_period)
+        let may_return = self.may_return_until.is_some_and(|until| now < until);
+        self.last.as_ref().filter(|_last| may_return)
     }
 
     /// Whether the back end was removed for certain, and recently enough for the removal to hold
     /// against an entry from a restored store.
     fn was_removed_recently(&self, now: Instant) -> bool {
-        !self.is_unconfirmed
+        self.may_return_until.is_none()
             && now.saturating_duration_since(self.since) < REMOVAL_HOLD_AFTER_RESTORE
     }
 }
@@ -169,8 +163,8 @@
     entries: IndexMap<Arc<str>, Entry>,
     local: LocalDaemon,
     ready: HashMap<Arc<str>, ReadySet>,
-    /// Time of the last unconfirmed removal.
-    last_unconfirmed_removal: Option<Instant>,
+    /// Time after which no removal is unconfirmed.
+    unconfirmed_until: Option<Instant>,
 }
 
 /// Whether a back end may be chosen for a request; better values order first.
@@ -276,7 +270,7 @@
             return false;
         };
         let revision = entry.revision;
-        self.mark_removed(id, revision, now, false);
+        self.mark_removed(id, revision, now, None);
         if let Some(Entry {
             presence: Presence::Removed(removal),
             ..
@@ -296,9 +290,10 @@
         }
     }
 
-    /// Applies the removal of an entry. If `store_was_unavailable`, the store was unavailable
-    /// recently, so that entries of healthy back ends may have expired. Returns whether the removal
-    /// is newer than what is known.
+    /// Applies the removal of an entry. If the store was unavailable recently, so that entries of
+    /// healthy back ends may have expired, the back end may write it again until
+    /// `may_return_until`, at most [`REWRITE_PERIOD`] from now. Returns whether the removal is newer
+    /// than what is known.
     ///
     /// An entry that is missing from a store restored from an older copy may also be written again,
     /// so its removal is unconfirmed as well.
@@ -307,7 +302,7 @@
         id: &str,
         revision: Revision,
         now: Instant,
-        store_was_unavailable: bool,
+        may_return_until: Option<Instant>,
     ) -> bool {
         if self.is_stale(id, revision) {
             return false;
@@ -321,12 +316,13 @@
                 return true;
             }
         }
-        self.mark_removed(
-            id,
-            revision,
-            now,
-            store_was_unavailable || is_from_earlier_era,
-        );
+        let latest = now + REWRITE_PERIOD;
+        let may_return_until = if is_from_earlier_era {
+            Some(latest)
+        } else {
+            may_return_until.map(|until| until.min(latest))
+        };
+        self.mark_removed(id, revision, now, may_return_until);
         true
     }
 
@@ -337,24 +333,28 @@
         if self.is_stale(id, revision) {
             return false;
         }
-        self.mark_removed(id, revision, now, false);
+        self.mark_removed(id, revision, now, None);
         true
     }
 
-    fn mark_removed(&mut self, id: &str, revision: Revision, now: Instant, may_be_alive: bool) {
+    fn mark_removed(
+        &mut self,
+        id: &str,
+        revision: Revision,
+        now: Instant,
+        may_return_until: Option<Instant>,
+    ) {
         self.remove_from_ready_set(id);
         let last = self.entries.get(id).and_then(Entry::present).cloned();
         let was_ready = last
             .as_ref()
             .is_some_and(|last| last.lifecycle == Lifecycle::Ready);
-        let is_unconfirmed = may_be_alive && was_ready;
-        if is_unconfirmed {
-            self.last_unconfirmed_removal = Some(now);
-        }
+        let may_return_until = may_return_until.filter(|_until| was_ready);
+        self.unconfirmed_until = self.unconfirmed_until.max(may_return_until);
         let removal = Removed {
             since: now,
             last,
-            is_unconfirmed,
+            may_return_until,
             restored_entry: None,
         };
         let presence = Presence::Removed(removal);
@@ -437,8 +437,7 @@
     }
 
     fn has_unconfirmed_removals(&self, now: Instant) -> bool {
-        self.last_unconfirmed_removal
-            .is_some_and(|last| now.saturating_duration_since(last) < UNCONFIRMED_REMOVAL_GRACE)
+        self.unconfirmed_until.is_some_and(|until| now < until)
     }
 
     fn unconfirmed(&self, service: &str, now: Instant) -> Vec<Arc<BackEnd>> {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod revision;
 pub mod routes;
 pub mod stages;
+pub mod store_doubt;
 pub mod tenants;
 pub mod topology;
 pub mod usage;
--- a/crates/fleet/tests/candidates.rs
+++ b/crates/fleet/tests/candidates.rs
@@ -13,6 +13,7 @@
     MAX_CANDIDATES_PER_STAGE,
 };
 use ponddrift_fleet::revision::{Era, Revision};
+use ponddrift_fleet::store_doubt::REWRITE_PERIOD;
 
 /// Revision `number` of the first era.
 fn at(number: u64) -> Revision {
@@ -214,7 +215,7 @@
     let known_holder: Arc<str> = Arc::from("i-000003");
     let holders = [Arc::clone(&known_holder), Arc::from("i-unknown")];
     assert!(candidate_ids(&choose(&directory, Some(3), &holders)).contains(&known_holder));
-    directory.remove(&known_holder, at(2), Instant::now(), false);
+    directory.remove(&known_holder, at(2), Instant::now(), None);
     assert!(!candidate_ids(&choose(&directory, Some(3), &holders)).contains(&known_holder));
 }
 
@@ -226,7 +227,7 @@
     for number in (1..10_000).step_by(7) {
         let left = engine(number);
         if !before.contains(&left.id) {
-            directory.remove(&left.id, at(2), now, false);
+            directory.remove(&left.id, at(2), now, None);
         }
     }
     assert_eq!(candidate_ids(&choose(&directory, None, &[])), before);
@@ -262,7 +263,7 @@
     let mut directory = fleet(1_000, "a", 7);
     let now = Instant::now();
     for number in 0..900 {
-        directory.remove(&engine(number).id, at(2), now, true);
+        directory.remove(&engine(number).id, at(2), now, Some(now + REWRITE_PERIOD));
     }
     let query = CandidateQuery {
         service: SERVICE,
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -7,11 +7,12 @@
 use ponddrift_fleet::budget::{BudgetSettings, RetryBudget};
 use ponddrift_fleet::capacity::Contract;
 use ponddrift_fleet::directory::{
-    BackEnd, ColdStart, Directory, Incarnation, Lifecycle, PutOutcome, UNCONFIRMED_REMOVAL_GRACE,
+    BackEnd, ColdStart, Directory, Incarnation, Lifecycle, PutOutcome,
 };
 use ponddrift_fleet::events::{EventError, EventSplitter, MAXIMUM_EVENT_BYTES};
 use ponddrift_fleet::health::{FIRST_CHECK_DELAY, Health, MAX_CHECK_DELAY, Outcome};
 use ponddrift_fleet::revision::{Era, Revision};
+use ponddrift_fleet::store_doubt::REWRITE_PERIOD;
 
 /// Revision `number` of the first era.
 fn at(number: u64) -> Revision {
@@ -55,7 +56,7 @@
         PutOutcome::Stale
     );
     assert!(ready_ids(&directory, now).is_empty());
-    assert!(directory.remove("a", at(6), now, false));
+    assert!(directory.remove("a", at(6), now, None));
     assert_eq!(
         directory.put(back_end("a", Lifecycle::Ready), at(5), now),
         PutOutcome::Stale,
@@ -70,16 +71,16 @@
     for (id, revision) in [("a", 1), ("b", 2), ("c", 3)] {
         directory.put(back_end(id, Lifecycle::Ready), at(revision), Instant::now());
     }
-    directory.remove("a", at(4), now, true);
+    directory.remove("a", at(4), now, Some(now + REWRITE_PERIOD));
     assert_eq!(
         ready_ids(&directory, now),
         ["b", "c"],
         "a single back end has left"
     );
-    directory.remove("b", at(5), now, true);
-    directory.remove("c", at(6), now, true);
+    directory.remove("b", at(5), now, Some(now + REWRITE_PERIOD));
+    directory.remove("c", at(6), now, Some(now + REWRITE_PERIOD));
     assert_eq!(ready_ids(&directory, now).len(), 3);
-    assert!(ready_ids(&directory, now + UNCONFIRMED_REMOVAL_GRACE).is_empty());
+    assert!(ready_ids(&directory, now + REWRITE_PERIOD).is_empty());
 }
 
 /// The platform guarantees that running back ends reappear about two seconds after the store.
@@ -89,7 +90,7 @@
     let mut directory = Directory::default();
     for (id, revision) in [("a", 1), ("b", 2)] {
         directory.put(back_end(id, Lifecycle::Ready), at(revision), Instant::now());
-        directory.remove(id, at(revision + 10), now, true);
+        directory.remove(id, at(revision + 10), now, Some(now + REWRITE_PERIOD));
     }
     directory.put(back_end("a", Lifecycle::Ready), at(20), Instant::now());
     let later = now + Duration::from_secs(3);
@@ -114,7 +115,7 @@
     let now = Instant::now();
     let mut directory = Directory::default();
     directory.put(back_end("a", Lifecycle::Ready), at(1), Instant::now());
-    directory.remove("a", at(2), now, false);
+    directory.remove("a", at(2), now, None);
     assert!(ready_ids(&directory, now).is_empty());
 }
 
--- a/crates/fleet/tests/restored_directory.rs
+++ b/crates/fleet/tests/restored_directory.rs
@@ -7,9 +7,9 @@
 use ponddrift_fleet::capacity::Contract;
 use ponddrift_fleet::directory::{
     BackEnd, Directory, Incarnation, Lifecycle, PutOutcome, REMOVAL_HOLD_AFTER_RESTORE,
-    UNCONFIRMED_REMOVAL_GRACE,
 };
 use ponddrift_fleet::revision::{Era, Revision};
+use ponddrift_fleet::store_doubt::REWRITE_PERIOD;
 
 /// Revision `number` of the era after `restores` restores.
 fn revision(restores: u64, number: u64) -> Revision {
@@ -66,7 +66,7 @@
     let now = Instant::now();
     let mut directory = Directory::default();
     directory.put(back_end(1, Lifecycle::Ready), revision(0, 38), now);
-    directory.remove("a", revision(0, 39), now, false);
+    directory.remove("a", revision(0, 39), now, None);
     let outcome = directory.put(back_end(1, Lifecycle::Ready), revision(1, 30), now);
     assert_eq!(outcome, PutOutcome::Superseded);
     assert!(directory.expire_removals(now).is_empty());
@@ -81,9 +81,9 @@
     let now = Instant::now();
     let mut directory = Directory::default();
     directory.put(back_end(1, Lifecycle::Ready), revision(0, 38), now);
-    directory.remove("a", revision(0, 39), now, false);
+    directory.remove("a", revision(0, 39), now, None);
     directory.put(back_end(1, Lifecycle::Ready), revision(1, 30), now);
-    directory.remove("a", revision(1, 31), now + Duration::from_secs(3), false);
+    directory.remove("a", revision(1, 31), now + Duration::from_secs(3), None);
     let later = now + REMOVAL_HOLD_AFTER_RESTORE;
     assert!(directory.expire_removals(later).is_empty());
     assert!(!receives_requests(&directory, later));
@@ -94,12 +94,9 @@
     let now = Instant::now();
     let mut directory = Directory::default();
     directory.put(back_end(1, Lifecycle::Ready), revision(0, 39), now);
-    directory.remove("a", revision(1, 30), now, false);
+    directory.remove("a", revision(1, 30), now, None);
     assert!(receives_requests(&directory, now));
-    assert!(!receives_requests(
-        &directory,
-        now + UNCONFIRMED_REMOVAL_GRACE
-    ));
+    assert!(!receives_requests(&directory, now + REWRITE_PERIOD));
 }
 
 #[test]
@@ -109,9 +106,9 @@
         let mut directory = Directory::default();
         directory.put(back_end(1, Lifecycle::Draining), revision(0, 38), now);
         if was_removed {
-            directory.remove("a", revision(0, 39), now, false);
+            directory.remove("a", revision(0, 39), now, None);
         }
-        directory.remove("a", revision(1, 30), now, true);
+        directory.remove("a", revision(1, 30), now, Some(now + REWRITE_PERIOD));
         assert!(
             !receives_requests(&directory, now),
             "removed before: {was_removed}"
--- a/crates/fleet/tests/unusable_entries.rs
+++ b/crates/fleet/tests/unusable_entries.rs
@@ -85,7 +85,7 @@
             directory.take_out_of_use("a", revision, now);
         }
         Written::Removed => {
-            directory.remove("a", revision, now, false);
+            directory.remove("a", revision, now, None);
         }
     }
 }
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -9,7 +9,7 @@
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use ponddrift_fleet::configuration::Configuration;
@@ -19,6 +19,7 @@
 use ponddrift_fleet::relays::RelayCandidate;
 use ponddrift_fleet::revision::{Era, Revision};
 use ponddrift_fleet::routes::RouteTable;
+use ponddrift_fleet::store_doubt::OutageReport;
 use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
 
@@ -387,8 +388,7 @@
             .position
             .is_some_and(|position| position.era() < at.era())
         {
-            inner.last_store_failure = Some(now);
-            inner.failure_source = Some(UpdateSource::Store);
+            inner.store_doubt.restored(now);
         }
     }
 
@@ -510,10 +510,9 @@
     }
 
     /// Records a failed call to the store.
-    pub fn store_failed(&self, error: &dyn std::fmt::Display, now: Instant) {
+    pub fn store_failed(&self, error: &dyn std::fmt::Display, started: Instant, now: Instant) {
         let mut inner = self.lock();
-        inner.last_store_failure = Some(now);
-        inner.failure_source = Some(UpdateSource::Store);
+        inner.store_doubt.failed(started, now);
         if inner.store_reached {
             inner.store_reached = false;
             tracing::warn!(%error, newest_revision = %inner.newest, "store_lost");
@@ -526,22 +525,33 @@
         self.lock().store_reached
     }
 
-    /// Whether keys that disappear now may have expired only because the store was unavailable.
+    /// The outage that this daemon saw itself, if entries that are missing because of it may still
+    /// be written again.
     #[must_use]
-    pub fn is_in_doubt(&self, now: Instant) -> bool {
-        self.lock().is_in_doubt(now)
+    pub fn outage_report(&self, now: Instant) -> Option<OutageReport> {
+        self.lock().store_doubt.report(now)
     }
 
-    /// Records that a peer which follows the store reports its removals as doubtful.
-    pub fn record_peer_doubt(&self, now: Instant) {
+    /// Records an outage of the store that a peer which follows the store saw.
+    pub fn record_peer_outage(&self, report: OutageReport, now: Instant) {
+        self.lock().store_doubt.receive(report, now);
+    }
+
+    /// Records how long ago the store answered a neighbour.
+    pub fn neighbour_reported(&self, store_silence: Duration, now: Instant) {
         let mut inner = self.lock();
-        inner.last_store_failure = Some(now);
-        inner.failure_source = Some(UpdateSource::Peer);
+        inner.store_doubt.neighbour_was_answered(store_silence, now);
+    }
+
+    /// Records that this daemon does not follow the store itself for now.
+    pub fn stopped_following_store(&self) {
+        self.lock().store_doubt.stopped_following();
     }
 
     /// Records a successful call to the store.
-    pub fn store_answered(&self, at: Revision) {
+    pub fn store_answered(&self, at: Revision, now: Instant) {
         let mut inner = self.lock();
+        inner.store_doubt.answered(now);
         if !inner.store_reached {
             inner.store_reached = true;
             tracing::info!(%at, newest_revision = %inner.newest, "store_reached");
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use ponddrift_fleet::configuration::{Configuration, Stage};
 use ponddrift_fleet::directory::{
@@ -11,6 +11,7 @@
 use ponddrift_fleet::rate_limits::Members;
 use ponddrift_fleet::revision::Revision;
 use ponddrift_fleet::routes::RouteTable;
+use ponddrift_fleet::store_doubt::StoreDoubt;
 use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
 
@@ -20,10 +21,6 @@
 use crate::follow::MISSING_KEY_GRACE;
 use crate::store::{Decoded, Item};
 
-/// For this long after a failed call to the store, a key that disappears may have expired only
-/// because the store was unavailable.
-const DOUBT_PERIOD_AFTER_FAILURE: Duration = Duration::from_secs(5);
-
 /// Number of recent leaders to remember. Few more can lead within the usage windows that are
 /// reported.
 const MAX_RECENT_LEADERS: usize = 4;
@@ -70,9 +67,7 @@
     unreadable_entries: HashSet<Arc<str>>,
     /// Number of back-end entries with an unusable cold-start time.
     pub(super) unusable_cold_times: u64,
-    pub(super) last_store_failure: Option<Instant>,
-    /// Whether the last failure is this daemon's own or was reported by a peer.
-    pub(super) failure_source: Option<UpdateSource>,
+    pub(super) store_doubt: StoreDoubt,
     pub(super) store_reached: bool,
 }
 
@@ -118,11 +113,6 @@
         self.position.is_none()
     }
 
-    pub(super) fn is_in_doubt(&self, now: Instant) -> bool {
-        self.last_store_failure
-            .is_some_and(|last| now.saturating_duration_since(last) < DOUBT_PERIOD_AFTER_FAILURE)
-    }
-
     /// Applies a decoded item that is newer than the known item of the same key.
     pub(super) fn apply(
         &mut self,
@@ -415,19 +405,20 @@
         source: UpdateSource,
         now: Instant,
     ) {
-        let in_doubt = self.is_in_doubt(now);
+        let may_return_until = self.store_doubt.entry_may_return_until(now);
+        let ms_ago = |failure: Option<Instant>| {
+            failure.map(|failed_at| now.saturating_duration_since(failed_at).as_millis())
+        };
         tracing::info!(
             back_end = id,
             %revision,
-            in_doubt,
-            failure_source = self.failure_source.map(UpdateSource::as_str),
-            failed_ms_ago = self.last_store_failure.map(|last| {
-                now.saturating_duration_since(last).as_millis()
-            }),
+            in_doubt = may_return_until.is_some(),
+            own_failure_ms_ago = ms_ago(self.store_doubt.last_failure()),
+            peers_failure_ms_ago = ms_ago(self.store_doubt.peers_last_failure()),
             source = source.as_str(),
             "back_end_gone"
         );
-        if self.directory.remove(id, revision, now, in_doubt) {
+        if self.directory.remove(id, revision, now, may_return_until) {
             Arc::make_mut(&mut self.index).remove(id);
         }
     }
--- a/crates/serving/src/fleet_state/quarantines.rs
+++ b/crates/serving/src/fleet_state/quarantines.rs
@@ -47,7 +47,7 @@
         source: UpdateSource,
         now: Instant,
     ) {
-        let in_doubt = self.is_in_doubt(now);
+        let in_doubt = self.lock().store_doubt.was_away_recently(now);
         let is_missing = self.state_before_restore(item) == Some(StateBeforeRestore::Present);
         tracing::info!(
             %fingerprint,
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -221,20 +221,25 @@
             self.log_reliance_change(reliable_until.is_some());
             if let Some(until) = reliable_until {
                 self.follow_status.set_last_answer(None);
+                self.state.stopped_following_store();
                 let reliance_changed = self.follow_status.reliance_changed.notified();
                 // Check again both after a timeout and after a notification.
                 time::timeout_at(until, reliance_changed).await;
                 continue;
             }
+            let started = now();
             let ended = self.step().await;
             if !matches!(ended, Ok(Progress::ByPeers)) {
                 self.metrics.store_call(result_name(&ended));
             }
             match ended {
-                Ok(Progress::ByPeers) => self.follow_status.set_last_answer(None),
+                Ok(Progress::ByPeers) => {
+                    self.follow_status.set_last_answer(None);
+                    self.state.stopped_following_store();
+                }
                 Ok(Progress::ByStore(at)) => {
                     self.follow_status.set_last_answer(Some(now()));
-                    self.state.store_answered(at);
+                    self.state.store_answered(at, now());
                     self.retry_delay = INITIAL_RETRY_DELAY;
                 }
                 Err(error @ (StoreError::HistoryCompacted | StoreError::EraMismatch)) => {
@@ -249,7 +254,7 @@
                 }
                 Err(error) => {
                     self.follow_status.set_last_answer(None);
-                    self.state.store_failed(&error, now());
+                    self.state.store_failed(&error, started, now());
                     self.wait_to_retry().await;
                 }
             }
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -50,6 +50,7 @@
         /// The changes, in the order of their revisions.
         changes: Changes,
         /// Whether keys that were removed may have expired only because the store was unavailable.
+        /// Only builds without [`Message::ChangesAfterOutage`] set it.
         in_doubt: bool,
     },
     /// The sender's usage counts of a window, or a part of them.
@@ -84,6 +85,16 @@
     StoreContact(StoreContact),
     /// The sender's paths to back ends, and what it relays for others.
     Paths(PathsRow),
+    /// Changes of the store soon after an outage that the sender saw: keys that were removed may
+    /// have expired only because of it.
+    ChangesAfterOutage {
+        /// The changes, in the order of their revisions.
+        changes: Changes,
+        /// Time since the sender's last failed call, in milliseconds.
+        failed_ms_ago: u16,
+        /// For how much longer entries may be written again, in milliseconds.
+        doubt_left_ms: u16,
+    },
 }
 
 /// Paths of a daemon to back ends, and what it relays for others.
--- a/crates/serving/src/peers/publish.rs
+++ b/crates/serving/src/peers/publish.rs
@@ -6,6 +6,7 @@
 
 use ponddrift_fleet::cross_zone_pacer::CrossZonePacer;
 use ponddrift_fleet::followers::GOSSIP_INTERVAL;
+use ponddrift_fleet::store_doubt::OutageReport;
 use ponddrift_fleet::topology::Topology;
 use ponddrift_fleet::usage::TallyRecord;
 use rand::{RngExt as _, SeedableRng};
@@ -223,8 +224,8 @@
     pub(super) async fn publish_changes(self: Arc<Self>, mut unpublished: mpsc::Receiver<Changes>) {
         while let Some(changes) = unpublished.recv().await {
             let at = changes.at;
-            let in_doubt = self.state.is_in_doubt(now());
-            let whole = message::encode(&Message::Changes { changes, in_doubt });
+            let outage = self.state.outage_report(now());
+            let whole = message::encode(&changes_to_wire(changes, outage));
             let bytes = whole.or_else(|| {
                 let position_digest = Digest {
                     position: at,
@@ -250,6 +251,21 @@
     rotated.take(IDLE_FAN_OUT).copied().collect()
 }
 
+fn changes_to_wire(changes: Changes, outage: Option<OutageReport>) -> Message {
+    let Some(outage) = outage else {
+        return Message::Changes {
+            changes,
+            in_doubt: false,
+        };
+    };
+    let whole_ms = |time: Duration| u16::try_from(time.as_millis()).unwrap_or(u16::MAX);
+    Message::ChangesAfterOutage {
+        changes,
+        failed_ms_ago: whole_ms(outage.failed_ago),
+        doubt_left_ms: whole_ms(outage.doubt_left),
+    }
+}
+
 fn with_forwarded(own: Digest, forwarded: Forwarded) -> Digest {
     let mut digest = own;
     digest.reports.extend(forwarded.reports);
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use ponddrift_fleet::revision::Revision;
+use ponddrift_fleet::store_doubt::{OutageReport, REWRITE_PERIOD};
 
 use super::Peers;
 use super::message::{self, Digest, MAX_DATAGRAM_BYTES, Message, StoreContact};
@@ -39,7 +40,23 @@
                 }
                 Some(Message::StoreContact(contact)) => self.receive_contact(contact, from),
                 Some(Message::Changes { changes, in_doubt }) => {
-                    self.receive_changes(changes, in_doubt, from);
+                    // The sender's build does not say when its calls failed.
+                    let outage = in_doubt.then_some(OutageReport {
+                        failed_ago: Duration::ZERO,
+                        doubt_left: REWRITE_PERIOD,
+                    });
+                    self.receive_changes(changes, outage, from);
+                }
+                Some(Message::ChangesAfterOutage {
+                    changes,
+                    failed_ms_ago,
+                    doubt_left_ms,
+                }) => {
+                    let outage = OutageReport {
+                        failed_ago: Duration::from_millis(failed_ms_ago.into()),
+                        doubt_left: Duration::from_millis(doubt_left_ms.into()),
+                    };
+                    self.receive_changes(changes, Some(outage), from);
                 }
                 Some(Message::Usage(copy)) => {
                     if let Some(recorder) = self.pipeline.usage() {
@@ -124,6 +141,7 @@
         {
             let silence = Duration::from_millis(u64::from(silence_ms));
             self.follow_status.follower_reported(from, silence);
+            self.state.neighbour_reported(silence, now());
         }
         self.observe_position(contact.position, from);
     }
@@ -178,10 +196,15 @@
     }
 
     /// Applies changes published by a neighbour that follows the store.
-    fn receive_changes(self: &Arc<Self>, changes: Changes, in_doubt: bool, from: SocketAddr) {
+    fn receive_changes(
+        self: &Arc<Self>,
+        changes: Changes,
+        outage: Option<OutageReport>,
+        from: SocketAddr,
+    ) {
         let at = changes.at;
-        if in_doubt {
-            self.state.record_peer_doubt(now());
+        if let Some(outage) = outage {
+            self.state.record_peer_outage(outage, now());
         }
         if !self.state.apply_changes(changes, UpdateSource::Peer, now()) {
             self.observe_position(at, from);
