Soak: engines' entries show the stage that an order gave them

Cause: the soak never wrote an engine's entry again after an order, although the platform's list of engines holds the stage and the number of orders taken. Change: the entry is written again after each accepted order, with its stage and sequence.

--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -42,6 +42,8 @@
     pub engine: EngineStandIn,
     /// When the engine announced that it drains, or its entry was removed.
     pub left_at: Option<Instant>,
+    /// Number of accepted orders that the engine's store entry shows.
+    recorded_sequence: u64,
     /// Whether the engine announced that it drains.
     pub announced_drain: bool,
     /// Tasks of the running engine.
@@ -111,6 +113,7 @@
         self.members.push(EngineMember {
             engine,
             left_at: None,
+            recorded_sequence: 0,
             announced_drain: false,
             tasks,
             pending_restart: None,
@@ -144,10 +147,26 @@
                 self.store.remove(&entry);
                 self.restart_engine(index).await?;
             }
+            self.record_orders(index);
         }
         Ok(())
     }
 
+    /// Writes an engine's entry again after an order, which changes its stage.
+    fn record_orders(&mut self, index: usize) {
+        let member = &mut self.members[index];
+        let sequence = member.engine.sequence();
+        if sequence == member.recorded_sequence || member.pending_restart.is_some() {
+            return;
+        }
+        member.recorded_sequence = sequence;
+        match member.left_at {
+            None => member.engine.record(&self.store, "ready"),
+            Some(_) if member.announced_drain => member.engine.record(&self.store, "draining"),
+            Some(_) => {}
+        }
+    }
+
     async fn restart_engine(&mut self, index: usize) -> Result<()> {
         let engine = self.members[index].engine.clone();
         // The aborted tasks may hold the port for a moment.
