Soak: back ends fall silent for short times

What callers saw: while all back ends of a service were silent for a second, as if their packets were delayed, requests with three seconds of time ended with 502, with 503, or as a stream cut in the middle. Cause: the soak could cut paths for each daemon, but had no silence that all daemons see alike, and no check of the requests that meet one. Change: the engines' listeners hold back both directions of all connections for 0.4 to 1.6 s and lose nothing. Series of silences of one, most or all back ends of a service, or of all back ends, come on a schedule of their own, beside all other faults (--without-silences turns them off). Checks: a request that met a silence and no other fault at its daemon or its back ends gets a whole answer or a refusal (429, 503, 408, 421), or 504 once its time is over. After the faults, all back ends of a service are silent for a second in steady state, beside a change of the configuration and beside a planned stop, with requests and streams in progress; all requests are served. What engines read just after a silence counts as sent at its beginning where the checks of drained engines, orders and crashing requests compare times.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -1,5 +1,7 @@
 //! Checks of the invariants, made after a run.
 
+pub mod silences;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,6 +12,7 @@
 
 use crate::load::RequestRecord;
 use crate::platform::EngineMember;
+use crate::silences::Silences;
 
 /// Time after which an engine that drains or whose entry was removed must not get new requests: the
 /// platform's limit plus a margin for requests in flight.
@@ -59,6 +62,8 @@
     pub daemon: SocketAddr,
     /// Start of the outage.
     pub from: Instant,
+    /// End of the suspension, or a time at which the killed process is certainly gone.
+    pub stopped_to: Instant,
     /// End of the outage, including the time to recover.
     pub to: Instant,
 }
@@ -115,6 +120,7 @@
     records: &[RequestRecord],
     members: &[EngineMember],
     disruptions: &Disruptions,
+    silences: &Silences,
 ) -> Vec<Violation> {
     let mut violations = Vec::new();
     let mut runs: HashMap<String, Vec<(String, Run)>> = HashMap::new();
@@ -130,8 +136,8 @@
         check_request(record, of_request, &mut violations);
         check_not_quarantined(record, &mut violations);
     }
-    check_departed_engines(members, disruptions, &mut violations);
-    check_orders(members, &mut violations);
+    check_departed_engines(members, disruptions, silences, &mut violations);
+    check_orders(members, silences, &mut violations);
     violations
 }
 
@@ -145,13 +151,17 @@
 pub fn check_crashing_requests(
     members: &[EngineMember],
     store_disruptions: &Disruptions,
+    silences: &Silences,
 ) -> Vec<Violation> {
     let mut violations = Vec::new();
     let mut tries: BTreeMap<String, Vec<Run>> = BTreeMap::new();
-    for run in members.iter().flat_map(|member| member.engine.runs()) {
-        let name = run.request.split('-').next().unwrap_or_default();
-        if name.starts_with("crasher") {
-            tries.entry(name.to_owned()).or_default().push(run);
+    for member in members {
+        for mut run in member.engine.runs() {
+            let name = run.request.split('-').next().unwrap_or_default().to_owned();
+            if name.starts_with("crasher") {
+                run.started_at = silences.earliest_arrival(member.engine.address(), run.started_at);
+                tries.entry(name).or_default().push(run);
+            }
         }
     }
     for (name, mut runs) in tries {
@@ -257,17 +267,21 @@
 fn check_departed_engines(
     members: &[EngineMember],
     disruptions: &Disruptions,
+    silences: &Silences,
     violations: &mut Vec<Violation>,
 ) {
     for member in members {
         let Some(left_at) = member.left_at else {
             continue;
         };
+        let address = member.engine.address();
         let late = member
             .engine
             .runs()
             .into_iter()
-            .filter(|run| run.started_at > left_at + DRAIN_LIMIT)
+            .filter(|run| {
+                silences.earliest_arrival(address, run.started_at) > left_at + DRAIN_LIMIT
+            })
             .filter(|run| !disruptions.overlaps(left_at, run.started_at));
         for run in late {
             violations.push(Violation {
@@ -283,10 +297,16 @@
     }
 }
 
-fn check_orders(members: &[EngineMember], violations: &mut Vec<Violation>) {
+/// Orders that an engine read after a silence are left out: they were sent at an unknown time
+/// before.
+fn check_orders(members: &[EngineMember], silences: &Silences, violations: &mut Vec<Violation>) {
     let mut orders: Vec<OrderRecord> = members
         .iter()
-        .flat_map(|member| member.engine.orders())
+        .flat_map(|member| {
+            let address = member.engine.address();
+            let orders = member.engine.orders().into_iter();
+            orders.filter(move |order| silences.earliest_arrival(address, order.at) == order.at)
+        })
         .collect();
     orders.sort_by_key(|order| order.at);
     for pair in orders.windows(2) {
--- a/crates/soak/src/cuts.rs
+++ b/crates/soak/src/cuts.rs
@@ -37,6 +37,17 @@
     Extent::Half,
 ];
 
+/// A cut in the past or in force.
+#[derive(Debug, Clone)]
+pub struct CutPeriod {
+    /// Addresses for callers of the daemons that it affects.
+    pub daemons: Vec<SocketAddr>,
+    /// When it began.
+    pub from: Instant,
+    /// When it ended; `None` if it is in force.
+    pub to: Option<Instant>,
+}
+
 /// Cuts paths at random times.
 pub struct PathCutter {
     random: Pcg64Mcg,
@@ -44,6 +55,7 @@
     cut_daemons: Vec<usize>,
     next_change: Instant,
     count: u64,
+    periods: Vec<CutPeriod>,
 }
 
 impl PathCutter {
@@ -56,6 +68,7 @@
             cut_daemons: Vec::new(),
             next_change: Instant::now(),
             count: 0,
+            periods: Vec::new(),
         }
     }
 
@@ -65,14 +78,21 @@
         usize::try_from(self.count).unwrap_or(usize::MAX)
     }
 
+    /// All cuts so far.
+    #[must_use]
+    pub fn periods(&self) -> &[CutPeriod] {
+        &self.periods
+    }
+
     /// Begins or ends a cut if it is due, and sends the state to all daemons: processes that were
     /// restarted don't have it.
     pub fn tick(&mut self, daemons: &[DaemonProcess], platform: &Platform) {
         if Instant::now() >= self.next_change {
-            let range = if self.cut.take().is_some() {
+            let range = if self.cut.is_some() {
+                self.heal();
                 PAUSE_MS
             } else {
-                self.begin(daemons.len(), platform);
+                self.begin(daemons, platform);
                 DURATION_MS
             };
             let time = Duration::from_millis(self.random.random_range(range));
@@ -82,13 +102,22 @@
     }
 
     /// Cuts these daemons from all back ends, in this way.
-    pub fn cut_from_all(&mut self, daemons: Vec<usize>, kind: CutKind, platform: &Platform) {
-        self.set(daemons, kind, addresses(platform, Extent::All));
+    pub fn cut_from_all(
+        &mut self,
+        cut_daemons: Vec<usize>,
+        kind: CutKind,
+        daemons: &[DaemonProcess],
+        platform: &Platform,
+    ) {
+        self.set(cut_daemons, kind, addresses(platform, Extent::All), daemons);
     }
 
     /// Ends the cut, if there is one.
     pub fn heal(&mut self) {
         self.cut = None;
+        if let Some(last) = self.periods.last_mut() {
+            last.to.get_or_insert_with(Instant::now);
+        }
     }
 
     /// Sends the state to all daemons.
@@ -100,10 +129,10 @@
     }
 
     /// Draws the daemons (at least one is left out), the kind and the back ends of a cut.
-    fn begin(&mut self, daemons: usize, platform: &Platform) {
-        let mut numbers: Vec<usize> = (0..daemons).collect();
+    fn begin(&mut self, daemons: &[DaemonProcess], platform: &Platform) {
+        let mut numbers: Vec<usize> = (0..daemons.len()).collect();
         numbers.shuffle(&mut self.random);
-        let cut = self.random.random_range(1..daemons.max(2));
+        let cut = self.random.random_range(1..daemons.len().max(2));
         numbers.truncate(cut);
         let kind = *CUT_KINDS
             .choose(&mut self.random)
@@ -114,12 +143,26 @@
             targets.shuffle(&mut self.random);
             targets.truncate(targets.len().div_ceil(2));
         }
-        self.set(numbers, kind, targets);
+        self.set(numbers, kind, targets, daemons);
     }
 
-    fn set(&mut self, daemons: Vec<usize>, kind: CutKind, targets: Vec<SocketAddr>) {
+    fn set(
+        &mut self,
+        cut_daemons: Vec<usize>,
+        kind: CutKind,
+        targets: Vec<SocketAddr>,
+        daemons: &[DaemonProcess],
+    ) {
         self.count += 1;
-        self.cut_daemons = daemons;
+        let addresses = cut_daemons
+            .iter()
+            .map(|daemon| daemons[*daemon].caller_address);
+        self.periods.push(CutPeriod {
+            daemons: addresses.collect(),
+            from: Instant::now(),
+            to: None,
+        });
+        self.cut_daemons = cut_daemons;
         self.cut = Some(Cut {
             number: self.count,
             kind,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod platform;
 pub mod restorer;
 pub mod run;
+pub mod silences;
 pub mod task_group;
 
 pub use run::{Report, SoakSettings, run};
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -59,6 +59,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Disables cutting paths between daemons and back ends in addition to the faults"),
         )
+        .arg(
+            Arg::new("without-silences")
+                .long("without-silences")
+                .action(ArgAction::SetTrue)
+                .help("Disables short silences of back ends in addition to the faults"),
+        )
         .arg(
             Arg::new("folder")
                 .long("folder")
@@ -92,6 +98,7 @@
         limits: !matches.get_flag("without-limits"),
         restores: !matches.get_flag("without-restores"),
         cuts: !matches.get_flag("without-cuts"),
+        silences: !matches.get_flag("without-silences"),
         folder,
     };
     println!("seed {seed}, {seconds} s, {daemons} daemons, {callers} callers");
@@ -105,6 +112,14 @@
         report.cuts,
         report.faults.len()
     );
+    println!(
+        "{} silences, {} requests met only these: {} served, {} refused, {} violations",
+        report.silences,
+        report.silence_report.checked,
+        report.silence_report.served,
+        report.silence_report.refused,
+        report.silence_report.violations.len()
+    );
     for fault in &report.faults {
         println!("  {:?} for {:?}", fault.fault, fault.duration);
     }
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::silences::network::ConnectionSilencer;
 use crate::task_group::TaskGroup;
 
 /// Era of the store before its first restore.
@@ -36,6 +37,9 @@
 /// Time that an engine takes for a request.
 const RUN_DURATION: Duration = Duration::from_millis(15);
 
+/// Time limit of a request on all routes.
+pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// An engine and its state in the run.
 pub struct EngineMember {
     /// The engine.
@@ -46,6 +50,8 @@
     recorded_sequence: u64,
     /// Whether the engine announced that it drains.
     pub announced_drain: bool,
+    /// Silences the engine's connections, across its restarts.
+    pub connections: Arc<ConnectionSilencer>,
     /// Tasks of the running engine.
     tasks: Arc<TaskGroup>,
     /// Set after a crash: the time of the restart, and the store entry to remove then.
@@ -108,21 +114,27 @@
             spot: false,
         });
         engine.crash_on(CRASH_MARKER);
-        let tasks = self.serve(&engine).await?;
+        let connections: Arc<ConnectionSilencer> = Arc::default();
+        let tasks = self.serve(&engine, &connections).await?;
         engine.record(&self.store, "ready");
         self.members.push(EngineMember {
             engine,
             left_at: None,
             recorded_sequence: 0,
             announced_drain: false,
+            connections,
             tasks,
             pending_restart: None,
         });
         Ok(())
     }
 
-    async fn serve(&self, engine: &EngineStandIn) -> Result<Arc<TaskGroup>> {
-        let (tasks, runtime) = TaskGroup::of(&self.runtime);
+    async fn serve(
+        &self,
+        engine: &EngineStandIn,
+        connections: &Arc<ConnectionSilencer>,
+    ) -> Result<Arc<TaskGroup>> {
+        let (tasks, runtime) = TaskGroup::of(&connections.apply_to(&self.runtime));
         // The server must run until its tasks are aborted.
         std::mem::forget(engine.serve(&runtime).await?);
         Ok(tasks)
@@ -169,14 +181,15 @@
 
     async fn restart_engine(&mut self, index: usize) -> Result<()> {
         let engine = self.members[index].engine.clone();
+        let connections = Arc::clone(&self.members[index].connections);
         // The aborted tasks may hold the port for a moment.
-        let mut served = self.serve(&engine).await;
+        let mut served = self.serve(&engine, &connections).await;
         for _ in 0..BIND_ATTEMPTS {
             if served.is_ok() {
                 break;
             }
             sleep(BIND_RETRY_DELAY).await;
-            served = self.serve(&engine).await;
+            served = self.serve(&engine, &connections).await;
         }
         self.members[index].tasks = served?;
         if self.members[index].left_at.is_none() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -2,6 +2,7 @@
 //! checks.
 
 mod cut_check;
+mod silence_check;
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 use rustix::process::Signal;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::checks::silences::{OtherFaults, SilenceReport, check_silences};
 use crate::checks::{
     Disruptions, Outage, Violation, check, check_crashing_requests, check_every_request_answered,
 };
@@ -22,9 +24,10 @@
 use crate::daemons::DaemonProcess;
 use crate::faults::{Fault, ScheduledFault, draw_fault};
 use crate::limits::RateLimitInjector;
-use crate::load::{CallerState, repeat_crashing_request, run_caller};
+use crate::load::{CallerState, RequestRecord, repeat_crashing_request, run_caller};
 use crate::platform::{MODEL_SERVICE, PLAIN_SERVICE, Platform, TOGGLED_ROUTE};
 use crate::restorer::StoreRestorer;
+use crate::silences::{Silencer, Silences};
 
 /// Time after a fault within which its effects must have ended.
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
@@ -34,6 +37,8 @@
 const CONFIGURATION_LIMIT: Duration = Duration::from_secs(2);
 /// How long a request that crashes engines is repeated.
 const CRASHING_REQUEST_DURATION: Duration = Duration::from_secs(10);
+/// Time that a daemon has for a planned stop.
+const TERMINATION_GRACE: Duration = Duration::from_secs(8);
 /// Interval of the checks of processes and engines.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Number of requests sent to each daemon in the final check.
@@ -56,6 +61,8 @@
     pub restores: bool,
     /// Whether paths between daemons and back ends are cut in addition to the faults.
     pub cuts: bool,
+    /// Whether back ends fall silent for short times in addition to the faults.
+    pub silences: bool,
     /// Directory for the daemons' settings and logs.
     pub folder: PathBuf,
 }
@@ -73,6 +80,10 @@
     pub restores: usize,
     /// Number of cuts of paths between daemons and back ends.
     pub cuts: usize,
+    /// Number of silences of back ends.
+    pub silences: usize,
+    /// How requests ended that met a silence and no other fault.
+    pub silence_report: SilenceReport,
     /// Faults in the order of their injection.
     pub faults: Vec<ScheduledFault>,
     /// Violated invariants.
@@ -95,6 +106,7 @@
     }
     soak.check_recovery().await;
     soak.check_cut_paths().await?;
+    soak.check_silences().await?;
     Ok(soak.report())
 }
 
@@ -115,6 +127,8 @@
     restorer: Option<StoreRestorer>,
     /// `None` if no paths are cut.
     path_cutter: Option<PathCutter>,
+    /// `None` if back ends do not fall silent.
+    silencer: Option<Silencer>,
     violations: Vec<Violation>,
 }
 
@@ -143,6 +157,7 @@
                 .then(|| RateLimitInjector::new(settings.seed)),
             restorer: settings.restores.then(|| StoreRestorer::new(settings.seed)),
             path_cutter: settings.cuts.then(|| PathCutter::new(settings.seed)),
+            silencer: settings.silences.then(|| Silencer::new(settings.seed)),
             violations: Vec::new(),
         })
     }
@@ -258,6 +273,9 @@
             if let Some(path_cutter) = &mut self.path_cutter {
                 path_cutter.tick(&self.daemons, &self.platform);
             }
+            if let Some(silencer) = &mut self.silencer {
+                silencer.tick(&self.platform);
+            }
             self.update_targets().await;
             if Instant::now() >= end {
                 return Ok(());
@@ -266,6 +284,18 @@
         }
     }
 
+    /// Waits until all daemons are ready, at most for the `limit` and another second, and at least
+    /// for a second.
+    async fn run_until_ready(&mut self, limit: Duration) -> Result<()> {
+        let end = Instant::now() + limit;
+        loop {
+            self.run_for(Duration::from_secs(1)).await?;
+            if self.update_targets().await == self.daemons.len() || Instant::now() >= end {
+                return Ok(());
+            }
+        }
+    }
+
     fn update_rate_limits(&mut self) {
         let active_engines = self.active_engines().into_iter();
         let engines: Vec<EngineStandIn> = active_engines
@@ -316,6 +346,7 @@
             self.outages.push(Outage {
                 daemon: self.daemons[*daemon].caller_address,
                 from: started_at,
+                stopped_to: Instant::now(),
                 to: Instant::now() + RECOVERY_TIME,
             });
         }
@@ -353,8 +384,7 @@
 
     async fn terminate(&mut self, daemon: usize) -> Result<()> {
         let started_at = Instant::now();
-        let grace = Duration::from_secs(8);
-        self.mark_disturbed(daemon, grace);
+        self.mark_disturbed(daemon, TERMINATION_GRACE);
         self.daemons[daemon].signal(Signal::TERM)?;
         self.run_for(Duration::from_millis(3_500)).await?;
         self.add_disruption(started_at);
@@ -439,6 +469,7 @@
             path_cutter.heal();
             path_cutter.send(&self.daemons);
         }
+        let silencer = self.silencer.take();
         let mut restorer = self.restorer.take();
         if let Some(restorer) = &mut restorer {
             restorer.finish(&self.platform);
@@ -454,6 +485,7 @@
         self.rate_limiter = rate_limiter;
         self.restorer = restorer;
         self.path_cutter = path_cutter;
+        self.silencer = silencer;
         Ok(())
     }
 
@@ -488,6 +520,20 @@
         }
     }
 
+    fn check_requests_beside_silences(
+        &self,
+        requests: &[RequestRecord],
+        silences: &Silences,
+    ) -> SilenceReport {
+        let cuts = self.path_cutter.as_ref().map(PathCutter::periods);
+        let other_faults = OtherFaults {
+            outages: &self.outages,
+            store_disruptions: &self.store_disruptions,
+            cuts: cuts.unwrap_or_default(),
+        };
+        check_silences(requests, &self.platform.members, silences, other_faults)
+    }
+
     fn report(self) -> Report {
         let requests = self
             .load
@@ -495,10 +541,18 @@
             .lock()
             .expect("the lock is not poisoned")
             .clone();
-        let mut violations = self.violations;
+        let mut violations = self.violations.clone();
         let members = &self.platform.members;
-        violations.extend(check(&requests, members, &self.disruptions));
-        violations.extend(check_crashing_requests(members, &self.store_disruptions));
+        let silences = self.silencer.as_ref().map(Silencer::silences);
+        let silences = silences.cloned().unwrap_or_default();
+        violations.extend(check(&requests, members, &self.disruptions, &silences));
+        violations.extend(check_crashing_requests(
+            members,
+            &self.store_disruptions,
+            &silences,
+        ));
+        let silence_report = self.check_requests_beside_silences(&requests, &silences);
+        violations.extend(silence_report.violations.iter().cloned());
         violations.extend(self.rate_limiter.iter().flat_map(RateLimitInjector::check));
         violations.extend(check_every_request_answered(
             &requests,
@@ -518,6 +572,8 @@
                 .map_or(0, RateLimitInjector::count),
             restores: self.restorer.as_ref().map_or(0, StoreRestorer::count),
             cuts: self.path_cutter.as_ref().map_or(0, PathCutter::count),
+            silences: silences.0.len(),
+            silence_report,
             faults: self.faults,
             violations,
         }
--- a/crates/soak/src/run/cut_check.rs
+++ b/crates/soak/src/run/cut_check.rs
@@ -31,12 +31,13 @@
         // Restores would bring back the entries of engines that have left.
         let restorer = self.restorer.take();
         let rate_limiter = self.rate_limiter.take();
+        let silencer = self.silencer.take();
         let connected = self.random.random_range(0..self.daemons.len());
         let cut: Vec<usize> = (0..self.daemons.len())
             .filter(|daemon| *daemon != connected)
             .collect();
         for kind in CUT_KINDS {
-            path_cutter.cut_from_all(cut.clone(), kind, &self.platform);
+            path_cutter.cut_from_all(cut.clone(), kind, &self.daemons, &self.platform);
             path_cutter.send(&self.daemons);
             self.load_all(&cut, kind, Instant::now() + CUT_DETECTION_LIMIT)
                 .await;
@@ -48,6 +49,7 @@
         self.path_cutter = Some(path_cutter);
         self.restorer = restorer;
         self.rate_limiter = rate_limiter;
+        self.silencer = silencer;
         Ok(())
     }
 
--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -17,6 +17,7 @@
     limits: bool,
     restores: bool,
     cuts: bool,
+    silences: bool,
 }
 
 async fn soak_with(seed: u64, extra_events: ExtraEvents) -> Report {
@@ -30,6 +31,7 @@
         limits: extra_events.limits,
         restores: extra_events.restores,
         cuts: extra_events.cuts,
+        silences: extra_events.silences,
         folder: folder.clone(),
     };
     let report = run(&settings).await.expect("the soak run failed");
