Soak: a stream cut when its time is over is no loss by a silence

Cause of the false reports: the check made an exception at the deadline for 504 only. A stream that has begun cannot be answered with 504; its time is over all the same, and the goals speak of ends before the caller's deadline. A closed connection and 502 stay violations at any time. The tests of the check show each of these ends at the deadline.

--- a/crates/soak/tests/silences.rs
+++ b/crates/soak/tests/silences.rs
@@ -126,6 +126,7 @@
         case.record(900, answer(StatusCode::OK, true)),
         case.record(20, answer(StatusCode::SERVICE_UNAVAILABLE, true)),
         case.record(2_000, answer(StatusCode::GATEWAY_TIMEOUT, true)),
+        case.record(2_000, answer(StatusCode::OK, false)),
         case.record(5, None),
     ] {
         let report = case.check(record.clone(), &[]);
@@ -142,6 +143,8 @@
         case.record(900, answer(StatusCode::BAD_GATEWAY, true)),
         case.record(900, answer(StatusCode::GATEWAY_TIMEOUT, true)),
         case.record(900, None),
+        case.record(2_000, answer(StatusCode::BAD_GATEWAY, true)),
+        case.record(1_990, None),
     ] {
         let report = case.check(record.clone(), &[]);
         assert_eq!(report.violations.len(), 1, "{record:?}");
