--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::silences::network::ConnectionSilencer;
 use crate::task_group::TaskGroup;
 
 /// Era of the store before its first restore.
@@ -36,14 +37,21 @@
 /// Time that an engine takes for a request.
 const RUN_DURATION: Duration = Duration::from_millis(15);
 
+/// Time limit of a request on all routes.
+pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// An engine and its state in the run.
 pub struct EngineMember {
     /// The engine.
     pub engine: EngineStandIn,
     /// When the engine announced that it drains, or its entry was removed.
     pub left_at: Option<Instant>,
+    /// Number of accepted orders that the engine's store entry shows.
+    recorded_sequence: u64,
     /// Whether the engine announced that it drains.
     pub announced_drain: bool,
+    /// Silences the engine's connections, across its restarts.
+    pub connections: Arc<ConnectionSilencer>,
     /// Tasks of the running engine.
     tasks: Arc<TaskGroup>,
     /// Set after a crash: the time of the restart, and the store entry to remove then.
@@ -106,20 +114,27 @@
             spot: false,
         });
         engine.crash_on(CRASH_MARKER);
-        let tasks = self.serve(&engine).await?;
+        let connections: Arc<ConnectionSilencer> = Arc::default();
+        let tasks = self.serve(&engine, &connections).await?;
         engine.record(&self.store, "ready");
         self.members.push(EngineMember {
             engine,
             left_at: None,
+            recorded_sequence: 0,
             announced_drain: false,
+            connections,
             tasks,
             pending_restart: None,
         });
         Ok(())
     }
 
-    async fn serve(&self, engine: &EngineStandIn) -> Result<Arc<TaskGroup>> {
-        let (tasks, runtime) = TaskGroup::of(&self.runtime);
+    async fn serve(
+        &self,
+        engine: &EngineStandIn,
+        connections: &Arc<ConnectionSilencer>,
+    ) -> Result<Arc<TaskGroup>> {
+        let (tasks, runtime) = TaskGroup::of(&connections.apply_to(&self.runtime));
         // The server must run until its tasks are aborted.
         std::mem::forget(engine.serve(&runtime).await?);
         Ok(tasks)
@@ -144,20 +159,37 @@
                 self.store.remove(&entry);
                 self.restart_engine(index).await?;
             }
+            self.record_orders(index);
         }
         Ok(())
     }
 
+    /// Writes an engine's entry again after an order, which changes its stage.
+    fn record_orders(&mut self, index: usize) {
+        let member = &mut self.members[index];
+        let sequence = member.engine.sequence();
+        if sequence == member.recorded_sequence || member.pending_restart.is_some() {
+            return;
+        }
+        member.recorded_sequence = sequence;
+        match member.left_at {
+            None => member.engine.record(&self.store, "ready"),
+            Some(_) if member.announced_drain => member.engine.record(&self.store, "draining"),
+            Some(_) => {}
+        }
+    }
+
     async fn restart_engine(&mut self, index: usize) -> Result<()> {
         let engine = self.members[index].engine.clone();
+        let connections = Arc::clone(&self.members[index].connections);
         // The aborted tasks may hold the port for a moment.
-        let mut served = self.serve(&engine).await;
+        let mut served = self.serve(&engine, &connections).await;
         for _ in 0..BIND_ATTEMPTS {
             if served.is_ok() {
                 break;
             }
             sleep(BIND_RETRY_DELAY).await;
-            served = self.serve(&engine).await;
+            served = self.serve(&engine, &connections).await;
         }
         self.members[index].tasks = served?;
         if self.members[index].left_at.is_none() {
