--- a/crates/serving/src/pipeline/silent_sends.rs
+++ b/crates/serving/src/pipeline/silent_sends.rs
@@ -246,7 +246,8 @@
         }
         let health = &self.placement().health;
         let is_engine = back_end.stage.is_some();
-        health.active_since(&back_end.id, since) || (is_engine && health.silent_since(&back_end.id).is_none())
+        health.active_since(&back_end.id, since)
+            || (is_engine && health.silent_since(&back_end.id).is_none())
     }
 
     /// Checks whether the engines that the request left in silence have exited: their runs do not
