Relays: peers without proof of working paths are asked last

Cause: a cut peer that no peer has reached yet doesn't know that it is cut. It answers that it did not reach the back end and gives no proof that it reaches others, or that its path is cut, and was asked again for the next connection. The one peer with paths was left out for up to 8 s whenever it had failed once, so that only cut ones were asked.

Change: a peer that answered so within 3 s is asked after all others, a paused one only if there is no other but before those without proof. Both change the order only: the back end may be down instead, so no conclusion about a peer's paths is drawn. Cost of a choice: two look-ups for each daemon, no message, one row for each peer for 3 s.

Ruled out: that putting cut peers last suffices.

The tests' fleet takes the limit of requests as an option, because one daemon relays for 31.

--- a/crates/fleet/src/relays.rs
+++ b/crates/fleet/src/relays.rs
@@ -17,6 +17,9 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 /// Maximum of the same.
 const MAX_PAUSE: Duration = Duration::from_secs(8);
+/// How long a peer that reached no back end when it was asked is asked after the others. As long as
+/// its report would count.
+const NO_PROOF_LIFETIME: Duration = REPORT_LIFETIME;
 /// A peer is used as a relay only if it reaches at least this share of the service's back ends.
 pub const MIN_REACHABLE_SHARE: f64 = 0.5;
 /// Peers that are compared for one choice. Two random ones suffice to keep the load even although
@@ -64,11 +67,24 @@
     until: Instant,
 }
 
+/// The order in which peers are asked; those of a later class only if there is none of an earlier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Preference {
+    /// Nothing speaks against it.
+    Usual,
+    /// It failed a moment ago.
+    Paused,
+    /// It did not reach a back end, and showed no other that it reaches.
+    WithoutProof,
+}
+
 /// What is known of the peers as relays.
 #[derive(Debug, Default)]
 pub struct Relays {
     reports: HashMap<SocketAddr, (PathReport, Instant)>,
     failures: HashMap<SocketAddr, Failures>,
+    /// Until when peers that gave no proof of working paths are asked after others.
+    without_proof: HashMap<SocketAddr, Instant>,
     /// Own connections through each peer that are open now.
     own: HashMap<SocketAddr, u32>,
 }
@@ -90,6 +106,7 @@
     /// Records that a connection through the peer was opened.
     pub fn record_opened(&mut self, peer: SocketAddr) {
         self.failures.remove(&peer);
+        self.without_proof.remove(&peer);
         *self.own.entry(peer).or_default() += 1;
     }
 
@@ -119,6 +136,13 @@
         failures.until = now + pause;
     }
 
+    /// Records that the peer did not reach a back end, without proof that it reaches others. Its paths
+    /// may be cut, or the back end may be down: it is asked after the others for a while, but not left
+    /// out.
+    pub fn record_no_proof(&mut self, peer: SocketAddr, now: Instant) {
+        self.without_proof.insert(peer, now + NO_PROOF_LIFETIME);
+    }
+
     /// Chooses a peer; `None` if none is expected to reach the service.
     pub fn choose(
         &self,
@@ -127,10 +151,10 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<SocketAddr> {
-        let usable: Vec<&RelayCandidate> = candidates
+        let usable = candidates
             .iter()
-            .filter(|candidate| self.is_usable(candidate.address, query, now))
-            .collect();
+            .filter(|candidate| self.is_usable(candidate.address, query, now));
+        let usable = self.most_preferred(usable, now);
         if usable.is_empty() {
             return None;
         }
@@ -139,19 +163,47 @@
         Some(chosen.address)
     }
 
+    /// The candidates of the first class in which there is any.
+    fn most_preferred<'a>(
+        &self,
+        candidates: impl Iterator<Item = &'a RelayCandidate>,
+        now: Instant,
+    ) -> Vec<&'a RelayCandidate> {
+        let mut preferred = Vec::new();
+        let mut best = Preference::WithoutProof;
+        for candidate in candidates {
+            let preference = self.preference(candidate.address, now);
+            if preference < best {
+                best = preference;
+                preferred.clear();
+            }
+            if preference == best {
+                preferred.push(candidate);
+            }
+        }
+        preferred
+    }
+
+    fn preference(&self, peer: SocketAddr, now: Instant) -> Preference {
+        let without_proof = self.without_proof.get(&peer);
+        if without_proof.is_some_and(|until| *until > now) {
+            return Preference::WithoutProof;
+        }
+        let failures = self.failures.get(&peer);
+        if failures.is_some_and(|failures| failures.until > now) {
+            return Preference::Paused;
+        }
+        Preference::Usual
+    }
+
     fn is_usable(&self, peer: SocketAddr, query: &RelayQuery<'_>, now: Instant) -> bool {
         if query.tried.contains(&peer) {
             return false;
         }
-        let is_paused = self
-            .failures
-            .get(&peer)
-            .is_some_and(|failures| failures.until > now);
         let report = self.report(peer, now).map(|(report, _age)| report);
-        let reaches = report.is_none_or(|report| {
+        report.is_none_or(|report| {
             report.room > 0 && reachable_share(report, query.service) >= MIN_REACHABLE_SHARE
-        });
-        !is_paused && reaches
+        })
     }
 
     fn cost(&self, candidate: &RelayCandidate, query: &RelayQuery<'_>, now: Instant) -> u32 {
@@ -170,6 +222,8 @@
         });
         self.failures
             .retain(|peer, failures| is_present(*peer) && failures.until + MAX_PAUSE > now);
+        self.without_proof
+            .retain(|peer, until| is_present(*peer) && *until > now);
         self.own.retain(|_peer, open| *open > 0);
     }
 }
--- a/crates/fleet/tests/relays.rs
+++ b/crates/fleet/tests/relays.rs
@@ -148,3 +148,43 @@
         "a success ends the series"
     );
 }
+
+#[test]
+fn peers_that_gave_no_proof_of_working_paths_are_asked_after_the_others() {
+    let (mut relays, now) = (Relays::default(), Instant::now());
+    for number in 0..8 {
+        relays.record_no_proof(peer(number), now);
+    }
+    let counts = choose_often(&relays, &QUERY, now);
+    assert_eq!(counts, [0, 0, 0, 0, 0, 0, 0, 0, CHOICES]);
+    let tried = [peer(8)];
+    let next = RelayQuery {
+        tried: &tried,
+        ..QUERY
+    };
+    let counts = choose_often(&relays, &next, now);
+    assert!(
+        counts[..8].iter().all(|count| *count > 0),
+        "they are asked rather than none: {counts:?}"
+    );
+    relays.record_opened(peer(0));
+    let counts = choose_often(&relays, &next, now);
+    assert_eq!(counts, [CHOICES, 0, 0, 0, 0, 0, 0, 0, 0], "it relayed");
+    let later = now + REPORT_LIFETIME;
+    let counts = choose_often(&relays, &next, later);
+    assert!(counts[1] > 0, "a peer is not put off for long: {counts:?}");
+}
+
+#[test]
+fn a_peer_that_failed_is_asked_rather_than_none_and_before_those_without_proof() {
+    let (mut relays, now) = (Relays::default(), Instant::now());
+    relays.record_failure(peer(0), now);
+    for number in 2..9 {
+        relays.record_no_proof(peer(number), now);
+    }
+    let counts = choose_often(&relays, &QUERY, now);
+    assert_eq!(counts[1], CHOICES, "nothing speaks against it: {counts:?}");
+    relays.record_no_proof(peer(1), now);
+    let counts = choose_often(&relays, &QUERY, now);
+    assert_eq!(counts[0], CHOICES, "{counts:?}");
+}
--- a/crates/serve/tests/capacity.rs
+++ b/crates/serve/tests/capacity.rs
@@ -16,6 +16,7 @@
     zones: 1,
     reports_usage: false,
     orders_engines: true,
+    max_requests: support::MAX_REQUESTS_IN_PROGRESS,
 };
 const ZONES: [&str; 2] = ["a", "b"];
 /// On-demand engines in each zone at the start.
--- a/crates/serve/tests/orders.rs
+++ b/crates/serve/tests/orders.rs
@@ -20,6 +20,7 @@
     zones: 1,
     reports_usage: false,
     orders_engines: false,
+    max_requests: support::MAX_REQUESTS_IN_PROGRESS,
 };
 
 /// Sends long prompts for `time`, which load the prefill engines more than the decode engines.
--- a/crates/serve/tests/partitioned_daemons.rs
+++ b/crates/serve/tests/partitioned_daemons.rs
@@ -94,6 +94,19 @@
     })
 }
 
+/// A fleet of 32 daemons in three zones, one of which has room for the connections of all.
+fn thirty_two_daemons() -> Fleet {
+    Fleet::new(FleetOptions {
+        daemons: 32,
+        records: 3,
+        prefill: 2,
+        decode: 4,
+        zones: 3,
+        max_requests: 2_000,
+        ..FleetOptions::default()
+    })
+}
+
 fn hosts_of(fleet: &Fleet, daemons: &[usize]) -> Vec<HostId> {
     daemons
         .iter()
@@ -208,3 +221,13 @@
 fn callers_are_served_while_most_daemons_have_no_path_to_any_back_end() {
     check_every_cut(&[0, 1, 2, 3, 4, 5, 6]);
 }
+
+#[test]
+fn callers_are_served_while_one_of_many_daemons_has_paths_to_the_back_ends() {
+    let cut: Vec<usize> = (0..32).filter(|daemon| *daemon != 17).collect();
+    for kind in CUTS {
+        let mut fleet = thirty_two_daemons();
+        let tallies = tallies_through(&mut fleet, &cut, kind);
+        check_served_alike(&tallies, &format!("{kind:?}"));
+    }
+}
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -22,7 +22,7 @@
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep};
 
-/// `limits.requests_in_progress` of the daemons in these tests.
+/// `limits.requests_in_progress` of the daemons in these tests, unless a test sets another.
 pub const MAX_REQUESTS_IN_PROGRESS: usize = 60;
 /// Shorter than in the program, so that short tests include maintenance runs.
 const MAINTENANCE_INTERVAL: Duration = Duration::from_secs(1);
@@ -44,6 +44,8 @@
     pub reports_usage: bool,
     /// Whether the daemons order engines from the provider.
     pub orders_engines: bool,
+    /// `limits.requests_in_progress` of each daemon; bounds the connections that it relays as well.
+    pub max_requests: usize,
 }
 
 impl Default for FleetOptions {
@@ -56,6 +58,7 @@
             zones: 1,
             reports_usage: false,
             orders_engines: false,
+            max_requests: MAX_REQUESTS_IN_PROGRESS,
         }
     }
 }
@@ -352,13 +355,14 @@
 }
 
 fn daemon_settings(number: u8, zone: char, options: FleetOptions) -> Settings {
+    let max_requests = options.max_requests;
     let mut text = format!(
         "[daemon]\nname = \"daemon-{number}\"\nzone = \"{zone}\"\n\
          [listen]\ncallers = \"10.0.2.{number}:8144\"\nreadiness = \"10.0.2.{number}:8140\"\n\
          peers = \"10.0.2.{number}:7660\"\n[store]\naddress = \"{STORE_ADDRESS}\"\n\
          [peers]\nseeds = [\"10.0.2.1:1\", \"10.0.2.2:1\"]\n\
          [retry]\nbudget_ratio = 0.2\nbudget_slack = 20\n[stop]\ngrace_s = 8\n\
-         [limits]\nrequests_in_progress = {MAX_REQUESTS_IN_PROGRESS}\n"
+         [limits]\nrequests_in_progress = {max_requests}\n"
     );
     let provider_calls: Vec<&str> = [
         (options.reports_usage, "usage_report"),
--- a/crates/serving/src/back_end_paths.rs
+++ b/crates/serving/src/back_end_paths.rs
@@ -266,6 +266,8 @@
                     self.relay_not_available(peer, address, answer.as_str());
                     if answer.concerns_every_back_end() {
                         self.relays().record_failure(peer, now());
+                    } else if answer.shows_no_working_path() {
+                        self.relays().record_no_proof(peer, now());
                     }
                 }
                 Err(error) => {
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -62,6 +62,18 @@
         matches!(self, Self::Busy | Self::Stopping)
     }
 
+    /// Whether the peer did not reach the back end, and did not show that it reaches others.
+    pub(crate) const fn shows_no_working_path(self) -> bool {
+        matches!(
+            self,
+            Self::PathCut
+                | Self::Unreachable {
+                    reaches_others: false,
+                    ..
+                }
+        )
+    }
+
     /// Name in logs and metrics.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
