--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -29,6 +29,8 @@
 /// A request that may run again is tried elsewhere after this multiple of its latency target. While
 /// the back end may just be slow, waiting for a late request costs less than running it again.
 pub(super) const TARGET_WAIT_FACTOR: u32 = 3;
+/// Time for a request to leave a back end that is too slow before its health is checked.
+const HEALTH_CHECK_MARGIN: Duration = Duration::from_millis(50);
 /// Outcome of a request whose back ends stay silent.
 pub(super) const NO_ANSWER: &str = "no_answer_in_time";
 /// No further send is made with less time left than this.
@@ -366,6 +368,7 @@
     fn plain_wait_policy(&self, job: &Job) -> WaitPolicy {
         let limit = job.route.target_latency * TARGET_WAIT_FACTOR;
         WaitPolicy::new(job, job.release(), Some(limit), None)
+            .checking_health_after(limit + HEALTH_CHECK_MARGIN)
     }
 }
 
--- a/crates/serving/src/pipeline/wait_policy.rs
+++ b/crates/serving/src/pipeline/wait_policy.rs
@@ -126,6 +126,15 @@
         Self::new(job, Release::Never, None, None)
     }
 
+    /// Also queries the health endpoint after `time` if the request may not leave: the finding helps
+    /// those that are not sent yet.
+    pub(super) const fn checking_health_after(self, time: Duration) -> Self {
+        Self {
+            health_check_after: Some(time),
+            ..self
+        }
+    }
+
     /// When the wait ends at the latest.
     pub(super) const fn deadline(&self) -> Instant {
         self.deadline
@@ -227,8 +236,9 @@
                 wait.ask_again_at = None;
                 continue;
             };
-            // A back end that only is slow counts as silent for the requests that leave it.
-            if finding != WaitEnd::Silent {
+            // One that answers others is only slow, unless the request leaves it.
+            let answers_others = self.active_since(back_end, wait.started_at);
+            if finding != WaitEnd::Silent || !answers_others {
                 self.record_finding(&mut wait, job, back_end, finding);
             }
             if self.may_leave(&mut wait, job, back_end, finding).await {
