--- a/crates/serve/tests/silent_services.rs
+++ b/crates/serve/tests/silent_services.rs
@@ -349,3 +349,23 @@
     let at_once = starts.iter().filter(|at| **at < first + run_time).count();
     assert!(at_once <= SLOTS, "{at_once} at once in {SLOTS} slots");
 }
+
+/// Guards against daemons that take a silence for a cut of their own paths, because a peer reached
+/// the back end as soon as it went on.
+#[test]
+fn a_silence_of_back_ends_is_not_taken_for_cut_paths() {
+    for (cause, time) in silences() {
+        let mut fleet = fleet_of(3, 3);
+        let ends = SILENCE_STARTS + time;
+        let requests = requests_of_each_route(3, Duration::ZERO, ends + RECOVERED_AFTER);
+        let silence = silence(&fleet, cause, time);
+        send_beside(&mut fleet, requests, silence);
+        let cuts: Vec<f64> = (0..3)
+            .map(|daemon| fleet.metric(daemon, "ponddrift_back_end_paths_cut_total"))
+            .collect();
+        assert!(
+            cuts.iter().all(|cuts| *cuts == 0.0),
+            "{cause:?}, {time:?}: {cuts:?}"
+        );
+    }
+}
