--- a/crates/soak/src/run/silence_check.rs
+++ b/crates/soak/src/run/silence_check.rs
@@ -23,11 +23,11 @@
 /// Time that a caller waits after the deadline.
 const ANSWER_GRACE: Duration = Duration::from_millis(500);
 /// Part of the requests, one in this many, that are sent before the silence begins.
-const SENT_BEFORE_DIVISOR: usize = 4;
+const SENT_BEFORE_DIVISOR: usize = 2;
 /// Time between the first requests and the silence: streams have begun then and last longer.
 const LEAD_TIME: Duration = Duration::from_millis(150);
-/// Number of requests for each silence, fewer than the back ends' slots, if there are fewer daemons.
-const MIN_REQUESTS: usize = 16;
+/// Number of requests for each silence, no more than the back ends' slots, if there are fewer daemons.
+const MIN_REQUESTS: usize = 24;
 /// Events of a stream, and the time between them in milliseconds.
 const STREAM_EVENTS: u64 = 25;
 const STREAM_GAP_MS: u64 = 20;
