--- a/crates/soak/tests/seeded.rs
+++ b/crates/soak/tests/seeded.rs
@@ -114,3 +114,17 @@
     let report = soak_with(62, extra_events).await;
     assert!(report.cuts > 0, "paths must be cut");
 }
+
+/// Guards against requests that get no answer, or only a part of it, when back ends are silent for a
+/// short time while daemons are killed, stopped and given another configuration.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn back_ends_are_silent_for_short_times_with_other_faults() {
+    let extra_events = ExtraEvents {
+        silences: true,
+        ..ExtraEvents::default()
+    };
+    let report = soak_with(3, extra_events).await;
+    assert!(report.silences > 0, "back ends must be silent");
+    let checked = report.silence_report.checked;
+    assert!(checked > 0, "a request must meet only a silence");
+}
