Stream sends and timed test requests are modules of their own

The two test files about silences share their requests and checks (support/timed_requests.rs). No logic and no assertion changes.

--- a/crates/serve/tests/silent_back_ends.rs
+++ b/crates/serve/tests/silent_back_ends.rs
@@ -4,16 +4,20 @@
 
 use std::time::Duration;
 
-use http::StatusCode;
-use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest, RouteConfig};
+use ponddrift_platform_stand_ins::{Behaviour, ClientRequest, RouteConfig};
 use ponddrift_simulation::HostId;
+use support::timed_requests::{
+    Sent, assert_all_served, earn_retries, requests_of_each_route, send_beside,
+};
 use support::{Fleet, FleetOptions};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
 /// Events of a stream in these tests; its last one comes 1.2 s after the first.
 const STREAM_EVENTS: u64 = 12;
 /// Time between two of them, in milliseconds.
 const EVENT_GAP_MS: u64 = 100;
+/// Time between two rounds of requests.
+const INTERVAL: Duration = Duration::from_millis(50);
 /// When the back ends fall silent, after the first requests.
 const SILENCE_STARTS: Duration = Duration::from_millis(800);
 /// Silence after which callers give up a stream.
@@ -21,47 +25,6 @@
 /// Longest silence of a sound back end.
 const LONG_SILENCE: Duration = Duration::from_millis(1_600);
 
-/// A request and when it is sent, to which daemon.
-struct Sent {
-    after: Duration,
-    daemon: usize,
-    request: ClientRequest,
-}
-
-impl Sent {
-    fn at_start(daemon: usize, request: ClientRequest) -> Self {
-        Self {
-            after: Duration::ZERO,
-            daemon,
-            request,
-        }
-    }
-}
-
-/// A request and the answer that its caller got; `None` if the connection was closed without one.
-struct Answered {
-    request: ClientRequest,
-    answer: Option<Answer>,
-}
-
-impl Answered {
-    fn is_served(&self) -> bool {
-        self.answer
-            .as_ref()
-            .is_some_and(|answer| answer.status == StatusCode::OK && answer.is_complete)
-    }
-
-    /// How it ended, for the message of a failed test.
-    fn end(&self) -> String {
-        let id = &self.request.id;
-        match &self.answer {
-            None => format!("{id}: closed"),
-            Some(answer) if !answer.is_complete => format!("{id}: {} cut", answer.status),
-            Some(answer) => format!("{id}: {} {}", answer.status, answer.text()),
-        }
-    }
-}
-
 fn streams(route: &'static str, name: &str, count: usize) -> Vec<Sent> {
     (0..count)
         .map(|number| {
@@ -74,65 +37,6 @@
         .collect()
 }
 
-/// One request of each route to each daemon each 50 ms for `time`.
-fn requests_of_each_route(daemons: usize, from: Duration, time: Duration) -> Vec<Sent> {
-    const INTERVAL: Duration = Duration::from_millis(50);
-    let mut requests = Vec::new();
-    let mut after = from;
-    while after < from + time {
-        for daemon in 0..daemons {
-            let id = |route: &str| format!("{route}-{daemon}-at-{}", after.as_millis());
-            let all = [
-                ClientRequest::plain(&id("fetch"), "fetch"),
-                ClientRequest::plain(&id("post"), "post"),
-                ClientRequest::prompt(&id("tag"), "tag", 40, 200),
-                ClientRequest::prompt(&id("verdict"), "verdict", 40, 200),
-            ];
-            requests.extend(all.map(|request| Sent {
-                after,
-                daemon,
-                request: ClientRequest {
-                    deadline_ms: 3_000,
-                    ..request
-                },
-            }));
-        }
-        after += INTERVAL;
-    }
-    requests
-}
-
-/// Sends the requests while `faults` runs, and waits for all answers.
-fn send_beside(
-    fleet: &mut Fleet,
-    requests: Vec<Sent>,
-    faults: impl Future<Output = ()>,
-) -> Vec<Answered> {
-    let client = fleet.client.clone();
-    let targets: Vec<_> = fleet
-        .daemons
-        .iter()
-        .map(|daemon| daemon.callers_address)
-        .collect();
-    fleet.run(async move {
-        let start = Instant::now();
-        let sent = requests.into_iter().map(|sent| {
-            let client = client.clone();
-            let target = targets[sent.daemon];
-            async move {
-                sleep_until(start + sent.after).await;
-                let answer = client.ask(target, &sent.request).await;
-                Answered {
-                    request: sent.request,
-                    answer,
-                }
-            }
-        });
-        let (answered, ()) = futures::join!(futures::future::join_all(sent), faults);
-        answered
-    })
-}
-
 /// Freezes the hosts at [`SILENCE_STARTS`] for `time`.
 fn silence(fleet: &Fleet, hosts: &[HostId], time: Duration) -> impl Future<Output = ()> + use<> {
     let simulation = fleet.simulation.handle();
@@ -166,34 +70,6 @@
     fleet
 }
 
-fn earn_retries(fleet: &mut Fleet, daemons: usize) {
-    const REQUESTS_PER_DAEMON: usize = 30;
-    let requests = (0..daemons * REQUESTS_PER_DAEMON).map(|number| {
-        let id = format!("earn-{number}");
-        let requests = [
-            ClientRequest::prompt(&id, "tag", 40, 200),
-            ClientRequest::plain(&format!("plain-{id}"), "fetch"),
-        ];
-        requests.map(|request| Sent::at_start(number % daemons, request))
-    });
-    let requests = requests.flatten().collect();
-    send_beside(fleet, requests, std::future::ready(()));
-}
-
-fn assert_all_served(answered: &[Answered], case: &str) {
-    let unserved: Vec<String> = answered
-        .iter()
-        .filter(|answered| !answered.is_served())
-        .map(Answered::end)
-        .collect();
-    assert!(
-        unserved.is_empty(),
-        "{case}: {} of {} not served: {unserved:#?}",
-        unserved.len(),
-        answered.len()
-    );
-}
-
 #[test]
 fn a_stream_keeps_its_silent_engine_if_no_other_can_resume_it() {
     for route in ["tag", "verdict"] {
@@ -225,7 +101,7 @@
             requests.push(Sent { daemon, ..sent });
         }
     }
-    let others = requests_of_each_route(3, Duration::ZERO, SILENCE_STARTS);
+    let others = requests_of_each_route(3, Duration::ZERO, SILENCE_STARTS, INTERVAL);
     requests.extend(others);
     let silence = silence(
         &fleet,
@@ -305,38 +181,18 @@
     let mut fleet = fleet_of(1, 3);
     let simulation = fleet.simulation.handle();
     let dead = fleet.decode_hosts[0];
-    let client = fleet.client.clone();
-    let target = fleet.daemons[0].callers_address;
-    let (answered, longest_gap) = fleet.run(async move {
-        let crash = async {
-            sleep(SILENCE_STARTS).await;
-            simulation.freeze(dead);
-        };
-        let requests = streams("tag", "tag", 6).into_iter().map(|sent| {
-            let client = client.clone();
-            async move {
-                let started_at = Instant::now();
-                let answer = client.ask(target, &sent.request).await;
-                let answered = Answered {
-                    request: sent.request,
-                    answer,
-                };
-                (answered, started_at.elapsed())
-            }
-        });
-        let (answered, ()) = futures::join!(futures::future::join_all(requests), crash);
-        let longest = answered.iter().map(|(_answered, took)| *took).max();
-        let answered: Vec<Answered> = answered
-            .into_iter()
-            .map(|(answered, _took)| answered)
-            .collect();
-        (answered, longest.unwrap_or_default())
-    });
+    let crash = async move {
+        sleep(SILENCE_STARTS).await;
+        simulation.freeze(dead);
+    };
+    let answered = send_beside(&mut fleet, streams("tag", "tag", 6), crash);
+    let longest = answered.iter().map(|answered| answered.took).max();
+    let longest = longest.unwrap_or_default();
     assert_all_served(&answered, "one of three engines dead");
     // The events themselves take 1.2 s.
     let events_take = Duration::from_millis(STREAM_EVENTS * EVENT_GAP_MS);
     let limit = events_take + CALLERS_GIVE_UP;
-    assert!(longest_gap < limit, "{longest_gap:?}, {limit:?} at most");
+    assert!(longest < limit, "{longest:?}, {limit:?} at most");
 }
 
 #[test]
--- a/crates/serve/tests/silent_services.rs
+++ b/crates/serve/tests/silent_services.rs
@@ -4,16 +4,20 @@
 
 use std::time::Duration;
 
-use http::{StatusCode, header};
-use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest};
+use ponddrift_platform_stand_ins::{Behaviour, ClientRequest};
 use ponddrift_simulation::HostId;
+use support::timed_requests::{
+    Answered, Sent, assert_all_served, earn_retries, requests_of_each_route, send_beside,
+};
 use support::{Fleet, FleetOptions, MAX_REQUESTS_IN_PROGRESS};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::sleep;
 
 /// Events of a stream in these tests; its last one comes 0.5 s after the first.
 const STREAM_EVENTS: u64 = 5;
 /// Time between two of them, in milliseconds.
 const EVENT_GAP_MS: u64 = 100;
+/// Time between two rounds of requests.
+const INTERVAL: Duration = Duration::from_millis(150);
 /// When the back ends fall silent, after the first requests.
 const SILENCE_STARTS: Duration = Duration::from_millis(800);
 /// Shortest and longest silence of sound back ends.
@@ -21,117 +25,6 @@
 /// When all is well again after a silence.
 const RECOVERED_AFTER: Duration = Duration::from_millis(300);
 
-/// A request and when it is sent, to which daemon.
-struct Sent {
-    after: Duration,
-    daemon: usize,
-    request: ClientRequest,
-}
-
-impl Sent {
-    fn at_start(daemon: usize, request: ClientRequest) -> Self {
-        Self {
-            after: Duration::ZERO,
-            daemon,
-            request,
-        }
-    }
-}
-
-/// A request and the answer that its caller got; `None` if the connection was closed without one.
-struct Answered {
-    request: ClientRequest,
-    answer: Option<Answer>,
-    took: Duration,
-}
-
-impl Answered {
-    fn is_served(&self) -> bool {
-        self.answer
-            .as_ref()
-            .is_some_and(|answer| answer.status == StatusCode::OK && answer.is_complete)
-    }
-
-    /// Whether it was refused with the time at which to come back.
-    fn is_refused(&self) -> bool {
-        self.answer.as_ref().is_some_and(|answer| {
-            answer.status == StatusCode::SERVICE_UNAVAILABLE
-                && answer.headers.contains_key(header::RETRY_AFTER)
-        })
-    }
-
-    /// How it ended, for the message of a failed test.
-    fn end(&self) -> String {
-        let id = &self.request.id;
-        match &self.answer {
-            None => format!("{id}: closed"),
-            Some(answer) if !answer.is_complete => format!("{id}: {} cut", answer.status),
-            Some(answer) => format!("{id}: {} {}", answer.status, answer.text()),
-        }
-    }
-}
-
-/// One request of each route to each daemon each 150 ms for `time`.
-fn requests_of_each_route(daemons: usize, from: Duration, time: Duration) -> Vec<Sent> {
-    const INTERVAL: Duration = Duration::from_millis(150);
-    let mut requests = Vec::new();
-    let mut after = from;
-    while after < from + time {
-        for daemon in 0..daemons {
-            let id = |route: &str| format!("{route}-{daemon}-at-{}", after.as_millis());
-            let all = [
-                ClientRequest::plain(&id("fetch"), "fetch"),
-                ClientRequest::plain(&id("post"), "post"),
-                ClientRequest::prompt(&id("tag"), "tag", 40, 200),
-                ClientRequest::prompt(&id("verdict"), "verdict", 40, 200),
-            ];
-            requests.extend(all.map(|request| Sent {
-                after,
-                daemon,
-                request: ClientRequest {
-                    deadline_ms: 3_000,
-                    ..request
-                },
-            }));
-        }
-        after += INTERVAL;
-    }
-    requests
-}
-
-/// Sends the requests while `faults` runs, and waits for all answers.
-fn send_beside(
-    fleet: &mut Fleet,
-    requests: Vec<Sent>,
-    faults: impl Future<Output = ()>,
-) -> Vec<Answered> {
-    let client = fleet.client.clone();
-    let targets: Vec<_> = fleet
-        .daemons
-        .iter()
-        .map(|daemon| daemon.callers_address)
-        .collect();
-    fleet.run(async move {
-        let start = Instant::now();
-        let sent = requests.into_iter().map(|sent| {
-            let client = client.clone();
-            let target = targets[sent.daemon];
-            async move {
-                sleep_until(start + sent.after).await;
-                let sent_at = Instant::now();
-                let answer = client.ask(target, &sent.request).await;
-                Answered {
-                    request: sent.request,
-                    answer,
-                    took: sent_at.elapsed(),
-                }
-            }
-        });
-        let (answered, ()) = futures::join!(futures::future::join_all(sent), faults);
-        answered
-    })
-}
-
 /// Sends all requests while `faults` runs; returns the answers of `late` ones.
 fn send_late_beside(
     fleet: &mut Fleet,
@@ -198,39 +91,11 @@
     fleet
 }
 
-fn earn_retries(fleet: &mut Fleet, daemons: usize) {
-    const REQUESTS_PER_DAEMON: usize = 30;
-    let requests = (0..daemons * REQUESTS_PER_DAEMON).map(|number| {
-        let id = format!("earn-{number}");
-        let requests = [
-            ClientRequest::prompt(&id, "tag", 40, 200),
-            ClientRequest::plain(&format!("plain-{id}"), "fetch"),
-        ];
-        requests.map(|request| Sent::at_start(number % daemons, request))
-    });
-    let requests = requests.flatten().collect();
-    send_beside(fleet, requests, std::future::ready(()));
-}
-
-fn assert_all_served(answered: &[Answered], case: &str) {
-    let unserved: Vec<String> = answered
-        .iter()
-        .filter(|answered| !answered.is_served())
-        .map(Answered::end)
-        .collect();
-    assert!(
-        unserved.is_empty(),
-        "{case}: {} of {} not served: {unserved:#?}",
-        unserved.len(),
-        answered.len()
-    );
-}
-
 #[test]
 fn requests_with_time_to_wait_outlast_a_silence_of_all_back_ends() {
     for (cause, time) in silences() {
         let mut fleet = fleet_of(3, 3);
-        let requests = requests_of_each_route(3, SILENCE_STARTS, time);
+        let requests = requests_of_each_route(3, SILENCE_STARTS, time, INTERVAL);
         let silence = silence(&fleet, cause, time);
         let answered = send_beside(&mut fleet, requests, silence);
         assert_all_served(&answered, &format!("{cause:?}, silent for {time:?}"));
@@ -242,8 +107,9 @@
     for (cause, time) in silences() {
         let mut fleet = fleet_of(3, 3);
         let ends = SILENCE_STARTS + time;
-        let requests = requests_of_each_route(3, Duration::ZERO, ends);
-        let after = requests_of_each_route(3, ends + RECOVERED_AFTER, Duration::from_secs(1));
+        let requests = requests_of_each_route(3, Duration::ZERO, ends, INTERVAL);
+        let after =
+            requests_of_each_route(3, ends + RECOVERED_AFTER, Duration::from_secs(1), INTERVAL);
         let silence = silence(&fleet, cause, time);
         let answered = send_late_beside(&mut fleet, requests, after, silence);
         assert_all_served(&answered, &format!("{cause:?}, after {time:?} of silence"));
@@ -259,8 +125,8 @@
     for cause in CAUSES {
         let mut fleet = fleet_of(3, 3);
         let from = SILENCE_STARTS + KNOWN_SILENT_AFTER;
-        let requests = requests_of_each_route(3, Duration::ZERO, from);
-        let late = requests_of_each_route(3, from, Duration::from_secs(2));
+        let requests = requests_of_each_route(3, Duration::ZERO, from, INTERVAL);
+        let late = requests_of_each_route(3, from, Duration::from_secs(2), INTERVAL);
         let silence = silence(&fleet, cause, Duration::from_secs(20));
         let answered = send_late_beside(&mut fleet, requests, late, silence);
         let held: Vec<String> = answered
@@ -357,7 +223,7 @@
     for (cause, time) in silences() {
         let mut fleet = fleet_of(3, 3);
         let ends = SILENCE_STARTS + time;
-        let requests = requests_of_each_route(3, Duration::ZERO, ends + RECOVERED_AFTER);
+        let requests = requests_of_each_route(3, Duration::ZERO, ends + RECOVERED_AFTER, INTERVAL);
         let silence = silence(&fleet, cause, time);
         send_beside(&mut fleet, requests, silence);
         let cuts: Vec<f64> = (0..3)
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses only a part of it")]
 
 mod logging;
+pub mod timed_requests;
 
 use std::cell::RefCell;
 use std::future::Future;
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -29,6 +29,7 @@
 mod send_gate;
 mod silent_sends;
 mod silent_service;
+mod stream_send;
 mod wait_policy;
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -15,8 +15,9 @@
 
 use super::Pipeline;
 use super::attempt::SERVE;
-use super::generate::{LateStart, OpenAttempt, OpenStream, SendTiming, StreamSend};
+use super::generate::OpenStream;
 use super::job::Job;
+use super::stream_send::{LateStart, OpenAttempt, SendTiming, StreamSend};
 use super::wait_policy::WaitPolicy;
 use crate::connections::{Connection, Reply};
 use crate::request_trace::{TraceStep, milliseconds};
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use futures::FutureExt;
-use futures::future::BoxFuture;
 use http::{Response, StatusCode, response};
 use hyper::body::Incoming;
 use ponddrift_fleet::directory::BackEnd;
@@ -18,19 +17,20 @@
 
 use super::Pipeline;
 use super::answers::Failure;
-use super::attempt::{ANSWERED_ELSEWHERE, OpenSend, SendEnd, SendOptions, is_success, step_name};
+use super::attempt::{ANSWERED_ELSEWHERE, SendEnd, SendOptions, step_name};
 use super::budgeting::PrefillPermit;
-use super::first_event::StartedStream;
 use super::guards::{InProgress, KvCacheHandle, LoadGuard};
 use super::intake::{FinalAnswer, end_to_end_headers};
 use super::job::Job;
-use super::plain::{
-    MIN_TIME_FOR_SEND, NO_ANSWER, TARGET_WAIT_FACTOR, may_have_run_failure, read_complete,
-};
+use super::plain::{MIN_TIME_FOR_SEND, NO_ANSWER, TARGET_WAIT_FACTOR, read_complete};
 use super::relay::Relay;
-use super::silent_sends::{First, Late, LateAnswer, RunStage, SilentSend, SilentSends};
+use super::silent_sends::{First, Late, RunStage, SilentSends};
+use super::stream_send::{
+    LateStart, OpenAttempt, OpenProgress, PrefilledPrompt, SendTiming, SilentStreamSends,
+    StreamSend,
+};
 use super::wait_policy::WaitPolicy;
-use crate::connections::{Connection, ExchangeError, Reply};
+use crate::connections::{Connection, Reply};
 use crate::dialect::SendStep;
 use crate::request_trace::{TraceStep, milliseconds};
 use crate::time::now;
@@ -61,17 +61,6 @@
 /// Maximum share of the latency target that a request may wait for this daemon's network link.
 const MAX_LINK_WAIT_SHARE: f64 = 0.5;
 
-/// Timing of a send whose first event is awaited.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct SendTiming {
-    pub(super) started_at: Instant,
-    /// Whether the engine had no other prompt to prefill at the time of the send.
-    pub(super) had_no_queued_prefill: bool,
-    /// Prompt tokens of other requests that the engine was known to process before; `None` if the
-    /// engine processed no prompt for this request or the request may have waited for a slot.
-    pub(super) tokens_ahead: Option<f64>,
-}
-
 /// How one round of opening a stream ended.
 enum Round {
     Attempt(OpenAttempt),
@@ -91,114 +80,6 @@
     Skipped,
 }
 
-/// A prompt whose KV cache can be reused after another engine refused the request.
-pub(super) struct PrefilledPrompt {
-    plan: PromptPlan,
-    handle: KvCacheHandle,
-}
-
-pub(super) enum OpenAttempt {
-    Opened(Box<OpenStream>),
-    Answer(FinalAnswer),
-    /// The engine did not run the request. The prefilled prompt, if any, can be used by another one.
-    NotRun {
-        reason: &'static str,
-        prefilled: Option<PrefilledPrompt>,
-    },
-    MayHaveRun(&'static str),
-    /// The engine fell silent; its answer is still accepted.
-    Silent(Box<SilentStreamSend>),
-}
-
-/// What a silent engine may still send.
-pub(super) enum LateStart {
-    /// The head of the answer, or why there is none.
-    Head(Result<Reply, ExchangeError>),
-    /// The first event, or why there is none.
-    FirstEvent(Result<StartedStream, &'static str>),
-}
-
-/// What is needed to continue with the answer of an engine.
-pub(super) struct StreamSend {
-    pub(super) plan: PromptPlan,
-    pub(super) decode: Arc<BackEnd>,
-    pub(super) step: &'static str,
-    pub(super) handle: Option<KvCacheHandle>,
-    pub(super) load: LoadGuard,
-    pub(super) timing: SendTiming,
-}
-
-impl LateAnswer for LateStart {
-    fn is_usable(&self) -> bool {
-        match self {
-            Self::Head(result) => is_success(result),
-            Self::FirstEvent(started) => started.is_ok(),
-        }
-    }
-}
-
-pub(super) type SilentStreamSend = SilentSend<StreamSend, LateStart>;
-type SilentStreamSends = SilentSends<StreamSend, LateStart>;
-
-impl StreamSend {
-    pub(super) fn fall_silent(
-        mut self,
-        job: &mut Job,
-        answer: BoxFuture<'static, LateStart>,
-    ) -> SilentStreamSend {
-        // Its time says nothing about the speed of the engine.
-        self.timing.had_no_queued_prefill = false;
-        self.timing.tokens_ahead = None;
-        let open = OpenSend {
-            back_end: Arc::clone(&self.decode),
-            purpose: self.step,
-            started_at: self.timing.started_at,
-        };
-        job.silent_runs.push(open.clone());
-        SilentSend::new(open, self, answer)
-    }
-}
-
-/// What came of the attempts to open a stream so far.
-struct OpenProgress {
-    failure: Failure,
-    error_answer: Option<FinalAnswer>,
-    prefilled: Option<PrefilledPrompt>,
-    may_reuse_handle: bool,
-}
-
-impl OpenProgress {
-    /// Notes how an attempt ended. Returns the stream if it is open.
-    fn note(
-        &mut self,
-        job: &Job,
-        end: OpenAttempt,
-        silent: &mut SilentStreamSends,
-    ) -> Option<OpenStream> {
-        match end {
-            OpenAttempt::Opened(stream) => return Some(*stream),
-            OpenAttempt::Answer(final_answer) => {
-                self.failure = Failure::MayHaveRun("back_end_error");
-                self.error_answer = Some(final_answer);
-            }
-            OpenAttempt::NotRun { reason, prefilled } => {
-                if prefilled.is_some() && std::mem::take(&mut self.may_reuse_handle) {
-                    self.prefilled = prefilled;
-                }
-                if job.runs == 0 {
-                    self.failure = Failure::NotRun(reason);
-                }
-            }
-            OpenAttempt::MayHaveRun(reason) => self.failure = may_have_run_failure(job, reason),
-            OpenAttempt::Silent(send) => {
-                self.failure = Failure::MayHaveRun(NO_ANSWER);
-                silent.push(*send);
-            }
-        }
-        None
-    }
-}
-
 /// Whether the caller of a request that no engine has started would give up before the expected
 /// first event.
 fn would_time_out(job: &Job, plan: &PromptPlan) -> bool {
@@ -248,12 +129,7 @@
         job: &mut Job,
         resume_after: Option<u64>,
     ) -> Result<OpenStream, NotOpened> {
-        let mut progress = OpenProgress {
-            failure: Failure::NotRun("no_back_end_ready"),
-            error_answer: None,
-            prefilled: None,
-            may_reuse_handle: true,
-        };
+        let mut progress = OpenProgress::new();
         let mut silent = SilentSends::default();
         loop {
             let round = self
