Tests: what peers say of an outage puts a removal in doubt for a bounded time

The simulated daemons of removals_in_doubt all see the outage themselves, so the tests passed also when reports of peers were ignored. A daemon now receives a removal with the flag of older builds, with the ages of this build, with an unbounded age, and with an outage around which the store answered it. The test fails if reports are ignored, and if they are believed in spite of own contact.

--- a/crates/serve/tests/hostile_peers.rs
+++ b/crates/serve/tests/hostile_peers.rs
@@ -258,3 +258,68 @@
         assert_eq!(serves_the_route, restores > 0, "{restores} restores");
     }
 }
+
+/// Encodes the removal of an entry. `kind` is the kind of message, `tail` what follows the changes.
+fn encode_removal(kind: u8, after: u64, key: &str, tail: &[u8]) -> Vec<u8> {
+    const VERSION: u8 = 5;
+    const NO_VALUE: u8 = 0;
+    let revision = after + 1;
+    let key_length = u32::try_from(key.len()).expect("a short key");
+    let mut bytes = vec![VERSION, kind];
+    bytes.extend_from_slice(&after.to_le_bytes());
+    bytes.extend_from_slice(&1_u32.to_le_bytes());
+    bytes.extend_from_slice(&key_length.to_le_bytes());
+    bytes.extend_from_slice(key.as_bytes());
+    bytes.extend_from_slice(&revision.to_le_bytes());
+    bytes.push(NO_VALUE);
+    bytes.extend_from_slice(&revision.to_le_bytes());
+    bytes.extend_from_slice(tail);
+    bytes
+}
+
+/// Older builds say only that a removal is in doubt; this one says when the store was away.
+#[test]
+fn a_peer_that_saw_an_outage_puts_a_removal_in_doubt_for_a_bounded_time() {
+    const CHANGES: u8 = 1;
+    const CHANGES_AFTER_OUTAGE: u8 = 11;
+    let ages = |failed_ms_ago: u16, doubt_left_ms: u16| {
+        [failed_ms_ago.to_le_bytes(), doubt_left_ms.to_le_bytes()].concat()
+    };
+    for (kind, tail, in_use_for_ms) in [
+        (CHANGES, vec![0], 0),
+        (CHANGES, vec![1], 2_500),
+        (CHANGES_AFTER_OUTAGE, ages(0, 1_000), 1_000),
+        (CHANGES_AFTER_OUTAGE, ages(0, u16::MAX), 2_500),
+        // The store answered the daemon itself before and after the failure.
+        (CHANGES_AFTER_OUTAGE, ages(3_000, 1_000), 0),
+    ] {
+        let mut fleet = Fleet::new(FleetOptions {
+            records: 1,
+            ..FleetOptions::default()
+        });
+        fleet.wait(Duration::from_secs(6));
+        let removal = encode_removal(kind, fleet.store.revision(), &fleet.records[0].key(), &tail);
+        let (_host, runtime) = fleet
+            .simulation
+            .add_client(host_spec("stranger", [10, 0, 3, 9]));
+        let daemon = SocketAddr::from(([10, 0, 2, 1], 7660));
+        fleet.run(async move {
+            let local_address = SocketAddr::from(([10, 0, 3, 9], 5000));
+            let socket = runtime.network.bind_datagram(local_address);
+            let socket = socket.await.expect("the address is free");
+            let sent = socket.send_to(&removal, daemon).await;
+            sent.expect("the datagram is sent");
+        });
+        let mut elapsed_ms = 0;
+        for at_ms in [100, 800, 2_300, 2_600] {
+            fleet.wait(Duration::from_millis(at_ms - elapsed_ms));
+            elapsed_ms = at_ms;
+            let is_in_use = fleet.ask_each_daemon(&format!("at-{at_ms}")) == 1;
+            assert_eq!(
+                is_in_use,
+                at_ms < in_use_for_ms,
+                "kind {kind}, {tail:?}, {at_ms} ms"
+            );
+        }
+    }
+}
