Health, waits: two comments that had to be read twice

The module comment of health lost a verb when two sentences were joined; the reason why a slow back end is not recorded as silent names its subject now.

--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -11,9 +11,9 @@
 //! first sign of life ends the ejection, and until [`SHORT_SILENCE`] has passed it is expected to
 //! come back. A refused connection or an unhealthy answer shows a failure.
 //!
-//! After any other ejection, and after a longer silence, a successful health check the back end is reinstated on trial: it receives one request at
-//! a time until `TRIAL_SUCCESSES` requests have succeeded. A health check may succeed although
-//! requests fail, so the first request on trial without a complete response ejects the back end
+//! After any other ejection, and after a longer silence, a successful health check reinstates the
+//! back end on trial: it receives one request at a time until `TRIAL_SUCCESSES` requests have
+//! succeeded. A health check may succeed although requests fail, so the first request on trial without a complete response ejects the back end
 //! again. The delay before the next health check grows with each ejection and each failed or
 //! postponed check.
 //!
--- a/crates/serving/src/pipeline/wait_policy.rs
+++ b/crates/serving/src/pipeline/wait_policy.rs
@@ -236,7 +236,8 @@
                 wait.ask_again_at = None;
                 continue;
             };
-            // One that answers others is only slow, unless the request leaves it.
+            // A back end that answers other requests is only slow; it counts as silent if the request
+            // leaves it.
             let answers_others = self.active_since(back_end, wait.started_at);
             if finding != WaitEnd::Silent || !answers_others {
                 self.record_finding(&mut wait, job, back_end, finding);
