--- /dev/null
+++ b/crates/serve/tests/stream_versions.rs
@@ -0,0 +1,269 @@
+//! Streams while engines of two software versions serve: a stream goes on only at the version that
+//! began it.
+
+mod support;
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use http::StatusCode;
+use ponddrift_platform_stand_ins::{
+    Answer, Behaviour, BrokenStream, ClientRequest, ClientStandIn, EngineStandIn,
+};
+use support::timed_requests::earn_retries;
+use support::{Fleet, FleetOptions};
+use tokio::time::sleep;
+
+/// Events of a stream in these tests.
+const STREAM_EVENTS: u64 = 12;
+/// Time between two of them, in milliseconds.
+const EVENT_GAP_MS: u64 = 100;
+/// When faults strike: all streams have events by then, and none has ended.
+const FAULT_DELAY: Duration = Duration::from_millis(600);
+/// Pause of a client before it tries again.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Total time of a client for a stream, in milliseconds.
+const DEADLINE_MS: u64 = 6_000;
+
+/// Version of the second half of the engines.
+const NEW_VERSION: &str = "v2";
+
+/// What a client got over all of its tries.
+struct Taken {
+    tries: Vec<Option<Answer>>,
+}
+
+impl Taken {
+    /// Versions of the engines whose events the client holds, in their order.
+    fn versions(&self) -> Vec<String> {
+        let answers = self.tries.iter().flatten();
+        let mut versions: Vec<String> = answers.flat_map(Answer::versions).collect();
+        versions.dedup();
+        versions
+    }
+
+    /// Whether it got all events, each once.
+    fn is_whole(&self) -> bool {
+        let answers = self.tries.iter().flatten();
+        let text: String = answers.map(|answer| whole_events(answer)).collect();
+        let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+        let ids: Vec<u64> = ids.filter_map(|id| id.parse().ok()).collect();
+        ids == (1..=STREAM_EVENTS).collect::<Vec<u64>>()
+    }
+
+    /// Whether a later try went on with a stream that has events.
+    fn was_taken_up(&self) -> bool {
+        self.tries.len() > 1
+            && self.tries[0]
+                .as_ref()
+                .is_some_and(|answer| answer.last_event().is_some())
+    }
+
+    fn end(&self) -> String {
+        let ends = self.tries.iter().map(|answer| match answer {
+            None => String::from("closed"),
+            Some(answer) if answer.status == StatusCode::OK => {
+                format!("{:?} up to {:?}", answer.versions(), answer.last_event())
+            }
+            Some(answer) => format!("{} {}", answer.status, answer.text()),
+        });
+        ends.collect::<Vec<String>>().join(", then ")
+    }
+}
+
+fn whole_events(answer: &Answer) -> String {
+    let text = answer.text();
+    text.rsplit_once("\n\n")
+        .map_or(String::new(), |(events, _rest)| format!("{events}\n"))
+}
+
+fn is_whole_stream(answer: Option<&Answer>) -> bool {
+    answer.is_some_and(|answer| answer.status == StatusCode::OK && answer.is_complete)
+}
+
+/// Sends a stream to the first of `targets`, and takes it up at the others until it is whole.
+async fn take_stream(
+    client: ClientStandIn,
+    targets: Vec<std::net::SocketAddr>,
+    request: ClientRequest,
+) -> Taken {
+    let mut tries: Vec<Option<Answer>> = Vec::new();
+    let mut begun_by: Option<String> = None;
+    let mut last_event = None;
+    for (number, target) in targets.into_iter().enumerate() {
+        let id = format!("{}-try-{number}", request.id);
+        let takes_up = begun_by.clone().zip(last_event);
+        let attempt = ClientRequest {
+            id: id.clone(),
+            takes_up: takes_up.map(|(request, last_event)| BrokenStream {
+                request,
+                last_event,
+            }),
+            ..request.clone()
+        };
+        let answer = client.ask(target, &attempt).await;
+        let is_whole = is_whole_stream(answer.as_ref());
+        if let Some(event) = answer.as_ref().and_then(Answer::last_event) {
+            last_event = Some(event);
+            begun_by.get_or_insert(id);
+        }
+        tries.push(answer);
+        if is_whole {
+            break;
+        }
+        sleep(RETRY_PAUSE).await;
+    }
+    Taken { tries }
+}
+
+/// A fleet whose decode engines are of two versions in turn.
+fn fleet_of_two_versions(daemons: u8, decode: u8) -> Fleet {
+    let mut fleet = Fleet::new(FleetOptions {
+        daemons,
+        prefill: 0,
+        decode,
+        zones: 3.min(daemons),
+        ..FleetOptions::default()
+    });
+    let newer = fleet.decode.iter().skip(1).step_by(2);
+    for engine in newer {
+        engine.set_version(NEW_VERSION);
+        engine.record(&fleet.store, "ready");
+    }
+    fleet.wait(Duration::from_millis(300));
+    earn_retries(&mut fleet, usize::from(daemons));
+    for engine in &fleet.decode {
+        engine.set_default_behaviour(Behaviour::Stream {
+            events: STREAM_EVENTS,
+            gap_ms: EVENT_GAP_MS,
+        });
+    }
+    fleet
+}
+
+/// Sends `count` streams to the first daemon beside `faults`; clients take them up at the others.
+fn take_streams(fleet: &mut Fleet, count: usize, faults: impl Future<Output = ()>) -> Vec<Taken> {
+    let client = fleet.client.clone();
+    let addresses = fleet.daemons.iter().map(|daemon| daemon.callers_address);
+    let addresses: Vec<_> = addresses.collect();
+    fleet.run(async move {
+        let streams = (0..count).map(|number| {
+            let mut targets = vec![addresses[0]];
+            let others = &addresses[1..];
+            if !others.is_empty() {
+                targets.push(others[number % others.len()]);
+                targets.push(others[(number + 1) % others.len()]);
+            }
+            let request = ClientRequest {
+                deadline_ms: DEADLINE_MS,
+                ..ClientRequest::prompt(&format!("stream-{number}"), "tag", 40, 200)
+            };
+            take_stream(client.clone(), targets, request)
+        });
+        let (taken, ()) = futures::join!(join_all(streams), faults);
+        taken
+    })
+}
+
+fn assert_one_version_each(taken: &[Taken], case: &str) {
+    let mixed = taken.iter().filter(|taken| taken.versions().len() > 1);
+    let mixed: Vec<String> = mixed.map(Taken::end).collect();
+    assert!(
+        mixed.is_empty(),
+        "{case}: {} of {} streams hold events of two versions: {mixed:#?}",
+        mixed.len(),
+        taken.len()
+    );
+}
+
+/// Asserts that this share of the streams that clients took up went on to their ends.
+fn assert_share_taken_up(taken: &[Taken], share: f64, case: &str) {
+    let taken_up: Vec<&Taken> = taken.iter().filter(|taken| taken.was_taken_up()).collect();
+    assert!(taken_up.len() >= 12, "{case}: {} taken up", taken_up.len());
+    let whole = taken_up.iter().filter(|taken| taken.is_whole()).count();
+    let ends: Vec<String> = taken_up
+        .iter()
+        .filter(|taken| !taken.is_whole())
+        .map(|taken| taken.end())
+        .collect();
+    #[expect(clippy::cast_precision_loss, reason = "a few streams")]
+    let share_whole = whole as f64 / taken_up.len() as f64;
+    assert!(
+        share_whole >= share,
+        "{case}: {whole} of {} went on: {ends:#?}",
+        taken_up.len()
+    );
+}
+
+#[test]
+fn streams_of_a_killed_daemon_go_on_at_the_version_that_began_them() {
+    for daemons in [3, 9] {
+        let mut fleet = fleet_of_two_versions(daemons, 8);
+        let (simulation, host) = (fleet.simulation.handle(), fleet.daemons[0].host);
+        let kill = async move {
+            sleep(FAULT_DELAY).await;
+            simulation.kill(host);
+        };
+        let taken = take_streams(&mut fleet, 20, kill);
+        let case = format!("{daemons} daemons");
+        assert_one_version_each(&taken, &case);
+        assert_share_taken_up(&taken, 0.9, &case);
+    }
+}
+
+#[test]
+fn streams_of_a_killed_engine_go_on_at_the_version_that_began_them() {
+    let mut fleet = fleet_of_two_versions(1, 8);
+    let (simulation, host) = (fleet.simulation.handle(), fleet.decode_hosts[0]);
+    let kill = async move {
+        sleep(FAULT_DELAY).await;
+        simulation.kill(host);
+    };
+    let taken = take_streams(&mut fleet, 24, kill);
+    assert_one_version_each(&taken, "in one answer");
+    assert!(taken.iter().all(Taken::is_whole));
+}
+
+#[test]
+fn streams_beside_a_silence_go_on_at_the_version_that_began_them() {
+    let mut fleet = fleet_of_two_versions(1, 8);
+    let simulation = fleet.simulation.handle();
+    let silent: Vec<_> = fleet.decode_hosts[..2].to_vec();
+    let silence = async move {
+        sleep(FAULT_DELAY).await;
+        for host in &silent {
+            simulation.freeze(*host);
+        }
+        sleep(Duration::from_secs(3)).await;
+        for host in &silent {
+            simulation.thaw(*host);
+        }
+    };
+    let taken = take_streams(&mut fleet, 24, silence);
+    assert_one_version_each(&taken, "beside a silence");
+    assert!(taken.iter().all(Taken::is_whole));
+}
+
+/// Without an engine of their version, streams end; they don't go on at another one.
+#[test]
+fn streams_whose_version_is_gone_are_refused_at_once() {
+    let mut fleet = fleet_of_two_versions(3, 4);
+    let (simulation, store) = (fleet.simulation.handle(), fleet.store.clone());
+    let old: Vec<(EngineStandIn, _)> = fleet
+        .decode_engines_and_hosts()
+        .into_iter()
+        .step_by(2)
+        .collect();
+    let upgrade = async move {
+        sleep(FAULT_DELAY).await;
+        for (engine, host) in &old {
+            engine.remove_entry(&store);
+            simulation.kill(*host);
+        }
+    };
+    let begun = fleet.simulation.handle().elapsed();
+    let taken = take_streams(&mut fleet, 20, upgrade);
+    assert_one_version_each(&taken, "an upgrade");
+    let took = fleet.simulation.handle().elapsed() - begun;
+    assert!(took < Duration::from_secs(3), "{took:?}");
+}
