Logs name the software version of back ends and the stream that a request takes up

Cause: neither log nor metric told a stream that goes on at another version from one that goes on at its own, nor a client's later try from a new request. Change: the version of an entry is part of the directory, a type of its own; 'placed' names it, the line at the end of a request names 'resumes' and 'resume_after'. No decision reads it yet.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -13,6 +13,7 @@
 use crate::configuration::Stage;
 use crate::revision::Revision;
 use crate::store_doubt::REWRITE_PERIOD;
+use crate::versions::SoftwareVersion;
 pub(crate) use ready_sets::owner_score;
 use ready_sets::{LocalDaemon, ReadySet};
 pub use ready_sets::{MAX_CANDIDATES_PER_STAGE, ReadyCounts};
@@ -94,6 +95,8 @@
     pub address: SocketAddr,
     /// Zone that it runs in.
     pub zone: Arc<str>,
+    /// Version of the software that this incarnation runs.
+    pub version: SoftwareVersion,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it accepts new requests.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -65,3 +65,4 @@
 pub mod tenants;
 pub mod topology;
 pub mod usage;
+pub mod versions;
--- a/crates/fleet/tests/candidates.rs
+++ b/crates/fleet/tests/candidates.rs
@@ -35,6 +35,7 @@
         service: Arc::from(SERVICE),
         address: SocketAddr::from(([10, 0, 0, 1], 8080)),
         zone: Arc::from(ZONES[number % ZONES.len()]),
+        version: ponddrift_fleet::versions::SoftwareVersion::default(),
         slots: 12,
         lifecycle: Lifecycle::Ready,
         stage: Some(stage),
--- a/crates/fleet/tests/decisions.rs
+++ b/crates/fleet/tests/decisions.rs
@@ -26,6 +26,7 @@
         service: Arc::from("s"),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
         zone: Arc::from("a"),
+        version: ponddrift_fleet::versions::SoftwareVersion::default(),
         slots: 1,
         lifecycle,
         stage: None,
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -24,6 +24,7 @@
         service: Arc::from("models"),
         address: SocketAddr::from(([10, 0, 0, number], 8080)),
         zone: Arc::from("a"),
+        version: ponddrift_fleet::versions::SoftwareVersion::default(),
         slots: 32,
         lifecycle: Lifecycle::Ready,
         stage: Some(stage),
--- a/crates/fleet/tests/unusable_entries.rs
+++ b/crates/fleet/tests/unusable_entries.rs
@@ -22,6 +22,7 @@
         service: Arc::from("records"),
         address: "10.0.0.1:80".parse().expect("an address"),
         zone: Arc::from("z"),
+        version: ponddrift_fleet::versions::SoftwareVersion::default(),
         slots: 1,
         lifecycle,
         stage: None,
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -25,6 +25,8 @@
     pub prompt: Option<Prompt>,
     /// ID of the last event that the caller has; the stream continues after it.
     pub resume_after: Option<u64>,
+    /// ID of the request that brought the first event of the stream that this one takes up.
+    pub resumes: Option<Arc<str>>,
     /// Credential of the caller.
     pub credential: Credential,
 }
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -307,6 +307,7 @@
                 "serve"
             },
             back_end: Arc::clone(&prompt_engine.id),
+            software: prompt_engine.version.clone(),
             expected_ms: plan.expected_ms,
             tokens_to_read: plan.tokens_to_read,
             requests_there: placement.load.requests(&prompt_engine.id),
@@ -526,6 +527,7 @@
         job.trace.add(TraceStep::BackEndChosen {
             purpose: "decode",
             back_end: Arc::clone(&chosen.id),
+            software: chosen.version.clone(),
             expected_ms: plan.expected_ms,
             tokens_to_read: 0.0,
             requests_there: placement.load.requests(&chosen.id),
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -69,6 +69,8 @@
             back_ends = $job.trace.back_ends(),
             sends = $job.delivered_sends,
             runs = $job.runs,
+            resumes = $job.metadata.resumes.as_deref(),
+            resume_after = $job.metadata.resume_after,
             fingerprint = $job.fingerprint.get().map(ToString::to_string),
             "request_ended"
         )
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -222,6 +222,7 @@
         job.trace.add(TraceStep::BackEndChosen {
             purpose: SERVE,
             back_end: Arc::clone(&chosen.id),
+            software: chosen.version.clone(),
             expected_ms: placement.speed.plain_ms(&chosen.id).unwrap_or_default(),
             tokens_to_read: 0.0,
             requests_there: placement.load.requests(&chosen.id),
--- a/crates/serving/src/request_trace.rs
+++ b/crates/serving/src/request_trace.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use ponddrift_fleet::placement::StreamPlacement;
+use ponddrift_fleet::versions::SoftwareVersion;
 
 use crate::time::now;
 
@@ -26,6 +27,8 @@
         purpose: &'static str,
         /// ID of the chosen back end.
         back_end: Arc<str>,
+        /// Version of its software.
+        software: SoftwareVersion,
         /// Expected time to the first event, in milliseconds.
         expected_ms: f64,
         /// Tokens that the back end is expected to prefill.
@@ -163,6 +166,7 @@
         TraceStep::BackEndChosen {
             purpose,
             back_end,
+            software,
             expected_ms,
             tokens_to_read,
             requests_there,
@@ -176,6 +180,7 @@
                 at_ms,
                 purpose,
                 back_end = &**back_end,
+                %software,
                 expected_ms = rounded(*expected_ms),
                 tokens_to_read = rounded(*tokens_to_read),
                 requests_there,
