A stream that a daemon resumes stays at the version that began it

Callers saw streams whose events came from engines of two software versions. Cause: whether two back ends are interchangeable for a stream depends on their version, and the candidates of a request were all ready back ends of its service. Change: a request states the version that it needs, a type of its own with 'unknown' as a value. The directory leaves other back ends out before it bounds the candidates, so that a daemon of a large fleet finds the few that fit. A stream is bound to the version of its first event. If no back end runs it any more, the stream ends at once. An engine that turns out to have started again with other software under its ID is left before its first event.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -13,7 +13,7 @@
 use crate::configuration::Stage;
 use crate::revision::Revision;
 use crate::store_doubt::REWRITE_PERIOD;
-use crate::versions::SoftwareVersion;
+use crate::versions::{RequiredVersion, SoftwareVersion};
 pub(crate) use ready_sets::owner_score;
 use ready_sets::{LocalDaemon, ReadySet};
 pub use ready_sets::{MAX_CANDIDATES_PER_STAGE, ReadyCounts};
@@ -191,10 +191,27 @@
     pub prefix: Option<u64>,
     /// Back ends that probably hold this prefix in their cache.
     pub holders: &'a [Arc<str>],
+    /// Version that the back ends must run.
+    pub version: &'a RequiredVersion,
     /// Eligibility of a back end as far as this daemon knows.
     pub eligibility: &'a dyn Fn(&BackEnd) -> Eligibility,
 }
 
+impl CandidateQuery<'_> {
+    /// Eligibility of a back end, of whatever version.
+    fn eligibility_of(&self, back_end: &BackEnd) -> Eligibility {
+        if self.version.admits(&back_end.version) {
+            (self.eligibility)(back_end)
+        } else {
+            Eligibility::Excluded
+        }
+    }
+
+    fn keep_admitted(&self, back_ends: &mut Vec<Arc<BackEnd>>) {
+        back_ends.retain(|back_end| self.version.admits(&back_end.version));
+    }
+}
+
 /// Candidates for one request.
 #[derive(Debug, Clone, Default)]
 pub struct Candidates {
@@ -394,8 +411,9 @@
     #[must_use]
     pub fn candidates(&self, query: &CandidateQuery<'_>, now: Instant) -> Candidates {
         if self.has_unconfirmed_removals(now) {
-            let back_ends = self.ready(query.service, now);
+            let mut back_ends = self.ready(query.service, now);
             let ready = ReadyCounts::of(&back_ends);
+            query.keep_admitted(&mut back_ends);
             return Candidates { back_ends, ready };
         }
         let Some(set) = self.ready.get(query.service) else {
@@ -403,7 +421,7 @@
         };
         let first_zone = query.zone.unwrap_or(&self.local.zone);
         let zones = set.zones_in_order(first_zone, &self.local);
-        let mut back_ends = set.preferred(&zones, query.eligibility);
+        let mut back_ends = set.preferred(&zones, &|back_end| query.eligibility_of(back_end));
         let owners = query.prefix.map(|prefix| set.owners(prefix, query.zone));
         let holders = self.ready_among(query.service, query.holders);
         for other in owners.unwrap_or_default().into_iter().chain(holders) {
@@ -411,6 +429,7 @@
                 back_ends.push(other);
             }
         }
+        query.keep_admitted(&mut back_ends);
         Candidates {
             back_ends,
             ready: set.counts(),
@@ -428,6 +447,21 @@
             .collect()
     }
 
+    /// Whether a back end of `service` that runs an admitted version accepts new requests, or may
+    /// do so again because its removal is unconfirmed. Takes time in proportion to the number of
+    /// back ends.
+    #[must_use]
+    pub fn has_version(&self, service: &str, version: &RequiredVersion, now: Instant) -> bool {
+        let ready = self
+            .present()
+            .filter(|back_end| back_end.lifecycle == Lifecycle::Ready)
+            .filter(|back_end| &*back_end.service == service);
+        let unconfirmed = self.unconfirmed(service, now);
+        ready
+            .chain(&unconfirmed)
+            .any(|back_end| version.admits(&back_end.version))
+    }
+
     /// Whether the directory permits sending a new request to the back end: it is ready, or its
     /// removal is unconfirmed.
     #[must_use]
--- a/crates/fleet/tests/candidates.rs
+++ b/crates/fleet/tests/candidates.rs
@@ -14,6 +14,7 @@
 };
 use ponddrift_fleet::revision::{Era, Revision};
 use ponddrift_fleet::store_doubt::REWRITE_PERIOD;
+use ponddrift_fleet::versions::RequiredVersion;
 
 /// Revision `number` of the first era.
 fn at(number: u64) -> Revision {
@@ -54,6 +55,7 @@
 
 fn choose(directory: &Directory, prefix: Option<u64>, holders: &[Arc<str>]) -> Candidates {
     let query = CandidateQuery {
+        version: &RequiredVersion::Any,
         service: SERVICE,
         zone: None,
         prefix,
@@ -82,6 +84,7 @@
         let directory = fleet(engines, "a", 7);
         let looked_at = Cell::new(0);
         let query = CandidateQuery {
+            version: &RequiredVersion::Any,
             service: SERVICE,
             zone: None,
             prefix: Some(3),
@@ -126,6 +129,7 @@
 fn back_ends_of_the_requested_zone_are_preferred() {
     let directory = fleet(10_000, "b", 7);
     let query = CandidateQuery {
+        version: &RequiredVersion::Any,
         service: SERVICE,
         zone: Some("c"),
         prefix: None,
@@ -141,6 +145,7 @@
 fn other_zones_are_used_if_none_of_the_own_zone_is_usable() {
     let directory = fleet(10_000, "b", 7);
     let query = CandidateQuery {
+        version: &RequiredVersion::Any,
         service: SERVICE,
         zone: None,
         prefix: None,
@@ -161,6 +166,7 @@
 fn back_ends_usable_only_at_need_are_candidates_if_there_are_no_others() {
     let directory = fleet(1_000, "b", 7);
     let query = CandidateQuery {
+        version: &RequiredVersion::Any,
         service: SERVICE,
         zone: None,
         prefix: None,
@@ -267,6 +273,7 @@
         directory.remove(&engine(number).id, at(2), now, Some(now + REWRITE_PERIOD));
     }
     let query = CandidateQuery {
+        version: &RequiredVersion::Any,
         service: SERVICE,
         zone: None,
         prefix: None,
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -22,6 +22,7 @@
 use ponddrift_fleet::store_doubt::OutageReport;
 use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
+use ponddrift_fleet::versions::RequiredVersion;
 
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
@@ -175,6 +176,21 @@
         newest.is_some_and(|newest| newest.incarnation > known.incarnation)
     }
 
+    /// Whether the entry of the back end shows another software than the given one: it has started
+    /// again under its ID.
+    #[must_use]
+    pub fn has_other_software(&self, known: &BackEnd) -> bool {
+        let inner = self.lock();
+        let newest = inner.directory.get(&known.id);
+        newest.is_some_and(|newest| newest.version != known.version)
+    }
+
+    /// Whether a back end of `service` with an admitted version serves, or may serve again soon.
+    #[must_use]
+    pub fn has_version(&self, service: &str, version: &RequiredVersion, now: Instant) -> bool {
+        self.lock().directory.has_version(service, version, now)
+    }
+
     /// Whether the back end may get a new request, according to its entry.
     #[must_use]
     pub fn accepts_requests(&self, id: &str, now: Instant) -> bool {
--- a/crates/serving/src/pipeline/candidates.rs
+++ b/crates/serving/src/pipeline/candidates.rs
@@ -27,6 +27,7 @@
             zone,
             prefix,
             holders: &holders.unwrap_or_default(),
+            version: &job.required_version,
             eligibility: &eligibility,
         };
         let candidates = self.state.candidates(&query, now);
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -12,6 +12,7 @@
 use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{PrefixState, PromptPlan, PromptReading, PromptTime, Urgency};
+use ponddrift_fleet::versions::RequiredVersion;
 
 use super::Pipeline;
 use super::attempt::SERVE;
@@ -79,6 +80,11 @@
                 return self.no_first_event(job, &send, reason);
             }
         };
+        if job.required_version != RequiredVersion::Any
+            && self.state.has_other_software(&send.decode)
+        {
+            return self.no_first_event(job, &send, "other_software");
+        }
         let StreamSend {
             plan,
             decode,
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -12,6 +12,7 @@
 use ponddrift_fleet::placement::{
     DecodeRequest, HandOver, OfferedRequest, Placement, PromptPlan, PromptRequest, Urgency,
 };
+use ponddrift_fleet::versions::RequiredVersion;
 use ponddrift_http::body::{self, Body};
 use rand::RngExt;
 
@@ -61,6 +62,10 @@
 /// Maximum share of the latency target that a request may wait for this daemon's network link.
 const MAX_LINK_WAIT_SHARE: f64 = 0.5;
 
+/// Why a stream can't go on: what two versions of the software write doesn't fit together.
+const VERSION_GONE: &str =
+    "no engine runs the software that began this stream: ask for a new stream";
+
 /// How one round of opening a stream ended.
 enum Round {
     Attempt(OpenAttempt),
@@ -194,6 +199,10 @@
         if job.time_left() <= MIN_TIME_FOR_SEND || !job.may_run_again() {
             return Round::NoFurtherSend;
         }
+        if !self.may_go_on(job) {
+            progress.failure = Failure::NotRun(VERSION_GONE);
+            return Round::NoFurtherSend;
+        }
         job.run_stage.set(RunStage::None);
         self.check_silent_runs(job).await;
         if let Err(refusal) = self.may_run_now(job) {
@@ -244,6 +253,23 @@
         Round::Attempt(self.stream_attempt(job, plan, handle, resume_after).await)
     }
 
+    /// What the rest of a stream needs whose events come from this back end. Its version is not known
+    /// if it has started again with other software since it was chosen.
+    pub(super) fn version_of_events(&self, back_end: &BackEnd) -> RequiredVersion {
+        if self.state.has_other_software(back_end) {
+            return RequiredVersion::Unknown;
+        }
+        RequiredVersion::of_stream_begun_at(&back_end.version)
+    }
+
+    /// Whether a back end may go on with the stream, now or soon; true for a new stream.
+    fn may_go_on(&self, job: &Job) -> bool {
+        job.required_version == RequiredVersion::Any
+            || self
+                .state
+                .has_version(&job.service.name, &job.required_version, now())
+    }
+
     /// Whether the backlog on this daemon's network link alone would make a request late that no
     /// engine has run. Requests on the link are not ordered by priority. The caller is refused, so
     /// that it retries at another daemon, which may have capacity.
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -11,6 +11,7 @@
 use ponddrift_fleet::configuration::{RequestKind, Route};
 use ponddrift_fleet::placement::Urgency;
 use ponddrift_fleet::tenants::{Credential, Tenant};
+use ponddrift_fleet::versions::RequiredVersion;
 use ponddrift_http::body::{self, Body, ReadError};
 
 use super::Pipeline;
@@ -192,6 +193,7 @@
             runs: 0,
             silent_runs: Vec::new(),
             ended_runs: Vec::new(),
+            required_version: RequiredVersion::Any,
             tried: Vec::new(),
             had_timeout: false,
             open_send: None,
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -12,6 +12,7 @@
     LatencyTargets, Placement, StreamNeeds, StreamPlacement, Urgency,
 };
 use ponddrift_fleet::tenants::Tenant;
+use ponddrift_fleet::versions::RequiredVersion;
 
 use super::Pipeline;
 use super::attempt::{OpenSend, PREFILL};
@@ -74,6 +75,8 @@
     pub(super) silent_runs: Vec<OpenSend>,
     /// Back ends of runs that are known to have ended since. These do not count as attempts.
     pub(super) ended_runs: Vec<Arc<str>>,
+    /// Software that a back end must run to go on with the stream.
+    pub(super) required_version: RequiredVersion,
     /// Back ends that must not be tried again.
     pub(super) tried: Vec<Arc<str>>,
     /// Whether a back end did not answer in time. Later sends use new connections, because idle
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -105,6 +105,7 @@
         let mut job = job;
         // Back ends that refused the request may have capacity by the time it is resumed.
         job.tried = vec![Arc::clone(&stream.back_end.id)];
+        job.required_version = pipeline.version_of_events(&stream.back_end);
         Self {
             pipeline: Arc::clone(pipeline),
             job,
