Prompts are read and decoded at engines of one software version

Found by looking for the same cause elsewhere: a prompt read at one version was decoded, and a cached prefix fetched, at another. The platform's pages say that what two versions write doesn't fit together. Cause: a plan combined any prefill engine, decode engine and holder of a prefix. Change: a prompt is planned among the engines of each version, and the cheapest plan is taken. Versions none of whose decode engines is in the best state are left out, as such engines were before. With one version nothing changes. Measured: new test, 24 long prompts; before, the first one was decoded at the other version.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -12,6 +12,7 @@
 mod link;
 mod load;
 mod metering;
+mod plan_engines;
 mod prefixes;
 mod prompt_times;
 mod reading;
@@ -47,6 +48,7 @@
 pub use learning::PromptTime;
 pub use link::LocalLink;
 pub use load::{LoadTable, Outstanding, Urgency, WorkReport, WorkRow};
+use plan_engines::{PlanEngines, PlanWithCost};
 pub use prefixes::{MIN_PREFIX_TOKENS, PrefixMemory, PrefixState, PrefixUse, tracked_prefix};
 pub use prompt_times::{PromptDuration, PromptTimes};
 use reading::PrefillEstimator;
@@ -259,7 +261,8 @@
     }
 
     /// Chooses the engines for a prompt: either one decode engine for everything, or a prefill
-    /// engine followed by a decode engine, whichever is expected to cost less.
+    /// engine followed by a decode engine, whichever is expected to cost less. All engines of a plan
+    /// run the same software, because the KV cache of one version doesn't fit another.
     pub fn plan_prompt(
         &self,
         ready: &[Arc<BackEnd>],
@@ -268,51 +271,79 @@
         now: Instant,
         random: &mut impl Rng,
     ) -> Option<PromptPlan> {
-        let prompt = request.prompt;
-        let holders = self.holders(ready, prompt, now);
-        let decoders = self.usable(ready, tried, now, |back_end| {
-            back_end.stage != Some(Stage::Prefill)
-        });
-        let prefills = self.usable(ready, tried, now, |back_end| {
-            back_end.stage == Some(Stage::Prefill)
-        });
+        let engines = PlanEngines {
+            holders: self.holders(ready, request.prompt, now),
+            decoders: self.usable(ready, tried, now, |back_end| {
+                back_end.stage != Some(Stage::Prefill)
+            }),
+            prefills: self.usable(ready, tried, now, |back_end| {
+                back_end.stage == Some(Stage::Prefill)
+            }),
+        };
+        let plans = engines.by_version().into_iter();
+        let plans = plans.filter_map(|engines| self.plan_among(&engines, request, now, random));
+        plans
+            .min_by(|left, right| left.cost_ms.total_cmp(&right.cost_ms))
+            .map(|cheapest| cheapest.plan)
+    }
+
+    /// Plans a prompt among engines that run the same software.
+    fn plan_among(
+        &self,
+        engines: &PlanEngines,
+        request: &PromptRequest<'_>,
+        now: Instant,
+        random: &mut impl Rng,
+    ) -> Option<PlanWithCost> {
+        let PlanEngines {
+            holders,
+            decoders,
+            prefills,
+        } = engines;
         let reading = PrefillEstimator {
             placement: self,
             request,
-            holders: &holders,
-            excess_reading: self.excess_reading(&decoders, request.latency_targets),
+            holders,
+            excess_reading: self.excess_reading(decoders, request.latency_targets),
             link_wait_ms: self.link.wait_ms(now),
             decoding: self.decode_estimator(request.stream, now),
-            decode_arrivals_per_ms: self.arrivals_per_engine_per_ms(&decoders, Stage::Decode),
-            prefill_arrivals_per_ms: self.arrivals_per_engine_per_ms(&prefills, Stage::Prefill),
+            decode_arrivals_per_ms: self.arrivals_per_engine_per_ms(decoders, Stage::Decode),
+            prefill_arrivals_per_ms: self.arrivals_per_engine_per_ms(prefills, Stage::Prefill),
             now,
         };
-        let preferred_decoder = reading.preferred_engine(&decoders);
-        let direct = self.cheapest(&decoders, now, random, |back_end| {
+        let preferred_decoder = reading.preferred_engine(decoders);
+        let direct = self.cheapest(decoders, now, random, |back_end| {
             reading.estimate_at_decode(back_end, preferred_decoder)
         })?;
-        let preferred_prefill = reading.preferred_engine(&prefills);
-        let reader = self.cheapest(&prefills, now, random, |back_end| {
+        let preferred_prefill = reading.preferred_engine(prefills);
+        let reader = self.cheapest(prefills, now, random, |back_end| {
             reading.estimate_at_prefill(back_end, preferred_prefill)
         });
+        let direct_plan = |direct: Choice| PlanWithCost {
+            cost_ms: direct.cost_ms,
+            plan: reading.plan(None, direct.back_end, preferred_decoder, direct.time_ms),
+        };
         let Some(reader) = reader else {
-            return Some(reading.plan(None, direct.back_end, preferred_decoder, direct.time_ms));
+            return Some(direct_plan(direct));
         };
         let decode_request = DecodeRequest {
-            prompt: Some(prompt),
+            prompt: Some(request.prompt),
             hand_over: None,
             stream: request.stream,
         };
-        let decoder = self.cheapest_decoder(&decoders, &decode_request, now, random)?;
+        let decoder = self.cheapest_decoder(decoders, &decode_request, now, random)?;
         let time_ms = reader.time_ms + decoder.time_ms;
-        let is_direct_cheaper = reader.cost_ms + decoder.cost_ms >= direct.cost_ms;
+        let cost_ms = reader.cost_ms + decoder.cost_ms;
         let spares_streams =
             reading.should_spare_streams(&direct.back_end, preferred_decoder, time_ms);
-        if is_direct_cheaper && !spares_streams {
-            return Some(reading.plan(None, direct.back_end, preferred_decoder, direct.time_ms));
+        if cost_ms >= direct.cost_ms && !spares_streams {
+            return Some(direct_plan(direct));
         }
         let prefill = Some(reader.back_end);
-        Some(reading.plan(prefill, decoder.back_end, preferred_prefill, time_ms))
+        Some(PlanWithCost {
+            cost_ms,
+            plan: reading.plan(prefill, decoder.back_end, preferred_prefill, time_ms),
+        })
     }
 
     /// Engine on which all daemons place a prefix that is not cached yet. Skips rate-limited
--- a/crates/serve/tests/stream_versions.rs
+++ b/crates/serve/tests/stream_versions.rs
@@ -267,3 +267,42 @@
     let took = fleet.simulation.handle().elapsed() - begun;
     assert!(took < Duration::from_secs(3), "{took:?}");
 }
+
+/// The KV cache of one version doesn't fit an engine of another.
+#[test]
+fn prompts_are_decoded_at_the_version_that_read_them() {
+    const PROMPTS: usize = 24;
+    let mut fleet = Fleet::new(FleetOptions {
+        prefill: 2,
+        decode: 4,
+        ..FleetOptions::default()
+    });
+    let newer = [&fleet.prefill[1], &fleet.decode[1], &fleet.decode[3]];
+    for engine in newer {
+        engine.set_version(NEW_VERSION);
+        engine.record(&fleet.store, "ready");
+    }
+    fleet.wait(Duration::from_millis(300));
+    let client = fleet.client.clone();
+    let target = fleet.daemons[0].callers_address;
+    fleet.run(async move {
+        for number in 0..PROMPTS {
+            let request = ClientRequest {
+                deadline_ms: 5_000,
+                ..ClientRequest::prompt(&format!("long-{number}"), "verdict", 6_000, 900)
+            };
+            let answer = client.ask(target, &request).await.expect("an answer");
+            assert_eq!(answer.status, StatusCode::OK);
+        }
+    });
+    let readers = fleet.prefill.iter().flat_map(EngineStandIn::runs);
+    let readers: Vec<_> = readers.collect();
+    let decoded = fleet.decode.iter().flat_map(EngineStandIn::runs);
+    let handed_over: Vec<_> = decoded.filter(|run| run.source.is_some()).collect();
+    assert!(!handed_over.is_empty());
+    for run in handed_over {
+        let reader = readers.iter().find(|reader| reader.request == run.request);
+        let read_at = reader.map(|reader| reader.version.as_str());
+        assert_eq!(read_at, Some(run.version.as_str()), "{}", run.request);
+    }
+}
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -522,8 +522,13 @@
             return Arc::clone(&plan.decode);
         }
         let prompt_engine = plan.prefill.as_deref();
-        let candidates =
+        let mut candidates =
             self.candidates_near(job, prompt_engine.map(|prompt_engine| &*prompt_engine.zone));
+        if let Some(prompt_engine) = prompt_engine {
+            // The KV cache of one version doesn't fit an engine of another.
+            let decoders = &mut candidates.back_ends;
+            decoders.retain(|decoder| decoder.version == prompt_engine.version);
+        }
         let hand_over = prompt_engine
             .zip(job.metadata.prompt.as_ref())
             .zip(job.service.engine.as_ref())
