Streams that clients take up again go on at the version that began them

Callers saw events of two software versions in one stream: after the death of three daemons, 50 and 59 streams went on at another version, at the daemons to which their clients came back. Cause: what belongs to a stream ended with the connection that carried it. A request with 'Last-Event-Id' was placed like a new one; the stream that it names in 'Resumes' was not read. Change: before the first event is forwarded, the daemon records the service and version where the stream began, and sends the record to three daemons of different zones that follow from the stream's ID. A daemon that has no record asks six. Without a record, the stream goes on only if its service has had a single version for as long as streams last and the directory is up to date; otherwise it is refused at once, not run. Records expire when the caller can't come back any more; contradictory ones name no version. An ended version is refused at once as well.

--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -59,6 +59,12 @@
         matches!(self, Self::Safe | Self::Stream { resumable: true })
     }
 
+    /// Whether a stream of this kind may go on at another back end.
+    #[must_use]
+    pub const fn is_resumable_stream(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Name used in logs and metrics.
     #[must_use]
     pub const fn as_str(self) -> &'static str {
--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -13,7 +13,7 @@
 use crate::configuration::Stage;
 use crate::revision::Revision;
 use crate::store_doubt::REWRITE_PERIOD;
-use crate::versions::{RequiredVersion, SoftwareVersion};
+use crate::versions::{RequiredVersion, SoftwareVersion, VersionHistory};
 pub(crate) use ready_sets::owner_score;
 use ready_sets::{LocalDaemon, ReadySet};
 pub use ready_sets::{MAX_CANDIDATES_PER_STAGE, ReadyCounts};
@@ -166,6 +166,7 @@
     entries: IndexMap<Arc<str>, Entry>,
     local: LocalDaemon,
     ready: HashMap<Arc<str>, ReadySet>,
+    versions: VersionHistory,
     /// Time after which no removal is unconfirmed.
     unconfirmed_until: Option<Instant>,
 }
@@ -247,11 +248,12 @@
             }
             return PutOutcome::Superseded;
         }
-        self.insert_present(back_end, revision);
+        self.insert_present(back_end, revision, now);
         PutOutcome::Applied
     }
 
-    fn insert_present(&mut self, back_end: BackEnd, revision: Revision) {
+    fn insert_present(&mut self, back_end: BackEnd, revision: Revision, now: Instant) {
+        self.record_departed_version(&back_end.id, now);
         self.remove_from_ready_set(&back_end.id);
         let back_end = Arc::new(back_end);
         if back_end.lifecycle == Lifecycle::Ready {
@@ -265,7 +267,7 @@
 
     /// Applies a peer's entry for a back end whose entry here comes from a store restored from an
     /// older copy. Returns whether the peer's entry is newer and was applied.
-    pub fn put_from_peer(&mut self, back_end: BackEnd) -> bool {
+    pub fn put_from_peer(&mut self, back_end: BackEnd, now: Instant) -> bool {
         let Some(entry) = self.entries.get(&back_end.id) else {
             return false;
         };
@@ -275,7 +277,7 @@
         };
         if is_newer {
             let revision = entry.revision;
-            self.insert_present(back_end, revision);
+            self.insert_present(back_end, revision, now);
         }
         is_newer
     }
@@ -301,6 +303,13 @@
         true
     }
 
+    fn record_departed_version(&mut self, id: &str, now: Instant) {
+        if let Some(known) = self.entries.get(id).and_then(Entry::present) {
+            self.versions
+                .record_departure(&known.service, &known.version, now);
+        }
+    }
+
     fn remove_from_ready_set(&mut self, id: &str) {
         let Some(known) = self.entries.get(id).and_then(Entry::present) else {
             return;
@@ -364,6 +373,7 @@
         now: Instant,
         may_return_until: Option<Instant>,
     ) {
+        self.record_departed_version(id, now);
         self.remove_from_ready_set(id);
         let last = self.entries.get(id).and_then(Entry::present).cloned();
         let was_ready = last
@@ -462,6 +472,24 @@
             .any(|back_end| version.admits(&back_end.version))
     }
 
+    /// The version of the service's software if all back ends that had an entry after `since` stated
+    /// the same. Takes time in proportion to the number of back ends.
+    #[must_use]
+    pub fn sole_version(&self, service: &str, since: Instant) -> Option<Arc<str>> {
+        let present = self.present();
+        let present = present.filter(|back_end| &*back_end.service == service);
+        let mut versions = present
+            .map(|back_end| &back_end.version)
+            .chain(self.versions.seen_since(service, since));
+        let first = versions.next()?;
+        match first {
+            SoftwareVersion::Stated(version) if versions.all(|other| other == first) => {
+                Some(Arc::clone(version))
+            }
+            _ => None,
+        }
+    }
+
     /// Whether the directory permits sending a new request to the back end: it is ready, or its
     /// removal is unconfirmed.
     #[must_use]
@@ -514,8 +542,9 @@
             })
             .collect();
         for (back_end, revision) in &reappeared {
-            self.insert_present(BackEnd::clone(back_end), *revision);
+            self.insert_present(BackEnd::clone(back_end), *revision, now);
         }
+        self.versions.expire(now);
         self.entries.retain(|_id, entry| match &entry.presence {
             Presence::Present(_) => true,
             Presence::Removed(removal) => {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -62,6 +62,7 @@
 pub mod routes;
 pub mod stages;
 pub mod store_doubt;
+pub mod stream_origins;
 pub mod tenants;
 pub mod topology;
 pub mod usage;
--- a/crates/fleet/src/versions.rs
+++ b/crates/fleet/src/versions.rs
@@ -2,8 +2,10 @@
 //!
 //! Not to be confused with the versions of model weights and of the configuration, which are numbers.
 
+use std::collections::HashMap;
 use std::fmt;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 /// Version of the software that one incarnation of a back end runs.
 #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -58,3 +60,46 @@
         }
     }
 }
+
+/// When versions were last seen at back ends that have left or changed their software.
+#[derive(Debug, Default)]
+pub(crate) struct VersionHistory {
+    last_seen: HashMap<Arc<str>, HashMap<SoftwareVersion, Instant>>,
+}
+
+impl VersionHistory {
+    /// How long departures are remembered: longer than any stream lasts.
+    const RETENTION: Duration = Duration::from_secs(1_200);
+
+    /// Records that a back end of this version has left.
+    pub(crate) fn record_departure(
+        &mut self,
+        service: &Arc<str>,
+        version: &SoftwareVersion,
+        now: Instant,
+    ) {
+        let of_service = self.last_seen.entry(Arc::clone(service)).or_default();
+        of_service.insert(version.clone(), now);
+    }
+
+    /// Versions of the service that were seen after `since`.
+    pub(crate) fn seen_since(
+        &self,
+        service: &str,
+        since: Instant,
+    ) -> impl Iterator<Item = &SoftwareVersion> {
+        let of_service = self.last_seen.get(service).into_iter().flatten();
+        of_service
+            .filter(move |(_version, at)| **at >= since)
+            .map(|(version, _at)| version)
+    }
+
+    /// Forgets old departures.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        for of_service in self.last_seen.values_mut() {
+            of_service.retain(|_version, at| now.saturating_duration_since(*at) < Self::RETENTION);
+        }
+        self.last_seen
+            .retain(|_service, versions| !versions.is_empty());
+    }
+}
--- a/crates/fleet/tests/restored_directory.rs
+++ b/crates/fleet/tests/restored_directory.rs
@@ -128,10 +128,10 @@
         directory
     };
     let mut directory = restored();
-    assert!(directory.put_from_peer(back_end(2, Lifecycle::Draining)));
+    assert!(directory.put_from_peer(back_end(2, Lifecycle::Draining), now));
     assert!(!receives_requests(&directory, now));
     let mut directory = restored();
-    assert!(!directory.put_from_peer(back_end(1, Lifecycle::Draining)));
+    assert!(!directory.put_from_peer(back_end(1, Lifecycle::Draining), now));
     assert!(receives_requests(&directory, now));
     let mut directory = restored();
     assert!(directory.remove_from_peer("a", now));
--- a/crates/serve/tests/stream_versions.rs
+++ b/crates/serve/tests/stream_versions.rs
@@ -10,6 +10,7 @@
 use ponddrift_platform_stand_ins::{
     Answer, Behaviour, BrokenStream, ClientRequest, ClientStandIn, EngineStandIn,
 };
+use ponddrift_simulation::DatagramFaults;
 use support::timed_requests::earn_retries;
 use support::{Fleet, FleetOptions};
 use tokio::time::sleep;
@@ -22,6 +23,8 @@
 const FAULT_DELAY: Duration = Duration::from_millis(600);
 /// Pause of a client before it tries again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Gap after which a client gives up a try.
+const EVENT_GAP_LIMIT: Duration = Duration::from_secs(2);
 /// Total time of a client for a stream, in milliseconds.
 const DEADLINE_MS: u64 = 6_000;
 
@@ -45,7 +48,7 @@
     /// Whether it got all events, each once.
     fn is_whole(&self) -> bool {
         let answers = self.tries.iter().flatten();
-        let text: String = answers.map(|answer| whole_events(answer)).collect();
+        let text: String = answers.map(whole_events).collect();
         let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
         let ids: Vec<u64> = ids.filter_map(|id| id.parse().ok()).collect();
         ids == (1..=STREAM_EVENTS).collect::<Vec<u64>>()
@@ -101,7 +104,9 @@
             }),
             ..request.clone()
         };
-        let answer = client.ask(target, &attempt).await;
+        let answer = client
+            .ask_patiently(target, &attempt, EVENT_GAP_LIMIT)
+            .await;
         let is_whole = is_whole_stream(answer.as_ref());
         if let Some(event) = answer.as_ref().and_then(Answer::last_event) {
             last_event = Some(event);
@@ -132,27 +137,41 @@
     }
     fleet.wait(Duration::from_millis(300));
     earn_retries(&mut fleet, usize::from(daemons));
+    set_streams(&fleet);
+    fleet
+}
+
+fn set_streams(fleet: &Fleet) {
     for engine in &fleet.decode {
         engine.set_default_behaviour(Behaviour::Stream {
             events: STREAM_EVENTS,
             gap_ms: EVENT_GAP_MS,
         });
     }
-    fleet
 }
 
 /// Sends `count` streams to the first daemon beside `faults`; clients take them up at the others.
 fn take_streams(fleet: &mut Fleet, count: usize, faults: impl Future<Output = ()>) -> Vec<Taken> {
+    let others: Vec<usize> = (1..fleet.daemons.len()).collect();
+    take_streams_at(fleet, count, &others, faults)
+}
+
+/// Like [`take_streams`]; clients take the streams up at the daemons with these numbers.
+fn take_streams_at(
+    fleet: &mut Fleet,
+    count: usize,
+    others: &[usize],
+    faults: impl Future<Output = ()>,
+) -> Vec<Taken> {
     let client = fleet.client.clone();
     let addresses = fleet.daemons.iter().map(|daemon| daemon.callers_address);
     let addresses: Vec<_> = addresses.collect();
     fleet.run(async move {
         let streams = (0..count).map(|number| {
             let mut targets = vec![addresses[0]];
-            let others = &addresses[1..];
             if !others.is_empty() {
-                targets.push(others[number % others.len()]);
-                targets.push(others[(number + 1) % others.len()]);
+                targets.push(addresses[others[number % others.len()]]);
+                targets.push(addresses[others[(number + 1) % others.len()]]);
             }
             let request = ClientRequest {
                 deadline_ms: DEADLINE_MS,
@@ -244,6 +263,190 @@
     assert!(taken.iter().all(Taken::is_whole));
 }
 
+#[test]
+fn streams_of_a_zone_without_power_go_on_at_the_version_that_began_them() {
+    let mut fleet = fleet_of_two_versions(9, 8);
+    let simulation = fleet.simulation.handle();
+    // Daemons are in the three zones in turn; clients try the others.
+    let zone: Vec<_> = [0, 3, 6].map(|daemon| fleet.daemons[daemon].host).to_vec();
+    let power_loss = async move {
+        sleep(FAULT_DELAY).await;
+        for host in zone {
+            simulation.power_off(host);
+        }
+    };
+    let taken = take_streams_at(&mut fleet, 20, &[1, 2, 4, 5, 7, 8], power_loss);
+    assert_one_version_each(&taken, "a zone without power");
+    assert_share_taken_up(&taken, 0.9, "a zone without power");
+}
+
+#[test]
+fn streams_go_on_at_their_version_although_messages_are_lost() {
+    let mut fleet = fleet_of_two_versions(9, 8);
+    let (simulation, host) = (fleet.simulation.handle(), fleet.daemons[0].host);
+    simulation.set_datagram_faults(DatagramFaults {
+        loss: 0.2,
+        ..DatagramFaults::default()
+    });
+    let kill = async move {
+        sleep(FAULT_DELAY).await;
+        simulation.kill(host);
+    };
+    let taken = take_streams(&mut fleet, 40, kill);
+    assert_one_version_each(&taken, "lost messages");
+    assert_share_taken_up(&taken, 0.9, "lost messages");
+}
+
+/// The stopping daemon takes longer for its streams than it is given.
+#[test]
+fn streams_cut_by_a_planned_stop_go_on_at_the_version_that_began_them() {
+    let mut fleet = fleet_of_two_versions(3, 8);
+    let (simulation, daemon) = (fleet.simulation.handle(), fleet.daemons[0].clone());
+    let stop = async move {
+        sleep(Duration::from_millis(300)).await;
+        daemon.terminate();
+        sleep(Duration::from_millis(300)).await;
+        simulation.kill(daemon.host);
+    };
+    let taken = take_streams(&mut fleet, 20, stop);
+    assert_one_version_each(&taken, "a planned stop");
+    assert_share_taken_up(&taken, 0.9, "a planned stop");
+}
+
+/// No daemon knows where the streams began: neither those that just started, nor one that reaches no
+/// other.
+#[test]
+fn streams_that_no_daemon_knows_are_refused_at_once() {
+    for are_all_restarted in [true, false] {
+        let mut fleet = fleet_of_two_versions(3, 8);
+        let simulation = fleet.simulation.handle();
+        let hosts: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.host).collect();
+        if !are_all_restarted {
+            simulation.partition(&hosts[..1], &hosts[1..]);
+        }
+        let kill = async move {
+            sleep(FAULT_DELAY).await;
+            let killed = if are_all_restarted {
+                &hosts[..]
+            } else {
+                &hosts[..1]
+            };
+            for host in killed {
+                simulation.kill(*host);
+                simulation.restart(*host);
+            }
+            sleep(Duration::from_millis(300)).await;
+        };
+        let begun = fleet.simulation.handle().elapsed();
+        let taken = take_streams(&mut fleet, 20, kill);
+        let took = fleet.simulation.handle().elapsed() - begun;
+        assert_one_version_each(&taken, &format!("all restarted: {are_all_restarted}"));
+        assert!(took < Duration::from_secs(4), "{took:?}");
+    }
+}
+
+/// A daemon whose directory is out of date must not take the only version that it knows for that of
+/// each stream.
+#[test]
+fn a_daemon_out_of_touch_does_not_go_on_at_the_version_that_it_knows() {
+    let mut fleet = fleet_of_two_versions(2, 4);
+    for engine in fleet.decode.iter().skip(1).step_by(2) {
+        engine.remove_entry(&fleet.store);
+    }
+    // Longer than streams last, so that the first daemon knows a single version.
+    fleet.wait(Duration::from_secs(40));
+    let simulation = fleet.simulation.handle();
+    let hosts: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.host).collect();
+    simulation.partition(&hosts[1..], &[fleet.store_host, hosts[0]]);
+    fleet.wait(Duration::from_secs(4));
+    for engine in fleet.decode.iter().skip(1).step_by(2) {
+        engine.record(&fleet.store, "ready");
+    }
+    for engine in fleet.decode.iter().step_by(2) {
+        engine.record(&fleet.store, "draining");
+    }
+    fleet.wait(Duration::from_millis(500));
+    let kill = async move {
+        sleep(FAULT_DELAY).await;
+        simulation.kill(hosts[0]);
+    };
+    let taken = take_streams_at(&mut fleet, 12, &[1], kill);
+    assert!(taken.iter().any(Taken::was_taken_up));
+    assert_one_version_each(&taken, "a daemon out of touch");
+}
+
+#[test]
+fn streams_go_on_without_a_record_if_there_was_only_one_version() {
+    let mut fleet = Fleet::new(FleetOptions {
+        daemons: 3,
+        prefill: 0,
+        decode: 4,
+        ..FleetOptions::default()
+    });
+    earn_retries(&mut fleet, 3);
+    set_streams(&fleet);
+    fleet.wait(Duration::from_secs(20));
+    let simulation = fleet.simulation.handle();
+    let hosts: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.host).collect();
+    // The first daemon can tell the others nothing.
+    simulation.partition(&hosts[..1], &hosts[1..]);
+    let kill = async move {
+        sleep(FAULT_DELAY).await;
+        simulation.kill(hosts[0]);
+    };
+    let taken = take_streams(&mut fleet, 20, kill);
+    assert_share_taken_up(&taken, 1.0, "a single version");
+}
+
+/// The engines' daemon reaches them through a peer only.
+#[test]
+fn streams_through_a_peer_go_on_at_the_version_that_began_them() {
+    let mut fleet = fleet_of_two_versions(3, 8);
+    let simulation = fleet.simulation.handle();
+    let daemon = fleet.daemons[0].host;
+    simulation.partition(&[daemon], &fleet.back_end_hosts());
+    let client = fleet.client.clone();
+    let target = fleet.daemons[0].callers_address;
+    fleet.run(async move {
+        for number in 0..12 {
+            let request = ClientRequest::plain(&format!("cut-{number}"), "fetch");
+            client.ask(target, &request).await;
+        }
+    });
+    let kill = async move {
+        sleep(Duration::from_millis(1_000)).await;
+        simulation.kill(daemon);
+    };
+    let taken = take_streams(&mut fleet, 20, kill);
+    assert_one_version_each(&taken, "through a peer");
+    assert_share_taken_up(&taken, 0.9, "through a peer");
+}
+
+/// Engines start again under their IDs and addresses with other software, before the store says so.
+#[test]
+fn streams_do_not_go_on_at_engines_that_came_back_with_other_software() {
+    let mut fleet = fleet_of_two_versions(1, 4);
+    let (simulation, store) = (fleet.simulation.handle(), fleet.store.clone());
+    let engines = fleet.decode_engines_and_hosts();
+    let upgrade = async move {
+        sleep(FAULT_DELAY).await;
+        let (engine, host) = &engines[0];
+        simulation.kill(*host);
+        engine.set_version(NEW_VERSION);
+        engine.start_new_incarnation(2);
+        simulation.restart(*host);
+        let (engine, host) = &engines[2];
+        simulation.kill(*host);
+        engine.set_version(NEW_VERSION);
+        engine.start_new_incarnation(2);
+        engine.record(&store, "ready");
+        simulation.restart(*host);
+        engines[0].0.record(&store, "ready");
+    };
+    let taken = take_streams(&mut fleet, 24, upgrade);
+    assert_one_version_each(&taken, "engines that came back");
+}
+
 /// Without an engine of their version, streams end; they don't go on at another one.
 #[test]
 fn streams_whose_version_is_gone_are_refused_at_once() {
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -20,6 +20,7 @@
 use ponddrift_fleet::revision::{Era, Revision};
 use ponddrift_fleet::routes::RouteTable;
 use ponddrift_fleet::store_doubt::OutageReport;
+use ponddrift_fleet::stream_origins::{RecorderCandidate, StreamOrigins};
 use ponddrift_fleet::tenants::TenantTable;
 use ponddrift_fleet::topology::{Member, Topology};
 use ponddrift_fleet::versions::RequiredVersion;
@@ -87,6 +88,7 @@
     own: Member,
     inner: Mutex<FleetView>,
     quarantine: Mutex<Quarantine>,
+    stream_origins: Mutex<StreamOrigins>,
     quarantine_changed: Notify,
     configuration_changed: Notify,
     read_progressed: Notify,
@@ -103,6 +105,7 @@
             own,
             inner,
             quarantine: Mutex::default(),
+            stream_origins: Mutex::default(),
             quarantine_changed: Notify::new(),
             configuration_changed: Notify::new(),
             read_progressed: Notify::new(),
@@ -117,6 +120,13 @@
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
+    /// Locks the records of where streams began.
+    pub fn stream_origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        self.stream_origins
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+
     /// Notified when there may be a new quarantine to write to the store.
     #[must_use]
     pub const fn quarantine_changed(&self) -> &Notify {
@@ -290,6 +300,31 @@
             .collect()
     }
 
+    /// The other daemons that have a key, as candidates for recording where streams began.
+    #[must_use]
+    pub fn recorder_candidates(&self) -> Vec<RecorderCandidate<SocketAddr>> {
+        let inner = self.lock();
+        let members = inner.daemons.values();
+        members
+            .filter(|member| member.name != self.own.name)
+            .map(|member| RecorderCandidate {
+                daemon: daemon_identity(&member.name),
+                zone: Arc::clone(&member.zone),
+                address: member.peer_address,
+            })
+            .collect()
+    }
+
+    /// The version of the service's software if all back ends had the same for at least `time`, as
+    /// far as this daemon knows. `None` if it has not followed the back ends for so long.
+    #[must_use]
+    pub fn sole_version(&self, service: &str, time: Duration, now: Instant) -> Option<Arc<str>> {
+        let inner = self.lock();
+        let since = now.checked_sub(time)?;
+        inner.complete_since.filter(|known| *known <= since)?;
+        inner.directory.sole_version(service, since)
+    }
+
     /// Highest revision of any item received.
     #[must_use]
     pub fn newest_revision(&self) -> Revision {
@@ -378,6 +413,7 @@
             inner.removals_since = at;
         }
         inner.partial_read = None;
+        inner.complete_since.get_or_insert(now);
         drop(inner);
         self.read_progressed.notify_waiters();
     }
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -61,6 +61,8 @@
     pub(super) newest: Revision,
     /// Revision up to which the state is complete; `None` before the first full read.
     pub(super) position: Option<Revision>,
+    /// When the first full read finished.
+    pub(super) complete_since: Option<Instant>,
     /// Revision after which all removals are known.
     pub(super) removals_since: Revision,
     /// Back ends whose entries in the store cannot be decoded.
--- a/crates/serving/src/fleet_state/retained.rs
+++ b/crates/serving/src/fleet_state/retained.rs
@@ -73,7 +73,7 @@
                 super::UpdateSource::Peer,
                 now,
             ),
-            Decoded::BackEnd(back_end, _warmth) => self.directory.put_from_peer(back_end),
+            Decoded::BackEnd(back_end, _warmth) => self.directory.put_from_peer(back_end, now),
             Decoded::BackEndRemoved(id) => self.remove_from_peer(&id, now),
             _ => false,
         };
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -182,6 +182,7 @@
     prompt_tokens: Family<PromptTokenLabels, Counter<f64, std::sync::atomic::AtomicU64>>,
     fetches: Counter,
     resumed: Counter,
+    taken_up: Family<ResultLabels, Counter>,
     ejections: Counter,
     silences: Family<ResultLabels, Counter>,
     announcements: Family<AnnouncementLabels, Counter>,
@@ -257,6 +258,11 @@
             ),
             fetches: register_default(r, "head_fetches", "Prompts whose head was to be fetched"),
             resumed: register_default(r, "streams_resumed", "Streams that went on elsewhere"),
+            taken_up: register_default(
+                r,
+                "streams_taken_up",
+                "Streams that callers took up again, by what is known of where they began",
+            ),
             ejections: register_default(r, "ejections", "Back ends found unwell"),
             silences: register_default(
                 r,
@@ -516,6 +522,11 @@
         self.silences.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts a stream that a caller took up again, by what is known of where it began.
+    pub(crate) fn stream_taken_up(&self, result: &'static str) {
+        self.taken_up.get_or_create(&ResultLabels { result }).inc();
+    }
+
     /// Counts an announcement of this kind by a back end.
     pub(crate) fn announcement(&self, kind: &'static str, source: &'static str) {
         let labels = AnnouncementLabels { kind, source };
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -16,6 +16,7 @@
 mod receive;
 mod relay;
 mod retained;
+mod stream_origins;
 mod suspects;
 mod translate;
 
@@ -45,6 +46,7 @@
 pub use queries::{fetch_settled, fetch_tallies};
 pub(crate) use rate_limits::log_rate_change;
 pub(crate) use relay::{RelayAnswer, open_relay};
+pub(crate) use stream_origins::{StreamRecorders, fetch_origin};
 
 /// How to find peers before the store has been read.
 #[derive(Debug, Clone)]
@@ -71,6 +73,10 @@
     let socket: Arc<BoxedDatagram> = Arc::new(runtime.network.bind_datagram(address).await?);
     let usage = pipeline.usage().cloned();
     queries::serve(runtime, address, state, pipeline).await?;
+    pipeline.set_stream_recorders(StreamRecorders::new(
+        Arc::clone(&socket),
+        Arc::clone(follow_status),
+    ));
     let peers = Arc::new(Peers {
         origin: xxh3_64_with_seed(own.name.as_bytes(), runtime.seed),
         runtime: runtime.clone(),
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -6,6 +6,7 @@
 
 use ponddrift_fleet::fingerprint::RequestFingerprint;
 use ponddrift_fleet::revision::Revision;
+use ponddrift_fleet::stream_origins::StreamId;
 use ponddrift_fleet::usage::{Tally, TallyRecord};
 
 use crate::store::Changes;
@@ -95,6 +96,21 @@
         /// For how much longer entries may be written again, in milliseconds.
         doubt_left_ms: u16,
     },
+    /// Where a stream began.
+    StreamOrigin(StreamOriginRow),
+}
+
+/// Where a stream began, recorded for the daemons at which its caller may take it up.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct StreamOriginRow {
+    /// The stream.
+    pub(super) stream: StreamId,
+    /// Service of the back end that sent its first event.
+    pub(super) service: String,
+    /// Version of the software of that back end.
+    pub(super) version: String,
+    /// For how long the caller may take up the stream, in milliseconds.
+    pub(super) retention_ms: u32,
 }
 
 /// Paths of a daemon to back ends, and what it relays for others.
--- a/crates/serving/src/peers/queries.rs
+++ b/crates/serving/src/peers/queries.rs
@@ -11,9 +11,11 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 use ponddrift_fleet::revision::Revision;
+use ponddrift_fleet::stream_origins::StreamId;
 use ponddrift_fleet::usage::{TallyRecord, TenantCounts, WindowNumber};
 
-use super::relay;
+use super::message::StreamOriginRow;
+use super::{relay, stream_origins};
 use crate::fleet_state::{ChangesAnswer, FleetState};
 use crate::pipeline::Pipeline;
 use crate::store::Page;
@@ -57,6 +59,8 @@
     /// [`RelayAnswer`](relay::RelayAnswer), followed by
     /// the connection's bytes.
     Relay(SocketAddr),
+    /// Where this stream began; answered with a [`StreamOriginRow`], or with `None`.
+    StreamOrigin(StreamId),
 }
 
 /// A page of the store's contents, compressed with LZ4 and prefixed with its length. Entries of
@@ -177,6 +181,9 @@
             borsh::to_vec(&usage.and_then(|usage| usage.settled(window)))?
         }
         Query::Retained => borsh::to_vec(&PackedPage::pack(&sources.state.retained())?)?,
+        Query::StreamOrigin(stream) => {
+            borsh::to_vec(&stream_origins::recorded_row(&sources.state, stream))?
+        }
         Query::Retry(service) => borsh::to_vec(&sources.pipeline.withdraw_from_pool(service))?,
     };
     write_bytes(&mut stream, &bytes).await
@@ -248,6 +255,18 @@
     answer.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))?
 }
 
+/// Asks a peer where a stream began.
+///
+/// # Errors
+/// If the peer cannot be reached, does not answer in time, or is of a build without such records.
+pub(super) async fn fetch_stream_origin(
+    runtime: &Runtime,
+    peer: SocketAddr,
+    stream: StreamId,
+) -> io::Result<Option<StreamOriginRow>> {
+    send_query(runtime, peer, Query::StreamOrigin(stream)).await
+}
+
 /// Fetches the changes after the revision `after` from a peer.
 pub(super) async fn fetch_changes_after(
     runtime: &Runtime,
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -77,6 +77,7 @@
                 Some(Message::Deposits(row)) => {
                     self.pipeline.receive_deposits(&deposits_from_wire(row))
                 }
+                Some(Message::StreamOrigin(row)) => self.receive_stream_origin(row),
                 None => tracing::warn!(%from, length, "peer_message_unreadable"),
             }
         }
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -30,10 +30,11 @@
 mod silent_sends;
 mod silent_service;
 mod stream_send;
+mod taken_up;
 mod wait_policy;
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
 use futures::future::BoxFuture;
@@ -59,6 +60,7 @@
 use crate::dialect::Dialect;
 use crate::fleet_state::FleetState;
 use crate::metrics::{GaugeValues, Metrics, PathGaugeValues};
+use crate::peers::StreamRecorders;
 use crate::time::now;
 use crate::usage::UsageRecorder;
 pub(crate) use announcements::AnswerOrigin;
@@ -127,6 +129,7 @@
     rates_changed: Notify,
     rate_queues: RateQueues,
     silent_services: Arc<SilentServices>,
+    stream_recorders: OnceLock<StreamRecorders>,
     held_bytes: AtomicUsize,
     bounds: IntakeLimits,
     usage: Option<Arc<UsageRecorder>>,
@@ -179,6 +182,7 @@
             rates_changed: Notify::new(),
             rate_queues: RateQueues::default(),
             silent_services: Arc::default(),
+            stream_recorders: OnceLock::new(),
             held_bytes: AtomicUsize::new(0),
             bounds: settings.bounds,
             usage: settings.usage.clone(),
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -65,6 +65,9 @@
 /// Why a stream can't go on: what two versions of the software write doesn't fit together.
 const VERSION_GONE: &str =
     "no engine runs the software that began this stream: ask for a new stream";
+/// Why a stream can't go on whose origin no daemon knows.
+const VERSION_UNKNOWN: &str =
+    "the software that began this stream is not known: ask for a new stream";
 
 /// How one round of opening a stream ended.
 enum Round {
@@ -101,6 +104,7 @@
         let resume_after = job.metadata.resume_after;
         match self.open_stream(&mut job, resume_after).await {
             Ok(stream) => {
+                self.record_origin(&job, &stream).await;
                 let mut response = Response::new(());
                 *response.status_mut() = stream.head.status;
                 *response.headers_mut() = end_to_end_headers(&stream.head.headers);
@@ -200,7 +204,10 @@
             return Round::NoFurtherSend;
         }
         if !self.may_go_on(job) {
-            progress.failure = Failure::NotRun(VERSION_GONE);
+            progress.failure = Failure::NotRun(match job.required_version {
+                RequiredVersion::Unknown => VERSION_UNKNOWN,
+                RequiredVersion::Any | RequiredVersion::Only(_) => VERSION_GONE,
+            });
             return Round::NoFurtherSend;
         }
         job.run_stage.set(RunStage::None);
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -11,13 +11,13 @@
 use ponddrift_fleet::configuration::{RequestKind, Route};
 use ponddrift_fleet::placement::Urgency;
 use ponddrift_fleet::tenants::{Credential, Tenant};
-use ponddrift_fleet::versions::RequiredVersion;
 use ponddrift_http::body::{self, Body, ReadError};
 
 use super::Pipeline;
 use super::answers::Failure;
 use super::guards::{HeldBytes, InProgress};
 use super::job::Job;
+use super::taken_up::TakenUpStream;
 use crate::dialect::RequestMetadata;
 use crate::fleet_state::ConfigurationInForce;
 use crate::request_trace::{RequestTrace, SERVED_LOG_TARGET, milliseconds, rounded};
@@ -153,9 +153,13 @@
             .map_or(route.timeout, |limit| limit.min(route.timeout));
         let deadline = arrived + limit.saturating_sub(ANSWER_MARGIN);
         let body = read_body(body, &in_force, deadline).await?;
-        let service_name = self.traffic_split().next(&route).ok_or(Failure::NotRun(
-            "the route has no service with a weight: check the configuration",
-        ))?;
+        let tenant_name = tenant.as_ref().map(|tenant| &*tenant.name);
+        let taken_up = self.find_taken_up(&route, &metadata, tenant_name).await;
+        let service_name = self
+            .service_for(&route, taken_up.as_ref())
+            .ok_or(Failure::NotRun(
+                "the route has no service with a weight: check the configuration",
+            ))?;
         let service = in_force
             .configuration
             .service(&service_name)
@@ -193,7 +197,8 @@
             runs: 0,
             silent_runs: Vec::new(),
             ended_runs: Vec::new(),
-            required_version: RequiredVersion::Any,
+            required_version: self.required_version(taken_up.as_ref(), &service_name),
+            taken_up,
             tried: Vec::new(),
             had_timeout: false,
             open_send: None,
@@ -206,6 +211,18 @@
         })
     }
 
+    /// Service for a request: the one that began the stream, if the route still leads there, otherwise
+    /// the next one of the split. `None` if all weights are 0.
+    fn service_for(&self, route: &Route, taken_up: Option<&TakenUpStream>) -> Option<Arc<str>> {
+        let begun_at = taken_up.and_then(TakenUpStream::origin);
+        let mut split = route.split.iter().filter(|part| part.weight > 0);
+        let same = begun_at.and_then(|origin| split.find(|part| part.service == origin.service));
+        match same {
+            Some(part) => Some(Arc::clone(&part.service)),
+            None => self.traffic_split().next(route),
+        }
+    }
+
     /// Records the end of a request. Logs a single line if it was served in time; otherwise all
     /// decisions are logged before that line.
     pub(super) fn finish(&self, job: &mut Job, status: u16, outcome: &'static str) {
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -19,6 +19,7 @@
 use super::budgeting::HeldRetry;
 use super::guards::HeldBytes;
 use super::silent_sends::{RunStage, SharedRunStage};
+use super::taken_up::TakenUpStream;
 use super::wait_policy::Release;
 use crate::dialect::RequestMetadata;
 use crate::request_trace::RequestTrace;
@@ -75,6 +76,8 @@
     pub(super) silent_runs: Vec<OpenSend>,
     /// Back ends of runs that are known to have ended since. These do not count as attempts.
     pub(super) ended_runs: Vec<Arc<str>>,
+    /// The stream that the caller takes up, if any.
+    pub(super) taken_up: Option<TakenUpStream>,
     /// Software that a back end must run to go on with the stream.
     pub(super) required_version: RequiredVersion,
     /// Back ends that must not be tried again.
