A prompt part that crashes engines goes on crashing them (known red)

Callers' requests fail at every engine while requests with one part of their prompts, no two alike, are sent from engine to engine. The stand-in engines crash on parts.

--- /dev/null
+++ b/crates/serve/tests/crashing_parts.rs
@@ -0,0 +1,259 @@
+//! Prompt parts on which engines crash when they begin to write.
+//!
+//! No two requests with such a part are alike, and sound requests share all their other parts.
+
+mod support;
+
+use std::time::Duration;
+
+use futures::future::{Either, join_all, select};
+use http::StatusCode;
+use ponddrift_platform_stand_ins::{Answer, ClientRequest};
+use ponddrift_simulation::DatagramFaults;
+use support::{Fleet, FleetOptions, crash_engines};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// Time until a crashed engine is restarted.
+const RESTART_DELAY: Duration = Duration::from_millis(1_500);
+/// Time until all daemons must refuse the part, from the fifth crash on.
+const PROPAGATION_TIME: Duration = Duration::from_secs(3);
+/// Crashes after which that time begins.
+const TOLERATED_CRASHES: usize = 5;
+/// Pause between two requests with a part that crashes engines.
+const CRASHING_INTERVAL: Duration = Duration::from_millis(70);
+/// Pause between two sound requests.
+const SOUND_INTERVAL: Duration = Duration::from_millis(14);
+/// How long sound requests are sent alone.
+const QUIET_TIME: Duration = Duration::from_secs(3);
+/// How long both are sent.
+const CRASHING_TIME: Duration = Duration::from_secs(9);
+
+/// Where the part that crashes engines stands among the shared ones.
+#[derive(Debug, Clone, Copy)]
+enum Place {
+    First,
+    Middle,
+    Last,
+}
+
+/// A request and when its answer came.
+struct Asked {
+    request: ClientRequest,
+    sent_at: Instant,
+    answer: Option<Answer>,
+}
+
+impl Asked {
+    fn is_served(&self) -> bool {
+        self.answer
+            .as_ref()
+            .is_some_and(|answer| answer.status == StatusCode::OK && answer.is_complete)
+    }
+
+    fn is_quarantined(&self) -> bool {
+        self.answer.as_ref().is_some_and(|answer| {
+            answer.status == StatusCode::SERVICE_UNAVAILABLE
+                && answer.text().contains("engines ended while they ran")
+        })
+    }
+}
+
+fn fleet_with(daemons: u8, bad_parts: &[String]) -> Fleet {
+    let fleet = Fleet::new(FleetOptions {
+        daemons,
+        prefill: 1,
+        decode: 7,
+        zones: 2,
+        ..FleetOptions::default()
+    });
+    for engine in &fleet.decode {
+        engine.crash_on_parts(bad_parts);
+    }
+    fleet
+}
+
+fn bad_parts(count: usize) -> Vec<String> {
+    (0..count).map(|number| format!("bad{number}")).collect()
+}
+
+/// A sound request. All share their first part; the next part is one of a few.
+fn sound_request(number: usize) -> ClientRequest {
+    ClientRequest {
+        further_parts: vec![
+            format!("topic{}", number % 5),
+            format!("site{}", number % 11),
+        ],
+        body: format!("sound {number}"),
+        ..ClientRequest::prompt(&format!("sound-{number}"), "tag", 40, 200)
+    }
+}
+
+/// A request with a part that crashes engines; its other parts are those of sound ones.
+fn crashing_request(number: usize, parts: &[String], place: Place) -> ClientRequest {
+    let bad = parts[number % parts.len()].clone();
+    let like = sound_request(number);
+    let [topic, site] = [&like.further_parts[0], &like.further_parts[1]].map(String::clone);
+    let further_parts = match place {
+        Place::First => vec![bad, topic, site],
+        Place::Middle => vec![topic, bad, site],
+        Place::Last => vec![topic, site, bad],
+    };
+    ClientRequest {
+        further_parts,
+        body: format!("crashing {number}"),
+        ..ClientRequest::prompt(&format!("crasher-{number}"), "tag", 40, 200)
+    }
+}
+
+/// Sends sound requests, and after [`QUIET_TIME`] also those that crash engines, to all daemons.
+fn send_all(fleet: &mut Fleet, parts: &[String], place: Place) -> Vec<Asked> {
+    let mut requests: Vec<(Duration, ClientRequest)> = Vec::new();
+    let mut after = Duration::ZERO;
+    while after < QUIET_TIME + CRASHING_TIME {
+        requests.push((after, sound_request(requests.len())));
+        after += SOUND_INTERVAL;
+    }
+    let mut after = QUIET_TIME;
+    let mut number = 0;
+    while after < QUIET_TIME + CRASHING_TIME {
+        requests.push((after, crashing_request(number, parts, place)));
+        after += CRASHING_INTERVAL;
+        number += 1;
+    }
+    let targets: Vec<_> = fleet
+        .daemons
+        .iter()
+        .map(|daemon| daemon.callers_address)
+        .collect();
+    let client = fleet.client.clone();
+    let crashes = crash_engines(
+        fleet.simulation.handle(),
+        fleet.store.clone(),
+        fleet.decode_engines_and_hosts(),
+        RESTART_DELAY,
+    );
+    fleet.run(async move {
+        let start = Instant::now();
+        let calls = requests
+            .into_iter()
+            .enumerate()
+            .map(|(number, (after, request))| {
+                let client = client.clone();
+                let target = targets[number % targets.len()];
+                async move {
+                    sleep_until(start + after).await;
+                    let sent_at = Instant::now();
+                    let answer = client.ask(target, &request).await;
+                    Asked {
+                        request,
+                        sent_at,
+                        answer,
+                    }
+                }
+            });
+        let calls = Box::pin(join_all(calls));
+        match select(calls, Box::pin(crashes)).await {
+            Either::Left((asked, _crashes)) => {
+                sleep(RESTART_DELAY).await;
+                asked
+            }
+            Either::Right(((), _calls)) => unreachable!("the crash driver never completes"),
+        }
+    })
+}
+
+fn all_crashes(fleet: &Fleet) -> Vec<Instant> {
+    let mut crashes: Vec<Instant> = fleet
+        .decode
+        .iter()
+        .flat_map(|engine| engine.crashes())
+        .collect();
+    crashes.sort_unstable();
+    crashes
+}
+
+/// Runs that engines began after `after` of requests that crash them.
+fn crashing_runs_after(fleet: &Fleet, after: Instant) -> usize {
+    let engines = fleet.prefill.iter().chain(&fleet.decode);
+    engines
+        .flat_map(|engine| engine.runs())
+        .filter(|run| run.request.starts_with("crasher") && run.started_at > after)
+        .count()
+}
+
+/// Share of the sound requests sent in this time that were served.
+fn sound_share(asked: &[Asked], from: Instant, to: Instant) -> f64 {
+    let sound = asked.iter().filter(|asked| {
+        asked.request.id.starts_with("sound") && asked.sent_at >= from && asked.sent_at < to
+    });
+    let sound: Vec<&Asked> = sound.collect();
+    let served = sound.iter().filter(|asked| asked.is_served()).count();
+    #[expect(clippy::cast_precision_loss, reason = "a few hundred requests")]
+    let share = served as f64 / sound.len() as f64;
+    share
+}
+
+fn assert_part_is_refused(fleet: &mut Fleet, parts: &[String], place: Place, case: &str) {
+    let asked = send_all(fleet, parts, place);
+    let begun = asked[0].sent_at;
+    let crashes = all_crashes(fleet);
+    let fifth = crashes[TOLERATED_CRASHES * parts.len() - 1];
+    let known_to_all = fifth + PROPAGATION_TIME;
+    let runs = crashing_runs_after(fleet, known_to_all);
+    assert_eq!(runs, 0, "{case}: {} crashes", crashes.len());
+    let refused = asked
+        .iter()
+        .filter(|asked| asked.request.id.starts_with("sound") && asked.is_quarantined());
+    let refused: Vec<&str> = refused.map(|asked| asked.request.id.as_str()).collect();
+    assert!(
+        refused.is_empty(),
+        "{case}: sound requests refused: {refused:?}"
+    );
+    let end = begun + QUIET_TIME + CRASHING_TIME;
+    let before = sound_share(
+        &asked,
+        begun,
+        begun + QUIET_TIME - Duration::from_millis(100),
+    );
+    let after = sound_share(&asked, known_to_all, end);
+    assert!(
+        after >= 0.95 * before,
+        "{case}: sound requests served: {before:.3} before, {after:.3} after"
+    );
+}
+
+#[test]
+fn requests_with_a_part_that_crashes_engines_are_refused_after_the_fifth_crash() {
+    for place in [Place::First, Place::Middle, Place::Last] {
+        for daemons in [4, 9] {
+            let parts = bad_parts(1);
+            let mut fleet = fleet_with(daemons, &parts);
+            let case = format!("{place:?}, {daemons} daemons");
+            assert_part_is_refused(&mut fleet, &parts, place, &case);
+        }
+    }
+}
+
+#[test]
+fn a_part_that_crashes_engines_is_refused_although_messages_are_lost() {
+    let parts = bad_parts(1);
+    let mut fleet = fleet_with(9, &parts);
+    fleet
+        .simulation
+        .handle()
+        .set_datagram_faults(DatagramFaults {
+            loss: 0.2,
+            ..DatagramFaults::default()
+        });
+    assert_part_is_refused(&mut fleet, &parts, Place::Middle, "lost messages");
+}
+
+#[test]
+fn several_parts_that_crash_engines_are_refused() {
+    for count in [2, 3] {
+        let parts = bad_parts(count);
+        let mut fleet = fleet_with(4, &parts);
+        let case = format!("{count} parts");
+        assert_part_is_refused(&mut fleet, &parts, Place::Middle, &case);
+    }
+}
