Requests with a prompt part that crashes engines are refused by all daemons

Callers' requests failed while engines crashed one after the other: 33 and 36 requests with one part were sent after five engines had ended under it. Cause: a request that crashes engines was known by its whole content. Change: one mechanism for requests and parts. A run that is lost before its first event makes the parts of its prompt, but the last, suspects, with the same messages, recorders and store. The first event on a part clears it.

--- a/crates/fleet/src/fingerprint.rs
+++ b/crates/fleet/src/fingerprint.rs
@@ -1,5 +1,5 @@
 //! Fingerprints of requests, which identify retries: a caller's retry has a new request id but the
-//! same content.
+//! same content. Parts of prompts have fingerprints as well.
 
 use std::fmt;
 
@@ -24,12 +24,23 @@
     pub body: &'a [u8],
 }
 
-/// Fingerprint of a request's content. It is collision-resistant, so that no caller can craft a
-/// request that is mistaken for a request of another caller.
+/// A part of prompts, as its fingerprint covers it.
+#[derive(Debug, Clone, Copy)]
+pub struct PartContent<'a> {
+    /// Name of the tenant; `None` if callers are not authenticated.
+    pub tenant: Option<&'a str>,
+    /// Service that runs the prompts.
+    pub service: &'a str,
+    /// ID of the part.
+    pub part: &'a str,
+}
+
+/// Fingerprint of the content of a request, or of a part of prompts. It is collision-resistant, so
+/// that no caller can craft a request that is mistaken for a request of another caller.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, BorshSerialize, BorshDeserialize)]
-pub struct RequestFingerprint([u8; BYTES]);
+pub struct Fingerprint([u8; BYTES]);
 
-impl RequestFingerprint {
+impl Fingerprint {
     /// Computes the fingerprint of the content.
     #[must_use]
     pub fn of(content: &RequestContent<'_>) -> Self {
@@ -48,6 +59,30 @@
             hasher.update(text);
         }
         hasher.update(content.body);
+        Self::finish(hasher)
+    }
+
+    /// Computes the fingerprint of a part of prompts.
+    #[must_use]
+    pub fn of_part(content: &PartContent<'_>) -> Self {
+        /// Differs from the first byte of a request's content.
+        const PART: u8 = 2;
+        let mut hasher = Sha256::new();
+        let tenant = content.tenant.map(str::as_bytes);
+        hasher.update([PART, u8::from(tenant.is_some())]);
+        let texts = [
+            tenant.unwrap_or_default(),
+            content.service.as_bytes(),
+            content.part.as_bytes(),
+        ];
+        for text in texts {
+            hasher.update(text.len().to_le_bytes());
+            hasher.update(text);
+        }
+        Self::finish(hasher)
+    }
+
+    fn finish(hasher: Sha256) -> Self {
         let mut bytes = [0; BYTES];
         for (to, from) in bytes.iter_mut().zip(hasher.finalize()) {
             *to = from;
@@ -55,6 +90,13 @@
         Self(bytes)
     }
 
+    /// The first bytes of the fingerprint, which tell requests apart where a collision does no harm.
+    #[must_use]
+    pub fn short(&self) -> u32 {
+        let [a, b, c, d, ..] = self.0;
+        u32::from_le_bytes([a, b, c, d])
+    }
+
     /// The smallest fingerprint.
     pub const MIN: Self = Self([0; BYTES]);
 
@@ -79,7 +121,7 @@
     }
 }
 
-impl fmt::Display for RequestFingerprint {
+impl fmt::Display for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0
             .iter()
@@ -87,7 +129,7 @@
     }
 }
 
-impl fmt::Debug for RequestFingerprint {
+impl fmt::Debug for Fingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         fmt::Display::fmt(self, formatter)
     }
--- a/crates/fleet/src/prompt.rs
+++ b/crates/fleet/src/prompt.rs
@@ -43,7 +43,9 @@
         self.input_tokens.saturating_sub(self.shared_tokens())
     }
 
-    fn shared_parts(&self) -> &[PromptPart] {
+    /// All parts but the last, in order.
+    #[must_use]
+    pub fn shared_parts(&self) -> &[PromptPart] {
         self.parts.split_last().map_or(&[], |(_own, shared)| shared)
     }
 }
--- a/crates/serving/src/fleet_state/quarantines.rs
+++ b/crates/serving/src/fleet_state/quarantines.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use ponddrift_fleet::fingerprint::RequestFingerprint;
+use ponddrift_fleet::fingerprint::Fingerprint;
 
 use super::{FleetState, UpdateSource};
 use crate::store::Item;
@@ -19,7 +19,7 @@
     /// an older backup, it does not come into force again.
     pub(super) fn apply_quarantine_filed(
         &self,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         item: &Item,
         source: UpdateSource,
         now: Instant,
@@ -42,7 +42,7 @@
     /// from a backup is filed again.
     pub(super) fn apply_quarantine_removed(
         &self,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         item: &Item,
         source: UpdateSource,
         now: Instant,
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -4,7 +4,7 @@
 
 use borsh::{BorshDeserialize, BorshSerialize};
 
-use ponddrift_fleet::fingerprint::RequestFingerprint;
+use ponddrift_fleet::fingerprint::Fingerprint;
 use ponddrift_fleet::revision::Revision;
 use ponddrift_fleet::stream_origins::StreamId;
 use ponddrift_fleet::usage::{Tally, TallyRecord};
@@ -98,6 +98,19 @@
     },
     /// Where a stream began.
     StreamOrigin(StreamOriginRow),
+    /// Parts of prompts during whose runs engines ended.
+    SuspectedParts(Vec<SuspectedPartRow>),
+}
+
+/// What the sender knows of one part of prompts during whose runs engines ended.
+#[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
+pub(super) struct SuspectedPartRow {
+    /// The part and the lost runs.
+    pub(super) suspect: SuspectRow,
+    /// For each lost run, what tells its request from others.
+    pub(super) requests: Vec<u32>,
+    /// Number of parts before it.
+    pub(super) place: u8,
 }
 
 /// Where a stream began, recorded for the daemons at which its caller may take it up.
@@ -188,7 +201,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub(super) struct SuspectRow {
     /// Fingerprint of the request.
-    pub(super) fingerprint: RequestFingerprint,
+    pub(super) fingerprint: Fingerprint,
     /// Hash of its tenant's name; 0 if there is none.
     pub(super) tenant: u32,
     /// Runs of the request that were lost because their engines ended.
@@ -445,6 +458,11 @@
     encode_rows(rows, Message::Suspects)
 }
 
+/// Encodes suspicious parts of prompts as datagrams, like [`encode_suspects`].
+pub(super) fn encode_suspected_parts(rows: Vec<SuspectedPartRow>) -> Vec<Vec<u8>> {
+    encode_rows(rows, Message::SuspectedParts)
+}
+
 /// Encodes rate limits as datagrams.
 pub(super) fn encode_rate_limits(rows: Vec<RateRow>, wants_more: bool) -> Vec<Vec<u8>> {
     encode_rows(rows, |rows| Message::RateLimits { rows, wants_more })
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -10,8 +10,8 @@
 use super::Peers;
 use super::message::{self, Digest, MAX_DATAGRAM_BYTES, Message, StoreContact};
 use super::translate::{
-    deposits_from_wire, prefill_timing_from_wire, prefix_from_wire, report_from_wire,
-    results_from_wire, work_from_wire,
+    deposits_from_wire, part_from_wire, prefill_timing_from_wire, prefix_from_wire,
+    report_from_wire, results_from_wire, suspicion_from_wire, work_from_wire,
 };
 use crate::back_end_index::BackEndIndex;
 use crate::fleet_state::UpdateSource;
@@ -63,7 +63,14 @@
                         recorder.merge(&copy);
                     }
                 }
-                Some(Message::Suspects(rows)) => self.merge_suspects(&rows, from).await,
+                Some(Message::Suspects(rows)) => {
+                    let suspicions = rows.iter().map(|row| suspicion_from_wire(row, now()));
+                    self.merge_suspects(suspicions.collect(), from).await;
+                }
+                Some(Message::SuspectedParts(rows)) => {
+                    let suspicions = rows.iter().map(|row| part_from_wire(row, now()));
+                    self.merge_suspects(suspicions.collect(), from).await;
+                }
                 Some(Message::RateLimits { rows, wants_more }) => {
                     self.receive_rate_limits(&rows, wants_more, from).await;
                 }
--- a/crates/serving/src/peers/suspects.rs
+++ b/crates/serving/src/peers/suspects.rs
@@ -1,4 +1,4 @@
-//! Informs peers about requests during which engines ended.
+//! Informs peers about requests, and parts of prompts, during whose runs engines ended.
 //!
 //! A single lost run is weak evidence, and every crash of an engine loses all of its requests. It
 //! is therefore sent only to a few recorders, chosen by the request's fingerprint, so that runs
@@ -10,14 +10,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use ponddrift_fleet::fingerprint::RequestFingerprint;
-use ponddrift_fleet::quarantine::{Standing, Suspicion};
+use ponddrift_fleet::fingerprint::Fingerprint;
+use ponddrift_fleet::quarantine::{Standing, SuspectKind, Suspicion};
 use ponddrift_fleet::topology::SMALL_FLEET_MAX_DAEMONS;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Peers;
-use super::message::{self, SuspectRow};
-use super::translate::{suspicion_from_wire, suspicion_to_wire};
+use super::message;
+use super::translate::{part_to_wire, suspicion_to_wire};
 use crate::fleet_state::daemon_identity;
 use crate::time::{self, now};
 
@@ -30,7 +30,7 @@
 const RECORDER_COUNT: usize = 3;
 
 /// Requests that are to be published again, and when.
-type Schedule = BTreeSet<(Instant, RequestFingerprint)>;
+type Schedule = BTreeSet<(Instant, Fingerprint)>;
 
 impl Peers {
     pub(super) async fn publish_suspects(self: Arc<Self>) {
@@ -52,7 +52,7 @@
                     scheduled.insert((started + delay, *fingerprint));
                 }
             }
-            let not_due = scheduled.split_off(&(started, RequestFingerprint::MIN));
+            let not_due = scheduled.split_off(&(started, Fingerprint::MIN));
             let due = std::mem::replace(&mut scheduled, not_due);
             let due = due
                 .into_iter()
@@ -66,43 +66,56 @@
 
     /// Publishes what is known of these requests. Requests without new information are published
     /// only if they concern all daemons.
-    async fn publish_requests(&self, requests: impl Iterator<Item = (RequestFingerprint, bool)>) {
-        let mut rows_of: BTreeMap<SocketAddr, Vec<SuspectRow>> = BTreeMap::new();
+    async fn publish_requests(&self, requests: impl Iterator<Item = (Fingerprint, bool)>) {
+        let mut suspicions_of: BTreeMap<SocketAddr, Vec<Suspicion>> = BTreeMap::new();
         for (fingerprint, is_new) in requests {
             let record = self.record_of(fingerprint);
             let Some((suspicion, standing)) = record else {
                 continue;
             };
+            if standing.is_quarantined() {
+                self.state.quarantine_changed().notify_one();
+            }
             // Most requests of an engine that ended have one lost run and one successful run.
             let was_suspected = suspicion.cleared.is_some() && suspicion.lost_runs.len() > 1;
             let concerns_all = standing != Standing::Clear || was_suspected;
             if !concerns_all && !is_new {
                 continue;
             }
-            let row = suspicion_to_wire(&suspicion, now());
             for target in self.targets_for(fingerprint, concerns_all) {
-                rows_of.entry(target).or_default().push(row.clone());
+                let suspicions = suspicions_of.entry(target).or_default();
+                suspicions.push(suspicion.clone());
             }
         }
-        for (target, rows) in rows_of {
-            self.send_suspects(rows, target).await;
+        for (target, suspicions) in suspicions_of {
+            self.send_suspects(&suspicions, target).await;
         }
     }
 
-    fn record_of(&self, fingerprint: RequestFingerprint) -> Option<(Suspicion, Standing)> {
-        let quarantine = self.state.quarantine();
+    fn record_of(&self, fingerprint: Fingerprint) -> Option<(Suspicion, Standing)> {
+        let mut quarantine = self.state.quarantine();
+        quarantine.refresh(now());
         let suspicion = quarantine.suspicion(fingerprint)?.clone();
         Some((suspicion, quarantine.standing(fingerprint, now())))
     }
 
-    async fn send_suspects(&self, rows: Vec<SuspectRow>, target: SocketAddr) {
-        for bytes in message::encode_suspects(rows) {
+    async fn send_suspects(&self, suspicions: &[Suspicion], target: SocketAddr) {
+        let mut requests = Vec::new();
+        let mut parts = Vec::new();
+        for suspicion in suspicions {
+            match suspicion.kind {
+                SuspectKind::Request => requests.push(suspicion_to_wire(suspicion, now())),
+                SuspectKind::Part { place } => parts.push(part_to_wire(suspicion, place, now())),
+            }
+        }
+        let datagrams = message::encode_suspects(requests).into_iter();
+        for bytes in datagrams.chain(message::encode_suspected_parts(parts)) {
             self.send(Some(bytes), &[target]).await;
         }
     }
 
     /// The daemons that are informed about a request: all of them, or its recorders.
-    fn targets_for(&self, fingerprint: RequestFingerprint, concerns_all: bool) -> Vec<SocketAddr> {
+    fn targets_for(&self, fingerprint: Fingerprint, concerns_all: bool) -> Vec<SocketAddr> {
         let mut daemons = self.state.daemon_addresses();
         if daemons.len() <= SMALL_FLEET_MAX_DAEMONS {
             return self.neighbours();
@@ -123,7 +136,7 @@
             .collect()
     }
 
-    fn is_recorder(&self, fingerprint: RequestFingerprint) -> bool {
+    fn is_recorder(&self, fingerprint: Fingerprint) -> bool {
         let own = daemon_identity(&self.state.own().name);
         let own_rank = rank(fingerprint, own);
         let daemons = self.state.daemon_addresses();
@@ -135,15 +148,15 @@
 
     /// Merges information from a peer and replies with what the peer lacks: it may have started
     /// recently or missed datagrams.
-    pub(super) async fn merge_suspects(&self, rows: &[SuspectRow], from: SocketAddr) {
+    pub(super) async fn merge_suspects(&self, suspicions: Vec<Suspicion>, from: SocketAddr) {
         let mut missing_there = Vec::new();
-        for row in rows {
-            let received = suspicion_from_wire(row, now());
+        for received in suspicions {
             let fingerprint = received.fingerprint;
             let update = self.state.quarantine().merge(&received, now());
             if update.before != update.after {
                 tracing::info!(
                     %fingerprint,
+                    suspect = received.kind.as_str(),
                     before = update.before.as_str(),
                     standing = update.after.as_str(),
                     %from,
@@ -157,7 +170,7 @@
                 continue;
             }
             if let Some((suspicion, _standing)) = self.record_of(fingerprint) {
-                missing_there.push(suspicion_to_wire(&suspicion, now()));
+                missing_there.push(suspicion);
             }
             // Runs lost at several daemons were combined here. No other daemon may know all of
             // them.
@@ -168,11 +181,11 @@
                 self.pipeline.changed_suspects().add(fingerprint);
             }
         }
-        self.send_suspects(missing_there, from).await;
+        self.send_suspects(&missing_there, from).await;
     }
 }
 
 /// The daemons with the lowest ranks record a request. All daemons compute the same ranks.
-fn rank(fingerprint: RequestFingerprint, daemon: u64) -> u64 {
+fn rank(fingerprint: Fingerprint, daemon: u64) -> u64 {
     xxh3_64_with_seed(fingerprint.as_bytes(), daemon)
 }
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -10,14 +10,14 @@
     Outstanding, PrefixState, PrefixUse, PromptReading, WorkReport, WorkRow,
 };
 use ponddrift_fleet::profiles::{OwnRow, ProfileRow, WorkKind};
-use ponddrift_fleet::quarantine::{LostRun, Suspicion};
+use ponddrift_fleet::quarantine::{LostRun, SuspectKind, Suspicion};
 use ponddrift_fleet::rate_limits::{NamedRate, RateRecord, RequestRate};
 use ponddrift_fleet::stages::StageWork;
 
 use super::message::{
     BackEndLoadRow, BackEndProfileRow, DepositsRow, LoadReportRow, LostRunRow, NamedRateRow,
-    PrefillTimingRow, PrefixRow, RateRow, ResultRow, ServiceWorkRow, SuspectRow, TOKENS_PER_UNIT,
-    UnavailableEngineRow,
+    PrefillTimingRow, PrefixRow, RateRow, ResultRow, ServiceWorkRow, SuspectRow, SuspectedPartRow,
+    TOKENS_PER_UNIT, UnavailableEngineRow,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -249,15 +249,34 @@
     }
 }
 
+pub(super) fn part_to_wire(suspicion: &Suspicion, place: u8, now: Instant) -> SuspectedPartRow {
+    SuspectedPartRow {
+        suspect: suspicion_to_wire(suspicion, now),
+        requests: suspicion.lost_runs.iter().map(|run| run.request).collect(),
+        place,
+    }
+}
+
+pub(super) fn part_from_wire(row: &SuspectedPartRow, now: Instant) -> Suspicion {
+    let mut suspicion = suspicion_from_wire(&row.suspect, now);
+    suspicion.kind = SuspectKind::Part { place: row.place };
+    for (run, request) in suspicion.lost_runs.iter_mut().zip(&row.requests) {
+        run.request = *request;
+    }
+    suspicion
+}
+
 pub(super) fn suspicion_from_wire(row: &SuspectRow, now: Instant) -> Suspicion {
     let at = |ms_ago: u32| ms_before(ms_ago, now);
     let lost_runs = row.lost_runs.iter().map(|run| LostRun {
         engine: Arc::from(run.engine.as_str()),
+        request: 0,
         begun: at(run.started_ms_ago),
         ended: at(run.ended_ms_ago),
     });
     Suspicion {
         fingerprint: row.fingerprint,
+        kind: SuspectKind::Request,
         tenant: row.tenant,
         lost_runs: lost_runs.collect(),
         cleared: row.cleared_ms_ago.map(at),
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -43,7 +43,7 @@
 use ponddrift_fleet::budget::{BudgetSettings, RetryBudget, RetryPool};
 use ponddrift_fleet::configuration::Stage;
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::fingerprint::RequestFingerprint;
+use ponddrift_fleet::fingerprint::Fingerprint;
 use ponddrift_fleet::placement::Placement;
 use ponddrift_fleet::rate_limits::{Members, MembersTrust};
 use ponddrift_fleet::routes::SplitScheduler;
@@ -107,7 +107,7 @@
     relayed: AtomicUsize,
     engine_exit_checks: EngineExitChecks,
     /// Requests whose quarantine state changed and has to be published to peers.
-    changed_suspects: PendingSet<RequestFingerprint>,
+    changed_suspects: PendingSet<Fingerprint>,
     /// Back ends whose rate limits changed and have to be published to peers.
     changed_rate_limits: PendingSet<Arc<str>>,
     metrics: Arc<Metrics>,
@@ -232,7 +232,7 @@
 
     /// Requests whose quarantine state has to be published to peers.
     #[must_use]
-    pub(crate) const fn changed_suspects(&self) -> &PendingSet<RequestFingerprint> {
+    pub(crate) const fn changed_suspects(&self) -> &PendingSet<Fingerprint> {
         &self.changed_suspects
     }
 
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -16,6 +16,7 @@
 use super::SendPermit;
 use super::announcements::AnswerOrigin;
 use super::job::Job;
+use super::quarantining::RunProgress;
 use super::silent_sends::RunStage;
 use super::wait_policy::WaitPolicy;
 use crate::connections::{ConnectionReuse, ExchangeError, ExchangeRoute, NotSent, Reply};
@@ -40,6 +41,8 @@
 pub(super) const ANSWERED_ELSEWHERE: &str = "answered_elsewhere";
 /// Name of a run in logs and metrics.
 pub(super) const SERVE: &str = "serve";
+/// Name of a stream under way in logs and metrics.
+pub(super) const STREAM: &str = "stream";
 /// Name of a prefill in logs and metrics.
 pub(super) const PREFILL: &str = "prefill";
 
@@ -66,6 +69,15 @@
 /// The head of an answer that is still awaited.
 pub(super) type PendingExchange = BoxFuture<'static, Result<Reply, ExchangeError>>;
 
+/// How far an engine can have come with a send that has had no answer.
+pub(super) fn progress_of(purpose: &'static str) -> RunProgress {
+    match purpose {
+        PREFILL => RunProgress::Reading,
+        STREAM => RunProgress::Writing,
+        _ => RunProgress::BeforeAnswer,
+    }
+}
+
 /// Whether an answer began and reports success.
 pub(super) fn is_success(result: &Result<Reply, ExchangeError>) -> bool {
     result
@@ -277,7 +289,13 @@
         self.record_end_of_send(job, back_end, step_name(step), &verdict, started_at);
         if matches!(verdict.result, SendEnd::MayHaveRun(_)) {
             let has_ended = self
-                .check_lost_run(job, back_end, verdict.outcome, started_at)
+                .check_lost_run(
+                    job,
+                    back_end,
+                    verdict.outcome,
+                    started_at,
+                    progress_of(step_name(step)),
+                )
                 .await;
             if has_ended && !matches!(step, SendStep::Prefill) {
                 job.note_ended_run(back_end);
@@ -304,7 +322,13 @@
         match &verdict.result {
             SendEnd::MayHaveRun(_) => {
                 let has_ended = self
-                    .check_lost_run(job, back_end, verdict.outcome, started_at)
+                    .check_lost_run(
+                        job,
+                        back_end,
+                        verdict.outcome,
+                        started_at,
+                        progress_of(purpose),
+                    )
                     .await;
                 if has_ended {
                     job.note_ended_run(back_end);
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -18,6 +18,7 @@
 use super::attempt::SERVE;
 use super::generate::OpenStream;
 use super::job::Job;
+use super::quarantining::RunProgress;
 use super::stream_send::{LateStart, OpenAttempt, SendTiming, StreamSend};
 use super::wait_policy::WaitPolicy;
 use crate::connections::{Connection, Reply};
@@ -70,7 +71,13 @@
             Err(reason) => {
                 let broken = Some(Outcome::Broken);
                 let has_ended = self
-                    .check_lost_run(job, &send.decode, broken, send.timing.started_at)
+                    .check_lost_run(
+                        job,
+                        &send.decode,
+                        broken,
+                        send.timing.started_at,
+                        RunProgress::BeforeAnswer,
+                    )
                     .await;
                 if has_ended {
                     job.note_ended_run(&send.decode);
@@ -95,6 +102,7 @@
         let took = now().saturating_duration_since(timing.started_at);
         let waited = now().saturating_duration_since(job.arrived);
         load.generates();
+        self.record_sound_parts(job);
         self.metrics.first_event(waited);
         self.count_tenant_run(job);
         job.first_event.get_or_insert_with(now);
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -206,6 +206,7 @@
             held_retry: None,
             sending_retry: None,
             fingerprint: std::sync::OnceLock::new(),
+            suspect_parts: std::sync::OnceLock::new(),
             is_finished: false,
             pipeline: Arc::clone(self),
         })
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -7,10 +7,11 @@
 use http::{HeaderMap, Method, Uri, header};
 use ponddrift_fleet::configuration::{Route, Service};
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::fingerprint::{RequestContent, RequestFingerprint};
+use ponddrift_fleet::fingerprint::{Fingerprint, PartContent, RequestContent};
 use ponddrift_fleet::placement::{
     LatencyTargets, Placement, StreamNeeds, StreamPlacement, Urgency,
 };
+use ponddrift_fleet::prompt::PromptPart;
 use ponddrift_fleet::tenants::Tenant;
 use ponddrift_fleet::versions::RequiredVersion;
 
@@ -28,6 +29,17 @@
 /// Logged status of a request whose caller disconnected before any status was sent.
 const CALLER_LEFT_STATUS: u16 = 0;
 
+/// Maximum number of parts of a prompt that count as possible causes of a crash.
+const MAX_SUSPECT_PARTS: usize = 32;
+
+/// A part of a prompt that may crash engines.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct SuspectPart {
+    pub(super) fingerprint: Fingerprint,
+    /// Number of parts before it.
+    pub(super) place: u8,
+}
+
 /// A request and the decisions taken for it.
 pub(super) struct Job {
     pub(super) id: Arc<str>,
@@ -94,7 +106,9 @@
     /// The retry of the send that is in progress.
     pub(super) sending_retry: Option<HeldRetry>,
     /// Identifies the request when it is sent again; computed on first use.
-    pub(super) fingerprint: OnceLock<RequestFingerprint>,
+    pub(super) fingerprint: OnceLock<Fingerprint>,
+    /// Parts of its prompt that may crash engines; computed on first use.
+    pub(super) suspect_parts: OnceLock<Vec<SuspectPart>>,
     /// Whether the end of the request has been recorded.
     pub(super) is_finished: bool,
     pub(super) pipeline: Arc<Pipeline>,
@@ -222,11 +236,11 @@
     }
 
     /// Identifies the request when it is sent again under another request ID.
-    pub(super) fn fingerprint(&self) -> RequestFingerprint {
+    pub(super) fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
             let host = self.headers.get(header::HOST);
             let path = self.uri.path_and_query();
-            RequestFingerprint::of(&RequestContent {
+            Fingerprint::of(&RequestContent {
                 tenant: self.tenant.as_ref().map(|tenant| &*tenant.name),
                 method: self.method.as_str(),
                 host: host.and_then(|host| host.to_str().ok()).unwrap_or(""),
@@ -236,6 +250,31 @@
         })
     }
 
+    /// The parts of its prompt that may crash engines: those that other requests share.
+    pub(super) fn suspect_parts(&self) -> &[SuspectPart] {
+        self.suspect_parts.get_or_init(|| {
+            let prompt = self.metadata.prompt.as_ref();
+            let shared = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
+            // The last ones tell most about a prompt with very many parts.
+            let skipped = shared.len().saturating_sub(MAX_SUSPECT_PARTS);
+            let parts = shared.iter().enumerate().skip(skipped);
+            parts
+                .map(|(place, part)| self.suspect_part(place, part))
+                .collect()
+        })
+    }
+
+    fn suspect_part(&self, place: usize, part: &PromptPart) -> SuspectPart {
+        SuspectPart {
+            fingerprint: Fingerprint::of_part(&PartContent {
+                tenant: self.tenant.as_ref().map(|tenant| &*tenant.name),
+                service: &self.service.name,
+                part: &part.id,
+            }),
+            place: u8::try_from(place).unwrap_or(u8::MAX),
+        }
+    }
+
     /// What the request needs before it leaves a back end that may be running it.
     pub(super) fn release(&self) -> Release {
         let may_run_elsewhere =
--- a/crates/serving/src/pipeline/lost_runs.rs
+++ b/crates/serving/src/pipeline/lost_runs.rs
@@ -15,6 +15,7 @@
 
 use super::Pipeline;
 use super::job::Job;
+use super::quarantining::RunProgress;
 use crate::request_trace::milliseconds;
 use crate::time::now;
 
@@ -70,6 +71,7 @@
         engine: &Arc<BackEnd>,
         outcome: Option<Outcome>,
         started_at: Instant,
+        progress: RunProgress,
     ) -> bool {
         let may_have_exited = matches!(
             outcome,
@@ -82,7 +84,7 @@
             return self.state.has_later_incarnation(engine);
         }
         self.metrics.run_lost();
-        let update = self.record_lost_run(job, engine, started_at);
+        let update = self.record_lost_run(job, engine, started_at, progress);
         tracing::warn!(
             request = &*job.id,
             fingerprint = %job.fingerprint(),
@@ -91,6 +93,8 @@
             back_end = &*engine.id,
             ran_ms = milliseconds(now().saturating_duration_since(started_at)),
             requests_there = self.placement().load.requests(&engine.id),
+            progress = progress.as_str(),
+            parts = job.suspect_parts().len(),
             before = update.before.as_str(),
             standing = update.after.as_str(),
             "run_lost_with_engine"
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -17,6 +17,7 @@
 use super::guards::LoadGuard;
 use super::intake::{FinalAnswer, end_to_end_headers};
 use super::job::Job;
+use super::quarantining::RunProgress;
 use super::silent_sends::{First, Late, LateAnswer, RunStage, SilentSend, SilentSends};
 use super::wait_policy::WaitPolicy;
 use crate::connections::{ExchangeError, Reply};
@@ -327,7 +328,13 @@
             None => (Outcome::Broken, "answer_broke_off", None),
         };
         let has_ended = self
-            .check_lost_run(job, back_end, Some(outcome), send.started_at)
+            .check_lost_run(
+                job,
+                back_end,
+                Some(outcome),
+                send.started_at,
+                RunProgress::BeforeAnswer,
+            )
             .await;
         if has_ended {
             job.note_ended_run(back_end);
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -16,6 +16,7 @@
 use super::guards::{KvCacheHandle, LoadGuard};
 use super::job::Job;
 use super::plain::read_complete;
+use super::quarantining::RunProgress;
 use super::wait_policy::{Release, WaitPolicy};
 use crate::dialect::SendStep;
 use crate::request_trace::{TraceStep, milliseconds};
@@ -91,7 +92,9 @@
         );
         let Some(result) = result else {
             let broken = Some(Outcome::Broken);
-            self.check_lost_run(job, engine, broken, started_at).await;
+            let reading = RunProgress::Reading;
+            self.check_lost_run(job, engine, broken, started_at, reading)
+                .await;
             self.note_outcome(engine, &job.service.health_path, Outcome::Broken);
             self.forget_prefix(job, engine);
             return None;
--- a/crates/serving/src/pipeline/quarantining.rs
+++ b/crates/serving/src/pipeline/quarantining.rs
@@ -1,10 +1,11 @@
-//! Records lost runs and refuses quarantined requests.
+//! Records lost runs, and refuses quarantined requests and those with a quarantined part.
 
 use std::sync::Arc;
 use std::time::Instant;
 
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::quarantine::{LostRun, Standing, Update};
+use ponddrift_fleet::fingerprint::Fingerprint;
+use ponddrift_fleet::quarantine::{LostRun, Standing, SuspectKind, Update};
 
 use super::Pipeline;
 use super::answers::Failure;
@@ -12,25 +13,80 @@
 use crate::back_end_index::hash;
 use crate::time::now;
 
+/// How far an engine had come with a request when it ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RunProgress {
+    /// It was only to read the prompt.
+    Reading,
+    /// It had sent nothing of an answer yet.
+    BeforeAnswer,
+    /// It had begun to write the answer.
+    Writing,
+}
+
+impl RunProgress {
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Reading => "reading",
+            Self::BeforeAnswer => "before_answer",
+            Self::Writing => "writing",
+        }
+    }
+}
+
 impl Pipeline {
+    /// Records a run that was lost with its engine. Engines crash on a part when they begin to write,
+    /// so the parts of the prompt are suspected only before the answer.
     pub(super) fn record_lost_run(
         &self,
         job: &Job,
         engine: &Arc<BackEnd>,
         begun: Instant,
+        progress: RunProgress,
     ) -> Update {
         let run = LostRun {
             engine: Arc::clone(&engine.id),
+            request: 0,
             begun,
             ended: now(),
         };
+        let request = job.fingerprint();
+        let update = self.suspect(job, request, SuspectKind::Request, run.clone());
+        if progress == RunProgress::BeforeAnswer {
+            for part in job.suspect_parts() {
+                let kind = SuspectKind::Part { place: part.place };
+                let run = LostRun {
+                    request: request.short(),
+                    ..run.clone()
+                };
+                self.suspect(job, part.fingerprint, kind, run);
+            }
+        }
+        update
+    }
+
+    fn suspect(
+        &self,
+        job: &Job,
+        fingerprint: Fingerprint,
+        kind: SuspectKind,
+        run: LostRun,
+    ) -> Update {
         let tenant = job.tenant.as_ref().map_or(0, |tenant| hash(&tenant.name));
-        let fingerprint = job.fingerprint();
-        let update = self
-            .state
-            .quarantine()
-            .record_lost_run(fingerprint, tenant, run, now());
+        let mut quarantine = self.state.quarantine();
+        let update = quarantine.record_lost_run(fingerprint, kind, tenant, run, now());
+        drop(quarantine);
         self.changed_suspects.add(fingerprint);
+        if update.before != update.after {
+            tracing::info!(
+                request = &*job.id,
+                %fingerprint,
+                suspect = kind.as_str(),
+                before = update.before.as_str(),
+                standing = update.after.as_str(),
+                "standing_changed"
+            );
+        }
         if update.after.is_quarantined() {
             self.state.quarantine_changed().notify_one();
         }
@@ -39,17 +95,35 @@
 
     /// Clears the suspicion against a request that ran to its end.
     pub(super) fn record_good_run(&self, job: &Job) {
-        if self.state.quarantine().is_empty() {
-            return;
+        if !self.state.quarantine().is_empty() {
+            self.clear_suspicion(job, job.fingerprint(), SuspectKind::Request);
+        }
+    }
+
+    /// Clears the suspicion against the parts of a prompt on which an engine has begun to write.
+    pub(super) fn record_sound_parts(&self, job: &Job) {
+        self.state.quarantine().record_answer();
+        for part in job.suspect_parts() {
+            let kind = SuspectKind::Part { place: part.place };
+            self.clear_suspicion(job, part.fingerprint, kind);
         }
-        let fingerprint = job.fingerprint();
-        let was_filed = self.state.quarantine().is_stored(fingerprint);
-        if !self.state.quarantine().record_good_run(fingerprint, now()) {
+    }
+
+    fn clear_suspicion(&self, job: &Job, fingerprint: Fingerprint, kind: SuspectKind) {
+        let mut quarantine = self.state.quarantine();
+        let was_filed = quarantine.is_stored(fingerprint);
+        let is_cleared = match kind {
+            SuspectKind::Request => quarantine.record_good_run(fingerprint, now()),
+            SuspectKind::Part { .. } => quarantine.record_sound_part(fingerprint, now()),
+        };
+        drop(quarantine);
+        if !is_cleared {
             return;
         }
         tracing::info!(
             request = &*job.id,
             %fingerprint,
+            suspect = kind.as_str(),
             was_filed,
             "suspicion_cleared"
         );
@@ -59,16 +133,22 @@
         }
     }
 
+    /// The worst standing of the request and the parts of its prompt.
     pub(super) fn standing(&self, job: &Job) -> Standing {
-        let quarantine = self.state.quarantine();
+        let mut quarantine = self.state.quarantine();
         if quarantine.is_empty() {
             return Standing::Clear;
         }
-        quarantine.standing(job.fingerprint(), now())
+        quarantine.refresh(now());
+        let parts = job.suspect_parts().iter().map(|part| part.fingerprint);
+        let standings = std::iter::once(job.fingerprint())
+            .chain(parts)
+            .map(|suspect| quarantine.standing(suspect, now()));
+        standings.max().unwrap_or(Standing::Clear)
     }
 
-    /// Whether the request may run now. A quarantined request must not run, because it may crash an
-    /// engine together with all other requests there.
+    /// Whether the request may run now. A quarantined request, or one with a quarantined part, must
+    /// not run, because it may crash an engine together with all other requests there.
     pub(super) fn may_run_now(&self, job: &Job) -> Result<(), Failure> {
         const ENGINES_EXITED: &str =
             "engines ended while they ran this request: it is not run again";
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -15,11 +15,12 @@
 use ponddrift_http::body::BodyError;
 
 use super::Pipeline;
-use super::attempt::OpenSend;
+use super::attempt::{OpenSend, STREAM};
 use super::first_event::{BodyState, push_frame};
 use super::generate::OpenStream;
 use super::guards::InProgress;
 use super::job::Job;
+use super::quarantining::RunProgress;
 use super::silent_sends::{First, LateAnswer, SilentSend, SilentSends};
 use super::wait_policy::{Release, WaitEnd, WaitPolicy};
 use crate::request_trace::TraceStep;
@@ -179,7 +180,7 @@
     ) -> Option<(OpenStream, NextItem)> {
         let open = OpenSend {
             back_end: Arc::clone(&silent.back_end),
-            purpose: "stream",
+            purpose: STREAM,
             started_at: silent.started_at,
         };
         let silent_id = Arc::clone(&open.back_end.id);
@@ -310,7 +311,13 @@
         self.record_end(&stream, reason, outcome);
         let has_ended = self
             .pipeline
-            .check_lost_run(&self.job, &stream.back_end, outcome, stream.started_at)
+            .check_lost_run(
+                &self.job,
+                &stream.back_end,
+                outcome,
+                stream.started_at,
+                RunProgress::Writing,
+            )
             .await;
         if has_ended {
             self.job.note_ended_run(&stream.back_end);
@@ -340,7 +347,7 @@
         self.pipeline.attempt_ended(
             &mut self.job,
             TraceStep::AttemptEnded {
-                purpose: "stream",
+                purpose: STREAM,
                 back_end: Arc::clone(&stream.back_end.id),
                 outcome: name,
                 status: Some(stream.head.status.as_u16()),
--- a/crates/serving/src/pipeline/silent_sends.rs
+++ b/crates/serving/src/pipeline/silent_sends.rs
@@ -13,7 +13,7 @@
 use ponddrift_fleet::health::Outcome;
 
 use super::Pipeline;
-use super::attempt::OpenSend;
+use super::attempt::{OpenSend, progress_of};
 use super::job::Job;
 use crate::time::{self, now};
 
@@ -255,7 +255,13 @@
     pub(super) async fn check_silent_runs(&self, job: &mut Job) {
         while let Some(run) = job.silent_runs.pop() {
             let silent = Some(Outcome::Unresponsive);
-            let check = self.check_lost_run(job, &run.back_end, silent, run.started_at);
+            let check = self.check_lost_run(
+                job,
+                &run.back_end,
+                silent,
+                run.started_at,
+                progress_of(run.purpose),
+            );
             let has_ended = time::timeout_at(now() + EXIT_CHECK_LIMIT, check).await;
             if has_ended == Some(true) {
                 job.note_ended_run(&run.back_end);
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ponddrift_fleet::fingerprint::RequestFingerprint;
+use ponddrift_fleet::fingerprint::Fingerprint;
 use ponddrift_fleet::quarantine::{QUARANTINE_DURATION, UnstoredQuarantine};
 use ponddrift_runtime::Runtime;
 use rand::{RngExt, SeedableRng};
@@ -55,7 +55,10 @@
 
     /// The next quarantine to write; those that this daemon found itself come first.
     fn next_unwritten(&self) -> Option<UnstoredQuarantine> {
-        let mut unstored = self.state.quarantine().unstored(now());
+        let mut quarantine = self.state.quarantine();
+        quarantine.refresh(now());
+        let mut unstored = quarantine.unstored(now());
+        drop(quarantine);
         unstored.sort_by_key(|unstored| !unstored.is_own);
         unstored.into_iter().next()
     }
@@ -109,7 +112,7 @@
         }
     }
 
-    async fn release(&self, fingerprint: RequestFingerprint) -> Result<(), StoreError> {
+    async fn release(&self, fingerprint: Fingerprint) -> Result<(), StoreError> {
         self.store.release(fingerprint).await
     }
 }
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -9,7 +9,7 @@
 use futures::future::BoxFuture;
 use ponddrift_fleet::configuration::Configuration;
 use ponddrift_fleet::directory::{BackEnd, WarmupState};
-use ponddrift_fleet::fingerprint::RequestFingerprint;
+use ponddrift_fleet::fingerprint::Fingerprint;
 use ponddrift_fleet::revision::{Era, Revision};
 use ponddrift_fleet::topology::Member;
 use ponddrift_fleet::usage::{TenantCounts, WindowNumber};
@@ -79,9 +79,9 @@
     /// The leader's key was removed.
     LeaderRemoved,
     /// A request that must no longer be run.
-    QuarantineFiled(RequestFingerprint),
+    QuarantineFiled(Fingerprint),
     /// The quarantine of a request was removed.
-    QuarantineRemoved(RequestFingerprint),
+    QuarantineRemoved(Fingerprint),
     /// A key that this crate does not use.
     Other,
 }
@@ -227,12 +227,12 @@
     /// holds the quarantine already.
     fn file_quarantine<'a>(
         &'a self,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         engines: &'a [Arc<str>],
         life: Duration,
     ) -> BoxFuture<'a, Result<(), StoreError>>;
     /// Removes the quarantine of a request.
-    fn release(&self, fingerprint: RequestFingerprint) -> BoxFuture<'_, Result<(), StoreError>>;
+    fn release(&self, fingerprint: Fingerprint) -> BoxFuture<'_, Result<(), StoreError>>;
     /// Decodes an item.
     ///
     /// # Errors
