New connections are closed unread while most of them come to one daemon

Cause: every connection was accepted and its request read, also when the daemon had as much in progress as it can hold. Change: a new connection is closed unread while the daemon is nearly full or its tasks wait long for the processor, if it also has far more requests than its peers; its caller, which knows that nothing ran, retries at another daemon. Load that all daemons have alike closes nothing.

--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -242,6 +242,23 @@
         self.own.get(id).map_or(0.0, |own| own.requests)
     }
 
+    /// Whether this daemon has far more requests in progress than its peers have on average.
+    #[must_use]
+    pub fn exceeds_peers(&self) -> bool {
+        /// Multiple of the average that is no ordinary difference.
+        const FACTOR: f64 = 2.0;
+        /// Requests by which small numbers may differ.
+        const MARGIN: f64 = 4.0;
+        if self.peers.is_empty() {
+            return false;
+        }
+        let own: f64 = self.own.values().map(|work| work.requests).sum();
+        let of_peers: f64 = self.peer_sum.values().map(|work| work.requests).sum();
+        #[expect(clippy::cast_precision_loss, reason = "at most thousands of daemons")]
+        let average = of_peers / self.peers.len() as f64;
+        own > average * FACTOR + MARGIN
+    }
+
     /// Requests of all daemons at one back end.
     #[must_use]
     pub fn requests(&self, id: &str) -> f64 {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -34,6 +34,12 @@
         request: Request<Incoming>,
         peer: SocketAddr,
     ) -> BoxFuture<'static, Response<Body>>;
+
+    /// Whether a new connection is served; otherwise it is closed unread. `lag` is how long the
+    /// server's task waited for its turn after the connection was accepted.
+    fn admits_connection(&self, _lag: Duration) -> bool {
+        true
+    }
 }
 
 impl<F> Handler for F
@@ -196,7 +202,7 @@
                 () = self.stop.cancelled() => return,
             };
             match accepted {
-                Ok((stream, peer)) => self.serve(stream, peer),
+                Ok((stream, peer)) => self.serve_if_admitted(stream, peer).await,
                 Err(_stopping) if self.stop.is_cancelled() => return,
                 Err(error) => {
                     tracing::warn!(%error, "accept failed");
@@ -214,6 +220,14 @@
         }
     }
 
+    async fn serve_if_admitted(&self, stream: BoxedStream, peer: SocketAddr) {
+        let accepted_at = Instant::now();
+        tokio::task::yield_now().await;
+        if self.handler.admits_connection(accepted_at.elapsed()) {
+            self.serve(stream, peer);
+        }
+    }
+
     fn serve(&self, stream: BoxedStream, peer: SocketAddr) {
         let handler = Arc::clone(&self.handler);
         let stop = self.stop.clone();
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -183,6 +183,7 @@
     fetches: Counter,
     resumed: Counter,
     taken_up: Family<ResultLabels, Counter>,
+    closed_unread: Family<ReasonLabels, Counter>,
     ejections: Counter,
     silences: Family<ResultLabels, Counter>,
     announcements: Family<AnnouncementLabels, Counter>,
@@ -263,6 +264,11 @@
                 "streams_taken_up",
                 "Streams that callers took up again, by what is known of where they began",
             ),
+            closed_unread: register_default(
+                r,
+                "connections_closed_unread",
+                "New connections closed unread while most came to this daemon, by what was full",
+            ),
             ejections: register_default(r, "ejections", "Back ends found unwell"),
             silences: register_default(
                 r,
@@ -522,6 +528,13 @@
         self.silences.get_or_create(&ResultLabels { result }).inc();
     }
 
+    /// Counts a new connection that was closed unread.
+    pub(crate) fn connection_closed_unread(&self, reason: &'static str) {
+        self.closed_unread
+            .get_or_create(&ReasonLabels { reason })
+            .inc();
+    }
+
     /// Counts a stream that a caller took up again, by what is known of where it began.
     pub(crate) fn stream_taken_up(&self, result: &'static str) {
         self.taken_up.get_or_create(&ResultLabels { result }).inc();
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -4,6 +4,7 @@
 //! the connection to the back end closes, which cancels the work there, and KV cache handles are
 //! released.
 
+mod admission;
 mod announcements;
 mod answers;
 mod attempt;
@@ -130,6 +131,8 @@
     rate_queues: RateQueues,
     silent_services: Arc<SilentServices>,
     stream_recorders: OnceLock<StreamRecorders>,
+    /// When a new connection was last closed unread.
+    last_closed_unread: Mutex<Option<Instant>>,
     held_bytes: AtomicUsize,
     bounds: IntakeLimits,
     usage: Option<Arc<UsageRecorder>>,
@@ -183,6 +186,7 @@
             rate_queues: RateQueues::default(),
             silent_services: Arc::default(),
             stream_recorders: OnceLock::new(),
+            last_closed_unread: Mutex::default(),
             held_bytes: AtomicUsize::new(0),
             bounds: settings.bounds,
             usage: settings.usage.clone(),
@@ -440,4 +444,8 @@
             response
         })
     }
+
+    fn admits_connection(&self, lag: Duration) -> bool {
+        self.0.admits_connection(lag)
+    }
 }
