Sound parts are told from those that crash engines among other failures

Cause: a sound part that came with requests of several bad ones could be stronger than each of them; two bad parts that met at the same engines explained each other's crashes. Change: suspects that were never sound come first when terminations are attributed.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -645,42 +645,65 @@
         successive
     }
 
+    /// Whether it is a part on which engines have begun to write recently.
+    fn was_sound(&self) -> bool {
+        self.suspicion.kind != SuspectKind::Request && self.suspicion.cleared.is_some()
+    }
+
     /// Successive terminations after which the suspect is quarantined.
     fn needed_terminations(&self) -> usize {
-        let was_sound = self.suspicion.cleared.is_some();
         match self.suspicion.kind {
-            SuspectKind::Part { .. } if was_sound => DECIDED_AFTER_ENGINES,
+            SuspectKind::Part { .. } if self.was_sound() => DECIDED_AFTER_ENGINES,
             SuspectKind::Part { .. } | SuspectKind::Request => QUARANTINED_AFTER_ENGINES,
         }
     }
 
+    /// Whether so many engines terminated under a part on which none has ever begun to write that it
+    /// is a cause even if others were there too.
+    fn is_decided(&self) -> bool {
+        let is_part = self.suspicion.kind != SuspectKind::Request;
+        let none = Causes::default();
+        is_part
+            && !self.was_sound()
+            && self.uncleared_runs().count() >= DECIDED_AFTER_ENGINES
+            && self.successive_terminations(&none).len() >= QUARANTINED_AFTER_ENGINES
+    }
+
     /// Whether enough engines terminated for a quarantine.
     fn would_be_quarantined(&self, causes: &Causes) -> bool {
+        if self.is_decided() {
+            return self.has_different_requests(&Causes::default());
+        }
         let successive = self.successive_terminations(causes);
         let is_undecided = causes.undecided.contains(&self.suspicion.fingerprint);
         if successive.len() < self.needed_terminations() || is_undecided {
             return false;
         }
-        let runs = self.unexplained_runs(causes);
-        let requests: BTreeSet<u32> = runs.map(|run| run.request).collect();
         match self.suspicion.kind {
             SuspectKind::Request => true,
-            SuspectKind::Part { .. } => requests.len() >= QUARANTINED_AFTER_REQUESTS,
+            SuspectKind::Part { .. } => self.has_different_requests(causes),
         }
     }
 
+    fn has_different_requests(&self, causes: &Causes) -> bool {
+        let runs = self.unexplained_runs(causes);
+        let requests: BTreeSet<u32> = runs.map(|run| run.request).collect();
+        requests.len() >= QUARANTINED_AFTER_REQUESTS
+    }
+
     /// When the evidence for a quarantine has lasted long enough for first events on a part to have
     /// cleared it; `None` without enough evidence.
     fn settled_at(&self, causes: &Causes) -> Option<Instant> {
         if !self.would_be_quarantined(causes) {
             return None;
         }
+        let none = Causes::default();
+        let causes = if self.is_decided() { &none } else { causes };
         let successive = self.successive_terminations(causes);
         let deciding = successive.get(self.needed_terminations() - 1)?.ended;
-        let was_sound = self.suspicion.cleared.is_some();
         match self.suspicion.kind {
             SuspectKind::Request => Some(deciding),
-            SuspectKind::Part { .. } if was_sound => {
+            SuspectKind::Part { .. } if self.was_sound() => {
                 let before = self.answers_before.unwrap_or(causes.answers);
                 if causes.answers.saturating_sub(before) < SOUND_PART_SETTLING_ANSWERS {
                     return None;
@@ -762,6 +785,7 @@
     let rivals = candidates
         .iter()
         .filter(|entry| entry.has_settled(causes, now))
+        .filter(|entry| entry.was_sound() == cause.was_sound())
         .filter(|entry| entry.strength(causes) == cause.strength(causes))
         .filter(|entry| {
             let of_rival = entry.successive_terminations(causes);
@@ -770,8 +794,9 @@
     rivals.map(|entry| entry.suspicion.fingerprint).collect()
 }
 
-/// Index of the suspect under which most engines terminated that count for no other; a request
-/// before a part, and a part before those that come before it in prompts. `None` if too few engines
+/// Index of the suspect under which most engines terminated that count for no other. Parts that were
+/// sound come last; a request comes before a part, and a part before those that come before it in
+/// prompts. `None` if too few engines
 /// terminated under any of them.
 fn strongest(candidates: &[&Entry], causes: &Causes, now: Instant) -> Option<usize> {
     let quarantined = candidates
@@ -781,6 +806,7 @@
     let strongest = quarantined.max_by_key(|(_index, entry)| {
         let kind = entry.suspicion.kind;
         (
+            !entry.was_sound(),
             entry.strength(causes),
             kind == SuspectKind::Request,
             kind,
--- /dev/null
+++ b/crates/fleet/tests/suspected_parts.rs
@@ -0,0 +1,296 @@
+//! Parts of prompts that crash engines, among sound ones, while engines also end for other reasons.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ponddrift_fleet::fingerprint::{Fingerprint, PartContent};
+use ponddrift_fleet::quarantine::{LostRun, Quarantine, Standing, SuspectKind};
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const STEP: Duration = Duration::from_millis(5);
+const RUN_TIME: Duration = Duration::from_secs(20);
+const RESTART_DELAY: Duration = Duration::from_millis(1_500);
+const ENGINES: usize = 12;
+/// When requests with a part that crashes engines begin to come.
+const CRASHING_FROM: Duration = Duration::from_secs(4);
+/// Crashes under one part after which it must be refused, and how long that may take.
+const TOLERATED_CRASHES: usize = 5;
+const DECISION_TIME: Duration = Duration::from_secs(3);
+/// Probability of a new request in a step.
+const SOUND_PER_STEP: f64 = 0.35;
+const CRASHING_PER_STEP: f64 = 0.04;
+
+fn part(name: &str) -> Fingerprint {
+    Fingerprint::of_part(&PartContent {
+        tenant: None,
+        service: "models",
+        part: name,
+    })
+}
+
+#[derive(Clone)]
+struct Request {
+    number: u32,
+    parts: Vec<String>,
+    bad: Option<usize>,
+    tries: u32,
+}
+
+struct Run {
+    request: Request,
+    begun: Instant,
+    first_event: Instant,
+    ends: Instant,
+    has_written: bool,
+}
+
+/// One incarnation after the other of an engine.
+struct Engine {
+    incarnation: usize,
+    back_at: Instant,
+    runs: Vec<Run>,
+}
+
+#[derive(Default)]
+struct Outcome {
+    sound_refused: usize,
+    sound_served: usize,
+    bad_refused: usize,
+    crashes: HashMap<usize, Vec<Instant>>,
+    late_sends: usize,
+}
+
+struct World {
+    random: Pcg64Mcg,
+    quarantine: Quarantine,
+    engines: Vec<Engine>,
+    bad_parts: usize,
+    outcome: Outcome,
+    next_number: u32,
+}
+
+impl World {
+    fn new(seed: u64, bad_parts: usize, now: Instant) -> Self {
+        let engines = (0..ENGINES).map(|_number| Engine {
+            incarnation: 0,
+            back_at: now,
+            runs: Vec::new(),
+        });
+        Self {
+            random: Pcg64Mcg::seed_from_u64(seed),
+            quarantine: Quarantine::default(),
+            engines: engines.collect(),
+            bad_parts,
+            outcome: Outcome::default(),
+            next_number: 0,
+        }
+    }
+
+    /// All requests share a part; the next ones are shared by many and by few.
+    fn new_request(&mut self, is_bad: bool) -> Request {
+        self.next_number += 1;
+        let topic = self.random.random_range(0..6) * self.random.random_range(0..2);
+        let site = self.random.random_range(0..40);
+        let mut parts = vec![
+            String::from("all"),
+            format!("topic{topic}"),
+            format!("site{site}"),
+        ];
+        let bad = is_bad.then(|| self.random.random_range(0..self.bad_parts));
+        if let Some(bad) = bad {
+            let place = self.random.random_range(0..=parts.len());
+            parts.insert(place, format!("bad{bad}"));
+        }
+        Request {
+            number: self.next_number,
+            parts,
+            bad,
+            tries: 0,
+        }
+    }
+
+    fn send(&mut self, request: Request, now: Instant) {
+        self.quarantine.refresh(now);
+        let is_refused = request.parts.iter().any(|name| {
+            let standing = self.quarantine.standing(part(name), now);
+            matches!(standing, Standing::Quarantined { .. })
+        });
+        if is_refused {
+            match request.bad {
+                Some(_) => self.outcome.bad_refused += 1,
+                None => self.outcome.sound_refused += 1,
+            }
+            return;
+        }
+        if let Some(bad) = request.bad {
+            let crashes = self.outcome.crashes.get(&bad);
+            let fifth = crashes.and_then(|crashes| crashes.get(TOLERATED_CRASHES - 1));
+            let is_late = fifth.is_some_and(|fifth| now > *fifth + DECISION_TIME);
+            self.outcome.late_sends += usize::from(is_late);
+        }
+        let ready: Vec<usize> = (0..ENGINES)
+            .filter(|index| self.engines[*index].back_at <= now)
+            .collect();
+        let Some(index) = ready.choose(&mut self.random).copied() else {
+            return;
+        };
+        let until_event = Duration::from_millis(self.random.random_range(20..120));
+        let until_end = until_event + Duration::from_millis(self.random.random_range(50..300));
+        self.engines[index].runs.push(Run {
+            request,
+            begun: now,
+            first_event: now + until_event,
+            ends: now + until_end,
+            has_written: false,
+        });
+    }
+
+    /// Lets the runs of an engine go on. Returns whether one of them crashes it.
+    fn advance(&mut self, index: usize, now: Instant) -> bool {
+        let mut crashes = false;
+        for run in &mut self.engines[index].runs {
+            if run.has_written || run.first_event > now {
+                continue;
+            }
+            if let Some(bad) = run.request.bad {
+                self.outcome.crashes.entry(bad).or_default().push(now);
+                crashes = true;
+                continue;
+            }
+            run.has_written = true;
+            self.quarantine.record_answer();
+            for name in &run.request.parts {
+                self.quarantine.record_sound_part(part(name), now);
+            }
+        }
+        crashes
+    }
+
+    /// Ends an engine, and repeats the requests that have had no event once.
+    fn end_engine(&mut self, index: usize, now: Instant) {
+        let engine = &mut self.engines[index];
+        let id: Arc<str> = Arc::from(format!("i-{index}-{}", engine.incarnation));
+        engine.incarnation += 1;
+        engine.back_at = now + RESTART_DELAY;
+        let runs = std::mem::take(&mut engine.runs);
+        for run in runs.into_iter().filter(|run| !run.has_written) {
+            for (place, name) in run.request.parts.iter().enumerate() {
+                let lost = LostRun {
+                    engine: Arc::clone(&id),
+                    request: run.request.number,
+                    begun: run.begun,
+                    ended: now,
+                };
+                let place = u8::try_from(place).expect("few parts");
+                let kind = SuspectKind::Part { place };
+                self.quarantine
+                    .record_lost_run(part(name), kind, 0, lost, now);
+            }
+            if run.request.tries == 0 {
+                let request = Request {
+                    tries: 1,
+                    ..run.request
+                };
+                self.send(request, now);
+            }
+        }
+    }
+
+    fn step(&mut self, elapsed: Duration, now: Instant) {
+        if self.random.random_bool(SOUND_PER_STEP) {
+            let request = self.new_request(false);
+            self.send(request, now);
+        }
+        let is_crashing = self.bad_parts > 0 && elapsed >= CRASHING_FROM;
+        if is_crashing && self.random.random_bool(CRASHING_PER_STEP) {
+            let request = self.new_request(true);
+            self.send(request, now);
+        }
+        for index in 0..ENGINES {
+            let crashes = self.advance(index, now);
+            self.engines[index].runs.retain(|run| {
+                let is_whole = run.ends <= now;
+                self.outcome.sound_served += usize::from(is_whole);
+                !is_whole
+            });
+            if crashes {
+                self.end_engine(index, now);
+            }
+        }
+    }
+}
+
+/// Engines that end for other reasons in a step.
+fn other_ends(random: &mut Pcg64Mcg, elapsed: Duration) -> Vec<usize> {
+    const RACK: std::ops::Range<usize> = 0..4;
+    const ZONE: std::ops::Range<usize> = 6..12;
+    let at = |seconds: u64| {
+        elapsed >= Duration::from_secs(seconds) && elapsed < Duration::from_secs(seconds) + STEP
+    };
+    if at(3) || at(6) || at(9) {
+        return RACK.collect();
+    }
+    if at(7) {
+        return ZONE.collect();
+    }
+    let rolling_step = u32::try_from(elapsed.as_millis()).unwrap_or_default();
+    let is_rolling = elapsed >= Duration::from_secs(10) && rolling_step % 300 < 5;
+    if is_rolling {
+        return vec![(rolling_step / 300) as usize % ENGINES];
+    }
+    if random.random_bool(0.002) {
+        return vec![random.random_range(0..ENGINES)];
+    }
+    Vec::new()
+}
+
+fn play(seed: u64, bad_parts: usize) -> Outcome {
+    let start = Instant::now() + Duration::from_secs(3_600);
+    let mut world = World::new(seed, bad_parts, start);
+    let mut faults = Pcg64Mcg::seed_from_u64(seed ^ 0xffff);
+    let mut elapsed = Duration::ZERO;
+    while elapsed < RUN_TIME {
+        let now = start + elapsed;
+        world.step(elapsed, now);
+        for index in other_ends(&mut faults, elapsed) {
+            if world.engines[index].back_at <= now {
+                world.end_engine(index, now);
+            }
+        }
+        elapsed += STEP;
+    }
+    world.outcome
+}
+
+#[test]
+fn sound_parts_are_served_whatever_ends_engines() {
+    let mut refused = Vec::new();
+    for seed in 0..100 {
+        for bad_parts in 0..=4 {
+            let outcome = play(seed, bad_parts);
+            assert!(outcome.sound_served > 300, "seed {seed}, {bad_parts} parts");
+            if outcome.sound_refused > 0 {
+                refused.push((seed, bad_parts, outcome.sound_refused));
+            }
+        }
+    }
+    assert!(refused.is_empty(), "sound requests refused: {refused:?}");
+}
+
+#[test]
+fn parts_that_crash_engines_are_refused_whatever_else_ends_engines() {
+    let mut late = Vec::new();
+    for seed in 0..100 {
+        for bad_parts in 1..=4 {
+            let outcome = play(seed, bad_parts);
+            assert!(outcome.bad_refused > 0, "seed {seed}, {bad_parts} parts");
+            if outcome.late_sends > 0 {
+                late.push((seed, bad_parts, outcome.late_sends));
+            }
+        }
+    }
+    assert!(late.is_empty(), "sent long after the fifth crash: {late:?}");
+}
