Soak: engines of two versions, streams that are taken up, prompt parts that crash engines

Every second engine runs another version; callers take up streams that broke off; half of the requests that crash engines do so by a part of their prompts. No stream may hold events of two versions, and a part may reach engines in three requests at most later than 3 s after its fifth crash.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -19,6 +19,12 @@
 const DRAIN_LIMIT: Duration = Duration::from_millis(2_200);
 /// Time for information found by one daemon to reach all daemons.
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(3);
+/// Beginning of the names of requests whose prompts have a part that crashes engines.
+pub const PART_CRASHER: &str = "crasherpart";
+/// Crashes by one request after which it must not run.
+const TOLERATED_CRASHES: usize = 3;
+/// Crashes by requests with one part after which none with it must run.
+const TOLERATED_CRASHES_OF_PART: usize = 5;
 /// Attempts of a request that may still reach engines after it has crashed three of them.
 const ALLOWED_LATE_ATTEMPTS: usize = 3;
 /// Text in a daemon's rejection of a quarantined request.
@@ -136,13 +142,14 @@
         check_request(record, of_request, &mut violations);
         check_not_quarantined(record, &mut violations);
     }
+    check_stream_versions(records, &mut violations);
     check_departed_engines(members, disruptions, silences, &mut violations);
     check_orders(members, silences, &mut violations);
     violations
 }
 
-/// Checks that a request that has crashed three engines reaches engines in at most
-/// `ALLOWED_LATE_ATTEMPTS` attempts once all daemons must know of it, newly started ones
+/// Checks that a request that has crashed three engines, or requests with a part under which five
+/// have crashed, reach engines in at most `ALLOWED_LATE_ATTEMPTS` attempts once all daemons must know of it, newly started ones
 /// included.
 ///
 /// Attempts during a disruption of the store are exempt: a daemon that starts then may learn of the
@@ -167,13 +174,19 @@
     for (name, mut runs) in tries {
         runs.sort_by_key(|run| run.started_at);
         let crashes = runs.iter().filter(|run| !run.is_prefill);
-        let Some(third) = crashes.map(|run| run.started_at).nth(2) else {
+        let tolerated = if name.starts_with(PART_CRASHER) {
+            TOLERATED_CRASHES_OF_PART
+        } else {
+            TOLERATED_CRASHES
+        };
+        let last_tolerated = crashes.map(|run| run.started_at).nth(tolerated - 1);
+        let Some(last_tolerated) = last_tolerated else {
             continue;
         };
         let late: BTreeSet<&str> = runs
             .iter()
-            .filter(|run| run.started_at > third + PROPAGATION_LIMIT)
-            .filter(|run| !store_disruptions.overlaps(third, run.started_at))
+            .filter(|run| run.started_at > last_tolerated + PROPAGATION_LIMIT)
+            .filter(|run| !store_disruptions.overlaps(last_tolerated, run.started_at))
             .map(|run| run.request.as_str())
             .collect();
         if late.len() > ALLOWED_LATE_ATTEMPTS {
@@ -251,8 +264,11 @@
             .lines()
             .filter_map(|line| line.strip_prefix("id: "))
             .collect();
-        FULL_STREAM_EVENT_IDS.starts_with(&ids)
-            && (!answer.is_complete || ids == FULL_STREAM_EVENT_IDS)
+        let taken_up = record.request.takes_up.as_ref();
+        let skipped = taken_up.map_or(0, |stream| stream.last_event);
+        let skipped = usize::try_from(skipped).unwrap_or(usize::MAX);
+        let expected = FULL_STREAM_EVENT_IDS.get(skipped..).unwrap_or_default();
+        expected.starts_with(&ids) && (!answer.is_complete || ids == expected)
     } else {
         !answer.is_complete || text.ends_with(&format!(" to {id}"))
     };
@@ -264,6 +280,28 @@
     }
 }
 
+/// Checks that no stream holds events of two versions of the engines' software, over all tries of its
+/// caller.
+fn check_stream_versions(records: &[RequestRecord], violations: &mut Vec<Violation>) {
+    let mut versions: BTreeMap<&str, BTreeSet<String>> = BTreeMap::new();
+    for record in records {
+        let answer = record.answer.iter();
+        let of_answer = answer.flat_map(ponddrift_platform_stand_ins::Answer::versions);
+        versions
+            .entry(record.stream())
+            .or_default()
+            .extend(of_answer);
+    }
+    for (stream, versions) in versions {
+        if versions.len() > 1 {
+            violations.push(Violation {
+                rule: "streams go on at the software version that began them",
+                observed: format!("{stream} holds events of {versions:?}"),
+            });
+        }
+    }
+}
+
 fn check_departed_engines(
     members: &[EngineMember],
     disruptions: &Disruptions,
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -4,7 +4,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use ponddrift_platform_stand_ins::{Answer, ClientRequest, ClientStandIn, PersistentConnection};
+use ponddrift_platform_stand_ins::{
+    Answer, BrokenStream, ClientRequest, ClientStandIn, PersistentConnection,
+};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -16,6 +18,8 @@
 const ANSWER_GRACE: Duration = Duration::from_millis(1_500);
 /// Pause between two attempts of a request that crashes engines.
 const CRASHING_REQUEST_INTERVAL: Duration = Duration::from_millis(120);
+/// Route of streams that may be taken up.
+const RESUMABLE_ROUTE: &str = "tag";
 /// Pause between two requests of the same caller.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -74,6 +78,7 @@
     let mut count = 0_u64;
     let keeps_connections = number % 2 == 1;
     let mut kept_connection: Option<PersistentConnection> = None;
+    let mut broken_stream: Option<RequestRecord> = None;
     while Instant::now() < end {
         sleep(REQUEST_INTERVAL).await;
         let is_open = match &mut kept_connection {
@@ -91,7 +96,11 @@
             kept_connection = client.connect(daemon).await;
         }
         count += 1;
-        let request = draw_request(&mut random, &format!("c{number}-{count}"));
+        let id = format!("c{number}-{count}");
+        let request = match broken_stream.take() {
+            Some(broken) => take_up(broken, id),
+            None => draw_request(&mut random, &id),
+        };
         let cancels_early = random.random_bool(0.05);
         let time_limit = if cancels_early {
             Duration::from_millis(random.random_range(1..120))
@@ -108,14 +117,46 @@
             kept_connection = None;
         }
         let abandoned = cancels_early && answer.is_err();
-        state.record(RequestRecord {
+        let record = RequestRecord {
             request,
             daemon,
             at,
             ended: Instant::now(),
             answer: answer.ok().flatten(),
             abandoned,
+        };
+        broken_stream = Some(record.clone()).filter(RequestRecord::is_broken_stream);
+        state.record(record);
+    }
+}
+
+impl RequestRecord {
+    /// Whether it is a stream that broke off after its first event and may be taken up.
+    fn is_broken_stream(&self) -> bool {
+        let has_events = self.answer.as_ref().is_some_and(|answer| {
+            !answer.is_complete && answer.status.is_success() && answer.last_event().is_some()
         });
+        self.request.route == RESUMABLE_ROUTE && has_events
+    }
+
+    /// ID of the request that brought the first event of the stream.
+    #[must_use]
+    pub fn stream(&self) -> &str {
+        let taken_up = self.request.takes_up.as_ref();
+        taken_up.map_or(&self.request.id, |stream| &stream.request)
+    }
+}
+
+/// Request for the rest of a stream that broke off.
+fn take_up(broken: RequestRecord, id: String) -> ClientRequest {
+    let last_event = broken.answer.as_ref().and_then(Answer::last_event);
+    ClientRequest {
+        id,
+        takes_up: last_event.map(|last_event| BrokenStream {
+            request: broken.stream().to_owned(),
+            last_event,
+        }),
+        ..broken.request
     }
 }
 
@@ -134,12 +175,22 @@
     }
 }
 
+/// What makes engines crash.
+#[derive(Debug, Clone)]
+pub enum CrashCause {
+    /// The body, which is the same each time.
+    Body,
+    /// A part of the prompt; no two requests are alike.
+    Part(String),
+}
+
 /// Repeats a request that crashes engines until `end`, each time at a random daemon and without
 /// waiting for the previous attempt.
 pub async fn repeat_crashing_request(
     client: ClientStandIn,
     state: Arc<CallerState>,
     name: String,
+    cause: CrashCause,
     seed: u64,
     end: Instant,
 ) {
@@ -151,9 +202,17 @@
             continue;
         };
         count += 1;
-        let request = ClientRequest {
-            body: format!("{name} {CRASH_MARKER}"),
-            ..ClientRequest::prompt(&format!("{name}-{count}"), "tag", 40, 200)
+        let request = ClientRequest::prompt(&format!("{name}-{count}"), "tag", 40, 200);
+        let request = match &cause {
+            CrashCause::Body => ClientRequest {
+                body: format!("{name} {CRASH_MARKER}"),
+                ..request
+            },
+            CrashCause::Part(part) => ClientRequest {
+                body: format!("{name}, number {count}"),
+                further_parts: vec![part.clone()],
+                ..request
+            },
         };
         let client = client.clone();
         let limit = Duration::from_millis(request.deadline_ms) + ANSWER_GRACE;
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -58,6 +58,21 @@
     pending_restart: Option<(Instant, String)>,
 }
 
+/// Version of the software of each second engine.
+const OTHER_VERSION: &str = "v2";
+/// Number of prompt parts on which engines crash.
+const CRASHING_PARTS: usize = 64;
+
+/// A prompt part on which engines crash.
+#[must_use]
+pub fn crashing_part(number: usize) -> String {
+    format!("crashing{}", number % CRASHING_PARTS)
+}
+
+fn crashing_parts() -> Vec<String> {
+    (0..CRASHING_PARTS).map(crashing_part).collect()
+}
+
 /// The store and the engines.
 pub struct Platform {
     /// Runtime of the stand-ins.
@@ -114,6 +129,10 @@
             spot: false,
         });
         engine.crash_on(CRASH_MARKER);
+        engine.crash_on_parts(&crashing_parts());
+        if self.members.len() % 2 == 1 {
+            engine.set_version(OTHER_VERSION);
+        }
         let connections: Arc<ConnectionSilencer> = Arc::default();
         let tasks = self.serve(&engine, &connections).await?;
         engine.record(&self.store, "ready");
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,14 +18,15 @@
 
 use crate::checks::silences::{OtherFaults, SilenceReport, check_silences};
 use crate::checks::{
-    Disruptions, Outage, Violation, check, check_crashing_requests, check_every_request_answered,
+    Disruptions, Outage, PART_CRASHER, Violation, check, check_crashing_requests,
+    check_every_request_answered,
 };
 use crate::cuts::PathCutter;
 use crate::daemons::DaemonProcess;
 use crate::faults::{Fault, ScheduledFault, draw_fault};
 use crate::limits::RateLimitInjector;
-use crate::load::{CallerState, RequestRecord, repeat_crashing_request, run_caller};
-use crate::platform::{MODEL_SERVICE, PLAIN_SERVICE, Platform, TOGGLED_ROUTE};
+use crate::load::{CallerState, CrashCause, RequestRecord, repeat_crashing_request, run_caller};
+use crate::platform::{MODEL_SERVICE, PLAIN_SERVICE, Platform, TOGGLED_ROUTE, crashing_part};
 use crate::restorer::StoreRestorer;
 use crate::silences::{Silencer, Silences};
 
@@ -318,13 +319,20 @@
 
     /// Starts repeating a crashing request, which continues while later faults are injected.
     async fn send_crashing_request(&mut self, duration: Duration) -> Result<()> {
-        let name = format!("crasher{}", self.faults.len());
+        let number = self.faults.len();
+        let (name, cause) = if self.random.random_bool(0.5) {
+            (format!("crasher{number}"), CrashCause::Body)
+        } else {
+            let part = crashing_part(number);
+            (format!("{PART_CRASHER}{number}"), CrashCause::Part(part))
+        };
         let end = Instant::now() + CRASHING_REQUEST_DURATION;
         let seed = self.random.random();
         tokio::spawn(repeat_crashing_request(
             self.client.clone(),
             Arc::clone(&self.load),
             name,
+            cause,
             seed,
             end,
         ));
