Tests: a retry is held before a silent back end is left, and returned when it isn't used

Cause: the two mechanisms had no test of their own; all tests passed without either. Both pass on the code as it is.

--- a/crates/serve/tests/silent_back_ends.rs
+++ b/crates/serve/tests/silent_back_ends.rs
@@ -229,3 +229,93 @@
     let answered = send_beside(&mut fleet, requests.collect(), silence);
     assert_all_served(&answered, "silent during the prefill");
 }
+
+/// Earns a fifth of a retry with each of `requests` requests.
+fn earn_with(fleet: &mut Fleet, requests: u32) {
+    let requests = (0..requests).map(|number| {
+        let id = format!("earn-{number}");
+        Sent::at_start(0, ClientRequest::prompt(&id, "tag", 40, 200))
+    });
+    send_beside(fleet, requests.collect(), std::future::ready(()));
+}
+
+/// A fleet of one daemon that has earned retries with so many requests, and two decode engines of
+/// which the second takes no requests for now.
+fn fleet_with_few_retries(earning_requests: u32) -> Fleet {
+    let mut fleet = Fleet::new(FleetOptions {
+        daemons: 1,
+        prefill: 0,
+        decode: 2,
+        ..FleetOptions::default()
+    });
+    earn_with(&mut fleet, earning_requests);
+    fleet.decode[1].record(&fleet.store, "draining");
+    fleet.wait(Duration::from_millis(100));
+    for engine in &fleet.decode {
+        engine.set_default_behaviour(Behaviour::Stream {
+            events: STREAM_EVENTS,
+            gap_ms: EVENT_GAP_MS,
+        });
+    }
+    fleet
+}
+
+/// Without the retry in hand, every stream of a silent engine would turn elsewhere for the same one.
+#[test]
+fn only_the_stream_that_holds_the_retry_leaves_a_silent_engine() {
+    let mut fleet = fleet_with_few_retries(5);
+    let denied = r#"ponddrift_repeats_total{granted="no"}"#;
+    let denied_before = fleet.metric(0, denied);
+    let (simulation, store) = (fleet.simulation.handle(), fleet.store.clone());
+    let (silent, other) = (fleet.decode_hosts[0], fleet.decode[1].clone());
+    let silence = async move {
+        sleep(Duration::from_millis(400)).await;
+        other.record(&store, "ready");
+        sleep(Duration::from_millis(200)).await;
+        simulation.freeze(silent);
+        sleep(LONG_SILENCE).await;
+        simulation.thaw(silent);
+    };
+    let answered = send_beside(&mut fleet, streams("tag", "tag", 6), silence);
+    assert_all_served(&answered, "one retry for six streams");
+    let resumed = fleet.decode[1].runs();
+    let resumed = resumed.iter().filter(|run| run.resumed_after.is_some());
+    assert_eq!(resumed.count(), 1);
+    assert_eq!(fleet.metric(0, denied) - denied_before, 0.0);
+}
+
+/// The engine answers after all, and the retry that was taken for another one serves the next stream.
+#[test]
+fn a_retry_that_a_silent_engine_made_needless_serves_another_stream() {
+    let mut fleet = fleet_with_few_retries(7);
+    let (simulation, store) = (fleet.simulation.handle(), fleet.store.clone());
+    let (silent, other) = (fleet.decode_hosts[0], fleet.decode[1].clone());
+    let other_host = fleet.decode_hosts[1];
+    let silence = async move {
+        sleep(Duration::from_millis(400)).await;
+        // Ready according to its entry, but no connection to it can be opened.
+        simulation.kill(other_host);
+        other.record(&store, "ready");
+        sleep(Duration::from_millis(200)).await;
+        simulation.freeze(silent);
+        sleep(Duration::from_millis(1_700)).await;
+        simulation.thaw(silent);
+    };
+    let answered = send_beside(&mut fleet, streams("tag", "first", 1), silence);
+    assert_all_served(&answered, "the silent engine answers after all");
+    let (simulation, failing) = (fleet.simulation.handle(), fleet.decode_hosts[0]);
+    simulation.restart(other_host);
+    fleet.wait(Duration::from_secs(5));
+    let other = fleet.decode[1].clone();
+    let store = fleet.store.clone();
+    other.record(&store, "draining");
+    fleet.wait(Duration::from_millis(200));
+    let crash = async move {
+        sleep(Duration::from_millis(400)).await;
+        other.record(&store, "ready");
+        sleep(Duration::from_millis(200)).await;
+        simulation.kill(failing);
+    };
+    let answered = send_beside(&mut fleet, streams("tag", "second", 1), crash);
+    assert_all_served(&answered, "resumed with the returned retry");
+}
