Popular parts of prompts are not announced to all daemons with each crash

Found by reading: a popular part loses runs with each engine that ends and is cleared at each daemon, and each of these changes was announced to all daemons, three times: in a fleet of 986 up to a million datagrams for one crash. Change: all daemons are told of a part if it is, or was, quarantined, or if no engine has ever begun to write on it. The rest goes to the recorders of the part.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -190,6 +190,8 @@
     stored: Option<Instant>,
     /// The store was restored from an older copy that lacks the quarantine.
     is_missing: bool,
+    /// Whether it has been quarantined for the terminations known here.
+    was_quarantined: bool,
     /// Answers that this daemon had seen begin before the first run that is not cleared was lost.
     answers_before: Option<u64>,
     /// Time when the quarantine was ended by the expiry of its lease or by an operator.
@@ -487,9 +489,22 @@
             .iter()
             .filter_map(|entry| entry.settled_at(&self.causes));
         self.next_settling = settling.filter(|settled_at| *settled_at > now).min();
+        let causes: BTreeSet<Fingerprint> = self.causes.by_engine.values().copied().collect();
+        for cause in causes {
+            if let Some(entry) = self.entries.get_mut(&cause) {
+                entry.was_quarantined = true;
+            }
+        }
         self.release_explained();
     }
 
+    /// Whether a suspect has been quarantined for the terminations known here, now or earlier.
+    #[must_use]
+    pub fn was_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        let entry = self.entries.get(&fingerprint);
+        entry.is_some_and(|entry| entry.was_quarantined)
+    }
+
     /// Releases quarantines in the store all of whose terminations count for other suspects.
     fn release_explained(&mut self) {
         for fingerprint in &self.candidates {
@@ -546,6 +561,7 @@
             },
             stored: None,
             is_missing: false,
+            was_quarantined: false,
             answers_before: None,
             released: None,
             is_own: false,
--- a/crates/serve/tests/crashing_parts.rs
+++ b/crates/serve/tests/crashing_parts.rs
@@ -258,3 +258,11 @@
         assert_part_is_refused(&mut fleet, &parts, Place::Middle, &case);
     }
 }
+
+/// In a fleet of this size, single lost runs are sent to a few daemons only.
+#[test]
+fn a_part_that_crashes_engines_is_refused_in_a_fleet_with_recorders() {
+    let parts = bad_parts(1);
+    let mut fleet = fleet_with(36, &parts);
+    assert_part_is_refused(&mut fleet, &parts, Place::Middle, "36 daemons");
+}
--- a/crates/serving/src/peers/suspects.rs
+++ b/crates/serving/src/peers/suspects.rs
@@ -76,9 +76,7 @@
             if standing.is_quarantined() {
                 self.state.quarantine_changed().notify_one();
             }
-            // Most requests of an engine that ended have one lost run and one successful run.
-            let was_suspected = suspicion.cleared.is_some() && suspicion.lost_runs.len() > 1;
-            let concerns_all = standing != Standing::Clear || was_suspected;
+            let concerns_all = self.concerns_all(&suspicion, standing);
             if !concerns_all && !is_new {
                 continue;
             }
@@ -92,6 +90,29 @@
         }
     }
 
+    /// Whether all daemons are to know. Popular parts of prompts lose runs with each engine and are
+    /// cleared at each daemon, so all daemons are told only of a quarantine, and of parts on which no
+    /// engine has begun to write.
+    fn concerns_all(&self, suspicion: &Suspicion, standing: Standing) -> bool {
+        match suspicion.kind {
+            SuspectKind::Request => {
+                // Most requests of an engine that ended have one lost run and one successful run.
+                let was_suspected = suspicion.cleared.is_some() && suspicion.lost_runs.len() > 1;
+                standing != Standing::Clear || was_suspected
+            }
+            SuspectKind::Part { .. } => {
+                let was_quarantined = self
+                    .state
+                    .quarantine()
+                    .was_quarantined(suspicion.fingerprint);
+                let never_sound = suspicion.cleared.is_none();
+                was_quarantined
+                    || standing.is_quarantined()
+                    || (never_sound && standing == Standing::Suspected)
+            }
+        }
+    }
+
     fn record_of(&self, fingerprint: Fingerprint) -> Option<(Suspicion, Standing)> {
         let mut quarantine = self.state.quarantine();
         quarantine.refresh(now());
