--- /dev/null
+++ b/crates/fleet/src/quarantine/entry.rs
@@ -0,0 +1,285 @@
+//! The evidence against one suspect, and what follows from it.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use super::QUARANTINE_DURATION;
+use super::causes::Causes;
+use super::suspicion::{LostRun, Standing, SuspectKind, Suspicion};
+use crate::fingerprint::Fingerprint;
+
+/// Successive engine terminations after which a request is suspected. An unrelated request that
+/// shared one engine with the cause rarely reaches two.
+const SUSPECTED_AFTER_ENGINES: usize = 2;
+/// Successive engine terminations after which a suspect is quarantined. With two, unrelated requests
+/// that met the same crashing request twice would be quarantined too.
+const QUARANTINED_AFTER_ENGINES: usize = 3;
+/// Terminations within this time under overlapping runs may have one common cause: the failure of a
+/// rack or a switch takes down all of its machines within tenths of a second.
+const COMMON_CAUSE_WINDOW: Duration = Duration::from_millis(500);
+/// Maximum number of lost runs kept per request: enough to separate those that were lost at the
+/// same time.
+const MAX_LOST_RUNS: usize = 8;
+/// Two completed runs closer than this are regarded as the same one: peers send times as ages,
+/// which are inaccurate by the network delay.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(500);
+/// Different requests that must have lost runs before a part of their prompts is quarantined: with
+/// one, the request itself may be the cause.
+const QUARANTINED_AFTER_REQUESTS: usize = 2;
+/// Time after the deciding termination until a part is quarantined: sound parts are cleared by the
+/// first events of answers that other engines begin meanwhile, and daemons exchange what they saw.
+const PART_SETTLING_TIME: Duration = Duration::from_millis(50);
+/// Time after the first of the terminations until a part is quarantined on which engines began
+/// answers before. Shared by many requests, it would have been cleared meanwhile.
+const SOUND_PART_SETTLING_TIME: Duration = Duration::from_secs(1);
+/// Answers to other requests that engines must have begun meanwhile. While engines answer nothing at
+/// all, no part can be cleared.
+const SOUND_PART_SETTLING_ANSWERS: u64 = 20;
+/// Successive terminations after which a part is quarantined although engines began answers on it
+/// recently, or although another suspect was there each time.
+pub(super) const DECIDED_AFTER_ENGINES: usize = 5;
+
+/// What is known of one suspect.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) suspicion: Suspicion,
+    /// Since when the store has held the quarantine, as far as this daemon knows.
+    pub(super) stored: Option<Instant>,
+    /// The store was restored from an older copy that lacks the quarantine.
+    pub(super) is_missing: bool,
+    /// Whether it has been quarantined for the terminations known here.
+    pub(super) was_quarantined: bool,
+    /// Answers that this daemon had seen begin before the first run that is not cleared was lost.
+    pub(super) answers_before: Option<u64>,
+    /// Time when the quarantine was ended by the expiry of its lease or by an operator.
+    pub(super) released: Option<Instant>,
+    pub(super) is_own: bool,
+}
+
+impl Entry {
+    pub(super) const fn of(fingerprint: Fingerprint, tenant: u32) -> Self {
+        Self {
+            suspicion: Suspicion {
+                fingerprint,
+                kind: SuspectKind::Request,
+                tenant,
+                lost_runs: Vec::new(),
+                cleared: None,
+            },
+            stored: None,
+            is_missing: false,
+            was_quarantined: false,
+            answers_before: None,
+            released: None,
+            is_own: false,
+        }
+    }
+
+    /// Merges information about the same request. Returns whether anything was new.
+    pub(super) fn absorb(&mut self, news: &Suspicion) -> bool {
+        let before = self.suspicion.clone();
+        let known = &mut self.suspicion;
+        if known.tenant == 0 {
+            known.tenant = news.tenant;
+        }
+        known.kind = known.kind.max(news.kind);
+        if is_later(news.cleared, known.cleared) {
+            known.cleared = news.cleared;
+            self.stored = None;
+        }
+        for run in &news.lost_runs {
+            if known
+                .lost_runs
+                .iter()
+                .all(|other| other.engine != run.engine)
+            {
+                known.lost_runs.push(run.clone());
+            }
+        }
+        known.lost_runs.sort_by_key(|run| run.ended);
+        self.trim_lost_runs();
+        self.suspicion != before
+    }
+
+    /// Limits the number of lost runs: removes those that do not count as successive terminations
+    /// first, then the oldest.
+    pub(super) fn trim_lost_runs(&mut self) {
+        while self.suspicion.lost_runs.len() > MAX_LOST_RUNS {
+            let counted: Vec<Arc<str>> = self
+                .successive_terminations(&Causes::default())
+                .into_iter()
+                .map(|run| Arc::clone(&run.engine))
+                .collect();
+            let runs = &mut self.suspicion.lost_runs;
+            let surplus = runs.iter().position(|run| !counted.contains(&run.engine));
+            runs.remove(surplus.unwrap_or_default());
+        }
+    }
+
+    pub(super) const fn must_be_stored(&self) -> bool {
+        self.stored.is_none() || self.is_missing
+    }
+
+    pub(super) fn has_more_than(&self, news: &Suspicion) -> bool {
+        let known = &self.suspicion;
+        let is_known_to_peer = |run: &LostRun| {
+            news.lost_runs
+                .iter()
+                .any(|peer_run| peer_run.engine == run.engine)
+        };
+        is_later(known.cleared, news.cleared)
+            || known.lost_runs.iter().any(|run| !is_known_to_peer(run))
+    }
+
+    /// Lost runs after the last completed run.
+    pub(super) fn uncleared_runs(&self) -> impl Iterator<Item = &LostRun> {
+        let cleared = self.suspicion.cleared;
+        let runs = self.suspicion.lost_runs.iter();
+        runs.filter(move |run| cleared.is_none_or(|cleared| run.ended > cleared))
+    }
+
+    /// Uncleared runs whose terminations don't count for another suspect.
+    pub(super) fn unexplained_runs<'a>(
+        &'a self,
+        causes: &'a Causes,
+    ) -> impl Iterator<Item = &'a LostRun> {
+        let own = self.suspicion.fingerprint;
+        self.uncleared_runs()
+            .filter(move |run| causes.may_be_caused_by(&run.engine, own))
+    }
+
+    /// How much speaks against the suspect: successive terminations, then all of them.
+    pub(super) fn strength(&self, causes: &Causes) -> (usize, usize) {
+        (
+            self.successive_terminations(causes).len(),
+            self.unexplained_runs(causes).count(),
+        )
+    }
+
+    /// Successive terminations that don't count for another suspect: each run in the result started
+    /// after the previous engine had terminated, or its own engine terminated clearly later.
+    pub(super) fn successive_terminations<'a>(&'a self, causes: &'a Causes) -> Vec<&'a LostRun> {
+        let mut successive: Vec<&'a LostRun> = Vec::new();
+        for run in self.unexplained_runs(causes) {
+            let follows = successive.last().is_none_or(|before| {
+                run.begun >= before.ended || run.ended >= before.ended + COMMON_CAUSE_WINDOW
+            });
+            if follows {
+                successive.push(run);
+            }
+        }
+        successive
+    }
+
+    /// Whether it is a part on which engines have begun to write recently.
+    pub(super) fn was_sound(&self) -> bool {
+        self.suspicion.kind != SuspectKind::Request && self.suspicion.cleared.is_some()
+    }
+
+    /// Successive terminations after which the suspect is quarantined.
+    pub(super) fn needed_terminations(&self) -> usize {
+        match self.suspicion.kind {
+            SuspectKind::Part { .. } if self.was_sound() => DECIDED_AFTER_ENGINES,
+            SuspectKind::Part { .. } | SuspectKind::Request => QUARANTINED_AFTER_ENGINES,
+        }
+    }
+
+    /// Whether so many engines terminated under a part on which none has ever begun to write that it
+    /// is a cause even if others were there too.
+    pub(super) fn is_decided(&self) -> bool {
+        let is_part = self.suspicion.kind != SuspectKind::Request;
+        let none = Causes::default();
+        is_part
+            && !self.was_sound()
+            && self.uncleared_runs().count() >= DECIDED_AFTER_ENGINES
+            && self.successive_terminations(&none).len() >= QUARANTINED_AFTER_ENGINES
+    }
+
+    /// Whether enough engines terminated for a quarantine.
+    pub(super) fn would_be_quarantined(&self, causes: &Causes) -> bool {
+        if self.is_decided() {
+            return self.has_different_requests(&Causes::default());
+        }
+        let successive = self.successive_terminations(causes);
+        let is_undecided = causes.undecided.contains(&self.suspicion.fingerprint);
+        if successive.len() < self.needed_terminations() || is_undecided {
+            return false;
+        }
+        match self.suspicion.kind {
+            SuspectKind::Request => true,
+            SuspectKind::Part { .. } => self.has_different_requests(causes),
+        }
+    }
+
+    pub(super) fn has_different_requests(&self, causes: &Causes) -> bool {
+        let runs = self.unexplained_runs(causes);
+        let requests: BTreeSet<u32> = runs.map(|run| run.request).collect();
+        requests.len() >= QUARANTINED_AFTER_REQUESTS
+    }
+
+    /// When the evidence for a quarantine has lasted long enough for first events on a part to have
+    /// cleared it; `None` without enough evidence.
+    pub(super) fn settled_at(&self, causes: &Causes) -> Option<Instant> {
+        if !self.would_be_quarantined(causes) {
+            return None;
+        }
+        let none = Causes::default();
+        let causes = if self.is_decided() { &none } else { causes };
+        let successive = self.successive_terminations(causes);
+        let deciding = successive.get(self.needed_terminations() - 1)?.ended;
+        match self.suspicion.kind {
+            SuspectKind::Request => Some(deciding),
+            SuspectKind::Part { .. } if self.was_sound() => {
+                let before = self.answers_before.unwrap_or(causes.answers);
+                if causes.answers.saturating_sub(before) < SOUND_PART_SETTLING_ANSWERS {
+                    return None;
+                }
+                let first = successive.first()?.ended;
+                Some((deciding + PART_SETTLING_TIME).max(first + SOUND_PART_SETTLING_TIME))
+            }
+            SuspectKind::Part { .. } => Some(deciding + PART_SETTLING_TIME),
+        }
+    }
+
+    /// Whether the evidence against a part that was sound lacks only answers to other requests.
+    pub(super) fn is_short_of_answers(&self, causes: &Causes) -> bool {
+        self.would_be_quarantined(causes) && self.settled_at(causes).is_none()
+    }
+
+    pub(super) fn has_settled(&self, causes: &Causes, now: Instant) -> bool {
+        self.settled_at(causes)
+            .is_some_and(|settled_at| settled_at <= now)
+    }
+
+    pub(super) fn standing(&self, causes: &Causes, now: Instant) -> Standing {
+        let newest = self.uncleared_runs().map(|run| run.ended).max();
+        let since = newest
+            .filter(|_newest| self.has_settled(causes, now))
+            .filter(|newest| self.released.is_none_or(|released| *newest > released))
+            .max(self.stored);
+        if let Some(until) = since.map(|since| since + QUARANTINE_DURATION)
+            && until > now
+        {
+            return Standing::Quarantined { until };
+        }
+        if self.successive_terminations(causes).len() >= SUSPECTED_AFTER_ENGINES {
+            Standing::Suspected
+        } else {
+            Standing::Clear
+        }
+    }
+
+    pub(super) fn last_update(&self) -> Option<Instant> {
+        let newest_run = self.suspicion.lost_runs.last().map(|run| run.ended);
+        newest_run.max(self.suspicion.cleared).max(self.stored)
+    }
+}
+
+fn is_later(one: Option<Instant>, other: Option<Instant>) -> bool {
+    match (one, other) {
+        (Some(one), Some(other)) => one > other + CLOCK_TOLERANCE,
+        (one, None) => one.is_some(),
+        (None, Some(_)) => false,
+    }
+}
--- a/crates/serving/src/pipeline/taken_up.rs
+++ b/crates/serving/src/pipeline/taken_up.rs
@@ -42,6 +42,14 @@
             Self::Unknown => "unknown",
         }
     }
+
+    /// The record of the stream.
+    pub(super) const fn origin(&self) -> Option<&StreamOrigin> {
+        match self {
+            Self::BegunAt(origin) => Some(origin),
+            Self::OnlyVersion | Self::Unknown => None,
+        }
+    }
 }
 
 /// Where the record of a stream was found.
@@ -201,13 +209,3 @@
         recorders.publish(&self.state, id, origin, retention).await;
     }
 }
-
-impl TakenUpStream {
-    /// The record of the stream.
-    pub(super) const fn origin(&self) -> Option<&StreamOrigin> {
-        match self {
-            Self::BegunAt(origin) => Some(origin),
-            Self::OnlyVersion | Self::Unknown => None,
-        }
-    }
-}
