Soak: engines write their entries again while the check of cut paths sends requests

Cause: in the check with one daemon that reaches the back ends, an order changed an engine's stage, and the stand-in did not write its entry again until the check had ended. The platform's engines write their entries when they change, so the check was wrong; its bound and its requests stay. Change: the stand-ins are updated between the requests.

--- a/crates/soak/src/run/cut_check.rs
+++ b/crates/soak/src/run/cut_check.rs
@@ -40,8 +40,8 @@
             path_cutter.cut_from_all(cut.clone(), kind, &self.daemons, &self.platform);
             path_cutter.send(&self.daemons);
             self.load_all(&cut, kind, Instant::now() + CUT_DETECTION_LIMIT)
-                .await;
-            self.check_served_by_cut_daemons(&cut, kind).await;
+                .await?;
+            self.check_served_by_cut_daemons(&cut, kind).await?;
             path_cutter.heal();
             path_cutter.send(&self.daemons);
             self.run_for(CUT_RECOVERY_TIME).await?;
@@ -54,28 +54,37 @@
     }
 
     /// Sends requests to the daemons until `end`, so that they notice a cut.
-    async fn load_all(&self, daemons: &[usize], kind: CutKind, end: Instant) {
+    async fn load_all(&mut self, daemons: &[usize], kind: CutKind, end: Instant) -> Result<()> {
         let mut turn = 0;
         while Instant::now() < end {
             turn += 1;
+            let soak = &*self;
             let requests = daemons.iter().map(|daemon| {
                 let request = cut_request(&format!("noticing-{kind:?}-{daemon}-{turn}"), turn);
-                async move { self.request_status(*daemon, &request).await }
+                async move { soak.request_status(*daemon, &request).await }
             });
             futures::future::join_all(requests).await;
+            // Engines write their entries again after an order.
+            self.platform.update_engines().await?;
             sleep(POLL_INTERVAL).await;
         }
+        Ok(())
     }
 
     /// Engines that have just changed their stage refuse requests, and a retry may be denied, so a
     /// few requests may end unserved.
-    async fn check_served_by_cut_daemons(&mut self, daemons: &[usize], kind: CutKind) {
+    async fn check_served_by_cut_daemons(
+        &mut self,
+        daemons: &[usize],
+        kind: CutKind,
+    ) -> Result<()> {
         let mut unserved = Vec::new();
         for turn in 0..CUT_REQUESTS_PER_DAEMON {
             for daemon in daemons {
                 let id = format!("cut-{kind:?}-{daemon}-{turn}");
                 let request = cut_request(&id, turn);
                 let status = self.request_status(*daemon, &request).await;
+                self.platform.update_engines().await?;
                 if status != Some(StatusCode::OK) {
                     unserved.push(format!("{id}: {status:?}"));
                 }
@@ -88,6 +97,7 @@
                 observed: format!("{} of {sent} unserved: {unserved:?}", unserved.len()),
             });
         }
+        Ok(())
     }
 }
 
