--- a/crates/fleet/src/fingerprint.rs
+++ b/crates/fleet/src/fingerprint.rs
@@ -90,7 +90,7 @@
         Self(bytes)
     }
 
-    /// The first bytes of the fingerprint, which tell requests apart where a collision does no harm.
+    /// The first four bytes; only for uses in which a collision is harmless.
     #[must_use]
     pub fn short(&self) -> u32 {
         let [a, b, c, d, ..] = self.0;
--- a/crates/fleet/src/placement/load.rs
+++ b/crates/fleet/src/placement/load.rs
@@ -245,9 +245,9 @@
     /// Whether this daemon has far more requests in progress than its peers have on average.
     #[must_use]
     pub fn exceeds_peers(&self) -> bool {
-        /// Multiple of the average that is no ordinary difference.
+        /// Multiple of the average beyond the differences that an uneven distribution of callers causes.
         const FACTOR: f64 = 2.0;
-        /// Requests by which small numbers may differ.
+        /// Difference in requests that is ignored, because small numbers vary by chance.
         const MARGIN: f64 = 4.0;
         if self.peers.is_empty() {
             return false;
--- a/crates/fleet/src/quarantine/causes.rs
+++ b/crates/fleet/src/quarantine/causes.rs
@@ -29,7 +29,7 @@
 }
 
 /// Suspects that share a termination with `cause` and under which as many engines terminated. Empty
-/// after so many terminations that they seem to come together always.
+/// from [`DECIDED_AFTER_ENGINES`] terminations on: such suspects probably always occur together.
 pub(super) fn rivals_of(
     cause: &Entry,
     candidates: &[&Entry],
@@ -55,8 +55,7 @@
 
 /// Index of the suspect under which most engines terminated that count for no other. Parts that were
 /// sound come last; a request comes before a part, and a part before those that come before it in
-/// prompts. `None` if too few engines
-/// terminated under any of them.
+/// prompts. `None` if too few engines terminated under any of them.
 pub(super) fn strongest(candidates: &[&Entry], causes: &Causes, now: Instant) -> Option<usize> {
     let quarantined = candidates
         .iter()
--- a/crates/fleet/src/quarantine/suspicion.rs
+++ b/crates/fleet/src/quarantine/suspicion.rs
@@ -35,7 +35,7 @@
 pub struct LostRun {
     /// Incarnation of the engine.
     pub engine: Arc<str>,
-    /// Tells the requests apart whose prompts have a part; 0 for the runs of a whole request.
+    /// Short fingerprint of the request, if the suspect is a part of its prompt; otherwise 0.
     pub request: u32,
     /// Start of the run.
     pub begun: Instant,
@@ -43,7 +43,7 @@
     pub ended: Instant,
 }
 
-/// What is known about one request.
+/// What is known about one suspect.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspicion {
     /// Fingerprint of the request or part.
