--- a/review/stand_ins/model_engine.py
+++ b/review/stand_ins/model_engine.py
@@ -16,8 +16,8 @@
         self.first_event_s = first_event_s
         self.gap_s = gap_s
         self.events = events
-        self.health_hangs = False
         self.slowness = 1.0
+        self.free_slots = asyncio.Semaphore(self.slots)
         self.spans = []
 
     def entry(self, state="ready"):
@@ -26,9 +26,11 @@
 
     async def _answer(self, head, body, arrived, writer):
         method, path, _ = head.first_line.split(" ")
-        if method == "GET" and path == "/health" and self.health_hangs:
-            await asyncio.sleep(30)
-            raise ConnectionError("the health check was not answered")
+        if method == "GET" and path == "/health":
+            self.record("health_check", engine=self.identity, running=self.running)
+            async with self.free_slots:
+                await super()._answer(head, body, arrived, writer)
+            return
         if method == "GET" and path == "/report":
             report = {"stage": self.stage, "models": [{"name": "m", "version": 1, "adapters": []}],
                       "busy": False, "sequence": 0, "queued": 0, "inFlight": self.running,
@@ -43,7 +45,13 @@
         await super()._answer(head, body, arrived, writer)
 
     async def run(self, head, body, request_id, headers, writer):
-        """Runs a request until it ends or its connection closes."""
+        """Waits for a slot, then runs the request until it ends or its connection closes."""
+        async with self.free_slots:
+            await self._run_in_slot(head, request_id, headers, writer)
+
+    async def _run_in_slot(self, head, request_id, headers, writer):
+        if writer.is_closing() or self.readers[writer].at_eof():
+            raise ConnectionError("the caller left")
         loop = asyncio.get_running_loop()
         span = {"request": request_id, "engine": self.identity, "began": loop.time(), "ended": None,
                 "end": "running", "after": head.get("last-event-id"), "events": 0}
@@ -79,7 +87,8 @@
         left, last = seconds, loop.time()
         while left > 0:
             await asyncio.sleep(0.005)
-            left -= (loop.time() - last) / self.slowness
+            # Each token comes more slowly the more requests run.
+            left -= (loop.time() - last) / (self.slowness * (1 + self.running / self.slots))
             last = loop.time()
             if writer.is_closing() or self.readers[writer].at_eof():
                 raise ConnectionError("the caller left")
