A planned stop waits until answers are written

Cause: a request counted as in progress until its answer was handed to the HTTP server. The stop then saw an idle pipeline, and the server's stop waited only for connections that were opened after the notice.

Change: a request ends when the last byte of its answer is written or its connection is closed. The stop, the limit on requests in progress, the gauge and a log line use that end. The server waits for all connections; each closes its sending side first and discards input until its peer closes.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,4 +11,4 @@
 pub use body::{Body, ReadError};
 pub use client::{Client, ClientError, ClientSettings};
 pub use problem::{Problem, ProblemKind};
-pub use server::{Handler, Server, ServerSettings};
+pub use server::{Handler, HeldByRequest, RequestGuard, Server, ServerSettings};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,9 +1,13 @@
 //! HTTP/1.1 and HTTP/2 server with graceful shutdown.
 
+mod answer_body;
+mod connection;
+
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -19,6 +23,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
+use connection::{ConnectionState, LingerLimits, ServerStream};
+
+pub use connection::{HeldByRequest, RequestGuard};
 
 /// Pause after a failed `accept`, which avoids a busy loop when file descriptors are exhausted.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
@@ -68,6 +75,11 @@
     /// Maximum time for which a stopping server still accepts requests on open connections while it
     /// asks callers to close them. Ends early when no connection is open.
     pub shutdown_grace: Duration,
+    /// Maximum time for which a closing connection waits for its peer to close, if the peer has read
+    /// its answers as they were written.
+    pub linger: Duration,
+    /// The same for a peer that reads slowly, so that a part of its answer may still be on the way.
+    pub slow_reader_linger: Duration,
 }
 
 impl Default for ServerSettings {
@@ -76,6 +88,8 @@
             header_time_limit: Duration::from_secs(10),
             header_size_limit: 64 * 1024,
             shutdown_grace: Duration::from_secs(5),
+            linger: Duration::from_millis(500),
+            slow_reader_linger: Duration::from_secs(30),
         }
     }
 }
@@ -91,7 +105,11 @@
 
 /// Open connections, which can be shut down together.
 #[derive(Default)]
-struct Connections(Mutex<GracefulShutdown>);
+struct Connections {
+    current: Mutex<GracefulShutdown>,
+    /// All that are not closed, including those that are shutting down.
+    open: Arc<AtomicUsize>,
+}
 
 impl Connections {
     fn watch<C: GracefulConnection>(
@@ -101,24 +119,46 @@
         self.lock().watch(connection)
     }
 
-    fn count(&self) -> usize {
-        self.lock().count()
+    fn open_count(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
     }
 
-    /// Closes all current connections after their requests in progress, and waits until they are
-    /// closed.
-    fn close_open(&self) -> impl Future<Output = ()> + Send + 'static {
-        let open = std::mem::take(&mut *self.lock());
-        open.shutdown()
+    /// Closes all current connections after their requests in progress.
+    fn close_current(&self) -> impl Future<Output = ()> + Send + 'static {
+        let current = std::mem::take(&mut *self.lock());
+        current.shutdown()
+    }
+
+    /// Waits until no connection is open.
+    async fn closed(&self) {
+        while self.open_count() > 0 {
+            tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, GracefulShutdown> {
-        self.0
+        self.current
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
 
+/// Counts a connection until it is closed.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl OpenConnection {
+    fn new(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(open))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Server {
     /// Binds `address` and serves requests until [`Self::stop`] is called.
     ///
@@ -162,10 +202,18 @@
     /// Closes all current connections, each after its request in progress. Does not wait for them,
     /// and keeps accepting new connections.
     pub fn close_connections(&self) {
-        self.spawner.spawn(Box::pin(self.connections.close_open()));
+        self.spawner
+            .spawn(Box::pin(self.connections.close_current()));
+    }
+
+    /// Connections that are not closed, including those that are closing.
+    #[must_use]
+    pub fn open_connections(&self) -> usize {
+        self.connections.open_count()
     }
 
-    /// Stops accepting connections, and returns when all requests in progress have ended.
+    /// Stops accepting connections, and returns when all connections are closed, each after the last
+    /// byte of its answers was written.
     ///
     /// For [`ServerSettings::shutdown_grace`] the server still accepts requests on open connections
     /// and answers them with `Connection: close`. Without this, a request in flight when its
@@ -188,8 +236,14 @@
     async fn run(self, listener: BoxedListener) {
         self.accept(&listener).await;
         drop(listener);
-        self.await_connections_closed().await;
-        self.connections.close_open().await;
+        let grace = self.settings.shutdown_grace;
+        if tokio::time::timeout(grace, self.connections.closed())
+            .await
+            .is_err()
+        {
+            self.connections.close_current().await;
+            self.connections.closed().await;
+        }
     }
 
     /// Accepts connections until stopped. Also accepts those already pending at that moment, whose
@@ -212,14 +266,6 @@
         }
     }
 
-    /// Waits until all connections are closed, at most for [`ServerSettings::shutdown_grace`].
-    async fn await_connections_closed(&self) {
-        let end = Instant::now() + self.settings.shutdown_grace;
-        while self.connections.count() > 0 && Instant::now() < end {
-            tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
-        }
-    }
-
     async fn serve_if_admitted(&self, stream: BoxedStream, peer: SocketAddr) {
         let accepted_at = Instant::now();
         tokio::task::yield_now().await;
@@ -231,7 +277,15 @@
     fn serve(&self, stream: BoxedStream, peer: SocketAddr) {
         let handler = Arc::clone(&self.handler);
         let stop = self.stop.clone();
+        let state = Arc::<ConnectionState>::default();
+        let limits = LingerLimits {
+            prompt_reader: self.settings.linger,
+            slow_reader: self.settings.slow_reader_linger,
+        };
+        let stream = ServerStream::new(stream, Arc::clone(&state), limits);
         let service = service_fn(move |request: Request<Incoming>| {
+            state.begin_request();
+            let state = Arc::clone(&state);
             let version = request.version();
             let answer = handler.handle(request, peer);
             let stop = stop.clone();
@@ -241,7 +295,7 @@
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
-                Ok::<_, Infallible>(response)
+                Ok::<_, Infallible>(state.guard_answer(response))
             }
         });
         let mut builder = Builder::new(HyperExecutor(Arc::clone(&self.runtime.spawner)));
@@ -260,10 +314,12 @@
             .serve_connection(TokioIo::new(stream), service)
             .into_owned();
         let watched = self.connections.watch(connection);
+        let open = OpenConnection::new(&self.connections.open);
         self.runtime.spawner.spawn(Box::pin(async move {
             if let Err(error) = watched.await {
                 tracing::debug!(%peer, %error, "connection ended with an error");
             }
+            drop(open);
         }));
     }
 }
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::{Context, Result};
 use ponddrift_fleet::topology::Member;
@@ -22,8 +22,7 @@
 use ponddrift_serving::store::FleetStore;
 use ponddrift_serving::usage::UsageRecorder;
 use ponddrift_serving::usage::report::{self, ReportDependencies, ReportSettings};
-use ponddrift_serving::{capacity, follow, leader, listeners, orders, peers, quarantine};
-use tokio::time::Instant;
+use ponddrift_serving::{capacity, follow, leader, listeners, orders, peers, quarantine, time};
 
 use crate::process;
 use crate::settings::Settings;
@@ -208,33 +207,42 @@
     /// 1. Readiness checks fail at once, and every response closes its connection.
     /// 2. After `notice_period`, idle connections are closed.
     /// 3. After `accept_period`, new requests are refused at once.
-    /// 4. The stop ends once no request is in progress and no connection is relayed, at the latest
-    ///    `CLOSE_TIMEOUT` after `exit_deadline`.
+    /// 4. The stop ends once no request is in progress, no connection is relayed and all callers'
+    ///    connections are closed, at the latest `CLOSE_TIMEOUT` after `exit_deadline`.
     pub async fn stop(&self) {
         let stop = &self.settings.stop;
-        let started_at = Instant::now();
+        let started_at = time::now();
         tracing::info!(in_progress = self.pipeline.in_progress(), "stop_begins");
         self.pipeline.begin_stop();
-        tokio::time::sleep_until(started_at + stop.notice_period).await;
+        time::sleep_until(started_at + stop.notice_period).await;
         self.callers_server.close_connections();
-        tokio::time::sleep_until(started_at + stop.accept_period).await;
+        time::sleep_until(started_at + stop.accept_period).await;
         self.pipeline.refuse_new_requests();
         self.wait_until_idle(started_at + stop.exit_deadline).await;
-        let closing = tokio::time::timeout(CLOSE_TIMEOUT, self.callers_server.stop());
-        if closing.await.is_err() {
-            let in_progress = self.pipeline.in_progress();
-            tracing::warn!(in_progress, "stop_cut_requests");
+        let close_deadline = started_at + stop.exit_deadline + CLOSE_TIMEOUT;
+        let closing = time::timeout_at(close_deadline, self.callers_server.stop());
+        if closing.await.is_none() {
+            tracing::warn!(
+                in_progress = self.pipeline.in_progress(),
+                connections = self.callers_server.open_connections(),
+                "stop_cut_connections"
+            );
         }
         tracing::info!(
             in_progress = self.pipeline.in_progress(),
-            took_ms = u64::try_from(started_at.elapsed().as_millis()).unwrap_or(u64::MAX),
+            took_ms = u64::try_from(
+                time::now()
+                    .saturating_duration_since(started_at)
+                    .as_millis()
+            )
+            .unwrap_or(u64::MAX),
             "stopped"
         );
     }
 
     async fn wait_until_idle(&self, deadline: Instant) {
-        while !self.pipeline.is_idle() && Instant::now() < deadline {
-            tokio::time::sleep(STOP_POLL_INTERVAL).await;
+        while !self.pipeline.is_idle() && time::now() < deadline {
+            time::sleep(STOP_POLL_INTERVAL).await;
         }
     }
 }
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -184,6 +184,7 @@
     resumed: Counter,
     taken_up: Family<ResultLabels, Counter>,
     closed_unread: Family<ReasonLabels, Counter>,
+    answers_unwritten: Counter,
     ejections: Counter,
     silences: Family<ResultLabels, Counter>,
     announcements: Family<AnnouncementLabels, Counter>,
@@ -264,6 +265,11 @@
                 "streams_taken_up",
                 "Streams that callers took up again, by what is known of where they began",
             ),
+            answers_unwritten: register_default(
+                r,
+                "answers_unwritten",
+                "Answers whose connection was closed before their last byte was written",
+            ),
             closed_unread: register_default(
                 r,
                 "connections_closed_unread",
@@ -529,6 +535,10 @@
     }
 
     /// Counts a new connection that was closed unread.
+    pub(crate) fn answer_unwritten(&self) {
+        self.answers_unwritten.inc();
+    }
+
     pub(crate) fn connection_closed_unread(&self, reason: &'static str) {
         self.closed_unread
             .get_or_create(&ReasonLabels { reason })
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -20,7 +20,7 @@
 use super::answers::Failure;
 use super::attempt::{ANSWERED_ELSEWHERE, SendEnd, SendOptions, step_name};
 use super::budgeting::PrefillPermit;
-use super::guards::{InProgress, KvCacheHandle, LoadGuard};
+use super::guards::{KvCacheHandle, LoadGuard};
 use super::intake::{FinalAnswer, end_to_end_headers};
 use super::job::Job;
 use super::plain::{MIN_TIME_FOR_SEND, NO_ANSWER, TARGET_WAIT_FACTOR, read_complete};
@@ -96,11 +96,7 @@
 }
 
 impl Pipeline {
-    pub(super) async fn serve_stream(
-        self: &Arc<Self>,
-        mut job: Job,
-        in_progress: InProgress,
-    ) -> Response<Body> {
+    pub(super) async fn serve_stream(self: &Arc<Self>, mut job: Job) -> Response<Body> {
         let resume_after = job.metadata.resume_after;
         match self.open_stream(&mut job, resume_after).await {
             Ok(stream) => {
@@ -108,7 +104,7 @@
                 let mut response = Response::new(());
                 *response.status_mut() = stream.head.status;
                 *response.headers_mut() = end_to_end_headers(&stream.head.headers);
-                let relay = Relay::new(self, job, stream, in_progress);
+                let relay = Relay::new(self, job, stream);
                 response.map(|()| body::streamed(relay.into_body_chunks()))
             }
             Err(NotOpened::Answer(final_answer)) => {
--- a/crates/serving/src/pipeline/guards.rs
+++ b/crates/serving/src/pipeline/guards.rs
@@ -1,14 +1,17 @@
 //! RAII guards for the resources that a request holds while it runs.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::Ordering;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::placement::Urgency;
+use ponddrift_http::HeldByRequest;
 
 use super::{Pipeline, SendPermit};
+use crate::request_trace::milliseconds;
+use crate::time::now;
 
 /// Time limit for the call that releases a KV cache handle.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -16,19 +19,51 @@
 /// Prefills of at least this many tokens are published to peers at once.
 const HEAVY_PREFILL_TOKENS: f64 = 1000.0;
 
-/// Counts a request while it is in progress.
-pub(super) struct InProgress(Arc<Pipeline>);
+/// Counts a request until the last byte of its answer is written or its connection is closed.
+pub(super) struct InProgress {
+    pipeline: Arc<Pipeline>,
+    request: Option<Arc<str>>,
+    /// When the answer was handed to the server; not set if the caller left before.
+    answered_at: OnceLock<Instant>,
+    is_written: AtomicBool,
+}
 
 impl InProgress {
-    pub(super) fn new(pipeline: &Arc<Pipeline>) -> Self {
+    pub(super) fn new(pipeline: &Arc<Pipeline>, request: Option<Arc<str>>) -> Self {
         pipeline.in_progress.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(pipeline))
+        Self {
+            pipeline: Arc::clone(pipeline),
+            request,
+            answered_at: OnceLock::new(),
+            is_written: AtomicBool::new(false),
+        }
+    }
+
+    /// Records that the answer was handed to the server.
+    pub(super) fn answered(&self) {
+        self.answered_at.get_or_init(now);
+    }
+}
+
+impl HeldByRequest for InProgress {
+    fn answer_written(&self) {
+        self.is_written.store(true, Ordering::Relaxed);
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.0.in_progress.fetch_sub(1, Ordering::Relaxed);
+        self.pipeline.in_progress.fetch_sub(1, Ordering::Relaxed);
+        let is_written = self.is_written.load(Ordering::Relaxed);
+        if let Some(answered_at) = self.answered_at.get().filter(|_| !is_written) {
+            self.pipeline.metrics.answer_unwritten();
+            tracing::info!(
+                request = self.request.as_deref(),
+                after_ms = milliseconds(now().saturating_duration_since(*answered_at)),
+                is_stopping = self.pipeline.is_stopping(),
+                "answer_unwritten"
+            );
+        }
     }
 }
 
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -11,6 +11,7 @@
 use ponddrift_fleet::configuration::{RequestKind, Route};
 use ponddrift_fleet::placement::Urgency;
 use ponddrift_fleet::tenants::{Credential, Tenant};
+use ponddrift_http::RequestGuard;
 use ponddrift_http::body::{self, Body, ReadError};
 
 use super::Pipeline;
@@ -85,15 +86,27 @@
 }
 
 impl Pipeline {
-    /// Serves one request of a caller.
+    /// Serves one request of a caller. The request is in progress until the last byte of its answer is
+    /// written or its connection is closed.
     pub async fn serve(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
         time::detect_suspension();
+        let metadata = self.dialect.read_request(request.headers());
+        let in_progress = InProgress::new(&self, metadata.id.clone());
+        let mut response = self.answer(request, metadata).await;
+        in_progress.answered();
+        let guard = RequestGuard::new(in_progress);
+        response.extensions_mut().insert(guard);
+        response
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        metadata: RequestMetadata,
+    ) -> Response<Body> {
         let arrived = now();
-        let in_progress = InProgress::new(&self);
-        let (head, body) = request.into_parts();
-        let metadata = self.dialect.read_request(&head.headers);
+        let (head, mut body) = request.into_parts();
         let id = metadata.id.clone();
-        let mut body = body;
         let job = match self.accept(head, &mut body, metadata, arrived).await {
             Ok(job) => job,
             Err(failure) => {
@@ -104,7 +117,7 @@
         };
         self.budget().earn(&job.service.name);
         match job.route.kind {
-            RequestKind::Stream { .. } => self.serve_stream(job, in_progress).await,
+            RequestKind::Stream { .. } => self.serve_stream(job).await,
             RequestKind::Safe | RequestKind::Unsafe => self.serve_plain(job).await,
         }
     }
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -18,7 +18,6 @@
 use super::attempt::{OpenSend, STREAM};
 use super::first_event::{BodyState, push_frame};
 use super::generate::OpenStream;
-use super::guards::InProgress;
 use super::job::Job;
 use super::quarantining::RunProgress;
 use super::silent_sends::{First, LateAnswer, SilentSend, SilentSends};
@@ -43,7 +42,6 @@
     last_event_id: Option<u64>,
     last_event: Option<Instant>,
     is_finished: bool,
-    _in_progress: InProgress,
 }
 
 /// Ends the caller's connection early, so that the caller can tell the answer from a complete one.
@@ -96,12 +94,7 @@
 }
 
 impl Relay {
-    pub(super) fn new(
-        pipeline: &Arc<Pipeline>,
-        job: Job,
-        stream: OpenStream,
-        in_progress: InProgress,
-    ) -> Self {
+    pub(super) fn new(pipeline: &Arc<Pipeline>, job: Job, stream: OpenStream) -> Self {
         let last_event_id = job.metadata.resume_after;
         let mut job = job;
         // Back ends that refused the request may have capacity by the time it is resumed.
@@ -114,7 +107,6 @@
             last_event_id,
             last_event: None,
             is_finished: false,
-            _in_progress: in_progress,
         }
     }
 
