Requests that cannot end before a planned stop does are refused

What callers saw: requests whose body ended late in the grace period were passed on and cut at its end without an answer, among them requests that may not be repeated. Requests that still ran at the end got no answer either.

Cause: whether requests are refused was asked when the head had come, not when the request was read; the time left was not compared with the time that a run takes; the process exited with requests in progress.

Change: a request that is still being read when the daemon stops accepting is refused. One that has not run is sent during a stop only if it can end in time. At the end of the grace period requests in progress are answered: 503 if they have certainly not run, otherwise 502.

--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -207,19 +207,22 @@
     /// 1. Readiness checks fail at once, and every response closes its connection.
     /// 2. After `notice_period`, idle connections are closed.
     /// 3. After `accept_period`, new requests are refused at once.
-    /// 4. The stop ends once no request is in progress, no connection is relayed and all callers'
+    /// 4. After `exit_deadline`, requests that are still in progress are answered.
+    /// 5. The stop ends once no request is in progress, no connection is relayed and all callers'
     ///    connections are closed, at the latest `CLOSE_TIMEOUT` after `exit_deadline`.
     pub async fn stop(&self) {
         let stop = &self.settings.stop;
         let started_at = time::now();
         tracing::info!(in_progress = self.pipeline.in_progress(), "stop_begins");
-        self.pipeline.begin_stop();
+        let exit_deadline = started_at + stop.exit_deadline;
+        self.pipeline.begin_stop(exit_deadline);
         time::sleep_until(started_at + stop.notice_period).await;
         self.callers_server.close_connections();
         time::sleep_until(started_at + stop.accept_period).await;
         self.pipeline.refuse_new_requests();
-        self.wait_until_idle(started_at + stop.exit_deadline).await;
-        let close_deadline = started_at + stop.exit_deadline + CLOSE_TIMEOUT;
+        self.wait_until_idle(exit_deadline).await;
+        self.pipeline.end_requests();
+        let close_deadline = exit_deadline + CLOSE_TIMEOUT;
         let closing = time::timeout_at(close_deadline, self.callers_server.stop());
         if closing.await.is_none() {
             tracing::warn!(
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -30,11 +30,12 @@
 mod send_gate;
 mod silent_sends;
 mod silent_service;
+mod stopping;
 mod stream_send;
 mod taken_up;
 mod wait_policy;
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
 
@@ -70,6 +71,7 @@
 pub(crate) use relay_slots::RelaySlot;
 pub use send_gate::SendPermit;
 use silent_service::SilentServices;
+use stopping::StopProgress;
 
 /// Settings of the pipeline.
 #[derive(Clone)]
@@ -121,8 +123,7 @@
     pool_last_empty: Mutex<Option<Instant>>,
     traffic_split: Mutex<SplitScheduler>,
     random: Mutex<Pcg64Mcg>,
-    stopping: AtomicBool,
-    refusing: AtomicBool,
+    stop: StopProgress,
     daemons: AtomicUsize,
     in_progress: AtomicUsize,
     heavy_work_changed: Notify,
@@ -176,8 +177,7 @@
             pool_last_empty: Mutex::default(),
             traffic_split: Mutex::default(),
             random: Mutex::new(Pcg64Mcg::seed_from_u64(runtime.seed)),
-            stopping: AtomicBool::new(false),
-            refusing: AtomicBool::new(false),
+            stop: StopProgress::default(),
             daemons: AtomicUsize::new(1),
             in_progress: AtomicUsize::new(0),
             heavy_work_changed: Notify::new(),
@@ -196,26 +196,6 @@
         })
     }
 
-    /// Starts a planned stop: from now on, answers tell callers to close their connections.
-    pub fn begin_stop(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
-    }
-
-    /// Refuses new requests from now on, because they could not finish before the daemon exits.
-    pub fn refuse_new_requests(&self) {
-        self.refusing.store(true, Ordering::Relaxed);
-    }
-
-    fn is_refusing(&self) -> bool {
-        self.refusing.load(Ordering::Relaxed)
-    }
-
-    /// Whether a planned stop has begun.
-    #[must_use]
-    pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-
     /// Whether requests can be served: a configuration is known and no stop has begun.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -98,7 +98,12 @@
 impl Pipeline {
     pub(super) async fn serve_stream(self: &Arc<Self>, mut job: Job) -> Response<Body> {
         let resume_after = job.metadata.resume_after;
-        match self.open_stream(&mut job, resume_after).await {
+        let opening = self.open_stream(&mut job, resume_after);
+        let opened = match self.until_stop_ends(opening).await {
+            Some(opened) => opened,
+            None => Err(NotOpened::Failure(self.stop_failure(&job))),
+        };
+        match opened {
             Ok(stream) => {
                 self.record_origin(&job, &stream).await;
                 let mut response = Response::new(());
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -143,7 +143,7 @@
         mut metadata: RequestMetadata,
         arrived: std::time::Instant,
     ) -> Result<Job, Failure> {
-        if self.is_refusing() {
+        if self.refuses_requests() {
             return Err(Failure::Stopping);
         }
         let has_capacity = self.in_progress() <= self.bounds.requests
@@ -165,7 +165,9 @@
             .time_limit
             .map_or(route.timeout, |limit| limit.min(route.timeout));
         let deadline = arrived + limit.saturating_sub(ANSWER_MARGIN);
-        let body = read_body(body, &in_force, deadline).await?;
+        let body = self
+            .unless_refusing(read_body(body, &in_force, deadline))
+            .await?;
         let tenant_name = tenant.as_ref().map(|tenant| &*tenant.name);
         let taken_up = self.find_taken_up(&route, &metadata, tenant_name).await;
         let service_name = self
@@ -276,7 +278,7 @@
         FinalAnswer {
             response: self.failure_answer(failure, Some(&job.id), Some(job.time_left())),
             outcome: match failure {
-                Failure::NotRun(_) | Failure::BackingOff { .. } => "refused",
+                Failure::NotRun(_) | Failure::BackingOff { .. } | Failure::Stopping => "refused",
                 Failure::Quarantined { .. } => "quarantined",
                 Failure::TimedOut(_) => "time_over",
                 _ => "failed",
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -118,7 +118,11 @@
 
 impl Pipeline {
     pub(super) async fn serve_plain(self: &Arc<Self>, mut job: Job) -> Response<Body> {
-        let final_answer = self.run_plain(&mut job).await;
+        let ran = self.until_stop_ends(self.run_plain(&mut job)).await;
+        let final_answer = match ran {
+            Some(final_answer) => final_answer,
+            None => self.fail_request(&job, self.stop_failure(&job)),
+        };
         self.finish(
             &mut job,
             final_answer.response.status().as_u16(),
--- a/crates/serving/src/pipeline/quarantining.rs
+++ b/crates/serving/src/pipeline/quarantining.rs
@@ -148,10 +148,12 @@
     }
 
     /// Whether the request may run now. A quarantined request, or one with a quarantined part, must
-    /// not run, because it may crash an engine together with all other requests there.
+    /// not run, because it may crash an engine together with all other requests there. Nor must one
+    /// that would still run when this daemon exits.
     pub(super) fn may_run_now(&self, job: &Job) -> Result<(), Failure> {
         const ENGINES_EXITED: &str =
             "engines ended while they ran this request: it is not run again";
+        self.may_end_before_stop(job)?;
         let Standing::Quarantined { until } = self.standing(job) else {
             return Ok(());
         };
