Streams without a record go on only at a version known to have begun them

What callers saw: after the loss of all daemons, streams that were taken up late were joined from two software versions, with status 200.

Cause: a daemon without a record of a stream took the only version that it knew for the one that began it, once it had known that version for twice the route's time-out. It counted from its own start, and a caller may come back later.

Change: the leader keeps in the store since when each service has had a single version.

streams_go_on_without_a_record_if_there_was_only_one_version now starts a fleet whose first start is known: a wait of 20 s proves nothing about earlier versions. It still asks for all streams to go on.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -472,6 +472,14 @@
             .any(|back_end| version.admits(&back_end.version))
     }
 
+    /// Whether the service has a back end with an entry. Takes time in proportion to the number of
+    /// back ends.
+    #[must_use]
+    pub fn has_back_ends(&self, service: &str) -> bool {
+        let mut present = self.present();
+        present.any(|back_end| &*back_end.service == service)
+    }
+
     /// The version of the service's software if all back ends that had an entry after `since` stated
     /// the same. Takes time in proportion to the number of back ends.
     #[must_use]
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -66,4 +66,5 @@
 pub mod tenants;
 pub mod topology;
 pub mod usage;
+pub mod version_history;
 pub mod versions;
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -22,7 +22,9 @@
 use ponddrift_serving::store::FleetStore;
 use ponddrift_serving::usage::UsageRecorder;
 use ponddrift_serving::usage::report::{self, ReportDependencies, ReportSettings};
-use ponddrift_serving::{capacity, follow, leader, listeners, orders, peers, quarantine, time};
+use ponddrift_serving::{
+    capacity, follow, leader, listeners, orders, peers, quarantine, time, version_recorder,
+};
 
 use crate::process;
 use crate::settings::Settings;
@@ -138,6 +140,14 @@
             &state,
             &pipeline,
         );
+        version_recorder::start(
+            runtime,
+            settings.is_first_start,
+            leadership.clone(),
+            &store,
+            &state,
+            &pipeline,
+        );
         if let Some(provider) = settings.provider_address {
             let provider = PlatformProvider::new(runtime, provider);
             let dependencies = ProviderTaskDependencies {
--- a/crates/serve/tests/capacity.rs
+++ b/crates/serve/tests/capacity.rs
@@ -17,6 +17,7 @@
     reports_usage: false,
     orders_engines: true,
     max_requests: support::MAX_REQUESTS_IN_PROGRESS,
+    is_first_start: false,
 };
 const ZONES: [&str; 2] = ["a", "b"];
 /// On-demand engines in each zone at the start.
--- a/crates/serve/tests/orders.rs
+++ b/crates/serve/tests/orders.rs
@@ -13,6 +13,7 @@
 const LEASE: Duration = Duration::from_secs(3);
 
 const OPTIONS: FleetOptions = FleetOptions {
+    is_first_start: false,
     daemons: 3,
     records: 1,
     prefill: 2,
--- a/crates/serve/tests/processes/mod.rs
+++ b/crates/serve/tests/processes/mod.rs
@@ -137,6 +137,10 @@
         );
         fs::write(&file, text).expect("the settings are written");
         let log = fs::File::create(folder.join("log")).expect("a log file");
+        #[expect(
+            clippy::disallowed_methods,
+            reason = "the test starts the program; the program starts no other"
+        )]
         let child = Command::new(env!("CARGO_BIN_EXE_ponddrift-serve"))
             .arg("--config")
             .arg(&file)
--- a/crates/serve/tests/stream_versions.rs
+++ b/crates/serve/tests/stream_versions.rs
@@ -89,6 +89,7 @@
     client: ClientStandIn,
     targets: Vec<std::net::SocketAddr>,
     request: ClientRequest,
+    pause: Duration,
 ) -> Taken {
     let mut tries: Vec<Option<Answer>> = Vec::new();
     let mut begun_by: Option<String> = None;
@@ -116,18 +117,24 @@
         if is_whole {
             break;
         }
-        sleep(RETRY_PAUSE).await;
+        sleep(pause).await;
     }
     Taken { tries }
 }
 
 /// A fleet whose decode engines are of two versions in turn.
 fn fleet_of_two_versions(daemons: u8, decode: u8) -> Fleet {
+    fleet_of_two_versions_from_start(daemons, decode, false)
+}
+
+/// Like [`fleet_of_two_versions`]; its daemons may be the first that ever run.
+fn fleet_of_two_versions_from_start(daemons: u8, decode: u8, is_first_start: bool) -> Fleet {
     let mut fleet = Fleet::new(FleetOptions {
         daemons,
         prefill: 0,
         decode,
         zones: 3.min(daemons),
+        is_first_start,
         ..FleetOptions::default()
     });
     let newer = fleet.decode.iter().skip(1).step_by(2);
@@ -141,6 +148,20 @@
     fleet
 }
 
+/// A fleet that has had engines of one version since its first start.
+fn fleet_of_one_version(daemons: u8) -> Fleet {
+    let mut fleet = Fleet::new(FleetOptions {
+        daemons,
+        prefill: 0,
+        decode: 4,
+        is_first_start: true,
+        ..FleetOptions::default()
+    });
+    earn_retries(&mut fleet, usize::from(daemons));
+    set_streams(&fleet);
+    fleet
+}
+
 fn set_streams(fleet: &Fleet) {
     for engine in &fleet.decode {
         engine.set_default_behaviour(Behaviour::Stream {
@@ -162,6 +183,17 @@
     count: usize,
     others: &[usize],
     faults: impl Future<Output = ()>,
+) -> Vec<Taken> {
+    take_streams_after(fleet, count, others, RETRY_PAUSE, faults)
+}
+
+/// Like [`take_streams_at`]; clients pause for so long between their tries.
+fn take_streams_after(
+    fleet: &mut Fleet,
+    count: usize,
+    others: &[usize],
+    pause: Duration,
+    faults: impl Future<Output = ()>,
 ) -> Vec<Taken> {
     let client = fleet.client.clone();
     let addresses = fleet.daemons.iter().map(|daemon| daemon.callers_address);
@@ -177,7 +209,7 @@
                 deadline_ms: DEADLINE_MS,
                 ..ClientRequest::prompt(&format!("stream-{number}"), "tag", 40, 200)
             };
-            take_stream(client.clone(), targets, request)
+            take_stream(client.clone(), targets, request, pause)
         });
         let (taken, ()) = futures::join!(join_all(streams), faults);
         taken
@@ -377,14 +409,7 @@
 
 #[test]
 fn streams_go_on_without_a_record_if_there_was_only_one_version() {
-    let mut fleet = Fleet::new(FleetOptions {
-        daemons: 3,
-        prefill: 0,
-        decode: 4,
-        ..FleetOptions::default()
-    });
-    earn_retries(&mut fleet, 3);
-    set_streams(&fleet);
+    let mut fleet = fleet_of_one_version(3);
     fleet.wait(Duration::from_secs(20));
     let simulation = fleet.simulation.handle();
     let hosts: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.host).collect();
@@ -509,3 +534,111 @@
         assert_eq!(read_at, Some(run.version.as_str()), "{}", run.request);
     }
 }
+
+/// What changes while the daemons are down.
+#[derive(Debug, Clone, Copy)]
+enum ChangeDuringLoss {
+    /// The engines of the old version leave.
+    OldVersionLeaves,
+    /// The engines of the new version leave.
+    NewVersionLeaves,
+    /// The engines of the old version come back under their IDs with the new one.
+    OldVersionIsReplaced,
+}
+
+impl ChangeDuringLoss {
+    fn apply(self, fleet_engines: &[(EngineStandIn, ponddrift_simulation::HostId)], parts: &Parts) {
+        let leaving = match self {
+            Self::OldVersionLeaves | Self::OldVersionIsReplaced => 0,
+            Self::NewVersionLeaves => 1,
+        };
+        for (engine, host) in fleet_engines.iter().skip(leaving).step_by(2) {
+            parts.simulation.kill(*host);
+            if matches!(self, Self::OldVersionIsReplaced) {
+                engine.set_version(NEW_VERSION);
+                engine.start_new_incarnation(2);
+                engine.record(&parts.store, "ready");
+                parts.simulation.restart(*host);
+            } else {
+                engine.remove_entry(&parts.store);
+            }
+        }
+    }
+}
+
+/// The parts of a fleet that faults act on.
+struct Parts {
+    simulation: ponddrift_simulation::SimulationHandle,
+    store: ponddrift_platform_stand_ins::StoreStandIn,
+    daemons: Vec<ponddrift_simulation::HostId>,
+}
+
+impl Parts {
+    fn of(fleet: &Fleet) -> Self {
+        Self {
+            simulation: fleet.simulation.handle(),
+            store: fleet.store.clone(),
+            daemons: fleet.daemons.iter().map(|daemon| daemon.host).collect(),
+        }
+    }
+
+    async fn restart_all_daemons(&self, pause: Duration) {
+        for host in &self.daemons {
+            self.simulation.kill(*host);
+        }
+        sleep(pause).await;
+        for host in &self.daemons {
+            self.simulation.restart(*host);
+        }
+    }
+}
+
+/// Guards against streams that are joined from two versions after all daemons were lost: a version
+/// that is the only one now need not be the one that began a stream, however late its client returns.
+#[test]
+fn streams_of_lost_daemons_do_not_go_on_at_the_version_that_is_left() {
+    let changes = [
+        ChangeDuringLoss::OldVersionLeaves,
+        ChangeDuringLoss::NewVersionLeaves,
+        ChangeDuringLoss::OldVersionIsReplaced,
+    ];
+    for (change, losses, pause_s, is_first_start) in changes.into_iter().flat_map(|change| {
+        [
+            (change, 1, 12, false),
+            (change, 2, 12, true),
+            (change, 1, 60, true),
+        ]
+    }) {
+        let mut fleet = fleet_of_two_versions_from_start(3, 8, is_first_start);
+        let parts = Parts::of(&fleet);
+        let engines = fleet.decode_engines_and_hosts();
+        let faults = async move {
+            sleep(FAULT_DELAY).await;
+            change.apply(&engines, &parts);
+            for _ in 0..losses {
+                parts.restart_all_daemons(Duration::from_millis(500)).await;
+                sleep(Duration::from_secs(2)).await;
+            }
+        };
+        let pause = Duration::from_secs(pause_s);
+        let taken = take_streams_after(&mut fleet, 20, &[1, 2], pause, faults);
+        assert!(taken.iter().any(Taken::was_taken_up));
+        let case = format!("{change:?}, {losses} losses, {pause_s} s, {is_first_start}");
+        assert_one_version_each(&taken, &case);
+    }
+}
+
+/// Guards against refusing streams of lost daemons although no other version ever served.
+#[test]
+fn streams_of_lost_daemons_go_on_if_there_was_only_one_version_since_the_first_start() {
+    let mut fleet = fleet_of_one_version(3);
+    fleet.wait(Duration::from_secs(5));
+    let parts = Parts::of(&fleet);
+    let loss = async move {
+        sleep(FAULT_DELAY).await;
+        parts.restart_all_daemons(Duration::from_millis(100)).await;
+    };
+    let pause = Duration::from_millis(1_500);
+    let taken = take_streams_after(&mut fleet, 20, &[1, 2], pause, loss);
+    assert_share_taken_up(&taken, 0.9, "a loss of all daemons");
+}
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -47,6 +47,8 @@
     pub orders_engines: bool,
     /// `limits.requests_in_progress` of each daemon; bounds the connections that it relays as well.
     pub max_requests: usize,
+    /// Whether no daemon of the fleet has run before.
+    pub is_first_start: bool,
 }
 
 impl Default for FleetOptions {
@@ -60,6 +62,7 @@
             reports_usage: false,
             orders_engines: false,
             max_requests: MAX_REQUESTS_IN_PROGRESS,
+            is_first_start: false,
         }
     }
 }
@@ -357,8 +360,9 @@
 
 fn daemon_settings(number: u8, zone: char, options: FleetOptions) -> Settings {
     let max_requests = options.max_requests;
+    let is_first_start = options.is_first_start;
     let mut text = format!(
-        "[daemon]\nname = \"daemon-{number}\"\nzone = \"{zone}\"\n\
+        "[daemon]\nname = \"daemon-{number}\"\nzone = \"{zone}\"\nfirst_start = {is_first_start}\n\
          [listen]\ncallers = \"10.0.2.{number}:8144\"\nreadiness = \"10.0.2.{number}:8140\"\n\
          peers = \"10.0.2.{number}:7660\"\n[store]\naddress = \"{STORE_ADDRESS}\"\n\
          [peers]\nseeds = [\"10.0.2.1:1\", \"10.0.2.2:1\"]\n\
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -5,6 +5,7 @@
 mod peer_answers;
 mod quarantines;
 mod retained;
+mod version_history;
 
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -16,6 +16,7 @@
 use ponddrift_fleet::topology::{Member, Topology};
 
 use super::retained::Retained;
+use super::version_history::KnownVersions;
 use super::{ConfigurationInForce, UpdateSource, daemon_identity};
 use crate::back_end_index::BackEndIndex;
 use crate::follow::MISSING_KEY_GRACE;
@@ -71,6 +72,7 @@
     pub(super) unusable_cold_times: u64,
     pub(super) store_doubt: StoreDoubt,
     pub(super) store_reached: bool,
+    pub(super) versions: KnownVersions,
 }
 
 impl FleetView {
@@ -174,6 +176,8 @@
                 tracing::info!(%revision, source = source.as_str(), "leader_gone");
                 self.leader = None;
             }
+            Decoded::Versions(history) => self.versions.apply(history, revision),
+            Decoded::VersionsRemoved => self.versions.apply_removal(),
             Decoded::QuarantineFiled(_) | Decoded::QuarantineRemoved(_) | Decoded::Other => {}
         }
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -35,3 +35,4 @@
 pub mod store;
 pub mod time;
 pub mod usage;
+pub mod version_recorder;
--- a/crates/serving/src/pipeline/taken_up.rs
+++ b/crates/serving/src/pipeline/taken_up.rs
@@ -19,16 +19,16 @@
 const RETURN_TIME: Duration = Duration::from_secs(2);
 /// A stream and its continuations last at most this multiple of the route's timeout.
 const TIMEOUTS_PER_STREAM: u32 = 2;
-/// The shortest time for which a single version must have served before a stream without a record is
-/// taken for one of that version.
-const MIN_SOLE_VERSION_TIME: Duration = Duration::from_secs(10);
+/// A version that a back end had within this time may not have reached the history of versions yet.
+const VERSION_LOOKBACK: Duration = Duration::from_secs(20);
 
 /// Where a stream that a caller takes up began.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(super) enum TakenUpStream {
     /// It began at a back end of this service and version.
     BegunAt(StreamOrigin),
-    /// It has no record, but its service has had a single version for as long as it can last.
+    /// It has no record, but its service has had a single version for as long as callers may take
+    /// streams up.
     OnlyVersion,
     /// It is not known.
     Unknown,
@@ -145,15 +145,18 @@
         }
     }
 
-    /// Whether each service of the route has had a single version for as long as its streams last.
+    /// Whether the stream can only have begun at the version that the route's service has now.
     fn has_only_version(&self, route: &Route) -> bool {
         let recorders = self.stream_recorders.get();
         let is_up_to_date = recorders.is_some_and(StreamRecorders::has_store_contact);
-        let time = (route.timeout * TIMEOUTS_PER_STREAM).max(MIN_SOLE_VERSION_TIME);
         let [only] = route.split.as_slice() else {
             return false;
         };
-        let version = self.state.sole_version(&only.service, time, now());
+        let time_of_day = self.runtime.clock.time_of_day();
+        let lookback = VERSION_LOOKBACK;
+        let version =
+            self.state
+                .version_of_all_streams(&only.service, lookback, time_of_day, now());
         is_up_to_date && version.is_some()
     }
 
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -13,6 +13,7 @@
 use ponddrift_fleet::revision::{Era, Revision};
 use ponddrift_fleet::topology::Member;
 use ponddrift_fleet::usage::{TenantCounts, WindowNumber};
+use ponddrift_fleet::version_history::VersionHistory;
 use tokio::sync::watch;
 
 /// One key of the store at one revision. The value is kept undecoded, so that daemons can relay it
@@ -82,6 +83,10 @@
     QuarantineFiled(Fingerprint),
     /// The quarantine of a request was removed.
     QuarantineRemoved(Fingerprint),
+    /// The versions of all services.
+    Versions(VersionHistory),
+    /// The versions of all services were removed.
+    VersionsRemoved,
     /// A key that this crate does not use.
     Other,
 }
@@ -233,6 +238,13 @@
     ) -> BoxFuture<'a, Result<(), StoreError>>;
     /// Removes the quarantine of a request.
     fn release(&self, fingerprint: Fingerprint) -> BoxFuture<'_, Result<(), StoreError>>;
+    /// Writes the versions of all services. Fails with [`StoreError::Conflict`] if they were written
+    /// after `before`, or at all if that is `None`.
+    fn write_versions<'a>(
+        &'a self,
+        history: &'a VersionHistory,
+        before: Option<Revision>,
+    ) -> BoxFuture<'a, Result<(), StoreError>>;
     /// Decodes an item.
     ///
     /// # Errors
