Back ends whose bytes never end, or come in tiny pieces, are left

What callers saw: informational answers without an end held requests until their deadline; an event without an end in one-byte chunks kept the process busy so that nothing was answered; answers in one-byte chunks took 40 times their size.

Causes: the HTTP library skips informational answers without a limit; the event splitter searched each event from its beginning with every piece; bodies were kept as the pieces that they came in.

Change: 256 informational answers end an exchange; the splitter remembers how far it searched; bodies are copied into one buffer.

--- a/crates/fleet/src/events.rs
+++ b/crates/fleet/src/events.rs
@@ -26,6 +26,9 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
+    /// How far the buffer was searched for the end of the first event. Without it, an event in many
+    /// small pieces would be searched from its beginning with each.
+    searched: Searched,
 }
 
 impl EventSplitter {
@@ -39,12 +42,13 @@
     /// # Errors
     /// [`EventError::TooLong`] if the buffered part of an event exceeds [`MAXIMUM_EVENT_BYTES`].
     pub fn next_event(&mut self) -> Result<Option<Event>, EventError> {
-        let Some(end) = event_end(&self.buffer) else {
+        let Some(end) = self.searched.event_end(&self.buffer) else {
             if self.buffer.len() > MAXIMUM_EVENT_BYTES {
                 return Err(EventError::TooLong);
             }
             return Ok(None);
         };
+        self.searched = Searched::default();
         let bytes = self.buffer.split_to(end).freeze();
         let id = event_id(&bytes);
         Ok(Some(Event { bytes, id }))
@@ -57,21 +61,32 @@
     }
 }
 
-/// Position after the empty line that ends the first event; accepts LF and CRLF line ends.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (position, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..position];
-        let is_empty = line.is_empty() || line == b"\r";
-        if is_empty && line_start > 0 {
-            return Some(position + 1);
+#[derive(Debug, Default)]
+struct Searched {
+    /// Length of the part that was searched.
+    bytes: usize,
+    /// Start of the line that was not complete.
+    line_start: usize,
+}
+
+impl Searched {
+    /// Position after the empty line that ends the first event; accepts LF and CRLF line ends.
+    fn event_end(&mut self, buffer: &[u8]) -> Option<usize> {
+        while self.bytes < buffer.len() {
+            let position = self.bytes;
+            self.bytes += 1;
+            if buffer[position] != b'\n' {
+                continue;
+            }
+            let line = &buffer[self.line_start..position];
+            let is_empty = line.is_empty() || line == b"\r";
+            if is_empty && self.line_start > 0 {
+                return Some(position + 1);
+            }
+            self.line_start = position + 1;
         }
-        line_start = position + 1;
+        None
     }
-    None
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::{Stream, TryStreamExt};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::{BodyExt, Empty, Full, LengthLimitError, Limited, StreamBody};
+use http_body_util::{BodyExt, Empty, Full, StreamBody};
 use hyper::body::Frame;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -91,17 +91,31 @@
     B: http_body::Body<Data = Bytes>,
     B::Error: Into<BodyError>,
 {
-    let limited = Limited::new(body, size_limit);
-    let collected = tokio::time::timeout(time_limit, limited.collect())
-        .await
-        .map_err(|_elapsed| ReadError::TooSlow { limit: time_limit })?;
-    match collected {
-        Ok(whole) => Ok(whole.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => {
-            Err(ReadError::TooLarge { limit: size_limit })
+    let reading = read_within(body, size_limit);
+    let read = tokio::time::timeout(time_limit, reading).await;
+    read.unwrap_or(Err(ReadError::TooSlow { limit: time_limit }))
+}
+
+/// Copies the pieces of a body into one buffer. Kept as they are, small pieces would take many times
+/// their size, since each keeps the buffer that it was received in.
+async fn read_within<B>(body: B, size_limit: usize) -> Result<Bytes, ReadError>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<BodyError>,
+{
+    let mut body = std::pin::pin!(body);
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| ReadError::Broken(error.into().to_string()))?;
+        let Ok(piece) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + piece.len() > size_limit {
+            return Err(ReadError::TooLarge { limit: size_limit });
         }
-        Err(error) => Err(ReadError::Broken(error.to_string())),
+        whole.extend_from_slice(&piece);
     }
+    Ok(whole.freeze())
 }
 
 /// Reads a body of at most `size_limit` bytes within `time_limit`, and parses it as JSON.
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,7 @@
 use ponddrift_fleet::placement::IdleConnections;
 use ponddrift_http::body::{self, Body};
 use ponddrift_runtime::Runtime;
+use tokio::sync::Notify;
 
 use crate::back_end_paths::{BackEndPaths, CONNECT_TIMEOUT, OpenedStream, Unreachable, connect};
 use crate::metrics::Metrics;
@@ -29,8 +30,12 @@
 /// How long an idle connection is reused if the server does not announce its keep-alive timeout.
 const DEFAULT_IDLE_LIFETIME: Duration = Duration::from_millis(600);
 
+/// Longest time for which an idle connection is reused, whatever the server announces.
+const MAX_IDLE_LIFETIME: Duration = Duration::from_secs(600);
 /// Maximum bytes of the answer to a [`Connections::call`].
 const MAX_CALL_ANSWER_BYTES: usize = 4 << 20;
+/// Maximum number of informational answers (1xx) to one request.
+const MAX_INFORMATIONAL_ANSWERS: u32 = 256;
 /// Weight of the newest connection in the average time to open one.
 const NEWEST_OPENING_WEIGHT: f64 = 0.05;
 const MS_PER_S: f64 = 1_000.0;
@@ -92,6 +97,8 @@
     NotSent(NotSent),
     /// The connection broke; the request may have arrived.
     Broken(hyper::Error),
+    /// The back end sent more than [`MAX_INFORMATIONAL_ANSWERS`] informational answers and no other.
+    InformationalOnly,
 }
 
 /// Why a call got no complete answer.
@@ -124,11 +131,40 @@
                     ConnectFailure::NoAnswer => Self::NoAnswer,
                 }
             }
-            ExchangeError::NotSent(NotSent::Exhausted) | ExchangeError::Broken(_) => Self::Broken,
+            ExchangeError::NotSent(NotSent::Exhausted)
+            | ExchangeError::Broken(_)
+            | ExchangeError::InformationalOnly => Self::Broken,
         }
     }
 }
 
+/// Counts the informational answers to one request, which the HTTP library skips.
+struct InformationalAnswers(Arc<InformationalCount>);
+
+#[derive(Default)]
+struct InformationalCount {
+    received: AtomicU32,
+    exceeded: Notify,
+}
+
+impl InformationalAnswers {
+    fn count(request: &mut Request<Body>) -> Self {
+        let counted = Arc::<InformationalCount>::default();
+        let counter = Arc::clone(&counted);
+        hyper::ext::on_informational(request, move |_answer| {
+            if counter.received.fetch_add(1, Ordering::Relaxed) == MAX_INFORMATIONAL_ANSWERS {
+                counter.exceeded.notify_one();
+            }
+        });
+        Self(counted)
+    }
+
+    /// Completes when there are too many.
+    async fn exceeded(&self) {
+        self.0.exceeded.notified().await;
+    }
+}
+
 /// The head of an answer whose body has not been read yet, with its connection.
 pub struct Reply {
     /// The answer.
@@ -308,6 +344,7 @@
             self.discard_idle(address);
         }
         let mut request = request;
+        let informational = InformationalAnswers::count(&mut request);
         loop {
             let reused = self.take_idle(address);
             let is_new = reused.is_none();
@@ -324,7 +361,12 @@
             if !matches!(ready, Ok(Ok(()))) && !is_new {
                 continue;
             }
-            match sender.try_send_request(request).await {
+            let sent = tokio::select! {
+                biased;
+                () = informational.exceeded() => return Err(ExchangeError::InformationalOnly),
+                sent = sender.try_send_request(request) => sent,
+            };
+            match sent {
                 Ok(response) => {
                     self.record_answer(&connection);
                     return Ok(Reply {
@@ -610,7 +652,7 @@
         };
         let idle = Idle {
             sender,
-            usable_until: now() + lifetime,
+            usable_until: now() + lifetime.min(MAX_IDLE_LIFETIME),
             relay: self.relay,
         };
         let mut pools = self.owner.lock();
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -604,12 +604,15 @@
         ExchangeError::NotSent(NotSent::Exhausted) => {
             SendVerdict::new(SendEnd::NotSent("connections_in_use"), None)
         }
-        ExchangeError::Broken(_error) => SendVerdict {
-            has_run: true,
-            ..SendVerdict::new(
-                SendEnd::MayHaveRun("connection_broke"),
-                Some(Outcome::Broken),
-            )
-        },
+        ExchangeError::Broken(_error) => broken_verdict("connection_broke"),
+        ExchangeError::InformationalOnly => broken_verdict("informational_answers_only"),
+    }
+}
+
+/// The back end most likely ran the request, but sent no usable answer.
+fn broken_verdict(reason: &'static str) -> SendVerdict {
+    SendVerdict {
+        has_run: true,
+        ..SendVerdict::new(SendEnd::MayHaveRun(reason), Some(Outcome::Broken))
     }
 }
