Memory, descriptors and time that callers can take are limited

What was seen: crowds of clients that stop in the middle of a body, do not read their answers or leave connections open took many times the memory that a daemon may hold, or all of its descriptors; ordinary requests got no answer.

Cause: memory was counted after it was used, if at all; idle connections and unfinished heads were kept for 120 s without a limit in number.

Change: one account for heads and bodies being read, bodies in progress and answers held for their readers, reserved before use. When it is full, who makes no progress yields to who does; small requests always have room. Connections are limited in number, and the one unused for longest makes room, also without a free descriptor. The time limits of the configuration are applied. HTTP/2 windows are limited. Defaults follow from the machine's memory and descriptors.

--- a/crates/daemon/src/gateway/completions.rs
+++ b/crates/daemon/src/gateway/completions.rs
@@ -212,6 +212,7 @@
     let kind = match error {
         ReadError::TooLarge { .. } => ProblemKind::BodyTooLarge,
         ReadError::TooSlow { .. } => ProblemKind::BodyTooSlow,
+        ReadError::NoMemory(_) => ProblemKind::Overloaded,
         ReadError::Broken(_) | ReadError::Json(_) => ProblemKind::BadRequest,
     };
     Problem::not_started(kind, error.to_string())
--- a/crates/engine/src/error.rs
+++ b/crates/engine/src/error.rs
@@ -60,7 +60,9 @@
         match error {
             ReadError::TooSlow { limit } => Self::TimedOut(limit),
             ReadError::Broken(reason) => Self::Broken(reason),
-            ReadError::TooLarge { .. } | ReadError::Json(_) => Self::Protocol(error.to_string()),
+            ReadError::TooLarge { .. } | ReadError::NoMemory(_) | ReadError::Json(_) => {
+                Self::Protocol(error.to_string())
+            }
         }
     }
 }
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -182,6 +182,10 @@
     pub head_bytes: usize,
     /// Maximum size of a request body in bytes.
     pub body_bytes: usize,
+    /// Maximum time in which a request head arrives.
+    pub head_timeout: Duration,
+    /// Maximum time for which a connection is idle.
+    pub idle_timeout: Duration,
 }
 
 impl Default for CallerLimits {
@@ -189,6 +193,8 @@
         Self {
             head_bytes: 64 * 1024,
             body_bytes: 4 << 20,
+            head_timeout: Duration::from_secs(30),
+            idle_timeout: Duration::from_secs(120),
         }
     }
 }
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::{Stream, TryStreamExt};
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::combinators::UnsyncBoxBody;
@@ -11,6 +11,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::memory::{MemoryExhausted, Reservation};
+
 /// Error while a body is transferred.
 pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
 /// Body of the requests and responses that are sent.
@@ -73,6 +75,9 @@
     /// The connection failed before the end of the body.
     #[error("the connection broke while the body was read: {0}")]
     Broken(String),
+    /// The memory for it was not available, or had to be given to others that go on.
+    #[error(transparent)]
+    NoMemory(#[from] MemoryExhausted),
     /// The body is not JSON of the expected type.
     #[error("the body is not the expected JSON: {0}")]
     Json(#[from] serde_json::Error),
@@ -91,31 +96,143 @@
     B: http_body::Body<Data = Bytes>,
     B::Error: Into<BodyError>,
 {
-    let reading = read_within(body, size_limit);
+    let reading = read_within(body, size_limit, None);
     let read = tokio::time::timeout(time_limit, reading).await;
     read.unwrap_or(Err(ReadError::TooSlow { limit: time_limit }))
 }
 
+/// What to do when there is no memory for a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WhenFull {
+    /// Fail at once.
+    Fail,
+    /// Wait until there is some; a body that states its length waits before anything is read.
+    Wait,
+}
+
+/// Like [`read_all`], with the memory of `reservation`.
+///
+/// # Errors
+/// As [`read_all`], or [`ReadError::NoMemory`].
+pub async fn read_reserved<B>(
+    body: B,
+    size_limit: usize,
+    time_limit: Duration,
+    reservation: &Reservation,
+    when_full: WhenFull,
+) -> Result<Bytes, ReadError>
+where
+    B: http_body::Body<Data = Bytes>,
+    B::Error: Into<BodyError>,
+{
+    let reading = read_within(body, size_limit, Some((reservation, when_full)));
+    let limited = tokio::time::timeout(time_limit, reading);
+    tokio::select! {
+        biased;
+        () = reservation.must_yield() => Err(ReadError::NoMemory(MemoryExhausted)),
+        read = limited => read.unwrap_or(Err(ReadError::TooSlow { limit: time_limit })),
+    }
+}
+
 /// Copies the pieces of a body into one buffer. Kept as they are, small pieces would take many times
 /// their size, since each keeps the buffer that it was received in.
-async fn read_within<B>(body: B, size_limit: usize) -> Result<Bytes, ReadError>
+async fn read_within<B>(
+    body: B,
+    size_limit: usize,
+    memory: Option<(&Reservation, WhenFull)>,
+) -> Result<Bytes, ReadError>
 where
     B: http_body::Body<Data = Bytes>,
     B::Error: Into<BodyError>,
 {
     let mut body = std::pin::pin!(body);
-    let mut whole = BytesMut::new();
+    let mut whole = BodyBuffer::new(size_limit, memory);
+    if let Some(length) = body.size_hint().exact() {
+        whole
+            .expect(usize::try_from(length).unwrap_or(usize::MAX))
+            .await?;
+    }
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| ReadError::Broken(error.into().to_string()))?;
-        let Ok(piece) = frame.into_data() else {
-            continue;
-        };
-        if whole.len() + piece.len() > size_limit {
-            return Err(ReadError::TooLarge { limit: size_limit });
+        if let Ok(piece) = frame.into_data() {
+            whole.add(&piece).await?;
+        }
+    }
+    Ok(Bytes::from(whole.bytes))
+}
+
+/// A body as far as it was read.
+struct BodyBuffer<'a> {
+    bytes: Vec<u8>,
+    size_limit: usize,
+    memory: Option<(&'a Reservation, WhenFull)>,
+    /// Bytes since progress was last recorded.
+    unrecorded: usize,
+}
+
+impl<'a> BodyBuffer<'a> {
+    const fn new(size_limit: usize, memory: Option<(&'a Reservation, WhenFull)>) -> Self {
+        Self {
+            bytes: Vec::new(),
+            size_limit,
+            memory,
+            unrecorded: 0,
+        }
+    }
+
+    /// Prepares for a body that states its length. Only a body that may wait for memory takes it
+    /// before it is there: the sender of another one may stop at any point.
+    async fn expect(&mut self, length: usize) -> Result<(), ReadError> {
+        if length > self.size_limit {
+            return Err(self.too_large());
+        }
+        match self.memory {
+            Some((_reservation, WhenFull::Wait)) => self.grow(length).await,
+            _ => Ok(()),
+        }
+    }
+
+    async fn add(&mut self, piece: &[u8]) -> Result<(), ReadError> {
+        let length = self.bytes.len() + piece.len();
+        if length > self.size_limit {
+            return Err(self.too_large());
+        }
+        if length > self.bytes.capacity() {
+            let doubled = (self.bytes.capacity() * 2).min(self.size_limit);
+            self.grow(length.max(doubled)).await?;
+        }
+        self.bytes.extend_from_slice(piece);
+        self.record_progress(piece.len());
+        Ok(())
+    }
+
+    async fn grow(&mut self, capacity: usize) -> Result<(), ReadError> {
+        match self.memory {
+            Some((reservation, WhenFull::Fail)) => reservation.grow_to(capacity)?,
+            Some((reservation, WhenFull::Wait)) => reservation.grow_when_free(capacity).await,
+            None => {}
+        }
+        self.bytes.reserve_exact(capacity - self.bytes.len());
+        Ok(())
+    }
+
+    /// A sender that takes long for so many bytes counts as stalled.
+    fn record_progress(&mut self, bytes: usize) {
+        const PROGRESS_BYTES: usize = 16 << 10;
+        self.unrecorded += bytes;
+        if self.unrecorded >= PROGRESS_BYTES
+            && let Some((reservation, _when_full)) = self.memory
+        {
+            self.unrecorded = 0;
+            reservation.progressed();
+        }
+    }
+
+    const fn too_large(&self) -> ReadError {
+        ReadError::TooLarge {
+            limit: self.size_limit,
         }
-        whole.extend_from_slice(&piece);
     }
-    Ok(whole.freeze())
 }
 
 /// Reads a body of at most `size_limit` bytes within `time_limit`, and parses it as JSON.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -5,10 +5,13 @@
 
 pub mod body;
 pub mod client;
+pub mod memory;
 pub mod problem;
 pub mod server;
 
 pub use body::{Body, ReadError};
 pub use client::{Client, ClientError, ClientSettings};
 pub use problem::{Problem, ProblemKind};
-pub use server::{Handler, HeldByRequest, RequestGuard, Server, ServerSettings};
+pub use server::{
+    CloseReason, ConnectionTimeouts, Handler, HeldByRequest, RequestGuard, Server, ServerSettings,
+};
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,13 +2,12 @@
 
 mod answer_body;
 mod connection;
+mod open_connections;
 
 use std::convert::Infallible;
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures::future::BoxFuture;
@@ -17,21 +16,30 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
-use hyper_util::server::graceful::{GracefulConnection, GracefulShutdown};
 use ponddrift_runtime::{BoxedListener, BoxedStream, HyperExecutor, Runtime, Spawner};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::body::Body;
+use crate::memory::MemoryBudget;
 use connection::{ConnectionState, LingerLimits, ServerStream};
+use open_connections::{Connections, OpenConnection};
 
 pub use connection::{HeldByRequest, RequestGuard};
 
 /// Pause after a failed `accept`, which avoids a busy loop when file descriptors are exhausted.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
-/// Interval at which a stopping server checks whether its connections are closed.
-const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Interval at which connections are checked against their time limits.
+const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
+/// Share of the open connections that is closed when the process has no descriptor left.
+const DESCRIPTOR_RELIEF_SHARE: usize = 16;
+
+/// Limits of each HTTP/2 connection: they bound what its peer can make the server hold.
+const HTTP2_STREAMS: u32 = 100;
+const HTTP2_STREAM_WINDOW_BYTES: u32 = 64 << 10;
+const HTTP2_CONNECTION_WINDOW_BYTES: u32 = 256 << 10;
+const HTTP2_SEND_BUFFER_BYTES: usize = 64 << 10;
 
 /// Handles requests.
 pub trait Handler: Send + Sync + 'static {
@@ -47,6 +55,61 @@
     fn admits_connection(&self, _lag: Duration) -> bool {
         true
     }
+
+    /// Time limits of connections. Asked repeatedly, because they may change.
+    fn connection_timeouts(&self) -> ConnectionTimeouts {
+        ConnectionTimeouts::default()
+    }
+
+    /// The server closed a connection without an answer, or without a request on it.
+    fn connection_closed(&self, _reason: CloseReason) {}
+}
+
+/// Time limits of connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionTimeouts {
+    /// Maximum time in which a request head arrives, from its first byte.
+    pub head: Duration,
+    /// Maximum time for which a connection is idle.
+    pub idle: Duration,
+}
+
+impl Default for ConnectionTimeouts {
+    fn default() -> Self {
+        Self {
+            head: Duration::from_secs(10),
+            idle: Duration::from_secs(120),
+        }
+    }
+}
+
+/// Why a server closed a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum CloseReason {
+    /// It was idle for too long.
+    IdleTimeout,
+    /// A request head did not arrive in time.
+    HeadTimeout,
+    /// There were too many connections; it was idle for longest, or its head took longest.
+    TooManyConnections,
+    /// The process had no descriptor left for another one; chosen in the same way.
+    NoDescriptors,
+    /// Its memory was needed by others that go on.
+    MemoryNeeded,
+}
+
+impl CloseReason {
+    /// Name in logs and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::IdleTimeout => "idle_timeout",
+            Self::HeadTimeout => "head_timeout",
+            Self::TooManyConnections => "too_many_connections",
+            Self::NoDescriptors => "no_descriptors",
+            Self::MemoryNeeded => "memory_needed",
+        }
+    }
 }
 
 impl<F> Handler for F
@@ -66,7 +129,7 @@
 }
 
 /// Limits of a [`Server`].
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ServerSettings {
     /// Time limit for receiving the request headers.
     pub header_time_limit: Duration,
@@ -80,6 +143,10 @@
     pub linger: Duration,
     /// The same for a peer that reads slowly, so that a part of its answer may still be on the way.
     pub slow_reader_linger: Duration,
+    /// Maximum number of open connections.
+    pub connections: usize,
+    /// Account of the memory of heads that are being read.
+    pub memory: Option<MemoryBudget>,
 }
 
 impl Default for ServerSettings {
@@ -90,6 +157,8 @@
             shutdown_grace: Duration::from_secs(5),
             linger: Duration::from_millis(500),
             slow_reader_linger: Duration::from_secs(30),
+            connections: usize::MAX,
+            memory: None,
         }
     }
 }
@@ -103,62 +172,6 @@
     spawner: Arc<dyn Spawner>,
 }
 
-/// Open connections, which can be shut down together.
-#[derive(Default)]
-struct Connections {
-    current: Mutex<GracefulShutdown>,
-    /// All that are not closed, including those that are shutting down.
-    open: Arc<AtomicUsize>,
-}
-
-impl Connections {
-    fn watch<C: GracefulConnection>(
-        &self,
-        connection: C,
-    ) -> impl Future<Output = C::Output> + use<C> {
-        self.lock().watch(connection)
-    }
-
-    fn open_count(&self) -> usize {
-        self.open.load(Ordering::Relaxed)
-    }
-
-    /// Closes all current connections after their requests in progress.
-    fn close_current(&self) -> impl Future<Output = ()> + Send + 'static {
-        let current = std::mem::take(&mut *self.lock());
-        current.shutdown()
-    }
-
-    /// Waits until no connection is open.
-    async fn closed(&self) {
-        while self.open_count() > 0 {
-            tokio::time::sleep(CLOSE_POLL_INTERVAL).await;
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, GracefulShutdown> {
-        self.current
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-    }
-}
-
-/// Counts a connection until it is closed.
-struct OpenConnection(Arc<AtomicUsize>);
-
-impl OpenConnection {
-    fn new(open: &Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(open))
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 impl Server {
     /// Binds `address` and serves requests until [`Self::stop`] is called.
     ///
@@ -185,6 +198,11 @@
             stop: server.stop.clone(),
             connections: Arc::clone(&server.connections),
         };
+        runtime.spawner.spawn(Box::pin(AcceptLoop::close_expired(
+            Arc::clone(&accept_loop.connections),
+            Arc::clone(&accept_loop.handler),
+            server.stopped.clone(),
+        )));
         let stopped = server.stopped.clone();
         runtime.spawner.spawn(Box::pin(async move {
             accept_loop.run(listener).await;
@@ -209,7 +227,7 @@
     /// Connections that are not closed, including those that are closing.
     #[must_use]
     pub fn open_connections(&self) -> usize {
-        self.connections.open_count()
+        self.connections.count()
     }
 
     /// Stops accepting connections, and returns when all connections are closed, each after the last
@@ -259,7 +277,10 @@
                 Ok((stream, peer)) => self.serve_if_admitted(stream, peer).await,
                 Err(_stopping) if self.stop.is_cancelled() => return,
                 Err(error) => {
-                    tracing::warn!(%error, "accept failed");
+                    let count = self.connections.count() / DESCRIPTOR_RELIEF_SHARE + 1;
+                    let reason = CloseReason::NoDescriptors;
+                    let closed = self.connections.close_unused(count, reason);
+                    tracing::warn!(%error, closed, "accept_failed");
                     tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
                 }
             }
@@ -269,25 +290,55 @@
     async fn serve_if_admitted(&self, stream: BoxedStream, peer: SocketAddr) {
         let accepted_at = Instant::now();
         tokio::task::yield_now().await;
-        if self.handler.admits_connection(accepted_at.elapsed()) {
+        if self.has_room() && self.handler.admits_connection(accepted_at.elapsed()) {
             self.serve(stream, peer);
         }
     }
 
+    /// Whether another connection may be open. At the limit, one that is not used makes room.
+    fn has_room(&self) -> bool {
+        let reason = CloseReason::TooManyConnections;
+        let has_room = self.connections.count() < self.settings.connections
+            || self.connections.close_unused(1, reason) > 0;
+        if !has_room {
+            self.handler.connection_closed(reason);
+        }
+        has_room
+    }
+
+    /// Closes connections that have exceeded their time limits, until stopped.
+    async fn close_expired(
+        connections: Arc<Connections>,
+        handler: Arc<dyn Handler>,
+        stopped: CancellationToken,
+    ) {
+        loop {
+            tokio::select! {
+                biased;
+                () = stopped.cancelled() => return,
+                () = tokio::time::sleep(TIMEOUT_CHECK_INTERVAL) => {}
+            }
+            connections.close_expired(handler.connection_timeouts());
+        }
+    }
+
     fn serve(&self, stream: BoxedStream, peer: SocketAddr) {
         let handler = Arc::clone(&self.handler);
+        let answering = Arc::clone(&handler);
         let stop = self.stop.clone();
-        let state = Arc::<ConnectionState>::default();
+        let state = ConnectionState::new();
+        let open = self.connections.add(&state);
         let limits = LingerLimits {
             prompt_reader: self.settings.linger,
             slow_reader: self.settings.slow_reader_linger,
         };
-        let stream = ServerStream::new(stream, Arc::clone(&state), limits);
+        let memory = self.settings.memory.clone();
+        let stream = ServerStream::new(stream, Arc::clone(&state), limits, memory);
+        let requests = Arc::clone(&state);
         let service = service_fn(move |request: Request<Incoming>| {
-            state.begin_request();
-            let state = Arc::clone(&state);
+            let begun = requests.begin_request();
             let version = request.version();
-            let answer = handler.handle(request, peer);
+            let answer = answering.handle(request, peer);
             let stop = stop.clone();
             async move {
                 let mut response = answer.await;
@@ -295,7 +346,7 @@
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(header::CONNECTION, close);
                 }
-                Ok::<_, Infallible>(state.guard_answer(response))
+                Ok::<_, Infallible>(begun.answered(response))
             }
         });
         let mut builder = Builder::new(HyperExecutor(Arc::clone(&self.runtime.spawner)));
@@ -307,6 +358,10 @@
         builder
             .http2()
             .timer(TokioTimer::new())
+            .max_concurrent_streams(HTTP2_STREAMS)
+            .initial_stream_window_size(HTTP2_STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(HTTP2_CONNECTION_WINDOW_BYTES)
+            .max_send_buf_size(HTTP2_SEND_BUFFER_BYTES)
             .max_header_list_size(
                 u32::try_from(self.settings.header_size_limit).unwrap_or(u32::MAX),
             );
@@ -314,12 +369,27 @@
             .serve_connection(TokioIo::new(stream), service)
             .into_owned();
         let watched = self.connections.watch(connection);
-        let open = OpenConnection::new(&self.connections.open);
-        self.runtime.spawner.spawn(Box::pin(async move {
-            if let Err(error) = watched.await {
-                tracing::debug!(%peer, %error, "connection ended with an error");
+        self.runtime
+            .spawner
+            .spawn(Box::pin(drive(watched, state, open, handler, peer)));
+    }
+}
+
+/// Drives a connection until it ends or has to close at once.
+async fn drive<E: std::fmt::Display>(
+    connection: impl Future<Output = Result<(), E>>,
+    state: Arc<ConnectionState>,
+    open: OpenConnection,
+    handler: Arc<dyn Handler>,
+    peer: SocketAddr,
+) {
+    tokio::select! {
+        biased;
+        ended = connection => {
+            if let Err(error) = ended {
+                tracing::debug!(%peer, %error, "connection_broke");
             }
-            drop(open);
-        }));
+        }
+        () = state.must_close() => handler.connection_closed(open.close_reason()),
     }
 }
--- a/crates/http/src/server/answer_body.rs
+++ b/crates/http/src/server/answer_body.rs
@@ -51,6 +51,9 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(RequestGuard(held)) = &self.guard {
+            held.answer_progressed();
+        }
         if !self.rest.is_empty() {
             return Poll::Ready(Some(Ok(self.next_piece())));
         }
@@ -86,8 +89,6 @@
 
 impl Drop for AnswerBody {
     fn drop(&mut self) {
-        if let Some(guard) = self.guard.take() {
-            self.connection.answer_buffered(guard);
-        }
+        self.connection.answer_buffered(self.guard.take());
     }
 }
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -23,6 +23,14 @@
 /// Name in `overload.contracts` of the agreement under which callers may want more than there is.
 const PRESSURE_CONTRACT: &str = "pressure";
 const HOUR_MS: u64 = 3_600_000;
+/// Greatest default of `limits.held_body_bytes`.
+const MAX_DEFAULT_HELD_BYTES: u64 = 64 << 20;
+/// Greatest default of `limits.connections`.
+const MAX_DEFAULT_CONNECTIONS: u64 = 16_384;
+/// The part of the machine's memory that is for one of: what is held for callers, their connections.
+const HELD_SHARE: u64 = 4;
+/// Memory of a connection: its read buffer, its head and its task.
+const CONNECTION_BYTES: u64 = 24 << 10;
 /// A graceful stop ends this long before the supervisor kills the process (`stop.grace_s`).
 const GRACE_PERIOD_MARGIN: Duration = Duration::from_millis(700);
 
@@ -147,18 +155,7 @@
         ratio: reader.fraction("retry.budget_ratio", 0.2, 0.0..=10.0),
         slack: reader.fraction("retry.budget_slack", 10.0, 0.0..=100_000.0),
     };
-    let intake_bounds = IntakeLimits {
-        requests: saturating_usize(reader.number(
-            "limits.requests_in_progress",
-            2_000,
-            1..=1_000_000,
-        )),
-        body_bytes: saturating_usize(reader.number(
-            "limits.held_body_bytes",
-            64 << 20,
-            1 << 16..=1 << 40,
-        )),
-    };
+    let intake_bounds = intake_limits(&mut reader);
     let leader_lease = reader.milliseconds("leader.lease_ms", 3_000, 1_000..=HOUR_MS);
     let fencing = fencing(&mut reader);
     let provider_address = reader
@@ -246,6 +243,56 @@
     }
 }
 
+/// Limits on what callers can make the daemon hold. Their defaults follow from the machine's memory
+/// and descriptors.
+fn intake_limits(reader: &mut Reader) -> IntakeLimits {
+    let memory_megabytes = reader.number("limits.memory_mb", 0, 0..=1 << 24);
+    let descriptors = reader.number("limits.descriptors", 0, 0..=1 << 24);
+    let connections = default_connections(memory_megabytes, descriptors);
+    let requests = reader.number("limits.requests_in_progress", 2_000, 1..=1_000_000);
+    let held_bytes = reader.number(
+        "limits.held_body_bytes",
+        default_held_bytes(memory_megabytes),
+        1 << 16..=1 << 40,
+    );
+    let connections = reader.number("limits.connections", connections, 16..=1 << 24);
+    IntakeLimits {
+        requests: saturating_usize(requests),
+        held_bytes: saturating_usize(held_bytes),
+        connections: saturating_usize(connections),
+    }
+}
+
+/// A quarter of the memory, at most [`MAX_DEFAULT_HELD_BYTES`]; that much if the memory is not stated.
+fn default_held_bytes(memory_megabytes: u64) -> u64 {
+    match memory_megabytes {
+        0 => MAX_DEFAULT_HELD_BYTES,
+        stated => ((stated << 20) / HELD_SHARE).clamp(1 << 20, MAX_DEFAULT_HELD_BYTES),
+    }
+}
+
+/// What a quarter of the memory and half of the descriptors suffice for; the other descriptors are for
+/// back ends, the store, peers and files.
+fn default_connections(memory_megabytes: u64, descriptors: u64) -> u64 {
+    let descriptors = match descriptors {
+        0 => descriptor_limit(),
+        stated => stated,
+    };
+    let by_descriptors = (descriptors / 2).clamp(16, MAX_DEFAULT_CONNECTIONS);
+    match memory_megabytes {
+        0 => by_descriptors,
+        stated => by_descriptors
+            .min((stated << 20) / HELD_SHARE / CONNECTION_BYTES)
+            .max(16),
+    }
+}
+
+/// Descriptors that the process may open.
+fn descriptor_limit() -> u64 {
+    let limit = rustix::process::getrlimit(rustix::process::Resource::Nofile);
+    limit.current.unwrap_or(MAX_DEFAULT_CONNECTIONS * 2)
+}
+
 fn usage_settings(reader: &mut Reader, is_accepted: bool) -> Option<UsageSettings> {
     let window = reader.fraction("usage.window_s", 60.0, 1.0..=86_400.0);
     let due = reader.fraction("usage.due_s", 60.0, 1.0..=86_400.0);
--- a/crates/serving/src/listeners.rs
+++ b/crates/serving/src/listeners.rs
@@ -14,9 +14,11 @@
 use crate::metrics::Metrics;
 use crate::pipeline::{CallerHandler, Pipeline};
 
-/// Idle time before a connection of a caller is closed; long, because closing would lose a request
-/// that is just arriving.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Time limit of the HTTP library for a head and the idle time before it; the limits of the
+/// configuration, which are shorter, are checked apart.
+const READ_TIMEOUT: Duration = Duration::from_secs(600);
+/// Connections of status checks at a time.
+const MAX_STATUS_CONNECTIONS: usize = 64;
 /// How long callers have to close their connections when the daemon stops.
 const SHUTDOWN_GRACE: Duration = Duration::from_millis(800);
 /// Path that serves the metrics.
@@ -32,8 +34,10 @@
     pipeline: &Arc<Pipeline>,
 ) -> io::Result<Server> {
     let settings = ServerSettings {
-        header_time_limit: IDLE_TIMEOUT,
+        header_time_limit: READ_TIMEOUT,
         shutdown_grace: SHUTDOWN_GRACE,
+        connections: pipeline.limits().connections,
+        memory: Some(pipeline.memory().clone()),
         ..ServerSettings::default()
     };
     let handler = Arc::new(CallerHandler(Arc::clone(pipeline)));
@@ -55,8 +59,10 @@
         metrics: Arc::clone(metrics),
     });
     let settings = ServerSettings {
-        header_time_limit: IDLE_TIMEOUT,
+        header_time_limit: READ_TIMEOUT,
         shutdown_grace: Duration::ZERO,
+        connections: MAX_STATUS_CONNECTIONS,
+        memory: Some(pipeline.memory().clone()),
         ..ServerSettings::default()
     };
     Server::start(runtime, address, settings, handler).await
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -129,6 +129,8 @@
     pub paths: PathGaugeValues,
     /// Requests in progress.
     pub in_progress: usize,
+    /// Bytes held for callers.
+    pub held_bytes: usize,
     /// Log lines that were dropped because the log reader was too slow.
     pub log_lines_dropped: usize,
     /// Resident memory of the process, in bytes.
@@ -160,6 +162,7 @@
     quarantined: Gauge,
     connections: Gauge,
     in_progress: Gauge,
+    held_bytes: Gauge,
     log_lines_dropped: Gauge,
     memory_bytes: Gauge,
     descriptors: Gauge,
@@ -185,6 +188,7 @@
     taken_up: Family<ResultLabels, Counter>,
     closed_unread: Family<ReasonLabels, Counter>,
     answers_unwritten: Counter,
+    connections_closed: Family<ReasonLabels, Counter>,
     ejections: Counter,
     silences: Family<ResultLabels, Counter>,
     announcements: Family<AnnouncementLabels, Counter>,
@@ -265,6 +269,11 @@
                 "streams_taken_up",
                 "Streams that callers took up again, by what is known of where they began",
             ),
+            connections_closed: register_default(
+                r,
+                "caller_connections_closed",
+                "Connections of callers that the daemon closed, by reason",
+            ),
             answers_unwritten: register_default(
                 r,
                 "answers_unwritten",
@@ -408,6 +417,7 @@
                 "back_end_connections",
                 "Connections open to back ends",
             ),
+            held_bytes: register_default(r, "held_bytes", "Bytes held for callers"),
             in_progress: register_default(r, "requests_in_progress", "Requests in progress"),
             log_lines_dropped: register_default(
                 r,
@@ -535,6 +545,14 @@
     }
 
     /// Counts a new connection that was closed unread.
+    /// Counts a connection of a caller that was closed.
+    pub(crate) fn connection_closed(&self, reason: &'static str) {
+        self.connections_closed
+            .get_or_create(&ReasonLabels { reason })
+            .inc();
+    }
+
+    /// Counts an answer whose connection was closed before its last byte was written.
     pub(crate) fn answer_unwritten(&self) {
         self.answers_unwritten.inc();
     }
@@ -637,6 +655,7 @@
         self.paths.set(values.paths);
         gauges.connections.set(saturating_i64(values.connections));
         gauges.in_progress.set(saturating_i64(values.in_progress));
+        gauges.held_bytes.set(saturating_i64(values.held_bytes));
         gauges
             .log_lines_dropped
             .set(saturating_i64(values.log_lines_dropped));
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -35,6 +35,7 @@
 mod taken_up;
 mod wait_policy;
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock};
 use std::time::{Duration, Instant};
@@ -50,7 +51,8 @@
 use ponddrift_fleet::rate_limits::{Members, MembersTrust};
 use ponddrift_fleet::routes::SplitScheduler;
 use ponddrift_fleet::stages::StageWork;
-use ponddrift_http::Body;
+use ponddrift_http::memory::MemoryBudget;
+use ponddrift_http::{Body, CloseReason, ConnectionTimeouts};
 use ponddrift_runtime::Runtime;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -95,8 +97,11 @@
 pub struct IntakeLimits {
     /// Maximum requests in progress.
     pub requests: usize,
-    /// Maximum total bytes of request bodies.
-    pub body_bytes: usize,
+    /// Maximum total bytes of request bodies, of heads that are being read, and of answers that are
+    /// held for callers.
+    pub held_bytes: usize,
+    /// Maximum open connections of callers.
+    pub connections: usize,
 }
 
 /// Serves requests.
@@ -134,7 +139,10 @@
     stream_recorders: OnceLock<StreamRecorders>,
     /// When a new connection was last closed unread.
     last_closed_unread: Mutex<Option<Instant>>,
-    held_bytes: AtomicUsize,
+    /// When a connection was last closed for each reason.
+    last_closed: Mutex<HashMap<CloseReason, Instant>>,
+    /// Memory of the bodies of requests, and of answers that are held for callers.
+    memory: MemoryBudget,
     bounds: IntakeLimits,
     usage: Option<Arc<UsageRecorder>>,
     keeps_profiles: bool,
@@ -187,7 +195,8 @@
             silent_services: Arc::default(),
             stream_recorders: OnceLock::new(),
             last_closed_unread: Mutex::default(),
-            held_bytes: AtomicUsize::new(0),
+            last_closed: Mutex::default(),
+            memory: MemoryBudget::new(settings.bounds.held_bytes),
             bounds: settings.bounds,
             usage: settings.usage.clone(),
             keeps_profiles: settings.profiles,
@@ -233,6 +242,18 @@
             .set_members(members, trust, now());
     }
 
+    /// Limits on what callers can make this daemon hold.
+    #[must_use]
+    pub const fn limits(&self) -> IntakeLimits {
+        self.bounds
+    }
+
+    /// The account of the memory that callers can make grow.
+    #[must_use]
+    pub const fn memory(&self) -> &MemoryBudget {
+        &self.memory
+    }
+
     /// Counts the usage of tenants; `None` if usage is not reported.
     #[must_use]
     pub const fn usage(&self) -> Option<&Arc<UsageRecorder>> {
@@ -370,6 +391,7 @@
                 relayed: self.relayed_connections(),
             },
             in_progress: self.in_progress(),
+            held_bytes: self.memory.used(),
             ..GaugeValues::default()
         }
     }
@@ -428,4 +450,12 @@
     fn admits_connection(&self, lag: Duration) -> bool {
         self.0.admits_connection(lag)
     }
+
+    fn connection_timeouts(&self) -> ConnectionTimeouts {
+        self.0.connection_timeouts()
+    }
+
+    fn connection_closed(&self, reason: CloseReason) {
+        self.0.connection_closed(reason);
+    }
 }
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -588,7 +588,7 @@
         if reply.response.status() != StatusCode::GATEWAY_TIMEOUT {
             self.count_tenant_run(job);
         }
-        let answer = read_complete(reply, deadline).await;
+        let answer = read_complete(reply, self.memory.reserve(), deadline).await;
         self.note_outcome(back_end, &job.service.health_path, Outcome::Error);
         self.attempt_ended(
             job,
--- a/crates/serving/src/pipeline/guards.rs
+++ b/crates/serving/src/pipeline/guards.rs
@@ -5,9 +5,13 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
+use http::Response;
+use hyper::body::Body as _;
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::placement::Urgency;
-use ponddrift_http::HeldByRequest;
+use ponddrift_http::memory::Reservation;
+use ponddrift_http::{Body, HeldByRequest};
+use tokio::sync::Notify;
 
 use super::{Pipeline, SendPermit};
 use crate::request_trace::milliseconds;
@@ -23,9 +27,11 @@
 pub(super) struct InProgress {
     pipeline: Arc<Pipeline>,
     request: Option<Arc<str>>,
-    /// When the answer was handed to the server; not set if the caller left before.
+    /// When the whole answer was handed to the server; not set for a stream, which logs its own end.
     answered_at: OnceLock<Instant>,
     is_written: AtomicBool,
+    /// The memory of the answer, if it is held completely.
+    memory: OnceLock<AnswerMemory>,
 }
 
 impl InProgress {
@@ -36,16 +42,34 @@
             request,
             answered_at: OnceLock::new(),
             is_written: AtomicBool::new(false),
+            memory: OnceLock::new(),
         }
     }
 
-    /// Records that the answer was handed to the server.
-    pub(super) fn answered(&self) {
-        self.answered_at.get_or_init(now);
+    /// Records that the answer is handed to the server, and takes over its memory.
+    pub(super) fn answered(&self, response: &mut Response<Body>) {
+        if response.body().size_hint().exact().is_some() {
+            self.answered_at.get_or_init(now);
+        }
+        if let Some(memory) = response.extensions_mut().remove::<AnswerMemory>() {
+            self.memory.get_or_init(|| memory);
+        }
     }
 }
 
 impl HeldByRequest for InProgress {
+    fn answer_begins(&self, close: &Arc<Notify>) {
+        if let Some(AnswerMemory(memory)) = self.memory.get() {
+            memory.yield_by(close);
+        }
+    }
+
+    fn answer_progressed(&self) {
+        if let Some(AnswerMemory(memory)) = self.memory.get() {
+            memory.progressed();
+        }
+    }
+
     fn answer_written(&self) {
         self.is_written.store(true, Ordering::Relaxed);
     }
@@ -67,29 +91,9 @@
     }
 }
 
-/// Accounts for a request body that is held in memory.
-pub(super) struct HeldBytes {
-    pipeline: Arc<Pipeline>,
-    bytes: usize,
-}
-
-impl HeldBytes {
-    pub(super) fn new(pipeline: &Arc<Pipeline>, bytes: usize) -> Self {
-        pipeline.held_bytes.fetch_add(bytes, Ordering::Relaxed);
-        Self {
-            pipeline: Arc::clone(pipeline),
-            bytes,
-        }
-    }
-}
-
-impl Drop for HeldBytes {
-    fn drop(&mut self) {
-        self.pipeline
-            .held_bytes
-            .fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
+/// The memory of an answer that is held completely, as an extension of the response.
+#[derive(Clone)]
+pub(super) struct AnswerMemory(pub(super) Arc<Reservation>);
 
 /// Accounts for the work of a request at one back end.
 pub(super) struct LoadGuard {
--- a/crates/serving/src/pipeline/intake.rs
+++ b/crates/serving/src/pipeline/intake.rs
@@ -2,21 +2,22 @@
 //! the service.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Request, Response, header, request};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use ponddrift_fleet::configuration::{RequestKind, Route};
 use ponddrift_fleet::placement::Urgency;
 use ponddrift_fleet::tenants::{Credential, Tenant};
 use ponddrift_http::RequestGuard;
-use ponddrift_http::body::{self, Body, ReadError};
+use ponddrift_http::body::{self, Body, ReadError, WhenFull};
+use ponddrift_http::memory::Reservation;
 
 use super::Pipeline;
 use super::answers::Failure;
-use super::guards::{HeldBytes, InProgress};
+use super::guards::InProgress;
 use super::job::Job;
 use super::taken_up::TakenUpStream;
 use crate::dialect::RequestMetadata;
@@ -29,10 +30,14 @@
 const ANSWER_MARGIN: Duration = Duration::from_millis(25);
 
 /// Maximum bytes of a refused request's body that are read before the answer.
-const MAX_DRAINED_BYTES: usize = 1 << 20;
+const MAX_DRAINED_BYTES: usize = 64 << 10;
 /// Time limit for reading the body of a refused request.
 const DRAIN_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The answer to a request for which there is no room.
+const FULL: Failure =
+    Failure::NotRun("this daemon has as much in progress as it can hold: come back later");
+
 /// How a request ended, for its summary log line.
 struct RequestEnd {
     status: u16,
@@ -93,7 +98,7 @@
         let metadata = self.dialect.read_request(request.headers());
         let in_progress = InProgress::new(&self, metadata.id.clone());
         let mut response = self.answer(request, metadata).await;
-        in_progress.answered();
+        in_progress.answered(&mut response);
         let guard = RequestGuard::new(in_progress);
         response.extensions_mut().insert(guard);
         response
@@ -146,12 +151,8 @@
         if self.refuses_requests() {
             return Err(Failure::Stopping);
         }
-        let has_capacity = self.in_progress() <= self.bounds.requests
-            && self.held_bytes.load(Ordering::Relaxed) < self.bounds.body_bytes;
-        if !has_capacity {
-            return Err(Failure::NotRun(
-                "this daemon has as much in progress as it can hold: come back later",
-            ));
+        if self.in_progress() > self.bounds.requests {
+            return Err(FULL);
         }
         let in_force = self.state.in_force().ok_or(Failure::NotReady)?;
         let route = find_route(&in_force, &head).ok_or(Failure::NoRoute)?;
@@ -165,9 +166,11 @@
             .time_limit
             .map_or(route.timeout, |limit| limit.min(route.timeout));
         let deadline = arrived + limit.saturating_sub(ANSWER_MARGIN);
+        let memory = self.memory.reserve();
         let body = self
-            .unless_refusing(read_body(body, &in_force, deadline))
+            .unless_refusing(read_body(body, &in_force, deadline, &memory))
             .await?;
+        memory.pin();
         let tenant_name = tenant.as_ref().map(|tenant| &*tenant.name);
         let taken_up = self.find_taken_up(&route, &metadata, tenant_name).await;
         let service_name = self
@@ -189,7 +192,7 @@
             method: head.method,
             uri: head.uri,
             headers,
-            _held_bytes: HeldBytes::new(self, body.len()),
+            _memory: memory,
             body,
             events_sent: metadata.resume_after.unwrap_or(0),
             metadata,
@@ -324,24 +327,33 @@
     in_force.routes.find(host, head.uri.path()).cloned()
 }
 
-/// Reads the rest of a refused request's body. Closing a connection with unread data resets it, and
-/// the caller would lose the answer.
-async fn drain_body(body: Incoming) {
-    let reading = body::read_all(body, MAX_DRAINED_BYTES, DRAIN_TIMEOUT);
-    // The result does not matter: the answer is sent in any case.
-    drop(reading.await);
+/// Discards the rest of a refused request's body, so that a caller which sends a small one can use its
+/// connection again. What is longer is discarded when the connection closes.
+async fn drain_body(mut body: Incoming) {
+    let draining = async {
+        let mut drained = 0;
+        while drained < MAX_DRAINED_BYTES
+            && let Some(Ok(frame)) = body.frame().await
+        {
+            drained += frame.data_ref().map_or(0, Bytes::len);
+        }
+    };
+    // The answer is sent in any case.
+    drop(tokio::time::timeout(DRAIN_TIMEOUT, draining).await);
 }
 
 async fn read_body(
     body: &mut Incoming,
     in_force: &ConfigurationInForce,
     deadline: std::time::Instant,
+    memory: &Reservation,
 ) -> Result<Bytes, Failure> {
     let limit = in_force.configuration.limits.body_bytes;
     let time = deadline.saturating_duration_since(now());
-    match body::read_all(body, limit, time).await {
+    match body::read_reserved(body, limit, time, memory, WhenFull::Fail).await {
         Ok(bytes) => Ok(bytes),
         Err(ReadError::TooLarge { .. }) => Err(Failure::BodyTooLarge),
+        Err(ReadError::NoMemory(_)) => Err(FULL),
         Err(_) => Err(Failure::BodyTooSlow),
     }
 }
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -14,11 +14,11 @@
 use ponddrift_fleet::prompt::PromptPart;
 use ponddrift_fleet::tenants::Tenant;
 use ponddrift_fleet::versions::RequiredVersion;
+use ponddrift_http::memory::Reservation;
 
 use super::Pipeline;
 use super::attempt::{OpenSend, PREFILL};
 use super::budgeting::HeldRetry;
-use super::guards::HeldBytes;
 use super::silent_sends::{RunStage, SharedRunStage};
 use super::taken_up::TakenUpStream;
 use super::wait_policy::Release;
@@ -49,7 +49,7 @@
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
     /// Accounts for the memory of the body.
-    pub(super) _held_bytes: HeldBytes,
+    pub(super) _memory: Reservation,
     pub(super) metadata: RequestMetadata,
     pub(super) route: Arc<Route>,
     pub(super) service: Arc<Service>,
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -9,12 +9,13 @@
 use http::{Response, StatusCode, response};
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::health::Outcome;
-use ponddrift_http::body::{self, Body};
+use ponddrift_http::body::{self, Body, WhenFull};
+use ponddrift_http::memory::Reservation;
 
 use super::Pipeline;
 use super::answers::Failure;
 use super::attempt::{ANSWERED_ELSEWHERE, OpenSend, SERVE, SendEnd, SendOptions, is_success};
-use super::guards::LoadGuard;
+use super::guards::{AnswerMemory, LoadGuard};
 use super::intake::{FinalAnswer, end_to_end_headers};
 use super::job::Job;
 use super::quarantining::RunProgress;
@@ -41,6 +42,8 @@
 pub(super) struct CompleteAnswer {
     pub(super) head: response::Parts,
     pub(super) body: Bytes,
+    /// Accounts for the memory of the body.
+    memory: Reservation,
 }
 
 impl CompleteAnswer {
@@ -49,6 +52,9 @@
         *response.status_mut() = self.head.status;
         *response.headers_mut() = end_to_end_headers(&self.head.headers);
         response
+            .extensions_mut()
+            .insert(AnswerMemory(Arc::new(self.memory)));
+        response
     }
 
     pub(super) fn into_final_answer(self) -> FinalAnswer {
@@ -269,7 +275,7 @@
         self.count_tenant_run(job);
         let route = reply.connection.route();
         let is_direct = reply.connection.relay().is_none();
-        let mut rest = read_complete(reply, wait_policy.deadline()).boxed();
+        let mut rest = read_complete(reply, self.memory.reserve(), wait_policy.deadline()).boxed();
         let waited = self
             .wait_for(&mut rest, job, &send.back_end, wait_policy, &route)
             .await;
@@ -435,11 +441,17 @@
     }
 }
 
-/// Reads an answer completely. Returns `None` if it ends early.
-pub(super) async fn read_complete(reply: Reply, deadline: Instant) -> Option<CompleteAnswer> {
+/// Reads an answer completely. Returns `None` if it ends early. Waits for memory: the back end has
+/// run the request, and what others hold is given back as they are written.
+pub(super) async fn read_complete(
+    reply: Reply,
+    memory: Reservation,
+    deadline: Instant,
+) -> Option<CompleteAnswer> {
     let (head, body) = reply.response.into_parts();
     let time = deadline.saturating_duration_since(now());
-    let body = body::read_all(body, MAX_ANSWER_BYTES, time).await.ok()?;
+    let reading = body::read_reserved(body, MAX_ANSWER_BYTES, time, &memory, WhenFull::Wait);
+    let body = reading.await.ok()?;
     reply.connection.return_to_pool(&head.headers);
-    Some(CompleteAnswer { head, body })
+    Some(CompleteAnswer { head, body, memory })
 }
--- a/crates/serving/src/pipeline/prefill.rs
+++ b/crates/serving/src/pipeline/prefill.rs
@@ -65,7 +65,8 @@
         };
         let is_direct = reply.connection.relay().is_none();
         let route = reply.connection.route();
-        let mut reading = read_complete(*reply, wait_policy.deadline()).boxed();
+        let memory = self.memory.reserve();
+        let mut reading = read_complete(*reply, memory, wait_policy.deadline()).boxed();
         let waited = self
             .wait_for(&mut reading, job, engine, wait_policy, &route)
             .await;
