An engine that accepts connections counts as reached, whatever its health checks say

Cause: its unanswered health check listed it as silent, and a send to a silent engine was closed only when the other engine had sent its first event.

Change: an engine that accepted a direct connection since it fell silent counts as reached, and its send is closed in time.

--- a/crates/serve/tests/silent_back_ends.rs
+++ b/crates/serve/tests/silent_back_ends.rs
@@ -4,12 +4,12 @@
 
 use std::time::Duration;
 
-use ponddrift_platform_stand_ins::{Behaviour, ClientRequest, RouteConfig};
+use ponddrift_platform_stand_ins::{Behaviour, ClientRequest, EngineStandIn, RouteConfig, RunEnd};
 use ponddrift_simulation::HostId;
 use support::timed_requests::{
     Sent, assert_all_served, earn_retries, requests_of_each_route, send_beside,
 };
-use support::{Fleet, FleetOptions};
+use support::{Fleet, FleetOptions, wait_until};
 use tokio::time::sleep;
 
 /// Events of a stream in these tests; its last one comes 1.2 s after the first.
@@ -319,3 +319,45 @@
     let answered = send_beside(&mut fleet, streams("tag", "second", 1), crash);
     assert_all_served(&answered, "resumed with the returned retry");
 }
+
+/// Guards against an engine at capacity that goes on with a request which another one runs: it delays
+/// its health checks, but accepts connections, so it is reached.
+#[test]
+fn an_engine_that_delays_its_health_checks_is_left_before_two_work_on_a_request() {
+    /// Two engines may work on a request for no longer than this.
+    const MAX_OVERLAP: Duration = Duration::from_millis(400);
+    let mut fleet = Fleet::new(FleetOptions {
+        prefill: 0,
+        ..FleetOptions::default()
+    });
+    earn_retries(&mut fleet, 1);
+    for engine in &fleet.decode {
+        engine.set_default_behaviour(Behaviour::Hang);
+    }
+    let engines = fleet.decode.clone();
+    let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers_address);
+    let request = ClientRequest {
+        deadline_ms: 5_000,
+        ..ClientRequest::prompt("doubled", "tag", 40, 200)
+    };
+    fleet.run(async move {
+        let received =
+            |engine: &EngineStandIn| engine.runs().iter().any(|run| run.request == "doubled");
+        let watch = async {
+            wait_until(|| engines.iter().any(received)).await;
+            let first = engines.iter().find(|engine| received(engine));
+            let first = first.expect("one has it");
+            first.hold_health_checks();
+            let second = engines.iter().find(|engine| !received(engine));
+            let second = second.expect("the other has not");
+            wait_until(|| received(second)).await;
+            sleep(MAX_OVERLAP).await;
+            let runs = first.runs();
+            let run = runs.iter().find(|run| run.request == "doubled");
+            assert_eq!(run.expect("it ran").end, RunEnd::Cancelled);
+        };
+        let asking = client.ask(target, &request);
+        futures::pin_mut!(watch);
+        futures::future::select(watch, Box::pin(asking)).await;
+    });
+}
--- a/crates/serving/src/pipeline/silent_sends.rs
+++ b/crates/serving/src/pipeline/silent_sends.rs
@@ -239,15 +239,21 @@
 }
 
 impl Pipeline {
-    /// Whether a back end that was silent at `since` may work on the request again.
+    /// Whether a back end that was silent at `since` may work on the request again. An engine at
+    /// capacity delays its health checks as it delays requests, but accepts connections.
     fn is_reachable(&self, back_end: &BackEnd, since: Instant) -> bool {
         if self.paths().is_cut(back_end.address) {
             return false;
         }
+        let accepts_connections = self
+            .paths()
+            .paths()
+            .has_contact_since(back_end.address, since);
         let health = &self.placement().health;
         let is_engine = back_end.stage.is_some();
+        let has_no_silence = health.silent_since(&back_end.id).is_none();
         health.active_since(&back_end.id, since)
-            || (is_engine && health.silent_since(&back_end.id).is_none())
+            || (is_engine && (accepts_connections || has_no_silence))
     }
 
     /// Checks whether the engines that the request left in silence have exited: their runs do not
