--- a/crates/serve/tests/settings.rs
+++ b/crates/serve/tests/settings.rs
@@ -20,8 +20,10 @@
 }
 
 /// Template values that a deployment may leave out.
-const OPTIONAL_VALUES: [&str; 11] = [
+const OPTIONAL_VALUES: [&str; 13] = [
     "bootstrap",
+    "limits.memoryMb",
+    "limits.maxFds",
     "limits.linkMbps",
     "platform.reads_per_s",
     "bounds.retryBudgetRatio",
@@ -69,6 +71,8 @@
         ("{{internalPorts.0}}", "7660"),
         ("{{platform.address|json}}", "\"10.200.1.7:8142\""),
         ("{{limits.linkMbps}}", "1000.0"),
+        ("{{limits.memoryMb}}", "160"),
+        ("{{limits.maxFds}}", "4100"),
         ("{{platform.reads_per_s}}", "2000"),
         ("{{bounds.retryBudgetRatio}}", "0.2"),
         ("{{bounds.budgetSlack}}", "54"),
@@ -198,3 +202,32 @@
     let faults = check(&wrong).expect_err("invalid settings");
     assert_eq!(faults.0[0].key, "capacity.forecast");
 }
+
+#[test]
+fn limits_on_callers_follow_from_the_memory_and_descriptors_of_the_machine() {
+    let limits = check(&rendered_template())
+        .expect("valid settings")
+        .intake_bounds;
+    assert_eq!(limits.held_bytes, 40 << 20, "a quarter of 160 MB");
+    assert_eq!(
+        limits.connections, 1_706,
+        "a quarter of 160 MB at 24 KiB each"
+    );
+    let larger = rendered_template().replace("memory_mb = 160", "memory_mb = 512");
+    let limits = check(&larger).expect("valid settings").intake_bounds;
+    assert_eq!(limits.held_bytes, 64 << 20, "the greatest default");
+    assert_eq!(limits.connections, 2_050, "half of 4,100 descriptors");
+    let unknown = check(&render_template(false))
+        .expect("valid settings")
+        .intake_bounds;
+    assert_eq!(unknown.held_bytes, 64 << 20);
+    let stated = rendered_template().replace(
+        "memory_mb = 160",
+        "memory_mb = 160\nheld_body_bytes = 1000000\nconnections = 100",
+    );
+    let limits = check(&stated).expect("valid settings").intake_bounds;
+    assert_eq!((limits.held_bytes, limits.connections), (1_000_000, 100));
+    let wrong = rendered_template().replace("memory_mb = 160", "connections = 0");
+    let faults = check(&wrong).expect_err("invalid settings");
+    assert_eq!(faults.0[0].key, "limits.connections");
+}
