--- a/crates/serve/tests/planned_stop.rs
+++ b/crates/serve/tests/planned_stop.rs
@@ -4,6 +4,12 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures::future::join_all;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http2;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use processes::{
     HANG_LIMIT, Platform, RECORDS, RawBackEnd, RawClient, SlowReader, answer_head, read_head,
     request_head, run_alone,
@@ -49,6 +55,48 @@
     assert!(status.success(), "{status}");
 }
 
+/// Guards against the same for callers of HTTP/2, whose flow control holds answers back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_planned_stop_does_not_cut_answers_of_http2_callers() {
+    let _alone = run_alone().await;
+    let platform = Platform::start(1 << 16).await;
+    let back_end = RawBackEnd::with_answers_of("i-1", ANSWER_BYTES).await;
+    back_end.register(&platform.store, RECORDS, None);
+    let mut daemon = platform.start_daemon(STOP_SETTINGS).await;
+    assert!(daemon.serves_a_request("before").await);
+
+    let stream = TcpStream::connect(daemon.callers).await.expect("connected");
+    let handshake = http2::handshake(TokioExecutor::new(), TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.expect("HTTP/2 is spoken");
+    tokio::spawn(connection);
+    let mut answers = Vec::new();
+    for number in 0..SLOW_READERS {
+        let request = Request::post(format!("http://{}/post/x", daemon.callers))
+            .header("host", "fleet.example")
+            .header("ponddrift-request-id", format!("slow-{number}"))
+            .header("ponddrift-deadline-ms", 600_000)
+            .body(Full::new(Bytes::from_static(b"x")))
+            .expect("a request");
+        let answer = sender.send_request(request).await.expect("an answer");
+        assert_eq!(answer.status(), StatusCode::OK);
+        answers.push(answer);
+    }
+    daemon.terminate();
+    sleep(AFTER_THE_PHASES).await;
+    // At the same time, because they share the connection's flow control window.
+    let reading = answers
+        .into_iter()
+        .map(|answer| answer.into_body().collect());
+    let read = timeout(HANG_LIMIT, join_all(reading)).await;
+    for whole in read.expect("no hang") {
+        let whole = whole.expect("the rest of the answer");
+        assert_eq!(whole.to_bytes().len(), ANSWER_BYTES);
+    }
+    drop(sender);
+    let status = daemon.wait_for_exit().await.expect("the process ends");
+    assert!(status.success(), "{status}");
+}
+
 /// Guards against a client that never reads its answer and holds up the exit of the process.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_client_that_never_reads_does_not_keep_the_process_alive() {
