Time limits of any length don't end the check of connections

Cause: the check added a limit of the configuration to a time; a vast idleTimeoutMs or headerTimeoutMs overflows that, the task ends, and no limit is applied any more. Found by reading; no test shows it.

Change: the time that has passed is compared with the limit.

--- a/crates/http/src/server/open_connections.rs
+++ b/crates/http/src/server/open_connections.rs
@@ -83,10 +83,13 @@
     /// Closes the connections that have exceeded their time limits.
     pub(super) fn close_expired(&self, timeouts: ConnectionTimeouts) {
         let now = Instant::now();
+        // A limit may be too long to be added to a time.
+        let has_passed =
+            |since: Instant, limit: Duration| now.saturating_duration_since(since) >= limit;
         for entry in self.open().by_id.values_mut() {
             let reason = match entry.state.phase() {
-                Phase::Idle(since) if now >= since + timeouts.idle => CloseReason::IdleTimeout,
-                Phase::ReadingHead(since) if now >= since + timeouts.head => {
+                Phase::Idle(since) if has_passed(since, timeouts.idle) => CloseReason::IdleTimeout,
+                Phase::ReadingHead(since) if has_passed(since, timeouts.head) => {
                     CloseReason::HeadTimeout
                 }
                 _ => continue,
