Decide a request's quarantine once daemons have exchanged what they lost

Cause: the decision fell at the third termination, before the daemon knew of the request that caused it; and the first report of a lost run fixed its times, so that runs reported with different delays seemed to overlap and the cause looked weaker than it was. Now the quarantine is pending for 100 ms, while the request waits, and the earliest reported times of a run count.

--- a/crates/fleet/src/quarantine/causes.rs
+++ b/crates/fleet/src/quarantine/causes.rs
@@ -43,7 +43,7 @@
     let is_shared = |run: &&LostRun| terminations.iter().any(|other| other.engine == run.engine);
     let rivals = candidates
         .iter()
-        .filter(|entry| entry.has_settled(causes, now))
+        .filter(|entry| entry.may_be_cause(causes, now))
         .filter(|entry| entry.was_sound() == cause.was_sound())
         .filter(|entry| entry.strength(causes) == cause.strength(causes))
         .filter(|entry| {
--- a/crates/fleet/src/quarantine/entry.rs
+++ b/crates/fleet/src/quarantine/entry.rs
@@ -27,6 +27,9 @@
 /// Different requests that must have lost runs before a part of their prompts is quarantined: with
 /// one, the request itself may be the cause.
 const QUARANTINED_AFTER_REQUESTS: usize = 2;
+/// Time after the deciding termination until a request is quarantined: daemons report meanwhile what
+/// else they lost at the same engines.
+const REQUEST_SETTLING_TIME: Duration = Duration::from_millis(100);
 /// Time after the deciding termination until a part is quarantined: sound parts are cleared by the
 /// first events of answers that other engines begin meanwhile, and daemons exchange what they saw.
 const PART_SETTLING_TIME: Duration = Duration::from_millis(50);
@@ -89,12 +92,14 @@
             self.stored = None;
         }
         for run in &news.lost_runs {
-            if known
-                .lost_runs
-                .iter()
-                .all(|other| other.engine != run.engine)
-            {
-                known.lost_runs.push(run.clone());
+            let runs = &mut known.lost_runs;
+            match runs.iter_mut().find(|other| other.engine == run.engine) {
+                // The delay of a report makes its times too late, never too early.
+                Some(other) => {
+                    other.begun = other.begun.min(run.begun);
+                    other.ended = other.ended.min(run.ended);
+                }
+                None => runs.push(run.clone()),
             }
         }
         known.lost_runs.sort_by_key(|run| run.ended);
@@ -218,8 +223,8 @@
         requests.len() >= QUARANTINED_AFTER_REQUESTS
     }
 
-    /// When the evidence for a quarantine has lasted long enough for first events on a part to have
-    /// cleared it; `None` without enough evidence.
+    /// When the evidence for a quarantine has lasted long enough for daemons to have exchanged what
+    /// they lost, and for first events on a part to have cleared it; `None` without enough evidence.
     pub(super) fn settled_at(&self, causes: &Causes) -> Option<Instant> {
         if !self.would_be_quarantined(causes) {
             return None;
@@ -229,7 +234,7 @@
         let successive = self.successive_terminations(causes);
         let deciding = successive.get(self.needed_terminations() - 1)?.ended;
         match self.suspicion.kind {
-            SuspectKind::Request => Some(deciding),
+            SuspectKind::Request => Some(deciding + REQUEST_SETTLING_TIME),
             SuspectKind::Part { .. } if self.was_sound() => {
                 let before = self.answers_before.unwrap_or(causes.answers);
                 if causes.answers.saturating_sub(before) < SOUND_PART_SETTLING_ANSWERS {
@@ -253,16 +258,18 @@
     }
 
     pub(super) fn standing(&self, causes: &Causes, now: Instant) -> Standing {
-        let newest = self.uncleared_runs().map(|run| run.ended).max();
-        let since = newest
+        let since = self
+            .newest_unreleased()
             .filter(|_newest| self.has_settled(causes, now))
-            .filter(|newest| self.released.is_none_or(|released| *newest > released))
             .max(self.stored);
         if let Some(until) = since.map(|since| since + QUARANTINE_DURATION)
             && until > now
         {
             return Standing::Quarantined { until };
         }
+        if let Some(until) = self.pending_until(causes, now) {
+            return Standing::Pending { until };
+        }
         if self.successive_terminations(causes).len() >= SUSPECTED_AFTER_ENGINES {
             Standing::Suspected
         } else {
@@ -270,6 +277,30 @@
         }
     }
 
+    /// When the newest uncleared run was lost, if that was after the last quarantine was ended.
+    fn newest_unreleased(&self) -> Option<Instant> {
+        let newest = self.uncleared_runs().map(|run| run.ended).max();
+        newest.filter(|newest| self.released.is_none_or(|released| *newest > released))
+    }
+
+    /// When a request will be quarantined if nothing else explains the terminations; `None` without
+    /// enough evidence.
+    fn pending_until(&self, causes: &Causes, now: Instant) -> Option<Instant> {
+        if self.suspicion.kind != SuspectKind::Request {
+            return None;
+        }
+        self.newest_unreleased()?;
+        self.settled_at(causes)
+            .filter(|settled_at| now < *settled_at)
+    }
+
+    /// Whether it may be what ended the engines of another suspect. A request may be although the
+    /// evidence is too recent for its own quarantine.
+    pub(super) fn may_be_cause(&self, causes: &Causes, now: Instant) -> bool {
+        let is_request = self.suspicion.kind == SuspectKind::Request;
+        self.has_settled(causes, now) || (is_request && self.would_be_quarantined(causes))
+    }
+
     pub(super) fn last_update(&self) -> Option<Instant> {
         let newest_run = self.suspicion.lost_runs.last().map(|run| run.ended);
         newest_run.max(self.suspicion.cleared).max(self.stored)
--- a/crates/fleet/src/quarantine/suspicion.rs
+++ b/crates/fleet/src/quarantine/suspicion.rs
@@ -65,6 +65,12 @@
     Clear,
     /// Two engines have terminated under it. It may still run, and all daemons are informed.
     Suspected,
+    /// Enough engines have terminated under it for a quarantine. It must not run until the given
+    /// time, when it is quarantined unless another suspect explains the terminations.
+    Pending {
+        /// When the quarantine is decided.
+        until: Instant,
+    },
     /// The request must not run until the given time.
     Quarantined {
         /// End of the quarantine.
@@ -79,11 +85,18 @@
         match self {
             Self::Clear => "clear",
             Self::Suspected => "suspected",
+            Self::Pending { .. } => "pending",
             Self::Quarantined { .. } => "quarantined",
         }
     }
 
-    /// Whether the request must not run.
+    /// Whether the request may run now.
+    #[must_use]
+    pub const fn may_run(self) -> bool {
+        matches!(self, Self::Clear | Self::Suspected)
+    }
+
+    /// Whether the request is known to crash engines.
     #[must_use]
     pub const fn is_quarantined(self) -> bool {
         matches!(self, Self::Quarantined { .. })
--- a/crates/serving/src/pipeline/budgeting.rs
+++ b/crates/serving/src/pipeline/budgeting.rs
@@ -97,6 +97,11 @@
         true
     }
 
+    /// Whether [`Self::may_send`] may grant another send.
+    pub(super) fn may_be_granted_send(&self, job: &Job) -> bool {
+        job.delivered_sends == 0 || job.held_retry.is_some() || self.has_retry(job)
+    }
+
     /// Whether the budget holds a retry for this request.
     pub(super) fn has_retry(&self, job: &Job) -> bool {
         job.delivered_sends < MAXIMUM_SENDS && self.may_have_retry(&job.service.name)
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -213,7 +213,7 @@
         }
         job.run_stage.set(RunStage::None);
         self.check_silent_runs(job).await;
-        if let Err(refusal) = self.may_run_now(job) {
+        if let Err(refusal) = self.may_run_now(job).await {
             progress.failure = refusal;
             return Round::NoFurtherSend;
         }
@@ -251,7 +251,7 @@
             }
         };
         // The prefill took time, during which peers may have quarantined the request.
-        if let Err(refusal) = self.may_run_now(job) {
+        if let Err(refusal) = self.may_run_now(job).await {
             progress.failure = refusal;
             return Round::NoFurtherSend;
         }
--- a/crates/serving/src/pipeline/quarantining.rs
+++ b/crates/serving/src/pipeline/quarantining.rs
@@ -10,8 +10,9 @@
 use super::Pipeline;
 use super::answers::Failure;
 use super::job::Job;
+use super::plain::MIN_TIME_FOR_SEND;
 use crate::back_end_index::hash;
-use crate::time::now;
+use crate::time::{self, now};
 
 /// How far an engine had come with a request when it ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -147,15 +148,41 @@
         standings.max().unwrap_or(Standing::Clear)
     }
 
-    /// Whether the request may run now. A quarantined request, or one with a quarantined part, must
-    /// not run, because it may crash an engine together with all other requests there. Nor must one
-    /// that would still run when this daemon exits.
-    pub(super) fn may_run_now(&self, job: &Job) -> Result<(), Failure> {
+    /// The worst standing, once it is decided if the request may still be sent then.
+    async fn decided_standing(&self, job: &Job) -> Standing {
+        let mut has_waited = false;
+        loop {
+            let standing = self.standing(job);
+            if let Standing::Pending { until } = standing
+                && until + MIN_TIME_FOR_SEND < job.deadline
+                && self.may_be_granted_send(job)
+            {
+                time::sleep_until(until).await;
+                has_waited = true;
+                continue;
+            }
+            if has_waited {
+                tracing::info!(
+                    request = &*job.id,
+                    standing = standing.as_str(),
+                    "pending_quarantine_awaited"
+                );
+            }
+            return standing;
+        }
+    }
+
+    /// Whether the request may run now; waits for the decision on a pending quarantine. A quarantined
+    /// request, or one with a quarantined part, must not run, because it may crash an engine together
+    /// with all other requests there. Nor must one that would still run when this daemon exits.
+    pub(super) async fn may_run_now(&self, job: &Job) -> Result<(), Failure> {
         const ENGINES_EXITED: &str =
             "engines ended while they ran this request: it is not run again";
+        let standing = self.decided_standing(job).await;
         self.may_end_before_stop(job)?;
-        let Standing::Quarantined { until } = self.standing(job) else {
-            return Ok(());
+        let until = match standing {
+            Standing::Clear | Standing::Suspected => return Ok(()),
+            Standing::Pending { until } | Standing::Quarantined { until } => until,
         };
         if job.runs > 0 {
             return Err(Failure::MayHaveRun(ENGINES_EXITED));
