A failed call to the store counts as an outage only if the store was out of reach

Cause: any failed call put removals in doubt until 2.5 s after the store's return, also at neighbours that were told of it, although the store answered others all the time. Now a failure, or a peer's report of one, counts only if the store answered neither this daemon nor a neighbour within 1.4 s around it. What shows this later confirms the removals that were in doubt.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -129,6 +129,8 @@
     /// The entry disappeared while the store had recently been unavailable or restored: until this
     /// time the back end may be alive and write it again. `None` if it was removed for certain.
     may_return_until: Option<Instant>,
+    /// Whether the entry is only missing from a store restored from an older copy.
+    is_missing_from_copy: bool,
     /// Entry that the store has shown again since it was restored from an older copy.
     restored_entry: Option<Arc<BackEnd>>,
 }
@@ -352,9 +354,23 @@
             may_return_until.map(|until| until.min(latest))
         };
         self.mark_removed(id, revision, now, may_return_until);
+        if let Some(removal) = self.entries.get_mut(id).and_then(Entry::removed_mut) {
+            removal.is_missing_from_copy = is_from_earlier_era;
+        }
         true
     }
 
+    /// Confirms the removals that were unconfirmed because the store seemed to have been
+    /// unavailable. Returns their number.
+    pub fn confirm_removals(&mut self) -> usize {
+        let removals = self.entries.values_mut().filter_map(Entry::removed_mut);
+        let mut confirmed = 0;
+        for removal in removals.filter(|removal| !removal.is_missing_from_copy) {
+            confirmed += usize::from(removal.may_return_until.take().is_some());
+        }
+        confirmed
+    }
+
     /// Applies a written entry that names no usable back end. It replaces the known entry, so that
     /// the back end is out of use until a usable entry is written. Unlike a removal, it does not
     /// result from an unavailable store. Returns whether it is newer than what is known.
@@ -385,6 +401,7 @@
             since: now,
             last,
             may_return_until,
+            is_missing_from_copy: false,
             restored_entry: None,
         };
         let presence = Presence::Removed(removal);
@@ -595,4 +612,11 @@
             Presence::Removed(_) => None,
         }
     }
+
+    const fn removed_mut(&mut self) -> Option<&mut Removed> {
+        match &mut self.presence {
+            Presence::Present(_) => None,
+            Presence::Removed(removal) => Some(removal),
+        }
+    }
 }
--- a/crates/fleet/src/store_doubt.rs
+++ b/crates/fleet/src/store_doubt.rs
@@ -1,5 +1,10 @@
 //! Whether the removal of an entry may result from an unavailable store: entries of healthy back
 //! ends can expire while the store is away, and are written again soon after it returns.
+//!
+//! A failed call alone does not show that the store was away: its connection may have been reset, or
+//! the store may refuse one daemon only. The store was in reach if it answered this daemon or a
+//! neighbour before and after the failure, with less than [`MAX_STORE_SILENCE`] between answers.
+//! Entries expire only after several missed heartbeats, which take longer.
 
 use std::time::{Duration, Instant};
 
@@ -31,12 +36,33 @@
     until: Instant,
 }
 
+/// Failed calls of this daemon that may have been one outage.
+#[derive(Debug, Clone, Copy)]
+struct FailedCalls {
+    /// Start of the first call.
+    since: Instant,
+    /// End of the last call.
+    until: Instant,
+}
+
+/// Outages that peers reported, taken as one.
+#[derive(Debug, Clone, Copy)]
+struct ReportedOutage {
+    /// Earliest and latest failed call of the reports.
+    first_failure: Instant,
+    last_failure: Instant,
+    /// Until when entries may be written again.
+    doubt_until: Instant,
+}
+
 /// What this daemon knows of the store's recent outages.
 ///
 /// A peer's report is never passed on, so that daemons cannot keep each other in doubt.
 #[derive(Debug, Default)]
 pub struct StoreDoubt {
-    last_failure: Option<Instant>,
+    failed_calls: Option<FailedCalls>,
+    /// When the store was last restored from an older copy, which may lack entries.
+    restored_at: Option<Instant>,
     /// First answer after the last failure, to this daemon or a neighbour.
     returned_at: Option<Instant>,
     last_contact: Option<Contact>,
@@ -44,9 +70,7 @@
     neighbours_contact: Option<Contact>,
     /// Whether the next answer continues the last contact.
     is_in_contact: bool,
-    /// The latest failure, and end of doubt, of all peers' reports.
-    peers_last_failure: Option<Instant>,
-    peers_until: Option<Instant>,
+    reported_outage: Option<ReportedOutage>,
 }
 
 impl StoreDoubt {
@@ -55,7 +79,13 @@
     /// A call that the store received while it was away may fail long after its return. If
     /// neighbours regained contact during the call, that was the return.
     pub fn failed(&mut self, started: Instant, now: Instant) {
-        self.last_failure = Some(now);
+        let earlier = self
+            .failed_calls
+            .filter(|_calls| self.own_until(now).is_some());
+        self.failed_calls = Some(FailedCalls {
+            since: earlier.map_or(started, |calls| calls.since),
+            until: now,
+        });
         let regained = self.neighbours_contact.filter(|contact| {
             let silence = now.saturating_duration_since(contact.until);
             started < contact.since && silence < MAX_STORE_SILENCE
@@ -67,7 +97,10 @@
     /// Records an answer to a call of this daemon.
     pub fn answered(&mut self, now: Instant) {
         self.record_return(now);
-        let continued = self.last_contact.filter(|_last| self.is_in_contact);
+        let continued = self.last_contact.filter(|contact| {
+            let silence = now.saturating_duration_since(contact.until);
+            self.is_in_contact || silence < MAX_STORE_SILENCE
+        });
         let since = continued.map_or(now, |contact| contact.since);
         self.last_contact = Some(Contact { since, until: now });
         self.is_in_contact = true;
@@ -89,7 +122,9 @@
     }
 
     fn record_return(&mut self, answered_at: Instant) {
-        let is_later = self.last_failure.is_some_and(|last| last < answered_at);
+        let is_later = self
+            .failed_calls
+            .is_some_and(|calls| calls.until < answered_at);
         if is_later && self.returned_at.is_none_or(|known| answered_at < known) {
             self.returned_at = Some(answered_at);
         }
@@ -102,25 +137,27 @@
 
     /// Records that the store was restored from an older copy, which may lack entries.
     pub fn restored(&mut self, now: Instant) {
-        self.last_failure = Some(now);
-        self.returned_at = Some(now);
+        self.restored_at = Some(now);
     }
 
-    /// Records a peer's report. It is ignored if the store answered this daemon without a failure
-    /// around the peer's last failure: then the store was not away.
+    /// Records a peer's report. It is ignored if the store was in reach at the peer's last failure.
     pub fn receive(&mut self, report: OutageReport, now: Instant) {
         let Some(failed_at) = now.checked_sub(report.failed_ago) else {
             return;
         };
-        let was_in_contact = self
-            .last_contact
-            .is_some_and(|contact| contact.since <= failed_at && failed_at <= contact.until);
-        if was_in_contact {
+        if self.was_in_reach(failed_at, failed_at) {
             return;
         }
-        let until = now + report.doubt_left.min(REWRITE_PERIOD);
-        self.peers_last_failure = self.peers_last_failure.max(Some(failed_at));
-        self.peers_until = self.peers_until.max(Some(until));
+        let doubt_until = now + report.doubt_left.min(REWRITE_PERIOD);
+        let known = self.reported_outage.filter(|known| {
+            let is_recent = is_within(PERIOD_WITHOUT_RETURN, known.last_failure, now);
+            (is_recent || now < known.doubt_until) && !self.is_refuted(known)
+        });
+        self.reported_outage = Some(ReportedOutage {
+            first_failure: known.map_or(failed_at, |known| known.first_failure.min(failed_at)),
+            last_failure: known.map_or(failed_at, |known| known.last_failure.max(failed_at)),
+            doubt_until: known.map_or(doubt_until, |known| known.doubt_until.max(doubt_until)),
+        });
     }
 
     /// The outage that this daemon saw itself, if removals are still in doubt because of it.
@@ -128,7 +165,7 @@
     pub fn report(&self, now: Instant) -> Option<OutageReport> {
         let until = self.own_until(now)?;
         Some(OutageReport {
-            failed_ago: now.saturating_duration_since(self.last_failure?),
+            failed_ago: now.saturating_duration_since(self.last_failure()?),
             doubt_left: until.saturating_duration_since(now),
         })
     }
@@ -137,35 +174,70 @@
     /// certain.
     #[must_use]
     pub fn entry_may_return_until(&self, now: Instant) -> Option<Instant> {
-        let peers = self.peers_until.filter(|until| now < *until);
-        self.own_until(now).max(peers)
+        let reported = self.believed_report().map(|outage| outage.doubt_until);
+        self.own_until(now)
+            .max(reported.filter(|until| now < *until))
     }
 
     /// Whether a key that disappears now may have expired because its writer could not renew it.
     #[must_use]
     pub fn was_away_recently(&self, now: Instant) -> bool {
-        let last = self.last_failure.max(self.peers_last_failure);
-        last.is_some_and(|last| now.saturating_duration_since(last) < PERIOD_WITHOUT_RETURN)
+        let own = self.believed_failures().map(|calls| calls.until);
+        let reported = self.believed_report().map(|outage| outage.last_failure);
+        let last = own.max(reported).max(self.restored_at);
+        last.is_some_and(|last| is_within(PERIOD_WITHOUT_RETURN, last, now))
     }
 
-    /// This daemon's last failed call.
+    /// This daemon's last failed call, or the last restore of the store.
     #[must_use]
-    pub const fn last_failure(&self) -> Option<Instant> {
-        self.last_failure
+    pub fn last_failure(&self) -> Option<Instant> {
+        let failed_at = self.failed_calls.map(|calls| calls.until);
+        failed_at.max(self.restored_at)
     }
 
     /// The latest failed call that a peer reported.
     #[must_use]
-    pub const fn peers_last_failure(&self) -> Option<Instant> {
-        self.peers_last_failure
+    pub fn peers_last_failure(&self) -> Option<Instant> {
+        self.reported_outage.map(|outage| outage.last_failure)
+    }
+
+    /// Whether the store answered this daemon or neighbours throughout this time.
+    fn was_in_reach(&self, from: Instant, to: Instant) -> bool {
+        let contacts = [self.last_contact, self.neighbours_contact];
+        let mut known = contacts.into_iter().flatten();
+        known.any(|contact| contact.since <= from && to <= contact.until)
+    }
+
+    fn is_refuted(&self, outage: &ReportedOutage) -> bool {
+        self.was_in_reach(outage.first_failure, outage.last_failure)
+    }
+
+    fn believed_report(&self) -> Option<ReportedOutage> {
+        self.reported_outage
+            .filter(|outage| !self.is_refuted(outage))
+    }
+
+    fn believed_failures(&self) -> Option<FailedCalls> {
+        self.failed_calls
+            .filter(|calls| !self.was_in_reach(calls.since, calls.until))
     }
 
     fn own_until(&self, now: Instant) -> Option<Instant> {
-        let last_failure = self.last_failure?;
-        let until = match self.returned_at {
-            Some(returned_at) => returned_at + REWRITE_PERIOD,
-            None => (last_failure + PERIOD_WITHOUT_RETURN).min(now + REWRITE_PERIOD),
-        };
+        let rewritten_after_outage = self
+            .believed_failures()
+            .map(|calls| match self.returned_at {
+                Some(returned_at) => returned_at + REWRITE_PERIOD,
+                None => (calls.until + PERIOD_WITHOUT_RETURN).min(now + REWRITE_PERIOD),
+            });
+        let rewritten_after_restore = self
+            .restored_at
+            .map(|restored_at| restored_at + REWRITE_PERIOD);
+        let until = rewritten_after_outage.max(rewritten_after_restore)?;
         (now < until).then_some(until)
     }
 }
+
+/// Whether less than `period` has passed since `from`.
+fn is_within(period: Duration, from: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(from) < period
+}
--- a/crates/fleet/tests/restored_directory.rs
+++ b/crates/fleet/tests/restored_directory.rs
@@ -139,3 +139,20 @@
     assert!(!directory.remove_from_peer("a", now), "already removed");
     assert!(!directory.remove_from_peer("b", now), "unknown back end");
 }
+
+/// Once the store turns out to have been in reach, what it removed is gone; what a copy lacks may still be written.
+#[test]
+fn removals_are_confirmed_but_for_entries_missing_after_a_restore() {
+    let now = Instant::now();
+    let mut removed = Directory::default();
+    removed.put(back_end(1, Lifecycle::Ready), revision(0, 1), now);
+    removed.remove("a", revision(0, 2), now, Some(now + REWRITE_PERIOD));
+    assert!(receives_requests(&removed, now));
+    assert_eq!(removed.confirm_removals(), 1);
+    assert!(!receives_requests(&removed, now));
+    let mut missing = Directory::default();
+    missing.put(back_end(1, Lifecycle::Ready), revision(0, 1), now);
+    missing.remove("a", revision(1, 0), now, None);
+    assert_eq!(missing.confirm_removals(), 0);
+    assert!(receives_requests(&missing, now));
+}
--- a/crates/fleet/tests/store_doubt.rs
+++ b/crates/fleet/tests/store_doubt.rs
@@ -241,3 +241,83 @@
         Some(failed_at + REWRITE_PERIOD)
     );
 }
+
+/// A broken connection does not show that the store was away.
+#[test]
+fn a_failed_call_between_two_answers_puts_no_removal_in_doubt() {
+    let start = Instant::now() + 100 * SECOND;
+    let millis = Duration::from_millis;
+    let mut doubt = StoreDoubt::default();
+    doubt.answered(start);
+    doubt.failed(start, start + millis(700));
+    assert!(doubt.entry_may_return_until(start + millis(750)).is_some());
+    let now = start + millis(800);
+    doubt.answered(now);
+    assert_eq!(doubt.entry_may_return_until(now), None);
+    assert_eq!(doubt.report(now), None);
+    assert!(!doubt.was_away_recently(now));
+    doubt.restored(now);
+    assert!(doubt.entry_may_return_until(now).is_some());
+}
+
+/// The store refuses this daemon, and answers its neighbours all the time.
+#[test]
+fn failed_calls_put_no_removal_in_doubt_while_neighbours_are_answered() {
+    let start = Instant::now() + 100 * SECOND;
+    let mut doubt = StoreDoubt::default();
+    doubt.answered(start);
+    for second in 0..6 {
+        let now = start + second * SECOND;
+        doubt.neighbour_was_answered(Duration::ZERO, now);
+        doubt.failed(now + SECOND / 2, now + SECOND / 2);
+    }
+    let now = start + 6 * SECOND;
+    assert!(
+        doubt.entry_may_return_until(now).is_some(),
+        "neighbours may have lost contact as well"
+    );
+    doubt.neighbour_was_answered(Duration::ZERO, now);
+    assert_eq!(doubt.entry_may_return_until(now), None);
+    assert_eq!(doubt.report(now), None);
+}
+
+#[test]
+fn a_daemon_that_makes_no_calls_ignores_a_peer_that_was_refused_while_others_were_answered() {
+    let start = Instant::now() + 100 * SECOND;
+    let now = start + 16 * SECOND;
+    let report = after_an_outage(start).report(now).expect("in doubt");
+    let mut relying = StoreDoubt::default();
+    for second in 9..=13 {
+        relying.neighbour_was_answered(Duration::ZERO, start + second * SECOND);
+    }
+    relying.receive(report, now);
+    assert!(relying.entry_may_return_until(now).is_some());
+    relying.neighbour_was_answered(now - (start + 14 * SECOND), now);
+    assert_eq!(relying.entry_may_return_until(now), None);
+    assert!(!relying.was_away_recently(now));
+    relying.receive(report, now);
+    assert_eq!(relying.entry_may_return_until(now), None);
+}
+
+/// One peer saw an outage, another was refused later, when the store answered others.
+#[test]
+fn answers_to_neighbours_after_an_outage_do_not_refute_its_report() {
+    let start = Instant::now() + 100 * SECOND;
+    let returned = start + 15 * SECOND;
+    let report = after_an_outage(start).report(returned).expect("in doubt");
+    let mut relying = StoreDoubt::default();
+    relying.receive(report, returned);
+    for tenth in 0..20 {
+        relying.neighbour_was_answered(Duration::ZERO, returned + tenth * SECOND / 10);
+    }
+    let now = returned + 2 * SECOND;
+    let of_refused_peer = OutageReport {
+        failed_ago: SECOND,
+        doubt_left: REWRITE_PERIOD,
+    };
+    relying.receive(of_refused_peer, now);
+    assert_eq!(
+        relying.entry_may_return_until(now),
+        Some(returned + REWRITE_PERIOD)
+    );
+}
--- a/crates/serve/tests/hostile_peers.rs
+++ b/crates/serve/tests/hostile_peers.rs
@@ -277,14 +277,43 @@
     bytes
 }
 
+const CHANGES: u8 = 1;
+const CHANGES_AFTER_OUTAGE: u8 = 11;
+
+/// End of a message that tells when the sender's last call failed, and for how long removals are in doubt.
+fn ages(failed_ms_ago: u16, doubt_left_ms: u16) -> Vec<u8> {
+    [failed_ms_ago.to_le_bytes(), doubt_left_ms.to_le_bytes()].concat()
+}
+
+/// A fleet of one daemon, which a stranger tells that its only plain back end was removed.
+fn fleet_after_removal(kind: u8, tail: &[u8], reaches_store: bool) -> Fleet {
+    let mut fleet = Fleet::new(FleetOptions {
+        records: 1,
+        ..FleetOptions::default()
+    });
+    fleet.wait(Duration::from_secs(6));
+    if !reaches_store {
+        let simulation = fleet.simulation.handle();
+        simulation.cut(fleet.daemons[0].host, fleet.store_host);
+    }
+    let removal = encode_removal(kind, fleet.store.revision(), &fleet.records[0].key(), tail);
+    let (_host, runtime) = fleet
+        .simulation
+        .add_client(host_spec("stranger", [10, 0, 3, 9]));
+    let daemon = SocketAddr::from(([10, 0, 2, 1], 7660));
+    fleet.run(async move {
+        let local_address = SocketAddr::from(([10, 0, 3, 9], 5000));
+        let socket = runtime.network.bind_datagram(local_address);
+        let socket = socket.await.expect("the address is free");
+        let sent = socket.send_to(&removal, daemon).await;
+        sent.expect("the datagram is sent");
+    });
+    fleet
+}
+
 /// Older builds say only that a removal is in doubt; this one says when the store was away.
 #[test]
 fn a_peer_that_saw_an_outage_puts_a_removal_in_doubt_for_a_bounded_time() {
-    const CHANGES: u8 = 1;
-    const CHANGES_AFTER_OUTAGE: u8 = 11;
-    let ages = |failed_ms_ago: u16, doubt_left_ms: u16| {
-        [failed_ms_ago.to_le_bytes(), doubt_left_ms.to_le_bytes()].concat()
-    };
     for (kind, tail, in_use_for_ms) in [
         (CHANGES, vec![0], 0),
         (CHANGES, vec![1], 2_500),
@@ -293,23 +322,7 @@
         // The store answered the daemon itself before and after the failure.
         (CHANGES_AFTER_OUTAGE, ages(3_000, 1_000), 0),
     ] {
-        let mut fleet = Fleet::new(FleetOptions {
-            records: 1,
-            ..FleetOptions::default()
-        });
-        fleet.wait(Duration::from_secs(6));
-        let removal = encode_removal(kind, fleet.store.revision(), &fleet.records[0].key(), &tail);
-        let (_host, runtime) = fleet
-            .simulation
-            .add_client(host_spec("stranger", [10, 0, 3, 9]));
-        let daemon = SocketAddr::from(([10, 0, 2, 1], 7660));
-        fleet.run(async move {
-            let local_address = SocketAddr::from(([10, 0, 3, 9], 5000));
-            let socket = runtime.network.bind_datagram(local_address);
-            let socket = socket.await.expect("the address is free");
-            let sent = socket.send_to(&removal, daemon).await;
-            sent.expect("the datagram is sent");
-        });
+        let mut fleet = fleet_after_removal(kind, &tail, false);
         let mut elapsed_ms = 0;
         for at_ms in [100, 800, 2_300, 2_600] {
             fleet.wait(Duration::from_millis(at_ms - elapsed_ms));
@@ -323,3 +336,16 @@
         }
     }
 }
+
+/// The store answers the daemon a moment after the peer's failure, so it was not away.
+#[test]
+fn an_answer_of_the_store_ends_the_doubt_that_a_peer_reported() {
+    for (kind, tail) in [
+        (CHANGES, vec![1]),
+        (CHANGES_AFTER_OUTAGE, ages(0, u16::MAX)),
+    ] {
+        let mut fleet = fleet_after_removal(kind, &tail, true);
+        fleet.wait(Duration::from_millis(1_500));
+        assert_eq!(fleet.ask_each_daemon("after"), 0, "kind {kind}, {tail:?}");
+    }
+}
--- a/crates/serve/tests/removals_in_doubt.rs
+++ b/crates/serve/tests/removals_in_doubt.rs
@@ -118,3 +118,40 @@
         }
     }
 }
+
+/// The store answers all other daemons, and this one again a moment later, so no entry can have expired.
+#[test]
+fn a_back_end_that_leaves_after_one_daemons_connections_were_reset_gets_no_requests() {
+    for daemons in FLEET_SIZES {
+        for struck in struck_daemons(daemons) {
+            let mut fleet = fleet_of(daemons);
+            let simulation = fleet.simulation.handle();
+            simulation.reset_connections(&[fleet.daemons[struck].host], &[fleet.store_host]);
+            fleet.wait(Duration::from_millis(250));
+            assert_removal_takes_effect(&mut fleet, &format!("daemon {struck} of {daemons}"));
+        }
+    }
+}
+
+/// The store answers all daemons but one, which reports its failures to others once it is back.
+#[test]
+fn a_back_end_that_leaves_after_one_daemon_was_refused_gets_no_requests() {
+    for daemons in FLEET_SIZES {
+        for struck in struck_daemons(daemons) {
+            let mut fleet = fleet_of(daemons);
+            let simulation = fleet.simulation.handle();
+            let host = fleet.daemons[struck].host;
+            simulation.refuse_connections(&[host], &[fleet.store_host]);
+            simulation.reset_connections(&[host], &[fleet.store_host]);
+            fleet.wait(Duration::from_secs(3));
+            simulation.heal(host, fleet.store_host);
+            fleet.wait(Duration::from_millis(250));
+            assert_removal_takes_effect(&mut fleet, &format!("daemon {struck} of {daemons}"));
+        }
+    }
+}
+
+/// Every daemon of a small fleet, and some of a large one: two of each neighbourhood follow the store for the others.
+fn struck_daemons(daemons: u8) -> impl Iterator<Item = usize> {
+    (0..usize::from(daemons)).step_by(usize::from(daemons) / 9 + 1)
+}
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -587,13 +587,16 @@
 
     /// Records an outage of the store that a peer which follows the store saw.
     pub fn record_peer_outage(&self, report: OutageReport, now: Instant) {
-        self.lock().store_doubt.receive(report, now);
+        self.lock()
+            .update_store_doubt(now, |doubt| doubt.receive(report, now));
     }
 
     /// Records how long ago the store answered a neighbour.
     pub fn neighbour_reported(&self, store_silence: Duration, now: Instant) {
         let mut inner = self.lock();
-        inner.store_doubt.neighbour_was_answered(store_silence, now);
+        inner.update_store_doubt(now, |doubt| {
+            doubt.neighbour_was_answered(store_silence, now);
+        });
     }
 
     /// Records that this daemon does not follow the store itself for now.
@@ -604,7 +607,7 @@
     /// Records a successful call to the store.
     pub fn store_answered(&self, at: Revision, now: Instant) {
         let mut inner = self.lock();
-        inner.store_doubt.answered(now);
+        inner.update_store_doubt(now, |doubt| doubt.answered(now));
         if !inner.store_reached {
             inner.store_reached = true;
             tracing::info!(%at, newest_revision = %inner.newest, "store_reached");
--- a/crates/serving/src/fleet_state/fleet_view.rs
+++ b/crates/serving/src/fleet_state/fleet_view.rs
@@ -404,6 +404,22 @@
         }
     }
 
+    /// Updates what is known of the store's outages. If it shows that the store was in reach all the
+    /// time, the removals that were in doubt are confirmed.
+    pub(super) fn update_store_doubt(
+        &mut self,
+        now: Instant,
+        update: impl FnOnce(&mut StoreDoubt),
+    ) {
+        let was_in_doubt = self.store_doubt.entry_may_return_until(now).is_some();
+        update(&mut self.store_doubt);
+        let is_in_doubt = self.store_doubt.entry_may_return_until(now).is_some();
+        if was_in_doubt && !is_in_doubt {
+            let back_ends = self.directory.confirm_removals();
+            tracing::info!(back_ends, "removals_confirmed");
+        }
+    }
+
     fn remove_back_end(
         &mut self,
         id: &str,
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -321,13 +321,16 @@
             return self.read_everything().await;
         };
         let follows_for_others = self.state.topology().follows_store;
-        let wait = if follows_for_others {
-            FOLLOWER_POLL_WAIT
-        } else {
-            OWN_POLL_TIMEOUT
+        let wait = match (follows_for_others, self.follow_status.is_following()) {
+            (true, true) => FOLLOWER_POLL_WAIT,
+            // Neighbours wait to hear whether the store is in reach.
+            (true, false) => Duration::ZERO,
+            (false, _) => OWN_POLL_TIMEOUT,
         };
         let changes = self.await_changes(after, wait).await?;
         let at = changes.at.max(after);
+        // Before neighbours are told of failures that this answer explains.
+        self.state.store_answered(at, now());
         let has_changes = !changes.items.is_empty();
         if has_changes && follows_for_others {
             // If the queue is full, neighbours fetch the changes.
