Pass the failure of a body on once what came before it can be flushed

Cause: hyper closes a connection whose body fails without flushing what it buffers, and the head, the first event and the failure came in one poll. The failure now comes one poll later.

--- a/crates/http/src/server/answer_body.rs
+++ b/crates/http/src/server/answer_body.rs
@@ -15,10 +15,16 @@
 const MAX_PIECE_BYTES: usize = 64 << 10;
 
 /// Passes a body on in pieces. At its end, its request waits for the connection to be flushed.
+///
+/// hyper closes the connection as soon as a body fails, without flushing the head and the pieces
+/// that it still buffers. A failure is therefore passed on one poll later: while the body is pending,
+/// hyper flushes.
 pub(super) struct AnswerBody {
     inner: Body,
     /// What remains of the last piece of `inner`.
     rest: Bytes,
+    /// A failure of `inner` that is not passed on yet.
+    failure: Option<BodyError>,
     guard: Option<RequestGuard>,
     connection: Arc<ConnectionState>,
 }
@@ -32,6 +38,7 @@
         Self {
             inner,
             rest: Bytes::new(),
+            failure: None,
             guard,
             connection,
         }
@@ -57,9 +64,17 @@
         if !self.rest.is_empty() {
             return Poll::Ready(Some(Ok(self.next_piece())));
         }
-        let frame = ready!(Pin::new(&mut self.inner).poll_frame(context));
-        let Some(Ok(frame)) = frame else {
-            return Poll::Ready(frame);
+        if let Some(failure) = self.failure.take() {
+            return Poll::Ready(Some(Err(failure)));
+        }
+        let frame = match ready!(Pin::new(&mut self.inner).poll_frame(context)) {
+            None => return Poll::Ready(None),
+            Some(Ok(frame)) => frame,
+            Some(Err(failure)) => {
+                self.failure = Some(failure);
+                context.waker().wake_by_ref();
+                return Poll::Pending;
+            }
         };
         match frame.into_data() {
             Ok(data) if data.len() > MAX_PIECE_BYTES => {
@@ -72,7 +87,7 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        self.rest.is_empty() && self.inner.is_end_stream()
+        self.rest.is_empty() && self.failure.is_none() && self.inner.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
