Record the versions of all routed services, not only of resumable ones

A route may become resumable later.

The time for which a departed version counts is one constant now instead of two.

--- a/crates/fleet/src/version_history.rs
+++ b/crates/fleet/src/version_history.rs
@@ -9,7 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A stream without a record is not taken up if it could have begun before this time.
+/// Callers take up a stream that has no record within this time after it began, or are refused. Once a
+/// service has had a single version for so long, such a stream can only have begun at that version.
 pub const MAX_UNRECORDED_STREAM_AGE: Duration = Duration::from_secs(24 * 3_600);
 
 /// Since when a service has had its version; the first start is the earliest.
--- a/crates/serve/tests/stream_versions.rs
+++ b/crates/serve/tests/stream_versions.rs
@@ -642,3 +642,43 @@
     let taken = take_streams_after(&mut fleet, 20, &[1, 2], pause, loss);
     assert_share_taken_up(&taken, 0.9, "a loss of all daemons");
 }
+
+/// Guards against a history that begins when a route becomes resumable: a version that left before would count as
+/// one that never served.
+#[test]
+fn versions_count_that_left_before_the_route_became_resumable() {
+    let mut routes = support::routes();
+    for route in &mut routes {
+        route.resumable = false;
+    }
+    let mut fleet = Fleet::without_configuration(FleetOptions {
+        daemons: 1,
+        prefill: 0,
+        decode: 2,
+        is_first_start: true,
+        ..FleetOptions::default()
+    });
+    fleet.decode[1].set_version(NEW_VERSION);
+    fleet.decode[1].record(&fleet.store, "ready");
+    fleet
+        .store
+        .put("op/config", support::configuration(1, &routes));
+    fleet.wait(Duration::from_secs(5));
+    fleet.decode[0].remove_entry(&fleet.store);
+    fleet.wait(Duration::from_secs(30));
+    fleet
+        .store
+        .put("op/config", support::configuration(2, &support::routes()));
+    fleet.wait(Duration::from_secs(5));
+    let request = ClientRequest {
+        takes_up: Some(BrokenStream {
+            request: String::from("lost"),
+            last_event: 1,
+        }),
+        ..ClientRequest::prompt("again", "tag", 0, 30)
+    };
+    let (client, target) = (fleet.client.clone(), fleet.daemons[0].callers_address);
+    let answer = fleet.run(async move { client.ask(target, &request).await });
+    let status = answer.map(|answer| answer.status);
+    assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
+}
--- a/crates/serving/src/fleet_state/version_history.rs
+++ b/crates/serving/src/fleet_state/version_history.rs
@@ -9,6 +9,10 @@
 
 use super::FleetState;
 
+/// A version that a back end had within this time counts as present. Longer than a fleet is without a
+/// leader, which records versions, so that none is missed that came and left meanwhile.
+const LOOKBACK: Duration = Duration::from_secs(20);
+
 /// The history as the store holds it, and as it has to be written.
 #[derive(Debug, Default)]
 pub(super) struct KnownVersions {
@@ -37,12 +41,12 @@
 pub(crate) type VersionUpdate = (VersionHistory, Option<Revision>);
 
 impl FleetState {
-    /// The history that has to be written, if it differs from the one in the store. A version that
-    /// was seen within `lookback` counts as present. `time_of_day` is measured from the Unix epoch.
+    /// The history that has to be written, if it differs from the one in the store. `time_of_day` is
+    /// measured from the Unix epoch. A service that is not configured any more stays in the history: it
+    /// would count as new if it came back.
     pub(crate) fn updated_versions(
         &self,
         is_first_start: bool,
-        lookback: Duration,
         time_of_day: Duration,
         now: Instant,
     ) -> Option<VersionUpdate> {
@@ -52,8 +56,8 @@
         let configuration = &inner.in_force.as_ref()?.configuration;
         let known = inner.versions.merged.clone();
         let mut history = known.unwrap_or_else(|| VersionHistory::begin(is_first_start));
-        let since = now.checked_sub(lookback).unwrap_or(now);
-        for service in services_of_resumable_streams(configuration) {
+        let since = now.checked_sub(LOOKBACK).unwrap_or(now);
+        for service in services_of_routes(configuration) {
             if inner.directory.has_back_ends(&service) {
                 let version = inner.directory.sole_version(&service, since);
                 history.record(&service, version.as_ref(), time_of_day);
@@ -69,7 +73,6 @@
     pub(crate) fn version_of_all_streams(
         &self,
         service: &str,
-        lookback: Duration,
         time_of_day: Duration,
         now: Instant,
     ) -> Option<Arc<str>> {
@@ -77,17 +80,17 @@
         inner.complete_since?;
         let history = inner.versions.merged.as_ref()?;
         let recorded = history.version_of_all_streams(service, time_of_day)?;
-        let since = now.checked_sub(lookback).unwrap_or(now);
+        let since = now.checked_sub(LOOKBACK).unwrap_or(now);
         let present = inner.directory.sole_version(service, since)?;
         (present == *recorded).then_some(present)
     }
 }
 
-/// Services that may serve streams which callers can take up, each once.
-fn services_of_resumable_streams(configuration: &Configuration) -> Vec<Arc<str>> {
+/// Services that routes lead to, each once. Also those without resumable streams: a route may become
+/// resumable, and versions that left before must not count as ones that never served.
+fn services_of_routes(configuration: &Configuration) -> Vec<Arc<str>> {
     let routes = configuration.routes.iter();
-    let resumable = routes.filter(|route| route.kind.is_resumable_stream());
-    let mut services: Vec<Arc<str>> = resumable
+    let mut services: Vec<Arc<str>> = routes
         .flat_map(|route| route.split.iter().map(|part| Arc::clone(&part.service)))
         .collect();
     services.sort();
--- a/crates/serving/src/pipeline/taken_up.rs
+++ b/crates/serving/src/pipeline/taken_up.rs
@@ -19,8 +19,6 @@
 const RETURN_TIME: Duration = Duration::from_secs(2);
 /// A stream and its continuations last at most this multiple of the route's timeout.
 const TIMEOUTS_PER_STREAM: u32 = 2;
-/// A version that a back end had within this time may not have reached the history of versions yet.
-const VERSION_LOOKBACK: Duration = Duration::from_secs(20);
 
 /// Where a stream that a caller takes up began.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -153,10 +151,9 @@
             return false;
         };
         let time_of_day = self.runtime.clock.time_of_day();
-        let lookback = VERSION_LOOKBACK;
-        let version =
-            self.state
-                .version_of_all_streams(&only.service, lookback, time_of_day, now());
+        let version = self
+            .state
+            .version_of_all_streams(&only.service, time_of_day, now());
         is_up_to_date && version.is_some()
     }
 
--- a/crates/serving/src/version_recorder.rs
+++ b/crates/serving/src/version_recorder.rs
@@ -15,9 +15,6 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after a failed write.
 const RETRY_DELAY: Duration = Duration::from_secs(2);
-/// A version that was seen within this time counts as present. Longer than a fleet is without a
-/// leader, so that a version is recorded that came and left meanwhile.
-const LOOKBACK: Duration = Duration::from_secs(20);
 
 /// Starts to record versions.
 pub fn start(
@@ -67,7 +64,7 @@
         let time_of_day = self.runtime.clock.time_of_day();
         let update = self
             .state
-            .updated_versions(self.is_first_start, LOOKBACK, time_of_day, now());
+            .updated_versions(self.is_first_start, time_of_day, now());
         let Some((history, before)) = update else {
             return Ok(());
         };
