Close idle connections after a failed accept only if descriptors are exhausted

Any error of accept closed a sixteenth of the unused connections, also one that concerns only the new connection, for example because its caller gave up.

The task that enforces time limits has a name of its own, and divisors are named so.

--- a/crates/http/src/memory.rs
+++ b/crates/http/src/memory.rs
@@ -16,8 +16,8 @@
 /// A holder up to this size may use the part of the account that is kept for small ones, and never
 /// yields.
 pub const SMALL_BYTES: usize = 64 << 10;
-/// Part of the account that is kept for small holders.
-const SMALL_SHARE: usize = 4;
+/// One of so many bytes of the account is kept for small holders.
+const SMALL_DIVISOR: usize = 4;
 /// A holder yields only after this time without progress.
 const MIN_STALL: Duration = Duration::from_secs(1);
 /// Interval at which a holder that waits for memory tries again.
@@ -94,7 +94,7 @@
         if bytes <= SMALL_BYTES {
             self.capacity
         } else {
-            self.capacity - self.capacity / SMALL_SHARE
+            self.capacity - self.capacity / SMALL_DIVISOR
         }
     }
 
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::conn::auto::Builder;
 use ponddrift_runtime::{BoxedListener, BoxedStream, HyperExecutor, Runtime, Spawner};
+use rustix::io::Errno;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
@@ -32,8 +33,8 @@
 
 /// Interval at which connections are checked against their time limits.
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_secs(2);
-/// Share of the open connections that is closed when the process has no descriptor left.
-const DESCRIPTOR_RELIEF_SHARE: usize = 16;
+/// When the process has no descriptor left, one of so many open connections is closed.
+const DESCRIPTOR_RELIEF_DIVISOR: usize = 16;
 
 /// Limits of each HTTP/2 connection: they bound what its peer can make the server hold.
 const HTTP2_STREAMS: u32 = 100;
@@ -198,7 +199,7 @@
             stop: server.stop.clone(),
             connections: Arc::clone(&server.connections),
         };
-        runtime.spawner.spawn(Box::pin(AcceptLoop::close_expired(
+        runtime.spawner.spawn(Box::pin(AcceptLoop::enforce_timeouts(
             Arc::clone(&accept_loop.connections),
             Arc::clone(&accept_loop.handler),
             server.stopped.clone(),
@@ -277,9 +278,7 @@
                 Ok((stream, peer)) => self.serve_if_admitted(stream, peer).await,
                 Err(_stopping) if self.stop.is_cancelled() => return,
                 Err(error) => {
-                    let count = self.connections.count() / DESCRIPTOR_RELIEF_SHARE + 1;
-                    let reason = CloseReason::NoDescriptors;
-                    let closed = self.connections.close_unused(count, reason);
+                    let closed = self.free_descriptors(&error);
                     tracing::warn!(%error, closed, "accept_failed");
                     tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
                 }
@@ -287,6 +286,20 @@
         }
     }
 
+    /// Closes unused connections if descriptors are exhausted. Returns how many.
+    fn free_descriptors(&self, error: &io::Error) -> usize {
+        let exhausted = [Errno::MFILE, Errno::NFILE].map(Errno::raw_os_error);
+        let is_exhausted = error
+            .raw_os_error()
+            .is_some_and(|code| exhausted.contains(&code));
+        if !is_exhausted {
+            return 0;
+        }
+        let count = self.connections.count() / DESCRIPTOR_RELIEF_DIVISOR + 1;
+        self.connections
+            .close_unused(count, CloseReason::NoDescriptors)
+    }
+
     async fn serve_if_admitted(&self, stream: BoxedStream, peer: SocketAddr) {
         let accepted_at = Instant::now();
         tokio::task::yield_now().await;
@@ -307,7 +320,7 @@
     }
 
     /// Closes connections that have exceeded their time limits, until stopped.
-    async fn close_expired(
+    async fn enforce_timeouts(
         connections: Arc<Connections>,
         handler: Arc<dyn Handler>,
         stopped: CancellationToken,
