--- a/crates/fleet/src/store_doubt.rs
+++ b/crates/fleet/src/store_doubt.rs
@@ -36,7 +36,7 @@
     until: Instant,
 }
 
-/// Failed calls of this daemon that may have been one outage.
+/// Failed calls of this daemon that may have been in one outage.
 #[derive(Debug, Clone, Copy)]
 struct FailedCalls {
     /// Start of the first call.
@@ -104,6 +104,7 @@
         let since = continued.map_or(now, |contact| contact.since);
         self.last_contact = Some(Contact { since, until: now });
         self.is_in_contact = true;
+        self.forget_refuted();
     }
 
     /// Records that the store answered a neighbour `silence` ago.
@@ -119,6 +120,23 @@
             since: continued.map_or(answered_at, |contact| contact.since),
             until: continued.map_or(answered_at, |contact| contact.until.max(answered_at)),
         });
+        self.forget_refuted();
+    }
+
+    /// Forgets failures during which the store was in reach. Contact may be lost later, and would not
+    /// refute them any more.
+    fn forget_refuted(&mut self) {
+        let own = self.failed_calls;
+        if own.is_some_and(|calls| self.was_in_reach(calls.since, calls.until)) {
+            self.failed_calls = None;
+            self.returned_at = None;
+        }
+        let reported = self.reported_outage;
+        if reported
+            .is_some_and(|outage| self.was_in_reach(outage.first_failure, outage.last_failure))
+        {
+            self.reported_outage = None;
+        }
     }
 
     fn record_return(&mut self, answered_at: Instant) {
@@ -151,7 +169,7 @@
         let doubt_until = now + report.doubt_left.min(REWRITE_PERIOD);
         let known = self.reported_outage.filter(|known| {
             let is_recent = is_within(PERIOD_WITHOUT_RETURN, known.last_failure, now);
-            (is_recent || now < known.doubt_until) && !self.is_refuted(known)
+            is_recent || now < known.doubt_until
         });
         self.reported_outage = Some(ReportedOutage {
             first_failure: known.map_or(failed_at, |known| known.first_failure.min(failed_at)),
@@ -174,7 +192,7 @@
     /// certain.
     #[must_use]
     pub fn entry_may_return_until(&self, now: Instant) -> Option<Instant> {
-        let reported = self.believed_report().map(|outage| outage.doubt_until);
+        let reported = self.reported_outage.map(|outage| outage.doubt_until);
         self.own_until(now)
             .max(reported.filter(|until| now < *until))
     }
@@ -182,20 +200,18 @@
     /// Whether a key that disappears now may have expired because its writer could not renew it.
     #[must_use]
     pub fn was_away_recently(&self, now: Instant) -> bool {
-        let own = self.believed_failures().map(|calls| calls.until);
-        let reported = self.believed_report().map(|outage| outage.last_failure);
-        let last = own.max(reported).max(self.restored_at);
+        let last = self.last_failure().max(self.peers_last_failure());
         last.is_some_and(|last| is_within(PERIOD_WITHOUT_RETURN, last, now))
     }
 
-    /// This daemon's last failed call, or the last restore of the store.
+    /// This daemon's last failed call that may have been in an outage, or the last restore of the store.
     #[must_use]
     pub fn last_failure(&self) -> Option<Instant> {
         let failed_at = self.failed_calls.map(|calls| calls.until);
         failed_at.max(self.restored_at)
     }
 
-    /// The latest failed call that a peer reported.
+    /// The latest failed call that a peer reported and that may have been in an outage.
     #[must_use]
     pub fn peers_last_failure(&self) -> Option<Instant> {
         self.reported_outage.map(|outage| outage.last_failure)
@@ -208,27 +224,11 @@
         known.any(|contact| contact.since <= from && to <= contact.until)
     }
 
-    fn is_refuted(&self, outage: &ReportedOutage) -> bool {
-        self.was_in_reach(outage.first_failure, outage.last_failure)
-    }
-
-    fn believed_report(&self) -> Option<ReportedOutage> {
-        self.reported_outage
-            .filter(|outage| !self.is_refuted(outage))
-    }
-
-    fn believed_failures(&self) -> Option<FailedCalls> {
-        self.failed_calls
-            .filter(|calls| !self.was_in_reach(calls.since, calls.until))
-    }
-
     fn own_until(&self, now: Instant) -> Option<Instant> {
-        let rewritten_after_outage = self
-            .believed_failures()
-            .map(|calls| match self.returned_at {
-                Some(returned_at) => returned_at + REWRITE_PERIOD,
-                None => (calls.until + PERIOD_WITHOUT_RETURN).min(now + REWRITE_PERIOD),
-            });
+        let rewritten_after_outage = self.failed_calls.map(|calls| match self.returned_at {
+            Some(returned_at) => returned_at + REWRITE_PERIOD,
+            None => (calls.until + PERIOD_WITHOUT_RETURN).min(now + REWRITE_PERIOD),
+        });
         let rewritten_after_restore = self
             .restored_at
             .map(|restored_at| restored_at + REWRITE_PERIOD);
--- a/crates/fleet/tests/store_doubt.rs
+++ b/crates/fleet/tests/store_doubt.rs
@@ -321,3 +321,27 @@
         Some(returned + REWRITE_PERIOD)
     );
 }
+
+/// What is known of a failure does not change when contact is lost later.
+#[test]
+fn a_refuted_failure_stays_refuted_when_contact_is_lost() {
+    let start = Instant::now() + 100 * SECOND;
+    let millis = Duration::from_millis;
+    let mut doubt = StoreDoubt::default();
+    doubt.answered(start);
+    doubt.failed(start, start + millis(500));
+    doubt.answered(start + millis(600));
+    doubt.receive(
+        OutageReport {
+            failed_ago: Duration::ZERO,
+            doubt_left: REWRITE_PERIOD,
+        },
+        start + millis(700),
+    );
+    doubt.answered(start + millis(800));
+    doubt.stopped_following();
+    let now = start + millis(2_300);
+    doubt.answered(now);
+    assert_eq!(doubt.entry_may_return_until(now), None);
+    assert!(!doubt.was_away_recently(now));
+}
