Log answers that can't be read; restore a comment, explain limits

An answer that broke off, was too large, or gave way for lack of memory became nothing without a line. New log event answer_not_read.

--- a/crates/fleet/src/quarantine/suspicion.rs
+++ b/crates/fleet/src/quarantine/suspicion.rs
@@ -90,12 +90,6 @@
         }
     }
 
-    /// Whether the request may run now.
-    #[must_use]
-    pub const fn may_run(self) -> bool {
-        matches!(self, Self::Clear | Self::Suspected)
-    }
-
     /// Whether the request is known to crash engines.
     #[must_use]
     pub const fn is_quarantined(self) -> bool {
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -40,6 +40,12 @@
     Instant::now() + Duration::from_secs(3_600)
 }
 
+/// Whether [`request`] may run now.
+fn may_run(quarantine: &Quarantine, now: Instant) -> bool {
+    let standing = quarantine.standing(request(), now);
+    matches!(standing, Standing::Clear | Standing::Suspected)
+}
+
 /// Loses one run after the other on engines 0 to `engines`; returns the time of the last
 /// termination.
 fn lose_runs(quarantine: &mut Quarantine, engines: u32, begin: Instant) -> Instant {
@@ -68,8 +74,11 @@
     ] {
         let mut quarantine = Quarantine::default();
         let ended = lose_runs(&mut quarantine, engines, begin);
-        let may_run = quarantine.standing(request(), ended).may_run();
-        assert_eq!(may_run, engines < 3, "{engines} engines");
+        assert_eq!(
+            may_run(&quarantine, ended),
+            engines < 3,
+            "{engines} engines"
+        );
         let now = ended + DECISION_TIME;
         quarantine.refresh(now);
         assert_eq!(quarantine.standing(request(), now).as_str(), expected);
@@ -202,7 +211,7 @@
         quarantine.record_lost_run(request(), SuspectKind::Request, 0, lost, ended);
     }
     let now = begun + Duration::from_secs(4);
-    assert!(!quarantine.standing(request(), now).may_run());
+    assert!(!may_run(&quarantine, now));
     let decided = now + DECISION_TIME;
     assert!(quarantine.standing(request(), decided).is_quarantined());
 }
@@ -222,7 +231,7 @@
             ended,
         };
         quarantine.record_lost_run(request(), SuspectKind::Request, 0, lost, ended);
-        if !quarantine.standing(request(), ended).may_run() {
+        if !may_run(&quarantine, ended) {
             stopped_after = Some(ended - begin);
             let decided = ended + DECISION_TIME;
             assert!(quarantine.standing(request(), decided).is_quarantined());
@@ -316,7 +325,7 @@
         "{}",
         quarantine.counts(ended).remembered
     );
-    assert!(!quarantine.standing(request(), ended).may_run());
+    assert!(!may_run(&quarantine, ended));
     let decided = ended + DECISION_TIME;
     assert!(quarantine.standing(request(), decided).is_quarantined());
 }
@@ -340,7 +349,7 @@
         "{}",
         quarantine.counts(ended).remembered
     );
-    assert!(!quarantine.standing(request(), ended).may_run());
+    assert!(!may_run(&quarantine, ended));
     let decided = ended + DECISION_TIME;
     assert!(quarantine.standing(request(), decided).is_quarantined());
 }
--- a/crates/serve/src/settings.rs
+++ b/crates/serve/src/settings.rs
@@ -27,8 +27,9 @@
 const MAX_DEFAULT_HELD_BYTES: u64 = 64 << 20;
 /// Greatest default of `limits.connections`.
 const MAX_DEFAULT_CONNECTIONS: u64 = 16_384;
-/// The part of the machine's memory that is for one of: what is held for callers, their connections.
-const HELD_SHARE: u64 = 4;
+/// What is held for callers and their connections may each take up one of so many bytes of the machine's
+/// memory by default.
+const MEMORY_DIVISOR: u64 = 4;
 /// Memory of a connection: its read buffer, its head and its task.
 const CONNECTION_BYTES: u64 = 24 << 10;
 /// A graceful stop ends this long before the supervisor kills the process (`stop.grace_s`).
@@ -267,7 +268,7 @@
 fn default_held_bytes(memory_megabytes: u64) -> u64 {
     match memory_megabytes {
         0 => MAX_DEFAULT_HELD_BYTES,
-        stated => ((stated << 20) / HELD_SHARE).clamp(1 << 20, MAX_DEFAULT_HELD_BYTES),
+        stated => ((stated << 20) / MEMORY_DIVISOR).clamp(1 << 20, MAX_DEFAULT_HELD_BYTES),
     }
 }
 
@@ -282,7 +283,7 @@
     match memory_megabytes {
         0 => by_descriptors,
         stated => by_descriptors
-            .min((stated << 20) / HELD_SHARE / CONNECTION_BYTES)
+            .min((stated << 20) / MEMORY_DIVISOR / CONNECTION_BYTES)
             .max(16),
     }
 }
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -630,6 +630,12 @@
         route
     }
 
+    /// Address of the back end.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// The peer that relays the connection; `None` if it is direct.
     #[must_use]
     pub const fn relay(&self) -> Option<SocketAddr> {
--- a/crates/serving/src/listeners.rs
+++ b/crates/serving/src/listeners.rs
@@ -14,8 +14,8 @@
 use crate::metrics::Metrics;
 use crate::pipeline::{CallerHandler, Pipeline};
 
-/// Time limit of the HTTP library for a head and the idle time before it; the limits of the
-/// configuration, which are shorter, are checked apart.
+/// Time limit of the HTTP library for a head and the idle time before it. The limits of the
+/// configuration are checked apart; longer ones have no effect.
 const READ_TIMEOUT: Duration = Duration::from_secs(600);
 /// Connections of status checks at a time.
 const MAX_STATUS_CONNECTIONS: usize = 64;
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -544,7 +544,6 @@
         self.silences.get_or_create(&ResultLabels { result }).inc();
     }
 
-    /// Counts a new connection that was closed unread.
     /// Counts a connection of a caller that was closed.
     pub(crate) fn connection_closed(&self, reason: &'static str) {
         self.connections_closed
@@ -557,6 +556,7 @@
         self.answers_unwritten.inc();
     }
 
+    /// Counts a new connection that was closed unread.
     pub(crate) fn connection_closed_unread(&self, reason: &'static str) {
         self.closed_unread
             .get_or_create(&ReasonLabels { reason })
--- a/crates/serving/src/pipeline/budgeting.rs
+++ b/crates/serving/src/pipeline/budgeting.rs
@@ -97,7 +97,7 @@
         true
     }
 
-    /// Whether [`Self::may_send`] may grant another send.
+    /// Whether [`Self::may_send`] may grant another send. Takes nothing from the budget.
     pub(super) fn may_be_granted_send(&self, job: &Job) -> bool {
         job.delivered_sends == 0 || job.held_retry.is_some() || self.has_retry(job)
     }
--- a/crates/serving/src/pipeline/plain.rs
+++ b/crates/serving/src/pipeline/plain.rs
@@ -441,7 +441,7 @@
     }
 }
 
-/// Reads an answer completely. Returns `None` if it ends early. Waits for memory: the back end has
+/// Reads an answer completely. Returns `None`, and logs why, if it can't be read. Waits for memory: the back end has
 /// run the request, and what others hold is given back as they are written.
 pub(super) async fn read_complete(
     reply: Reply,
@@ -451,7 +451,14 @@
     let (head, body) = reply.response.into_parts();
     let time = deadline.saturating_duration_since(now());
     let reading = body::read_reserved(body, MAX_ANSWER_BYTES, time, &memory, WhenFull::Wait);
-    let body = reading.await.ok()?;
+    let body = match reading.await {
+        Ok(body) => body,
+        Err(error) => {
+            let address = reply.connection.address();
+            tracing::info!(%address, %error, "answer_not_read");
+            return None;
+        }
+    };
     reply.connection.return_to_pool(&head.headers);
     Some(CompleteAnswer { head, body, memory })
 }
