--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -219,10 +219,10 @@
 
 // ---------------------------------------------------------------- a part that crashes engines
 
-/// Prompts of many parts, of which the second crashes each engine that begins to write.
-fn parts(trouble: bool) -> io::Result<bool> {
+/// Prompts of several shared parts, of which the second crashes each engine that begins to write; with
+/// `sound_before` only from the fifth second on.
+fn parts(trouble: bool, shared: usize, sound_before: bool) -> io::Result<bool> {
     const BAD: &str = "bad00000";
-    let shared: usize = std::env::var("PARTS").ok().and_then(|text| text.parse().ok()).unwrap_or(40);
     let site = Arc::new(Site::start(2, 260)?);
     let log = Arc::clone(&site.log);
     let calm = Arc::new(AtomicBool::new(false));
@@ -257,13 +257,22 @@
         }));
     }
     let began = Instant::now();
+    let pause = Duration::from_millis(if sound_before { 1_200 } else { 500 });
     let mut number = 0;
+    for engine in &engines {
+        engine.crashes.store(!sound_before, Ordering::Relaxed);
+    }
     while began.elapsed() < Duration::from_secs(40) {
+        if sound_before && began.elapsed() > Duration::from_secs(5) {
+            for engine in &engines {
+                engine.crashes.store(true, Ordering::Relaxed);
+            }
+        }
         number += 1;
         let request = Request { deadline_ms: 3_000, parts: format!("5c000001:8,{BAD}:8,{rest},f{number:07x}:291"), resumes: String::new(), after: 0 };
         let outcome = attempt(site.callers(number % 2), &request);
         log.line(&format!("request {} with the part: status {}, last event {}", outcome.id, outcome.status, outcome.last_event));
-        thread::sleep(Duration::from_millis(500));
+        thread::sleep(pause);
     }
     over.store(true, Ordering::Relaxed);
     for client in clients {
@@ -275,9 +284,70 @@
         None => 0,
     };
     let (sent, complete) = *sound.lock().unwrap();
-    log.say(&format!("{shared} shared parts; crashes: {}; requests with the part that reached engines later than contactMs after the fifth: {late}; sound requests complete: {complete} of {sent}", crashes.len()));
+    log.say(&format!("{shared} shared parts, sound before: {sound_before}; crashes: {}; requests with the part that reached engines later than contactMs after the fifth: {late}; sound requests complete: {complete} of {sent}", crashes.len()));
     if complete == 0 {
         return Err(io::Error::other("no sound request was served"));
     }
     Ok(late <= 3)
 }
+
+// ---------------------------------------------------------------- an engine that comes back with other software
+
+/// Three of twelve engines end, come back under their ids with another version of their software, and end
+/// once more.
+fn same_id(trouble: bool) -> io::Result<bool> {
+    const CLIENTS: usize = 330;
+    let site = Arc::new(Site::start(3, 260)?);
+    let log = Arc::clone(&site.log);
+    let calm = Arc::new(AtomicBool::new(false));
+    let shape = StreamShape { events: 40, gap: Duration::from_millis(100) };
+    let mut engines = Vec::new();
+    for number in 0..12 {
+        let next = (number < 3).then_some("v2");
+        engines.push(site.changing_engine(number, "llm", "v1", next, shape, None, &calm)?);
+    }
+    site.configure(8_000, 150, 2);
+    let _daemons = new_daemons(&site)?;
+    thread::sleep(Duration::from_secs(4));
+    let over = Arc::new(AtomicBool::new(false));
+    let counts = Arc::new(Mutex::new((0_usize, 0_usize, 0_usize)));
+    let mut clients = Vec::new();
+    for client in 0..CLIENTS {
+        let (site, over, counts) = (Arc::clone(&site), Arc::clone(&over), Arc::clone(&counts));
+        clients.push(thread::spawn(move || {
+            thread::sleep(Duration::from_millis(12) * client as u32);
+            let mut number = 0;
+            while !over.load(Ordering::Relaxed) {
+                number += 1;
+                let parts = format!("5c1e07a2:55,91bd3f06:37,e{client}{number:06x}:291");
+                let outcome = attempt(site.callers((client + number) % site.daemons), &Request { deadline_ms: 8_000, parts, resumes: String::new(), after: 0 });
+                let mut counts = counts.lock().unwrap();
+                counts.0 += 1;
+                counts.1 += usize::from(outcome.is_complete);
+                counts.2 += usize::from(outcome.versions.len() > 1);
+                site.log.line(&format!("stream {}: status {}, versions {}, last event {}, complete {}", outcome.id, outcome.status, outcome.versions.join("+"), outcome.last_event, outcome.is_complete));
+                drop(counts);
+                thread::sleep(Duration::from_millis(50));
+            }
+        }));
+    }
+    thread::sleep(Duration::from_secs(6));
+    for end in 0..2 {
+        for engine in engines.iter().take(3).filter(|_| trouble) {
+            let life = engine.state.lock().unwrap().life;
+            engine.crash(life);
+        }
+        // Down for 2 s, then up for 3 s.
+        thread::sleep(Duration::from_secs(if end == 0 { 5 } else { 6 }));
+    }
+    over.store(true, Ordering::Relaxed);
+    for client in clients {
+        drop(client.join());
+    }
+    let (streams, complete, joined) = *counts.lock().unwrap();
+    log.say(&format!("streams: {streams}, complete: {complete}, with events of two versions in one answer: {joined}"));
+    if complete == 0 {
+        return Err(io::Error::other("no stream was served"));
+    }
+    Ok(joined <= 2)
+}
--- a/review/stand-ins-2.rs
+++ b/review/stand-ins-2.rs
@@ -476,6 +476,14 @@
 
 // ---------------------------------------------------------------- engines
 
+/// `heartbeatMs` of a small deployment.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+
+/// How long an engine that crashed is down.
+const LONG_END: Duration = Duration::from_millis(2_000);
+/// The same for one that goes down and up by turns.
+const SHORT_END: Duration = Duration::from_millis(700);
+
 /// What an engine does with a stream.
 #[derive(Clone, Copy)]
 struct StreamShape {
@@ -499,6 +507,10 @@
     shape: StreamShape,
     /// The part of a prompt on which it crashes as it begins to write.
     bad_part: Option<&'static str>,
+    /// From now on that part crashes it.
+    crashes: Arc<AtomicBool>,
+    /// It starts again under the id that it had, with this version of its software.
+    next_version: Option<&'static str>,
     /// While set, the data of an event comes without an end.
     endless: Arc<AtomicBool>,
     state: Mutex<EngineState>,
@@ -508,25 +520,37 @@
 
 impl Engine {
     fn id(&self) -> String {
+        if self.next_version.is_some() {
+            return self.name.clone();
+        }
         format!("{}-{}", self.name, self.state.lock().unwrap().life)
     }
+    fn version(&self) -> &'static str {
+        let life = self.state.lock().unwrap().life;
+        self.next_version.filter(|_| life > 1).unwrap_or(self.version)
+    }
     fn record(&self) {
         let id = self.id();
+        let version = self.version();
         let state = self.state.lock().unwrap();
         let stage = if state.stage.is_empty() { String::new() } else { format!("\"stage\":\"{}\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],", state.stage) };
         let text = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":48,\"state\":\"ready\",\"coldRemainingMs\":0,{stage}\"born\":{},\"sequence\":{}}}",
-            self.service, self.address, self.zone, self.version, 1_700_000_000_000_u64 + state.life, state.sequence
+            self.service, self.address, self.zone, version, 1_700_000_000_000_u64 + state.life, state.sequence
         );
         drop(state);
         self.store.put(&format!("servers/{id}"), &text);
     }
-    /// Listens until it crashes; returns at once.
+    /// Listens until it crashes, and writes its entry; returns at once.
     fn start(self: &Arc<Self>) -> io::Result<()> {
+        self.listen()?;
+        self.record();
+        Ok(())
+    }
+    fn listen(self: &Arc<Self>) -> io::Result<()> {
         let listener = TcpListener::bind(self.address)?;
         listener.set_nonblocking(true)?;
         self.state.lock().unwrap().up = true;
-        self.record();
         let engine = Arc::clone(self);
         let life = self.state.lock().unwrap().life;
         thread::spawn(move || loop {
@@ -562,7 +586,19 @@
         let engine = Arc::clone(self);
         thread::spawn(move || {
             let old = engine.id();
-            thread::sleep(Duration::from_millis(2_000));
+            let down = if engine.next_version.is_some() { SHORT_END } else { LONG_END };
+            thread::sleep(down);
+            if engine.next_version.is_some() {
+                // Its entry stands: it is back before three heartbeats have passed. It writes at its
+                // next heartbeat.
+                engine.state.lock().unwrap().life += 1;
+                drop(engine.listen());
+                engine.log.line(&format!("engine {} is back with {}", engine.id(), engine.version()));
+                thread::sleep(HEARTBEAT);
+                engine.record();
+                engine.log.line(&format!("engine {} writes its entry", engine.id()));
+                return;
+            }
             engine.store.remove(&format!("servers/{old}"));
             engine.state.lock().unwrap().life += 1;
             drop(engine.start());
@@ -642,10 +678,10 @@
                 continue;
             }
             let after: u64 = call.header("last-event-id").parse().unwrap_or(0);
-            self.log.line(&format!("engine {} ({}) runs {id} after {after}", self.id(), self.version));
+            self.log.line(&format!("engine {} ({}) runs {id} after {after}", self.id(), self.version()));
             let parts = call.header("ponddrift-prompt-prefix");
             let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
-            let is_bad = self.bad_part.is_some_and(|bad| shared.split(',').any(|part| part.starts_with(bad)));
+            let is_bad = self.crashes.load(Ordering::Relaxed) && self.bad_part.is_some_and(|bad| shared.split(',').any(|part| part.starts_with(bad)));
             thread::sleep(Duration::from_millis(20));
             if is_bad {
                 BAD_RUNS.lock().unwrap().push(Instant::now());
@@ -662,9 +698,10 @@
                 self.write_endless(&mut stream)?;
                 return Ok(());
             }
+            let version = self.version();
             for number in after + 1..=self.shape.events {
                 thread::sleep(self.shape.gap);
-                let event = format!("id: {number}\ndata: {} {number} {}\n\n", self.version, "x".repeat(60));
+                let event = format!("id: {number}\ndata: {} {number} {}\n\n", version, "x".repeat(60));
                 write!(stream, "{:x}\r\n{event}\r\n", event.len())?;
             }
             write!(stream, "0\r\n\r\n")?;
@@ -814,6 +851,10 @@
         false
     }
     fn engine(&self, number: u8, service: &'static str, version: &'static str, shape: StreamShape, bad_part: Option<&'static str>, endless: &Arc<AtomicBool>) -> io::Result<Arc<Engine>> {
+        self.changing_engine(number, service, version, None, shape, bad_part, endless)
+    }
+    #[allow(clippy::too_many_arguments)]
+    fn changing_engine(&self, number: u8, service: &'static str, version: &'static str, next_version: Option<&'static str>, shape: StreamShape, bad_part: Option<&'static str>, endless: &Arc<AtomicBool>) -> io::Result<Arc<Engine>> {
         let engine = Arc::new(Engine {
             name: format!("i-{number}"),
             service,
@@ -822,6 +863,8 @@
             address: SocketAddr::from((self.ip(100 + number), 8080)),
             shape,
             bad_part,
+            crashes: Arc::new(AtomicBool::new(true)),
+            next_version,
             endless: Arc::clone(endless),
             state: Mutex::new(EngineState { life: 1, stage: "decode", sequence: 0, up: false }),
             store: Arc::clone(&self.store),
@@ -992,6 +1035,11 @@
 
 include!("cases-2.rs");
 
+/// A number from the environment.
+fn number(name: &str, default: usize) -> usize {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
 fn main() {
     let case = std::env::args().nth(1).unwrap_or_default();
     watch();
@@ -999,7 +1047,9 @@
     let result = match case.as_str() {
         "origins" => origins(trouble),
         "memory" => memory(trouble),
-        "parts" => parts(trouble),
+        "same-id" => same_id(trouble),
+        "long-prompts" => parts(trouble, number("PARTS", 40), number("SOUND_BEFORE", 0) == 1),
+        "sound-before" => parts(trouble, number("PARTS", 5), number("SOUND_BEFORE", 1) == 1),
         _ => Err(io::Error::other("unknown case")),
     };
     let status = match result {
