--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -239,8 +239,10 @@
     let others = format!("5c000001:8,{rest}");
     let over = Arc::new(AtomicBool::new(false));
     let sound = Arc::new(Mutex::new((0_usize, 0_usize)));
+    // Many other requests, or a quiet hour.
+    let (sound_clients, sound_pause) = if sound_before { (2, Duration::from_millis(1_000)) } else { (8, Duration::from_millis(100)) };
     let mut clients = Vec::new();
-    for client in 0..8 {
+    for client in 0..sound_clients {
         let (site, over, sound, others) = (Arc::clone(&site), Arc::clone(&over), Arc::clone(&sound), others.clone());
         clients.push(thread::spawn(move || {
             let mut number = 0;
@@ -252,7 +254,7 @@
                 counts.0 += 1;
                 counts.1 += usize::from(outcome.is_complete);
                 drop(counts);
-                thread::sleep(Duration::from_millis(100));
+                thread::sleep(sound_pause);
             }
         }));
     }
@@ -351,3 +353,96 @@
     }
     Ok(joined <= 2)
 }
+
+// ---------------------------------------------------------------- a request that crashes engines
+
+/// One try of a plain request; returns its ID and the status, 0 without an answer.
+fn plain(address: SocketAddr, body: &str) -> (String, u16) {
+    let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed) | 0x9c41_0000_0000_0000);
+    let run = || -> io::Result<u16> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+        stream.set_read_timeout(Some(Duration::from_millis(1_500)))?;
+        let mut writer = stream.try_clone()?;
+        let head = format!("POST /pule/2f HTTP/1.1\r\nHost: ficu95.example\r\nPonddrift-Request-Id: {id}\r\nPonddrift-Deadline-Ms: 1000\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+        writer.write_all(head.as_bytes())?;
+        let mut reader = BufReader::new(stream);
+        let Some((first, _)) = read_headers(&mut reader)? else {
+            return Ok(0);
+        };
+        Ok(first.split(' ').nth(1).and_then(|word| word.parse().ok()).unwrap_or(0))
+    };
+    let status = run().unwrap_or(0);
+    (id, status)
+}
+
+/// A request crashes each of three engines that begins to run it, and comes again each second, at one
+/// machine after the other. The engines start again under their ids, or with `SAME_ID=0` under new ones.
+fn same_request(trouble: bool) -> io::Result<bool> {
+    let keeps_id = number("SAME_ID", 1) == 1;
+    let copies = number("COPIES", 1);
+    let site = Arc::new(Site::start(3, 260)?);
+    let log = Arc::clone(&site.log);
+    let calm = Arc::new(AtomicBool::new(false));
+    let shape = StreamShape { events: 4, gap: Duration::from_millis(10) };
+    let mut engines = Vec::new();
+    for number in 0..3 {
+        let engine = site.changing_engine(number, "app", "v1", keeps_id.then_some("v1"), shape, None, &calm)?;
+        engine.crashes.store(trouble, Ordering::Relaxed);
+        engines.push(engine);
+    }
+    site.configure(3_000, 150, 2);
+    let _daemons = new_daemons(&site)?;
+    thread::sleep(Duration::from_secs(4));
+    let over = Arc::new(AtomicBool::new(false));
+    let sound = Arc::new(Mutex::new((0_usize, 0_usize)));
+    let mut clients = Vec::new();
+    for client in 0..4 {
+        let (site, over, sound) = (Arc::clone(&site), Arc::clone(&over), Arc::clone(&sound));
+        clients.push(thread::spawn(move || {
+            let mut number = 0;
+            while !over.load(Ordering::Relaxed) {
+                number += 1;
+                let (_, status) = plain(site.callers(number % 3), &format!("posting {client}-{number}"));
+                let mut counts = sound.lock().unwrap();
+                counts.0 += 1;
+                counts.1 += usize::from(status == 200);
+                drop(counts);
+                thread::sleep(Duration::from_millis(100));
+            }
+        }));
+    }
+    let began = Instant::now();
+    let mut round = 0;
+    while began.elapsed() < Duration::from_secs(40) {
+        let tries: Vec<_> = (0..copies)
+            .map(|copy| {
+                let site = Arc::clone(&site);
+                thread::spawn(move || {
+                    let index = (round + copy) % 3;
+                    let (id, status) = plain(site.callers(index), CRASH_MARKER);
+                    site.log.line(&format!("the request as {id} at daemon {index}: status {status}"));
+                })
+            })
+            .collect();
+        for one in tries {
+            drop(one.join());
+        }
+        round += 1;
+        thread::sleep(Duration::from_millis(1_000));
+    }
+    over.store(true, Ordering::Relaxed);
+    for client in clients {
+        drop(client.join());
+    }
+    let crashes = CRASHES.lock().unwrap().clone();
+    let late = match crashes.get(2) {
+        Some(third) => BAD_RUNS.lock().unwrap().iter().filter(|run| **run > *third + CONTACT).count(),
+        None => 0,
+    };
+    let (sent, complete) = *sound.lock().unwrap();
+    log.say(&format!("engines keep their ids: {keeps_id}; crashes: {}; arrivals of the request later than contactMs after the third: {late}; other requests served: {complete} of {sent}", crashes.len()));
+    if complete == 0 {
+        return Err(io::Error::other("no other request was served"));
+    }
+    Ok(late <= 3)
+}
--- a/review/stand-ins-2.rs
+++ b/review/stand-ins-2.rs
@@ -496,6 +496,9 @@
     stage: &'static str,
     sequence: u64,
     up: bool,
+    /// Lives whose listener is closed: as when a process ends, nothing is accepted any more when its
+    /// connections close.
+    closed: u64,
 }
 
 struct Engine {
@@ -507,7 +510,7 @@
     shape: StreamShape,
     /// The part of a prompt on which it crashes as it begins to write.
     bad_part: Option<&'static str>,
-    /// From now on that part crashes it.
+    /// Whether that part, or a body with [`CRASH_MARKER`], crashes it.
     crashes: Arc<AtomicBool>,
     /// It starts again under the id that it had, with this version of its software.
     next_version: Option<&'static str>,
@@ -559,6 +562,8 @@
                 state.up && state.life == life
             };
             if !alive {
+                drop(listener);
+                engine.state.lock().unwrap().closed = life;
                 return;
             }
             match listener.accept() {
@@ -586,7 +591,8 @@
         let engine = Arc::clone(self);
         thread::spawn(move || {
             let old = engine.id();
-            let down = if engine.next_version.is_some() { SHORT_END } else { LONG_END };
+            let changes = engine.next_version.is_some_and(|next| next != engine.version);
+            let down = if changes { SHORT_END } else { LONG_END };
             thread::sleep(down);
             if engine.next_version.is_some() {
                 // Its entry stands: it is back before three heartbeats have passed. It writes at its
@@ -604,9 +610,13 @@
             drop(engine.start());
         });
     }
-    fn is_up(&self, life: u64) -> bool {
-        let state = self.state.lock().unwrap();
-        state.up && state.life == life
+    fn wait_closed(&self, life: u64) {
+        while !self.is_closed(life) {
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+    fn is_closed(&self, life: u64) -> bool {
+        self.state.lock().unwrap().closed >= life
     }
     fn serve(self: &Arc<Self>, stream: TcpStream, life: u64) -> io::Result<()> {
         stream.set_nodelay(true)?;
@@ -615,7 +625,7 @@
         let over = Arc::new(AtomicBool::new(false));
         let is_over = Arc::clone(&over);
         thread::spawn(move || {
-            while engine.is_up(life) && !is_over.load(Ordering::Relaxed) {
+            while !engine.is_closed(life) && !is_over.load(Ordering::Relaxed) {
                 thread::sleep(Duration::from_millis(5));
             }
             if !is_over.load(Ordering::Relaxed) {
@@ -681,11 +691,19 @@
             self.log.line(&format!("engine {} ({}) runs {id} after {after}", self.id(), self.version()));
             let parts = call.header("ponddrift-prompt-prefix");
             let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
+            if self.crashes.load(Ordering::Relaxed) && String::from_utf8_lossy(&call.body).contains(CRASH_MARKER) {
+                thread::sleep(Duration::from_millis(20));
+                BAD_RUNS.lock().unwrap().push(Instant::now());
+                self.crash(life);
+                self.wait_closed(life);
+                return Ok(());
+            }
             let is_bad = self.crashes.load(Ordering::Relaxed) && self.bad_part.is_some_and(|bad| shared.split(',').any(|part| part.starts_with(bad)));
             thread::sleep(Duration::from_millis(20));
             if is_bad {
                 BAD_RUNS.lock().unwrap().push(Instant::now());
                 self.crash(life);
+                self.wait_closed(life);
                 return Ok(());
             }
             let signed = format!("{named}Ponddrift-Response-Signature: s.{}.{id}\r\nPonddrift-Weights-Version: 1\r\n", self.id());
@@ -866,7 +884,7 @@
             crashes: Arc::new(AtomicBool::new(true)),
             next_version,
             endless: Arc::clone(endless),
-            state: Mutex::new(EngineState { life: 1, stage: "decode", sequence: 0, up: false }),
+            state: Mutex::new(EngineState { life: 1, stage: if service == "app" { "" } else { "decode" }, sequence: 0, up: false, closed: 0 }),
             store: Arc::clone(&self.store),
             log: Arc::clone(&self.log),
         });
@@ -876,8 +894,9 @@
     fn configure(&self, timeout_ms: u64, gap_ms: u64, attempts: u64) {
         let text = format!(
             "{{\"version\":1,\"routes\":[{{\"name\":\"r\",\"host\":\"ficu95.example\",\"pathPrefix\":\"/lohu/\",\"type\":\"streaming\",\"service\":\"llm\",\
-             \"timeoutMs\":{timeout_ms},\"targetLatencyMs\":500,\"targetGapMs\":{gap_ms},\"maxAttempts\":{attempts},\"priority\":1,\"sessionAffinity\":true,\"resumable\":true}}],\
-             \"services\":[{{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConnections\":300,\"engine\":{{\"slots\":48,\"kvCapacityTokens\":495255,\"tokenKvBytes\":163840,\"linkMbps\":1900000.0,\"kvHoldS\":5.0,\"roleSwitchS\":0.81,\"models\":[{{\"name\":\"m\"}}]}}}}],\
+             \"timeoutMs\":{timeout_ms},\"targetLatencyMs\":500,\"targetGapMs\":{gap_ms},\"maxAttempts\":{attempts},\"priority\":1,\"sessionAffinity\":true,\"resumable\":true}},\
+             {{\"name\":\"p\",\"host\":\"ficu95.example\",\"pathPrefix\":\"/pule/\",\"type\":\"safe\",\"service\":\"app\",\"timeoutMs\":1000,\"targetLatencyMs\":150,\"maxAttempts\":2,\"priority\":2}}],\
+             \"services\":[{{\"name\":\"llm\",\"healthPath\":\"/health\",\"maxConnections\":300,\"engine\":{{\"slots\":48,\"kvCapacityTokens\":495255,\"tokenKvBytes\":163840,\"linkMbps\":1900000.0,\"kvHoldS\":5.0,\"roleSwitchS\":0.81,\"models\":[{{\"name\":\"m\"}}]}}}},{{\"name\":\"app\",\"healthPath\":\"/health\",\"maxConnections\":110}}],\
              \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":1048576,\"headerTimeoutMs\":5000,\"idleTimeoutMs\":15000}}}}"
         );
         self.store.put("op/config", &text);
@@ -944,6 +963,8 @@
 
 // ---------------------------------------------------------------- clients
 
+/// What the body of a request holds that crashes engines.
+const CRASH_MARKER: &str = "ends the engine";
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 struct Request {
@@ -1047,6 +1068,7 @@
     let result = match case.as_str() {
         "origins" => origins(trouble),
         "memory" => memory(trouble),
+        "same-request" => same_request(trouble),
         "same-id" => same_id(trouble),
         "long-prompts" => parts(trouble, number("PARTS", 40), number("SOUND_BEFORE", 0) == 1),
         "sound-before" => parts(trouble, number("PARTS", 5), number("SOUND_BEFORE", 1) == 1),
