--- a/review/stand-ins-2.rs
+++ b/review/stand-ins-2.rs
@@ -595,12 +595,14 @@
             let down = if changes { SHORT_END } else { LONG_END };
             thread::sleep(down);
             if engine.next_version.is_some() {
-                // Its entry stands: it is back before three heartbeats have passed. It writes at its
-                // next heartbeat.
+                // Its entry stands: it is back before three heartbeats have passed. With other software it
+                // writes at its next heartbeat, else at once.
                 engine.state.lock().unwrap().life += 1;
                 drop(engine.listen());
                 engine.log.line(&format!("engine {} is back with {}", engine.id(), engine.version()));
-                thread::sleep(HEARTBEAT);
+                if changes {
+                    thread::sleep(HEARTBEAT);
+                }
                 engine.record();
                 engine.log.line(&format!("engine {} writes its entry", engine.id()));
                 return;
