--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -20,10 +20,12 @@
 // ---------------------------------------------------------------- streams and a rolling restart
 
 /// Long streams of clients at the daemon that is restarted last. Each client takes its stream up when
-/// its connection ends early.
+/// its connection ends early. With `KILL=1` all daemons are killed at once in place of the rolling
+/// restart, and the streams are spread over them.
 fn origins(trouble: bool) -> io::Result<bool> {
     const STREAMS: usize = 24;
     const GAP: Duration = Duration::from_millis(1_000);
+    const KILL_AFTER: Duration = Duration::from_millis(3_000);
     let site = Arc::new(Site::start(4, 260)?);
     let log = Arc::clone(&site.log);
     let calm = Arc::new(AtomicBool::new(false));
@@ -37,6 +39,7 @@
     let daemons = Arc::new(Mutex::new(new_daemons(&site)?));
     thread::sleep(Duration::from_secs(6));
     let last = site.daemons - 1;
+    let kills = number("KILL", 0) == 1;
     let started: Arc<Mutex<Vec<Instant>>> = Arc::new(Mutex::new(vec![Instant::now() - Duration::from_secs(6); site.daemons]));
     let stopping: Arc<Mutex<Vec<bool>>> = Arc::new(Mutex::new(vec![false; site.daemons]));
 
@@ -53,8 +56,9 @@
             // Without the disruption, the client's own connection ends when the others' would.
             let first_ms = if trouble { 15_000 } else { 10_900 };
             let parts = format!("5c1e07a2:55,91bd3f06:37,o{number}:291");
-            let first = attempt_until(site.callers(last), &Request { deadline_ms: 15_000, parts: parts.clone(), resumes: String::new(), after: 0 }, first_ms);
-            site.log.line(&format!("client {number} first try {} at daemon {last}: status {}, last event {}, complete {}", first.id, first.status, first.last_event, first.is_complete));
+            let home = if kills { number % site.daemons } else { last };
+            let first = attempt_until(site.callers(home), &Request { deadline_ms: 15_000, parts: parts.clone(), resumes: String::new(), after: 0 }, first_ms);
+            site.log.line(&format!("client {number} first try {} at daemon {home}: status {}, last event {}, complete {}", first.id, first.status, first.last_event, first.is_complete));
             let (origin, mut known) = (first.id.clone(), first);
             let mut versions = known.versions.clone();
             for retry in 0..3 {
@@ -64,12 +68,18 @@
                 if retry > 0 {
                     thread::sleep(Duration::from_secs_f64(known.retry_after.max(0.05)).min(left() / 3));
                 }
-                let chosen = (0..last).map(|step| (number + retry + step) % last).find(|index| {
-                    !stopping.lock().unwrap()[*index] && started.lock().unwrap()[*index].elapsed() > CONTACT && site.is_ready(*index)
-                });
-                let Some(index) = chosen else {
+                let in_touch = || {
+                    (0..last).map(|step| (number + retry + step) % last).find(|index| {
+                        !stopping.lock().unwrap()[*index] && started.lock().unwrap()[*index].elapsed() > CONTACT && site.is_ready(*index)
+                    })
+                };
+                let mut chosen = in_touch();
+                while chosen.is_none() && left() > Duration::from_millis(200) {
                     thread::sleep(Duration::from_millis(100));
-                    continue;
+                    chosen = in_touch();
+                }
+                let Some(index) = chosen else {
+                    break;
                 };
                 let deadline_ms = left().as_millis() as u64;
                 let next = attempt(site.callers(index), &Request { deadline_ms, parts: parts.clone(), resumes: origin.clone(), after: known.last_event });
@@ -100,11 +110,16 @@
         let (site, daemons) = (Arc::clone(&site), Arc::clone(&daemons));
         let (started, stopping) = (Arc::clone(&started), Arc::clone(&stopping));
         rolls.push(thread::spawn(move || {
-            thread::sleep(GAP * index as u32);
+            if kills {
+                thread::sleep(KILL_AFTER);
+            } else {
+                thread::sleep(GAP * index as u32);
+            }
             let mut child = daemons.lock().unwrap().0[index].take().expect("it runs");
             stopping.lock().unwrap()[index] = true;
-            site.log.line(&format!("SIGTERM to daemon {index}"));
-            signal(child.id(), SIGTERM);
+            let (name, number) = if kills { ("SIGKILL", SIGKILL) } else { ("SIGTERM", SIGTERM) };
+            site.log.line(&format!("{name} to daemon {index}"));
+            signal(child.id(), number);
             let until = Instant::now() + Duration::from_secs(8);
             while matches!(child.try_wait(), Ok(None)) {
                 if Instant::now() > until {
