--- a/crates/serve/tests/odd_entries.rs
+++ b/crates/serve/tests/odd_entries.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 
-use support::{Fleet, FleetOptions};
+use serde_json::{Value, json};
+use support::{Fleet, FleetOptions, RECORDS, routes};
 
 /// Requests to each daemon.
 const ROUNDS: usize = 5;
@@ -62,3 +63,146 @@
         assert_served(&mut fleet, text);
     }
 }
+
+/// A proper value, with the address of a back end that has an entry of its own.
+fn proper_value(fleet: &Fleet) -> Value {
+    json!({
+        "service": RECORDS, "address": fleet.records[0].address().to_string(), "zone": "a",
+        "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": 0,
+    })
+}
+
+/// Writes entries, and asserts that requests are served by others while they stand, before and after
+/// a restart, and that later changes are followed.
+fn assert_left_out(case: &str, entries: impl FnOnce(&Fleet) -> Vec<(String, Vec<u8>)>) {
+    let mut fleet = fleet();
+    let entries = entries(&fleet);
+    for (key, value) in &entries {
+        fleet.store.put(key, value.clone());
+    }
+    fleet.wait(READ_TIME);
+    assert_served(&mut fleet, case);
+    restart_all_daemons(&mut fleet);
+    assert_served(&mut fleet, case);
+    for daemon in 0..fleet.daemons.len() {
+        let unusable = fleet.metric(daemon, "ponddrift_unusable_back_end_entries");
+        #[expect(clippy::cast_precision_loss, reason = "a few entries")]
+        let expected = entries.len() as f64;
+        assert!(unusable == expected, "{case:?}: {unusable} left out");
+    }
+    let mut later_routes = routes();
+    later_routes.retain(|route| route.name != "post");
+    fleet.configure(2, &later_routes);
+    fleet.wait(READ_TIME);
+    for daemon in 0..fleet.daemons.len() {
+        let version = fleet.metric(daemon, "ponddrift_configuration_version");
+        assert!(version == 2.0, "{case:?}: configuration {version} in force");
+    }
+}
+
+/// Guards against requests for an instance whose name cannot be sent, or that no back end has.
+#[test]
+fn entries_under_names_that_no_back_end_has_are_left_out() {
+    for name in RESERVED_TEXTS.into_iter().chain(["/", ":", "\u{7f}"]) {
+        assert_left_out(name, |fleet| {
+            let value = proper_value(fleet).to_string().into_bytes();
+            let keys = (0..5).map(|number| format!("servers/odd{name}{number}"));
+            keys.map(|key| (key, value.clone())).collect()
+        });
+    }
+    assert_left_out("no name", |fleet| {
+        let value = proper_value(fleet).to_string().into_bytes();
+        vec![(String::from("servers/"), value)]
+    });
+}
+
+/// Guards against connections to addresses that no back end can have.
+#[test]
+fn entries_with_addresses_that_no_back_end_has_are_left_out() {
+    for address in [
+        "10.0.1.1:0",
+        "10.0.1.1:65536",
+        "10.0.1.1:-1",
+        "10.0.1.1",
+        "0.0.0.0:8080",
+        "255.255.255.255:8080",
+        "224.0.0.1:8080",
+        "[::]:8080",
+        "localhost:8080",
+        "",
+    ] {
+        assert_left_out(address, |fleet| {
+            let mut value = proper_value(fleet);
+            value["address"] = json!(address);
+            vec![(String::from("servers/odd"), value.to_string().into())]
+        });
+    }
+}
+
+/// Guards against values that end the process, or that end the following of the store.
+#[test]
+fn values_that_cannot_be_read_are_left_out() {
+    /// Deeper than a thread's stack if each level took a call.
+    const DEPTH: usize = 100_000;
+    let nested = "[".repeat(DEPTH) + &"]".repeat(DEPTH);
+    let unclosed = "{\"a\":".repeat(DEPTH);
+    let field = |name: &str, value: &str| {
+        format!(
+            r#"{{"service":"records","address":"10.0.1.1:8080","zone":"a","state":"ready",
+                "{name}":{value}}}"#
+        )
+    };
+    let long = format!("\"{}\"", "x".repeat(900_000));
+    for (case, value) in [
+        ("nested", nested.clone()),
+        ("not closed", unclosed),
+        ("nested cold time", field("coldRemainingMs", &nested)),
+        ("nested slots", field("slots", &nested)),
+        ("large slots", field("slots", "4294967296")),
+        ("infinite slots", field("slots", "1e999")),
+        ("negative slots", field("slots", "-1")),
+        ("large start time", field("born", "18446744073709551616")),
+        ("text as start time", field("born", "\"now\"")),
+        ("unknown state", field("state", "\"resting\"")),
+        ("unknown stage", field("stage", "\"resting\"")),
+        ("number as version", field("version", "7")),
+        ("long version", field("version", &long)),
+        ("version with a line break", field("version", r#""a\nb""#)),
+        ("two zones", field("zone", "\"b\"")),
+        ("empty", String::new()),
+        ("null", String::from("null")),
+    ] {
+        assert_left_out(case, |_fleet| {
+            vec![(String::from("servers/odd"), value.into_bytes())]
+        });
+    }
+    assert_left_out("no text", |_fleet| {
+        vec![(String::from("servers/odd"), vec![0xff, 0xfe, 0])]
+    });
+}
+
+/// Guards against daemons that nobody can reach among those that share work.
+#[test]
+fn entries_of_daemons_that_cannot_be_reached_are_left_out() {
+    let mut fleet = fleet();
+    // Time for the daemons to update their metrics.
+    fleet.wait(READ_TIME);
+    let daemons = fleet.metric(0, "ponddrift_daemons");
+    for (number, address) in ["10.0.2.9:0", "10.0.2.9:65536", "0.0.0.0:7660", "none"]
+        .into_iter()
+        .enumerate()
+    {
+        let value = json!({"zone": "a", "address": address, "linkMbps": 1000});
+        let key = format!("ponddrift/daemons/odd-{number}");
+        fleet.store.put(&key, value.to_string());
+    }
+    let value = json!({"zone": "a\nb", "address": "10.0.2.9:7660", "linkMbps": 1000});
+    fleet
+        .store
+        .put("ponddrift/daemons/odd-zone", value.to_string());
+    fleet.wait(READ_TIME);
+    assert!(fleet.metric(0, "ponddrift_daemons") == daemons);
+    restart_all_daemons(&mut fleet);
+    assert_served(&mut fleet, "daemons");
+    assert!(fleet.metric(0, "ponddrift_daemons") == daemons);
+}
