Refuse answers whose status is not 200 to 599

Cause: the HTTP library accepts 100 to 999 and takes 101 for an upgrade that nobody asked for.

Change: Connections::exchange, through which all calls go, checks the status of the final answer. An invalid one closes the connection; the request may have run.

Why it works: there is one place where heads of answers arrive, and the check is there.

--- a/crates/serve/tests/processes/back_end.rs
+++ b/crates/serve/tests/processes/back_end.rs
@@ -21,6 +21,13 @@
     pub head: String,
 }
 
+/// What a back end reads before its script runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reading {
+    WholeRequest,
+    Head,
+}
+
 /// A back end on loopback.
 pub struct RawBackEnd {
     id: String,
@@ -42,6 +49,23 @@
     /// Starts a back end that answers health checks, and hands the connection of every other request
     /// to `script`. The connection closes when the script returns `None`.
     pub async fn start<S, F>(id: &str, script: S) -> Self
+    where
+        S: Fn(BackEndRequest, TcpStream) -> F + Send + Sync + 'static,
+        F: Future<Output = Option<TcpStream>> + Send + 'static,
+    {
+        Self::start_reading(id, Reading::WholeRequest, script).await
+    }
+
+    /// Like [`Self::start`]; the script gets the connection before the body of the request was read.
+    pub async fn start_before_bodies<S, F>(id: &str, script: S) -> Self
+    where
+        S: Fn(BackEndRequest, TcpStream) -> F + Send + Sync + 'static,
+        F: Future<Output = Option<TcpStream>> + Send + 'static,
+    {
+        Self::start_reading(id, Reading::Head, script).await
+    }
+
+    async fn start_reading<S, F>(id: &str, reading: Reading, script: S) -> Self
     where
         S: Fn(BackEndRequest, TcpStream) -> F + Send + Sync + 'static,
         F: Future<Output = Option<TcpStream>> + Send + 'static,
@@ -64,7 +88,7 @@
                 let (identity, script) = (identity.clone(), Arc::clone(&script));
                 open.fetch_add(1, Ordering::Relaxed);
                 tokio::spawn(async move {
-                    serve(stream, &identity, &requests, &*script).await;
+                    serve(stream, &identity, reading, &requests, &*script).await;
                     open.fetch_sub(1, Ordering::Relaxed);
                 });
             }
@@ -109,6 +133,7 @@
 async fn serve<S, F>(
     mut stream: TcpStream,
     identity: &str,
+    reading: Reading,
     requests: &Mutex<Vec<BackEndRequest>>,
     script: &S,
 ) where
@@ -116,7 +141,7 @@
     F: Future<Output = Option<TcpStream>>,
 {
     loop {
-        let Some(head) = read_request(&mut stream).await else {
+        let Some(head) = read_request(&mut stream, reading).await else {
             return;
         };
         if head.contains(" /health ") {
@@ -141,13 +166,16 @@
     }
 }
 
-/// Reads one request with its body; `None` if the connection ends.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+/// Reads one request; `None` if the connection ends.
+async fn read_request(stream: &mut TcpStream, reading: Reading) -> Option<String> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(stream.read_u8().await.ok()?);
     }
     let head = String::from_utf8(head).ok()?;
+    if reading == Reading::Head {
+        return Some(head);
+    }
     let length = header(&head, "content-length").and_then(|text| text.parse().ok());
     let mut body = vec![0; length.unwrap_or(0)];
     stream.read_exact(&mut body).await.ok()?;
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -3,12 +3,13 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, header};
+use http::{HeaderMap, Request, Response, StatusCode, header, response};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -99,6 +100,35 @@
     Broken(hyper::Error),
     /// The back end sent more than [`MAX_INFORMATIONAL_ANSWERS`] informational answers and no other.
     InformationalOnly,
+    /// What the back end sent is not a valid answer to the request.
+    Invalid(InvalidAnswer),
+}
+
+/// Why an answer is not valid although its head can be parsed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InvalidAnswer {
+    /// Its status is not one of a final answer, which are 200 to 599. 101 would end the use of HTTP,
+    /// which no request asks for.
+    Status(StatusCode),
+}
+
+impl InvalidAnswer {
+    /// Name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Status(_) => "invalid_status",
+        }
+    }
+}
+
+/// Checks what the HTTP library accepts although it is no valid final answer.
+fn check_head(head: &response::Parts) -> Result<(), InvalidAnswer> {
+    const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+    if !FINAL_STATUSES.contains(&head.status.as_u16()) {
+        return Err(InvalidAnswer::Status(head.status));
+    }
+    Ok(())
 }
 
 /// Why a call got no complete answer.
@@ -133,7 +163,8 @@
             }
             ExchangeError::NotSent(NotSent::Exhausted)
             | ExchangeError::Broken(_)
-            | ExchangeError::InformationalOnly => Self::Broken,
+            | ExchangeError::InformationalOnly
+            | ExchangeError::Invalid(_) => Self::Broken,
         }
     }
 }
@@ -369,8 +400,10 @@
             match sent {
                 Ok(response) => {
                     self.record_answer(&connection);
+                    let (head, body) = response.into_parts();
+                    check_head(&head).map_err(ExchangeError::Invalid)?;
                     return Ok(Reply {
-                        response,
+                        response: Response::from_parts(head, body),
                         connection,
                     });
                 }
