Refuse answers with a transfer coding other than chunked

What callers saw: the coded bytes of an answer with Transfer-Encoding gzip or identity as its body, under the back end's signature and without the field.

Cause: the HTTP library removes only chunked, and the field is dropped with the other fields of the connection.

Change: an exchange accepts Transfer-Encoding only as chunked, once, and without Content-Length.

Evidence, on aarch64: answers_with_a_transfer_coding_that_is_not_removed_are_not_passed_on failed before (200 with the coded body) and passes with six kinds on three routes.

Why it works: what remains is either not coded or decoded by the library.

--- a/crates/serve/tests/invalid_answers.rs
+++ b/crates/serve/tests/invalid_answers.rs
@@ -138,3 +138,43 @@
         }
     }
 }
+
+/// A body is the back end's own only if its coding is removed, or there is none.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_with_a_transfer_coding_that_is_not_removed_are_not_passed_on() {
+    let _alone = run_alone().await;
+    let lines: [&[u8]; 6] = [
+        b"transfer-encoding: gzip\r\n",
+        b"transfer-encoding: identity\r\n",
+        b"transfer-encoding: gzip, chunked\r\n\r\nf\r\n",
+        b"transfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n\r\nf\r\n",
+        b"transfer-encoding: chunked, chunked\r\n\r\nf\r\n",
+        b"transfer-encoding: chunked\r\ncontent-length: 15\r\n\r\nf\r\n",
+    ];
+    for lines in lines {
+        let (_platform, back_ends, daemon) = daemon_with(move |request, mut stream| async move {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nponddrift-request-id: {}\r\n\
+                 ponddrift-response-signature: signed-by-raw\r\n",
+                request.id
+            );
+            let is_chunked = lines.windows(4).any(|bytes| bytes == b"\r\n\r\n");
+            let body: &[u8] = if is_chunked {
+                b"id: 1\ndata: a\n\n\r\n0\r\n\r\n"
+            } else {
+                b"\r\nid: 1\ndata: a\n\n"
+            };
+            let bytes = [head.as_bytes(), lines, body].concat();
+            stream.write_all(&bytes).await.ok()?;
+            stream.shutdown().await.ok()?;
+            let mut rest = Vec::new();
+            stream.read_to_end(&mut rest).await.ok()?;
+            None
+        })
+        .await;
+        for (route, answer) in ask_each_route(&daemon, &back_ends, "question").await {
+            let case = format!("{:?} on {route}", String::from_utf8_lossy(lines));
+            assert_own_failure(answer.as_ref(), &case);
+        }
+    }
+}
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -110,6 +110,9 @@
     /// Its status is not one of a final answer, which are 200 to 599. 101 would end the use of HTTP,
     /// which no request asks for.
     Status(StatusCode),
+    /// Its body has a transfer coding other than `chunked`, which would be passed on as if it were the
+    /// content, or a length beside the coding.
+    TransferCoding,
 }
 
 impl InvalidAnswer {
@@ -118,6 +121,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Self::Status(_) => "invalid_status",
+            Self::TransferCoding => "invalid_transfer_coding",
         }
     }
 }
@@ -128,6 +132,14 @@
     if !FINAL_STATUSES.contains(&head.status.as_u16()) {
         return Err(InvalidAnswer::Status(head.status));
     }
+    let mut codings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
+    let Some(first) = codings.next() else {
+        return Ok(());
+    };
+    let is_chunked = first.as_bytes().eq_ignore_ascii_case(b"chunked") && codings.next().is_none();
+    if !is_chunked || head.headers.contains_key(header::CONTENT_LENGTH) {
+        return Err(InvalidAnswer::TransferCoding);
+    }
     Ok(())
 }
 
