Do not take an early end of the connection for the end of an answer

What callers saw: a part of an answer as a complete one, if the back end answered an upload early with a 200 without a length and closed the connection, refusing the rest of the upload.

Cause: a body without a length ends with its connection, and the close arrived before the reset. A relaying peer reported a proper end although it still held bytes of the request.

Change: BackEndStream turns the end of a connection into a reset while a request is being written. The relay omits its last frame in that case.

Why it works: whoever has not taken the request can't have answered it completely, and the state of the writing side is known where the end is read.

--- a/crates/serve/tests/invalid_answers.rs
+++ b/crates/serve/tests/invalid_answers.rs
@@ -2,6 +2,8 @@
 
 mod processes;
 
+use std::time::Duration;
+
 use ponddrift_platform_stand_ins::{Answer, ClientRequest, ClientStandIn};
 use ponddrift_runtime::Runtime;
 use processes::{
@@ -9,7 +11,7 @@
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Routes of a request that must not be repeated, of one that may be, and of a stream.
 const ROUTES: [&str; 3] = ["post", "fetch", "tag"];
@@ -178,3 +180,50 @@
         }
     }
 }
+
+/// How a back end ends its connection in the middle of its answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// With a reset.
+    Reset,
+    /// With a reset after the request has been written in part.
+    ResetLater,
+    /// It closes the connection, whose remaining bytes are then refused.
+    Close,
+}
+
+/// An answer that has no length looks complete when its connection is closed. One that ends while
+/// its request is still being written is not.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_without_length_that_ends_before_its_request_was_written_is_not_whole() {
+    /// More than the buffers of a connection hold.
+    const UPLOAD_BYTES: usize = 24 << 20;
+    let _alone = run_alone().await;
+    for end in [End::Reset, End::ResetLater, End::Close] {
+        let (_platform, back_ends, daemon) = daemon_with(move |request, mut stream| async move {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nponddrift-request-id: {}\r\n\
+                 ponddrift-response-signature: signed-by-raw\r\n\r\nid: 1\ndata: a\n\n",
+                request.id
+            );
+            stream.write_all(head.as_bytes()).await.ok()?;
+            if end == End::ResetLater {
+                sleep(Duration::from_millis(300)).await;
+            }
+            if end == End::Close {
+                stream.shutdown().await.ok()?;
+                sleep(Duration::from_millis(300)).await;
+            }
+            // Unread bytes make the close a reset.
+            None
+        })
+        .await;
+        let body = "x".repeat(UPLOAD_BYTES);
+        for (route, answer) in ask_each_route(&daemon, &back_ends, &body).await {
+            let is_whole = answer
+                .as_ref()
+                .is_some_and(|answer| answer.status.is_success() && answer.is_complete);
+            assert!(!is_whole, "{end:?} on {route}: {answer:?}");
+        }
+    }
+}
--- a/crates/serve/tests/relayed_connections.rs
+++ b/crates/serve/tests/relayed_connections.rs
@@ -383,3 +383,100 @@
     bytes.extend(query);
     bytes
 }
+
+/// Address of the back end of [`early_answering_back_end`].
+const EARLY_ADDRESS: ([u8; 4], u16) = ([10, 0, 1, 200], 8_080);
+
+/// Answers requests whose IDs begin with `early` before it has read their bodies, with a part of an
+/// answer without a length, and closes the connection. Answers others properly.
+async fn answer_early(mut stream: ponddrift_runtime::BoxedStream) -> std::io::Result<()> {
+    loop {
+        let mut head = Vec::new();
+        while !head.ends_with(b"\r\n\r\n") {
+            head.push(stream.read_u8().await?);
+        }
+        let head = String::from_utf8_lossy(&head).to_lowercase();
+        let field = |name: &str| {
+            let mut lines = head.lines();
+            let value = lines.find_map(|line| line.strip_prefix(name));
+            value.unwrap_or_default().trim().to_owned()
+        };
+        let id = field("ponddrift-request-id:");
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nponddrift-request-id: {id}\r\nponddrift-instance-id: raw\r\n\
+             ponddrift-response-signature: signed-by-raw\r\n"
+        );
+        if id.starts_with("early") {
+            let answer = answer + "\r\na part";
+            stream.write_all(answer.as_bytes()).await?;
+            stream.shutdown().await?;
+            sleep(Duration::from_millis(300)).await;
+            // Closing with unread bytes resets the connection.
+            return Ok(());
+        }
+        let length = field("content-length:").parse().unwrap_or(0);
+        stream.read_exact(&mut vec![0; length]).await?;
+        let answer = answer + "content-length: 0\r\n\r\n";
+        stream.write_all(answer.as_bytes()).await?;
+    }
+}
+
+/// Three daemons, the first of which is cut from the only plain back end.
+fn early_answering_back_end() -> Fleet {
+    let (ip, port) = EARLY_ADDRESS;
+    let address = SocketAddr::from((ip, port));
+    let mut fleet = Fleet::new(FleetOptions {
+        daemons: 3,
+        records: 0,
+        prefill: 0,
+        decode: 3,
+        ..FleetOptions::default()
+    });
+    let host = fleet
+        .simulation
+        .add_host(host_spec("raw", ip), move |runtime| async move {
+            let listener = runtime.network.listen(address).await;
+            let listener = listener.expect("a free address");
+            loop {
+                let (stream, _peer) = listener.accept().await.expect("a connection");
+                runtime.spawner.spawn(Box::pin(async move {
+                    drop(answer_early(stream).await);
+                }));
+            }
+        });
+    fleet.records_hosts.push(host);
+    let entry = format!(
+        r#"{{"service":"records","address":"{address}","zone":"a","slots":8,"state":"ready"}}"#
+    );
+    fleet.store.put("servers/raw", entry);
+    fleet.wait(Duration::from_millis(300));
+    fleet
+}
+
+/// Guards against a peer that reports a proper end of a connection although it could not forward the
+/// whole request.
+#[test]
+fn a_relayed_answer_that_ends_before_its_request_was_written_is_not_whole() {
+    /// More than the engine's window of 256 KiB; the rest fits into that of the relaying daemon.
+    const UPLOAD_BYTES: usize = 400 << 10;
+    let mut fleet = early_answering_back_end();
+    let mut configuration: serde_json::Value =
+        serde_json::from_str(&support::configuration(2, &support::routes())).expect("valid JSON");
+    configuration["limits"]["maxBodyBytes"] = serde_json::json!(1 << 20);
+    fleet.store.put("op/config", configuration.to_string());
+    cut_first_daemon(&mut fleet);
+    let relayed_before = relay_answers(&mut fleet);
+    for route in ["post", "fetch"] {
+        let request = ClientRequest {
+            body: "x".repeat(UPLOAD_BYTES),
+            ..ClientRequest::plain(&format!("early-{route}"), route)
+        };
+        let answer = ask(&mut fleet, &request);
+        assert_eq!(
+            answer.status,
+            StatusCode::BAD_GATEWAY,
+            "{route}: {answer:?}"
+        );
+    }
+    assert!(relay_answers(&mut fleet) > relayed_before, "it was relayed");
+}
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -20,6 +20,7 @@
 use tokio::sync::Notify;
 
 use crate::back_end_paths::{BackEndPaths, CONNECT_TIMEOUT, OpenedStream, Unreachable, connect};
+use crate::back_end_stream::BackEndStream;
 use crate::metrics::Metrics;
 use crate::pipeline::SendPermit;
 use crate::time::now;
@@ -511,7 +512,7 @@
         let opened = opened.map_err(|error| ExchangeError::NotSent(NotSent::Unreachable(error)))?;
         connection.relay = opened.relay;
         let handshake = http1::Builder::new()
-            .handshake::<_, Body>(TokioIo::new(opened.stream))
+            .handshake::<_, Body>(TokioIo::new(BackEndStream::new(opened.stream)))
             .await;
         let (sender, driver) = handshake.map_err(ExchangeError::Broken)?;
         self.record_opening(now().saturating_duration_since(started_at));
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod back_end_index;
 pub mod back_end_paths;
+mod back_end_stream;
 pub mod capacity;
 mod changed;
 pub mod connections;
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -187,15 +188,23 @@
     back_ends.is_empty() || results.iter().any(Result::is_ok)
 }
 
-/// When bytes were last forwarded in either direction.
-struct LastActivity(Mutex<Instant>);
+/// What the two directions of a relayed connection tell each other.
+struct ForwardState {
+    /// When bytes were last forwarded in either direction.
+    last_activity: Mutex<Instant>,
+    /// Whether bytes of the peer have not been handed to the operating system yet.
+    is_writing_request: AtomicBool,
+}
 
-impl LastActivity {
+impl ForwardState {
     fn start() -> Self {
-        Self(Mutex::new(now()))
+        Self {
+            last_activity: Mutex::new(now()),
+            is_writing_request: AtomicBool::new(false),
+        }
     }
 
-    fn record(&self) {
+    fn record_activity(&self) {
         *self.lock() = now();
     }
 
@@ -211,7 +220,9 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Instant> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.last_activity
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -222,14 +233,14 @@
 ) -> io::Result<()> {
     let (mut from_peer, mut to_peer) = tokio::io::split(peer);
     let (mut from_back_end, mut to_back_end) = tokio::io::split(back_end);
-    let activity = LastActivity::start();
+    let state = ForwardState::start();
     tokio::select! {
         biased;
-        requests = forward_requests(&mut from_peer, &mut to_back_end, pipeline, &activity) => {
+        requests = forward_requests(&mut from_peer, &mut to_back_end, pipeline, &state) => {
             return requests;
         }
-        answers = forward_answers(&mut from_back_end, &mut to_peer, pipeline, &activity) => answers?,
-        () = activity.idle() => return Err(io::Error::from(io::ErrorKind::TimedOut)),
+        answers = forward_answers(&mut from_back_end, &mut to_peer, pipeline, &state) => answers?,
+        () = state.idle() => return Err(io::Error::from(io::ErrorKind::TimedOut)),
     }
     // The peer still reads the last bytes: closing with unread bytes of its own would reset them.
     to_peer.shutdown().await?;
@@ -244,7 +255,7 @@
     from_peer: &mut ReadHalf<BoxedStream>,
     to_back_end: &mut WriteHalf<BoxedStream>,
     pipeline: &Arc<Pipeline>,
-    activity: &LastActivity,
+    state: &ForwardState,
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
@@ -252,27 +263,33 @@
         if length == 0 {
             return Ok(());
         }
-        record_forwarded(pipeline, activity, length);
+        record_forwarded(pipeline, state, length);
+        state.is_writing_request.store(true, Ordering::Relaxed);
         to_back_end.write_all(&buffer[..length]).await?;
         to_back_end.flush().await?;
+        state.is_writing_request.store(false, Ordering::Relaxed);
     }
 }
 
 /// Forwards the back end's bytes in frames until it closes the connection, and says so in a last
-/// frame. Without it the peer knows that the answer is not complete.
+/// frame. Without it the peer knows that the answer is not complete, as when the back end closes the
+/// connection before it has taken the request.
 async fn forward_answers(
     from_back_end: &mut ReadHalf<BoxedStream>,
     to_peer: &mut WriteHalf<BoxedStream>,
     pipeline: &Arc<Pipeline>,
-    activity: &LastActivity,
+    state: &ForwardState,
 ) -> io::Result<()> {
     let mut buffer = vec![0; FRAME_HEADER_BYTES + BUFFER_BYTES];
     loop {
         let length = from_back_end
             .read(&mut buffer[FRAME_HEADER_BYTES..])
             .await?;
+        if length == 0 && state.is_writing_request.load(Ordering::Relaxed) {
+            return Err(io::Error::from(io::ErrorKind::ConnectionReset));
+        }
         buffer[..FRAME_HEADER_BYTES].copy_from_slice(&frame_header(length));
-        record_forwarded(pipeline, activity, length);
+        record_forwarded(pipeline, state, length);
         to_peer
             .write_all(&buffer[..FRAME_HEADER_BYTES + length])
             .await?;
@@ -283,7 +300,7 @@
     }
 }
 
-fn record_forwarded(pipeline: &Arc<Pipeline>, activity: &LastActivity, length: usize) {
-    activity.record();
+fn record_forwarded(pipeline: &Arc<Pipeline>, state: &ForwardState, length: usize) {
+    state.record_activity();
     pipeline.placement().link.record_send(length, now());
 }
