Do not use handles that cannot be sent to another engine

Cause: the handle in the answer of a prefill engine went as it was into a field of the next request and into the target of the call that releases it. One that no field can hold was left out without a trace.

Why it works: the check is where the answer is parsed, before any use.

--- a/crates/serve/tests/streams.rs
+++ b/crates/serve/tests/streams.rs
@@ -363,3 +363,34 @@
         "{arrivals} arrivals, {max_arrivals} at most"
     );
 }
+
+/// Guards against a handle that is sent in part, or that changes the call or the request it stands in.
+#[test]
+fn a_handle_that_cannot_be_sent_is_not_used() {
+    let long = "x".repeat(100_000);
+    let suffixes = [
+        " x", "\r\nx: y", "\0", "?x=y", "#x", "%2F", "/../x", "\u{e9}", &long,
+    ];
+    for suffix in suffixes {
+        let case = suffix.get(..4).unwrap_or(suffix);
+        let mut fleet = Fleet::new(FleetOptions::default());
+        fleet.prefill[0].set_handle_suffix(suffix);
+        let request = ClientRequest::prompt("1", "tag", LONG_PROMPT_TOKENS, 900);
+        let answer = ask(&mut fleet, &request);
+        assert_eq!(answer.status, StatusCode::OK, "{case:?}");
+        assert!(answer.is_complete, "{case:?}");
+        assert_eq!(event_ids(&answer), ["1", "2", "3", "4"], "{case:?}");
+        let prefills = fleet.prefill[0].runs();
+        assert!(!prefills.is_empty(), "{case:?}: no prefill");
+        let runs = fleet.decode.iter().flat_map(EngineStandIn::runs);
+        let sources: Vec<_> = runs.filter_map(|run| run.source).collect();
+        assert!(sources.is_empty(), "{case:?}: {} handles", sources.len());
+        let released = fleet.prefill[0].released_handles();
+        assert!(released.is_empty(), "{case:?}: {} releases", released.len());
+        let health = fleet.metric(
+            0,
+            "ponddrift_attempts_total{purpose=\"prefill\",outcome=\"answer_unusable\"}",
+        );
+        assert!(health > 0.0, "{case:?}: the answer counts as unusable");
+    }
+}
--- a/crates/serving/src/dialect.rs
+++ b/crates/serving/src/dialect.rs
@@ -173,7 +173,8 @@
     fn read_rate(&self, headers: &HeaderMap) -> AnnouncedRate;
     /// Reads the present load that a back end reports in an answer.
     fn read_load(&self, headers: &HeaderMap) -> LoadAnnouncement;
-    /// Reads the body of a prefill engine's answer.
+    /// Reads the body of a prefill engine's answer; `None` if it is malformed or its handle cannot be
+    /// sent to another engine.
     fn read_prefill(&self, body: &[u8]) -> Option<PrefillResult>;
     /// The call that releases a KV cache handle.
     fn release_handle(&self, handle: &str) -> BodylessCall;
