Ask the store before a stream without a record goes on

What callers saw: a stream with events of two software versions.

Cause: without a record, a daemon took the only version that it knew for that of each stream, as long as the store had answered within 1.4 s. Engines can join and lose streams within that time.

Change: StoreCheck asks the store, after the request has come, for the changes since the daemon's position. Only with its answer a single version counts; else the stream is refused as not run.

Evidence, on aarch64: a_daemon_that_has_not_seen_a_new_version_does_not_go_on_at_an_old_one failed before (16 of 16 streams with events of two versions at a cut daemon) and passes now. The case of a daemon that stood still passed before. The other 16 tests of the file pass.

Why it works: an engine writes its entry before any daemon can send it a stream, and the store's answer to a later call holds every earlier write.

--- a/crates/serve/tests/stream_versions.rs
+++ b/crates/serve/tests/stream_versions.rs
@@ -682,3 +682,64 @@
     let status = answer.map(|answer| answer.status);
     assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
 }
+
+/// How a daemon is out of step while engines of another version join.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OutOfStep {
+    /// It is cut off from the store and from the other daemons.
+    Cut,
+    /// It stands still, and answers of the store wait for it.
+    Frozen,
+}
+
+/// Guards against a daemon that takes the versions that it has seen for all that serve.
+#[test]
+fn a_daemon_that_has_not_seen_a_new_version_does_not_go_on_at_an_old_one() {
+    /// Short, so that the daemon has not noticed yet.
+    const JOIN_DELAY: Duration = Duration::from_millis(100);
+    let cases = [OutOfStep::Cut, OutOfStep::Frozen].map(|kind| [(kind, 1), (kind, 2)]);
+    for (out_of_step, late) in cases.into_iter().flatten() {
+        let mut fleet = fleet_of_one_version(3);
+        let joining: Vec<EngineStandIn> = fleet.decode.iter().skip(2).cloned().collect();
+        for engine in &joining {
+            engine.remove_entry(&fleet.store);
+        }
+        fleet.wait(Duration::from_secs(40));
+        let simulation = fleet.simulation.handle();
+        let hosts: Vec<_> = fleet.daemons.iter().map(|daemon| daemon.host).collect();
+        match out_of_step {
+            OutOfStep::Cut => {
+                let others = [fleet.store_host, hosts[0], hosts[3 - late]];
+                simulation.partition(&hosts[late..=late], &others);
+            }
+            OutOfStep::Frozen => {
+                simulation.freeze(hosts[late]);
+                fleet.wait(JOIN_DELAY / 2);
+                // Answers the call that the daemon has under way.
+                fleet.records[0].record(&fleet.store, "ready");
+            }
+        }
+        fleet.wait(JOIN_DELAY);
+        for engine in &joining {
+            engine.set_version(NEW_VERSION);
+            engine.record(&fleet.store, "ready");
+        }
+        for engine in fleet.decode.iter().take(2) {
+            engine.record(&fleet.store, "draining");
+        }
+        fleet.wait(JOIN_DELAY);
+        let kill = async move {
+            sleep(JOIN_DELAY * 2).await;
+            simulation.kill(hosts[0]);
+            sleep(JOIN_DELAY * 2).await;
+            if out_of_step == OutOfStep::Frozen {
+                simulation.thaw(hosts[late]);
+            }
+        };
+        let taken = take_streams_at(&mut fleet, 16, &[late], kill);
+        let taken_up = taken.iter().filter(|taken| taken.was_taken_up()).count();
+        let case = format!("{out_of_step:?}, daemon {late}");
+        assert!(taken_up >= 12, "{case}: {taken_up} taken up");
+        assert_one_version_each(&taken, &case);
+    }
+}
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// The store that this view follows.
+    pub(crate) fn store(&self) -> &dyn FleetStore {
+        &*self.store
+    }
+
     /// Locks the records of requests during which engines ended.
     pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
         self.quarantine
--- a/crates/serving/src/follow.rs
+++ b/crates/serving/src/follow.rs
@@ -3,6 +3,7 @@
 
 mod announcer;
 mod distributor_list;
+mod store_check;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -29,6 +30,7 @@
 use announcer::Announcer;
 pub(crate) use announcer::MISSING_KEY_GRACE;
 use distributor_list::DistributorList;
+pub(crate) use store_check::StoreCheck;
 
 /// Long-poll timeout of a daemon that follows the store only for itself.
 const OWN_POLL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -124,6 +126,14 @@
         own.is_some_and(|silence| silence < MAX_STORE_SILENCE) || self.reliable_until().is_some()
     }
 
+    /// Queues changes for neighbours if this daemon follows the store for them. If the queue is full,
+    /// neighbours fetch the changes.
+    fn publish_to_neighbours(&self, state: &FleetState, changes: &Changes) {
+        if !changes.items.is_empty() && state.topology().follows_store {
+            drop(self.unpublished.try_send(changes.clone()));
+        }
+    }
+
     fn reliable_until(&self) -> Option<Instant> {
         lock(&self.followers).reliable_until(now())
     }
@@ -332,10 +342,8 @@
         // Before neighbours are told of failures that this answer explains.
         self.state.store_answered(at, now());
         let has_changes = !changes.items.is_empty();
-        if has_changes && follows_for_others {
-            // If the queue is full, neighbours fetch the changes.
-            drop(self.follow_status.unpublished.try_send(changes.clone()));
-        }
+        self.follow_status
+            .publish_to_neighbours(&self.state, &changes);
         // The changes begin at the current position, which never goes back, so they are always
         // applied.
         self.state
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -32,7 +32,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::fleet_state::FleetState;
-use crate::follow::FollowStatus;
+use crate::follow::{FollowStatus, StoreCheck};
 use crate::pipeline::Pipeline;
 use crate::store::Changes;
 use crate::time::now;
@@ -75,7 +75,7 @@
     queries::serve(runtime, address, state, pipeline).await?;
     pipeline.set_stream_recorders(StreamRecorders::new(
         Arc::clone(&socket),
-        Arc::clone(follow_status),
+        StoreCheck::new(state, follow_status),
     ));
     let peers = Arc::new(Peers {
         origin: xxh3_64_with_seed(own.name.as_bytes(), runtime.seed),
--- a/crates/serving/src/peers/stream_origins.rs
+++ b/crates/serving/src/peers/stream_origins.rs
@@ -17,7 +17,7 @@
 use super::message::{self, Message, StreamOriginRow};
 use super::queries::fetch_stream_origin;
 use crate::fleet_state::FleetState;
-use crate::follow::FollowStatus;
+use crate::follow::StoreCheck;
 use crate::time::now;
 
 /// Daemons that record a stream. Two of them may fail, or lose the record, at once.
@@ -31,20 +31,20 @@
 /// What the pipeline needs to record where streams began.
 pub(crate) struct StreamRecorders {
     socket: Arc<BoxedDatagram>,
-    follow_status: Arc<FollowStatus>,
+    store_check: StoreCheck,
 }
 
 impl StreamRecorders {
-    pub(super) const fn new(socket: Arc<BoxedDatagram>, follow_status: Arc<FollowStatus>) -> Self {
+    pub(super) const fn new(socket: Arc<BoxedDatagram>, store_check: StoreCheck) -> Self {
         Self {
             socket,
-            follow_status,
+            store_check,
         }
     }
 
-    /// Whether this daemon learns of changes of the back ends at present.
-    pub(crate) fn has_store_contact(&self) -> bool {
-        self.follow_status.has_store_contact()
+    /// Whether this daemon knows every change of the back ends up to this call.
+    pub(crate) async fn knows_all_back_ends(&self) -> bool {
+        self.store_check.is_up_to_date().await
     }
 
     /// Records where a stream began, here and at its recorders.
--- a/crates/serving/src/pipeline/taken_up.rs
+++ b/crates/serving/src/pipeline/taken_up.rs
@@ -105,7 +105,7 @@
         let (found, source) = self.find_record(metadata, stream).await;
         let found = match found {
             Some(origin) => TakenUpStream::BegunAt(origin),
-            None if self.has_only_version(route) => TakenUpStream::OnlyVersion,
+            None if self.has_only_version(route).await => TakenUpStream::OnlyVersion,
             None => TakenUpStream::Unknown,
         };
         self.metrics.stream_taken_up(found.as_str());
@@ -144,17 +144,25 @@
     }
 
     /// Whether the stream can only have begun at the version that the route's service has now.
-    fn has_only_version(&self, route: &Route) -> bool {
-        let recorders = self.stream_recorders.get();
-        let is_up_to_date = recorders.is_some_and(StreamRecorders::has_store_contact);
+    async fn has_only_version(&self, route: &Route) -> bool {
         let [only] = route.split.as_slice() else {
             return false;
         };
+        let Some(recorders) = self.stream_recorders.get() else {
+            return false;
+        };
+        // Other versions may have joined since this daemon last heard of the store.
+        self.has_single_version(&only.service)
+            && recorders.knows_all_back_ends().await
+            && self.has_single_version(&only.service)
+    }
+
+    fn has_single_version(&self, service: &str) -> bool {
         let time_of_day = self.runtime.clock.time_of_day();
         let version = self
             .state
-            .version_of_all_streams(&only.service, time_of_day, now());
-        is_up_to_date && version.is_some()
+            .version_of_all_streams(service, time_of_day, now());
+        version.is_some()
     }
 
     /// The software that must go on with the stream. `service` serves the request.
