Charge heads of answers and events of streams to the memory account

Cause: events of up to 1 MiB for each stream, and heads of up to 400 KiB for each connection, were charged to no account. The HTTP library also enlarges the buffer of each connection to 400 KiB if a back end sends fast.

Change: EventBuffer charges an event above 8 KiB until it is written; without room the stream is broken off, and a stalled part or an unread event gives way to others. Heads are limited to 64 KiB and charged above 8 KiB. A connection to a back end reads at most 4 KiB at once, which keeps its buffer at 8 KiB. Answers to calls are charged.

Why it works: all that grows with what a back end sends is either charged or fixed for each connection.

--- a/crates/fleet/src/events.rs
+++ b/crates/fleet/src/events.rs
@@ -4,6 +4,8 @@
 
 /// Maximum size of an event in bytes; a back end that sends a longer one is faulty.
 pub const MAXIMUM_EVENT_BYTES: usize = 1 << 20;
+/// What follows a larger event is moved out of its allocation, which is then freed with the event.
+const MAX_SHARED_EVENT_BYTES: usize = 4 << 10;
 
 /// One complete event, including the empty line that ends it.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -50,10 +52,19 @@
         };
         self.searched = Searched::default();
         let bytes = self.buffer.split_to(end).freeze();
+        if end > MAX_SHARED_EVENT_BYTES {
+            self.buffer = BytesMut::from(&self.buffer[..]);
+        }
         let id = event_id(&bytes);
         Ok(Some(Event { bytes, id }))
     }
 
+    /// Bytes in the buffer.
+    #[must_use]
+    pub fn buffered_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Whether the buffer holds an incomplete event.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
--- a/crates/serving/src/back_end_stream.rs
+++ b/crates/serving/src/back_end_stream.rs
@@ -2,28 +2,119 @@
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 
+use ponddrift_http::memory::{MemoryBudget, Reservation};
 use ponddrift_runtime::BoxedStream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-/// Reports the end of the stream as a reset while a request is being written.
+/// Most bytes that are read at once. The HTTP library enlarges its buffer, which begins with twice as
+/// many, when a read fills it: a back end that sends fast would make every connection take the
+/// maximum.
+const MAX_READ_BYTES: usize = 4 << 10;
+/// Bytes of a head that are not charged: the HTTP library's buffer has this size anyway.
+const UNCHARGED_HEAD_BYTES: usize = 8 << 10;
+
+/// The head of the answer that a connection waits for, and the memory that it takes while it is
+/// received.
+#[derive(Default)]
+pub(crate) struct AnswerHead {
+    /// Without an account, nothing is charged.
+    budget: Option<MemoryBudget>,
+    progress: Mutex<HeadProgress>,
+}
+
+#[derive(Default)]
+struct HeadProgress {
+    is_awaited: bool,
+    bytes: usize,
+    memory: Option<Reservation>,
+}
+
+impl AnswerHead {
+    pub(crate) fn new(budget: Option<MemoryBudget>) -> Arc<Self> {
+        Arc::new(Self {
+            budget,
+            progress: Mutex::default(),
+        })
+    }
+
+    /// A request is sent.
+    pub(crate) fn begin(&self) {
+        *self.lock() = HeadProgress {
+            is_awaited: true,
+            ..HeadProgress::default()
+        };
+    }
+
+    /// The head has arrived.
+    pub(crate) fn end(&self) {
+        *self.lock() = HeadProgress::default();
+    }
+
+    /// Charges received bytes if they are a part of the head.
+    fn received(&self, bytes: usize) -> io::Result<()> {
+        let Some(budget) = &self.budget else {
+            return Ok(());
+        };
+        let mut progress = self.lock();
+        if !progress.is_awaited {
+            return Ok(());
+        }
+        progress.bytes += bytes;
+        let received = progress.bytes;
+        if received <= UNCHARGED_HEAD_BYTES {
+            return Ok(());
+        }
+        let memory = progress.memory.get_or_insert_with(|| budget.reserve());
+        memory.grow_to(received).map_err(io::Error::other)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HeadProgress> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Limits what the HTTP library buffers, and reports the end of the stream as a reset while a request
+/// is being written.
 ///
 /// A body without a length ends with its connection. If the back end closes the connection before it
 /// has taken the whole request, the answer is as incomplete as after a reset, which may still follow.
 pub(crate) struct BackEndStream {
     inner: BoxedStream,
+    head: Arc<AnswerHead>,
     /// Whether bytes of a request have not been handed to the operating system.
     is_writing: bool,
 }
 
 impl BackEndStream {
-    pub(crate) const fn new(inner: BoxedStream) -> Self {
+    pub(crate) fn new(inner: BoxedStream, head: &Arc<AnswerHead>) -> Self {
         Self {
             inner,
+            head: Arc::clone(head),
             is_writing: false,
         }
     }
+
+    /// Reads into `buffer`, and returns the number of bytes.
+    fn poll_read_some(
+        &mut self,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<usize>> {
+        let before = buffer.filled().len();
+        if self.head.budget.is_none() {
+            ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
+            return Poll::Ready(Ok(buffer.filled().len() - before));
+        }
+        let room = buffer.remaining().min(MAX_READ_BYTES);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(room));
+        ready!(Pin::new(&mut self.inner).poll_read(context, &mut part))?;
+        let length = part.filled().len();
+        buffer.advance(length);
+        Poll::Ready(Ok(length))
+    }
 }
 
 impl AsyncRead for BackEndStream {
@@ -32,12 +123,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.inner).poll_read(context, buffer))?;
-        let has_ended = buffer.filled().len() == before && buffer.remaining() > 0;
-        if has_ended && self.is_writing {
+        let has_room = buffer.remaining() > 0;
+        let length = ready!(self.poll_read_some(context, buffer))?;
+        if length == 0 && has_room && self.is_writing {
             return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()));
         }
+        self.head.received(length)?;
         Poll::Ready(Ok(()))
     }
 }
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -15,12 +15,13 @@
 use hyper_util::rt::TokioIo;
 use ponddrift_fleet::paths::ConnectFailure;
 use ponddrift_fleet::placement::IdleConnections;
-use ponddrift_http::body::{self, Body};
+use ponddrift_http::body::{self, Body, WhenFull};
+use ponddrift_http::memory::MemoryBudget;
 use ponddrift_runtime::Runtime;
 use tokio::sync::Notify;
 
 use crate::back_end_paths::{BackEndPaths, CONNECT_TIMEOUT, OpenedStream, Unreachable, connect};
-use crate::back_end_stream::BackEndStream;
+use crate::back_end_stream::{AnswerHead, BackEndStream};
 use crate::metrics::Metrics;
 use crate::pipeline::SendPermit;
 use crate::time::now;
@@ -36,6 +37,8 @@
 const MAX_IDLE_LIFETIME: Duration = Duration::from_secs(600);
 /// Maximum bytes of the answer to a [`Connections::call`].
 const MAX_CALL_ANSWER_BYTES: usize = 4 << 20;
+/// Maximum size of the head of an answer, and of what is buffered of its body.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Maximum number of informational answers (1xx) to one request.
 const MAX_INFORMATIONAL_ANSWERS: u32 = 256;
 /// Weight of the newest connection in the average time to open one.
@@ -224,6 +227,8 @@
     paths: Option<Arc<BackEndPaths>>,
     /// Where new connections are counted.
     metrics: Option<Arc<Metrics>>,
+    /// Account of the memory that answers take; without it they are not charged.
+    memory: Option<MemoryBudget>,
     pools: Mutex<HashMap<SocketAddr, Pool>>,
     /// Average time to open a connection, in milliseconds; `None` before the first one.
     opening_ms: Mutex<Option<f64>>,
@@ -301,6 +306,7 @@
     usable_until: Instant,
     /// The peer that relays the connection.
     relay: Option<SocketAddr>,
+    head: Arc<AnswerHead>,
 }
 
 impl Idle {
@@ -319,6 +325,7 @@
     address: SocketAddr,
     /// The peer that relays the connection.
     relay: Option<SocketAddr>,
+    head: Arc<AnswerHead>,
     owner: Arc<Connections>,
 }
 
@@ -336,35 +343,43 @@
     /// Creates an empty set of connection pools.
     #[must_use]
     pub fn new(runtime: Runtime) -> Arc<Self> {
-        Self::with(runtime, None, None)
+        Self::with(runtime, None, None, None)
     }
 
-    /// Creates an empty set of connection pools whose new connections are counted by reason.
+    /// Creates an empty set of connection pools whose new connections are counted by reason, and
+    /// whose answers are charged to `memory`.
     #[must_use]
-    pub fn to_back_ends(runtime: Runtime, metrics: Arc<Metrics>) -> Arc<Self> {
-        Self::with(runtime, Some(metrics), None)
+    pub fn to_back_ends(
+        runtime: Runtime,
+        metrics: Arc<Metrics>,
+        memory: MemoryBudget,
+    ) -> Arc<Self> {
+        Self::with(runtime, Some(metrics), None, Some(memory))
     }
 
-    /// Creates an empty set of connection pools whose connections go through a peer where this
-    /// daemon's own path is cut.
+    /// Like [`Self::to_back_ends`]; connections go through a peer where this daemon's own path is
+    /// cut.
     #[must_use]
     pub fn over_paths(
         runtime: Runtime,
         metrics: Arc<Metrics>,
         paths: Arc<BackEndPaths>,
+        memory: MemoryBudget,
     ) -> Arc<Self> {
-        Self::with(runtime, Some(metrics), Some(paths))
+        Self::with(runtime, Some(metrics), Some(paths), Some(memory))
     }
 
     fn with(
         runtime: Runtime,
         metrics: Option<Arc<Metrics>>,
         paths: Option<Arc<BackEndPaths>>,
+        memory: Option<MemoryBudget>,
     ) -> Arc<Self> {
         Arc::new(Self {
             runtime,
             paths,
             metrics,
+            memory,
             pools: Mutex::default(),
             opening_ms: Mutex::default(),
         })
@@ -405,6 +420,7 @@
             if !matches!(ready, Ok(Ok(()))) && !is_new {
                 continue;
             }
+            connection.head.begin();
             let sent = tokio::select! {
                 biased;
                 () = informational.exceeded() => return Err(ExchangeError::InformationalOnly),
@@ -412,6 +428,7 @@
             };
             match sent {
                 Ok(response) => {
+                    connection.head.end();
                     self.record_answer(&connection);
                     let (head, body) = response.into_parts();
                     check_head(&head).map_err(ExchangeError::Invalid)?;
@@ -461,9 +478,8 @@
                 )
                 .await?;
             let (head, incoming) = reply.response.into_parts();
-            let bytes = body::read_all(incoming, MAX_CALL_ANSWER_BYTES, limit)
-                .await
-                .map_err(|_error| CallError::Broken)?;
+            let bytes = self.read_call_answer(incoming, limit).await;
+            let bytes = bytes.map_err(|_error| CallError::Broken)?;
             reply.connection.return_to_pool(&head.headers);
             Ok(Response::from_parts(head, bytes))
         };
@@ -474,6 +490,19 @@
         answer.unwrap_or(Err(CallError::NoAnswer))
     }
 
+    async fn read_call_answer(
+        &self,
+        incoming: Incoming,
+        limit: Duration,
+    ) -> Result<Bytes, body::ReadError> {
+        let Some(memory) = &self.memory else {
+            return body::read_all(incoming, MAX_CALL_ANSWER_BYTES, limit).await;
+        };
+        let reservation = memory.reserve();
+        let fail = WhenFull::Fail;
+        body::read_reserved(incoming, MAX_CALL_ANSWER_BYTES, limit, &reservation, fail).await
+    }
+
     fn take_idle(self: &Arc<Self>, address: SocketAddr) -> Option<Connection> {
         let now = now();
         let mut pools = self.lock();
@@ -485,6 +514,7 @@
                         state: ConnectionState::InUse(idle.sender),
                         address,
                         relay: idle.relay,
+                        head: idle.head,
                         owner: Arc::clone(self),
                     });
                 }
@@ -505,14 +535,17 @@
             state: ConnectionState::Opening,
             address,
             relay: None,
+            head: AnswerHead::new(self.memory.clone()),
             owner: Arc::clone(self),
         };
         let started_at = now();
         let opened = self.connect(address).await;
         let opened = opened.map_err(|error| ExchangeError::NotSent(NotSent::Unreachable(error)))?;
         connection.relay = opened.relay;
+        let stream = BackEndStream::new(opened.stream, &connection.head);
         let handshake = http1::Builder::new()
-            .handshake::<_, Body>(TokioIo::new(BackEndStream::new(opened.stream)))
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake::<_, Body>(TokioIo::new(stream))
             .await;
         let (sender, driver) = handshake.map_err(ExchangeError::Broken)?;
         self.record_opening(now().saturating_duration_since(started_at));
@@ -706,6 +739,7 @@
             sender,
             usable_until: now() + lifetime.min(MAX_IDLE_LIFETIME),
             relay: self.relay,
+            head: Arc::clone(&self.head),
         };
         let mut pools = self.owner.lock();
         let pool = pools.entry(self.address).or_default();
--- a/crates/serving/src/orders.rs
+++ b/crates/serving/src/orders.rs
@@ -48,7 +48,11 @@
         holder,
         leadership,
         calls: EngineCalls {
-            connections: Connections::to_back_ends(runtime.clone(), Arc::clone(pipeline.metrics())),
+            connections: Connections::to_back_ends(
+                runtime.clone(),
+                Arc::clone(pipeline.metrics()),
+                pipeline.memory().clone(),
+            ),
             dialect: Arc::clone(dialect),
             pipeline: Arc::clone(pipeline),
         },
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -11,6 +11,7 @@
 mod budgeting;
 mod cache_probe;
 mod candidates;
+mod event_buffer;
 mod first_event;
 mod generate;
 mod guards;
@@ -163,6 +164,7 @@
         let paths = BackEndPaths::new(runtime, &state, &metrics);
         let mut placement = Placement::new(Arc::clone(&settings.zone));
         placement.link.set_megabits(state.own().link_megabits);
+        let memory = MemoryBudget::new(settings.bounds.held_bytes);
         Arc::new(Self {
             runtime: runtime.clone(),
             dialect,
@@ -171,6 +173,7 @@
                 runtime.clone(),
                 Arc::clone(&metrics),
                 Arc::clone(&paths),
+                memory.clone(),
             ),
             paths,
             relayed: AtomicUsize::new(0),
@@ -196,7 +199,7 @@
             stream_recorders: OnceLock::new(),
             last_closed_unread: Mutex::default(),
             last_closed: Mutex::default(),
-            memory: MemoryBudget::new(settings.bounds.held_bytes),
+            memory,
             bounds: settings.bounds,
             usage: settings.usage.clone(),
             keeps_profiles: settings.profiles,
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -3,19 +3,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures::FutureExt;
 use http::response;
 use http_body_util::BodyExt;
-use hyper::body::{Frame, Incoming};
+use hyper::body::Incoming;
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{PrefixState, PromptPlan, PromptReading, PromptTime, Urgency};
 use ponddrift_fleet::versions::RequiredVersion;
 
 use super::Pipeline;
 use super::attempt::SERVE;
+use super::event_buffer::{EventBuffer, EventFault, ReceivedEvent};
 use super::generate::OpenStream;
 use super::job::Job;
 use super::quarantining::RunProgress;
@@ -30,8 +29,8 @@
     head: response::Parts,
     body: Incoming,
     connection: Connection,
-    splitter: EventSplitter,
-    buffered_event: Option<Event>,
+    events: Box<EventBuffer>,
+    first_event: Option<ReceivedEvent>,
     ended: bool,
 }
 
@@ -45,7 +44,7 @@
         wait_policy: WaitPolicy,
     ) -> OpenAttempt {
         let route = reply.connection.route();
-        let mut reading = read_first_event(reply).boxed();
+        let mut reading = read_first_event(reply, Box::new(EventBuffer::new(&self.memory))).boxed();
         let waited = self
             .wait_for(&mut reading, job, &send.decode, wait_policy, &route)
             .await;
@@ -118,8 +117,8 @@
             head: started.head,
             body: started.body,
             connection: started.connection,
-            splitter: started.splitter,
-            buffered_event: started.buffered_event,
+            events: started.events,
+            first_event: started.first_event,
             ended: started.ended,
             has_forwarded_event: false,
             started_at: timing.started_at,
@@ -208,15 +207,16 @@
     }
 }
 
-async fn read_first_event(reply: Reply) -> Result<StartedStream, &'static str> {
+async fn read_first_event(
+    reply: Reply,
+    mut events: Box<EventBuffer>,
+) -> Result<StartedStream, &'static str> {
     let (head, mut body) = reply.response.into_parts();
-    let mut splitter = EventSplitter::default();
-    let (buffered_event, ended) = loop {
-        if let Some(event) = splitter.next_event().map_err(|_fault| "event_too_long")? {
+    let (first_event, ended) = loop {
+        if let Some(event) = events.next_event().map_err(EventFault::name)? {
             break (Some(event), false);
         }
-        let frame = body.frame().await;
-        match push_frame(&mut splitter, frame, "broke_off_before_first_event")? {
+        match receive(&mut events, &mut body, "broke_off_before_first_event").await? {
             BodyState::Continues => {}
             BodyState::Ended => break (None, true),
         }
@@ -225,8 +225,8 @@
         head,
         body,
         connection: reply.connection,
-        splitter,
-        buffered_event,
+        events,
+        first_event,
         ended,
     })
 }
@@ -237,20 +237,25 @@
     Ended,
 }
 
-/// Adds a body frame to the splitter. Returns `transport_error` if the transport failed, and
-/// another reason if the body ended within an event.
-pub(super) fn push_frame(
-    splitter: &mut EventSplitter,
-    frame: Option<hyper::Result<Frame<Bytes>>>,
+/// Receives a frame of the body. Returns `transport_error` if the transport failed, and another
+/// reason if the body ended within an event, or if there is no memory for the event.
+pub(super) async fn receive(
+    events: &mut EventBuffer,
+    body: &mut Incoming,
     transport_error: &'static str,
 ) -> Result<BodyState, &'static str> {
+    let frame = tokio::select! {
+        biased;
+        () = events.must_yield() => return Err(EventFault::NoMemory.name()),
+        frame = body.frame() => frame,
+    };
     match frame {
-        None if splitter.has_partial_event() => Err("broke_off_in_an_event"),
+        None if events.has_partial_event() => Err("broke_off_in_an_event"),
         None => Ok(BodyState::Ended),
         Some(Err(_error)) => Err(transport_error),
         Some(Ok(frame)) => {
             if let Some(data) = frame.data_ref() {
-                splitter.push(data);
+                events.push(data).map_err(EventFault::name)?;
             }
             Ok(BodyState::Continues)
         }
--- a/crates/serving/src/pipeline/generate.rs
+++ b/crates/serving/src/pipeline/generate.rs
@@ -7,7 +7,6 @@
 use http::{Response, StatusCode, response};
 use hyper::body::Incoming;
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::events::{Event, EventSplitter};
 use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{
     DecodeRequest, HandOver, OfferedRequest, Placement, PromptPlan, PromptRequest, Urgency,
@@ -20,6 +19,7 @@
 use super::answers::Failure;
 use super::attempt::{ANSWERED_ELSEWHERE, SendEnd, SendOptions, step_name};
 use super::budgeting::PrefillPermit;
+use super::event_buffer::{EventBuffer, ForwardedEvent, ReceivedEvent};
 use super::guards::{KvCacheHandle, LoadGuard};
 use super::intake::{FinalAnswer, end_to_end_headers};
 use super::job::Job;
@@ -42,8 +42,8 @@
     pub(super) head: response::Parts,
     pub(super) body: Incoming,
     pub(super) connection: Connection,
-    pub(super) splitter: EventSplitter,
-    pub(super) buffered_event: Option<Event>,
+    pub(super) events: Box<EventBuffer>,
+    pub(super) first_event: Option<ReceivedEvent>,
     pub(super) ended: bool,
     /// Whether the first event has been forwarded to the caller.
     pub(super) has_forwarded_event: bool,
@@ -109,7 +109,9 @@
                 let mut response = Response::new(());
                 *response.status_mut() = stream.head.status;
                 *response.headers_mut() = end_to_end_headers(&stream.head.headers);
-                let relay = Relay::new(self, job, stream);
+                let forwarded = ForwardedEvent::default();
+                response.extensions_mut().insert(forwarded.clone());
+                let relay = Relay::new(self, job, stream, forwarded);
                 response.map(|()| body::streamed(relay.into_body_chunks()))
             }
             Err(NotOpened::Answer(final_answer)) => {
--- a/crates/serving/src/pipeline/guards.rs
+++ b/crates/serving/src/pipeline/guards.rs
@@ -13,6 +13,7 @@
 use ponddrift_http::{Body, HeldByRequest};
 use tokio::sync::Notify;
 
+use super::event_buffer::ForwardedEvent;
 use super::{Pipeline, SendPermit};
 use crate::request_trace::milliseconds;
 use crate::time::now;
@@ -32,6 +33,8 @@
     is_written: AtomicBool,
     /// The memory of the answer, if it is held completely.
     memory: OnceLock<AnswerMemory>,
+    /// The memory of the event that is being written, if the answer is a stream.
+    event: OnceLock<ForwardedEvent>,
 }
 
 impl InProgress {
@@ -43,6 +46,7 @@
             answered_at: OnceLock::new(),
             is_written: AtomicBool::new(false),
             memory: OnceLock::new(),
+            event: OnceLock::new(),
         }
     }
 
@@ -54,6 +58,9 @@
         if let Some(memory) = response.extensions_mut().remove::<AnswerMemory>() {
             self.memory.get_or_init(|| memory);
         }
+        if let Some(event) = response.extensions_mut().remove::<ForwardedEvent>() {
+            self.event.get_or_init(|| event);
+        }
     }
 }
 
@@ -62,12 +69,18 @@
         if let Some(AnswerMemory(memory)) = self.memory.get() {
             memory.yield_by(close);
         }
+        if let Some(event) = self.event.get() {
+            event.answer_begins(close);
+        }
     }
 
     fn answer_progressed(&self) {
         if let Some(AnswerMemory(memory)) = self.memory.get() {
             memory.progressed();
         }
+        if let Some(event) = self.event.get() {
+            event.progressed();
+        }
     }
 
     fn answer_written(&self) {
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -9,14 +9,14 @@
 
 use bytes::Bytes;
 use futures::{FutureExt, Stream, stream};
-use http_body_util::BodyExt;
 use ponddrift_fleet::events::Event;
 use ponddrift_fleet::health::Outcome;
 use ponddrift_http::body::BodyError;
 
 use super::Pipeline;
 use super::attempt::{OpenSend, STREAM};
-use super::first_event::{BodyState, push_frame};
+use super::event_buffer::{ForwardedEvent, ReceivedEvent};
+use super::first_event::{BodyState, receive};
 use super::generate::OpenStream;
 use super::job::Job;
 use super::quarantining::RunProgress;
@@ -41,6 +41,7 @@
     stream: Option<OpenStream>,
     last_event_id: Option<u64>,
     last_event: Option<Instant>,
+    forwarded: ForwardedEvent,
     is_finished: bool,
 }
 
@@ -50,7 +51,7 @@
 struct StreamBroken(&'static str);
 
 enum NextItem {
-    Event(Event),
+    Event(ReceivedEvent),
     End,
     Broken(&'static str),
     WaitEnd(WaitEnd),
@@ -74,18 +75,17 @@
 
 /// Reads the next item of a stream. Loses nothing if it is dropped.
 async fn next_item(stream: &mut OpenStream) -> NextItem {
-    if let Some(event) = stream.buffered_event.take() {
+    if let Some(event) = stream.first_event.take() {
         return NextItem::Event(event);
     }
     loop {
-        match stream.splitter.next_event() {
+        match stream.events.next_event() {
             Ok(Some(event)) => return NextItem::Event(event),
             Ok(None) if stream.ended => return NextItem::End,
             Ok(None) => {}
-            Err(_fault) => return NextItem::Broken("event_too_long"),
+            Err(fault) => return NextItem::Broken(fault.name()),
         }
-        let frame = stream.body.frame().await;
-        match push_frame(&mut stream.splitter, frame, "broke_off") {
+        match receive(&mut stream.events, &mut stream.body, "broke_off").await {
             Ok(BodyState::Continues) => {}
             Ok(BodyState::Ended) => return NextItem::End,
             Err(reason) => return NextItem::Broken(reason),
@@ -94,7 +94,12 @@
 }
 
 impl Relay {
-    pub(super) fn new(pipeline: &Arc<Pipeline>, job: Job, stream: OpenStream) -> Self {
+    pub(super) fn new(
+        pipeline: &Arc<Pipeline>,
+        job: Job,
+        stream: OpenStream,
+        forwarded: ForwardedEvent,
+    ) -> Self {
         let last_event_id = job.metadata.resume_after;
         let mut job = job;
         // Back ends that refused the request may have capacity by the time it is resumed.
@@ -106,6 +111,7 @@
             stream: Some(stream),
             last_event_id,
             last_event: None,
+            forwarded,
             is_finished: false,
         }
     }
@@ -119,6 +125,7 @@
     }
 
     async fn next_chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
+        self.forwarded.end();
         while !self.is_finished {
             let mut stream = self.stream.take()?;
             let mut next = self.read_next(&mut stream).await;
@@ -136,12 +143,12 @@
                     self.record_gap(&stream);
                     stream.has_forwarded_event = true;
                     self.stream = Some(stream);
-                    if self.is_already_forwarded(&event) {
+                    if self.is_already_forwarded(&event.event) {
                         continue;
                     }
-                    self.last_event_id = event.id.or(self.last_event_id);
+                    self.last_event_id = event.event.id.or(self.last_event_id);
                     self.job.events_sent += 1;
-                    return Some(Ok(event.bytes));
+                    return Some(Ok(self.forwarded.begin(event)));
                 }
                 NextItem::End => self.complete(stream),
                 NextItem::Broken(reason) => {
