Escape names of routes and services in metrics

What callers saw: nothing; operators would have lost the metrics of a daemon.

Cause: the metrics library writes the values of labels as they are, so a quotation mark, backslash or line break in the name of a route made the page invalid.

Change: these three are escaped as the text format requires.

Evidence, on aarch64: names_of_routes_are_escaped_in_metrics failed before and passes now.

Why it works: they are the only characters with a meaning within a label value.

--- a/crates/serve/tests/odd_entries.rs
+++ b/crates/serve/tests/odd_entries.rs
@@ -206,3 +206,19 @@
     assert_served(&mut fleet, "daemons");
     assert!(fleet.metric(0, "ponddrift_daemons") == daemons);
 }
+
+/// Guards against a name in the configuration that makes the metrics page unreadable.
+#[test]
+fn names_of_routes_are_escaped_in_metrics() {
+    let mut fleet = fleet();
+    let mut configuration: Value =
+        serde_json::from_str(&support::configuration(2, &routes())).expect("valid JSON");
+    for route in configuration["routes"].as_array_mut().expect("a list") {
+        route["name"] = json!("a \"b\" \\ c\nd");
+    }
+    fleet.store.put("op/config", configuration.to_string());
+    fleet.wait(READ_TIME);
+    assert_served(&mut fleet, "names of routes");
+    let escaped = r#"ponddrift_requests_total{route="a \"b\" \\ c\nd""#;
+    assert!(fleet.metric(0, escaped) > 0.0);
+}
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -440,7 +440,7 @@
         in_time: bool,
     ) {
         let labels = EndLabels {
-            route: route.to_owned(),
+            route: escaped(route),
             kind,
             outcome,
             in_time: yes_or_no(in_time),
@@ -476,7 +476,7 @@
     /// Sets a figure of capacity planning, in engines.
     pub(crate) fn capacity(&self, service: &str, figure: &'static str, engines: f64) {
         let labels = CapacityLabels {
-            service: service.to_owned(),
+            service: escaped(service),
             figure,
         };
         self.capacity.get_or_create(&labels).set(engines);
@@ -682,6 +682,13 @@
     number.try_into().unwrap_or(i64::MAX)
 }
 
+/// Escapes the value of a label, which the metrics library writes as it is.
+fn escaped(text: &str) -> String {
+    text.replace('\\', "\\\\")
+        .replace('"', "\\\"")
+        .replace('\n', "\\n")
+}
+
 const fn yes_or_no(value: bool) -> &'static str {
     if value { "yes" } else { "no" }
 }
