--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -128,6 +128,15 @@
             Self::TransferCoding => "invalid_transfer_coding",
         }
     }
+
+    /// The status, if it is what is not valid.
+    #[must_use]
+    pub fn status(self) -> Option<u16> {
+        match self {
+            Self::Status(status) => Some(status.as_u16()),
+            Self::TransferCoding => None,
+        }
+    }
 }
 
 /// Checks what the HTTP library accepts although it is no valid final answer.
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -606,7 +606,10 @@
         }
         ExchangeError::Broken(_error) => broken_verdict("connection_broke"),
         ExchangeError::InformationalOnly => broken_verdict("informational_answers_only"),
-        ExchangeError::Invalid(problem) => broken_verdict(problem.name()),
+        ExchangeError::Invalid(problem) => SendVerdict {
+            status: problem.status(),
+            ..broken_verdict(problem.name())
+        },
     }
 }
 
--- a/crates/serving/src/pipeline/event_buffer.rs
+++ b/crates/serving/src/pipeline/event_buffer.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use ponddrift_fleet::events::{Event, EventSplitter};
+use ponddrift_fleet::health::Outcome;
 use ponddrift_http::memory::{MemoryBudget, Reservation};
 use tokio::sync::Notify;
 
@@ -32,6 +33,11 @@
     }
 }
 
+/// What the end of a stream for this reason says about its back end. A lack of memory here says nothing.
+pub(super) fn outcome_of_end(reason: &'static str) -> Option<Outcome> {
+    (reason != EventFault::NoMemory.name()).then_some(Outcome::Broken)
+}
+
 /// A complete event that has not been forwarded.
 pub(super) struct ReceivedEvent {
     pub(super) event: Event,
--- a/crates/serving/src/pipeline/first_event.rs
+++ b/crates/serving/src/pipeline/first_event.rs
@@ -8,13 +8,12 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use ponddrift_fleet::directory::BackEnd;
-use ponddrift_fleet::health::Outcome;
 use ponddrift_fleet::placement::{PrefixState, PromptPlan, PromptReading, PromptTime, Urgency};
 use ponddrift_fleet::versions::RequiredVersion;
 
 use super::Pipeline;
 use super::attempt::SERVE;
-use super::event_buffer::{EventBuffer, EventFault, ReceivedEvent};
+use super::event_buffer::{EventBuffer, EventFault, ReceivedEvent, outcome_of_end};
 use super::generate::OpenStream;
 use super::job::Job;
 use super::quarantining::RunProgress;
@@ -68,12 +67,12 @@
         let started = match started {
             Ok(started) => started,
             Err(reason) => {
-                let broken = Some(Outcome::Broken);
+                let outcome = outcome_of_end(reason);
                 let has_ended = self
                     .check_lost_run(
                         job,
                         &send.decode,
-                        broken,
+                        outcome,
                         send.timing.started_at,
                         RunProgress::BeforeAnswer,
                     )
@@ -81,7 +80,9 @@
                 if has_ended {
                     job.note_ended_run(&send.decode);
                 }
-                self.note_outcome(&send.decode, &job.service.health_path, Outcome::Broken);
+                if let Some(outcome) = outcome {
+                    self.note_outcome(&send.decode, &job.service.health_path, outcome);
+                }
                 self.count_tenant_run(job);
                 return self.no_first_event(job, &send, reason);
             }
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -15,7 +15,7 @@
 
 use super::Pipeline;
 use super::attempt::{OpenSend, STREAM};
-use super::event_buffer::{ForwardedEvent, ReceivedEvent};
+use super::event_buffer::{ForwardedEvent, ReceivedEvent, outcome_of_end};
 use super::first_event::{BodyState, receive};
 use super::generate::OpenStream;
 use super::job::Job;
@@ -152,8 +152,8 @@
                 }
                 NextItem::End => self.complete(stream),
                 NextItem::Broken(reason) => {
-                    let broken = Some(Outcome::Broken);
-                    if let Err(error) = self.resume_elsewhere(stream, reason, broken).await {
+                    let outcome = outcome_of_end(reason);
+                    if let Err(error) = self.resume_elsewhere(stream, reason, outcome).await {
                         return Some(Err(error));
                     }
                 }
