--- a/crates/serve/tests/invalid_answers.rs
+++ b/crates/serve/tests/invalid_answers.rs
@@ -112,7 +112,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answers_with_invalid_fields_are_not_passed_on() {
     let _alone = run_alone().await;
-    let lines: [&[u8]; 15] = [
+    let lines: [&[u8]; 18] = [
         b"x odd: 1\r\ncontent-length: 15\r\n",
         b"x\x01odd: 1\r\ncontent-length: 15\r\n",
         b"x\x7fodd: 1\r\ncontent-length: 15\r\n",
@@ -122,6 +122,9 @@
         b": odd\r\ncontent-length: 15\r\n",
         b"odd\r\ncontent-length: 15\r\n",
         b"x-odd: a\0b\r\ncontent-length: 15\r\n",
+        b"x-odd: a\x01b\r\ncontent-length: 15\r\n",
+        b"x-odd: a\x7fb\r\ncontent-length: 15\r\n",
+        b"x-odd: a\rb\r\ncontent-length: 15\r\n",
         b"content-length : 5\r\n",
         b"content-length: 5\r\ncontent-length: 15\r\n",
         b"content-length: 5, 15\r\n",
