Move the checks of answer heads to a module of their own

Cause: connections.rs had grown by a concern of its own; two comments used words for which the field has terms.

Change: connections/answer_check.rs; comments reworded. No change of behaviour.

--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -1,15 +1,16 @@
 //! Connection pools to back ends. Connections are reused, and their number never exceeds this
 //! daemon's share of what a back end accepts.
 
+mod answer_check;
+
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, header, response};
+use http::{HeaderMap, Request, Response, header};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -25,6 +26,8 @@
 use crate::metrics::Metrics;
 use crate::pipeline::SendPermit;
 use crate::time::now;
+pub use answer_check::InvalidAnswer;
+use answer_check::check_head;
 
 /// Time limit for a reused connection to finish its previous exchange.
 const READY_TIMEOUT: Duration = Duration::from_millis(20);
@@ -108,54 +111,6 @@
     Invalid(InvalidAnswer),
 }
 
-/// Why an answer is not valid although its head can be parsed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum InvalidAnswer {
-    /// Its status is not one of a final answer, which are 200 to 599. 101 would end the use of HTTP,
-    /// which no request asks for.
-    Status(StatusCode),
-    /// Its body has a transfer coding other than `chunked`, which would be passed on as if it were the
-    /// content, or a length beside the coding.
-    TransferCoding,
-}
-
-impl InvalidAnswer {
-    /// Name in logs and metrics.
-    #[must_use]
-    pub const fn name(self) -> &'static str {
-        match self {
-            Self::Status(_) => "invalid_status",
-            Self::TransferCoding => "invalid_transfer_coding",
-        }
-    }
-
-    /// The status, if it is what is not valid.
-    #[must_use]
-    pub fn status(self) -> Option<u16> {
-        match self {
-            Self::Status(status) => Some(status.as_u16()),
-            Self::TransferCoding => None,
-        }
-    }
-}
-
-/// Checks what the HTTP library accepts although it is no valid final answer.
-fn check_head(head: &response::Parts) -> Result<(), InvalidAnswer> {
-    const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
-    if !FINAL_STATUSES.contains(&head.status.as_u16()) {
-        return Err(InvalidAnswer::Status(head.status));
-    }
-    let mut codings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
-    let Some(first) = codings.next() else {
-        return Ok(());
-    };
-    let is_chunked = first.as_bytes().eq_ignore_ascii_case(b"chunked") && codings.next().is_none();
-    if !is_chunked || head.headers.contains_key(header::CONTENT_LENGTH) {
-        return Err(InvalidAnswer::TransferCoding);
-    }
-    Ok(())
-}
-
 /// Why a call got no complete answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallError {
--- a/crates/serving/src/follow/store_check.rs
+++ b/crates/serving/src/follow/store_check.rs
@@ -1,8 +1,8 @@
 //! Asks the store for the changes that this daemon has not seen, for decisions that must not rest on
 //! an old state.
 //!
-//! How recently the store answered does not tell: changes can follow within the time that a daemon
-//! takes to notice that it is cut off, and an answer may have waited while the daemon stood still.
+//! The time since the store's last answer is not sufficient: changes can follow within the time that
+//! a daemon takes to notice that it is cut off, and an answer can wait while the daemon is suspended.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -188,7 +188,7 @@
     back_ends.is_empty() || results.iter().any(Result::is_ok)
 }
 
-/// What the two directions of a relayed connection tell each other.
+/// State shared by the two directions of a relayed connection.
 struct ForwardState {
     /// When bytes were last forwarded in either direction.
     last_activity: Mutex<Instant>,
