--- a/crates/serve/tests/odd_entries.rs
+++ b/crates/serve/tests/odd_entries.rs
@@ -222,3 +222,21 @@
     let escaped = r#"ponddrift_requests_total{route="a \"b\" \\ c\nd""#;
     assert!(fleet.metric(0, escaped) > 0.0);
 }
+
+/// Guards against changes that are larger than an answer of the store may be: they would be asked for
+/// again and again.
+#[test]
+fn many_large_entries_at_once_do_not_end_the_following_of_the_store() {
+    let mut fleet = fleet();
+    for number in 0..40 {
+        let key = format!("servers/large-{number:02}");
+        fleet.store.put(&key, vec![b'['; 1 << 20]);
+    }
+    fleet.configure(2, &routes());
+    fleet.wait(READ_TIME);
+    assert_served(&mut fleet, "large");
+    for daemon in 0..fleet.daemons.len() {
+        let version = fleet.metric(daemon, "ponddrift_configuration_version");
+        assert!(version == 2.0, "configuration {version} in force");
+    }
+}
--- a/crates/serving/src/store.rs
+++ b/crates/serving/src/store.rs
@@ -146,6 +146,9 @@
     /// The condition of a conditional write did not hold.
     #[error("the condition of the write did not hold; the key is read again")]
     Conflict,
+    /// The store's answer is larger than any that is read.
+    #[error("the store's answer is too large; check that the address is the store's")]
+    TooLarge,
     /// The store's answer cannot be decoded.
     #[error("the store's answer cannot be decoded: {0}; check that the address is the store's")]
     Unreadable(String),
