Do not take a lack of memory here for a broken answer

A sound back end whose health check has a body, or whose head exceeds 8 KiB, was judged unhealthy and could be ejected while callers held all memory of this daemon. Found when reading the change again.

Change: CallError::NoMemory and the outcome no_memory_for_answer. A health check without memory counts as not made, and a request whose answer has no memory may have run, without a mark against its back end.

Result, on aarch64: a_lack_of_memory_does_not_count_as_a_broken_answer failed before (Broken) and passes now, for a small body and a head of 20 KiB. answer_memory, invalid_answers, streams, relayed_connections, stream_versions, silent_back_ends and hostile_clients pass.

--- a/crates/serving/src/back_end_stream.rs
+++ b/crates/serving/src/back_end_stream.rs
@@ -1,11 +1,12 @@
 //! The stream of a connection to a back end.
 
+use std::error::Error as _;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll, ready};
 
-use ponddrift_http::memory::{MemoryBudget, Reservation};
+use ponddrift_http::memory::{MemoryBudget, MemoryExhausted, Reservation};
 use ponddrift_runtime::BoxedStream;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
@@ -16,8 +17,15 @@
 /// Bytes of a head that are not charged: the HTTP library's buffer has this size anyway.
 const UNCHARGED_HEAD_BYTES: usize = 8 << 10;
 
-/// The head of the answer that a connection waits for, and the memory that it takes while it is
-/// received.
+/// Whether a connection broke because this daemon has no memory for the head of the answer. That says
+/// nothing about the back end.
+pub(crate) fn lacks_memory(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref());
+    let cause = source.and_then(io::Error::get_ref);
+    cause.is_some_and(|cause| cause.is::<MemoryExhausted>())
+}
+
+/// Accounts for the memory that the head of an answer takes while a connection receives it.
 #[derive(Default)]
 pub(crate) struct AnswerHead {
     /// Without an account, nothing is charged.
--- a/crates/serving/src/connections.rs
+++ b/crates/serving/src/connections.rs
@@ -16,13 +16,13 @@
 use hyper_util::rt::TokioIo;
 use ponddrift_fleet::paths::ConnectFailure;
 use ponddrift_fleet::placement::IdleConnections;
-use ponddrift_http::body::{self, Body, WhenFull};
+use ponddrift_http::body::{self, Body, ReadError, WhenFull};
 use ponddrift_http::memory::MemoryBudget;
 use ponddrift_runtime::Runtime;
 use tokio::sync::Notify;
 
 use crate::back_end_paths::{BackEndPaths, CONNECT_TIMEOUT, OpenedStream, Unreachable, connect};
-use crate::back_end_stream::{AnswerHead, BackEndStream};
+use crate::back_end_stream::{AnswerHead, BackEndStream, lacks_memory};
 use crate::metrics::Metrics;
 use crate::pipeline::SendPermit;
 use crate::time::now;
@@ -120,6 +120,8 @@
     NoAnswer,
     /// The connection broke.
     Broken,
+    /// There is no memory here for the answer, which says nothing about the back end.
+    NoMemory,
 }
 
 impl CallError {
@@ -128,6 +130,7 @@
             Self::Refused => "refused",
             Self::NoAnswer => "no_answer",
             Self::Broken => "broken",
+            Self::NoMemory => "no_memory_for_answer",
         }
     }
 }
@@ -141,6 +144,7 @@
                     ConnectFailure::NoAnswer => Self::NoAnswer,
                 }
             }
+            ExchangeError::Broken(error) if lacks_memory(&error) => Self::NoMemory,
             ExchangeError::NotSent(NotSent::Exhausted)
             | ExchangeError::Broken(_)
             | ExchangeError::InformationalOnly
@@ -443,7 +447,10 @@
                 .await?;
             let (head, incoming) = reply.response.into_parts();
             let bytes = self.read_call_answer(incoming, limit).await;
-            let bytes = bytes.map_err(|_error| CallError::Broken)?;
+            let bytes = bytes.map_err(|error| match error {
+                ReadError::NoMemory(_) => CallError::NoMemory,
+                _ => CallError::Broken,
+            })?;
             reply.connection.return_to_pool(&head.headers);
             Ok(Response::from_parts(head, bytes))
         };
@@ -458,13 +465,18 @@
         &self,
         incoming: Incoming,
         limit: Duration,
-    ) -> Result<Bytes, body::ReadError> {
+    ) -> Result<Bytes, ReadError> {
         let Some(memory) = &self.memory else {
             return body::read_all(incoming, MAX_CALL_ANSWER_BYTES, limit).await;
         };
-        let reservation = memory.reserve();
-        let fail = WhenFull::Fail;
-        body::read_reserved(incoming, MAX_CALL_ANSWER_BYTES, limit, &reservation, fail).await
+        body::read_reserved(
+            incoming,
+            MAX_CALL_ANSWER_BYTES,
+            limit,
+            &memory.reserve(),
+            WhenFull::Fail,
+        )
+        .await
     }
 
     fn take_idle(self: &Arc<Self>, address: SocketAddr) -> Option<Connection> {
--- a/crates/serving/src/pipeline/attempt.rs
+++ b/crates/serving/src/pipeline/attempt.rs
@@ -19,6 +19,7 @@
 use super::quarantining::RunProgress;
 use super::silent_sends::RunStage;
 use super::wait_policy::WaitPolicy;
+use crate::back_end_stream::lacks_memory;
 use crate::connections::{ConnectionReuse, ExchangeError, ExchangeRoute, NotSent, Reply};
 use crate::dialect::{SendMetadata, SendStep};
 use crate::request_trace::{TraceStep, milliseconds};
@@ -604,6 +605,10 @@
         ExchangeError::NotSent(NotSent::Exhausted) => {
             SendVerdict::new(SendEnd::NotSent("connections_in_use"), None)
         }
+        ExchangeError::Broken(error) if lacks_memory(error) => SendVerdict {
+            outcome: None,
+            ..broken_verdict("no_memory_for_answer")
+        },
         ExchangeError::Broken(_error) => broken_verdict("connection_broke"),
         ExchangeError::InformationalOnly => broken_verdict("informational_answers_only"),
         ExchangeError::Invalid(problem) => SendVerdict {
--- a/crates/serving/src/pipeline/probe.rs
+++ b/crates/serving/src/pipeline/probe.rs
@@ -30,7 +30,7 @@
     Unhealthy,
     /// The back end did not answer in time.
     Unresponsive,
-    /// No check was made, because the back end's rate limit does not allow it.
+    /// The back end's rate limit does not allow a check, or there is no memory here for the answer.
     Skipped,
 }
 
@@ -218,6 +218,7 @@
                 self.log_failed_check(back_end, error.name());
                 return match error {
                     CallError::NoAnswer => HealthCheckResult::Unresponsive,
+                    CallError::NoMemory => HealthCheckResult::Skipped,
                     CallError::Refused | CallError::Broken => HealthCheckResult::Unhealthy,
                 };
             }
