--- a/crates/serving/src/follow/store_check.rs
+++ b/crates/serving/src/follow/store_check.rs
@@ -45,7 +45,7 @@
         let asked = now();
         let check = async {
             let mut newest = self.newest.lock().await;
-            // A check that started after this call answers it as well.
+            // A check that started after this call also covers it.
             if let Some(check) = newest.filter(|check| check.started >= asked) {
                 return check.is_up_to_date;
             }
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -188,15 +188,15 @@
     back_ends.is_empty() || results.iter().any(Result::is_ok)
 }
 
-/// State shared by the two directions of a relayed connection.
-struct ForwardState {
+/// Progress of a relayed connection, shared by its two directions.
+struct RelayProgress {
     /// When bytes were last forwarded in either direction.
     last_activity: Mutex<Instant>,
     /// Whether bytes of the peer have not been handed to the operating system yet.
     is_writing_request: AtomicBool,
 }
 
-impl ForwardState {
+impl RelayProgress {
     fn start() -> Self {
         Self {
             last_activity: Mutex::new(now()),
@@ -233,14 +233,14 @@
 ) -> io::Result<()> {
     let (mut from_peer, mut to_peer) = tokio::io::split(peer);
     let (mut from_back_end, mut to_back_end) = tokio::io::split(back_end);
-    let state = ForwardState::start();
+    let progress = RelayProgress::start();
     tokio::select! {
         biased;
-        requests = forward_requests(&mut from_peer, &mut to_back_end, pipeline, &state) => {
+        requests = forward_requests(&mut from_peer, &mut to_back_end, pipeline, &progress) => {
             return requests;
         }
-        answers = forward_answers(&mut from_back_end, &mut to_peer, pipeline, &state) => answers?,
-        () = state.idle() => return Err(io::Error::from(io::ErrorKind::TimedOut)),
+        answers = forward_answers(&mut from_back_end, &mut to_peer, pipeline, &progress) => answers?,
+        () = progress.idle() => return Err(io::Error::from(io::ErrorKind::TimedOut)),
     }
     // The peer still reads the last bytes: closing with unread bytes of its own would reset them.
     to_peer.shutdown().await?;
@@ -255,7 +255,7 @@
     from_peer: &mut ReadHalf<BoxedStream>,
     to_back_end: &mut WriteHalf<BoxedStream>,
     pipeline: &Arc<Pipeline>,
-    state: &ForwardState,
+    progress: &RelayProgress,
 ) -> io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
     loop {
@@ -263,11 +263,11 @@
         if length == 0 {
             return Ok(());
         }
-        record_forwarded(pipeline, state, length);
-        state.is_writing_request.store(true, Ordering::Relaxed);
+        record_forwarded(pipeline, progress, length);
+        progress.is_writing_request.store(true, Ordering::Relaxed);
         to_back_end.write_all(&buffer[..length]).await?;
         to_back_end.flush().await?;
-        state.is_writing_request.store(false, Ordering::Relaxed);
+        progress.is_writing_request.store(false, Ordering::Relaxed);
     }
 }
 
@@ -278,18 +278,18 @@
     from_back_end: &mut ReadHalf<BoxedStream>,
     to_peer: &mut WriteHalf<BoxedStream>,
     pipeline: &Arc<Pipeline>,
-    state: &ForwardState,
+    progress: &RelayProgress,
 ) -> io::Result<()> {
     let mut buffer = vec![0; FRAME_HEADER_BYTES + BUFFER_BYTES];
     loop {
         let length = from_back_end
             .read(&mut buffer[FRAME_HEADER_BYTES..])
             .await?;
-        if length == 0 && state.is_writing_request.load(Ordering::Relaxed) {
+        if length == 0 && progress.is_writing_request.load(Ordering::Relaxed) {
             return Err(io::Error::from(io::ErrorKind::ConnectionReset));
         }
         buffer[..FRAME_HEADER_BYTES].copy_from_slice(&frame_header(length));
-        record_forwarded(pipeline, state, length);
+        record_forwarded(pipeline, progress, length);
         to_peer
             .write_all(&buffer[..FRAME_HEADER_BYTES + length])
             .await?;
@@ -300,7 +300,7 @@
     }
 }
 
-fn record_forwarded(pipeline: &Arc<Pipeline>, state: &ForwardState, length: usize) {
-    state.record_activity();
+fn record_forwarded(pipeline: &Arc<Pipeline>, progress: &RelayProgress, length: usize) {
+    progress.record_activity();
     pipeline.placement().link.record_send(length, now());
 }
--- a/crates/serving/src/pipeline/event_buffer.rs
+++ b/crates/serving/src/pipeline/event_buffer.rs
@@ -33,7 +33,8 @@
     }
 }
 
-/// What the end of a stream for this reason says about its back end. A lack of memory here says nothing.
+/// The outcome to record for the back end of a stream that ended for this reason; `None` if this
+/// daemon lacked memory, which says nothing about the back end.
 pub(super) fn outcome_of_end(reason: &'static str) -> Option<Outcome> {
     (reason != EventFault::NoMemory.name()).then_some(Outcome::Broken)
 }
@@ -49,7 +50,7 @@
 pub(super) struct EventBuffer {
     splitter: EventSplitter,
     budget: MemoryBudget,
-    /// The memory of the bytes that it holds, if they are many.
+    /// The memory of the bytes that it holds, if they exceed [`UNCHARGED_BYTES`].
     memory: Option<Reservation>,
 }
 
@@ -89,7 +90,8 @@
         let event = event.map_err(|_too_long| EventFault::TooLong)?;
         Ok(event.map(|event| ReceivedEvent {
             event,
-            // What follows is a part of what was received last, which is small.
+            // The bytes that remain are a part of the newest frame, which is smaller than
+            // `UNCHARGED_BYTES`.
             memory: self.memory.take(),
         }))
     }
@@ -120,7 +122,7 @@
 }
 
 impl ForwardedEvent {
-    /// The next event is written: the one before it has been.
+    /// Takes over the memory of an event that is about to be written, in place of the one before.
     pub(super) fn begin(&self, received: ReceivedEvent) -> Bytes {
         let mut state = self.lock();
         if let (Some(memory), Some(close)) = (&received.memory, &state.close) {
@@ -130,17 +132,17 @@
         received.event.bytes
     }
 
-    /// The event before has been written.
+    /// Gives back the memory of an event that was written.
     pub(super) fn end(&self) {
         self.lock().memory = None;
     }
 
-    /// The answer begins. Notifying `close` closes its connection.
+    /// Sets what closes the connection if the memory of an event has to be given to others.
     pub(super) fn answer_begins(&self, close: &Arc<Notify>) {
         self.lock().close = Some(Arc::clone(close));
     }
 
-    /// The caller reads.
+    /// Records that the caller reads.
     pub(super) fn progressed(&self) {
         if let Some(memory) = &self.lock().memory {
             memory.progressed();
