Count lost runs by the incarnation of their engine

Cause: lost runs, and the suspect that a termination counts for, were kept by the ID of the engine, which a restart keeps; a second run lost there only lowered the times of the first, so three IDs were needed. And the exit of the last engine of a service counted for nobody: a refused connection shows an exit only if a peer that is refused reaches another back end.

Change: IncarnationId (ID and start time) is the key of all evidence, between daemons as well. A run that broke off at a refusing engine of which no peer can tell is held until the engine's entry shows that the incarnation has ended (a later start, a certain removal, a later process at its address). As more terminations count now, a request that ran to its end recently needs five of them and a second, as parts of prompts do.

KNOWN-RED: two such requests that always come together to three engines.

--- a/crates/fleet/src/directory.rs
+++ b/crates/fleet/src/directory.rs
@@ -3,6 +3,7 @@
 mod ready_sets;
 
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -79,9 +80,57 @@
 
 /// Start time in Unix milliseconds, which distinguishes successive processes with the same back-end
 /// id. The default, zero, stands for a back end that does not report it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Incarnation(pub u64);
 
+impl Incarnation {
+    /// Whether the back end reports its start time.
+    #[must_use]
+    pub fn is_stated(self) -> bool {
+        self != Self::default()
+    }
+}
+
+/// Identifies one incarnation of a back end among those of all back ends.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct IncarnationId {
+    /// ID of the back end.
+    pub back_end: Arc<str>,
+    /// Its incarnation under this ID.
+    pub incarnation: Incarnation,
+}
+
+impl IncarnationId {
+    /// Separates the ID from the start time in the text form.
+    const SEPARATOR: char = '@';
+
+    /// Parses the text form. A text without a start time names a back end that does not report it, or
+    /// comes from a daemon of an older build.
+    #[must_use]
+    pub fn parse(text: &str) -> Self {
+        let stated = text
+            .rsplit_once(Self::SEPARATOR)
+            .and_then(|(id, started)| Some((id, Incarnation(started.parse().ok()?))))
+            .filter(|(_id, incarnation)| incarnation.is_stated());
+        let (id, incarnation) = stated.unwrap_or((text, Incarnation::default()));
+        Self {
+            back_end: Arc::from(id),
+            incarnation,
+        }
+    }
+}
+
+impl fmt::Display for IncarnationId {
+    /// The ID and, if it is known, the start time in Unix milliseconds.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.back_end)?;
+        if self.incarnation.is_stated() {
+            write!(formatter, "{}{}", Self::SEPARATOR, self.incarnation.0)?;
+        }
+        Ok(())
+    }
+}
+
 /// One incarnation of a back end.
 #[derive(Debug, Clone, PartialEq)]
 pub struct BackEnd {
@@ -109,6 +158,17 @@
     pub contract: Contract,
 }
 
+impl BackEnd {
+    /// Identity of this incarnation.
+    #[must_use]
+    pub fn incarnation_id(&self) -> IncarnationId {
+        IncarnationId {
+            back_end: Arc::clone(&self.id),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     revision: Revision,
@@ -552,6 +612,34 @@
         self.entries.get(id)?.present()
     }
 
+    /// Whether the entries show that this incarnation of a back end no longer runs: it has started
+    /// again, its entry was removed for certain, or a later process uses its address.
+    ///
+    /// A back end that leaves removes its entry some time before it ends, so the removal counts only
+    /// for one at whose address nothing listens.
+    #[must_use]
+    pub fn has_ended(&self, known: &BackEnd, now: Instant) -> bool {
+        let Some(entry) = self.entries.get(&known.id) else {
+            return true;
+        };
+        match &entry.presence {
+            Presence::Removed(removal) => removal.unconfirmed(now).is_none(),
+            Presence::Present(newest) => {
+                newest.incarnation > known.incarnation || self.is_address_reused(known)
+            }
+        }
+    }
+
+    /// Whether a back end with another ID, which started later, uses the address.
+    fn is_address_reused(&self, known: &BackEnd) -> bool {
+        known.incarnation.is_stated()
+            && self.present().any(|other| {
+                other.address == known.address
+                    && other.id != known.id
+                    && other.incarnation > known.incarnation
+            })
+    }
+
     /// Forgets old removals. Restores the removed back ends whose entries have been present since
     /// the store was restored from an older copy, and returns them.
     pub fn expire_removals(&mut self, now: Instant) -> Vec<Arc<BackEnd>> {
--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -17,17 +17,17 @@
 
 mod causes;
 mod entry;
-mod sound_parts;
+mod recently_sound;
 mod suspicion;
 
 use std::collections::{BTreeSet, HashMap};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use crate::directory::IncarnationId;
 use crate::fingerprint::Fingerprint;
 use causes::{Causes, rivals_of, strongest};
 use entry::Entry;
-use sound_parts::SoundParts;
+use recently_sound::RecentlySound;
 pub use suspicion::{LostRun, Standing, SuspectKind, Suspicion};
 
 /// How long a request is quarantined, and how long it is remembered after that. Long enough that a
@@ -58,7 +58,7 @@
     /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
     /// Engines that terminated under it.
-    pub engines: Vec<Arc<str>>,
+    pub engines: Vec<IncarnationId>,
     /// Whether this daemon itself lost a run of the request.
     pub is_own: bool,
 }
@@ -80,7 +80,7 @@
     candidates: BTreeSet<Fingerprint>,
     /// The quarantined suspect that each termination counts for.
     causes: Causes,
-    sound_parts: SoundParts,
+    sound: RecentlySound,
     /// Answers that this daemon has seen begin.
     answers: u64,
     /// When evidence that is too recent will have lasted long enough.
@@ -90,6 +90,13 @@
 }
 
 impl Quarantine {
+    /// Number of lost runs of a request that no completed run has cleared.
+    #[must_use]
+    pub fn lost_runs(&self, fingerprint: Fingerprint) -> usize {
+        let entry = self.entries.get(&fingerprint);
+        entry.map_or(0, |entry| entry.uncleared_runs().count())
+    }
+
     /// Whether no request is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
@@ -141,6 +148,7 @@
     /// Records that a run of a request completed, which clears the request. Returns whether it had
     /// been suspected, quarantined or had lost any run since it was last cleared.
     pub fn record_good_run(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.sound.record(fingerprint, now);
         let Some(entry) = self.entries.get_mut(&fingerprint) else {
             return false;
         };
@@ -164,7 +172,6 @@
     /// Records that an engine has begun to write an answer on a part. Returns whether that clears
     /// it, as for [`Self::record_good_run`].
     pub fn record_sound_part(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.sound_parts.record(fingerprint, now);
         self.record_good_run(fingerprint, now)
     }
 
@@ -179,7 +186,7 @@
             .entry(news.fingerprint)
             .or_insert_with(|| Entry::of(news.fingerprint, news.tenant));
         let added_information = entry.absorb(news);
-        if let Some(sound_at) = self.sound_parts.last_seen(news.fingerprint) {
+        if let Some(sound_at) = self.sound.last_seen(news.fingerprint) {
             let cleared = &mut entry.suspicion.cleared;
             *cleared = (*cleared).max(Some(sound_at));
         }
@@ -244,7 +251,7 @@
                 fingerprint: entry.suspicion.fingerprint,
                 engines: entry
                     .uncleared_runs()
-                    .map(|run| Arc::clone(&run.engine))
+                    .map(|run| run.engine.clone())
                     .collect(),
                 is_own: entry.is_own,
             })
@@ -279,11 +286,17 @@
     /// Decides which quarantined suspect each termination counts for, after what is known of
     /// `changed` has changed. The suspect under which most engines terminated comes first.
     fn attribute_terminations(&mut self, changed: Fingerprint, now: Instant) {
-        let entry = self.entries.get(&changed);
-        if entry.is_some_and(|entry| entry.would_be_quarantined(&Causes::default())) {
-            self.candidates.insert(changed);
-        } else if !self.candidates.remove(&changed) {
+        let Some(entry) = self.entries.get_mut(&changed) else {
             return;
+        };
+        if entry.would_be_quarantined(&Causes::default()) {
+            entry.sufficient_since.get_or_insert(now);
+            self.candidates.insert(changed);
+        } else {
+            entry.sufficient_since = None;
+            if !self.candidates.remove(&changed) {
+                return;
+            }
         }
         self.attribute_all(now);
     }
@@ -325,7 +338,7 @@
                 continue;
             }
             for run in cause.uncleared_runs() {
-                let of_run = self.causes.by_engine.entry(Arc::clone(&run.engine));
+                let of_run = self.causes.by_engine.entry(run.engine.clone());
                 of_run.or_insert(cause.suspicion.fingerprint);
             }
         }
--- a/crates/fleet/src/quarantine/causes.rs
+++ b/crates/fleet/src/quarantine/causes.rs
@@ -1,17 +1,17 @@
 //! Decides which quarantined suspect each termination of an engine counts for.
 
 use std::collections::{BTreeSet, HashMap};
-use std::sync::Arc;
 use std::time::Instant;
 
 use super::entry::{DECIDED_AFTER_ENGINES, Entry};
 use super::suspicion::{LostRun, SuspectKind};
+use crate::directory::IncarnationId;
 use crate::fingerprint::Fingerprint;
 
 /// The quarantined suspects that terminations count for.
 #[derive(Debug, Default)]
 pub(super) struct Causes {
-    pub(super) by_engine: HashMap<Arc<str>, Fingerprint>,
+    pub(super) by_engine: HashMap<IncarnationId, Fingerprint>,
     /// Answers that this daemon had seen begin when the terminations were attributed.
     pub(super) answers: u64,
     /// Suspects that were there when the same engines terminated, so that it can't be told yet which
@@ -21,7 +21,7 @@
 
 impl Causes {
     /// Whether the termination of the engine counts for no suspect but this one.
-    pub(super) fn may_be_caused_by(&self, engine: &str, suspect: Fingerprint) -> bool {
+    pub(super) fn may_be_caused_by(&self, engine: &IncarnationId, suspect: Fingerprint) -> bool {
         self.by_engine
             .get(engine)
             .is_none_or(|cause| *cause == suspect)
--- a/crates/fleet/src/quarantine/entry.rs
+++ b/crates/fleet/src/quarantine/entry.rs
@@ -1,12 +1,12 @@
 //! The evidence against one suspect, and what follows from it.
 
 use std::collections::BTreeSet;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use super::QUARANTINE_DURATION;
 use super::causes::Causes;
 use super::suspicion::{LostRun, Standing, SuspectKind, Suspicion};
+use crate::directory::IncarnationId;
 use crate::fingerprint::Fingerprint;
 
 /// Successive engine terminations after which a request is suspected. An unrelated request that
@@ -33,9 +33,9 @@
 /// Time after the deciding termination until a part is quarantined: sound parts are cleared by the
 /// first events of answers that other engines begin meanwhile, and daemons exchange what they saw.
 const PART_SETTLING_TIME: Duration = Duration::from_millis(50);
-/// Time after the first of the terminations until a part is quarantined on which engines began
-/// answers before. Shared by many requests, it would have been cleared meanwhile.
-const SOUND_PART_SETTLING_TIME: Duration = Duration::from_secs(1);
+/// Time after the first of the terminations until a suspect is quarantined that was sound before. A
+/// request that comes often, or a part that many requests share, would have been cleared meanwhile.
+const SOUND_SETTLING_TIME: Duration = Duration::from_secs(1);
 /// Answers to other requests that engines must have begun meanwhile. While engines answer nothing at
 /// all, no part can be cleared.
 const SOUND_PART_SETTLING_ANSWERS: u64 = 20;
@@ -57,6 +57,9 @@
     pub(super) answers_before: Option<u64>,
     /// Time when the quarantine was ended by the expiry of its lease or by an operator.
     pub(super) released: Option<Instant>,
+    /// Since when this daemon has known enough terminations for a quarantine. It may learn of a
+    /// termination long after it, and peers at the same time of what else was lost there.
+    pub(super) sufficient_since: Option<Instant>,
     pub(super) is_own: bool,
 }
 
@@ -75,6 +78,7 @@
             was_quarantined: false,
             answers_before: None,
             released: None,
+            sufficient_since: None,
             is_own: false,
         }
     }
@@ -111,10 +115,10 @@
     /// first, then the oldest.
     pub(super) fn trim_lost_runs(&mut self) {
         while self.suspicion.lost_runs.len() > MAX_LOST_RUNS {
-            let counted: Vec<Arc<str>> = self
+            let counted: Vec<IncarnationId> = self
                 .successive_terminations(&Causes::default())
                 .into_iter()
-                .map(|run| Arc::clone(&run.engine))
+                .map(|run| run.engine.clone())
                 .collect();
             let runs = &mut self.suspicion.lost_runs;
             let surplus = runs.iter().position(|run| !counted.contains(&run.engine));
@@ -177,16 +181,18 @@
         successive
     }
 
-    /// Whether it is a part on which engines have begun to write recently.
-    pub(super) fn was_sound(&self) -> bool {
-        self.suspicion.kind != SuspectKind::Request && self.suspicion.cleared.is_some()
+    /// Whether it is a request that ran to its end recently, or a part on which engines have begun
+    /// to write.
+    pub(super) const fn was_sound(&self) -> bool {
+        self.suspicion.cleared.is_some()
     }
 
     /// Successive terminations after which the suspect is quarantined.
     pub(super) fn needed_terminations(&self) -> usize {
-        match self.suspicion.kind {
-            SuspectKind::Part { .. } if self.was_sound() => DECIDED_AFTER_ENGINES,
-            SuspectKind::Part { .. } | SuspectKind::Request => QUARANTINED_AFTER_ENGINES,
+        if self.was_sound() {
+            DECIDED_AFTER_ENGINES
+        } else {
+            QUARANTINED_AFTER_ENGINES
         }
     }
 
@@ -233,7 +239,12 @@
         let causes = if self.is_decided() { &none } else { causes };
         let successive = self.successive_terminations(causes);
         let deciding = successive.get(self.needed_terminations() - 1)?.ended;
+        let deciding = deciding.max(self.sufficient_since.unwrap_or(deciding));
         match self.suspicion.kind {
+            SuspectKind::Request if self.was_sound() => {
+                let first = successive.first()?.ended;
+                Some((deciding + REQUEST_SETTLING_TIME).max(first + SOUND_SETTLING_TIME))
+            }
             SuspectKind::Request => Some(deciding + REQUEST_SETTLING_TIME),
             SuspectKind::Part { .. } if self.was_sound() => {
                 let before = self.answers_before.unwrap_or(causes.answers);
@@ -241,7 +252,7 @@
                     return None;
                 }
                 let first = successive.first()?.ended;
-                Some((deciding + PART_SETTLING_TIME).max(first + SOUND_PART_SETTLING_TIME))
+                Some((deciding + PART_SETTLING_TIME).max(first + SOUND_SETTLING_TIME))
             }
             SuspectKind::Part { .. } => Some(deciding + PART_SETTLING_TIME),
         }
--- a/crates/fleet/src/quarantine/suspicion.rs
+++ b/crates/fleet/src/quarantine/suspicion.rs
@@ -1,8 +1,8 @@
 //! What daemons know and tell each other of a suspect.
 
-use std::sync::Arc;
 use std::time::Instant;
 
+use crate::directory::IncarnationId;
 use crate::fingerprint::Fingerprint;
 
 /// What may crash engines.
@@ -33,8 +33,8 @@
 /// A run that was lost because its engine terminated.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LostRun {
-    /// Incarnation of the engine.
-    pub engine: Arc<str>,
+    /// The engine. Each of its incarnations terminates once.
+    pub engine: IncarnationId,
     /// Short fingerprint of the request, if the suspect is a part of its prompt; otherwise 0.
     pub request: u32,
     /// Start of the run.
--- a/crates/fleet/tests/quarantine.rs
+++ b/crates/fleet/tests/quarantine.rs
@@ -1,9 +1,9 @@
 //! Guards against requests that crash engines staying in use, and against quarantining innocent
 //! requests.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ponddrift_fleet::directory::IncarnationId;
 use ponddrift_fleet::fingerprint::{Fingerprint, RequestContent};
 use ponddrift_fleet::quarantine::{
     LostRun, QUARANTINE_DURATION, Quarantine, Standing, SuspectKind, Suspicion,
@@ -29,7 +29,7 @@
 fn run(engine: &str, ended: Instant) -> LostRun {
     LostRun {
         request: 0,
-        engine: Arc::from(engine),
+        engine: IncarnationId::parse(engine),
         begun: ended - RUN_DURATION,
         ended,
     }
@@ -133,7 +133,7 @@
         let begun = begin + RUN_DURATION * number;
         lost_runs.push(LostRun {
             request: 0,
-            engine: Arc::from(format!("i-{number}")),
+            engine: IncarnationId::parse(&format!("i-{number}")),
             begun,
             ended: begun + RUN_DURATION,
         });
@@ -201,7 +201,7 @@
     let begun = start();
     for (engine, ended_s) in [("i-1", 2), ("i-2", 3), ("i-3", 4)] {
         let ended = begun + Duration::from_secs(ended_s);
-        let engine = Arc::from(engine);
+        let engine = IncarnationId::parse(engine);
         let lost = LostRun {
             request: 0,
             engine,
@@ -226,7 +226,7 @@
         let ended = begin + Duration::from_millis(20 * engine);
         let lost = LostRun {
             request: 0,
-            engine: Arc::from(format!("i-{engine}")),
+            engine: IncarnationId::parse(&format!("i-{engine}")),
             begun: ended - Duration::from_millis(200),
             ended,
         };
--- a/crates/fleet/tests/suspected_parts.rs
+++ b/crates/fleet/tests/suspected_parts.rs
@@ -1,9 +1,9 @@
 //! Parts of prompts that crash engines, among sound ones, while engines also end for other reasons.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use ponddrift_fleet::directory::IncarnationId;
 use ponddrift_fleet::fingerprint::{Fingerprint, PartContent};
 use ponddrift_fleet::quarantine::{LostRun, Quarantine, Standing, SuspectKind};
 use rand::seq::IndexedRandom;
@@ -172,14 +172,14 @@
     /// Ends an engine, and repeats the requests that have had no event once.
     fn end_engine(&mut self, index: usize, now: Instant) {
         let engine = &mut self.engines[index];
-        let id: Arc<str> = Arc::from(format!("i-{index}-{}", engine.incarnation));
+        let id = IncarnationId::parse(&format!("i-{index}-{}", engine.incarnation));
         engine.incarnation += 1;
         engine.back_at = now + RESTART_DELAY;
         let runs = std::mem::take(&mut engine.runs);
         for run in runs.into_iter().filter(|run| !run.has_written) {
             for (place, name) in run.request.parts.iter().enumerate() {
                 let lost = LostRun {
-                    engine: Arc::clone(&id),
+                    engine: id.clone(),
                     request: run.request.number,
                     begun: run.begun,
                     ended: now,
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -120,6 +120,8 @@
         runtime.spawner.spawn(Box::pin(cache_probe));
         let switch_profiles = Arc::clone(&pipeline).switch_profiles();
         runtime.spawner.spawn(Box::pin(switch_profiles));
+        let confirm_runs = Arc::clone(&pipeline).confirm_runs_on_changes();
+        runtime.spawner.spawn(Box::pin(confirm_runs));
         let handle_cut_paths = Arc::clone(&pipeline).handle_cut_paths();
         runtime.spawner.spawn(Box::pin(handle_cut_paths));
         let check_cut_paths = Arc::clone(&pipeline).check_cut_paths();
--- a/crates/serve/tests/crashing_requests.rs
+++ b/crates/serve/tests/crashing_requests.rs
@@ -559,3 +559,175 @@
     let statuses: Vec<StatusCode> = answers.iter().map(|answer| answer.status).collect();
     assert_eq!(statuses, [StatusCode::OK; 8]);
 }
+
+/// How the engines of [`outcome_in_a_small_service`] start again, and how the request comes.
+#[derive(Debug, Clone, Copy)]
+struct SmallServiceCase {
+    /// Whether engines start again under the IDs that they had.
+    keeps_ids: bool,
+    /// Requests with the same content that are sent at once, each to another daemon.
+    copies: usize,
+    /// Pause between two rounds.
+    interval: Duration,
+}
+
+struct SmallServiceOutcome {
+    crashes: usize,
+    /// Runs of the request that began later than [`PROPAGATION_TIME`] after the third crash.
+    late_runs: usize,
+    sound: usize,
+    sound_served: usize,
+    sound_quarantined: usize,
+}
+
+/// Sends a request that crashes engines to a service of three plain back ends and no others, beside
+/// sound requests. All engines are often down at the same time, so that no daemon reaches another one.
+fn outcome_in_a_small_service(case: SmallServiceCase) -> SmallServiceOutcome {
+    /// Time until an engine is back.
+    const DOWN_TIME: Duration = Duration::from_secs(2);
+    const DURATION: Duration = Duration::from_secs(40);
+    const SOUND_INTERVAL: Duration = Duration::from_millis(40);
+    let mut fleet = Fleet::new(FleetOptions {
+        daemons: 3,
+        records: 3,
+        prefill: 0,
+        decode: 0,
+        zones: 2,
+        ..FleetOptions::default()
+    });
+    for engine in &fleet.records {
+        engine.crash_on(CRASH_TEXT);
+        if case.keeps_ids {
+            engine.keep_id();
+            engine.record(&fleet.store, "ready");
+        }
+    }
+    fleet.wait(Duration::from_millis(500));
+    let engines = fleet.records.clone();
+    let hosts = fleet.records_hosts.clone();
+    let crashes = crash_engines(
+        fleet.simulation.handle(),
+        fleet.store.clone(),
+        engines.into_iter().zip(hosts).collect(),
+        DOWN_TIME,
+    );
+    let targets: Vec<_> = fleet
+        .daemons
+        .iter()
+        .map(|daemon| daemon.callers_address)
+        .collect();
+    let mut requests: Vec<(Duration, usize, ClientRequest)> = Vec::new();
+    let mut after = Duration::ZERO;
+    for round in 0.. {
+        if after >= DURATION {
+            break;
+        }
+        for copy in 0..case.copies {
+            let request = ClientRequest {
+                body: String::from(CRASH_TEXT),
+                ..ClientRequest::plain(&format!("crasher-{round}-{copy}"), "fetch")
+            };
+            requests.push((after, round + copy, request));
+        }
+        after += case.interval;
+    }
+    let mut after = Duration::ZERO;
+    for number in 0.. {
+        if after >= DURATION {
+            break;
+        }
+        let request = ClientRequest {
+            body: format!("question {number}"),
+            ..ClientRequest::plain(&format!("innocent-{number}"), "fetch")
+        };
+        requests.push((after, number, request));
+        after += SOUND_INTERVAL;
+    }
+    let client = fleet.client.clone();
+    let calls: FuturesUnordered<_> = requests
+        .into_iter()
+        .map(|(after, target, request)| {
+            let client = client.clone();
+            let target = targets[target % targets.len()];
+            async move {
+                sleep(after).await;
+                (request.id.clone(), client.ask(target, &request).await)
+            }
+        })
+        .collect();
+    let answers: Vec<(String, Option<Answer>)> = fleet.run(async move {
+        match select(Box::pin(calls.collect()), Box::pin(crashes)).await {
+            Either::Left((answers, _crashes)) => answers,
+            Either::Right(((), _answers)) => unreachable!("the crash driver never completes"),
+        }
+    });
+    let mut crashes: Vec<Instant> = fleet
+        .records
+        .iter()
+        .flat_map(|engine| engine.crashes())
+        .collect();
+    crashes.sort_unstable();
+    let runs = fleet.records.iter().flat_map(|engine| engine.runs());
+    let late_runs = crashes.get(TOLERATED_CRASHES - 1).map_or(0, |third| {
+        runs.filter(|run| run.request.starts_with("crasher"))
+            .filter(|run| run.started_at > *third + PROPAGATION_TIME)
+            .count()
+    });
+    let sound = answers
+        .iter()
+        .filter(|(id, _answer)| id.starts_with("innocent"));
+    let sound_answers: Vec<&Answer> = sound
+        .clone()
+        .filter_map(|(_id, answer)| answer.as_ref())
+        .collect();
+    SmallServiceOutcome {
+        crashes: crashes.len(),
+        late_runs,
+        sound: sound.count(),
+        sound_served: sound_answers
+            .iter()
+            .filter(|answer| answer.status == StatusCode::OK)
+            .count(),
+        sound_quarantined: sound_answers
+            .iter()
+            .filter(|answer| is_quarantined(answer))
+            .count(),
+    }
+}
+
+/// Guards against evidence that is kept by the ID of an engine, so that its next incarnation counts
+/// for nothing, and against crashes that no peer can confirm because no other engine is up.
+#[test]
+fn a_request_that_crashes_all_engines_of_a_small_service_is_quarantined() {
+    for keeps_ids in [true, false] {
+        for copies in [1, 2] {
+            for interval_ms in [350, 1_000, 4_000] {
+                let case = SmallServiceCase {
+                    keeps_ids,
+                    copies,
+                    interval: Duration::from_millis(interval_ms),
+                };
+                let outcome = outcome_in_a_small_service(case);
+                let SmallServiceOutcome {
+                    crashes,
+                    late_runs,
+                    sound,
+                    sound_served,
+                    sound_quarantined,
+                } = outcome;
+                eprintln!(
+                    "{case:?}: {crashes} crashes, {late_runs} late runs, {sound_served} of {sound} sound requests served"
+                );
+                assert!(
+                    late_runs <= TOLERATED_SENDS,
+                    "{case:?}: {late_runs} late runs, {crashes} crashes"
+                );
+                assert_eq!(sound_quarantined, 0, "{case:?}");
+                assert!(
+                    sound_served * 4 >= sound * 3,
+                    "{case:?}: {sound_served} of {sound} sound requests served"
+                );
+            }
+        }
+    }
+}
--- a/crates/serve/tests/support/mod.rs
+++ b/crates/serve/tests/support/mod.rs
@@ -468,7 +468,9 @@
             let is_restart_due = *restart_at <= Instant::now();
             if is_restart_due {
                 let (engine, host) = &engines[*index];
-                store.remove(old_entry);
+                if *old_entry != engine.key() {
+                    store.remove(old_entry);
+                }
                 engine.record(&store, "ready");
                 simulation.restart(*host);
             }
--- a/crates/serving/src/back_end_paths.rs
+++ b/crates/serving/src/back_end_paths.rs
@@ -57,6 +57,18 @@
     pub is_confirmed: bool,
 }
 
+/// What is known of a process that broke off connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ExitFinding {
+    /// It has exited.
+    Exited,
+    /// This daemon is refused at its address, and no peer is connected there. But no peer reaches
+    /// another back end that shows that its own path works.
+    Refused,
+    /// Nothing shows that it has exited.
+    NotShown,
+}
+
 /// Result of asking peers for a connection.
 enum ThroughPeers {
     Opened(OpenedStream),
@@ -299,19 +311,22 @@
     }
 
     /// Whether the process at this address has exited: peers that reach other back ends are refused.
-    /// What this daemon sees itself counts only if it can connect, or if it has no peers. Asks for
+    /// What this daemon sees itself shows it only if it can connect, or if it has no peers. Asks for
     /// [`EXIT_WITNESSES`] peers, and is content with one if no other can say.
-    pub(crate) async fn has_exited(self: &Arc<Self>, address: SocketAddr) -> bool {
+    pub(crate) async fn find_exit(self: &Arc<Self>, address: SocketAddr) -> ExitFinding {
         let known_failure = self.paths().failure(address);
         let failure = match known_failure {
             Some(known) => known,
             None => match self.connect_directly(address).await {
-                Ok(_stream) => return false,
+                Ok(_stream) => return ExitFinding::NotShown,
                 Err(failure) => failure,
             },
         };
         if self.state.topology().daemons <= 1 {
-            return failure == ConnectFailure::Refused;
+            return match failure {
+                ConnectFailure::Refused => ExitFinding::Exited,
+                ConnectFailure::NoAnswer => ExitFinding::NotShown,
+            };
         }
         let mut tried = Vec::new();
         let mut refused_peers = 0;
@@ -322,14 +337,22 @@
             {
                 ThroughPeers::Opened(_stream) => {
                     self.spawn_confirmation(address);
-                    return false;
+                    return ExitFinding::NotShown;
                 }
                 ThroughPeers::Unreachable(ConnectFailure::Refused) => refused_peers += 1,
-                ThroughPeers::Unreachable(ConnectFailure::NoAnswer) => return false,
+                ThroughPeers::Unreachable(ConnectFailure::NoAnswer) => {
+                    return ExitFinding::NotShown;
+                }
                 ThroughPeers::NoRelay => break,
             }
         }
-        refused_peers > 0
+        if refused_peers > 0 {
+            ExitFinding::Exited
+        } else if failure == ConnectFailure::Refused {
+            ExitFinding::Refused
+        } else {
+            ExitFinding::NotShown
+        }
     }
 
     /// Checks whether the path to a back end that does not answer is cut.
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -92,6 +92,7 @@
     stream_origins: Mutex<StreamOrigins>,
     quarantine_changed: Notify,
     configuration_changed: Notify,
+    items_changed: Notify,
     read_progressed: Notify,
     era: KnownEra,
 }
@@ -109,6 +110,7 @@
             stream_origins: Mutex::default(),
             quarantine_changed: Notify::new(),
             configuration_changed: Notify::new(),
+            items_changed: Notify::new(),
             read_progressed: Notify::new(),
             era: KnownEra::default(),
         }
@@ -145,6 +147,12 @@
         &self.configuration_changed
     }
 
+    /// Notified when items of the store have been applied.
+    #[must_use]
+    pub const fn items_changed(&self) -> &Notify {
+        &self.items_changed
+    }
+
     /// This daemon, as it announces itself.
     #[must_use]
     pub const fn own(&self) -> &Member {
@@ -192,6 +200,13 @@
         newest.is_some_and(|newest| newest.incarnation > known.incarnation)
     }
 
+    /// Whether the entries show that this incarnation of a back end no longer runs; see
+    /// [`Directory::has_ended`](ponddrift_fleet::directory::Directory::has_ended).
+    #[must_use]
+    pub fn has_ended(&self, known: &BackEnd, now: Instant) -> bool {
+        self.lock().directory.has_ended(known, now)
+    }
+
     /// Whether the entry of the back end shows another software than the given one: it has started
     /// again under its ID.
     #[must_use]
@@ -477,6 +492,7 @@
         // Once for all items, because a full read contains every daemon.
         self.lock().update_topology(&self.own);
         self.notify_new_configuration(version_before);
+        self.items_changed.notify_one();
     }
 
     /// Notifies of a configuration that came into force since `version_before` was.
--- a/crates/serving/src/metrics.rs
+++ b/crates/serving/src/metrics.rs
@@ -194,6 +194,7 @@
     announcements: Family<AnnouncementLabels, Counter>,
     profile_rows: Family<ResultLabels, Counter>,
     runs_lost: Counter,
+    exits_unconfirmed: Counter,
     quarantined: Counter,
     latency: Histogram,
     first_event: Histogram,
@@ -305,6 +306,11 @@
                 "runs_lost_with_engine",
                 "Runs that ended because their engine did",
             ),
+            exits_unconfirmed: register_default(
+                r,
+                "engine_exits_unconfirmed",
+                "Runs that broke off at an engine of which no peer could tell whether it had exited",
+            ),
             quarantined: register_default(
                 r,
                 "requests_quarantined",
@@ -589,6 +595,10 @@
         self.runs_lost.inc();
     }
 
+    pub(crate) fn exit_unconfirmed(&self) {
+        self.exits_unconfirmed.inc();
+    }
+
     pub(crate) fn first_event(&self, waited: Duration) {
         self.first_event.observe(waited.as_secs_f64());
     }
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -214,7 +214,11 @@
 /// because the clocks of machines differ.
 #[derive(Debug, Clone, PartialEq, Eq, BorshSerialize, BorshDeserialize)]
 pub(super) struct LostRunRow {
-    /// The engine's incarnation.
+    /// The engine's ID and, if it is known, its start time, as [`IncarnationId`] writes them. Builds
+    /// before those of start times send and expect the ID alone; to them, other start times are other
+    /// engines.
+    ///
+    /// [`IncarnationId`]: ponddrift_fleet::directory::IncarnationId
     pub(super) engine: String,
     /// Time since the run started, in milliseconds.
     pub(super) started_ms_ago: u32,
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use ponddrift_fleet::budget::Deposits;
-use ponddrift_fleet::directory::Incarnation;
+use ponddrift_fleet::directory::{Incarnation, IncarnationId};
 use ponddrift_fleet::health::OutcomeCounts;
 use ponddrift_fleet::placement::{
     Outstanding, PrefixState, PrefixUse, PromptReading, WorkReport, WorkRow,
@@ -269,7 +269,7 @@
 pub(super) fn suspicion_from_wire(row: &SuspectRow, now: Instant) -> Suspicion {
     let at = |ms_ago: u32| ms_before(ms_ago, now);
     let lost_runs = row.lost_runs.iter().map(|run| LostRun {
-        engine: Arc::from(run.engine.as_str()),
+        engine: IncarnationId::parse(&run.engine),
         request: 0,
         begun: at(run.started_ms_ago),
         ended: at(run.ended_ms_ago),
--- a/crates/serving/src/pipeline.rs
+++ b/crates/serving/src/pipeline.rs
@@ -34,6 +34,7 @@
 mod stopping;
 mod stream_send;
 mod taken_up;
+mod unconfirmed_runs;
 mod wait_policy;
 
 use std::collections::HashMap;
@@ -75,6 +76,7 @@
 pub use send_gate::SendPermit;
 use silent_service::SilentServices;
 use stopping::StopProgress;
+use unconfirmed_runs::UnconfirmedRuns;
 
 /// Settings of the pipeline.
 #[derive(Clone)]
@@ -115,6 +117,7 @@
     /// Connections that this daemon relays for peers.
     relayed: AtomicUsize,
     engine_exit_checks: EngineExitChecks,
+    unconfirmed_runs: UnconfirmedRuns,
     /// Requests whose quarantine state changed and has to be published to peers.
     changed_suspects: PendingSet<Fingerprint>,
     /// Back ends whose rate limits changed and have to be published to peers.
@@ -178,6 +181,7 @@
             paths,
             relayed: AtomicUsize::new(0),
             engine_exit_checks: EngineExitChecks::default(),
+            unconfirmed_runs: UnconfirmedRuns::default(),
             changed_suspects: PendingSet::default(),
             changed_rate_limits: PendingSet::default(),
             metrics,
@@ -329,7 +333,7 @@
             .rate_limits
             .forget_absent(|id| present.contains(id), now());
         drop(placement);
-        self.engine_exit_checks.keep_only(|id| present.contains(id));
+        self.tidy_exit_checks();
         self.state.forget_old(now());
         if let Some(in_force) = self.state.in_force() {
             self.traffic_split().keep_only(&in_force.configuration);
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -108,7 +108,7 @@
     /// Identifies the request when it is sent again; computed on first use.
     pub(super) fingerprint: OnceLock<Fingerprint>,
     /// Parts of its prompt that may crash engines; computed on first use.
-    pub(super) suspect_parts: OnceLock<Vec<SuspectPart>>,
+    pub(super) suspect_parts: OnceLock<Arc<[SuspectPart]>>,
     /// Whether the end of the request has been recorded.
     pub(super) is_finished: bool,
     pub(super) pipeline: Arc<Pipeline>,
@@ -251,8 +251,8 @@
     }
 
     /// The parts of its prompt that may crash engines: those that other requests share.
-    pub(super) fn suspect_parts(&self) -> &[SuspectPart] {
-        self.suspect_parts.get_or_init(|| {
+    pub(super) fn suspect_parts(&self) -> Arc<[SuspectPart]> {
+        let parts = self.suspect_parts.get_or_init(|| {
             let prompt = self.metadata.prompt.as_ref();
             let shared = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
             // The last ones tell most about a prompt with very many parts.
@@ -261,7 +261,8 @@
             parts
                 .map(|(place, part)| self.suspect_part(place, part))
                 .collect()
-        })
+        });
+        Arc::clone(parts)
     }
 
     fn suspect_part(&self, place: usize, part: &PromptPart) -> SuspectPart {
--- a/crates/serving/src/pipeline/lost_runs.rs
+++ b/crates/serving/src/pipeline/lost_runs.rs
@@ -3,20 +3,22 @@
 //! A broken connection does not show its cause. If nothing listens at the engine's address any
 //! more, the engine has exited, and any of the requests that it ran may have caused that. An engine
 //! that is merely unreachable is no evidence against its requests, and a connection that is refused
-//! on one path is none either: a peer that reaches other back ends has to be refused as well.
+//! on one path is none either: a peer that reaches other back ends has to be refused as well. If no
+//! peer reaches any, because all back ends are down, the run waits for the entry of the engine to show
+//! that this incarnation has ended; see [`UnconfirmedRuns`](super::unconfirmed_runs::UnconfirmedRuns).
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use ponddrift_fleet::directory::BackEnd;
+use ponddrift_fleet::directory::{BackEnd, IncarnationId};
 use ponddrift_fleet::health::Outcome;
 use tokio::sync::OnceCell;
 
 use super::Pipeline;
 use super::job::Job;
-use super::quarantining::RunProgress;
-use crate::request_trace::milliseconds;
+use super::quarantining::{LostRunReport, RunProgress};
+use crate::back_end_paths::ExitFinding;
 use crate::time::now;
 
 /// A check that reached the engine within this time shows that the path works.
@@ -26,41 +28,47 @@
 /// moment and share one check.
 #[derive(Debug, Default)]
 pub(super) struct EngineExitChecks {
-    checks: Mutex<HashMap<EngineLife, Arc<OnceCell<bool>>>>,
+    checks: Mutex<HashMap<IncarnationId, ExitCheck>>,
 }
 
-/// ID and incarnation: an engine may start again under its ID.
-type EngineLife = (Arc<str>, u64);
+type ExitCheck = Arc<OnceCell<ExitFinding>>;
 
 impl EngineExitChecks {
-    /// Removes engines that are no longer in the directory.
-    pub(super) fn keep_only(&self, is_present: impl Fn(&str) -> bool) {
-        self.lock().retain(|(id, _life), _check| is_present(id));
+    /// Removes the incarnations that are no longer in the directory.
+    pub(super) fn keep_only(&self, is_present: impl Fn(&IncarnationId) -> bool) {
+        self.lock().retain(|engine, _check| is_present(engine));
     }
 
-    fn check_for(&self, engine: &BackEnd) -> Arc<OnceCell<bool>> {
+    fn check_for(&self, engine: &BackEnd) -> ExitCheck {
         let mut checks = self.lock();
-        Arc::clone(checks.entry(life_of(engine)).or_default())
+        Arc::clone(checks.entry(engine.incarnation_id()).or_default())
     }
 
-    /// Removes the result for an engine that is alive, so that the next broken connection is
+    /// Removes the result for an engine that may be alive, so that the next broken connection is
     /// checked again.
     fn forget(&self, engine: &BackEnd) {
-        self.lock().remove(&life_of(engine));
+        self.lock().remove(&engine.incarnation_id());
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<EngineLife, Arc<OnceCell<bool>>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<IncarnationId, ExitCheck>> {
         self.checks
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
 
-fn life_of(engine: &BackEnd) -> EngineLife {
-    (Arc::clone(&engine.id), engine.incarnation.0)
-}
-
 impl Pipeline {
+    /// Removes the results for incarnations that are no longer in the directory.
+    pub(super) fn tidy_exit_checks(&self) {
+        let back_ends = self.state.back_ends();
+        let present: HashSet<IncarnationId> = back_ends
+            .iter()
+            .map(|back_end| back_end.incarnation_id())
+            .collect();
+        self.engine_exit_checks
+            .keep_only(|engine| present.contains(engine));
+    }
+
     /// Checks a send that began at `started_at` and ended without a complete answer. Returns whether
     /// the engine is known to have exited. The run is recorded as lost only if nothing listens at the
     /// engine's address any more: after a restart under the same ID, the request may have run in the
@@ -80,25 +88,16 @@
         if !may_have_exited {
             return false;
         }
-        if !self.engine_has_exited(engine).await {
-            return self.state.has_later_incarnation(engine);
+        match self.find_engine_exit(engine).await {
+            ExitFinding::NotShown => return self.state.has_later_incarnation(engine),
+            ExitFinding::Refused if !self.state.has_ended(engine, now()) => {
+                self.hold_unconfirmed(LostRunReport::of(job, engine, started_at, progress));
+                return false;
+            }
+            ExitFinding::Refused | ExitFinding::Exited => {}
         }
-        self.metrics.run_lost();
-        let update = self.record_lost_run(job, engine, started_at, progress);
-        tracing::warn!(
-            request = &*job.id,
-            fingerprint = %job.fingerprint(),
-            tenant = job.tenant.as_ref().map(|tenant| &*tenant.name),
-            route = &*job.route.name,
-            back_end = &*engine.id,
-            ran_ms = milliseconds(now().saturating_duration_since(started_at)),
-            requests_there = self.placement().load.requests(&engine.id),
-            progress = progress.as_str(),
-            parts = job.suspect_parts().len(),
-            before = update.before.as_str(),
-            standing = update.after.as_str(),
-            "run_lost_with_engine"
-        );
+        let report = LostRunReport::of(job, engine, started_at, progress);
+        self.record_lost_run(&report);
         true
     }
 
@@ -114,14 +113,14 @@
         }
     }
 
-    async fn engine_has_exited(&self, engine: &Arc<BackEnd>) -> bool {
+    async fn find_engine_exit(&self, engine: &Arc<BackEnd>) -> ExitFinding {
         let check = self.engine_exit_checks.check_for(engine);
-        let probe = || self.paths().has_exited(engine.address);
-        let engine_has_exited = *check.get_or_init(probe).await;
-        if !engine_has_exited {
+        let probe = || self.paths().find_exit(engine.address);
+        let finding = *check.get_or_init(probe).await;
+        if finding != ExitFinding::Exited {
             self.engine_exit_checks.forget(engine);
         }
         self.confirm_if_reached(engine);
-        engine_has_exited
+        finding
     }
 }
--- a/crates/serving/src/pipeline/quarantining.rs
+++ b/crates/serving/src/pipeline/quarantining.rs
@@ -9,9 +9,10 @@
 
 use super::Pipeline;
 use super::answers::Failure;
-use super::job::Job;
+use super::job::{Job, SuspectPart};
 use super::plain::MIN_TIME_FOR_SEND;
 use crate::back_end_index::hash;
+use crate::request_trace::milliseconds;
 use crate::time::{self, now};
 
 /// How far an engine had come with a request when it ended.
@@ -35,52 +36,100 @@
     }
 }
 
-impl Pipeline {
-    /// Records a run that was lost with its engine. Engines crash on a part when they begin to write,
-    /// so the parts of the prompt are suspected only before the answer.
-    pub(super) fn record_lost_run(
-        &self,
+/// A run that was lost, with what it says against its request and the parts of its prompt.
+#[derive(Debug, Clone)]
+pub(super) struct LostRunReport {
+    pub(super) request_id: Arc<str>,
+    pub(super) request: Fingerprint,
+    pub(super) tenant: Option<Arc<str>>,
+    pub(super) route: Arc<str>,
+    /// The parts of the prompt that may be the cause. Engines crash on a part when they begin to
+    /// write, so none is suspected of a run that was lost at another time.
+    pub(super) parts: Arc<[SuspectPart]>,
+    pub(super) engine: Arc<BackEnd>,
+    pub(super) begun: Instant,
+    pub(super) ended: Instant,
+    pub(super) progress: RunProgress,
+}
+
+impl LostRunReport {
+    /// Reports a run that has just ended.
+    pub(super) fn of(
         job: &Job,
         engine: &Arc<BackEnd>,
         begun: Instant,
         progress: RunProgress,
-    ) -> Update {
-        let run = LostRun {
-            engine: Arc::clone(&engine.id),
-            request: 0,
+    ) -> Self {
+        let parts = match progress {
+            RunProgress::BeforeAnswer => job.suspect_parts(),
+            RunProgress::Reading | RunProgress::Writing => Arc::from([]),
+        };
+        Self {
+            request_id: Arc::clone(&job.id),
+            request: job.fingerprint(),
+            tenant: job.tenant.as_ref().map(|tenant| Arc::clone(&tenant.name)),
+            route: Arc::clone(&job.route.name),
+            parts,
+            engine: Arc::clone(engine),
             begun,
             ended: now(),
+            progress,
+        }
+    }
+}
+
+impl Pipeline {
+    /// Records a run that was lost with its engine.
+    pub(super) fn record_lost_run(&self, report: &LostRunReport) {
+        self.metrics.run_lost();
+        let run = LostRun {
+            engine: report.engine.incarnation_id(),
+            request: 0,
+            begun: report.begun,
+            ended: report.ended,
         };
-        let request = job.fingerprint();
-        let update = self.suspect(job, request, SuspectKind::Request, run.clone());
-        if progress == RunProgress::BeforeAnswer {
-            for part in job.suspect_parts() {
-                let kind = SuspectKind::Part { place: part.place };
-                let run = LostRun {
-                    request: request.short(),
-                    ..run.clone()
-                };
-                self.suspect(job, part.fingerprint, kind, run);
-            }
+        let update = self.suspect(report, report.request, SuspectKind::Request, run.clone());
+        for part in &*report.parts {
+            let kind = SuspectKind::Part { place: part.place };
+            let run = LostRun {
+                request: report.request.short(),
+                ..run.clone()
+            };
+            self.suspect(report, part.fingerprint, kind, run);
         }
-        update
+        tracing::warn!(
+            request = &*report.request_id,
+            fingerprint = %report.request,
+            tenant = report.tenant.as_deref(),
+            route = &*report.route,
+            back_end = %report.engine.id,
+            incarnation = report.engine.incarnation.0,
+            ran_ms = milliseconds(report.ended.saturating_duration_since(report.begun)),
+            known_after_ms = milliseconds(now().saturating_duration_since(report.ended)),
+            requests_there = self.placement().load.requests(&report.engine.id),
+            progress = report.progress.as_str(),
+            parts = report.parts.len(),
+            before = update.before.as_str(),
+            standing = update.after.as_str(),
+            "run_lost_with_engine"
+        );
     }
 
     fn suspect(
         &self,
-        job: &Job,
+        report: &LostRunReport,
         fingerprint: Fingerprint,
         kind: SuspectKind,
         run: LostRun,
     ) -> Update {
-        let tenant = job.tenant.as_ref().map_or(0, |tenant| hash(&tenant.name));
+        let tenant = report.tenant.as_ref().map_or(0, |tenant| hash(tenant));
         let mut quarantine = self.state.quarantine();
         let update = quarantine.record_lost_run(fingerprint, kind, tenant, run, now());
         drop(quarantine);
         self.changed_suspects.add(fingerprint);
         if update.before != update.after {
             tracing::info!(
-                request = &*job.id,
+                request = &*report.request_id,
                 %fingerprint,
                 suspect = kind.as_str(),
                 before = update.before.as_str(),
@@ -104,7 +153,7 @@
     /// Clears the suspicion against the parts of a prompt on which an engine has begun to write.
     pub(super) fn record_sound_parts(&self, job: &Job) {
         self.state.quarantine().record_answer();
-        for part in job.suspect_parts() {
+        for part in &*job.suspect_parts() {
             let kind = SuspectKind::Part { place: part.place };
             self.clear_suspicion(job, part.fingerprint, kind);
         }
@@ -136,12 +185,14 @@
 
     /// The worst standing of the request and the parts of its prompt.
     pub(super) fn standing(&self, job: &Job) -> Standing {
+        self.confirm_ended_runs();
         let mut quarantine = self.state.quarantine();
         if quarantine.is_empty() {
             return Standing::Clear;
         }
         quarantine.refresh(now());
-        let parts = job.suspect_parts().iter().map(|part| part.fingerprint);
+        let parts = job.suspect_parts();
+        let parts = parts.iter().map(|part| part.fingerprint);
         let standings = std::iter::once(job.fingerprint())
             .chain(parts)
             .map(|suspect| quarantine.standing(suspect, now()));
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -81,14 +81,19 @@
     /// Returns whether the store holds the quarantine now.
     async fn write_quarantine(&self, unstored: &UnstoredQuarantine) -> bool {
         let fingerprint = unstored.fingerprint;
-        let filing =
-            self.store
-                .file_quarantine(fingerprint, &unstored.engines, QUARANTINE_DURATION);
+        let engines: Vec<Arc<str>> = unstored
+            .engines
+            .iter()
+            .map(|engine| Arc::from(engine.to_string()))
+            .collect();
+        let filing = self
+            .store
+            .file_quarantine(fingerprint, &engines, QUARANTINE_DURATION);
         match filing.await {
             Ok(()) => {
                 tracing::warn!(
                     %fingerprint,
-                    engines = unstored.engines.join(","),
+                    engines = engines.join(","),
                     "request_quarantined"
                 );
                 self.state.quarantine().record_stored(fingerprint, now());
