Suspect all shared parts of a prompt

Cause: a limit meant for memory and messages decided what is looked at. Only the last 32 shared parts of a prompt were recorded and checked, so a part before them was never suspected.

Change: all shared parts are suspects. At most 512 suspects are published at once, the most significant first. One lost run is decided on once, not once for each part.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -17,6 +17,7 @@
 
 mod causes;
 mod entry;
+mod eviction;
 mod recently_sound;
 mod suspicion;
 
@@ -27,6 +28,7 @@
 use crate::fingerprint::Fingerprint;
 use causes::{Causes, rivals_of, strongest};
 use entry::Entry;
+use eviction::{Census, Significance, SuspectsByRequest};
 use recently_sound::RecentlySound;
 pub use suspicion::{LostRun, Standing, SuspectKind, Suspicion};
 
@@ -34,10 +36,9 @@
 /// crashing request costs few engines, short enough that callers are served soon after the engines
 /// are fixed. It is also the longest lease of the store.
 pub const QUARANTINE_DURATION: Duration = Duration::from_secs(600);
-/// Maximum number of requests kept in total, about 300 bytes each.
-const MAX_SUSPECTS: usize = 4_096;
-/// Maximum number of requests kept per tenant, so that no tenant evicts the entries of others.
-const MAX_SUSPECTS_PER_TENANT: usize = 512;
+/// A full table is reduced by this fraction at once, so that the cost of an eviction is spread over
+/// many additions.
+const EVICTED_FRACTION: usize = 8;
 
 /// Effect of merging information about a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -52,6 +53,14 @@
     pub after: Standing,
 }
 
+/// Effect of merging information, before it is decided what follows from it.
+#[derive(Debug, Clone, Copy)]
+struct Merged {
+    added_information: bool,
+    peer_is_behind: bool,
+    before: Standing,
+}
+
 /// A quarantine that the store is not known to hold.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UnstoredQuarantine {
@@ -85,6 +94,9 @@
     answers: u64,
     /// When evidence that is too recent will have lasted long enough.
     next_settling: Option<Instant>,
+    /// Number of answers at which a candidate no longer waits for more of them.
+    awaited_answers: Option<u64>,
+    census: Census,
     /// Cleared requests whose quarantine the store still holds.
     to_release: Vec<Fingerprint>,
 }
@@ -131,23 +143,63 @@
         run: LostRun,
         now: Instant,
     ) -> Update {
-        let suspicion = Suspicion {
-            fingerprint,
-            kind,
-            tenant,
-            lost_runs: vec![run],
-            cleared: None,
-        };
+        let suspicion = Suspicion::of_lost_run(fingerprint, kind, tenant, run);
         let update = self.merge(&suspicion, now);
+        self.mark_own(fingerprint);
+        update
+    }
+
+    /// Records what a run that this daemon lost says against its request and the parts of its prompt.
+    pub fn record_lost_runs(&mut self, suspicions: &[Suspicion], now: Instant) -> Vec<Update> {
+        let updates = self.merge_all(suspicions, now);
+        for suspicion in suspicions {
+            self.mark_own(suspicion.fingerprint);
+        }
+        updates
+    }
+
+    fn mark_own(&mut self, fingerprint: Fingerprint) {
         if let Some(entry) = self.entries.get_mut(&fingerprint) {
             entry.is_own = true;
         }
-        update
     }
 
     /// Records that a run of a request completed, which clears the request. Returns whether it had
     /// been suspected, quarantined or had lost any run since it was last cleared.
     pub fn record_good_run(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let was_suspected = self.clear(fingerprint, now);
+        if was_suspected {
+            self.reconsider([fingerprint], now);
+        }
+        was_suspected
+    }
+
+    /// Records that an engine has begun to write an answer.
+    pub const fn record_answer(&mut self) {
+        self.answers += 1;
+    }
+
+    /// Records that an engine has begun to write an answer on a part. Returns whether that clears
+    /// it, as for [`Self::record_good_run`].
+    pub fn record_sound_part(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+        self.record_good_run(fingerprint, now)
+    }
+
+    /// Records that an engine has begun to write an answer on these parts. Returns those that this
+    /// clears.
+    pub fn record_sound_parts(
+        &mut self,
+        parts: impl Iterator<Item = Fingerprint>,
+        now: Instant,
+    ) -> Vec<Fingerprint> {
+        let cleared: Vec<Fingerprint> = parts.filter(|part| self.clear(*part, now)).collect();
+        if !cleared.is_empty() {
+            self.reconsider(cleared.iter().copied(), now);
+        }
+        cleared
+    }
+
+    fn clear(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
         self.sound.record(fingerprint, now);
         let Some(entry) = self.entries.get_mut(&fingerprint) else {
             return false;
@@ -159,27 +211,32 @@
             if was_stored {
                 self.to_release.push(fingerprint);
             }
-            self.attribute_terminations(fingerprint, now);
         }
         was_suspected
     }
 
-    /// Records that an engine has begun to write an answer.
-    pub const fn record_answer(&mut self) {
-        self.answers += 1;
+    /// Merges what another daemon knows about a request.
+    pub fn merge(&mut self, news: &Suspicion, now: Instant) -> Update {
+        let merged = self.absorb(news, now);
+        self.reconsider([news.fingerprint], now);
+        self.update_of(news.fingerprint, merged, now)
     }
 
-    /// Records that an engine has begun to write an answer on a part. Returns whether that clears
-    /// it, as for [`Self::record_good_run`].
-    pub fn record_sound_part(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.record_good_run(fingerprint, now)
+    /// Merges what another daemon knows about several suspects; the result is in the same order.
+    pub fn merge_all(&mut self, news: &[Suspicion], now: Instant) -> Vec<Update> {
+        let merged: Vec<Merged> = news.iter().map(|news| self.absorb(news, now)).collect();
+        self.reconsider(news.iter().map(|news| news.fingerprint), now);
+        let updates = news.iter().zip(merged);
+        updates
+            .map(|(news, merged)| self.update_of(news.fingerprint, merged, now))
+            .collect()
     }
 
-    /// Merges what another daemon knows about a request.
-    pub fn merge(&mut self, news: &Suspicion, now: Instant) -> Update {
+    fn absorb(&mut self, news: &Suspicion, now: Instant) -> Merged {
         let before = self.standing(news.fingerprint, now);
         if !self.entries.contains_key(&news.fingerprint) {
-            self.make_room(news.tenant, now);
+            self.make_room(news.kind, news.tenant, now);
+            self.census.add(news.kind, news.tenant);
         }
         let entry = self
             .entries
@@ -192,20 +249,27 @@
         }
         let has_uncleared = entry.uncleared_runs().next().is_some();
         entry.answers_before = has_uncleared.then(|| entry.answers_before.unwrap_or(self.answers));
-        let peer_is_behind = entry.has_more_than(news);
-        self.attribute_terminations(news.fingerprint, now);
-        Update {
+        Merged {
             added_information,
-            peer_is_behind,
+            peer_is_behind: entry.has_more_than(news),
             before,
-            after: self.standing(news.fingerprint, now),
+        }
+    }
+
+    fn update_of(&self, fingerprint: Fingerprint, merged: Merged, now: Instant) -> Update {
+        Update {
+            added_information: merged.added_information,
+            peer_is_behind: merged.peer_is_behind,
+            before: merged.before,
+            after: self.standing(fingerprint, now),
         }
     }
 
     /// Records that the store holds the quarantine of a request.
     pub fn record_stored(&mut self, fingerprint: Fingerprint, now: Instant) {
         if !self.entries.contains_key(&fingerprint) {
-            self.make_room(0, now);
+            self.make_room(SuspectKind::Request, 0, now);
+            self.census.add(SuspectKind::Request, 0);
         }
         let entry = self
             .entries
@@ -281,44 +345,47 @@
         let entries = &self.entries;
         self.candidates
             .retain(|fingerprint| entries.contains_key(fingerprint));
+        self.census = Census::of(self.entries.values());
     }
 
     /// Decides which quarantined suspect each termination counts for, after what is known of
     /// `changed` has changed. The suspect under which most engines terminated comes first.
-    fn attribute_terminations(&mut self, changed: Fingerprint, now: Instant) {
-        let Some(entry) = self.entries.get_mut(&changed) else {
-            return;
+    fn reconsider(&mut self, changed: impl IntoIterator<Item = Fingerprint>, now: Instant) {
+        let mut concerns_candidates = false;
+        for fingerprint in changed {
+            concerns_candidates |= self.update_candidate(fingerprint, now);
+        }
+        if concerns_candidates {
+            self.attribute_all(now);
+        }
+    }
+
+    /// Returns whether the suspect is or was a candidate.
+    fn update_candidate(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
+        let Some(entry) = self.entries.get_mut(&fingerprint) else {
+            return self.candidates.remove(&fingerprint);
         };
         if entry.would_be_quarantined(&Causes::default()) {
             entry.sufficient_since.get_or_insert(now);
-            self.candidates.insert(changed);
-        } else {
-            entry.sufficient_since = None;
-            if !self.candidates.remove(&changed) {
-                return;
-            }
+            self.candidates.insert(fingerprint);
+            return true;
         }
-        self.attribute_all(now);
+        entry.sufficient_since = None;
+        self.candidates.remove(&fingerprint)
     }
 
     /// Takes into account that evidence which was too recent has lasted. To be called before a
     /// standing is read.
     pub fn refresh(&mut self, now: Instant) {
         let has_settled = self.next_settling.is_some_and(|settling| settling <= now);
-        if has_settled || self.is_short_of_answers() {
+        let has_answers = self
+            .awaited_answers
+            .is_some_and(|awaited| awaited <= self.answers);
+        if has_settled || has_answers {
             self.attribute_all(now);
         }
     }
 
-    /// Whether a candidate waits for more answers to other requests, and there are more.
-    fn is_short_of_answers(&self) -> bool {
-        self.answers > self.causes.answers
-            && self.candidates.iter().any(|fingerprint| {
-                let entry = self.entries.get(fingerprint);
-                entry.is_some_and(|entry| entry.is_short_of_answers(&self.causes))
-            })
-    }
-
     fn attribute_all(&mut self, now: Instant) {
         self.causes = Causes {
             answers: self.answers,
@@ -341,11 +408,17 @@
                 let of_run = self.causes.by_engine.entry(run.engine.clone());
                 of_run.or_insert(cause.suspicion.fingerprint);
             }
+            // Prompts may share a thousand parts that were lost at the same engines.
+            candidates.retain(|entry| entry.unexplained_runs(&self.causes).next().is_some());
         }
         let settling = candidates
             .iter()
             .filter_map(|entry| entry.settled_at(&self.causes));
         self.next_settling = settling.filter(|settled_at| *settled_at > now).min();
+        let awaited = candidates
+            .iter()
+            .filter_map(|entry| entry.awaited_answers(&self.causes));
+        self.awaited_answers = awaited.min();
         let causes: BTreeSet<Fingerprint> = self.causes.by_engine.values().copied().collect();
         for cause in causes {
             if let Some(entry) = self.entries.get_mut(&cause) {
@@ -375,33 +448,58 @@
         }
     }
 
-    /// Makes room for one more request by evicting at most one: of the same tenant if that tenant
-    /// has too many, otherwise of any. Requests that are not quarantined go first, then those with
-    /// the fewest lost runs, then the oldest.
-    fn make_room(&mut self, tenant: u32, now: Instant) {
-        let of_tenant = self
-            .entries
-            .values()
-            .filter(|entry| entry.suspicion.tenant == tenant);
-        let is_tenant_full = tenant != 0 && of_tenant.count() >= MAX_SUSPECTS_PER_TENANT;
-        if !is_tenant_full && self.entries.len() < MAX_SUSPECTS {
+    /// Makes room for one more suspect of this kind by evicting the least significant ones.
+    fn make_room(&mut self, kind: SuspectKind, tenant: u32, now: Instant) {
+        let Some(scope) = self.census.full_scope(kind, tenant) else {
             return;
-        }
-        let weakest = self
-            .entries
-            .values()
-            .filter(|entry| !is_tenant_full || entry.suspicion.tenant == tenant)
-            .min_by_key(|entry| {
-                (
-                    entry.standing(&self.causes, now).is_quarantined(),
-                    entry.successive_terminations(&self.causes).len(),
-                    entry.last_update(),
-                )
+        };
+        let suspects = SuspectsByRequest::of(self.entries.values());
+        let in_scope = self.entries.values().filter(|entry| scope.contains(entry));
+        let mut ranked: Vec<(Significance, Fingerprint)> = in_scope
+            .map(|entry| {
+                let significance = Significance::of(entry, &self.causes, &suspects, now);
+                (significance, entry.suspicion.fingerprint)
             })
-            .map(|entry| entry.suspicion.fingerprint);
-        if let Some(weakest) = weakest {
-            self.entries.remove(&weakest);
-            self.candidates.remove(&weakest);
+            .collect();
+        ranked.sort_unstable();
+        let evictable = ranked
+            .iter()
+            .filter(|(significance, _fingerprint)| !significance.is_quarantined)
+            .count();
+        let evicted = (ranked.len() / EVICTED_FRACTION).min(evictable).max(1);
+        for (_significance, fingerprint) in ranked.into_iter().take(evicted) {
+            self.entries.remove(&fingerprint);
+            self.candidates.remove(&fingerprint);
         }
+        self.census = Census::of(self.entries.values());
+    }
+
+    /// The most significant of these suspects, at most `limit`, and how many were left out.
+    #[must_use]
+    pub fn most_significant(
+        &self,
+        suspects: Vec<Fingerprint>,
+        limit: usize,
+        now: Instant,
+    ) -> (Vec<Fingerprint>, usize) {
+        let left_out = suspects.len().saturating_sub(limit);
+        if left_out == 0 {
+            return (suspects, 0);
+        }
+        let known = || {
+            let entries = suspects.iter();
+            entries.filter_map(|fingerprint| self.entries.get(fingerprint))
+        };
+        let by_request = SuspectsByRequest::of(known());
+        let mut ranked: Vec<(Significance, Fingerprint)> = known()
+            .map(|entry| {
+                let significance = Significance::of(entry, &self.causes, &by_request, now);
+                (significance, entry.suspicion.fingerprint)
+            })
+            .collect();
+        ranked.sort_unstable_by(|one, other| other.cmp(one));
+        let most_significant = ranked.into_iter().take(limit);
+        let fingerprints = most_significant.map(|(_significance, fingerprint)| fingerprint);
+        (fingerprints.collect(), left_out)
     }
 }
--- a/crates/fleet/src/quarantine/entry.rs
+++ b/crates/fleet/src/quarantine/entry.rs
@@ -258,9 +258,12 @@
         }
     }
 
-    /// Whether the evidence against a part that was sound lacks only answers to other requests.
-    pub(super) fn is_short_of_answers(&self, causes: &Causes) -> bool {
-        self.would_be_quarantined(causes) && self.settled_at(causes).is_none()
+    /// The number of answers at which the evidence against a part that was sound is sufficient, if it
+    /// lacks only answers to other requests.
+    pub(super) fn awaited_answers(&self, causes: &Causes) -> Option<u64> {
+        let is_short = self.would_be_quarantined(causes) && self.settled_at(causes).is_none();
+        let before = self.answers_before.unwrap_or(causes.answers);
+        is_short.then_some(before + SOUND_PART_SETTLING_ANSWERS)
     }
 
     pub(super) fn has_settled(&self, causes: &Causes, now: Instant) -> bool {
--- a/crates/fleet/src/quarantine/recently_sound.rs
+++ b/crates/fleet/src/quarantine/recently_sound.rs
@@ -15,7 +15,8 @@
 }
 
 impl RecentlySound {
-    const MAX_SUSPECTS: usize = 2_048;
+    /// A single prompt may have more than a thousand parts.
+    const MAX_SUSPECTS: usize = 16_384;
     const MAX_AGE: Duration = Duration::from_secs(60);
 
     pub(super) fn record(&mut self, suspect: Fingerprint, now: Instant) {
--- a/crates/fleet/src/quarantine/suspicion.rs
+++ b/crates/fleet/src/quarantine/suspicion.rs
@@ -15,7 +15,7 @@
     Part {
         /// Number of parts before it. Of parts that come together, the last one is in the fewest
         /// prompts.
-        place: u8,
+        place: u16,
     },
 }
 
@@ -58,6 +58,25 @@
     pub cleared: Option<Instant>,
 }
 
+impl Suspicion {
+    /// What one lost run says against a suspect.
+    #[must_use]
+    pub fn of_lost_run(
+        fingerprint: Fingerprint,
+        kind: SuspectKind,
+        tenant: u32,
+        run: LostRun,
+    ) -> Self {
+        Self {
+            fingerprint,
+            kind,
+            tenant,
+            lost_runs: vec![run],
+            cleared: None,
+        }
+    }
+}
+
 /// Whether a request may run; worse standings order last.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
--- a/crates/fleet/tests/suspected_parts.rs
+++ b/crates/fleet/tests/suspected_parts.rs
@@ -5,7 +5,7 @@
 
 use ponddrift_fleet::directory::IncarnationId;
 use ponddrift_fleet::fingerprint::{Fingerprint, PartContent};
-use ponddrift_fleet::quarantine::{LostRun, Quarantine, Standing, SuspectKind};
+use ponddrift_fleet::quarantine::{LostRun, Quarantine, Standing, SuspectKind, Suspicion};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -184,7 +184,7 @@
                     begun: run.begun,
                     ended: now,
                 };
-                let place = u8::try_from(place).expect("few parts");
+                let place = u16::try_from(place).expect("few parts");
                 let kind = SuspectKind::Part { place };
                 self.quarantine
                     .record_lost_run(part(name), kind, 0, lost, now);
@@ -294,3 +294,81 @@
     }
     assert!(late.is_empty(), "sent long after the fifth crash: {late:?}");
 }
+
+/// A run that its engine lost, of a prompt with these parts.
+fn lose_prompt(
+    quarantine: &mut Quarantine,
+    number: u32,
+    tenant: u32,
+    parts: &[String],
+    now: Instant,
+) {
+    let run = LostRun {
+        engine: IncarnationId::parse(&format!("i-{number}")),
+        request: number,
+        begun: now - Duration::from_millis(20),
+        ended: now,
+    };
+    let suspicions: Vec<Suspicion> = parts
+        .iter()
+        .zip(0..)
+        .map(|(name, place)| {
+            let kind = SuspectKind::Part { place };
+            Suspicion::of_lost_run(part(name), kind, tenant, run.clone())
+        })
+        .collect();
+    quarantine.record_lost_runs(&suspicions, now);
+}
+
+/// Guards against evidence that is evicted because it is older, by prompts with a thousand parts of
+/// which none comes again.
+#[test]
+fn long_prompts_do_not_evict_the_evidence_against_a_part_of_shorter_ones() {
+    const BETWEEN: u32 = 40;
+    let start = Instant::now() + Duration::from_secs(3_600);
+    for tenant in [0, 7] {
+        let mut quarantine = Quarantine::default();
+        let mut now = start;
+        let mut number = 0;
+        for crash in 0..3 {
+            let mut parts = vec![String::from("bad")];
+            parts.extend((0..40).map(|other| format!("crash{crash}-{other}")));
+            number += 1;
+            lose_prompt(&mut quarantine, number, tenant, &parts, now);
+            for _prompt in 0..BETWEEN {
+                now += Duration::from_millis(50);
+                number += 1;
+                let parts: Vec<String> = (0..1_200)
+                    .map(|other| format!("long{number}-{other}"))
+                    .collect();
+                lose_prompt(&mut quarantine, number, tenant, &parts, now);
+            }
+        }
+        now += Duration::from_secs(1);
+        quarantine.refresh(now);
+        let standing = quarantine.standing(part("bad"), now);
+        assert!(standing.is_quarantined(), "tenant {tenant}: {standing:?}");
+        let remembered = quarantine.counts(now).remembered;
+        assert!(remembered <= 16_384, "{remembered} parts");
+    }
+}
+
+/// Guards against costs that grow with the square of the number of parts.
+#[test]
+fn a_prompt_with_a_thousand_parts_is_recorded_at_once() {
+    let start = Instant::now() + Duration::from_secs(3_600);
+    let mut quarantine = Quarantine::default();
+    let parts: Vec<String> = (0..1_200).map(|number| format!("p{number}")).collect();
+    let mut now = start;
+    let begun = Instant::now();
+    for number in 0..20 {
+        now += Duration::from_millis(200);
+        lose_prompt(&mut quarantine, number, 0, &parts, now);
+        quarantine.refresh(now + Duration::from_millis(100));
+    }
+    eprintln!("20 prompts of 1,200 parts: {:?}", begun.elapsed());
+    now += Duration::from_secs(1);
+    quarantine.refresh(now);
+    let last = quarantine.standing(part("p1199"), now);
+    assert!(last.is_quarantined(), "{last:?}");
+}
--- a/crates/serve/tests/crashing_parts.rs
+++ b/crates/serve/tests/crashing_parts.rs
@@ -266,3 +266,99 @@
     let mut fleet = fleet_with(36, &parts);
     assert_part_is_refused(&mut fleet, &parts, Place::Middle, "36 daemons");
 }
+
+/// A prompt with many shared parts, after the first one and before the others of
+/// [`sound_request`]. All requests share them.
+fn with_shared_parts(mut request: ClientRequest, count: usize) -> ClientRequest {
+    let shared = (0..count).map(|number| format!("p{number}"));
+    request.further_parts.extend(shared);
+    request.deadline_ms = 3_000;
+    request
+}
+
+/// Sends prompts of many shared parts, of which the second crashes engines in some. Returns the number
+/// of runs of these that began long after the fifth crash, and the sound requests that were refused.
+fn outcome_of_long_prompts(shared_parts: usize) -> (usize, Vec<String>) {
+    const DURATION: Duration = Duration::from_secs(10);
+    let parts = bad_parts(1);
+    let mut fleet = fleet_with(2, &parts);
+    let mut requests: Vec<(Duration, ClientRequest)> = Vec::new();
+    let mut after = Duration::ZERO;
+    while after < DURATION {
+        let number = requests.len();
+        let sound = with_shared_parts(sound_request(number), shared_parts);
+        requests.push((after, sound));
+        after += Duration::from_millis(50);
+    }
+    let mut after = Duration::from_secs(1);
+    let mut number = 0;
+    while after < DURATION {
+        let crashing = crashing_request(number, &parts, Place::First);
+        requests.push((after, with_shared_parts(crashing, shared_parts)));
+        after += Duration::from_millis(300);
+        number += 1;
+    }
+    let targets: Vec<_> = fleet
+        .daemons
+        .iter()
+        .map(|daemon| daemon.callers_address)
+        .collect();
+    let client = fleet.client.clone();
+    let crashes = crash_engines(
+        fleet.simulation.handle(),
+        fleet.store.clone(),
+        fleet.decode_engines_and_hosts(),
+        RESTART_DELAY,
+    );
+    let asked: Vec<Asked> = fleet.run(async move {
+        let start = Instant::now();
+        let calls = requests
+            .into_iter()
+            .enumerate()
+            .map(|(number, (after, request))| {
+                let client = client.clone();
+                let target = targets[number % targets.len()];
+                async move {
+                    sleep_until(start + after).await;
+                    let sent_at = Instant::now();
+                    let answer = client.ask(target, &request).await;
+                    Asked {
+                        request,
+                        sent_at,
+                        answer,
+                    }
+                }
+            });
+        match select(Box::pin(join_all(calls)), Box::pin(crashes)).await {
+            Either::Left((asked, _crashes)) => asked,
+            Either::Right(((), _calls)) => unreachable!("the crash driver never completes"),
+        }
+    });
+    let crashes = all_crashes(&fleet);
+    let runs = crashes.get(TOLERATED_CRASHES - 1).map_or(0, |fifth| {
+        crashing_runs_after(&fleet, *fifth + PROPAGATION_TIME)
+    });
+    let refused = asked
+        .iter()
+        .filter(|asked| asked.request.id.starts_with("sound") && asked.is_quarantined());
+    let refused = refused.map(|asked| asked.request.id.clone()).collect();
+    eprintln!(
+        "{shared_parts} parts: {} crashes, {runs} late runs",
+        crashes.len()
+    );
+    (runs, refused)
+}
+
+/// Guards against a limit on the parts of a prompt that are looked at: whatever comes after it must
+/// not protect a part from suspicion.
+#[test]
+fn a_part_early_in_a_long_prompt_is_refused() {
+    for shared_parts in [40, 400, 1_200] {
+        let (late_runs, refused) = outcome_of_long_prompts(shared_parts);
+        assert!(
+            late_runs <= 3,
+            "{shared_parts} parts: {late_runs} late runs"
+        );
+        assert_eq!(refused, [""; 0], "{shared_parts} parts");
+    }
+}
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -109,7 +109,7 @@
     pub(super) suspect: SuspectRow,
     /// For each lost run, what tells its request from others.
     pub(super) requests: Vec<u32>,
-    /// Number of parts before it.
+    /// Number of parts before it; saturates at 255. It only orders parts that always come together.
     pub(super) place: u8,
 }
 
--- a/crates/serving/src/peers/suspects.rs
+++ b/crates/serving/src/peers/suspects.rs
@@ -26,6 +26,9 @@
 /// Delays after which information for all daemons is sent again. Datagrams may be lost, and a
 /// daemon that misses one may send the request to another engine.
 const REPUBLISH_DELAYS: [Duration; 2] = [Duration::from_millis(150), Duration::from_millis(600)];
+/// Maximum number of suspects that are published at once, about 70 bytes each. An engine that ends may
+/// lose prompts with a thousand parts each; of those the least significant are left out.
+const MAX_PUBLISHED_SUSPECTS: usize = 512;
 /// Number of daemons that record single lost runs of a request. Two of them may be lost.
 const RECORDER_COUNT: usize = 3;
 
@@ -54,21 +57,31 @@
             }
             let not_due = scheduled.split_off(&(started, Fingerprint::MIN));
             let due = std::mem::replace(&mut scheduled, not_due);
-            let due = due
+            let mut requests: BTreeMap<Fingerprint, bool> = due
                 .into_iter()
-                .map(|(_at, fingerprint)| (fingerprint, false));
-            let new_changes = new_changes
-                .into_iter()
-                .map(|fingerprint| (fingerprint, true));
-            self.publish_requests(due.chain(new_changes)).await;
+                .map(|(_at, fingerprint)| (fingerprint, false))
+                .collect();
+            let new_changes = new_changes.into_iter();
+            requests.extend(new_changes.map(|fingerprint| (fingerprint, true)));
+            self.publish_requests(requests).await;
         }
     }
 
     /// Publishes what is known of these requests. Requests without new information are published
     /// only if they concern all daemons.
-    async fn publish_requests(&self, requests: impl Iterator<Item = (Fingerprint, bool)>) {
+    async fn publish_requests(&self, requests: BTreeMap<Fingerprint, bool>) {
+        let (fingerprints, left_out) = self.state.quarantine().most_significant(
+            requests.keys().copied().collect(),
+            MAX_PUBLISHED_SUSPECTS,
+            now(),
+        );
+        if left_out > 0 {
+            tracing::info!(left_out, "suspects_not_published");
+        }
+        let recorders = Recorders::of(self);
         let mut suspicions_of: BTreeMap<SocketAddr, Vec<Suspicion>> = BTreeMap::new();
-        for (fingerprint, is_new) in requests {
+        for fingerprint in fingerprints {
+            let is_new = requests.get(&fingerprint).copied().unwrap_or_default();
             let record = self.record_of(fingerprint);
             let Some((suspicion, standing)) = record else {
                 continue;
@@ -80,7 +93,7 @@
             if !concerns_all && !is_new {
                 continue;
             }
-            for target in self.targets_for(fingerprint, concerns_all) {
+            for target in recorders.targets_for(fingerprint, concerns_all) {
                 let suspicions = suspicions_of.entry(target).or_default();
                 suspicions.push(suspicion.clone());
             }
@@ -135,28 +148,6 @@
         }
     }
 
-    /// The daemons that are informed about a request: all of them, or its recorders.
-    fn targets_for(&self, fingerprint: Fingerprint, concerns_all: bool) -> Vec<SocketAddr> {
-        let mut daemons = self.state.daemon_addresses();
-        if daemons.len() <= SMALL_FLEET_MAX_DAEMONS {
-            return self.neighbours();
-        }
-        daemons.remove(&daemon_identity(&self.state.own().name));
-        if concerns_all {
-            return daemons.into_values().collect();
-        }
-        let mut by_rank: Vec<(u64, SocketAddr)> = daemons
-            .into_iter()
-            .map(|(daemon, address)| (rank(fingerprint, daemon), address))
-            .collect();
-        by_rank.sort_unstable();
-        by_rank.truncate(RECORDER_COUNT);
-        by_rank
-            .into_iter()
-            .map(|(_rank, address)| address)
-            .collect()
-    }
-
     fn is_recorder(&self, fingerprint: Fingerprint) -> bool {
         let own = daemon_identity(&self.state.own().name);
         let own_rank = rank(fingerprint, own);
@@ -171,9 +162,9 @@
     /// recently or missed datagrams.
     pub(super) async fn merge_suspects(&self, suspicions: Vec<Suspicion>, from: SocketAddr) {
         let mut missing_there = Vec::new();
-        for received in suspicions {
+        let updates = self.state.quarantine().merge_all(&suspicions, now());
+        for (received, update) in suspicions.iter().zip(updates) {
             let fingerprint = received.fingerprint;
-            let update = self.state.quarantine().merge(&received, now());
             if update.before != update.after {
                 tracing::info!(
                     %fingerprint,
@@ -206,6 +197,51 @@
     }
 }
 
+/// The daemons that are informed of requests.
+struct Recorders {
+    /// The other daemons of a fleet in which each request has its own recorders.
+    daemons: BTreeMap<u64, SocketAddr>,
+    /// Those that are informed of every request, in a small fleet.
+    neighbours: Vec<SocketAddr>,
+}
+
+impl Recorders {
+    fn of(peers: &Peers) -> Self {
+        let mut daemons = peers.state.daemon_addresses();
+        if daemons.len() <= SMALL_FLEET_MAX_DAEMONS {
+            return Self {
+                daemons: BTreeMap::new(),
+                neighbours: peers.neighbours(),
+            };
+        }
+        daemons.remove(&daemon_identity(&peers.state.own().name));
+        Self {
+            daemons,
+            neighbours: Vec::new(),
+        }
+    }
+
+    /// The daemons that are informed about a request: all of them, or its recorders.
+    fn targets_for(&self, fingerprint: Fingerprint, concerns_all: bool) -> Vec<SocketAddr> {
+        if self.daemons.is_empty() {
+            return self.neighbours.clone();
+        }
+        if concerns_all {
+            return self.daemons.values().copied().collect();
+        }
+        let daemons = self.daemons.iter();
+        let mut by_rank: Vec<(u64, SocketAddr)> = daemons
+            .map(|(daemon, address)| (rank(fingerprint, *daemon), *address))
+            .collect();
+        by_rank.sort_unstable();
+        by_rank.truncate(RECORDER_COUNT);
+        by_rank
+            .into_iter()
+            .map(|(_rank, address)| address)
+            .collect()
+    }
+}
+
 /// The daemons with the lowest ranks record a request. All daemons compute the same ranks.
 fn rank(fingerprint: Fingerprint, daemon: u64) -> u64 {
     xxh3_64_with_seed(fingerprint.as_bytes(), daemon)
--- a/crates/serving/src/peers/translate.rs
+++ b/crates/serving/src/peers/translate.rs
@@ -249,17 +249,19 @@
     }
 }
 
-pub(super) fn part_to_wire(suspicion: &Suspicion, place: u8, now: Instant) -> SuspectedPartRow {
+pub(super) fn part_to_wire(suspicion: &Suspicion, place: u16, now: Instant) -> SuspectedPartRow {
     SuspectedPartRow {
         suspect: suspicion_to_wire(suspicion, now),
         requests: suspicion.lost_runs.iter().map(|run| run.request).collect(),
-        place,
+        place: u8::try_from(place).unwrap_or(u8::MAX),
     }
 }
 
 pub(super) fn part_from_wire(row: &SuspectedPartRow, now: Instant) -> Suspicion {
     let mut suspicion = suspicion_from_wire(&row.suspect, now);
-    suspicion.kind = SuspectKind::Part { place: row.place };
+    suspicion.kind = SuspectKind::Part {
+        place: row.place.into(),
+    };
     for (run, request) in suspicion.lost_runs.iter_mut().zip(&row.requests) {
         run.request = *request;
     }
--- a/crates/serving/src/pipeline/job.rs
+++ b/crates/serving/src/pipeline/job.rs
@@ -12,6 +12,7 @@
     LatencyTargets, Placement, StreamNeeds, StreamPlacement, Urgency,
 };
 use ponddrift_fleet::prompt::PromptPart;
+use ponddrift_fleet::quarantine::SuspectKind;
 use ponddrift_fleet::tenants::Tenant;
 use ponddrift_fleet::versions::RequiredVersion;
 use ponddrift_http::memory::Reservation;
@@ -29,15 +30,18 @@
 /// Logged status of a request whose caller disconnected before any status was sent.
 const CALLER_LEFT_STATUS: u16 = 0;
 
-/// Maximum number of parts of a prompt that count as possible causes of a crash.
-const MAX_SUSPECT_PARTS: usize = 32;
-
 /// A part of a prompt that may crash engines.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct SuspectPart {
     pub(super) fingerprint: Fingerprint,
     /// Number of parts before it.
-    pub(super) place: u8,
+    pub(super) place: u16,
+}
+
+impl SuspectPart {
+    pub(super) const fn kind(&self) -> SuspectKind {
+        SuspectKind::Part { place: self.place }
+    }
 }
 
 /// A request and the decisions taken for it.
@@ -255,9 +259,7 @@
         let parts = self.suspect_parts.get_or_init(|| {
             let prompt = self.metadata.prompt.as_ref();
             let shared = prompt.map_or(&[][..], |prompt| prompt.shared_parts());
-            // The last ones tell most about a prompt with very many parts.
-            let skipped = shared.len().saturating_sub(MAX_SUSPECT_PARTS);
-            let parts = shared.iter().enumerate().skip(skipped);
+            let parts = shared.iter().enumerate();
             parts
                 .map(|(place, part)| self.suspect_part(place, part))
                 .collect()
@@ -272,7 +274,7 @@
                 service: &self.service.name,
                 part: &part.id,
             }),
-            place: u8::try_from(place).unwrap_or(u8::MAX),
+            place: u16::try_from(place).unwrap_or(u16::MAX),
         }
     }
 
--- a/crates/serving/src/pipeline/quarantining.rs
+++ b/crates/serving/src/pipeline/quarantining.rs
@@ -1,11 +1,12 @@
 //! Records lost runs, and refuses quarantined requests and those with a quarantined part.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Instant;
 
 use ponddrift_fleet::directory::BackEnd;
 use ponddrift_fleet::fingerprint::Fingerprint;
-use ponddrift_fleet::quarantine::{LostRun, Standing, SuspectKind, Update};
+use ponddrift_fleet::quarantine::{LostRun, Standing, SuspectKind, Suspicion, Update};
 
 use super::Pipeline;
 use super::answers::Failure;
@@ -88,15 +89,22 @@
             begun: report.begun,
             ended: report.ended,
         };
-        let update = self.suspect(report, report.request, SuspectKind::Request, run.clone());
-        for part in &*report.parts {
-            let kind = SuspectKind::Part { place: part.place };
+        let tenant = report.tenant.as_ref().map_or(0, |tenant| hash(tenant));
+        let request =
+            Suspicion::of_lost_run(report.request, SuspectKind::Request, tenant, run.clone());
+        let parts = report.parts.iter().map(|part| {
             let run = LostRun {
                 request: report.request.short(),
                 ..run.clone()
             };
-            self.suspect(report, part.fingerprint, kind, run);
+            Suspicion::of_lost_run(part.fingerprint, part.kind(), tenant, run)
+        });
+        let suspicions: Vec<Suspicion> = std::iter::once(request).chain(parts).collect();
+        let updates = self.state.quarantine().record_lost_runs(&suspicions, now());
+        for (suspicion, update) in suspicions.iter().zip(&updates) {
+            self.publish_standing(report, suspicion, *update);
         }
+        let of_request = updates.first();
         tracing::warn!(
             request = &*report.request_id,
             fingerprint = %report.request,
@@ -109,29 +117,20 @@
             requests_there = self.placement().load.requests(&report.engine.id),
             progress = report.progress.as_str(),
             parts = report.parts.len(),
-            before = update.before.as_str(),
-            standing = update.after.as_str(),
+            before = of_request.map(|update| update.before.as_str()),
+            standing = of_request.map(|update| update.after.as_str()),
             "run_lost_with_engine"
         );
     }
 
-    fn suspect(
-        &self,
-        report: &LostRunReport,
-        fingerprint: Fingerprint,
-        kind: SuspectKind,
-        run: LostRun,
-    ) -> Update {
-        let tenant = report.tenant.as_ref().map_or(0, |tenant| hash(tenant));
-        let mut quarantine = self.state.quarantine();
-        let update = quarantine.record_lost_run(fingerprint, kind, tenant, run, now());
-        drop(quarantine);
+    fn publish_standing(&self, report: &LostRunReport, suspicion: &Suspicion, update: Update) {
+        let fingerprint = suspicion.fingerprint;
         self.changed_suspects.add(fingerprint);
         if update.before != update.after {
             tracing::info!(
                 request = &*report.request_id,
                 %fingerprint,
-                suspect = kind.as_str(),
+                suspect = suspicion.kind.as_str(),
                 before = update.before.as_str(),
                 standing = update.after.as_str(),
                 "standing_changed"
@@ -140,36 +139,54 @@
         if update.after.is_quarantined() {
             self.state.quarantine_changed().notify_one();
         }
-        update
     }
 
     /// Clears the suspicion against a request that ran to its end.
     pub(super) fn record_good_run(&self, job: &Job) {
-        if !self.state.quarantine().is_empty() {
-            self.clear_suspicion(job, job.fingerprint(), SuspectKind::Request);
+        let mut quarantine = self.state.quarantine();
+        if quarantine.is_empty() {
+            return;
+        }
+        let request = job.fingerprint();
+        let was_filed = quarantine.is_stored(request);
+        let is_cleared = quarantine.record_good_run(request, now());
+        drop(quarantine);
+        if is_cleared {
+            self.suspicion_cleared(job, request, SuspectKind::Request, was_filed);
         }
     }
 
     /// Clears the suspicion against the parts of a prompt on which an engine has begun to write.
     pub(super) fn record_sound_parts(&self, job: &Job) {
-        self.state.quarantine().record_answer();
-        for part in &*job.suspect_parts() {
-            let kind = SuspectKind::Part { place: part.place };
-            self.clear_suspicion(job, part.fingerprint, kind);
-        }
-    }
-
-    fn clear_suspicion(&self, job: &Job, fingerprint: Fingerprint, kind: SuspectKind) {
+        let parts = job.suspect_parts();
         let mut quarantine = self.state.quarantine();
-        let was_filed = quarantine.is_stored(fingerprint);
-        let is_cleared = match kind {
-            SuspectKind::Request => quarantine.record_good_run(fingerprint, now()),
-            SuspectKind::Part { .. } => quarantine.record_sound_part(fingerprint, now()),
-        };
+        quarantine.record_answer();
+        let filed: Vec<Fingerprint> = parts
+            .iter()
+            .map(|part| part.fingerprint)
+            .filter(|part| quarantine.is_stored(*part))
+            .collect();
+        let sound = parts.iter().map(|part| part.fingerprint);
+        let cleared: HashSet<Fingerprint> = quarantine
+            .record_sound_parts(sound, now())
+            .into_iter()
+            .collect();
         drop(quarantine);
-        if !is_cleared {
-            return;
+        for part in parts.iter() {
+            if cleared.contains(&part.fingerprint) {
+                let was_filed = filed.contains(&part.fingerprint);
+                self.suspicion_cleared(job, part.fingerprint, part.kind(), was_filed);
+            }
         }
+    }
+
+    fn suspicion_cleared(
+        &self,
+        job: &Job,
+        fingerprint: Fingerprint,
+        kind: SuspectKind,
+        was_filed: bool,
+    ) {
         tracing::info!(
             request = &*job.id,
             %fingerprint,
