Keep records of streams over a rolling restart

Cause: where a stream began is held in the memory of the daemon that serves it and of three others, and was told once, when the stream began. All four are replaced while it lasts; none hands anything over, and nobody tells the processes that come later. stream_taken_up said origin unknown, source none.

Change: the serving daemon tells the recorders of the time again every 2 s until the stream ends. A daemon that stops hands over what it holds, at the begin and at the end of the stop, to the recorders that there are without it, confirmed.

--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -15,6 +15,9 @@
 const MAX_STREAMS: usize = 16_384;
 /// A caller may take up a stream for no longer than this.
 pub const MAX_RETENTION: Duration = Duration::from_secs(600);
+/// Time after which the daemon that serves a stream tells its recorders again. All of them may have
+/// been replaced in between; streams that are shorter cost nothing.
+pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Identifies a stream over all tries of its caller: the tenant and the ID of the request that
 /// brought the first event. Collision-resistant, because callers choose their request IDs.
@@ -81,11 +84,24 @@
     Unrecorded,
 }
 
+/// What a daemon tells others of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StreamRecord {
+    /// The stream.
+    pub stream: StreamId,
+    /// Where it began.
+    pub origin: StreamOrigin,
+    /// For how long its caller may take it up from now on.
+    pub retention: Duration,
+}
+
 #[derive(Debug)]
 struct Record {
     /// `None` if two origins were recorded.
     origin: Option<StreamOrigin>,
     expires_at: Instant,
+    /// When the recorders are told again; `None` for a stream that this daemon does not serve.
+    renewal_at: Option<Instant>,
 }
 
 /// Origins of the streams that callers may still take up.
@@ -93,6 +109,7 @@
 pub struct StreamOrigins {
     records: HashMap<StreamId, Record>,
     by_expiry: BTreeSet<(Instant, StreamId)>,
+    by_renewal: BTreeSet<(Instant, StreamId)>,
 }
 
 impl StreamOrigins {
@@ -122,13 +139,89 @@
                 if self.records.len() >= MAX_STREAMS {
                     self.forget_first();
                 }
-                let origin = Some(origin);
-                self.records.insert(stream, Record { origin, expires_at });
+                let record = Record {
+                    origin: Some(origin),
+                    expires_at,
+                    renewal_at: None,
+                };
+                self.records.insert(stream, record);
                 self.by_expiry.insert((expires_at, stream));
             }
         }
     }
 
+    /// Records where a stream began that this daemon serves from now on. Its recorders are told again
+    /// after each [`RENEWAL_INTERVAL`] until it ends.
+    pub fn record_served(
+        &mut self,
+        stream: StreamId,
+        origin: StreamOrigin,
+        retention: Duration,
+        now: Instant,
+    ) {
+        self.record(stream, origin, retention, now);
+        self.schedule_renewal(stream, Some(now + RENEWAL_INTERVAL));
+    }
+
+    /// Records that a stream was served to its end here, so that its caller does not take it up.
+    pub fn finish(&mut self, stream: StreamId) {
+        self.schedule_renewal(stream, None);
+    }
+
+    /// The streams whose recorders are to be told again now.
+    pub fn take_due_renewals(&mut self, now: Instant) -> Vec<StreamRecord> {
+        self.forget_expired(now);
+        let due = self.by_renewal.iter();
+        let due: Vec<StreamId> = due
+            .take_while(|(renewal_at, _stream)| *renewal_at <= now)
+            .map(|(_renewal_at, stream)| *stream)
+            .collect();
+        for stream in &due {
+            self.schedule_renewal(*stream, Some(now + RENEWAL_INTERVAL));
+        }
+        due.iter()
+            .filter_map(|stream| self.record_of(*stream, now))
+            .collect()
+    }
+
+    /// When the next recorders are to be told again; `None` if this daemon serves no stream.
+    #[must_use]
+    pub fn next_renewal(&self) -> Option<Instant> {
+        let first = self.by_renewal.first();
+        first.map(|(renewal_at, _stream)| *renewal_at)
+    }
+
+    /// Everything that is known, for a daemon that takes over.
+    #[must_use]
+    pub fn all(&self, now: Instant) -> Vec<StreamRecord> {
+        let streams = self.records.keys();
+        streams
+            .filter_map(|stream| self.record_of(*stream, now))
+            .collect()
+    }
+
+    fn record_of(&self, stream: StreamId, now: Instant) -> Option<StreamRecord> {
+        let record = self.records.get(&stream)?;
+        let retention = record.expires_at.saturating_duration_since(now);
+        let origin = record.origin.clone().filter(|_| !retention.is_zero())?;
+        Some(StreamRecord {
+            stream,
+            origin,
+            retention,
+        })
+    }
+
+    fn schedule_renewal(&mut self, stream: StreamId, renewal_at: Option<Instant>) {
+        let Some(record) = self.records.get_mut(&stream) else {
+            return;
+        };
+        if let Some(before) = std::mem::replace(&mut record.renewal_at, renewal_at) {
+            self.by_renewal.remove(&(before, stream));
+        }
+        self.by_renewal
+            .extend(renewal_at.map(|renewal_at| (renewal_at, stream)));
+    }
+
     /// Where a stream began.
     #[must_use]
     pub fn find(&self, stream: StreamId, now: Instant) -> KnownOrigin {
@@ -164,6 +257,7 @@
 
     fn forget_first(&mut self) {
         if let Some((_expires_at, stream)) = self.by_expiry.pop_first() {
+            self.schedule_renewal(stream, None);
             self.records.remove(&stream);
         }
     }
--- a/crates/fleet/tests/stream_origins.rs
+++ b/crates/fleet/tests/stream_origins.rs
@@ -5,7 +5,8 @@
 use std::time::{Duration, Instant};
 
 use ponddrift_fleet::stream_origins::{
-    KnownOrigin, RecorderCandidate, StreamId, StreamOrigin, StreamOrigins, recorders_in_order,
+    KnownOrigin, RENEWAL_INTERVAL, RecorderCandidate, StreamId, StreamOrigin, StreamOrigins,
+    StreamRecord, recorders_in_order,
 };
 use ponddrift_fleet::versions::{RequiredVersion, SoftwareVersion};
 
@@ -44,6 +45,33 @@
     assert_eq!(origins.find(stream, now + RETENTION), known);
 }
 
+#[test]
+fn streams_that_are_served_are_renewed_until_they_end() {
+    let start = Instant::now();
+    let mut origins = StreamOrigins::default();
+    let (long, short) = (StreamId::of(None, "1"), StreamId::of(None, "2"));
+    let of_other_daemon = StreamId::of(None, "3");
+    origins.record_served(long, origin("v1"), RETENTION, start);
+    origins.record_served(short, origin("v1"), RETENTION, start);
+    origins.record(of_other_daemon, origin("v1"), RETENTION, start);
+    origins.finish(short);
+    let before = start + RENEWAL_INTERVAL / 2;
+    assert!(origins.take_due_renewals(before).is_empty());
+    let due = origins.take_due_renewals(start + RENEWAL_INTERVAL);
+    let expected = StreamRecord {
+        stream: long,
+        origin: origin("v1"),
+        retention: RETENTION - RENEWAL_INTERVAL,
+    };
+    assert_eq!(due, [expected]);
+    assert_eq!(origins.all(start + RENEWAL_INTERVAL).len(), 3);
+    let next = origins.next_renewal();
+    assert_eq!(next, Some(start + RENEWAL_INTERVAL * 2));
+    assert!(origins.take_due_renewals(start + RETENTION).is_empty());
+    assert_eq!(origins.next_renewal(), None);
+    assert!(origins.is_empty());
+}
+
 #[test]
 fn contradictory_records_name_no_version() {
     let now = Instant::now();
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -216,7 +216,8 @@
 
     /// Stops the daemon gracefully.
     ///
-    /// 1. Readiness checks fail at once, and every response closes its connection.
+    /// 1. Readiness checks fail at once, and every response closes its connection. Records of streams
+    ///    are handed over to other daemons, and those that came since again at the end.
     /// 2. After `notice_period`, idle connections are closed.
     /// 3. After `accept_period`, new requests are refused at once.
     /// 4. After `exit_deadline`, requests that are still in progress are answered.
@@ -228,6 +229,7 @@
         tracing::info!(in_progress = self.pipeline.in_progress(), "stop_begins");
         let exit_deadline = started_at + stop.exit_deadline;
         self.pipeline.begin_stop(exit_deadline);
+        self.pipeline.hand_over_stream_records().await;
         time::sleep_until(started_at + stop.notice_period).await;
         self.callers_server.close_connections();
         time::sleep_until(started_at + stop.accept_period).await;
@@ -236,7 +238,10 @@
         self.pipeline.end_requests();
         let close_deadline = exit_deadline + CLOSE_TIMEOUT;
         let closing = time::timeout_at(close_deadline, self.callers_server.stop());
-        if closing.await.is_none() {
+        let handing_over =
+            time::timeout_at(close_deadline, self.pipeline.hand_over_stream_records());
+        let (closed, _handed_over) = tokio::join!(closing, handing_over);
+        if closed.is_none() {
             tracing::warn!(
                 in_progress = self.pipeline.in_progress(),
                 connections = self.callers_server.open_connections(),
--- a/crates/serve/tests/stream_versions.rs
+++ b/crates/serve/tests/stream_versions.rs
@@ -10,9 +10,9 @@
 use ponddrift_platform_stand_ins::{
     Answer, Behaviour, BrokenStream, ClientRequest, ClientStandIn, EngineStandIn,
 };
-use ponddrift_simulation::DatagramFaults;
+use ponddrift_simulation::{DatagramFaults, SimulationHandle};
 use support::timed_requests::earn_retries;
-use support::{Fleet, FleetOptions};
+use support::{DaemonHost, Fleet, FleetOptions};
 use tokio::time::sleep;
 
 /// Events of a stream in these tests.
@@ -54,6 +54,14 @@
         ids == (1..=STREAM_EVENTS).collect::<Vec<u64>>()
     }
 
+    /// Whether a later try brought further events.
+    fn went_on(&self) -> bool {
+        let later = self.tries.iter().skip(1).flatten();
+        later
+            .into_iter()
+            .any(|answer| answer.status == StatusCode::OK && answer.last_event().is_some())
+    }
+
     /// Whether a later try went on with a stream that has events.
     fn was_taken_up(&self) -> bool {
         self.tries.len() > 1
@@ -743,3 +751,134 @@
         assert_one_version_each(&taken, &case);
     }
 }
+
+/// How all daemons are replaced in [`outcome_of_replaced_daemons`].
+#[derive(Debug, Clone, Copy)]
+enum Replacement {
+    /// One planned stop begins after the other.
+    Rolling { pause: Duration },
+    /// The first daemon, which serves the streams, is killed after the rolling restart of the others.
+    RollingThenKilled { pause: Duration },
+}
+
+/// Streams of this length outlast a rolling restart of a small fleet.
+const LONG_STREAM_EVENTS: u64 = 90;
+const LONG_STREAM_GAP_MS: u64 = 150;
+/// Total time of a client for such a stream, in milliseconds.
+const LONG_STREAM_DEADLINE_MS: u64 = 16_000;
+/// Time in which a daemon is down between two processes.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+
+/// Routes whose streams may take as long as [`LONG_STREAM_DEADLINE_MS`].
+fn configure_long_streams(fleet: &Fleet) {
+    let mut routes = support::routes();
+    for route in &mut routes {
+        route.timeout_ms = LONG_STREAM_DEADLINE_MS;
+    }
+    fleet.configure(2, &routes);
+    for engine in &fleet.decode {
+        engine.set_default_behaviour(Behaviour::Stream {
+            events: LONG_STREAM_EVENTS,
+            gap_ms: LONG_STREAM_GAP_MS,
+        });
+    }
+}
+
+/// Stops a daemon as planned, and starts it again once it has exited.
+async fn replace_daemon(simulation: SimulationHandle, daemon: DaemonHost) {
+    daemon.terminate();
+    while !daemon.has_stopped() {
+        sleep(Duration::from_millis(10)).await;
+    }
+    simulation.kill(daemon.host);
+    sleep(DOWN_TIME).await;
+    simulation.restart(daemon.host);
+}
+
+/// Replaces all daemons while long streams of two versions run at the first one. Clients take their
+/// streams up at the others, which have been replaced meanwhile.
+fn outcome_of_replaced_daemons(daemons: u8, replacement: Replacement, loss: f64) -> Vec<Taken> {
+    const STREAMS: usize = 24;
+    let mut fleet = fleet_of_two_versions(daemons, 8);
+    configure_long_streams(&fleet);
+    fleet.wait(Duration::from_millis(500));
+    let simulation = fleet.simulation.handle();
+    simulation.set_datagram_faults(DatagramFaults {
+        loss,
+        ..DatagramFaults::default()
+    });
+    let hosts = fleet.daemons.clone();
+    let replacing = async move {
+        sleep(FAULT_DELAY).await;
+        let (pause, is_killed) = match replacement {
+            Replacement::Rolling { pause } => (pause, false),
+            Replacement::RollingThenKilled { pause } => (pause, true),
+        };
+        let mut restarts = Vec::new();
+        for daemon in hosts.iter().skip(1).chain(hosts.first()) {
+            if daemon.host == hosts[0].host && is_killed {
+                join_all(restarts.drain(..)).await;
+                sleep(Duration::from_secs(3)).await;
+                simulation.kill(daemon.host);
+                break;
+            }
+            let restart = replace_daemon(simulation.clone(), daemon.clone());
+            restarts.push(tokio::task::spawn_local(restart));
+            sleep(pause).await;
+        }
+        join_all(restarts).await;
+    };
+    let client = fleet.client.clone();
+    let addresses: Vec<_> = fleet
+        .daemons
+        .iter()
+        .map(|daemon| daemon.callers_address)
+        .collect();
+    let others = addresses.len() - 1;
+    fleet.run(async move {
+        let streams = (0..STREAMS).map(|number| {
+            let targets = vec![
+                addresses[0],
+                addresses[1 + number % others],
+                addresses[1 + (number + 1) % others],
+            ];
+            let request = ClientRequest {
+                deadline_ms: LONG_STREAM_DEADLINE_MS,
+                ..ClientRequest::prompt(&format!("long-{number}"), "tag", 40, 200)
+            };
+            take_stream(client.clone(), targets, request, RETRY_PAUSE)
+        });
+        let (taken, ()) = futures::join!(join_all(streams), replacing);
+        taken
+    })
+}
+
+/// Guards against records of streams that only daemons hold which are all replaced while the stream
+/// lasts.
+#[test]
+fn streams_go_on_after_all_daemons_were_replaced_one_after_the_other() {
+    let pause = Duration::from_secs(1);
+    let short = Duration::from_millis(300);
+    let cases = [
+        (4, Replacement::Rolling { pause }, 0.0),
+        (4, Replacement::Rolling { pause: short }, 0.0),
+        (4, Replacement::Rolling { pause }, 0.2),
+        (9, Replacement::Rolling { pause: short }, 0.0),
+        (4, Replacement::RollingThenKilled { pause }, 0.0),
+        (9, Replacement::RollingThenKilled { pause: short }, 0.1),
+    ];
+    for (daemons, replacement, loss) in cases {
+        let case = format!("{daemons} daemons, {replacement:?}, loss {loss}");
+        let taken = outcome_of_replaced_daemons(daemons, replacement, loss);
+        assert_one_version_each(&taken, &case);
+        let taken_up = taken.iter().filter(|taken| taken.was_taken_up());
+        let went_on = taken_up.clone().filter(|taken| taken.went_on()).count();
+        let taken_up = taken_up.count();
+        eprintln!("{case}: {went_on} of {taken_up} went on");
+        assert!(taken_up >= 12, "{case}: {taken_up} taken up");
+        assert!(
+            went_on * 10 >= taken_up * 9,
+            "{case}: {went_on} of {taken_up} went on"
+        );
+    }
+}
--- a/crates/serving/src/fleet_state.rs
+++ b/crates/serving/src/fleet_state.rs
@@ -93,6 +93,7 @@
     quarantine_changed: Notify,
     configuration_changed: Notify,
     items_changed: Notify,
+    stream_served: Notify,
     read_progressed: Notify,
     era: KnownEra,
 }
@@ -111,6 +112,7 @@
             quarantine_changed: Notify::new(),
             configuration_changed: Notify::new(),
             items_changed: Notify::new(),
+            stream_served: Notify::new(),
             read_progressed: Notify::new(),
             era: KnownEra::default(),
         }
@@ -147,6 +149,12 @@
         &self.configuration_changed
     }
 
+    /// Notified when this daemon begins to serve a stream that its caller may take up.
+    #[must_use]
+    pub const fn stream_served(&self) -> &Notify {
+        &self.stream_served
+    }
+
     /// Notified when items of the store have been applied.
     #[must_use]
     pub const fn items_changed(&self) -> &Notify {
--- a/crates/serving/src/peers.rs
+++ b/crates/serving/src/peers.rs
@@ -74,6 +74,7 @@
     let usage = pipeline.usage().cloned();
     queries::serve(runtime, address, state, pipeline).await?;
     pipeline.set_stream_recorders(StreamRecorders::new(
+        runtime.clone(),
         Arc::clone(&socket),
         StoreCheck::new(state, follow_status),
     ));
@@ -109,6 +110,7 @@
     spawner.spawn(Box::pin(Arc::clone(&peers).deposit_retries()));
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_profiles()));
     spawner.spawn(Box::pin(Arc::clone(&peers).publish_paths()));
+    spawner.spawn(Box::pin(Arc::clone(&peers).renew_stream_origins()));
     spawner.spawn(Box::pin(peers.receive()));
     Ok(())
 }
--- a/crates/serving/src/peers/message.rs
+++ b/crates/serving/src/peers/message.rs
@@ -100,6 +100,8 @@
     StreamOrigin(StreamOriginRow),
     /// Parts of prompts during whose runs engines ended.
     SuspectedParts(Vec<SuspectedPartRow>),
+    /// Where streams began that the sender still serves.
+    StreamOrigins(Vec<StreamOriginRow>),
 }
 
 /// What the sender knows of one part of prompts during whose runs engines ended.
@@ -467,6 +469,11 @@
     encode_rows(rows, Message::SuspectedParts)
 }
 
+/// Encodes records of streams as datagrams.
+pub(super) fn encode_stream_origins(rows: Vec<StreamOriginRow>) -> Vec<Vec<u8>> {
+    encode_rows(rows, Message::StreamOrigins)
+}
+
 /// Encodes rate limits as datagrams.
 pub(super) fn encode_rate_limits(rows: Vec<RateRow>, wants_more: bool) -> Vec<Vec<u8>> {
     encode_rows(rows, |rows| Message::RateLimits { rows, wants_more })
--- a/crates/serving/src/peers/queries.rs
+++ b/crates/serving/src/peers/queries.rs
@@ -25,8 +25,8 @@
 const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Size limit of an answer in bytes.
 const MAX_ANSWER_BYTES: u32 = 32 << 20;
-/// Size limit of a query in bytes. Keys of the store are at most 200 bytes long.
-const MAX_QUERY_BYTES: u32 = 256;
+/// Size limit of a query in bytes. The longest are those that hand over records of streams.
+pub(super) const MAX_QUERY_BYTES: u32 = 16 << 10;
 /// Size limit of a [`RelayAnswer`](super::relay::RelayAnswer) in bytes.
 pub(super) const MAX_RELAY_ANSWER_BYTES: u32 = 16;
 /// Size limit of a decompressed page in bytes. A configuration can take several megabytes.
@@ -61,6 +61,8 @@
     Relay(SocketAddr),
     /// Where this stream began; answered with a [`StreamOriginRow`], or with `None`.
     StreamOrigin(StreamId),
+    /// Records of streams that a stopping daemon hands over; answered with whether they are kept.
+    KeepStreamOrigins(Vec<StreamOriginRow>),
 }
 
 /// A page of the store's contents, compressed with LZ4 and prefixed with its length. Entries of
@@ -184,6 +186,12 @@
         Query::StreamOrigin(stream) => {
             borsh::to_vec(&stream_origins::recorded_row(&sources.state, stream))?
         }
+        Query::KeepStreamOrigins(rows) => {
+            // One that stops too would lose them.
+            let is_kept = !sources.pipeline.is_stopping();
+            stream_origins::record_rows(&sources.state, rows);
+            borsh::to_vec(&is_kept)?
+        }
         Query::Retry(service) => borsh::to_vec(&sources.pipeline.withdraw_from_pool(service))?,
     };
     write_bytes(&mut stream, &bytes).await
@@ -267,6 +275,21 @@
     send_query(runtime, peer, Query::StreamOrigin(stream)).await
 }
 
+/// Hands records of streams over to a peer. Returns whether the peer keeps them.
+///
+/// # Errors
+/// If the peer cannot be reached, does not answer within `limit`, or is of a build without this query.
+pub(super) async fn hand_over_stream_origins(
+    runtime: &Runtime,
+    peer: SocketAddr,
+    rows: Vec<StreamOriginRow>,
+    limit: Duration,
+) -> io::Result<bool> {
+    let answering = send_query(runtime, peer, Query::KeepStreamOrigins(rows));
+    let answer = tokio::time::timeout(limit, answering).await;
+    answer.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))?
+}
+
 /// Fetches the changes after the revision `after` from a peer.
 pub(super) async fn fetch_changes_after(
     runtime: &Runtime,
--- a/crates/serving/src/peers/receive.rs
+++ b/crates/serving/src/peers/receive.rs
@@ -9,6 +9,7 @@
 
 use super::Peers;
 use super::message::{self, Digest, MAX_DATAGRAM_BYTES, Message, StoreContact};
+use super::stream_origins::record_rows;
 use super::translate::{
     deposits_from_wire, part_from_wire, prefill_timing_from_wire, prefix_from_wire,
     report_from_wire, results_from_wire, suspicion_from_wire, work_from_wire,
@@ -84,7 +85,8 @@
                 Some(Message::Deposits(row)) => {
                     self.pipeline.receive_deposits(&deposits_from_wire(row))
                 }
-                Some(Message::StreamOrigin(row)) => self.receive_stream_origin(row),
+                Some(Message::StreamOrigin(row)) => record_rows(&self.state, vec![row]),
+                Some(Message::StreamOrigins(rows)) => record_rows(&self.state, rows),
                 None => tracing::warn!(%from, length, "peer_message_unreadable"),
             }
         }
--- a/crates/serving/src/pipeline/relay.rs
+++ b/crates/serving/src/pipeline/relay.rs
@@ -284,6 +284,7 @@
     fn complete(&mut self, stream: OpenStream) {
         self.record_end(&stream, "answered", Some(Outcome::Success));
         self.pipeline.record_good_run(&self.job);
+        self.pipeline.forget_served_stream(&self.job);
         let time = now().saturating_duration_since(stream.started_at);
         let slots = stream.back_end.slots;
         let service = &self.job.service.name;
--- a/crates/serving/src/pipeline/taken_up.rs
+++ b/crates/serving/src/pipeline/taken_up.rs
@@ -196,6 +196,21 @@
         }
     }
 
+    /// Records that the caller has the whole stream.
+    pub(super) fn forget_served_stream(&self, job: &Job) {
+        let tenant = job.tenant.as_ref().map(|tenant| &*tenant.name);
+        if let Some(stream) = job.metadata.stream(tenant) {
+            self.state.stream_origins().finish(stream);
+        }
+    }
+
+    /// Hands the records of streams over to other daemons, before this one exits.
+    pub async fn hand_over_stream_records(&self) {
+        if let Some(recorders) = self.stream_recorders.get() {
+            recorders.hand_over(&self.state).await;
+        }
+    }
+
     /// Records where the stream began, before its first event is forwarded.
     pub(super) async fn record_origin(&self, job: &Job, stream: &OpenStream) {
         if !job.route.kind.is_resumable_stream() {
