Tests: heads of answers that end early

Other operators reported that an engine stopped in the middle of its answer's head and closed, and that clients got a 200 with an empty or short body. None is passed on; no change of the product was needed.

--- a/crates/serve/tests/relayed_connections.rs
+++ b/crates/serve/tests/relayed_connections.rs
@@ -417,10 +417,18 @@
         let length = field("content-length:").parse().unwrap_or(0);
         stream.read_exact(&mut vec![0; length]).await?;
         let answer = answer + "content-length: 0\r\n\r\n";
+        if let Some((_route, bytes)) = id.split_once(CUT_AFTER) {
+            let bytes = bytes.parse::<usize>().unwrap_or(0).min(answer.len() - 1);
+            stream.write_all(&answer.as_bytes()[..bytes]).await?;
+            return stream.shutdown().await;
+        }
         stream.write_all(answer.as_bytes()).await?;
     }
 }
 
+/// In the ID of a request, before the number of bytes of its answer's head that are written.
+const CUT_AFTER: &str = "-cut-after-";
+
 /// Three daemons, the first of which is cut from the only plain back end.
 fn early_answering_back_end() -> Fleet {
     let (ip, port) = EARLY_ADDRESS;
@@ -480,3 +488,20 @@
     }
     assert!(relay_answers(&mut fleet) > relayed_before, "it was relayed");
 }
+
+/// Guards against a head that ends early on a connection that a peer relays.
+#[test]
+fn a_relayed_answer_whose_head_ends_early_is_not_passed_on() {
+    let mut fleet = early_answering_back_end();
+    cut_first_daemon(&mut fleet);
+    let relayed_before = relay_answers(&mut fleet);
+    for route in ["post", "fetch"] {
+        for bytes in [0, 4, 12, 15, 17, 30, 50, 90, 120, 145, 200] {
+            let id = format!("{route}{CUT_AFTER}{bytes}");
+            let answer = ask(&mut fleet, &ClientRequest::plain(&id, route));
+            assert!(answer.status.is_server_error(), "{id}: {answer:?}");
+            assert!(answer.signed_by().is_none(), "{id}: {answer:?}");
+        }
+    }
+    assert!(relay_answers(&mut fleet) > relayed_before, "it was relayed");
+}
