Share what daemons know of an engine's exit

Cause: each daemon proved for itself that an engine has exited, with peers and witnesses chosen at random. While most engines are down that fails at some daemons.

Change: a run lost at an incarnation, reported by any daemon, confirms the runs that broke off there. A daemon that has proved an exit is a witness for others. Two witnesses are tried, then up to six more.

Evidence, x86-64: a_run_counts_if_a_peer_knows_that_its_engine_has_exited failed before.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -109,6 +109,16 @@
         entry.map_or(0, |entry| entry.uncleared_runs().count())
     }
 
+    /// Whether any daemon is known to have lost a run because this engine terminated.
+    #[must_use]
+    pub fn has_terminated(&self, engine: &IncarnationId) -> bool {
+        let mut runs = self
+            .entries
+            .values()
+            .flat_map(|entry| &entry.suspicion.lost_runs);
+        runs.any(|run| run.engine == *engine)
+    }
+
     /// Whether no request is remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/serve/tests/crashing_requests.rs
+++ b/crates/serve/tests/crashing_requests.rs
@@ -13,7 +13,7 @@
 use http::StatusCode;
 use ponddrift_platform_stand_ins::{Answer, Behaviour, ClientRequest};
 use ponddrift_simulation::{DatagramFaults, HostId};
-use support::{Fleet, FleetOptions, crash_engines};
+use support::{Fleet, FleetOptions, crash_engines, wait_until};
 use tokio::time::{Instant, sleep};
 
 /// Text in the body of a request that makes engines crash.
@@ -731,3 +731,51 @@
         }
     }
 }
+
+/// Guards against an exit that one daemon can prove and another cannot: the innocent requests of the
+/// first would count, and the cause at the second would not.
+#[test]
+fn a_run_counts_if_a_peer_knows_that_its_engine_has_exited() {
+    let mut fleet = Fleet::new(FleetOptions {
+        daemons: 3,
+        records: 3,
+        prefill: 0,
+        decode: 0,
+        ..FleetOptions::default()
+    });
+    let simulation = fleet.simulation.handle();
+    // Only the first daemon reaches other engines than the one that crashes, so it has no witness.
+    let without_others = [fleet.daemons[1].host, fleet.daemons[2].host];
+    simulation.partition(&without_others, &fleet.records_hosts[1..]);
+    for engine in &fleet.records[1..] {
+        engine.record(&fleet.store, "draining");
+    }
+    fleet.wait(Duration::from_millis(500));
+    let crashing = fleet.records[0].clone();
+    crashing.set_default_behaviour(Behaviour::Hang);
+    crashing.crash_on(CRASH_TEXT);
+    let host = fleet.records_hosts[0];
+    let client = fleet.client.clone();
+    let [first, second] = [0, 1].map(|daemon: usize| fleet.daemons[daemon].callers_address);
+    fleet.run(async move {
+        let cause = ClientRequest {
+            body: String::from(CRASH_TEXT),
+            ..ClientRequest::plain("crasher", "post")
+        };
+        let innocent = ClientRequest::plain("innocent", "post");
+        let asking_innocent = client.ask(second, &innocent);
+        let asking_cause = async {
+            sleep(Duration::from_millis(500)).await;
+            client.ask(first, &cause).await
+        };
+        let crash = async {
+            wait_until(|| crashing.is_crashing()).await;
+            simulation.kill(host);
+        };
+        futures::join!(asking_innocent, asking_cause, crash)
+    });
+    fleet.wait(Duration::from_millis(500));
+    let lost = [0, 1].map(|daemon| fleet.metric(daemon, "ponddrift_runs_lost_with_engine_total"));
+    assert!(lost[1] >= 1.0, "the second daemon has a witness: {lost:?}");
+    assert!(lost[0] >= 1.0, "the first learns of it: {lost:?}");
+}
--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -25,8 +25,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Time limit for showing that another back end is reached.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(100);
-/// Other back ends of a group that are tried for that.
-const WITNESS_BACK_ENDS: usize = 2;
+/// Other back ends of a group that are tried for that at the same time, first a few, then more: of a
+/// small group most may be down.
+const WITNESS_ROUNDS: [usize; 2] = [2, 6];
 /// Time after which a connection without any bytes is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 /// How long the peer has to close a connection that the back end closed.
@@ -162,8 +163,12 @@
 }
 
 /// Whether the paths from here work that lead where the path to `unreachable` leads: to another back
-/// end of its service, and to another one in its zone.
+/// end of its service, and to another one in its zone. They need not be tried if this daemon has found
+/// that the back end has exited.
 async fn reaches_others(unreachable: &BackEnd, sources: &AnswerSources) -> bool {
+    if sources.pipeline.has_found_exit(unreachable) {
+        return true;
+    }
     let mut others = sources.state.back_ends();
     others.retain(|other| other.address != unreachable.address);
     others.sort_by_key(|other| other.address);
@@ -179,13 +184,23 @@
 
 /// Whether one of a few of these back ends accepts a connection; true if there are none.
 async fn accepts_any(back_ends: Vec<&Arc<BackEnd>>, sources: &AnswerSources) -> bool {
+    if back_ends.is_empty() {
+        return true;
+    }
     let start = sources.pipeline.random_index(back_ends.len());
-    let tried = back_ends.len().min(WITNESS_BACK_ENDS);
-    let chosen = back_ends.iter().cycle().skip(start).take(tried);
-    let attempts =
-        chosen.map(|back_end| connect(&sources.runtime, back_end.address, WITNESS_TIMEOUT));
-    let results = futures::future::join_all(attempts).await;
-    back_ends.is_empty() || results.iter().any(Result::is_ok)
+    let rotated = back_ends.iter().cycle().skip(start).take(back_ends.len());
+    let mut untried = rotated.map(|back_end| back_end.address);
+    for count in WITNESS_ROUNDS {
+        let chosen: Vec<SocketAddr> = untried.by_ref().take(count).collect();
+        let attempts = chosen
+            .into_iter()
+            .map(|address| connect(&sources.runtime, address, WITNESS_TIMEOUT));
+        let results = futures::future::join_all(attempts).await;
+        if results.iter().any(Result::is_ok) {
+            return true;
+        }
+    }
+    false
 }
 
 /// Progress of a relayed connection, shared by its two directions.
--- a/crates/serving/src/peers/suspects.rs
+++ b/crates/serving/src/peers/suspects.rs
@@ -161,6 +161,9 @@
     /// Merges information from a peer and replies with what the peer lacks: it may have started
     /// recently or missed datagrams.
     pub(super) async fn merge_suspects(&self, suspicions: Vec<Suspicion>, from: SocketAddr) {
+        let lost_runs = suspicions.iter().flat_map(|received| &received.lost_runs);
+        let exited = lost_runs.map(|run| run.engine.clone()).collect();
+        self.pipeline.confirm_runs_at(&exited);
         let mut missing_there = Vec::new();
         let updates = self.state.quarantine().merge_all(&suspicions, now());
         for (received, update) in suspicions.iter().zip(updates) {
--- a/crates/serving/src/pipeline/lost_runs.rs
+++ b/crates/serving/src/pipeline/lost_runs.rs
@@ -39,6 +39,13 @@
         self.lock().retain(|engine, _check| is_present(engine));
     }
 
+    /// Whether a finished check has shown that the engine has exited.
+    fn has_found_exit(&self, engine: &BackEnd) -> bool {
+        let checks = self.lock();
+        let check = checks.get(&engine.incarnation_id());
+        check.is_some_and(|check| check.get() == Some(&ExitFinding::Exited))
+    }
+
     fn check_for(&self, engine: &BackEnd) -> ExitCheck {
         let mut checks = self.lock();
         Arc::clone(checks.entry(engine.incarnation_id()).or_default())
@@ -90,7 +97,7 @@
         }
         match self.find_engine_exit(engine).await {
             ExitFinding::NotShown => return self.state.has_later_incarnation(engine),
-            ExitFinding::Refused if !self.state.has_ended(engine, now()) => {
+            ExitFinding::Refused if !self.is_known_to_have_ended(engine) => {
                 self.hold_unconfirmed(LostRunReport::of(job, engine, started_at, progress));
                 return false;
             }
@@ -101,6 +108,19 @@
         true
     }
 
+    /// Whether the entries, or what any daemon has lost there, show that the engine has exited.
+    fn is_known_to_have_ended(&self, engine: &BackEnd) -> bool {
+        let quarantine = self.state.quarantine();
+        let has_terminated = quarantine.has_terminated(&engine.incarnation_id());
+        drop(quarantine);
+        has_terminated || self.state.has_ended(engine, now())
+    }
+
+    /// Whether this daemon has found that the engine has exited.
+    pub(crate) fn has_found_exit(&self, engine: &BackEnd) -> bool {
+        self.engine_exit_checks.has_found_exit(engine)
+    }
+
     /// Releases outcomes for publication if the engine accepts direct connections.
     fn confirm_if_reached(&self, engine: &BackEnd) {
         let reached = self
--- a/crates/serving/src/pipeline/unconfirmed_runs.rs
+++ b/crates/serving/src/pipeline/unconfirmed_runs.rs
@@ -3,9 +3,11 @@
 //! A refused connection shows that an engine has exited only at a daemon whose paths are known to
 //! work, and while all back ends are down no daemon can show that. The entry of the engine tells it
 //! later: it names a later start, it expires, or another process uses the address. Until then the
-//! engine gets no requests, so the run still counts before the next one can be lost there.
+//! engine gets no requests, so the run still counts before the next one can be lost there. A peer that
+//! has found out reports what it lost there, which confirms the runs of others as well. Otherwise the
+//! innocent requests of one daemon would count and the cause, at another daemon, would not.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
@@ -83,7 +85,15 @@
 
     /// Records the held runs whose engines have ended, according to their entries.
     pub(super) fn confirm_ended_runs(&self) {
-        let has_ended = |engine: &BackEnd| self.state.has_ended(engine, now());
+        self.confirm_runs(|engine| self.state.has_ended(engine, now()));
+    }
+
+    /// Records the held runs at engines under which peers have lost runs.
+    pub(crate) fn confirm_runs_at(&self, exited: &HashSet<IncarnationId>) {
+        self.confirm_runs(|engine| exited.contains(&engine.incarnation_id()));
+    }
+
+    fn confirm_runs(&self, has_ended: impl Fn(&BackEnd) -> bool) {
         for report in self.unconfirmed_runs.take_ended(has_ended, now()) {
             self.record_lost_run(&report);
         }
