Name the targets of suspects, move the bound on evictions

Read as a newcomer: Recorders also held neighbours, record_sound_part was used by a test only, and EVICTED_FRACTION stood apart from the other limits. No change of behaviour.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -28,7 +28,7 @@
 use crate::fingerprint::Fingerprint;
 use causes::{Causes, rivals_of, strongest};
 use entry::Entry;
-use eviction::{Census, Significance, SuspectsByRequest};
+use eviction::{Census, EVICTED_FRACTION, Significance, SuspectsByRequest};
 use recently_sound::RecentlySound;
 pub use suspicion::{LostRun, Standing, SuspectKind, Suspicion};
 
@@ -36,10 +36,6 @@
 /// crashing request costs few engines, short enough that callers are served soon after the engines
 /// are fixed. It is also the longest lease of the store.
 pub const QUARANTINE_DURATION: Duration = Duration::from_secs(600);
-/// A full table is reduced by this fraction at once, so that the cost of an eviction is spread over
-/// many additions.
-const EVICTED_FRACTION: usize = 8;
-
 /// Effect of merging information about a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Update {
@@ -189,14 +185,8 @@
         self.answers += 1;
     }
 
-    /// Records that an engine has begun to write an answer on a part. Returns whether that clears
-    /// it, as for [`Self::record_good_run`].
-    pub fn record_sound_part(&mut self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.record_good_run(fingerprint, now)
-    }
-
     /// Records that an engine has begun to write an answer on these parts. Returns those that this
-    /// clears.
+    /// clears, as [`Self::record_good_run`] clears a request.
     pub fn record_sound_parts(
         &mut self,
         parts: impl Iterator<Item = Fingerprint>,
--- a/crates/fleet/src/quarantine/eviction.rs
+++ b/crates/fleet/src/quarantine/eviction.rs
@@ -18,6 +18,10 @@
 /// Maximum number of parts kept per tenant.
 const MAX_PARTS_PER_TENANT: usize = 4_096;
 
+/// A full table is reduced by this fraction at once, so that the cost of an eviction is spread over
+/// many additions.
+pub(super) const EVICTED_FRACTION: usize = 8;
+
 /// Requests and parts are limited separately, so that long prompts evict no requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Class {
--- a/crates/fleet/tests/suspected_parts.rs
+++ b/crates/fleet/tests/suspected_parts.rs
@@ -188,9 +188,8 @@
             }
             run.has_written = true;
             self.quarantine.record_answer();
-            for name in &run.request.parts {
-                self.quarantine.record_sound_part(part(name), now);
-            }
+            let parts = run.request.parts.iter().map(|name| part(name));
+            self.quarantine.record_sound_parts(parts, now);
         }
         crashes
     }
--- a/crates/serving/src/peers/suspects.rs
+++ b/crates/serving/src/peers/suspects.rs
@@ -78,7 +78,7 @@
         if left_out > 0 {
             tracing::info!(left_out, "suspects_not_published");
         }
-        let recorders = Recorders::of(self);
+        let targets = SuspectTargets::of(self);
         let mut suspicions_of: BTreeMap<SocketAddr, Vec<Suspicion>> = BTreeMap::new();
         for fingerprint in fingerprints {
             let is_new = requests.get(&fingerprint).copied().unwrap_or_default();
@@ -93,7 +93,7 @@
             if !concerns_all && !is_new {
                 continue;
             }
-            for target in recorders.targets_for(fingerprint, concerns_all) {
+            for target in targets.of_suspect(fingerprint, concerns_all) {
                 let suspicions = suspicions_of.entry(target).or_default();
                 suspicions.push(suspicion.clone());
             }
@@ -200,15 +200,15 @@
     }
 }
 
-/// The daemons that are informed of requests.
-struct Recorders {
+/// The daemons that are informed of suspects.
+struct SuspectTargets {
     /// The other daemons of a fleet in which each request has its own recorders.
     daemons: BTreeMap<u64, SocketAddr>,
     /// Those that are informed of every request, in a small fleet.
     neighbours: Vec<SocketAddr>,
 }
 
-impl Recorders {
+impl SuspectTargets {
     fn of(peers: &Peers) -> Self {
         let mut daemons = peers.state.daemon_addresses();
         if daemons.len() <= SMALL_FLEET_MAX_DAEMONS {
@@ -224,8 +224,8 @@
         }
     }
 
-    /// The daemons that are informed about a request: all of them, or its recorders.
-    fn targets_for(&self, fingerprint: Fingerprint, concerns_all: bool) -> Vec<SocketAddr> {
+    /// The daemons that are informed of one suspect: all of them, or its recorders.
+    fn of_suspect(&self, fingerprint: Fingerprint, concerns_all: bool) -> Vec<SocketAddr> {
         if self.daemons.is_empty() {
             return self.neighbours.clone();
         }
--- a/crates/serving/src/pipeline/quarantining.rs
+++ b/crates/serving/src/pipeline/quarantining.rs
@@ -102,7 +102,7 @@
         let suspicions: Vec<Suspicion> = std::iter::once(request).chain(parts).collect();
         let updates = self.state.quarantine().record_lost_runs(&suspicions, now());
         for (suspicion, update) in suspicions.iter().zip(&updates) {
-            self.publish_standing(report, suspicion, *update);
+            self.announce_suspect(report, suspicion, *update);
         }
         let of_request = updates.first();
         tracing::warn!(
@@ -123,7 +123,7 @@
         );
     }
 
-    fn publish_standing(&self, report: &LostRunReport, suspicion: &Suspicion, update: Update) {
+    fn announce_suspect(&self, report: &LostRunReport, suspicion: &Suspicion, update: Update) {
         let fingerprint = suspicion.fingerprint;
         self.changed_suspects.add(fingerprint);
         if update.before != update.after {
