Keep the search for a witness within its time limit

Cause, by reading: tries further witnesses after the first two, with the time limit for each round. In silence both rounds take their whole 100 ms, and with the 200 ms of the connection the answer comes after the 350 ms that the asking daemon waits, which then counts the peer as failed.

Change: one limit of 100 ms over all rounds, as before. Back ends that refuse at once leave time for the second round, which is what it is for.

The tests of partitioned daemons, paths, relays and crashing requests pass.

--- a/crates/serving/src/peers/relay.rs
+++ b/crates/serving/src/peers/relay.rs
@@ -23,7 +23,8 @@
 
 /// Time limit for connecting to the back end.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
-/// Time limit for showing that another back end is reached.
+/// Time limit for showing that another back end is reached, over all rounds. With the time limit for
+/// the connection it is below that of the peer that waits for the answer.
 const WITNESS_TIMEOUT: Duration = Duration::from_millis(100);
 /// Other back ends of a group that are tried for that at the same time, first a few, then more: of a
 /// small group most may be down.
@@ -187,6 +188,12 @@
     if back_ends.is_empty() {
         return true;
     }
+    let showing = accepts_any_in_rounds(&back_ends, sources);
+    let shown = tokio::time::timeout(WITNESS_TIMEOUT, showing).await;
+    shown.unwrap_or(false)
+}
+
+async fn accepts_any_in_rounds(back_ends: &[&Arc<BackEnd>], sources: &AnswerSources) -> bool {
     let start = sources.pipeline.random_index(back_ends.len());
     let rotated = back_ends.iter().cycle().skip(start).take(back_ends.len());
     let mut untried = rotated.map(|back_end| back_end.address);
