Hand records of streams over to older builds, within the notice period

Found in a reading of the whole change.

- A daemon that did not confirm records, as one of an older build, got them in a message that such a build cannot read, so the fallback reached nobody.
It gets single records now.
- The first hand-over of a planned stop had no limit of its own: slow peers could delay the end of the notice period and with it the refusal of new requests.
It ends with the notice period; the rest is handed over at the end of the stop.
- Comments say "renew" where they said "tell again"; the limit on terminations and the order of eviction name requests and the quarantined again.

Neither mend has a test of its own: no older build is in the tests, and no slow peer is in those of the stop.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -408,7 +408,7 @@
                 let of_run = self.causes.by_engine.entry(run.engine.clone());
                 of_run.or_insert(cause.suspicion.fingerprint);
             }
-            // Prompts may share a thousand parts that were lost at the same engines.
+            // The others change nothing any more, and prompts may share a thousand such parts.
             candidates.retain(|entry| entry.unexplained_runs(&self.causes).next().is_some());
         }
         let settling = candidates
@@ -448,7 +448,8 @@
         }
     }
 
-    /// Makes room for one more suspect of this kind by evicting the least significant ones.
+    /// Makes room for one more suspect of this kind by evicting the least significant ones, the
+    /// quarantined last.
     fn make_room(&mut self, kind: SuspectKind, tenant: u32, now: Instant) {
         let Some(scope) = self.census.full_scope(kind, tenant) else {
             return;
--- a/crates/fleet/src/quarantine/entry.rs
+++ b/crates/fleet/src/quarantine/entry.rs
@@ -36,8 +36,8 @@
 /// Time after the first of the terminations until a suspect is quarantined that was sound before. A
 /// request that comes often, or a part that many requests share, would have been cleared meanwhile.
 const SOUND_SETTLING_TIME: Duration = Duration::from_secs(1);
-/// Successive terminations after which a part is quarantined although engines began answers on it
-/// recently, or although another suspect was there each time.
+/// Successive terminations after which a suspect is quarantined although it was sound before, or a
+/// part although another suspect was there each time.
 pub(super) const DECIDED_AFTER_ENGINES: usize = 5;
 
 /// What is known of one suspect.
--- a/crates/fleet/src/stream_origins.rs
+++ b/crates/fleet/src/stream_origins.rs
@@ -15,8 +15,8 @@
 const MAX_STREAMS: usize = 16_384;
 /// A caller may take up a stream for no longer than this.
 pub const MAX_RETENTION: Duration = Duration::from_secs(600);
-/// Time after which the daemon that serves a stream tells its recorders again. All of them may have
-/// been replaced in between; streams that are shorter cost nothing.
+/// Interval at which the daemon that serves a stream renews its record at the recorders, all of which
+/// may have been replaced in between. Shorter streams are never renewed.
 pub const RENEWAL_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Identifies a stream over all tries of its caller: the tenant and the ID of the request that
@@ -84,7 +84,7 @@
     Unrecorded,
 }
 
-/// What a daemon tells others of a stream.
+/// The record of a stream, as daemons send it to each other.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StreamRecord {
     /// The stream.
@@ -100,7 +100,7 @@
     /// `None` if two origins were recorded.
     origin: Option<StreamOrigin>,
     expires_at: Instant,
-    /// When the recorders are told again; `None` for a stream that this daemon does not serve.
+    /// When the record is renewed at the recorders; `None` for a stream that this daemon does not serve.
     renewal_at: Option<Instant>,
 }
 
@@ -150,8 +150,8 @@
         }
     }
 
-    /// Records where a stream began that this daemon serves from now on. Its recorders are told again
-    /// after each [`RENEWAL_INTERVAL`] until it ends.
+    /// Records where a stream began that this daemon serves from now on. The record is renewed after
+    /// each [`RENEWAL_INTERVAL`] until the stream ends.
     pub fn record_served(
         &mut self,
         stream: StreamId,
@@ -168,7 +168,7 @@
         self.schedule_renewal(stream, None);
     }
 
-    /// The streams whose recorders are to be told again now.
+    /// The records that are to be renewed at their recorders now.
     pub fn take_due_renewals(&mut self, now: Instant) -> Vec<StreamRecord> {
         self.forget_expired(now);
         let due = self.by_renewal.iter();
@@ -184,7 +184,7 @@
             .collect()
     }
 
-    /// When the next recorders are to be told again; `None` if this daemon serves no stream.
+    /// When the next record is to be renewed; `None` if this daemon serves no stream.
     #[must_use]
     pub fn next_renewal(&self) -> Option<Instant> {
         let first = self.by_renewal.first();
--- a/crates/serve/src/daemon.rs
+++ b/crates/serve/src/daemon.rs
@@ -229,8 +229,10 @@
         tracing::info!(in_progress = self.pipeline.in_progress(), "stop_begins");
         let exit_deadline = started_at + stop.exit_deadline;
         self.pipeline.begin_stop(exit_deadline);
-        self.pipeline.hand_over_stream_records().await;
-        time::sleep_until(started_at + stop.notice_period).await;
+        let notice_end = started_at + stop.notice_period;
+        // Slow peers must not delay the stop. What is left is handed over at its end.
+        time::timeout_at(notice_end, self.pipeline.hand_over_stream_records()).await;
+        time::sleep_until(notice_end).await;
         self.callers_server.close_connections();
         time::sleep_until(started_at + stop.accept_period).await;
         self.pipeline.refuse_new_requests();
--- a/crates/serving/src/back_end_paths.rs
+++ b/crates/serving/src/back_end_paths.rs
@@ -311,7 +311,7 @@
     }
 
     /// Whether the process at this address has exited: peers that reach other back ends are refused.
-    /// What this daemon sees itself shows it only if it can connect, or if it has no peers. Asks for
+    /// What this daemon sees itself is proof only if it can connect, or if it has no peers. Asks for
     /// [`EXIT_WITNESSES`] peers, and is content with one if no other can say.
     pub(crate) async fn find_exit(self: &Arc<Self>, address: SocketAddr) -> ExitFinding {
         let known_failure = self.paths().failure(address);
--- a/crates/serving/src/peers/stream_origins.rs
+++ b/crates/serving/src/peers/stream_origins.rs
@@ -1,9 +1,9 @@
 //! Tells a few daemons where each stream began, and asks them when a caller takes up a stream here.
 //!
 //! The record leaves before the caller gets the first event, so that it outlives the daemon. Daemons
-//! hold it in memory only, so all that hold it may be replaced while the stream lasts: the daemon that
-//! serves the stream tells the recorders of the time again, and one that stops hands over what it
-//! holds.
+//! hold it in memory only, and all that hold it may be replaced while the stream lasts. The daemon that
+//! serves the stream therefore renews the record at the current recorders, and one that stops hands
+//! over its records.
 
 use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
@@ -37,7 +37,8 @@
 const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(250);
 /// Daemons to which records are handed over at the same time.
 const CONCURRENT_HAND_OVERS: usize = 16;
-/// Further daemons that are tried for a record whose first ones did not confirm it.
+/// How often records are handed over, each time to the next daemons in order in place of those that
+/// did not confirm them.
 const HAND_OVER_ROUNDS: usize = 3;
 
 /// Records to send, by the daemon that gets them.
@@ -118,8 +119,7 @@
                     confirmed.extend(records.iter().map(|record| (daemon, record.stream)));
                 } else {
                     failed.insert(daemon);
-                    // It may be of a build that cannot confirm.
-                    self.tell(daemon, &records).await;
+                    self.send_unconfirmed(daemon, &records).await;
                 }
             }
         }
@@ -154,18 +154,21 @@
         true
     }
 
-    /// Sends records that need no confirmation, because they are sent again.
-    async fn tell(&self, daemon: SocketAddr, records: &[StreamRecord]) {
-        let rows = records.iter().map(row_of).collect();
-        for bytes in message::encode_stream_origins(rows) {
-            drop(self.socket.send_to(&bytes, daemon).await);
+    /// Sends records to a daemon that did not confirm them: one of an older build reads only datagrams
+    /// with a single record.
+    async fn send_unconfirmed(&self, daemon: SocketAddr, records: &[StreamRecord]) {
+        for record in records {
+            if let Some(bytes) = message::encode(&Message::StreamOrigin(row_of(record))) {
+                // A datagram that cannot be sent is treated like a lost one.
+                drop(self.socket.send_to(&bytes, daemon).await);
+            }
         }
     }
 }
 
 impl Peers {
-    /// Tells the recorders of the streams that this daemon serves where these began, again and again,
-    /// because the recorders change and forget everything when they restart.
+    /// Renews the records of the streams that this daemon serves: recorders change, and forget
+    /// everything when they restart.
     pub(super) async fn renew_stream_origins(self: Arc<Self>) {
         loop {
             let next = self.state.stream_origins().next_renewal();
